Set out package, interfaces and manual-time loop

Cause: nothing exists yet; every part needs the same ids, clock, errors and interfaces of platform and endpoints.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each run as ``python -m benchmarks.NAME``."""
--- /dev/null
+++ b/src/_monsoonpulley/__init__.py
@@ -0,0 +1,1 @@
+"""Private core of monsoonpulley; import from ``monsoonpulley`` instead."""
--- /dev/null
+++ b/src/_monsoonpulley/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: document, file format and storage."""
--- /dev/null
+++ b/src/_monsoonpulley/config/document.py
@@ -0,0 +1,137 @@
+"""The configuration document: what operators say, and nothing else.
+
+It holds classes of work, customers, services and versions. It holds no
+weights and no addresses.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from ..ids import ClassId, CustomerId, ServiceId, VersionId
+
+Milliseconds = Annotated[int, Meta(ge=1, le=86_400_000)]
+Sha256Hex = Annotated[str, Meta(pattern="^[0-9a-f]{64}$")]
+
+
+class ServiceKind(Enum):
+    """How a service is called."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class FencingCheck(Enum):
+    """Whether a service's endpoints check fencing numbers of orders."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
+class RequestClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A class of work and its target.
+
+    Attributes
+    ----------
+    service : ServiceId
+        Service that answers it.
+    answer_within_ms : int
+        Target for the whole answer, or for the first token of a stream.
+    token_gap_ms : int
+        Target between tokens of a stream.
+    repeats : int
+        How often a request may be repeated; 0 means at most once ever, and
+        then callers must send an ``Idempotency-Key``.
+    retention_s : int
+        How long the record of an at-most-once request is kept.
+    max_body_bytes : int
+        Largest request body.
+    """
+
+    service: ServiceId
+    answer_within_ms: Milliseconds
+    token_gap_ms: Milliseconds = 1_000
+    repeats: Annotated[int, Meta(ge=0, le=10)] = 2
+    retention_s: Annotated[int, Meta(ge=60, le=31_536_000)] = 86_400
+    max_body_bytes: Annotated[int, Meta(ge=1, le=67_108_864)] = 1_048_576
+
+
+class Customer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A customer; its credential is kept as SHA-256 only.
+
+    ``classes`` are the classes it may use; empty means all.
+    """
+
+    credential_sha256: Sha256Hex
+    classes: tuple[ClassId, ...] = ()
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service behind the system.
+
+    Attributes
+    ----------
+    kind : ServiceKind
+        Model engine or plain service.
+    refusal_statuses : tuple of int
+        HTTP statuses by which its endpoints say that they did not run a call.
+    lookup : bool
+        Whether its endpoints can be asked if a request id ran.
+    fencing : FencingCheck
+        Whether its endpoints check fencing numbers.
+    """
+
+    kind: ServiceKind
+    refusal_statuses: tuple[Annotated[int, Meta(ge=400, le=599)], ...] = (429,)
+    lookup: bool = False
+    fencing: FencingCheck = FencingCheck.IGNORED
+
+
+class Version(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A version of a service and when it must have taken over.
+
+    ``deadline_wall_ms`` is Unix epoch milliseconds; ``None`` marks the version
+    that the service starts with.
+    """
+
+    service: ServiceId
+    version: VersionId
+    deadline_wall_ms: int | None = None
+
+
+class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One validated configuration."""
+
+    classes: dict[ClassId, RequestClass] = {}
+    customers: dict[CustomerId, Customer] = {}
+    services: dict[ServiceId, Service] = {}
+    versions: tuple[Version, ...] = ()
+
+
+class Revision(msgspec.Struct, frozen=True):
+    """An applied document.
+
+    Attributes
+    ----------
+    number : int
+        Rises by 1 with each applied change, from 1.
+    change_token : str
+        Random token of the change, by which a lost answer is settled.
+    author : str
+        Who applied it.
+    applied_wall_ms : int
+        When, by the applier's wall clock.
+    note : str
+        Why, in the author's words.
+    """
+
+    number: int
+    change_token: str
+    author: str
+    applied_wall_ms: int
+    document: Document
+    note: str = ""
--- /dev/null
+++ b/src/_monsoonpulley/control/__init__.py
@@ -0,0 +1,1 @@
+"""Duties held by lease: rollout, capacity, recovery, collection."""
--- /dev/null
+++ b/src/_monsoonpulley/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces of model engines and plain services and their adapters."""
--- /dev/null
+++ b/src/_monsoonpulley/endpoints/engine.py
@@ -0,0 +1,182 @@
+"""Model engines: token streams, load reports, cache events, KV cache, orders."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+
+from ..errors import Failure
+from ..ids import AttemptId, RequestId, VersionId
+
+
+class EngineCall(msgspec.Struct, frozen=True):
+    """One attempt of a generation.
+
+    Attributes
+    ----------
+    path : str
+        ``/v1/chat/completions`` or ``/v1/completions``.
+    body : dict
+        The caller's JSON body, as sent by the caller.
+    text_so_far : str
+        Text that earlier attempts generated; generation goes on after it.
+    tokens_so_far : int
+        Count of tokens in ``text_so_far``.
+    priority : int
+        Lower runs first.
+    first_token_timeout_ms, token_timeout_ms : int
+        Longest wait for the first token, and between tokens.
+    """
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    path: str
+    body: dict
+    text_so_far: str = ""
+    tokens_so_far: int = 0
+    priority: int = 0
+    first_token_timeout_ms: int = 60_000
+    token_timeout_ms: int = 10_000
+
+
+class Token(msgspec.Struct, frozen=True):
+    """One generated token.
+
+    Attributes
+    ----------
+    attempt_id : AttemptId
+        Attempt that generated it; tokens of abandoned attempts are dropped.
+    offset : int
+        Position in the whole answer, from 0, earlier attempts included.
+    text : str
+        Its text.
+    """
+
+    attempt_id: AttemptId
+    offset: int
+    text: str
+
+
+class Finished(msgspec.Struct, frozen=True):
+    """The end of a generation.
+
+    ``cached_tokens`` is how many prompt tokens were found in the prefix cache.
+    """
+
+    attempt_id: AttemptId
+    finish_reason: str
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int = 0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Load of an engine as it was at ``measured_wall_ms``.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests in the batch, and queued before it.
+    waiting_tokens : int
+        Prompt tokens queued for prefill.
+    kv_used_ratio : float
+        Share of the KV cache in use, 0 to 1.
+    prefill_tokens_per_s, decode_ms_per_token : float
+        Speeds of late.
+    max_running : int
+        Most requests the engine batches.
+    """
+
+    measured_wall_ms: int
+    running: int
+    waiting: int
+    waiting_tokens: int
+    kv_used_ratio: float
+    prefill_tokens_per_s: float
+    decode_ms_per_token: float
+    max_running: int
+
+
+class CacheEventKind(Enum):
+    """What happened to a block of the prefix cache."""
+
+    STORED = "stored"
+    REMOVED = "removed"
+    CLEARED = "cleared"
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A change of an engine's prefix cache.
+
+    ``seq`` rises by 1 with each event, so a gap shows. ``blocks`` are chained
+    block hashes (see ``routing``); empty for ``CLEARED``.
+    """
+
+    seq: int
+    kind: CacheEventKind
+    blocks: tuple[int, ...] = ()
+
+
+class CancelOutcome(Enum):
+    """What a cancel found."""
+
+    NOT_STARTED = "not_started"
+    """The engine dropped the request before running any of it."""
+    STOPPED = "stopped"
+    UNKNOWN = "unknown"
+
+
+class OrderKind(Enum):
+    """What an engine is told to do."""
+
+    LOAD_VERSION = "load_version"
+    LOAD_ADAPTER = "load_adapter"
+    CHANGE_ROLE = "change_role"
+
+
+class Order(msgspec.Struct, frozen=True):
+    """An order, idempotent by ``order_id``, with its fencing number."""
+
+    order_id: str
+    kind: OrderKind
+    fencing_number: int
+    version: VersionId = VersionId("")
+    argument: str = ""
+
+
+class EngineClient(Protocol):
+    """One worker of a model engine. Failures of calls carry a ``delivery``."""
+
+    def generate(self, call: EngineCall) -> AsyncIterator[Token | Finished | Failure]:
+        """Yield tokens, then one ``Finished`` or ``Failure``.
+
+        Closing the iterator early cancels the generation.
+        """
+        ...
+
+    async def cancel(self, attempt: AttemptId) -> CancelOutcome | Failure:
+        """Stop an attempt and say whether it had started."""
+        ...
+
+    async def load(self) -> LoadReport | Failure:
+        """Return the newest load report."""
+        ...
+
+    async def cache_events(self, after_seq: int) -> tuple[CacheEvent, ...] | Failure:
+        """Return events after ``after_seq`` that the engine still has."""
+        ...
+
+    async def export_kv(self, attempt: AttemptId) -> bytes | Failure:
+        """Return the KV cache of a running attempt."""
+        ...
+
+    async def import_kv(self, attempt: AttemptId, data: bytes) -> Failure | None:
+        """Take in a KV cache so that ``attempt`` starts from it."""
+        ...
+
+    async def order(self, order: Order) -> Failure | None:
+        """Carry out an order; ``Reason.FENCED`` if its number is old."""
+        ...
--- /dev/null
+++ b/src/_monsoonpulley/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface towards callers and operators."""
--- /dev/null
+++ b/src/_monsoonpulley/ids.py
@@ -0,0 +1,24 @@
+"""Identifiers, one type each so that they can't be mixed up."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+CustomerId = NewType("CustomerId", str)
+ClassId = NewType("ClassId", str)
+ServiceId = NewType("ServiceId", str)
+VersionId = NewType("VersionId", str)
+ZoneId = NewType("ZoneId", str)
+InstanceId = NewType("InstanceId", str)
+"""An entry instance, as the platform names it."""
+EndpointId = NewType("EndpointId", str)
+"""An endpoint instance: a worker of a model engine or of a plain service."""
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+"""One try of a request at one endpoint: ``request id`` + ``.`` + attempt number."""
+IdempotencyKey = NewType("IdempotencyKey", str)
+
+
+def attempt_id(request_id: RequestId, attempt: int) -> AttemptId:
+    """Return the id of the given attempt of a request, counted from 1."""
+    return AttemptId(f"{request_id}.{attempt}")
--- /dev/null
+++ b/src/_monsoonpulley/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The record of submissions that may run at most once."""
--- /dev/null
+++ b/src/_monsoonpulley/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and digests between entry instances."""
--- /dev/null
+++ b/src/_monsoonpulley/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces of the platform and their adapters."""
--- /dev/null
+++ b/src/_monsoonpulley/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on where a request goes, and whether it may."""
--- /dev/null
+++ b/src/_monsoonpulley/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the platform and of endpoints."""
--- /dev/null
+++ b/src/_monsoonpulley/standins/manualloop.py
@@ -0,0 +1,73 @@
+"""An event loop on manual time: waiting costs nothing and runs are repeatable."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from ..clock import Clock
+
+T = TypeVar("T")
+
+WALL_START_MS = 1_800_000_000_000
+"""Wall time in Unix epoch milliseconds at which every manual run starts."""
+
+
+class IdleError(RuntimeError):
+    """Every task waits for something that no timer will bring about."""
+
+
+class _TimeSkippingSelector(selectors.DefaultSelector):
+    """Moves the loop's time forward where a selector would wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list:
+        ready = super().select(0)
+        if ready:
+            return ready
+        if timeout is None:
+            raise IdleError("all tasks wait and no timer is set")
+        if timeout > 0:
+            self.now_s += timeout
+        return ready
+
+
+class ManualLoop(asyncio.SelectorEventLoop):
+    """A loop whose time jumps to the next timer as soon as nothing is ready.
+
+    Only for code without sockets: a wait for the outside raises `IdleError`.
+    """
+
+    def __init__(self) -> None:
+        self._skipping_selector = _TimeSkippingSelector()
+        super().__init__(self._skipping_selector)
+        # Timers less than a clock tick away count as due; with time that only
+        # moves by whole waits this must not swallow sub-millisecond timers.
+        self._clock_resolution = 1e-9
+
+    def time(self) -> float:
+        """Return manual seconds since the loop was made."""
+        return self._skipping_selector.now_s
+
+    def clock(self) -> Clock:
+        """Return a `Clock` on this loop's time."""
+        return Clock(self.time, WALL_START_MS)
+
+
+def run_manual(make: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine to its end on a new `ManualLoop`, as `asyncio.run` would."""
+    with asyncio.Runner(loop_factory=ManualLoop) as runner:
+        return runner.run(make)
+
+
+def running_clock() -> Clock:
+    """Return the clock of the running loop, manual or not."""
+    loop = asyncio.get_running_loop()
+    if isinstance(loop, ManualLoop):
+        return loop.clock()
+    return Clock.from_system()
--- /dev/null
+++ b/src/monsoonpulley/__init__.py
@@ -0,0 +1,1 @@
+"""monsoonpulley: a serving system on reclaimable machines."""
--- /dev/null
+++ b/src/monsoonpulley/__main__.py
@@ -0,0 +1,14 @@
+"""Command line entry point."""
+
+from __future__ import annotations
+
+
+def main() -> None:
+    """Run the command line."""
+    from _monsoonpulley.cli import run
+
+    run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; ``python -m testing`` runs them all."""
