--- /dev/null
+++ b/src/_monsoonpulley/log.py
@@ -0,0 +1,75 @@
+"""Logs: one JSON object a line, through ``loguru``.
+
+Each line has ``wall_ms``, ``level``, ``event`` and the fields of the event.
+Decisions are structs; `log_decision` writes all of a struct's fields, so that
+a decision can be replayed from its line.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from .clock import Clock
+
+Sink = Callable[[str], Any]
+
+
+class Decision(msgspec.Struct, frozen=True, tag_field="event", kw_only=True):
+    """Base of decisions; the subclass's tag is the event name.
+
+    Attributes
+    ----------
+    rule : str
+        Name of the rule that decided.
+    """
+
+    rule: str
+
+
+class Log:
+    """A log for one process or, in tests, one instance.
+
+    Parameters
+    ----------
+    clock : Clock
+        Gives ``wall_ms``.
+    sink : callable
+        Takes one finished JSON line without its end of line.
+    instance : str
+        Name written with each line; empty for none.
+    """
+
+    def __init__(self, clock: Clock, sink: Sink, instance: str = ""):
+        self._clock = clock
+        self._sink = sink
+        self._instance = instance
+
+    @classmethod
+    def from_settings(cls, clock: Clock, instance: str, level: str = "INFO") -> Log:
+        """Return a log that writes to standard error through ``loguru``."""
+        import sys
+
+        logger.remove()
+        logger.add(sys.stderr, level=level, format="{message}")
+        return cls(clock, lambda line: logger.info("{}", line), instance)
+
+    def event(self, event: str, /, **fields: Any) -> None:
+        """Write an event that is no decision."""
+        self._write(event, fields)
+
+    def decision(self, decision: Decision) -> None:
+        """Write a decision with all of its inputs."""
+        fields = msgspec.to_builtins(decision)
+        self._write(fields.pop("event"), fields)
+
+    def _write(self, event: str, fields: dict[str, Any]) -> None:
+        line: dict[str, Any] = {"wall_ms": self._clock.wall_ms()}
+        if self._instance:
+            line["instance"] = self._instance
+        line["event"] = event
+        line.update(fields)
+        self._sink(msgspec.json.encode(line, enc_hook=str).decode())
--- /dev/null
+++ b/src/_monsoonpulley/metrics.py
@@ -0,0 +1,43 @@
+"""Counters, gauges and timers, sent by ``statsd`` over UDP."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import statsd
+
+
+class Metrics(Protocol):
+    """What the rest of the program may do with metrics."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Add to a counter."""
+        ...
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Record a duration in milliseconds."""
+        ...
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Set a gauge."""
+        ...
+
+
+class NoMetrics:
+    """Metrics that go nowhere, where no ``statsd`` address is set."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Do nothing."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Do nothing."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Do nothing."""
+
+
+def metrics_to(host: str, port: int, prefix: str) -> Metrics:
+    """Return metrics to a ``statsd`` address, or `NoMetrics` without a host."""
+    if not host:
+        return NoMetrics()
+    return statsd.StatsClient(host, port, prefix=prefix)
