Add in-memory stand-ins of the platform

Change: table, object store, live list and cloud in memory, over one fault plan (outages, slowness, lost requests, lost answers, delayed effects, partitions) and one clock; `PlatformStandin.connect` gives the bundle that an instance sees.

--- /dev/null
+++ b/src/_monsoonpulley/platform/bundle.py
@@ -0,0 +1,19 @@
+"""The platform as one process sees it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from .cloud import Cloud
+from .livelist import LiveList
+from .objects import ObjectStore
+from .table import Table
+
+
+class Platform(msgspec.Struct, frozen=True):
+    """Handles on the four services of the platform."""
+
+    table: Table
+    objects: ObjectStore
+    livelist: LiveList
+    cloud: Cloud
--- /dev/null
+++ b/src/_monsoonpulley/standins/platform.py
@@ -0,0 +1,82 @@
+"""Stand-in of the whole platform: four services, one fault plan, one clock."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ..clock import Clock
+from ..ids import ZoneId
+from ..platform.bundle import Platform
+from .calls import DEFAULT_TIMEOUT_MS
+from .cloud import CloudInstance, CloudStandin
+from .faults import Faults, Network
+from .livelist import LiveListStandin
+from .objects import ObjectStoreStandin
+from .table import TableStandin
+
+
+class PlatformStandin:
+    """The platform in memory.
+
+    The live list follows the cloud: a reclaim notice shows its instance as
+    leaving, an end takes it off the list. Whoever runs an instance adds it.
+
+    Parameters
+    ----------
+    clock : Clock
+        Of the running loop.
+    rng : Random
+        Draws faults and latencies.
+    lag_ms : int
+        Lag of the live list.
+    lead_ms : int
+        From an instance's start to its running.
+    commits_per_s, reads_per_s : float, optional
+        Limits of the table.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: Random,
+        *,
+        lag_ms: int = 0,
+        lead_ms: int = 0,
+        commits_per_s: float | None = None,
+        reads_per_s: float | None = None,
+    ):
+        self.faults = Faults(rng)
+        self.table = TableStandin(
+            clock,
+            rng,
+            self.faults,
+            commits_per_s=commits_per_s,
+            reads_per_s=reads_per_s,
+        )
+        self.objects = ObjectStoreStandin(clock, rng, self.faults)
+        self.livelist = LiveListStandin(clock, rng, self.faults, lag_ms=lag_ms)
+        self.cloud = CloudStandin(clock, rng, self.faults, lead_ms=lead_ms)
+        self.cloud.on_notice.append(self._on_notice)
+        self.cloud.on_ended.append(self._on_ended)
+
+    @property
+    def network(self) -> Network:
+        """Which zones reach each other and the platform."""
+        return self.faults.network
+
+    def connect(
+        self, peer: str, zone: ZoneId, timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> Platform:
+        """Return the platform as one instance sees it."""
+        return Platform(
+            self.table.connect(peer, zone, timeout_ms),
+            self.objects.connect(peer, zone, timeout_ms),
+            self.livelist.connect(peer, zone, timeout_ms),
+            self.cloud.connect(peer, zone, timeout_ms),
+        )
+
+    def _on_notice(self, instance: CloudInstance) -> None:
+        self.livelist.mark_leaving(instance.name)
+
+    def _on_ended(self, instance: CloudInstance) -> None:
+        self.livelist.remove(instance.name)
