--- /dev/null
+++ b/src/_monsoonpulley/endpoints/feed.py
@@ -0,0 +1,105 @@
+"""Polls the load reports and cache events of engines."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from ..clock import Clock
+from ..errors import Failure
+from ..ids import EndpointId
+from ..metrics import Metrics
+from .engine import CacheEvent, EngineClient, LoadReport
+
+POLL_INTERVAL_MS = 500
+POLL_TIMEOUT_MS = 2_000
+POLLS_AT_ONCE = 16
+
+
+class FeedSink(Protocol):
+    """Takes what the engines report."""
+
+    def apply_load(
+        self, endpoint: EndpointId, report: LoadReport, now_ms: int, wall_ms: int
+    ) -> None:
+        """Take in a load report; ``wall_ms`` is the present by the wall."""
+        ...
+
+    def apply_cache_events(
+        self, endpoint: EndpointId, events: tuple[CacheEvent, ...]
+    ) -> None:
+        """Take in cache events in the order of their numbers."""
+        ...
+
+
+class EngineFeed:
+    """Polls each engine that this instance reports on.
+
+    Parameters
+    ----------
+    engines : callable
+        Returns the engines to poll, by endpoint.
+    sink : FeedSink
+        Takes the reports.
+    clock, rng, metrics
+        Of the instance; ``rng`` spreads the polls.
+    """
+
+    def __init__(
+        self,
+        engines: Callable[[], dict[EndpointId, EngineClient]],
+        sink: FeedSink,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ):
+        self._engines = engines
+        self._sink = sink
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._seen_seq: dict[EndpointId, int] = {}
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            spread = self._rng.uniform(0.9, 1.1)
+            await self._clock.sleep_ms(POLL_INTERVAL_MS * spread)
+
+    async def poll(self) -> None:
+        """Poll every engine once, a bounded number at a time."""
+        engines = self._engines()
+        self._forget_others(engines)
+        slots = asyncio.Semaphore(POLLS_AT_ONCE)
+
+        async def poll_one(endpoint: EndpointId, engine: EngineClient) -> None:
+            async with slots:
+                await self._poll_engine(endpoint, engine)
+
+        await asyncio.gather(*(poll_one(*item) for item in engines.items()))
+
+    async def _poll_engine(self, endpoint: EndpointId, engine: EngineClient) -> None:
+        try:
+            async with asyncio.timeout(POLL_TIMEOUT_MS / 1000):
+                report = await engine.load()
+                events = await engine.cache_events(self._seen_seq.get(endpoint, 0))
+        except TimeoutError:
+            self._metrics.incr("feed.timeout")
+            return
+        if isinstance(report, Failure):
+            self._metrics.incr("feed.load_failed")
+        else:
+            now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+            self._sink.apply_load(endpoint, report, now_ms, wall_ms)
+        if isinstance(events, Failure):
+            self._metrics.incr("feed.cache_events_failed")
+        elif events:
+            self._seen_seq[endpoint] = max(event.seq for event in events)
+            self._sink.apply_cache_events(endpoint, events)
+
+    def _forget_others(self, engines: Iterable[EndpointId]) -> None:
+        for endpoint in set(self._seen_seq) - set(engines):
+            del self._seen_seq[endpoint]
--- /dev/null
+++ b/src/_monsoonpulley/endpoints/pool.py
@@ -0,0 +1,67 @@
+"""Clients of the endpoints that are listed, made once each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from ..ids import EndpointId
+from ..platform.livelist import Member, Role
+from .engine import EngineClient
+from .service import ServiceClient
+
+Client = EngineClient | ServiceClient
+MakeClient = Callable[[Member], Client | None]
+
+
+class EndpointPool:
+    """Clients by endpoint, kept in step with the list of members.
+
+    Parameters
+    ----------
+    make : callable
+        Makes the client of a member; ``None`` for members of services that
+        the configuration does not know.
+    """
+
+    def __init__(self, make: MakeClient):
+        self._make = make
+        self._clients: dict[EndpointId, Client] = {}
+        self._members: dict[EndpointId, Member] = {}
+
+    def update(self, members: Iterable[Member]) -> None:
+        """Take in the members; clients of changed addresses are made anew."""
+        listed = {
+            EndpointId(member.instance): member
+            for member in members
+            if member.role is Role.ENDPOINT
+        }
+        for endpoint in set(self._clients) - set(listed):
+            del self._clients[endpoint]
+        for endpoint, member in listed.items():
+            known = self._members.get(endpoint)
+            if endpoint in self._clients and _same_place(known, member):
+                continue
+            client = self._make(member)
+            if client is not None:
+                self._clients[endpoint] = client
+        self._members = listed
+
+    def client(self, endpoint: EndpointId) -> Client | None:
+        """Return the client of an endpoint, ``None`` if it is not listed."""
+        return self._clients.get(endpoint)
+
+    def member(self, endpoint: EndpointId) -> Member | None:
+        """Return the member behind an endpoint, ``None`` if it is not listed."""
+        return self._members.get(endpoint)
+
+    def members(self) -> list[Member]:
+        """Return all listed endpoints."""
+        return list(self._members.values())
+
+
+def _same_place(known: Member | None, member: Member) -> bool:
+    return (
+        known is not None
+        and known.address == member.address
+        and known.service == member.service
+    )
--- /dev/null
+++ b/src/_monsoonpulley/gateway/app.py
@@ -0,0 +1,121 @@
+"""The ASGI application of an entry instance."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import BaseRoute, Route
+
+from ..errors import Failure, Reason
+from ..lifecycle import Lifecycle, Phase
+from ..log import Log
+from ..outcome import Outcome
+from .formats import formats
+from .generations import GenerationHandler
+from .intake import Reception, Refusal, usable_classes
+from .lookup import LookupHandler
+from .models import ModelList, ModelObject
+from .problem import problem_response
+from .services import ServiceHandler
+
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class Handlers(msgspec.Struct, frozen=True):
+    """The handlers that an application serves."""
+
+    generations: GenerationHandler
+    services: ServiceHandler
+    lookup: LookupHandler
+    reception: Reception
+    lifecycle: Lifecycle
+    operator_routes: Sequence[BaseRoute] = ()
+
+
+def make_app(handlers: Handlers, log: Log) -> Starlette:
+    """Return the application."""
+    pages = _Pages(handlers)
+    routes: list[BaseRoute] = [
+        Route(path, handlers.generations, methods=["POST"]) for path in formats
+    ]
+    routes += [
+        Route("/v1/models", pages.models),
+        Route("/v1/requests/{request_id}", handlers.lookup.handle),
+        Route("/services/{class_id}", handlers.services, methods=METHODS),
+        Route("/services/{class_id}/{path:path}", handlers.services, methods=METHODS),
+        Route("/healthz", pages.health),
+        Route("/readyz", pages.readiness),
+        *handlers.operator_routes,
+    ]
+    errors = _Errors(log)
+    return Starlette(
+        routes=routes,
+        exception_handlers={
+            HTTPException: errors.http_error,
+            Exception: errors.fault,
+        },
+    )
+
+
+class _Pages:
+    """Small pages that need no handler of their own."""
+
+    def __init__(self, handlers: Handlers):
+        self._reception = handlers.reception
+        self._lifecycle = handlers.lifecycle
+
+    async def models(self, request: Request) -> Response:
+        """List the classes that the customer may use."""
+        customer = self._reception.customer(request)
+        document = self._reception.document()
+        for known in (customer, document):
+            if isinstance(known, Failure):
+                request_id = self._reception.new_request_id()
+                return Refusal(known, request_id).response()
+        names = usable_classes(document, customer)
+        body = ModelList([ModelObject(name) for name in names])
+        return Response(msgspec.json.encode(body), media_type="application/json")
+
+    async def health(self, request: Request) -> Response:
+        """Say that the process runs."""
+        return PlainTextResponse("ok\n")
+
+    async def readiness(self, request: Request) -> Response:
+        """Say whether a balancer should send requests here."""
+        phase = self._lifecycle.phase
+        status = 200 if phase is Phase.READY else 503
+        return PlainTextResponse(f"{phase.value}\n", status)
+
+
+class _Errors:
+    """Answers for requests that no handler answered."""
+
+    def __init__(self, log: Log):
+        self._log = log
+
+    async def http_error(self, request: Request, error: HTTPException) -> Response:
+        """Answer unknown paths and methods in the error shape of the API."""
+        missing = error.status_code == 404
+        reason = Reason.NOT_FOUND if missing else Reason.BAD_REQUEST
+        detail = f"{request.method} {request.url.path}: {error.detail}"
+        failure = Failure(reason, "gateway.route", "", detail)
+        response = problem_response(failure, Outcome.NOT_RUN)
+        response.status_code = error.status_code
+        response.headers.update(error.headers or {})
+        return response
+
+    async def fault(self, request: Request, error: Exception) -> Response:
+        """Log a fault of the program and answer without its details."""
+        self._log.event(
+            "request_fault",
+            path=request.url.path,
+            error=f"{type(error).__name__}: {error}",
+        )
+        detail = "a fault of the system; its log has the details"
+        failure = Failure(Reason.INTERNAL, "gateway.handle", "", detail)
+        return problem_response(failure, Outcome.UNKNOWN)
--- /dev/null
+++ b/src/_monsoonpulley/gateway/eventstream.py
@@ -0,0 +1,82 @@
+"""Streaming responses that end as soon as their caller is gone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator, Mapping
+from contextlib import aclosing, suppress
+
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+CALLER_STALL_MS = 30_000
+"""A caller that takes nothing for this long is treated as gone."""
+
+
+class EventStream(Response):
+    """Server-sent events from an async generator, closed in every case.
+
+    Parameters
+    ----------
+    events : async generator of bytes
+        Whole events.
+    headers : mapping
+        Further response headers.
+    """
+
+    media_type = "text/event-stream"
+
+    def __init__(self, events: AsyncGenerator[bytes, None], headers: Mapping[str, str]):
+        self.status_code = 200
+        self.background = None
+        self._events = events
+        self.init_headers({**headers, "cache-control": "no-store"})
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send the stream until its end or until the caller is gone."""
+        sending = asyncio.create_task(self._send(send))
+        watching = asyncio.create_task(_until_disconnect(receive))
+        try:
+            await asyncio.wait({sending, watching}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            await _cancel(watching)
+            await _cancel(sending)
+        if not sending.cancelled():
+            sending.result()
+
+    async def _send(self, send: Send) -> None:
+        async with aclosing(self._events) as events:
+            start = {
+                "type": "http.response.start",
+                "status": self.status_code,
+                "headers": self.raw_headers,
+            }
+            await send(start)
+            async for part in events:
+                if not await _send_part(send, part):
+                    return
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+
+async def _send_part(send: Send, part: bytes) -> bool:
+    """Send a part; ``False`` if the caller is gone or takes nothing."""
+    message = {"type": "http.response.body", "body": part, "more_body": True}
+    try:
+        async with asyncio.timeout(CALLER_STALL_MS / 1000):
+            await send(message)
+    except (OSError, TimeoutError):
+        return False
+    return True
+
+
+async def _until_disconnect(receive: Receive) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    with suppress(asyncio.CancelledError):
+        await asyncio.wait({task})
--- /dev/null
+++ b/src/_monsoonpulley/gateway/formats.py
@@ -0,0 +1,173 @@
+"""Bodies of generations towards callers, as the OpenAI API shapes them.
+
+Streams are server-sent events whose id is ``request id:offset``; the id of
+the last event is the place from which a stream can be continued.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from ..endpoints.engine import Finished, Token
+from ..ids import ClassId, RequestId
+from ..outcome import Outcome
+from ..registry import Registry
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Token counts of a generation."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+class Trailer(msgspec.Struct, frozen=True, kw_only=True):
+    """What this system adds to the last chunk of a stream and to whole answers."""
+
+    request_id: str
+    class_id: str = msgspec.field(name="class")
+    outcome: str
+
+
+class Format:
+    """Writes one generation's body.
+
+    Parameters
+    ----------
+    request_id : RequestId
+        Also the ``id`` of the completion.
+    class_id : ClassId
+        Also the ``model`` of the completion.
+    created_s : int
+        Seconds since the Unix epoch.
+    """
+
+    object_name = ""
+    chunk_object_name = ""
+
+    def __init__(self, request_id: RequestId, class_id: ClassId, created_s: int):
+        self._request_id = request_id
+        self._class_id = class_id
+        self._created_s = created_s
+        head = self._head(self.chunk_object_name)
+        self._chunk_head = msgspec.json.encode(head)[:-1] + b',"choices":['
+
+    def token_event(self, token: Token) -> bytes:
+        """Return the event of one token."""
+        id_line = f"id: {self._request_id}:{token.offset}\ndata: ".encode()
+        text = msgspec.json.encode(token.text)
+        choice = self._choice_chunk(text, token.offset == 0)
+        return b"".join((id_line, self._chunk_head, choice, b"]}\n\n"))
+
+    def finish_event(self, finished: Finished) -> bytes:
+        """Return the event that ends the choice."""
+        choice = {"index": 0, "finish_reason": finished.finish_reason}
+        choice.update(self._empty_chunk())
+        body = self._head(self.chunk_object_name)
+        body["choices"] = [choice]
+        body["monsoonpulley"] = self._trailer()
+        return event(body)
+
+    def usage_event(self, finished: Finished) -> bytes:
+        """Return the event with the usage, which callers may ask for."""
+        body = self._head(self.chunk_object_name)
+        body["choices"] = []
+        body["usage"] = usage_of(finished)
+        return event(body)
+
+    def whole(self, texts: Sequence[str], finished: Finished) -> bytes:
+        """Return the body of an answer that is not streamed."""
+        choice = {"index": 0, "finish_reason": finished.finish_reason}
+        choice.update(self._whole_choice("".join(texts)))
+        body = self._head(self.object_name)
+        body["choices"] = [choice]
+        body["usage"] = usage_of(finished)
+        body["monsoonpulley"] = self._trailer()
+        return msgspec.json.encode(body)
+
+    def _head(self, object_name: str) -> dict:
+        return {
+            "id": self._request_id,
+            "object": object_name,
+            "created": self._created_s,
+            "model": self._class_id,
+        }
+
+    def _trailer(self) -> Trailer:
+        return Trailer(
+            request_id=self._request_id,
+            class_id=self._class_id,
+            outcome=Outcome.DONE.value,
+        )
+
+    def _choice_chunk(self, text_json: bytes, first: bool) -> bytes:
+        raise NotImplementedError
+
+    def _empty_chunk(self) -> dict:
+        raise NotImplementedError
+
+    def _whole_choice(self, text: str) -> dict:
+        raise NotImplementedError
+
+
+formats: Registry[type[Format]] = Registry("generation path")
+
+
+@formats.register("/v1/chat/completions")
+class ChatFormat(Format):
+    """Chat completions."""
+
+    object_name = "chat.completion"
+    chunk_object_name = "chat.completion.chunk"
+
+    def _choice_chunk(self, text_json: bytes, first: bool) -> bytes:
+        role = b'"role":"assistant",' if first else b""
+        return b"".join(
+            (
+                b'{"index":0,"delta":{',
+                role,
+                b'"content":',
+                text_json,
+                b'},"finish_reason":null}',
+            )
+        )
+
+    def _empty_chunk(self) -> dict:
+        return {"delta": {}}
+
+    def _whole_choice(self, text: str) -> dict:
+        return {"message": {"role": "assistant", "content": text}}
+
+
+@formats.register("/v1/completions")
+class TextFormat(Format):
+    """Plain text completions."""
+
+    object_name = "text_completion"
+    chunk_object_name = "text_completion"
+
+    def _choice_chunk(self, text_json: bytes, first: bool) -> bytes:
+        return b"".join((b'{"index":0,"text":', text_json, b',"finish_reason":null}'))
+
+    def _empty_chunk(self) -> dict:
+        return {"text": ""}
+
+    def _whole_choice(self, text: str) -> dict:
+        return {"text": text}
+
+
+def usage_of(finished: Finished) -> Usage:
+    """Return the usage of a finished generation."""
+    prompt = finished.prompt_tokens
+    completion = finished.completion_tokens
+    return Usage(prompt, completion, prompt + completion)
+
+
+def event(body: object) -> bytes:
+    """Return a server-sent event without an id."""
+    return b"data: " + msgspec.json.encode(body) + b"\n\n"
--- /dev/null
+++ b/src/_monsoonpulley/lifecycle.py
@@ -0,0 +1,138 @@
+"""The life of an entry instance, and the count of what it has in progress."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import Enum
+
+from .clock import Clock
+from .log import Log
+
+LEAVE_GRACE_MS = 2_000
+"""How long a leaving instance still takes requests that the balancer sends
+before it has seen the failing readiness check."""
+
+
+class Phase(Enum):
+    """Where an instance stands in its life."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+    STOPPED = "stopped"
+
+
+class Lifecycle:
+    """Phase of the instance and its requests in progress."""
+
+    def __init__(self, clock: Clock, log: Log):
+        self._clock = clock
+        self._log = log
+        self._in_progress = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._left_ms: int | None = None
+        self._leaving = asyncio.Event()
+        self.phase = Phase.STARTING
+        self.deadline_ms: int | None = None
+
+    @property
+    def in_progress(self) -> int:
+        """Count of requests in progress."""
+        return self._in_progress
+
+    def ready(self) -> None:
+        """Enter ``READY``, unless the instance is leaving already."""
+        if self.phase is Phase.STARTING:
+            self.phase = Phase.READY
+            self._log.event("instance_ready")
+
+    def leave(self, reason: str, deadline_ms: int | None) -> None:
+        """Enter ``LEAVING``; a second call may only bring the deadline forward.
+
+        Parameters
+        ----------
+        reason : str
+            Why, for the log.
+        deadline_ms : int or None
+            Monotonic time at which the process ends whatever is in progress;
+            ``None`` to wait for all of it.
+        """
+        if self.phase is Phase.STOPPED:
+            return
+        if deadline_ms is not None:
+            known_ms = self.deadline_ms
+            self.deadline_ms = min(deadline_ms, known_ms or deadline_ms)
+        if self.phase is not Phase.LEAVING:
+            self.phase = Phase.LEAVING
+            self._left_ms = self._clock.now_ms()
+        self._leaving.set()
+        self._log.event(
+            "instance_leaving",
+            reason=reason,
+            deadline_ms=self.deadline_ms,
+            in_progress=self._in_progress,
+        )
+
+    def stop(self) -> None:
+        """Enter ``STOPPED``."""
+        self.phase = Phase.STOPPED
+        self._log.event("instance_stopped", in_progress=self._in_progress)
+
+    def takes_work(self) -> bool:
+        """Return whether a new request may begin now."""
+        if self.phase is Phase.READY:
+            return True
+        if self.phase is not Phase.LEAVING or self._left_ms is None:
+            return False
+        return self._clock.now_ms() - self._left_ms < LEAVE_GRACE_MS
+
+    @contextmanager
+    def request(self) -> Iterator[None]:
+        """Count a request as in progress."""
+        self._in_progress += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
+    async def wait_leaving(self) -> None:
+        """Return once the instance is leaving."""
+        await self._leaving.wait()
+
+    async def wait_idle(self, margin_ms: int) -> bool:
+        """Wait until nothing is in progress; ``False`` if the deadline came.
+
+        New requests are over after `LEAVE_GRACE_MS`, so that much is waited
+        for even by an idle instance. The wait ends ``margin_ms`` before the
+        deadline.
+        """
+        await self._sleep_until((self._left_ms or 0) + LEAVE_GRACE_MS, margin_ms)
+        while self._in_progress:
+            left_ms = self._left_to_deadline_ms(margin_ms)
+            if left_ms is not None and left_ms <= 0:
+                return False
+            timeout_s = None if left_ms is None else left_ms / 1000
+            try:
+                await asyncio.wait_for(self._idle.wait(), timeout_s)
+            except TimeoutError:
+                return False
+        return True
+
+    async def _sleep_until(self, until_ms: int, margin_ms: int) -> None:
+        wait_ms = until_ms - self._clock.now_ms()
+        left_ms = self._left_to_deadline_ms(margin_ms)
+        if left_ms is not None:
+            wait_ms = min(wait_ms, left_ms)
+        if wait_ms > 0:
+            await self._clock.sleep_ms(wait_ms)
+
+    def _left_to_deadline_ms(self, margin_ms: int) -> int | None:
+        if self.deadline_ms is None:
+            return None
+        return self.deadline_ms - margin_ms - self._clock.now_ms()
--- /dev/null
+++ b/src/_monsoonpulley/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests in progress: attempts, streams and their assembly."""
--- /dev/null
+++ b/src/_monsoonpulley/requests/assembler.py
@@ -0,0 +1,68 @@
+"""Puts tokens of one answer in order, each once, whatever attempts did."""
+
+from __future__ import annotations
+
+from ..endpoints.engine import Token
+from ..ids import AttemptId
+
+MAX_HELD_TOKENS = 256
+"""Most out-of-order tokens that are held back for one answer."""
+
+
+class StreamAssembler:
+    """The text of one answer so far, and which token comes next.
+
+    Tokens of an abandoned attempt, and those delivered already, are dropped.
+    A token that comes early is held until the ones before it have come.
+    """
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.dropped = 0
+        self._texts: list[str] = []
+        self._attempt: AttemptId | None = None
+        self._held: dict[int, Token] = {}
+
+    @property
+    def text(self) -> str:
+        """Text of all tokens delivered so far."""
+        return "".join(self._texts)
+
+    def texts_from(self, offset: int) -> list[str]:
+        """Return the texts of the tokens from ``offset`` on."""
+        return self._texts[offset:]
+
+    def begin_attempt(self, attempt: AttemptId) -> None:
+        """Take tokens from ``attempt`` only from now on."""
+        self._attempt = attempt
+        self._held.clear()
+
+    def accept(self, token: Token) -> list[Token]:
+        """Return the tokens that may be delivered now, in order."""
+        if token.attempt_id != self._attempt or token.offset < self.next_offset:
+            self.dropped += 1
+            return []
+        if token.offset > self.next_offset:
+            self._hold(token)
+            return []
+        ready = [token]
+        self._append(token)
+        while self.next_offset in self._held:
+            held = self._held.pop(self.next_offset)
+            self._append(held)
+            ready.append(held)
+        return ready
+
+    def is_complete(self, completion_tokens: int) -> bool:
+        """Return whether all of ``completion_tokens`` were delivered."""
+        return self.next_offset >= completion_tokens
+
+    def _hold(self, token: Token) -> None:
+        if len(self._held) >= MAX_HELD_TOKENS:
+            self.dropped += 1
+            return
+        self._held[token.offset] = token
+
+    def _append(self, token: Token) -> None:
+        self._texts.append(token.text)
+        self.next_offset += 1
--- /dev/null
+++ b/src/_monsoonpulley/requests/context.py
@@ -0,0 +1,48 @@
+"""What is known of a request while it is in progress."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..config.document import RequestClass
+from ..ids import ClassId, CustomerId, RequestId
+
+GIVE_UP_TARGETS = 3
+"""A request is given up after this many times its class's target."""
+
+
+class RequestContext(msgspec.Struct, frozen=True):
+    """A request as routing and retries see it.
+
+    Attributes
+    ----------
+    received_ms : int
+        Monotonic time at which the whole request had come.
+    path : str
+        Path at the endpoint, without its query string; a route for breakers.
+    prompt_tokens, max_tokens : int
+        Size of a generation; 0 for plain services.
+    prefix_blocks : tuple of int
+        Chained hashes of the prompt's blocks.
+    """
+
+    request_id: RequestId
+    customer: CustomerId
+    class_id: ClassId
+    request_class: RequestClass
+    received_ms: int
+    path: str
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix_blocks: tuple[int, ...] = ()
+
+    @property
+    def target_ms(self) -> int:
+        """Monotonic time by which the answer is due."""
+        return self.received_ms + self.request_class.answer_within_ms
+
+    @property
+    def deadline_ms(self) -> int:
+        """Monotonic time at which the request is given up."""
+        allowed_ms = self.request_class.answer_within_ms * GIVE_UP_TARGETS
+        return self.received_ms + allowed_ms
--- /dev/null
+++ b/src/_monsoonpulley/requests/dispatcher.py
@@ -0,0 +1,117 @@
+"""How the journal reaches endpoints of plain services."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..config.document import Document
+from ..endpoints.service import Execution, Lookup, ServiceAnswer
+from ..errors import Delivery, Failure, Reason
+from ..ids import AttemptId, EndpointId, RequestId
+from ..journal.submission import Submission
+from .context import RequestContext
+from .passthrough import Connect, PassThrough, ServiceAttempts
+from .placement import Placed, Placement
+
+
+class JournalDispatcher:
+    """Chooses, calls and asks endpoints for the journal.
+
+    Parameters
+    ----------
+    document : callable
+        Returns the configuration in force, ``None`` before there is one.
+    placement : Placement
+        Chooses endpoints.
+    attempts : ServiceAttempts
+        Makes the calls.
+    connect : callable
+        Returns the client of an endpoint, ``None`` if it is gone.
+    clock : Clock
+        Of the instance.
+    """
+
+    def __init__(
+        self,
+        document: Callable[[], Document | None],
+        placement: Placement,
+        attempts: ServiceAttempts,
+        connect: Connect,
+        clock: Clock,
+    ):
+        self._document = document
+        self._placement = placement
+        self._attempts = attempts
+        self._connect = connect
+        self._clock = clock
+        self._placed: dict[RequestId, Placed] = {}
+
+    def choose(
+        self, submission: Submission, tried: frozenset[EndpointId]
+    ) -> EndpointId | Failure:
+        """Return an endpoint that is not in ``tried``, or why there is none."""
+        context = self._context(submission)
+        if isinstance(context, Failure):
+            return context
+        placed = self._placement.choose(context, tried)
+        if isinstance(placed, Failure):
+            return placed
+        self._placed[submission.request_id] = placed
+        return placed.endpoint
+
+    async def send(
+        self, submission: Submission, endpoint: EndpointId, attempt_id: AttemptId
+    ) -> ServiceAnswer | Failure:
+        """Send the call once; nothing below sends it again."""
+        placed = self._placed.pop(submission.request_id, None)
+        context = self._context(submission)
+        if isinstance(context, Failure):
+            return context
+        if placed is None or placed.endpoint != endpoint:
+            detail = "the endpoint was not chosen by this instance"
+            return _not_sent(Reason.INTERNAL, endpoint, detail)
+        call = PassThrough(
+            method=submission.method,
+            path=submission.path,
+            headers=submission.headers,
+            body=submission.body,
+        )
+        attempt = int(attempt_id.rpartition(".")[2])
+        return await self._attempts.send(context, call, placed, attempt, once=True)
+
+    async def lookup(
+        self, submission: Submission, endpoint: EndpointId
+    ) -> Lookup | Failure:
+        """Ask the endpoint whether it ran, where its service can be asked."""
+        context = self._context(submission)
+        if isinstance(context, Failure):
+            return context
+        document = self._document()
+        service = document.services[context.request_class.service] if document else None
+        if service is None or not service.lookup:
+            return Lookup(Execution.UNKNOWN)
+        client = self._connect(endpoint)
+        if client is None:
+            detail = "the endpoint is no longer listed"
+            return Failure(Reason.UNAVAILABLE, "service.lookup", endpoint, detail)
+        return await client.lookup(submission.request_id)
+
+    def _context(self, submission: Submission) -> RequestContext | Failure:
+        document = self._document()
+        known = document.classes.get(submission.class_id) if document else None
+        if known is None:
+            detail = f"the class {submission.class_id!r} is not configured"
+            return _not_sent(Reason.NOT_FOUND, EndpointId(""), detail)
+        return RequestContext(
+            request_id=submission.request_id,
+            customer=submission.customer,
+            class_id=submission.class_id,
+            request_class=known,
+            received_ms=self._clock.now_ms(),
+            path=submission.path.partition("?")[0],
+        )
+
+
+def _not_sent(reason: Reason, endpoint: EndpointId, detail: str) -> Failure:
+    return Failure(reason, "service.call", endpoint, detail, Delivery.NOT_SENT)
--- /dev/null
+++ b/src/_monsoonpulley/standins/caller.py
@@ -0,0 +1,162 @@
+"""A caller that speaks ASGI to an application in the same process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from starlette.types import ASGIApp, Message
+
+OnPart = Callable[[bytes], None]
+
+
+class CallerResponse(msgspec.Struct):
+    """A response as its caller saw it; ``parts`` are the body's pieces.
+
+    ``complete`` is false if the response broke off.
+    """
+
+    status: int = 0
+    headers: dict[str, str] = {}
+    parts: list[bytes] = []
+    complete: bool = False
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return b"".join(self.parts)
+
+    def json(self) -> dict:
+        """Return the body as JSON."""
+        return msgspec.json.decode(self.body)
+
+
+class Caller:
+    """Sends requests to one application.
+
+    Parameters
+    ----------
+    app : ASGI application
+        What is called.
+    credential : str
+        Sent as bearer credential; empty for none.
+    """
+
+    def __init__(self, app: ASGIApp, credential: str = ""):
+        self._app = app
+        self._credential = credential
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        on_part: OnPart | None = None,
+        leave: asyncio.Event | None = None,
+    ) -> CallerResponse:
+        """Send a request and return the whole response.
+
+        Parameters
+        ----------
+        method, path, body, headers
+            The request; ``path`` may have a query string.
+        on_part : callable, optional
+            Called with each piece of the body as it comes.
+        leave : asyncio.Event, optional
+            Once set, the caller is gone.
+        """
+        response = CallerResponse(headers={}, parts=[])
+        exchange = _Exchange(response, body, on_part, leave)
+        scope = _scope(method, path, self._headers(headers, body))
+        try:
+            await self._app(scope, exchange.receive, exchange.send)
+        except OSError:
+            return response
+        return response
+
+    async def post_json(
+        self, path: str, body: object, headers: dict[str, str] | None = None, **more
+    ) -> CallerResponse:
+        """Post a JSON body."""
+        content = {"content-type": "application/json", **(headers or {})}
+        encoded = msgspec.json.encode(body)
+        return await self.request("POST", path, encoded, content, **more)
+
+    def _headers(
+        self, headers: dict[str, str] | None, body: bytes
+    ) -> list[tuple[bytes, bytes]]:
+        sent = {"host": "caller.invalid", **(headers or {})}
+        if body:
+            sent["content-length"] = str(len(body))
+        if self._credential:
+            sent.setdefault("authorization", f"Bearer {self._credential}")
+        return [(k.lower().encode(), v.encode("latin-1")) for k, v in sent.items()]
+
+
+class _Exchange:
+    """Both directions of one request."""
+
+    def __init__(
+        self,
+        response: CallerResponse,
+        body: bytes,
+        on_part: OnPart | None,
+        leave: asyncio.Event | None,
+    ):
+        self._response = response
+        self._body: bytes | None = body
+        self._on_part = on_part
+        self._leave = leave or asyncio.Event()
+        self._ended = asyncio.Event()
+
+    async def receive(self) -> Message:
+        if self._body is not None:
+            body, self._body = self._body, None
+            return {"type": "http.request", "body": body, "more_body": False}
+        left = asyncio.ensure_future(self._leave.wait())
+        ended = asyncio.ensure_future(self._ended.wait())
+        try:
+            await asyncio.wait({left, ended}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            left.cancel()
+            ended.cancel()
+        return {"type": "http.disconnect"}
+
+    async def send(self, message: Message) -> None:
+        if self._leave.is_set():
+            raise OSError("the caller is gone")
+        if message["type"] == "http.response.start":
+            self._response.status = message["status"]
+            self._response.headers = {
+                name.decode(): value.decode("latin-1")
+                for name, value in message["headers"]
+            }
+            return
+        part = message.get("body", b"")
+        if part:
+            self._response.parts.append(part)
+            if self._on_part:
+                self._on_part(part)
+        if not message.get("more_body", False):
+            self._response.complete = True
+            self._ended.set()
+
+
+def _scope(method: str, path: str, headers: list[tuple[bytes, bytes]]) -> dict:
+    plain, _, query = path.partition("?")
+    return {
+        "type": "http",
+        "asgi": {"version": "3.0", "spec_version": "2.3"},
+        "http_version": "1.1",
+        "method": method,
+        "scheme": "http",
+        "path": plain,
+        "raw_path": plain.encode(),
+        "query_string": query.encode(),
+        "root_path": "",
+        "headers": headers,
+        "client": ("127.0.0.1", 1),
+        "server": ("127.0.0.1", 80),
+    }
