--- /dev/null
+++ b/src/_monsoonpulley/config/inforce.py
@@ -0,0 +1,88 @@
+"""Which revision is in force on an instance: pure state, rising only."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from ..log import Decision
+from .document import Revision
+
+
+class Source(Enum):
+    """Where a revision was learnt from."""
+
+    TABLE = "table"
+    PEER = "peer"
+
+
+class Verdict(Enum):
+    """What became of an offered revision."""
+
+    ADOPTED = "adopted"
+    SAME = "same"
+    LOWER = "lower"
+    CLASHES = "clashes"
+    """Equal number with another change token: a fault, to be reported."""
+
+
+class RevisionDecision(Decision, frozen=True, tag="config_revision", kw_only=True):
+    """What was done with an offered revision, and from which inputs."""
+
+    verdict: Verdict
+    source: Source
+    offered_number: int
+    offered_token: str
+    offered_author: str
+    previous_number: int
+    previous_token: str
+    now_ms: int
+
+
+class InForce:
+    """The revision in force on one instance.
+
+    Revisions only rise. Of two with the same number, which the store rules
+    out, the first stays; the other is reported.
+    """
+
+    def __init__(self) -> None:
+        self.revision: Revision | None = None
+
+    @property
+    def number(self) -> int:
+        """Number in force, 0 for none."""
+        return self.revision.number if self.revision else 0
+
+    @property
+    def change_token(self) -> str:
+        """Change token in force, empty for none."""
+        return self.revision.change_token if self.revision else ""
+
+    def offer(
+        self, revision: Revision, source: Source, now_ms: int
+    ) -> RevisionDecision:
+        """Adopt the revision if its number is higher, and say what was done."""
+        verdict, rule = self._judge(revision)
+        decision = RevisionDecision(
+            rule=rule,
+            verdict=verdict,
+            source=source,
+            offered_number=revision.number,
+            offered_token=revision.change_token,
+            offered_author=revision.author,
+            previous_number=self.number,
+            previous_token=self.change_token,
+            now_ms=now_ms,
+        )
+        if verdict is Verdict.ADOPTED:
+            self.revision = revision
+        return decision
+
+    def _judge(self, revision: Revision) -> tuple[Verdict, str]:
+        if revision.number > self.number:
+            return Verdict.ADOPTED, "number_is_higher"
+        if revision.number < self.number:
+            return Verdict.LOWER, "number_is_lower"
+        if revision.change_token != self.change_token:
+            return Verdict.CLASHES, "same_number_other_token"
+        return Verdict.SAME, "already_in_force"
--- /dev/null
+++ b/src/_monsoonpulley/config/ini.py
@@ -0,0 +1,242 @@
+"""The configuration document as INI text, both ways.
+
+Sections are ``[class NAME]``, ``[customer NAME]``, ``[service NAME]`` and
+``[version SERVICE VERSION]``.
+"""
+
+from __future__ import annotations
+
+import re
+from datetime import UTC, datetime, timedelta
+from enum import Enum
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from ..errors import SettingsError
+from ..ids import ClassId, CustomerId, ServiceId, VersionId
+from ..inisections import (
+    InvalidFile,
+    Problem,
+    Problems,
+    Section,
+    parse_sections,
+    read_struct,
+    suggestion,
+)
+from .check import check_document
+from .document import Customer, Document, RequestClass, Service, ServiceKind, Version
+from .steering import STEERING_MESSAGE, looks_like_address, looks_like_weight
+
+EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+NAME_RULE = "1 to 63 letters, digits, '.', '_' or '-', starting with letter or digit"
+NAME_FIELDS = ("service", "classes")
+"""Fields whose values name other sections."""
+SECTION_FORMS = {
+    "class": "[class NAME]",
+    "customer": "[customer NAME]",
+    "service": "[service NAME]",
+    "version": "[version SERVICE VERSION]",
+}
+
+
+class _VersionSection(msgspec.Struct, frozen=True):
+    deadline: Annotated[datetime, Meta(tz=True)] | None = None
+
+
+_STRUCTS: dict[str, type] = {
+    "class": RequestClass,
+    "customer": Customer,
+    "service": Service,
+    "version": _VersionSection,
+}
+
+
+def parse_document(text: str, file: str = "configuration") -> Document:
+    """Return the document that the INI text describes.
+
+    Parameters
+    ----------
+    text : str
+        INI text.
+    file : str
+        Name of the text in messages.
+
+    Raises
+    ------
+    InvalidFile
+        If it isn't valid; ``problems`` has everything that is wrong.
+    """
+    problems = Problems(file)
+    sections = parse_sections(text, problems)
+    read: dict[tuple[str, ...], Any] = {}
+    fields: dict[tuple[str, ...], Section] = {}
+    sound = True
+    for header, values in sections.items():
+        key = _read_header(header, problems)
+        if key is None:
+            sound = False
+            continue
+        if key in read:
+            problems.add(header, "", "repeated section")
+            continue
+        struct = _read_section(key, header, values, problems)
+        sound = sound and struct is not None
+        read[key] = struct
+        fields[key] = values
+    document = _assemble({key: one for key, one in read.items() if one is not None})
+    # With a section missing, cross checks would blame the sections that use it.
+    if sound:
+        problems.found += check_document(document, file)
+        _check_repeats_stated(document, fields, problems)
+    problems.raise_any()
+    return document
+
+
+def _read_header(header: str, problems: Problems) -> tuple[str, ...] | None:
+    kind, *names = header.split()
+    if kind not in SECTION_FORMS:
+        if looks_like_weight(kind) or looks_like_address(kind):
+            problems.add(header, "", STEERING_MESSAGE)
+        else:
+            hint = suggestion(kind, SECTION_FORMS)
+            problems.add(header, "", f"unknown kind of section {kind!r}; {hint}")
+        return None
+    if len(names) != SECTION_FORMS[kind].count(" "):
+        problems.add(header, "", f"expected the form {SECTION_FORMS[kind]}")
+        return None
+    for name in names[:1]:
+        if looks_like_address(name):
+            problems.add(header, "", f"{name!r} is an address; {STEERING_MESSAGE}")
+            return None
+    for name in names:
+        if not NAME.fullmatch(name):
+            problems.add(header, "", f"name {name!r}; expected {NAME_RULE}")
+            return None
+    return (kind, *names)
+
+
+def _read_section(
+    key: tuple[str, ...], header: str, values: Section, problems: Problems
+) -> Any:
+    struct_type = _STRUCTS[key[0]]
+    steering = _steering_fields(struct_type, values)
+    for name, message in steering.items():
+        problems.add(header, name, message)
+    others = {name: text for name, text in values.items() if name not in steering}
+    return read_struct(struct_type, header, others, problems, skip=steering)
+
+
+def _steering_fields(struct_type: type, values: Section) -> dict[str, str]:
+    """Return the fields that would set a weight or address, with messages."""
+    found = {}
+    for name, text in values.items():
+        if name in struct_type.__struct_fields__:
+            if name in NAME_FIELDS and looks_like_address(text):
+                found[name] = f"{text!r} is an address; {STEERING_MESSAGE}"
+        elif looks_like_weight(name) or looks_like_address(text):
+            found[name] = STEERING_MESSAGE
+    return found
+
+
+def _check_repeats_stated(
+    document: Document, read_fields: dict[tuple[str, ...], Section], problems: Problems
+) -> None:
+    """Ask for ``repeats`` in classes of plain services.
+
+    Its default allows repeats, and a booking must not be repeated because a
+    line was forgotten.
+    """
+    for name, request_class in document.classes.items():
+        service = document.services.get(request_class.service)
+        if service is None or service.kind is not ServiceKind.PLAIN:
+            continue
+        if "repeats" not in read_fields[("class", name)]:
+            message = (
+                "is missing; a class of a plain service must state it: 0 for calls "
+                "that must run at most once, 1 to 10 for idempotent ones"
+            )
+            problems.add(f"class {name}", "repeats", message)
+
+
+def _assemble(read: dict[tuple[str, ...], Any]) -> Document:
+    classes = {ClassId(k[1]): one for k, one in read.items() if k[0] == "class"}
+    customers = {CustomerId(k[1]): one for k, one in read.items() if k[0] == "customer"}
+    services = {ServiceId(k[1]): one for k, one in read.items() if k[0] == "service"}
+    versions = tuple(
+        Version(ServiceId(k[1]), VersionId(k[2]), _wall_ms(one.deadline))
+        for k, one in read.items()
+        if k[0] == "version"
+    )
+    return Document(classes, customers, services, versions)
+
+
+def _wall_ms(deadline: datetime | None) -> int | None:
+    if deadline is None:
+        return None
+    return (deadline - EPOCH) // timedelta(milliseconds=1)
+
+
+def render_document(document: Document) -> str:
+    """Return INI text that `parse_document` turns into the same document.
+
+    Raises
+    ------
+    SettingsError
+        If a name can't stand in a section header.
+    """
+    blocks = []
+    for name, service in document.services.items():
+        blocks.append(_block(("service", name), service))
+    for version in document.versions:
+        fields = {}
+        if version.deadline_wall_ms is not None:
+            fields["deadline"] = format_deadline(version.deadline_wall_ms)
+        blocks.append(_text(("version", version.service, version.version), fields))
+    for name, request_class in document.classes.items():
+        blocks.append(_block(("class", name), request_class))
+    for name, customer in document.customers.items():
+        blocks.append(_block(("customer", name), customer))
+    return "\n".join(blocks)
+
+
+def format_deadline(deadline_wall_ms: int) -> str:
+    """Return Unix epoch milliseconds as ISO 8601 text in UTC."""
+    deadline = EPOCH + timedelta(milliseconds=deadline_wall_ms)
+    timespec = "milliseconds" if deadline_wall_ms % 1_000 else "seconds"
+    return deadline.isoformat(timespec=timespec).replace("+00:00", "Z")
+
+
+def _block(key: tuple[str, ...], struct: msgspec.Struct) -> str:
+    fields = {name: _value(getattr(struct, name)) for name in struct.__struct_fields__}
+    return _text(key, fields)
+
+
+def _text(key: tuple[str, ...], fields: dict[str, str]) -> str:
+    for name in key[1:]:
+        if not NAME.fullmatch(name):
+            raise SettingsError(f"{key[0]} name {name!r}; expected {NAME_RULE}")
+    lines = [f"[{' '.join(key)}]"]
+    lines += [f"{name} = {text}".rstrip() for name, text in fields.items()]
+    return "\n".join(lines) + "\n"
+
+
+def _value(value: Any) -> str:
+    if isinstance(value, tuple):
+        return ", ".join(str(one) for one in value)
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, Enum):
+        return str(value.value)
+    return str(value)
+
+
+__all__ = [
+    "InvalidFile",
+    "Problem",
+    "format_deadline",
+    "parse_document",
+    "render_document",
+]
--- /dev/null
+++ b/src/_monsoonpulley/config/rows.py
@@ -0,0 +1,33 @@
+"""Rows of the table that hold the configuration."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import Failure, Reason
+from ..platform.table import Row
+from .document import Revision
+
+HEAD_KEY = "config/head"
+HISTORY_PREFIX = "config/history/"
+NUMBER_DIGITS = 12
+
+
+def history_key(number: int) -> str:
+    """Return the key of a revision; keys sort as their numbers do."""
+    return f"{HISTORY_PREFIX}{number:0{NUMBER_DIGITS}d}"
+
+
+def encode_revision(revision: Revision) -> bytes:
+    """Return the row value of a revision."""
+    return msgspec.json.encode(revision)
+
+
+def decode_revision(row: Row | None) -> Revision | Failure | None:
+    """Return the revision in a row, or ``None`` for a missing row."""
+    if row is None:
+        return None
+    try:
+        return msgspec.json.decode(row.value, type=Revision)
+    except msgspec.DecodeError as error:
+        return Failure(Reason.PROTOCOL, "config.decode", "table", f"{row.key}: {error}")
--- /dev/null
+++ b/src/_monsoonpulley/config/steering.py
@@ -0,0 +1,41 @@
+"""What operators may not write: weights and addresses."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+
+STEERING_MESSAGE = (
+    "weights and addresses aren't accepted: per-class targets and version "
+    "deadlines are the only controls"
+)
+
+WORDS = frozenset(
+    "weight weights share shares percent percentage ratio fraction traffic split "
+    "canary priority address addresses addr host hosts hostname ip ips port ports "
+    "url urls endpoint endpoints upstream upstreams backend backends server servers "
+    "worker workers replica replicas route routes".split()
+)
+HOST_AND_PORT = re.compile(r"(\[[0-9a-fA-F:]+\]|[A-Za-z0-9.-]+):\d{1,5}")
+
+
+def looks_like_weight(name: str) -> bool:
+    """Whether a field or section name speaks of weights or addresses."""
+    words = re.split(r"[_\-.\s]+", name.lower())
+    return not WORDS.isdisjoint(words)
+
+
+def looks_like_address(text: str) -> bool:
+    """Whether any part of a value is an IP number, ``host:port`` or URL."""
+    return any(_is_address(part) for part in re.split(r"[,\s]+", text) if part)
+
+
+def _is_address(part: str) -> bool:
+    if "://" in part or HOST_AND_PORT.fullmatch(part):
+        return True
+    try:
+        ipaddress.ip_network(part, strict=False)
+    except ValueError:
+        return False
+    # A bare number reads as neither an IPv4 nor an IPv6 number.
+    return "." in part or ":" in part
--- /dev/null
+++ b/src/_monsoonpulley/inisections.py
@@ -0,0 +1,163 @@
+"""Sections of INI text and how they become structs, with every problem named.
+
+Both the process settings and the operators' configuration are read through
+this module, so that their error messages have one form.
+"""
+
+from __future__ import annotations
+
+import configparser
+from collections.abc import Container, Iterable
+from difflib import get_close_matches
+from typing import Any, TypeVar
+
+import msgspec
+
+from .errors import SettingsError
+from .inivalues import convert_value
+
+T = TypeVar("T")
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """One thing that is wrong in a file.
+
+    Attributes
+    ----------
+    file : str
+        Path or name of the text.
+    section : str
+        Section as written between its brackets; empty for the whole file.
+    field : str
+        Field of the section; empty for the whole section.
+    message : str
+        What is wrong, and what would be right.
+    """
+
+    file: str
+    section: str
+    field: str
+    message: str
+
+    def __str__(self) -> str:
+        parts = [f"[{self.section}]"] if self.section else []
+        parts += [self.field] if self.field else []
+        where = f"{' '.join(parts)}: " if parts else ""
+        return f"{self.file}: {where}{self.message}"
+
+
+class InvalidFile(SettingsError):
+    """A file with problems, all of which are in ``problems``."""
+
+    def __init__(self, problems: Iterable[Problem]):
+        self.problems = tuple(problems)
+        super().__init__("\n".join(str(problem) for problem in self.problems))
+
+
+class Problems:
+    """Collects the problems of one file."""
+
+    def __init__(self, file: str):
+        self.file = file
+        self.found: list[Problem] = []
+
+    def add(self, section: str, field: str, message: str) -> None:
+        """Note a problem."""
+        self.found.append(Problem(self.file, section, field, message))
+
+    def raise_any(self) -> None:
+        """Raise `InvalidFile` if any problem was noted."""
+        if self.found:
+            raise InvalidFile(self.found)
+
+
+Section = dict[str, str]
+
+
+def parse_sections(text: str, problems: Problems) -> dict[str, Section]:
+    """Return the sections of INI text, noting lines that can't be read.
+
+    The parser stops at its first error; each faulty line is therefore taken
+    out and the rest is parsed again, until all faulty lines are known.
+    """
+    lines = text.splitlines()
+    repeated: set[str] = set()
+    while True:
+        parser = _new_parser()
+        try:
+            parser.read_string("\n".join(lines) + "\n", problems.file)
+        except configparser.DuplicateSectionError as error:
+            problems.add(error.section, "", f"line {error.lineno}: repeated section")
+            # Its fields must not fall to the section above, so it gets a name.
+            name = f"{error.section} (line {error.lineno})"
+            repeated.add(name)
+            lines[error.lineno - 1] = f"[{name}]"
+        except configparser.DuplicateOptionError as error:
+            message = f"line {error.lineno}: repeated field"
+            problems.add(error.section, error.option, message)
+            lines[error.lineno - 1] = ""
+        except configparser.MissingSectionHeaderError as error:
+            problems.add("", "", f"line {error.lineno}: stands before any [section]")
+            lines[error.lineno - 1] = ""
+        except configparser.ParsingError as error:
+            for lineno, _ in error.errors:
+                problems.add("", "", f"line {lineno}: is no 'field = value'")
+                lines[lineno - 1] = ""
+        else:
+            break
+    return {
+        name: dict(parser.items(name))
+        for name in parser.sections()
+        if name not in repeated
+    }
+
+
+def _new_parser() -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        delimiters=("=",),
+        default_section="",
+        empty_lines_in_values=False,
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    return parser
+
+
+def suggestion(name: str, known: Iterable[str]) -> str:
+    """Return a hint at the nearest known name, or all known names."""
+    names = sorted(known)
+    near = get_close_matches(name.lower(), names, n=1, cutoff=0.6)
+    if near:
+        return f"did you mean {near[0]!r}?"
+    return f"known: {', '.join(names) or 'none'}"
+
+
+def read_struct(
+    struct_type: type[T],
+    section: str,
+    values: Section,
+    problems: Problems,
+    skip: Container[str] = (),
+) -> T | None:
+    """Return the section as a struct, or ``None`` with its problems noted.
+
+    Required fields in ``skip`` aren't reported as missing.
+    """
+    before = len(problems.found)
+    fields = {field.encode_name: field for field in msgspec.structs.fields(struct_type)}
+    read: dict[str, Any] = {}
+    for name, text in values.items():
+        if name not in fields:
+            message = f"unknown field; {suggestion(name, fields)}"
+            problems.add(section, name, message)
+            continue
+        try:
+            read[name] = convert_value(name, text, fields[name].type)
+        except ValueError as error:
+            problems.add(section, name, str(error))
+    for name, field in fields.items():
+        if field.required and name not in values and name not in skip:
+            problems.add(section, name, "is missing")
+    if len(problems.found) > before or skip:
+        return None
+    return struct_type(**read)
--- /dev/null
+++ b/src/_monsoonpulley/inivalues.py
@@ -0,0 +1,198 @@
+"""Values in INI files: text to typed value, and what is allowed, in words."""
+
+from __future__ import annotations
+
+import ipaddress
+from enum import Enum
+from pathlib import Path
+from typing import Any, TypeVar, get_origin
+
+import msgspec
+from msgspec import inspect
+
+T = TypeVar("T", bound="ValueType")
+
+SECRET_WORDS = frozenset({"credential", "key", "secret", "password"})
+
+
+class ValueType(msgspec.Struct, frozen=True):
+    """Base of values that stand in one field and read their own text."""
+
+    @classmethod
+    def from_text(cls: type[T], text: str) -> T:
+        """Return the value; a ``ValueError`` says what was expected."""
+        raise NotImplementedError
+
+    @classmethod
+    def allowed(cls) -> str:
+        """Say what text is allowed."""
+        raise NotImplementedError
+
+
+class ListenAddress(ValueType, frozen=True):
+    """An IP number and a TCP port."""
+
+    ip: str
+    port: int
+
+    @classmethod
+    def from_text(cls, text: str) -> ListenAddress:
+        """Read ``IP:PORT``, with brackets around an IPv6 number."""
+        ip, _, port = text.rpartition(":")
+        try:
+            number = ipaddress.ip_address(ip.strip("[]"))
+        except ValueError:
+            raise ValueError(cls.allowed()) from None
+        if not port.isdecimal() or int(port) > 65_535:
+            raise ValueError(cls.allowed())
+        return cls(str(number), int(port))
+
+    @classmethod
+    def allowed(cls) -> str:
+        """Say what text is allowed."""
+        return "IP:PORT with a port from 0 to 65535, such as 10.0.0.4:8080"
+
+    def __str__(self) -> str:
+        ip = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{ip}:{self.port}"
+
+
+class AdapterAddress(ValueType, frozen=True):
+    """Which adapter to use for a platform service, and where the service is."""
+
+    adapter: str
+    url: str = ""
+
+    @classmethod
+    def from_text(cls, text: str) -> AdapterAddress:
+        """Read ``NAME`` or ``NAME URL``."""
+        parts = text.split()
+        if len(parts) == 2 and "://" in parts[1]:
+            return cls(parts[0], parts[1])
+        if len(parts) == 1 and "://" not in parts[0]:
+            return cls(parts[0])
+        raise ValueError(cls.allowed())
+
+    @classmethod
+    def allowed(cls) -> str:
+        """Say what text is allowed."""
+        return "an adapter name and a URL, such as: http http://10.0.0.9:7001"
+
+    def __str__(self) -> str:
+        return f"{self.adapter} {self.url}".rstrip()
+
+
+class Secret(ValueType, frozen=True):
+    """A secret, which never shows in messages or logs."""
+
+    value: str
+
+    MIN_LENGTH = 16
+    FILE_PREFIX = "file:"
+
+    @classmethod
+    def from_text(cls, text: str) -> Secret:
+        """Take the text itself, or the first line of ``file:PATH``."""
+        if text.startswith(cls.FILE_PREFIX):
+            path = text.removeprefix(cls.FILE_PREFIX).strip()
+            text = _first_line(path)
+        if len(text) < cls.MIN_LENGTH:
+            raise ValueError(cls.allowed())
+        return cls(text)
+
+    @classmethod
+    def allowed(cls) -> str:
+        """Say what text is allowed."""
+        return f"at least {cls.MIN_LENGTH} characters, or file:PATH of a file with them"
+
+    def __repr__(self) -> str:
+        return "Secret(...)"
+
+    __str__ = __repr__
+
+
+def _first_line(path: str) -> str:
+    try:
+        return Path(path).read_text(encoding="utf-8").partition("\n")[0].strip()
+    except (OSError, UnicodeDecodeError) as error:
+        why = getattr(error, "strerror", None) or "is no UTF-8 text"
+        raise ValueError(f"a readable file: {path}: {why}") from None
+
+
+def is_secret(name: str) -> bool:
+    """Whether a field's value must not be shown, by the words of its name."""
+    return not SECRET_WORDS.isdisjoint(name.split("_"))
+
+
+def convert_value(name: str, text: str, annotation: Any) -> Any:
+    """Return the value of a field.
+
+    Raises
+    ------
+    ValueError
+        If the text isn't allowed; the message shows it, unless it is a
+        secret, and says what is allowed.
+    """
+    shown = "value not shown" if is_secret(name) else repr(text)
+    if not text.strip() and not _is_tuple(annotation) and annotation is not str:
+        raise ValueError(f"has no value; expected {describe(annotation)}")
+    if isinstance(annotation, type) and issubclass(annotation, ValueType):
+        try:
+            return annotation.from_text(text)
+        except ValueError as error:
+            raise ValueError(f"{shown}; expected {error}") from None
+    raw: Any = text
+    if _is_tuple(annotation):
+        raw = [part.strip() for part in text.split(",") if part.strip()]
+    try:
+        return msgspec.convert(raw, annotation, strict=False)
+    except msgspec.ValidationError:
+        raise ValueError(f"{shown}; expected {describe(annotation)}") from None
+
+
+def _is_tuple(annotation: Any) -> bool:
+    return get_origin(annotation) is tuple
+
+
+def describe(annotation: Any) -> str:
+    """Say in words which values a type allows."""
+    if isinstance(annotation, type) and issubclass(annotation, ValueType):
+        return annotation.allowed()
+    return _describe_info(inspect.type_info(annotation))
+
+
+def _describe_info(info: inspect.Type) -> str:
+    if isinstance(info, inspect.Metadata):
+        return _describe_info(info.type)
+    if isinstance(info, inspect.IntType):
+        return f"a whole number{_range(info.ge, info.le)}"
+    if isinstance(info, inspect.FloatType):
+        return f"a number{_range(info.ge, info.le)}"
+    if isinstance(info, inspect.BoolType):
+        return "true or false"
+    if isinstance(info, inspect.EnumType):
+        return f"one of: {', '.join(_enum_values(info.cls))}"
+    if isinstance(info, inspect.DateTimeType):
+        return "a time with its zone, such as 2026-12-04T10:00:00Z"
+    if isinstance(info, inspect.VarTupleType):
+        return f"a list with commas, of {_describe_info(info.item_type)}"
+    if isinstance(info, inspect.UnionType):
+        types = [one for one in info.types if not isinstance(one, inspect.NoneType)]
+        return " or ".join(_describe_info(one) for one in types)
+    if isinstance(info, inspect.StrType) and info.pattern:
+        return f"text that matches {info.pattern}"
+    return "text"
+
+
+def _enum_values(enum_type: type[Enum]) -> list[str]:
+    return [str(member.value) for member in enum_type]
+
+
+def _range(low: float | None, high: float | None) -> str:
+    if low is None and high is None:
+        return ""
+    if high is None:
+        return f" of at least {low}"
+    if low is None:
+        return f" of at most {high}"
+    return f" from {low} to {high}"
--- /dev/null
+++ b/src/_monsoonpulley/settings.py
@@ -0,0 +1,170 @@
+"""Settings of one process, read once at its start from an INI file.
+
+Each field of `Settings` is one section, and each field of that section's
+struct is one line. A section is added by adding its struct and one field.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from .errors import SettingsError
+from .ids import InstanceId, ZoneId
+from .inisections import (
+    Problems,
+    parse_sections,
+    read_struct,
+    suggestion,
+)
+from .inivalues import AdapterAddress, ListenAddress, Secret
+
+Name = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+
+
+class LogLevel(Enum):
+    """Least level that is logged."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who this entry instance is and where it listens.
+
+    Attributes
+    ----------
+    instance : InstanceId
+        The platform's name for this instance.
+    zone : ZoneId
+        Data centre it stands in.
+    region : str
+        Region of that data centre.
+    http_listen : ListenAddress
+        Address for callers and operators.
+    peer_listen : ListenAddress
+        Address for other entry instances.
+    """
+
+    instance: Annotated[InstanceId, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+    zone: Annotated[ZoneId, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+    region: Name
+    http_listen: ListenAddress
+    peer_listen: ListenAddress
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Adapter and URL of each service of the platform."""
+
+    table: AdapterAddress
+    objects: AdapterAddress
+    livelist: AdapterAddress
+    cloud: AdapterAddress
+
+
+class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How entry instances trust each other's messages."""
+
+    key: Secret
+
+
+class OperatorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who may use the operators' interface."""
+
+    credential_sha256: Annotated[str, Meta(pattern="^[0-9a-f]{64}$")]
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What is logged."""
+
+    level: LogLevel = LogLevel.INFO
+
+
+class MetricsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where metrics go; without a host they go nowhere."""
+
+    host: str = ""
+    port: Annotated[int, Meta(ge=1, le=65_535)] = 8_125
+    prefix: Name = "monsoonpulley"
+
+
+class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds on what this process takes on.
+
+    Attributes
+    ----------
+    in_progress : int
+        Most requests in progress at once.
+    body_bytes : int
+        Largest request body of any class.
+    shutdown_ms : int
+        Longest wait for requests in progress at a planned stop.
+    """
+
+    in_progress: Annotated[int, Meta(ge=1, le=1_000_000)] = 4_096
+    body_bytes: Annotated[int, Meta(ge=1_024, le=67_108_864)] = 67_108_864
+    shutdown_ms: Annotated[int, Meta(ge=0, le=86_400_000)] = 900_000
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of a process; one field for each section."""
+
+    entry: EntrySettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    operator: OperatorSettings
+    log: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+    limits: LimitSettings = LimitSettings()
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> Settings:
+        """Read a settings file.
+
+        Raises
+        ------
+        SettingsError
+            If it can't be read or isn't valid; the text names all problems.
+        """
+        return cls.from_text(read_text(path), str(path))
+
+    @classmethod
+    def from_text(cls, text: str, file: str = "settings") -> Settings:
+        """Read settings from INI text; ``file`` names it in messages."""
+        problems = Problems(file)
+        sections = parse_sections(text, problems)
+        fields = {field.name: field for field in msgspec.structs.fields(cls)}
+        read: dict[str, Any] = {}
+        for name, values in sections.items():
+            if name not in fields:
+                hint = suggestion(name, fields)
+                problems.add(name, "", f"unknown section; {hint}")
+                continue
+            read[name] = read_struct(fields[name].type, name, values, problems)
+        for name, field in fields.items():
+            if field.required and name not in sections:
+                problems.add(name, "", "section is missing")
+        problems.raise_any()
+        return cls(**read)
+
+
+def read_text(path: str | Path) -> str:
+    """Return the text of a file.
+
+    Raises
+    ------
+    SettingsError
+        If it can't be read as UTF-8.
+    """
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise SettingsError(f"{path}: is no UTF-8 text") from None
--- /dev/null
+++ b/testing/config/faketable.py
@@ -0,0 +1,132 @@
+"""A table with the faults that matter to configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from enum import Enum
+
+from _monsoonpulley.clock import Clock
+from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.platform.table import (
+    ABSENT_REVISION,
+    Committed,
+    Conflict,
+    Row,
+    Write,
+)
+
+
+class Fault(Enum):
+    """What happens to one commit."""
+
+    NONE = "none"
+    REFUSED = "refused"
+    LOST_ANSWER = "lost_answer"
+    LOST_REQUEST = "lost_request"
+    DELAYED = "delayed"
+    """No answer now; the commit is tried at the table later."""
+
+
+class FakeTable:
+    """Rows in memory; each client has its own `TableClient`."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.revision = 0
+        self.is_away = False
+        self.delayed: list[Sequence[Write]] = []
+        self.commits: list[dict[str, bytes | None]] = []
+
+    def apply(self, writes: Sequence[Write]) -> Committed | Conflict:
+        current = {w.key: self.rows[w.key] for w in writes if w.key in self.rows}
+        for write in writes:
+            row = current.get(write.key)
+            if (row.revision if row else ABSENT_REVISION) != write.expected_revision:
+                return Conflict(current)
+        self.revision += 1
+        for write in writes:
+            if write.value is None:
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = Row(write.key, write.value, self.revision)
+        self.commits.append({w.key: w.value for w in writes})
+        return Committed(self.revision)
+
+    def land_delayed(self) -> None:
+        """Let every delayed commit arrive."""
+        delayed, self.delayed = self.delayed, []
+        for writes in delayed:
+            self.apply(writes)
+
+
+class TableClient:
+    """One client's way to the table.
+
+    ``faults`` are used up by commits in their order; then ``draw`` decides.
+    """
+
+    def __init__(
+        self,
+        table: FakeTable,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        faults: Sequence[Fault] = (),
+        fault_rate: float = 0.0,
+        latency_ms: tuple[int, int] = (0, 0),
+    ):
+        self.table = table
+        self.is_cut_off = False
+        self.calls = 0
+        self._clock = clock
+        self._rng = rng
+        self._faults = list(faults)
+        self._fault_rate = fault_rate
+        self._latency_ms = latency_ms
+
+    async def _pass_time(self) -> Failure | None:
+        self.calls += 1
+        await self._clock.sleep_ms(self._rng.randint(*self._latency_ms))
+        if self.table.is_away or self.is_cut_off:
+            return Failure(Reason.UNAVAILABLE, "table.call", "table")
+        return None
+
+    async def read(self, key: str) -> Row | Failure | None:
+        return await self._pass_time() or self.table.rows.get(key)
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 500
+    ) -> tuple[Row, ...] | Failure:
+        failure = await self._pass_time()
+        if failure:
+            return failure
+        keys = sorted(k for k in self.table.rows if k.startswith(prefix) and k > after)
+        return tuple(self.table.rows[key] for key in keys[:limit])
+
+    async def commit(self, writes: Sequence[Write]) -> Committed | Conflict | Failure:
+        failure = await self._pass_time()
+        if failure:
+            return failure
+        fault = self._draw()
+        in_doubt = Failure(Reason.IN_DOUBT, "table.commit", "table")
+        if fault is Fault.REFUSED:
+            return Failure(Reason.UNAVAILABLE, "table.commit", "table")
+        if fault is Fault.LOST_REQUEST:
+            return in_doubt
+        if fault is Fault.DELAYED:
+            self.table.delayed.append(tuple(writes))
+            delay_ms = self._rng.randint(1, 5_000)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_ms / 1000, self.table.land_delayed)
+            return in_doubt
+        result = self.table.apply(writes)
+        return in_doubt if fault is Fault.LOST_ANSWER else result
+
+    def _draw(self) -> Fault:
+        if self._faults:
+            return self._faults.pop(0)
+        if self._rng.random() < self._fault_rate:
+            return self._rng.choice([f for f in Fault if f is not Fault.NONE])
+        return Fault.NONE
