--- /dev/null
+++ b/src/_monsoonpulley/endpoints/roster.py
@@ -0,0 +1,74 @@
+"""Keeps the list of members fresh and tells who needs it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..errors import Failure
+from ..log import Log
+from ..metrics import Metrics
+from ..platform.livelist import LiveList, Member
+
+REFRESH_INTERVAL_MS = 2_000
+
+OnMembers = Callable[[tuple[Member, ...]], None]
+
+
+class Roster:
+    """The newest list of members that the platform gave.
+
+    With the platform away the last list stays in use.
+
+    Parameters
+    ----------
+    livelist : LiveList
+        The platform's list.
+    clock, rng, log, metrics
+        Of the instance; ``rng`` spreads the refreshes.
+    """
+
+    def __init__(
+        self,
+        livelist: LiveList,
+        clock: Clock,
+        rng: random.Random,
+        log: Log,
+        metrics: Metrics,
+    ):
+        self._livelist = livelist
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._metrics = metrics
+        self._callbacks: list[OnMembers] = []
+        self._failing = False
+        self.members: tuple[Member, ...] = ()
+        self.refreshed_ms: int | None = None
+
+    def on_members(self, callback: OnMembers) -> None:
+        """Call ``callback`` with each list that comes."""
+        self._callbacks.append(callback)
+
+    async def run(self) -> None:
+        """Refresh until cancelled."""
+        while True:
+            await self.refresh()
+            spread = self._rng.uniform(0.9, 1.1)
+            await self._clock.sleep_ms(REFRESH_INTERVAL_MS * spread)
+
+    async def refresh(self) -> None:
+        """Ask the platform once."""
+        members = await self._livelist.members()
+        if isinstance(members, Failure):
+            self._metrics.incr("roster.refresh_failed")
+            if not self._failing:
+                self._log.event("roster_refresh_failed", failure=members)
+            self._failing = True
+            return
+        self._failing = False
+        self.members = members
+        self.refreshed_ms = self._clock.now_ms()
+        for callback in self._callbacks:
+            callback(members)
--- a/src/_monsoonpulley/gateway/generations.py
+++ b/src/_monsoonpulley/gateway/generations.py
@@ -119,6 +119,7 @@
             prompt_tokens=len(words),
             max_tokens=body.fields.token_limit,
             prefix_blocks=block_hashes(words),
+            stream=body.fields.stream,
         )
         whole = {**body.whole, "model": intake.request_class.service}
         generation = Generation(
--- a/src/_monsoonpulley/requests/context.py
+++ b/src/_monsoonpulley/requests/context.py
@@ -24,6 +24,8 @@
         Size of a generation; 0 for plain services.
     prefix_blocks : tuple of int
         Chained hashes of the prompt's blocks.
+    stream : bool
+        Whether the class's target is about the first token.
     """
 
     request_id: RequestId
@@ -35,6 +37,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     prefix_blocks: tuple[int, ...] = ()
+    stream: bool = False
 
     @property
     def target_ms(self) -> int:
--- a/src/_monsoonpulley/requests/dispatcher.py
+++ b/src/_monsoonpulley/requests/dispatcher.py
@@ -14,6 +14,9 @@
 from .passthrough import Connect, PassThrough, ServiceAttempts
 from .placement import Placed, Placement
 
+MAX_CHOICES = 4_096
+"""Most choices kept that were not sent yet."""
+
 
 class JournalDispatcher:
     """Chooses, calls and asks endpoints for the journal.
@@ -57,7 +60,7 @@
         placed = self._placement.choose(context, tried)
         if isinstance(placed, Failure):
             return placed
-        self._placed[submission.request_id] = placed
+        self._remember(submission.request_id, placed)
         return placed.endpoint
 
     async def send(
@@ -97,6 +100,13 @@
             return Failure(Reason.UNAVAILABLE, "service.lookup", endpoint, detail)
         return await client.lookup(submission.request_id)
 
+    def _remember(self, request_id: RequestId, placed: Placed) -> None:
+        """Keep a choice until its send, or until many newer ones have come."""
+        self._placed.pop(request_id, None)
+        self._placed[request_id] = placed
+        if len(self._placed) > MAX_CHOICES:
+            del self._placed[next(iter(self._placed))]
+
     def _context(self, submission: Submission) -> RequestContext | Failure:
         document = self._document()
         known = document.classes.get(submission.class_id) if document else None
--- a/src/_monsoonpulley/requests/placement.py
+++ b/src/_monsoonpulley/requests/placement.py
@@ -8,15 +8,22 @@
 
 from ..errors import Delivery, Failure
 from ..ids import AttemptId, EndpointId, VersionId
+from ..routing.policies import RouteRequest
+from ..routing.router import RouteDecision
 from .context import RequestContext
 
 
 class Placed(msgspec.Struct, frozen=True):
-    """The endpoint chosen for one attempt, and the priority it is told."""
+    """The endpoint chosen for one attempt, and the priority it is told.
+
+    ``route`` and ``decision`` are what routing was asked and answered.
+    """
 
     endpoint: EndpointId
     version: VersionId
-    priority: int = 0
+    priority: int
+    route: RouteRequest
+    decision: RouteDecision
 
 
 class Retry(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/_monsoonpulley/requests/routed.py
@@ -0,0 +1,162 @@
+"""Placement by the router: logs each decision and feeds back what happened."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from ..clock import Clock
+from ..errors import Delivery, Failure, Reason
+from ..ids import AttemptId, EndpointId, ServiceId, VersionId
+from ..log import Log
+from ..metrics import Metrics
+from ..routing.policies import RouteRequest
+from ..routing.priority import engine_priority
+from ..routing.retries import RetryAsk
+from ..routing.router import Router
+from .context import RequestContext
+from .placement import AttemptEnd, Placed, Retry
+
+
+class VersionShares(Protocol):
+    """Says which versions of a service may get traffic."""
+
+    def shares(self, service: ServiceId) -> dict[VersionId, float]:
+        """Return the share of each version that may get any."""
+        ...
+
+
+class RoutedPlacement:
+    """Chooses endpoints by the router.
+
+    Parameters
+    ----------
+    router : Router
+        State and rules of routing.
+    versions : VersionShares
+        Which versions may get traffic.
+    clock, log, metrics
+        Of the instance.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        versions: VersionShares,
+        clock: Clock,
+        log: Log,
+        metrics: Metrics,
+    ):
+        self._router = router
+        self._versions = versions
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+
+    def choose(
+        self, context: RequestContext, tried: frozenset[EndpointId]
+    ) -> Placed | Failure:
+        """Choose an endpoint that is not in ``tried`` and log why."""
+        now_ms = self._clock.now_ms()
+        route = self.route_request(context, tried, now_ms)
+        decision = self._router.choose(route, now_ms)
+        if isinstance(decision, Failure):
+            self._metrics.incr("routing.no_choice")
+            self._log.event(
+                "route_failed", request=route, failure=decision, now_ms=now_ms
+            )
+            return decision
+        self._log.decision(decision)
+        slack_ms = route.target_ms - (decision.predicted_ms or 0.0)
+        return Placed(
+            endpoint=decision.chosen,
+            version=decision.version,
+            priority=engine_priority(self._clock.wall_ms(), slack_ms),
+            route=route,
+            decision=decision,
+        )
+
+    def route_request(
+        self, context: RequestContext, tried: frozenset[EndpointId], now_ms: int
+    ) -> RouteRequest:
+        """Return a request as the router sees it."""
+        service = context.request_class.service
+        return RouteRequest(
+            request_id=context.request_id,
+            service=service,
+            target_ms=context.target_ms - now_ms,
+            stream=context.stream,
+            prompt_tokens=context.prompt_tokens,
+            max_tokens=context.max_tokens,
+            prefix_blocks=context.prefix_blocks,
+            tried=tuple(sorted(tried)),
+            versions=self._versions.shares(service),
+            deadline_ms=context.deadline_ms,
+            route=context.path,
+        )
+
+    def started(
+        self, context: RequestContext, placed: Placed, attempt: AttemptId
+    ) -> None:
+        """Note that an attempt was sent."""
+        if attempt.endswith(".1"):
+            self._router.retries.count_fresh(context.request_class.service)
+        self._router.started(
+            attempt, placed.route, placed.decision, self._clock.now_ms()
+        )
+
+    def progressed(self, attempt: AttemptId, tokens: int) -> None:
+        """Note that an attempt has generated a token."""
+        self._router.progressed(attempt, self._clock.now_ms())
+
+    def ended(
+        self,
+        context: RequestContext,
+        placed: Placed,
+        attempt: AttemptId,
+        end: AttemptEnd,
+    ) -> None:
+        """Note how an attempt ended."""
+        now_ms = self._clock.now_ms()
+        self._router.finished(attempt, now_ms, end.failure, end.tokens)
+        if end.failure is None:
+            return
+        self._metrics.incr(f"attempts.failed.{end.failure.reason.value}")
+        self._log.event(
+            "attempt_failed",
+            attempt_id=attempt,
+            endpoint=placed.endpoint,
+            version=placed.version,
+            failure=end.failure,
+            tokens=end.tokens,
+            total_ms=end.total_ms,
+        )
+
+    def may_retry(
+        self, context: RequestContext, attempts: int, failure: Failure
+    ) -> Retry | Failure:
+        """Decide on another attempt after ``attempts`` failed ones."""
+        repeats = context.request_class.repeats
+        ask = RetryAsk(
+            request_id=context.request_id,
+            service=context.request_class.service,
+            repeats=repeats,
+            attempts=attempts,
+            idempotent=repeats > 0,
+            delivery=failure.delivery,
+            deadline_ms=context.deadline_ms,
+            retry_after_ms=failure.retry_after_ms,
+        )
+        decision = self._router.retries.may_retry(ask, self._clock.now_ms())
+        self._log.decision(decision)
+        if decision.allowed:
+            self._metrics.incr("attempts.retried")
+            return Retry(decision.wait_ms)
+        return Failure(
+            Reason.RETRIES_SPENT,
+            failure.step,
+            failure.peer,
+            f"{decision.rule} after {attempts} attempts; last: {failure.reason.value}"
+            f" {failure.detail}".rstrip(),
+            failure.delivery or Delivery.MAYBE,
+            failure.retry_after_ms,
+        )
