--- /dev/null
+++ b/src/_monsoonpulley/journal/collection.py
@@ -0,0 +1,119 @@
+"""Collection: deletes terminal records past their retention.
+
+A key may run again once its record is gone, so retention is the window in
+which a repeated key is recognised. Records in progress are never deleted.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..clock import Clock
+from ..errors import Failure
+from ..log import Log
+from ..platform.objects import ObjectStore
+from ..platform.table import Committed, Table, Write
+from .record import KEY_PREFIX, JournalRecord, StoredRecord, row_key
+from .store import stored_record
+
+
+class CollectionSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of one collection pass.
+
+    Attributes
+    ----------
+    scan_rows : int
+        Rows looked at in one pass.
+    group_deletes : int
+        Rows deleted in one transaction.
+    margin_ms : int
+        Added to each retention for differences between wall clocks.
+    """
+
+    scan_rows: int = 500
+    group_deletes: int = 50
+    margin_ms: int = 60_000
+
+
+class CollectionReport(msgspec.Struct, frozen=True):
+    """What one pass did; the next pass goes on ``after`` that key."""
+
+    scanned: int = 0
+    deleted: int = 0
+    after: str = ""
+
+
+class Collection:
+    """Deletes the records, and their objects, whose retention is over."""
+
+    def __init__(
+        self,
+        table: Table,
+        objects: ObjectStore,
+        clock: Clock,
+        log: Log,
+        settings: CollectionSettings,
+    ):
+        self._table = table
+        self._objects = objects
+        self._clock = clock
+        self._log = log
+        self._settings = settings
+
+    async def collect(
+        self, shard: str = "", after: str = ""
+    ) -> CollectionReport | Failure:
+        """Look at one page of a shard and delete what is past retention.
+
+        Parameters
+        ----------
+        shard : str
+            First hex digits of the request ids to look at; empty for all.
+        after : str
+            ``after`` of the former report; empty to begin anew.
+        """
+        rows = await self._table.scan(
+            KEY_PREFIX + shard, after=after, limit=self._settings.scan_rows
+        )
+        if isinstance(rows, Failure):
+            return rows
+        wall_ms = self._clock.wall_ms()
+        stored = [stored_record(row) for row in rows]
+        due = [
+            each
+            for each in stored
+            if isinstance(each, StoredRecord) and self._is_due(each.record, wall_ms)
+        ]
+        deleted = 0
+        for start in range(0, len(due), self._settings.group_deletes):
+            group = due[start : start + self._settings.group_deletes]
+            deleted += await self._delete(group)
+        at_end = len(rows) < self._settings.scan_rows
+        self._log.event("journal_collected", scanned=len(rows), deleted=deleted)
+        return CollectionReport(len(rows), deleted, "" if at_end else rows[-1].key)
+
+    def _is_due(self, record: JournalRecord, wall_ms: int) -> bool:
+        if not record.is_terminal():
+            return False
+        return wall_ms > record.retain_until_wall_ms + self._settings.margin_ms
+
+    async def _delete(self, group: list[StoredRecord]) -> int:
+        """Delete rows whose objects could be removed; return how many.
+
+        Objects go first: the row is what still names them.
+        """
+        writes = []
+        for each in group:
+            if await self._drop_objects(each.record):
+                key = row_key(each.record.request_id)
+                writes.append(Write(key, None, each.revision))
+        if not writes:
+            return 0
+        result = await self._table.commit(writes)
+        return len(writes) if isinstance(result, Committed) else 0
+
+    async def _drop_objects(self, record: JournalRecord) -> bool:
+        for name in record.object_names():
+            if await self._objects.delete(name) is not None:
+                return False
+        return True
--- /dev/null
+++ b/src/_monsoonpulley/journal/journal.py
@@ -0,0 +1,229 @@
+"""The journal of one instance: runs submissions at most once.
+
+Work in progress runs in tasks that the journal owns, so that it goes on when
+its caller vanishes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine
+
+import msgspec
+
+from ..clock import Clock
+from ..endpoints.service import ServiceAnswer
+from ..errors import Failure, Reason
+from ..ids import InstanceId, RequestId
+from ..log import Log
+from ..outcome import Outcome
+from ..platform.objects import ObjectStore
+from ..platform.table import Table
+from .record import (
+    JournalRecord,
+    RecordedCall,
+    State,
+    StoredRecord,
+    row_key,
+)
+from .run import Run, RunContext
+from .settings import JournalSettings
+from .store import RecordStore
+from .submission import Dispatcher, Settled, Submission
+from .transitions import Transitions, new_token
+from .writer import GroupWriter
+
+
+class Journal:
+    """Runs each submission at most once and tells its outcome.
+
+    Parameters
+    ----------
+    table, objects : Table, ObjectStore
+        Where records and large bodies are kept.
+    clock : Clock
+        Time of this instance.
+    rng : random.Random
+        Makes tokens and jitter; must differ between instances.
+    instance : InstanceId
+        This instance.
+    incarnation : int
+        Rises with each start of this instance.
+    dispatcher : Dispatcher
+        Chooses endpoints and sends calls.
+    log : Log
+        Takes each decision.
+    settings : JournalSettings
+        Limits and times.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        objects: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+        instance: InstanceId,
+        incarnation: int,
+        dispatcher: Dispatcher,
+        log: Log,
+        settings: JournalSettings,
+    ):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.writer = GroupWriter(table, clock, settings)
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings
+        self._store = RecordStore(table, objects, self.writer)
+        self._context = RunContext(
+            clock=clock,
+            rng=rng,
+            store=self._store,
+            dispatcher=dispatcher,
+            transitions=Transitions(settings, rng),
+            log=log,
+            settings=settings,
+        )
+        self._runs: dict[RequestId, Run] = {}
+        self._tasks: dict[RequestId, asyncio.Task] = {}
+        self._draining = False
+
+    async def submit(self, submission: Submission) -> Settled:
+        """Run the submission unless its key was accepted before.
+
+        Returns
+        -------
+        Settled
+            The outcome: of this submission, or of the one that first had its
+            key. Cancelling the call does not stop the work.
+        """
+        request_id = submission.request_id
+        run = self._runs.get(request_id)
+        if run is not None:
+            return await self._join(run, submission)
+        refusal = self._refusal()
+        if refusal is not None:
+            return Settled(Outcome.NOT_RUN, request_id, failure=refusal)
+        record = self._first_record(submission)
+        run = Run(self._context, submission, record.accepted_token)
+        self._start(request_id, run, run.accept(record))
+        return await run.settled(repeated=False)
+
+    async def find(self, request_id: RequestId) -> JournalRecord | Failure | None:
+        """Return the record of a request as any instance last wrote it."""
+        stored = await self._store.read(request_id)
+        return stored.record if isinstance(stored, StoredRecord) else stored
+
+    async def answer_of(self, record: JournalRecord) -> ServiceAnswer | Failure:
+        """Return the answer of a record in state DONE."""
+        return await self._store.answer_of(record)
+
+    async def adopt(self, stored: StoredRecord) -> bool:
+        """Take over a record whose holder is gone, in a task of its own.
+
+        Returns
+        -------
+        bool
+            Whether the take-over was begun.
+        """
+        record = stored.record
+        if self._refusal() is not None or self.is_running(record.request_id):
+            return False
+        body = await self._store.body_of(record)
+        if isinstance(body, Failure) or self.is_running(record.request_id):
+            return False
+        adopted = msgspec.structs.replace(
+            record,
+            holder=self.instance,
+            incarnation=self.incarnation,
+            token=new_token(self._rng),
+        )
+        submission = Submission.from_record(record, body)
+        run = Run(self._context, submission, record.accepted_token)
+        self._start(record.request_id, run, run.adopt(adopted, stored.revision))
+        return True
+
+    def is_running(self, request_id: RequestId) -> bool:
+        """Tell whether this instance acts on the request."""
+        return request_id in self._runs
+
+    async def drain(self, deadline_ms: int) -> int:
+        """Refuse new work and wait for what is in progress.
+
+        Parameters
+        ----------
+        deadline_ms : int
+            Monotonic time at which the rest is left to other instances.
+
+        Returns
+        -------
+        int
+            Number of submissions left.
+        """
+        self._draining = True
+        left_ms = max(0, deadline_ms - self._clock.now_ms())
+        if self._tasks:
+            await asyncio.wait(self._tasks.values(), timeout=left_ms / 1000)
+        left = list(self._tasks.values())
+        for task in left:
+            task.cancel()
+        if left:
+            await asyncio.wait(left)
+        self.writer.close()
+        return len(left)
+
+    def _start(self, request_id: RequestId, run: Run, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._runs[request_id] = run
+        self._tasks[request_id] = task
+        task.add_done_callback(lambda _: self._finished(request_id))
+
+    def _finished(self, request_id: RequestId) -> None:
+        del self._runs[request_id]
+        task = self._tasks.pop(request_id)
+        if not task.cancelled() and task.exception() is not None:
+            failure = task.exception()
+            self._context.log.event("journal_fault", error=repr(failure))
+
+    def _refusal(self) -> Failure | None:
+        if self._draining:
+            return Failure(Reason.SHUTTING_DOWN, "journal.accept", self.instance)
+        if len(self._runs) >= self._settings.max_in_progress:
+            detail = f"{len(self._runs)} submissions are in progress"
+            return Failure(Reason.OVERLOADED, "journal.accept", self.instance, detail)
+        return None
+
+    async def _join(self, run: Run, submission: Submission) -> Settled:
+        if not run.submission.is_same_call(submission):
+            failure = Failure(Reason.KEY_REUSED, "journal.accept", self.instance)
+            return Settled(Outcome.NOT_RUN, submission.request_id, failure=failure)
+        return await run.settled(repeated=True)
+
+    def _first_record(self, submission: Submission) -> JournalRecord:
+        token = new_token(self._rng)
+        inline = len(submission.body) <= self._settings.inline_bytes
+        call = RecordedCall(
+            method=submission.method,
+            path=submission.path,
+            headers=submission.headers,
+            timeout_ms=submission.timeout_ms,
+            body=submission.body if inline else b"",
+            body_object="" if inline else f"{row_key(submission.request_id)}/{token}",
+        )
+        return JournalRecord(
+            request_id=submission.request_id,
+            customer=submission.customer,
+            class_id=submission.class_id,
+            key=submission.key,
+            body_sha256=submission.body_sha256(),
+            call=call,
+            state=State.ACCEPTED,
+            holder=self.instance,
+            incarnation=self.incarnation,
+            accepted_token=token,
+            token=token,
+            retention_ms=submission.retention_ms,
+            accepted_wall_ms=self._clock.wall_ms(),
+        )
--- /dev/null
+++ b/src/_monsoonpulley/journal/recovery.py
@@ -0,0 +1,121 @@
+"""Recovery: records whose holder is gone are taken over.
+
+The former holder may be paused rather than gone. It can't begin an attempt
+afterwards: that takes a confirmed write under a revision which the take-over
+has changed. It may, however, have had its dispatch confirmed already and wake
+before it sends. So a dispatched record is never sent again on the strength of
+the take-over. The endpoint is asked; only its word that it did not run the
+call, with which it also refuses the call for ever, lets the work go elsewhere.
+Where the endpoint can't tell, the record becomes ``UNKNOWN``. The paused holder
+may then still send its one attempt, and its answer turns the record to ``DONE``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..errors import Failure
+from ..ids import InstanceId
+from ..log import Log
+from ..platform.table import Table
+from .journal import Journal
+from .record import KEY_PREFIX, JournalRecord, StoredRecord
+from .store import stored_record
+
+IsGone = Callable[[InstanceId, int], bool]
+
+
+class RecoverySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of one recovery pass.
+
+    Attributes
+    ----------
+    page_rows : int
+        Rows read at once.
+    max_adoptions : int
+        Records taken over in one pass at most.
+    """
+
+    page_rows: int = 500
+    max_adoptions: int = 200
+
+
+class RecoveryReport(msgspec.Struct, frozen=True):
+    """What one pass did; ``unreadable`` rows are left as they are."""
+
+    scanned: int = 0
+    adopted: int = 0
+    unreadable: int = 0
+
+
+class Recovery:
+    """Takes over the records of gone holders in one journal.
+
+    Parameters
+    ----------
+    journal : Journal
+        Journal of this instance, which acts on what is taken over.
+    table : Table
+        Where the records are.
+    log : Log
+        Takes each decision.
+    settings : RecoverySettings
+        Bounds of a pass.
+    """
+
+    def __init__(
+        self, journal: Journal, table: Table, log: Log, settings: RecoverySettings
+    ):
+        self._journal = journal
+        self._table = table
+        self._log = log
+        self._settings = settings
+
+    async def recover(
+        self, is_gone: IsGone, shard: str = ""
+    ) -> RecoveryReport | Failure:
+        """Scan a shard once and take over what has no holder.
+
+        Parameters
+        ----------
+        is_gone : callable
+            Tells for an instance and incarnation whether it has left.
+        shard : str
+            First hex digits of the request ids to look at; empty for all.
+        """
+        scanned = adopted = unreadable = 0
+        after = ""
+        while adopted < self._settings.max_adoptions:
+            rows = await self._table.scan(
+                KEY_PREFIX + shard, after=after, limit=self._settings.page_rows
+            )
+            if isinstance(rows, Failure):
+                return rows
+            for row in rows:
+                stored = stored_record(row)
+                unreadable += isinstance(stored, Failure)
+                adopted += await self._adopt_if_left(stored, is_gone)
+            scanned += len(rows)
+            if len(rows) < self._settings.page_rows:
+                break
+            after = rows[-1].key
+        return RecoveryReport(scanned, adopted, unreadable)
+
+    async def _adopt_if_left(
+        self, stored: StoredRecord | Failure, is_gone: IsGone
+    ) -> bool:
+        if isinstance(stored, Failure) or stored.record.is_terminal():
+            return False
+        if not self._is_left(stored.record, is_gone):
+            return False
+        return await self._journal.adopt(stored)
+
+    def _is_left(self, record: JournalRecord, is_gone: IsGone) -> bool:
+        """Tell whether no live instance acts on the record."""
+        mine = (self._journal.instance, self._journal.incarnation)
+        if (record.holder, record.incarnation) == mine:
+            # An adoption of ours whose answer was lost may have landed late.
+            return not self._journal.is_running(record.request_id)
+        return is_gone(record.holder, record.incarnation)
--- /dev/null
+++ b/src/_monsoonpulley/journal/run.py
@@ -0,0 +1,254 @@
+"""One submission at work: carries out the steps that the transitions give."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+
+from ..clock import Clock
+from ..endpoints.service import ServiceAnswer
+from ..errors import Delivery, Failure, Reason
+from ..ids import EndpointId, attempt_id
+from ..log import Log
+from ..outcome import Outcome
+from . import steps as s
+from .decision import JournalDecision
+from .record import JournalRecord, State, StoredRecord, outcome_of, row_key
+from .settings import JournalSettings
+from .store import RecordStore, recorded_answer
+from .submission import Dispatcher, Settled, Submission
+from .transitions import Transitions
+
+
+class RunContext(msgspec.Struct, frozen=True, kw_only=True):
+    """What the runs of one journal share."""
+
+    clock: Clock
+    rng: random.Random
+    store: RecordStore
+    dispatcher: Dispatcher
+    transitions: Transitions
+    log: Log
+    settings: JournalSettings
+
+
+class Run:
+    """One submission from its acceptance or adoption to its terminal state.
+
+    Parameters
+    ----------
+    context : RunContext
+        Shared parts of the journal.
+    submission : Submission
+        What is to run.
+    accepted_token : str
+        Token of the write that creates the record.
+    """
+
+    def __init__(
+        self, context: RunContext, submission: Submission, accepted_token: str
+    ):
+        self.submission = submission
+        self._context = context
+        self._accepted_token = accepted_token
+        self._told = asyncio.get_running_loop().create_future()
+        self._answer: ServiceAnswer | None = None
+        self._unstored: dict[str, bytes] = {}
+        self._is_final = False
+
+    async def settled(self, *, repeated: bool) -> Settled:
+        """Wait until callers can be told something.
+
+        A repeated submission waits ``wait_ms`` at most.
+        """
+        wait_ms = self._context.settings.wait_ms
+        if not repeated:
+            return await asyncio.shield(self._told)
+        done, _ = await asyncio.wait({self._told}, timeout=wait_ms / 1000)
+        if not done:
+            return self._in_progress()
+        settled = next(iter(done)).result()
+        # What a first submission was refused for holds for its joiners too.
+        accepted = settled.outcome is not Outcome.NOT_RUN or settled.key_closed
+        return msgspec.structs.replace(settled, repeated=accepted)
+
+    async def accept(self, record: JournalRecord) -> None:
+        """Record the submission and run it to its terminal state."""
+        if record.call.body_object:
+            self._unstored[record.call.body_object] = self.submission.body
+        await self._work(s.Submitted(record))
+
+    async def adopt(self, record: JournalRecord, revision: int) -> None:
+        """Take over a record and bring it to its terminal state."""
+        await self._work(s.Adopting(record, revision))
+
+    async def _work(self, event: s.Event) -> None:
+        try:
+            await self._drive(event)
+        finally:
+            self._tell(self._in_progress(), is_final=True)
+
+    async def _drive(self, event: s.Event) -> None:
+        progress = s.Progress()
+        step: s.Step = s.StopStep()
+        while True:
+            following = self._next(progress, event)
+            progress, step = following.progress, following.step
+            if following.tell is not None:
+                self._tell_now(following.tell)
+            if isinstance(step, s.StopStep):
+                break
+            if isinstance(step, s.FollowStep):
+                await self._follow(step.current)
+                break
+            event = await self._carry_out(step, progress)
+        await self._drop_unused(progress, event)
+
+    def _next(self, progress: s.Progress, event: s.Event) -> s.Next:
+        clock = self._context.clock
+        now_ms = clock.now_ms()
+        following = self._context.transitions.next(
+            progress, event, now_ms, clock.wall_ms()
+        )
+        decision = JournalDecision.from_transition(
+            self.submission.request_id, progress, event, following, now_ms
+        )
+        self._context.log.decision(decision)
+        return following
+
+    async def _carry_out(self, step: s.Step, progress: s.Progress) -> s.Event:
+        if not isinstance(step, s.SendStep) and step.after_ms:
+            await self._context.clock.sleep_ms(step.after_ms)
+        if isinstance(step, s.WriteStep):
+            return await self._write(progress)
+        if isinstance(step, s.ChooseStep):
+            return self._choose(progress.confirmed)
+        if isinstance(step, s.SendStep):
+            return await self._send(step)
+        return await self._look_up(step, progress.confirmed)
+
+    async def _write(self, progress: s.Progress) -> s.Event:
+        for name in list(self._unstored):
+            failed = await self._context.store.put_body(name, self._unstored[name])
+            if failed is not None:
+                return s.WriteFailed(failed)
+            del self._unstored[name]
+        return await self._context.store.write(
+            progress.pending, progress.expected_revision
+        )
+
+    def _choose(self, record: JournalRecord) -> s.Event:
+        tried = frozenset(record.tried)
+        chosen = self._context.dispatcher.choose(self.submission, tried)
+        if isinstance(chosen, Failure):
+            return s.NoEndpoint(chosen)
+        return s.EndpointChosen(chosen)
+
+    async def _send(self, step: s.SendStep) -> s.Event:
+        if self._context.clock.now_ms() > step.not_after_ms:
+            return s.SendLapsed()
+        attempt = attempt_id(self.submission.request_id, step.attempt)
+        try:
+            sent = await self._context.dispatcher.send(
+                self.submission, step.endpoint, attempt
+            )
+        except Exception as error:
+            sent = _endpoint_fault("journal.send", step.endpoint, error)
+        if isinstance(sent, Failure):
+            return s.SendFailed(sent)
+        return s.Answered(self._record_answer(sent, step.attempt))
+
+    async def _look_up(self, step: s.LookupStep, record: JournalRecord) -> s.Event:
+        dispatcher = self._context.dispatcher
+        try:
+            found = await dispatcher.lookup(self.submission, step.endpoint)
+        except Exception as error:
+            found = _endpoint_fault("journal.lookup", step.endpoint, error)
+        if isinstance(found, Failure):
+            return s.LookupFailed(found)
+        answer = None
+        if found.answer is not None:
+            answer = self._record_answer(found.answer, record.attempt)
+        return s.LookedUp(found.execution, answer)
+
+    def _record_answer(self, answer: ServiceAnswer, attempt: int):
+        self._answer = answer
+        # Named by this run, so that no other run writes other bytes under it.
+        token = f"{self._context.rng.getrandbits(64):016x}"
+        name = f"{row_key(self.submission.request_id)}/{attempt}-{token}"
+        recorded = recorded_answer(answer, name, self._context.settings.inline_bytes)
+        if recorded.body_object:
+            self._unstored[name] = answer.body
+        return recorded
+
+    async def _follow(self, current: StoredRecord | None) -> None:
+        """Take the outcome from the row, where another instance writes it."""
+        clock, settings = self._context.clock, self._context.settings
+        until_ms = clock.now_ms() + settings.wait_ms
+        wait_ms = settings.poll_min_ms
+        while not self._is_final and clock.now_ms() < until_ms:
+            if isinstance(current, StoredRecord) and current.record.is_terminal():
+                await self._tell_recorded(current.record)
+                return
+            await clock.sleep_ms(self._context.rng.randint(wait_ms // 2, wait_ms))
+            wait_ms = min(wait_ms * 2, settings.poll_max_ms)
+            current = await self._context.store.read(self.submission.request_id)
+
+    async def _tell_recorded(self, record: JournalRecord) -> None:
+        answer = None
+        if record.state is State.DONE:
+            answer = await self._context.store.answer_of(record)
+        failure = answer if isinstance(answer, Failure) else record.failure
+        settled = Settled(
+            outcome=outcome_of(record),
+            request_id=record.request_id,
+            answer=None if isinstance(answer, Failure) else answer,
+            failure=failure,
+            repeated=record.accepted_token != self._accepted_token,
+            key_closed=True,
+        )
+        self._tell(settled, is_final=True)
+
+    def _tell_now(self, tell: s.Tell) -> None:
+        settled = Settled(
+            outcome=tell.outcome,
+            request_id=self.submission.request_id,
+            answer=self._answer if tell.outcome is Outcome.DONE else None,
+            failure=tell.failure,
+            key_closed=tell.key_closed,
+        )
+        self._tell(settled, is_final=tell.outcome is not Outcome.UNKNOWN)
+
+    def _tell(self, settled: Settled, *, is_final: bool) -> None:
+        """Tell all who wait; after an interim word, later callers wait anew."""
+        if self._is_final:
+            return
+        self._is_final = is_final
+        self._told.set_result(settled)
+        if not is_final:
+            self._told = asyncio.get_running_loop().create_future()
+
+    def _in_progress(self) -> Settled:
+        failure = Failure(
+            Reason.TIMEOUT,
+            "journal.wait",
+            detail="accepted or in doubt; ask again with the same key",
+            retry_after_ms=self._context.settings.poll_max_ms,
+        )
+        request_id = self.submission.request_id
+        return Settled(Outcome.UNKNOWN, request_id, failure=failure)
+
+    async def _drop_unused(self, progress: s.Progress, event: s.Event) -> None:
+        """Remove a body that was stored for a record that was never made."""
+        if progress.intent is not s.Intent.ACCEPT or progress.in_doubt:
+            return
+        name = progress.pending.call.body_object if progress.pending else ""
+        if name:
+            await self._context.store.drop_body(name)
+
+
+def _endpoint_fault(step: str, endpoint: EndpointId, error: Exception) -> Failure:
+    detail, delivery = repr(error), Delivery.MAYBE
+    return Failure(Reason.INTERNAL, step, endpoint, detail, delivery)
--- /dev/null
+++ b/src/_monsoonpulley/journal/settings.py
@@ -0,0 +1,64 @@
+"""Limits and times of the journal."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class JournalSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits and times of the journal of one instance.
+
+    Attributes
+    ----------
+    inline_bytes : int
+        Bodies and answers over this size go to the object store.
+    max_in_progress : int
+        Submissions in progress at this instance; more are refused.
+    place_within_ms : int
+        How long an accepted submission may look for an endpoint.
+    max_attempts : int
+        Endpoints tried for one submission.
+    send_within_ms : int
+        After this long since the dispatch write began, the call is not sent
+        without a fresh dispatch write.
+    settle_within_ms : int
+        After this long with a write unsettled the caller is told ``unknown``;
+        the work goes on.
+    lookup_within_ms : int
+        How long an endpoint is asked what became of a call.
+    wait_ms : int
+        How long a repeated submission waits for the outcome of the first.
+    retry_min_ms, retry_max_ms : int
+        Bounds of the backoff between tries of one step.
+    poll_min_ms, poll_max_ms : int
+        Bounds of the backoff between reads of a record held elsewhere.
+    group_writes : int
+        Writes in one transaction at most.
+    group_bytes : int
+        Size of the values in one transaction at most; a larger write goes
+        alone.
+    group_wait_ms : int
+        How long a write may wait for others to join its transaction.
+    group_in_flight : int
+        Transactions in progress at most.
+    queue_writes : int
+        Writes waiting for a transaction at most; more are refused.
+    """
+
+    inline_bytes: int = 16_384
+    max_in_progress: int = 2_000
+    place_within_ms: int = 5_000
+    max_attempts: int = 4
+    send_within_ms: int = 5_000
+    settle_within_ms: int = 3_000
+    lookup_within_ms: int = 30_000
+    wait_ms: int = 20_000
+    retry_min_ms: int = 20
+    retry_max_ms: int = 2_000
+    poll_min_ms: int = 100
+    poll_max_ms: int = 2_000
+    group_writes: int = 32
+    group_bytes: int = 262_144
+    group_wait_ms: int = 5
+    group_in_flight: int = 2
+    queue_writes: int = 1_000
--- /dev/null
+++ b/src/_monsoonpulley/journal/store.py
@@ -0,0 +1,111 @@
+"""Reads and writes of records, with large bodies in the object store."""
+
+from __future__ import annotations
+
+from ..endpoints.service import ServiceAnswer
+from ..errors import Failure, Reason
+from ..ids import RequestId
+from ..platform.objects import ObjectStore
+from ..platform.table import Committed, Conflict, Row, Table, Write
+from . import steps as s
+from .record import (
+    JournalRecord,
+    RecordedAnswer,
+    StoredRecord,
+    decode_record,
+    encode_record,
+    row_key,
+)
+from .writer import GroupWriter
+
+
+class RecordStore:
+    """Records in the table and their bodies in the object store."""
+
+    def __init__(self, table: Table, objects: ObjectStore, writer: GroupWriter):
+        self._table = table
+        self._objects = objects
+        self._writer = writer
+
+    async def read(self, request_id: RequestId) -> StoredRecord | Failure | None:
+        """Return the stored record, or ``None`` where there is none."""
+        row = await self._table.read(row_key(request_id))
+        return stored_record(row) if isinstance(row, Row) else row
+
+    async def write(
+        self, record: JournalRecord, expected_revision: int
+    ) -> s.WriteConfirmed | s.WriteConflicted | s.WriteFailed:
+        """Write the record if its row has the expected revision."""
+        key = row_key(record.request_id)
+        write = Write(key, encode_record(record), expected_revision)
+        result = await self._writer.write(write)
+        if isinstance(result, Committed):
+            return s.WriteConfirmed(result.revision)
+        if isinstance(result, Conflict):
+            return _conflicted(result.current.get(key))
+        return s.WriteFailed(result)
+
+    async def put_body(self, name: str, body: bytes) -> Failure | None:
+        """Store a body; a failure says that no record refers to it yet."""
+        failed = await self._objects.put(name, body)
+        if failed is None:
+            return None
+        detail = "the body could not be stored; nothing was recorded"
+        return Failure(Reason.UNAVAILABLE, "journal.put_body", failed.peer, detail)
+
+    async def drop_body(self, name: str) -> None:
+        """Remove a body that no record refers to; a failure leaves it behind."""
+        await self._objects.delete(name)
+
+    async def body_of(self, record: JournalRecord) -> bytes | Failure:
+        """Return the body of the recorded call."""
+        return await self._body(record.call.body, record.call.body_object)
+
+    async def answer_of(self, record: JournalRecord) -> ServiceAnswer | Failure:
+        """Return the recorded answer."""
+        answer = record.answer
+        if answer is None:
+            detail = f"the record is {record.state.value}"
+            return Failure(Reason.NOT_FOUND, "journal.answer", detail=detail)
+        body = await self._body(answer.body, answer.body_object)
+        if isinstance(body, Failure):
+            return body
+        return ServiceAnswer(answer.status, answer.headers, body)
+
+    async def _body(self, inline: bytes, name: str) -> bytes | Failure:
+        if not name:
+            return inline
+        body = await self._objects.get(name)
+        if body is None:
+            return Failure(Reason.NOT_FOUND, "journal.body", "objects", name)
+        return body
+
+
+def recorded_answer(
+    answer: ServiceAnswer, name: str, inline_bytes: int
+) -> RecordedAnswer:
+    """Return the answer as recorded, its body under ``name`` if it is large."""
+    inline = len(answer.body) <= inline_bytes
+    return RecordedAnswer(
+        answer.status,
+        answer.headers,
+        body=answer.body if inline else b"",
+        body_object="" if inline else name,
+    )
+
+
+def stored_record(row: Row) -> StoredRecord | Failure:
+    """Return a row's record."""
+    record = decode_record(row.value)
+    if isinstance(record, Failure):
+        return record
+    return StoredRecord(record, row.revision)
+
+
+def _conflicted(row: Row | None) -> s.WriteConflicted | s.WriteFailed:
+    if row is None:
+        return s.WriteConflicted(None)
+    stored = stored_record(row)
+    if isinstance(stored, Failure):
+        return s.WriteFailed(stored)
+    return s.WriteConflicted(stored)
--- /dev/null
+++ b/src/_monsoonpulley/journal/submission.py
@@ -0,0 +1,121 @@
+"""What callers hand to the journal, what they get, and how calls are sent."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Protocol
+
+import msgspec
+
+from ..endpoints.service import Lookup, ServiceAnswer
+from ..errors import Failure
+from ..ids import (
+    AttemptId,
+    ClassId,
+    CustomerId,
+    EndpointId,
+    IdempotencyKey,
+    RequestId,
+)
+from ..outcome import Outcome
+from .record import JournalRecord, request_id_for
+
+
+class Submission(msgspec.Struct, frozen=True):
+    """Work that may run at most once.
+
+    Attributes
+    ----------
+    headers : tuple of (str, str)
+        End-to-end headers, names in lower case.
+    timeout_ms : int
+        How long an endpoint may take for the whole answer.
+    retention_ms : int
+        How long the record is kept after it was settled.
+    """
+
+    customer: CustomerId
+    class_id: ClassId
+    key: IdempotencyKey
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout_ms: int
+    retention_ms: int
+
+    @property
+    def request_id(self) -> RequestId:
+        """Request id of the submission's key."""
+        return request_id_for(self.customer, self.class_id, self.key)
+
+    def body_sha256(self) -> str:
+        """Return the hex digest of the body."""
+        return hashlib.sha256(self.body).hexdigest()
+
+    def is_same_call(self, other: Submission) -> bool:
+        """Tell whether both make the same call; headers may differ."""
+        mine = (self.method, self.path, self.body)
+        return mine == (other.method, other.path, other.body)
+
+    @classmethod
+    def from_record(cls, record: JournalRecord, body: bytes) -> Submission:
+        """Return the submission that a record was made from."""
+        return cls(
+            customer=record.customer,
+            class_id=record.class_id,
+            key=record.key,
+            method=record.call.method,
+            path=record.call.path,
+            headers=record.call.headers,
+            body=body,
+            timeout_ms=record.call.timeout_ms,
+            retention_ms=record.retention_ms,
+        )
+
+
+class Settled(msgspec.Struct, frozen=True):
+    """What the caller of a submission is told.
+
+    Attributes
+    ----------
+    outcome : Outcome
+        ``NOT_RUN`` speaks of this submission; see ``key_closed``.
+    repeated : bool
+        The key was accepted by an earlier submission, whose outcome this is.
+    key_closed : bool
+        The key has a terminal record: no submission of it runs any more until
+        its retention ends.
+    """
+
+    outcome: Outcome
+    request_id: RequestId
+    answer: ServiceAnswer | None = None
+    failure: Failure | None = None
+    repeated: bool = False
+    key_closed: bool = False
+
+
+class Dispatcher(Protocol):
+    """How the journal reaches endpoints."""
+
+    def choose(
+        self, submission: Submission, tried: frozenset[EndpointId]
+    ) -> EndpointId | Failure:
+        """Return an endpoint that is not in ``tried``, or why there is none."""
+        ...
+
+    async def send(
+        self, submission: Submission, endpoint: EndpointId, attempt_id: AttemptId
+    ) -> ServiceAnswer | Failure:
+        """Send the call once; a failure carries its ``delivery``."""
+        ...
+
+    async def lookup(
+        self, submission: Submission, endpoint: EndpointId
+    ) -> Lookup | Failure:
+        """Ask the endpoint whether it ran; ``NOT_RUN`` also bars it there.
+
+        For endpoints that can't be asked the answer is ``Execution.UNKNOWN``.
+        """
+        ...
--- /dev/null
+++ b/testing/journal/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the journal."""
--- /dev/null
+++ b/testing/journal/world.py
@@ -0,0 +1,233 @@
+"""Several instances over one table, with faults, and what must always hold."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+
+from _monsoonpulley.ids import ClassId, CustomerId, IdempotencyKey, InstanceId
+from _monsoonpulley.journal.collection import Collection, CollectionSettings
+from _monsoonpulley.journal.journal import Journal
+from _monsoonpulley.journal.record import decode_record, row_key
+from _monsoonpulley.journal.recovery import Recovery, RecoverySettings
+from _monsoonpulley.journal.settings import JournalSettings
+from _monsoonpulley.journal.submission import Submission
+from _monsoonpulley.log import Log
+from _monsoonpulley.outcome import Outcome
+from _monsoonpulley.standins.manualloop import ManualLoop
+
+from .faults import (
+    Call,
+    Endpoints,
+    Fault,
+    FaultyObjects,
+    FaultyTable,
+    Gate,
+    Gated,
+    GatedClock,
+    GatedEndpoints,
+)
+
+RETENTION_MS = 60_000
+LONGEST_DELAY_MS = 8_000
+HEAL_MS = 90_000
+SETTINGS = JournalSettings(
+    inline_bytes=16,
+    place_within_ms=2_000,
+    send_within_ms=2_000,
+    settle_within_ms=1_000,
+    lookup_within_ms=4_000,
+    wait_ms=5_000,
+    retry_max_ms=400,
+    group_writes=4,
+)
+
+
+def submission(key: str, body: bytes = b"book", tag: int = 0) -> Submission:
+    return Submission(
+        customer=CustomerId("customer"),
+        class_id=ClassId("booking"),
+        key=IdempotencyKey(key),
+        method="POST",
+        path="/bookings",
+        headers=(("tag", str(tag)),),
+        body=body,
+        timeout_ms=1_000,
+        retention_ms=RETENTION_MS,
+    )
+
+
+class Instance:
+    def __init__(self, name, incarnation, world):
+        self.gate = Gate()
+        self.name = name
+        self.incarnation = incarnation
+        clock = GatedClock(world.clock, self.gate)
+        table = Gated(world.table, self.gate)
+        objects = Gated(world.objects, self.gate)
+        log = Log(world.clock, world.on_log, name)
+        self.journal = Journal(
+            table,
+            objects,
+            clock,
+            random.Random(f"{world.seed}/{name}/{incarnation}"),
+            InstanceId(name),
+            incarnation,
+            GatedEndpoints(world.endpoints, self.gate),
+            log,
+            SETTINGS,
+        )
+        self.recovery = Recovery(self.journal, table, log, RecoverySettings())
+        settings = CollectionSettings(margin_ms=0)
+        self.collection = Collection(table, objects, clock, log, settings)
+
+
+class World:
+    """Instances, platform and endpoints on one manual loop."""
+
+    def __init__(self, seed: int, instances: int = 3, *, can_look_up: bool = True):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.loop = ManualLoop()
+        self.clock = self.loop.clock()
+        self.faults_per_hundred = 0
+        self.table = FaultyTable(self._next_fault, self._delay_ms)
+        self.objects = FaultyObjects()
+        self.endpoints = Endpoints(
+            ("e1", "e2", "e3"), self.rng, self._on_run, can_look_up=can_look_up
+        )
+        self.endpoints.next_call = self._next_call
+        self.endpoints.delay_ms = self._delay_ms
+        self.violations: list[str] = []
+        self.outcomes: Counter = Counter()
+        self.on_log = lambda line: None
+        self._runs: Counter = Counter()
+        self._tags_run: set[int] = set()
+        self._tags_refused: set[int] = set()
+        self._closed: set[tuple] = set()
+        self._tag = 0
+        self._tasks: set[asyncio.Task] = set()
+        self.crashed: set[tuple] = set()
+        self.instances = [Instance(f"i{n}", 1, self) for n in range(instances)]
+
+    def close(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+    # What may happen.
+
+    def submit(self, index: int, key: str, body: bytes = b"book") -> asyncio.Task:
+        self._tag += 1
+        work = submission(key, body, self._tag)
+        return self._spawn(self._submit(self.instances[index], work, self._tag))
+
+    def tick(self, duration_ms: int):
+        self.loop.run_until_complete(asyncio.sleep(duration_ms / 1000))
+
+    def crash(self, index: int):
+        gone = self.instances[index]
+        gone.gate.close()
+        self.crashed.add((gone.name, gone.incarnation))
+        self.instances[index] = Instance(gone.name, gone.incarnation + 1, self)
+
+    def pause(self, index: int):
+        self.instances[index].gate.close()
+
+    def resume(self, index: int):
+        self.instances[index].gate.open()
+
+    def recover(self, index: int, suspected: int | None = None):
+        """Adopt from crashed instances and from a wrongly suspected one."""
+        name = None if suspected is None else self.instances[suspected].name
+
+        def is_gone(holder, incarnation):
+            return holder == name or (holder, incarnation) in self.crashed
+
+        self._spawn(self.instances[index].recovery.recover(is_gone))
+
+    def collect(self, index: int):
+        self._spawn(self.instances[index].collection.collect())
+
+    def heal(self):
+        """End all faults and let everything come to its end."""
+        self.faults_per_hundred = 0
+        self.table.is_down = self.objects.is_down = False
+        self.endpoints.has_room = True
+        for instance in self.instances:
+            instance.gate.open()
+        for _ in range(6):
+            self.recover(0)
+            self.tick(HEAL_MS // 6)
+        for row in self.table.rows.values():
+            record = decode_record(row.value)
+            if not record.is_terminal():
+                self.violations.append(f"left in {record.state}: {record}")
+
+    # What must hold.
+
+    async def _submit(self, instance, work, tag):
+        settled = await instance.journal.submit(work)
+        await instance.gate.pass_through()
+        self.outcomes[settled.outcome] += 1
+        epoch = self._epoch(work)
+        if settled.outcome is Outcome.DONE:
+            ran = epoch if self._runs[epoch] else (epoch[0], epoch[1] - 1)
+            if not self._runs[ran]:
+                self.violations.append(f"told done, did not run: {work}")
+            if settled.answer and settled.answer.body != b"answer to " + work.body:
+                self.violations.append(f"answer of another call: {settled}")
+        if settled.outcome is Outcome.NOT_RUN:
+            self._tags_refused.add(tag)
+            if tag in self._tags_run:
+                self.violations.append(f"told not run after it ran: {work}")
+            if settled.key_closed:
+                self._closed.add(epoch)
+                if self._runs[epoch]:
+                    self.violations.append(f"key closed after it ran: {work}")
+        return settled
+
+    def _on_run(self, work):
+        tag = int(dict(work.headers)["tag"])
+        epoch = self._epoch(work)
+        self._runs[epoch] += 1
+        self._tags_run.add(tag)
+        if self._runs[epoch] > 1:
+            self.violations.append(f"ran {self._runs[epoch]} times: {work}")
+        if tag in self._tags_refused:
+            self.violations.append(f"ran after told not run: {work}")
+        if epoch in self._closed:
+            self.violations.append(f"ran under a closed key: {work}")
+
+    def _epoch(self, work) -> tuple:
+        """Return the key and how often collection has deleted its record."""
+        key = row_key(work.request_id)
+        return key, self.table.deletions.get(key, 0)
+
+    def _spawn(self, work) -> asyncio.Task:
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def _finished(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.violations.append(f"exception: {task.exception()!r}")
+
+    def _next_fault(self) -> Fault:
+        if self.rng.randrange(100) >= self.faults_per_hundred:
+            return Fault.NONE
+        faults = [fault for fault in Fault if fault is not Fault.NONE]
+        return self.rng.choice(faults)
+
+    def _next_call(self) -> Call:
+        if self.rng.randrange(100) >= self.faults_per_hundred:
+            return Call.ANSWER
+        return self.rng.choice(list(Call))
+
+    def _delay_ms(self) -> int:
+        return self.rng.randrange(1, LONGEST_DELAY_MS)
