Serve requests end to end over stand-ins

Change: placement by the router with admission, the entry instance that puts all parts together, a world of stand-ins around it on manual time.

--- a/src/_monsoonpulley/gateway/generations.py
+++ b/src/_monsoonpulley/gateway/generations.py
@@ -19,6 +19,7 @@
 from ..log import Log
 from ..metrics import Metrics
 from ..outcome import Outcome
+from ..requests.admissiongate import AdmissionGate
 from ..requests.context import RequestContext
 from ..requests.generation import Connect, Generation, GenerationFailed
 from ..requests.placement import Placement
@@ -41,6 +42,8 @@
     ----------
     reception : Reception
         Admits requests.
+    gate : AdmissionGate
+        Lets requests go in fair order.
     placement : Placement
         Chooses engines.
     connect : callable
@@ -52,6 +55,7 @@
     def __init__(
         self,
         reception: Reception,
+        gate: AdmissionGate,
         placement: Placement,
         connect: Connect,
         lifecycle: Lifecycle,
@@ -60,6 +64,7 @@
         metrics: Metrics,
     ):
         self._reception = reception
+        self._gate = gate
         self._placement = placement
         self._connect = connect
         self._lifecycle = lifecycle
@@ -70,18 +75,27 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request; it counts as in progress until all is sent."""
         with self._lifecycle.request():
-            response = await self._respond(Request(scope, receive))
+            request_id = self._reception.new_request_id()
+            prepared = await self._prepare(Request(scope, receive), request_id)
+            if isinstance(prepared, Refusal):
+                self._log_refusal(prepared)
+                await prepared.response()(scope, receive, send)
+                return
+            await self._serve(prepared, scope, receive, send)
+
+    async def _serve(
+        self, call: GenerationCall, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        refusal = await self._gate.admit(call.context)
+        if refusal is not None:
+            response = call.refused(refusal)
             await response(scope, receive, send)
-
-    async def _respond(self, request: Request) -> Response:
-        request_id = self._reception.new_request_id()
-        prepared = await self._prepare(request, request_id)
-        if isinstance(prepared, Refusal):
-            self._log_refusal(prepared)
-            return prepared.response()
-        if prepared.body.fields.stream:
-            return await prepared.stream()
-        return await prepared.whole()
+            return
+        try:
+            response = await call.respond()
+            await response(scope, receive, send)
+        finally:
+            self._gate.release(call.context, call.used_tokens)
 
     async def _prepare(
         self, request: Request, request_id: RequestId
@@ -195,7 +209,31 @@
         self._writer = writer
         self._ending = ending
 
-    async def whole(self) -> Response:
+    @property
+    def context(self) -> RequestContext:
+        """The request as routing sees it."""
+        return self._ending.context
+
+    @property
+    def used_tokens(self) -> int:
+        """Tokens that the request cost so far."""
+        return self.context.prompt_tokens + self._generation.assembler.next_offset
+
+    async def respond(self) -> Response:
+        """Return the response that the caller asked for."""
+        if self.body.fields.stream:
+            return await self._stream()
+        return await self._whole()
+
+    def refused(self, failure: Failure) -> Response:
+        """Return the response to a request that was not admitted."""
+        context = self._ending.context
+        self._ending.ended(Outcome.NOT_RUN, failure, self._generation)
+        return problem_response(
+            failure, Outcome.NOT_RUN, context.request_id, context.class_id
+        )
+
+    async def _whole(self) -> Response:
         """Return the whole answer in one response."""
         context = self._ending.context
         async with aclosing(self._generation.run()) as items:
@@ -209,7 +247,7 @@
                     return _failed_response(item, context.request_id, context.class_id)
         raise RuntimeError("a generation ended without an end")
 
-    async def stream(self) -> Response:
+    async def _stream(self) -> Response:
         """Return a streaming response, or an error if no token ever came."""
         context = self._ending.context
         items = self._generation.run()
--- a/src/_monsoonpulley/gateway/services.py
+++ b/src/_monsoonpulley/gateway/services.py
@@ -21,6 +21,8 @@
 from ..lifecycle import Lifecycle
 from ..log import Log
 from ..metrics import Metrics
+from ..outcome import Outcome
+from ..requests.admissiongate import AdmissionGate
 from ..requests.context import GIVE_UP_TARGETS, RequestContext
 from ..requests.passthrough import (
     Answered,
@@ -44,6 +46,8 @@
     ----------
     reception : Reception
         Admits requests.
+    gate : AdmissionGate
+        Lets idempotent requests go in fair order.
     placement : Placement
         Chooses endpoints.
     attempts : ServiceAttempts
@@ -57,6 +61,7 @@
     def __init__(
         self,
         reception: Reception,
+        gate: AdmissionGate,
         placement: Placement,
         attempts: ServiceAttempts,
         journal: Journal,
@@ -66,6 +71,7 @@
         metrics: Metrics,
     ):
         self._reception = reception
+        self._gate = gate
         self._placement = placement
         self._attempts = attempts
         self._journal = journal
@@ -117,12 +123,23 @@
         self, prepared: PreparedCall, request_id: RequestId
     ) -> Response:
         context = prepared.context(request_id)
-        answered = await call_idempotent(
-            context, prepared.call, self._placement, self._attempts, self._clock
-        )
+        answered = await self._admitted_call(context, prepared.call)
         self._ended(context, answered)
         return _response(answered, request_id, context.class_id, repeated=False)
 
+    async def _admitted_call(
+        self, context: RequestContext, call: PassThrough
+    ) -> Answered:
+        refusal = await self._gate.admit(context)
+        if refusal is not None:
+            return Answered(Outcome.NOT_RUN, None, refusal)
+        try:
+            return await call_idempotent(
+                context, call, self._placement, self._attempts, self._clock
+            )
+        finally:
+            self._gate.release(context)
+
     async def _run_once(self, prepared: PreparedCall, key: IdempotencyKey) -> Response:
         intake = prepared.intake
         request_id = request_id_for(intake.customer, intake.class_id, key)
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import msgspec
 from starlette.applications import Starlette
@@ -19,13 +20,14 @@
 from .endpoints.feed import EngineFeed
 from .endpoints.pool import Client, EndpointPool
 from .endpoints.roster import Roster
+from .errors import Failure
 from .gateway.app import Handlers, make_app
 from .gateway.generations import GenerationHandler
 from .gateway.intake import Reception
 from .gateway.lookup import LookupHandler
 from .gateway.services import ServiceHandler
 from .identity import Identity
-from .ids import EndpointId
+from .ids import EndpointId, InstanceId
 from .journal.collection import Collection, CollectionSettings
 from .journal.journal import Journal
 from .journal.recovery import Recovery, RecoverySettings
@@ -36,19 +38,27 @@
 from .noticewatch import NoticeWatch
 from .platform.bundle import Platform
 from .platform.cloud import ReclaimNotice
+from .platform.livelist import Member
+from .requests.admissiongate import AdmissionGate
 from .requests.dispatcher import JournalDispatcher
 from .requests.passthrough import ServiceAttempts
 from .requests.routed import RoutedPlacement
 from .routing.router import Router
-from .supervisor import Supervisor
+from .supervisor import Restart, Supervisor
 
 RECLAIM_MARGIN_MS = 1_000
 """How long before a reclaim deadline the instance hands over what is left."""
 
+DRAIN_JOURNAL_MS = 60_000
+"""How long a planned stop waits for work that runs without its caller."""
+
 RECOVERY_INTERVAL_MS = 5_000
 COLLECTION_INTERVAL_MS = 60_000
 
 
+MakeClient = Callable[[Member, ServiceKind], Client]
+
+
 class Surroundings(msgspec.Struct, frozen=True):
     """What an instance needs from outside.
 
@@ -119,3 +129,210 @@
         left = await self.journal.drain(deadline_ms - RECLAIM_MARGIN_MS // 2)
         self._around.log.event("instance_drained", handed_over=left)
         self.lifecycle.stop()
+
+    def _build_configuration(self) -> None:
+        around = self._around
+        store = ConfigStore(around.platform.table, around.clock, around.rng)
+        self.config_store = store
+        self.watcher = ConfigWatcher(
+            store,
+            around.clock,
+            around.rng,
+            around.log,
+            is_fast_poller=lambda: True,
+            metrics=around.metrics,
+        )
+        self.watcher.on_change(self._reconfigure)
+
+    def _build_endpoints(self) -> None:
+        around = self._around
+        self.router = Router(self.identity.zone, around.rng)
+        self.pool = EndpointPool(self._make_client)
+        self.roster = Roster(
+            around.platform.livelist,
+            around.clock,
+            around.rng,
+            around.log,
+            around.metrics,
+        )
+        self.roster.on_members(self._apply_members)
+        self.feed = EngineFeed(
+            self._engines, self.router, around.clock, around.rng, around.metrics
+        )
+        self.notices = NoticeWatch(
+            around.platform.cloud,
+            self._on_notice,
+            around.clock,
+            around.rng,
+            around.metrics,
+        )
+
+    def _build_requests(self) -> None:
+        around = self._around
+        versions = StartingVersions(self.document)
+        self.placement = RoutedPlacement(
+            self.router, versions, around.clock, around.log, around.metrics
+        )
+        self.gate = AdmissionGate(
+            self.router, self.placement, around.clock, around.log, around.metrics
+        )
+        self.attempts = ServiceAttempts(self.placement, self.pool.client, around.clock)
+        dispatcher = JournalDispatcher(
+            self.document,
+            self.placement,
+            self.attempts,
+            self.pool.client,
+            around.clock,
+        )
+        self.journal = Journal(
+            around.platform.table,
+            around.platform.objects,
+            around.clock,
+            around.rng,
+            self.identity.instance,
+            self.identity.incarnation,
+            dispatcher,
+            around.log,
+            JournalSettings(),
+        )
+
+    def _build_recovery(self) -> None:
+        around = self._around
+        self.recovery = Recovery(
+            self.journal, around.platform.table, around.log, RecoverySettings()
+        )
+        self.collection = Collection(
+            around.platform.table,
+            around.platform.objects,
+            around.clock,
+            around.log,
+            CollectionSettings(),
+        )
+
+    def _build_app(self) -> Starlette:
+        around = self._around
+        reception = Reception(self.document, self.lifecycle, around.rng)
+        generations = GenerationHandler(
+            reception,
+            self.gate,
+            self.placement,
+            self.pool.client,
+            self.lifecycle,
+            around.clock,
+            around.log,
+            around.metrics,
+        )
+        services = ServiceHandler(
+            reception,
+            self.gate,
+            self.placement,
+            self.attempts,
+            self.journal,
+            self.lifecycle,
+            around.clock,
+            around.log,
+            around.metrics,
+        )
+        handlers = Handlers(
+            generations=generations,
+            services=services,
+            lookup=LookupHandler(reception, self.journal),
+            reception=reception,
+            lifecycle=self.lifecycle,
+        )
+        return make_app(handlers, around.log)
+
+    def _build_supervisor(self) -> Supervisor:
+        root = self._new_supervisor("instance")
+        endpoints = self._new_supervisor("endpoints")
+        endpoints.add("roster", self.roster.run)
+        endpoints.add("feed", self.feed.run)
+        endpoints.add("notices", self.notices.run)
+        requests = self._new_supervisor("requests")
+        requests.add("admission", self.gate.run)
+        requests.add("recovery", self._recover)
+        requests.add("collection", self._collect)
+        root.add("configuration", self.watcher.run)
+        root.add("readiness", self._become_ready, Restart.ON_FAILURE)
+        root.add("endpoints", endpoints.run)
+        root.add("requests", requests.run)
+        return root
+
+    def _new_supervisor(self, name: str) -> Supervisor:
+        around = self._around
+        return Supervisor(name, around.clock, around.log, around.rng)
+
+    def _make_client(self, member: Member) -> Client | None:
+        document = self.document()
+        service = document.services.get(member.service) if document else None
+        if service is None:
+            return None
+        return self._around.make_client(member, service.kind)
+
+    def _engines(self) -> dict[EndpointId, EngineClient]:
+        document = self.document()
+        if document is None:
+            return {}
+        engines: dict[EndpointId, EngineClient] = {}
+        for member in self.pool.members():
+            service = document.services.get(member.service)
+            endpoint = EndpointId(member.instance)
+            client = self.pool.client(endpoint)
+            if service and service.kind is ServiceKind.MODEL and client is not None:
+                engines[endpoint] = client
+        return engines
+
+    def _reconfigure(self, revision: Revision) -> None:
+        self.router.reconfigure(revision.document)
+        self.pool.update(self.roster.members)
+
+    def _apply_members(self, members: tuple[Member, ...]) -> None:
+        self.pool.update(members)
+        self.router.apply_members(members, self._around.clock.now_ms())
+        self.router.update_slots()
+
+    def _on_notice(self, notice: ReclaimNotice) -> None:
+        clock = self._around.clock
+        self._around.log.event(
+            "reclaim_notice",
+            reclaimed=notice.instance,
+            deadline_wall_ms=notice.deadline_wall_ms,
+        )
+        if notice.instance == self.identity.instance:
+            left_ms = notice.deadline_wall_ms - clock.wall_ms()
+            self.leave("reclaim", clock.now_ms() + left_ms)
+            return
+        self.router.mark_leaving(EndpointId(notice.instance), clock.now_ms())
+
+    async def _become_ready(self) -> None:
+        await self.watcher.wait_ready()
+        await self.roster.refresh()
+        self.lifecycle.ready()
+
+    async def _recover(self) -> None:
+        while True:
+            await self._around.clock.sleep_ms(RECOVERY_INTERVAL_MS)
+            report = await self.recovery.recover(self._is_gone)
+            self._log_pass("recovery", report)
+
+    async def _collect(self) -> None:
+        after = ""
+        while True:
+            await self._around.clock.sleep_ms(COLLECTION_INTERVAL_MS)
+            report = await self.collection.collect(after=after)
+            self._log_pass("collection", report)
+            after = "" if isinstance(report, Failure) else report.after
+
+    def _log_pass(self, name: str, report: msgspec.Struct) -> None:
+        if isinstance(report, Failure):
+            self._around.log.event(f"{name}_failed", failure=report)
+        elif getattr(report, "adopted", 0) or getattr(report, "deleted", 0):
+            self._around.log.event(f"{name}_pass", report=report)
+
+    def _is_gone(self, instance: InstanceId, incarnation: int) -> bool:
+        """Tell whether an entry instance left, by the newest list."""
+        if not self.roster.members:
+            return False
+        if instance == self.identity.instance:
+            return incarnation < self.identity.incarnation
+        return all(member.instance != instance for member in self.roster.members)
--- a/src/_monsoonpulley/requests/admissiongate.py
+++ b/src/_monsoonpulley/requests/admissiongate.py
@@ -9,7 +9,7 @@
 from ..ids import RequestId, ServiceId
 from ..log import Log
 from ..metrics import Metrics
-from ..routing.admission import Admit, AdmissionRequest, Refuse, Wait
+from ..routing.admission import AdmissionRequest, Admit, Refuse, Wait
 from ..routing.router import Router
 from .context import RequestContext
 from .routed import RoutedPlacement
@@ -46,7 +46,7 @@
         self._turns: dict[RequestId, asyncio.Future[Admit | Refuse]] = {}
         self._changed = asyncio.Event()
 
-    async def admit(self, context: RequestContext) -> None | Failure:
+    async def admit(self, context: RequestContext) -> Failure | None:
         """Return once the request may go, or why it is refused.
 
         An admitted request must be released in every case.
@@ -73,9 +73,7 @@
             return decision.failure()
         return None
 
-    def release(
-        self, context: RequestContext, used_tokens: int | None = None
-    ) -> None:
+    def release(self, context: RequestContext, used_tokens: int | None = None) -> None:
         """Note that an admitted request ended, and let others go."""
         service = context.request_class.service
         self._router.admission.release(
--- /dev/null
+++ b/src/_monsoonpulley/standins/world.py
@@ -0,0 +1,239 @@
+"""A whole deployment in one process: platform, endpoints, entry instances.
+
+Used by tests on manual time. Nothing here decides anything; it only puts the
+stand-ins and real entry instances together and lets a script act on them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from ..clock import Clock
+from ..config.document import Document, Revision, ServiceKind
+from ..config.store import ConfigStore
+from ..endpoints.pool import Client
+from ..gateway.credentials import credential_sha256
+from ..identity import Identity
+from ..ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
+from ..instance import EntryInstance, Surroundings
+from ..log import Log
+from ..metrics import NoMetrics
+from ..platform.cloud import InstanceSpec
+from ..platform.livelist import Member, Role
+from .caller import Caller
+from .engine import EngineStandin
+from .engine_counters import ComputedBlocks
+from .engine_profile import EngineProfile
+from .manualloop import running_clock
+from .plainservice import ExecutionLedger, PlainServiceProfile, PlainServiceStandin
+from .platform import PlatformStandin
+
+OPERATOR_CREDENTIAL = "operator-credential"
+
+Sink = Callable[[str], None]
+
+
+class EndpointPlan(msgspec.Struct, frozen=True):
+    """One endpoint of a deployment, an engine or a plain service."""
+
+    endpoint: EndpointId
+    service: ServiceId
+    version: VersionId
+    zone: ZoneId
+    profile: EngineProfile | PlainServiceProfile
+
+
+class EntryPlan(msgspec.Struct, frozen=True):
+    """One entry instance of a deployment."""
+
+    instance: InstanceId
+    zone: ZoneId
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """What a world is made of.
+
+    Attributes
+    ----------
+    region : str
+        Name of the region.
+    document : Document
+        The first configuration.
+    entries, endpoints
+        The instances.
+    livelist_lag_ms : int
+        Lag of the platform's list.
+    """
+
+    region: str
+    document: Document
+    entries: tuple[EntryPlan, ...]
+    endpoints: tuple[EndpointPlan, ...]
+    livelist_lag_ms: int = 5_000
+
+
+class RunningEntry(msgspec.Struct):
+    """An entry instance and the task that runs it."""
+
+    instance: EntryInstance
+    task: asyncio.Task
+
+
+class World:
+    """A running deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What it is made of.
+    seed : int
+        Seeds every draw.
+    sink : callable
+        Takes the log lines of all entry instances, in order.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int, sink: Sink):
+        self.clock: Clock = running_clock()
+        self.rng = random.Random(seed)
+        self.platform = PlatformStandin(
+            self.clock, self._fork(), lag_ms=deployment.livelist_lag_ms
+        )
+        self.ledger = ExecutionLedger()
+        self.computed = ComputedBlocks()
+        self.engines: dict[EndpointId, EngineStandin] = {}
+        self.services: dict[EndpointId, PlainServiceStandin] = {}
+        self.entries: dict[InstanceId, RunningEntry] = {}
+        self._deployment = deployment
+        self._sink = sink
+        self.platform.cloud.on_ended.append(self._on_ended)
+
+    async def start(self) -> None:
+        """Apply the configuration and start every instance."""
+        await self.apply(self._deployment.document, 0, "setup")
+        members = [self.add_endpoint(plan) for plan in self._deployment.endpoints]
+        members += [self._entry_member(plan) for plan in self._deployment.entries]
+        self.platform.livelist.seed(members)
+        for plan in self._deployment.entries:
+            self.start_entry(plan)
+        await self.clock.sleep_ms(100)
+
+    async def stop(self) -> None:
+        """Stop every entry instance at once."""
+        for entry in list(self.entries.values()):
+            entry.task.cancel()
+        tasks = [entry.task for entry in self.entries.values()]
+        if tasks:
+            await asyncio.wait(tasks)
+
+    def caller(self, instance: InstanceId, credential: str) -> Caller:
+        """Return a caller of one entry instance."""
+        return Caller(self.entries[instance].instance.app, credential)
+
+    def config_store(self) -> ConfigStore:
+        """Return a store of the configuration as an operator's process has it."""
+        platform = self.platform.connect("operator", ZoneId("operator"))
+        return ConfigStore(platform.table, self.clock, self._fork())
+
+    async def apply(self, document: Document, expected: int, author: str) -> Revision:
+        """Apply a configuration; it must be accepted."""
+        revision = await self.config_store().apply(
+            document, expected_number=expected, author=author
+        )
+        if not isinstance(revision, Revision):
+            raise RuntimeError(f"the configuration was not accepted: {revision}")
+        return revision
+
+    def add_endpoint(self, plan: EndpointPlan) -> Member:
+        """Start an endpoint and return its entry for the list."""
+        if isinstance(plan.profile, EngineProfile):
+            self.engines[plan.endpoint] = EngineStandin(
+                plan.endpoint,
+                plan.version,
+                self.clock,
+                self._fork(),
+                plan.profile,
+                self.computed,
+            )
+        else:
+            self.services[plan.endpoint] = PlainServiceStandin(
+                plan.endpoint,
+                plan.version,
+                self.clock,
+                self._fork(),
+                plan.profile,
+                self.ledger,
+            )
+        self._in_cloud(plan.endpoint, plan.zone, plan.service, plan.version)
+        return Member(
+            instance=plan.endpoint,
+            role=Role.ENDPOINT,
+            zone=plan.zone,
+            address=plan.endpoint,
+            service=plan.service,
+            version=plan.version,
+        )
+
+    def start_entry(self, plan: EntryPlan) -> EntryInstance:
+        """Start an entry instance, or start it again with a new incarnation."""
+        identity = Identity(
+            plan.instance, plan.zone, self._deployment.region, self.clock.wall_ms()
+        )
+        around = Surroundings(
+            platform=self.platform.connect(plan.instance, plan.zone),
+            make_client=self._make_client,
+            clock=self.clock,
+            rng=self._fork(),
+            log=Log(self.clock, self._sink, plan.instance),
+            metrics=NoMetrics(),
+        )
+        instance = EntryInstance(
+            identity, around, credential_sha256(OPERATOR_CREDENTIAL)
+        )
+        task = asyncio.create_task(instance.run(), name=plan.instance)
+        self.entries[plan.instance] = RunningEntry(instance, task)
+        return instance
+
+    def kill_entry(self, name: InstanceId) -> None:
+        """End an entry instance without warning."""
+        entry = self.entries.pop(name)
+        entry.task.cancel()
+
+    def _entry_member(self, plan: EntryPlan) -> Member:
+        self._in_cloud(plan.instance, plan.zone, ServiceId(""), VersionId(""))
+        return Member(
+            instance=plan.instance,
+            role=Role.ENTRY,
+            zone=plan.zone,
+            address=plan.instance,
+        )
+
+    def _in_cloud(
+        self, name: str, zone: ZoneId, service: ServiceId, version: VersionId
+    ) -> None:
+        spec = InstanceSpec(zone, "small", True, service, version)
+        self.platform.cloud.adopt(name, spec)
+
+    def _make_client(self, member: Member, kind: ServiceKind) -> Client | None:
+        endpoint = EndpointId(member.instance)
+        if kind is ServiceKind.MODEL:
+            return self.engines.get(endpoint)
+        return self.services.get(endpoint)
+
+    def _on_ended(self, instance) -> None:
+        name = instance.name
+        crashing: Iterable = (
+            self.engines.get(EndpointId(name)),
+            self.services.get(EndpointId(name)),
+        )
+        for endpoint in crashing:
+            if endpoint is not None:
+                endpoint.crash()
+        if InstanceId(name) in self.entries:
+            self.kill_entry(InstanceId(name))
+
+    def _fork(self) -> random.Random:
+        return random.Random(self.rng.getrandbits(64))
