Add HTTP adapters of the platform and a server over its stand-in

Change: adapters for the etcd v3 JSON gateway, plain HTTP objects, Prometheus HTTP service discovery and the stand-in's own cloud API, each in a registry; one place that sends an exchange at most once (aiohttp resends PUT and DELETE on reused connections unless kept from it). The table stand-in takes rate limits on the fly and refuses what etcd refuses (empty and double keys).

Conclusion: a daemon can be run against the stand-in over HTTP.

--- /dev/null
+++ b/src/_monsoonpulley/platform/adapters.py
@@ -0,0 +1,22 @@
+"""Registries of adapters, by the name of the API that each speaks.
+
+An adapter is made by calling it with an `HttpApi`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..registry import Registry
+from .cloud import Cloud
+from .httpapi import HttpApi
+from .livelist import LiveList
+from .objects import ObjectStore
+from .table import Table
+
+tables: Registry[Callable[[HttpApi], Table]] = Registry("table adapter")
+object_stores: Registry[Callable[[HttpApi], ObjectStore]] = Registry(
+    "object store adapter"
+)
+livelists: Registry[Callable[[HttpApi], LiveList]] = Registry("live list adapter")
+clouds: Registry[Callable[[HttpApi], Cloud]] = Registry("cloud adapter")
--- /dev/null
+++ b/src/_monsoonpulley/platform/etcd_table.py
@@ -0,0 +1,231 @@
+"""Table over the published JSON gateway of the etcd v3 API."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Annotated
+
+import msgspec
+
+from ..errors import Failure, Reason
+from .adapters import tables
+from .httpapi import HttpAnswer, HttpApi
+from .table import Committed, Conflict, Row, Write
+
+EFFECT_FREE_ERRORS = frozenset(
+    {"etcdserver: no leader", "etcdserver: not capable"},
+)
+"""Errors with status 503 that are raised before a transaction is proposed.
+
+Others, such as ``etcdserver: request timed out``, come with the same status
+after it may have been.
+"""
+MAX_KEY = b"\0"
+"""As the end of a range, stands for the end of the key space."""
+
+
+class KeyValue(msgspec.Struct, frozen=True):
+    """A row; ``bytes`` are Base64 in JSON and absent when empty."""
+
+    key: bytes = b""
+    value: bytes = b""
+    mod_revision: int = 0
+
+
+class Header(msgspec.Struct, frozen=True):
+    """Header of every answer, with the revision of the whole store."""
+
+    revision: Annotated[int, msgspec.Meta(ge=1)]
+
+
+class RangeResponse(msgspec.Struct, frozen=True):
+    """Answer to a range request."""
+
+    header: Header
+    kvs: tuple[KeyValue, ...] = ()
+
+
+class ResponseOp(msgspec.Struct, frozen=True):
+    """Answer to one operation of a transaction; only ranges are of use."""
+
+    response_range: RangeResponse | None = None
+
+
+class TxnResponse(msgspec.Struct, frozen=True):
+    """Answer to a transaction; a false ``succeeded`` is left out in JSON."""
+
+    header: Header
+    succeeded: bool = False
+    responses: tuple[ResponseOp, ...] = ()
+
+
+class RangeRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Rows from ``key`` to before ``range_end``, or the one row at ``key``."""
+
+    key: bytes
+    range_end: bytes = b""
+    limit: str = "0"
+
+
+class Compare(msgspec.Struct, frozen=True):
+    """Condition on a row's revision; 0 stands for no row."""
+
+    key: bytes
+    mod_revision: str
+    target: str = "MOD"
+    result: str = "EQUAL"
+
+
+class Put(msgspec.Struct, frozen=True):
+    """Write of one row."""
+
+    key: bytes
+    value: bytes
+
+
+class DeleteRange(msgspec.Struct, frozen=True):
+    """Removal of one row."""
+
+    key: bytes
+
+
+class RequestOp(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One operation of a transaction; exactly one field is set."""
+
+    request_put: Put | None = None
+    request_delete_range: DeleteRange | None = None
+    request_range: RangeRequest | None = None
+
+
+class TxnRequest(msgspec.Struct, frozen=True):
+    """Operations for the case that all conditions hold, and for the other."""
+
+    compare: tuple[Compare, ...]
+    success: tuple[RequestOp, ...]
+    failure: tuple[RequestOp, ...]
+
+
+class GatewayError(msgspec.Struct, frozen=True):
+    """Error body of the gateway."""
+
+    message: str = ""
+    code: int = 0
+
+
+@tables.register("etcd-v3-json")
+class EtcdTable:
+    """A `platform.table.Table` over ``/v3/kv/range`` and ``/v3/kv/txn``."""
+
+    def __init__(self, api: HttpApi):
+        self._api = api
+
+    async def read(self, key: str) -> Row | Failure | None:
+        """Return the row, or ``None`` where there is none."""
+        rows = await self._range("table.read", RangeRequest(key.encode()))
+        if isinstance(rows, Failure):
+            return rows
+        if not rows:
+            return None
+        if [row.key for row in rows] != [key]:
+            detail = "the answer is about other rows"
+            return self._api.failure(Reason.PROTOCOL, "table.read", detail)
+        return rows[0]
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 500
+    ) -> tuple[Row, ...] | Failure:
+        """Return at most ``limit`` rows under ``prefix`` in key order."""
+        if limit <= 0:
+            return ()
+        start = max(prefix.encode(), after.encode() + b"\0")
+        end = _prefix_end(prefix.encode())
+        if end != MAX_KEY and start >= end:
+            return ()
+        request = RangeRequest(start, end, str(limit))
+        return await self._range("table.scan", request)
+
+    async def commit(self, writes: Sequence[Write]) -> Committed | Conflict | Failure:
+        """Apply all writes, or none if any expected revision does not hold."""
+        step = "table.commit"
+        body = msgspec.json.encode(_txn_request(writes))
+        answer = await self._api.change(step, "POST", "/v3/kv/txn", body)
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != 200:
+            return self._commit_refusal(step, answer)
+        txn = self._api.decode(step, answer.body, TxnResponse, Reason.IN_DOUBT)
+        if isinstance(txn, Failure):
+            return txn
+        if txn.succeeded:
+            return Committed(txn.header.revision)
+        return self._conflict(step, txn)
+
+    async def _range(
+        self, step: str, request: RangeRequest
+    ) -> tuple[Row, ...] | Failure:
+        body = msgspec.json.encode(request)
+        answer = await self._api.read(step, "POST", "/v3/kv/range", body)
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != 200:
+            return self._api.refusal(step, answer, Reason.UNAVAILABLE)
+        found = self._api.decode(step, answer.body, RangeResponse, Reason.PROTOCOL)
+        if isinstance(found, Failure):
+            return found
+        return self._rows(step, found, Reason.PROTOCOL)
+
+    def _conflict(self, step: str, txn: TxnResponse) -> Conflict | Failure:
+        current: dict[str, Row] = {}
+        for response in txn.responses:
+            if response.response_range is None:
+                continue
+            rows = self._rows(step, response.response_range, Reason.IN_DOUBT)
+            if isinstance(rows, Failure):
+                return rows
+            current.update((row.key, row) for row in rows)
+        return Conflict(current)
+
+    def _commit_refusal(self, step: str, answer: HttpAnswer) -> Failure:
+        failure = self._api.refusal(step, answer, Reason.IN_DOUBT)
+        if answer.status != 503:
+            return failure
+        error = self._api.decode(step, answer.body, GatewayError, Reason.IN_DOUBT)
+        if isinstance(error, GatewayError) and error.message in EFFECT_FREE_ERRORS:
+            return failure
+        return msgspec.structs.replace(failure, reason=Reason.IN_DOUBT)
+
+    def _rows(
+        self, step: str, found: RangeResponse, otherwise: Reason
+    ) -> tuple[Row, ...] | Failure:
+        try:
+            return tuple(
+                Row(kv.key.decode(), kv.value, kv.mod_revision) for kv in found.kvs
+            )
+        except UnicodeDecodeError as error:
+            return self._api.failure(otherwise, step, f"not understood: {error}")
+
+
+def _txn_request(writes: Sequence[Write]) -> TxnRequest:
+    return TxnRequest(
+        compare=tuple(
+            Compare(w.key.encode(), str(w.expected_revision)) for w in writes
+        ),
+        success=tuple(_operation(write) for write in writes),
+        failure=tuple(
+            RequestOp(request_range=RangeRequest(w.key.encode())) for w in writes
+        ),
+    )
+
+
+def _operation(write: Write) -> RequestOp:
+    key = write.key.encode()
+    if write.value is None:
+        return RequestOp(request_delete_range=DeleteRange(key))
+    return RequestOp(request_put=Put(key, write.value))
+
+
+def _prefix_end(prefix: bytes) -> bytes:
+    """Return the first key after all keys with the prefix, which is UTF-8."""
+    if not prefix:
+        return MAX_KEY
+    return prefix[:-1] + bytes((prefix[-1] + 1,))
--- /dev/null
+++ b/src/_monsoonpulley/platform/http_livelist.py
@@ -0,0 +1,98 @@
+"""Live list in the published format of Prometheus HTTP service discovery.
+
+The list is a JSON array of ``{"targets": [...], "labels": {...}}``. What we
+need to know of an instance stands in labels that begin with `LABEL_PREFIX`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from ..errors import Failure, Reason
+from ..ids import ServiceId, VersionId, ZoneId
+from .adapters import livelists
+from .httpapi import HttpApi
+from .livelist import Member, MemberState, Role
+
+LABEL_PREFIX = "__meta_platform_"
+ROLES = {role.value: role for role in Role}
+
+
+class TargetGroup(msgspec.Struct, frozen=True):
+    """Targets that share their labels."""
+
+    targets: tuple[str, ...]
+    labels: dict[str, str] = {}
+
+
+@livelists.register("prometheus-http-sd")
+class HttpLiveList:
+    """A `platform.livelist.LiveList` at one URL."""
+
+    def __init__(self, api: HttpApi):
+        self._api = api
+
+    async def members(self) -> tuple[Member, ...] | Failure:
+        """Return the list, without the targets that are none of ours."""
+        step = "livelist.members"
+        answer = await self._api.read(step, "GET", "")
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != 200:
+            return self._api.refusal(step, answer, Reason.UNAVAILABLE)
+        groups = self._api.decode(
+            step, answer.body, tuple[TargetGroup, ...], Reason.PROTOCOL
+        )
+        if isinstance(groups, Failure):
+            return groups
+        return tuple(member for group in groups for member in _members(group))
+
+
+def target_group(member: Member) -> TargetGroup:
+    """Return the entry of a member."""
+    facts = {
+        "instance": member.instance,
+        "role": member.role.value,
+        "zone": member.zone,
+        "peer_address": member.peer_address,
+        "service": member.service,
+        "version": member.version,
+        "machine_class": member.machine_class,
+        "reclaimable": str(member.reclaimable).lower(),
+        "state": member.state.value,
+    }
+    labels = {LABEL_PREFIX + name: fact for name, fact in facts.items() if fact}
+    return TargetGroup((member.address,), labels)
+
+
+def _members(group: TargetGroup) -> list[Member]:
+    def fact(name: str) -> str:
+        return group.labels.get(LABEL_PREFIX + name, "")
+
+    role = ROLES.get(fact("role"))
+    instance, zone = fact("instance"), fact("zone")
+    if role is None or not instance or not zone or len(group.targets) != 1:
+        return []
+    return [
+        Member(
+            instance,
+            role,
+            ZoneId(zone),
+            group.targets[0],
+            fact("peer_address"),
+            ServiceId(fact("service")),
+            VersionId(fact("version")),
+            fact("machine_class"),
+            fact("reclaimable") != "false",
+            _state(group.labels),
+        )
+    ]
+
+
+def _state(labels: Mapping[str, str]) -> MemberState:
+    """Return the state; one that we don't know must not attract new work."""
+    value = labels.get(LABEL_PREFIX + "state", MemberState.LIVE.value)
+    live = value == MemberState.LIVE.value
+    return MemberState.LIVE if live else MemberState.LEAVING
--- /dev/null
+++ b/src/_monsoonpulley/platform/http_objects.py
@@ -0,0 +1,58 @@
+"""Object store over plain HTTP: PUT, GET and DELETE of a path."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+from ..errors import Failure, Reason
+from .adapters import object_stores
+from .httpapi import HttpApi
+
+OCTETS_TYPE = "application/octet-stream"
+
+
+@object_stores.register("http")
+class HttpObjectStore:
+    """A `platform.objects.ObjectStore` at one base URL."""
+
+    def __init__(self, api: HttpApi):
+        self._api = api
+
+    async def put(self, name: str, data: bytes) -> Failure | None:
+        """Store ``data``; on ``Reason.IN_DOUBT`` it may be put again."""
+        return await self._change("objects.put", "PUT", name, data, (200, 201, 204))
+
+    async def get(self, name: str) -> bytes | Failure | None:
+        """Return the bytes, or ``None`` where there are none."""
+        answer = await self._api.read("objects.get", "GET", _path(name))
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status == 404:
+            return None
+        if answer.status != 200:
+            return self._api.refusal("objects.get", answer, Reason.UNAVAILABLE)
+        return answer.body
+
+    async def delete(self, name: str) -> Failure | None:
+        """Remove the name; removing a missing one succeeds."""
+        statuses = (200, 202, 204, 404)
+        return await self._change("objects.delete", "DELETE", name, None, statuses)
+
+    async def _change(
+        self,
+        step: str,
+        method: str,
+        name: str,
+        data: bytes | None,
+        statuses: tuple[int, ...],
+    ) -> Failure | None:
+        answer = await self._api.change(step, method, _path(name), data, OCTETS_TYPE)
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status in statuses:
+            return None
+        return self._api.refusal(step, answer, Reason.IN_DOUBT)
+
+
+def _path(name: str) -> str:
+    return "/" + quote(name, safe="")
--- /dev/null
+++ b/src/_monsoonpulley/standins/httpserver.py
@@ -0,0 +1,43 @@
+"""HTTP servers inside of a running loop, for stand-ins and tests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterator
+from typing import Any
+
+import uvicorn
+
+
+class _QuietServer(uvicorn.Server):
+    """A server that leaves signals to the program around it."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    app: Any, port: int = 0, host: str = "127.0.0.1"
+) -> AsyncIterator[str]:
+    """Serve an ASGI application and give its base URL, ``http://host:port``.
+
+    Port 0 takes a free one. Leaving ends open exchanges.
+    """
+    listener = socket.create_server((host, port))
+    config = uvicorn.Config(
+        app, log_level="critical", lifespan="off", timeout_graceful_shutdown=0
+    )
+    server = _QuietServer(config)
+    task = asyncio.create_task(server.serve(sockets=[listener]))
+    try:
+        while not server.started and not task.done():
+            await asyncio.sleep(0)
+        yield f"http://{host}:{listener.getsockname()[1]}"
+    finally:
+        server.should_exit = True
+        await task
+        listener.close()
--- /dev/null
+++ b/src/_monsoonpulley/standins/platform_http.py
@@ -0,0 +1,146 @@
+"""HTTP server over the platform's stand-in, for the adapters and the demo.
+
+Each zone has its own URLs, so that partitions apply to HTTP callers too:
+``/ZONE/v3/kv/...``, ``/ZONE/objects/NAME``, ``/ZONE/livelist`` and
+``/ZONE/cloud/...``.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ..errors import Failure, Reason
+from ..ids import ZoneId
+from ..platform.bundle import Platform
+from ..platform.connect import PlatformSettings
+from ..platform.http_cloud import ErrorBody, StartRequest, StartResponse
+from ..platform.http_livelist import target_group
+from .calls import DEFAULT_TIMEOUT_MS
+from .etcd_http import EtcdHttp
+from .platform import PlatformStandin
+
+STATUSES = {
+    Reason.UNAVAILABLE: 503,
+    Reason.IN_DOUBT: 504,
+    Reason.NOT_FOUND: 404,
+    Reason.INVALID: 400,
+    Reason.CONFLICT: 409,
+    Reason.KEY_REUSED: 409,
+    Reason.OVERLOADED: 409,
+}
+
+
+class PlatformHttp:
+    """Handlers over one stand-in.
+
+    Parameters
+    ----------
+    standin : PlatformStandin
+        The platform.
+    timeout_ms : int
+        After how long a call without an answer inside of the platform is
+        answered with status 504.
+    """
+
+    def __init__(self, standin: PlatformStandin, timeout_ms: int = DEFAULT_TIMEOUT_MS):
+        self._standin = standin
+        self._timeout_ms = timeout_ms
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        etcd = EtcdHttp(self._platform)
+        return Starlette(
+            routes=[
+                Route("/{zone}/v3/kv/range", etcd.range, methods=["POST"]),
+                Route("/{zone}/v3/kv/txn", etcd.txn, methods=["POST"]),
+                Route("/{zone}/objects/{name:path}", self._put, methods=["PUT"]),
+                Route("/{zone}/objects/{name:path}", self._get, methods=["GET"]),
+                Route("/{zone}/objects/{name:path}", self._delete, methods=["DELETE"]),
+                Route("/{zone}/livelist", self._members),
+                Route("/{zone}/cloud/notices", self._notices),
+                Route("/{zone}/cloud/prices", self._prices),
+                Route("/{zone}/cloud/instances", self._start, methods=["POST"]),
+                Route("/{zone}/cloud/instances/{name}", self._stop, methods=["DELETE"]),
+            ]
+        )
+
+    def _platform(self, request: Request) -> Platform:
+        zone = ZoneId(request.path_params["zone"])
+        return self._standin.connect("http", zone, self._timeout_ms)
+
+    async def _put(self, request: Request) -> Response:
+        data = await request.body()
+        name = request.path_params["name"]
+        return _done(await self._platform(request).objects.put(name, data))
+
+    async def _get(self, request: Request) -> Response:
+        name = request.path_params["name"]
+        data = await self._platform(request).objects.get(name)
+        if isinstance(data, Failure):
+            return _failed(data)
+        if data is None:
+            return Response(status_code=404)
+        return Response(data, media_type="application/octet-stream")
+
+    async def _delete(self, request: Request) -> Response:
+        name = request.path_params["name"]
+        return _done(await self._platform(request).objects.delete(name))
+
+    async def _members(self, request: Request) -> Response:
+        members = await self._platform(request).livelist.members()
+        if isinstance(members, Failure):
+            return _failed(members)
+        return _json([target_group(member) for member in members])
+
+    async def _notices(self, request: Request) -> Response:
+        return _json(await self._platform(request).cloud.notices())
+
+    async def _prices(self, request: Request) -> Response:
+        return _json(await self._platform(request).cloud.prices())
+
+    async def _start(self, request: Request) -> Response:
+        try:
+            order = msgspec.json.decode(await request.body(), type=StartRequest)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return _failed(Failure(Reason.INVALID, "cloud.start", detail=str(error)))
+        name = await self._platform(request).cloud.start(order.token, order.spec)
+        if isinstance(name, Failure):
+            return _failed(name)
+        return _json(StartResponse(name))
+
+    async def _stop(self, request: Request) -> Response:
+        name = request.path_params["name"]
+        return _done(await self._platform(request).cloud.stop(name))
+
+
+def settings_for(base_url: str, zone: str, timeout_ms: int) -> PlatformSettings:
+    """Return the settings by which an instance in ``zone`` uses the server."""
+    return PlatformSettings.from_urls(
+        f"{base_url}/{zone}",
+        f"{base_url}/{zone}/objects",
+        f"{base_url}/{zone}/livelist",
+        f"{base_url}/{zone}/cloud",
+        timeout_ms,
+    )
+
+
+def _json(value: Any) -> Response:
+    if isinstance(value, Failure):
+        return _failed(value)
+    return Response(msgspec.json.encode(value), media_type="application/json")
+
+
+def _done(failure: Failure | None) -> Response:
+    return Response(status_code=204) if failure is None else _failed(failure)
+
+
+def _failed(failure: Failure) -> Response:
+    body = msgspec.json.encode(ErrorBody(failure.reason, failure.detail))
+    status = STATUSES.get(failure.reason, 500)
+    return Response(body, status, media_type="application/json")
--- a/src/_monsoonpulley/standins/table.py
+++ b/src/_monsoonpulley/standins/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left, insort
 from collections import defaultdict
 from collections.abc import Sequence
@@ -39,6 +40,11 @@
         self._tokens = self._burst
         self._at_ms = now_ms
 
+    @property
+    def wait_ms(self) -> int:
+        """Time in which one call's worth is earned."""
+        return math.ceil(1 / self._per_ms)
+
     def take(self, now_ms: int) -> bool:
         """Take one call's worth and return whether there was one."""
         earned = (now_ms - self._at_ms) * self._per_ms
@@ -90,9 +96,7 @@
         self.counts_per_s: defaultdict[int, TableCounts] = defaultdict(TableCounts)
         self._keys: list[str] = []
         self._clock = clock
-        now_ms = clock.now_ms()
-        self._commit_limit = commits_per_s and RateLimit(commits_per_s, now_ms)
-        self._read_limit = reads_per_s and RateLimit(reads_per_s, now_ms)
+        self.limit_rates(commits_per_s, reads_per_s)
 
     def connect(
         self, peer: str, zone: ZoneId, timeout_ms: int = DEFAULT_TIMEOUT_MS
@@ -101,17 +105,27 @@
         caller = Caller(self.faults, self._clock, peer, zone, timeout_ms)
         return TableConnection(self, caller)
 
+    def limit_rates(
+        self, commits_per_s: float | None = None, reads_per_s: float | None = None
+    ) -> None:
+        """Replace the rate limits; ``None`` for no limit."""
+        now_ms = self._clock.now_ms()
+        self._commit_limit = _limit(commits_per_s, now_ms)
+        self._read_limit = _limit(reads_per_s, now_ms)
+
     def read(self, key: str) -> Row | Failure | None:
         """Return a row now; takes part in limits and counts."""
-        if not self._allowed(self._read_limit):
-            return _over_limit("table.read")
+        refused = self._over_limit("table.read", self._read_limit)
+        if refused:
+            return refused
         self._count("reads")
         return self.rows.get(key)
 
     def scan(self, prefix: str, after: str, limit: int) -> tuple[Row, ...] | Failure:
         """Return rows in key order now; takes part in limits and counts."""
-        if not self._allowed(self._read_limit):
-            return _over_limit("table.scan")
+        refused = self._over_limit("table.scan", self._read_limit)
+        if refused:
+            return refused
         self._count("scans")
         found: list[Row] = []
         start = bisect_left(self._keys, max(prefix, after))
@@ -124,15 +138,13 @@
 
     def commit(self, writes: Sequence[Write]) -> Committed | Conflict | Failure:
         """Apply all writes now or none; takes part in limits and counts."""
-        if not self._allowed(self._commit_limit):
-            return _over_limit("table.commit")
+        refused = self._over_limit("table.commit", self._commit_limit)
+        if refused:
+            return refused
         keys = {write.key for write in writes}
-        if len(keys) < len(writes):
-            return Failure(Reason.INVALID, "table.commit", "platform", "duplicate key")
-        if len(writes) > MAX_WRITES:
-            return Failure(
-                Reason.INVALID, "table.commit", "platform", f"over {MAX_WRITES} writes"
-            )
+        fault = _fault(writes, keys)
+        if fault:
+            return Failure(Reason.INVALID, "table.commit", "platform", fault)
         if any(self._revision(w.key) != w.expected_revision for w in writes):
             self._count("conflicts")
             return Conflict({k: self.rows[k] for k in keys if k in self.rows})
@@ -159,8 +171,16 @@
         row = self.rows.get(key)
         return ABSENT_REVISION if row is None else row.revision
 
-    def _allowed(self, limit: RateLimit | None) -> bool:
-        return not limit or limit.take(self._clock.now_ms())
+    def _over_limit(self, step: str, limit: RateLimit | None) -> Failure | None:
+        if limit is None or limit.take(self._clock.now_ms()):
+            return None
+        return Failure(
+            Reason.UNAVAILABLE,
+            step,
+            "platform",
+            "over the rate limit",
+            retry_after_ms=limit.wait_ms,
+        )
 
     def _count(self, name: str, count: int = 1) -> None:
         for counts in (self.counts, self.counts_per_s[self._clock.now_ms() // 1000]):
@@ -194,5 +214,16 @@
         )
 
 
-def _over_limit(step: str) -> Failure:
-    return Failure(Reason.UNAVAILABLE, step, "platform", "over the rate limit")
+def _fault(writes: Sequence[Write], keys: set[str]) -> str:
+    """Return what is wrong with a commit whatever the rows, or nothing."""
+    if "" in keys:
+        return "key is not provided"
+    if len(keys) < len(writes):
+        return "duplicate key given in txn request"
+    if len(writes) > MAX_WRITES:
+        return "too many operations in txn request"
+    return ""
+
+
+def _limit(per_s: float | None, now_ms: int) -> RateLimit | None:
+    return None if per_s is None else RateLimit(per_s, now_ms)
--- /dev/null
+++ b/testing/platform/test_adapters.py
@@ -0,0 +1,289 @@
+import asyncio
+import contextlib
+import unittest
+from random import Random
+
+import aiohttp
+
+from _monsoonpulley.clock import Clock
+from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.ids import ZoneId
+from _monsoonpulley.platform.cloud import InstanceSpec, Price
+from _monsoonpulley.platform.connect import connect_platform
+from _monsoonpulley.platform.livelist import Member, MemberState, Role
+from _monsoonpulley.platform.table import Committed, Conflict, Row, Write
+from _monsoonpulley.standins.brokenanswers import Breakage, BrokenAnswers
+from _monsoonpulley.standins.faults import FaultKind
+from _monsoonpulley.standins.httpserver import serving
+from _monsoonpulley.standins.platform import PlatformStandin
+from _monsoonpulley.standins.platform_http import PlatformHttp, settings_for
+
+TIMEOUT_MS = 400
+INNER_TIMEOUT_MS = 50
+SPEC = InstanceSpec(ZoneId("zone-a"), "large", True, "model", "v1")
+
+
+class AdapterCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(stack.aclose)
+        self.standin = PlatformStandin(Clock.from_system(), Random(1))
+        self.app = BrokenAnswers(PlatformHttp(self.standin, INNER_TIMEOUT_MS).app())
+        self.base_url = await stack.enter_async_context(serving(self.app))
+        self.session = await stack.enter_async_context(aiohttp.ClientSession())
+        self.platform = self.connect("zone-a")
+        self.table = self.platform.table
+
+    def connect(self, zone):
+        settings = settings_for(self.base_url, zone, TIMEOUT_MS)
+        return connect_platform(settings, self.session)
+
+    def assert_failure(self, result, reason):
+        self.assertIsInstance(result, Failure)
+        self.assertIs(result.reason, reason, str(result))
+
+
+class EtcdTableTest(AdapterCase):
+    async def test_rows_come_back_as_written(self):
+        rows = {"a": b"", "a/b": b"\0\xff", "é ?": b"x" * 5_000}
+        writes = [Write(key, value, 0) for key, value in rows.items()]
+        done = await self.table.commit(writes)
+        self.assertEqual(done, Committed(self.standin.table.revision))
+        for key, value in rows.items():
+            row = Row(key, value, done.revision)
+            self.assertEqual(await self.table.read(key), row)
+        self.assertIsNone(await self.table.read("b"))
+
+    async def test_a_conflict_has_the_rows_as_they_are_and_no_effect(self):
+        held = await self.table.commit([Write("a", b"1", 0)])
+        result = await self.table.commit([Write("b", b"2", 0), Write("a", None, 0)])
+        self.assertEqual(result, Conflict({"a": Row("a", b"1", held.revision)}))
+        self.assertEqual(list(self.standin.table.rows), ["a"])
+
+    async def test_a_row_is_deleted_at_its_revision(self):
+        held = await self.table.commit([Write("a", b"1", 0)])
+        gone = await self.table.commit([Write("a", None, held.revision)])
+        self.assertIsInstance(gone, Committed)
+        self.assertEqual(self.standin.table.rows, {})
+
+    async def test_scan_pages_through_a_prefix(self):
+        keys = ["é/1", "é/2", "é/3", "o", "z"]
+        await self.table.commit([Write(key, b"", 0) for key in keys])
+        first = await self.table.scan("é/", limit=2)
+        rest = await self.table.scan("é/", after=first[-1].key, limit=2)
+        self.assertEqual([row.key for row in first + rest], keys[:3])
+        every = await self.table.scan("", after="o")
+        self.assertEqual([row.key for row in every], ["z", *keys[:3]])
+        self.assertEqual(await self.table.scan("é/", after="é0"), ())
+        self.assertEqual(await self.table.scan("é/", limit=0), ())
+
+    async def test_a_malformed_commit_is_invalid(self):
+        result = await self.table.commit([Write("a", b"1", 0)] * 2)
+        self.assert_failure(result, Reason.INVALID)
+        self.assert_failure(
+            await self.table.commit([Write("", b"", 0)]), Reason.INVALID
+        )
+
+    async def test_an_outage_is_unavailable(self):
+        self.standin.faults.outage(True)
+        result = await self.table.commit([Write("a", b"1", 0)])
+        self.assert_failure(result, Reason.UNAVAILABLE)
+        self.assert_failure(await self.table.read("a"), Reason.UNAVAILABLE)
+
+    async def test_a_timeout_inside_of_the_platform_is_in_doubt(self):
+        self.standin.faults.next_commit(FaultKind.LOST_ANSWER)
+        result = await self.table.commit([Write("a", b"1", 0)])
+        self.assert_failure(result, Reason.IN_DOUBT)
+        self.assertIn("a", self.standin.table.rows)
+
+    async def test_reads_over_the_rate_limit_say_when_to_come_back(self):
+        self.standin.table.limit_rates(reads_per_s=0.1)
+        self.assertIsNone(await self.table.read("a"))
+        result = await self.table.read("a")
+        self.assert_failure(result, Reason.UNAVAILABLE)
+        self.assertEqual(result.retry_after_ms, 10_000)
+        self.assertIsInstance(await self.table.commit([Write("a", b"", 0)]), Committed)
+
+    async def test_broken_answers_to_commits_are_in_doubt(self):
+        for number, breakage in enumerate(Breakage):
+            with self.subTest(breakage):
+                self.app.next_answer(breakage)
+                result = await self.table.commit([Write(f"k{number}", b"", 0)])
+                redirect = breakage is Breakage.REDIRECT
+                reason = Reason.PROTOCOL if redirect else Reason.IN_DOUBT
+                self.assert_failure(result, reason)
+                self.assertEqual(self.standin.table.counts.commits, number + 1)
+
+    async def test_broken_answers_to_reads_are_failures_without_doubt(self):
+        reasons = {
+            Breakage.GARBAGE: Reason.PROTOCOL,
+            Breakage.WRONG_SHAPE: Reason.PROTOCOL,
+            Breakage.REDIRECT: Reason.PROTOCOL,
+        }
+        for breakage in Breakage:
+            with self.subTest(breakage):
+                reason = reasons.get(breakage, Reason.UNAVAILABLE)
+                self.app.next_answer(breakage, 2)
+                self.assert_failure(await self.table.read("a"), reason)
+                self.assert_failure(await self.table.scan("a"), reason)
+
+    async def test_a_zone_that_is_cut_off_is_unavailable_and_others_are_not(self):
+        self.standin.network.cut("zone-a")
+        write = [Write("a", b"1", 0)]
+        self.assert_failure(await self.table.commit(write), Reason.UNAVAILABLE)
+        other = self.connect("zone-b").table
+        self.assertIsInstance(await other.commit(write), Committed)
+
+
+class OtherAdaptersTest(AdapterCase):
+    async def test_objects_of_any_name_and_bytes(self):
+        objects = self.platform.objects
+        for name in ("a", "a/b c", "../x?y=%2F#é"):
+            with self.subTest(name):
+                self.assertIsNone(await objects.get(name))
+                self.assertIsNone(await objects.put(name, b"\0\xff"))
+                self.assertEqual(self.standin.objects.data, {name: b"\0\xff"})
+                self.assertEqual(await objects.get(name), b"\0\xff")
+                self.assert_failure(await objects.put(name, b"2"), Reason.CONFLICT)
+                self.assertIsNone(await objects.delete(name))
+                self.assertIsNone(await objects.delete(name))
+
+    async def test_failures_of_the_object_store(self):
+        objects = self.platform.objects
+        self.standin.faults.next_call("objects.put", FaultKind.LOST_ANSWER)
+        self.assert_failure(await objects.put("a", b"1"), Reason.IN_DOUBT)
+        self.app.next_answer(Breakage.TRUNCATED)
+        self.assert_failure(await objects.get("a"), Reason.UNAVAILABLE)
+        self.standin.faults.outage(True)
+        self.assert_failure(await objects.get("a"), Reason.UNAVAILABLE)
+        self.assert_failure(await objects.delete("a"), Reason.UNAVAILABLE)
+
+    async def test_the_live_list_keeps_every_field(self):
+        members = (
+            Member("e-1", Role.ENTRY, "zone-a", "10.0.0.1:80", "tcp://10.0.0.1:7101"),
+            Member(
+                "w-1",
+                Role.ENDPOINT,
+                "zone-b",
+                "10.0.0.2:80",
+                "",
+                "model",
+                "v1",
+                "large",
+                False,
+                MemberState.LEAVING,
+            ),
+        )
+        self.standin.livelist.seed(members)
+        self.assertEqual(await self.platform.livelist.members(), members)
+        self.app.next_answer(Breakage.WRONG_SHAPE)
+        failure = await self.platform.livelist.members()
+        self.assert_failure(failure, Reason.PROTOCOL)
+
+    async def test_instances_start_once_per_token_and_stop(self):
+        cloud = self.platform.cloud
+        self.standin.faults.next_call("cloud.start", FaultKind.LOST_ANSWER)
+        self.assert_failure(await cloud.start("t", SPEC), Reason.IN_DOUBT)
+        self.app.next_answer(Breakage.GARBAGE)
+        self.assert_failure(await cloud.start("t", SPEC), Reason.IN_DOUBT)
+        name = await cloud.start("t", SPEC)
+        self.assertEqual(list(self.standin.cloud.instances), [name])
+        self.assertIsNone(await cloud.stop(name))
+        self.assertIsNone(await cloud.stop(name))
+        self.assert_failure(await cloud.stop("i-none"), Reason.NOT_FOUND)
+        self.standin.cloud.refuse_starts(True)
+        self.assert_failure(await cloud.start("t2", SPEC), Reason.OVERLOADED)
+
+    async def test_notices_and_prices(self):
+        cloud = self.platform.cloud
+        self.standin.cloud.adopt("i-a", SPEC)
+        self.standin.cloud.reclaim_zone("zone-a", 60_000)
+        self.assertEqual(await cloud.notices(), self.standin.cloud.notices())
+        self.assertEqual(len(await cloud.notices()), 1)
+        price = Price("zone-a", "large", True, 300)
+        self.standin.cloud.set_prices([price])
+        self.assertEqual(await cloud.prices(), (price,))
+
+
+class ConnectionFaultsTest(unittest.IsolatedAsyncioTestCase):
+    """Faults below HTTP, by a server that answers as told by a list."""
+
+    async def asyncSetUp(self):
+        self.answers = []
+        self.requests = []
+        self.tasks = []
+        self.over = asyncio.Event()
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.addAsyncCleanup(self.finish)
+        port = self.server.sockets[0].getsockname()[1]
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        settings = settings_for(f"http://127.0.0.1:{port}", "z", TIMEOUT_MS)
+        self.platform = connect_platform(settings, self.session)
+
+    async def finish(self):
+        self.over.set()
+        self.server.close()
+        await asyncio.gather(*self.tasks)
+
+    def accept(self, reader, writer):
+        self.tasks.append(asyncio.ensure_future(self.handle(reader, writer)))
+
+    async def handle(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head.split(b" ")[0].decode())
+                length = 0
+                for line in head.lower().split(b"\r\n"):
+                    if line.startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                await reader.readexactly(length)
+                answer = self.answers.pop(0) if self.answers else None
+                if answer is None:
+                    break
+                if answer == "hang":
+                    await self.over.wait()
+                    break
+                writer.write(answer)
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+    async def test_a_connection_never_made_is_unavailable(self):
+        self.server.close()
+        await self.server.wait_closed()
+        result = await self.platform.table.commit([Write("a", b"", 0)])
+        self.assertIs(result.reason, Reason.UNAVAILABLE)
+
+    async def test_a_reset_after_sending_leaves_a_commit_in_doubt(self):
+        result = await self.platform.table.commit([Write("a", b"", 0)])
+        self.assertIs(result.reason, Reason.IN_DOUBT)
+        self.assertEqual(self.requests, ["POST"])
+
+    async def test_silence_leaves_a_commit_in_doubt_and_a_read_unavailable(self):
+        self.answers = ["hang", "hang"]
+        commit = self.platform.table.commit([Write("a", b"", 0)])
+        read = self.platform.table.read("a")
+        results = await asyncio.wait_for(asyncio.gather(commit, read), 2)
+        reasons = [result.reason for result in results]
+        self.assertEqual(reasons, [Reason.IN_DOUBT, Reason.UNAVAILABLE])
+
+    async def test_an_answer_that_is_no_http_leaves_a_commit_in_doubt(self):
+        self.answers = [b"\xff\xfe nonsense\r\n\r\n"]
+        result = await self.platform.table.commit([Write("a", b"", 0)])
+        self.assertIs(result.reason, Reason.IN_DOUBT)
+
+    async def test_nothing_is_sent_again_when_a_reused_connection_breaks(self):
+        ok = b"HTTP/1.1 204 No Content\r\n\r\n"
+        for change in (
+            lambda: self.platform.objects.put("a", b"1"),
+            lambda: self.platform.objects.delete("a"),
+            lambda: self.platform.cloud.stop("i"),
+        ):
+            self.answers = [ok]
+            self.requests.clear()
+            self.assertIsNone(await change())
+            failure = await change()
+            self.assertIs(failure.reason, Reason.IN_DOUBT)
+            self.assertEqual(len(self.requests), 2)
