Add the entry daemon: sockets, signals, settings

Cause: the instance had no process around it. Change: HTTP server on the running loop, planned stop on signals, adapters by settings; one set of platform settings instead of two. Result: tests pass; the daemon is not run yet.

--- /dev/null
+++ b/src/_monsoonpulley/daemon.py
@@ -0,0 +1,142 @@
+"""The entry daemon: an instance with its sockets, signals and settings."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import signal
+from pathlib import Path
+
+import aiohttp
+
+from .clock import Clock
+from .config.document import Service, ServiceKind
+from .endpoints import builtin  # noqa: F401  (registers the adapters)
+from .endpoints.adapters import EndpointTarget, engine_adapters, service_adapters
+from .endpoints.http_transport import HttpSessions
+from .endpoints.pool import Client
+from .httpserver import HttpServer
+from .identity import Identity
+from .ids import EndpointId
+from .instance import EntryInstance, Surroundings
+from .log import Log
+from .metrics import metrics_to
+from .platform.connect import connect_platform
+from .platform.livelist import Member
+from .settings import Settings
+
+ENGINE_ADAPTER = "openai-http"
+SERVICE_ADAPTER = "http"
+
+
+class EntryDaemon:
+    """One entry daemon.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of the process.
+    """
+
+    def __init__(self, settings: Settings):
+        self._settings = settings
+        self._clock = Clock.from_system()
+        self._endpoint_sessions = HttpSessions()
+        self._platform_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        entry = settings.entry
+        self.instance = EntryInstance(
+            Identity(entry.instance, entry.zone, entry.region, self._clock.wall_ms()),
+            self._surroundings(),
+            settings.operator.credential_sha256,
+        )
+        listen = entry.http_listen
+        self.server = HttpServer(self.instance.app, listen.ip, listen.port)
+
+    async def run(self) -> None:
+        """Serve until the instance has left and drained."""
+        serving = asyncio.create_task(self.server.run(), name="http")
+        working = asyncio.create_task(self.instance.run(), name="instance")
+        leaving = asyncio.create_task(self._drain(), name="drain")
+        try:
+            done, _ = await asyncio.wait(
+                {serving, working, leaving}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if leaving in done:
+                self.server.stop()
+                await serving
+            for task in done:
+                task.result()
+        finally:
+            await _end({serving, working, leaving})
+            await self._endpoint_sessions.close()
+            await self._platform_session.close()
+
+    def leave(self, reason: str) -> None:
+        """Begin a planned stop, which waits for what is in progress."""
+        wait_ms = self._settings.limits.shutdown_ms
+        self.instance.leave(reason, self._clock.now_ms() + wait_ms)
+
+    def leave_on_signals(self) -> None:
+        """Begin a planned stop on SIGTERM and SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.leave, number.name)
+
+    async def _drain(self) -> None:
+        await self.instance.lifecycle.wait_leaving()
+        await self.instance.drain()
+
+    def _surroundings(self) -> Surroundings:
+        settings = self._settings
+        entry = settings.entry
+        metrics = settings.metrics
+        return Surroundings(
+            platform=connect_platform(settings.platform, self._platform_session),
+            make_client=self._make_client,
+            clock=self._clock,
+            rng=random.Random(secrets.randbits(128)),
+            log=Log.from_settings(
+                self._clock, entry.instance, settings.log.level.value
+            ),
+            metrics=metrics_to(metrics.host, metrics.port, metrics.prefix),
+        )
+
+    def _make_client(self, member: Member, service: Service) -> Client:
+        target = EndpointTarget(
+            EndpointId(member.instance),
+            member.address,
+            service.refusal_statuses,
+            service.lookup,
+        )
+        if service.kind is ServiceKind.MODEL:
+            adapter = engine_adapters.get(ENGINE_ADAPTER)
+        else:
+            adapter = service_adapters.get(SERVICE_ADAPTER)
+        return adapter.connect(target, self._endpoint_sessions, self._clock)
+
+
+def run_entry(settings_path: str | Path) -> None:
+    """Run an entry daemon until it has drained after a signal or a reclaim.
+
+    Raises
+    ------
+    SettingsError
+        If the settings can't be used.
+    """
+    settings = Settings.from_file(settings_path)
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: Settings) -> None:
+    daemon = EntryDaemon(settings)
+    daemon.leave_on_signals()
+    await daemon.run()
+
+
+async def _end(tasks: set[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
--- /dev/null
+++ b/src/_monsoonpulley/httpserver.py
@@ -0,0 +1,72 @@
+"""HTTP servers on the running loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+from starlette.types import ASGIApp
+
+KEEPALIVE_S = 75
+SHUTDOWN_S = 5
+BACKLOG = 2_048
+
+
+class HttpServer(uvicorn.Server):
+    """Serves one application; signals are left to the process.
+
+    Parameters
+    ----------
+    app : ASGI application
+        What to serve.
+    ip : str
+        IP number to listen on.
+    port : int
+        TCP port; 0 lets the system choose.
+    """
+
+    def __init__(self, app: ASGIApp, ip: str, port: int):
+        config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            timeout_keep_alive=KEEPALIVE_S,
+            timeout_graceful_shutdown=SHUTDOWN_S,
+        )
+        super().__init__(config)
+        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+        self._listener = socket.create_server(
+            (ip, port), family=family, backlog=BACKLOG
+        )
+
+    @property
+    def port(self) -> int:
+        """TCP port that it listens on."""
+        return self._listener.getsockname()[1]
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals alone."""
+        yield
+
+    async def run(self) -> None:
+        """Serve until `stop` or until cancelled."""
+        try:
+            await self.serve(sockets=[self._listener])
+        except asyncio.CancelledError:
+            self.force_exit = True
+            raise
+        finally:
+            self._listener.close()
+
+    def stop(self) -> None:
+        """End the server once its connections are idle, after 5 s at most."""
+        self.should_exit = True
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -12,7 +12,7 @@
 from starlette.applications import Starlette
 
 from .clock import Clock
-from .config.document import Document, Revision, ServiceKind
+from .config.document import Document, Revision, Service, ServiceKind
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
 from .control.startingversions import StartingVersions
@@ -56,7 +56,7 @@
 COLLECTION_INTERVAL_MS = 60_000
 
 
-MakeClient = Callable[[Member, ServiceKind], Client]
+MakeClient = Callable[[Member, Service], Client]
 
 
 class Surroundings(msgspec.Struct, frozen=True):
@@ -67,7 +67,7 @@
     platform : Platform
         The platform's services.
     make_client : callable
-        Makes the client of an endpoint from its member and service kind.
+        Makes the client of an endpoint from its member and service.
     clock, rng, log, metrics
         Time, randomness, log and metrics of the process.
     """
@@ -267,7 +267,7 @@
         service = document.services.get(member.service) if document else None
         if service is None:
             return None
-        return self._around.make_client(member, service.kind)
+        return self._around.make_client(member, service)
 
     def _engines(self) -> dict[EndpointId, EngineClient]:
         document = self.document()
--- a/src/_monsoonpulley/platform/connect.py
+++ b/src/_monsoonpulley/platform/connect.py
@@ -3,48 +3,15 @@
 from __future__ import annotations
 
 import aiohttp
-import msgspec
+
+from ..inivalues import AdapterAddress
+from ..settings import PlatformSettings
 
 # Importing the adapters registers them.
 from . import etcd_table, http_cloud, http_livelist, http_objects  # noqa: F401
 from .adapters import clouds, livelists, object_stores, tables
 from .bundle import Platform
-from .httpapi import DEFAULT_TIMEOUT_MS, HttpApi
-
-
-class Service(msgspec.Struct, frozen=True):
-    """One service of the platform: where it is and which API it speaks."""
-
-    url: str
-    adapter: str
-
-
-class PlatformSettings(msgspec.Struct, frozen=True):
-    """The four services, and the time limit of one exchange."""
-
-    table: Service
-    objects: Service
-    livelist: Service
-    cloud: Service
-    timeout_ms: int = DEFAULT_TIMEOUT_MS
-
-    @classmethod
-    def from_urls(
-        cls,
-        table_url: str,
-        objects_url: str,
-        livelist_url: str,
-        cloud_url: str,
-        timeout_ms: int = DEFAULT_TIMEOUT_MS,
-    ) -> PlatformSettings:
-        """Return settings with the adapters that come with the package."""
-        return cls(
-            Service(table_url, "etcd-v3-json"),
-            Service(objects_url, "http"),
-            Service(livelist_url, "prometheus-http-sd"),
-            Service(cloud_url, "http"),
-            timeout_ms,
-        )
+from .httpapi import HttpApi
 
 
 def connect_platform(
@@ -52,6 +19,13 @@
 ) -> Platform:
     """Return handles on the platform; nothing is sent yet.
 
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Adapter and URL of each service, and the time limit of one exchange.
+    session : aiohttp.ClientSession
+        Carries the exchanges.
+
     Raises
     ------
     LookupError
@@ -60,7 +34,7 @@
         If a URL is no HTTP URL.
     """
 
-    def api(service: Service) -> HttpApi:
+    def api(service: AdapterAddress) -> HttpApi:
         return HttpApi(session, service.url, settings.timeout_ms)
 
     return Platform(
--- a/src/_monsoonpulley/settings.py
+++ b/src/_monsoonpulley/settings.py
@@ -60,12 +60,16 @@
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Adapter and URL of each service of the platform."""
+    """Adapter and URL of each service of the platform.
+
+    ``timeout_ms`` bounds one exchange with any of them.
+    """
 
     table: AdapterAddress
     objects: AdapterAddress
     livelist: AdapterAddress
     cloud: AdapterAddress
+    timeout_ms: Annotated[int, Meta(ge=100, le=60_000)] = 2_000
 
 
 class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/_monsoonpulley/standins/platform_http.py
+++ b/src/_monsoonpulley/standins/platform_http.py
@@ -17,10 +17,11 @@
 
 from ..errors import Failure, Reason
 from ..ids import ZoneId
+from ..inivalues import AdapterAddress
 from ..platform.bundle import Platform
-from ..platform.connect import PlatformSettings
 from ..platform.http_cloud import ErrorBody, StartRequest, StartResponse
 from ..platform.http_livelist import target_group
+from ..settings import PlatformSettings
 from .calls import DEFAULT_TIMEOUT_MS
 from .etcd_http import EtcdHttp
 from .platform import PlatformStandin
@@ -121,12 +122,13 @@
 
 def settings_for(base_url: str, zone: str, timeout_ms: int) -> PlatformSettings:
     """Return the settings by which an instance in ``zone`` uses the server."""
-    return PlatformSettings.from_urls(
-        f"{base_url}/{zone}",
-        f"{base_url}/{zone}/objects",
-        f"{base_url}/{zone}/livelist",
-        f"{base_url}/{zone}/cloud",
-        timeout_ms,
+    zone_url = f"{base_url}/{zone}"
+    return PlatformSettings(
+        table=AdapterAddress("etcd-v3-json", zone_url),
+        objects=AdapterAddress("http", f"{zone_url}/objects"),
+        livelist=AdapterAddress("prometheus-http-sd", f"{zone_url}/livelist"),
+        cloud=AdapterAddress("http", f"{zone_url}/cloud"),
+        timeout_ms=timeout_ms,
     )
 
 
--- a/src/_monsoonpulley/standins/world.py
+++ b/src/_monsoonpulley/standins/world.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..config.document import Document, Revision, ServiceKind
+from ..config.document import Document, Revision, Service, ServiceKind
 from ..config.store import ConfigStore
 from ..endpoints.pool import Client
 from ..gateway.credentials import credential_sha256
@@ -217,9 +217,9 @@
         spec = InstanceSpec(zone, "small", True, service, version)
         self.platform.cloud.adopt(name, spec)
 
-    def _make_client(self, member: Member, kind: ServiceKind) -> Client | None:
+    def _make_client(self, member: Member, service: Service) -> Client | None:
         endpoint = EndpointId(member.instance)
-        if kind is ServiceKind.MODEL:
+        if service.kind is ServiceKind.MODEL:
             return self.engines.get(endpoint)
         return self.services.get(endpoint)
 
