Add HTTP adapters to endpoints and HTTP servers over the stand-ins

Cause: the gateway reaches model engines by the OpenAI-compatible API and plain services by pass-through; whether a call may have run must be known.

Change: HttpEngineClient and HttpServiceClient, registered as 'openai' and 'http'.

Before the middleware the test of a dropped connection saw the server receive the request twice, with force_close=True and allow_redirects=False.

--- /dev/null
+++ b/src/_monsoonpulley/endpoints/engine_metrics.py
@@ -0,0 +1,85 @@
+"""Load reports read from an engine's Prometheus text."""
+
+from __future__ import annotations
+
+import math
+import re
+
+from .engine import LoadReport
+
+RUNNING = "vllm:num_requests_running"
+WAITING = "vllm:num_requests_waiting"
+KV_USED = "vllm:kv_cache_usage_perc"
+KV_USED_OLD = "vllm:gpu_cache_usage_perc"
+WAITING_TOKENS = "engine:waiting_prompt_tokens"
+PREFILL_SPEED = "engine:prefill_tokens_per_s"
+DECODE_TIME = "engine:decode_ms_per_token"
+MAX_RUNNING = "engine:max_running"
+
+DEFAULT_PREFILL_TOKENS_PER_S = 8_000.0
+DEFAULT_DECODE_MS_PER_TOKEN = 30.0
+DEFAULT_MAX_RUNNING = 256
+
+_SAMPLE = re.compile(r"^([a-zA-Z_:][\w:]*)(?:\{[^}]*\})?\s+(\S+)(?:\s+(-?\d+))?\s*$")
+_COUNT_LIMIT = 1e9
+
+
+def metrics_text(report: LoadReport) -> str:
+    """Return a load report as Prometheus text with timestamps."""
+    samples = {
+        RUNNING: report.running,
+        WAITING: report.waiting,
+        KV_USED: report.kv_used_ratio,
+        WAITING_TOKENS: report.waiting_tokens,
+        PREFILL_SPEED: report.prefill_tokens_per_s,
+        DECODE_TIME: report.decode_ms_per_token,
+        MAX_RUNNING: report.max_running,
+    }
+    lines = []
+    for name, value in samples.items():
+        lines.append(f"# TYPE {name} gauge")
+        lines.append(f"{name} {value} {report.measured_wall_ms}")
+    return "\n".join(lines) + "\n"
+
+
+def parse_metrics(text: str, asked_wall_ms: int) -> LoadReport | None:
+    """Return the load report in Prometheus text, ``None`` if it has none.
+
+    Samples of one name, such as one per model, are added up. Without
+    timestamps the report counts as measured at ``asked_wall_ms``; what an
+    engine does not publish gets a default.
+    """
+    values: dict[str, float] = {}
+    measured_wall_ms = asked_wall_ms
+    for line in text.splitlines():
+        match = _SAMPLE.match(line)
+        value = _number(match.group(2)) if match else None
+        if match is None or value is None:
+            continue
+        name = match.group(1)
+        values[name] = values.get(name, 0.0) + value
+        if name == RUNNING and match.group(3):
+            measured_wall_ms = min(int(match.group(3)), asked_wall_ms)
+    if RUNNING not in values or WAITING not in values:
+        return None
+    used = values.get(KV_USED, values.get(KV_USED_OLD, 0.0))
+    return LoadReport(
+        measured_wall_ms=measured_wall_ms,
+        running=int(values[RUNNING]),
+        waiting=int(values[WAITING]),
+        waiting_tokens=int(values.get(WAITING_TOKENS, 0.0)),
+        kv_used_ratio=min(1.0, used),
+        prefill_tokens_per_s=values.get(PREFILL_SPEED) or DEFAULT_PREFILL_TOKENS_PER_S,
+        decode_ms_per_token=values.get(DECODE_TIME) or DEFAULT_DECODE_MS_PER_TOKEN,
+        max_running=int(values.get(MAX_RUNNING, 0.0)) or DEFAULT_MAX_RUNNING,
+    )
+
+
+def _number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(value) or value < 0:
+        return None
+    return min(value, _COUNT_LIMIT)
--- /dev/null
+++ b/src/_monsoonpulley/endpoints/http_engine.py
@@ -0,0 +1,300 @@
+"""Adapter to model engines over the OpenAI-compatible HTTP API."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from ..clock import Clock
+from ..errors import Delivery, Failure, Reason
+from ..ids import AttemptId
+from .adapters import EndpointTarget, engine_adapters
+from .engine import (
+    CacheEvent,
+    CancelOutcome,
+    EngineCall,
+    Finished,
+    LoadReport,
+    Order,
+)
+from .engine_metrics import parse_metrics
+from .engine_request import request_body, tokens_left, unsupported
+from .engine_stream import STEP, StreamItem
+from .http_event_stream import EventStream
+from .http_transport import (
+    ATTEMPT_ID_HEADER,
+    CONTROL_TIMEOUT_MS,
+    MAX_ERROR_BYTES,
+    REQUEST_ID_HEADER,
+    TRANSPORT_ERRORS,
+    CallTrace,
+    HttpSessions,
+    connect_timeout,
+    path_segment,
+    read_body,
+    retry_after_ms,
+    timeouts,
+    transport_failure,
+    url_of,
+)
+from .tokens import count_prompt_tokens
+
+MAX_CONTROL_BYTES = 4_194_304
+MAX_KV_BYTES = 67_108_864
+KV_TIMEOUT_MS = 10_000
+ORDER_TIMEOUT_MS = 60_000
+
+
+class CancelAnswer(msgspec.Struct, frozen=True):
+    """Body of the answer of ``/cancel``."""
+
+    outcome: CancelOutcome
+
+
+class CacheEventsAnswer(msgspec.Struct, frozen=True):
+    """Body of the answer of ``/kv_events``."""
+
+    events: tuple[CacheEvent, ...]
+
+
+@engine_adapters.register("openai")
+class HttpEngineClient:
+    """One engine; implements ``EngineClient``.
+
+    Parameters
+    ----------
+    target : EndpointTarget
+        The endpoint.
+    sessions : HttpSessions
+        Shared client sessions.
+    clock : Clock
+        Dates load reports that carry no time of their own.
+    """
+
+    def __init__(self, target: EndpointTarget, sessions: HttpSessions, clock: Clock):
+        self._target = target
+        self._sessions = sessions
+        self._clock = clock
+
+    @classmethod
+    def connect(
+        cls, target: EndpointTarget, sessions: HttpSessions, clock: Clock
+    ) -> HttpEngineClient:
+        """Return a client; nothing is sent yet."""
+        return cls(target, sessions, clock)
+
+    async def generate(self, call: EngineCall) -> AsyncIterator[StreamItem]:
+        """Yield tokens, then one ``Finished`` or ``Failure``.
+
+        Closing the iterator early closes the connection, by which the engine
+        notices that it may stop.
+        """
+        end = self._end_without_call(call)
+        if end is not None:
+            yield end
+            return
+        trace = CallTrace()
+        stream = EventStream(call, self._target.endpoint_id, trace)
+        response: aiohttp.ClientResponse | None = None
+        try:
+            opened = await self._open(call, stream, trace)
+            if isinstance(opened, Failure):
+                yield opened
+                return
+            response = opened
+            async for item in stream.items(response):
+                yield item
+        finally:
+            if response is not None:
+                response.close()
+
+    async def cancel(self, attempt: AttemptId) -> CancelOutcome | Failure:
+        """Stop an attempt and say whether it had started."""
+        body = msgspec.json.encode({"attempt_id": attempt})
+        answer = await self._control("engine.cancel", "POST", "/cancel", body)
+        if isinstance(answer, Failure):
+            return answer
+        decoded = self._decode("engine.cancel", answer, CancelAnswer)
+        return decoded if isinstance(decoded, Failure) else decoded.outcome
+
+    async def load(self) -> LoadReport | Failure:
+        """Return the newest load report."""
+        asked_wall_ms = self._clock.wall_ms()
+        answer = await self._control("engine.load", "GET", "/metrics")
+        if isinstance(answer, Failure):
+            return answer
+        report = parse_metrics(answer.decode(errors="replace"), asked_wall_ms)
+        return report or self._failure(Reason.PROTOCOL, "engine.load")
+
+    async def cache_events(self, after_seq: int) -> tuple[CacheEvent, ...] | Failure:
+        """Return events after ``after_seq`` that the engine still has."""
+        path = f"/kv_events?after={after_seq}"
+        answer = await self._control("engine.cache_events", "GET", path)
+        if isinstance(answer, Failure):
+            return answer
+        decoded = self._decode("engine.cache_events", answer, CacheEventsAnswer)
+        return decoded if isinstance(decoded, Failure) else decoded.events
+
+    async def export_kv(self, attempt: AttemptId) -> bytes | Failure:
+        """Return the KV cache of a running attempt."""
+        return await self._control(
+            "engine.export_kv",
+            "GET",
+            f"/kv/{path_segment(attempt)}",
+            timeout_ms=KV_TIMEOUT_MS,
+            max_bytes=MAX_KV_BYTES,
+        )
+
+    async def import_kv(self, attempt: AttemptId, data: bytes) -> Failure | None:
+        """Take in a KV cache so that ``attempt`` starts from it."""
+        answer = await self._control(
+            "engine.import_kv",
+            "PUT",
+            f"/kv/{path_segment(attempt)}",
+            data,
+            "application/octet-stream",
+            timeout_ms=KV_TIMEOUT_MS,
+        )
+        return answer if isinstance(answer, Failure) else None
+
+    async def order(self, order: Order) -> Failure | None:
+        """Carry out an order; ``Reason.FENCED`` if its number is old."""
+        body = msgspec.json.encode(order)
+        answer = await self._control(
+            "engine.order", "POST", "/orders", body, timeout_ms=ORDER_TIMEOUT_MS
+        )
+        return answer if isinstance(answer, Failure) else None
+
+    def _end_without_call(self, call: EngineCall) -> Finished | Failure | None:
+        detail = unsupported(call)
+        if detail:
+            failure = self._failure(Reason.INVALID, STEP, Delivery.NOT_SENT)
+            return msgspec.structs.replace(failure, detail=detail)
+        left = tokens_left(call)
+        if call.tokens_so_far and left is not None and left <= 0:
+            prompt_tokens = count_prompt_tokens(call.body)
+            count = call.tokens_so_far
+            return Finished(call.attempt_id, "length", prompt_tokens, count)
+        return None
+
+    async def _open(
+        self, call: EngineCall, stream: EventStream, trace: CallTrace
+    ) -> aiohttp.ClientResponse | Failure:
+        headers = {
+            "content-type": "application/json",
+            "accept": "text/event-stream",
+            "accept-encoding": "identity",
+            REQUEST_ID_HEADER: call.request_id,
+            ATTEMPT_ID_HEADER: call.attempt_id,
+        }
+        url = url_of(self._target.address, call.path)
+        data = _encode(request_body(call))
+        if url is None or data is None:
+            return self._failure(Reason.INVALID, STEP, Delivery.NOT_SENT)
+        try:
+            async with stream.deadline():
+                response = await self._sessions.reusing.post(
+                    url,
+                    data=data,
+                    headers=headers,
+                    allow_redirects=False,
+                    timeout=connect_timeout(call.first_token_timeout_ms),
+                    trace_request_ctx=trace,
+                )
+                failure = await self._rejection(response)
+        except TRANSPORT_ERRORS as error:
+            return transport_failure(error, trace, STEP, self._target.endpoint_id)
+        if failure is not None:
+            response.close()
+            return failure
+        return response
+
+    async def _rejection(self, response: aiohttp.ClientResponse) -> Failure | None:
+        status = response.status
+        if status in self._target.refusal_statuses:
+            failure = self._failure(Reason.UNAVAILABLE, STEP, Delivery.REFUSED)
+            return msgspec.structs.replace(
+                failure,
+                detail=f"status {status}",
+                retry_after_ms=retry_after_ms(response),
+            )
+        if status != 200:
+            text = (await response.content.read(MAX_ERROR_BYTES)).decode(
+                "utf-8", "replace"
+            )
+            failure = self._failure(_status_reason(status), STEP, Delivery.MAYBE)
+            return msgspec.structs.replace(
+                failure, detail=f"status {status}: {text[:200]}"
+            )
+        is_encoded = response.headers.get("content-encoding", "identity") != "identity"
+        if response.content_type != "text/event-stream" or is_encoded:
+            failure = self._failure(Reason.PROTOCOL, STEP, Delivery.MAYBE)
+            detail = f"the answer is no event stream but {response.content_type}"
+            return msgspec.structs.replace(failure, detail=detail[:200])
+        return None
+
+    async def _control(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        content_type: str = "application/json",
+        timeout_ms: int = CONTROL_TIMEOUT_MS,
+        max_bytes: int = MAX_CONTROL_BYTES,
+    ) -> bytes | Failure:
+        trace = CallTrace()
+        peer = self._target.endpoint_id
+        try:
+            async with self._sessions.reusing.request(
+                method,
+                url_of(self._target.address, path),
+                data=body,
+                headers={"content-type": content_type} if body is not None else {},
+                allow_redirects=False,
+                timeout=timeouts(timeout_ms),
+                trace_request_ctx=trace,
+            ) as response:
+                data = await read_body(response, max_bytes)
+                if 200 <= response.status < 300:
+                    return data
+                return self._control_failure(step, response.status, data)
+        except TRANSPORT_ERRORS as error:
+            return transport_failure(error, trace, step, peer)
+
+    def _control_failure(self, step: str, status: int, data: bytes) -> Failure:
+        reason = _status_reason(status)
+        if status == 409 and b'"fenced"' in data:
+            reason = Reason.FENCED
+        failure = self._failure(reason, step, Delivery.MAYBE)
+        return msgspec.structs.replace(failure, detail=f"status {status}")
+
+    def _decode(self, step: str, data: bytes, shape: type) -> Any:
+        try:
+            return msgspec.json.decode(data, type=shape)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            return self._failure(Reason.PROTOCOL, step)
+
+    def _failure(
+        self, reason: Reason, step: str, delivery: Delivery | None = None
+    ) -> Failure:
+        return Failure(reason, step, self._target.endpoint_id, delivery=delivery)
+
+
+def _encode(body: dict[str, Any]) -> bytes | None:
+    try:
+        return msgspec.json.encode(body)
+    except (ValueError, OverflowError, TypeError):
+        # Such as a lone surrogate in a text.
+        return None
+
+
+def _status_reason(status: int) -> Reason:
+    if status in (400, 413, 422):
+        return Reason.INVALID
+    if status == 404:
+        return Reason.NOT_FOUND
+    return Reason.PEER_ERROR
--- /dev/null
+++ b/src/_monsoonpulley/endpoints/http_service.py
@@ -0,0 +1,170 @@
+"""Adapter to plain services over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+
+from ..clock import Clock
+from ..errors import Delivery, Failure, Reason
+from ..ids import RequestId
+from .adapters import EndpointTarget, service_adapters
+from .http_transport import (
+    ATTEMPT_ID_HEADER,
+    CONTROL_TIMEOUT_MS,
+    REQUEST_ID_HEADER,
+    TRANSPORT_ERRORS,
+    CallTrace,
+    HttpSessions,
+    path_segment,
+    read_body,
+    retry_after_ms,
+    timeouts,
+    transport_failure,
+    url_of,
+)
+from .service import Execution, Lookup, ServiceAnswer, ServiceCall
+
+MAX_ANSWER_BYTES = 16_777_216
+
+LOOKUP_PATH = "/_requests/"
+
+_CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_OWN_HEADERS = frozenset((REQUEST_ID_HEADER, ATTEMPT_ID_HEADER))
+
+_lookup_decoder = msgspec.json.Decoder(Lookup)
+
+
+@service_adapters.register("http")
+class HttpServiceClient:
+    """One endpoint of a plain service; implements ``ServiceClient``.
+
+    A call is sent at most once and follows no redirect. A call with ``once``
+    gets a connection of its own, see `HttpSessions`.
+
+    Parameters
+    ----------
+    target : EndpointTarget
+        The endpoint.
+    sessions : HttpSessions
+        Shared client sessions.
+    """
+
+    def __init__(self, target: EndpointTarget, sessions: HttpSessions):
+        self._target = target
+        self._sessions = sessions
+
+    @classmethod
+    def connect(
+        cls, target: EndpointTarget, sessions: HttpSessions, clock: Clock
+    ) -> HttpServiceClient:
+        """Return a client; nothing is sent yet."""
+        return cls(target, sessions)
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer | Failure:
+        """Send the call once and return the endpoint's answer."""
+        step = "service.call"
+        url = url_of(self._target.address, call.path)
+        if url is None:
+            return self._failure(Reason.BAD_REQUEST, step, Delivery.NOT_SENT)
+        session = self._sessions.once if call.once else self._sessions.reusing
+        trace = CallTrace()
+        try:
+            async with session.request(
+                call.method,
+                url,
+                headers=_request_headers(call),
+                data=call.body or None,
+                allow_redirects=False,
+                timeout=timeouts(call.timeout_ms),
+                trace_request_ctx=trace,
+            ) as response:
+                return await self._answer(response)
+        except TRANSPORT_ERRORS as error:
+            return transport_failure(error, trace, step, self._target.endpoint_id)
+
+    async def lookup(self, request_id: RequestId) -> Lookup | Failure:
+        """Ask whether the request ran; a ``NOT_RUN`` also bars it for ever."""
+        if not self._target.lookup:
+            return Lookup(Execution.UNKNOWN)
+        step = "service.lookup"
+        url = url_of(self._target.address, LOOKUP_PATH + path_segment(request_id))
+        trace = CallTrace()
+        try:
+            async with self._sessions.reusing.get(
+                url,
+                allow_redirects=False,
+                timeout=timeouts(CONTROL_TIMEOUT_MS),
+                trace_request_ctx=trace,
+            ) as response:
+                return await self._lookup_answer(response, step)
+        except msgspec.MsgspecError:
+            return self._failure(Reason.PROTOCOL, step)
+        except TRANSPORT_ERRORS as error:
+            return transport_failure(error, trace, step, self._target.endpoint_id)
+
+    async def _answer(
+        self, response: aiohttp.ClientResponse
+    ) -> ServiceAnswer | Failure:
+        step = "service.call"
+        if response.status in self._target.refusal_statuses:
+            failure = self._failure(Reason.UNAVAILABLE, step, Delivery.REFUSED)
+            return msgspec.structs.replace(
+                failure,
+                detail=f"status {response.status}",
+                retry_after_ms=retry_after_ms(response),
+            )
+        if response.status < 200:
+            return self._failure(Reason.PROTOCOL, step, Delivery.MAYBE)
+        body = await read_body(response, MAX_ANSWER_BYTES)
+        headers = _answer_headers(response)
+        return ServiceAnswer(response.status, headers, body)
+
+    async def _lookup_answer(
+        self, response: aiohttp.ClientResponse, step: str
+    ) -> Lookup | Failure:
+        if response.status == 404:
+            return Lookup(Execution.UNKNOWN)
+        if response.status != 200:
+            return self._failure(Reason.PEER_ERROR, step)
+        # The answer stands in base64, which takes a third more.
+        data = await read_body(response, MAX_ANSWER_BYTES * 2)
+        return _lookup_decoder.decode(data)
+
+    def _failure(
+        self, reason: Reason, step: str, delivery: Delivery | None = None
+    ) -> Failure:
+        peer = self._target.endpoint_id
+        return Failure(reason, step, peer, delivery=delivery)
+
+
+def _request_headers(call: ServiceCall) -> list[tuple[str, str]]:
+    dropped = _CONNECTION_HEADERS | _OWN_HEADERS
+    headers = [
+        (name, value) for name, value in call.headers if name.lower() not in dropped
+    ]
+    headers.append((REQUEST_ID_HEADER, call.request_id))
+    headers.append((ATTEMPT_ID_HEADER, call.attempt_id))
+    return headers
+
+
+def _answer_headers(
+    response: aiohttp.ClientResponse,
+) -> tuple[tuple[str, str], ...]:
+    pairs = ((name.lower(), value) for name, value in response.headers.items())
+    return tuple(pair for pair in pairs if pair[0] not in _CONNECTION_HEADERS)
--- /dev/null
+++ b/src/_monsoonpulley/endpoints/http_transport.py
@@ -0,0 +1,203 @@
+"""HTTP towards endpoints: sessions, bounded reads and what was delivered."""
+
+from __future__ import annotations
+
+import re
+from types import SimpleNamespace
+from urllib.parse import quote
+
+import aiohttp
+from aiohttp.http_exceptions import HttpProcessingError
+from yarl import URL
+
+from ..errors import Delivery, Failure, Reason
+
+TRANSPORT_ERRORS = (
+    aiohttp.ClientError,
+    HttpProcessingError,
+    OSError,
+    TimeoutError,
+    EOFError,
+    ValueError,
+)
+"""What a call to an endpoint can raise, garbage from the endpoint included."""
+
+REQUEST_ID_HEADER = "x-request-id"
+ATTEMPT_ID_HEADER = "x-attempt-id"
+
+CONNECT_TIMEOUT_MS = 2_000
+CONTROL_TIMEOUT_MS = 2_000
+KEEPALIVE_S = 15
+MAX_ERROR_BYTES = 4_096
+
+_PATH = re.compile(r"/[!-~]*")
+
+
+class CallTrace(SimpleNamespace):
+    """What is known about one call: whether a connection was ever there."""
+
+    is_connected: bool = False
+
+
+class NotResentError(aiohttp.ClientError):
+    """A connection broke after it was made; the request was not sent again."""
+
+
+async def send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the client library from sending a request again by itself.
+
+    By itself it resends GET, PUT, DELETE and other methods once when their
+    connection breaks, a new connection included. It does so on two of its
+    errors only, which this middleware replaces.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise NotResentError(f"{type(error).__name__}: {error}") from error
+
+
+class HttpSessions:
+    """The client sessions of a process, shared by all adapters.
+
+    ``reusing`` keeps connections open. ``once`` opens one for each call, as a
+    kept connection that the endpoint closes meanwhile leaves a call in doubt.
+
+    No session resends requests, keeps cookies, decodes bodies or reads proxy
+    settings.
+    """
+
+    def __init__(self) -> None:
+        self.reusing = _session(force_close=False)
+        self.once = _session(force_close=True)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.reusing.close()
+        await self.once.close()
+
+
+def _session(force_close: bool) -> aiohttp.ClientSession:
+    keepalive = {} if force_close else {"keepalive_timeout": KEEPALIVE_S}
+    connector = aiohttp.TCPConnector(limit=0, force_close=force_close, **keepalive)
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        middlewares=(send_once,),
+        trace_configs=[_connection_trace()],
+        timeout=aiohttp.ClientTimeout(total=None),
+    )
+
+
+def _connection_trace() -> aiohttp.TraceConfig:
+    async def connected(_session, context, _params) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx.is_connected = True
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_end.append(connected)
+    config.on_connection_reuseconn.append(connected)
+    return config
+
+
+def url_of(address: str, path: str) -> URL | None:
+    """Return the URL of a path and query as they are, ``None`` if unusable."""
+    if not _PATH.fullmatch(path) or "#" in path:
+        return None
+    try:
+        return URL(f"http://{address}{path}", encoded=True)
+    except ValueError:
+        return None
+
+
+def path_segment(text: str) -> str:
+    """Return ``text`` escaped for use as one segment of a path."""
+    return quote(text, safe="")
+
+
+def timeouts(total_ms: int) -> aiohttp.ClientTimeout:
+    """Return the limits of a call that ends after ``total_ms``."""
+    connect_s = _connect_s(total_ms)
+    return aiohttp.ClientTimeout(total=total_ms / 1000, connect=connect_s)
+
+
+def connect_timeout(total_ms: int) -> aiohttp.ClientTimeout:
+    """Return the limit on connecting of a call that keeps its own time."""
+    return aiohttp.ClientTimeout(total=None, connect=_connect_s(total_ms))
+
+
+def _connect_s(total_ms: int) -> float:
+    # Shorter than the whole limit, so that a call which could not connect is
+    # known as one that was not sent.
+    return min(CONNECT_TIMEOUT_MS, total_ms * 4 / 5) / 1000
+
+
+def delivery_of(error: BaseException, trace: CallTrace) -> Delivery:
+    """Return what a failed call may have done.
+
+    Both the library's error and the trace must say that there was no
+    connection; in doubt the answer is ``MAYBE``.
+    """
+    is_connect_error = isinstance(
+        error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+    )
+    if is_connect_error and not trace.is_connected:
+        return Delivery.NOT_SENT
+    return Delivery.MAYBE
+
+
+def transport_failure(
+    error: BaseException, trace: CallTrace, step: str, peer: str
+) -> Failure:
+    """Return the failure of a call that raised one of `TRANSPORT_ERRORS`."""
+    delivery = delivery_of(error, trace)
+    detail = f"{type(error).__name__}: {error}"[:200]
+    return Failure(_reason_of(error, delivery), step, peer, detail, delivery)
+
+
+def _reason_of(error: BaseException, delivery: Delivery) -> Reason:
+    if delivery is Delivery.NOT_SENT:
+        return Reason.UNAVAILABLE
+    if isinstance(error, TimeoutError):
+        return Reason.TIMEOUT
+    is_garbage = isinstance(
+        error,
+        (HttpProcessingError, aiohttp.ClientResponseError, ValueError),
+    )
+    return Reason.PROTOCOL if is_garbage else Reason.PEER_ERROR
+
+
+class TooLargeError(ValueError):
+    """A body is larger than the limit of its call."""
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the whole body.
+
+    Raises
+    ------
+    TooLargeError
+        If it has more than ``max_bytes``.
+    """
+    declared = response.content_length
+    if declared is not None and declared > max_bytes:
+        raise TooLargeError(f"the body has {declared} bytes, more than {max_bytes}")
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > max_bytes:
+            raise TooLargeError(f"the body has more than {max_bytes} bytes")
+    return bytes(body)
+
+
+def retry_after_ms(response: aiohttp.ClientResponse) -> int | None:
+    """Return the response's ``Retry-After`` in milliseconds, if it is a number."""
+    text = response.headers.get("retry-after", "")
+    if not text.isascii() or not text.isdigit() or len(text) > 6:
+        return None
+    return int(text) * 1000
--- /dev/null
+++ b/src/_monsoonpulley/endpoints/sse.py
@@ -0,0 +1,97 @@
+"""Server-sent events, parsed as they come in and written."""
+
+from __future__ import annotations
+
+import re
+
+_LINE_END = re.compile(rb"\r\n|\r|\n")
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+
+DONE = b"[DONE]"
+"""Data of the last event of an OpenAI-compatible stream."""
+
+
+def sse_event(data: bytes, event_id: str = "") -> bytes:
+    """Return one event; ``data`` must hold no line end."""
+    head = f"id: {event_id}\n".encode() if event_id else b""
+    return head + b"data: " + data + b"\n\n"
+
+
+class SseOverflowError(ValueError):
+    """An event is larger than the parser takes."""
+
+
+class SseParser:
+    """Turns bytes, split anywhere, into the data of events.
+
+    Memory is bounded: an event or line over the limit is an error.
+
+    Parameters
+    ----------
+    max_event_bytes : int
+        Largest data of one event.
+    """
+
+    def __init__(self, max_event_bytes: int = 1_048_576):
+        self._max_event_bytes = max_event_bytes
+        self._partial = bytearray()
+        self._data: list[bytes] = []
+        self._data_bytes = 0
+        self._skip_line_feed = False
+        self._is_first_line = True
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Return the data of the events that ``chunk`` completes.
+
+        Raises
+        ------
+        SseOverflowError
+            If an event is too large.
+        """
+        if self._skip_line_feed and chunk:
+            chunk = chunk.removeprefix(b"\n")
+            self._skip_line_feed = False
+        if not chunk:
+            return []
+        self._skip_line_feed = chunk.endswith(b"\r")
+        *ended, rest = _LINE_END.split(chunk)
+        events = []
+        for line in ended:
+            data = self._take_line(self._whole_line(line))
+            if data is not None:
+                events.append(data)
+        self._partial += rest
+        self._check(len(self._partial))
+        return events
+
+    def _whole_line(self, line: bytes) -> bytes:
+        if self._partial:
+            line = bytes(self._partial) + line
+            self._partial.clear()
+        if self._is_first_line:
+            self._is_first_line = False
+            line = line.removeprefix(_BYTE_ORDER_MARK)
+        return line
+
+    def _take_line(self, line: bytes) -> bytes | None:
+        if not line:
+            return self._end_event()
+        name, _, value = line.partition(b":")
+        if name == b"data":
+            value = value.removeprefix(b" ")
+            self._data_bytes += len(value) + 1
+            self._check(self._data_bytes)
+            self._data.append(value)
+        return None
+
+    def _end_event(self) -> bytes | None:
+        if not self._data:
+            return None
+        data = b"\n".join(self._data)
+        self._data.clear()
+        self._data_bytes = 0
+        return data
+
+    def _check(self, size_bytes: int) -> None:
+        if size_bytes > self._max_event_bytes:
+            raise SseOverflowError(f"an event exceeds {self._max_event_bytes} bytes")
--- /dev/null
+++ b/src/_monsoonpulley/standins/engine_requests.py
@@ -0,0 +1,49 @@
+"""Reads HTTP bodies sent to an engine stand-in back into calls."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..endpoints.engine import EngineCall
+from ..endpoints.openai_wire import CHAT_PATH
+from ..ids import AttemptId, RequestId
+
+NO_TIMEOUT_MS = 86_400_000
+
+_LIMIT_NAMES = ("max_completion_tokens", "max_tokens")
+
+
+def read_call(
+    path: str, body: dict[str, Any], request: str, attempt: str
+) -> EngineCall:
+    """Return the call in an HTTP request.
+
+    A chat that continues its final message is one that resumes after it; its
+    limit counts from there. A completion shows no such border: its text so far
+    is part of the prompt.
+    """
+    priority = body.get("priority", 0)
+    fields: dict[str, Any] = {
+        "priority": priority if isinstance(priority, int) else 0,
+        "first_token_timeout_ms": NO_TIMEOUT_MS,
+        "token_timeout_ms": NO_TIMEOUT_MS,
+    }
+    if path == CHAT_PATH and body.get("continue_final_message"):
+        body, text = _split_final(body)
+        fields["text_so_far"] = text
+        fields["tokens_so_far"] = len(text.split())
+    return EngineCall(RequestId(request), AttemptId(attempt), path, body, **fields)
+
+
+def _split_final(body: dict[str, Any]) -> tuple[dict[str, Any], str]:
+    messages = body.get("messages")
+    last = messages[-1] if isinstance(messages, list) and messages else None
+    content = last.get("content") if isinstance(last, dict) else None
+    if not isinstance(content, str):
+        return body, ""
+    whole = dict(body)
+    whole["messages"] = messages[:-1]
+    for name in _LIMIT_NAMES:
+        if isinstance(whole.get(name), int):
+            whole[name] += len(content.split())
+    return whole, content
