--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import signal
-from pathlib import Path
 
 import aiohttp
 
@@ -26,7 +25,7 @@
 from .platform.livelist import Member
 from .settings import Settings
 
-ENGINE_ADAPTER = "openai-http"
+ENGINE_ADAPTER = "openai"
 SERVICE_ADAPTER = "http"
 
 
@@ -118,15 +117,8 @@
         return adapter.connect(target, self._endpoint_sessions, self._clock)
 
 
-def run_entry(settings_path: str | Path) -> None:
-    """Run an entry daemon until it has drained after a signal or a reclaim.
-
-    Raises
-    ------
-    SettingsError
-        If the settings can't be used.
-    """
-    settings = Settings.from_file(settings_path)
+def run_entry(settings: Settings) -> None:
+    """Run an entry daemon until it has drained after a signal or a reclaim."""
     asyncio.run(_run(settings))
 
 
--- a/src/_monsoonpulley/standins/caller.py
+++ b/src/_monsoonpulley/standins/caller.py
@@ -89,7 +89,7 @@
     ) -> list[tuple[bytes, bytes]]:
         sent = {"host": "caller.invalid", **(headers or {})}
         if body:
-            sent["content-length"] = str(len(body))
+            sent.setdefault("content-length", str(len(body)))
         if self._credential:
             sent.setdefault("authorization", f"Bearer {self._credential}")
         return [(k.lower().encode(), v.encode("latin-1")) for k, v in sent.items()]
--- /dev/null
+++ b/src/_monsoonpulley/standins/plan.py
@@ -0,0 +1,86 @@
+"""What a stand-in process serves, read from INI."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from ..config.document import ServiceKind
+from ..ids import ServiceId, VersionId, ZoneId
+from ..inisections import Problems, parse_sections, read_struct, suggestion
+from ..inivalues import ListenAddress
+
+Name = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+
+
+class PlatformPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the platform's stand-in listens, and how far its list lags."""
+
+    listen: ListenAddress
+    livelist_lag_ms: Annotated[int, Meta(ge=0, le=600_000)] = 5_000
+    seed: Annotated[int, Meta(ge=0)] = 1
+
+
+class ServedEndpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One endpoint that the process serves.
+
+    Attributes
+    ----------
+    kind : ServiceKind
+        Model engine or plain service.
+    """
+
+    kind: ServiceKind
+    service: ServiceId
+    version: VersionId
+    zone: ZoneId
+    listen: ListenAddress
+
+
+class ListedEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An entry instance that the platform lists; it runs elsewhere."""
+
+    zone: ZoneId
+    http: ListenAddress
+    peer: ListenAddress
+
+
+class StandinPlan(msgspec.Struct, frozen=True):
+    """All that one stand-in process serves."""
+
+    platform: PlatformPlan
+    endpoints: dict[str, ServedEndpoint]
+    entries: dict[str, ListedEntry]
+
+    @classmethod
+    def from_text(cls, text: str, file: str) -> StandinPlan:
+        """Read a plan.
+
+        Raises
+        ------
+        SettingsError
+            If it is not valid; the text names all problems.
+        """
+        problems = Problems(file)
+        platform: PlatformPlan | None = None
+        endpoints: dict[str, ServedEndpoint] = {}
+        entries: dict[str, ListedEntry] = {}
+        for section, values in parse_sections(text, problems).items():
+            kind, _, name = section.partition(" ")
+            if kind == "platform" and not name:
+                platform = read_struct(PlatformPlan, section, values, problems)
+            elif kind == "endpoint" and name:
+                endpoint = read_struct(ServedEndpoint, section, values, problems)
+                endpoints[name] = endpoint
+            elif kind == "entry" and name:
+                entries[name] = read_struct(ListedEntry, section, values, problems)
+            else:
+                known = ("platform", "endpoint NAME", "entry NAME")
+                hint = suggestion(section, known)
+                problems.add(section, "", f"unknown section; {hint}")
+        if platform is None and not problems.found:
+            problems.add("platform", "", "section is missing")
+        problems.raise_any()
+        return cls(platform, endpoints, entries)
