--- a/testing/config/faketable.py
+++ b/testing/config/faketable.py
@@ -79,7 +79,7 @@
     ):
         self.table = table
         self.is_cut_off = False
-        self.calls = 0
+        self.read_bytes = 0
         self._clock = clock
         self._rng = rng
         self._faults = list(faults)
@@ -87,14 +87,18 @@
         self._latency_ms = latency_ms
 
     async def _pass_time(self) -> Failure | None:
-        self.calls += 1
         await self._clock.sleep_ms(self._rng.randint(*self._latency_ms))
         if self.table.is_away or self.is_cut_off:
             return Failure(Reason.UNAVAILABLE, "table.call", "table")
         return None
 
     async def read(self, key: str) -> Row | Failure | None:
-        return await self._pass_time() or self.table.rows.get(key)
+        failure = await self._pass_time()
+        if failure:
+            return failure
+        row = self.table.rows.get(key)
+        self.read_bytes += len(row.value) if row else 0
+        return row
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 500
@@ -103,7 +107,9 @@
         if failure:
             return failure
         keys = sorted(k for k in self.table.rows if k.startswith(prefix) and k > after)
-        return tuple(self.table.rows[key] for key in keys[:limit])
+        rows = tuple(self.table.rows[key] for key in keys[:limit])
+        self.read_bytes += sum(len(row.value) for row in rows)
+        return rows
 
     async def commit(self, writes: Sequence[Write]) -> Committed | Conflict | Failure:
         failure = await self._pass_time()
