--- /dev/null
+++ b/src/_monsoonpulley/cli_output.py
@@ -0,0 +1,131 @@
+"""What the command line prints: bodies of the operators' interface as text."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from .config.difference import Difference
+from .config.ini import format_deadline
+from .operator_wire import (
+    ConfigStatusBody,
+    ConflictBody,
+    EntryStatus,
+    ExplainBody,
+    HistoryBody,
+    RevisionSummary,
+    StatusBody,
+)
+
+
+def table(head: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Return rows as aligned columns below a head."""
+    lines = [tuple(head), *(tuple(str(cell) for cell in row) for row in rows)]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(head))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def difference_text(changes: Difference) -> str:
+    """Return a difference, one section after the other."""
+    return "\n".join(str(change) for change in changes) or "no section differs"
+
+
+def conflict_text(conflict: ConflictBody) -> str:
+    """Return what came before a change, and what to do."""
+    current = conflict.current
+    if conflict.same_sections:
+        advice = f"Both touch: {', '.join(conflict.same_sections)}."
+    else:
+        advice = "No section is touched by both."
+    return "\n".join(
+        [
+            f"refused: based on revision {conflict.expected_number}, but revision "
+            f"{current.number} is in force, by {current.author!r}"
+            + (f" ({current.note})" if current.note else ""),
+            f"changed by {current.author!r} or before, since revision "
+            f"{conflict.expected_number}:",
+            difference_text(conflict.theirs),
+            f"your change, as {conflict.author!r}:",
+            difference_text(conflict.yours),
+            f"{advice} Start again from 'monsoonpulley config show'.",
+        ]
+    )
+
+
+def history_text(history: HistoryBody) -> str:
+    """Return the history, newest first."""
+    return table(
+        ("REVISION", "APPLIED", "AUTHOR", "CHANGE TOKEN", "NOTE"),
+        [_history_row(one) for one in history.revisions],
+    )
+
+
+def _history_row(one: RevisionSummary) -> tuple[object, ...]:
+    applied = format_deadline(one.applied_wall_ms)
+    return (one.number, applied, one.author, one.change_token, one.note)
+
+
+def config_status_text(status: ConfigStatusBody) -> str:
+    """Return in which instances the newest revision is in force."""
+    behind = sum(one.change_token != status.change_token for one in status.entries)
+    count = len(status.entries)
+    verdict = f"in force in all {count} known entry instances"
+    if behind:
+        verdict = f"in force in {count - behind} of {count} known entry instances"
+    return f"revision {status.number}: {verdict}\n{_entries_text(status.entries)}"
+
+
+def _entries_text(entries: Iterable[EntryStatus]) -> str:
+    return table(
+        ("INSTANCE", "ZONE", "STATE", "REVISION", "HEARD"),
+        [
+            (one.instance, one.zone, one.state, one.number, f"{one.heard_ms_ago} ms")
+            for one in entries
+        ],
+    )
+
+
+def status_text(status: StatusBody) -> str:
+    """Return the state of the system."""
+    rollouts = [
+        (one.service, one.version, one.state, _deadline(one.deadline_wall_ms), one.why)
+        for one in status.rollouts
+    ]
+    endpoints = [msgspec.structs.astuple(one) for one in status.endpoints]
+    duties = [msgspec.structs.astuple(one) for one in status.duties]
+    return "\n\n".join(
+        [
+            f"as {status.instance} in {status.zone} knows it; configuration "
+            f"revision {status.number}",
+            _entries_text(status.entries),
+            table(("SERVICE", "VERSION", "STATE", "DEADLINE", "WHY"), rollouts),
+            table(
+                ("ENDPOINT", "ZONE", "SERVICE", "VERSION", "STATE", "IN PROGRESS"),
+                endpoints,
+            ),
+            table(("DUTY", "HOLDER", "FENCING NUMBER"), duties),
+        ]
+    )
+
+
+def _deadline(deadline_wall_ms: int | None) -> str:
+    return "-" if deadline_wall_ms is None else format_deadline(deadline_wall_ms)
+
+
+def explain_text(explain: ExplainBody) -> str:
+    """Return the timeline of a request, each line with its fields."""
+    lines = [f"request {explain.request_id}"]
+    for one in explain.lines:
+        fields = " ".join(
+            f"{name}={msgspec.json.encode(value).decode()}"
+            for name, value in one.fields.items()
+        )
+        at = format_deadline(one.wall_ms)
+        lines.append(f"{at}  {one.instance}  {one.event}  {fields}".rstrip())
+    return "\n".join(lines)
--- a/src/_monsoonpulley/config/ini.py
+++ b/src/_monsoonpulley/config/ini.py
@@ -31,6 +31,7 @@
 
 EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+BASE_COMMENT = re.compile(r"^# based on revision (\d{1,12})\s*$", re.MULTILINE)
 NAME_RULE = "1 to 63 letters, digits, '.', '_' or '-', starting with letter or digit"
 NAME_FIELDS = ("service", "classes")
 """Fields whose values name other sections."""
@@ -202,6 +203,20 @@
     return "\n".join(blocks)
 
 
+def with_base(number: int, text: str) -> str:
+    """Return INI text that says which revision it came from.
+
+    An edited copy then can't undo, unseen, a change that was applied since.
+    """
+    return f"# based on revision {number}\n\n{text}"
+
+
+def base_number(text: str) -> int | None:
+    """Return the revision that INI text says it came from, if it does."""
+    match = BASE_COMMENT.search(text)
+    return int(match[1]) if match else None
+
+
 def format_deadline(deadline_wall_ms: int) -> str:
     """Return Unix epoch milliseconds as ISO 8601 text in UTC."""
     deadline = EPOCH + timedelta(milliseconds=deadline_wall_ms)
@@ -236,7 +251,9 @@
 __all__ = [
     "InvalidFile",
     "Problem",
+    "base_number",
     "format_deadline",
     "parse_document",
     "render_document",
+    "with_base",
 ]
--- /dev/null
+++ b/src/_monsoonpulley/operator_client.py
@@ -0,0 +1,189 @@
+"""Client of the operators' HTTP interface of any entry instance."""
+
+from __future__ import annotations
+
+import random
+from typing import TypeVar
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+
+from .clock import Clock
+from .errors import Failure, Reason
+from .operator_wire import (
+    CONFIG_PATH,
+    CONFIG_STATUS_PATH,
+    EXPLAIN_PATH,
+    HISTORY_PATH,
+    STATUS_PATH,
+    ApplyBody,
+    ConfigStatusBody,
+    ConflictBody,
+    ExplainBody,
+    FailureBody,
+    HistoryBody,
+    InvalidBody,
+    RevisionBody,
+    StatusBody,
+)
+
+T = TypeVar("T")
+
+CONNECT_TIMEOUT_S = 3.0
+ANSWER_TIMEOUT_S = 30.0
+APPLY_ATTEMPTS = 5
+APPLY_RETRY_MS = 500
+TOKEN_BITS = 128
+
+
+class OperatorClient:
+    """Asks one entry instance; an async context manager.
+
+    Parameters
+    ----------
+    entry_url : str
+        ``http://IP:PORT``.
+    credential : str
+        The operators' credential.
+    clock : Clock
+        Waits between attempts.
+    rng : random.Random
+        Draws change tokens.
+    """
+
+    def __init__(
+        self, entry_url: str, credential: str, clock: Clock, rng: random.Random
+    ):
+        self._url = entry_url.rstrip("/")
+        self._credential = credential
+        self._clock = clock
+        self._rng = rng
+
+    async def __aenter__(self) -> OperatorClient:
+        timeout = aiohttp.ClientTimeout(
+            total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+        self._session = aiohttp.ClientSession(
+            headers={"Authorization": f"Bearer {self._credential}"}, timeout=timeout
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._session.close()
+
+    async def config(self, number: int | None = None) -> RevisionBody | Failure:
+        """Return the revision in force, or a kept one."""
+        query = "" if number is None else f"?number={number}"
+        return await self._get(CONFIG_PATH + query, RevisionBody)
+
+    async def history(self, limit: int) -> HistoryBody | Failure:
+        """Return the last kept revisions."""
+        return await self._get(f"{HISTORY_PATH}?limit={limit}", HistoryBody)
+
+    async def config_status(self) -> ConfigStatusBody | Failure:
+        """Return where the newest revision is in force."""
+        return await self._get(CONFIG_STATUS_PATH, ConfigStatusBody)
+
+    async def status(self) -> StatusBody | Failure:
+        """Return the state of the system."""
+        return await self._get(STATUS_PATH, StatusBody)
+
+    async def explain(self, request_id: str) -> ExplainBody | Failure:
+        """Return what happened to a request."""
+        return await self._get(EXPLAIN_PATH + quote(request_id, safe=""), ExplainBody)
+
+    async def apply(
+        self, ini: str, *, expected_number: int, author: str, note: str = ""
+    ) -> RevisionBody | ConflictBody | InvalidBody | Failure:
+        """Put a configuration in force; a lost answer is asked for again.
+
+        All attempts carry one change token, so that the change takes effect at
+        most once. A ``Reason.IN_DOUBT`` failure names that token.
+        """
+        body = ApplyBody(
+            ini=ini,
+            expected_number=expected_number,
+            author=author,
+            note=note,
+            change_token=f"{self._rng.getrandbits(TOKEN_BITS):032x}",
+        )
+        in_doubt = False
+        for attempt in range(APPLY_ATTEMPTS):
+            if attempt:
+                await self._clock.sleep_ms(APPLY_RETRY_MS * attempt)
+            answer = await self._put(body)
+            if not isinstance(answer, Failure):
+                return answer
+            in_doubt = in_doubt or answer.reason is Reason.IN_DOUBT
+            if not in_doubt:
+                return answer
+        detail = f"change token {body.change_token}: {answer}"
+        return Failure(Reason.IN_DOUBT, "operator.apply", self._url, detail)
+
+    async def _put(
+        self, body: ApplyBody
+    ) -> RevisionBody | ConflictBody | InvalidBody | Failure:
+        answer = await self._call("PUT", CONFIG_PATH, msgspec.json.encode(body))
+        if isinstance(answer, Failure):
+            return answer
+        status, data = answer
+        if status == 409:
+            return self._decode(data, ConflictBody)
+        if status == 422:
+            return self._decode(data, InvalidBody)
+        if status == 200:
+            decoded = self._decode(data, RevisionBody)
+            if isinstance(decoded, Failure):
+                # It was applied, or else this isn't an entry instance.
+                return msgspec.structs.replace(decoded, reason=Reason.IN_DOUBT)
+            return decoded
+        return self._failure(status, data, unclear=Reason.IN_DOUBT)
+
+    async def _get(self, path: str, body_type: type[T]) -> T | Failure:
+        answer = await self._call("GET", path)
+        if isinstance(answer, Failure):
+            return answer
+        status, data = answer
+        if status != 200:
+            return self._failure(status, data, unclear=Reason.PEER_ERROR)
+        return self._decode(data, body_type)
+
+    async def _call(
+        self, method: str, path: str, data: bytes | None = None
+    ) -> tuple[int, bytes] | Failure:
+        try:
+            async with self._session.request(
+                method,
+                self._url + path,
+                data=data,
+                headers={"Content-Type": "application/json"} if data else None,
+                allow_redirects=False,
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return self._no_answer(Reason.UNAVAILABLE, error)
+        except aiohttp.InvalidURL as error:
+            return self._no_answer(Reason.INVALID, error)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            reason = Reason.IN_DOUBT if method == "PUT" else Reason.TIMEOUT
+            return self._no_answer(reason, error)
+
+    def _no_answer(self, reason: Reason, error: Exception) -> Failure:
+        detail = str(error) or type(error).__name__
+        return Failure(reason, "operator.call", self._url, detail)
+
+    def _decode(self, data: bytes, body_type: type[T]) -> T | Failure:
+        try:
+            return msgspec.json.decode(data, type=body_type)
+        except msgspec.DecodeError as error:
+            detail = f"not the answer of an entry instance: {error}"
+            return Failure(Reason.PROTOCOL, "operator.decode", self._url, detail)
+
+    def _failure(self, status: int, data: bytes, *, unclear: Reason) -> Failure:
+        """Return the failure in a body; ``unclear`` is for a 5xx without one."""
+        body = self._decode(data, FailureBody)
+        if isinstance(body, FailureBody):
+            return body.to_failure()
+        reason = unclear if status >= 500 else Reason.PROTOCOL
+        return Failure(reason, "operator.call", self._url, f"HTTP status {status}")
