Serve the operators' interface

Cause: the command line had no server side. Change: routes over the shared bodies, an overview of the instance, recent log lines kept in bounded memory to explain a request.

--- a/src/_monsoonpulley/cli.py
+++ b/src/_monsoonpulley/cli.py
@@ -124,19 +124,21 @@
 
 
 @app.command
-def standin(kind: str, *, listen: str = "127.0.0.1:0") -> int:
-    """Serve one stand-in of the platform or of an endpoint, for trials.
+def standin(*, plan: Path) -> int:
+    """Serve stand-ins of the platform and of endpoints, for trials.
+
+    Prints the name and address of each server, then serves until it is told
+    to stop.
 
     Parameters
     ----------
-    kind
-        Which one.
-    listen
-        Where it listens, as IP:PORT; port 0 takes a free one.
+    plan
+        INI file that lists what to serve.
     """
+    from .standins.plan import StandinPlan
     from .standins.serve import run_standin
 
-    return _finish(run_standin(kind, listen))
+    return _finish(run_standin(StandinPlan.from_text(read_text(plan), str(plan))))
 
 
 @config.command
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from starlette.applications import Starlette
+from starlette.routing import BaseRoute
 
 from .clock import Clock
 from .config.document import Document, Revision, Service, ServiceKind
@@ -25,6 +26,7 @@
 from .gateway.generations import GenerationHandler
 from .gateway.intake import Reception
 from .gateway.lookup import LookupHandler
+from .gateway.operator import OperatorHandlers
 from .gateway.services import ServiceHandler
 from .identity import Identity
 from .ids import EndpointId, InstanceId
@@ -36,6 +38,7 @@
 from .log import Log
 from .metrics import Metrics
 from .noticewatch import NoticeWatch
+from .overview import InstanceOverview
 from .platform.bundle import Platform
 from .platform.cloud import ReclaimNotice
 from .platform.livelist import Member
@@ -239,9 +242,24 @@
             lookup=LookupHandler(reception, self.journal),
             reception=reception,
             lifecycle=self.lifecycle,
+            operator_routes=self._operator_routes(),
         )
         return make_app(handlers, around.log)
 
+    def _operator_routes(self) -> list[BaseRoute]:
+        overview = InstanceOverview(
+            self.identity,
+            self.lifecycle,
+            self._around.log,
+            self.watcher,
+            self.pool,
+            self.router,
+        )
+        handlers = OperatorHandlers(
+            self._operator_sha256, self.config_store, self.watcher, overview
+        )
+        return handlers.routes()
+
     def _build_supervisor(self) -> Supervisor:
         root = self._new_supervisor("instance")
         endpoints = self._new_supervisor("endpoints")
--- a/src/_monsoonpulley/log.py
+++ b/src/_monsoonpulley/log.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from .clock import Clock
+from .eventmemory import EventMemory
 
 Sink = Callable[[str], Any]
 
@@ -47,6 +48,7 @@
         self._clock = clock
         self._sink = sink
         self._instance = instance
+        self.memory = EventMemory()
 
     @classmethod
     def from_settings(cls, clock: Clock, instance: str, level: str = "INFO") -> Log:
@@ -72,4 +74,8 @@
             line["instance"] = self._instance
         line["event"] = event
         line.update(fields)
-        self._sink(msgspec.json.encode(line, enc_hook=str).decode())
+        text = msgspec.json.encode(line, enc_hook=str).decode()
+        subject = fields.get("request_id")
+        if subject:
+            self.memory.remember(subject, text)
+        self._sink(text)
--- /dev/null
+++ b/src/_monsoonpulley/overview.py
@@ -0,0 +1,104 @@
+"""What an entry instance can tell operators of the system."""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import operator_wire as wire
+from .config.watcher import ConfigWatcher
+from .endpoints.pool import EndpointPool
+from .identity import Identity
+from .ids import EndpointId
+from .lifecycle import Lifecycle
+from .log import Log
+from .platform.livelist import MemberState
+from .routing.router import Router
+
+
+class InstanceOverview:
+    """Status and timelines as one instance knows them.
+
+    Parameters
+    ----------
+    identity, lifecycle, log
+        Of the instance.
+    watcher : ConfigWatcher
+        What is in force.
+    pool, router : EndpointPool, Router
+        Endpoints and the requests in progress there.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        lifecycle: Lifecycle,
+        log: Log,
+        watcher: ConfigWatcher,
+        pool: EndpointPool,
+        router: Router,
+    ):
+        self._identity = identity
+        self._lifecycle = lifecycle
+        self._log = log
+        self._watcher = watcher
+        self._pool = pool
+        self._router = router
+
+    def config_status(self) -> wire.ConfigStatusBody:
+        """Say in which entry instances the newest known revision is in force."""
+        own = self._own_status()
+        return wire.ConfigStatusBody(own.number, own.change_token, (own,))
+
+    def status(self) -> wire.StatusBody:
+        """Return instances, endpoints, rollouts and duties."""
+        return wire.StatusBody(
+            instance=self._identity.instance,
+            zone=self._identity.zone,
+            number=self._watcher.number,
+            entries=(self._own_status(),),
+            endpoints=self._endpoints(),
+        )
+
+    async def explain(self, subject: str) -> wire.ExplainBody:
+        """Return the events and decisions about a request, oldest first."""
+        lines = [_explain_line(text) for text in self._log.memory.recall(subject)]
+        return wire.ExplainBody(subject, tuple(lines))
+
+    def _own_status(self) -> wire.EntryStatus:
+        revision = self._watcher.revision
+        return wire.EntryStatus(
+            instance=self._identity.instance,
+            zone=self._identity.zone,
+            state=self._lifecycle.phase.value,
+            number=self._watcher.number,
+            change_token=revision.change_token if revision else "",
+            heard_ms_ago=0,
+        )
+
+    def _endpoints(self) -> tuple[wire.EndpointStatus, ...]:
+        views = self._router.fleet.endpoints
+        statuses = []
+        for member in self._pool.members():
+            view = views.get(EndpointId(member.instance))
+            state = view.state if view else MemberState.LEAVING
+            statuses.append(
+                wire.EndpointStatus(
+                    endpoint=member.instance,
+                    zone=member.zone,
+                    service=member.service,
+                    version=member.version,
+                    state=state.value,
+                    in_progress=len(view.attempts) if view else 0,
+                )
+            )
+        return tuple(statuses)
+
+
+def _explain_line(text: str) -> wire.ExplainLine:
+    fields = msgspec.json.decode(text)
+    return wire.ExplainLine(
+        wall_ms=fields.pop("wall_ms"),
+        instance=fields.pop("instance", ""),
+        event=fields.pop("event"),
+        fields=fields,
+    )
