--- a/src/_monsoonpulley/standins/cloud.py
+++ b/src/_monsoonpulley/standins/cloud.py
@@ -16,6 +16,9 @@
 from .calls import DEFAULT_TIMEOUT_MS, Caller
 from .faults import Faults
 
+STARTED_PREFIX = "cloud-"
+"""Begins the names of instances that were started by order."""
+
 
 class CloudState(Enum):
     """Where an instance stands in its life."""
@@ -100,9 +103,9 @@
         return CloudConnection(self, caller)
 
     def adopt(self, name: str, spec: InstanceSpec) -> CloudInstance:
-        """Add an instance that runs already."""
-        if name in self.instances:
-            raise ValueError(f"there is an instance {name} already")
+        """Add an instance that runs already; its name may not be ``cloud-N``."""
+        if name in self.instances or name.startswith(STARTED_PREFIX):
+            raise ValueError(f"the name {name} is taken")
         now_ms = self._clock.now_ms()
         instance = CloudInstance(name, spec, CloudState.RUNNING, now_ms, now_ms)
         self.instances[name] = instance
@@ -195,7 +198,7 @@
             return Failure(
                 Reason.OVERLOADED, "cloud.start", "platform", "no capacity for it"
             )
-        name = f"i-{len(self.instances) + 1:06d}"
+        name = f"{STARTED_PREFIX}{len(self._tokens) + 1}"
         now_ms = self._clock.now_ms()
         ready_ms = now_ms + self.lead_ms
         self.instances[name] = CloudInstance(
--- a/src/_monsoonpulley/standins/livelist.py
+++ b/src/_monsoonpulley/standins/livelist.py
@@ -86,8 +86,6 @@
 
     def _change(self, instance: str, member: Member | None) -> None:
         shown_ms = self._clock.now_ms() + self.lag_ms
-        if self._pending:
-            shown_ms = max(shown_ms, self._pending[-1][0])
         self._pending.append((shown_ms, instance, member))
 
 
--- a/testing/platform/test_adapters.py
+++ b/testing/platform/test_adapters.py
@@ -1,15 +1,17 @@
 import asyncio
 import contextlib
+import json
 import unittest
 from random import Random
 
 import aiohttp
+import msgspec
 
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.errors import Failure, Reason
 from _monsoonpulley.ids import ZoneId
 from _monsoonpulley.platform.cloud import InstanceSpec, Price
-from _monsoonpulley.platform.connect import connect_platform
+from _monsoonpulley.platform.connect import Service, connect_platform
 from _monsoonpulley.platform.livelist import Member, MemberState, Role
 from _monsoonpulley.platform.table import Committed, Conflict, Row, Write
 from _monsoonpulley.standins.brokenanswers import Breakage, BrokenAnswers
@@ -23,6 +25,17 @@
 SPEC = InstanceSpec(ZoneId("zone-a"), "large", True, "model", "v1")
 
 
+def http_answer(status, body):
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def sd_group(instance, targets, state):
+    facts = {"instance": instance, "role": "endpoint", "zone": "z", "state": state}
+    labels = {f"__meta_platform_{name}": fact for name, fact in facts.items()}
+    return {"targets": targets, "labels": labels}
+
+
 class AdapterCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         stack = contextlib.AsyncExitStack()
@@ -138,7 +151,7 @@
 class OtherAdaptersTest(AdapterCase):
     async def test_objects_of_any_name_and_bytes(self):
         objects = self.platform.objects
-        for name in ("a", "a/b c", "../x?y=%2F#é"):
+        for name in ("a", "a/b c", "..", "../x?y=%2F#é"):
             with self.subTest(name):
                 self.assertIsNone(await objects.get(name))
                 self.assertIsNone(await objects.put(name, b"\0\xff"))
@@ -205,6 +218,17 @@
         self.assertEqual(await cloud.prices(), (price,))
 
 
+class ConnectTest(unittest.TestCase):
+    def test_wrong_settings_are_named(self):
+        settings = settings_for("http://127.0.0.1:1", "z", TIMEOUT_MS)
+        unknown = msgspec.structs.replace(settings, table=Service("http://a", "sql"))
+        with self.assertRaisesRegex(LookupError, "sql.*etcd-v3-json"):
+            connect_platform(unknown, None)
+        no_url = msgspec.structs.replace(settings, cloud=Service("a:1", "http"))
+        with self.assertRaisesRegex(ValueError, "a:1"):
+            connect_platform(no_url, None)
+
+
 class ConnectionFaultsTest(unittest.IsolatedAsyncioTestCase):
     """Faults below HTTP, by a server that answers as told by a list."""
 
@@ -216,7 +240,8 @@
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
         self.addAsyncCleanup(self.finish)
         port = self.server.sockets[0].getsockname()[1]
-        self.session = aiohttp.ClientSession()
+        self.connector = aiohttp.TCPConnector(limit=2)
+        self.session = aiohttp.ClientSession(connector=self.connector)
         self.addAsyncCleanup(self.session.close)
         settings = settings_for(f"http://127.0.0.1:{port}", "z", TIMEOUT_MS)
         self.platform = connect_platform(settings, self.session)
@@ -274,6 +299,40 @@
         result = await self.platform.table.commit([Write("a", b"", 0)])
         self.assertIs(result.reason, Reason.IN_DOUBT)
 
+    async def test_waiting_for_a_connection_in_vain_is_unavailable(self):
+        self.answers = ["hang", "hang"]
+        table = self.platform.table
+        results = await asyncio.gather(
+            *(table.commit([Write(key, b"", 0)]) for key in "abc")
+        )
+        reasons = [result.reason for result in results]
+        self.assertEqual(reasons, [Reason.IN_DOUBT] * 2 + [Reason.UNAVAILABLE])
+        self.assertEqual(len(self.requests), 2)
+
+    async def test_a_read_answered_with_other_rows_is_a_protocol_failure(self):
+        rows = b'{"header": {"revision": "5"}, "kvs": [{"key": "Yg=="}]}'
+        self.answers = [http_answer(200, rows)]
+        result = await self.platform.table.read("a")
+        self.assertIs(result.reason, Reason.PROTOCOL)
+
+    async def test_a_server_error_to_a_start_stays_in_doubt_whatever_it_says(self):
+        self.answers = [http_answer(500, b'{"reason": "unavailable"}')]
+        result = await self.platform.cloud.start("t", SPEC)
+        self.assertIs(result.reason, Reason.IN_DOUBT)
+
+    async def test_targets_of_others_are_left_out_and_unknown_states_are_leaving(self):
+        groups = [
+            {"targets": ["10.0.0.9:9100"], "labels": {"job": "node"}},
+            sd_group("two", ["10.0.0.1:80", "10.0.0.2:80"], "live"),
+            sd_group("w-1", ["10.0.0.1:80"], "live"),
+            sd_group("w-2", ["10.0.0.2:80"], "rebooting"),
+        ]
+        self.answers = [http_answer(200, json.dumps(groups).encode())]
+        members = await self.platform.livelist.members()
+        states = [(member.instance, member.state) for member in members]
+        expected = [("w-1", MemberState.LIVE), ("w-2", MemberState.LEAVING)]
+        self.assertEqual(states, expected)
+
     async def test_nothing_is_sent_again_when_a_reused_connection_breaks(self):
         ok = b"HTTP/1.1 204 No Content\r\n\r\n"
         for change in (
--- a/testing/standins/test_faults.py
+++ b/testing/standins/test_faults.py
@@ -80,6 +80,17 @@
 
         self.run_with(scenario)
 
+    def test_a_delayed_effect_lands_whatever_else_fails_by_then(self):
+        async def scenario(table, handle):
+            table.faults.next_commit(FaultKind.DELAYED_EFFECT)
+            await handle.commit(put("a"))
+            table.faults.outage(True)
+            table.faults.network.cut("zone-a")
+            await running_clock().sleep_ms(table.faults.effect_delay_ms + 1)
+            self.assertIn("a", table.rows)
+
+        self.run_with(scenario)
+
     def test_an_outage_refuses_all_and_ends(self):
         async def scenario(table, handle):
             table.faults.outage(True)
--- a/testing/standins/test_platform.py
+++ b/testing/standins/test_platform.py
@@ -136,6 +136,21 @@
 
         self.run_with(scenario)
 
+    def test_a_second_notice_may_come_sooner_but_never_later(self):
+        async def scenario(standin, platform):
+            now_ms = running_clock().wall_ms()
+            standin.cloud.adopt("i-a", spec())
+            deadlines = []
+            for notice_ms in (5_000, 9_000, 2_000):
+                standin.cloud.reclaim("i-a", notice_ms)
+                (notice,) = await platform.cloud.notices()
+                deadlines.append(notice.deadline_wall_ms - now_ms)
+            self.assertEqual(deadlines, [5_000, 5_000, 2_000])
+            await asyncio.sleep(10)
+            self.assertEqual(standin.cloud.instances["i-a"].ended_ms, 2_000)
+
+        self.run_with(scenario)
+
     def test_a_process_may_die_before_its_notice_ends(self):
         async def scenario(standin, platform):
             standin.cloud.adopt("i-a", spec())
--- a/testing/standins/test_table.py
+++ b/testing/standins/test_table.py
@@ -42,7 +42,7 @@
 
     def test_a_deleted_row_is_absent_and_its_revision_never_returns(self):
         old = self.put("a").revision
-        self.assertIsInstance(self.put("a", None, old), Committed)
+        self.assertGreater(self.put("a", None, old).revision, old)
         self.assertIsNone(self.table.read("a"))
         new = self.put("a").revision
         self.assertGreater(new, old)
