Check headers before sending; bad versions of plain services

Cause: a header or method that is no valid HTTP failed after the connection was made and left the call in doubt; headers named by Connection passed on; an answer to HEAD with a large length failed; a response that ran into the first token's deadline was not closed. Plain services had no late, loaded or routed faults of versions.

Conclusion: what can be known as not sent is reported so.

--- a/src/_monsoonpulley/endpoints/http_engine.py
+++ b/src/_monsoonpulley/endpoints/http_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -105,8 +106,9 @@
                 yield opened
                 return
             response = opened
-            async for item in stream.items(response):
-                yield item
+            async with contextlib.aclosing(stream.items(response)) as items:
+                async for item in items:
+                    yield item
         finally:
             if response is not None:
                 response.close()
@@ -194,6 +196,7 @@
         data = _encode(request_body(call))
         if url is None or data is None:
             return self._failure(Reason.INVALID, STEP, Delivery.NOT_SENT)
+        response: aiohttp.ClientResponse | None = None
         try:
             async with stream.deadline():
                 response = await self._sessions.reusing.post(
@@ -206,11 +209,13 @@
                 )
                 failure = await self._rejection(response)
         except TRANSPORT_ERRORS as error:
-            return transport_failure(error, trace, STEP, self._target.endpoint_id)
-        if failure is not None:
+            peer = self._target.endpoint_id
+            failure = transport_failure(error, trace, STEP, peer)
+        if failure is None and response is not None:
+            return response
+        if response is not None:
             response.close()
-            return failure
-        return response
+        return failure
 
     async def _rejection(self, response: aiohttp.ClientResponse) -> Failure | None:
         status = response.status
--- a/src/_monsoonpulley/endpoints/http_service.py
+++ b/src/_monsoonpulley/endpoints/http_service.py
@@ -9,6 +9,7 @@
 from ..errors import Delivery, Failure, Reason
 from ..ids import RequestId
 from .adapters import EndpointTarget, service_adapters
+from .http_headers import Headers, end_to_end, is_sendable
 from .http_transport import (
     ATTEMPT_ID_HEADER,
     CONTROL_TIMEOUT_MS,
@@ -29,24 +30,6 @@
 
 LOOKUP_PATH = "/_requests/"
 
-_CONNECTION_HEADERS = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-_OWN_HEADERS = frozenset((REQUEST_ID_HEADER, ATTEMPT_ID_HEADER))
-
 _lookup_decoder = msgspec.json.Decoder(Lookup)
 
 
@@ -80,7 +63,8 @@
         """Send the call once and return the endpoint's answer."""
         step = "service.call"
         url = url_of(self._target.address, call.path)
-        if url is None:
+        headers = _request_headers(call)
+        if url is None or not is_sendable(call.method, headers):
             return self._failure(Reason.BAD_REQUEST, step, Delivery.NOT_SENT)
         session = self._sessions.once if call.once else self._sessions.reusing
         trace = CallTrace()
@@ -88,7 +72,7 @@
             async with session.request(
                 call.method,
                 url,
-                headers=_request_headers(call),
+                headers=headers,
                 data=call.body or None,
                 allow_redirects=False,
                 timeout=timeouts(call.timeout_ms),
@@ -132,7 +116,7 @@
         if response.status < 200:
             return self._failure(Reason.PROTOCOL, step, Delivery.MAYBE)
         body = await read_body(response, MAX_ANSWER_BYTES)
-        headers = _answer_headers(response)
+        headers = end_to_end(response.headers.items())
         return ServiceAnswer(response.status, headers, body)
 
     async def _lookup_answer(
@@ -153,18 +137,11 @@
         return Failure(reason, step, peer, delivery=delivery)
 
 
-def _request_headers(call: ServiceCall) -> list[tuple[str, str]]:
-    dropped = _CONNECTION_HEADERS | _OWN_HEADERS
-    headers = [
-        (name, value) for name, value in call.headers if name.lower() not in dropped
-    ]
-    headers.append((REQUEST_ID_HEADER, call.request_id))
-    headers.append((ATTEMPT_ID_HEADER, call.attempt_id))
-    return headers
-
-
-def _answer_headers(
-    response: aiohttp.ClientResponse,
-) -> tuple[tuple[str, str], ...]:
-    pairs = ((name.lower(), value) for name, value in response.headers.items())
-    return tuple(pair for pair in pairs if pair[0] not in _CONNECTION_HEADERS)
+def _request_headers(call: ServiceCall) -> Headers:
+    own = (
+        (REQUEST_ID_HEADER, call.request_id),
+        (ATTEMPT_ID_HEADER, call.attempt_id),
+    )
+    names = {name for name, _ in own}
+    kept = end_to_end(call.headers)
+    return tuple(pair for pair in kept if pair[0] not in names) + own
--- a/src/_monsoonpulley/endpoints/http_transport.py
+++ b/src/_monsoonpulley/endpoints/http_transport.py
@@ -184,8 +184,9 @@
     TooLargeError
         If it has more than ``max_bytes``.
     """
-    declared = response.content_length
-    if declared is not None and declared > max_bytes:
+    declared = response.content_length or 0
+    # The length in an answer to HEAD is that of a body which is not sent.
+    if declared > max_bytes and response.method != "HEAD":
         raise TooLargeError(f"the body has {declared} bytes, more than {max_bytes}")
     body = bytearray()
     async for chunk in response.content.iter_any():
--- a/src/_monsoonpulley/standins/plainservice.py
+++ b/src/_monsoonpulley/standins/plainservice.py
@@ -15,6 +15,7 @@
 from ..endpoints.service import Execution, Lookup, ServiceAnswer, ServiceCall
 from ..errors import Delivery, Failure, Reason
 from ..ids import EndpointId, RequestId, VersionId
+from .bad_version import BadEffect, BadVersion
 
 
 class ExecutionLedger:
@@ -70,8 +71,9 @@
         For ``SLOW``.
     late_ms : int
         For ``EXECUTE_LATE``.
-    bad_versions : dict of VersionId to PlainFault
-        Versions with a fault on every call.
+    bad_versions : dict of VersionId to BadVersion
+        Versions that are bad, and how. Failing ones answer with status 500
+        and execute nothing.
     """
 
     service_ms: int = 20
@@ -79,7 +81,7 @@
     refusal_status: int = 429
     slow_factor: float = 20.0
     late_ms: int = 30_000
-    bad_versions: dict[VersionId, PlainFault] = {}
+    bad_versions: dict[VersionId, BadVersion] = {}
 
 
 class PlainServiceStandin:
@@ -122,6 +124,8 @@
         self.starts_while_leaving = 0
         self._clock = clock
         self._rng = rng
+        self._started_ms = clock.now_ms()
+        self._starts = 0
         self._faults: deque[PlainFault] = deque()
         self._running = asyncio.Event()
         self._running.set()
@@ -232,6 +236,7 @@
         if self.is_refusing or call.request_id in self._barred:
             return self._refusal()
         self._in_progress[call.request_id] += 1
+        self._starts += 1
         return await self._serve_read(call, fault, lifetime)
 
     async def _serve_read(
@@ -243,11 +248,17 @@
         if fault is PlainFault.HANG:
             await lifetime.wait()
             return self._cut_off()
-        factor = self.profile.slow_factor if fault is PlainFault.SLOW else 1.0
+        slow = self._bad(call, BadEffect.SLOW)
+        factor = slow.slow_factor if slow else 1.0
+        if fault is PlainFault.SLOW:
+            factor = self.profile.slow_factor
         await self._clock.sleep_ms(self._service_ms() * factor)
         await self._running.wait()
         if lifetime.is_set():
             return self._cut_off()
+        if self._bad(call, BadEffect.FAIL):
+            self._in_progress[call.request_id] -= 1
+            return ServiceAnswer(500, (), b"")
         answer = self._execute(call)
         if fault is PlainFault.CRASH_AFTER:
             self.crash()
@@ -256,9 +267,18 @@
         return answer
 
     def _next_fault(self) -> PlainFault | None:
-        if self._faults:
-            return self._faults.popleft()
-        return self.profile.bad_versions.get(self.version)
+        return self._faults.popleft() if self._faults else None
+
+    def _bad(self, call: ServiceCall, effect: BadEffect) -> BadVersion | None:
+        bad = self.profile.bad_versions.get(self.version)
+        if bad is None or bad.effect is not effect:
+            return None
+        age_ms = self._clock.now_ms() - self._started_ms
+        running = self._in_progress.total()
+        if not bad.is_active(age_ms, self._starts, running):
+            return None
+        route = call.path.partition("?")[0]
+        return bad if bad.affects(route, self._rng.random()) else None
 
     def _service_ms(self) -> float:
         return self.profile.service_ms * self._rng.uniform(0.9, 1.1)
--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -193,33 +193,39 @@
 
 class StandinTest(unittest.TestCase):
     def test_the_whole_text_is_the_same_when_resumed_over_http(self):
-        async def main(path, cut, limited):
+        async def resumed(to, path, cut, limited):
+            name = f"{path}-{cut}-{limited}"
+            call = engine_call(name, path=path, max_tokens=16)
+            if not limited:
+                del call.body["max_tokens"]
+            before = (await collect(to.generate(call)))[:cut]
+            rest = engine_call(
+                name,
+                attempt=2,
+                path=path,
+                text_so_far=text_of(before),
+                tokens_so_far=cut,
+            )
+            rest.body.clear()
+            rest.body.update(call.body)
+            return before + await collect(to.generate(rest))
+
+        async def main():
+            words = " ".join(whole_text(prompt(4).split(), 16))
             async with over_http(engine(**FAST)) as to:
-                call = engine_call(path=path, max_tokens=16)
-                if not limited:
-                    del call.body["max_tokens"]
-                before = (await collect(to.generate(call)))[:cut]
-                rest = engine_call(
-                    attempt=2,
-                    path=path,
-                    max_tokens=16,
-                    text_so_far=text_of(before),
-                    tokens_so_far=cut,
-                )
-                rest.body.clear()
-                rest.body.update(call.body)
-                return before + await collect(to.generate(rest))
-
-        words = " ".join(whole_text(prompt(4).split(), 16))
-        for path, lead in ((CHAT, ""), (PLAIN, " ")):
-            for cut in (0, 1, 7, 15, 16):
-                for limited in (True, False):
-                    items = asyncio.run(main(path, cut, limited))
-                    self.assertEqual(text_of(items), lead + words)
-                    offsets = [item.offset for item in items[:-1]]
-                    self.assertEqual(offsets, list(range(16)))
-                    counts = (items[-1].prompt_tokens, items[-1].completion_tokens)
-                    self.assertEqual(counts, (4, 16))
+                for path, lead in ((CHAT, ""), (PLAIN, " ")):
+                    for cut in (0, 1, 7, 15, 16):
+                        for limited in (True, False):
+                            items = await resumed(to, path, cut, limited)
+                            self.check_whole(items, lead + words)
+
+        asyncio.run(main())
+
+    def check_whole(self, items, text):
+        self.assertEqual(text_of(items), text)
+        self.assertEqual([item.offset for item in items[:-1]], list(range(16)))
+        end = items[-1]
+        self.assertEqual((end.prompt_tokens, end.completion_tokens), (4, 16))
 
     def test_closing_the_stream_stops_the_engine(self):
         async def main():
--- a/testing/endpoints/test_http_service.py
+++ b/testing/endpoints/test_http_service.py
@@ -93,6 +93,21 @@
         self.assertEqual({r.delivery for r in results}, {Delivery.NOT_SENT})
         self.assertEqual(script.requests, [])
 
+    def test_unusable_methods_and_headers_are_not_sent(self):
+        script = Script()
+        calls = [service_call(method=name) for name in ("CONNECT", "A B", "")]
+        for pair in (("x y", "1"), ("x", "1\r\ny: 2"), ("x", "\u20ac"), ("", "1")):
+            calls.append(service_call(headers=(pair,)))
+        results = call_raw(script, *calls)
+        self.assertEqual({r.delivery for r in results}, {Delivery.NOT_SENT})
+        self.assertEqual(script.requests, [])
+
+    def test_a_large_length_in_an_answer_to_head_is_no_failure(self):
+        size = http_service.MAX_ANSWER_BYTES + 1
+        declared = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size
+        result = call_raw(Script(declared), service_call(method="HEAD"))[0]
+        self.assertEqual((result.status, result.body), (200, b""))
+
     def test_a_connect_error_counts_only_if_no_connection_was_seen(self):
         error = aiohttp.ConnectionTimeoutError()
         self.assertEqual(delivery_of(error, CallTrace()), Delivery.NOT_SENT)
@@ -154,7 +169,8 @@
         )
         headers = (
             ("accept", "text/csv"),
-            ("connection", "x-secret"),
+            ("connection", "close, X-Hop"),
+            ("x-hop", "secret"),
             ("content-length", "999"),
             ("expect", "100-continue"),
             ("x-request-id", "forged"),
@@ -171,7 +187,7 @@
         self.assertIn(b"accept: text/csv", head)
         self.assertIn(b"x-request-id: r1", head)
         self.assertIn(b"x-attempt-id: r1.1", head)
-        for absent in (b"forged", b"expect", b"999", b"x-secret", b"user-agent"):
+        for absent in (b"forged", b"expect", b"999", b"secret", b"user-agent"):
             self.assertNotIn(absent, head)
         self.assertNotIn(b"cookie", script.requests[1][0].lower())
 
--- a/testing/standins/test_plainservice.py
+++ b/testing/standins/test_plainservice.py
@@ -3,6 +3,7 @@
 
 from _monsoonpulley.endpoints.service import Execution, ServiceAnswer
 from _monsoonpulley.errors import Delivery, Failure, Reason
+from _monsoonpulley.standins.bad_version import BadEffect, BadVersion
 from _monsoonpulley.standins.manualloop import run_manual
 from _monsoonpulley.standins.plainservice import ExecutionLedger, PlainFault
 
@@ -88,6 +89,48 @@
         self.assertEqual(run_manual(main()), (Delivery.REFUSED, 0))
 
 
+class BadVersionTest(unittest.TestCase):
+    def statuses(self, bad, count=4, gap_s=1.0, path="/book?x=1"):
+        async def main():
+            endpoint = plain(bad_versions={"v1": bad})
+            tasks = []
+            for i in range(count):
+                call = service_call(f"r{i}", path=path)
+                tasks.append(asyncio.create_task(endpoint.call(call)))
+                await asyncio.sleep(gap_s)
+            results = await asyncio.gather(*tasks)
+            executed = len(endpoint.ledger.by_endpoint)
+            return [result.status for result in results], executed
+
+        return run_manual(main())
+
+    def test_failing_versions_answer_500_and_execute_nothing(self):
+        bad = BadVersion.fails_at_once()
+        self.assertEqual(self.statuses(bad), ([500] * 4, 0))
+        late = BadVersion.late(BadEffect.FAIL, after_ms=1_500)
+        self.assertEqual(self.statuses(late), ([200, 200, 500, 500], 2))
+
+    def test_one_route(self):
+        bad = BadVersion.on_route(BadEffect.FAIL, "/book")
+        self.assertEqual(self.statuses(bad), ([500] * 4, 0))
+        self.assertEqual(self.statuses(bad, path="/other"), ([200] * 4, 4))
+
+    def test_only_under_load(self):
+        bad = BadVersion.under_load(BadEffect.FAIL, above_running=2)
+        self.assertEqual(self.statuses(bad), ([200] * 4, 4))
+        statuses, executed = self.statuses(bad, gap_s=0.0)
+        self.assertIn(500, statuses)
+        self.assertEqual(executed, statuses.count(200))
+
+    def test_slow(self):
+        async def main():
+            bad = {"v1": BadVersion.slow_at_once(slow_factor=100.0)}
+            endpoint = plain(bad_versions=bad)
+            return await endpoint.call(service_call())
+
+        self.assertEqual(run_manual(main()).reason, Reason.TIMEOUT)
+
+
 class LookupTest(unittest.TestCase):
     def test_ran_gives_the_answer_also_after_a_crash(self):
         async def main():
