--- a/src/_monsoonpulley/cli.py
+++ b/src/_monsoonpulley/cli.py
@@ -9,18 +9,22 @@
 import asyncio
 import getpass
 import inspect
-import os
-import random
 import sys
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
-from enum import IntEnum
+from collections.abc import Sequence
 from pathlib import Path
-from typing import Annotated, Any, NoReturn, TypeVar
-from urllib.parse import urlsplit
-
-from cyclopts import App, CycloptsError, Parameter
-
+from typing import Any, NoReturn
+
+from cyclopts import App, CycloptsError
+
+from .cli_access import (
+    FROM_ENVIRONMENT,
+    Access,
+    ExitCode,
+    UsageError,
+    ask_entry,
+    print_answer_of,
+    print_failure,
+)
 from .cli_output import (
     config_status_text,
     conflict_text,
@@ -29,34 +33,14 @@
     history_text,
     status_text,
 )
-from .clock import Clock
 from .config.difference import difference
+from .config.document import Document
 from .config.ini import base_number, parse_document
-from .errors import Failure, Reason, SettingsError
+from .errors import Failure, SettingsError
 from .operator_client import OperatorClient
 from .operator_wire import HISTORY_MAX, ConflictBody, InvalidBody
 from .settings import Settings, read_text
 
-T = TypeVar("T")
-
-ENTRY_VARIABLE = "MONSOONPULLEY_ENTRY"
-CREDENTIAL_VARIABLE = "MONSOONPULLEY_CREDENTIAL"
-NO_ANSWER = (Reason.UNAVAILABLE, Reason.IN_DOUBT, Reason.TIMEOUT)
-
-
-class ExitCode(IntEnum):
-    """How the command ended."""
-
-    OK = 0
-    FAILED = 1
-    USAGE = 2
-    UNREACHABLE = 3
-
-
-class UsageError(Exception):
-    """The command can't be carried out as it was given."""
-
-
 app = App(
     name="monsoonpulley",
     help="Serve callers' work on reclaimable machines, and see how it goes.",
@@ -65,41 +49,6 @@
 app.command(config)
 
 
-@Parameter(name="*")
-@dataclass(frozen=True)
-class Access:
-    """How to reach the system."""
-
-    entry: Annotated[str | None, Parameter(env_var=ENTRY_VARIABLE)] = None
-    "Any entry instance, as http://IP:PORT."
-
-    credential_file: Path | None = None
-    """File with the operators' credential in its first line. Without it the
-    credential is taken from the variable MONSOONPULLEY_CREDENTIAL."""
-
-    def client(self) -> OperatorClient:
-        """Return a client, or raise `UsageError`."""
-        if not self.entry:
-            raise UsageError(f"give --entry http://IP:PORT or set {ENTRY_VARIABLE}")
-        parts = urlsplit(self.entry)
-        if parts.scheme not in ("http", "https") or not parts.hostname:
-            raise UsageError(f"--entry {self.entry!r}: expected http://IP:PORT")
-        rng = random.SystemRandom()
-        credential = self._credential()
-        return OperatorClient(self.entry, credential, Clock.from_system(), rng)
-
-    def _credential(self) -> str:
-        if self.credential_file is not None:
-            credential = read_text(self.credential_file).partition("\n")[0].strip()
-        else:
-            credential = os.environ.get(CREDENTIAL_VARIABLE, "")
-        if not credential:
-            raise UsageError(
-                f"no credential: give --credential-file or set {CREDENTIAL_VARIABLE}"
-            )
-        return credential
-
-
 @app.command
 def entry(*, settings: Path) -> int:
     """Run an entry instance until it is told to stop.
@@ -164,7 +113,7 @@
     expect: int | None = None,
     author: str = "",
     note: str = "",
-    access: Access = Access(),
+    access: Access = FROM_ENVIRONMENT,
 ) -> int:
     """Put a configuration file in force, if no other change came first.
 
@@ -183,7 +132,7 @@
     text = read_text(file)
     document = parse_document(text, str(file))
     author = author or getpass.getuser()
-    return _ask(
+    return ask_entry(
         access, lambda client: _apply(client, text, document, expect, author, note)
     )
 
@@ -191,14 +140,14 @@
 async def _apply(
     client: OperatorClient,
     text: str,
-    document: Any,
+    document: Document,
     expect: int | None,
     author: str,
     note: str,
 ) -> int:
     current = await client.config()
     if isinstance(current, Failure):
-        return _failed(current)
+        return print_failure(current)
     base = base_number(text) if expect is None else expect
     expected_number = current.number if base is None else base
     in_force = parse_document(current.ini, f"revision {current.number}")
@@ -216,13 +165,13 @@
         print("\n".join(str(one) for one in answer.problems), file=sys.stderr)
         return ExitCode.USAGE
     if isinstance(answer, Failure):
-        return _failed(answer)
+        return print_failure(answer)
     print(f"applied as revision {answer.number}, change token {answer.change_token}")
     return ExitCode.OK
 
 
 @config.command
-def show(number: int | None = None, *, access: Access = Access()) -> int:
+def show(number: int | None = None, *, access: Access = FROM_ENVIRONMENT) -> int:
     """Print the configuration in force, or a kept revision, as INI.
 
     Parameters
@@ -230,11 +179,13 @@
     number
         Which revision.
     """
-    return _print(access, lambda client: client.config(number), lambda one: one.ini)
+    return print_answer_of(
+        access, lambda client: client.config(number), lambda one: one.ini
+    )
 
 
 @config.command
-def history(*, limit: int = 20, access: Access = Access()) -> int:
+def history(*, limit: int = 20, access: Access = FROM_ENVIRONMENT) -> int:
     """List the last revisions, newest first.
 
     Parameters
@@ -244,23 +195,25 @@
     """
     if not 1 <= limit <= HISTORY_MAX:
         raise UsageError(f"--limit {limit}: expected 1 to {HISTORY_MAX}")
-    return _print(access, lambda client: client.history(limit), history_text)
+    return print_answer_of(access, lambda client: client.history(limit), history_text)
 
 
 @config.command(name="status")
-def config_status(*, access: Access = Access()) -> int:
+def config_status(*, access: Access = FROM_ENVIRONMENT) -> int:
     """Say in which entry instances the newest revision is in force."""
-    return _print(access, lambda client: client.config_status(), config_status_text)
+    return print_answer_of(
+        access, lambda client: client.config_status(), config_status_text
+    )
 
 
 @app.command
-def status(*, access: Access = Access()) -> int:
+def status(*, access: Access = FROM_ENVIRONMENT) -> int:
     """Show instances, endpoints, versions on their way and control duties."""
-    return _print(access, lambda client: client.status(), status_text)
+    return print_answer_of(access, lambda client: client.status(), status_text)
 
 
 @app.command
-def explain(request_id: str, *, access: Access = Access()) -> int:
+def explain(request_id: str, *, access: Access = FROM_ENVIRONMENT) -> int:
     """Show what was decided about a request, and from what.
 
     Parameters
@@ -268,42 +221,9 @@
     request_id
         As named in the answer to the caller.
     """
-    return _print(access, lambda client: client.explain(request_id), explain_text)
-
-
-def _print(
-    access: Access,
-    ask: Callable[[OperatorClient], Awaitable[T | Failure]],
-    text: Callable[[T], str],
-) -> int:
-    async def print_answer(client: OperatorClient) -> int:
-        answer = await ask(client)
-        if isinstance(answer, Failure):
-            return _failed(answer)
-        print(text(answer))
-        return ExitCode.OK
-
-    return _ask(access, print_answer)
-
-
-def _ask(access: Access, ask: Callable[[OperatorClient], Awaitable[int]]) -> int:
-    async def with_client() -> int:
-        async with access.client() as client:
-            return await ask(client)
-
-    return asyncio.run(with_client())
-
-
-def _failed(failure: Failure) -> int:
-    print(f"monsoonpulley: {failure}", file=sys.stderr)
-    if failure.reason is Reason.IN_DOUBT:
-        print(
-            "The change may have been applied or may still be: look for its change "
-            "token in 'monsoonpulley config history'.",
-            file=sys.stderr,
-        )
-    no_answer = failure.reason in NO_ANSWER
-    return ExitCode.UNREACHABLE if no_answer else ExitCode.FAILED
+    return print_answer_of(
+        access, lambda client: client.explain(request_id), explain_text
+    )
 
 
 def _finish(result: Any) -> int:
--- /dev/null
+++ b/src/_monsoonpulley/cli_access.py
@@ -0,0 +1,118 @@
+"""How commands reach an entry instance, and how they end."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import IntEnum
+from pathlib import Path
+from typing import Annotated, TypeVar
+from urllib.parse import urlsplit
+
+from cyclopts import Parameter
+
+from .clock import Clock
+from .errors import Failure, Reason
+from .operator_client import OperatorClient
+from .settings import read_text
+
+T = TypeVar("T")
+
+ENTRY_VARIABLE = "MONSOONPULLEY_ENTRY"
+CREDENTIAL_VARIABLE = "MONSOONPULLEY_CREDENTIAL"
+NO_ANSWER = (Reason.UNAVAILABLE, Reason.IN_DOUBT, Reason.TIMEOUT)
+
+
+class ExitCode(IntEnum):
+    """How the command ended."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    UNREACHABLE = 3
+
+
+class UsageError(Exception):
+    """The command can't be carried out as it was given."""
+
+
+@Parameter(name="*")
+@dataclass(frozen=True)
+class Access:
+    """How to reach the system."""
+
+    entry: Annotated[str | None, Parameter(env_var=ENTRY_VARIABLE)] = None
+    "Any entry instance, as http://IP:PORT."
+
+    credential_file: Path | None = None
+    """File with the operators' credential in its first line. Without it the
+    credential is taken from the variable MONSOONPULLEY_CREDENTIAL."""
+
+    def client(self) -> OperatorClient:
+        """Return a client, or raise `UsageError`."""
+        if not self.entry:
+            raise UsageError(f"give --entry http://IP:PORT or set {ENTRY_VARIABLE}")
+        parts = urlsplit(self.entry)
+        if parts.scheme not in ("http", "https") or not parts.hostname:
+            raise UsageError(f"--entry {self.entry!r}: expected http://IP:PORT")
+        rng = random.SystemRandom()
+        credential = self._credential()
+        return OperatorClient(self.entry, credential, Clock.from_system(), rng)
+
+    def _credential(self) -> str:
+        if self.credential_file is not None:
+            credential = read_text(self.credential_file).partition("\n")[0].strip()
+        else:
+            credential = os.environ.get(CREDENTIAL_VARIABLE, "")
+        if not credential:
+            raise UsageError(
+                f"no credential: give --credential-file or set {CREDENTIAL_VARIABLE}"
+            )
+        return credential
+
+
+FROM_ENVIRONMENT = Access()
+
+
+def print_answer_of(
+    access: Access,
+    ask: Callable[[OperatorClient], Awaitable[T | Failure]],
+    text: Callable[[T], str],
+) -> int:
+    """Ask an entry instance, print its answer as text, return the exit code."""
+
+    async def print_answer(client: OperatorClient) -> int:
+        answer = await ask(client)
+        if isinstance(answer, Failure):
+            return print_failure(answer)
+        print(text(answer))
+        return ExitCode.OK
+
+    return ask_entry(access, print_answer)
+
+
+def ask_entry(access: Access, ask: Callable[[OperatorClient], Awaitable[int]]) -> int:
+    """Carry out ``ask`` with a client and return its exit code."""
+
+    async def with_client() -> int:
+        async with access.client() as client:
+            return await ask(client)
+
+    return asyncio.run(with_client())
+
+
+def print_failure(failure: Failure) -> int:
+    """Print a failure on standard error and return its exit code."""
+    print(f"monsoonpulley: {failure}", file=sys.stderr)
+    if failure.reason is Reason.IN_DOUBT:
+        print(
+            "The change may have been applied or may still be: look for its change "
+            "token in 'monsoonpulley config history'.",
+            file=sys.stderr,
+        )
+    no_answer = failure.reason in NO_ANSWER
+    return ExitCode.UNREACHABLE if no_answer else ExitCode.FAILED
--- a/src/_monsoonpulley/config/store.py
+++ b/src/_monsoonpulley/config/store.py
@@ -144,7 +144,8 @@
             It did not and never will.
         Failure
             ``Reason.IN_DOUBT`` if it may have or may yet; the detail names the
-            change token. Any other reason: it did not and never will.
+            change token. Any other reason: this call did not and never will;
+            an earlier one with the same change token still may.
         """
         head = await self._read_head()
         if isinstance(head, Failure):
--- /dev/null
+++ b/testing/test_cli.py
@@ -0,0 +1,187 @@
+import contextlib
+import io
+import os
+import re
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from _monsoonpulley.cli import main
+from testing.config.documents import VALID, document_of
+from testing.operatorserver import CREDENTIAL, OperatorServer
+
+
+class Result:
+    def __init__(self, *arguments):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            self.code = main(arguments)
+        self.out, self.err = out.getvalue(), err.getvalue()
+
+
+class CliTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        environment = mock.patch.dict(os.environ)
+        environment.start()
+        self.addCleanup(environment.stop)
+        os.environ.pop("MONSOONPULLEY_ENTRY", None)
+        os.environ["MONSOONPULLEY_CREDENTIAL"] = CREDENTIAL
+
+    def write(self, text, name="c.ini"):
+        path = self.folder / name
+        path.write_text(text, encoding="utf-8")
+        return str(path)
+
+
+class OfflineTest(CliTest):
+    def test_check_accepts_a_valid_file(self):
+        result = Result("config", "check", self.write(VALID))
+        self.assertEqual((result.code, result.err), (0, ""))
+        self.assertIn("2 services, 3 versions, 2 classes and 1 customers", result.out)
+
+    def test_check_names_every_problem_of_an_invalid_file(self):
+        result = Result("config", "check", self.write("[class a]\n[clas b]\n"))
+        self.assertEqual((result.code, result.out), (2, ""))
+        self.assertEqual(len(result.err.splitlines()), 3)
+
+    def test_usage_errors_end_with_2_and_say_what_is_wrong(self):
+        for arguments, part in (
+            (["nonsense"], "nonsense"),
+            (["config", "apply"], "requires an argument"),
+            (["status", "--bogus", "3"], "--bogus"),
+            (["status"], "MONSOONPULLEY_ENTRY"),
+            (["status", "--entry", "10.0.0.4:80"], "expected http://IP:PORT"),
+            (["config", "history", "--limit", "0"], "expected 1 to 500"),
+            (["config", "check", "/does/not/exist"], "can't be read"),
+            (["entry", "--settings", self.write("[entry]\n")], "instance: is missing"),
+        ):
+            with self.subTest(arguments):
+                result = Result(*arguments)
+                self.assertEqual((result.code, result.out), (2, ""))
+                self.assertIn(part, result.err)
+
+    def test_a_missing_credential_is_a_usage_error(self):
+        del os.environ["MONSOONPULLEY_CREDENTIAL"]
+        result = Result("status", "--entry", "http://127.0.0.1:1")
+        self.assertEqual(result.code, 2)
+        self.assertIn("--credential-file", result.err)
+
+    def test_help_names_all_commands(self):
+        result = Result("--help")
+        self.assertEqual(result.code, 0)
+        for name in ("entry", "demo", "standin", "config", "status", "explain"):
+            self.assertIn(f" {name} ", result.out)
+
+    def test_nobody_listening_ends_with_3(self):
+        result = Result("status", "--entry", "http://127.0.0.1:1")
+        self.assertEqual((result.code, result.out), (3, ""))
+        self.assertIn("http://127.0.0.1:1", result.err)
+
+
+class OnlineTest(CliTest):
+    def setUp(self):
+        super().setUp()
+        self.server = self.enterContext(OperatorServer())
+        os.environ["MONSOONPULLEY_ENTRY"] = self.server.url
+
+    def apply(self, text, *options):
+        return Result("config", "apply", self.write(text), "--author", "ana", *options)
+
+    def head(self):
+        return self.server.run(self.server.store.head())
+
+    def other_change(self, number, **targets_ms):
+        return self.server.store.apply(
+            document_of(**targets_ms), expected_number=number, author="bea", note="n"
+        )
+
+    def test_apply_prints_difference_and_revision(self):
+        result = self.apply(VALID, "--note", "start")
+        self.assertEqual((result.code, result.err), (0, ""))
+        self.assertIn("added [class uploads]", result.out)
+        self.assertIn("applied as revision 1", result.out)
+        self.assertEqual((self.head().author, self.head().note), ("ana", "start"))
+
+    def test_apply_of_what_is_in_force_changes_nothing(self):
+        self.apply(VALID)
+        result = self.apply(VALID)
+        self.assertEqual(result.code, 0)
+        self.assertIn("no section differs", result.out)
+        self.assertEqual(self.head().number, 1)
+
+    def test_shown_text_applies_again_but_not_over_a_newer_revision(self):
+        self.apply(VALID)
+        shown = Result("config", "show").out
+        self.server.run(self.other_change(1, a=1))
+        result = self.apply(shown.replace("= 20000", "= 30000"))
+        self.assertEqual(result.code, 1)
+        self.assertIn("revision 2 is in force, by 'bea' (n)", result.err)
+        self.assertIn("answer_within_ms: 20000 -> 30000", result.err)
+        self.assertIn("Both touch: class summaries", result.err)
+        self.assertEqual(self.head().number, 2)
+
+    def test_a_change_racing_with_apply_is_refused(self):
+        async def before_apply():
+            await self.other_change(0, a=1)
+
+        self.server.before_apply = before_apply
+        self.assertEqual(self.apply(VALID).code, 1)
+        self.assertEqual(self.head().author, "bea")
+
+    def test_expect_goes_before_the_file(self):
+        self.apply(VALID)
+        text = "# based on revision 1\n" + VALID.replace("20000", "5")
+        self.assertEqual(self.apply(text, "--expect", "0").code, 1)
+        self.assertEqual(self.apply(text, "--expect", "1").code, 0)
+
+    def test_lost_answers_are_settled_by_one_change_token(self):
+        self.server.lost_answers = 2
+        result = self.apply(VALID)
+        self.assertEqual(result.code, 0, result.err)
+        self.assertEqual(self.head().number, 1)
+        self.assertEqual(len({put.change_token for put in self.server.puts}), 1)
+        self.assertEqual(len(self.server.puts), 3)
+
+    def test_lost_answers_without_end_are_in_doubt_and_name_the_token(self):
+        self.server.lost_answers = 100
+        with mock.patch("_monsoonpulley.operator_client.APPLY_RETRY_MS", 1):
+            result = self.apply(VALID)
+        self.assertEqual(result.code, 3)
+        self.assertIn(self.head().change_token, result.err)
+        self.assertIn("config history", result.err)
+
+    def test_a_table_outage_ends_with_3(self):
+        self.server.table.is_away = True
+        result = self.apply(VALID)
+        self.assertEqual(result.code, 3)
+        self.assertIn("at table: unavailable", result.err)
+
+    def test_a_wrong_credential_ends_with_1(self):
+        path = self.write("wrong\n", "credential")
+        result = Result("status", "--credential-file", path)
+        self.assertEqual(result.code, 1)
+        self.assertIn("unauthenticated", result.err)
+
+    def test_an_unknown_revision_ends_with_1(self):
+        result = Result("config", "show", "7")
+        self.assertEqual((result.code, result.out), (1, ""))
+        self.assertIn("not_found", result.err)
+
+    def test_views_print_what_the_instance_says(self):
+        self.apply(VALID, "--note", "start")
+        for arguments, pattern in (
+            (["config", "show"], r"# based on revision 1\n\n\[service pool\]"),
+            (["config", "show", "1"], r"\[version pool v2\]\ndeadline = 2026-12-04"),
+            (["config", "history"], r"1 +\S+Z +ana +[0-9a-f]{32} +start"),
+            (["config", "status"], r"revision 2: in force in 1 of 2 known"),
+            (["status"], r"pool +v2 +ramp +\S+Z +3 of 10"),
+            (["explain", "r/1"], r"request r/1\n\S+Z  e1  routed  endpoint=\"w1\""),
+        ):
+            with self.subTest(arguments):
+                result = Result(*arguments)
+                self.assertEqual((result.code, result.err), (0, ""))
+                self.assertTrue(re.search(pattern, result.out), result.out)
