--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -36,11 +36,16 @@
     ----------
     settings : Settings
         Of the process.
+    clock : Clock
+        Of the running loop.
+    log : Log
+        Takes the log lines.
     """
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, clock: Clock, log: Log):
         self._settings = settings
-        self._clock = Clock.from_system()
+        self._clock = clock
+        self._log = log
         self._endpoint_sessions = HttpSessions()
         self._platform_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0)
@@ -90,16 +95,13 @@
 
     def _surroundings(self) -> Surroundings:
         settings = self._settings
-        entry = settings.entry
         metrics = settings.metrics
         return Surroundings(
             platform=connect_platform(settings.platform, self._platform_session),
             make_client=self._make_client,
             clock=self._clock,
             rng=random.Random(secrets.randbits(128)),
-            log=Log.from_settings(
-                self._clock, entry.instance, settings.log.level.value
-            ),
+            log=self._log,
             metrics=metrics_to(metrics.host, metrics.port, metrics.prefix),
         )
 
@@ -123,7 +125,10 @@
 
 
 async def _run(settings: Settings) -> None:
-    daemon = EntryDaemon(settings)
+    clock = Clock.from_system()
+    level = settings.log.level.value
+    log = Log.from_settings(clock, settings.entry.instance, level)
+    daemon = EntryDaemon(settings, clock, log)
     daemon.leave_on_signals()
     await daemon.run()
 
--- /dev/null
+++ b/src/_monsoonpulley/demo/__init__.py
@@ -0,0 +1,7 @@
+"""A short session against the whole system, on this machine."""
+
+from __future__ import annotations
+
+from .session import run_demo
+
+__all__ = ["run_demo"]
--- /dev/null
+++ b/src/_monsoonpulley/demo/calls.py
@@ -0,0 +1,117 @@
+"""The demo's callers, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from ..clock import Clock
+
+REQUEST_TIMEOUT_S = 15
+
+
+class Streamed(msgspec.Struct):
+    """A streamed answer as its caller got it."""
+
+    offsets: list[int] = []
+    text: str = ""
+    done: bool = False
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer and how long it took."""
+
+    status: int
+    outcome: str
+    request_id: str
+    repeated: bool
+    body: bytes
+    took_ms: int
+
+
+class DemoCaller:
+    """Sends requests to one entry instance.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Carries the requests.
+    base_url : str
+        Of the entry instance.
+    credential : str
+        Of the customer.
+    clock : Clock
+        Times the answers.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        credential: str,
+        clock: Clock,
+    ):
+        self._session = session
+        self._base_url = base_url
+        self._headers = {"authorization": f"Bearer {credential}"}
+        self._clock = clock
+
+    async def ask(self, class_id: str, prompt: str, max_tokens: int) -> Answer:
+        """Ask for a whole chat completion."""
+        body = _chat(class_id, prompt, max_tokens)
+        return await self.post("/v1/chat/completions", body)
+
+    async def post(self, path: str, body: dict, key: str = "") -> Answer:
+        """Post JSON and return the whole answer."""
+        headers = {**self._headers, "content-type": "application/json"}
+        if key:
+            headers["idempotency-key"] = f'"{key}"'
+        started_ms = self._clock.now_ms()
+        async with self._session.post(
+            self._base_url + path, data=msgspec.json.encode(body), headers=headers
+        ) as response:
+            content = await response.read()
+            return Answer(
+                status=response.status,
+                outcome=response.headers.get("x-outcome", ""),
+                request_id=response.headers.get("x-request-id", ""),
+                repeated=response.headers.get("x-repeated") == "true",
+                body=content,
+                took_ms=self._clock.now_ms() - started_ms,
+            )
+
+    async def stream(
+        self, class_id: str, prompt: str, max_tokens: int, begun: asyncio.Event
+    ) -> Streamed:
+        """Stream a chat completion; ``begun`` is set with the first token."""
+        body = {**_chat(class_id, prompt, max_tokens), "stream": True}
+        streamed = Streamed([], "", False)
+        async with self._session.post(
+            f"{self._base_url}/v1/chat/completions",
+            data=msgspec.json.encode(body),
+            headers=self._headers,
+        ) as response:
+            async for raw in response.content:
+                _take_line(streamed, raw.decode().strip())
+                if streamed.offsets:
+                    begun.set()
+        begun.set()
+        return streamed
+
+
+def _chat(class_id: str, prompt: str, max_tokens: int) -> dict:
+    message = {"role": "user", "content": prompt}
+    return {"model": class_id, "messages": [message], "max_tokens": max_tokens}
+
+
+def _take_line(streamed: Streamed, line: str) -> None:
+    if line.startswith("id: "):
+        streamed.offsets.append(int(line.rpartition(":")[2]))
+    elif line == "data: [DONE]":
+        streamed.done = True
+    elif line.startswith("data: "):
+        chunk = msgspec.json.decode(line[len("data: ") :])
+        for choice in chunk.get("choices", ()):
+            streamed.text += choice["delta"].get("content", "")
--- a/src/_monsoonpulley/httpserver.py
+++ b/src/_monsoonpulley/httpserver.py
@@ -36,6 +36,8 @@
             ws="none",
             lifespan="off",
             log_config=None,
+            # Faults are logged by the application itself.
+            log_level="critical",
             access_log=False,
             server_header=False,
             timeout_keep_alive=KEEPALIVE_S,
--- a/src/_monsoonpulley/lifecycle.py
+++ b/src/_monsoonpulley/lifecycle.py
@@ -35,6 +35,7 @@
         self._idle.set()
         self._left_ms: int | None = None
         self._leaving = asyncio.Event()
+        self._ready = asyncio.Event()
         self.phase = Phase.STARTING
         self.deadline_ms: int | None = None
 
@@ -48,6 +49,7 @@
         if self.phase is Phase.STARTING:
             self.phase = Phase.READY
             self._log.event("instance_ready")
+        self._ready.set()
 
     def leave(self, reason: str, deadline_ms: int | None) -> None:
         """Enter ``LEAVING``; a second call may only bring the deadline forward.
@@ -101,6 +103,10 @@
             if not self._in_progress:
                 self._idle.set()
 
+    async def wait_ready(self) -> None:
+        """Return once the instance is, or was, ready."""
+        await self._ready.wait()
+
     async def wait_leaving(self) -> None:
         """Return once the instance is leaving."""
         await self._leaving.wait()
--- a/src/_monsoonpulley/standins/plan.py
+++ b/src/_monsoonpulley/standins/plan.py
@@ -11,6 +11,8 @@
 from ..ids import ServiceId, VersionId, ZoneId
 from ..inisections import Problems, parse_sections, read_struct, suggestion
 from ..inivalues import ListenAddress
+from .engine_profile import EngineProfile
+from .plainservice import PlainServiceProfile
 
 Name = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 
@@ -30,6 +32,12 @@
     ----------
     kind : ServiceKind
         Model engine or plain service.
+    prefill_tokens_per_s, decode_base_ms : float
+        Speeds of an engine.
+    max_running : int
+        Most requests that an engine batches.
+    service_ms : int
+        Time that a plain service takes for a call.
     """
 
     kind: ServiceKind
@@ -37,6 +45,23 @@
     version: VersionId
     zone: ZoneId
     listen: ListenAddress
+    prefill_tokens_per_s: Annotated[float, Meta(gt=0)] = 8_000.0
+    decode_base_ms: Annotated[float, Meta(ge=0)] = 10.0
+    max_running: Annotated[int, Meta(ge=1, le=4_096)] = 8
+    service_ms: Annotated[int, Meta(ge=0, le=600_000)] = 20
+
+    def engine_profile(self) -> EngineProfile:
+        """Return the profile of an engine."""
+        return EngineProfile(
+            max_running=self.max_running,
+            prefill_tokens_per_s=self.prefill_tokens_per_s,
+            decode_base_ms=self.decode_base_ms,
+            decode_ms_per_running=0.1 * self.decode_base_ms,
+        )
+
+    def service_profile(self) -> PlainServiceProfile:
+        """Return the profile of a plain service's endpoint."""
+        return PlainServiceProfile(service_ms=self.service_ms)
 
 
 class ListedEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/_monsoonpulley/standins/serve.py
+++ b/src/_monsoonpulley/standins/serve.py
@@ -14,8 +14,7 @@
 from ..platform.livelist import Member, Role
 from .endpoints_http import engine_app, service_app
 from .engine import EngineStandin
-from .engine_profile import EngineProfile
-from .plainservice import ExecutionLedger, PlainServiceProfile, PlainServiceStandin
+from .plainservice import ExecutionLedger, PlainServiceStandin
 from .plan import ListedEntry, ServedEndpoint, StandinPlan
 from .platform import PlatformStandin
 from .platform_http import PlatformHttp
@@ -39,7 +38,7 @@
         self.engines: dict[EndpointId, EngineStandin] = {}
         self.services: dict[EndpointId, PlainServiceStandin] = {}
         self.platform = PlatformStandin(
-            clock, self._fork(), lag_ms=plan.platform.livelist_lag_ms
+            clock, self.fork_rng(), lag_ms=plan.platform.livelist_lag_ms
         )
         listen = plan.platform.listen
         app = PlatformHttp(self.platform).app()
@@ -70,7 +69,11 @@
     def _endpoint(self, name: EndpointId, plan: ServedEndpoint) -> HttpServer:
         if plan.kind is ServiceKind.MODEL:
             engine = EngineStandin(
-                name, plan.version, self._clock, self._fork(), EngineProfile()
+                name,
+                plan.version,
+                self._clock,
+                self.fork_rng(),
+                plan.engine_profile(),
             )
             self.engines[name] = engine
             app = engine_app(engine, self._clock)
@@ -79,8 +82,8 @@
                 name,
                 plan.version,
                 self._clock,
-                self._fork(),
-                PlainServiceProfile(),
+                self.fork_rng(),
+                plan.service_profile(),
                 self.ledger,
             )
             self.services[name] = service
@@ -115,7 +118,8 @@
             server.force_exit = True
             server.stop()
 
-    def _fork(self) -> random.Random:
+    def fork_rng(self) -> random.Random:
+        """Return a new source of draws, seeded from the plan's seed."""
         return random.Random(self._rng.getrandbits(64))
 
 
