Send without delay on accepted connections

Cause: 44 ms to the first byte straight from an engine that takes under 1 ms. asyncio sets TCP_NODELAY only on sockets that name IPPROTO_TCP, accepted ones inherit that from the listener, and socket.create_server leaves it out; so small writes waited for the delayed acknowledgement. Ruled out: the engine's timing (prefill set to 1e7 tokens/s) and the client, whose transport sets the option.

--- a/src/_monsoonpulley/httpserver.py
+++ b/src/_monsoonpulley/httpserver.py
@@ -44,10 +44,7 @@
             timeout_graceful_shutdown=SHUTDOWN_S,
         )
         super().__init__(config)
-        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-        self._listener = socket.create_server(
-            (ip, port), family=family, backlog=BACKLOG
-        )
+        self._listener = _listen(ip, port)
 
     @property
     def port(self) -> int:
@@ -72,3 +69,17 @@
     def stop(self) -> None:
         """End the server once its connections are idle, after 5 s at most."""
         self.should_exit = True
+
+
+def _listen(ip: str, port: int) -> socket.socket:
+    """Return a listening socket whose connections send without delay.
+
+    asyncio sets ``TCP_NODELAY`` only on sockets that name their protocol, and
+    accepted sockets take it from the listening one.
+    """
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((ip, port))
+    listener.listen(BACKLOG)
+    return listener
