--- a/src/_monsoonpulley/standins/httpserver.py
+++ b/src/_monsoonpulley/standins/httpserver.py
@@ -11,6 +11,18 @@
 import uvicorn
 
 
+def listening_socket(host: str, port: int) -> socket.socket:
+    """Return a bound socket whose connections send without delay.
+
+    ``asyncio`` switches Nagle's algorithm off only for sockets that name TCP as
+    their protocol, which those of ``socket.create_server`` do not.
+    """
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    return listener
+
+
 class _QuietServer(uvicorn.Server):
     """A server that leaves signals to the program around it."""
 
@@ -27,7 +39,7 @@
 
     Port 0 takes a free one. Leaving ends open exchanges.
     """
-    listener = socket.create_server((host, port))
+    listener = listening_socket(host, port)
     config = uvicorn.Config(
         app, log_level="critical", lifespan="off", timeout_graceful_shutdown=0
     )
