Aim faults at one instance and compare the etcd adapter with memory

Cause: tests with several instances need a fault at one of them, whichever commits first; an exception inside a stand-in only showed as a call in doubt.

Change: `next_commit` and `next_call` take a peer. A fault of the program inside a stand-in is raised at its caller. A seeded sequence of 200 commits and scans goes through the etcd adapter and a table in memory, and must answer the same.

--- a/src/_monsoonpulley/standins/calls.py
+++ b/src/_monsoonpulley/standins/calls.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..errors import Failure, Reason
 from ..ids import ZoneId
-from .faults import CallPlan, FaultKind, Faults, Part
+from .faults import CallPlan, FaultKind, Faults, Part, part_of
 
 T = TypeVar("T")
 
@@ -58,7 +58,7 @@
     async def _call(
         self, step: str, effect: Callable[[], T], no_answer: Reason
     ) -> T | Failure:
-        plan = self._faults.plan(step, self._clock.now_ms())
+        plan = self._faults.plan(step, self._peer, self._clock.now_ms())
         if plan.fault is FaultKind.REFUSED:
             await self._clock.sleep_ms(plan.request_ms)
             return self._failure(Reason.UNAVAILABLE, step, "refused")
@@ -89,7 +89,7 @@
     ) -> None:
         """Let the call land by timers, which outlive a caller that gives up."""
         loop = asyncio.get_running_loop()
-        part = Part(step.partition(".")[0])
+        part = part_of(step)
 
         def respond(value: T) -> None:
             if self._reachable() and not answer.done():
@@ -98,7 +98,13 @@
         def land() -> None:
             if not self._accepting(part, plan):
                 return
-            value = effect()
+            try:
+                value = effect()
+            except Exception as error:
+                # A fault of the program belongs to the caller, not to the loop.
+                if not answer.done():
+                    answer.set_exception(error)
+                return
             if plan.fault is None:
                 loop.call_later(plan.response_ms / 1000, respond, value)
 
--- a/src/_monsoonpulley/standins/faults.py
+++ b/src/_monsoonpulley/standins/faults.py
@@ -109,7 +109,7 @@
         self._rng = rng
         self._down: dict[Part, FaultKind] = {}
         self._windows: list[tuple[Part, int, int, FaultKind]] = []
-        self._next: defaultdict[str, deque[FaultKind]] = defaultdict(deque)
+        self._next: defaultdict[tuple[str, str], deque[FaultKind]] = defaultdict(deque)
         self._chances: defaultdict[str, dict[FaultKind, float]] = defaultdict(dict)
         self._latencies: dict[Part, Latency] = {}
 
@@ -147,13 +147,18 @@
             else:
                 self._latencies[each] = latency
 
-    def next_call(self, step: str, kind: FaultKind, count: int = 1) -> None:
-        """Let the next ``count`` calls of a step, such as ``cloud.start``, fail."""
-        self._next[step].extend([kind] * count)
+    def next_call(
+        self, step: str, kind: FaultKind, count: int = 1, *, peer: str = ""
+    ) -> None:
+        """Let the next ``count`` calls of a step, such as ``cloud.start``, fail.
+
+        With ``peer`` only calls of this instance count.
+        """
+        self._next[step, peer].extend([kind] * count)
 
-    def next_commit(self, kind: FaultKind, count: int = 1) -> None:
-        """Let the next ``count`` table commits fail."""
-        self.next_call("table.commit", kind, count)
+    def next_commit(self, kind: FaultKind, count: int = 1, *, peer: str = "") -> None:
+        """Let the next ``count`` table commits, of all or one instance, fail."""
+        self.next_call("table.commit", kind, count, peer=peer)
 
     def chance(self, step: str, kind: FaultKind, probability: float) -> None:
         """Let calls of a step fail by chance; probability 0 ends it."""
@@ -178,10 +183,11 @@
                 return kind
         return None
 
-    def plan(self, step: str, now_ms: int) -> CallPlan:
-        """Decide how the call of ``step`` that starts now goes."""
-        part = Part(step.partition(".")[0])
-        return CallPlan(self._fault(part, step, now_ms), *self._delays_ms(part))
+    def plan(self, step: str, peer: str, now_ms: int) -> CallPlan:
+        """Decide how the call of ``step`` that ``peer`` starts now goes."""
+        part = part_of(step)
+        fault = self.outage_kind(part, now_ms) or self._fault(step, peer)
+        return CallPlan(fault, *self._delays_ms(part))
 
     def _delays_ms(self, part: Part) -> tuple[float, float]:
         latency = self._latencies.get(part)
@@ -189,17 +195,20 @@
             return 0.0, 0.0
         return latency.draw_ms(self._rng), latency.draw_ms(self._rng)
 
-    def _fault(self, part: Part, step: str, now_ms: int) -> FaultKind | None:
-        outage = self.outage_kind(part, now_ms)
-        if outage is not None:
-            return outage
-        if self._next[step]:
-            return self._next[step].popleft()
+    def _fault(self, step: str, peer: str) -> FaultKind | None:
+        for planned in (self._next[step, peer], self._next[step, ""]):
+            if planned:
+                return planned.popleft()
         for kind, probability in self._chances[step].items():
             if self._rng.random() < probability:
                 return kind
         return None
 
 
+def part_of(step: str) -> Part:
+    """Return the part that carries a step, such as ``table.commit``."""
+    return Part(step.partition(".")[0])
+
+
 def _parts(part: Part | None) -> tuple[Part, ...]:
     return tuple(Part) if part is None else (part,)
--- a/testing/platform/test_adapters.py
+++ b/testing/platform/test_adapters.py
@@ -19,6 +19,7 @@
 from _monsoonpulley.standins.httpserver import serving
 from _monsoonpulley.standins.platform import PlatformStandin
 from _monsoonpulley.standins.platform_http import PlatformHttp, settings_for
+from _monsoonpulley.standins.table import TableStandin
 
 TIMEOUT_MS = 400
 INNER_TIMEOUT_MS = 50
@@ -73,6 +74,28 @@
         self.assertEqual(result, Conflict({"a": Row("a", b"1", held.revision)}))
         self.assertEqual(list(self.standin.table.rows), ["a"])
 
+    async def test_it_answers_as_a_table_in_memory_does(self):
+        rng = Random(11)
+        model = TableStandin(Clock.from_system(), rng)
+        keys = ["a", "a/", "a/b", "b", "é", "éé", "\U0010ffff"]
+        for _ in range(200):
+            chosen = rng.sample(keys, rng.randint(1, 3))
+            held = [model.rows.get(key) for key in chosen]
+            revisions = [row.revision if row else 0 for row in held]
+            writes = [
+                Write(
+                    key, rng.choice([b"", b"1", None]), rng.choice([revision] * 9 + [1])
+                )
+                for key, revision in zip(chosen, revisions, strict=True)
+            ]
+            self.assertEqual(await self.table.commit(writes), model.commit(writes))
+            prefix, after, limit = rng.choice(keys), rng.choice(keys), rng.randint(1, 9)
+            self.assertEqual(
+                await self.table.scan(prefix, after=after, limit=limit),
+                model.scan(prefix, after, limit),
+            )
+        self.assertGreater(model.counts.conflicts, 10)
+
     async def test_a_row_is_deleted_at_its_revision(self):
         held = await self.table.commit([Write("a", b"1", 0)])
         gone = await self.table.commit([Write("a", None, held.revision)])
--- a/testing/standins/test_faults.py
+++ b/testing/standins/test_faults.py
@@ -91,6 +91,23 @@
 
         self.run_with(scenario)
 
+    def test_a_fault_can_be_kept_for_one_instance(self):
+        async def scenario(table, handle):
+            table.faults.next_commit(FaultKind.REFUSED, peer="entry-2")
+            other = table.connect("entry-2", "zone-a")
+            self.assertIsInstance(await handle.commit(put("a")), Committed)
+            self.assert_failure(await other.commit(put("b")), Reason.UNAVAILABLE)
+            self.assertIsInstance(await other.commit(put("b")), Committed)
+
+        self.run_with(scenario)
+
+    def test_a_fault_of_the_program_is_raised_at_its_caller(self):
+        async def scenario(table, handle):
+            with self.assertRaises(TypeError):
+                await handle.scan("a", after=None)
+
+        self.run_with(scenario)
+
     def test_an_outage_refuses_all_and_ends(self):
         async def scenario(table, handle):
             table.faults.outage(True)
@@ -186,7 +203,9 @@
         def failures(seed):
             faults = Faults(Random(seed))
             faults.chance("table.commit", FaultKind.REFUSED, 0.2)
-            return [faults.plan("table.commit", 0).fault for _ in range(2_000)]
+            return [
+                faults.plan("table.commit", "entry-1", 0).fault for _ in range(2_000)
+            ]
 
         self.assertEqual(failures(1), failures(1))
         share = sum(fault is not None for fault in failures(1)) / 2_000
