--- a/src/_monsoonpulley/httpserver.py
+++ b/src/_monsoonpulley/httpserver.py
@@ -44,7 +44,7 @@
             timeout_graceful_shutdown=SHUTDOWN_S,
         )
         super().__init__(config)
-        self._listener = _listen(ip, port)
+        self._listener = listening_socket(ip, port)
 
     @property
     def port(self) -> int:
@@ -71,10 +71,10 @@
         self.should_exit = True
 
 
-def _listen(ip: str, port: int) -> socket.socket:
+def listening_socket(ip: str, port: int) -> socket.socket:
     """Return a listening socket whose connections send without delay.
 
-    asyncio sets ``TCP_NODELAY`` only on sockets that name their protocol, and
+    ``asyncio`` sets ``TCP_NODELAY`` only on sockets that name their protocol, and
     accepted sockets take it from the listening one.
     """
     family = socket.AF_INET6 if ":" in ip else socket.AF_INET
--- a/testing/platform/test_adapters.py
+++ b/testing/platform/test_adapters.py
@@ -10,8 +10,9 @@
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.errors import Failure, Reason
 from _monsoonpulley.ids import ZoneId
+from _monsoonpulley.inivalues import AdapterAddress
 from _monsoonpulley.platform.cloud import InstanceSpec, Price
-from _monsoonpulley.platform.connect import Service, connect_platform
+from _monsoonpulley.platform.connect import connect_platform
 from _monsoonpulley.platform.livelist import Member, MemberState, Role
 from _monsoonpulley.platform.table import Committed, Conflict, Row, Write
 from _monsoonpulley.standins.brokenanswers import Breakage, BrokenAnswers
@@ -244,10 +245,12 @@
 class ConnectTest(unittest.TestCase):
     def test_wrong_settings_are_named(self):
         settings = settings_for("http://127.0.0.1:1", "z", TIMEOUT_MS)
-        unknown = msgspec.structs.replace(settings, table=Service("http://a", "sql"))
+        unknown = msgspec.structs.replace(
+            settings, table=AdapterAddress("sql", "http://a")
+        )
         with self.assertRaisesRegex(LookupError, "sql.*etcd-v3-json"):
             connect_platform(unknown, None)
-        no_url = msgspec.structs.replace(settings, cloud=Service("a:1", "http"))
+        no_url = msgspec.structs.replace(settings, cloud=AdapterAddress("http", "a:1"))
         with self.assertRaisesRegex(ValueError, "a:1"):
             connect_platform(no_url, None)
 
--- a/testing/test_httpserver.py
+++ b/testing/test_httpserver.py
@@ -2,30 +2,25 @@
 import socket
 import unittest
 
-from starlette.responses import PlainTextResponse
+from _monsoonpulley.httpserver import listening_socket
 
-from _monsoonpulley.httpserver import HttpServer
 
+class ListeningSocketTest(unittest.IsolatedAsyncioTestCase):
+    async def test_accepted_connections_send_without_delay(self):
+        accepted = asyncio.get_running_loop().create_future()
 
-class HttpServerTest(unittest.TestCase):
-    def test_connections_send_without_delay(self):
-        async def main():
-            server = HttpServer(PlainTextResponse("ok"), "127.0.0.1", 0)
-            loop = asyncio.get_running_loop()
-            listener = server._listener
-            listener.setblocking(False)
-            client = socket.socket()
-            client.setblocking(False)
-            await loop.sock_connect(client, listener.getsockname())
-            connection, _ = await loop.sock_accept(listener)
-            transport, _ = await loop.connect_accepted_socket(
-                asyncio.Protocol, connection
-            )
-            raw = transport.get_extra_info("socket")
-            value = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
-            transport.close()
-            client.close()
-            listener.close()
-            return value
+        def accept(reader, writer):
+            sock = writer.get_extra_info("socket")
+            accepted.set_result(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+            writer.close()
 
-        self.assertNotEqual(asyncio.run(main()), 0)
+        server = await asyncio.start_server(
+            accept, sock=listening_socket("127.0.0.1", 0)
+        )
+        port = server.sockets[0].getsockname()[1]
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.assertTrue(await accepted)
+        writer.close()
+        await writer.wait_closed()
+        server.close()
+        await server.wait_closed()
