Watch a stream's deadline with one timer instead of one per read

Cause: a daemon passes on several thousand tokens a second, and a timeout context per read was a large part of the cost of a token.

Change: EventStream keeps one timer per stream and moves it when it fires. The time that the reader of the tokens takes does not count.

--- a/src/_monsoonpulley/endpoints/http_engine.py
+++ b/src/_monsoonpulley/endpoints/http_engine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -20,6 +19,7 @@
     Finished,
     LoadReport,
     Order,
+    Token,
 )
 from .engine_metrics import parse_metrics
 from .engine_request import request_body, tokens_left, unsupported
@@ -99,19 +99,19 @@
             return
         trace = CallTrace()
         stream = EventStream(call, self._target.endpoint_id, trace)
-        response: aiohttp.ClientResponse | None = None
         try:
-            opened = await self._open(call, stream, trace)
-            if isinstance(opened, Failure):
-                yield opened
+            failure = await self._open(call, stream, trace)
+            if failure is not None:
+                yield failure
                 return
-            response = opened
-            async with contextlib.aclosing(stream.items(response)) as items:
-                async for item in items:
+            while True:
+                for item in await stream.read():
                     yield item
+                    if not isinstance(item, Token):
+                        return
+                    stream.renew_deadline()
         finally:
-            if response is not None:
-                response.close()
+            stream.close()
 
     async def cancel(self, attempt: AttemptId) -> CancelOutcome | Failure:
         """Stop an attempt and say whether it had started."""
@@ -184,7 +184,7 @@
 
     async def _open(
         self, call: EngineCall, stream: EventStream, trace: CallTrace
-    ) -> aiohttp.ClientResponse | Failure:
+    ) -> Failure | None:
         headers = {
             "content-type": "application/json",
             "accept": "text/event-stream",
@@ -198,7 +198,7 @@
             return self._failure(Reason.INVALID, STEP, Delivery.NOT_SENT)
         response: aiohttp.ClientResponse | None = None
         try:
-            async with stream.deadline():
+            async with stream.first_deadline():
                 response = await self._sessions.reusing.post(
                     url,
                     data=data,
@@ -211,10 +211,8 @@
         except TRANSPORT_ERRORS as error:
             peer = self._target.endpoint_id
             failure = transport_failure(error, trace, STEP, peer)
-        if failure is None and response is not None:
-            return response
         if response is not None:
-            response.close()
+            stream.start(response)
         return failure
 
     async def _rejection(self, response: aiohttp.ClientResponse) -> Failure | None:
--- a/src/_monsoonpulley/endpoints/http_event_stream.py
+++ b/src/_monsoonpulley/endpoints/http_event_stream.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import aiohttp
 
-from .engine import EngineCall, Token
+from ..errors import Delivery, Failure, Reason
+from .engine import EngineCall
 from .engine_stream import STEP, StreamAssembler, StreamItem
 from .http_transport import TRANSPORT_ERRORS, CallTrace, transport_failure
 from .sse import SseParser
@@ -16,6 +16,10 @@
 class EventStream:
     """Events of one attempt's response.
 
+    Only tokens move the deadline: neither comments nor empty events keep a
+    stream without progress alive. Time that the reader of the tokens takes
+    does not count.
+
     Parameters
     ----------
     call : EngineCall
@@ -27,46 +31,80 @@
     """
 
     def __init__(self, call: EngineCall, peer: str, trace: CallTrace):
-        self._call = call
+        self._token_timeout_s = call.token_timeout_ms / 1000
         self._peer = peer
         self._trace = trace
         self._parser = SseParser()
         self._assembler = StreamAssembler(call, peer)
-        # Only tokens move the deadline: neither comments nor empty events may
-        # keep a stream without progress alive.
-        self._deadline_s = _loop_s() + call.first_token_timeout_ms / 1000
+        self._loop = asyncio.get_running_loop()
+        self._deadline_s = self._loop.time() + call.first_token_timeout_ms / 1000
+        self._response: aiohttp.ClientResponse | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_reading = False
+        self._is_late = False
 
-    def deadline(self) -> asyncio.Timeout:
-        """Return the context that ends a wait at the current deadline."""
+    def first_deadline(self) -> asyncio.Timeout:
+        """Return the context that ends the wait for a response in time."""
         return asyncio.timeout_at(self._deadline_s)
 
-    async def items(
-        self, response: aiohttp.ClientResponse
-    ) -> AsyncIterator[StreamItem]:
-        """Yield tokens, then one end."""
-        while True:
-            events = await self._read(response)
-            for item in events:
-                yield item
-                if not isinstance(item, Token):
-                    return
-                self._deadline_s = _loop_s() + self._call.token_timeout_ms / 1000
-
-    async def _read(self, response: aiohttp.ClientResponse) -> list[StreamItem]:
+    def start(self, response: aiohttp.ClientResponse) -> None:
+        """Watch the response from now on."""
+        self._response = response
+        self._arm(self._deadline_s)
+
+    def close(self) -> None:
+        """Drop the connection, by which the engine notices that it may stop."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._response is not None:
+            self._response.close()
+
+    def renew_deadline(self) -> None:
+        """Note that a token was taken."""
+        self._deadline_s = self._loop.time() + self._token_timeout_s
+        if self._timer is not None and self._timer.when() > self._deadline_s:
+            self._timer.cancel()
+            self._arm(self._deadline_s)
+
+    async def read(self) -> list[StreamItem]:
+        """Return the tokens that came in and, last, perhaps the end."""
+        self._is_reading = True
         try:
-            async with self.deadline():
-                chunk = await response.content.readany()
-            if not chunk:
-                return [self._assembler.end("the stream ended early")]
-            items: list[StreamItem] = []
-            for data in self._parser.feed(chunk):
-                items.extend(self._assembler.feed(data))
-            return items
+            chunk = await self._response.content.readany()
+            return self._take(chunk)
         except TRANSPORT_ERRORS as error:
-            if self._assembler.is_text_whole:
-                return [self._assembler.end("")]
-            return [transport_failure(error, self._trace, STEP, self._peer)]
+            return [self._broken(error)]
+        finally:
+            self._is_reading = False
+
+    def _take(self, chunk: bytes) -> list[StreamItem]:
+        if not chunk:
+            return [self._assembler.end("the stream ended early")]
+        items: list[StreamItem] = []
+        for data in self._parser.feed(chunk):
+            items.extend(self._assembler.feed(data))
+        return items
+
+    def _broken(self, error: BaseException) -> StreamItem:
+        if self._assembler.is_text_whole:
+            return self._assembler.end("")
+        if self._is_late:
+            detail = "no token in time"
+            return Failure(Reason.TIMEOUT, STEP, self._peer, detail, Delivery.MAYBE)
+        return transport_failure(error, self._trace, STEP, self._peer)
+
+    # One timer per stream, moved when it fires: one per read would cost as
+    # much processor time as the rest of a token.
 
+    def _arm(self, when_s: float) -> None:
+        self._timer = self._loop.call_at(when_s, self._check_deadline)
 
-def _loop_s() -> float:
-    return asyncio.get_running_loop().time()
+    def _check_deadline(self) -> None:
+        now_s = self._loop.time()
+        if not self._is_reading:
+            self._arm(now_s + self._token_timeout_s)
+        elif now_s < self._deadline_s:
+            self._arm(self._deadline_s)
+        else:
+            self._is_late = True
+            self._response.close()
--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -41,7 +41,8 @@
 def generate_raw(script, call=None, **target):
     async def main():
         async with raw_server(script) as port, client("openai", port, **target) as to:
-            return await collect(to.generate(call or engine_call()))
+            async with asyncio.timeout(10):
+                return await collect(to.generate(call or engine_call()))
 
     return asyncio.run(main())
 
@@ -142,6 +143,25 @@
         self.assertEqual(items[-1].reason, Reason.TIMEOUT)
         self.assertEqual(items[-1].delivery, Delivery.MAYBE)
 
+    def test_time_the_reader_takes_does_not_count(self):
+        async def handle(reader, writer):
+            events = wire().split(b"data: ")
+            writer.write(HEAD + b"data: ".join(events[:3]))
+            await asyncio.sleep(0.02)
+            writer.write(b"data: " + b"data: ".join(events[3:]))
+            await asyncio.sleep(1.0)
+
+        async def main():
+            call = engine_call(first_token_timeout_ms=500, token_timeout_ms=50)
+            async with raw_server(handle) as port, client("openai", port) as to:
+                items = []
+                async for item in to.generate(call):
+                    items.append(item)
+                    await asyncio.sleep(0.15)
+                return items
+
+        self.assertIsInstance(asyncio.run(main())[-1], Finished)
+
 
 class DeliveryTest(unittest.TestCase):
     def check(self, script, reason, delivery, call=None):
