Test that a slow reader of tokens does not time a stream out

Cause: the test sent all events at once, so it passed without the rule.

Change: the last events arrive while the reader is busy beyond the limit.

--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -146,10 +146,11 @@
     def test_time_the_reader_takes_does_not_count(self):
         async def handle(reader, writer):
             events = wire().split(b"data: ")
-            writer.write(HEAD + b"data: ".join(events[:3]))
-            await asyncio.sleep(0.02)
-            writer.write(b"data: " + b"data: ".join(events[3:]))
-            await asyncio.sleep(1.0)
+            writer.write(HEAD)
+            for first, last, pause_s in ((0, 3, 0.02), (3, 4, 0.2), (4, 7, 1.0)):
+                lead = b"data: " if first else b""
+                writer.write(lead + b"data: ".join(events[first:last]))
+                await asyncio.sleep(pause_s)
 
         async def main():
             call = engine_call(first_token_timeout_ms=500, token_timeout_ms=50)
