--- a/src/_monsoonpulley/standins/endpoints_http.py
+++ b/src/_monsoonpulley/standins/endpoints_http.py
@@ -95,7 +95,12 @@
         return WatchedResponse(write)
 
     async def models(self, request: Request) -> Response:
-        model = {"id": self._engine.version, "object": "model", "owned_by": "standin"}
+        model = {
+            "id": self._engine.version,
+            "object": "model",
+            "created": self._clock.wall_ms() // 1000,
+            "owned_by": "standin",
+        }
         return _json({"object": "list", "data": [model]})
 
     async def metrics(self, request: Request) -> Response:
@@ -226,6 +231,9 @@
             return Response(result.body, result.status, dict(result.headers))
         if result.delivery is Delivery.REFUSED:
             return _error(self._service.profile.refusal_status, str(result))
+        if request.method == "HEAD":
+            # Without a body there is nothing to cut off.
+            return _error(500, str(result))
         return BrokenResponse()
 
     async def lookup(self, request: Request) -> Response:
--- a/src/_monsoonpulley/standins/engine_core.py
+++ b/src/_monsoonpulley/standins/engine_core.py
@@ -95,6 +95,7 @@
         run = self.batch.find(attempt)
         outcome = self.batch.cancel(attempt)
         if run is not None and run.started:
+            self._keep_blocks(run)
             self._leave_strays(run)
         self._record_load()
         return outcome
@@ -145,6 +146,8 @@
 
     def clear(self) -> None:
         """Lose all state that a process holds in memory."""
+        for run in self.batch.running:
+            self._count_blocks(run)
         self.batch.clear()
         self._cache.clear()
         self.imports.clear()
@@ -178,7 +181,7 @@
         run.prefill_left = run.prompt_tokens - run.cached
         self.counters.cached_tokens += run.cached
         self.counters.prefilled_tokens += run.prefill_left
-        known = self._computed.add(hashes, run.cached // block_tokens)
+        known = self._computed.count(hashes, run.cached // block_tokens)
         recomputed = min(known * block_tokens, run.prefill_left)
         self.counters.recomputed_prompt_tokens += recomputed
 
@@ -222,16 +225,27 @@
         tokens = [self._token(run) for _ in range(count)]
         strays.put(run.call.request_id, tokens)
 
+    def _keep_blocks(self, run: Run) -> None:
+        """Cache what a stopped request had computed."""
+        if not run.prefill_left:
+            self._store_blocks(run)
+
     def _store_blocks(self, run: Run) -> None:
-        hashes = block_hashes(run.words, self.profile.block_tokens)
+        hashes = self._count_blocks(run)
         stored, removed = self._cache.store(hashes)
-        self._computed.add(hashes, 0)
         now_ms = self._clock.now_ms()
         if stored:
             self._feed.add(CacheEventKind.STORED, stored, now_ms)
         if removed:
             self._feed.add(CacheEventKind.REMOVED, removed, now_ms)
 
+    def _count_blocks(self, run: Run) -> tuple[int, ...]:
+        """Note the computed blocks for the fleet's count of recomputation."""
+        computed = run.words[: len(run.words) - run.prefill_left]
+        hashes = block_hashes(computed, self.profile.block_tokens)
+        self._computed.add(hashes)
+        return hashes
+
     def _bad(self, effect: BadEffect) -> BadVersion | None:
         bad = self.profile.bad_versions.get(self.version)
         if bad is None or bad.effect is not effect:
--- a/src/_monsoonpulley/standins/engine_counters.py
+++ b/src/_monsoonpulley/standins/engine_counters.py
@@ -38,9 +38,10 @@
     def __init__(self) -> None:
         self._blocks: set[int] = set()
 
-    def add(self, hashes: tuple[int, ...], first: int) -> int:
-        """Record blocks from index ``first`` on; return how many were known."""
-        computed = hashes[first:]
-        known = sum(block in self._blocks for block in computed)
-        self._blocks.update(computed)
-        return known
+    def add(self, hashes: tuple[int, ...]) -> None:
+        """Note that these blocks have been computed."""
+        self._blocks.update(hashes)
+
+    def count(self, hashes: tuple[int, ...], first: int) -> int:
+        """Return how many blocks from index ``first`` on were computed before."""
+        return sum(block in self._blocks for block in hashes[first:])
--- a/testing/standins/test_engine.py
+++ b/testing/standins/test_engine.py
@@ -124,6 +124,43 @@
 
         self.assertEqual(run_manual(main()), [0, 64])
 
+    def test_generated_text_of_a_lost_attempt_counts_when_computed_again(self):
+        async def main(lose):
+            shared = ComputedBlocks()
+            one, other = engine("e1", shared), engine("e2", shared)
+            stream = one.generate(engine_call(words=64, max_tokens=100))
+            got = [await anext(stream) for _ in range(32)]
+            lose(one)
+            await stream.aclose()
+            rest = engine_call(
+                words=64,
+                attempt=2,
+                max_tokens=40,
+                text_so_far=text_of(got),
+                tokens_so_far=32,
+            )
+            await collect(other.generate(rest))
+            return other.counters.recomputed_prompt_tokens
+
+        self.assertEqual(run_manual(main(lambda worker: worker.crash())), 96)
+        self.assertEqual(run_manual(main(lambda worker: None)), 96)
+
+    def test_a_prompt_that_was_never_computed_is_not_recomputed(self):
+        async def main():
+            shared = ComputedBlocks()
+            one, other = engine("e1", shared, max_running=1), engine("e2", shared)
+            busy = asyncio.create_task(
+                collect(one.generate(engine_call("r0", max_tokens=50)))
+            )
+            queued = asyncio.create_task(collect(one.generate(engine_call(words=64))))
+            await asyncio.sleep(0.1)
+            await one.cancel("r1.1")
+            await collect(other.generate(engine_call(words=64, attempt=2)))
+            await asyncio.gather(busy, queued)
+            return other.counters.recomputed_prompt_tokens
+
+        self.assertEqual(run_manual(main()), 0)
+
     def test_imported_kv_makes_prefill_free(self):
         async def main():
             one, other = engine("e1"), engine("e2")
