--- a/src/_monsoonpulley/endpoints/http_engine.py
+++ b/src/_monsoonpulley/endpoints/http_engine.py
@@ -24,10 +24,15 @@
 from .engine_metrics import parse_metrics
 from .engine_request import request_body, tokens_left, unsupported
 from .engine_stream import STEP, StreamItem
+from .http_engine_control import (
+    CacheEventsAnswer,
+    CancelAnswer,
+    EngineControl,
+    status_reason,
+)
 from .http_event_stream import EventStream
 from .http_transport import (
     ATTEMPT_ID_HEADER,
-    CONTROL_TIMEOUT_MS,
     MAX_ERROR_BYTES,
     REQUEST_ID_HEADER,
     TRANSPORT_ERRORS,
@@ -35,32 +40,17 @@
     HttpSessions,
     connect_timeout,
     path_segment,
-    read_body,
     retry_after_ms,
-    timeouts,
     transport_failure,
     url_of,
 )
 from .tokens import count_prompt_tokens
 
-MAX_CONTROL_BYTES = 4_194_304
 MAX_KV_BYTES = 67_108_864
 KV_TIMEOUT_MS = 10_000
 ORDER_TIMEOUT_MS = 60_000
 
 
-class CancelAnswer(msgspec.Struct, frozen=True):
-    """Body of the answer of ``/cancel``."""
-
-    outcome: CancelOutcome
-
-
-class CacheEventsAnswer(msgspec.Struct, frozen=True):
-    """Body of the answer of ``/kv_events``."""
-
-    events: tuple[CacheEvent, ...]
-
-
 @engine_adapters.register("openai")
 class HttpEngineClient:
     """One engine; implements ``EngineClient``.
@@ -79,6 +69,7 @@
         self._target = target
         self._sessions = sessions
         self._clock = clock
+        self._control = EngineControl(target, sessions)
 
     @classmethod
     def connect(
@@ -116,16 +107,16 @@
     async def cancel(self, attempt: AttemptId) -> CancelOutcome | Failure:
         """Stop an attempt and say whether it had started."""
         body = msgspec.json.encode({"attempt_id": attempt})
-        answer = await self._control("engine.cancel", "POST", "/cancel", body)
+        answer = await self._control.call("engine.cancel", "POST", "/cancel", body)
         if isinstance(answer, Failure):
             return answer
-        decoded = self._decode("engine.cancel", answer, CancelAnswer)
+        decoded = self._control.decode("engine.cancel", answer, CancelAnswer)
         return decoded if isinstance(decoded, Failure) else decoded.outcome
 
     async def load(self) -> LoadReport | Failure:
         """Return the newest load report."""
         asked_wall_ms = self._clock.wall_ms()
-        answer = await self._control("engine.load", "GET", "/metrics")
+        answer = await self._control.call("engine.load", "GET", "/metrics")
         if isinstance(answer, Failure):
             return answer
         report = parse_metrics(answer.decode(errors="replace"), asked_wall_ms)
@@ -134,15 +125,15 @@
     async def cache_events(self, after_seq: int) -> tuple[CacheEvent, ...] | Failure:
         """Return events after ``after_seq`` that the engine still has."""
         path = f"/kv_events?after={after_seq}"
-        answer = await self._control("engine.cache_events", "GET", path)
+        answer = await self._control.call("engine.cache_events", "GET", path)
         if isinstance(answer, Failure):
             return answer
-        decoded = self._decode("engine.cache_events", answer, CacheEventsAnswer)
+        decoded = self._control.decode("engine.cache_events", answer, CacheEventsAnswer)
         return decoded if isinstance(decoded, Failure) else decoded.events
 
     async def export_kv(self, attempt: AttemptId) -> bytes | Failure:
         """Return the KV cache of a running attempt."""
-        return await self._control(
+        return await self._control.call(
             "engine.export_kv",
             "GET",
             f"/kv/{path_segment(attempt)}",
@@ -152,7 +143,7 @@
 
     async def import_kv(self, attempt: AttemptId, data: bytes) -> Failure | None:
         """Take in a KV cache so that ``attempt`` starts from it."""
-        answer = await self._control(
+        answer = await self._control.call(
             "engine.import_kv",
             "PUT",
             f"/kv/{path_segment(attempt)}",
@@ -165,7 +156,7 @@
     async def order(self, order: Order) -> Failure | None:
         """Carry out an order; ``Reason.FENCED`` if its number is old."""
         body = msgspec.json.encode(order)
-        answer = await self._control(
+        answer = await self._control.call(
             "engine.order", "POST", "/orders", body, timeout_ms=ORDER_TIMEOUT_MS
         )
         return answer if isinstance(answer, Failure) else None
@@ -228,7 +219,7 @@
             text = (await response.content.read(MAX_ERROR_BYTES)).decode(
                 "utf-8", "replace"
             )
-            failure = self._failure(_status_reason(status), STEP, Delivery.MAYBE)
+            failure = self._failure(status_reason(status), STEP, Delivery.MAYBE)
             return msgspec.structs.replace(
                 failure, detail=f"status {status}: {text[:200]}"
             )
@@ -239,48 +230,6 @@
             return msgspec.structs.replace(failure, detail=detail[:200])
         return None
 
-    async def _control(
-        self,
-        step: str,
-        method: str,
-        path: str,
-        body: bytes | None = None,
-        content_type: str = "application/json",
-        timeout_ms: int = CONTROL_TIMEOUT_MS,
-        max_bytes: int = MAX_CONTROL_BYTES,
-    ) -> bytes | Failure:
-        trace = CallTrace()
-        peer = self._target.endpoint_id
-        try:
-            async with self._sessions.reusing.request(
-                method,
-                url_of(self._target.address, path),
-                data=body,
-                headers={"content-type": content_type} if body is not None else {},
-                allow_redirects=False,
-                timeout=timeouts(timeout_ms),
-                trace_request_ctx=trace,
-            ) as response:
-                data = await read_body(response, max_bytes)
-                if 200 <= response.status < 300:
-                    return data
-                return self._control_failure(step, response.status, data)
-        except TRANSPORT_ERRORS as error:
-            return transport_failure(error, trace, step, peer)
-
-    def _control_failure(self, step: str, status: int, data: bytes) -> Failure:
-        reason = _status_reason(status)
-        if status == 409 and b'"fenced"' in data:
-            reason = Reason.FENCED
-        failure = self._failure(reason, step, Delivery.MAYBE)
-        return msgspec.structs.replace(failure, detail=f"status {status}")
-
-    def _decode(self, step: str, data: bytes, shape: type) -> Any:
-        try:
-            return msgspec.json.decode(data, type=shape)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-            return self._failure(Reason.PROTOCOL, step)
-
     def _failure(
         self, reason: Reason, step: str, delivery: Delivery | None = None
     ) -> Failure:
@@ -293,11 +242,3 @@
     except (ValueError, OverflowError, TypeError):
         # Such as a lone surrogate in a text.
         return None
-
-
-def _status_reason(status: int) -> Reason:
-    if status in (400, 413, 422):
-        return Reason.INVALID
-    if status == 404:
-        return Reason.NOT_FOUND
-    return Reason.PEER_ERROR
--- a/src/_monsoonpulley/endpoints/http_transport.py
+++ b/src/_monsoonpulley/endpoints/http_transport.py
@@ -28,6 +28,8 @@
 CONNECT_TIMEOUT_MS = 2_000
 CONTROL_TIMEOUT_MS = 2_000
 KEEPALIVE_S = 15
+NEVER_ROUND_S = 86_400
+"""The client library rounds longer time limits up to whole seconds."""
 MAX_ERROR_BYTES = 4_096
 
 _PATH = re.compile(r"/[!-~]*")
@@ -122,8 +124,11 @@
 
 def timeouts(total_ms: int) -> aiohttp.ClientTimeout:
     """Return the limits of a call that ends after ``total_ms``."""
-    connect_s = _connect_s(total_ms)
-    return aiohttp.ClientTimeout(total=total_ms / 1000, connect=connect_s)
+    return aiohttp.ClientTimeout(
+        total=total_ms / 1000,
+        connect=_connect_s(total_ms),
+        ceil_threshold=NEVER_ROUND_S,
+    )
 
 
 def connect_timeout(total_ms: int) -> aiohttp.ClientTimeout:
--- a/testing/endpoints/test_http_service.py
+++ b/testing/endpoints/test_http_service.py
@@ -1,4 +1,6 @@
 import asyncio
+import contextlib
+import socket
 import unittest
 
 import aiohttp
@@ -14,6 +16,8 @@
 from ..standins.fleet import plain, service_call
 from .rawserver import Script, answer, client, free_port, raw_server, read_request
 
+ADDRESS = ("127.0.0.1", 0)
+
 
 def call_raw(script, *calls, **target):
     """Return the results of calls to a scripted server, one after the other."""
@@ -41,6 +45,27 @@
         self.assertEqual(result.delivery, Delivery.NOT_SENT)
         self.assertEqual(result.reason, Reason.UNAVAILABLE)
 
+    def test_no_answer_to_connecting_is_not_sent(self):
+        async def main():
+            loop = asyncio.get_running_loop()
+            with contextlib.ExitStack() as stack:
+                # Nobody accepts, so connections beyond the queue hang.
+                listener = stack.enter_context(socket.create_server(ADDRESS, backlog=0))
+                port = listener.getsockname()[1]
+                for _ in range(4):
+                    filler = stack.enter_context(socket.socket())
+                    filler.setblocking(False)
+                    filler.connect_ex(("127.0.0.1", port))
+                await asyncio.sleep(0)
+                async with client("http", port) as to:
+                    started_s = loop.time()
+                    result = await to.call(service_call(timeout_ms=250))
+                    return result, loop.time() - started_s
+
+        result, span_s = asyncio.run(main())
+        self.assertEqual(result.delivery, Delivery.NOT_SENT)
+        self.assertGreater(span_s, 0.15)
+
     def test_connection_dropped_after_the_request_was_read(self):
         for method in ("POST", "PUT", "GET", "DELETE"):
             self.check_maybe(Script(None), Reason.PEER_ERROR, method=method)
