--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -41,7 +41,8 @@
 def generate_raw(script, call=None, **target):
     async def main():
         async with raw_server(script) as port, client("openai", port, **target) as to:
-            return await collect(to.generate(call or engine_call()))
+            async with asyncio.timeout(10):
+                return await collect(to.generate(call or engine_call()))
 
     return asyncio.run(main())
 
