--- /dev/null
+++ b/benchmarks/journal.py
@@ -0,0 +1,120 @@
+"""Seeded interleavings of the journal and what it costs.
+
+Run as ``python -m benchmarks.journal [INTERLEAVINGS [FIRST_SEED]]``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from collections import Counter
+
+import msgspec
+from testing.journal import world as w
+from testing.journal.faults import Endpoints, FaultyObjects, FaultyTable
+from testing.journal.interleavings import ACTIONS, run_interleaving
+
+from _monsoonpulley.journal import steps as s
+from _monsoonpulley.journal.journal import Journal
+from _monsoonpulley.journal.transitions import Transitions
+from _monsoonpulley.log import Log
+from _monsoonpulley.standins.manualloop import run_manual, running_clock
+
+INTERLEAVINGS = 20_000
+SUBMISSIONS = 1_000
+ARRIVALS_PER_S = 200
+TRANSITION_ROUNDS = 20_000
+SHOWN_VIOLATIONS = 5
+
+
+def measure_interleavings(count: int, first_seed: int) -> int:
+    """Print counts and violations; return how many seeds had one."""
+    outcomes: Counter = Counter()
+    violated = 0
+    first = None
+    for done in range(count):
+        violations = run_interleaving(first_seed + done, outcomes)
+        if violations:
+            violated += 1
+            first = first or done + 1
+            if violated <= SHOWN_VIOLATIONS:
+                print(f"seed {first_seed + done}: {violations[0]}")
+    told = ", ".join(f"{o.value} {n}" for o, n in sorted(outcomes.items(), key=str))
+    print(f"interleavings: {count} of {ACTIONS} actions; told: {told}")
+    print(f"violated: {violated}; first at interleaving {first}")
+    return violated
+
+
+def measure_transitions() -> float:
+    """Return the cost of one transition in microseconds."""
+    transitions = Transitions(w.SETTINGS, random.Random(1))
+    record = w.submission("key").to_record("i0", 1, "token", 0, 1_024)
+    answer = s.RecordedAnswer(200, (), b"booked")
+    events = (
+        s.Submitted(record),
+        s.WriteConfirmed(1),
+        s.EndpointChosen("e1"),
+        s.WriteConfirmed(2),
+        s.Answered(answer),
+        s.WriteConfirmed(3),
+    )
+    began_s = time.process_time()
+    for _ in range(TRANSITION_ROUNDS):
+        progress = s.Progress()
+        for event in events:
+            progress = transitions.next(progress, event, 0, 0).progress
+    spent_s = time.process_time() - began_s
+    return spent_s / TRANSITION_ROUNDS / len(events) * 1e6
+
+
+async def _commits(settings) -> tuple[int, int, float]:
+    """Return commits, writes and CPU seconds of ``SUBMISSIONS`` submissions."""
+    clock = running_clock()
+    table = FaultyTable()
+    rng = random.Random(1)
+    endpoints = Endpoints(("e1", "e2"), rng, lambda work: None, can_look_up=True)
+    log = Log(clock, lambda line: None)
+    journal = Journal(
+        table, FaultyObjects(), clock, rng, "i0", 1, endpoints, log, settings
+    )
+    began_s = time.process_time()
+    tasks = []
+    for number in range(SUBMISSIONS):
+        work = w.submission(f"key {number}")
+        tasks.append(asyncio.create_task(journal.submit(work)))
+        await clock.sleep_ms(rng.expovariate(ARRIVALS_PER_S) * 1000)
+    await asyncio.gather(*tasks)
+    await journal.drain(clock.now_ms() + 10_000)
+    spent_s = time.process_time() - began_s
+    return table.commits, journal.writer.counts.writes, spent_s
+
+
+def measure_commits() -> None:
+    """Print table commits per 1,000 submissions with and without grouping."""
+    for name, changes in (
+        ("alone", {"group_writes": 1, "group_in_flight": 1_000}),
+        ("grouped 5 ms", {}),
+        ("grouped 20 ms", {"group_wait_ms": 20}),
+    ):
+        settings = msgspec.structs.replace(w.JournalSettings(), **changes)
+        commits, writes, spent_s = run_manual(_commits(settings))
+        each_us = spent_s / SUBMISSIONS * 1e6
+        print(
+            f"{name}: {commits} commits, {writes} writes for {SUBMISSIONS} "
+            f"submissions at {ARRIVALS_PER_S}/s; CPU {each_us:.0f} us each"
+        )
+
+
+def main() -> None:
+    """Run all measurements; exit with 1 on a violation."""
+    count = int(sys.argv[1]) if len(sys.argv) > 1 else INTERLEAVINGS
+    first_seed = int(sys.argv[2]) if len(sys.argv) > 2 else 0
+    print(f"transition: {measure_transitions():.1f} us")
+    measure_commits()
+    sys.exit(1 if measure_interleavings(count, first_seed) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/_monsoonpulley/journal/journal.py
+++ b/src/_monsoonpulley/journal/journal.py
@@ -22,10 +22,7 @@
 from ..platform.table import Table
 from .record import (
     JournalRecord,
-    RecordedCall,
-    State,
     StoredRecord,
-    row_key,
 )
 from .run import Run, RunContext
 from .settings import JournalSettings
@@ -106,7 +103,13 @@
         refusal = self._refusal()
         if refusal is not None:
             return Settled(Outcome.NOT_RUN, request_id, failure=refusal)
-        record = self._first_record(submission)
+        record = submission.to_record(
+            self.instance,
+            self.incarnation,
+            new_token(self._rng),
+            self._clock.wall_ms(),
+            self._settings.inline_bytes,
+        )
         run = Run(self._context, submission, record.accepted_token)
         self._start(request_id, run, run.accept(record))
         return await run.settled(repeated=False)
@@ -200,30 +203,3 @@
             failure = Failure(Reason.KEY_REUSED, "journal.accept", self.instance)
             return Settled(Outcome.NOT_RUN, submission.request_id, failure=failure)
         return await run.settled(repeated=True)
-
-    def _first_record(self, submission: Submission) -> JournalRecord:
-        token = new_token(self._rng)
-        inline = len(submission.body) <= self._settings.inline_bytes
-        call = RecordedCall(
-            method=submission.method,
-            path=submission.path,
-            headers=submission.headers,
-            timeout_ms=submission.timeout_ms,
-            body=submission.body if inline else b"",
-            body_object="" if inline else f"{row_key(submission.request_id)}/{token}",
-        )
-        return JournalRecord(
-            request_id=submission.request_id,
-            customer=submission.customer,
-            class_id=submission.class_id,
-            key=submission.key,
-            body_sha256=submission.body_sha256(),
-            call=call,
-            state=State.ACCEPTED,
-            holder=self.instance,
-            incarnation=self.incarnation,
-            accepted_token=token,
-            token=token,
-            retention_ms=submission.retention_ms,
-            accepted_wall_ms=self._clock.wall_ms(),
-        )
--- a/src/_monsoonpulley/journal/submission.py
+++ b/src/_monsoonpulley/journal/submission.py
@@ -15,10 +15,11 @@
     CustomerId,
     EndpointId,
     IdempotencyKey,
+    InstanceId,
     RequestId,
 )
 from ..outcome import Outcome
-from .record import JournalRecord, request_id_for
+from .record import JournalRecord, RecordedCall, State, request_id_for, row_key
 
 
 class Submission(msgspec.Struct, frozen=True):
@@ -58,6 +59,49 @@
         mine = (self.method, self.path, self.body)
         return mine == (other.method, other.path, other.body)
 
+    def to_record(
+        self,
+        holder: InstanceId,
+        incarnation: int,
+        token: str,
+        wall_ms: int,
+        inline_bytes: int,
+    ) -> JournalRecord:
+        """Return the record that accepts the submission.
+
+        Parameters
+        ----------
+        token : str
+            Token of the write; it also names the object of a large body, so
+            that no other submission of the key writes other bytes there.
+        inline_bytes : int
+            A body over this size is kept as an object.
+        """
+        inline = len(self.body) <= inline_bytes
+        call = RecordedCall(
+            method=self.method,
+            path=self.path,
+            headers=self.headers,
+            timeout_ms=self.timeout_ms,
+            body=self.body if inline else b"",
+            body_object="" if inline else f"{row_key(self.request_id)}/{token}",
+        )
+        return JournalRecord(
+            request_id=self.request_id,
+            customer=self.customer,
+            class_id=self.class_id,
+            key=self.key,
+            body_sha256=self.body_sha256(),
+            call=call,
+            state=State.ACCEPTED,
+            holder=holder,
+            incarnation=incarnation,
+            accepted_token=token,
+            token=token,
+            retention_ms=self.retention_ms,
+            accepted_wall_ms=wall_ms,
+        )
+
     @classmethod
     def from_record(cls, record: JournalRecord, body: bytes) -> Submission:
         """Return the submission that a record was made from."""
--- a/testing/journal/faults.py
+++ b/testing/journal/faults.py
@@ -227,14 +227,26 @@
 
 
 class GatedEndpoints:
-    """The dispatcher of one instance: sends wait at the instance's gate."""
+    """The dispatcher of one instance: sends wait at the instance's gate.
 
-    def __init__(self, endpoints, gate):
-        self._endpoints = endpoints
-        gated = Gated(endpoints, gate)
+    A pause between the check before a send and its first byte is at most
+    ``longest_pause_ms``; after more, the instance counts as crashed there.
+    """
+
+    def __init__(self, endpoints, gate, clock, longest_pause_ms):
         self.choose = endpoints.choose
-        self.send = gated.send
-        self.lookup = gated.lookup
+        self.lookup = Gated(endpoints, gate).lookup
+        self._send = Gated(endpoints, gate).send
+        self._gate = gate
+        self._clock = clock
+        self._longest_pause_ms = longest_pause_ms
+
+    async def send(self, submission, endpoint, attempt_id):
+        began_ms = self._clock.now_ms()
+        await self._gate.pass_through()
+        if self._clock.now_ms() - began_ms > self._longest_pause_ms:
+            await asyncio.Event().wait()
+        return await self._send(submission, endpoint, attempt_id)
 
 
 def _unavailable(step):
--- a/testing/journal/world.py
+++ b/testing/journal/world.py
@@ -31,6 +31,7 @@
 
 RETENTION_MS = 60_000
 LONGEST_DELAY_MS = 8_000
+LONGEST_PAUSE_MS = 45_000
 HEAL_MS = 90_000
 SETTINGS = JournalSettings(
     inline_bytes=16,
@@ -74,7 +75,7 @@
             random.Random(f"{world.seed}/{name}/{incarnation}"),
             InstanceId(name),
             incarnation,
-            GatedEndpoints(world.endpoints, self.gate),
+            GatedEndpoints(world.endpoints, self.gate, clock, LONGEST_PAUSE_MS),
             log,
             SETTINGS,
         )
