--- a/src/_monsoonpulley/journal/run.py
+++ b/src/_monsoonpulley/journal/run.py
@@ -104,7 +104,7 @@
                 await self._follow(step.current)
                 break
             event = await self._carry_out(step, progress)
-        await self._drop_unused(progress, event)
+        await self._drop_unused(progress)
 
     def _next(self, progress: s.Progress, event: s.Event) -> s.Next:
         clock = self._context.clock
@@ -240,7 +240,7 @@
         request_id = self.submission.request_id
         return Settled(Outcome.UNKNOWN, request_id, failure=failure)
 
-    async def _drop_unused(self, progress: s.Progress, event: s.Event) -> None:
+    async def _drop_unused(self, progress: s.Progress) -> None:
         """Remove a body that was stored for a record that was never made."""
         if progress.intent is not s.Intent.ACCEPT or progress.in_doubt:
             return
--- a/src/_monsoonpulley/journal/settings.py
+++ b/src/_monsoonpulley/journal/settings.py
@@ -43,6 +43,9 @@
         Transactions in progress at most.
     queue_writes : int
         Writes waiting for a transaction at most; more are refused.
+    queue_new_writes : int
+        Writes waiting at most for new work to be recorded; less than
+        ``queue_writes``, so that work in progress goes first.
     """
 
     inline_bytes: int = 16_384
@@ -62,3 +65,4 @@
     group_wait_ms: int = 5
     group_in_flight: int = 2
     queue_writes: int = 1_000
+    queue_new_writes: int = 500
--- a/src/_monsoonpulley/journal/store.py
+++ b/src/_monsoonpulley/journal/store.py
@@ -6,7 +6,7 @@
 from ..errors import Failure, Reason
 from ..ids import RequestId
 from ..platform.objects import ObjectStore
-from ..platform.table import Committed, Conflict, Row, Table, Write
+from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from . import steps as s
 from .record import (
     JournalRecord,
@@ -38,7 +38,8 @@
         """Write the record if its row has the expected revision."""
         key = row_key(record.request_id)
         write = Write(key, encode_record(record), expected_revision)
-        result = await self._writer.write(write)
+        is_new = expected_revision == ABSENT_REVISION
+        result = await self._writer.write(write, is_new=is_new)
         if isinstance(result, Committed):
             return s.WriteConfirmed(result.revision)
         if isinstance(result, Conflict):
--- a/src/_monsoonpulley/journal/transitions.py
+++ b/src/_monsoonpulley/journal/transitions.py
@@ -137,7 +137,7 @@
             return self._again(progress, now_ms, "the row went away meanwhile")
         if current is None:
             lost = Failure(Reason.NOT_FOUND, "journal.write", "table", "row deleted")
-            told = s.Tell(outcome_of(pending), lost)
+            told = s.Tell(Outcome.UNKNOWN, lost)
             return s.Next(progress, s.StopStep(), "the row was deleted", tell=told)
         if current.record.token == pending.token:
             confirmed = s.WriteConfirmed(current.revision)
@@ -173,7 +173,7 @@
     def _write_failed(self, progress, event, now_ms, wall_ms) -> s.Next:
         nothing_happened = event.failure.reason in NOTHING_HAPPENED
         in_doubt = progress.in_doubt or not nothing_happened
-        if progress.intent is s.Intent.ADOPT:
+        if progress.intent is s.Intent.ADOPT and not in_doubt:
             return s.Next(progress, s.StopStep(), "adoption is left to a later pass")
         if progress.intent is s.Intent.ACCEPT and not in_doubt:
             told = s.Tell(Outcome.NOT_RUN, _refused(event.failure))
--- a/src/_monsoonpulley/journal/writer.py
+++ b/src/_monsoonpulley/journal/writer.py
@@ -59,15 +59,22 @@
         self._filling: asyncio.Task | None = None
         self.counts = WriterCounts()
 
-    async def write(self, write: Write) -> WriteResult:
+    async def write(self, write: Write, *, is_new: bool = False) -> WriteResult:
         """Write one row as part of some transaction.
 
+        Parameters
+        ----------
+        is_new : bool
+            The write begins new work, which is refused first when many wait.
+
         Returns
         -------
         Committed, Conflict or Failure
             ``Reason.OVERLOADED`` if the queue is full; then nothing is written.
         """
-        if len(self._queue) >= self._settings.queue_writes:
+        settings = self._settings
+        limit = settings.queue_new_writes if is_new else settings.queue_writes
+        if len(self._queue) >= limit:
             self.counts.refused += 1
             detail = f"{len(self._queue)} writes wait"
             return Failure(Reason.OVERLOADED, "journal.write", detail=detail)
--- a/testing/journal/faults.py
+++ b/testing/journal/faults.py
@@ -227,26 +227,28 @@
 
 
 class GatedEndpoints:
-    """The dispatcher of one instance: sends wait at the instance's gate.
+    """The dispatcher of one instance: sends wait at the instance's gate."""
 
-    A pause between the check before a send and its first byte is at most
-    ``longest_pause_ms``; after more, the instance counts as crashed there.
-    """
-
-    def __init__(self, endpoints, gate, clock, longest_pause_ms):
+    def __init__(self, endpoints, gate, clock):
         self.choose = endpoints.choose
         self.lookup = Gated(endpoints, gate).lookup
-        self._send = Gated(endpoints, gate).send
+        self._endpoints = endpoints
         self._gate = gate
         self._clock = clock
-        self._longest_pause_ms = longest_pause_ms
+        self._waiting_since_ms: dict[object, int] = {}
+
+    def longest_wait_ms(self) -> int:
+        """Return for how long a checked send has been held at the gate."""
+        now_ms = self._clock.now_ms()
+        return max((now_ms - at for at in self._waiting_since_ms.values()), default=0)
 
     async def send(self, submission, endpoint, attempt_id):
-        began_ms = self._clock.now_ms()
+        self._waiting_since_ms[attempt_id] = self._clock.now_ms()
+        await self._gate.pass_through()
+        del self._waiting_since_ms[attempt_id]
+        result = await self._endpoints.send(submission, endpoint, attempt_id)
         await self._gate.pass_through()
-        if self._clock.now_ms() - began_ms > self._longest_pause_ms:
-            await asyncio.Event().wait()
-        return await self._send(submission, endpoint, attempt_id)
+        return result
 
 
 def _unavailable(step):
--- /dev/null
+++ b/testing/journal/test_journal.py
@@ -0,0 +1,295 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from _monsoonpulley.errors import Reason
+from _monsoonpulley.journal.record import State, decode_record, row_key
+from _monsoonpulley.outcome import Outcome
+
+from .faults import Call, Fault
+from .world import RETENTION_MS, SETTINGS, World, submission
+
+LARGE = b"book a frame of the gallery"
+
+
+class WorldTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World(1)
+        self.addCleanup(self.world.close)
+
+    def tearDown(self):
+        self.assertEqual(self.world.violations, [])
+
+    def settled(self, task):
+        return self.world.loop.run_until_complete(task)
+
+    def assert_done(self, index):
+        settled = self.settled(self.world.submit(index, "key"))
+        self.assertEqual(settled.outcome, Outcome.DONE)
+
+    def record(self, key="key"):
+        row = self.world.table.rows.get(row_key(submission(key).request_id))
+        return None if row is None else decode_record(row.value)
+
+    def runs(self, key="key"):
+        request_id = submission(key).request_id
+        return sum(1 for _, seen in self.world.endpoints.ran if seen == request_id)
+
+    def next_commits(self, *faults):
+        left = list(faults)
+        self.world.table.next_fault = lambda: left.pop(0) if left else Fault.NONE
+
+    def next_calls(self, *calls):
+        left = list(calls)
+        self.world.endpoints.next_call = lambda: left.pop(0) if left else Call.ANSWER
+
+
+class JournalTest(WorldTest):
+    def test_a_submission_runs_and_its_answer_is_recorded(self):
+        settled = self.settled(self.world.submit(0, "key"))
+        self.assertEqual(settled.outcome, Outcome.DONE)
+        self.assertEqual(settled.answer.body, b"answer to book")
+        self.world.tick(100)
+        self.assertEqual(self.record().state, State.DONE)
+
+    def test_a_repeated_key_gets_the_recorded_answer_anywhere(self):
+        for index in (0, 0, 1, 2):
+            settled = self.settled(self.world.submit(index, "key", LARGE))
+            self.assertEqual(settled.answer.body, b"answer to " + LARGE)
+            self.world.tick(100)
+        self.assertTrue(settled.repeated)
+        self.assertEqual(self.runs(), 1)
+
+    def test_a_key_in_progress_is_waited_for_here_and_elsewhere(self):
+        self.next_calls(Call.SLOW)
+        self.world.endpoints.delay_ms = lambda: 1_500
+        tasks = [self.world.submit(index, "key") for index in (0, 0, 1)]
+        outcomes = [self.settled(task).outcome for task in tasks]
+        self.assertEqual(outcomes, [Outcome.DONE] * 3)
+        self.assertEqual(self.runs(), 1)
+
+    def test_a_key_long_in_progress_elsewhere_is_unknown_for_now(self):
+        self.next_calls(Call.SLOW)
+        self.world.endpoints.delay_ms = lambda: 2 * SETTINGS.wait_ms
+        self.world.submit(0, "key")
+        self.world.tick(100)
+        settled = self.settled(self.world.submit(1, "key"))
+        self.assertEqual(settled.outcome, Outcome.UNKNOWN)
+        self.assertIsNotNone(settled.failure.retry_after_ms)
+
+    def test_another_body_under_the_key_is_refused_here_and_elsewhere(self):
+        self.world.submit(0, "key")
+        for index in (0, 1):
+            settled = self.settled(self.world.submit(index, "key", LARGE))
+            self.assertEqual(settled.outcome, Outcome.NOT_RUN)
+            self.assertEqual(settled.failure.reason, Reason.KEY_REUSED)
+        self.world.tick(100)
+        self.assertEqual(self.world.objects.data, {})
+
+    def test_with_the_store_away_nothing_is_sent(self):
+        self.world.table.is_down = self.world.objects.is_down = True
+        for body in (b"book", LARGE):
+            settled = self.settled(self.world.submit(0, "key", body))
+            self.assertEqual(settled.outcome, Outcome.NOT_RUN)
+        self.world.table.is_down = self.world.objects.is_down = False
+        self.world.heal()
+        self.assertEqual(self.runs(), 0)
+
+    def test_an_accept_in_doubt_when_the_store_leaves_is_unknown(self):
+        self.next_commits(Fault.ANSWER_LOST, *[Fault.UNAVAILABLE] * 1_000)
+        settled = self.settled(self.world.submit(0, "key"))
+        self.assertEqual(settled.outcome, Outcome.UNKNOWN)
+        self.next_commits()
+        self.assertEqual(
+            self.settled(self.world.submit(0, "key")).outcome, Outcome.DONE
+        )
+        self.assertEqual(self.runs(), 1)
+
+    def test_a_delayed_accept_can_not_land_after_it_was_settled(self):
+        self.next_commits(Fault.DELAYED)
+        self.world.table.delay_ms = lambda: 5_000
+        self.assertEqual(
+            self.settled(self.world.submit(0, "key")).outcome, Outcome.DONE
+        )
+        self.world.tick(10_000)
+        self.assertEqual(self.record().state, State.DONE)
+
+    def test_an_answer_is_told_though_the_store_left_after_the_call(self):
+        self.next_commits(Fault.NONE, Fault.NONE, *[Fault.UNAVAILABLE] * 20)
+        settled = self.settled(self.world.submit(0, "key"))
+        self.assertEqual(settled.outcome, Outcome.DONE)
+        self.assertEqual(self.record().state, State.DISPATCHED)
+        self.world.tick(20_000)
+        self.assertEqual(self.record().state, State.DONE)
+
+    def test_work_goes_on_when_its_caller_vanishes(self):
+        async def vanish():
+            journal = self.world.instances[0].journal
+            caller = asyncio.create_task(journal.submit(submission("key")))
+            await asyncio.sleep(0.003)
+            caller.cancel()
+
+        self.world.loop.run_until_complete(vanish())
+        self.world.tick(1_000)
+        self.assertEqual(self.record().state, State.DONE)
+
+    def test_a_call_that_raises_is_never_repeated(self):
+        def fail():
+            raise RuntimeError("fault in the adapter")
+
+        self.world.endpoints.can_look_up = False
+        self.world.endpoints.next_call = fail
+        settled = self.settled(self.world.submit(0, "key"))
+        self.assertEqual(settled.outcome, Outcome.UNKNOWN)
+
+    def test_draining_waits_for_work_and_leaves_the_rest_to_adoption(self):
+        self.next_calls(Call.SLOW)
+        self.world.endpoints.delay_ms = lambda: 500
+        first = self.world.submit(0, "key")
+        self.world.tick(100)
+        self.world.endpoints.has_room = False
+        second = self.world.submit(0, "left")
+        self.world.tick(100)
+        drain = self.world.instances[0].journal.drain(self.world.clock.now_ms() + 1_000)
+        self.assertEqual(self.settled(drain), 1)
+        self.assertEqual(self.settled(first).outcome, Outcome.DONE)
+        self.assertEqual(self.settled(second).outcome, Outcome.UNKNOWN)
+        refused = self.settled(self.world.submit(0, "new"))
+        self.assertEqual(refused.failure.reason, Reason.SHUTTING_DOWN)
+        self.assertEqual(self.record("left").state, State.ACCEPTED)
+        self.world.crash(0)
+        self.world.heal()
+        self.assertEqual(self.record("left").state, State.DONE)
+
+    def test_decisions_are_logged_with_inputs_and_without_bodies(self):
+        lines = []
+        self.world.on_log = lines.append
+        world = self.world
+        world.instances[0].__init__("i0", 2, world)
+        self.settled(world.submit(0, "key", b"secret-body"))
+        decisions = [json.loads(line) for line in lines]
+        self.assertTrue(all(each["event"] == "journal" for each in decisions))
+        self.assertIn("dispatch is confirmed", [each["rule"] for each in decisions])
+        self.assertNotIn("secret-body", "".join(lines))
+
+
+class RecoveryTest(WorldTest):
+    def pause_after_dispatch(self):
+        """Pause instance 0 between its confirmed dispatch and the send."""
+        apply = self.world.table.apply
+
+        def apply_and_pause(writes):
+            result = apply(writes)
+            if self.record().state is State.DISPATCHED:
+                self.world.pause(0)
+                self.world.table.apply = apply
+            return result
+
+        self.world.table.apply = apply_and_pause
+        self.world.submit(0, "key")
+        self.world.tick(1_000)
+        self.assertEqual((self.record().state, self.runs()), (State.DISPATCHED, 0))
+
+    def test_accepted_work_of_a_crashed_instance_runs(self):
+        self.world.endpoints.has_room = False
+        self.world.submit(0, "key", LARGE)
+        self.world.tick(100)
+        self.world.crash(0)
+        self.world.heal()
+        self.assertEqual((self.record().state, self.runs()), (State.DONE, 1))
+
+    def test_a_dispatch_that_ran_is_done_with_its_answer(self):
+        self.next_calls(Call.SLOW)
+        self.world.submit(0, "key")
+        self.world.tick(100)
+        self.world.crash(0)
+        self.world.heal()
+        self.assertEqual((self.record().state, self.runs()), (State.DONE, 1))
+
+    def test_a_paused_holder_is_refused_after_the_endpoint_barred_it(self):
+        self.pause_after_dispatch()
+        self.world.recover(1, suspected=0)
+        self.world.tick(1_000)
+        self.assertEqual((self.record().state, self.runs()), (State.DONE, 1))
+        self.world.resume(0)
+        self.world.tick(10_000)
+        self.assertEqual(self.runs(), 1)
+
+    def test_a_paused_holder_may_still_turn_unknown_to_done(self):
+        self.world.endpoints.can_look_up = False
+        self.pause_after_dispatch()
+        self.world.recover(1, suspected=0)
+        self.world.tick(1_000)
+        self.assertEqual((self.record().state, self.runs()), (State.UNKNOWN, 0))
+        self.world.resume(0)
+        self.world.tick(100)
+        self.assertEqual((self.record().state, self.runs()), (State.DONE, 1))
+
+    def test_a_holder_paused_past_the_retention_does_not_send(self):
+        self.world.endpoints.can_look_up = False
+        self.pause_after_dispatch()
+        self.world.recover(1, suspected=0)
+        self.world.tick(RETENTION_MS + 2_000)
+        self.world.collect(1)
+        self.world.tick(100)
+        self.assertIsNone(self.record())
+        self.assertEqual(
+            self.settled(self.world.submit(1, "key")).outcome, Outcome.DONE
+        )
+        self.world.resume(0)
+        self.world.tick(10_000)
+        self.assertEqual(self.runs(), 1)
+
+    def test_an_adoption_that_lands_late_is_not_left_behind(self):
+        self.world.endpoints.has_room = False
+        self.world.submit(0, "key")
+        self.world.tick(100)
+        self.next_commits(Fault.DELAYED)
+        self.world.crash(0)
+        self.world.recover(1)
+        self.world.tick(5_000)
+        self.world.endpoints.has_room = True
+        self.world.tick(5_000)
+        self.assertEqual(self.record().holder, "i1")
+        self.assertTrue(self.record().is_terminal())
+
+    def test_a_live_holder_keeps_its_record(self):
+        self.world.endpoints.has_room = False
+        self.world.submit(0, "key")
+        self.world.tick(100)
+        self.world.recover(1)
+        self.world.tick(100)
+        self.assertEqual(self.record().holder, "i0")
+
+
+class CollectionTest(WorldTest):
+    def test_records_and_objects_go_after_retention_and_not_before(self):
+        self.settled(self.world.submit(0, "key", LARGE))
+        self.world.tick(RETENTION_MS - 1_000)
+        self.world.collect(1)
+        self.world.tick(100)
+        self.assertEqual(len(self.world.objects.data), 2)
+        self.world.tick(2_000)
+        self.world.collect(1)
+        self.world.tick(100)
+        self.assertEqual((self.world.table.rows, self.world.objects.data), ({}, {}))
+
+    def test_records_in_progress_are_never_collected(self):
+        self.world.endpoints.has_room = False
+        self.world.submit(0, "key")
+        self.world.tick(100)
+        self.world.crash(0)
+        self.world.tick(100 * RETENTION_MS)
+        self.world.collect(1)
+        self.world.tick(100)
+        self.assertEqual(self.record().state, State.ACCEPTED)
+
+    def test_a_record_stays_while_its_objects_can_not_be_removed(self):
+        self.settled(self.world.submit(0, "key", LARGE))
+        self.world.tick(2 * RETENTION_MS)
+        self.world.objects.is_down = True
+        self.world.collect(1)
+        self.world.tick(100)
+        self.assertEqual(self.record().state, State.DONE)
--- a/testing/journal/world.py
+++ b/testing/journal/world.py
@@ -68,6 +68,7 @@
         table = Gated(world.table, self.gate)
         objects = Gated(world.objects, self.gate)
         log = Log(world.clock, world.on_log, name)
+        self.dispatcher = GatedEndpoints(world.endpoints, self.gate, clock)
         self.journal = Journal(
             table,
             objects,
@@ -75,7 +76,7 @@
             random.Random(f"{world.seed}/{name}/{incarnation}"),
             InstanceId(name),
             incarnation,
-            GatedEndpoints(world.endpoints, self.gate, clock, LONGEST_PAUSE_MS),
+            self.dispatcher,
             log,
             SETTINGS,
         )
@@ -110,6 +111,8 @@
         self._tag = 0
         self._tasks: set[asyncio.Task] = set()
         self.crashed: set[tuple] = set()
+        # Held, so that tasks that hang at a crashed gate are not destroyed.
+        self._gone: list[Instance] = []
         self.instances = [Instance(f"i{n}", 1, self) for n in range(instances)]
 
     def close(self):
@@ -133,12 +136,16 @@
         gone = self.instances[index]
         gone.gate.close()
         self.crashed.add((gone.name, gone.incarnation))
+        self._gone.append(gone)
         self.instances[index] = Instance(gone.name, gone.incarnation + 1, self)
 
     def pause(self, index: int):
         self.instances[index].gate.close()
 
     def resume(self, index: int):
+        """End a pause; too long a one between check and send is a crash."""
+        if self.instances[index].dispatcher.longest_wait_ms() > LONGEST_PAUSE_MS:
+            self.crash(index)
         self.instances[index].gate.open()
 
     def recover(self, index: int, suspected: int | None = None):
@@ -158,8 +165,8 @@
         self.faults_per_hundred = 0
         self.table.is_down = self.objects.is_down = False
         self.endpoints.has_room = True
-        for instance in self.instances:
-            instance.gate.open()
+        for index in range(len(self.instances)):
+            self.resume(index)
         for _ in range(6):
             self.recover(0)
             self.tick(HEAL_MS // 6)
