--- a/src/_monsoonpulley/journal/journal.py
+++ b/src/_monsoonpulley/journal/journal.py
@@ -20,6 +20,7 @@
 from ..outcome import Outcome
 from ..platform.objects import ObjectStore
 from ..platform.table import Table
+from .moves import new_token
 from .record import (
     JournalRecord,
     StoredRecord,
@@ -28,7 +29,7 @@
 from .settings import JournalSettings
 from .store import RecordStore
 from .submission import Dispatcher, Settled, Submission
-from .transitions import Transitions, new_token
+from .transitions import Transitions
 from .writer import GroupWriter
 
 
--- a/src/_monsoonpulley/journal/recovery.py
+++ b/src/_monsoonpulley/journal/recovery.py
@@ -17,11 +17,11 @@
 import msgspec
 
 from ..errors import Failure
-from ..ids import InstanceId
-from ..log import Log
+from ..ids import EndpointId, InstanceId, RequestId
+from ..log import Decision, Log
 from ..platform.table import Table
 from .journal import Journal
-from .record import KEY_PREFIX, JournalRecord, StoredRecord
+from .record import KEY_PREFIX, JournalRecord, State, StoredRecord
 from .store import stored_record
 
 IsGone = Callable[[InstanceId, int], bool]
@@ -50,6 +50,19 @@
     unreadable: int = 0
 
 
+class AdoptionDecision(Decision, frozen=True, kw_only=True, tag="journal_adoption"):
+    """A record without a live holder, and whether its take-over was begun."""
+
+    request_id: RequestId
+    revision: int
+    state: State
+    holder: InstanceId
+    incarnation: int
+    adopter: InstanceId
+    endpoint: EndpointId | None
+    attempt: int
+
+
 class Recovery:
     """Takes over the records of gone holders in one journal.
 
@@ -110,7 +123,23 @@
             return False
         if not self._is_left(stored.record, is_gone):
             return False
-        return await self._journal.adopt(stored)
+        begun = await self._journal.adopt(stored)
+        self._log.decision(self._decision(stored, begun))
+        return begun
+
+    def _decision(self, stored: StoredRecord, begun: bool) -> AdoptionDecision:
+        record = stored.record
+        return AdoptionDecision(
+            rule="its holder is gone" if begun else "left to a later pass",
+            request_id=record.request_id,
+            revision=stored.revision,
+            state=record.state,
+            holder=record.holder,
+            incarnation=record.incarnation,
+            adopter=self._journal.instance,
+            endpoint=record.endpoint,
+            attempt=record.attempt,
+        )
 
     def _is_left(self, record: JournalRecord, is_gone: IsGone) -> bool:
         """Tell whether no live instance acts on the record."""
--- a/testing/journal/test_journal.py
+++ b/testing/journal/test_journal.py
@@ -255,6 +255,20 @@
         self.assertEqual(self.record().holder, "i1")
         self.assertTrue(self.record().is_terminal())
 
+    def test_adoptions_are_logged(self):
+        lines = []
+        self.world.on_log = lines.append
+        self.world.endpoints.has_room = False
+        self.world.submit(0, "key")
+        self.world.tick(100)
+        self.world.crash(0)
+        self.world.instances[1].__init__("i1", 1, self.world)
+        self.world.recover(1)
+        self.world.tick(100)
+        found = [json.loads(line) for line in lines]
+        adoptions = [each for each in found if each["event"] == "journal_adoption"]
+        self.assertEqual([each["holder"] for each in adoptions], ["i0"])
+
     def test_a_live_holder_keeps_its_record(self):
         self.world.endpoints.has_room = False
         self.world.submit(0, "key")
