--- a/testing/journal/faults.py
+++ b/testing/journal/faults.py
@@ -229,12 +229,26 @@
 class GatedEndpoints:
     """The dispatcher of one instance: sends wait at the instance's gate."""
 
-    def __init__(self, endpoints, gate):
-        self._endpoints = endpoints
-        gated = Gated(endpoints, gate)
+    def __init__(self, endpoints, gate, clock):
         self.choose = endpoints.choose
-        self.send = gated.send
-        self.lookup = gated.lookup
+        self.lookup = Gated(endpoints, gate).lookup
+        self._endpoints = endpoints
+        self._gate = gate
+        self._clock = clock
+        self._waiting_since_ms: dict[object, int] = {}
+
+    def longest_wait_ms(self) -> int:
+        """Return for how long a checked send has been held at the gate."""
+        now_ms = self._clock.now_ms()
+        return max((now_ms - at for at in self._waiting_since_ms.values()), default=0)
+
+    async def send(self, submission, endpoint, attempt_id):
+        self._waiting_since_ms[attempt_id] = self._clock.now_ms()
+        await self._gate.pass_through()
+        del self._waiting_since_ms[attempt_id]
+        result = await self._endpoints.send(submission, endpoint, attempt_id)
+        await self._gate.pass_through()
+        return result
 
 
 def _unavailable(step):
