Merge racing changes whose sections don't touch

Change: a change is merged, on the server, into what came since, unless sections touch (a class touches its service, a customer its classes, versions of one service each other) or the merged document isn't valid; the difference of both is named otherwise. The change token now finds a merged revision too.

--- a/src/_monsoonpulley/cli.py
+++ b/src/_monsoonpulley/cli.py
@@ -34,11 +34,10 @@
     status_text,
 )
 from .config.difference import difference
-from .config.document import Document
 from .config.ini import base_number, parse_document
-from .errors import Failure, SettingsError
-from .operator_client import OperatorClient
-from .operator_wire import HISTORY_MAX, ConflictBody, InvalidBody
+from .errors import Failure, Reason, SettingsError
+from .operator_client import ApplyAnswer, OperatorClient
+from .operator_wire import HISTORY_MAX, ConflictBody, InvalidBody, RevisionBody
 from .settings import Settings, read_text
 
 app = App(
@@ -111,11 +110,15 @@
     file: Path,
     *,
     expect: int | None = None,
+    exact: bool = False,
     author: str = "",
     note: str = "",
     access: Access = FROM_ENVIRONMENT,
 ) -> int:
-    """Put a configuration file in force, if no other change came first.
+    """Put a configuration file in force.
+
+    Changes that came in between are kept, where they touch other sections; else
+    the file is refused.
 
     Parameters
     ----------
@@ -124,6 +127,8 @@
     expect
         Revision that the file is based on. Without it, the revision named by
         the file's own "# based on revision N" line, else the one in force.
+    exact
+        Refuse the file if any change came in between.
     author
         Who makes the change; your login name by default.
     note
@@ -132,32 +137,41 @@
     text = read_text(file)
     document = parse_document(text, str(file))
     author = author or getpass.getuser()
-    return ask_entry(
-        access, lambda client: _apply(client, text, document, expect, author, note)
-    )
+    base = base_number(text) if expect is None else expect
 
+    async def apply_with(client: OperatorClient) -> int:
+        revision = await _base(client, base)
+        if isinstance(revision, Failure):
+            return print_failure(revision)
+        before = parse_document(revision.ini, f"revision {revision.number}")
+        changes = difference(before, document)
+        print(f"against revision {revision.number}:\n{difference_text(changes)}")
+        if not changes:
+            return ExitCode.OK
+        expected_number = revision.number if base is None else base
+        answer = await client.apply(
+            text,
+            expected_number=expected_number,
+            author=author,
+            note=note,
+            merge=not exact,
+        )
+        return _print_applied(answer, expected_number)
 
-async def _apply(
-    client: OperatorClient,
-    text: str,
-    document: Document,
-    expect: int | None,
-    author: str,
-    note: str,
-) -> int:
-    current = await client.config()
-    if isinstance(current, Failure):
-        return print_failure(current)
-    base = base_number(text) if expect is None else expect
-    expected_number = current.number if base is None else base
-    in_force = parse_document(current.ini, f"revision {current.number}")
-    changes = difference(in_force, document)
-    print(f"against revision {current.number}:\n{difference_text(changes)}")
-    if not changes and expected_number == current.number:
-        return ExitCode.OK
-    answer = await client.apply(
-        text, expected_number=expected_number, author=author, note=note
-    )
+    return ask_entry(access, apply_with)
+
+
+async def _base(client: OperatorClient, number: int | None) -> RevisionBody | Failure:
+    """Return the revision a file is based on; if it isn't kept, that in force."""
+    if number == 0:
+        return RevisionBody.from_revision(None)
+    revision = await client.config(number)
+    if isinstance(revision, Failure) and revision.reason is Reason.NOT_FOUND:
+        return await client.config()
+    return revision
+
+
+def _print_applied(answer: ApplyAnswer, expected_number: int) -> int:
     if isinstance(answer, ConflictBody):
         print(conflict_text(answer), file=sys.stderr)
         return ExitCode.FAILED
@@ -166,7 +180,11 @@
         return ExitCode.USAGE
     if isinstance(answer, Failure):
         return print_failure(answer)
-    print(f"applied as revision {answer.number}, change token {answer.change_token}")
+    merged = ""
+    if answer.number > expected_number + 1:
+        merged = f", merged with the changes since revision {expected_number}"
+    print(f"applied as revision {answer.number}{merged}")
+    print(f"change token {answer.change_token}")
     return ExitCode.OK
 
 
--- a/src/_monsoonpulley/cli_output.py
+++ b/src/_monsoonpulley/cli_output.py
@@ -39,10 +39,11 @@
 def conflict_text(conflict: ConflictBody) -> str:
     """Return what came before a change, and what to do."""
     current = conflict.current
+    advice = "They were not to be merged."
     if conflict.same_sections:
         advice = f"Both touch: {', '.join(conflict.same_sections)}."
-    else:
-        advice = "No section is touched by both."
+    if conflict.problems:
+        advice = "Together they are not valid:\n" + "\n".join(conflict.problems)
     return "\n".join(
         [
             f"refused: based on revision {conflict.expected_number}, but revision "
@@ -53,7 +54,7 @@
             difference_text(conflict.theirs),
             f"your change, as {conflict.author!r}:",
             difference_text(conflict.yours),
-            f"{advice} Start again from 'monsoonpulley config show'.",
+            f"{advice}\nStart again from 'monsoonpulley config show'.",
         ]
     )
 
--- /dev/null
+++ b/src/_monsoonpulley/config/change.py
@@ -0,0 +1,142 @@
+"""One change of the configuration on its way: pure decisions about it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import Failure, Reason
+from .check import check_document
+from .difference import Difference, difference
+from .document import Document, Revision
+from .merge import merge, touching_sections
+
+STEP = "config.apply"
+PEER = "table"
+
+
+class ApplyConflict(msgspec.Struct, frozen=True, kw_only=True):
+    """The change was not applied, because another one came first.
+
+    Attributes
+    ----------
+    expected_number : int
+        Revision that the refused change was based on.
+    author : str
+        Author of the refused change.
+    current : Revision
+        What is in force, with its author.
+    theirs : tuple of SectionChange
+        What became of the expected revision since; where that is no longer
+        kept, empty.
+    yours : tuple of SectionChange
+        What the refused change would have changed in the expected revision;
+        where that is no longer kept, in the current one.
+    same_sections : tuple of str
+        Sections in which both changes touch.
+    problems : tuple of str
+        What would be wrong with the merged document.
+    """
+
+    expected_number: int
+    author: str
+    current: Revision
+    theirs: Difference = ()
+    yours: Difference = ()
+    same_sections: tuple[str, ...] = ()
+    problems: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        return (
+            f"revision {self.expected_number} was expected, but revision "
+            f"{self.current.number} by {self.current.author!r} came before the "
+            f"change by {self.author!r}"
+        )
+
+
+class Change(msgspec.Struct, kw_only=True):
+    """A change, and what is known about its way so far.
+
+    Attributes
+    ----------
+    document : Document
+        The whole document as its author wants it.
+    expected_number : int
+        Revision that it is based on; 0 for none yet.
+    token : str
+        Change token.
+    wall_ms : int
+        When it was asked for.
+    merge : bool
+        Whether it may be merged with changes that came since.
+    may_be_applied : bool
+        Whether a commit with its token may have been sent.
+    is_in_doubt : bool
+        Whether a commit of this very call isn't settled.
+    """
+
+    document: Document
+    expected_number: int
+    author: str
+    note: str
+    token: str
+    wall_ms: int
+    merge: bool
+    may_be_applied: bool = False
+    is_in_doubt: bool = False
+
+    def revision(self, number: int, document: Document) -> Revision:
+        """Return the revision that this change becomes."""
+        return Revision(
+            number=number,
+            change_token=self.token,
+            author=self.author,
+            applied_wall_ms=self.wall_ms,
+            document=document,
+            note=self.note,
+        )
+
+    def is_in(self, landed: Revision, base: Document | None) -> bool:
+        """Whether a revision with this change's token has its effect, too."""
+        if landed.author != self.author:
+            return False
+        if landed.number == self.expected_number + 1:
+            return landed.document == self.document
+        if base is None:
+            return True
+        return merge(base, landed.document, self.document) == landed.document
+
+    def merged(
+        self, base: Document | None, current: Revision
+    ) -> Document | ApplyConflict:
+        """Return the change merged into ``current``, where that is safe.
+
+        The same inputs always give the same result. So while a change is in
+        conflict with the head, no copy of it on its way is based on that head.
+        """
+        theirs: Difference = ()
+        touching: tuple[str, ...] = ()
+        problems: tuple[str, ...] = ()
+        if base is not None:
+            theirs = difference(base, current.document)
+            touching = touching_sections(base, current.document, self.document)
+        if base is not None and self.merge and not touching:
+            merged = merge(base, current.document, self.document)
+            found = check_document(merged, "merged")
+            if not found:
+                return merged
+            problems = tuple(str(one) for one in found)
+        return ApplyConflict(
+            expected_number=self.expected_number,
+            author=self.author,
+            current=current,
+            theirs=theirs,
+            yours=difference(base or current.document, self.document),
+            same_sections=touching,
+            problems=problems,
+        )
+
+
+def in_doubt(change: Change, detail: str) -> Failure:
+    """Return the failure for a change that may have been or may yet be applied."""
+    text = f"change token {change.token}: {detail}"
+    return Failure(Reason.IN_DOUBT, STEP, PEER, text)
--- a/src/_monsoonpulley/config/difference.py
+++ b/src/_monsoonpulley/config/difference.py
@@ -9,6 +9,7 @@
 
 from .document import Document
 from .ini import format_deadline
+from .sections import split
 
 
 class ChangeKind(Enum):
@@ -45,38 +46,19 @@
 
 def difference(before: Document, after: Document) -> Difference:
     """Return the sections in which two documents differ, sorted by name."""
-    old, new = _sections(before), _sections(after)
+    old, new = split(before), split(after)
     changes = []
-    for section in sorted(old.keys() | new.keys()):
-        if section not in old:
-            changes.append(SectionChange(section, ChangeKind.ADDED))
-        elif section not in new:
-            changes.append(SectionChange(section, ChangeKind.REMOVED))
-        elif old[section] != new[section]:
-            fields = _field_changes(old[section], new[section])
-            changes.append(SectionChange(section, ChangeKind.CHANGED, fields))
+    for key in sorted(old.keys() | new.keys()):
+        if key not in old:
+            changes.append(SectionChange(str(key), ChangeKind.ADDED))
+        elif key not in new:
+            changes.append(SectionChange(str(key), ChangeKind.REMOVED))
+        elif old[key] != new[key]:
+            fields = _field_changes(old[key], new[key])
+            changes.append(SectionChange(str(key), ChangeKind.CHANGED, fields))
     return tuple(changes)
 
 
-def common_sections(one: Difference, other: Difference) -> tuple[str, ...]:
-    """Return the names of sections that both differences touch."""
-    touched = {change.section for change in one}
-    return tuple(c.section for c in other if c.section in touched)
-
-
-def _sections(document: Document) -> dict[str, msgspec.Struct]:
-    sections: dict[str, msgspec.Struct] = {}
-    for name, service in document.services.items():
-        sections[f"service {name}"] = service
-    for name, request_class in document.classes.items():
-        sections[f"class {name}"] = request_class
-    for name, customer in document.customers.items():
-        sections[f"customer {name}"] = customer
-    for version in document.versions:
-        sections[f"version {version.service} {version.version}"] = version
-    return sections
-
-
 def _field_changes(
     before: msgspec.Struct, after: msgspec.Struct
 ) -> tuple[FieldChange, ...]:
--- /dev/null
+++ b/src/_monsoonpulley/config/merge.py
@@ -0,0 +1,65 @@
+"""Three-way merge of two changes whose sections don't touch."""
+
+from __future__ import annotations
+
+from .document import Customer, Document, RequestClass
+from .sections import SectionKey, Sections, join, split
+
+
+def touching_sections(
+    base: Document, theirs: Document, yours: Document
+) -> tuple[str, ...]:
+    """Return the sections in which two changes of ``base`` touch.
+
+    A change touches the sections that differ and those that they name: a class
+    its service, a customer its classes. All versions of a service count as one
+    section, because they take turns. Two changes touch where one differs in
+    what the other touches; that both name an unchanged section does no harm.
+    """
+    their_changes, their_reach = _changes(base, theirs)
+    your_changes, your_reach = _changes(base, yours)
+    touching = (their_changes & your_reach) | (your_changes & their_reach)
+    return tuple(str(key) for key in sorted(touching))
+
+
+def merge(base: Document, theirs: Document, yours: Document) -> Document:
+    """Return ``theirs`` with the sections in which ``yours`` differs from ``base``."""
+    before, after = split(base), split(yours)
+    merged = split(theirs)
+    for key in before.keys() | after.keys():
+        if before.get(key) == after.get(key):
+            continue
+        if key in after:
+            merged[key] = after[key]
+        else:
+            merged.pop(key, None)
+    return join(merged)
+
+
+def _changes(
+    base: Document, changed: Document
+) -> tuple[set[SectionKey], set[SectionKey]]:
+    before, after = split(base), split(changed)
+    changes: set[SectionKey] = set()
+    reach: set[SectionKey] = set()
+    for key in before.keys() | after.keys():
+        if before.get(key) == after.get(key):
+            continue
+        changes.add(_turn(key))
+        reach |= _named(key, before) | _named(key, after)
+    return changes, changes | reach
+
+
+def _turn(key: SectionKey) -> SectionKey:
+    return SectionKey("version", key.names[:1]) if key.kind == "version" else key
+
+
+def _named(key: SectionKey, sections: Sections) -> set[SectionKey]:
+    section = sections.get(key)
+    if key.kind == "version":
+        return {SectionKey("service", key.names[:1])}
+    if isinstance(section, RequestClass):
+        return {SectionKey("service", (section.service,))}
+    if isinstance(section, Customer):
+        return {SectionKey("class", (name,)) for name in section.classes}
+    return set()
--- a/src/_monsoonpulley/config/rows.py
+++ b/src/_monsoonpulley/config/rows.py
@@ -18,6 +18,23 @@
     return f"{HISTORY_PREFIX}{number:0{NUMBER_DIGITS}d}"
 
 
+def number_of(key: str) -> int:
+    """Return the number in a history key."""
+    return int(key.removeprefix(HISTORY_PREFIX))
+
+
+class _Token(msgspec.Struct):
+    change_token: str
+
+
+def token_of(row: Row) -> str:
+    """Return the change token in a row without decoding its document."""
+    try:
+        return msgspec.json.decode(row.value, type=_Token).change_token
+    except msgspec.DecodeError:
+        return ""
+
+
 def encode_revision(revision: Revision) -> bytes:
     """Return the row value of a revision."""
     return msgspec.json.encode(revision)
--- /dev/null
+++ b/src/_monsoonpulley/config/sections.py
@@ -0,0 +1,55 @@
+"""A document as named sections, and back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..ids import ClassId, CustomerId, ServiceId
+from .document import Document, Version
+
+
+class SectionKey(msgspec.Struct, frozen=True, order=True):
+    """Kind and names of a section, as in its header."""
+
+    kind: str
+    names: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return " ".join((self.kind, *self.names))
+
+
+Sections = dict[SectionKey, Any]
+
+
+def split(document: Document) -> Sections:
+    """Return the sections of a document."""
+    sections: Sections = {}
+    for name, service in document.services.items():
+        sections[SectionKey("service", (name,))] = service
+    for version in document.versions:
+        names = (version.service, version.version)
+        sections[SectionKey("version", names)] = version
+    for name, request_class in document.classes.items():
+        sections[SectionKey("class", (name,))] = request_class
+    for name, customer in document.customers.items():
+        sections[SectionKey("customer", (name,))] = customer
+    return sections
+
+
+def join(sections: Sections) -> Document:
+    """Return the document that has the given sections."""
+    of_kind: dict[str, dict[str, Any]] = {}
+    for key, section in sections.items():
+        of_kind.setdefault(key.kind, {})[" ".join(key.names)] = section
+    classes = of_kind.get("class", {})
+    customers = of_kind.get("customer", {})
+    services = of_kind.get("service", {})
+    versions: dict[str, Version] = of_kind.get("version", {})
+    return Document(
+        classes={ClassId(name): one for name, one in classes.items()},
+        customers={CustomerId(name): one for name, one in customers.items()},
+        services={ServiceId(name): one for name, one in services.items()},
+        versions=tuple(versions.values()),
+    )
--- a/src/_monsoonpulley/config/store.py
+++ b/src/_monsoonpulley/config/store.py
@@ -1,7 +1,8 @@
 """The configuration in the table: applied by compare-and-set, with history.
 
 One transaction writes the head row and the history row of the new revision.
-Whether a commit with a lost answer took effect is settled by `Settlement`.
+Changes that raced are merged where their sections don't touch. A commit with a
+lost answer is settled by its change token.
 """
 
 from __future__ import annotations
@@ -13,76 +14,32 @@
 from ..clock import Clock
 from ..errors import Failure, Reason
 from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
-from .difference import Difference, common_sections, difference
+from .change import PEER, STEP, ApplyConflict, Change, in_doubt
 from .document import Document, Revision
 from .rows import (
     HEAD_KEY,
     HISTORY_PREFIX,
-    NUMBER_DIGITS,
     decode_revision,
     encode_revision,
     history_key,
+    number_of,
+    token_of,
 )
 
-STEP = "config.apply"
-PEER = "table"
 HISTORY_KEPT = 1_000
 PRUNE_BATCH = 2
+FIND_BATCH = 20
+MERGE_ROUNDS = 20
 SETTLE_ATTEMPTS = 8
 SETTLE_FIRST_WAIT_MS = 100
 SETTLE_MAX_WAIT_MS = 2_000
 TOKEN_BITS = 128
 
 
-class ApplyConflict(msgspec.Struct, frozen=True, kw_only=True):
-    """The change was not applied, because another one came first.
+class _HeadMoved(msgspec.Struct, frozen=True):
+    """The head is another one; ``in_doubt`` says that it may be this change."""
 
-    Attributes
-    ----------
-    expected_number : int
-        Revision that the refused change was based on.
-    author : str
-        Author of the refused change.
-    current : Revision
-        What is in force, with its author.
-    theirs : tuple of SectionChange
-        What became of the expected revision since; where that is no longer
-        kept, empty.
-    yours : tuple of SectionChange
-        What the refused change would have changed in the expected revision;
-        where that is no longer kept, in the current one.
-    same_sections : tuple of str
-        Sections that both changes touch.
-    """
-
-    expected_number: int
-    author: str
-    current: Revision
-    theirs: Difference = ()
-    yours: Difference = ()
-    same_sections: tuple[str, ...] = ()
-
-    def __str__(self) -> str:
-        return (
-            f"revision {self.expected_number} was expected, but revision "
-            f"{self.current.number} by {self.current.author!r} came before the "
-            f"change by {self.author!r}"
-        )
-
-
-class _Attempt(msgspec.Struct, frozen=True):
-    """A change that was sent, with what its commit expects."""
-
-    revision: Revision
-    head_revision: int
-
-    def writes(self) -> tuple[Write, Write]:
-        value = encode_revision(self.revision)
-        key = history_key(self.revision.number)
-        return (
-            Write(HEAD_KEY, value, self.head_revision),
-            Write(key, value, ABSENT_REVISION),
-        )
+    in_doubt: bool
 
 
 class ConfigStore:
@@ -121,8 +78,13 @@
         author: str,
         note: str = "",
         change_token: str = "",
+        merge: bool = True,
+        repeated: bool = True,
     ) -> Revision | ApplyConflict | Failure:
-        """Put a checked document in force, if ``expected_number`` still is.
+        """Put a checked document in force.
+
+        If ``expected_number`` is no longer in force, the change is merged with
+        those that came since, where their sections don't touch.
 
         Parameters
         ----------
@@ -135,11 +97,15 @@
         change_token : str
             Token of an earlier call whose answer was lost: the same change is
             then applied once however often it is asked for. Drawn if empty.
+        merge : bool
+            Whether to merge; without, any change since is a conflict.
+        repeated : bool
+            Whether a given change token may have been sent before.
 
         Returns
         -------
         Revision
-            The change took effect.
+            The change took effect, as this revision.
         ApplyConflict
             It did not and never will.
         Failure
@@ -147,23 +113,27 @@
             change token. Any other reason: this call did not and never will;
             an earlier one with the same change token still may.
         """
-        head = await self._read_head()
-        if isinstance(head, Failure):
-            return head
-        row, current = head
-        token = change_token or f"{self._rng.getrandbits(TOKEN_BITS):032x}"
-        revision = Revision(
-            number=expected_number + 1,
-            change_token=token,
-            author=author,
-            applied_wall_ms=self._clock.wall_ms(),
+        change = Change(
             document=document,
+            expected_number=expected_number,
+            author=author,
             note=note,
+            token=change_token or f"{self._rng.getrandbits(TOKEN_BITS):032x}",
+            wall_ms=self._clock.wall_ms(),
+            may_be_applied=bool(change_token) and repeated,
+            merge=merge,
         )
-        if _number(current) != expected_number:
-            return await self._after(revision, current, sent=bool(change_token))
-        attempt = _Attempt(revision, row.revision if row else ABSENT_REVISION)
-        result = await self._commit(attempt)
+        for _ in range(MERGE_ROUNDS):
+            result = await self._apply_on_head(change)
+            if not isinstance(result, _HeadMoved):
+                break
+            change.may_be_applied = change.may_be_applied or result.in_doubt
+            change.is_in_doubt = change.is_in_doubt or result.in_doubt
+        else:
+            detail = f"the head moved on {MERGE_ROUNDS} times"
+            result = Failure(Reason.CONFLICT, STEP, PEER, detail)
+        if isinstance(result, Failure) and change.is_in_doubt:
+            return in_doubt(change, str(result))
         if isinstance(result, Revision):
             await self._prune(result.number)
         return result
@@ -216,85 +186,113 @@
         revision = decode_revision(row)
         return revision if isinstance(revision, Failure) else (row, revision)
 
-    async def _commit(self, attempt: _Attempt) -> Revision | ApplyConflict | Failure:
-        """Commit until it is known whether the attempt took effect.
+    async def _apply_on_head(
+        self, change: Change
+    ) -> Revision | ApplyConflict | Failure | _HeadMoved:
+        head = await self._read_head()
+        if isinstance(head, Failure):
+            return head
+        row, current = head
+        number = current.number if current else 0
+        if number < change.expected_number:
+            detail = f"there is no revision {change.expected_number} yet"
+            return Failure(Reason.INVALID, STEP, PEER, detail)
+        document = change.document
+        if current is not None and number > change.expected_number:
+            landed = await self._find(change, number)
+            if landed is not None:
+                return landed
+            merged = await self._merge(change, current)
+            if not isinstance(merged, Document):
+                return merged
+            document = merged
+        row_revision = row.revision if row else ABSENT_REVISION
+        return await self._commit(change.revision(number + 1, document), row_revision)
+
+    async def _find(self, change: Change, number: int) -> Revision | Failure | None:
+        """Return the change as it was applied already, or ``None``.
+
+        It can't be applied any more on a revision below ``number``, so that all
+        places are looked at where it may be, but the next.
+        """
+        if not change.may_be_applied:
+            return None
+        after = change.expected_number
+        while after < number:
+            rows = await self._table.scan(
+                HISTORY_PREFIX, after=history_key(after), limit=FIND_BATCH
+            )
+            if isinstance(rows, Failure):
+                return rows
+            if not rows or number_of(rows[0].key) != after + 1:
+                return in_doubt(change, f"revision {after + 1} isn't kept any more")
+            for row in rows:
+                if token_of(row) == change.token:
+                    landed = decode_revision(row)
+                    assert landed is not None
+                    if isinstance(landed, Failure):
+                        return landed
+                    return await self._own(change, landed)
+            after = number_of(rows[-1].key)
+        change.is_in_doubt = False
+        return None
+
+    async def _own(self, change: Change, landed: Revision) -> Revision | Failure:
+        """Return the landed revision, if it is this change, not just its token."""
+        base = await self._base(change)
+        if isinstance(base, Failure):
+            return in_doubt(change, str(base))
+        if not change.is_in(landed, base):
+            detail = f"change token {change.token} is that of another change"
+            return Failure(Reason.INVALID, STEP, PEER, detail)
+        return landed
+
+    async def _base(self, change: Change) -> Document | Failure | None:
+        if change.expected_number == 0:
+            return Document()
+        kept = await self.show(change.expected_number)
+        return kept.document if isinstance(kept, Revision) else kept
+
+    async def _merge(
+        self, change: Change, current: Revision
+    ) -> Document | ApplyConflict | Failure:
+        base = await self._base(change)
+        if isinstance(base, Failure):
+            return base
+        return change.merged(base, current)
+
+    async def _commit(
+        self, revision: Revision, row_revision: int
+    ) -> Revision | Failure | _HeadMoved:
+        """Commit until it is known whether the revision took effect.
 
         The head's row revision never returns to an earlier value. While it is
         still the expected one, a commit sent earlier may land later, and its
         absence proves nothing; the same commit is then sent again, which takes
         effect at most once. When it has moved on, no copy can land any more,
-        and the history row of the attempt's number, which was written together
-        with the head, says whose change it was.
+        and the history, which is written together with the head, has the
+        change token if one did.
         """
-        in_doubt = False
+        value = encode_revision(revision)
+        writes = (
+            Write(HEAD_KEY, value, row_revision),
+            Write(history_key(revision.number), value, ABSENT_REVISION),
+        )
+        is_in_doubt = False
         wait_ms = SETTLE_FIRST_WAIT_MS
         for _ in range(SETTLE_ATTEMPTS):
-            result = await self._table.commit(attempt.writes())
+            result = await self._table.commit(writes)
             if isinstance(result, Committed):
-                return attempt.revision
+                return revision
             if isinstance(result, Conflict):
-                return await self._after_conflict(attempt, result)
-            in_doubt = in_doubt or result.reason is Reason.IN_DOUBT
-            if not in_doubt:
+                return _HeadMoved(is_in_doubt)
+            is_in_doubt = is_in_doubt or result.reason is Reason.IN_DOUBT
+            if not is_in_doubt:
                 return result
             await self._clock.sleep_ms(wait_ms * (0.5 + self._rng.random() / 2))
             wait_ms = min(2 * wait_ms, SETTLE_MAX_WAIT_MS)
-        return _in_doubt(attempt.revision, str(result))
-
-    async def _after_conflict(
-        self, attempt: _Attempt, conflict: Conflict
-    ) -> Revision | ApplyConflict | Failure:
-        current = decode_revision(conflict.current.get(HEAD_KEY))
-        if isinstance(current, Failure):
-            return current
-        return await self._after(attempt.revision, current, sent=True)
-
-    async def _after(
-        self, revision: Revision, current: Revision | None, *, sent: bool
-    ) -> Revision | ApplyConflict | Failure:
-        """Say what became of a change whose expected revision isn't in force.
-
-        ``sent`` says that a commit with its change token was sent before, here
-        or by another entry instance.
-        """
-        if current is None or current.number < revision.number:
-            detail = f"there is no revision {revision.number - 1} yet"
-            return Failure(Reason.INVALID, STEP, PEER, detail)
-        if not sent:
-            return await self._conflict(revision, current)
-        landed = current
-        if current.number > revision.number:
-            kept = await self.show(revision.number)
-            if kept is None or isinstance(kept, Failure):
-                return _in_doubt(revision, str(kept or "its number isn't kept"))
-            landed = kept
-        if landed.change_token != revision.change_token:
-            return await self._conflict(revision, current)
-        if landed.document != revision.document:
-            detail = f"change token {revision.change_token} is that of another change"
-            return Failure(Reason.INVALID, STEP, PEER, detail)
-        return landed
-
-    async def _conflict(
-        self, revision: Revision, current: Revision
-    ) -> ApplyConflict | Failure:
-        expected_number = revision.number - 1
-        base: Document | None = Document()
-        if expected_number > 0:
-            kept = await self.show(expected_number)
-            base = kept.document if isinstance(kept, Revision) else None
-        theirs: Difference = ()
-        if base is not None:
-            theirs = difference(base, current.document)
-        yours = difference(base or current.document, revision.document)
-        return ApplyConflict(
-            expected_number=expected_number,
-            author=revision.author,
-            current=current,
-            theirs=theirs,
-            yours=yours,
-            same_sections=common_sections(theirs, yours),
-        )
+        detail = f"change token {revision.change_token}: {result}"
+        return Failure(Reason.IN_DOUBT, STEP, PEER, detail)
 
     async def _prune(self, number: int) -> None:
         """Delete a batch of the oldest revisions that are no longer kept.
@@ -305,15 +303,9 @@
         if isinstance(rows, Failure):
             return
         first_kept = number - self._history_kept + 1
-        old = [row for row in rows if int(row.key[-NUMBER_DIGITS:]) < first_kept]
+        old = [row for row in rows if number_of(row.key) < first_kept]
         if old:
             await self._table.commit([Write(r.key, None, r.revision) for r in old])
 
 
-def _number(revision: Revision | None) -> int:
-    return revision.number if revision else 0
-
-
-def _in_doubt(revision: Revision, detail: str) -> Failure:
-    text = f"change token {revision.change_token}: {detail}"
-    return Failure(Reason.IN_DOUBT, STEP, PEER, text)
+__all__ = ["ApplyConflict", "ConfigStore"]
--- a/src/_monsoonpulley/operator_client.py
+++ b/src/_monsoonpulley/operator_client.py
@@ -30,6 +30,8 @@
 
 T = TypeVar("T")
 
+ApplyAnswer = RevisionBody | ConflictBody | InvalidBody | Failure
+
 CONNECT_TIMEOUT_S = 3.0
 ANSWER_TIMEOUT_S = 30.0
 APPLY_ATTEMPTS = 5
@@ -94,8 +96,14 @@
         return await self._get(EXPLAIN_PATH + quote(request_id, safe=""), ExplainBody)
 
     async def apply(
-        self, ini: str, *, expected_number: int, author: str, note: str = ""
-    ) -> RevisionBody | ConflictBody | InvalidBody | Failure:
+        self,
+        ini: str,
+        *,
+        expected_number: int,
+        author: str,
+        note: str = "",
+        merge: bool = True,
+    ) -> ApplyAnswer:
         """Put a configuration in force; a lost answer is asked for again.
 
         All attempts carry one change token, so that the change takes effect at
@@ -107,11 +115,13 @@
             author=author,
             note=note,
             change_token=f"{self._rng.getrandbits(TOKEN_BITS):032x}",
+            merge=merge,
         )
         in_doubt = False
         for attempt in range(APPLY_ATTEMPTS):
             if attempt:
                 await self._clock.sleep_ms(APPLY_RETRY_MS * attempt)
+                body = msgspec.structs.replace(body, repeated=True)
             answer = await self._put(body)
             if not isinstance(answer, Failure):
                 return answer
@@ -121,9 +131,7 @@
         detail = f"change token {body.change_token}: {answer}"
         return Failure(Reason.IN_DOUBT, "operator.apply", self._url, detail)
 
-    async def _put(
-        self, body: ApplyBody
-    ) -> RevisionBody | ConflictBody | InvalidBody | Failure:
+    async def _put(self, body: ApplyBody) -> ApplyAnswer:
         answer = await self._call("PUT", CONFIG_PATH, msgspec.json.encode(body))
         if isinstance(answer, Failure):
             return answer
--- a/src/_monsoonpulley/operator_wire.py
+++ b/src/_monsoonpulley/operator_wire.py
@@ -52,6 +52,10 @@
     change_token : str
         32 hexadecimal digits drawn by the client. The same request may be sent
         again, to any entry instance, and is applied at most once.
+    merge : bool
+        Whether it may be merged with changes since ``expected_number``.
+    repeated : bool
+        Whether the change token was sent before.
     """
 
     ini: str
@@ -59,6 +63,8 @@
     author: Annotated[str, Meta(min_length=1, max_length=200)]
     note: Annotated[str, Meta(max_length=2_000)] = ""
     change_token: Annotated[str, Meta(pattern="^([0-9a-f]{32})?$")] = ""
+    merge: bool = True
+    repeated: bool = False
 
 
 class RevisionBody(msgspec.Struct, frozen=True):
@@ -122,6 +128,7 @@
     theirs: tuple[SectionChange, ...]
     yours: tuple[SectionChange, ...]
     same_sections: tuple[str, ...]
+    problems: tuple[str, ...] = ()
 
     @classmethod
     def from_conflict(cls, conflict: ApplyConflict) -> ConflictBody:
@@ -133,6 +140,7 @@
             theirs=conflict.theirs,
             yours=conflict.yours,
             same_sections=conflict.same_sections,
+            problems=conflict.problems,
         )
 
 
--- a/testing/operatorserver.py
+++ b/testing/operatorserver.py
@@ -106,6 +106,8 @@
             author=body.author,
             note=body.note,
             change_token=body.change_token,
+            merge=body.merge,
+            repeated=body.repeated,
         )
         if self.lost_answers:
             self.lost_answers -= 1
