--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -111,8 +111,11 @@
     print(f"slow poll alone, 10 x 360 instances: median {middle} ms, last {last} ms")
 
 
-async def refused_share(think_ms: int, seed: int) -> tuple[float, int]:
-    """Return the share of refused applies, and the most tries of one change."""
+async def refused_share(think_ms: int, seed: int, merge: bool) -> tuple[float, int]:
+    """Return the share of refused applies, and the most tries of one change.
+
+    Each change sets the target of one of 80 classes.
+    """
     clock = running_clock()
     rng = random.Random(seed)
     table = FakeTable()
@@ -121,19 +124,25 @@
     async def change(index: int) -> None:
         client = TableClient(table, clock, rng, latency_ms=(5, 20))
         store = ConfigStore(client, clock, rng)
+        target = rng.randrange(80)
         for attempt in range(1, 100):
             head = await store.head()
-            assert head is None or isinstance(head, Revision)
+            assert isinstance(head, Revision)
             await clock.sleep_ms(think_ms)
+            classes = dict(head.document.classes)
+            classes[f"class-{target}"] = RequestClass("pool", index + 1)
             result = await store.apply(
-                document_of(**{f"c{index % 50}": index + 1}),
-                expected_number=head.number if head else 0,
+                msgspec.structs.replace(head.document, classes=classes),
+                expected_number=head.number,
                 author=f"job{index}",
+                merge=merge,
             )
             if not isinstance(result, ApplyConflict):
                 tries.append(attempt)
                 return
 
+    first = ConfigStore(TableClient(table, clock, rng), clock, rng)
+    await first.apply(document_of(), expected_number=0, author="ana")
     async with asyncio.TaskGroup() as group:
         for index in range(CHANGES_PER_DAY // 4):
             await clock.sleep_ms(rng.expovariate(CHANGES_PER_DAY / DAY_MS))
@@ -143,12 +152,13 @@
 
 def print_refusals() -> None:
     """Print how often automated changes are refused for racing."""
-    for think_ms in (100, 1_000, 10_000):
-        share, most = run_manual(refused_share(think_ms, 1))
-        print(
-            f"{think_ms} ms from read to apply: {share:.1%} of applies refused, "
-            f"at most {most} tries"
-        )
+    for think_ms in (1_000, 10_000, 300_000):
+        for merge in (False, True):
+            share, most = run_manual(refused_share(think_ms, 1, merge))
+            print(
+                f"{think_ms} ms from read to apply, merge {merge}: {share:.1%} of "
+                f"applies refused, at most {most} tries"
+            )
 
 
 if __name__ == "__main__":
--- a/src/_monsoonpulley/config/steering.py
+++ b/src/_monsoonpulley/config/steering.py
@@ -33,9 +33,11 @@
 def _is_address(part: str) -> bool:
     if "://" in part or HOST_AND_PORT.fullmatch(part):
         return True
+    # A bare number would read as an IPv4 number.
+    if "." not in part and ":" not in part:
+        return False
     try:
         ipaddress.ip_network(part, strict=False)
     except ValueError:
         return False
-    # A bare number reads as neither an IPv4 nor an IPv6 number.
-    return "." in part or ":" in part
+    return True
--- a/src/_monsoonpulley/config/store.py
+++ b/src/_monsoonpulley/config/store.py
@@ -148,30 +148,30 @@
         row = await self._table.read(history_key(number))
         return row if isinstance(row, Failure) else decode_revision(row)
 
-    async def newer_than(self, number: int) -> bool | Failure:
-        """Whether a revision above ``number`` was applied.
+    async def next_after(self, number: int) -> tuple[Revision, ...] | Failure:
+        """Return the first one or two revisions above ``number``.
 
         The answer is empty while there is none, so that frequent polls stay
-        small however large the document is.
+        small however large the document is. With two there may be more.
         """
-        rows = await self._table.scan(
-            HISTORY_PREFIX, after=history_key(number), limit=1
-        )
-        return rows if isinstance(rows, Failure) else bool(rows)
+        return await self._kept(number, limit=2)
 
     async def history(self, limit: int = 20) -> tuple[Revision, ...] | Failure:
         """Return the last ``limit`` kept revisions, newest first."""
         head = await self.head()
         if head is None or isinstance(head, Failure):
             return () if head is None else head
-        first = max(0, head.number - limit)
+        kept = await self._kept(max(0, head.number - limit), limit)
+        return kept if isinstance(kept, Failure) else kept[::-1]
+
+    async def _kept(self, after: int, limit: int) -> tuple[Revision, ...] | Failure:
         rows = await self._table.scan(
-            HISTORY_PREFIX, after=history_key(first), limit=limit
+            HISTORY_PREFIX, after=history_key(after), limit=limit
         )
         if isinstance(rows, Failure):
             return rows
         revisions = []
-        for row in reversed(rows):
+        for row in rows:
             revision = decode_revision(row)
             if isinstance(revision, Failure):
                 return revision
--- a/src/_monsoonpulley/config/watcher.py
+++ b/src/_monsoonpulley/config/watcher.py
@@ -238,11 +238,13 @@
         """Look for a higher revision in the table once."""
         self._metrics.incr("config.poll")
         if self.revision is not None:
-            newer = await self._call(self._store.newer_than(self.number))
-            if isinstance(newer, Failure):
-                return newer
-            if not newer:
+            following = await self._call(self._store.next_after(self.number))
+            if isinstance(following, Failure):
+                return following
+            if len(following) < 2:
                 self._table_answered = True
+                for revision in following:
+                    self._offer(revision, Source.TABLE)
                 return None
         head = await self._call(self._store.head())
         if isinstance(head, Failure):
--- a/src/_monsoonpulley/inisections.py
+++ b/src/_monsoonpulley/inisections.py
@@ -9,6 +9,7 @@
 import configparser
 from collections.abc import Container, Iterable
 from difflib import get_close_matches
+from functools import cache
 from typing import Any, TypeVar
 
 import msgspec
@@ -144,7 +145,7 @@
     Required fields in ``skip`` aren't reported as missing.
     """
     before = len(problems.found)
-    fields = {field.encode_name: field for field in msgspec.structs.fields(struct_type)}
+    fields = _fields(struct_type)
     read: dict[str, Any] = {}
     for name, text in values.items():
         if name not in fields:
@@ -161,3 +162,8 @@
     if len(problems.found) > before or skip:
         return None
     return struct_type(**read)
+
+
+@cache
+def _fields(struct_type: type) -> dict[str, msgspec.structs.FieldInfo]:
+    return {field.encode_name: field for field in msgspec.structs.fields(struct_type)}
--- a/testing/config/test_watcher.py
+++ b/testing/config/test_watcher.py
@@ -176,6 +176,27 @@
 
         run_manual(main())
 
+    def test_each_change_is_read_once_and_a_gap_is_jumped(self):
+        async def main():
+            table = FakeTable()
+            one = Instance(table, 1)
+            other = Instance(table, 2)
+            await apply_next(other.store, 0)
+            await running_clock().sleep_ms(10_000)
+            before = one.client.read_bytes
+            await apply_next(other.store, 1)
+            await running_clock().sleep_ms(10_000)
+            read = one.client.read_bytes - before
+            self.assertEqual(read, len(table.rows["config/head"].value))
+            for number in range(2, 7):
+                await apply_next(other.store, number)
+            await running_clock().sleep_ms(10_000)
+            self.assertEqual(one.numbers, [1, 2, 7])
+            await one.stop()
+            await other.stop()
+
+        run_manual(main())
+
     def test_an_idle_poll_reads_no_document(self):
         async def main():
             table = FakeTable()
