--- a/src/_monsoonpulley/routing/admission.py
+++ b/src/_monsoonpulley/routing/admission.py
@@ -218,7 +218,7 @@
         gate.in_flight_tokens -= ticket.cost_tokens
         if used_tokens is not None:
             gate.queue.correct(ticket.customer, used_tokens - ticket.cost_tokens)
-        took_ms = now_ms - (ticket.admitted_ms or now_ms)
+        took_ms = now_ms - ticket.admitted_ms
         if gate.residence_ms is None:
             gate.residence_ms = float(took_ms)
             return
--- a/src/_monsoonpulley/routing/fairqueue.py
+++ b/src/_monsoonpulley/routing/fairqueue.py
@@ -36,7 +36,7 @@
     offered_ms: int
     latest_start_ms: int
     predicted_ms: float
-    admitted_ms: int | None = None
+    admitted_ms: int = 0
     withdrawn: bool = False
 
 
--- /dev/null
+++ b/testing/routing/test_prefixindex.py
@@ -0,0 +1,106 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _monsoonpulley.endpoints.engine import CacheEvent, CacheEventKind
+from _monsoonpulley.routing.prefixindex import PrefixIndex, block_hashes
+
+BLOCKS = tuple(range(1, 11))
+
+
+def stored(seq, *blocks):
+    return CacheEvent(seq, CacheEventKind.STORED, blocks)
+
+
+def removed(seq, *blocks):
+    return CacheEvent(seq, CacheEventKind.REMOVED, blocks)
+
+
+class BlockHashTest(unittest.TestCase):
+    def test_a_hash_stands_for_its_whole_prefix(self):
+        one = block_hashes(range(64))
+        other = block_hashes([7, *range(1, 64)])
+        self.assertEqual(len(one), 4)
+        self.assertFalse(set(one) & set(other))
+        self.assertEqual(block_hashes(range(40)), one[:2])
+
+
+class PrefixIndexTest(unittest.TestCase):
+    def setUp(self):
+        self.index = PrefixIndex(max_blocks_per_worker=20)
+
+    def test_counts_the_longest_prefix(self):
+        self.index.apply("w", [stored(1, *BLOCKS[:4])])
+        self.assertEqual(self.index.cached_tokens("w", BLOCKS), 64)
+        self.assertEqual(self.index.cached_tokens("w", (99, *BLOCKS)), 0)
+
+    def test_a_gap_makes_the_part_stale_and_not_empty(self):
+        self.assertFalse(self.index.apply("w", [stored(1, *BLOCKS)]))
+        self.assertTrue(self.index.apply("w", [stored(5, 70)]))
+        self.assertEqual(self.index.cached_tokens("w", BLOCKS), 80)
+        self.assertEqual(self.index.cached_tokens("w", (70,)), 16)
+        self.assertEqual(self.index.resync_seq("w"), 1)
+
+    def test_events_that_fill_the_gap_restore_trust_in_their_order(self):
+        self.index.apply("w", [stored(1, *BLOCKS)])
+        self.index.apply("w", [stored(3, 70)])
+        late = [removed(2, 10, 70), stored(3, 70)]
+        self.assertFalse(self.index.apply("w", late))
+        self.assertEqual(self.index.cached_tokens("w", BLOCKS), 144)
+        self.assertEqual(self.index.cached_tokens("w", (70,)), 16)
+
+    def test_events_already_seen_change_nothing(self):
+        self.index.apply("w", [stored(1, 1), removed(2, 1)])
+        self.index.apply("w", [stored(1, 1), removed(2, 1)])
+        self.assertEqual(self.index.block_count(), 0)
+
+    def test_a_restarted_worker_begins_again(self):
+        self.index.apply("w", [stored(n, n) for n in range(1, 9)])
+        self.index.apply("w", [stored(1, 50)])
+        self.assertEqual(self.index.cached_tokens("w", (50,)), 16)
+        self.assertEqual(self.index.cached_tokens("w", BLOCKS), 0)
+
+    def test_a_clear_empties_and_a_resync_replaces(self):
+        self.index.apply("w", [stored(1, *BLOCKS), stored(4, 70)])
+        self.index.resync("w", BLOCKS[:2], 9)
+        self.assertFalse(self.index.is_stale("w"))
+        self.assertEqual(self.index.cached_tokens("w", BLOCKS), 32)
+        self.index.apply("w", [CacheEvent(10, CacheEventKind.CLEARED)])
+        self.assertEqual(self.index.block_count(), 0)
+
+    def test_finds_holders_of_the_longest_prefix_first(self):
+        self.index.apply("short", [stored(1, *BLOCKS[:2])])
+        self.index.apply("long", [stored(1, *BLOCKS[:9])])
+        self.assertEqual(self.index.holders(BLOCKS, 1), ["long"])
+        self.assertEqual(set(self.index.holders(BLOCKS, 4)), {"long", "short"})
+
+    @settings(max_examples=60, deadline=None, derandomize=True, database=None)
+    @given(
+        batches=st.lists(
+            st.tuples(
+                st.integers(0, 2),
+                st.integers(1, 30),
+                st.sampled_from(list(CacheEventKind)),
+                st.lists(st.integers(1, 99), max_size=30),
+            ),
+            max_size=40,
+        )
+    )
+    def test_memory_stays_bounded_and_both_maps_agree(self, batches):
+        for worker, seq, kind, blocks in batches:
+            event = CacheEvent(seq, kind, tuple(blocks))
+            self.index.apply(f"w{worker}", [event])
+        self.assertLessEqual(self.index.block_count(), 3 * 20)
+        pairs = [
+            (block, worker)
+            for block in range(1, 100)
+            for worker in self.index.holders((block,), 3)
+        ]
+        self.assertEqual(len(pairs), self.index.block_count())
+        for block, worker in pairs:
+            self.assertGreater(self.index.cached_tokens(worker, (block,)), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
