Bound the prefix index over all workers and measure decisions

Cause: 288 bytes a block (measured) times 8,192 blocks of 417 workers is over the daemon's memory. Change: one bound over all workers, hashes kept by stride, chains forgotten from their end. Benchmark of time and bytes per decision.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,259 @@
+"""Cost of routing and admission decisions: ``python -m benchmarks.decisions``.
+
+Prints time and allocated bytes per decision by number of workers, and bytes
+and errors of the prefix index against a sketch of 16-bit fingerprints.
+"""
+
+from __future__ import annotations
+
+import gc
+import math
+import random
+import statistics
+import time
+import tracemalloc
+
+from _monsoonpulley.config.document import Document, Service, ServiceKind
+from _monsoonpulley.endpoints.engine import CacheEvent, CacheEventKind, LoadReport
+from _monsoonpulley.platform.livelist import Member, Role
+from _monsoonpulley.routing.admission import Admission, AdmissionRequest
+from _monsoonpulley.routing.policies import RouteRequest
+from _monsoonpulley.routing.prefixindex import PrefixIndex
+from _monsoonpulley.routing.router import Router
+
+WORKERS = (10, 417, 2_500)
+DECISIONS = 3_000
+POLICY_NAMES = ("predicted-completion", "two-choices", "full-scan")
+DOCUMENT = Document(services={"model": Service(kind=ServiceKind.MODEL)})
+
+
+def build_router(workers: int, policy: str, rng: random.Random) -> Router:
+    router = Router.from_config(DOCUMENT, "a", rng, policy)
+    names = [f"w{i}" for i in range(workers)]
+    router.apply_members(
+        [Member(n, Role.ENDPOINT, "a", n, "", "model", "v1") for n in names], 0
+    )
+    router.set_peers(6)
+    for name in names:
+        waiting = rng.randrange(4_000)
+        report = LoadReport(1, rng.randrange(20), 0, waiting, 0.5, 8_000, 20, 24)
+        router.apply_load(name, report, 1)
+    for session in range(200):
+        blocks = tuple(range(session * 1_000, session * 1_000 + 300))
+        for name in rng.sample(names, 3):
+            router.prefixes.expect(name, blocks)
+    return router
+
+
+def route_requests(rng: random.Random) -> list[RouteRequest]:
+    requests = []
+    for number in range(DECISIONS):
+        first = rng.randrange(200) * 1_000
+        requests.append(
+            RouteRequest(
+                request_id=f"r{number}",
+                service="model",
+                target_ms=60_000,
+                prompt_tokens=4_900,
+                max_tokens=200,
+                prefix_blocks=tuple(range(first, first + 306)),
+            )
+        )
+    return requests
+
+
+def percentile(values: list[float], share: float) -> float:
+    return sorted(values)[min(len(values) - 1, int(len(values) * share))]
+
+
+def timed_us(call, items) -> list[float]:
+    took = []
+    for item in items:
+        start = time.perf_counter_ns()
+        call(item)
+        took.append((time.perf_counter_ns() - start) / 1_000)
+    return took
+
+
+def allocated_bytes(call, items) -> float:
+    """Return the mean peak of bytes allocated during one call."""
+    gc.collect()
+    peaks = []
+    tracemalloc.start()
+    for item in items:
+        tracemalloc.reset_peak()
+        before = tracemalloc.get_traced_memory()[0]
+        kept = call(item)
+        peaks.append(tracemalloc.get_traced_memory()[1] - before)
+        del kept
+    tracemalloc.stop()
+    return statistics.fmean(peaks)
+
+
+def row(name: str, workers: int, took: list[float], size_bytes: float) -> str:
+    mean = statistics.fmean(took)
+    p50, p99 = percentile(took, 0.5), percentile(took, 0.99)
+    return (
+        f"{name:<22}{workers:>8}{mean:>9.1f}{p50:>9.1f}{p99:>9.1f}{size_bytes:>10.0f}"
+    )
+
+
+def measure_routing() -> None:
+    for policy in POLICY_NAMES:
+        means = {}
+        for workers in WORKERS:
+            rng = random.Random(7)
+            router = build_router(workers, policy, rng)
+            requests = route_requests(rng)
+
+            def choose(request, router=router):
+                return router.choose(request, 200)
+
+            timed_us(choose, requests[:300])
+            took = timed_us(choose, requests)
+            size = allocated_bytes(choose, requests[:300])
+            means[workers] = statistics.fmean(took)
+            print(row(f"route {policy}"[:22], workers, took, size))
+        low, high = WORKERS[1], WORKERS[2]
+        slope = math.log(means[high] / means[low]) / math.log(high / low)
+        print(f"  growth exponent {low}-{high} workers: {slope:.2f} (1 is linear)")
+
+
+def measure_lifecycle() -> None:
+    """Time one attempt's start and end, which change the view."""
+    rng = random.Random(7)
+    router = build_router(417, "predicted-completion", rng)
+
+    def cycle(request):
+        decision = router.choose(request, 200)
+        attempt = request.request_id + ".1"
+        router.started(attempt, request, decision, 200)
+        router.finished(attempt, 210, output_tokens=100)
+
+    requests = route_requests(rng)
+    took = timed_us(cycle, requests)
+    size = allocated_bytes(cycle, requests[:300])
+    print(row("route, start and end", 417, took, size))
+
+
+def measure_admission() -> None:
+    for queued in (0, 200, 2_000):
+        admission = Admission(random.Random(1), max_queued=20_000)
+        admission.set_slots("model", 30)
+
+        def ask(number):
+            return AdmissionRequest(
+                request_id=f"r{number}",
+                service="model",
+                customer=f"c{number % 5}",
+                request_class="quick",
+                cost_tokens=100 + number % 7,
+                target_ms=600_000 - number,
+            )
+
+        for number in range(30 + queued):
+            admission.offer(ask(-number - 1), 0)
+        done = [f"r{-number - 1}" for number in range(30)]
+
+        def offer_and_release(number, admission=admission, done=done):
+            result = admission.offer(ask(number), 1)
+            if type(result).__name__ == "Admit":
+                done.append(result.request_id)
+            admission.release("model", done.pop(0), 2)
+            done.extend(r.request_id for r in admission.next_ready(2))
+
+        took = timed_us(offer_and_release, range(DECISIONS))
+        size = allocated_bytes(offer_and_release, range(DECISIONS, DECISIONS + 300))
+        print(row(f"admit, {queued} waiting", queued, took, size))
+
+
+class FingerprintSketch:
+    """Set-associative table of 16-bit fingerprints, 4 in a bucket."""
+
+    def __init__(self, capacity: int):
+        self.buckets = capacity // 4
+        self.cells = memoryview(bytearray(2 * 4 * self.buckets)).cast("H")
+        self.turn = 0
+
+    def _place(self, block: int) -> tuple[int, int]:
+        return block % self.buckets * 4, (block >> 40 & 0xFFFF) or 1
+
+    def add(self, block: int) -> None:
+        """Add a block, overwriting one when its bucket is full."""
+        start, mark = self._place(block)
+        cells = self.cells
+        for cell in range(start, start + 4):
+            if cells[cell] in (0, mark):
+                cells[cell] = mark
+                return
+        self.turn += 1
+        cells[start + self.turn % 4] = mark
+
+    def holds(self, block: int) -> bool:
+        """Return whether the block is taken to be there."""
+        start, mark = self._place(block)
+        return mark in self.cells[start : start + 4].tolist()
+
+
+def measure_prefixes(blocks_per_worker: int = 4_096) -> None:
+    rng = random.Random(3)
+    held = [rng.getrandbits(64) for _ in range(blocks_per_worker)]
+    other = [rng.getrandbits(64) for _ in range(20_000)]
+    tracemalloc.start()
+    index = PrefixIndex()
+    event = CacheEvent(1, CacheEventKind.STORED, tuple(held))
+    before = tracemalloc.get_traced_memory()[0]
+    index.apply("w", [event])
+    exact = (tracemalloc.get_traced_memory()[0] - before) / blocks_per_worker
+    tracemalloc.stop()
+    print(f"exact map: {exact:.0f} bytes a block, no error by design")
+    for factor in (1, 2):
+        sketch = FingerprintSketch(factor * blocks_per_worker)
+        for block in held:
+            sketch.add(block)
+        lost = sum(not sketch.holds(block) for block in held) / len(held)
+        false = sum(sketch.holds(block) for block in other) / len(other)
+        print(
+            f"sketch, {2 * factor} bytes a block: {lost:.2%} lost, {false:.4%} false,"
+            " no removal, and no list of holders"
+        )
+
+
+def measure_index(workers: int, blocks_each: int = 2_048) -> None:
+    """Print bytes and the shortfall of matches of a full index."""
+    rng = random.Random(3)
+    tracemalloc.start()
+    index = PrefixIndex()
+    chains = []
+    before = tracemalloc.get_traced_memory()[0]
+    for worker in range(workers):
+        chain = tuple(rng.getrandbits(64) for _ in range(blocks_each))
+        index.expect(f"w{worker}", chain)
+        chains = [*chains, chain][-50:]
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    short, missed = [], 0
+    for offset, chain in enumerate(reversed(chains)):
+        worker = f"w{workers - 1 - offset}"
+        found = index.cached_tokens(worker, chain[:300])
+        missed += not found
+        short.append(300 * 16 - found)
+    print(
+        f"index of {workers} workers: {size / 1e6:.1f} MB, stride {index.stride},"
+        f" {index.block_count()} blocks, a match of 4800 tokens is"
+        f" {statistics.fmean(short):.0f} short, {missed} of {len(short)} missed"
+    )
+
+
+def main() -> None:
+    print(f"{'decision':<22}{'size':>8}{'mean us':>9}{'p50':>9}{'p99':>9}{'bytes':>10}")
+    measure_routing()
+    measure_lifecycle()
+    measure_admission()
+    measure_prefixes()
+    for workers in WORKERS:
+        measure_index(workers)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/_monsoonpulley/routing/policies.py
+++ b/src/_monsoonpulley/routing/policies.py
@@ -121,6 +121,10 @@
     Small pools are looked at whole.
     """
 
+    full_scan_endpoints = FULL_SCAN_ENDPOINTS
+    sample_endpoints = SAMPLE_ENDPOINTS
+    prefix_endpoints = PREFIX_ENDPOINTS
+
     def __init__(self, scorer: Scorer, rng: random.Random):
         self._scorer = scorer
         self._rng = rng
@@ -145,11 +149,13 @@
         self, request: RouteRequest, pool: Pool, usable: Usable
     ) -> list[EndpointView]:
         endpoints = pool.endpoints
-        if len(endpoints) <= FULL_SCAN_ENDPOINTS:
+        if len(endpoints) <= self.full_scan_endpoints:
             return [view for view in endpoints if usable(view)]
-        views = {v.id: v for v in self._rng.sample(endpoints, SAMPLE_ENDPOINTS)}
+        views = {v.id: v for v in self._rng.sample(endpoints, self.sample_endpoints)}
         fleet = self._scorer.fleet.endpoints
-        holders = self._scorer.prefixes.holders(request.prefix_blocks, PREFIX_ENDPOINTS)
+        holders = self._scorer.prefixes.holders(
+            request.prefix_blocks, self.prefix_endpoints
+        )
         for worker in holders:
             view = fleet.get(worker)
             if view is not None and pool.holds(view.id):
@@ -157,7 +163,7 @@
         chosen = [view for view in views.values() if usable(view)]
         if chosen:
             return chosen
-        return [view for view in endpoints if usable(view)][:SAMPLE_ENDPOINTS]
+        return [view for view in endpoints if usable(view)][: self.sample_endpoints]
 
 
 def _by_first_token(prediction: Prediction) -> tuple[float, int]:
@@ -168,6 +174,22 @@
     return prediction.completion_ms, prediction.own_requests
 
 
+@POLICIES.register("full-scan")
+class FullScan(PredictedCompletion):
+    """Least predicted completion among all endpoints, for comparison."""
+
+    full_scan_endpoints = 1_000_000
+
+
+@POLICIES.register("two-choices")
+class TwoChoices(PredictedCompletion):
+    """Least predicted completion of two at random, for comparison."""
+
+    full_scan_endpoints = 2
+    sample_endpoints = 2
+    prefix_endpoints = 1
+
+
 @POLICIES.register("round-robin")
 class RoundRobin:
     """Each usable endpoint in turn."""
--- a/src/_monsoonpulley/routing/prefixindex.py
+++ b/src/_monsoonpulley/routing/prefixindex.py
@@ -1,12 +1,15 @@
 """Which workers have which prompt prefixes cached, from their cache events.
 
-Events come late and with gaps. Memory is bounded for each worker: beyond the
-bound the blocks stored longest ago are forgotten, as an engine evicts them.
+Events come late and with gaps. Memory is bounded for each worker and in all:
+beyond the bound the blocks stored longest ago are forgotten, as an engine
+evicts them. With many workers only every ``stride``-th hash is kept. A chained
+hash stands for its whole prefix, so that shortens a match by about
+``stride`` blocks and makes no wrong ones.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 
 import xxhash
 
@@ -15,6 +18,9 @@
 
 BLOCK_TOKENS = 16
 MAX_BLOCKS_PER_WORKER = 8_192
+MAX_BLOCKS_TOTAL = 200_000
+MIN_REACH_BLOCKS = 2_048
+MAX_STRIDE = 16
 STALE_TRUST = 0.5
 
 
@@ -47,10 +53,10 @@
 
     __slots__ = ("blocks", "epoch", "gap_seq", "last_seq")
 
-    def __init__(self, last_seq: int = 0):
+    def __init__(self) -> None:
         self.blocks: dict[int, int] = {}
         self.epoch = 0
-        self.last_seq = last_seq
+        self.last_seq = 0
         self.gap_seq: int | None = None
 
     def heal(self) -> None:
@@ -65,14 +71,67 @@
 
     Parameters
     ----------
-    max_blocks_per_worker : int
-        Bound on the blocks kept for each worker.
+    max_blocks_per_worker, max_blocks : int
+        Bounds on the blocks kept for each worker and in all.
+
+    Attributes
+    ----------
+    stride : int
+        Only hashes divisible by it are kept; doubled as workers come, so
+        that each worker's part still reaches `MIN_REACH_BLOCKS` blocks.
     """
 
-    def __init__(self, max_blocks_per_worker: int = MAX_BLOCKS_PER_WORKER):
-        self._max_blocks = max_blocks_per_worker
+    def __init__(
+        self,
+        max_blocks_per_worker: int = MAX_BLOCKS_PER_WORKER,
+        max_blocks: int = MAX_BLOCKS_TOTAL,
+    ):
+        self.stride = 1
+        self._max_per_worker = max_blocks_per_worker
+        self._max_total = max_blocks
+        self._bound = max_blocks_per_worker
         self._parts: dict[EndpointId, WorkerPart] = {}
         self._holders: dict[int, set[EndpointId]] = {}
+        self._kept: tuple[Sequence[int], int, list[int]] = ((), 1, [])
+
+    def _part(self, worker: EndpointId) -> WorkerPart:
+        """Return a worker's part; a new one shrinks the bound of all."""
+        part = self._parts.get(worker)
+        if part is None:
+            part = self._parts[worker] = WorkerPart()
+            self._shrink()
+        return part
+
+    def _shrink(self) -> None:
+        """Keep the total within its bound for the present workers."""
+        share = max(1, self._max_total // len(self._parts))
+        bound = min(self._max_per_worker, share)
+        reach = min(MIN_REACH_BLOCKS, self._max_per_worker)
+        stride = self.stride
+        while stride < MAX_STRIDE and bound * stride < reach:
+            stride *= 2
+        if bound >= self._bound and stride == self.stride:
+            return
+        self._bound = min(bound, self._bound)
+        self.stride = stride
+        for worker, part in self._parts.items():
+            for block in [b for b in part.blocks if b % stride]:
+                self._remove(worker, part, block)
+            while len(part.blocks) > self._bound:
+                self._remove(worker, part, next(iter(part.blocks)))
+
+    def _positions(self, blocks: Sequence[int]) -> list[int]:
+        """Return the positions of the blocks that the index would keep.
+
+        The last answer is remembered, since a decision asks for many workers.
+        """
+        last_blocks, last_stride, last_positions = self._kept
+        if last_blocks is blocks and last_stride == self.stride:
+            return last_positions
+        stride = self.stride
+        positions = [i for i, block in enumerate(blocks) if not block % stride]
+        self._kept = (blocks, stride, positions)
+        return positions
 
     def apply(self, worker: EndpointId, events: Sequence[CacheEvent]) -> bool:
         """Take in events; return whether the worker's part wants a resync.
@@ -84,10 +143,11 @@
             return self.is_stale(worker)
         part = self._parts.get(worker)
         if part is None:
-            part = self._parts[worker] = WorkerPart(events[0].seq - 1)
+            part = self._part(worker)
+            part.last_seq = events[0].seq - 1
         elif events[0].seq == 1 and events[-1].seq < part.last_seq:
             self.forget(worker)
-            part = self._parts[worker] = WorkerPart()
+            part = self._part(worker)
         fills_gap = _fills_gap(part, events)
         for event in events:
             if event.seq <= part.last_seq and not fills_gap:
@@ -112,13 +172,21 @@
             for block in event.blocks:
                 self._remove(worker, part, block)
             return
-        for block in event.blocks:
+        self._store_all(worker, part, event.blocks)
+
+    def _store_all(
+        self, worker: EndpointId, part: WorkerPart, blocks: Sequence[int]
+    ) -> None:
+        """Store a chain, its end first: what is oldest is forgotten first."""
+        for block in reversed(blocks):
             self._store(worker, part, block)
 
     def _store(self, worker: EndpointId, part: WorkerPart, block: int) -> None:
+        if block % self.stride:
+            return
         if block in part.blocks:
             del part.blocks[block]
-        elif len(part.blocks) >= self._max_blocks:
+        elif len(part.blocks) >= self._bound:
             self._remove(worker, part, next(iter(part.blocks)))
         part.blocks[block] = part.epoch
         self._holders.setdefault(block, set()).add(worker)
@@ -139,17 +207,14 @@
     def resync(self, worker: EndpointId, blocks: Sequence[int], seq: int) -> None:
         """Replace a worker's part by its whole cache as of event ``seq``."""
         self.forget(worker)
-        part = self._parts[worker] = WorkerPart(seq)
-        for block in blocks:
-            self._store(worker, part, block)
+        part = self._part(worker)
+        part.last_seq = seq
+        self._store_all(worker, part, blocks)
 
     def expect(self, worker: EndpointId, blocks: Sequence[int]) -> None:
         """Count the blocks of a request just sent, ahead of its late events."""
-        part = self._parts.get(worker)
-        if part is None:
-            part = self._parts[worker] = WorkerPart()
-        for block in blocks[: self._max_blocks]:
-            self._store(worker, part, block)
+        part = self._part(worker)
+        self._store_all(worker, part, blocks[: self._max_per_worker])
 
     def forget(self, worker: EndpointId) -> None:
         """Drop a worker's part."""
@@ -181,36 +246,25 @@
         bisection; what was stored before a gap counts by `STALE_TRUST`.
         """
         part = self._parts.get(worker)
-        if part is None or not blocks or blocks[0] not in part.blocks:
+        if part is None or not part.blocks:
             return 0
-        low, high = 1, len(blocks)
-        held = part.blocks
-        while low < high:
-            middle = (low + high + 1) // 2
-            if blocks[middle - 1] in held:
-                low = middle
-            else:
-                high = middle - 1
-        tokens = low * BLOCK_TOKENS
-        if held[blocks[low - 1]] == part.epoch:
+        positions = self._positions(blocks)
+        depth = _depth(blocks, positions, part.blocks)
+        if not depth:
+            return 0
+        last = positions[depth - 1]
+        tokens = (last + 1) * BLOCK_TOKENS
+        if part.blocks[blocks[last]] == part.epoch:
             return tokens
         return int(tokens * STALE_TRUST)
 
     def holders(self, blocks: Sequence[int], limit: int) -> list[EndpointId]:
         """Return up to ``limit`` workers that hold the longest prefixes."""
-        if not blocks or blocks[0] not in self._holders:
-            return []
-        low, high = 1, len(blocks)
-        while low < high:
-            middle = (low + high + 1) // 2
-            if blocks[middle - 1] in self._holders:
-                low = middle
-            else:
-                high = middle - 1
+        positions = self._positions(blocks)
+        depth = _depth(blocks, positions, self._holders)
         found: dict[EndpointId, None] = {}
-        depth = low
         while depth and len(found) < limit:
-            for worker in self._holders.get(blocks[depth - 1], ()):
+            for worker in self._holders.get(blocks[positions[depth - 1]], ()):
                 found[worker] = None
                 if len(found) >= limit:
                     break
@@ -228,3 +282,17 @@
         return False
     unbroken = events[-1].seq - events[0].seq == len(events) - 1
     return unbroken and events[-1].seq >= part.last_seq
+
+
+def _depth(blocks: Sequence[int], positions: list[int], held: Container[int]) -> int:
+    """Return how many of the kept blocks are held from the first on."""
+    if not positions or blocks[positions[0]] not in held:
+        return 0
+    low, high = 1, len(positions)
+    while low < high:
+        middle = (low + high + 1) // 2
+        if blocks[positions[middle - 1]] in held:
+            low = middle
+        else:
+            high = middle - 1
+    return low
--- a/testing/routing/test_prefixindex.py
+++ b/testing/routing/test_prefixindex.py
@@ -75,6 +75,22 @@
         self.assertEqual(self.index.holders(BLOCKS, 1), ["long"])
         self.assertEqual(set(self.index.holders(BLOCKS, 4)), {"long", "short"})
 
+    def test_the_end_of_a_chain_is_forgotten_before_its_start(self):
+        chain = tuple(range(1, 31))
+        self.index.apply("w", [stored(1, *chain)])
+        self.assertEqual(self.index.cached_tokens("w", chain), 20 * 16)
+
+    def test_many_workers_share_one_bound_and_matches_only_get_shorter(self):
+        index = PrefixIndex(max_blocks=4_000)
+        blocks = block_hashes(range(4_096))
+        for number in range(40):
+            index.expect(f"w{number}", blocks)
+        self.assertLessEqual(index.block_count(), 4_000)
+        self.assertGreater(index.stride, 1)
+        found = index.cached_tokens("w39", block_hashes([*range(4_096), 1, 2]))
+        self.assertLessEqual(found, 4_096)
+        self.assertGreater(found, 4_096 - 10 * index.stride * 16)
+
     @settings(max_examples=60, deadline=None, derandomize=True, database=None)
     @given(
         batches=st.lists(
