--- a/src/_monsoonpulley/routing/admission.py
+++ b/src/_monsoonpulley/routing/admission.py
@@ -1,8 +1,10 @@
 """Admission: who may go to the endpoints now, who waits, who is refused.
 
 A service's requests in progress from this daemon are bounded by its share of
-the endpoints' slots; beyond that requests wait in a `FairQueue`. What can't
-meet its target is refused at once, with a hint on when to ask again.
+the endpoints' slots, and by less while the endpoints' own queues are long;
+beyond that requests wait in a `FairQueue`, so that turns are taken here and
+not in the endpoints' queues. What can't meet its target is refused at once,
+with a hint on when to ask again.
 """
 
 from __future__ import annotations
@@ -21,6 +23,11 @@
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
 RESIDENCE_WEIGHT = 0.1
+MAX_ENDPOINT_QUEUE_MS = 250
+FACTOR_STEP_MS = 100
+FACTOR_DOWN = 0.9
+FACTOR_UP = 0.05
+MIN_FACTOR = 0.1
 
 
 class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -33,8 +40,9 @@
         plain services.
     target_ms : int
         Time left to meet its class target.
-    predicted_ms : float
-        Predicted time once admitted, from `Router.choose`.
+    predicted_ms, queue_ms : float
+        Predicted time and the part of it that is the endpoint's own queue,
+        from `Router.choose`.
     """
 
     request_id: RequestId
@@ -44,6 +52,7 @@
     cost_tokens: int
     target_ms: int
     predicted_ms: float = 0.0
+    queue_ms: float = 0.0
 
 
 class AdmissionDecision(Decision, frozen=True, kw_only=True):
@@ -111,12 +120,24 @@
         self.in_flight_tokens = 0
         self.waiting: dict[RequestId, Ticket] = {}
         self.residence_ms: float | None = None
+        self.factor = 1.0
+        self.factor_ms = 0
+
+    def observe_queue(self, queue_ms: float, now_ms: int) -> None:
+        """Lower the bound while the best endpoint's queue is long."""
+        if now_ms - self.factor_ms < FACTOR_STEP_MS:
+            return
+        self.factor_ms = now_ms
+        if queue_ms > MAX_ENDPOINT_QUEUE_MS:
+            self.factor = max(MIN_FACTOR, self.factor * FACTOR_DOWN)
+        else:
+            self.factor = min(1.0, self.factor + FACTOR_UP)
 
     def capacity_tokens(self) -> float:
         """Return the bound on the cost in progress."""
         if self.slots is None:
             return float("inf")
-        return self.slots * (self.queue.mean_cost_tokens or 1.0)
+        return self.slots * self.factor * (self.queue.mean_cost_tokens or 1.0)
 
     def has_room(self) -> bool:
         """Return whether another request may go."""
@@ -172,6 +193,7 @@
         After ``Wait``, the request's answer comes from `next_ready`.
         """
         gate = self._gate(request.service)
+        service_ms = request.predicted_ms - request.queue_ms
         ticket = Ticket(
             request.request_id,
             request.service,
@@ -179,9 +201,10 @@
             request.request_class,
             max(1, request.cost_tokens),
             now_ms,
-            int(now_ms + request.target_ms - request.predicted_ms),
+            int(now_ms + request.target_ms - service_ms),
             request.predicted_ms,
         )
+        gate.observe_queue(request.queue_ms, now_ms)
         gate.queue.observe_cost(ticket.cost_tokens)
         if ticket.latest_start_ms < now_ms:
             return self._refuse(gate, ticket, "target-too-near", 0.0, now_ms)
--- a/src/_monsoonpulley/routing/prefixindex.py
+++ b/src/_monsoonpulley/routing/prefixindex.py
@@ -91,7 +91,7 @@
         self._max_total = max_blocks
         self._bound = max_blocks_per_worker
         self._parts: dict[EndpointId, WorkerPart] = {}
-        self._holders: dict[int, set[EndpointId]] = {}
+        self._holders: dict[int, tuple[EndpointId, ...]] = {}
         self._kept: tuple[Sequence[int], int, list[int]] = ((), 1, [])
 
     def _part(self, worker: EndpointId) -> WorkerPart:
@@ -189,16 +189,19 @@
         elif len(part.blocks) >= self._bound:
             self._remove(worker, part, next(iter(part.blocks)))
         part.blocks[block] = part.epoch
-        self._holders.setdefault(block, set()).add(worker)
+        holders = self._holders.get(block, ())
+        if worker not in holders:
+            self._holders[block] = (*holders, worker)
 
     def _remove(self, worker: EndpointId, part: WorkerPart, block: int) -> None:
         if block not in part.blocks:
             return
         del part.blocks[block]
         holders = self._holders[block]
-        holders.discard(worker)
-        if not holders:
+        if len(holders) == 1:
             del self._holders[block]
+            return
+        self._holders[block] = tuple(name for name in holders if name != worker)
 
     def _clear(self, worker: EndpointId, part: WorkerPart) -> None:
         for block in list(part.blocks):
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -26,7 +26,7 @@
 from .view import EndpointView, FleetView
 
 OTHER_ZONE_MS = 2
-SLOTS_RATIO = 1.25
+SLOTS_RATIO = 1.0
 ENDPOINT_RULE = BreakerRule(min_count=5)
 VERSION_RULE = BreakerRule(min_count=20, open_ms=2_000, max_probes=2)
 
@@ -40,6 +40,8 @@
         The endpoint, and the next best; ``None`` if it was the only one.
     predicted_ms, runner_up_ms : float or None
         Predicted time by which they were compared.
+    queue_ms : float
+        Part of it that is the chosen endpoint's own queue.
     candidate_count : int
         How many endpoints were looked at.
     candidates : tuple of Prediction
@@ -55,6 +57,7 @@
     chosen: EndpointId
     address: str
     predicted_ms: float
+    queue_ms: float
     runner_up: EndpointId | None
     runner_up_ms: float | None
     candidate_count: int
@@ -280,6 +283,7 @@
             chosen=best.endpoint,
             address=self.fleet.endpoints[best.endpoint].address,
             predicted_ms=_time(request, best),
+            queue_ms=best.queue_ms,
             runner_up=second.endpoint if second else None,
             runner_up_ms=_time(request, second) if second else None,
             candidate_count=len(ranked),
