Open an endpoint's breaker at once when nothing listens there

Cause: after a refused connection the next request went to the same endpoint, and with the retry budget spent it was answered not_run though another endpoint was idle (test_a_lost_endpoint_is_replaced). Ruled out: a larger budget, which would amplify an outage. Change: a failure with delivery NOT_SENT trips the endpoint's breaker; wrong adapter names and URLs are settings errors that name their field; the example settings name adapters that exist.

--- a/src/_monsoonpulley/platform/connect.py
+++ b/src/_monsoonpulley/platform/connect.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import aiohttp
 
+from ..errors import SettingsError
 from ..inivalues import AdapterAddress
+from ..registry import Registry
 from ..settings import PlatformSettings
 
 # Importing the adapters registers them.
@@ -28,18 +32,20 @@
 
     Raises
     ------
-    LookupError
-        If there is no adapter of a name.
-    ValueError
-        If a URL is no HTTP URL.
+    SettingsError
+        If there is no adapter of a name, or a URL is no HTTP URL.
     """
 
-    def api(service: AdapterAddress) -> HttpApi:
-        return HttpApi(session, service.url, settings.timeout_ms)
+    def connect(field: str, adapters: Registry, service: AdapterAddress) -> Any:
+        try:
+            adapter = adapters.get(service.adapter)
+            return adapter(HttpApi(session, service.url, settings.timeout_ms))
+        except (LookupError, ValueError) as error:
+            raise SettingsError(f"[platform] {field}: {error}") from None
 
     return Platform(
-        tables.get(settings.table.adapter)(api(settings.table)),
-        object_stores.get(settings.objects.adapter)(api(settings.objects)),
-        livelists.get(settings.livelist.adapter)(api(settings.livelist)),
-        clouds.get(settings.cloud.adapter)(api(settings.cloud)),
+        table=connect("table", tables, settings.table),
+        objects=connect("objects", object_stores, settings.objects),
+        livelist=connect("livelist", livelists, settings.livelist),
+        cloud=connect("cloud", clouds, settings.cloud),
     )
--- a/src/_monsoonpulley/routing/breaker.py
+++ b/src/_monsoonpulley/routing/breaker.py
@@ -115,6 +115,11 @@
         if not ok and self._is_failing():
             self._open(now_ms)
 
+    def trip(self, now_ms: int) -> None:
+        """Open at once, whatever the failure ratio; an open one stays as it is."""
+        if self._open_until_ms is None:
+            self._open(now_ms)
+
     def _end_probe(self, ok: bool | None, now_ms: int) -> None:
         self._probes = max(0, self._probes - 1)
         if ok is None or self._open_until_ms is None:
@@ -185,6 +190,15 @@
             breaker = self._breakers[key] = Breaker(self._rule, self._rng)
         breaker.end(ok, probe, now_ms)
 
+    def trip(self, key: Hashable, now_ms: int) -> None:
+        """Open a key's breaker at once."""
+        breaker = self._breakers.get(key)
+        if breaker is None:
+            if len(self._breakers) >= MAX_BREAKERS:
+                return
+            breaker = self._breakers[key] = Breaker(self._rule, self._rng)
+        breaker.trip(now_ms)
+
     def forget(self, key: Hashable) -> None:
         """Drop the breaker of a key that is gone."""
         self._breakers.pop(key, None)
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -369,6 +369,8 @@
         ok = _breaker_result(failure)
         self.endpoint_breakers.end(opened.endpoint, ok, opened.endpoint_probe, now_ms)
         if failure is not None and failure.delivery is Delivery.NOT_SENT:
+            # Nothing listens there: more attempts would only spend the budget.
+            self.endpoint_breakers.trip(opened.endpoint, now_ms)
             ok = None
         self.version_breakers.end(opened.version_key, ok, opened.version_probe, now_ms)
 
--- a/testing/config/test_pages.py
+++ b/testing/config/test_pages.py
@@ -8,6 +8,8 @@
 
 from _monsoonpulley.config.document import Customer, RequestClass, Service, Version
 from _monsoonpulley.config.ini import parse_document
+from _monsoonpulley.platform.bundle import Platform
+from _monsoonpulley.platform.connect import connect_platform
 from _monsoonpulley.settings import Settings
 
 ROOT = Path(__file__).parent.parent.parent
@@ -67,6 +69,12 @@
             document = parse_document(path.read_text(encoding="utf-8"), str(path))
             self.assertEqual(len(document.customers), 5)
 
+    def test_example_settings_name_adapters_that_exist(self):
+        path = ROOT / "examples" / "entry.ini"
+        settings = Settings.from_file(path)
+        platform = connect_platform(settings.platform, session=None)
+        self.assertIsInstance(platform, Platform)
+
     def test_operators_page_shows_the_examples_as_they_are(self):
         page = (ROOT / "docs/operators/configuration.md").read_text(encoding="utf-8")
         for name in ("aforo-comun", "gilt-workshop"):
--- a/testing/platform/test_adapters.py
+++ b/testing/platform/test_adapters.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from _monsoonpulley.clock import Clock
-from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.errors import Failure, Reason, SettingsError
 from _monsoonpulley.ids import ZoneId
 from _monsoonpulley.inivalues import AdapterAddress
 from _monsoonpulley.platform.cloud import InstanceSpec, Price
@@ -248,10 +248,10 @@
         unknown = msgspec.structs.replace(
             settings, table=AdapterAddress("sql", "http://a")
         )
-        with self.assertRaisesRegex(LookupError, "sql.*etcd-v3-json"):
+        with self.assertRaisesRegex(SettingsError, r"table: .*sql.*etcd-v3-json"):
             connect_platform(unknown, None)
         no_url = msgspec.structs.replace(settings, cloud=AdapterAddress("http", "a:1"))
-        with self.assertRaisesRegex(ValueError, "a:1"):
+        with self.assertRaisesRegex(SettingsError, "cloud: .*a:1"):
             connect_platform(no_url, None)
 
 
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -23,7 +23,7 @@
     def test_example_is_read(self):
         settings = Settings.from_file(EXAMPLES / "entry.ini")
         self.assertEqual(settings.entry.http_listen, ListenAddress("10.0.1.4", 8080))
-        expected = AdapterAddress("standin", "http://10.0.0.9:7001")
+        expected = AdapterAddress("etcd-v3-json", "http://10.0.0.9:7001")
         self.assertEqual(settings.platform.table, expected)
         self.assertIs(settings.log.level, LogLevel.INFO)
 
@@ -65,7 +65,7 @@
         self.assertEqual((address.ip, str(address)), ("::1", "[::1]:80"))
 
     def test_adapter_without_a_url_scheme(self):
-        before = "cloud = standin http://10.0.0.9:7001"
+        before = "cloud = http http://10.0.0.9:7004/cloud"
         after = "cloud = standin 10.0.0.9:7001"
         self.assert_problem(before, after, "[platform] cloud", "an adapter name")
 
