--- a/testing/journal/test_journal.py
+++ b/testing/journal/test_journal.py
@@ -11,6 +11,7 @@
 from .faults import Call, Fault
 from .world import RETENTION_MS, SETTINGS, World, submission
 
+SETTLED_WITHIN_S = 600
 LARGE = b"book a frame of the gallery"
 
 
@@ -23,7 +24,8 @@
         self.assertEqual(self.world.violations, [])
 
     def settled(self, task):
-        return self.world.loop.run_until_complete(task)
+        within = asyncio.wait_for(task, SETTLED_WITHIN_S)
+        return self.world.loop.run_until_complete(within)
 
     def assert_done(self, index):
         settled = self.settled(self.world.submit(index, "key"))
