--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -95,6 +95,7 @@
     """Print table commits per 1,000 submissions with and without grouping."""
     for name, changes in (
         ("alone", {"group_writes": 1, "group_in_flight": 1_000}),
+        ("grouped 5 ms, first writes apart", {"merge_first_writes": False}),
         ("grouped 5 ms", {}),
         ("grouped 20 ms", {"group_wait_ms": 20}),
     ):
--- a/src/_monsoonpulley/journal/endpoint_rules.py
+++ b/src/_monsoonpulley/journal/endpoint_rules.py
@@ -95,7 +95,8 @@
             return self._elsewhere(progress, failure, moment, rule)
         if event.execution is Execution.RUNNING:
             failure = _lookup_failure(progress, "still running")
-            return self._ask_later(progress, failure, moment)
+            timeout_ms = progress.confirmed.call.timeout_ms
+            return self._ask_later(progress, failure, moment, timeout_ms)
         ran = event.execution is Execution.RAN
         detail = "it ran; its answer is lost" if ran else "it keeps no record"
         return self._unknown(progress, _lookup_failure(progress, detail), moment)
@@ -117,10 +118,14 @@
         return s.Next(moved, s.ChooseStep(), rule)
 
     def _ask_later(
-        self, progress: s.Progress, failure: Failure, moment: Moment
+        self,
+        progress: s.Progress,
+        failure: Failure,
+        moment: Moment,
+        running_ms: int = 0,
     ) -> s.Next:
         asked_ms = moment.now_ms - progress.since_ms
-        if asked_ms >= self._moves.settings.lookup_within_ms:
+        if asked_ms >= self._moves.settings.lookup_within_ms + running_ms:
             return self._unknown(progress, failure, moment)
         wait_ms = self._moves.backoff_ms(progress.tries)
         step = s.LookupStep(progress.confirmed.endpoint, wait_ms)
--- a/src/_monsoonpulley/journal/run.py
+++ b/src/_monsoonpulley/journal/run.py
@@ -78,7 +78,11 @@
         """Record the submission and run it to its terminal state."""
         if record.call.body_object:
             self._unstored[record.call.body_object] = self.submission.body
-        await self._work(s.Submitted(record))
+        endpoint = None
+        if self._context.settings.merge_first_writes:
+            chosen = self._context.dispatcher.choose(self.submission, frozenset())
+            endpoint = None if isinstance(chosen, Failure) else chosen
+        await self._work(s.Submitted(record, endpoint))
 
     async def adopt(self, record: JournalRecord, revision: int) -> None:
         """Take over a record and bring it to its terminal state."""
--- a/src/_monsoonpulley/journal/settings.py
+++ b/src/_monsoonpulley/journal/settings.py
@@ -12,6 +12,10 @@
     ----------
     inline_bytes : int
         Bodies and answers over this size go to the object store.
+    merge_first_writes : bool
+        Record new work and name its endpoint in one write where an endpoint is
+        free. Saves one write of three; if the holder crashes before it sends,
+        the record is a dispatch that may have been sent.
     max_in_progress : int
         Submissions in progress at this instance; more are refused.
     place_within_ms : int
@@ -25,7 +29,8 @@
         After this long with a write unsettled the caller is told ``unknown``;
         the work goes on.
     lookup_within_ms : int
-        How long an endpoint is asked what became of a call.
+        How long an endpoint is asked what became of a call; a call that it
+        says is running has its own timeout besides.
     wait_ms : int
         How long a repeated submission waits for the outcome of the first.
     retry_min_ms, retry_max_ms : int
@@ -49,6 +54,7 @@
     """
 
     inline_bytes: int = 16_384
+    merge_first_writes: bool = True
     max_in_progress: int = 2_000
     place_within_ms: int = 5_000
     max_attempts: int = 4
--- a/src/_monsoonpulley/journal/steps.py
+++ b/src/_monsoonpulley/journal/steps.py
@@ -57,9 +57,13 @@
 
 
 class Submitted(msgspec.Struct, frozen=True, tag=True):
-    """A caller hands in new work; ``record`` is to be written."""
+    """A caller hands in new work; ``record`` is to be written.
+
+    ``endpoint`` is given where one was free at once.
+    """
 
     record: JournalRecord
+    endpoint: EndpointId | None = None
 
 
 class Adopting(msgspec.Struct, frozen=True, tag=True):
--- a/src/_monsoonpulley/journal/write_rules.py
+++ b/src/_monsoonpulley/journal/write_rules.py
@@ -23,14 +23,20 @@
     def submitted(
         self, progress: s.Progress, event: s.Submitted, moment: Moment
     ) -> s.Next:
-        """Record new work before anything else is done."""
+        """Record new work, with its endpoint if one is free."""
+        record, rule = event.record, "record before anything else"
+        if event.endpoint is not None:
+            record = msgspec.structs.replace(
+                record, state=State.DISPATCHED, endpoint=event.endpoint, attempt=1
+            )
+            rule = "record and name the endpoint in one write"
         started = s.Progress(
             intent=s.Intent.ACCEPT,
-            pending=event.record,
+            pending=record,
             since_ms=moment.now_ms,
             place_until_ms=moment.now_ms + self._moves.settings.place_within_ms,
         )
-        return s.Next(started, s.WriteStep(), "record before anything else")
+        return s.Next(started, s.WriteStep(), rule, "send")
 
     def adopting(
         self, progress: s.Progress, event: s.Adopting, moment: Moment
--- a/testing/journal/interleavings.py
+++ b/testing/journal/interleavings.py
@@ -40,7 +40,8 @@
 def run_interleaving(seed: int, outcomes: Counter) -> list[str]:
     """Run one seeded interleaving; return what was violated."""
     rng = random.Random(f"actions/{seed}")
-    world = World(seed, can_look_up=rng.random() < 0.5)
+    can_look_up, merge = rng.random() < 0.5, rng.random() < 0.5
+    world = World(seed, can_look_up=can_look_up, merge=merge)
     try:
         for _ in range(ACTIONS):
             random_action(world, rng)
--- a/testing/journal/test_transitions.py
+++ b/testing/journal/test_transitions.py
@@ -66,6 +66,14 @@
         self.assertIsInstance(self.on(UNAVAILABLE).step, s.WriteStep)
         self.assertEqual(self.on(s.WriteConfirmed(2)).step.endpoint, "e1")
 
+    def test_a_merged_first_write_is_confirmed_before_sending(self):
+        first = self.on(s.Submitted(self.record, "e1"))
+        self.assertIsInstance(first.step, s.WriteStep)
+        self.assertEqual(self.progress.pending.state, State.DISPATCHED)
+        self.assertIsInstance(self.on(IN_DOUBT).step, s.WriteStep)
+        sent = self.on(s.WriteConfirmed(1)).step
+        self.assertEqual((sent.endpoint, sent.attempt), ("e1", 1))
+
     def test_a_submission_that_was_never_written_is_not_run(self):
         refused = self.on(s.Submitted(self.record), UNAVAILABLE)
         self.assertEqual(refused.tell.outcome, Outcome.NOT_RUN)
@@ -143,6 +151,15 @@
         self.now_ms = SETTINGS.lookup_within_ms
         self.assertEqual(self.on(failed).tell.outcome, Outcome.UNKNOWN)
 
+    def test_a_running_call_is_waited_for_beyond_its_timeout(self):
+        self.dispatched()
+        self.on(send_failed(Delivery.MAYBE))
+        self.now_ms = SETTINGS.lookup_within_ms + self.record.call.timeout_ms - 1
+        running = s.LookedUp(Execution.RUNNING)
+        self.assertIsInstance(self.on(running).step, s.LookupStep)
+        self.now_ms += 1
+        self.assertEqual(self.on(running).tell.outcome, Outcome.UNKNOWN)
+
     def test_an_adopted_dispatch_is_asked_after_and_never_sent(self):
         following = self.adopting(State.DISPATCHED, "e1")
         self.assertEqual(following.step, s.LookupStep("e1"))
