Bound admission by requests rather than tokens

Cause: a few long prompts filled a bound counted in tokens while slots of the engines were free. Change: the bound counts requests, as engines' slots do; tokens stay the measure of fairness only.

--- a/src/_monsoonpulley/routing/admission.py
+++ b/src/_monsoonpulley/routing/admission.py
@@ -64,8 +64,8 @@
         Wait so far, and what was expected on top.
     customer_queued, queued : int
         Waiting requests of the customer, and of all.
-    in_flight_tokens, capacity_tokens : int, float
-        Cost in progress, and the bound on it.
+    in_flight, bound : int, float or None
+        Requests in progress, and the bound on them; ``None`` without one.
     """
 
     request_id: RequestId
@@ -79,8 +79,8 @@
     expected_wait_ms: float
     customer_queued: int
     queued: int
-    in_flight_tokens: int
-    capacity_tokens: float
+    in_flight: int
+    bound: float | None
     now_ms: int
 
 
@@ -117,7 +117,6 @@
         self.queue = FairQueue()
         self.slots: float | None = None
         self.in_flight: dict[RequestId, Ticket] = {}
-        self.in_flight_tokens = 0
         self.waiting: dict[RequestId, Ticket] = {}
         self.residence_ms: float | None = None
         self.factor = 1.0
@@ -133,26 +132,26 @@
         else:
             self.factor = min(1.0, self.factor + FACTOR_UP)
 
-    def capacity_tokens(self) -> float:
-        """Return the bound on the cost in progress."""
-        if self.slots is None:
-            return float("inf")
-        return self.slots * self.factor * (self.queue.mean_cost_tokens or 1.0)
+    def bound(self) -> float | None:
+        """Return the bound on requests in progress; ``None`` for none."""
+        return None if self.slots is None else self.slots * self.factor
 
     def has_room(self) -> bool:
         """Return whether another request may go."""
-        return not self.in_flight or self.in_flight_tokens < self.capacity_tokens()
+        bound = self.bound()
+        return bound is None or not self.in_flight or len(self.in_flight) < bound
 
     def expected_wait_ms(self, customer: CustomerId) -> float:
         """Return how long a new request of ``customer`` would wait.
 
-        By Little's law the capacity in progress over the mean time in
-        progress is the rate at which the queue is served when full.
+        By Little's law the bound over the mean time in progress is the rate
+        at which the queue is served when full.
         """
-        if self.residence_ms is None or self.has_room():
+        bound = self.bound()
+        if self.residence_ms is None or bound is None or self.has_room():
             return 0.0
-        ahead = self.queue.tokens_ahead(customer)
-        return ahead * self.residence_ms / self.capacity_tokens()
+        requests_ahead = self.queue.tokens_ahead(customer) / self.queue.mean_cost()
+        return requests_ahead * self.residence_ms / max(1.0, bound)
 
 
 class Admission:
@@ -178,7 +177,7 @@
         self._customers = max(1, len(document.customers))
 
     def set_slots(self, service: ServiceId, slots: float) -> None:
-        """Bound a service's requests in progress, in requests of mean cost."""
+        """Bound a service's requests in progress from this daemon."""
         self._gate(service).slots = max(1.0, slots)
 
     def _gate(self, service: ServiceId) -> _ServiceGate:
@@ -238,7 +237,6 @@
         ticket = gate.in_flight.pop(request_id, None)
         if ticket is None:
             return
-        gate.in_flight_tokens -= ticket.cost_tokens
         if used_tokens is not None:
             gate.queue.correct(ticket.customer, used_tokens - ticket.cost_tokens)
         took_ms = now_ms - ticket.admitted_ms
@@ -304,7 +302,6 @@
         decision = Admit(**_fields(gate, ticket, rule, 0.0, now_ms))
         ticket.admitted_ms = now_ms
         gate.in_flight[ticket.request_id] = ticket
-        gate.in_flight_tokens += ticket.cost_tokens
         return decision
 
     def _refuse(
@@ -343,7 +340,7 @@
         "expected_wait_ms": wait_ms,
         "customer_queued": customer.queued if customer else 0,
         "queued": gate.queue.queued,
-        "in_flight_tokens": gate.in_flight_tokens,
-        "capacity_tokens": gate.capacity_tokens(),
+        "in_flight": len(gate.in_flight),
+        "bound": gate.bound(),
         "now_ms": now_ms,
     }
--- a/src/_monsoonpulley/routing/fairqueue.py
+++ b/src/_monsoonpulley/routing/fairqueue.py
@@ -16,7 +16,7 @@
 from ..ids import ClassId, CustomerId, RequestId, ServiceId
 
 QUANTUM_REQUESTS = 4.0
-COST_WEIGHT = 0.05
+MEAN_COST_REQUESTS = 50
 
 
 class Ticket(msgspec.Struct):
@@ -85,15 +85,18 @@
         self.virtual_time = 0.0
         self.queued = 0
         self.queued_tokens = 0
-        self.mean_cost_tokens: float | None = None
+        self._mean_cost_tokens = 0.0
+        self._costs = 0
         self._order = 0
 
     def observe_cost(self, cost_tokens: int) -> None:
         """Move the mean cost of requests, by which the quantum is set."""
-        if self.mean_cost_tokens is None:
-            self.mean_cost_tokens = float(max(1, cost_tokens))
-            return
-        self.mean_cost_tokens += COST_WEIGHT * (cost_tokens - self.mean_cost_tokens)
+        self._costs = min(self._costs + 1, MEAN_COST_REQUESTS)
+        self._mean_cost_tokens += (cost_tokens - self._mean_cost_tokens) / self._costs
+
+    def mean_cost(self) -> float:
+        """Return the mean cost of late in tokens, at least 1."""
+        return max(1.0, self._mean_cost_tokens)
 
     def customer(self, customer: CustomerId) -> CustomerQueue:
         """Return a customer's queue, made at first use."""
@@ -126,7 +129,7 @@
         if not backlogged:
             return None
         least_tag = min(queue.tag for queue in backlogged)
-        quantum = QUANTUM_REQUESTS * (self.mean_cost_tokens or 0.0)
+        quantum = QUANTUM_REQUESTS * self.mean_cost()
         equals = [queue for queue in backlogged if queue.tag <= least_tag + quantum]
         chosen = min(equals, key=_urgency)
         ticket = self._take(chosen)
