Record golden sessions of both deployments

Cause: proof is whole sessions, and there were none. Change: eight sessions on manual time, recorded as JSON lines, compared exactly; make goldens records them anew.

--- /dev/null
+++ b/testing/goldens/recorder.py
@@ -0,0 +1,145 @@
+"""Plays a session on manual time and records every line of it."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
+
+from _monsoonpulley.ids import InstanceId
+from _monsoonpulley.registry import Registry
+from _monsoonpulley.standins.caller import CallerResponse
+from _monsoonpulley.standins.manualloop import run_manual
+from _monsoonpulley.standins.world import Deployment, World
+
+from .deployments import credential_of
+
+RECORDED = Path(__file__).parent / "recorded"
+WHOLE_BODY_BYTES = 400
+
+
+class Session:
+    """One session in progress: a world, its callers and its recording."""
+
+    def __init__(self, deployment: Deployment, seed: int):
+        self.lines: list[str] = []
+        self.world = World(deployment, seed, self.lines.append)
+        self._callers: set[asyncio.Task] = set()
+
+    def note(self, event: str, **fields) -> None:
+        """Record a line of the session itself."""
+        line = {"wall_ms": self.world.clock.wall_ms(), "event": event, **fields}
+        self.lines.append(msgspec.json.encode(line, enc_hook=str).decode())
+
+    async def sleep_ms(self, duration_ms: int) -> None:
+        """Let manual time pass."""
+        await self.world.clock.sleep_ms(duration_ms)
+
+    def post(
+        self, entry: str, customer: str, path: str, body: dict, key: str = ""
+    ) -> asyncio.Task[CallerResponse]:
+        """Let a customer send a request; its answer gets recorded."""
+        headers = {"idempotency-key": f'"{key}"'} if key else {}
+        request = self._request(entry, customer, path, body, headers)
+        task = asyncio.create_task(request)
+        self._callers.add(task)
+        return task
+
+    def stream(
+        self, entry: str, customer: str, class_id: str, prompt: str, tokens: int
+    ) -> asyncio.Task[CallerResponse]:
+        """Let a customer ask for a streamed chat completion."""
+        message = {"role": "user", "content": prompt}
+        body = {"model": class_id, "messages": [message], "max_tokens": tokens}
+        body["stream"] = True
+        return self.post(entry, customer, "/v1/chat/completions", body)
+
+    async def settle(self) -> None:
+        """Wait until every caller has its answer."""
+        while waiting := [task for task in self._callers if not task.done()]:
+            await asyncio.wait(waiting)
+
+    def summarize(self) -> None:
+        """Record what the endpoints saw, which the callers can't see."""
+        engines = self.world.engines.values()
+        self.note(
+            "session_summary",
+            most_executions_of_a_key=self.world.ledger.most(),
+            generated_tokens=sum(e.counters.generated_tokens for e in engines),
+            recomputed_tokens=sum(e.counters.recomputed_prompt_tokens for e in engines),
+            answers=len(self._callers),
+        )
+
+    async def _request(
+        self, entry: str, customer: str, path: str, body: dict, headers: dict
+    ) -> CallerResponse:
+        caller = self.world.caller(InstanceId(entry), credential_of(customer))
+        self.note("caller_sends", entry=entry, customer=customer, path=path)
+        started_ms = self.world.clock.now_ms()
+        response = await caller.post_json(path, body, headers)
+        self.note(
+            "caller_gets",
+            entry=entry,
+            customer=customer,
+            path=path,
+            status=response.status,
+            headers=response.headers,
+            body=_body_text(response.body),
+            complete=response.complete,
+            took_ms=self.world.clock.now_ms() - started_ms,
+        )
+        return response
+
+
+class SessionPlan(msgspec.Struct, frozen=True):
+    """A recorded session: its deployment, seed and script."""
+
+    name: str
+    deployment: Callable[[], Deployment]
+    seed: int
+    script: Callable[[Session], Awaitable[None]]
+
+    def path(self) -> Path:
+        """Return the file that holds the recording."""
+        return RECORDED / f"{self.name}.jsonl"
+
+    def play(self) -> list[str]:
+        """Play the session and return its lines."""
+
+        async def main() -> list[str]:
+            session = Session(self.deployment(), self.seed)
+            await session.world.start()
+            try:
+                await self.script(session)
+                await session.settle()
+                session.summarize()
+            finally:
+                await session.world.stop()
+            return session.lines
+
+        return run_manual(main())
+
+
+plans: Registry[SessionPlan] = Registry("session")
+
+
+def session(name: str, deployment: Callable[[], Deployment], seed: int):
+    """Return a decorator that registers a script as the session ``name``."""
+
+    def add(script: Callable[[Session], Awaitable[None]]):
+        plans.register(name)(SessionPlan(name, deployment, seed, script))
+        return script
+
+    return add
+
+
+def _body_text(body: bytes) -> str:
+    """Return a short body whole, a long one by its size, hash and end."""
+    text = body.decode(errors="replace")
+    if len(body) <= WHOLE_BODY_BYTES:
+        return text
+    digest = hashlib.sha256(body).hexdigest()[:16]
+    return f"{len(body)} bytes, sha256 {digest}, ends {text[-200:]!r}"
--- /dev/null
+++ b/testing/goldens/sessions/__init__.py
@@ -0,0 +1,7 @@
+"""The sessions; importing this package registers them."""
+
+from __future__ import annotations
+
+from . import faults, mixed, operators
+
+__all__ = ["faults", "mixed", "operators"]
--- /dev/null
+++ b/testing/goldens/sessions/faults.py
@@ -0,0 +1,106 @@
+"""Sessions in which instances, endpoints, the store or the network fail."""
+
+from __future__ import annotations
+
+from _monsoonpulley.ids import InstanceId
+from _monsoonpulley.standins.faults import FaultKind
+
+from ..deployments import andina, lakes
+from ..recorder import Session, session
+
+HISTORY = "a whole treatment history of the frame from the harbour room " * 40
+UPLOADS = "/services/survey-upload/tallies"
+
+
+@session("reclaim-wave", lakes, seed=21)
+async def reclaim_wave(play: Session) -> None:
+    """A data centre is reclaimed while reports stream and orders come in."""
+    for number in range(4):
+        prompt = f"report {number}: {HISTORY}"
+        play.stream(f"entry-{2 + number}", "bench", "condition-report", prompt, 250)
+    await play.sleep_ms(500)
+    play.world.platform.cloud.reclaim_zone("lakes-east-a", 5_000)
+    for number in range(4):
+        await play.sleep_ms(900)
+        order = {"frame": number}
+        path = "/services/work-order/orders"
+        play.post("entry-2", "intake-desk", path, order, f"order-{number}")
+        question = f"may the size go off today, case {number}"
+        play.stream("entry-3", "study-room", "bench-question", question, 8)
+    await play.settle()
+    await play.sleep_ms(10_000)
+
+
+@session("store-outage", andina, seed=22)
+async def store_outage(play: Session) -> None:
+    """The store is away: uploads are refused, summaries go on."""
+    faults = play.world.platform.faults
+    customer = "conteo-andino"
+    play.post("entry-1", customer, UPLOADS, {"cars": 1}, "tally-1")
+    await play.settle()
+    faults.next_commit(FaultKind.LOST_ANSWER)
+    play.post("entry-2", customer, UPLOADS, {"cars": 2}, "tally-2")
+    await play.settle()
+    faults.outage(True)
+    play.post("entry-3", customer, UPLOADS, {"cars": 3}, "tally-3")
+    play.post("entry-4", customer, UPLOADS, {"cars": 1}, "tally-1")
+    play.stream("entry-4", customer, "corridor-summary", "hour by hour", 10)
+    path = "/services/pulled-report/corridors/7"
+    play.post("entry-5", "transito-bogota", path, {})
+    await play.settle()
+    await play.sleep_ms(20_000)
+    faults.outage(False)
+    await play.sleep_ms(8_000)
+    play.post("entry-3", customer, UPLOADS, {"cars": 3}, "tally-3")
+    play.post("entry-6", customer, UPLOADS, {"cars": 2}, "tally-2")
+    await play.settle()
+    await play.sleep_ms(5_000)
+
+
+@session("entry-lost", andina, seed=23)
+async def entry_lost(play: Session) -> None:
+    """An entry instance dies with accepted uploads; another takes them over."""
+    customer = "cruces-y-vias"
+    play.world.platform.faults.next_commit(FaultKind.DELAYED_EFFECT)
+    for number in range(3):
+        play.post("entry-1", customer, UPLOADS, {"cars": number}, f"tally-{number}")
+    await play.sleep_ms(12)
+    play.world.kill_entry(InstanceId("entry-1"))
+    play.world.platform.livelist.remove("entry-1")
+    await play.sleep_ms(90_000)
+    for number in range(3):
+        play.post("entry-2", customer, UPLOADS, {"cars": number}, f"tally-{number}")
+    await play.settle()
+
+
+@session("planned-stop", lakes, seed=24)
+async def planned_stop(play: Session) -> None:
+    """An entry instance is told to stop while it streams a long report."""
+    play.stream("entry-1", "bench", "condition-report", HISTORY, 200)
+    await play.sleep_ms(400)
+    entry = play.world.entries[InstanceId("entry-1")].instance
+    entry.leave("deployment")
+    await play.sleep_ms(1_000)
+    play.stream("entry-1", "bench", "condition-report", "one more", 5)
+    await play.sleep_ms(1_500)
+    play.stream("entry-1", "bench", "condition-report", "too late", 5)
+    await entry.drain()
+    await play.settle()
+
+
+@session("data-centre-cut-off", andina, seed=25)
+async def data_centre_cut_off(play: Session) -> None:
+    """A data centre loses the platform and the others, and serves on."""
+    await play.sleep_ms(3_000)
+    zone = "co-andina-a"
+    others = {f"co-andina-{letter}" for letter in "bcd"} | {"platform"}
+    play.world.platform.network.partition({zone}, others)
+    play.stream("entry-1", "conteo-andino", "corridor-summary", "cut off", 10)
+    play.post("entry-1", "conteo-andino", UPLOADS, {"cars": 5}, "tally-5")
+    path = "/services/pulled-report/corridors/7"
+    play.post("entry-5", "transito-bogota", path, {})
+    await play.settle()
+    play.world.platform.network.heal_all()
+    await play.sleep_ms(10_000)
+    play.post("entry-1", "conteo-andino", UPLOADS, {"cars": 5}, "tally-5")
+    await play.settle()
