Look a refused key up before telling that it did not run

Cause: a repeat of accepted work was told not_run when the store refused writes, the queue was full or the instance was shutting down, although the table said that the work was done. A caller would have booked it anew. Change: refused work is looked up first; a row gives its recorded outcome, unknown while in progress, or the word that the key belongs to another call.

--- a/src/_monsoonpulley/journal/journal.py
+++ b/src/_monsoonpulley/journal/journal.py
@@ -103,7 +103,7 @@
             return await self._join(run, submission)
         refusal = self._refusal()
         if refusal is not None:
-            return Settled(Outcome.NOT_RUN, request_id, failure=refusal)
+            return await self._refuse(submission, refusal)
         record = submission.to_record(
             self.instance,
             self.incarnation,
@@ -199,8 +199,19 @@
             return Failure(Reason.OVERLOADED, "journal.accept", self.instance, detail)
         return None
 
+    async def _refuse(self, submission: Submission, refusal: Failure) -> Settled:
+        """Refuse new work, but tell what is recorded of an accepted key."""
+        request_id = submission.request_id
+        stored = await self._store.read(request_id)
+        if not isinstance(stored, StoredRecord):
+            return Settled(Outcome.NOT_RUN, request_id, failure=refusal)
+        if not submission.is_call_of(stored.record):
+            return Settled.key_reused(request_id)
+        if not stored.record.is_terminal():
+            return Settled.in_progress(request_id, self._settings.poll_max_ms)
+        return await self._store.settlement_of(stored.record)
+
     async def _join(self, run: Run, submission: Submission) -> Settled:
         if not run.submission.is_same_call(submission):
-            failure = Failure(Reason.KEY_REUSED, "journal.accept", self.instance)
-            return Settled(Outcome.NOT_RUN, submission.request_id, failure=failure)
+            return Settled.key_reused(submission.request_id)
         return await run.settled(repeated=True)
--- a/src/_monsoonpulley/journal/run.py
+++ b/src/_monsoonpulley/journal/run.py
@@ -15,7 +15,7 @@
 from ..outcome import Outcome
 from . import steps as s
 from .decision import JournalDecision
-from .record import JournalRecord, State, StoredRecord, outcome_of, row_key
+from .record import JournalRecord, StoredRecord, row_key
 from .settings import JournalSettings
 from .store import RecordStore, recorded_answer
 from .submission import Dispatcher, Settled, Submission
@@ -123,6 +123,8 @@
         return following
 
     async def _carry_out(self, step: s.Step, progress: s.Progress) -> s.Event:
+        if isinstance(step, s.ReadStep):
+            return await self._read(step)
         if not isinstance(step, s.SendStep) and step.after_ms:
             await self._context.clock.sleep_ms(step.after_ms)
         if isinstance(step, s.WriteStep):
@@ -143,6 +145,12 @@
             progress.pending, progress.expected_revision
         )
 
+    async def _read(self, step: s.ReadStep) -> s.Event:
+        stored = await self._context.store.read(self.submission.request_id)
+        if isinstance(stored, StoredRecord):
+            return s.WriteConflicted(stored)
+        return s.RowAbsent(step.refusal)
+
     def _choose(self, record: JournalRecord) -> s.Event:
         tried = frozenset(record.tried)
         chosen = self._context.dispatcher.choose(self.submission, tried)
@@ -201,18 +209,9 @@
             current = await self._context.store.read(self.submission.request_id)
 
     async def _tell_recorded(self, record: JournalRecord) -> None:
-        answer = None
-        if record.state is State.DONE:
-            answer = await self._context.store.answer_of(record)
-        failure = answer if isinstance(answer, Failure) else record.failure
-        settled = Settled(
-            outcome=outcome_of(record),
-            request_id=record.request_id,
-            answer=None if isinstance(answer, Failure) else answer,
-            failure=failure,
-            repeated=record.accepted_token != self._accepted_token,
-            key_closed=True,
-        )
+        settled = await self._context.store.settlement_of(record)
+        repeated = record.accepted_token != self._accepted_token
+        settled = msgspec.structs.replace(settled, repeated=repeated)
         self._tell(settled, is_final=True)
 
     def _tell_now(self, tell: s.Tell) -> None:
@@ -235,14 +234,8 @@
             self._told = asyncio.get_running_loop().create_future()
 
     def _in_progress(self) -> Settled:
-        failure = Failure(
-            Reason.TIMEOUT,
-            "journal.wait",
-            detail="accepted or in doubt; ask again with the same key",
-            retry_after_ms=self._context.settings.poll_max_ms,
-        )
-        request_id = self.submission.request_id
-        return Settled(Outcome.UNKNOWN, request_id, failure=failure)
+        retry_ms = self._context.settings.poll_max_ms
+        return Settled.in_progress(self.submission.request_id, retry_ms)
 
     async def _drop_unused(self, progress: s.Progress) -> None:
         """Remove a body that was stored for a record that was never made."""
--- a/src/_monsoonpulley/journal/steps.py
+++ b/src/_monsoonpulley/journal/steps.py
@@ -91,6 +91,12 @@
     failure: Failure
 
 
+class RowAbsent(msgspec.Struct, frozen=True, tag=True):
+    """The row of refused new work is missing, or can't be read."""
+
+    failure: Failure
+
+
 class EndpointChosen(msgspec.Struct, frozen=True, tag=True):
     """An endpoint can take the call."""
 
@@ -138,6 +144,7 @@
     | WriteConfirmed
     | WriteConflicted
     | WriteFailed
+    | RowAbsent
     | EndpointChosen
     | NoEndpoint
     | SendLapsed
@@ -154,6 +161,12 @@
     after_ms: int = 0
 
 
+class ReadStep(msgspec.Struct, frozen=True, tag=True):
+    """Read whether the key was accepted before; ``refusal`` if it was not."""
+
+    refusal: Failure
+
+
 class ChooseStep(msgspec.Struct, frozen=True, tag=True):
     """Look for an endpoint that was not tried."""
 
@@ -185,7 +198,7 @@
     """Nothing is left to do here."""
 
 
-Step = WriteStep | ChooseStep | SendStep | LookupStep | FollowStep | StopStep
+Step = WriteStep | ReadStep | ChooseStep | SendStep | LookupStep | FollowStep | StopStep
 
 
 class Tell(msgspec.Struct, frozen=True):
--- a/src/_monsoonpulley/journal/store.py
+++ b/src/_monsoonpulley/journal/store.py
@@ -11,11 +11,14 @@
 from .record import (
     JournalRecord,
     RecordedAnswer,
+    State,
     StoredRecord,
     decode_record,
     encode_record,
+    outcome_of,
     row_key,
 )
+from .submission import Settled
 from .writer import GroupWriter
 
 
@@ -73,6 +76,21 @@
             return body
         return ServiceAnswer(answer.status, answer.headers, body)
 
+    async def settlement_of(self, record: JournalRecord) -> Settled:
+        """Return what callers are told of a terminal record."""
+        answer = None
+        if record.state is State.DONE:
+            answer = await self.answer_of(record)
+        failed = isinstance(answer, Failure)
+        return Settled(
+            outcome=outcome_of(record),
+            request_id=record.request_id,
+            answer=None if failed else answer,
+            failure=answer if failed else record.failure,
+            repeated=True,
+            key_closed=True,
+        )
+
     async def _body(self, inline: bytes, name: str) -> bytes | Failure:
         if not name:
             return inline
--- a/src/_monsoonpulley/journal/submission.py
+++ b/src/_monsoonpulley/journal/submission.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..endpoints.service import Lookup, ServiceAnswer
-from ..errors import Failure
+from ..errors import Failure, Reason
 from ..ids import (
     AttemptId,
     ClassId,
@@ -21,6 +21,12 @@
 from ..outcome import Outcome
 from .record import JournalRecord, RecordedCall, State, request_id_for, row_key
 
+KEY_REUSED = Failure(
+    Reason.KEY_REUSED,
+    "journal.accept",
+    detail="this submission did not run: its key belongs to another call",
+)
+
 
 class Submission(msgspec.Struct, frozen=True):
     """Work that may run at most once.
@@ -102,6 +108,11 @@
             accepted_wall_ms=wall_ms,
         )
 
+    def is_call_of(self, record: JournalRecord) -> bool:
+        """Tell whether the record is of the same call."""
+        recorded = (record.call.method, record.call.path, record.body_sha256)
+        return recorded == (self.method, self.path, self.body_sha256())
+
     @classmethod
     def from_record(cls, record: JournalRecord, body: bytes) -> Submission:
         """Return the submission that a record was made from."""
@@ -139,6 +150,22 @@
     repeated: bool = False
     key_closed: bool = False
 
+    @classmethod
+    def in_progress(cls, request_id: RequestId, retry_after_ms: int) -> Settled:
+        """Return what is told of work whose outcome is still open."""
+        failure = Failure(
+            Reason.TIMEOUT,
+            "journal.wait",
+            detail="accepted or in doubt; ask again with the same key",
+            retry_after_ms=retry_after_ms,
+        )
+        return cls(Outcome.UNKNOWN, request_id, failure=failure)
+
+    @classmethod
+    def key_reused(cls, request_id: RequestId) -> Settled:
+        """Return what is told where the key belongs to another call."""
+        return cls(Outcome.NOT_RUN, request_id, failure=KEY_REUSED)
+
 
 class Dispatcher(Protocol):
     """How the journal reaches endpoints."""
--- a/src/_monsoonpulley/journal/transitions.py
+++ b/src/_monsoonpulley/journal/transitions.py
@@ -47,6 +47,7 @@
             s.WriteConfirmed: writes.confirmed,
             s.WriteConflicted: writes.conflicted,
             s.WriteFailed: writes.failed,
+            s.RowAbsent: writes.row_absent,
             s.EndpointChosen: endpoints.chosen,
             s.NoEndpoint: endpoints.none_free,
             s.SendLapsed: endpoints.lapsed,
--- a/src/_monsoonpulley/journal/write_rules.py
+++ b/src/_monsoonpulley/journal/write_rules.py
@@ -9,6 +9,7 @@
 from . import steps as s
 from .moves import Moment, Moves
 from .record import JournalRecord, State, StoredRecord, outcome_of
+from .submission import KEY_REUSED
 
 NOTHING_HAPPENED = frozenset({Reason.UNAVAILABLE, Reason.OVERLOADED})
 """Reasons of a failed write that prove that it did not take effect."""
@@ -120,12 +121,7 @@
         return s.Next(progress, s.StopStep(), "the row was deleted", tell=tell)
 
     def _key_reused(self, progress: s.Progress) -> s.Next:
-        failure = Failure(
-            Reason.KEY_REUSED,
-            "journal.accept",
-            detail="this submission did not run: its key belongs to another call",
-        )
-        tell = s.Tell(Outcome.NOT_RUN, failure)
+        tell = s.Tell(Outcome.NOT_RUN, KEY_REUSED)
         return s.Next(progress, s.StopStep(), "same key, other call", tell=tell)
 
     def failed(
@@ -138,11 +134,18 @@
             rule = "adoption is left to a later pass"
             return s.Next(progress, s.StopStep(), rule)
         if progress.intent is s.Intent.ACCEPT and not in_doubt:
-            tell = s.Tell(Outcome.NOT_RUN, _not_recorded(failure))
-            return s.Next(progress, s.StopStep(), "nothing was written", tell=tell)
+            rule = "nothing was written; the key may have an outcome"
+            return s.Next(progress, s.ReadStep(failure), rule, "tell not run")
         doubtful = msgspec.structs.replace(progress, in_doubt=in_doubt)
         return self._moves.write_again(doubtful, moment, "same write again", failure)
 
+    def row_absent(
+        self, progress: s.Progress, event: s.RowAbsent, moment: Moment
+    ) -> s.Next:
+        """Refuse new work that was never recorded."""
+        tell = s.Tell(Outcome.NOT_RUN, _not_recorded(event.failure))
+        return s.Next(progress, s.StopStep(), "nothing was written", tell=tell)
+
 
 def _not_recorded(failure: Failure) -> Failure:
     detail = "this submission was not recorded and did not run; repeat the same key"
--- a/testing/journal/test_journal.py
+++ b/testing/journal/test_journal.py
@@ -99,6 +99,30 @@
         self.world.heal()
         self.assertEqual(self.runs(), 0)
 
+    def test_a_refused_repeat_gets_what_the_row_says(self):
+        self.assert_done(0)
+        self.world.tick(100)
+        self.next_commits(*[Fault.UNAVAILABLE] * 1_000)
+        self.assert_done(1)
+        reused = self.settled(self.world.submit(1, "key", LARGE))
+        self.assertEqual(reused.failure.reason, Reason.KEY_REUSED)
+        new = self.settled(self.world.submit(1, "new"))
+        self.assertEqual(new.outcome, Outcome.NOT_RUN)
+
+    def test_a_draining_instance_still_tells_what_the_row_says(self):
+        self.assert_done(0)
+        self.world.tick(100)
+        journal = self.world.instances[0].journal
+        self.world.loop.run_until_complete(journal.drain(0))
+        self.assert_done(0)
+        reused = self.settled(self.world.submit(0, "key", LARGE))
+        self.assertEqual(reused.failure.reason, Reason.KEY_REUSED)
+        self.next_calls(Call.SLOW)
+        self.world.submit(1, "running")
+        self.world.tick(100)
+        running = self.settled(self.world.submit(0, "running"))
+        self.assertEqual(running.outcome, Outcome.UNKNOWN)
+
     def test_an_accept_in_doubt_when_the_store_leaves_is_unknown(self):
         self.next_commits(Fault.ANSWER_LOST, *[Fault.UNAVAILABLE] * 1_000)
         settled = self.settled(self.world.submit(0, "key"))
--- a/testing/journal/test_transitions.py
+++ b/testing/journal/test_transitions.py
@@ -76,6 +76,9 @@
 
     def test_a_submission_that_was_never_written_is_not_run(self):
         refused = self.on(s.Submitted(self.record), UNAVAILABLE)
+        self.assertIsInstance(refused.step, s.ReadStep)
+        self.assertIsNone(refused.tell)
+        refused = self.on(s.RowAbsent(UNAVAILABLE.failure))
         self.assertEqual(refused.tell.outcome, Outcome.NOT_RUN)
         self.assertFalse(refused.tell.key_closed)
 
