Give calls with a caller's work a connection of their own

Cause: on a kept connection, an answer that an endpoint sent late or twice was returned as the answer of the next call; a trial got another body than its own.

Change: generations, plain calls, lookups, cancels, orders and KV cache use fresh connections; only polls of load and cache events reuse them.

--- a/src/_monsoonpulley/endpoints/http_engine.py
+++ b/src/_monsoonpulley/endpoints/http_engine.py
@@ -27,6 +27,7 @@
 from .http_engine_control import (
     CacheEventsAnswer,
     CancelAnswer,
+    ControlRequest,
     EngineControl,
     status_reason,
 )
@@ -107,7 +108,9 @@
     async def cancel(self, attempt: AttemptId) -> CancelOutcome | Failure:
         """Stop an attempt and say whether it had started."""
         body = msgspec.json.encode({"attempt_id": attempt})
-        answer = await self._control.call("engine.cancel", "POST", "/cancel", body)
+        answer = await self._control.call(
+            ControlRequest("engine.cancel", "POST", "/cancel", body)
+        )
         if isinstance(answer, Failure):
             return answer
         decoded = self._control.decode("engine.cancel", answer, CancelAnswer)
@@ -116,7 +119,7 @@
     async def load(self) -> LoadReport | Failure:
         """Return the newest load report."""
         asked_wall_ms = self._clock.wall_ms()
-        answer = await self._control.call("engine.load", "GET", "/metrics")
+        answer = await self._control.poll("engine.load", "/metrics")
         if isinstance(answer, Failure):
             return answer
         report = parse_metrics(answer.decode(errors="replace"), asked_wall_ms)
@@ -125,7 +128,7 @@
     async def cache_events(self, after_seq: int) -> tuple[CacheEvent, ...] | Failure:
         """Return events after ``after_seq`` that the engine still has."""
         path = f"/kv_events?after={after_seq}"
-        answer = await self._control.call("engine.cache_events", "GET", path)
+        answer = await self._control.poll("engine.cache_events", path)
         if isinstance(answer, Failure):
             return answer
         decoded = self._control.decode("engine.cache_events", answer, CacheEventsAnswer)
@@ -133,17 +136,18 @@
 
     async def export_kv(self, attempt: AttemptId) -> bytes | Failure:
         """Return the KV cache of a running attempt."""
-        return await self._control.call(
+        request = ControlRequest(
             "engine.export_kv",
             "GET",
             f"/kv/{path_segment(attempt)}",
             timeout_ms=KV_TIMEOUT_MS,
             max_bytes=MAX_KV_BYTES,
         )
+        return await self._control.call(request)
 
     async def import_kv(self, attempt: AttemptId, data: bytes) -> Failure | None:
         """Take in a KV cache so that ``attempt`` starts from it."""
-        answer = await self._control.call(
+        request = ControlRequest(
             "engine.import_kv",
             "PUT",
             f"/kv/{path_segment(attempt)}",
@@ -151,14 +155,16 @@
             "application/octet-stream",
             timeout_ms=KV_TIMEOUT_MS,
         )
+        answer = await self._control.call(request)
         return answer if isinstance(answer, Failure) else None
 
     async def order(self, order: Order) -> Failure | None:
         """Carry out an order; ``Reason.FENCED`` if its number is old."""
         body = msgspec.json.encode(order)
-        answer = await self._control.call(
+        request = ControlRequest(
             "engine.order", "POST", "/orders", body, timeout_ms=ORDER_TIMEOUT_MS
         )
+        answer = await self._control.call(request)
         return answer if isinstance(answer, Failure) else None
 
     def _end_without_call(self, call: EngineCall) -> Finished | Failure | None:
@@ -190,7 +196,7 @@
         response: aiohttp.ClientResponse | None = None
         try:
             async with stream.first_deadline():
-                response = await self._sessions.reusing.post(
+                response = await self._sessions.fresh.post(
                     url,
                     data=data,
                     headers=headers,
--- a/src/_monsoonpulley/endpoints/http_engine_control.py
+++ b/src/_monsoonpulley/endpoints/http_engine_control.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import aiohttp
 import msgspec
 
 from ..errors import Delivery, Failure, Reason
@@ -35,6 +36,26 @@
     events: tuple[CacheEvent, ...]
 
 
+class ControlRequest(msgspec.Struct, frozen=True):
+    """One short call.
+
+    ``max_bytes`` bounds the answer. The other fields are as in HTTP.
+    """
+
+    step: str
+    method: str
+    path: str
+    body: bytes | None = None
+    content_type: str = "application/json"
+    timeout_ms: int = CONTROL_TIMEOUT_MS
+    max_bytes: int = MAX_CONTROL_BYTES
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers that describe the body."""
+        return {} if self.body is None else {"content-type": self.content_type}
+
+
 class EngineControl:
     """Sends the short calls to one engine.
 
@@ -50,35 +71,36 @@
         self._target = target
         self._sessions = sessions
 
-    async def call(
-        self,
-        step: str,
-        method: str,
-        path: str,
-        body: bytes | None = None,
-        content_type: str = "application/json",
-        timeout_ms: int = CONTROL_TIMEOUT_MS,
-        max_bytes: int = MAX_CONTROL_BYTES,
+    async def call(self, request: ControlRequest) -> bytes | Failure:
+        """Return the body of the answer to a call that decides something."""
+        return await self._send(self._sessions.fresh, request)
+
+    async def poll(self, step: str, path: str) -> bytes | Failure:
+        """Return the body of the answer to a frequent question."""
+        request = ControlRequest(step, "GET", path)
+        return await self._send(self._sessions.reusing, request)
+
+    async def _send(
+        self, session: aiohttp.ClientSession, request: ControlRequest
     ) -> bytes | Failure:
-        """Return the body of the answer, or the failure of ``step``."""
         trace = CallTrace()
         peer = self._target.endpoint_id
         try:
-            async with self._sessions.reusing.request(
-                method,
-                url_of(self._target.address, path),
-                data=body,
-                headers={"content-type": content_type} if body is not None else {},
+            async with session.request(
+                request.method,
+                url_of(self._target.address, request.path),
+                data=request.body,
+                headers=request.headers,
                 allow_redirects=False,
-                timeout=timeouts(timeout_ms),
+                timeout=timeouts(request.timeout_ms),
                 trace_request_ctx=trace,
             ) as response:
-                data = await read_body(response, max_bytes)
+                data = await read_body(response, request.max_bytes)
                 if 200 <= response.status < 300:
                     return data
-                return self._rejected(step, response.status, data)
+                return self._rejected(request.step, response.status, data)
         except TRANSPORT_ERRORS as error:
-            return transport_failure(error, trace, step, peer)
+            return transport_failure(error, trace, request.step, peer)
 
     def _rejected(self, step: str, status: int, data: bytes) -> Failure:
         reason = status_reason(status)
--- a/src/_monsoonpulley/endpoints/http_service.py
+++ b/src/_monsoonpulley/endpoints/http_service.py
@@ -37,8 +37,8 @@
 class HttpServiceClient:
     """One endpoint of a plain service; implements ``ServiceClient``.
 
-    A call is sent at most once and follows no redirect. A call with ``once``
-    gets a connection of its own, see `HttpSessions`.
+    Each call, with ``once`` or without, is sent at most once on a connection
+    of its own and follows no redirect.
 
     Parameters
     ----------
@@ -66,10 +66,9 @@
         headers = _request_headers(call)
         if url is None or not is_sendable(call.method, headers):
             return self._failure(Reason.BAD_REQUEST, step, Delivery.NOT_SENT)
-        session = self._sessions.once if call.once else self._sessions.reusing
         trace = CallTrace()
         try:
-            async with session.request(
+            async with self._sessions.fresh.request(
                 call.method,
                 url,
                 headers=headers,
@@ -90,7 +89,7 @@
         url = url_of(self._target.address, LOOKUP_PATH + path_segment(request_id))
         trace = CallTrace()
         try:
-            async with self._sessions.reusing.get(
+            async with self._sessions.fresh.get(
                 url,
                 allow_redirects=False,
                 timeout=timeouts(CONTROL_TIMEOUT_MS),
--- a/src/_monsoonpulley/endpoints/http_transport.py
+++ b/src/_monsoonpulley/endpoints/http_transport.py
@@ -65,21 +65,25 @@
 class HttpSessions:
     """The client sessions of a process, shared by all adapters.
 
-    ``reusing`` keeps connections open. ``once`` opens one for each call, as a
-    kept connection that the endpoint closes meanwhile leaves a call in doubt.
+    ``fresh`` opens a connection for each call. An answer that comes late or
+    twice on a kept connection would be taken for that of the next call, so
+    all calls use it that carry or decide a caller's work. An endpoint that
+    closes a kept connection as idle would also leave a call in doubt.
+
+    ``reusing`` keeps connections open, for frequent polls of load and events.
 
     No session resends requests, keeps cookies, decodes bodies or reads proxy
     settings.
     """
 
     def __init__(self) -> None:
+        self.fresh = _session(force_close=True)
         self.reusing = _session(force_close=False)
-        self.once = _session(force_close=True)
 
     async def close(self) -> None:
         """Close all connections."""
+        await self.fresh.close()
         await self.reusing.close()
-        await self.once.close()
 
 
 def _session(force_close: bool) -> aiohttp.ClientSession:
--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -19,7 +19,7 @@
 from _monsoonpulley.standins.serving import serve
 
 from ..standins.fleet import CHAT, PLAIN, collect, engine, engine_call, prompt, text_of
-from .rawserver import Script, answer, client, free_port, raw_server
+from .rawserver import Script, answer, client, free_port, raw_server, read_request
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
 FAST = {"decode_base_ms": 1.0, "decode_ms_per_running": 0.1}
@@ -321,6 +321,39 @@
         self.assertEqual(failures, expected)
 
 
+class OwnAnswerTest(unittest.TestCase):
+    def test_an_answer_nobody_asked_for_is_not_that_of_the_next_call(self):
+        head = HEAD.replace(b"\r\n\r\n", b"\r\ncontent-length: %d\r\n\r\n")
+        stopped = b'{"outcome":"stopped"}'
+        late = b'{"outcome":"not_started"}'
+
+        async def answer_twice(reader, writer):
+            while (request := await read_request(reader)) is not None:
+                own, other = wire(("own",)), wire(("late",))
+                if request[0].startswith(b"POST /cancel"):
+                    writer.write(answer(stopped))
+                else:
+                    writer.write(head % len(own) + own)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+                writer.write(answer(late) + head % len(other) + other)
+
+        async def main():
+            async with raw_server(answer_twice) as port, client("openai", port) as to:
+                texts, outcomes = [], []
+                for name in ("r1", "r2", "r3"):
+                    items = await collect(to.generate(engine_call(name)))
+                    texts.append(text_of(items))
+                    await asyncio.sleep(0.03)
+                    outcomes.append(await to.cancel(f"{name}.1"))
+                    await asyncio.sleep(0.03)
+                return texts, outcomes
+
+        texts, outcomes = asyncio.run(main())
+        self.assertEqual(texts, ["own"] * 3)
+        self.assertEqual(outcomes, [CancelOutcome.STOPPED] * 3)
+
+
 class ControlGarbageTest(unittest.TestCase):
     def test_garbage_is_a_failure(self):
         async def main(data):
--- a/testing/endpoints/test_http_service.py
+++ b/testing/endpoints/test_http_service.py
@@ -179,6 +179,28 @@
                 self.assertEqual(len(script.requests), 1)
 
 
+class OwnAnswerTest(unittest.TestCase):
+    def test_an_answer_nobody_asked_for_is_not_that_of_the_next_call(self):
+        async def answer_twice(reader, writer):
+            while (request := await read_request(reader)) is not None:
+                writer.write(answer(request[1]))
+                await writer.drain()
+                await asyncio.sleep(0.01)
+                writer.write(answer(b"late"))
+
+        async def main(once):
+            async with raw_server(answer_twice) as port, client("http", port) as to:
+                bodies = []
+                for body in (b"1", b"2", b"3"):
+                    call = service_call(body=body, once=once)
+                    bodies.append((await to.call(call)).body)
+                    await asyncio.sleep(0.03)
+                return bodies
+
+        for once in (True, False):
+            self.assertEqual(asyncio.run(main(once)), [b"1", b"2", b"3"])
+
+
 class HeadersTest(unittest.TestCase):
     def test_headers_pass_through_without_those_of_the_connection(self):
         script = Script(
