Kill instances of a test with all that they do

Change: tasks are noted by the instance in whose tasks they were made; a kill ends all of them and breaks its callers' connections.

--- /dev/null
+++ b/src/_monsoonpulley/standins/processes.py
@@ -0,0 +1,71 @@
+"""Which tasks belong to which instance, so that one can be killed alone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from contextvars import ContextVar
+from typing import Any
+from weakref import WeakSet
+
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+_owner: ContextVar[str] = ContextVar("owner", default="")
+
+
+class Processes:
+    """Tasks by the instance that started them, directly or not.
+
+    Instances of a test share one loop; a task belongs to the instance in
+    whose tasks it was made.
+    """
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, WeakSet[asyncio.Task]] = {}
+
+    def install(self) -> None:
+        """Note the owner of each task that the running loop makes from now on."""
+        asyncio.get_running_loop().set_task_factory(self._make_task)
+
+    def start(self, owner: str, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Start a task that belongs to ``owner``."""
+        token = _owner.set(owner)
+        try:
+            return asyncio.create_task(work, name=owner)
+        finally:
+            _owner.reset(token)
+
+    def kill(self, owner: str) -> None:
+        """End every task of an instance."""
+        for task in list(self._tasks.pop(owner, ())):
+            task.cancel()
+
+    def application(self, owner: str, app: ASGIApp) -> ASGIApp:
+        """Return ``app`` as callers of ``owner`` reach it.
+
+        When the owner is killed its callers see their connections break.
+        """
+
+        async def call(scope: Scope, receive: Receive, send: Send) -> None:
+            serving = self.start(owner, app(scope, receive, send))
+            try:
+                await asyncio.wait({serving})
+            finally:
+                serving.cancel()
+            if serving.cancelled():
+                raise ConnectionResetError(f"{owner} was killed")
+            serving.result()
+
+        return call
+
+    def _make_task(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        coro: Coroutine[Any, Any, Any],
+        **options: Any,
+    ) -> asyncio.Task:
+        task = asyncio.Task(coro, loop=loop, **options)
+        owner = _owner.get()
+        if owner:
+            self._tasks.setdefault(owner, WeakSet()).add(task)
+        return task
--- a/src/_monsoonpulley/standins/world.py
+++ b/src/_monsoonpulley/standins/world.py
@@ -31,6 +31,7 @@
 from .manualloop import running_clock
 from .plainservice import ExecutionLedger, PlainServiceProfile, PlainServiceStandin
 from .platform import PlatformStandin
+from .processes import Processes
 
 OPERATOR_CREDENTIAL = "operator-credential"
 
@@ -107,12 +108,14 @@
         self.engines: dict[EndpointId, EngineStandin] = {}
         self.services: dict[EndpointId, PlainServiceStandin] = {}
         self.entries: dict[InstanceId, RunningEntry] = {}
+        self.processes = Processes()
         self._deployment = deployment
         self._sink = sink
         self.platform.cloud.on_ended.append(self._on_ended)
 
     async def start(self) -> None:
         """Apply the configuration and start every instance."""
+        self.processes.install()
         await self.apply(self._deployment.document, 0, "setup")
         members = [self.add_endpoint(plan) for plan in self._deployment.endpoints]
         members += [self._entry_member(plan) for plan in self._deployment.entries]
@@ -131,7 +134,8 @@
 
     def caller(self, instance: InstanceId, credential: str) -> Caller:
         """Return a caller of one entry instance."""
-        return Caller(self.entries[instance].instance.app, credential)
+        app = self.entries[instance].instance.app
+        return Caller(self.processes.application(instance, app), credential)
 
     def config_store(self) -> ConfigStore:
         """Return a store of the configuration as an operator's process has it."""
@@ -193,14 +197,14 @@
         instance = EntryInstance(
             identity, around, credential_sha256(OPERATOR_CREDENTIAL)
         )
-        task = asyncio.create_task(instance.run(), name=plan.instance)
+        task = self.processes.start(plan.instance, instance.run())
         self.entries[plan.instance] = RunningEntry(instance, task)
         return instance
 
     def kill_entry(self, name: InstanceId) -> None:
-        """End an entry instance without warning."""
-        entry = self.entries.pop(name)
-        entry.task.cancel()
+        """End an entry instance and all that it does, without warning."""
+        del self.entries[name]
+        self.processes.kill(name)
 
     def _entry_member(self, plan: EntryPlan) -> Member:
         self._in_cloud(plan.instance, plan.zone, ServiceId(""), VersionId(""))
--- a/testing/goldens/sessions/faults.py
+++ b/testing/goldens/sessions/faults.py
@@ -17,7 +17,7 @@
     """A data centre is reclaimed while reports stream and orders come in."""
     for number in range(4):
         prompt = f"report {number}: {HISTORY}"
-        play.stream(f"entry-{2 + number}", "bench", "condition-report", prompt, 250)
+        play.stream(f"entry-{2 + number}", "bench", "condition-report", prompt, 600)
     await play.sleep_ms(500)
     play.world.platform.cloud.reclaim_zone("lakes-east-a", 5_000)
     for number in range(4):
--- /dev/null
+++ b/testing/standins/test_processes.py
@@ -0,0 +1,50 @@
+import asyncio
+import unittest
+
+from _monsoonpulley.standins.manualloop import run_manual
+from _monsoonpulley.standins.processes import Processes
+
+
+class ProcessesTest(unittest.TestCase):
+    def test_a_kill_ends_all_tasks_of_its_owner_and_no_others(self):
+        async def main():
+            processes = Processes()
+            processes.install()
+            ticks = {"one": 0, "two": 0}
+
+            async def tick(owner):
+                while True:
+                    ticks[owner] += 1
+                    await asyncio.sleep(1)
+
+            async def run(owner):
+                asyncio.create_task(tick(owner))
+                await tick(owner)
+
+            for owner in ticks:
+                processes.start(owner, run(owner))
+            await asyncio.sleep(2.5)
+            processes.kill("one")
+            seen = ticks["one"]
+            await asyncio.sleep(2)
+            self.assertEqual(ticks["one"], seen)
+            self.assertEqual(ticks["two"], 10)
+
+        run_manual(main())
+
+    def test_callers_of_a_killed_owner_see_their_connections_break(self):
+        async def main():
+            processes = Processes()
+            processes.install()
+
+            async def app(scope, receive, send):
+                await asyncio.sleep(60)
+
+            call = processes.application("one", app)
+            calling = asyncio.create_task(call({}, None, None))
+            await asyncio.sleep(1)
+            processes.kill("one")
+            with self.assertRaises(ConnectionResetError):
+                await calling
+
+        run_manual(main())
