--- a/testing/standins/test_processes.py
+++ b/testing/standins/test_processes.py
@@ -18,8 +18,9 @@
                     await asyncio.sleep(1)
 
             async def run(owner):
-                asyncio.create_task(tick(owner))
+                ticking = asyncio.create_task(tick(owner))
                 await tick(owner)
+                await ticking
 
             for owner in ticks:
                 processes.start(owner, run(owner))
