--- a/src/_monsoonpulley/standins/engine.py
+++ b/src/_monsoonpulley/standins/engine.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any
 
 from ..clock import Clock
 from ..endpoints.engine import (
@@ -17,11 +18,12 @@
 )
 from ..errors import Delivery, Failure, Reason
 from ..ids import AttemptId, EndpointId, VersionId
-from .engine_core import EngineCore, StreamItem
-from .engine_counters import ComputedBlocks, EngineCounters
-from .engine_faults import EngineFaults
+from .engine_core import EngineCore
+from .engine_counters import ComputedBlocks
 from .engine_kv import decode_kv, encode_kv
+from .engine_orders import OrderBook, OrderVerdict
 from .engine_profile import EngineProfile
+from .engine_streams import OpenStreams, StreamItem
 
 
 class EngineStandin:
@@ -41,6 +43,17 @@
         Performance and habits.
     computed : ComputedBlocks, optional
         Shared by a fleet's engines to count recomputed tokens.
+
+    Attributes
+    ----------
+    adapters : list of str
+        Adapters that were loaded.
+    counters : EngineCounters
+        What the engine has counted.
+    faults : EngineFaults
+        Faults of streams, to be set by tests.
+    orders_done : list of Order
+        Orders that took effect.
     """
 
     def __init__(
@@ -61,12 +74,16 @@
         self._core = EngineCore(
             endpoint_id, version, clock, rng, profile, computed or ComputedBlocks()
         )
-        self._streams: dict[AttemptId, asyncio.Queue[StreamItem]] = {}
+        self.adapters = self._core.adapters
+        self.counters = self._core.counters
+        self.faults = self._core.faults
+        self._streams = OpenStreams()
         self._resumed = asyncio.Event()
         self._resumed.set()
         self._worker: asyncio.Task[None] | None = None
-        self._reclaims: set[asyncio.Task[None]] = set()
-        self._highest_fencing = 0
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._orders = OrderBook(profile.checks_fencing)
+        self._crashes = 0
 
     @property
     def version(self) -> VersionId:
@@ -78,21 +95,6 @@
         """The role last ordered; empty at first."""
         return self._core.role
 
-    @property
-    def adapters(self) -> list[str]:
-        """The adapters that are loaded."""
-        return self._core.adapters
-
-    @property
-    def counters(self) -> EngineCounters:
-        """What the engine has counted."""
-        return self._core.counters
-
-    @property
-    def faults(self) -> EngineFaults:
-        """Faults of streams, to be set by tests."""
-        return self._core.faults
-
     async def generate(self, call: EngineCall) -> AsyncIterator[StreamItem]:
         """Yield tokens, then one ``Finished`` or ``Failure``."""
         step = "engine.generate"
@@ -102,11 +104,11 @@
         if call.attempt_id in self._streams:
             yield self._failure(Reason.CONFLICT, step, Delivery.REFUSED)
             return
-        stream = self._open(call)
+        self._open(call)
         timeout_ms = call.first_token_timeout_ms
         try:
             while True:
-                item = await self._next_item(stream, timeout_ms)
+                item = await self._next_item(call.attempt_id, timeout_ms)
                 yield item
                 if not isinstance(item, Token):
                     return
@@ -168,30 +170,29 @@
         return failure
 
     async def order(self, order: Order) -> Failure | None:
-        """Carry out an order, once per ``order_id``."""
-        step = "engine.order"
-        failure = await self._unreachable(step)
-        if failure:
-            return failure
-        if self.profile.checks_fencing and order.fencing_number < self._highest_fencing:
-            return self._failure(Reason.FENCED, step)
-        self._highest_fencing = max(self._highest_fencing, order.fencing_number)
-        if any(done.order_id == order.order_id for done in self.orders_done):
-            return None
-        self.orders_done.append(order)
-        await self._clock.sleep_ms(self.profile.order_ms)
-        failure = await self._unreachable(step)
-        if failure is None:
-            self._core.carry_out(order)
-        return failure
+        """Carry out an order, once per ``order_id``.
+
+        A paused engine carries it out when it is resumed, also if the caller
+        has given up by then.
+        """
+        task = self._spawn(self._take_order(order))
+        timeout_ms = self.profile.control_timeout_ms + self.profile.order_ms
+        done, _ = await asyncio.wait((task,), timeout=timeout_ms / 1000)
+        if not done:
+            return self._failure(Reason.TIMEOUT, "engine.order", Delivery.MAYBE)
+        return task.result()
 
     def crash(self) -> None:
-        """Die: streams end with ``PEER_ERROR``, new calls can't connect."""
+        """Die: streams end with ``PEER_ERROR``, new calls can't connect.
+
+        The process also forgets its cache, its orders and their numbers.
+        """
         self.is_crashed = True
+        self._crashes += 1
+        self._orders = OrderBook(self.profile.checks_fencing)
         self._stop_worker()
         self._core.clear()
-        for stream in self._streams.values():
-            stream.put_nowait(self._core.broken_stream())
+        self._streams.end_all(self._core.broken_stream())
         self._resumed.set()
 
     def restart(self) -> None:
@@ -214,20 +215,43 @@
     def reclaim(self, notice_ms: int) -> None:
         """Leave now and crash when the notice is over."""
         self.leave()
-        task = asyncio.get_running_loop().create_task(self._crash_after(notice_ms))
-        self._reclaims.add(task)
-        task.add_done_callback(self._reclaims.discard)
+        self._spawn(self._crash_after(notice_ms))
 
     def close(self) -> None:
         """Stop the stand-in's tasks."""
         self._stop_worker()
-        for task in self._reclaims:
+        for task in list(self._tasks):
             task.cancel()
 
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
     async def _crash_after(self, notice_ms: int) -> None:
         await self._clock.sleep_ms(notice_ms)
         self.crash()
 
+    async def _take_order(self, order: Order) -> Failure | None:
+        step = "engine.order"
+        crashes = self._crashes
+        await self._resumed.wait()
+        if self.is_crashed or self._crashes != crashes:
+            return self._failure(Reason.UNAVAILABLE, step)
+        verdict = self._orders.take(order)
+        if verdict is OrderVerdict.FENCED:
+            return self._failure(Reason.FENCED, step)
+        if verdict is OrderVerdict.REPEATED:
+            return None
+        await self._clock.sleep_ms(self.profile.order_ms)
+        await self._resumed.wait()
+        if self._crashes != crashes:
+            return self._failure(Reason.PEER_ERROR, step, Delivery.MAYBE)
+        self._core.carry_out(order)
+        self.orders_done.append(order)
+        return None
+
     def _stop_worker(self) -> None:
         if self._worker is not None:
             self._worker.cancel()
@@ -248,29 +272,25 @@
             return self._failure(Reason.UNAVAILABLE, step)
         return None
 
-    def _open(self, call: EngineCall) -> asyncio.Queue[StreamItem]:
-        stream: asyncio.Queue[StreamItem] = asyncio.Queue()
-        self._streams[call.attempt_id] = stream
+    def _open(self, call: EngineCall) -> None:
+        self._streams.open(call.attempt_id)
         if self.is_leaving:
             self.counters.starts_while_leaving += 1
         self._core.submit(call)
         if self._worker is None or self._worker.done():
             self._worker = asyncio.get_running_loop().create_task(self._work())
-        return stream
 
     def _close(self, attempt: AttemptId) -> None:
-        del self._streams[attempt]
+        self._streams.close(attempt)
         self._core.cancel(attempt)
 
     def _end_cancelled(self, attempt: AttemptId, delivery: Delivery) -> None:
         failure = self._failure(Reason.CANCELLED, "engine.generate", delivery)
-        self._emit([(attempt, failure)])
+        self._streams.emit([(attempt, failure)])
 
-    async def _next_item(
-        self, stream: asyncio.Queue[StreamItem], timeout_ms: int
-    ) -> StreamItem:
+    async def _next_item(self, attempt: AttemptId, timeout_ms: int) -> StreamItem:
         try:
-            return await asyncio.wait_for(stream.get(), timeout_ms / 1000)
+            return await self._streams.next(attempt, timeout_ms)
         except TimeoutError:
             return self._failure(Reason.TIMEOUT, "engine.generate", Delivery.MAYBE)
 
@@ -278,13 +298,7 @@
         while not self._core.batch.is_empty:
             await self._resumed.wait()
             plan, failures = self._core.begin_step()
-            self._emit(failures)
+            self._streams.emit(failures)
             await self._clock.sleep_ms(plan.duration_ms)
             await self._resumed.wait()
-            self._emit(self._core.end_step(plan))
-
-    def _emit(self, items: list[tuple[AttemptId, StreamItem]]) -> None:
-        for attempt, item in items:
-            stream = self._streams.get(attempt)
-            if stream is not None:
-                stream.put_nowait(item)
+            self._streams.emit(self._core.end_step(plan))
--- a/src/_monsoonpulley/standins/engine_core.py
+++ b/src/_monsoonpulley/standins/engine_core.py
@@ -26,8 +26,7 @@
 from .engine_kv import Imports, KvState
 from .engine_profile import BadEffect, BadVersion, EngineProfile
 from .engine_reports import LaggingReports
-
-StreamItem = Token | Finished | Failure
+from .engine_streams import StreamItem
 
 
 class EngineCore:
--- /dev/null
+++ b/src/_monsoonpulley/standins/engine_orders.py
@@ -0,0 +1,41 @@
+"""Orders that an engine stand-in has taken, and which it takes."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from ..endpoints.engine import Order
+
+
+class OrderVerdict(Enum):
+    """What becomes of an order that arrives."""
+
+    CARRY_OUT = "carry_out"
+    REPEATED = "repeated"
+    """An order of that id was taken before; nothing more happens."""
+    FENCED = "fenced"
+
+
+class OrderBook:
+    """Orders taken so far.
+
+    Parameters
+    ----------
+    checks_fencing : bool
+        Whether orders with an old fencing number are refused.
+    """
+
+    def __init__(self, checks_fencing: bool):
+        self._checks_fencing = checks_fencing
+        self._highest = 0
+        self._taken: set[str] = set()
+
+    def take(self, order: Order) -> OrderVerdict:
+        """Take an order and say what becomes of it."""
+        if self._checks_fencing and order.fencing_number < self._highest:
+            return OrderVerdict.FENCED
+        self._highest = max(self._highest, order.fencing_number)
+        if order.order_id in self._taken:
+            return OrderVerdict.REPEATED
+        self._taken.add(order.order_id)
+        return OrderVerdict.CARRY_OUT
--- /dev/null
+++ b/src/_monsoonpulley/standins/engine_streams.py
@@ -0,0 +1,51 @@
+"""Open streams of an engine stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..endpoints.engine import Finished, Token
+from ..errors import Failure
+from ..ids import AttemptId
+
+StreamItem = Token | Finished | Failure
+
+
+class OpenStreams:
+    """Items on their way to the readers of attempts."""
+
+    def __init__(self) -> None:
+        self._queues: dict[AttemptId, asyncio.Queue[StreamItem]] = {}
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self._queues
+
+    def open(self, attempt: AttemptId) -> None:
+        """Take items for an attempt from now on."""
+        self._queues[attempt] = asyncio.Queue()
+
+    def close(self, attempt: AttemptId) -> None:
+        """Drop the items of an attempt."""
+        del self._queues[attempt]
+
+    def emit(self, items: list[tuple[AttemptId, StreamItem]]) -> None:
+        """Give items to those attempts that are still read."""
+        for attempt, item in items:
+            queue = self._queues.get(attempt)
+            if queue is not None:
+                queue.put_nowait(item)
+
+    def end_all(self, failure: Failure) -> None:
+        """End all streams."""
+        self.emit([(attempt, failure) for attempt in self._queues])
+
+    async def next(self, attempt: AttemptId, timeout_ms: int) -> StreamItem:
+        """Return the next item of an attempt.
+
+        Raises
+        ------
+        TimeoutError
+            If none comes within ``timeout_ms``.
+        """
+        queue = self._queues[attempt]
+        return await asyncio.wait_for(queue.get(), timeout_ms / 1000)
--- a/testing/standins/test_engine.py
+++ b/testing/standins/test_engine.py
@@ -280,6 +280,37 @@
 
         self.assertEqual(run_manual(main()), ["gilt"])
 
+    def test_a_paused_engine_carries_out_an_order_late(self):
+        async def main(lose):
+            worker = engine()
+            worker.pause()
+            failure = await worker.order(Order("o1", OrderKind.LOAD_VERSION, 1, "v2"))
+            before = worker.version
+            lose(worker)
+            worker.resume()
+            await asyncio.sleep(1)
+            return failure.reason, failure.delivery, before, worker.version
+
+        expected = (Reason.TIMEOUT, Delivery.MAYBE, "v1")
+        self.assertEqual(run_manual(main(lambda worker: None)), (*expected, "v2"))
+        crashed = run_manual(main(lambda worker: (worker.crash(), worker.restart())))
+        self.assertEqual(crashed, (*expected, "v1"))
+
+    def test_an_order_lost_in_a_crash_can_be_given_again(self):
+        async def main():
+            worker = engine(order_ms=100)
+            order = Order("o1", OrderKind.LOAD_VERSION, 1, "v2")
+            lost = asyncio.create_task(worker.order(order))
+            await asyncio.sleep(0.05)
+            worker.crash()
+            worker.restart()
+            again = await worker.order(order)
+            return (await lost).delivery, again, worker.version, worker.orders_done
+
+        delivery, again, version, done = run_manual(main())
+        self.assertEqual(delivery, Delivery.MAYBE)
+        self.assertEqual((again, version, len(done)), (None, "v2", 1))
+
 
 class FaultsTest(unittest.TestCase):
     def test_a_crash_ends_streams_in_doubt_and_refuses_connections(self):
