--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -29,6 +29,8 @@
 PREFILL_TOKENS_PER_MS = 8.0
 MAX_RUNNING = 24
 CACHE_BLOCKS = 8_000
+MAX_PROMPT_BLOCKS = 750
+CHUNK_TOKENS = 2_048
 NOTICE_MS = 8_000
 WAVE_MS, WAVE_WORKERS, RETURN_MS = 20_000, 4, 45_000
 CUSTOMERS = {"large-1": 6, "large-2": 4, "small-1": 1, "small-2": 1, "small-3": 1}
@@ -68,7 +70,7 @@
         self.priority, self.attempt, self.tried = 0, 0, ()
         self.daemon = rng.randrange(DAEMONS)
         self.first_ms = self.done_ms = self.joined_ms = None
-        self.made = 0
+        self.made, self.left_tokens = 0, None
 
     @property
     def prompt_tokens(self):
@@ -111,14 +113,14 @@
         if in_session:
             prefix = sessions[customer][which]
         prompt = prefix + blocks(tokens // 16)
-        if name == "report":
+        if name == "report" and len(prompt) < MAX_PROMPT_BLOCKS:
             sessions[customer][which] = prompt
         jobs.append(Job(number, round(at_ms), customer, name, prompt, rng))
     return jobs
 
 
 class Engine:
-    """A fake worker: serial prefill by priority, then a batch of decodes."""
+    """A fake worker: prefill in chunks by priority, then a batch of decodes."""
 
     def __init__(self, sim, name):
         self.sim, self.name, self.alive = sim, name, True
@@ -138,21 +140,33 @@
         room = len(self.running) < MAX_RUNNING
         if not self.alive or self.prefilling or not self.waiting or not room:
             return
-        job = heapq.heappop(self.waiting)[2]
+        _, order, job = heapq.heappop(self.waiting)
+        if job.left_tokens is None:
+            job.left_tokens = self.uncached_tokens(job)
+        self.prefilling = job
+        chunk = min(CHUNK_TOKENS, job.left_tokens)
+        job.left_tokens -= chunk
+        took_ms = max(1, chunk / PREFILL_TOKENS_PER_MS)
+        self.sim.after(took_ms, self.prefilled, job, order)
+
+    def uncached_tokens(self, job):
+        """Return what to prefill, and count what was computed before."""
         cached = 0
         while cached < len(job.blocks) and job.blocks[cached] in self.cache:
             cached += 1
         seen = sum(b in self.sim.computed for b in job.blocks[cached:])
         self.sim.recomputed += 16 * seen + job.made
-        self.prefilling = job
-        took = (job.prompt_tokens - 16 * cached) / PREFILL_TOKENS_PER_MS
-        self.sim.after(max(1, took), self.prefilled, job)
+        return job.prompt_tokens - 16 * cached
 
-    def prefilled(self, job):
-        """Move a job from prefill to the batch."""
+    def prefilled(self, job, order):
+        """Go on with the most urgent chunk, or move the job to the batch."""
         if not self.alive:
             return
         self.prefilling = None
+        if job.left_tokens > 0:
+            heapq.heappush(self.waiting, (job.priority, order, job))
+            self.pump()
+            return
         self.sim.computed.update(job.blocks)
         self.store(job.blocks)
         self.running[job.id] = job
@@ -208,6 +222,7 @@
         if self.prefilling:
             jobs.append(self.prefilling)
         for job in jobs:
+            job.left_tokens = None
             self.sim.lost(job, self.name)
 
 
