--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -19,7 +19,7 @@
 from _monsoonpulley.endpoints.engine import CacheEvent, CacheEventKind, LoadReport
 from _monsoonpulley.errors import Failure
 from _monsoonpulley.platform.livelist import Member, Role
-from _monsoonpulley.routing.admission import AdmissionRequest, Admit, Refuse
+from _monsoonpulley.routing.admission import Admit, Refuse
 from _monsoonpulley.routing.policies import RouteRequest
 from _monsoonpulley.routing.priority import engine_priority
 from _monsoonpulley.routing.router import Router
@@ -330,18 +330,7 @@
         if not self.managed:
             self.send(job, asked, decision)
             return
-        uncached = job.prompt_tokens - decision.cached_tokens
-        offer = AdmissionRequest(
-            request_id=job.id,
-            service="model",
-            customer=job.customer,
-            request_class=job.name,
-            cost_tokens=uncached + job.max_tokens // 2,
-            target_ms=job.target_ms,
-            predicted_ms=decision.predicted_ms,
-            queue_ms=decision.queue_ms,
-        )
-        result = router.admission.offer(offer, self.now_ms)
+        result = router.admit(asked, decision, job.customer, job.name, self.now_ms)
         self.rules[result.rule] += 1
         if isinstance(result, Admit):
             self.send(job, asked, decision)
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -14,10 +14,19 @@
 from ..config.document import Document
 from ..endpoints.engine import CacheEvent, LoadReport
 from ..errors import Delivery, Failure, Reason
-from ..ids import AttemptId, EndpointId, RequestId, ServiceId, VersionId, ZoneId
+from ..ids import (
+    AttemptId,
+    ClassId,
+    CustomerId,
+    EndpointId,
+    RequestId,
+    ServiceId,
+    VersionId,
+    ZoneId,
+)
 from ..log import Decision
 from ..platform.livelist import Member, MemberState
-from .admission import Admission
+from .admission import Admission, AdmissionRequest, Admit, Refuse, Wait
 from .breaker import BreakerRule, Breakers
 from .policies import POLICIES, RouteRequest, Scorer
 from .prediction import Prediction
@@ -26,6 +35,7 @@
 from .view import EndpointView, FleetView
 
 OTHER_ZONE_MS = 2
+MAX_OTHER_ZONES = 2
 SLOTS_RATIO = 1.0
 ENDPOINT_RULE = BreakerRule(min_count=5)
 VERSION_RULE = BreakerRule(min_count=20, open_ms=2_000, max_probes=2)
@@ -249,9 +259,12 @@
         if found and _time(request, found[0]) <= request.target_ms:
             return self._decision(request, version, found, "local", now_ms)
         others: list[Prediction] = []
-        for zone, pool in pools.items():
-            if zone != local_zone and zone not in self._cut_off_zones:
-                others += self._policy.rank(request, pool, usable, now_ms)
+        zones = [z for z in pools if z != local_zone and z not in self._cut_off_zones]
+        self._rng.shuffle(zones)
+        for looked_at, zone in enumerate(zones):
+            if looked_at >= MAX_OTHER_ZONES and others:
+                break
+            others += self._policy.rank(request, pools[zone], usable, now_ms)
         others.sort(key=lambda prediction: _time(request, prediction))
         if not found and not others:
             return None
@@ -328,6 +341,34 @@
         key = (request.service, version, request.route)
         return self.version_breakers.open_for_ms(key, now_ms)
 
+    def admit(
+        self,
+        request: RouteRequest,
+        decision: RouteDecision,
+        customer: CustomerId,
+        request_class: ClassId,
+        now_ms: int,
+    ) -> Admit | Wait | Refuse:
+        """Ask admission for a request that `choose` found a place for.
+
+        After ``Wait`` and its turn, choose again. After ``Admit``,
+        ``admission.release`` must follow when the request ends.
+        """
+        traffic = self.fleet.traffic_of(request.service)
+        output = min(request.max_tokens, round(traffic.output_tokens))
+        uncached = max(0, request.prompt_tokens - decision.cached_tokens)
+        offer = AdmissionRequest(
+            request_id=request.request_id,
+            service=request.service,
+            customer=customer,
+            request_class=request_class,
+            cost_tokens=max(1, uncached + output),
+            target_ms=request.target_ms,
+            predicted_ms=decision.predicted_ms,
+            queue_ms=decision.queue_ms,
+        )
+        return self.admission.offer(offer, now_ms)
+
     def started(
         self,
         attempt: AttemptId,
