Split large routing modules

Change: moved pools, decisions, attempt breakers and fakes to modules of their own; behaviour is the same. Tested: 68 tests of routing pass before and after.

--- a/src/_monsoonpulley/routing/policies.py
+++ b/src/_monsoonpulley/routing/policies.py
@@ -14,9 +14,10 @@
 from ..config.document import ServiceKind
 from ..ids import EndpointId, RequestId, ServiceId, VersionId, ZoneId
 from ..registry import Registry
+from .pool import Pool
 from .prediction import Prediction, predict_model, predict_plain
 from .prefixindex import PrefixIndex
-from .view import EndpointView, FleetView, Pool
+from .view import EndpointView, FleetView
 
 FULL_SCAN_ENDPOINTS = 8
 SAMPLE_ENDPOINTS = 8
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -9,8 +9,6 @@
 import random
 from collections.abc import Sequence
 
-import msgspec
-
 from ..config.document import Document
 from ..endpoints.engine import CacheEvent, LoadReport
 from ..errors import Delivery, Failure, Reason
@@ -19,75 +17,23 @@
     ClassId,
     CustomerId,
     EndpointId,
-    RequestId,
     ServiceId,
     VersionId,
     ZoneId,
 )
-from ..log import Decision
 from ..platform.livelist import Member, MemberState
 from .admission import Admission, AdmissionRequest, Admit, Refuse, Wait
-from .breaker import BreakerRule, Breakers
+from .attemptbreakers import AttemptBreakers
 from .policies import POLICIES, RouteRequest, Scorer
 from .prediction import Prediction
 from .prefixindex import PrefixIndex
 from .retries import Retries
+from .routedecision import RouteDecision, target_time_ms
 from .view import EndpointView, FleetView
 
 OTHER_ZONE_MS = 2
 MAX_OTHER_ZONES = 2
 SLOTS_RATIO = 1.0
-ENDPOINT_RULE = BreakerRule(min_count=5)
-VERSION_RULE = BreakerRule(min_count=20, open_ms=2_000, max_probes=2)
-
-
-class RouteDecision(Decision, frozen=True, kw_only=True, tag="route"):
-    """Where one attempt goes, and why.
-
-    Attributes
-    ----------
-    chosen, runner_up : EndpointId or None
-        The endpoint, and the next best; ``None`` if it was the only one.
-    predicted_ms, runner_up_ms : float or None
-        Predicted time by which they were compared.
-    queue_ms : float
-        Part of it that is the chosen endpoint's own queue.
-    candidate_count : int
-        How many endpoints were looked at.
-    candidates : tuple of Prediction
-        What was expected of each, best first.
-    versions : dict
-        Shares of traffic by which the version was drawn.
-    """
-
-    request_id: RequestId
-    service: ServiceId
-    version: VersionId
-    zone: ZoneId
-    chosen: EndpointId
-    address: str
-    predicted_ms: float
-    queue_ms: float
-    runner_up: EndpointId | None
-    runner_up_ms: float | None
-    candidate_count: int
-    target_ms: int
-    stream: bool
-    prompt_tokens: int
-    cached_tokens: int
-    tried: tuple[EndpointId, ...]
-    versions: dict[VersionId, float]
-    candidates: tuple[Prediction, ...]
-    now_ms: int
-
-
-class _Open(msgspec.Struct):
-    """Breaker keys of an attempt in progress and whether it probes them."""
-
-    endpoint: EndpointId
-    version_key: tuple[ServiceId, VersionId, str]
-    endpoint_probe: bool
-    version_probe: bool
 
 
 class Router:
@@ -111,13 +57,11 @@
         self.prefixes = PrefixIndex()
         self.admission = Admission(rng)
         self.retries = Retries(rng)
-        self.endpoint_breakers = Breakers(ENDPOINT_RULE, rng)
-        self.version_breakers = Breakers(VERSION_RULE, rng)
+        self.breakers = AttemptBreakers(rng)
         self._scorer = Scorer(self.fleet, self.prefixes)
         self._policy = POLICIES.get(policy)(self._scorer, rng)
         self._rng = rng
         self._cut_off_zones: frozenset[ZoneId] = frozenset()
-        self._open: dict[AttemptId, _Open] = {}
 
     @classmethod
     def from_config(
@@ -152,7 +96,7 @@
         self.fleet.apply_members(members, now_ms)
         for endpoint in before - set(self.fleet.endpoints):
             self.prefixes.forget(endpoint)
-            self.endpoint_breakers.forget(endpoint)
+            self.breakers.endpoints.forget(endpoint)
 
     def mark_leaving(self, endpoint: EndpointId, now_ms: int) -> None:
         """Give an endpoint no new work from now on."""
@@ -238,7 +182,7 @@
         self, request: RouteRequest, version: VersionId, now_ms: int
     ) -> bool:
         key = (request.service, version, request.route)
-        return self.version_breakers.allows(key, now_ms)
+        return self.breakers.versions.allows(key, now_ms)
 
     def _rank_zones(
         self, request: RouteRequest, version: VersionId, now_ms: int
@@ -246,7 +190,7 @@
         """Look at the local data centre, and at others if it is too slow."""
         pools = self.fleet.pools(request.service, version)
         tried = request.tried
-        breakers = self.endpoint_breakers
+        breakers = self.breakers.endpoints
 
         def usable(view: EndpointView) -> bool:
             return view.id not in tried and breakers.allows(view.id, now_ms)
@@ -256,7 +200,7 @@
         found: list[Prediction] = []
         if local is not None:
             found = self._policy.rank(request, local, usable, now_ms)
-        if found and _time(request, found[0]) <= request.target_ms:
+        if found and target_time_ms(request, found[0]) <= request.target_ms:
             return self._decision(request, version, found, "local", now_ms)
         others: list[Prediction] = []
         zones = [z for z in pools if z != local_zone and z not in self._cut_off_zones]
@@ -265,14 +209,16 @@
             if looked_at >= MAX_OTHER_ZONES and others:
                 break
             others += self._policy.rank(request, pools[zone], usable, now_ms)
-        others.sort(key=lambda prediction: _time(request, prediction))
+        others.sort(key=lambda prediction: target_time_ms(request, prediction))
         if not found and not others:
             return None
         if not others:
             return self._decision(request, version, found, "local", now_ms)
         if not found:
             return self._decision(request, version, others, "only-elsewhere", now_ms)
-        if _time(request, others[0]) + OTHER_ZONE_MS < _time(request, found[0]):
+        if target_time_ms(request, others[0]) + OTHER_ZONE_MS < target_time_ms(
+            request, found[0]
+        ):
             ranked = others + found
             return self._decision(request, version, ranked, "elsewhere", now_ms)
         return self._decision(request, version, found + others, "local", now_ms)
@@ -295,10 +241,10 @@
             zone=best.zone,
             chosen=best.endpoint,
             address=self.fleet.endpoints[best.endpoint].address,
-            predicted_ms=_time(request, best),
+            predicted_ms=target_time_ms(request, best),
             queue_ms=best.queue_ms,
             runner_up=second.endpoint if second else None,
-            runner_up_ms=_time(request, second) if second else None,
+            runner_up_ms=target_time_ms(request, second) if second else None,
             candidate_count=len(ranked),
             target_ms=request.target_ms,
             stream=request.stream,
@@ -339,7 +285,7 @@
         self, request: RouteRequest, version: VersionId, now_ms: int
     ) -> int:
         key = (request.service, version, request.route)
-        return self.version_breakers.open_for_ms(key, now_ms)
+        return self.breakers.versions.open_for_ms(key, now_ms)
 
     def admit(
         self,
@@ -377,13 +323,8 @@
         now_ms: int,
     ) -> None:
         """Note that the attempt of ``decision`` is being sent."""
-        version_key = (request.service, decision.version, request.route)
-        self._open[attempt] = _Open(
-            decision.chosen,
-            version_key,
-            self.endpoint_breakers.begin(decision.chosen, now_ms),
-            self.version_breakers.begin(version_key, now_ms),
-        )
+        version_route = (request.service, decision.version, request.route)
+        self.breakers.begin(attempt, decision.chosen, version_route, now_ms)
         uncached = max(0, request.prompt_tokens - decision.cached_tokens)
         self.fleet.started(
             attempt, decision.chosen, uncached, request.max_tokens, now_ms
@@ -404,24 +345,4 @@
     ) -> None:
         """Note the attempt's end; a refusal or a cancel opens no breaker."""
         self.fleet.finished(attempt, now_ms, failure is None, output_tokens)
-        opened = self._open.pop(attempt, None)
-        if opened is None:
-            return
-        ok = _breaker_result(failure)
-        self.endpoint_breakers.end(opened.endpoint, ok, opened.endpoint_probe, now_ms)
-        if failure is not None and failure.delivery is Delivery.NOT_SENT:
-            ok = None
-        self.version_breakers.end(opened.version_key, ok, opened.version_probe, now_ms)
-
-
-def _time(request: RouteRequest, prediction: Prediction) -> float:
-    """Return the predicted time that the class target is about."""
-    return prediction.first_token_ms if request.stream else prediction.completion_ms
-
-
-def _breaker_result(failure: Failure | None) -> bool | None:
-    if failure is None:
-        return True
-    if failure.reason is Reason.CANCELLED:
-        return None
-    return None if failure.delivery is Delivery.REFUSED else False
+        self.breakers.end(attempt, failure, now_ms)
--- a/src/_monsoonpulley/routing/view.py
+++ b/src/_monsoonpulley/routing/view.py
@@ -14,11 +14,10 @@
 from ..endpoints.engine import LoadReport
 from ..ids import AttemptId, EndpointId, ServiceId, VersionId, ZoneId
 from ..platform.livelist import Member, MemberState, Role
+from .pool import Pool, ServiceTraffic
 
 MAX_REPORT_AGE_MS = 10_000
 SERVICE_TIME_WEIGHT = 0.2
-RATE_WINDOW_MS = 2_000
-DEFAULT_OUTPUT_TOKENS = 128.0
 KEEP_LEFT_MS = 3_600_000
 
 
@@ -85,56 +84,6 @@
         self.gone_requests = 0
 
 
-class Pool:
-    """The LIVE endpoints of one version in one data centre, in O(1) steps."""
-
-    def __init__(self) -> None:
-        self.endpoints: list[EndpointView] = []
-        self._index: dict[EndpointId, int] = {}
-
-    def add(self, endpoint: EndpointView) -> None:
-        """Add an endpoint; nothing happens if it is there."""
-        if endpoint.id not in self._index:
-            self._index[endpoint.id] = len(self.endpoints)
-            self.endpoints.append(endpoint)
-
-    def holds(self, endpoint: EndpointId) -> bool:
-        """Return whether the endpoint is in the pool."""
-        return endpoint in self._index
-
-    def discard(self, endpoint: EndpointId) -> None:
-        """Remove an endpoint, if it is there."""
-        index = self._index.pop(endpoint, None)
-        if index is None:
-            return
-        last = self.endpoints.pop()
-        if last.id != endpoint:
-            self.endpoints[index] = last
-            self._index[last.id] = index
-
-
-class ServiceTraffic(msgspec.Struct):
-    """Own traffic of a service: a decayed count and moving averages."""
-
-    decayed_requests: float = 0.0
-    counted_ms: int = 0
-    prompt_tokens: float = 0.0
-    output_tokens: float = DEFAULT_OUTPUT_TOKENS
-
-    def requests_per_ms(self, now_ms: int) -> float:
-        """Return this daemon's own rate of late."""
-        faded = max(0.0, 1.0 - (now_ms - self.counted_ms) / (4 * RATE_WINDOW_MS))
-        return self.decayed_requests * faded / RATE_WINDOW_MS
-
-    def count(self, prompt_tokens: int, now_ms: int) -> None:
-        """Count one request sent."""
-        gap_ms = max(0, now_ms - self.counted_ms)
-        kept = max(0.0, 1.0 - gap_ms / RATE_WINDOW_MS)
-        self.decayed_requests = self.decayed_requests * kept + 1.0
-        self.counted_ms = now_ms
-        self.prompt_tokens += 0.1 * (prompt_tokens - self.prompt_tokens)
-
-
 class FleetView:
     """Every known endpoint, pooled by service, version and data centre."""
 
--- a/testing/routing/test_policy.py
+++ b/testing/routing/test_policy.py
@@ -1,6 +1,7 @@
 import unittest
 
-from benchmarks.policy import CLASSES, VARIANTS, Simulation, is_good, summarize
+from benchmarks.fakes import CLASSES
+from benchmarks.policy import VARIANTS, Simulation, is_good, summarize
 
 WORST = -1
 
