--- a/src/_monsoonpulley/gateway/eventstream.py
+++ b/src/_monsoonpulley/gateway/eventstream.py
@@ -30,6 +30,9 @@
         self.status_code = 200
         self.background = None
         self._events = events
+        self._parts = 0
+        self._parts_seen = 0
+        self._sending_part = False
         self.init_headers({**headers, "cache-control": "no-store"})
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -37,13 +40,34 @@
         sending = asyncio.create_task(self._send(send))
         watching = asyncio.create_task(_until_disconnect(receive))
         try:
-            await asyncio.wait({sending, watching}, return_when=asyncio.FIRST_COMPLETED)
+            await self._wait(sending, watching)
         finally:
             await _cancel(watching)
             await _cancel(sending)
         if not sending.cancelled():
             sending.result()
 
+    async def _wait(self, sending: asyncio.Task, watching: asyncio.Task) -> None:
+        """Return once all is sent, or the caller is gone or takes nothing."""
+        while True:
+            done, _ = await asyncio.wait(
+                {sending, watching},
+                timeout=CALLER_STALL_MS / 1000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if done or self._is_stalled():
+                return
+
+    def _is_stalled(self) -> bool:
+        """Tell whether the caller took nothing since the last look.
+
+        One look for each stall time costs less than a timer for each part; a
+        caller that stalls is found after one to two of them.
+        """
+        stalled = self._sending_part and self._parts == self._parts_seen
+        self._parts_seen = self._parts
+        return stalled
+
     async def _send(self, send: Send) -> None:
         async with aclosing(self._events) as events:
             start = {
@@ -53,20 +77,21 @@
             }
             await send(start)
             async for part in events:
-                if not await _send_part(send, part):
+                if not await self._send_part(send, part):
                     return
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
-
-async def _send_part(send: Send, part: bytes) -> bool:
-    """Send a part; ``False`` if the caller is gone or takes nothing."""
-    message = {"type": "http.response.body", "body": part, "more_body": True}
-    try:
-        async with asyncio.timeout(CALLER_STALL_MS / 1000):
-            await send(message)
-    except (OSError, TimeoutError):
-        return False
-    return True
+    async def _send_part(self, send: Send, part: bytes) -> bool:
+        """Send a part; ``False`` if the caller is gone."""
+        self._parts += 1
+        self._sending_part = True
+        try:
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+        except OSError:
+            return False
+        finally:
+            self._sending_part = False
+        return True
 
 
 async def _until_disconnect(receive: Receive) -> None:
