Keep aiohttp from sending a change twice by itself

Cause: a test of an outage after a lost answer showed that aiohttp repeats a PUT whose connection broke; its second answer hid that the first attempt may have taken effect, so that a change in doubt was reported as not applied. Change: a client middleware turns a broken connection into an error that aiohttp doesn't retry. Reading moved out of the store into a reader. More tests of doubt: the table away before it is settled, a head that keeps moving, tokens of others.

--- a/src/_monsoonpulley/config/store.py
+++ b/src/_monsoonpulley/config/store.py
@@ -13,9 +13,10 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
-from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
+from ..platform.table import ABSENT_REVISION, Committed, Conflict, Table, Write
 from .change import PEER, STEP, ApplyConflict, Change, in_doubt
 from .document import Document, Revision
+from .reader import ConfigReader
 from .rows import (
     HEAD_KEY,
     HISTORY_PREFIX,
@@ -42,7 +43,7 @@
     in_doubt: bool
 
 
-class ConfigStore:
+class ConfigStore(ConfigReader):
     """Applies and reads revisions of the configuration.
 
     Parameters
@@ -65,7 +66,7 @@
         *,
         history_kept: int = HISTORY_KEPT,
     ):
-        self._table = table
+        super().__init__(table)
         self._clock = clock
         self._rng = rng
         self._history_kept = history_kept
@@ -138,54 +139,6 @@
             await self._prune(result.number)
         return result
 
-    async def head(self) -> Revision | Failure | None:
-        """Return the revision in force, or ``None`` before the first."""
-        head = await self._read_head()
-        return head if isinstance(head, Failure) else head[1]
-
-    async def show(self, number: int) -> Revision | Failure | None:
-        """Return a kept revision, or ``None`` if it isn't kept."""
-        row = await self._table.read(history_key(number))
-        return row if isinstance(row, Failure) else decode_revision(row)
-
-    async def next_after(self, number: int) -> tuple[Revision, ...] | Failure:
-        """Return the first one or two revisions above ``number``.
-
-        The answer is empty while there is none, so that frequent polls stay
-        small however large the document is. With two there may be more.
-        """
-        return await self._kept(number, limit=2)
-
-    async def history(self, limit: int = 20) -> tuple[Revision, ...] | Failure:
-        """Return the last ``limit`` kept revisions, newest first."""
-        head = await self.head()
-        if head is None or isinstance(head, Failure):
-            return () if head is None else head
-        kept = await self._kept(max(0, head.number - limit), limit)
-        return kept if isinstance(kept, Failure) else kept[::-1]
-
-    async def _kept(self, after: int, limit: int) -> tuple[Revision, ...] | Failure:
-        rows = await self._table.scan(
-            HISTORY_PREFIX, after=history_key(after), limit=limit
-        )
-        if isinstance(rows, Failure):
-            return rows
-        revisions = []
-        for row in rows:
-            revision = decode_revision(row)
-            if isinstance(revision, Failure):
-                return revision
-            assert revision is not None
-            revisions.append(revision)
-        return tuple(revisions)
-
-    async def _read_head(self) -> tuple[Row | None, Revision | None] | Failure:
-        row = await self._table.read(HEAD_KEY)
-        if isinstance(row, Failure):
-            return row
-        revision = decode_revision(row)
-        return revision if isinstance(revision, Failure) else (row, revision)
-
     async def _apply_on_head(
         self, change: Change
     ) -> Revision | ApplyConflict | Failure | _HeadMoved:
--- a/src/_monsoonpulley/operator_client.py
+++ b/src/_monsoonpulley/operator_client.py
@@ -39,6 +39,26 @@
 TOKEN_BITS = 128
 
 
+class AnswerLostError(Exception):
+    """The connection broke after the request may have been sent."""
+
+
+async def send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep ``aiohttp`` from sending a request again by itself.
+
+    It would do so for PUT when the connection breaks, and its second answer
+    would hide that the first attempt may have taken effect.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise AnswerLostError(str(error) or type(error).__name__) from error
+
+
 class OperatorClient:
     """Asks one entry instance; an async context manager.
 
@@ -67,7 +87,9 @@
             total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
         )
         self._session = aiohttp.ClientSession(
-            headers={"Authorization": f"Bearer {self._credential}"}, timeout=timeout
+            headers={"Authorization": f"Bearer {self._credential}"},
+            timeout=timeout,
+            middlewares=(send_once,),
         )
         return self
 
@@ -173,7 +195,7 @@
             return self._no_answer(Reason.UNAVAILABLE, error)
         except aiohttp.InvalidURL as error:
             return self._no_answer(Reason.INVALID, error)
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (AnswerLostError, aiohttp.ClientError, TimeoutError) as error:
             reason = Reason.IN_DOUBT if method == "PUT" else Reason.TIMEOUT
             return self._no_answer(reason, error)
 
--- a/testing/config/faketable.py
+++ b/testing/config/faketable.py
@@ -27,6 +27,11 @@
     LOST_REQUEST = "lost_request"
     DELAYED = "delayed"
     """No answer now; the commit is tried at the table later."""
+    AWAY_AFTERWARDS = "away_afterwards"
+    """It is answered, and then the table goes away."""
+
+
+RANDOM_FAULTS = (Fault.REFUSED, Fault.LOST_ANSWER, Fault.LOST_REQUEST, Fault.DELAYED)
 
 
 class FakeTable:
@@ -128,11 +133,12 @@
             loop.call_later(delay_ms / 1000, self.table.land_delayed)
             return in_doubt
         result = self.table.apply(writes)
+        self.table.is_away = self.table.is_away or fault is Fault.AWAY_AFTERWARDS
         return in_doubt if fault is Fault.LOST_ANSWER else result
 
     def _draw(self) -> Fault:
         if self._faults:
             return self._faults.pop(0)
         if self._rng.random() < self._fault_rate:
-            return self._rng.choice([f for f in Fault if f is not Fault.NONE])
+            return self._rng.choice(RANDOM_FAULTS)
         return Fault.NONE
--- a/testing/config/test_store.py
+++ b/testing/config/test_store.py
@@ -136,6 +136,10 @@
         head, _ = self.merge(without("a"), changed(c=7))
         self.assertEqual(sorted(head.document.classes), ["b", "c"])
 
+    def test_a_removed_section_stays_out_of_the_merged_document(self):
+        head, _ = self.merge(changed(c=7), without("a"))
+        self.assertEqual(sorted(head.document.classes), ["b", "c"])
+
     def test_two_changes_of_one_section_are_refused(self):
         head, result = self.merge(changed(a=2), changed(a=3))
         self.assertIsInstance(result, ApplyConflict)
@@ -257,6 +261,79 @@
 
         run_manual(main())
 
+    def test_a_token_is_found_however_many_changes_came_before_it(self):
+        async def main():
+            store = store_on(FakeTable())
+            await store.apply(BASE, expected_number=0, author="ana")
+            for number in range(1, 60):
+                await store.apply(
+                    changed(a=number), expected_number=number, author="ana"
+                )
+            ask = dict(expected_number=1, author="bea", change_token="t" * 32)
+            first = await store.apply(changed(b=2), **ask)
+            self.assertEqual(first.number, 61)
+            self.assertEqual(await store.apply(changed(b=2), **ask), first)
+
+        run_manual(main())
+
+    def test_a_token_of_another_author_is_refused(self):
+        async def main():
+            store = store_on(FakeTable())
+            ask = dict(expected_number=0, change_token="t" * 32)
+            await store.apply(BASE, author="ana", **ask)
+            reused = await store.apply(BASE, author="bea", **ask)
+            self.assertIs(reused.reason, Reason.INVALID)
+
+        run_manual(main())
+
+    def test_a_doubt_stays_if_the_table_goes_away_before_it_is_settled(self):
+        async def main():
+            table = FakeTable()
+            faults = [Fault.LOST_ANSWER, Fault.AWAY_AFTERWARDS]
+            store = store_on(table, faults=faults)
+            ask = dict(expected_number=0, author="ana", change_token="t" * 32)
+            result = await store.apply(BASE, **ask)
+            self.assertIs(result.reason, Reason.IN_DOUBT)
+            self.assertIn("t" * 32, result.detail)
+
+        run_manual(main())
+
+    def test_a_doubt_ends_when_the_head_moved_on_without_the_change(self):
+        async def main():
+            table = FakeTable()
+            faults = [Fault.NONE, Fault.LOST_REQUEST, Fault.NONE, Fault.REFUSED]
+            store = store_on(table, 1, faults=faults)
+            other = store_on(table, 2)
+            await store.apply(BASE, expected_number=0, author="ana")
+            task = asyncio.create_task(
+                store.apply(changed(a=2), expected_number=1, author="ana")
+            )
+            await running_clock().sleep_ms(10)
+            await other.apply(changed(b=2), expected_number=1, author="bea")
+            self.assertIs((await task).reason, Reason.UNAVAILABLE)
+
+        run_manual(main())
+
+    def test_a_head_that_keeps_moving_ends_in_a_conflict(self):
+        async def main():
+            table = FakeTable()
+            store = store_on(table, 1, latency_ms=(10, 10))
+            other = store_on(table, 2, latency_ms=(1, 1))
+            await store.apply(BASE, expected_number=0, author="ana")
+
+            async def keep_moving():
+                for number in range(1, 10_000):
+                    await other.apply(
+                        changed(b=number), expected_number=number, author="bea"
+                    )
+
+            moving = asyncio.create_task(keep_moving())
+            result = await store.apply(changed(a=2), expected_number=1, author="ana")
+            moving.cancel()
+            self.assertIs(result.reason, Reason.CONFLICT)
+
+        run_manual(main())
+
     def test_a_delayed_commit_never_lands_on_a_newer_head(self):
         async def main():
             table = FakeTable()
--- a/testing/test_cli.py
+++ b/testing/test_cli.py
@@ -171,6 +171,17 @@
         self.assertIn(self.head().change_token, result.err)
         self.assertIn("config history", result.err)
 
+    def test_an_outage_after_a_lost_answer_leaves_the_doubt(self):
+        async def before_apply():
+            self.server.table.is_away = len(self.server.puts) > 1
+
+        self.server.before_apply = before_apply
+        self.server.lost_answers = 1
+        with mock.patch("_monsoonpulley.operator_client.APPLY_RETRY_MS", 1):
+            result = self.apply(VALID)
+        self.assertEqual(result.code, 3)
+        self.assertIn(f"change token {self.server.puts[0].change_token}", result.err)
+
     def test_a_table_outage_ends_with_3(self):
         self.server.table.is_away = True
         result = self.apply(VALID)
