Log each applied, merged or refused change with its inputs

Cause: what became of a change stood only in the operator's answer. Change: the store takes a log and writes one config_apply line with rule, authors, numbers and sections.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -16,6 +16,7 @@
 from testing.config.documents import document_of
 from testing.config.faketable import FakeTable, TableClient
 
+from _monsoonpulley.config.check import check_document
 from _monsoonpulley.config.document import (
     Customer,
     Document,
@@ -26,6 +27,7 @@
     Version,
 )
 from _monsoonpulley.config.ini import parse_document, render_document
+from _monsoonpulley.config.merge import merge, touching_sections
 from _monsoonpulley.config.rows import encode_revision
 from _monsoonpulley.config.store import ApplyConflict, ConfigStore
 from _monsoonpulley.config.watcher import ConfigWatcher
@@ -68,6 +70,16 @@
     document = two_year_document()
     value = encode_revision(Revision(1, "t" * 32, "ana", 0, document))
     ini = render_document(document)
+    customers = {**document.customers, "new": Customer("f" * 64)}
+    classes = {**document.classes, "new": RequestClass("service-1", 1_000)}
+    one = msgspec.structs.replace(document, customers=customers)
+    other = msgspec.structs.replace(document, classes=classes)
+
+    def merge_both() -> None:
+        assert not touching_sections(document, one, other)
+        assert not check_document(merge(document, one, other))
+
+    print(f"merge of two changes, with checks: {cpu_ms(merge_both):.1f} ms")
     decode_ms = cpu_ms(lambda: msgspec.json.decode(value, type=Revision))
     print(f"row {len(value)} bytes, decode {decode_ms:.2f} ms")
     print(
@@ -111,7 +123,7 @@
     print(f"slow poll alone, 10 x 360 instances: median {middle} ms, last {last} ms")
 
 
-async def refused_share(think_ms: int, seed: int, merge: bool) -> tuple[float, int]:
+async def refused_share(think_ms: int, seed: int, may_merge: bool) -> tuple[float, int]:
     """Return the share of refused applies, and the most tries of one change.
 
     Each change sets the target of one of 80 classes.
@@ -135,7 +147,7 @@
                 msgspec.structs.replace(head.document, classes=classes),
                 expected_number=head.number,
                 author=f"job{index}",
-                merge=merge,
+                merge=may_merge,
             )
             if not isinstance(result, ApplyConflict):
                 tries.append(attempt)
@@ -153,10 +165,10 @@
 def print_refusals() -> None:
     """Print how often automated changes are refused for racing."""
     for think_ms in (1_000, 10_000, 300_000):
-        for merge in (False, True):
-            share, most = run_manual(refused_share(think_ms, 1, merge))
+        for may_merge in (False, True):
+            share, most = run_manual(refused_share(think_ms, 1, may_merge))
             print(
-                f"{think_ms} ms from read to apply, merge {merge}: {share:.1%} of "
+                f"{think_ms} ms from read to apply, merge {may_merge}: {share:.1%} of "
                 f"applies refused, at most {most} tries"
             )
 
--- a/src/_monsoonpulley/config/change.py
+++ b/src/_monsoonpulley/config/change.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..errors import Failure, Reason
+from ..log import Decision
 from .check import check_document
 from .difference import Difference, difference
 from .document import Document, Revision
@@ -53,6 +54,34 @@
         )
 
 
+class ApplyDecision(Decision, frozen=True, tag="config_apply", kw_only=True):
+    """What became of a change, and from which inputs.
+
+    Attributes
+    ----------
+    rule : str
+        Which of the ways a change can go it went.
+    expected_number : int
+        Revision that it was based on.
+    number : int
+        Revision that it became, or that it is in conflict with; 0 if it failed.
+    theirs, yours, same_sections : tuple of str
+        Sections that differ and that touch, for conflicts.
+    """
+
+    change_token: str
+    author: str
+    expected_number: int
+    merge: bool
+    number: int = 0
+    other_author: str = ""
+    theirs: tuple[str, ...] = ()
+    yours: tuple[str, ...] = ()
+    same_sections: tuple[str, ...] = ()
+    problems: tuple[str, ...] = ()
+    failure: str = ""
+
+
 class Change(msgspec.Struct, kw_only=True):
     """A change, and what is known about its way so far.
 
@@ -136,6 +165,43 @@
         )
 
 
+def explain(
+    change: Change, result: Revision | ApplyConflict | Failure
+) -> ApplyDecision:
+    """Return the decision that a result comes from, for the log."""
+    inputs = {
+        "change_token": change.token,
+        "author": change.author,
+        "expected_number": change.expected_number,
+        "merge": change.merge,
+    }
+    if isinstance(result, Failure):
+        rule = "in_doubt" if result.reason is Reason.IN_DOUBT else "failed"
+        return ApplyDecision(rule=rule, failure=str(result), **inputs)
+    if isinstance(result, Revision):
+        is_next = result.number == change.expected_number + 1
+        rule = "expected_is_in_force" if is_next else "sections_do_not_touch"
+        return ApplyDecision(rule=rule, number=result.number, **inputs)
+    return ApplyDecision(
+        rule=_refusal_rule(change, result),
+        number=result.current.number,
+        other_author=result.current.author,
+        theirs=tuple(one.section for one in result.theirs),
+        yours=tuple(one.section for one in result.yours),
+        same_sections=result.same_sections,
+        problems=result.problems,
+        **inputs,
+    )
+
+
+def _refusal_rule(change: Change, conflict: ApplyConflict) -> str:
+    if conflict.same_sections:
+        return "sections_touch"
+    if conflict.problems:
+        return "merged_is_not_valid"
+    return "base_is_not_kept" if change.merge else "merge_not_wanted"
+
+
 def in_doubt(change: Change, detail: str) -> Failure:
     """Return the failure for a change that may have been or may yet be applied."""
     text = f"change token {change.token}: {detail}"
--- a/src/_monsoonpulley/config/store.py
+++ b/src/_monsoonpulley/config/store.py
@@ -13,8 +13,9 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..log import Log
 from ..platform.table import ABSENT_REVISION, Committed, Conflict, Table, Write
-from .change import PEER, STEP, ApplyConflict, Change, in_doubt
+from .change import PEER, STEP, ApplyConflict, Change, explain, in_doubt
 from .document import Document, Revision
 from .reader import ConfigReader
 from .rows import (
@@ -56,6 +57,8 @@
         Draws change tokens; `random.SystemRandom` outside of tests.
     history_kept : int
         Number of revisions kept, the one in force among them.
+    log : Log, optional
+        Gets an `ApplyDecision` for each change.
     """
 
     def __init__(
@@ -65,11 +68,13 @@
         rng: random.Random,
         *,
         history_kept: int = HISTORY_KEPT,
+        log: Log | None = None,
     ):
         super().__init__(table)
         self._clock = clock
         self._rng = rng
         self._history_kept = history_kept
+        self._log = log
 
     async def apply(
         self,
@@ -124,6 +129,17 @@
             may_be_applied=bool(change_token) and repeated,
             merge=merge,
         )
+        result = await self._settle(change)
+        if self._log is not None:
+            self._log.decision(explain(change, result))
+        if isinstance(result, Revision):
+            await self._prune(result.number)
+        return result
+
+    async def _settle(self, change: Change) -> Revision | ApplyConflict | Failure:
+        """Apply on one head after the other until it is known how it ends."""
+        detail = f"the head moved on {MERGE_ROUNDS} times"
+        result: Revision | ApplyConflict | Failure | _HeadMoved
         for _ in range(MERGE_ROUNDS):
             result = await self._apply_on_head(change)
             if not isinstance(result, _HeadMoved):
@@ -131,12 +147,9 @@
             change.may_be_applied = change.may_be_applied or result.in_doubt
             change.is_in_doubt = change.is_in_doubt or result.in_doubt
         else:
-            detail = f"the head moved on {MERGE_ROUNDS} times"
             result = Failure(Reason.CONFLICT, STEP, PEER, detail)
         if isinstance(result, Failure) and change.is_in_doubt:
             return in_doubt(change, str(result))
-        if isinstance(result, Revision):
-            await self._prune(result.number)
         return result
 
     async def _apply_on_head(
--- a/testing/config/test_store.py
+++ b/testing/config/test_store.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import random
 import unittest
 from itertools import pairwise
@@ -17,6 +18,7 @@
 from _monsoonpulley.config.rows import HEAD_KEY, HISTORY_PREFIX, decode_revision
 from _monsoonpulley.config.store import ApplyConflict, ConfigStore
 from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.log import Log
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from testing.config.documents import document_of
 from testing.config.faketable import FakeTable, Fault, TableClient
@@ -212,6 +214,42 @@
         run_manual(main())
 
 
+class LogTest(unittest.TestCase):
+    def test_each_way_a_change_can_go_is_one_line_with_its_inputs(self):
+        async def main():
+            lines = []
+            clock = running_clock()
+            log = Log(clock, lambda line: lines.append(json.loads(line)))
+            rng = random.Random(1)
+            table = FakeTable()
+            store = ConfigStore(TableClient(table, clock, rng), clock, rng, log=log)
+            await store.apply(BASE, expected_number=0, author="ana")
+            ask = dict(expected_number=1, author="bea")
+            await store.apply(changed(a=2), **ask)
+            await store.apply(changed(b=2), **ask)
+            await store.apply(changed(a=3), **ask)
+            await store.apply(changed(c=3), merge=False, **ask)
+            table.is_away = True
+            await store.apply(changed(c=3), **ask)
+            return lines
+
+        lines = run_manual(main())
+        self.assertEqual(
+            [line["rule"] for line in lines],
+            [
+                "expected_is_in_force",
+                "expected_is_in_force",
+                "sections_do_not_touch",
+                "sections_touch",
+                "merge_not_wanted",
+                "failed",
+            ],
+        )
+        self.assertEqual(lines[3]["theirs"], ["class a", "class b"])
+        self.assertEqual(lines[3]["same_sections"], ["class a"])
+        self.assertEqual({line["event"] for line in lines}, {"config_apply"})
+
+
 class LostAnswerTest(unittest.TestCase):
     def outcome(self, faults, *, other_between=False):
         async def main():
