--- a/testing/config/test_store.py
+++ b/testing/config/test_store.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import random
 import unittest
 from itertools import pairwise
@@ -17,6 +18,7 @@
 from _monsoonpulley.config.rows import HEAD_KEY, HISTORY_PREFIX, decode_revision
 from _monsoonpulley.config.store import ApplyConflict, ConfigStore
 from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.log import Log
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from testing.config.documents import document_of
 from testing.config.faketable import FakeTable, Fault, TableClient
@@ -136,6 +138,10 @@
         head, _ = self.merge(without("a"), changed(c=7))
         self.assertEqual(sorted(head.document.classes), ["b", "c"])
 
+    def test_a_removed_section_stays_out_of_the_merged_document(self):
+        head, _ = self.merge(changed(c=7), without("a"))
+        self.assertEqual(sorted(head.document.classes), ["b", "c"])
+
     def test_two_changes_of_one_section_are_refused(self):
         head, result = self.merge(changed(a=2), changed(a=3))
         self.assertIsInstance(result, ApplyConflict)
@@ -208,6 +214,42 @@
         run_manual(main())
 
 
+class LogTest(unittest.TestCase):
+    def test_each_way_a_change_can_go_is_one_line_with_its_inputs(self):
+        async def main():
+            lines = []
+            clock = running_clock()
+            log = Log(clock, lambda line: lines.append(json.loads(line)))
+            rng = random.Random(1)
+            table = FakeTable()
+            store = ConfigStore(TableClient(table, clock, rng), clock, rng, log=log)
+            await store.apply(BASE, expected_number=0, author="ana")
+            ask = dict(expected_number=1, author="bea")
+            await store.apply(changed(a=2), **ask)
+            await store.apply(changed(b=2), **ask)
+            await store.apply(changed(a=3), **ask)
+            await store.apply(changed(c=3), merge=False, **ask)
+            table.is_away = True
+            await store.apply(changed(c=3), **ask)
+            return lines
+
+        lines = run_manual(main())
+        self.assertEqual(
+            [line["rule"] for line in lines],
+            [
+                "expected_is_in_force",
+                "expected_is_in_force",
+                "sections_do_not_touch",
+                "sections_touch",
+                "merge_not_wanted",
+                "failed",
+            ],
+        )
+        self.assertEqual(lines[3]["theirs"], ["class a", "class b"])
+        self.assertEqual(lines[3]["same_sections"], ["class a"])
+        self.assertEqual({line["event"] for line in lines}, {"config_apply"})
+
+
 class LostAnswerTest(unittest.TestCase):
     def outcome(self, faults, *, other_between=False):
         async def main():
@@ -257,6 +299,79 @@
 
         run_manual(main())
 
+    def test_a_token_is_found_however_many_changes_came_before_it(self):
+        async def main():
+            store = store_on(FakeTable())
+            await store.apply(BASE, expected_number=0, author="ana")
+            for number in range(1, 60):
+                await store.apply(
+                    changed(a=number), expected_number=number, author="ana"
+                )
+            ask = dict(expected_number=1, author="bea", change_token="t" * 32)
+            first = await store.apply(changed(b=2), **ask)
+            self.assertEqual(first.number, 61)
+            self.assertEqual(await store.apply(changed(b=2), **ask), first)
+
+        run_manual(main())
+
+    def test_a_token_of_another_author_is_refused(self):
+        async def main():
+            store = store_on(FakeTable())
+            ask = dict(expected_number=0, change_token="t" * 32)
+            await store.apply(BASE, author="ana", **ask)
+            reused = await store.apply(BASE, author="bea", **ask)
+            self.assertIs(reused.reason, Reason.INVALID)
+
+        run_manual(main())
+
+    def test_a_doubt_stays_if_the_table_goes_away_before_it_is_settled(self):
+        async def main():
+            table = FakeTable()
+            faults = [Fault.LOST_ANSWER, Fault.AWAY_AFTERWARDS]
+            store = store_on(table, faults=faults)
+            ask = dict(expected_number=0, author="ana", change_token="t" * 32)
+            result = await store.apply(BASE, **ask)
+            self.assertIs(result.reason, Reason.IN_DOUBT)
+            self.assertIn("t" * 32, result.detail)
+
+        run_manual(main())
+
+    def test_a_doubt_ends_when_the_head_moved_on_without_the_change(self):
+        async def main():
+            table = FakeTable()
+            faults = [Fault.NONE, Fault.LOST_REQUEST, Fault.NONE, Fault.REFUSED]
+            store = store_on(table, 1, faults=faults)
+            other = store_on(table, 2)
+            await store.apply(BASE, expected_number=0, author="ana")
+            task = asyncio.create_task(
+                store.apply(changed(a=2), expected_number=1, author="ana")
+            )
+            await running_clock().sleep_ms(10)
+            await other.apply(changed(b=2), expected_number=1, author="bea")
+            self.assertIs((await task).reason, Reason.UNAVAILABLE)
+
+        run_manual(main())
+
+    def test_a_head_that_keeps_moving_ends_in_a_conflict(self):
+        async def main():
+            table = FakeTable()
+            store = store_on(table, 1, latency_ms=(10, 10))
+            other = store_on(table, 2, latency_ms=(1, 1))
+            await store.apply(BASE, expected_number=0, author="ana")
+
+            async def keep_moving():
+                for number in range(1, 10_000):
+                    await other.apply(
+                        changed(b=number), expected_number=number, author="bea"
+                    )
+
+            moving = asyncio.create_task(keep_moving())
+            result = await store.apply(changed(a=2), expected_number=1, author="ana")
+            moving.cancel()
+            self.assertIs(result.reason, Reason.CONFLICT)
+
+        run_manual(main())
+
     def test_a_delayed_commit_never_lands_on_a_newer_head(self):
         async def main():
             table = FakeTable()
