Keep faults of adapters from hanging submissions

Cause: an exception from the choice of an endpoint before the first write, or from a commit, left callers waiting for ever. Change: a choice that raises counts as no endpoint; a commit that raises leaves its group in doubt. Interleavings now also stop instances with a deadline. Conclusion: a fault of the program elsewhere ends as not_run or unknown.

--- a/src/_monsoonpulley/journal/run.py
+++ b/src/_monsoonpulley/journal/run.py
@@ -80,8 +80,9 @@
             self._unstored[record.call.body_object] = self.submission.body
         endpoint = None
         if self._context.settings.merge_first_writes:
-            chosen = self._context.dispatcher.choose(self.submission, frozenset())
-            endpoint = None if isinstance(chosen, Failure) else chosen
+            chosen = self._choose(record)
+            if isinstance(chosen, s.EndpointChosen):
+                endpoint = chosen.endpoint
         await self._work(s.Submitted(record, endpoint))
 
     async def adopt(self, record: JournalRecord, revision: int) -> None:
@@ -153,7 +154,10 @@
 
     def _choose(self, record: JournalRecord) -> s.Event:
         tried = frozenset(record.tried)
-        chosen = self._context.dispatcher.choose(self.submission, tried)
+        try:
+            chosen = self._context.dispatcher.choose(self.submission, tried)
+        except Exception as error:
+            chosen = Failure(Reason.INTERNAL, "journal.choose", detail=repr(error))
         if isinstance(chosen, Failure):
             return s.NoEndpoint(chosen)
         return s.EndpointChosen(chosen)
--- a/src/_monsoonpulley/journal/writer.py
+++ b/src/_monsoonpulley/journal/writer.py
@@ -135,7 +135,7 @@
     async def _commit(self, group: list[_Waiting]) -> None:
         while group:
             self.counts.commits += 1
-            result = await self._table.commit([each.write for each in group])
+            result = await self._try_commit([each.write for each in group])
             if not isinstance(result, Conflict):
                 _give(group, result)
                 return
@@ -147,6 +147,13 @@
                 _give([each], _part(each.write, result))
             group = [each for each in group if each not in changed]
 
+    async def _try_commit(self, writes: list[Write]) -> WriteResult:
+        try:
+            return await self._table.commit(writes)
+        except Exception as error:
+            # A fault in the adapter says nothing about what took effect.
+            return Failure(Reason.IN_DOUBT, "table.commit", "table", repr(error))
+
 
 def _give(group: list[_Waiting], result: WriteResult) -> None:
     for each in group:
--- a/testing/journal/interleavings.py
+++ b/testing/journal/interleavings.py
@@ -17,7 +17,7 @@
         ("submit",) * 4
         + ("tick",) * 5
         + ("faults", "faults", "store", "room", "crash", "pause", "resume")
-        + ("recover", "recover", "suspect", "collect")
+        + ("recover", "recover", "suspect", "collect", "stop")
     )
     if action == "submit":
         body = rng.choice((b"book", b"book", b"book a frame of the gallery"))
@@ -33,6 +33,8 @@
         world.endpoints.has_room = rng.random() < 0.7
     elif action == "suspect":
         world.recover(index, rng.randrange(3))
+    elif action == "stop":
+        world.stop(index, rng.choice((0, 100, 5_000)))
     else:
         getattr(world, action)(index)
 
--- a/testing/journal/world.py
+++ b/testing/journal/world.py
@@ -143,6 +143,17 @@
         self._gone.append(gone)
         self.instances[index] = Instance(gone.name, gone.incarnation + 1, self)
 
+    def stop(self, index: int, within_ms: int):
+        """Drain an instance; another takes its place at once."""
+        leaving = self.instances[index]
+        self._gone.append(leaving)
+        self.instances[index] = Instance(leaving.name, leaving.incarnation + 1, self)
+        self._spawn(self._drain(leaving, within_ms))
+
+    async def _drain(self, leaving: Instance, within_ms: int):
+        await leaving.journal.drain(self.clock.now_ms() + within_ms)
+        self.crashed.add((leaving.name, leaving.incarnation))
+
     def pause(self, index: int):
         self.instances[index].gate.close()
 
@@ -171,6 +182,8 @@
         self.endpoints.has_room = True
         for index in range(len(self.instances)):
             self.resume(index)
+        for gone in self._gone:
+            self.crashed.add((gone.name, gone.incarnation))
         for _ in range(6):
             self.recover(0)
             self.tick(HEAL_MS // 6)
