Let streams outlive their engines, callers' connections and instances

Cause: a stream whose engine was lost spent the class's repeats, whatever it had delivered, so a long report ended at its third reclaim; its deadline was that of the first token; the reclaim of its entry instance cut it off.

Change: attempts that delivered new tokens cost no repeat and no retry budget, at most 16 of a request; a stream in progress gets its time anew at each engine and waits up to 30 s for one. The state of a stream whose caller or instance goes away is kept in memory or, before a reclaim deadline, in the object store (`streams/REQUEST_ID`), and goes on by `Last-Event-ID` with POST on its path or `GET /v1/streams/REQUEST_ID`. An index row in the table names stored objects for collection. One generator layer less for each token, and events are built in one step.

While testing, two reports were lost because attempts at engines that had just crashed spent the retry budget without anything being sent; where there is text to lose, such attempts are free now, within the same bound of 16.

--- a/src/_monsoonpulley/gateway/app.py
+++ b/src/_monsoonpulley/gateway/app.py
@@ -45,6 +45,7 @@
     ]
     routes += [
         Route("/v1/models", pages.models),
+        Route("/v1/streams/{request_id}", handlers.generations, methods=["GET"]),
         Route("/v1/requests/{request_id}", handlers.lookup.handle),
         Route("/services/{class_id}", handlers.services, methods=METHODS),
         Route("/services/{class_id}/{path:path}", handlers.services, methods=METHODS),
--- a/src/_monsoonpulley/gateway/eventstream.py
+++ b/src/_monsoonpulley/gateway/eventstream.py
@@ -12,6 +12,9 @@
 CALLER_STALL_MS = 30_000
 """A caller that takes nothing for this long is treated as gone."""
 
+LAST_PART = {"type": "http.response.body", "body": b"", "more_body": False}
+LAST_PART_TIMEOUT_MS = 200
+
 
 class EventStream(Response):
     """Server-sent events from an async generator, closed in every case.
@@ -33,11 +36,14 @@
         self._parts = 0
         self._parts_seen = 0
         self._sending_part = False
+        self._sending: asyncio.Task[None] | None = None
+        self._stopped = False
+        self._begun = False
         self.init_headers({**headers, "cache-control": "no-store"})
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Send the stream until its end or until the caller is gone."""
-        sending = asyncio.create_task(self._send(send))
+        sending = self._sending = asyncio.create_task(self._send(send))
         watching = asyncio.create_task(_until_disconnect(receive))
         try:
             await self._wait(sending, watching)
@@ -46,6 +52,14 @@
             await _cancel(sending)
         if not sending.cancelled():
             sending.result()
+        elif self._stopped and self._begun:
+            await _send_last(send)
+
+    def stop(self) -> None:
+        """End the stream after the event that is being sent, if any."""
+        self._stopped = True
+        if self._sending is not None:
+            self._sending.cancel()
 
     async def _wait(self, sending: asyncio.Task, watching: asyncio.Task) -> None:
         """Return once all is sent, or the caller is gone or takes nothing."""
@@ -76,22 +90,25 @@
                 "headers": self.raw_headers,
             }
             await send(start)
+            self._begun = True
             async for part in events:
-                if not await self._send_part(send, part):
+                self._parts += 1
+                self._sending_part = True
+                try:
+                    await send(
+                        {"type": "http.response.body", "body": part, "more_body": True}
+                    )
+                except OSError:
                     return
-        await send({"type": "http.response.body", "body": b"", "more_body": False})
+                self._sending_part = False
+        await send(LAST_PART)
 
-    async def _send_part(self, send: Send, part: bytes) -> bool:
-        """Send a part; ``False`` if the caller is gone."""
-        self._parts += 1
-        self._sending_part = True
-        try:
-            await send({"type": "http.response.body", "body": part, "more_body": True})
-        except OSError:
-            return False
-        finally:
-            self._sending_part = False
-        return True
+
+async def _send_last(send: Send) -> None:
+    """End a response early; a caller that takes nothing is not waited for."""
+    with suppress(OSError, TimeoutError):
+        async with asyncio.timeout(LAST_PART_TIMEOUT_MS / 1000):
+            await send(LAST_PART)
 
 
 async def _until_disconnect(receive: Receive) -> None:
--- a/src/_monsoonpulley/gateway/formats.py
+++ b/src/_monsoonpulley/gateway/formats.py
@@ -17,6 +17,14 @@
 
 DONE_EVENT = b"data: [DONE]\n\n"
 
+CHAT_FIRST = b'{"index":0,"delta":{"role":"assistant","content":'
+CHAT_NEXT = b'{"index":0,"delta":{"content":'
+CHAT_TAIL = b'},"finish_reason":null}]}\n\n'
+TEXT_HEAD = b'{"index":0,"text":'
+TEXT_TAIL = b',"finish_reason":null}]}\n\n'
+
+_encode = msgspec.json.Encoder().encode
+
 
 class Usage(msgspec.Struct, frozen=True):
     """Token counts of a generation."""
@@ -55,14 +63,21 @@
         self._class_id = class_id
         self._created_s = created_s
         head = self._head(self.chunk_object_name)
-        self._chunk_head = msgspec.json.encode(head)[:-1] + b',"choices":['
+        chunk_head = msgspec.json.encode(head)[:-1] + b',"choices":['
+        self._event_head = b"\ndata: " + chunk_head
+        self._id_head = f"id: {request_id}:".encode()
 
     def token_event(self, token: Token) -> bytes:
         """Return the event of one token."""
-        id_line = f"id: {self._request_id}:{token.offset}\ndata: ".encode()
-        text = msgspec.json.encode(token.text)
-        choice = self._choice_chunk(text, token.offset == 0)
-        return b"".join((id_line, self._chunk_head, choice, b"]}\n\n"))
+        head, tail = self._around_text(token.offset == 0)
+        return b"%b%d%b%b%b%b" % (
+            self._id_head,
+            token.offset,
+            self._event_head,
+            head,
+            _encode(token.text),
+            tail,
+        )
 
     def finish_event(self, finished: Finished) -> bytes:
         """Return the event that ends the choice."""
@@ -105,7 +120,8 @@
             outcome=Outcome.DONE.value,
         )
 
-    def _choice_chunk(self, text_json: bytes, first: bool) -> bytes:
+    def _around_text(self, first: bool) -> tuple[bytes, bytes]:
+        """Return what stands before and after the text of a token's event."""
         raise NotImplementedError
 
     def _empty_chunk(self) -> dict:
@@ -125,17 +141,8 @@
     object_name = "chat.completion"
     chunk_object_name = "chat.completion.chunk"
 
-    def _choice_chunk(self, text_json: bytes, first: bool) -> bytes:
-        role = b'"role":"assistant",' if first else b""
-        return b"".join(
-            (
-                b'{"index":0,"delta":{',
-                role,
-                b'"content":',
-                text_json,
-                b'},"finish_reason":null}',
-            )
-        )
+    def _around_text(self, first: bool) -> tuple[bytes, bytes]:
+        return (CHAT_FIRST if first else CHAT_NEXT), CHAT_TAIL
 
     def _empty_chunk(self) -> dict:
         return {"delta": {}}
@@ -151,8 +158,8 @@
     object_name = "text_completion"
     chunk_object_name = "text_completion"
 
-    def _choice_chunk(self, text_json: bytes, first: bool) -> bytes:
-        return b"".join((b'{"index":0,"text":', text_json, b',"finish_reason":null}'))
+    def _around_text(self, first: bool) -> tuple[bytes, bytes]:
+        return TEXT_HEAD, TEXT_TAIL
 
     def _empty_chunk(self) -> dict:
         return {"text": ""}
--- a/src/_monsoonpulley/gateway/generations.py
+++ b/src/_monsoonpulley/gateway/generations.py
@@ -1,17 +1,13 @@
-"""``/v1/chat/completions`` and ``/v1/completions``."""
+"""``/v1/chat/completions``, ``/v1/completions`` and ``/v1/streams``."""
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
-from contextlib import aclosing
-
+import msgspec
 from starlette.requests import Request
-from starlette.responses import Response
 from starlette.types import Receive, Scope, Send
 
 from ..clock import Clock
 from ..config.document import ServiceKind
-from ..endpoints.engine import Finished, Token
 from ..endpoints.tokens import block_hashes, prompt_words
 from ..errors import Failure, Reason
 from ..ids import ClassId, RequestId
@@ -21,22 +17,28 @@
 from ..outcome import Outcome
 from ..requests.admissiongate import AdmissionGate
 from ..requests.context import RequestContext
-from ..requests.generation import Connect, Generation, GenerationFailed
+from ..requests.generation import Connect, Generation
 from ..requests.placement import Placement
+from ..requests.streams import StreamPosition, Streams, parse_position
+from ..requests.streamstate import StreamState
 from .body import read_body
-from .eventstream import EventStream
-from .formats import DONE_EVENT, Format, event, formats
-from .generationrequest import GenerationBody, class_of, parse_generation
-from .headers import CLASS_HEADER
+from .formats import formats
+from .generationcall import Delivery, Ending, GenerationCall
+from .generationrequest import (
+    GenerationBody,
+    GenerationFields,
+    class_of,
+    parse_generation,
+)
+from .headers import CLASS_HEADER, POSITION_HEADER
 from .intake import Intake, Reception, Refusal
-from .problem import problem, problem_response, response_headers
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Largest body before the class, which may allow less, is known."""
 
 
 class GenerationHandler:
-    """Serves generations.
+    """Serves generations, new ones and those that are continued.
 
     Parameters
     ----------
@@ -48,6 +50,8 @@
         Chooses engines.
     connect : callable
         Returns an engine's client.
+    streams : Streams
+        Knows the generations of this instance.
     lifecycle, clock, log, metrics
         Of the instance.
     """
@@ -58,6 +62,7 @@
         gate: AdmissionGate,
         placement: Placement,
         connect: Connect,
+        streams: Streams,
         lifecycle: Lifecycle,
         clock: Clock,
         log: Log,
@@ -67,6 +72,7 @@
         self._gate = gate
         self._placement = placement
         self._connect = connect
+        self._streams = streams
         self._lifecycle = lifecycle
         self._clock = clock
         self._log = log
@@ -75,29 +81,62 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request; it counts as in progress until all is sent."""
         with self._lifecycle.request():
-            request_id = self._reception.new_request_id()
-            prepared = await self._prepare(Request(scope, receive), request_id)
-            if isinstance(prepared, Refusal):
-                self._log_refusal(prepared)
-                await prepared.response()(scope, receive, send)
+            request = Request(scope, receive)
+            position = _position(request)
+            if isinstance(position, StreamPosition):
+                await self._continue(request, position, send)
                 return
+            request_id = self._reception.new_request_id()
+            prepared: GenerationCall | Refusal
+            if isinstance(position, Failure):
+                prepared = Refusal(position, request_id)
+            else:
+                prepared = await self._new_call(request, request_id)
+            await self._serve(prepared, scope, receive, send)
+
+    async def _continue(
+        self, request: Request, position: StreamPosition, send: Send
+    ) -> None:
+        request_id = position.request_id
+        scope, receive = request.scope, request.receive
+        fault = self._streams.claim(request_id)
+        if fault is not None:
+            await self._serve(_unresumed(fault, position), scope, receive, send)
+            return
+        prepared: GenerationCall | Refusal | None = None
+        try:
+            prepared = await self._continued_call(request, position)
             await self._serve(prepared, scope, receive, send)
+        finally:
+            if not isinstance(prepared, GenerationCall) or not prepared.is_entered:
+                self._streams.unclaim(request_id)
 
     async def _serve(
-        self, call: GenerationCall, scope: Scope, receive: Receive, send: Send
+        self,
+        call: GenerationCall | Refusal,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
     ) -> None:
+        if isinstance(call, Refusal):
+            self._log_refusal(call)
+            await call.response()(scope, receive, send)
+            return
         refusal = await self._gate.admit(call.context)
         if refusal is not None:
             response = call.refused(refusal)
             await response(scope, receive, send)
             return
+        self._streams.enter(call.running)
         try:
             response = await call.respond()
             await response(scope, receive, send)
         finally:
+            state = await call.close()
             self._gate.release(call.context, call.used_tokens)
+            await self._streams.leave(call.running, state)
 
-    async def _prepare(
+    async def _new_call(
         self, request: Request, request_id: RequestId
     ) -> GenerationCall | Refusal:
         customer = self._reception.customer(request)
@@ -117,32 +156,80 @@
         fault = _check_fit(intake, len(raw))
         if fault is not None:
             return Refusal(fault, request_id, class_id)
-        return self._call(intake, body, request_id, path)
+        state = StreamState(
+            request_id=request_id,
+            customer=customer,
+            class_id=class_id,
+            path=path,
+            body=body.whole,
+            created_s=self._clock.wall_ms() // 1000,
+            texts=(),
+            attempts=0,
+        )
+        delivery = Delivery(
+            stream=body.fields.stream, includes_usage=body.fields.includes_usage
+        )
+        return self._call(intake, state, body, delivery)
+
+    async def _continued_call(
+        self, request: Request, position: StreamPosition
+    ) -> GenerationCall | Refusal:
+        customer = self._reception.customer(request)
+        if isinstance(customer, Failure):
+            return _unresumed(customer, position)
+        state = await self._streams.find(position.request_id, customer)
+        if isinstance(state, Failure):
+            return _unresumed(state, position)
+        fault = _check_position(request, position, state)
+        if fault is not None:
+            return _unresumed(fault, position, state.class_id)
+        intake = self._reception.admit(customer, state.class_id)
+        if isinstance(intake, Failure):
+            return _unresumed(intake, position, state.class_id)
+        fields = msgspec.convert(state.body, GenerationFields)
+        delivery = Delivery(
+            stream=True,
+            includes_usage=fields.includes_usage,
+            first_offset=position.offset + 1,
+        )
+        body = GenerationBody(fields, state.body)
+        return self._call(intake, state, body, delivery)
 
     def _call(
-        self, intake: Intake, body: GenerationBody, request_id: RequestId, path: str
+        self,
+        intake: Intake,
+        state: StreamState,
+        body: GenerationBody,
+        delivery: Delivery,
     ) -> GenerationCall:
         words = prompt_words(body.whole)
         context = RequestContext(
-            request_id=request_id,
+            request_id=state.request_id,
             customer=intake.customer,
             class_id=intake.class_id,
             request_class=intake.request_class,
             received_ms=self._clock.now_ms(),
-            path=path,
+            path=state.path,
             prompt_tokens=len(words),
             max_tokens=body.fields.token_limit,
             prefix_blocks=block_hashes(words),
-            stream=body.fields.stream,
+            stream=delivery.stream,
         )
         whole = {**body.whole, "model": intake.request_class.service}
         generation = Generation(
-            context, whole, self._placement, self._connect, self._clock
+            context,
+            whole,
+            self._placement,
+            self._connect,
+            self._clock,
+            state.texts,
+            state.attempts,
+        )
+        writer = formats.get(state.path)(
+            state.request_id, intake.class_id, state.created_s
         )
-        created_s = self._clock.wall_ms() // 1000
-        writer = formats.get(path)(request_id, intake.class_id, created_s)
         ending = Ending(context, self._clock, self._log, self._metrics)
-        return GenerationCall(generation, body, writer, ending)
+        return GenerationCall(state, generation, delivery, writer, ending)
 
     def _log_refusal(self, refusal: Refusal) -> None:
         self._metrics.incr(f"requests.refused.{refusal.failure.reason.value}")
@@ -154,163 +241,39 @@
         )
 
 
-class Ending:
-    """Logs and counts how a generation ended."""
-
-    def __init__(
-        self, context: RequestContext, clock: Clock, log: Log, metrics: Metrics
-    ):
-        self.context = context
-        self._clock = clock
-        self._log = log
-        self._metrics = metrics
-        self._first_ms: int | None = None
-
-    def first_token(self) -> None:
-        """Note that the first token goes out now."""
-        if self._first_ms is None:
-            self._first_ms = self._clock.now_ms() - self.context.received_ms
-            self._metrics.timing("generation.first_token", self._first_ms)
-
-    def ended(
-        self, outcome: Outcome, failure: Failure | None, generation: Generation
-    ) -> None:
-        """Note the outcome."""
-        total_ms = self._clock.now_ms() - self.context.received_ms
-        self._metrics.timing("generation.total", total_ms)
-        self._metrics.incr(f"requests.{outcome.value}")
-        self._log.event(
-            "request_ended",
-            request_id=self.context.request_id,
-            customer=self.context.customer,
-            class_id=self.context.class_id,
-            outcome=outcome,
-            failure=failure,
-            attempts=generation.attempts,
-            tokens=generation.assembler.next_offset,
-            first_token_ms=self._first_ms,
-            total_ms=total_ms,
-            target_ms=self.context.request_class.answer_within_ms,
-        )
-
-
-class GenerationCall:
-    """One generation on its way to its caller."""
-
-    def __init__(
-        self,
-        generation: Generation,
-        body: GenerationBody,
-        writer: Format,
-        ending: Ending,
-    ):
-        self.body = body
-        self._generation = generation
-        self._writer = writer
-        self._ending = ending
-
-    @property
-    def context(self) -> RequestContext:
-        """The request as routing sees it."""
-        return self._ending.context
-
-    @property
-    def used_tokens(self) -> int:
-        """Tokens that the request cost so far."""
-        return self.context.prompt_tokens + self._generation.assembler.next_offset
-
-    async def respond(self) -> Response:
-        """Return the response that the caller asked for."""
-        if self.body.fields.stream:
-            return await self._stream()
-        return await self._whole()
-
-    def refused(self, failure: Failure) -> Response:
-        """Return the response to a request that was not admitted."""
-        context = self._ending.context
-        self._ending.ended(Outcome.NOT_RUN, failure, self._generation)
-        return problem_response(
-            failure, Outcome.NOT_RUN, context.request_id, context.class_id
-        )
-
-    async def _whole(self) -> Response:
-        """Return the whole answer in one response."""
-        context = self._ending.context
-        async with aclosing(self._generation.run()) as items:
-            async for item in items:
-                if isinstance(item, Token):
-                    self._ending.first_token()
-                elif isinstance(item, Finished):
-                    return self._answer(item)
-                else:
-                    self._ending.ended(item.outcome, item.failure, self._generation)
-                    return _failed_response(item, context.request_id, context.class_id)
-        raise RuntimeError("a generation ended without an end")
-
-    async def _stream(self) -> Response:
-        """Return a streaming response, or an error if no token ever came."""
-        context = self._ending.context
-        items = self._generation.run()
-        first = await anext(items)
-        if isinstance(first, GenerationFailed):
-            self._ending.ended(first.outcome, first.failure, self._generation)
-            return _failed_response(first, context.request_id, context.class_id)
-        headers = response_headers(context.request_id, context.class_id, None)
-        return EventStream(self._events(first, items), headers)
-
-    def _answer(self, finished: Finished) -> Response:
-        context = self._ending.context
-        texts = self._generation.assembler.texts_from(0)
-        content = self._writer.whole(texts, finished)
-        headers = response_headers(context.request_id, context.class_id, Outcome.DONE)
-        self._ending.ended(Outcome.DONE, None, self._generation)
-        return Response(content, 200, headers, media_type="application/json")
-
-    async def _events(
-        self,
-        first: Token | Finished,
-        items: AsyncGenerator[Token | Finished | GenerationFailed, None],
-    ) -> AsyncGenerator[bytes, None]:
-        self._ending.first_token()
-        ended = False
-        try:
-            async with aclosing(items):
-                item = first
-                while True:
-                    ended = not isinstance(item, Token)
-                    for part in self._event(item):
-                        yield part
-                    if ended:
-                        return
-                    item = await anext(items)
-        finally:
-            if not ended:
-                self._vanished()
-
-    def _event(self, item: Token | Finished | GenerationFailed) -> list[bytes]:
-        if isinstance(item, Token):
-            return [self._writer.token_event(item)]
-        if isinstance(item, Finished):
-            self._ending.ended(Outcome.DONE, None, self._generation)
-            parts = [self._writer.finish_event(item)]
-            if self.body.fields.includes_usage:
-                parts.append(self._writer.usage_event(item))
-            return [*parts, DONE_EVENT]
-        self._ending.ended(item.outcome, item.failure, self._generation)
-        context = self._ending.context
-        return [
-            event(
-                problem(
-                    item.failure, item.outcome, context.request_id, context.class_id
-                )
-            )
-        ]
-
-    def _vanished(self) -> None:
-        failure = Failure(
-            Reason.CANCELLED, "gateway.stream", "", "the caller went away"
-        )
-        self._ending.ended(Outcome.UNKNOWN, failure, self._generation)
+def _unresumed(
+    failure: Failure, position: StreamPosition, class_id: ClassId = ClassId("")
+) -> Refusal:
+    return Refusal(failure, position.request_id, class_id, Outcome.UNKNOWN)
+
+
+def _position(request: Request) -> StreamPosition | Failure | None:
+    """Return the place from which to continue, ``None`` for a new request."""
+    if request.method == "HEAD":
+        detail = "HEAD is not supported here"
+        return Failure(Reason.BAD_REQUEST, "streams.position", "", detail)
+    named = request.path_params.get("request_id")
+    value = request.headers.get(POSITION_HEADER)
+    if value is None:
+        return None if named is None else StreamPosition(RequestId(named))
+    position = parse_position(value)
+    if isinstance(position, Failure) or named in (None, position.request_id):
+        return position
+    detail = "Last-Event-ID names another stream than the path"
+    return Failure(Reason.BAD_REQUEST, "streams.position", "", detail)
+
+
+def _check_position(
+    request: Request, position: StreamPosition, state: StreamState
+) -> Failure | None:
+    """Return why a stream can't be continued from this place on this path."""
+    if request.method == "POST" and request.url.path != state.path:
+        detail = f"the stream belongs to {state.path}"
+        return Failure(Reason.BAD_REQUEST, "streams.position", "", detail)
+    if position.offset < state.next_offset:
+        return None
+    detail = f"the stream has {state.next_offset} events so far, from offset 0"
+    return Failure(Reason.BAD_REQUEST, "streams.position", "", detail)
 
 
 def _check_fit(intake: Intake, body_bytes: int) -> Failure | None:
@@ -323,9 +286,3 @@
         detail = f"the body is larger than the class's {max_bytes} bytes"
         return Failure(Reason.BODY_TOO_LARGE, "gateway.body", "", detail)
     return None
-
-
-def _failed_response(
-    failed: GenerationFailed, request_id: RequestId, class_id: ClassId
-) -> Response:
-    return problem_response(failed.failure, failed.outcome, request_id, class_id)
--- a/src/_monsoonpulley/gateway/headers.py
+++ b/src/_monsoonpulley/gateway/headers.py
@@ -11,6 +11,7 @@
 CLASS_HEADER = "x-request-class"
 OUTCOME_HEADER = "x-outcome"
 IDEMPOTENCY_HEADER = "idempotency-key"
+POSITION_HEADER = "last-event-id"
 
 MAX_KEY_CHARS = 255
 
--- a/src/_monsoonpulley/gateway/intake.py
+++ b/src/_monsoonpulley/gateway/intake.py
@@ -29,16 +29,21 @@
 
 
 class Refusal(msgspec.Struct, frozen=True):
-    """A request that does not begin, with what is known of it."""
+    """A request that does not begin, with what is known of it.
+
+    ``outcome`` is that of the request, of which an earlier connection may have
+    run a part.
+    """
 
     failure: Failure
     request_id: RequestId
     class_id: ClassId = ClassId("")
+    outcome: Outcome = Outcome.NOT_RUN
 
     def response(self) -> Response:
-        """Return the response; a refused request did not run."""
+        """Return the response."""
         return problem_response(
-            self.failure, Outcome.NOT_RUN, self.request_id, self.class_id
+            self.failure, self.outcome, self.request_id, self.class_id
         )
 
 
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -43,9 +43,12 @@
 from .platform.cloud import ReclaimNotice
 from .platform.livelist import Member
 from .requests.admissiongate import AdmissionGate
+from .requests.detached import DetachedLimits, DetachedStreams
 from .requests.dispatcher import JournalDispatcher
+from .requests.handover import StreamStore
 from .requests.passthrough import ServiceAttempts
 from .requests.routed import RoutedPlacement
+from .requests.streams import Streams
 from .routing.router import Router
 from .supervisor import Restart, Supervisor
 
@@ -57,6 +60,7 @@
 
 RECOVERY_INTERVAL_MS = 5_000
 COLLECTION_INTERVAL_MS = 60_000
+STREAM_COLLECTION_INTERVAL_MS = 300_000
 
 
 MakeClient = Callable[[Member, Service], Client]
@@ -106,6 +110,7 @@
         self._build_configuration()
         self._build_endpoints()
         self._build_requests()
+        self._build_streams()
         self._build_recovery()
         self.app = self._build_app()
         self._supervisor = self._build_supervisor()
@@ -126,6 +131,7 @@
     async def drain(self) -> None:
         """Wait for what is in progress, up to the deadline, and hand over."""
         await self.lifecycle.wait_idle(RECLAIM_MARGIN_MS)
+        await self.streams.hand_over()
         deadline_ms = self.lifecycle.deadline_ms
         if deadline_ms is None:
             deadline_ms = self._around.clock.now_ms() + DRAIN_JOURNAL_MS
@@ -199,6 +205,18 @@
             JournalSettings(),
         )
 
+    def _build_streams(self) -> None:
+        around = self._around
+        store = StreamStore(
+            around.platform.objects,
+            around.platform.table,
+            f"{self.identity.instance}/{self.identity.incarnation}",
+            around.clock,
+            around.log,
+        )
+        detached = DetachedStreams(DetachedLimits())
+        self.streams = Streams(detached, store, around.clock, around.log)
+
     def _build_recovery(self) -> None:
         around = self._around
         self.recovery = Recovery(
@@ -220,6 +238,7 @@
             self.gate,
             self.placement,
             self.pool.client,
+            self.streams,
             self.lifecycle,
             around.clock,
             around.log,
@@ -270,6 +289,7 @@
         requests.add("admission", self.gate.run)
         requests.add("recovery", self._recover)
         requests.add("collection", self._collect)
+        requests.add("stream_collection", self._collect_streams)
         root.add("configuration", self.watcher.run)
         root.add("readiness", self._become_ready, Restart.ON_FAILURE)
         root.add("endpoints", endpoints.run)
@@ -341,6 +361,14 @@
             self._log_pass("collection", report)
             after = "" if isinstance(report, Failure) else report.after
 
+    async def _collect_streams(self) -> None:
+        while True:
+            spread = self._around.rng.uniform(0.5, 1.5)
+            await self._around.clock.sleep_ms(STREAM_COLLECTION_INTERVAL_MS * spread)
+            deleted = await self.streams.collect()
+            if isinstance(deleted, Failure):
+                self._around.log.event("stream_collection_failed", failure=deleted)
+
     def _log_pass(self, name: str, report: msgspec.Struct) -> None:
         if isinstance(report, Failure):
             self._around.log.event(f"{name}_failed", failure=report)
--- a/src/_monsoonpulley/requests/assembler.py
+++ b/src/_monsoonpulley/requests/assembler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from ..endpoints.engine import Token
 from ..ids import AttemptId
 
@@ -14,12 +16,17 @@
 
     Tokens of an abandoned attempt, and those delivered already, are dropped.
     A token that comes early is held until the ones before it have come.
+
+    Parameters
+    ----------
+    texts : iterable of str
+        Texts of the tokens that were delivered earlier.
     """
 
-    def __init__(self) -> None:
-        self.next_offset = 0
+    def __init__(self, texts: Iterable[str] = ()) -> None:
+        self._texts: list[str] = list(texts)
+        self.next_offset = len(self._texts)
         self.dropped = 0
-        self._texts: list[str] = []
         self._attempt: AttemptId | None = None
         self._held: dict[int, Token] = {}
 
@@ -47,6 +54,8 @@
             return []
         ready = [token]
         self._append(token)
+        if not self._held:
+            return ready
         while self.next_offset in self._held:
             held = self._held.pop(self.next_offset)
             self._append(held)
--- a/src/_monsoonpulley/requests/generation.py
+++ b/src/_monsoonpulley/requests/generation.py
@@ -1,16 +1,21 @@
-"""Generations: one answer from as many attempts as its class allows."""
+"""Generations: one answer from as many attempts as it takes.
+
+An attempt that delivered new tokens before its engine was lost is no futile
+repeat: its text is kept, so the next attempt goes on after it. Only attempts
+without progress are counted against the class's repeats and the retry budget.
+"""
 
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator, Callable
-from contextlib import aclosing
 
 import msgspec
 
 from ..clock import Clock
 from ..endpoints.engine import EngineCall, EngineClient, Finished, Token
+from ..endpoints.tokens import block_hashes, prompt_words
 from ..errors import Delivery, Failure, Reason
-from ..ids import EndpointId, attempt_id
+from ..ids import AttemptId, EndpointId, attempt_id
 from ..outcome import Outcome
 from .assembler import StreamAssembler
 from .context import RequestContext
@@ -18,6 +23,16 @@
 
 Connect = Callable[[EndpointId], EngineClient | None]
 
+MAX_FREE_RETRIES = 16
+"""Lost attempts of a request that cost no repeat; it bounds amplification."""
+
+LONGEST_WAIT_MS = 30_000
+"""How long a stream whose engine was lost waits for another one."""
+
+WAIT_STEP_MS = 1_000
+
+LIMIT_FIELDS = ("max_completion_tokens", "max_tokens")
+
 
 class GenerationFailed(msgspec.Struct, frozen=True):
     """The generation was given up.
@@ -29,6 +44,21 @@
     outcome: Outcome
 
 
+class Switch(msgspec.Struct, frozen=True):
+    """A planned change of engine, to be made at the next token.
+
+    Attributes
+    ----------
+    placed : Placed or None
+        Where to go on; ``None`` to have it chosen when the change is made.
+    number : int
+        Number of the attempt that goes on there; 0 without ``placed``.
+    """
+
+    placed: Placed | None = None
+    number: int = 0
+
+
 class Generation:
     """One generation in progress.
 
@@ -37,13 +67,24 @@
     context : RequestContext
         The request.
     body : dict
-        The caller's JSON body.
+        The JSON body for engines.
     placement : Placement
         Chooses endpoints and decides on retries.
     connect : callable
         Returns the client of an endpoint, ``None`` if it is gone.
     clock : Clock
         Times the attempts.
+    texts : tuple of str
+        Texts of the tokens that were generated earlier.
+    attempts : int
+        Attempts that were made earlier.
+
+    Attributes
+    ----------
+    attempts : int
+        Number of the newest attempt.
+    placed : Placed or None
+        Where an attempt is running now.
     """
 
     def __init__(
@@ -53,6 +94,8 @@
         placement: Placement,
         connect: Connect,
         clock: Clock,
+        texts: tuple[str, ...] = (),
+        attempts: int = 0,
     ):
         self._context = context
         self._body = body
@@ -60,74 +103,168 @@
         self._connect = connect
         self._clock = clock
         self._tried: set[EndpointId] = set()
-        self._maybe_ran = False
-        self.attempts = 0
-        self.assembler = StreamAssembler()
+        self._maybe_ran = attempts > 0
+        self._futile = 0
+        self._free_retries = 0
+        self._switch: Switch | None = None
+        self._lost_ms: int | None = None
+        self._number = attempts
+        self._offset_at_start = 0
+        self.attempts = attempts
+        self.placed: Placed | None = None
+        self.assembler = StreamAssembler(texts)
+
+    @property
+    def attempt(self) -> AttemptId:
+        """The newest attempt."""
+        return attempt_id(self._context.request_id, self._number)
+
+    @property
+    def tried(self) -> frozenset[EndpointId]:
+        """Endpoints that this generation does not go back to."""
+        return frozenset(self._tried)
+
+    def reserve_attempt(self) -> int:
+        """Return the number of an attempt that may follow by a switch."""
+        self.attempts += 1
+        return self.attempts
+
+    def switch(self, attempt: AttemptId, switch: Switch) -> bool:
+        """Change engines at the next token; ``False`` if ``attempt`` is over."""
+        if self.placed is None or attempt != self.attempt:
+            return False
+        self._switch = switch
+        return True
+
+    def resumed_context(self) -> RequestContext:
+        """Return the request as routing sees what is left of it.
+
+        A stream's target is about its first token, so one in progress gets
+        its time anew with each engine that it goes on at.
+        """
+        done = self.assembler.next_offset
+        context = self._context
+        if not done:
+            return context
+        words = prompt_words(self._body) + self.assembler.text.split()
+        received_ms = self._clock.now_ms() if context.stream else context.received_ms
+        return msgspec.structs.replace(
+            context,
+            received_ms=received_ms,
+            prompt_tokens=context.prompt_tokens + done,
+            max_tokens=max(1, context.max_tokens - done),
+            prefix_blocks=block_hashes(words),
+        )
 
     async def run(self) -> AsyncGenerator[Token | Finished | GenerationFailed, None]:
         """Yield each token once and in order, then how the generation ended."""
         while True:
-            placed = self._placement.choose(self._context, frozenset(self._tried))
-            if isinstance(placed, Failure):
-                yield self._give_up(placed)
+            complete = self._complete()
+            if complete is not None:
+                yield complete
                 return
-            failure: Failure | None = None
-            async with aclosing(self._attempt(placed)) as items:
-                async for item in items:
-                    if isinstance(item, Failure):
-                        failure = item
+            context = self.resumed_context()
+            placed = self._place(context)
+            if isinstance(placed, Failure):
+                wait_ms = self._wait_ms(placed)
+                if wait_ms is None:
+                    yield self._give_up(placed)
+                    return
+                await self._clock.sleep_ms(wait_ms)
+                continue
+            client = self._connect(placed.endpoint)
+            progress = _Progress(self._clock)
+            finished: Finished | None = None
+            if client is None:
+                failure = _gone(placed.endpoint)
+            else:
+                attempt = self.attempt
+                call = self._call(placed, context)
+                end: Failure | None = _abandoned(placed.endpoint)
+                self._placement.started(context, placed, attempt)
+                self.placed = placed
+                items = client.generate(call)
+                try:
+                    failure = _cut_short(placed.endpoint)
+                    async for item in items:
+                        if type(item) is Token:
+                            progress.note_token()
+                            self._placement.progressed(attempt, progress.tokens)
+                            for token in self.assembler.accept(item):
+                                yield token
+                            if self._switch is None:
+                                continue
+                            failure = _moved(placed.endpoint)
+                        elif isinstance(item, Failure):
+                            failure = item
+                        else:
+                            failure = self._check_complete(item, placed.endpoint)
+                            finished = item
                         break
-                    yield item
+                    end = failure
+                finally:
+                    self.placed = None
+                    await items.aclose()
+                    self._placement.ended(context, placed, attempt, progress.end(end))
             if failure is None:
+                yield finished
                 return
-            retry = self._after_failure(placed, failure)
+            retry = self._after_failure(context, placed, failure)
             if isinstance(retry, GenerationFailed):
                 yield retry
                 return
             if retry.wait_ms:
                 await self._clock.sleep_ms(retry.wait_ms)
 
-    async def _attempt(
-        self, placed: Placed
-    ) -> AsyncGenerator[Token | Finished | Failure, None]:
-        """Run one attempt; it ends with ``Finished`` or a ``Failure``."""
-        self.attempts += 1
-        attempt = attempt_id(self._context.request_id, self.attempts)
-        self.assembler.begin_attempt(attempt)
-        client = self._connect(placed.endpoint)
-        if client is None:
-            yield _gone(placed.endpoint)
-            return
-        self._placement.started(self._context, placed, attempt)
-        progress = _Progress(self._clock)
-        end: Failure | None = _abandoned(placed.endpoint)
-        try:
-            call = self._call(placed)
-            async with aclosing(client.generate(call)) as items:
-                async for item in items:
-                    end = item if isinstance(item, Failure) else end
-                    if isinstance(item, Finished):
-                        end = self._check_complete(item, placed.endpoint)
-                        yield end or item
-                        return
-                    if isinstance(item, Failure):
-                        yield item
-                        return
-                    progress.note_token()
-                    self._placement.progressed(attempt, progress.tokens)
-                    for token in self.assembler.accept(item):
-                        yield token
-            end = _cut_short(placed.endpoint)
-            yield end
-        finally:
-            result = progress.end(end)
-            self._placement.ended(self._context, placed, attempt, result)
-
-    def _call(self, placed: Placed) -> EngineCall:
-        left_ms = self._context.deadline_ms - self._clock.now_ms()
+    def _complete(self) -> Finished | None:
+        """Return the end of an answer whose tokens were all delivered.
+
+        The engine may be lost between the last token and the end.
+        """
+        done = self.assembler.next_offset
+        if not done or done < self._context.max_tokens:
+            return None
+        if not any(isinstance(self._body.get(name), int) for name in LIMIT_FIELDS):
+            return None
+        return Finished(self.attempt, "length", self._context.prompt_tokens, done)
+
+    def _place(self, context: RequestContext) -> Placed | Failure:
+        """Return where the next attempt runs, and give it its number."""
+        switch, self._switch = self._switch, None
+        if switch is not None and switch.placed is not None:
+            if self._connect(switch.placed.endpoint) is not None:
+                self._begin(switch.number)
+                return switch.placed
+        placed = self._placement.choose(context, frozenset(self._tried))
+        if not isinstance(placed, Failure):
+            self._begin(self.reserve_attempt())
+        return placed
+
+    def _wait_ms(self, failure: Failure) -> int | None:
+        """Return how long to wait for an engine; ``None`` to give up.
+
+        A request without any text is refused at once, so that its caller can
+        go elsewhere. A text that exists is worth a wait: breakers close and
+        new engines come.
+        """
+        lost_ms = self._lost_ms
+        if lost_ms is None or failure.retry_after_ms is None:
+            return None
+        now_ms = self._clock.now_ms()
+        until_ms = min(lost_ms + LONGEST_WAIT_MS, self.resumed_context().deadline_ms)
+        wait_ms = min(failure.retry_after_ms, WAIT_STEP_MS)
+        return wait_ms if now_ms + wait_ms <= until_ms else None
+
+    def _begin(self, number: int) -> None:
+        self._number = number
+        self._offset_at_start = self.assembler.next_offset
+        self.assembler.begin_attempt(self.attempt)
+
+    def _call(self, placed: Placed, context: RequestContext) -> EngineCall:
+        left_ms = context.deadline_ms - self._clock.now_ms()
         return EngineCall(
             request_id=self._context.request_id,
-            attempt_id=attempt_id(self._context.request_id, self.attempts),
+            attempt_id=self.attempt,
             path=self._context.path,
             body=self._body,
             text_so_far=self.assembler.text,
@@ -151,15 +288,33 @@
         )
 
     def _after_failure(
-        self, placed: Placed, failure: Failure
+        self, context: RequestContext, placed: Placed, failure: Failure
     ) -> Retry | GenerationFailed:
         self._tried.add(placed.endpoint)
+        if self.assembler.next_offset:
+            self._lost_ms = self._clock.now_ms()
         self._maybe_ran = self._maybe_ran or may_have_run(failure)
-        retry = self._placement.may_retry(self._context, self.attempts, failure)
+        if self._switch is not None:
+            return Retry(0)
+        if self._is_free(failure) and self._free_retries < MAX_FREE_RETRIES:
+            self._free_retries += 1
+            return Retry(0)
+        self._futile += 1
+        retry = self._placement.may_retry(context, self._futile, failure)
         if isinstance(retry, Failure):
             return self._give_up(retry)
         return retry
 
+    def _is_free(self, failure: Failure) -> bool:
+        """Return whether a lost attempt costs no repeat and no budget.
+
+        It is so after progress. Where there is text to lose, it is so too for
+        an attempt of which nothing was sent, since that loads no engine.
+        """
+        done = self.assembler.next_offset
+        unsent = failure.delivery is Delivery.NOT_SENT
+        return done > self._offset_at_start or (done > 0 and unsent)
+
     def _give_up(self, failure: Failure) -> GenerationFailed:
         outcome = Outcome.UNKNOWN if self._maybe_ran else Outcome.NOT_RUN
         return GenerationFailed(failure, outcome)
@@ -200,6 +355,16 @@
     )
 
 
+def _moved(endpoint: EndpointId) -> Failure:
+    return Failure(
+        Reason.CANCELLED,
+        "engine.generate",
+        endpoint,
+        "the generation goes on elsewhere",
+        Delivery.MAYBE,
+    )
+
+
 def _cut_short(endpoint: EndpointId) -> Failure:
     return Failure(
         Reason.PROTOCOL,
--- /dev/null
+++ b/src/_monsoonpulley/requests/streams.py
@@ -0,0 +1,223 @@
+"""The generations of one instance: running ones, and what is left of others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from ..clock import Clock
+from ..errors import Failure, Reason
+from ..ids import CustomerId, EndpointId, RequestId
+from ..log import Log
+from .context import RequestContext
+from .detached import DetachedStreams
+from .generation import Generation
+from .handover import HandOverReport, StreamStore
+from .streamstate import StreamState
+
+STORE_RETRY_MS = 1_000
+"""When a caller may ask again while the store is away."""
+
+STOP_TIMEOUT_MS = 500
+"""How long a running stream may take to end at an event boundary."""
+
+
+class RunningStream:
+    """A generation in progress with its caller.
+
+    Attributes
+    ----------
+    stop : callable or None
+        Ends the response at an event boundary, with why; ``None`` while there
+        is nothing to end.
+    ended : asyncio.Event
+        Set once the generation is over here.
+    is_stored : bool
+        Whether the object store may have an earlier state of it.
+    is_entered : bool
+        Whether it was let in.
+    """
+
+    def __init__(
+        self, context: RequestContext, generation: Generation, *, is_stored: bool
+    ):
+        self.context = context
+        self.generation = generation
+        self.is_stored = is_stored
+        self.is_entered = False
+        self.stop: Callable[[Failure], None] | None = None
+        self.ended = asyncio.Event()
+
+
+class Streams:
+    """Running and detached generations of one instance.
+
+    Parameters
+    ----------
+    detached : DetachedStreams
+        Keeps streams whose caller went away.
+    store : StreamStore
+        Keeps streams whose instance leaves.
+    clock, log
+        Of the instance.
+    """
+
+    def __init__(
+        self, detached: DetachedStreams, store: StreamStore, clock: Clock, log: Log
+    ):
+        self._detached = detached
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._running: dict[RequestId, RunningStream] = {}
+        self._claimed: set[RequestId] = set()
+
+    def enter(self, running: RunningStream) -> None:
+        """Note that a generation begins, or goes on, here."""
+        request_id = running.context.request_id
+        self._detached.pop(request_id)
+        self._claimed.discard(request_id)
+        self._running[request_id] = running
+        running.is_entered = True
+
+    async def leave(self, running: RunningStream, state: StreamState | None) -> None:
+        """Note that a generation is over here.
+
+        Its state is kept if its caller has not got all of it.
+        """
+        request_id = running.context.request_id
+        if state is not None:
+            self._detach(state)
+        del self._running[request_id]
+        running.ended.set()
+        if state is None and running.is_stored:
+            await self._store.drop(request_id)
+
+    def claim(self, request_id: RequestId) -> Failure | None:
+        """Begin to continue a stream; only one connection at a time may.
+
+        The claim ends with `enter`, or with `unclaim` if it comes to nothing.
+        """
+        if request_id in self._claimed:
+            return _claimed()
+        self._claimed.add(request_id)
+        return None
+
+    def unclaim(self, request_id: RequestId) -> None:
+        """Give up a claim."""
+        self._claimed.discard(request_id)
+
+    def _detach(self, state: StreamState) -> None:
+        self._detached.put(state, self._clock.wall_ms())
+        self._log.event(
+            "stream_detached",
+            request_id=state.request_id,
+            next_offset=state.next_offset,
+            finished=state.finished is not None,
+        )
+
+    def running_at(self, endpoint: EndpointId) -> list[RunningStream]:
+        """Return the generations that an endpoint runs now."""
+        return [
+            running
+            for running in self._running.values()
+            if running.generation.placed is not None
+            and running.generation.placed.endpoint == endpoint
+        ]
+
+    async def find(
+        self, request_id: RequestId, customer: CustomerId
+    ) -> StreamState | Failure:
+        """Return a customer's stream; one that still runs here is ended first.
+
+        It stays kept until it is entered again.
+        """
+        running = self._running.get(request_id)
+        if running is not None and running.context.customer != customer:
+            return _unknown()
+        if running is not None:
+            if not await self._stop(running, _taken_over()):
+                return _claimed()
+        found = self._detached.find(request_id, self._clock.wall_ms())
+        if found is None:
+            found = await self._store.find(request_id)
+        if isinstance(found, Failure):
+            return msgspec.structs.replace(found, retry_after_ms=STORE_RETRY_MS)
+        if found is None or found.customer != customer:
+            return _unknown()
+        return found
+
+    async def hand_over(self) -> HandOverReport:
+        """End running streams at an event boundary and store all of them."""
+        stopping = [r for r in self._running.values() if r.stop is not None]
+        if stopping:
+            await asyncio.gather(
+                *(self._stop(running, _leaving()) for running in stopping)
+            )
+        states = self._detached.all(self._clock.wall_ms())
+        report = await self._store.store(states)
+        if states:
+            self._log.event("streams_handed_over", report=report)
+        return report
+
+    async def collect(self) -> int | Failure:
+        """Delete streams that were handed over and can't be continued now."""
+        return await self._store.collect()
+
+    async def _stop(self, running: RunningStream, failure: Failure) -> bool:
+        """End a running stream; ``False`` if it did not end in time."""
+        if running.stop is None:
+            return False
+        running.stop(failure)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_MS / 1000):
+                await running.ended.wait()
+        except TimeoutError:
+            request_id = running.context.request_id
+            self._log.event("stream_stop_late", request_id=request_id)
+            return False
+        return True
+
+
+def _unknown() -> Failure:
+    detail = "no stream of this customer that can be continued has this id"
+    return Failure(Reason.NOT_FOUND, "streams.find", "", detail)
+
+
+def _claimed() -> Failure:
+    detail = "another connection is about to continue the stream"
+    return Failure(
+        Reason.CONFLICT, "streams.claim", "", detail, retry_after_ms=STOP_TIMEOUT_MS
+    )
+
+
+def _taken_over() -> Failure:
+    detail = "another connection continues the stream"
+    return Failure(Reason.CONFLICT, "streams.stop", "", detail)
+
+
+def _leaving() -> Failure:
+    detail = "the instance is leaving; continue the stream at another one"
+    return Failure(Reason.SHUTTING_DOWN, "streams.stop", "", detail)
+
+
+class StreamPosition(msgspec.Struct, frozen=True):
+    """A place in a stream: the last event that a caller has got.
+
+    ``offset`` is -1 before the first event.
+    """
+
+    request_id: RequestId
+    offset: int = -1
+
+
+def parse_position(value: str) -> StreamPosition | Failure:
+    """Return the place that a ``Last-Event-ID`` header names."""
+    request_id, _, offset = value.strip().rpartition(":")
+    is_number = offset.isascii() and offset.isdigit() and len(offset) < 10
+    if not request_id or not is_number:
+        detail = f"Last-Event-ID must read 'REQUEST_ID:OFFSET', not {value[:80]!r}"
+        return Failure(Reason.BAD_REQUEST, "streams.position", "", detail)
+    return StreamPosition(RequestId(request_id), int(offset))
