--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -45,6 +45,7 @@
 from .requests.admissiongate import AdmissionGate
 from .requests.detached import DetachedLimits, DetachedStreams
 from .requests.dispatcher import JournalDispatcher
+from .requests.evacuator import Evacuator, reported_speeds
 from .requests.handover import StreamStore
 from .requests.passthrough import ServiceAttempts
 from .requests.routed import RoutedPlacement
@@ -60,7 +61,6 @@
 
 RECOVERY_INTERVAL_MS = 5_000
 COLLECTION_INTERVAL_MS = 60_000
-STREAM_COLLECTION_INTERVAL_MS = 300_000
 
 
 MakeClient = Callable[[Member, Service], Client]
@@ -215,7 +215,16 @@
             around.log,
         )
         detached = DetachedStreams(DetachedLimits())
-        self.streams = Streams(detached, store, around.clock, around.log)
+        self.streams = Streams(detached, store, around.clock, around.rng, around.log)
+        self.evacuator = Evacuator(
+            self.streams,
+            self.placement,
+            self.pool.client,
+            reported_speeds(self.router.fleet),
+            around.clock,
+            around.log,
+            around.metrics,
+        )
 
     def _build_recovery(self) -> None:
         around = self._around
@@ -287,9 +296,10 @@
         endpoints.add("notices", self.notices.run)
         requests = self._new_supervisor("requests")
         requests.add("admission", self.gate.run)
+        requests.add("evacuation", self.evacuator.run)
         requests.add("recovery", self._recover)
         requests.add("collection", self._collect)
-        requests.add("stream_collection", self._collect_streams)
+        requests.add("stream_collection", self.streams.run_collection)
         root.add("configuration", self.watcher.run)
         root.add("readiness", self._become_ready, Restart.ON_FAILURE)
         root.add("endpoints", endpoints.run)
@@ -336,11 +346,14 @@
             reclaimed=notice.instance,
             deadline_wall_ms=notice.deadline_wall_ms,
         )
+        left_ms = notice.deadline_wall_ms - clock.wall_ms()
+        deadline_ms = clock.now_ms() + left_ms
         if notice.instance == self.identity.instance:
-            left_ms = notice.deadline_wall_ms - clock.wall_ms()
-            self.leave("reclaim", clock.now_ms() + left_ms)
+            self.leave("reclaim", deadline_ms)
             return
-        self.router.mark_leaving(EndpointId(notice.instance), clock.now_ms())
+        endpoint = EndpointId(notice.instance)
+        self.router.mark_leaving(endpoint, clock.now_ms())
+        self.evacuator.notice(endpoint, deadline_ms)
 
     async def _become_ready(self) -> None:
         await self.watcher.wait_ready()
@@ -361,14 +374,6 @@
             self._log_pass("collection", report)
             after = "" if isinstance(report, Failure) else report.after
 
-    async def _collect_streams(self) -> None:
-        while True:
-            spread = self._around.rng.uniform(0.5, 1.5)
-            await self._around.clock.sleep_ms(STREAM_COLLECTION_INTERVAL_MS * spread)
-            deleted = await self.streams.collect()
-            if isinstance(deleted, Failure):
-                self._around.log.event("stream_collection_failed", failure=deleted)
-
     def _log_pass(self, name: str, report: msgspec.Struct) -> None:
         if isinstance(report, Failure):
             self._around.log.event(f"{name}_failed", failure=report)
--- /dev/null
+++ b/src/_monsoonpulley/requests/evacuation.py
@@ -0,0 +1,175 @@
+"""Plans how running generations move off an engine that is about to go."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+
+from ..ids import EndpointId, RequestId
+from ..log import Decision
+
+MARGIN_MS = 500
+"""How long before the deadline an engine should be empty."""
+
+MAX_TRANSFER_BYTES = 64 * 1024 * 1024
+"""Largest KV cache that is moved, since it passes through this process."""
+
+
+class Way(Enum):
+    """How a generation gets off its engine."""
+
+    FINISH = "finish"
+    """It ends in place before the deadline."""
+    TRANSFER = "transfer"
+    """Its KV cache is exported and imported elsewhere."""
+    RECOMPUTE = "recompute"
+    """It goes on elsewhere from its prompt and text."""
+
+
+class EngineStream(msgspec.Struct, frozen=True, kw_only=True):
+    """A generation at the engine that leaves.
+
+    Attributes
+    ----------
+    prompt_tokens, generated_tokens : int
+        Tokens that would be computed again.
+    tokens_left : int
+        Most tokens still to come.
+    kv_bytes : int
+        Size of its KV cache.
+    is_prefilled : bool
+        Whether there is a KV cache to export.
+    """
+
+    request_id: RequestId
+    prompt_tokens: int
+    generated_tokens: int
+    tokens_left: int
+    kv_bytes: int
+    is_prefilled: bool
+
+    @property
+    def recomputed_tokens(self) -> int:
+        """Tokens that a move without its KV cache computes again."""
+        return self.prompt_tokens + self.generated_tokens if self.is_prefilled else 0
+
+
+class Conditions(msgspec.Struct, frozen=True, kw_only=True):
+    """What bounds an evacuation.
+
+    Attributes
+    ----------
+    notice_left_ms : int
+        Time until the engine goes.
+    bytes_per_ms : float
+        Speed of a whole move, export and import; moves share it.
+    decode_ms_per_token : float
+        Of the engine that leaves.
+    prefill_tokens_per_s : float
+        Of the engines that take over.
+    """
+
+    notice_left_ms: int
+    bytes_per_ms: float
+    decode_ms_per_token: float
+    prefill_tokens_per_s: float
+    margin_ms: int = MARGIN_MS
+    max_transfer_bytes: int = MAX_TRANSFER_BYTES
+
+
+class Step(msgspec.Struct, frozen=True):
+    """What becomes of one generation.
+
+    ``start_ms`` counts from the plan's time; ``transfer_ms`` is 0 unless the
+    KV cache moves.
+    """
+
+    request_id: RequestId
+    way: Way
+    start_ms: int
+    transfer_ms: int
+    recomputed_tokens: int
+
+
+class EvacuationPlan(Decision, frozen=True, kw_only=True, tag="evacuation"):
+    """The plan for one engine; steps come in the order of their start."""
+
+    endpoint: EndpointId
+    steps: tuple[Step, ...]
+    streams: tuple[EngineStream, ...]
+    conditions: Conditions
+    now_ms: int
+
+
+def plan_evacuation(
+    endpoint: EndpointId,
+    streams: Sequence[EngineStream],
+    conditions: Conditions,
+    now_ms: int,
+) -> EvacuationPlan:
+    """Return what becomes of each generation at an engine that leaves.
+
+    One that ends in time stays. The others are moved with their KV caches,
+    one after the other, in order of recomputation saved per millisecond. Those
+    for which the time is too short go on elsewhere by recomputation, late, as
+    they may yet end, but spread so that their prefills don't meet.
+    """
+    available_ms = conditions.notice_left_ms - conditions.margin_ms
+    steps: list[Step] = []
+    moving: list[EngineStream] = []
+    for stream in streams:
+        if stream.tokens_left * conditions.decode_ms_per_token <= available_ms:
+            steps.append(Step(stream.request_id, Way.FINISH, 0, 0, 0))
+        else:
+            moving.append(stream)
+    late: list[EngineStream] = []
+    busy_ms = 0
+    for stream in sorted(moving, key=lambda each: _order(each, conditions)):
+        took_ms = _transfer_ms(stream, conditions)
+        fits = stream.kv_bytes <= conditions.max_transfer_bytes
+        if not stream.is_prefilled:
+            steps.append(Step(stream.request_id, Way.RECOMPUTE, 0, 0, 0))
+        elif fits and busy_ms + took_ms <= available_ms:
+            steps.append(Step(stream.request_id, Way.TRANSFER, busy_ms, took_ms, 0))
+            busy_ms += took_ms
+        else:
+            late.append(stream)
+    steps += _recompute_steps(late, available_ms, conditions)
+    return EvacuationPlan(
+        rule="saved-per-ms",
+        endpoint=endpoint,
+        steps=tuple(sorted(steps, key=lambda step: step.start_ms)),
+        streams=tuple(streams),
+        conditions=conditions,
+        now_ms=now_ms,
+    )
+
+
+def _order(stream: EngineStream, conditions: Conditions) -> tuple[float, int, str]:
+    """Sort by tokens saved per millisecond; larger ones first among equals."""
+    saved = stream.recomputed_tokens
+    return (
+        -saved / _transfer_ms(stream, conditions),
+        -saved,
+        stream.request_id,
+    )
+
+
+def _transfer_ms(stream: EngineStream, conditions: Conditions) -> int:
+    return 1 + int(stream.kv_bytes / conditions.bytes_per_ms)
+
+
+def _recompute_steps(
+    streams: list[EngineStream], available_ms: int, conditions: Conditions
+) -> list[Step]:
+    """Return steps whose prefills fill the time up to the margin, backwards."""
+    steps = []
+    start_ms = float(available_ms)
+    for stream in sorted(streams, key=lambda each: each.recomputed_tokens):
+        tokens = stream.recomputed_tokens
+        start_ms -= tokens * 1000 / conditions.prefill_tokens_per_s
+        at_ms = max(0, int(start_ms))
+        steps.append(Step(stream.request_id, Way.RECOMPUTE, at_ms, 0, tokens))
+    return steps
--- /dev/null
+++ b/src/_monsoonpulley/requests/evacuator.py
@@ -0,0 +1,245 @@
+"""Moves this daemon's generations off engines that are about to go."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from ..clock import Clock
+from ..errors import Failure
+from ..ids import AttemptId, EndpointId, attempt_id
+from ..log import Log
+from ..metrics import Metrics
+from ..routing.view import FleetView
+from .evacuation import (
+    Conditions,
+    EngineStream,
+    EvacuationPlan,
+    Step,
+    Way,
+    plan_evacuation,
+)
+from .generation import Connect, Generation, Switch
+from .placement import Placed, Placement
+from .streams import RunningStream, Streams
+
+FIRST_BYTES_PER_TOKEN = 4_096
+FIRST_BYTES_PER_MS = 65_536
+"""Speed of a move until one was measured."""
+
+NEW_SAMPLE_WEIGHT = 0.3
+
+
+SpeedOf = Callable[[EndpointId], "EngineSpeed"]
+Planner = Callable[..., EvacuationPlan]
+
+
+class EngineSpeed(msgspec.Struct, frozen=True):
+    """Speeds of an engine, as it reported them of late."""
+
+    decode_ms_per_token: float = 20.0
+    prefill_tokens_per_s: float = 4_000.0
+
+
+def reported_speeds(fleet: FleetView) -> SpeedOf:
+    """Return a function that gives an engine's speeds from its reports."""
+
+    def speed_of(endpoint: EndpointId) -> EngineSpeed:
+        view = fleet.endpoints.get(endpoint)
+        if view is None or view.report is None:
+            return EngineSpeed()
+        report = view.report
+        return EngineSpeed(report.decode_ms_per_token, report.prefill_tokens_per_s)
+
+    return speed_of
+
+
+class TransferRates:
+    """Sizes and speeds of KV caches, as moves have shown them."""
+
+    def __init__(self) -> None:
+        self.bytes_per_token = float(FIRST_BYTES_PER_TOKEN)
+        self.bytes_per_ms = float(FIRST_BYTES_PER_MS)
+
+    def measured(self, tokens: int, size_bytes: int, took_ms: int) -> None:
+        """Take in a finished move."""
+        weight = NEW_SAMPLE_WEIGHT
+        per_token = size_bytes / max(1, tokens)
+        per_ms = size_bytes / max(1, took_ms)
+        self.bytes_per_token += weight * (per_token - self.bytes_per_token)
+        self.bytes_per_ms += weight * (per_ms - self.bytes_per_ms)
+
+
+class Evacuator:
+    """Carries out evacuation plans.
+
+    Parameters
+    ----------
+    streams : Streams
+        Knows the generations in progress.
+    placement : Placement
+        Chooses where they go on.
+    connect : callable
+        Returns an engine's client.
+    speed_of : callable
+        Returns an engine's speeds.
+    clock, log, metrics
+        Of the instance.
+    planner : callable
+        Makes the plan.
+    """
+
+    def __init__(
+        self,
+        streams: Streams,
+        placement: Placement,
+        connect: Connect,
+        speed_of: SpeedOf,
+        clock: Clock,
+        log: Log,
+        metrics: Metrics,
+        planner: Planner = plan_evacuation,
+    ):
+        self._streams = streams
+        self._placement = placement
+        self._connect = connect
+        self._speed_of = speed_of
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self.planner = planner
+        self._notices: asyncio.Queue[tuple[EndpointId, int]] = asyncio.Queue()
+        self.rates = TransferRates()
+
+    def notice(self, endpoint: EndpointId, deadline_ms: int) -> None:
+        """Take in that an engine goes at ``deadline_ms``, monotonic."""
+        self._notices.put_nowait((endpoint, deadline_ms))
+
+    async def run(self) -> None:
+        """Evacuate engines as notices come, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                endpoint, deadline_ms = await self._notices.get()
+                group.create_task(self._evacuate(endpoint, deadline_ms))
+
+    async def _evacuate(self, endpoint: EndpointId, deadline_ms: int) -> None:
+        running = self._streams.running_at(endpoint)
+        if not running:
+            return
+        now_ms = self._clock.now_ms()
+        conditions = self._conditions(endpoint, deadline_ms - now_ms)
+        streams = [self._describe(each) for each in running]
+        plan = self.planner(endpoint, streams, conditions, now_ms)
+        self._log.decision(plan)
+        moves = {each.context.request_id: _Move(each) for each in running}
+        sharing = asyncio.Lock()
+        async with asyncio.TaskGroup() as group:
+            for step in plan.steps:
+                if step.way is not Way.FINISH:
+                    move = moves[step.request_id]
+                    group.create_task(self._carry_out(step, move, now_ms, sharing))
+
+    async def _carry_out(
+        self, step: Step, move: _Move, planned_ms: int, sharing: asyncio.Lock
+    ) -> None:
+        wait_ms = planned_ms + step.start_ms - self._clock.now_ms()
+        if wait_ms > 0:
+            await self._clock.sleep_ms(wait_ms)
+        if step.way is Way.RECOMPUTE:
+            await self._recompute(move)
+            return
+        # Moves share the bandwidth, so they go one after the other.
+        async with sharing:
+            failure = await self._transfer(move)
+        if failure is not None:
+            self._metrics.incr("evacuation.transfer_failed")
+            self._log.event(
+                "transfer_failed", request_id=step.request_id, failure=failure
+            )
+            await self._recompute(move)
+
+    async def _transfer(self, move: _Move) -> Failure | None:
+        """Move a generation with its KV cache."""
+        if move.is_over():
+            return None
+        generation = move.generation
+        placed = self._choose(move)
+        source = self._connect(move.endpoint)
+        target = self._connect(placed.endpoint) if placed is not None else None
+        if placed is None or source is None or target is None:
+            return None
+        started_ms = self._clock.now_ms()
+        tokens = move.context.prompt_tokens + generation.assembler.next_offset
+        data = await source.export_kv(move.attempt)
+        if isinstance(data, Failure):
+            return data
+        number = generation.reserve_attempt()
+        new_attempt = attempt_id(move.context.request_id, number)
+        failure = await target.import_kv(new_attempt, data)
+        if failure is not None:
+            return failure
+        self.rates.measured(tokens, len(data), self._clock.now_ms() - started_ms)
+        if generation.switch(move.attempt, Switch(placed, number)):
+            self._metrics.incr("evacuation.transferred")
+        return None
+
+    async def _recompute(self, move: _Move) -> None:
+        """Let a generation go on elsewhere from its prompt and text."""
+        generation = move.generation
+        if move.is_over():
+            return
+        placed = self._choose(move)
+        if placed is None:
+            return
+        switch = Switch(placed, generation.reserve_attempt())
+        if not generation.switch(move.attempt, switch):
+            return
+        self._metrics.incr("evacuation.recomputed")
+        client = self._connect(move.endpoint)
+        if client is not None and not generation.has_progress:
+            await client.cancel(move.attempt)
+
+    def _choose(self, move: _Move) -> Placed | None:
+        """Return where a generation can go on; it stays if that is nowhere."""
+        generation = move.generation
+        tried = generation.tried | {move.endpoint}
+        placed = self._placement.choose(generation.resumed_context(), tried)
+        return None if isinstance(placed, Failure) else placed
+
+    def _conditions(self, endpoint: EndpointId, left_ms: int) -> Conditions:
+        speed = self._speed_of(endpoint)
+        return Conditions(
+            notice_left_ms=left_ms,
+            bytes_per_ms=self.rates.bytes_per_ms,
+            decode_ms_per_token=speed.decode_ms_per_token,
+            prefill_tokens_per_s=speed.prefill_tokens_per_s,
+        )
+
+    def _describe(self, running: RunningStream) -> EngineStream:
+        context = running.context
+        done = running.generation.assembler.next_offset
+        tokens = context.prompt_tokens + done
+        return EngineStream(
+            request_id=context.request_id,
+            prompt_tokens=context.prompt_tokens,
+            generated_tokens=done,
+            tokens_left=max(0, context.max_tokens - done),
+            kv_bytes=round(tokens * self.rates.bytes_per_token),
+            is_prefilled=running.generation.has_progress,
+        )
+
+
+class _Move:
+    """A generation as it was when its evacuation was planned."""
+
+    def __init__(self, running: RunningStream):
+        self.context = running.context
+        self.generation: Generation = running.generation
+        self.attempt: AttemptId = running.generation.attempt
+        self.endpoint: EndpointId = running.generation.placed.endpoint
+
+    def is_over(self) -> bool:
+        """Tell whether the generation has ended or gone elsewhere by itself."""
+        return not self.generation.is_running(self.attempt)
--- a/src/_monsoonpulley/requests/generation.py
+++ b/src/_monsoonpulley/requests/generation.py
@@ -18,8 +18,9 @@
 from ..ids import AttemptId, EndpointId, attempt_id
 from ..outcome import Outcome
 from .assembler import StreamAssembler
+from .attempt import Progress, abandoned, cut_short, gone, moved
 from .context import RequestContext
-from .placement import AttemptEnd, Placed, Placement, Retry, may_have_run
+from .placement import Placed, Placement, Retry, may_have_run
 
 Connect = Callable[[EndpointId], EngineClient | None]
 
@@ -131,11 +132,20 @@
 
     def switch(self, attempt: AttemptId, switch: Switch) -> bool:
         """Change engines at the next token; ``False`` if ``attempt`` is over."""
-        if self.placed is None or attempt != self.attempt:
+        if not self.is_running(attempt):
             return False
         self._switch = switch
         return True
 
+    def is_running(self, attempt: AttemptId) -> bool:
+        """Return whether ``attempt`` is the one that runs now."""
+        return self.placed is not None and attempt == self.attempt
+
+    @property
+    def has_progress(self) -> bool:
+        """Whether the newest attempt has delivered tokens."""
+        return self.assembler.next_offset > self._offset_at_start
+
     def resumed_context(self) -> RequestContext:
         """Return the request as routing sees what is left of it.
 
@@ -173,19 +183,19 @@
                 await self._clock.sleep_ms(wait_ms)
                 continue
             client = self._connect(placed.endpoint)
-            progress = _Progress(self._clock)
+            progress = Progress(self._clock)
             finished: Finished | None = None
             if client is None:
-                failure = _gone(placed.endpoint)
+                failure = gone(placed.endpoint)
             else:
                 attempt = self.attempt
                 call = self._call(placed, context)
-                end: Failure | None = _abandoned(placed.endpoint)
+                end: Failure | None = abandoned(placed.endpoint)
                 self._placement.started(context, placed, attempt)
                 self.placed = placed
                 items = client.generate(call)
                 try:
-                    failure = _cut_short(placed.endpoint)
+                    failure = cut_short(placed.endpoint)
                     async for item in items:
                         if type(item) is Token:
                             progress.note_token()
@@ -194,7 +204,7 @@
                                 yield token
                             if self._switch is None:
                                 continue
-                            failure = _moved(placed.endpoint)
+                            failure = moved(placed.endpoint)
                         elif isinstance(item, Failure):
                             failure = item
                         else:
@@ -318,68 +328,3 @@
     def _give_up(self, failure: Failure) -> GenerationFailed:
         outcome = Outcome.UNKNOWN if self._maybe_ran else Outcome.NOT_RUN
         return GenerationFailed(failure, outcome)
-
-
-class _Progress:
-    """Times one attempt and counts its tokens."""
-
-    def __init__(self, clock: Clock):
-        self._clock = clock
-        self._started_ms = clock.now_ms()
-        self._first_ms: int | None = None
-        self.tokens = 0
-
-    def note_token(self) -> None:
-        self.tokens += 1
-        if self._first_ms is None:
-            self._first_ms = self._clock.now_ms()
-
-    def end(self, failure: Failure | None) -> AttemptEnd:
-        now_ms = self._clock.now_ms()
-        first_ms = now_ms if self._first_ms is None else self._first_ms
-        return AttemptEnd(
-            failure=failure,
-            first_answer_ms=first_ms - self._started_ms,
-            total_ms=now_ms - self._started_ms,
-            tokens=self.tokens,
-        )
-
-
-def _gone(endpoint: EndpointId) -> Failure:
-    return Failure(
-        Reason.UNAVAILABLE,
-        "engine.connect",
-        endpoint,
-        "the endpoint is no longer listed",
-        Delivery.NOT_SENT,
-    )
-
-
-def _moved(endpoint: EndpointId) -> Failure:
-    return Failure(
-        Reason.CANCELLED,
-        "engine.generate",
-        endpoint,
-        "the generation goes on elsewhere",
-        Delivery.MAYBE,
-    )
-
-
-def _cut_short(endpoint: EndpointId) -> Failure:
-    return Failure(
-        Reason.PROTOCOL,
-        "engine.generate",
-        endpoint,
-        "the stream ended without a finish",
-        Delivery.MAYBE,
-    )
-
-
-def _abandoned(endpoint: EndpointId) -> Failure:
-    return Failure(
-        Reason.CANCELLED,
-        "engine.generate",
-        endpoint,
-        "the caller went away",
-        Delivery.MAYBE,
-    )
--- a/src/_monsoonpulley/requests/streams.py
+++ b/src/_monsoonpulley/requests/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +18,8 @@
 from .handover import HandOverReport, StreamStore
 from .streamstate import StreamState
 
+COLLECTION_INTERVAL_MS = 300_000
+
 STORE_RETRY_MS = 1_000
 """When a caller may ask again while the store is away."""
 
@@ -60,16 +63,22 @@
         Keeps streams whose caller went away.
     store : StreamStore
         Keeps streams whose instance leaves.
-    clock, log
-        Of the instance.
+    clock, rng, log
+        Of the instance; ``rng`` spreads collection.
     """
 
     def __init__(
-        self, detached: DetachedStreams, store: StreamStore, clock: Clock, log: Log
+        self,
+        detached: DetachedStreams,
+        store: StreamStore,
+        clock: Clock,
+        rng: random.Random,
+        log: Log,
     ):
         self._detached = detached
         self._store = store
         self._clock = clock
+        self._rng = rng
         self._log = log
         self._running: dict[RequestId, RunningStream] = {}
         self._claimed: set[RequestId] = set()
@@ -162,9 +171,14 @@
             self._log.event("streams_handed_over", report=report)
         return report
 
-    async def collect(self) -> int | Failure:
-        """Delete streams that were handed over and can't be continued now."""
-        return await self._store.collect()
+    async def run_collection(self) -> None:
+        """Delete stored streams that can't be continued now, until cancelled."""
+        while True:
+            spread = self._rng.uniform(0.5, 1.5)
+            await self._clock.sleep_ms(COLLECTION_INTERVAL_MS * spread)
+            deleted = await self._store.collect()
+            if isinstance(deleted, Failure):
+                self._log.event("stream_collection_failed", failure=deleted)
 
     async def _stop(self, running: RunningStream, failure: Failure) -> bool:
         """End a running stream; ``False`` if it did not end in time."""
