--- /dev/null
+++ b/benchmarks/streams.py
@@ -0,0 +1,196 @@
+"""Ways off an engine that leaves: ``python -m benchmarks.streams``.
+
+Long reports stream through a real entry instance, on manual time, while an
+engine is reclaimed at short notice. Prints, for each way and over seeds, the
+tokens that were computed again and the tokens that came later than the
+target's gap allows. It also prints what checkpoints of streams would cost the
+platform.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from itertools import pairwise
+
+import msgspec
+
+from _monsoonpulley.config.document import (
+    Customer,
+    Document,
+    RequestClass,
+    Service,
+    ServiceKind,
+    Version,
+)
+from _monsoonpulley.gateway.credentials import credential_sha256
+from _monsoonpulley.ids import EndpointId
+from _monsoonpulley.requests.evacuation import (
+    Conditions,
+    EngineStream,
+    EvacuationPlan,
+    Step,
+    Way,
+    plan_evacuation,
+)
+from _monsoonpulley.standins.engine_profile import EngineProfile
+from _monsoonpulley.standins.manualloop import run_manual
+from _monsoonpulley.standins.world import (
+    Deployment,
+    EndpointPlan,
+    EntryPlan,
+    World,
+)
+
+CUSTOMER = "bench-credential"
+SEEDS = range(1, 9)
+ENGINES = 6
+STREAMS = 24
+NOTICES_MS = (2_000, 5_000, 15_000)
+TOKEN_GAP_MS = 100
+PROFILE = EngineProfile(kv_bytes_per_token=8_192, kv_bytes_per_ms=32_768)
+
+PEAK_TOKENS_PER_S = 2_600_000
+TOKEN_GAP_AT_PEAK_MS = 40
+PLATFORM_WRITES_PER_S = 300
+
+
+def one_way(way: Way, is_late: bool):
+    """Return a planner that moves every generation in the same way."""
+
+    def plan(
+        endpoint: EndpointId,
+        streams: Sequence[EngineStream],
+        conditions: Conditions,
+        now_ms: int,
+    ) -> EvacuationPlan:
+        available_ms = max(0, conditions.notice_left_ms - conditions.margin_ms)
+        start_ms = available_ms if is_late else 0
+        steps = [Step(each.request_id, way, start_ms, 0, 0) for each in streams]
+        return EvacuationPlan(
+            rule=way.value,
+            endpoint=endpoint,
+            steps=tuple(steps),
+            streams=tuple(streams),
+            conditions=conditions,
+            now_ms=now_ms,
+        )
+
+    return plan
+
+
+PLANNERS = {
+    "wait for the loss": one_way(Way.FINISH, is_late=False),
+    "recompute at once": one_way(Way.RECOMPUTE, is_late=False),
+    "recompute late": one_way(Way.RECOMPUTE, is_late=True),
+    "plan": plan_evacuation,
+}
+
+
+class Outcome(msgspec.Struct):
+    """What one run showed."""
+
+    recomputed_tokens: int
+    late_tokens: int
+    longest_gap_ms: int
+    unfinished: int
+
+
+def deployment() -> Deployment:
+    """Return one entry instance before some engines."""
+    document = Document(
+        classes={"report": RequestClass("model", 60_000)},
+        customers={"bench": Customer(credential_sha256(CUSTOMER))},
+        services={"model": Service(ServiceKind.MODEL)},
+        versions=(Version("model", "v1"),),
+    )
+    engines = tuple(
+        EndpointPlan(f"engine-{number}", "model", "v1", "zone-a", PROFILE)
+        for number in range(ENGINES)
+    )
+    return Deployment("bench", document, (EntryPlan("entry-1", "zone-a"),), engines)
+
+
+async def play(planner, seed: int, notice_ms: int) -> Outcome:
+    """Stream reports while one engine is reclaimed."""
+    rng = random.Random(seed)
+    world = World(deployment(), seed, lambda line: None)
+    await world.start()
+    world.entries["entry-1"].instance.evacuator.planner = planner
+    times: list[list[int]] = [[] for _ in range(STREAMS)]
+    tasks = []
+    for number in range(STREAMS):
+        words = rng.randrange(200, 1_200)
+        body = {
+            "model": "report",
+            "prompt": f"report {number} " + "gesso " * words,
+            "max_tokens": rng.randrange(100, 1_500),
+            "stream": True,
+        }
+        caller = world.caller("entry-1", CUSTOMER)
+        seen = times[number]
+        on_part = _recorder(world, seen)
+        tasks.append(
+            asyncio.create_task(
+                caller.post_json("/v1/completions", body, on_part=on_part)
+            )
+        )
+        await world.clock.sleep_ms(rng.randrange(20, 120))
+    await world.clock.sleep_ms(1_000)
+    leaving = f"engine-{rng.randrange(ENGINES)}"
+    before = _recomputed(world)
+    world.platform.cloud.reclaim(leaving, notice_ms)
+    answers = [await task for task in tasks]
+    outcome = _outcome(world, times, before)
+    outcome.unfinished = sum(b"[DONE]" not in answer.body for answer in answers)
+    await world.stop()
+    return outcome
+
+
+def _recorder(world: World, seen: list[int]):
+    return lambda part: seen.append(world.clock.now_ms())
+
+
+def _recomputed(world: World) -> int:
+    engines = world.engines.values()
+    return sum(engine.counters.recomputed_prompt_tokens for engine in engines)
+
+
+def _outcome(world: World, times: list[list[int]], before: int) -> Outcome:
+    gaps = [later - earlier for seen in times for earlier, later in pairwise(seen)]
+    late = sum(gap > TOKEN_GAP_MS for gap in gaps)
+    return Outcome(_recomputed(world) - before, late, max(gaps, default=0), 0)
+
+
+def compare_ways() -> None:
+    """Print a line for each way and notice."""
+    print(f"{len(SEEDS)} seeds, {STREAMS} reports at {ENGINES} engines, sums:")
+    for notice_ms in NOTICES_MS:
+        for name, planner in PLANNERS.items():
+            found = [run_manual(play(planner, seed, notice_ms)) for seed in SEEDS]
+            print(
+                f"notice {notice_ms / 1000:4.0f} s  {name:<18} "
+                f"recomputed {sum(f.recomputed_tokens for f in found):7} tokens  "
+                f"late {sum(f.late_tokens for f in found):4} tokens  "
+                f"longest gap {max(f.longest_gap_ms for f in found):6} ms  "
+                f"unfinished {sum(f.unfinished for f in found)}"
+            )
+
+
+def checkpoint_cost() -> None:
+    """Print the writes that checkpoints need at the two-year size."""
+    at_once = PEAK_TOKENS_PER_S * TOKEN_GAP_AT_PEAK_MS / 1000
+    print(f"streams at once at the peak: {at_once:.0f}")
+    for every_s in (10, 60, 300):
+        writes = at_once / every_s
+        share = PLATFORM_WRITES_PER_S / writes
+        print(
+            f"one checkpoint each {every_s:3} s: {writes:6.0f} writes/s; "
+            f"all of {PLATFORM_WRITES_PER_S} writes/s cover {share:.1%} of streams"
+        )
+
+
+if __name__ == "__main__":
+    compare_ways()
+    checkpoint_cost()
--- a/testing/goldens/recorder.py
+++ b/testing/goldens/recorder.py
@@ -57,6 +57,24 @@
         body["stream"] = True
         return self.post(entry, customer, "/v1/chat/completions", body)
 
+    def resume(
+        self, entry: str, customer: str, event_id: str
+    ) -> asyncio.Task[CallerResponse]:
+        """Let a customer continue a stream after the given event."""
+        request_id = event_id.rpartition(":")[0]
+        path = f"/v1/streams/{request_id}"
+        headers = {"last-event-id": event_id}
+        request = self._request(entry, customer, path, None, headers, "GET")
+        task = asyncio.create_task(request)
+        self._callers.add(task)
+        return task
+
+    async def drain(self, entry: str) -> None:
+        """Let an entry instance drain, as its daemon does when it leaves."""
+        instance = self.world.entries[InstanceId(entry)].instance
+        await instance.lifecycle.wait_leaving()
+        await self.world.processes.start(entry, instance.drain())
+
     async def settle(self) -> None:
         """Wait until every caller has its answer."""
         while waiting := [task for task in self._callers if not task.done()]:
@@ -74,12 +92,21 @@
         )
 
     async def _request(
-        self, entry: str, customer: str, path: str, body: dict, headers: dict
+        self,
+        entry: str,
+        customer: str,
+        path: str,
+        body: dict | None,
+        headers: dict,
+        method: str = "POST",
     ) -> CallerResponse:
         caller = self.world.caller(InstanceId(entry), credential_of(customer))
         self.note("caller_sends", entry=entry, customer=customer, path=path)
         started_ms = self.world.clock.now_ms()
-        response = await caller.post_json(path, body, headers)
+        if body is None:
+            response = await caller.request(method, path, b"", headers)
+        else:
+            response = await caller.post_json(path, body, headers)
         self.note(
             "caller_gets",
             entry=entry,
--- a/testing/goldens/sessions/faults.py
+++ b/testing/goldens/sessions/faults.py
@@ -104,3 +104,26 @@
     await play.sleep_ms(10_000)
     play.post("entry-1", "conteo-andino", UPLOADS, {"cars": 5}, "tally-5")
     await play.settle()
+
+
+@session("stream-continued", lakes, seed=26)
+async def stream_continued(play: Session) -> None:
+    """An entry instance is reclaimed mid-stream; callers go on at another."""
+    streams = [
+        play.stream("entry-1", "bench", "condition-report", f"{n} {HISTORY}", 500)
+        for n in range(2)
+    ]
+    play.stream("entry-1", "study-room", "bench-question", "short one", 8)
+    await play.sleep_ms(1_000)
+    play.world.platform.cloud.reclaim("entry-1", 3_000)
+    await play.drain("entry-1")
+    for stream, entry in zip(streams, ("entry-2", "entry-3"), strict=True):
+        answer = await stream
+        play.resume(entry, "bench", last_event_id(answer.body))
+    await play.settle()
+
+
+def last_event_id(body: bytes) -> str:
+    """Return the id of the last event of a stream."""
+    lines = body.decode().splitlines()
+    return [line[4:] for line in lines if line.startswith("id: ")][-1]
