Test the command line against the real operators' interface

Cause: its tests ran against a second, hand-written server, so the real one was untested and the two could differ; two more modules served HTTP on loopback. Change: the test server wraps the real handlers; all servers are HttpServer, which names its interface (uvicorn took a bound method for ASGI 2) and trusts no proxy headers; apply passes merge and repeated on.

--- a/src/_monsoonpulley/gateway/operator.py
+++ b/src/_monsoonpulley/gateway/operator.py
@@ -120,11 +120,13 @@
             author=body.author,
             note=body.note,
             change_token=body.change_token,
+            merge=body.merge,
+            repeated=body.repeated,
         )
         if isinstance(result, ApplyConflict):
             return wire.ConflictBody.from_conflict(result)
         if isinstance(result, Revision):
-            self._watcher.notice(result.number)
+            self._watcher.offer(result)
             return wire.RevisionBody.from_revision(result)
         return result
 
--- a/src/_monsoonpulley/httpserver.py
+++ b/src/_monsoonpulley/httpserver.py
@@ -32,6 +32,8 @@
         config = uvicorn.Config(
             app,
             loop="asyncio",
+            interface="asgi3",
+            proxy_headers=False,
             http="httptools",
             ws="none",
             lifespan="off",
@@ -44,6 +46,7 @@
             timeout_graceful_shutdown=SHUTDOWN_S,
         )
         super().__init__(config)
+        self._ip = ip
         self._listener = listening_socket(ip, port)
 
     @property
@@ -51,6 +54,12 @@
         """TCP port that it listens on."""
         return self._listener.getsockname()[1]
 
+    @property
+    def url(self) -> str:
+        """Base URL, such as ``http://127.0.0.1:8001``."""
+        ip = f"[{self._ip}]" if ":" in self._ip else self._ip
+        return f"http://{ip}:{self.port}"
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave signals alone."""
--- a/src/_monsoonpulley/standins/httpserver.py
+++ b/src/_monsoonpulley/standins/httpserver.py
@@ -12,19 +12,17 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(
-    app: ASGIApp, port: int = 0, host: str = "127.0.0.1"
-) -> AsyncIterator[str]:
-    """Serve an ASGI application and give its base URL, ``http://host:port``.
+async def serving(app: ASGIApp, port: int = 0) -> AsyncIterator[HttpServer]:
+    """Serve an ASGI application on 127.0.0.1 and give its server.
 
     Port 0 takes a free one. Leaving ends open exchanges.
     """
-    server = HttpServer(app, host, port)
+    server = HttpServer(app, "127.0.0.1", port)
     task = asyncio.create_task(server.run())
     try:
         while not server.started and not task.done():
             await asyncio.sleep(0)
-        yield f"http://{host}:{server.port}"
+        yield server
     finally:
         server.force_exit = True
         server.stop()
--- a/testing/endpoints/test_http_service.py
+++ b/testing/endpoints/test_http_service.py
@@ -10,8 +10,8 @@
 from _monsoonpulley.endpoints.service import Execution, ServiceAnswer
 from _monsoonpulley.errors import Delivery, Reason
 from _monsoonpulley.standins.endpoints_http import service_app
+from _monsoonpulley.standins.httpserver import serving
 from _monsoonpulley.standins.plainservice import PlainFault
-from _monsoonpulley.standins.serving import serve
 
 from ..standins.fleet import plain, service_call
 from .rawserver import Script, answer, client, free_port, raw_server, read_request
@@ -243,8 +243,8 @@
     def run_with(self, use, **profile):
         async def main():
             service = plain("s1", **profile)
-            async with serve(service_app(service)) as port:
-                async with client("http", port, lookup=True) as to:
+            async with serving(service_app(service)) as server:
+                async with client("http", server.port, lookup=True) as to:
                     try:
                         return await use(service, to)
                     finally:
--- a/testing/platform/test_adapters.py
+++ b/testing/platform/test_adapters.py
@@ -44,7 +44,8 @@
         self.addAsyncCleanup(stack.aclose)
         self.standin = PlatformStandin(Clock.from_system(), Random(1))
         self.app = BrokenAnswers(PlatformHttp(self.standin, INNER_TIMEOUT_MS).app())
-        self.base_url = await stack.enter_async_context(serving(self.app))
+        server = await stack.enter_async_context(serving(self.app))
+        self.base_url = server.url
         self.session = await stack.enter_async_context(aiohttp.ClientSession())
         self.platform = self.connect("zone-a")
         self.table = self.platform.table
