Fill the shortest queues with what peers sent unseen

Two versions of equal share did not stand in for each other when one was tripped. Change: expected traffic of peers is poured over the shortest queues first. Fallback goes to versions of no smaller share.

--- a/src/_monsoonpulley/routing/policies.py
+++ b/src/_monsoonpulley/routing/policies.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
@@ -15,7 +16,14 @@
 from ..ids import EndpointId, RequestId, ServiceId, VersionId, ZoneId
 from ..registry import Registry
 from .pool import Pool
-from .prediction import Prediction, predict_model, predict_plain
+from .prediction import (
+    Prediction,
+    backlog_tokens,
+    expected_peer_tokens,
+    fill_lowest,
+    predict_model,
+    predict_plain,
+)
 from .prefixindex import PrefixIndex
 from .view import EndpointView, FleetView
 
@@ -92,22 +100,51 @@
         self.kinds: dict[ServiceId, ServiceKind] = {}
 
     def predict(
-        self, request: RouteRequest, view: EndpointView, endpoints: int, now_ms: int
+        self,
+        request: RouteRequest,
+        view: EndpointView,
+        now_ms: int,
+        peer_tokens: float = 0.0,
     ) -> Prediction:
         """Return the prediction for ``request`` at ``view``."""
-        if self.kinds.get(request.service) is ServiceKind.PLAIN:
+        if self.is_plain(request):
             return predict_plain(view)
         cached = self.prefixes.cached_tokens(view.id, request.prefix_blocks)
         return predict_model(
             view,
             self.fleet,
-            endpoints,
             request.prompt_tokens,
             cached,
             request.max_tokens,
+            peer_tokens,
             now_ms,
         )
 
+    def predict_all(
+        self,
+        request: RouteRequest,
+        views: Sequence[EndpointView],
+        endpoints: int,
+        now_ms: int,
+    ) -> list[Prediction]:
+        """Return predictions that take in what peers sent unseen.
+
+        ``endpoints`` is how many share the traffic, looked at or not.
+        """
+        if self.is_plain(request) or not self.fleet.peers:
+            return [self.predict(request, view, now_ms) for view in views]
+        fleet = self.fleet
+        amount = sum(expected_peer_tokens(v, fleet, endpoints, now_ms) for v in views)
+        fills = fill_lowest([backlog_tokens(v, now_ms) for v in views], amount)
+        return [
+            self.predict(request, view, now_ms, fill)
+            for view, fill in zip(views, fills, strict=True)
+        ]
+
+    def is_plain(self, request: RouteRequest) -> bool:
+        """Return whether the request is for a plain service."""
+        return self.kinds.get(request.service) is ServiceKind.PLAIN
+
 
 PolicyFactory = type
 POLICIES: Registry[PolicyFactory] = Registry("routing policy")
@@ -136,8 +173,7 @@
         """Return the sample's usable endpoints, best first."""
         views = self._sample(request, pool, usable)
         count = len(pool.endpoints)
-        scorer = self._scorer
-        found = [scorer.predict(request, view, count, now_ms) for view in views]
+        found = self._scorer.predict_all(request, views, count, now_ms)
         if len(found) > 1:
             self._rng.shuffle(found)
         if request.stream:
@@ -208,9 +244,8 @@
             return []
         self._next += 1
         picked = [usables[(self._next + i) % len(usables)] for i in range(2)]
-        count = len(pool.endpoints)
         views = picked[: len(usables)]
-        return [self._scorer.predict(request, v, count, now_ms) for v in views]
+        return self._scorer.predict_all(request, views, len(pool.endpoints), now_ms)
 
 
 @POLICIES.register("least-outstanding")
@@ -228,5 +263,5 @@
         usables = [view for view in pool.endpoints if usable(view)]
         self._rng.shuffle(usables)
         usables.sort(key=lambda view: len(view.attempts))
-        count = len(pool.endpoints)
-        return [self._scorer.predict(request, v, count, now_ms) for v in usables[:2]]
+        views = usables[:2]
+        return self._scorer.predict_all(request, views, len(pool.endpoints), now_ms)
--- a/src/_monsoonpulley/routing/prediction.py
+++ b/src/_monsoonpulley/routing/prediction.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import msgspec
 
 from ..ids import EndpointId, ZoneId
@@ -14,7 +16,6 @@
 
 DEFAULT_PREFILL_TOKENS_PER_S = 4_000.0
 DEFAULT_DECODE_MS_PER_TOKEN = 30.0
-DEFAULT_MAX_RUNNING = 32
 DEFAULT_SERVICE_TIME_MS = 50.0
 KV_FULL_RATIO = 0.95
 
@@ -50,76 +51,86 @@
     report_age_ms: int | None = None
 
 
-def expected_peer_requests(
+def backlog_tokens(view: EndpointView, now_ms: int) -> float:
+    """Return the prompt tokens queued there, but for what peers sent unseen.
+
+    Negative is what the worker could have prefilled besides since its report.
+    """
+    report = view.report
+    if report is None:
+        return float(view.sent_tokens)
+    drained = prefill_tokens_per_ms(view) * (now_ms - view.measured_ms)
+    return report.waiting_tokens + view.sent_tokens - drained
+
+
+def prefill_tokens_per_ms(view: EndpointView) -> float:
+    """Return the prefill speed of late."""
+    report = view.report
+    if report is None or report.prefill_tokens_per_s <= 0:
+        return DEFAULT_PREFILL_TOKENS_PER_S / 1_000
+    return report.prefill_tokens_per_s / 1_000
+
+
+def expected_peer_tokens(
     view: EndpointView, fleet: FleetView, endpoints: int, now_ms: int
 ) -> float:
-    """Return how many requests other daemons sent there since the report.
+    """Return an even share of what other daemons sent since the report.
 
-    A daemon's count is taken as Poisson with an exponential prior whose mean
-    is an even spread of this daemon's own rate; the own count to this
-    endpoint is the one observation, since peers see the same report.
+    Callers are spread evenly over daemons, so each is taken to send at this
+    daemon's own rate.
     """
     if not fleet.peers:
         return 0.0
+    traffic = fleet.traffic_of(view.service)
     age_ms = max(0, now_ms - view.measured_ms)
-    rate = fleet.traffic_of(view.service).requests_per_ms(now_ms)
-    mean = rate * age_ms / max(1, endpoints)
-    if mean <= 0.0:
-        return 0.0
-    return fleet.peers * (1.0 + view.sent_total) / (1.0 + 1.0 / mean)
+    requests = fleet.peers * traffic.requests_per_ms(now_ms) * age_ms
+    return requests * traffic.prompt_tokens / max(1, endpoints)
+
+
+def fill_lowest(levels: Sequence[float], amount: float) -> list[float]:
+    """Split ``amount`` so that the lowest levels are raised to one height.
+
+    Peers see the same reports and also prefer short queues, so what they sent
+    unseen is taken to have gone there first.
+    """
+    fills = [0.0] * len(levels)
+    if amount <= 0.0 or not levels:
+        return fills
+    order = sorted(levels)
+    total = 0.0
+    height = order[0]
+    for count, level in enumerate(order, start=1):
+        total += level
+        height = (total + amount) / count
+        if count == len(order) or height <= order[count]:
+            break
+    return [max(0.0, height - level) for level in levels]
 
 
 def predict_model(
     view: EndpointView,
     fleet: FleetView,
-    endpoints: int,
     prompt_tokens: int,
     cached_tokens: int,
     max_tokens: int,
+    peer_tokens: float,
     now_ms: int,
 ) -> Prediction:
     """Predict a generation at a worker of a model engine.
 
-    ``endpoints`` is how many share the traffic, ``cached_tokens`` the part of
-    ``prompt_tokens`` that the worker is taken to have cached.
+    ``cached_tokens`` is the part of ``prompt_tokens`` that the worker is taken
+    to have cached, ``peer_tokens`` what other daemons sent it unseen.
     """
-    report = view.report
     traffic = fleet.traffic_of(view.service)
-    tokens_per_ms = DEFAULT_PREFILL_TOKENS_PER_S / 1_000
-    decode_ms = DEFAULT_DECODE_MS_PER_TOKEN
-    max_running = DEFAULT_MAX_RUNNING
-    reported_tokens = 0
-    reported_requests = 0
-    age_ms = None
-    if report is not None:
-        age_ms = now_ms - view.measured_ms
-        if report.prefill_tokens_per_s > 0:
-            tokens_per_ms = report.prefill_tokens_per_s / 1_000
-        if report.decode_ms_per_token > 0:
-            decode_ms = report.decode_ms_per_token
-        max_running = max(1, report.max_running)
-        reported_tokens = report.waiting_tokens
-        reported_requests = report.running + report.waiting
-    peer_requests = expected_peer_requests(view, fleet, endpoints, now_ms)
-    peer_tokens = peer_requests * traffic.prompt_tokens
-    drained = tokens_per_ms * (age_ms or 0)
-    queued = reported_tokens + view.sent_tokens + peer_tokens - drained
+    tokens_per_ms = prefill_tokens_per_ms(view)
+    queued = backlog_tokens(view, now_ms) + peer_tokens
     own_drained = tokens_per_ms * max(0, now_ms - view.progress_ms)
     queued = max(queued, view.pending_tokens - own_drained, 0.0)
-
-    output_tokens = min(float(max_tokens), traffic.output_tokens)
-    answer_ms = decode_ms * output_tokens
-    requests = reported_requests + view.sent_requests + peer_requests
-    requests = max(requests - view.gone_requests, float(len(view.attempts)))
-    full = requests >= max_running
-    if report is not None and report.kv_used_ratio >= KV_FULL_RATIO:
-        full = True
-    slot_ms = 0.0
-    if full:
-        slot_ms = (max(0.0, requests - max_running) + 1) * answer_ms / max_running
+    answer_ms = _decode_ms(view) * min(float(max_tokens), traffic.output_tokens)
+    peer_requests = peer_tokens / max(1.0, traffic.prompt_tokens)
+    slot_ms = _slot_wait_ms(view, peer_requests, answer_ms)
     queue_ms = max(queued / tokens_per_ms, slot_ms)
-    uncached = max(1, prompt_tokens - cached_tokens)
-    first_ms = queue_ms + uncached / tokens_per_ms
+    first_ms = queue_ms + max(1, prompt_tokens - cached_tokens) / tokens_per_ms
     return Prediction(
         view.id,
         view.zone,
@@ -130,10 +141,30 @@
         queued,
         peer_tokens,
         len(view.attempts),
-        age_ms,
+        None if view.report is None else now_ms - view.measured_ms,
     )
 
 
+def _decode_ms(view: EndpointView) -> float:
+    report = view.report
+    if report is None or report.decode_ms_per_token <= 0:
+        return DEFAULT_DECODE_MS_PER_TOKEN
+    return report.decode_ms_per_token
+
+
+def _slot_wait_ms(view: EndpointView, peer_requests: float, answer_ms: float) -> float:
+    """Return the wait for a place in the batch or in the KV cache."""
+    report = view.report
+    if report is None:
+        return 0.0
+    max_running = max(1, report.max_running)
+    requests = report.running + report.waiting + view.sent_requests + peer_requests
+    requests = max(requests - view.gone_requests, float(len(view.attempts)))
+    if requests < max_running and report.kv_used_ratio < KV_FULL_RATIO:
+        return 0.0
+    return (max(0.0, requests - max_running) + 1) * answer_ms / max_running
+
+
 def predict_plain(view: EndpointView) -> Prediction:
     """Predict a call of a plain service from its service time of late.
 
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -160,7 +160,7 @@
         return self._nowhere(request, now_ms)
 
     def _versions_in_order(self, request: RouteRequest) -> list[VersionId]:
-        """Draw a version by share; then only those with larger shares.
+        """Draw a version by share; then only those with no smaller a share.
 
         A version with a small share never takes over what a larger one can't
         serve, so a canary's share stays what was decided.
@@ -174,7 +174,7 @@
             return list(shares)
         names = list(shares)
         drawn = self._rng.choices(names, weights=[shares[n] for n in names])[0]
-        larger = [name for name in names if shares[name] > shares[drawn]]
+        larger = [n for n in names if n != drawn and shares[n] >= shares[drawn]]
         larger.sort(key=lambda name: -shares[name])
         return [drawn, *larger]
 
--- a/src/_monsoonpulley/routing/view.py
+++ b/src/_monsoonpulley/routing/view.py
@@ -43,9 +43,9 @@
         This daemon's attempts in progress.
     pending_tokens : int
         Prompt tokens of own attempts without a first token.
-    sent_requests, sent_total, sent_tokens : int
-        Own attempts since the report was measured: those in progress, all of
-        them, and the prompt tokens of all.
+    sent_requests, sent_tokens : int
+        Own attempts in progress that started after the report was measured,
+        and prompt tokens sent since then, finished attempts included.
     decoding_tokens : int
         Tokens own attempts may still generate.
     gone_requests : int
@@ -68,7 +68,6 @@
     pending_tokens: int = 0
     sent_requests: int = 0
     sent_tokens: int = 0
-    sent_total: int = 0
     decoding_tokens: int = 0
     gone_requests: int = 0
     progress_ms: int = 0
@@ -79,7 +78,6 @@
         """Count again what the newest report can't know."""
         since = [a for a in self.attempts.values() if a.started_ms > self.measured_ms]
         self.sent_requests = len(since)
-        self.sent_total = len(since)
         self.sent_tokens = sum(a.prefill_tokens for a in since)
         self.gone_requests = 0
 
@@ -230,7 +228,6 @@
         view.pending_tokens += prefill_tokens
         view.decoding_tokens += decode_tokens
         view.sent_requests += 1
-        view.sent_total += 1
         view.sent_tokens += prefill_tokens
         self.traffic_of(view.service).count(prefill_tokens, now_ms)
 
--- a/testing/routing/test_admission.py
+++ b/testing/routing/test_admission.py
@@ -83,6 +83,26 @@
         self.assertEqual(refusal.rule, "waited-out")
         self.assertIsNone(subject.next_expiry_ms())
 
+    def test_more_slots_admit_all_that_then_have_room(self):
+        subject = admission(slots=1)
+        for number in range(4):
+            subject.offer(ask(number), 0)
+        subject.set_slots("model", 4)
+        self.assertIsInstance(subject.offer(ask(9), 0), Wait)
+        ready = [result.request_id for result in subject.next_ready(0)]
+        self.assertEqual(ready, ["r1", "r2", "r3"])
+
+    def test_long_endpoint_queues_lower_the_bound_until_they_shorten(self):
+        subject = admission(slots=100)
+        bounds = []
+        for number in range(120):
+            queue_ms = 2_000 if number < 40 else 0
+            asked = ask(number, queue_ms=queue_ms, predicted_ms=queue_ms + 100)
+            bounds.append(subject.offer(asked, number * 100).bound)
+            subject.release("model", f"r{number}", number * 100)
+        self.assertLess(bounds[39], 20)
+        self.assertEqual(bounds[-1], 100)
+
     def test_a_withdrawn_request_is_not_admitted_later(self):
         subject = admission(slots=1)
         subject.offer(ask(1), 0)
@@ -129,6 +149,21 @@
         self.assertEqual(len(served), 5)
         self.assertGreaterEqual(min(served.values()), 0.8 * fair)
 
+    def test_a_customer_is_charged_what_its_requests_really_cost(self):
+        subject = admission(slots=1)
+        subject.offer(ask("first", "greedy"), 0)
+        for number in range(100):
+            subject.offer(ask(f"g{number}", "greedy"), 0)
+            subject.offer(ask(f"h{number}", "honest"), 0)
+        served, last = Counter(), "rfirst"
+        for _ in range(60):
+            used = 900 if last.startswith(("rg", "rf")) else 100
+            subject.release("model", last, 1, used_tokens=used)
+            (ready,) = subject.next_ready(1)
+            last = ready.request_id
+            served[ready.customer] += 1
+        self.assertGreater(served["honest"], 4 * served["greedy"])
+
     def test_a_customer_that_was_alone_owes_nothing_for_it(self):
         subject = admission(slots=1)
         for number in range(500):
--- a/testing/routing/test_retries.py
+++ b/testing/routing/test_retries.py
@@ -89,6 +89,8 @@
         self.assertFalse(self.retries.may_hedge(slow, 150, now_ms=0).allowed)
         once = ask(predicted_ms=100, idempotent=False, repeats=0)
         self.assertFalse(self.retries.may_hedge(once, 900, now_ms=0).allowed)
+        unsafe = ask(predicted_ms=100, idempotent=False)
+        self.assertFalse(self.retries.may_hedge(unsafe, 900, now_ms=0).allowed)
         self.assertTrue(self.retries.may_hedge(slow, 200, now_ms=0).allowed)
         self.assertEqual(
             self.retries.may_hedge(slow, 200, now_ms=0).rule, "budget-spent"
--- a/testing/routing/test_router.py
+++ b/testing/routing/test_router.py
@@ -39,6 +39,15 @@
         self.assertEqual(decision.chosen, "w0")
         self.assertEqual(decision.cached_tokens, 800)
 
+    def test_finds_the_one_holder_of_a_prefix_among_many(self):
+        subject = router([member(f"w{i}") for i in range(100)])
+        blocks = tuple(range(100, 150))
+        event = CacheEvent(1, CacheEventKind.STORED, blocks)
+        subject.apply_cache_events("w77", [event])
+        asked = request(prefix_blocks=blocks)
+        chosen = {subject.choose(asked, now_ms=1).chosen for _ in range(20)}
+        self.assertEqual(chosen, {"w77"})
+
     def test_counts_what_was_sent_since_a_stale_report(self):
         subject = router(FIVE[:2])
         subject.apply_load("w0", report(1), now_ms=1)
@@ -115,29 +124,48 @@
     def test_many_daemons_do_not_all_pick_the_one_idle_worker(self):
         members = [member(f"w{i}") for i in range(10)]
         chosen = Counter()
-        for seed in range(9):
+        for seed in range(60):
             daemon = router(members, seed=seed)
-            daemon.set_peers(8)
+            daemon.set_peers(59)
+            for number in range(20):
+                self._send(daemon, number, number * 10)
             for number in range(10):
-                tokens = 0 if number == 0 else 4_000
-                daemon.apply_load(f"w{number}", report(1, tokens), now_ms=1)
-            for number in range(10):
-                now_ms = 20 + 10 * number
-                asked = request(request_id=f"r{number}", prompt_tokens=4_000)
-                decision = daemon.choose(asked, now_ms)
-                daemon.started(f"r{number}.1", asked, decision, now_ms)
-                chosen[decision.chosen] += 1
-        self.assertLessEqual(chosen["w0"], 2 * 90 // 10)
+                tokens = 0 if number == 0 else 2_000
+                daemon.apply_load(f"w{number}", report(200, tokens), now_ms=400)
+            for number in range(20, 23):
+                chosen[self._send(daemon, number, 400)] += 1
+        self.assertLessEqual(chosen["w0"], 2 * 180 // 10)
+
+    def _send(self, daemon, number, now_ms):
+        asked = request(request_id=f"r{number}")
+        decision = daemon.choose(asked, now_ms)
+        daemon.started(f"r{number}.1", asked, decision, now_ms)
+        return decision.chosen
+
+
+class AdmitTest(unittest.TestCase):
+    def test_admission_is_bounded_by_this_daemon_part_of_the_slots(self):
+        subject = router(FIVE[:2])
+        subject.set_peers(3)
+        for name in ("w0", "w1"):
+            subject.apply_load(name, report(1, max_running=4), now_ms=1)
+        subject.update_slots()
+        kinds = []
+        for number in range(3):
+            asked = request(request_id=f"r{number}")
+            decision = subject.choose(asked, now_ms=1)
+            kinds.append(subject.admit(asked, decision, "c", "quick", 1).rule)
+        self.assertEqual(kinds, ["room", "room", "fair-queue"])
 
 
 class BreakerUseTest(unittest.TestCase):
-    def _fail(self, subject, tried=(), now_ms=1):
-        asked = request(tried=tried)
+    def _fail(self, subject, now_ms=1, delivery=Delivery.MAYBE, **changes):
+        asked = request(**changes)
         decision = subject.choose(asked, now_ms)
         if isinstance(decision, Failure):
             return decision
         subject.started("x", asked, decision, now_ms)
-        failure = Failure(Reason.PEER_ERROR, "call", delivery=Delivery.MAYBE)
+        failure = Failure(Reason.PEER_ERROR, "call", delivery=delivery)
         subject.finished("x", now_ms, failure)
         return decision
 
@@ -148,6 +176,33 @@
         chosen = {subject.choose(request(), now_ms=2).chosen for _ in range(20)}
         self.assertEqual(chosen, {"w1"})
 
+    def test_refusals_open_no_breaker(self):
+        subject = router(FIVE[:1])
+        for _ in range(50):
+            self._fail(subject, delivery=Delivery.REFUSED)
+        self.assertEqual(subject.choose(request(), now_ms=2).chosen, "w0")
+
+    def test_a_version_failing_on_one_route_is_left_on_that_route_only(self):
+        new = [member(f"n{i}", version="v2") for i in range(30)]
+        subject = router([member("old"), *new])
+        for _ in range(24):
+            self._fail(subject, route="/x", versions={"v2": 1.0})
+        shares = {"v1": 0.5, "v2": 0.5}
+        chosen = {
+            route: {
+                subject.choose(request(route=route, versions=shares), 2).version
+                for _ in range(40)
+            }
+            for route in ("/x", "/y")
+        }
+        self.assertEqual(chosen, {"/x": {"v1"}, "/y": {"v1", "v2"}})
+
+    def test_unreachable_endpoints_say_nothing_of_their_version(self):
+        subject = router([member(f"w{i}") for i in range(30)])
+        for _ in range(30):
+            self._fail(subject, delivery=Delivery.NOT_SENT)
+        self.assertNotIsInstance(subject.choose(request(), 2), Failure)
+
     def test_with_all_endpoints_failing_calls_stop_and_probes_are_bounded(self):
         subject = router(FIVE)
         sent = sum(not isinstance(self._fail(subject), Failure) for _ in range(500))
--- a/testing/routing/test_view.py
+++ b/testing/routing/test_view.py
@@ -1,7 +1,11 @@
 import unittest
 
 from _monsoonpulley.platform.livelist import MemberState
-from _monsoonpulley.routing.prediction import predict_model
+from _monsoonpulley.routing.prediction import (
+    expected_peer_tokens,
+    fill_lowest,
+    predict_model,
+)
 from _monsoonpulley.routing.priority import MAX_PRIORITY, engine_priority
 from _monsoonpulley.routing.view import FleetView
 
@@ -15,7 +19,7 @@
         self.view = self.fleet.endpoints["w0"]
 
     def _queue_ms(self, now_ms):
-        return predict_model(self.view, self.fleet, 1, 800, 0, 50, now_ms).queue_ms
+        return predict_model(self.view, self.fleet, 800, 0, 50, 0.0, now_ms).queue_ms
 
     def test_an_older_report_changes_nothing(self):
         self.fleet.apply_load("w0", report(200, waiting_tokens=8_000), 300)
@@ -63,6 +67,28 @@
         self.assertIsNone(self.view.service_time_ms)
 
 
+class PeerTrafficTest(unittest.TestCase):
+    def test_what_peers_sent_goes_to_the_shortest_queues_first(self):
+        self.assertEqual(fill_lowest([100, 0, 500], 50), [0, 50, 0])
+        self.assertEqual(fill_lowest([100, 0, 500], 300), [100, 200, 0])
+        self.assertEqual(sum(fill_lowest([3, 1, 2], 600)), 600)
+        self.assertEqual(fill_lowest([], 5), [])
+
+    def test_more_is_expected_of_more_peers_and_an_older_report(self):
+        fleet = FleetView()
+        fleet.apply_members([member("w0")], 0)
+        view = fleet.endpoints["w0"]
+        for number in range(50):
+            fleet.started(f"r{number}.1", "w0", 100, 10, number)
+        found = []
+        for peers, measured_ms in ((0, 0), (2, 40), (8, 40), (8, 0)):
+            fleet.peers = peers
+            view.measured_ms = measured_ms
+            found.append(expected_peer_tokens(view, fleet, 1, 50))
+        self.assertEqual(found[0], 0)
+        self.assertEqual(sorted(set(found)), found)
+
+
 class MemberTest(unittest.TestCase):
     def test_an_endpoint_missing_from_the_list_comes_back(self):
         fleet = FleetView()
