Settle near ties at random and refuse nothing on guesses

Cause: in a burst all daemons chose the same two workers for a 20 ms lead, before any report showed the burst; and a cold daemon refused requests because it took unseen answers for 128 tokens long. Change: predictions within a tenth of the best time to first token count as equal; the mean length of answers starts at 1 and follows the first results.

--- a/src/_monsoonpulley/routing/policies.py
+++ b/src/_monsoonpulley/routing/policies.py
@@ -30,6 +30,7 @@
 FULL_SCAN_ENDPOINTS = 8
 SAMPLE_ENDPOINTS = 8
 PREFIX_ENDPOINTS = 4
+TIE_RATIO = 0.1
 
 
 class RouteRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -162,6 +163,7 @@
     full_scan_endpoints = FULL_SCAN_ENDPOINTS
     sample_endpoints = SAMPLE_ENDPOINTS
     prefix_endpoints = PREFIX_ENDPOINTS
+    tie_ratio = TIE_RATIO
 
     def __init__(self, scorer: Scorer, rng: random.Random):
         self._scorer = scorer
@@ -176,11 +178,27 @@
         found = self._scorer.predict_all(request, views, count, now_ms)
         if len(found) > 1:
             self._rng.shuffle(found)
-        if request.stream:
-            found.sort(key=_by_first_token)
-        else:
-            found.sort(key=_by_completion)
-        return found
+        found.sort(key=_by_first_token if request.stream else _by_completion)
+        return self._settle_ties(found)
+
+    def _settle_ties(self, found: list[Prediction]) -> list[Prediction]:
+        """Put one of those that are as good as the best first, at random.
+
+        Differences below the error of predictions would send a burst from
+        all daemons to one endpoint before any report shows it.
+        """
+        if len(found) < 2 or self.tie_ratio <= 0.0:
+            return found
+        best = found[0]
+        limit_ms = best.first_token_ms * self.tie_ratio
+        slower_ms = [
+            prediction.first_token_ms - best.first_token_ms for prediction in found
+        ]
+        ties = [i for i, late_ms in enumerate(slower_ms) if abs(late_ms) <= limit_ms]
+        least = min(found[i].own_requests for i in ties)
+        ties = [i for i in ties if found[i].own_requests == least]
+        chosen = found.pop(self._rng.choice(ties))
+        return [chosen, *found]
 
     def _sample(
         self, request: RouteRequest, pool: Pool, usable: Usable
--- a/src/_monsoonpulley/routing/pool.py
+++ b/src/_monsoonpulley/routing/pool.py
@@ -12,7 +12,7 @@
     from .view import EndpointView
 
 RATE_WINDOW_MS = 2_000
-DEFAULT_OUTPUT_TOKENS = 128.0
+MEAN_OUTPUT_REQUESTS = 20
 
 
 class Pool:
@@ -49,7 +49,8 @@
     decayed_requests: float = 0.0
     counted_ms: int = 0
     prompt_tokens: float = 0.0
-    output_tokens: float = DEFAULT_OUTPUT_TOKENS
+    output_tokens: float = 1.0
+    outputs: int = 0
 
     def requests_per_ms(self, now_ms: int) -> float:
         """Return this daemon's own rate of late."""
@@ -63,3 +64,11 @@
         self.decayed_requests = self.decayed_requests * kept + 1.0
         self.counted_ms = now_ms
         self.prompt_tokens += 0.1 * (prompt_tokens - self.prompt_tokens)
+
+    def observe_output(self, output_tokens: int) -> None:
+        """Move the mean length of answers; without one, answers are short.
+
+        So nothing is refused for the length of answers never seen.
+        """
+        self.outputs = min(self.outputs + 1, MEAN_OUTPUT_REQUESTS)
+        self.output_tokens += (output_tokens - self.output_tokens) / self.outputs
--- a/src/_monsoonpulley/routing/routedecision.py
+++ b/src/_monsoonpulley/routing/routedecision.py
@@ -16,7 +16,9 @@
     chosen, runner_up : EndpointId or None
         The endpoint, and the next best; ``None`` if it was the only one.
     predicted_ms, runner_up_ms : float or None
-        Predicted time by which they were compared.
+        Predicted time by which they were compared. The runner-up's may be the
+        smaller one by up to a tenth of the time to first token, which counts
+        as a tie.
     queue_ms : float
         Part of it that is the chosen endpoint's own queue.
     candidate_count : int
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -59,6 +59,7 @@
         self.retries = Retries(rng)
         self.breakers = AttemptBreakers(rng)
         self._scorer = Scorer(self.fleet, self.prefixes)
+        self._policy_name = policy
         self._policy = POLICIES.get(policy)(self._scorer, rng)
         self._rng = rng
         self._cut_off_zones: frozenset[ZoneId] = frozenset()
@@ -234,7 +235,7 @@
         best = ranked[0]
         second = ranked[1] if len(ranked) > 1 else None
         return RouteDecision(
-            rule=rule,
+            rule=f"{self._policy_name}/{rule}",
             request_id=request.request_id,
             service=request.service,
             version=version,
--- a/src/_monsoonpulley/routing/view.py
+++ b/src/_monsoonpulley/routing/view.py
@@ -280,5 +280,4 @@
                 own.in_flight_at_start - view.usual_in_flight
             )
         if output_tokens:
-            traffic = self.traffic_of(view.service)
-            traffic.output_tokens += 0.05 * (output_tokens - traffic.output_tokens)
+            self.traffic_of(view.service).observe_output(output_tokens)
--- a/testing/routing/test_router.py
+++ b/testing/routing/test_router.py
@@ -109,7 +109,8 @@
 
     def test_goes_elsewhere_when_local_would_miss_the_target(self):
         decision = self.subject.choose(request(target_ms=3_000), now_ms=1)
-        self.assertEqual((decision.chosen, decision.rule), ("far", "elsewhere"))
+        self.assertEqual(decision.chosen, "far")
+        self.assertEqual(decision.rule, "predicted-completion/elsewhere")
 
     def test_stays_local_when_local_meets_the_target(self):
         self.assertEqual(self.subject.choose(request(), now_ms=1).chosen, "near")
@@ -143,6 +144,26 @@
         return decision.chosen
 
 
+class TieTest(unittest.TestCase):
+    def test_daemons_without_fresh_reports_spread_over_near_ties(self):
+        members = [member(f"w{i}") for i in range(10)]
+        shared = tuple(range(10))
+        chosen = Counter()
+        for seed in range(60):
+            daemon = router(members, seed=seed)
+            event = CacheEvent(1, CacheEventKind.STORED, shared[:4])
+            daemon.apply_cache_events("w3", [event])
+            asked = request(prompt_tokens=4_000, prefix_blocks=shared)
+            chosen[daemon.choose(asked, now_ms=1).chosen] += 1
+        self.assertLessEqual(max(chosen.values()), 60 // 3)
+
+    def test_nothing_is_refused_for_answers_never_seen(self):
+        subject = router(FIVE)
+        asked = request(max_tokens=4_000, target_ms=2_000)
+        decision = subject.choose(asked, now_ms=1)
+        self.assertEqual(subject.admit(asked, decision, "c", "quick", 1).rule, "room")
+
+
 class AdmitTest(unittest.TestCase):
     def test_admission_is_bounded_by_this_daemon_part_of_the_slots(self):
         subject = router(FIVE[:2])
--- a/testing/routing/test_view.py
+++ b/testing/routing/test_view.py
@@ -49,6 +49,11 @@
         self.assertEqual(self.view.sent_tokens, 1_600)
         self.assertGreaterEqual(self._queue_ms(150), 200)
 
+    def test_what_was_sent_queues_behind_what_was_reported(self):
+        self.fleet.apply_load("w0", report(100, waiting_tokens=8_000), 100)
+        self.fleet.started("r1.1", "w0", 1_600, 50, 101)
+        self.assertGreaterEqual(self._queue_ms(101), 1_190)
+
     def test_counts_return_to_zero_whatever_the_order_of_ends(self):
         for number in range(6):
             self.fleet.started(f"r{number}.1", "w0", 100, 10, number)
