Look at fewer endpoints for each decision

Cause: on the shared machine at half speed routing at 417 workers took 213 us at p99, over the aim of 150 us. Change: samples of 6 and 2 holders of the prefix in place of 8 and 4; the backlog is worked out once.

--- a/src/_monsoonpulley/routing/policies.py
+++ b/src/_monsoonpulley/routing/policies.py
@@ -27,9 +27,9 @@
 from .prefixindex import PrefixIndex
 from .view import EndpointView, FleetView
 
-FULL_SCAN_ENDPOINTS = 8
-SAMPLE_ENDPOINTS = 8
-PREFIX_ENDPOINTS = 4
+FULL_SCAN_ENDPOINTS = 6
+SAMPLE_ENDPOINTS = 6
+PREFIX_ENDPOINTS = 2
 TIE_RATIO = 0.1
 
 
@@ -106,6 +106,7 @@
         view: EndpointView,
         now_ms: int,
         peer_tokens: float = 0.0,
+        backlog: float | None = None,
     ) -> Prediction:
         """Return the prediction for ``request`` at ``view``."""
         if self.is_plain(request):
@@ -119,6 +120,7 @@
             request.max_tokens,
             peer_tokens,
             now_ms,
+            backlog,
         )
 
     def predict_all(
@@ -136,10 +138,11 @@
             return [self.predict(request, view, now_ms) for view in views]
         fleet = self.fleet
         amount = sum(expected_peer_tokens(v, fleet, endpoints, now_ms) for v in views)
-        fills = fill_lowest([backlog_tokens(v, now_ms) for v in views], amount)
+        backlogs = [backlog_tokens(view, now_ms) for view in views]
+        fills = fill_lowest(backlogs, amount)
         return [
-            self.predict(request, view, now_ms, fill)
-            for view, fill in zip(views, fills, strict=True)
+            self.predict(request, view, now_ms, fill, backlog)
+            for view, fill, backlog in zip(views, fills, backlogs, strict=True)
         ]
 
     def is_plain(self, request: RouteRequest) -> bool:
--- a/src/_monsoonpulley/routing/prediction.py
+++ b/src/_monsoonpulley/routing/prediction.py
@@ -115,15 +115,19 @@
     max_tokens: int,
     peer_tokens: float,
     now_ms: int,
+    backlog: float | None = None,
 ) -> Prediction:
     """Predict a generation at a worker of a model engine.
 
     ``cached_tokens`` is the part of ``prompt_tokens`` that the worker is taken
-    to have cached, ``peer_tokens`` what other daemons sent it unseen.
+    to have cached, ``peer_tokens`` what other daemons sent it unseen,
+    ``backlog`` the result of `backlog_tokens` if it is known.
     """
     traffic = fleet.traffic_of(view.service)
     tokens_per_ms = prefill_tokens_per_ms(view)
-    queued = backlog_tokens(view, now_ms) + peer_tokens
+    if backlog is None:
+        backlog = backlog_tokens(view, now_ms)
+    queued = backlog + peer_tokens
     own_drained = tokens_per_ms * max(0, now_ms - view.progress_ms)
     queued = max(queued, view.pending_tokens - own_drained, 0.0)
     answer_ms = _decode_ms(view) * min(float(max_tokens), traffic.output_tokens)
--- a/src/_monsoonpulley/routing/prefixindex.py
+++ b/src/_monsoonpulley/routing/prefixindex.py
@@ -92,7 +92,7 @@
         self._bound = max_blocks_per_worker
         self._parts: dict[EndpointId, WorkerPart] = {}
         self._holders: dict[int, tuple[EndpointId, ...]] = {}
-        self._kept: tuple[Sequence[int], int, list[int]] = ((), 1, [])
+        self._kept: tuple[Sequence[int], int, Sequence[int]] = ((), 1, ())
 
     def _part(self, worker: EndpointId) -> WorkerPart:
         """Return a worker's part; a new one shrinks the bound of all."""
@@ -120,7 +120,7 @@
             while len(part.blocks) > self._bound:
                 self._remove(worker, part, next(iter(part.blocks)))
 
-    def _positions(self, blocks: Sequence[int]) -> list[int]:
+    def _positions(self, blocks: Sequence[int]) -> Sequence[int]:
         """Return the positions of the blocks that the index would keep.
 
         The last answer is remembered, since a decision asks for many workers.
@@ -129,7 +129,11 @@
         if last_blocks is blocks and last_stride == self.stride:
             return last_positions
         stride = self.stride
-        positions = [i for i, block in enumerate(blocks) if not block % stride]
+        if stride == 1:
+            positions: Sequence[int] = range(len(blocks))
+        else:
+            mask = stride - 1
+            positions = [i for i, block in enumerate(blocks) if not block & mask]
         self._kept = (blocks, stride, positions)
         return positions
 
@@ -287,7 +291,9 @@
     return unbroken and events[-1].seq >= part.last_seq
 
 
-def _depth(blocks: Sequence[int], positions: list[int], held: Container[int]) -> int:
+def _depth(
+    blocks: Sequence[int], positions: Sequence[int], held: Container[int]
+) -> int:
     """Return how many of the kept blocks are held from the first on."""
     if not positions or blocks[positions[0]] not in held:
         return 0
