--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -59,6 +59,7 @@
         self.retries = Retries(rng)
         self.breakers = AttemptBreakers(rng)
         self._scorer = Scorer(self.fleet, self.prefixes)
+        self._policy_name = policy
         self._policy = POLICIES.get(policy)(self._scorer, rng)
         self._rng = rng
         self._cut_off_zones: frozenset[ZoneId] = frozenset()
@@ -160,7 +161,7 @@
         return self._nowhere(request, now_ms)
 
     def _versions_in_order(self, request: RouteRequest) -> list[VersionId]:
-        """Draw a version by share; then only those with larger shares.
+        """Draw a version by share; then only those with no smaller a share.
 
         A version with a small share never takes over what a larger one can't
         serve, so a canary's share stays what was decided.
@@ -174,7 +175,7 @@
             return list(shares)
         names = list(shares)
         drawn = self._rng.choices(names, weights=[shares[n] for n in names])[0]
-        larger = [name for name in names if shares[name] > shares[drawn]]
+        larger = [n for n in names if n != drawn and shares[n] >= shares[drawn]]
         larger.sort(key=lambda name: -shares[name])
         return [drawn, *larger]
 
@@ -234,7 +235,7 @@
         best = ranked[0]
         second = ranked[1] if len(ranked) > 1 else None
         return RouteDecision(
-            rule=rule,
+            rule=f"{self._policy_name}/{rule}",
             request_id=request.request_id,
             service=request.service,
             version=version,
