Let entry instances know each other by digests

Cause: the platform's list lags, so leaving endpoints, revisions and loads spread too late, and each instance polled every engine. Change: authenticated digests between entry instances, membership with sticky LEAVING, one reporter for each engine, over an in-memory network.

--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -13,7 +13,7 @@
 from starlette.routing import BaseRoute
 
 from .clock import Clock
-from .config.document import Document, Revision, Service, ServiceKind
+from .config.document import Document, Revision, Service
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
 from .control.startingversions import StartingVersions
@@ -39,6 +39,11 @@
 from .metrics import Metrics
 from .noticewatch import NoticeWatch
 from .overview import InstanceOverview
+from .peers.envelope import Sealer
+from .peers.exchange import PeerExchange
+from .peers.host import RouterHost
+from .peers.membership import Membership
+from .peers.transport import NoTransport, PeerTransport
 from .platform.bundle import Platform
 from .platform.cloud import ReclaimNotice
 from .platform.livelist import Member
@@ -73,6 +78,10 @@
         Makes the client of an endpoint from its member and service.
     clock, rng, log, metrics
         Time, randomness, log and metrics of the process.
+    transport : PeerTransport
+        Carries messages to other entry instances.
+    peer_key : str
+        Signs these messages.
     """
 
     platform: Platform
@@ -81,6 +90,8 @@
     rng: random.Random
     log: Log
     metrics: Metrics
+    transport: PeerTransport = NoTransport()
+    peer_key: str = ""
 
 
 class EntryInstance:
@@ -103,8 +114,10 @@
         self._around = surroundings
         self._operator_sha256 = operator_sha256
         self.lifecycle = Lifecycle(surroundings.clock, surroundings.log)
+        self.membership = Membership(identity, surroundings.clock.now_ms())
         self._build_configuration()
         self._build_endpoints()
+        self._build_peers()
         self._build_requests()
         self._build_recovery()
         self.app = self._build_app()
@@ -122,6 +135,7 @@
     def leave(self, reason: str, deadline_ms: int | None = None) -> None:
         """Begin a graceful shutdown; see `Lifecycle.leave`."""
         self.lifecycle.leave(reason, deadline_ms)
+        self.exchange.leave()
 
     async def drain(self) -> None:
         """Wait for what is in progress, up to the deadline, and hand over."""
@@ -142,7 +156,7 @@
             around.clock,
             around.rng,
             around.log,
-            is_fast_poller=lambda: True,
+            is_fast_poller=self._is_fast_poller,
             metrics=around.metrics,
         )
         self.watcher.on_change(self._reconfigure)
@@ -159,8 +173,11 @@
             around.metrics,
         )
         self.roster.on_members(self._apply_members)
+        self.peer_host = RouterHost(
+            self.membership, self.router, self.watcher, around.clock
+        )
         self.feed = EngineFeed(
-            self._engines, self.router, around.clock, around.rng, around.metrics
+            self._engines, self.peer_host, around.clock, around.rng, around.metrics
         )
         self.notices = NoticeWatch(
             around.platform.cloud,
@@ -170,6 +187,19 @@
             around.metrics,
         )
 
+    def _build_peers(self) -> None:
+        around = self._around
+        self.exchange = PeerExchange(
+            self.membership,
+            around.transport,
+            Sealer(around.peer_key),
+            self.peer_host,
+            around.clock,
+            around.rng,
+            around.log,
+            around.metrics,
+        )
+
     def _build_requests(self) -> None:
         around = self._around
         versions = StartingVersions(self.document)
@@ -254,6 +284,8 @@
             self.watcher,
             self.pool,
             self.router,
+            self.membership,
+            self._around.clock,
         )
         handlers = OperatorHandlers(
             self._operator_sha256, self.config_store, self.watcher, overview
@@ -266,6 +298,9 @@
         endpoints.add("roster", self.roster.run)
         endpoints.add("feed", self.feed.run)
         endpoints.add("notices", self.notices.run)
+        peers = self._new_supervisor("peers")
+        peers.add("sending", self.exchange.run_sending)
+        peers.add("receiving", self.exchange.run_receiving)
         requests = self._new_supervisor("requests")
         requests.add("admission", self.gate.run)
         requests.add("recovery", self._recover)
@@ -273,6 +308,7 @@
         root.add("configuration", self.watcher.run)
         root.add("readiness", self._become_ready, Restart.ON_FAILURE)
         root.add("endpoints", endpoints.run)
+        root.add("peers", peers.run)
         root.add("requests", requests.run)
         return root
 
@@ -292,20 +328,20 @@
         if document is None:
             return {}
         engines: dict[EndpointId, EngineClient] = {}
-        for member in self.pool.members():
-            service = document.services.get(member.service)
-            endpoint = EndpointId(member.instance)
+        for endpoint in self.peer_host.read_endpoints():
             client = self.pool.client(endpoint)
-            if service and service.kind is ServiceKind.MODEL and client is not None:
+            if client is not None:
                 engines[endpoint] = client
         return engines
 
     def _reconfigure(self, revision: Revision) -> None:
         self.router.reconfigure(revision.document)
         self.pool.update(self.roster.members)
+        self.exchange.revision_changed(revision.number)
 
     def _apply_members(self, members: tuple[Member, ...]) -> None:
         self.pool.update(members)
+        self.membership.apply_list(members, self._around.clock.now_ms())
         self.router.apply_members(members, self._around.clock.now_ms())
         self.router.update_slots()
 
@@ -321,6 +357,7 @@
             self.leave("reclaim", clock.now_ms() + left_ms)
             return
         self.router.mark_leaving(EndpointId(notice.instance), clock.now_ms())
+        self.exchange.add_leaving(EndpointId(notice.instance))
 
     async def _become_ready(self) -> None:
         await self.watcher.wait_ready()
@@ -348,9 +385,8 @@
             self._around.log.event(f"{name}_pass", report=report)
 
     def _is_gone(self, instance: InstanceId, incarnation: int) -> bool:
-        """Tell whether an entry instance left, by the newest list."""
-        if not self.roster.members:
-            return False
-        if instance == self.identity.instance:
-            return incarnation < self.identity.incarnation
-        return all(member.instance != instance for member in self.roster.members)
+        now_ms = self._around.clock.now_ms()
+        return self.membership.is_gone(instance, incarnation, now_ms)
+
+    def _is_fast_poller(self) -> bool:
+        return self.membership.is_fast_poller(self._around.clock.now_ms())
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/overview.py
@@ -5,12 +5,14 @@
 import msgspec
 
 from . import operator_wire as wire
+from .clock import Clock
 from .config.watcher import ConfigWatcher
 from .endpoints.pool import EndpointPool
 from .identity import Identity
 from .ids import EndpointId
 from .lifecycle import Lifecycle
 from .log import Log
+from .peers.membership import Membership, PeerMember
 from .platform.livelist import MemberState
 from .routing.router import Router
 
@@ -26,6 +28,10 @@
         What is in force.
     pool, router : EndpointPool, Router
         Endpoints and the requests in progress there.
+    membership : Membership
+        The other entry instances.
+    clock : Clock
+        Of the instance.
     """
 
     def __init__(
@@ -36,6 +42,8 @@
         watcher: ConfigWatcher,
         pool: EndpointPool,
         router: Router,
+        membership: Membership,
+        clock: Clock,
     ):
         self._identity = identity
         self._lifecycle = lifecycle
@@ -43,19 +51,24 @@
         self._watcher = watcher
         self._pool = pool
         self._router = router
+        self._membership = membership
+        self._clock = clock
 
     def config_status(self) -> wire.ConfigStatusBody:
         """Say in which entry instances the newest known revision is in force."""
         own = self._own_status()
-        return wire.ConfigStatusBody(own.number, own.change_token, (own,))
+        entries = (own, *self._peer_statuses(own))
+        newest = max(entries, key=lambda entry: entry.number)
+        return wire.ConfigStatusBody(newest.number, newest.change_token, entries)
 
     def status(self) -> wire.StatusBody:
         """Return instances, endpoints, rollouts and duties."""
+        own = self._own_status()
         return wire.StatusBody(
             instance=self._identity.instance,
             zone=self._identity.zone,
             number=self._watcher.number,
-            entries=(self._own_status(),),
+            entries=(own, *self._peer_statuses(own)),
             endpoints=self._endpoints(),
         )
 
@@ -75,6 +88,27 @@
             heard_ms_ago=0,
         )
 
+    def _peer_statuses(self, own: wire.EntryStatus) -> tuple[wire.EntryStatus, ...]:
+        now_ms = self._clock.now_ms()
+        members = self._membership.expected(now_ms)
+        members.sort(key=lambda member: (member.zone, member.instance))
+        return tuple(self._peer_status(member, own, now_ms) for member in members)
+
+    def _peer_status(
+        self, member: PeerMember, own: wire.EntryStatus, now_ms: int
+    ) -> wire.EntryStatus:
+        # A number has one change token, which not every digest repeats.
+        same = own.change_token if member.number == own.number else ""
+        heard_ms = member.heard_ms
+        return wire.EntryStatus(
+            instance=member.instance,
+            zone=member.zone,
+            state=self._membership.standing(member, now_ms),
+            number=member.number,
+            change_token=member.change_token or same,
+            heard_ms_ago=-1 if heard_ms is None else now_ms - heard_ms,
+        )
+
     def _endpoints(self) -> tuple[wire.EndpointStatus, ...]:
         views = self._router.fleet.endpoints
         statuses = []
--- /dev/null
+++ b/src/_monsoonpulley/peers/host.py
@@ -0,0 +1,191 @@
+"""Binds the peers to the rest of an instance: routing, configuration, loads."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..config.document import Revision, ServiceKind
+from ..config.watcher import ConfigWatcher
+from ..endpoints.engine import CacheEvent, LoadReport
+from ..ids import EndpointId, ServiceId
+from ..platform.livelist import MemberState
+from ..routing.router import Router
+from .digest import (
+    MAX_LOAD_AGE_MS,
+    Digest,
+    LoadItem,
+    ServiceSummary,
+    Summary,
+    TrippedVersion,
+)
+from .membership import Membership
+from .reporters import EndpointKeys, Reporters, endpoint_key
+
+OnTripped = Callable[[TrippedVersion], None]
+
+
+class RouterHost:
+    """A `exchange.PeerHost` and a `feed.FeedSink` of one instance.
+
+    Parameters
+    ----------
+    membership : Membership
+        State of the peers.
+    router : Router
+        Takes loads, leaving endpoints and what is cut off.
+    watcher : ConfigWatcher
+        Takes and gives revisions.
+    clock : Clock
+        Of the instance.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        router: Router,
+        watcher: ConfigWatcher,
+        clock: Clock,
+    ):
+        self.reporters = Reporters(membership.identity.instance)
+        self._membership = membership
+        self._router = router
+        self._watcher = watcher
+        self._clock = clock
+        self._keys = EndpointKeys()
+        self._reports: dict[EndpointId, LoadReport] = {}
+        self._on_tripped: list[OnTripped] = []
+
+    def on_tripped(self, callback: OnTripped) -> None:
+        """Call ``callback`` with each change of a version that peers tell."""
+        self._on_tripped.append(callback)
+
+    def read_endpoints(self) -> list[EndpointId]:
+        """Return the engines whose loads and events this instance reads."""
+        self._share_engines()
+        return self.reporters.read()
+
+    def apply_load(
+        self, endpoint: EndpointId, report: LoadReport, now_ms: int, wall_ms: int
+    ) -> None:
+        """Take in a report that this instance read itself."""
+        self._reports[endpoint] = report
+        self._router.apply_load(endpoint, report, now_ms, wall_ms)
+
+    def apply_cache_events(
+        self, endpoint: EndpointId, events: tuple[CacheEvent, ...]
+    ) -> None:
+        """Take in cache events that this instance read itself."""
+        self._router.apply_cache_events(endpoint, events)
+
+    def revision(self) -> Revision | None:
+        """Return the configuration in force."""
+        return self._watcher.revision
+
+    def loads(self) -> list[LoadItem]:
+        """Return the fresh loads that this instance reports."""
+        wall_ms = self._clock.wall_ms()
+        items = []
+        for endpoint in self.reporters.reported():
+            report = self._reports.get(endpoint)
+            if report and wall_ms - report.measured_wall_ms <= MAX_LOAD_AGE_MS:
+                key = endpoint_key(endpoint)
+                items.append(LoadItem.from_report(key, report, wall_ms))
+        return items
+
+    def services(self) -> tuple[ServiceSummary, ...]:
+        """Return the mean load of each service's live workers here."""
+        reports: dict[ServiceId, list[LoadReport]] = {}
+        for view in self._router.fleet.endpoints.values():
+            own = view.zone == self._membership.identity.zone
+            if own and view.state is MemberState.LIVE and view.report is not None:
+                reports.setdefault(view.service, []).append(view.report)
+        wall_ms = self._clock.wall_ms()
+        return tuple(
+            ServiceSummary(service, len(found), _mean_load(found, wall_ms))
+            for service, found in sorted(reports.items())
+        )
+
+    def hear_loads(self, digest: Digest, sent_wall_ms: int) -> None:
+        """Take in the loads of a digest."""
+        self._share_engines()
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        for item in digest.loads:
+            endpoint = self._keys.get(item.key)
+            report = item.report(sent_wall_ms)
+            fresh = wall_ms - report.measured_wall_ms <= 2 * MAX_LOAD_AGE_MS
+            if endpoint is not None and fresh:
+                self._router.apply_load(endpoint, report, now_ms, wall_ms)
+
+    def hear_services(self, summary: Summary, sent_wall_ms: int) -> None:
+        """Take the mean load of another data centre's workers for each."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        loads = {item.service: item.load for item in summary.services}
+        for endpoint, view in self._router.fleet.endpoints.items():
+            load = loads.get(view.service)
+            if view.zone == summary.zone and load is not None:
+                report = load.report(sent_wall_ms)
+                self._router.apply_load(endpoint, report, now_ms, wall_ms)
+
+    def hear_leaving(self, endpoint: EndpointId) -> None:
+        """Give an endpoint no new work from now on."""
+        self._router.mark_leaving(endpoint, self._clock.now_ms())
+
+    def hear_tripped(self, item: TrippedVersion) -> None:
+        """Take in that a version was tripped or cleared."""
+        for callback in self._on_tripped:
+            callback(item)
+
+    def hear_number(self, number: int) -> None:
+        """Note the revision number of a peer."""
+        self._watcher.notice(number)
+
+    def hear_revision(self, revision: Revision) -> None:
+        """Take in a revision from a peer."""
+        self._watcher.offer(revision)
+
+    def members_changed(self) -> None:
+        """Bring routing and the sharing of engines up to date."""
+        now_ms = self._clock.now_ms()
+        membership = self._membership
+        zone = membership.identity.zone
+        self._router.set_peers(len(membership.live_peers(now_ms, zone)))
+        self._router.set_cut_off_zones(membership.cut_off_zones(now_ms))
+        self._router.update_slots()
+        self._share_engines()
+
+    def _share_engines(self) -> None:
+        """Share the engines here, and those where no entry instance stands."""
+        endpoints = self._router.fleet.endpoints
+        self._keys.update(endpoints)
+        served = self._membership.served_zones()
+        kinds = self._kinds()
+        workers = [
+            view.id
+            for view in endpoints.values()
+            if view.zone not in served and kinds.get(view.service) is ServiceKind.MODEL
+        ]
+        now_ms = self._clock.now_ms()
+        self.reporters.update(self._membership.live_instances(now_ms), workers)
+        for endpoint in set(self._reports) - set(endpoints):
+            del self._reports[endpoint]
+
+    def _kinds(self) -> dict[ServiceId, ServiceKind]:
+        revision = self._watcher.revision
+        services = revision.document.services if revision else {}
+        return {name: service.kind for name, service in services.items()}
+
+
+def _mean_load(reports: list[LoadReport], wall_ms: int) -> LoadItem:
+    count = len(reports)
+    mean = LoadReport(
+        measured_wall_ms=max(report.measured_wall_ms for report in reports),
+        running=sum(report.running for report in reports) // count,
+        waiting=sum(report.waiting for report in reports) // count,
+        waiting_tokens=sum(report.waiting_tokens for report in reports) // count,
+        kv_used_ratio=sum(report.kv_used_ratio for report in reports) / count,
+        prefill_tokens_per_s=sum(r.prefill_tokens_per_s for r in reports) / count,
+        decode_ms_per_token=sum(r.decode_ms_per_token for r in reports) / count,
+        max_running=sum(report.max_running for report in reports) // count,
+    )
+    return LoadItem.from_report(0, mean, wall_ms)
--- /dev/null
+++ b/src/_monsoonpulley/peers/membership.py
@@ -0,0 +1,368 @@
+"""Which entry instances there are, as one of them knows: pure state.
+
+The platform's list lags, so it only gives addresses. Whether a member lives is
+told by its own digests, or, for other data centres, by their summaries.
+
+``LEAVING`` is sticky for an incarnation: nothing brings it back but a newer one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from ..identity import Identity
+from ..ids import InstanceId, ZoneId
+from ..platform.livelist import Member, MemberState, Role
+from .digest import Digest, MemberItem, Summary
+from .rendezvous import chosen
+
+INTERVAL_MS = 1_000
+MS_PER_PEER = 50
+"""Digests are sent this much less often for each peer, see `interval_ms`."""
+
+MISSED_DIGESTS = 3
+CUT_OFF_DIGESTS = 5
+GONE_AFTER_MS = 20_000
+GONE_WHILE_CUT_OFF_MS = 120_000
+FORGET_AFTER_MS = 3_600_000
+PAUSE_MS = 3_000
+"""Between two ticks; more means that the process was paused."""
+
+FAST_POLLERS = 2
+
+
+class PeerMember(msgspec.Struct):
+    """One entry instance as this one knows it.
+
+    Attributes
+    ----------
+    incarnation : int
+        Highest heard of, 0 if never heard.
+    heard_ms : int or None
+        When it was last heard, or heard by one that told.
+    listed : bool
+        Whether the platform's newest list has it.
+    stream_seq : int
+        Sequence number of its last digest.
+    """
+
+    instance: InstanceId
+    zone: ZoneId
+    address: str = ""
+    state: MemberState = MemberState.LIVE
+    incarnation: int = 0
+    number: int = 0
+    change_token: str = ""
+    heard_ms: int | None = None
+    listed: bool = False
+    stream_seq: int = 0
+
+
+class Membership:
+    """Members by instance, and what follows from them.
+
+    Parameters
+    ----------
+    identity : Identity
+        This instance.
+    now_ms : int
+        When it started.
+    """
+
+    def __init__(self, identity: Identity, now_ms: int):
+        self.identity = identity
+        self.state = MemberState.LIVE
+        self.number = 0
+        self.members: dict[InstanceId, PeerMember] = {}
+        self._awake_ms = now_ms
+        self._ticked_ms = now_ms
+        self._list_ms: int | None = None
+        self._zone_heard_ms: dict[ZoneId, int] = {}
+
+    def apply_list(self, members: Iterable[Member], now_ms: int) -> None:
+        """Take in the platform's list: addresses, and who is on it."""
+        entries = [member for member in members if member.role is Role.ENTRY]
+        for known in self.members.values():
+            known.listed = False
+        for entry in entries:
+            instance = InstanceId(entry.instance)
+            if instance == self.identity.instance:
+                continue
+            known = self._member(instance, entry.zone)
+            known.listed = True
+            known.address = entry.peer_address or known.address
+            if entry.state is MemberState.LEAVING and known.heard_ms is None:
+                known.state = MemberState.LEAVING
+        self._list_ms = now_ms
+
+    def hear_digest(
+        self,
+        sender: InstanceId,
+        incarnation: int,
+        seq: int,
+        digest: Digest,
+        now_ms: int,
+    ) -> bool:
+        """Take in a digest; return whether a full one is wanted."""
+        member = self._member(sender, digest.zone or self.identity.zone)
+        is_new = self._hear(member, incarnation, digest.state, digest.number, now_ms)
+        missed = is_new or digest.previous_seq != member.stream_seq
+        member.stream_seq = seq
+        if digest.is_full:
+            member.zone = digest.zone
+            member.change_token = digest.change_token
+            member.address = digest.address or member.address
+        return missed and not digest.is_full
+
+    def hear_summary(self, summary: Summary, now_ms: int) -> None:
+        """Take in what another data centre says of its members."""
+        if summary.zone == self.identity.zone:
+            return
+        self._zone_heard_ms[summary.zone] = now_ms
+        for item in summary.members:
+            member = self._member(item.instance, summary.zone)
+            heard_ms = now_ms - item.heard_ms_ago
+            self._hear(member, item.incarnation, item.state, item.number, heard_ms)
+
+    def tick(self, now_ms: int) -> bool:
+        """Note that this process runs; return whether it had been paused.
+
+        After a pause silence counts from now on for `is_gone`.
+        """
+        paused = now_ms - self._ticked_ms > self.interval_ms() + PAUSE_MS
+        self._ticked_ms = now_ms
+        if paused:
+            self._awake_ms = now_ms
+        self._forget_old(now_ms)
+        return paused
+
+    def leave(self) -> None:
+        """Note that this instance leaves."""
+        self.state = MemberState.LEAVING
+
+    def interval_ms(self) -> int:
+        """Return the interval of digests, longer the more peers there are."""
+        return max(INTERVAL_MS, MS_PER_PEER * len(self.zone_peers()))
+
+    def zone_peers(self) -> list[PeerMember]:
+        """Return the others of this data centre that may be there."""
+        zone = self.identity.zone
+        return [
+            member
+            for member in self.members.values()
+            if member.zone == zone and (member.listed or member.heard_ms is not None)
+        ]
+
+    def is_live(self, member: PeerMember, now_ms: int) -> bool:
+        """Tell whether a member may get new duties."""
+        if member.heard_ms is None or member.state is MemberState.LEAVING:
+            return False
+        own = member.zone == self.identity.zone
+        missed = MISSED_DIGESTS if own else CUT_OFF_DIGESTS
+        return now_ms - member.heard_ms <= missed * self.interval_ms()
+
+    def standing(self, member: PeerMember, now_ms: int) -> str:
+        """Return how a member stands, for people."""
+        if member.state is MemberState.LEAVING:
+            return "leaving"
+        if member.heard_ms is None:
+            return "unheard"
+        return "live" if self.is_live(member, now_ms) else "suspect"
+
+    def live_peers(self, now_ms: int, zone: ZoneId | None = None) -> list[PeerMember]:
+        """Return the live members but this one, of one or all data centres."""
+        return [
+            member
+            for member in self.members.values()
+            if zone in (None, member.zone) and self.is_live(member, now_ms)
+        ]
+
+    def live_instances(self, now_ms: int) -> list[InstanceId]:
+        """Return who shares work in this data centre.
+
+        This instance is among them unless it leaves.
+        """
+        zone = self.identity.zone
+        instances = [member.instance for member in self.live_peers(now_ms, zone)]
+        if self.state is MemberState.LIVE:
+            instances.append(self.identity.instance)
+        return instances
+
+    def cut_off_zones(self, now_ms: int) -> frozenset[ZoneId]:
+        """Return the data centres from which nothing is heard any more.
+
+        One that has a single entry instance is never among them: its silence
+        says nothing about the endpoints there.
+        """
+        limit_ms = CUT_OFF_DIGESTS * self.interval_ms()
+        found = set()
+        for zone in {member.zone for member in self.members.values()}:
+            silent_ms = now_ms - self._zone_heard_ms.get(zone, self._awake_ms)
+            if zone != self.identity.zone and silent_ms > limit_ms:
+                if len(self._expected(zone)) > 1:
+                    found.add(zone)
+        return frozenset(found)
+
+    def served_zones(self) -> frozenset[ZoneId]:
+        """Return the other data centres that have entry instances."""
+        return frozenset(
+            member.zone
+            for member in self.members.values()
+            if member.zone != self.identity.zone
+            and (member.listed or member.heard_ms is not None)
+        )
+
+    def is_fast_poller(self, now_ms: int) -> bool:
+        """Tell whether this instance polls the configuration often."""
+        pollers = chosen(self.live_instances(now_ms), "config", FAST_POLLERS)
+        return self.identity.instance in pollers
+
+    def expected(self, now_ms: int) -> list[PeerMember]:
+        """Return the others that may serve: all but those that left."""
+        members = self.members.values()
+        return [member for member in members if not self._has_left(member, now_ms)]
+
+    def everyone_has(self, number: int, now_ms: int) -> bool:
+        """Tell whether each member that may serve has revision ``number``."""
+        return self.number >= number and all(
+            member.number >= number for member in self.expected(now_ms)
+        )
+
+    def is_gone(self, instance: InstanceId, incarnation: int, now_ms: int) -> bool:
+        """Tell whether an incarnation ended, so that its work may be adopted.
+
+        It did if a newer one was heard. Else it must be silent for long while
+        this process ran, and either have said that it leaves, with its data
+        centre still heard, or be missing from a list newer than its silence.
+        """
+        if instance == self.identity.instance:
+            return incarnation < self.identity.incarnation
+        member = self.members.get(instance)
+        if member is not None and member.incarnation != incarnation:
+            if member.incarnation > incarnation:
+                return True
+            member = None
+        silent_ms = self._silent_ms(member, now_ms)
+        if silent_ms <= GONE_AFTER_MS:
+            return False
+        cut_off = member is not None and member.zone in self.cut_off_zones(now_ms)
+        said_so = member is not None and member.state is MemberState.LEAVING
+        if said_so and member.heard_ms is not None and not cut_off:
+            return True
+        if cut_off and silent_ms <= GONE_WHILE_CUT_OFF_MS:
+            return False
+        return self._is_unlisted(instance, now_ms)
+
+    def items(self, now_ms: int) -> tuple[MemberItem, ...]:
+        """Return the members of this data centre for a summary."""
+        own = MemberItem(
+            self.identity.instance,
+            self.identity.incarnation,
+            self.state,
+            self.number,
+            0,
+        )
+        others = [
+            MemberItem(
+                member.instance,
+                member.incarnation,
+                member.state,
+                member.number,
+                now_ms - member.heard_ms,
+            )
+            for member in self.zone_peers()
+            if member.heard_ms is not None
+            and now_ms - member.heard_ms <= GONE_WHILE_CUT_OFF_MS
+        ]
+        return (own, *others)
+
+    def partners(self, now_ms: int, count: int, turn: int) -> list[PeerMember]:
+        """Return ``count`` members of each other data centre to send to.
+
+        Instances send to different ones, and another one each ``turn``.
+        """
+        zones: dict[ZoneId, list[PeerMember]] = {}
+        for member in self.members.values():
+            if member.zone != self.identity.zone and member.address:
+                if member.listed or self.is_live(member, now_ms):
+                    zones.setdefault(member.zone, []).append(member)
+        everyone = sorted([*self.live_instances(now_ms), self.identity.instance])
+        rank = everyone.index(self.identity.instance)
+        found: list[PeerMember] = []
+        for members in zones.values():
+            members.sort(key=lambda member: member.instance)
+            first = rank + turn
+            picked = {(first + i) % len(members) for i in range(count)}
+            found += [members[index] for index in sorted(picked)]
+        return found
+
+    def _hear(
+        self,
+        member: PeerMember,
+        incarnation: int,
+        state: MemberState,
+        number: int,
+        heard_ms: int,
+    ) -> bool:
+        """Take in a sign of life; return whether the incarnation is new."""
+        if incarnation < member.incarnation:
+            return False
+        is_new = incarnation > member.incarnation
+        if is_new:
+            member.incarnation = incarnation
+            member.state = state
+            member.number = number
+            member.change_token = ""
+            member.stream_seq = 0
+            member.heard_ms = heard_ms
+            return True
+        if state is MemberState.LEAVING:
+            member.state = state
+        if number > member.number:
+            member.number = number
+            member.change_token = ""
+        known_ms = member.heard_ms
+        member.heard_ms = heard_ms if known_ms is None else max(known_ms, heard_ms)
+        return False
+
+    def _member(self, instance: InstanceId, zone: ZoneId) -> PeerMember:
+        member = self.members.get(instance)
+        if member is None:
+            member = PeerMember(instance, zone)
+            self.members[instance] = member
+        return member
+
+    def _expected(self, zone: ZoneId) -> Sequence[PeerMember]:
+        return [
+            member
+            for member in self.members.values()
+            if member.zone == zone and member.state is MemberState.LIVE
+        ]
+
+    def _silent_ms(self, member: PeerMember | None, now_ms: int) -> int:
+        heard_ms = member.heard_ms if member is not None else None
+        since_ms = self._awake_ms if heard_ms is None else heard_ms
+        return now_ms - max(since_ms, self._awake_ms)
+
+    def _is_unlisted(self, instance: InstanceId, now_ms: int) -> bool:
+        """Tell whether a list that is fresh enough lacks the instance."""
+        if self._list_ms is None or self._list_ms < self._awake_ms:
+            return False
+        if now_ms - self._list_ms > GONE_AFTER_MS:
+            return False
+        member = self.members.get(instance)
+        return member is None or not member.listed
+
+    def _has_left(self, member: PeerMember, now_ms: int) -> bool:
+        if member.listed and member.state is MemberState.LIVE:
+            return False
+        silent_ms = self._silent_ms(member, now_ms)
+        return silent_ms > GONE_AFTER_MS
+
+    def _forget_old(self, now_ms: int) -> None:
+        for member in list(self.members.values()):
+            old = self._silent_ms(member, now_ms) > FORGET_AFTER_MS
+            if old and not member.listed:
+                del self.members[member.instance]
--- a/src/_monsoonpulley/standins/world.py
+++ b/src/_monsoonpulley/standins/world.py
@@ -29,10 +29,12 @@
 from .engine_counters import ComputedBlocks
 from .engine_profile import EngineProfile
 from .manualloop import running_clock
+from .peernetwork import PeerNetwork
 from .plainservice import ExecutionLedger, PlainServiceProfile, PlainServiceStandin
 from .platform import PlatformStandin
 
 OPERATOR_CREDENTIAL = "operator-credential"
+PEER_KEY = "key-of-the-stand-in-peers"
 
 Sink = Callable[[str], None]
 
@@ -102,6 +104,7 @@
         self.platform = PlatformStandin(
             self.clock, self._fork(), lag_ms=deployment.livelist_lag_ms
         )
+        self.peer_network = PeerNetwork(self.platform.network, self._fork())
         self.ledger = ExecutionLedger()
         self.computed = ComputedBlocks()
         self.engines: dict[EndpointId, EngineStandin] = {}
@@ -189,6 +192,8 @@
             rng=self._fork(),
             log=Log(self.clock, self._sink, plan.instance),
             metrics=NoMetrics(),
+            transport=self.peer_network.connect(plan.instance, plan.zone),
+            peer_key=PEER_KEY,
         )
         instance = EntryInstance(
             identity, around, credential_sha256(OPERATOR_CREDENTIAL)
@@ -209,6 +214,7 @@
             role=Role.ENTRY,
             zone=plan.zone,
             address=plan.instance,
+            peer_address=plan.instance,
         )
 
     def _in_cloud(
