--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -15,12 +15,14 @@
 from .endpoints.adapters import EndpointTarget, engine_adapters, service_adapters
 from .endpoints.http_transport import HttpSessions
 from .endpoints.pool import Client
+from .errors import Failure
 from .httpserver import HttpServer
 from .identity import Identity
 from .ids import EndpointId
 from .instance import EntryInstance, Surroundings
 from .log import Log
-from .metrics import metrics_to
+from .metrics import Metrics, metrics_to
+from .peers.pynng_transport import PynngTransport
 from .platform.connect import connect_platform
 from .platform.livelist import Member
 from .settings import Settings
@@ -50,6 +52,8 @@
         self._platform_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0)
         )
+        self._metrics = self._build_metrics()
+        self._transport = self._build_transport()
         entry = settings.entry
         self.instance = EntryInstance(
             Identity(entry.instance, entry.zone, entry.region, self._clock.wall_ms()),
@@ -61,6 +65,9 @@
 
     async def run(self) -> None:
         """Serve until the instance has left and drained."""
+        failure = self._transport.open()
+        if isinstance(failure, Failure):
+            raise RuntimeError(str(failure))
         serving = asyncio.create_task(self.server.run(), name="http")
         working = asyncio.create_task(self.instance.run(), name="instance")
         leaving = asyncio.create_task(self._drain(), name="drain")
@@ -77,6 +84,7 @@
             await _end({serving, working, leaving})
             await self._endpoint_sessions.close()
             await self._platform_session.close()
+            await self._transport.close()
 
     def leave(self, reason: str) -> None:
         """Begin a planned stop, which waits for what is in progress."""
@@ -95,16 +103,25 @@
 
     def _surroundings(self) -> Surroundings:
         settings = self._settings
-        metrics = settings.metrics
         return Surroundings(
             platform=connect_platform(settings.platform, self._platform_session),
             make_client=self._make_client,
             clock=self._clock,
             rng=random.Random(secrets.randbits(128)),
             log=self._log,
-            metrics=metrics_to(metrics.host, metrics.port, metrics.prefix),
+            metrics=self._metrics,
+            transport=self._transport,
+            peer_key=settings.peers.key.value,
         )
 
+    def _build_metrics(self) -> Metrics:
+        metrics = self._settings.metrics
+        return metrics_to(metrics.host, metrics.port, metrics.prefix)
+
+    def _build_transport(self) -> PynngTransport:
+        listen = self._settings.entry.peer_listen
+        return PynngTransport(f"tcp://{listen}", self._metrics)
+
     def _make_client(self, member: Member, service: Service) -> Client:
         target = EndpointTarget(
             EndpointId(member.instance),
--- a/src/_monsoonpulley/operator_wire.py
+++ b/src/_monsoonpulley/operator_wire.py
@@ -176,7 +176,7 @@
 class EntryStatus(msgspec.Struct, frozen=True):
     """One entry instance, as the answering one knows it.
 
-    ``heard_ms_ago`` is the age of what is said here.
+    ``heard_ms_ago`` is the age of what is said here, -1 if it was never heard.
     """
 
     instance: str
--- /dev/null
+++ b/src/_monsoonpulley/peers/pynng_transport.py
@@ -0,0 +1,112 @@
+"""Carries messages over ``pynng`` push and pull sockets.
+
+Each instance pulls at its own address and pushes to each other one over one
+connection. Push and pull carry one message one way, without the handshake or
+the single partner of a pair socket, and without the fan-out of a bus, which
+would send to all at once and hide from the sender who is slow. Reconnecting is
+the library's; its discovery and clustering stay unused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pynng
+
+from ..errors import Failure, Reason
+from ..metrics import Metrics
+from .envelope import MAX_BYTES
+
+SEND_QUEUE = 16
+RECEIVE_QUEUE = 1_024
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 5_000
+RETRY_RECEIVE_MS = 100
+
+
+class PynngTransport:
+    """A `transport.PeerTransport` over TCP.
+
+    Parameters
+    ----------
+    listen : str
+        ``tcp://IP:PORT`` to pull at; port 0 for any free one.
+    metrics : Metrics
+        Counts what is dropped.
+    """
+
+    def __init__(self, listen: str, metrics: Metrics):
+        self._listen = listen
+        self._metrics = metrics
+        self._pull: pynng.Pull0 | None = None
+        self._pushes: dict[str, pynng.Push0] = {}
+        self.address = listen
+
+    def open(self) -> Failure | None:
+        """Listen; fails if the address is taken."""
+        pull = pynng.Pull0(recv_buffer_size=RECEIVE_QUEUE, recv_max_size=MAX_BYTES)
+        try:
+            listener = pull.listen(self._listen)
+        except pynng.NNGException as error:
+            pull.close()
+            return Failure(Reason.UNAVAILABLE, "peers.listen", detail=str(error))
+        if self._listen.endswith(":0"):
+            self.address = _address(listener)
+        self._pull = pull
+        return None
+
+    def send(self, address: str, data: bytes) -> None:
+        """Send without waiting; what the queue can't take is dropped."""
+        try:
+            self._push(address).send(data, block=False)
+        except pynng.TryAgain:
+            self._metrics.incr("peers.send_dropped")
+        except pynng.NNGException:
+            self._metrics.incr("peers.send_failed")
+            self._close(address)
+
+    async def receive(self) -> bytes:
+        """Return the next message that came."""
+        while self._pull is not None:
+            try:
+                return await self._pull.arecv()
+            except pynng.Closed:
+                break
+            except pynng.NNGException:
+                self._metrics.incr("peers.receive_failed")
+                await asyncio.sleep(RETRY_RECEIVE_MS / 1_000)
+        return await asyncio.get_running_loop().create_future()
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the connections to all other addresses."""
+        for address in set(self._pushes) - addresses:
+            self._close(address)
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        self.keep_only(set())
+        if self._pull is not None:
+            self._pull.close()
+            self._pull = None
+
+    def _push(self, address: str) -> pynng.Push0:
+        push = self._pushes.get(address)
+        if push is None:
+            push = pynng.Push0(
+                send_buffer_size=SEND_QUEUE,
+                reconnect_time_min=RECONNECT_MIN_MS,
+                reconnect_time_max=RECONNECT_MAX_MS,
+            )
+            self._pushes[address] = push
+            push.dial(address, block=False)
+        return push
+
+    def _close(self, address: str) -> None:
+        push = self._pushes.pop(address, None)
+        if push is not None:
+            push.close()
+
+
+def _address(listener: pynng.Listener) -> str:
+    """Return where a listener on any free port listens."""
+    return f"tcp://{listener.local_address}"
--- /dev/null
+++ b/testing/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the messages and the membership of entry instances."""
--- /dev/null
+++ b/testing/peers/test_envelope.py
@@ -0,0 +1,86 @@
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _monsoonpulley.peers.digest import Digest, FullRequest, LoadItem
+from _monsoonpulley.peers.envelope import (
+    MAX_AGE_MS,
+    MAX_BYTES,
+    Envelope,
+    Rejection,
+    Sealer,
+    SequenceGuard,
+)
+from _monsoonpulley.platform.livelist import MemberState
+
+WALL_MS = 1_800_000_000_000
+SEALER = Sealer("key-of-the-tests")
+
+
+def envelope(seq=1, incarnation=5, message=None, wall_ms=WALL_MS):
+    message = message or Digest(MemberState.LIVE, 3, 0, False)
+    return Envelope("entry-1", incarnation, seq, wall_ms, message)
+
+
+class SealerTest(unittest.TestCase):
+    def test_a_sealed_message_opens_unchanged(self):
+        load = LoadItem(7, 20, 3, 4, 500, 250, 8_000, 12_000, 64)
+        digest = Digest(MemberState.LEAVING, 9, 4, False, (load,), ("engine-1",))
+        for message in (digest, FullRequest("tcp://10.0.0.1:7101")):
+            sent = envelope(message=message)
+            self.assertEqual(SEALER.open(SEALER.seal(sent), WALL_MS), sent)
+
+    def test_each_changed_byte_is_noticed(self):
+        data = SEALER.seal(envelope())
+        for index in range(len(data)):
+            changed = bytearray(data)
+            changed[index] ^= 1
+            opened = SEALER.open(bytes(changed), WALL_MS)
+            self.assertIsInstance(opened, Rejection, index)
+
+    def test_another_key_is_rejected(self):
+        data = Sealer("another-key").seal(envelope())
+        self.assertEqual(SEALER.open(data, WALL_MS), Rejection.WRONG_KEY)
+
+    def test_another_format_version_is_rejected(self):
+        data = b"\x02" + SEALER.seal(envelope())[1:]
+        self.assertEqual(SEALER.open(data, WALL_MS), Rejection.UNKNOWN_VERSION)
+
+    def test_too_large_a_message_is_rejected(self):
+        opened = SEALER.open(bytes(MAX_BYTES + 1), WALL_MS)
+        self.assertEqual(opened, Rejection.TOO_LARGE)
+
+    def test_a_message_held_back_for_long_is_rejected(self):
+        data = SEALER.seal(envelope())
+        opened = SEALER.open(data, WALL_MS + MAX_AGE_MS + 1)
+        self.assertEqual(opened, Rejection.STALE)
+
+    def test_a_signed_payload_of_wrong_shape_is_garbage(self):
+        payloads = (b"\xc1", msgspec.msgpack.encode(["entry-1", 5, 1, WALL_MS, [99]]))
+        for payload in payloads:
+            version = b"\x01"
+            data = version + SEALER._mac(version, payload) + payload
+            self.assertEqual(SEALER.open(data, WALL_MS), Rejection.GARBAGE)
+
+    @settings(derandomize=True, max_examples=200, deadline=None, database=None)
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_rejected_without_an_exception(self, data):
+        self.assertIsInstance(SEALER.open(data, WALL_MS), Rejection)
+
+
+class SequenceGuardTest(unittest.TestCase):
+    def test_a_message_passes_once(self):
+        guard = SequenceGuard()
+        self.assertIsNone(guard.judge(envelope(seq=4)))
+        for seq in (4, 3):
+            self.assertEqual(guard.judge(envelope(seq=seq)), Rejection.REPLAYED)
+        self.assertIsNone(guard.judge(envelope(seq=6)))
+
+    def test_a_new_incarnation_starts_again_and_ends_the_old_one(self):
+        guard = SequenceGuard()
+        guard.judge(envelope(seq=100, incarnation=5))
+        self.assertIsNone(guard.judge(envelope(seq=1, incarnation=6)))
+        late = guard.judge(envelope(seq=101, incarnation=5))
+        self.assertEqual(late, Rejection.OLD_INCARNATION)
