Measure membership at full size and share engines less often

Cause: sharing the engines among daemons ran with every digest received. Change: it runs with each interval and each change; benchmarks/peers.py.

--- /dev/null
+++ b/benchmarks/peers.py
@@ -0,0 +1,385 @@
+"""Cost of membership: ``python -m benchmarks.peers``.
+
+Runs the real code of one daemon of a full-size fleet, with every load changed in
+each digest, and prints processor time per step, bytes and share of a core per
+second, for three sizes and for other ways to spread the digests. Bytes count
+what a daemon sends and receives, with ``HEADER_BYTES`` for each message.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from _monsoonpulley.clock import ManualClock
+from _monsoonpulley.config.document import Document, Revision, Service, ServiceKind
+from _monsoonpulley.endpoints.engine import LoadReport
+from _monsoonpulley.identity import Identity
+from _monsoonpulley.log import Log
+from _monsoonpulley.metrics import NoMetrics
+from _monsoonpulley.peers.digest import Digest, LoadItem
+from _monsoonpulley.peers.envelope import Envelope, Sealer
+from _monsoonpulley.peers.exchange import PeerExchange
+from _monsoonpulley.peers.host import RouterHost
+from _monsoonpulley.peers.membership import Membership
+from _monsoonpulley.peers.pynng_transport import PynngTransport
+from _monsoonpulley.platform.livelist import Member, MemberState, Role
+from _monsoonpulley.routing.router import Router
+
+HEADER_BYTES = 100
+BUDGET_BYTES_PER_S = 18_000
+BUDGET_CORE_RATIO = 0.048
+WALL_START_MS = 1_800_000_000_000
+TRANSPORT_MESSAGES = 5_000
+WARM_ROUNDS = 2
+ROUNDS = 5
+REVISION = Revision(
+    7, "0" * 32, "operator", 0, Document(services={"model": Service(ServiceKind.MODEL)})
+)
+
+
+class FleetSize(msgspec.Struct, frozen=True):
+    """Daemons and workers of a fleet, evenly over its data centres."""
+
+    daemons: int
+    zones: int
+    workers: int
+
+
+SIZES = (FleetSize(9, 4, 10), FleetSize(60, 6, 417), FleetSize(360, 6, 2_500))
+
+
+class FixedWatcher:
+    """A watcher of one revision."""
+
+    revision = REVISION
+
+    def notice(self, number: int) -> None:
+        """Do nothing."""
+
+
+class CollectingTransport:
+    """Keeps what is sent."""
+
+    def __init__(self, address: str):
+        self.address = address
+        self.sent: list[tuple[str, bytes]] = []
+
+    def send(self, address: str, data: bytes) -> None:
+        """Keep a message."""
+        self.sent.append((address, data))
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Do nothing."""
+
+
+class Daemon:
+    """One daemon of a fleet: its real exchange, host and router."""
+
+    def __init__(self, name: str, zone: str, members: list[Member], rng: random.Random):
+        self.clock = ManualClock(0, WALL_START_MS)
+        identity = Identity(name, zone, "region", WALL_START_MS)
+        self.membership = Membership(identity, 0)
+        router = Router.from_config(REVISION.document, zone, rng)
+        router.apply_members(members, 0)
+        self.membership.apply_list(members, 0)
+        self.host = RouterHost(self.membership, router, FixedWatcher(), self.clock)
+        self.transport = CollectingTransport(f"tcp://{name}:7101")
+        log = Log(self.clock, lambda line: None)
+        self.exchange = PeerExchange(
+            self.membership,
+            self.transport,
+            Sealer("key-of-the-benchmark"),
+            self.host,
+            self.clock,
+            rng,
+            log,
+            NoMetrics(),
+        )
+        self._rng = rng
+
+    def hear_all(self, entries: list[Member], turn: int) -> None:
+        """Hear the others of its data centre, without their loads."""
+        digest = Digest(MemberState.LIVE, REVISION.number, turn, False)
+        identity = self.membership.identity
+        for entry in entries:
+            if entry.zone == identity.zone and entry.instance != identity.instance:
+                self.membership.hear_digest(
+                    entry.instance,
+                    WALL_START_MS,
+                    turn + 1,
+                    digest,
+                    self.clock.now_ms(),
+                )
+
+    def read_loads(self) -> None:
+        """Take fresh reports of the engines this daemon reads."""
+        now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
+        for endpoint in self.host.read_endpoints():
+            report = random_report(wall_ms, self._rng)
+            self.host.apply_load(endpoint, report, now_ms, wall_ms)
+
+
+def random_report(wall_ms: int, rng: random.Random) -> LoadReport:
+    """Return a report of a busy engine."""
+    return LoadReport(
+        measured_wall_ms=wall_ms - rng.randrange(500),
+        running=rng.randrange(64),
+        waiting=rng.randrange(20),
+        waiting_tokens=rng.randrange(40_000),
+        kv_used_ratio=rng.random(),
+        prefill_tokens_per_s=rng.uniform(5_000, 20_000),
+        decode_ms_per_token=rng.uniform(10, 40),
+        max_running=64,
+    )
+
+
+def fleet_members(size: FleetSize) -> list[Member]:
+    """Return the list of a whole fleet."""
+    members = []
+    for number in range(size.daemons):
+        name = f"entry-{number:04d}.region-a"
+        zone = f"zone-{number % size.zones}"
+        members.append(Member(name, Role.ENTRY, zone, name, f"tcp://{name}:7101"))
+    for number in range(size.workers):
+        name = f"engine-{number:04d}.region-a"
+        zone = f"zone-{number % size.zones}"
+        members.append(Member(name, Role.ENDPOINT, zone, name, "", "model", "v1"))
+    return members
+
+
+class Costs(msgspec.Struct):
+    """Measured costs of one daemon; times in microseconds."""
+
+    peers: int
+    interval_ms: int
+    digest_bytes: float
+    summary_bytes: float
+    digests_received: int
+    summaries_received: int
+    send_us: float
+    receive_digest_us: float
+    receive_summary_us: float
+
+    def messages_per_s(self) -> float:
+        """Return messages sent and received."""
+        sent = self.peers + self.summaries_received
+        received = self.digests_received + self.summaries_received
+        return (sent + received) * 1_000 / self.interval_ms
+
+    def payload_per_s(self) -> float:
+        """Return bytes of messages sent and received."""
+        digests = (self.peers + self.digests_received) * self.digest_bytes
+        summaries = 2 * self.summaries_received * self.summary_bytes
+        return (digests + summaries) * 1_000 / self.interval_ms
+
+    def core_ratio(self, transport_us: float) -> float:
+        """Return the share of a core, with half of ``transport_us`` a message."""
+        once_us = self.send_us
+        once_us += self.digests_received * self.receive_digest_us
+        once_us += self.summaries_received * self.receive_summary_us
+        per_s = once_us * 1_000 / self.interval_ms
+        return (per_s + self.messages_per_s() * transport_us / 2) / 1e6
+
+
+def measure(size: FleetSize, rng: random.Random) -> Costs:
+    """Run the digests of one data centre, and those it gets from others."""
+    members = fleet_members(size)
+    entries = [member for member in members if member.role is Role.ENTRY]
+    zone = [entry for entry in entries if entry.zone == "zone-0"]
+    daemons = [Daemon(entry.instance, "zone-0", members, rng) for entry in zone]
+    partners = [
+        Daemon(
+            next(e.instance for e in entries if e.zone == other), other, members, rng
+        )
+        for other in sorted({entry.zone for entry in entries} - {"zone-0"})
+    ]
+    everyone = [*daemons, *partners]
+    subject = daemons[0]
+    spent: dict[str, list[float]] = {"send": [], "digest": [], "summary": []}
+    sizes: dict[str, list[int]] = {"digest": [], "summary": []}
+    interval_ms = subject.membership.interval_ms()
+    for turn in range(ROUNDS):
+        for daemon in everyone:
+            daemon.clock.advance_ms(interval_ms)
+            daemon.read_loads()
+        for daemon in partners:
+            daemon.hear_all(entries, turn)
+        measured = turn >= WARM_ROUNDS
+        sent = [
+            send(daemon, spent["send"] if measured and daemon is subject else None)
+            for daemon in everyone
+        ]
+        for daemon, (digest, summary) in zip(everyone, sent, strict=True):
+            if daemon in partners:
+                receivers = [subject] if measured else daemons
+                deliver(daemon, receivers, subject, summary, spent["summary"], measured)
+                if measured:
+                    sizes["summary"].append(len(summary))
+            else:
+                receivers = [subject] if measured else daemons
+                deliver(daemon, receivers, subject, digest, spent["digest"], measured)
+                if measured:
+                    sizes["digest"].append(len(digest))
+    return Costs(
+        peers=len(daemons) - 1,
+        interval_ms=interval_ms,
+        digest_bytes=mean(sizes["digest"]),
+        summary_bytes=mean(sizes["summary"]),
+        digests_received=len(daemons) - 1,
+        summaries_received=len(partners),
+        send_us=mean(spent["send"]),
+        receive_digest_us=mean(spent["digest"]),
+        receive_summary_us=mean(spent["summary"]),
+    )
+
+
+def send(daemon: Daemon, spent: list[float] | None) -> tuple[bytes, bytes]:
+    """Let a daemon send; return its digest and its summary."""
+    daemon.transport.sent.clear()
+    started_s = time.process_time()
+    run_without_loop(daemon.exchange.send_digest())
+    if spent is not None:
+        spent.append((time.process_time() - started_s) * 1e6)
+    sealer = Sealer("key-of-the-benchmark")
+    found = {True: b"", False: b""}
+    for _, data in daemon.transport.sent:
+        envelope = sealer.open(data, daemon.clock.wall_ms())
+        found[isinstance(envelope.message, Digest)] = data
+    return found[True], found[False]
+
+
+def run_without_loop(coroutine) -> None:
+    """Run a coroutine that only yields to other tasks."""
+    try:
+        while True:
+            coroutine.send(None)
+    except StopIteration:
+        return
+
+
+def deliver(
+    sender: Daemon,
+    receivers: list[Daemon],
+    subject: Daemon,
+    data: bytes,
+    spent: list[float],
+    measured: bool,
+) -> None:
+    """Give a message to daemons; note the time of ``subject``."""
+    for daemon in receivers:
+        if sender is daemon:
+            continue
+        started_s = time.process_time()
+        daemon.exchange.receive(data)
+        if measured and daemon is subject:
+            spent.append((time.process_time() - started_s) * 1e6)
+
+
+def mean(values: list) -> float:
+    """Return the mean, 0 of nothing."""
+    return sum(values) / len(values) if values else 0.0
+
+
+async def transport_us(size_bytes: int) -> float:
+    """Return processor time of one message's send and receive together."""
+    sender = PynngTransport("tcp://127.0.0.1:0", NoMetrics())
+    receiver = PynngTransport("tcp://127.0.0.1:0", NoMetrics())
+    for end in (sender, receiver):
+        failure = end.open()
+        if failure is not None:
+            raise RuntimeError(str(failure))
+    data = bytes(size_bytes)
+    sender.send(receiver.address, data)
+    await receiver.receive()
+    started_s = time.process_time()
+    for _ in range(TRANSPORT_MESSAGES):
+        sender.send(receiver.address, data)
+        await receiver.receive()
+    spent_s = time.process_time() - started_s
+    await sender.close()
+    await receiver.close()
+    return spent_s / TRANSPORT_MESSAGES * 1e6
+
+
+def timed_us(call: Callable[[], object], count: int = 2_000) -> float:
+    """Return processor time of one call."""
+    started_s = time.process_time()
+    for _ in range(count):
+        call()
+    return (time.process_time() - started_s) / count * 1e6
+
+
+def step_costs() -> None:
+    """Print what building, sealing and opening a digest of seven loads cost."""
+    rng = random.Random(1)
+    sealer = Sealer("key-of-the-benchmark")
+    reports = [random_report(WALL_START_MS, rng) for _ in range(7)]
+
+    def build() -> Digest:
+        pairs = itertools.count(1_000_000_000)
+        loads = tuple(
+            LoadItem.from_report(next(pairs), report, WALL_START_MS)
+            for report in reports
+        )
+        return Digest("live", 7, 1, False, loads)
+
+    digest = build()
+    sealed = Envelope("entry-0001.region-a", WALL_START_MS, 9, WALL_START_MS, digest)
+    data = sealer.seal(sealed)
+    print(f"digest of 7 loads: {len(data)} bytes, {timed_us(build):.1f} us to build,")
+    print(f"  {timed_us(lambda: sealer.seal(sealed)):.1f} us to seal,")
+    print(f"  {timed_us(lambda: sealer.open(data, WALL_START_MS)):.1f} us to open")
+
+
+def fan_outs(costs: Costs) -> None:
+    """Print the bytes of other ways, from the measured size of a digest."""
+    count = costs.peers + 1
+    mesh = 2 * costs.peers * (costs.digest_bytes + HEADER_BYTES)
+    side = math.ceil(math.sqrt(count))
+    row = 2 * (side - 1) * (costs.digest_bytes + HEADER_BYTES)
+    column = 2 * (side - 1) * (side * costs.digest_bytes + HEADER_BYTES)
+    print(f"  full mesh each second:            {mesh / 1_000:6.1f} KB/s")
+    print(f"  rows, then merged columns:        {(row + column) / 1_000:6.1f} KB/s")
+    slower = mesh * 1_000 / costs.interval_ms
+    print(f"  full mesh at the longer interval: {slower / 1_000:6.1f} KB/s")
+
+
+def print_size(size: FleetSize, carried_us: float) -> None:
+    """Print the costs of one size."""
+    costs = measure(size, random.Random(1))
+    payload = costs.payload_per_s()
+    total = payload + costs.messages_per_s() * HEADER_BYTES
+    ratio = costs.core_ratio(carried_us)
+    print(f"{size.daemons} daemons, {size.zones} data centres, {size.workers} workers")
+    print(f"  interval:        {costs.interval_ms} ms")
+    print(f"  messages:        {costs.messages_per_s():.1f} /s sent and received")
+    print(f"  digest, summary: {costs.digest_bytes:.0f} B, {costs.summary_bytes:.0f} B")
+    print(f"  send:            {costs.send_us:.0f} us each interval")
+    print(f"  receive digest:  {costs.receive_digest_us:.0f} us")
+    print(f"  receive summary: {costs.receive_summary_us:.0f} us")
+    print(f"  payload:         {payload / 1_000:.1f} KB/s")
+    budget = total / BUDGET_BYTES_PER_S
+    print(f"  with headers:    {total / 1_000:.1f} KB/s, {budget:.0%} of the budget")
+    budget = ratio / BUDGET_CORE_RATIO
+    print(f"  processor:       {ratio:.2%} of a core, {budget:.0%} of the budget")
+    fan_outs(costs)
+
+
+def main() -> None:
+    """Print all measurements."""
+    step_costs()
+    carried_us = asyncio.run(transport_us(400))
+    print(f"pynng, 400 bytes: {carried_us:.0f} us for send and receive together")
+    for size in SIZES:
+        print_size(size, carried_us)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -337,13 +337,14 @@
     def _reconfigure(self, revision: Revision) -> None:
         self.router.reconfigure(revision.document)
         self.pool.update(self.roster.members)
+        self.peer_host.members_changed()
         self.exchange.revision_changed(revision.number)
 
     def _apply_members(self, members: tuple[Member, ...]) -> None:
         self.pool.update(members)
         self.membership.apply_list(members, self._around.clock.now_ms())
         self.router.apply_members(members, self._around.clock.now_ms())
-        self.router.update_slots()
+        self.peer_host.members_changed()
 
     def _on_notice(self, notice: ReclaimNotice) -> None:
         clock = self._around.clock
--- a/src/_monsoonpulley/peers/host.py
+++ b/src/_monsoonpulley/peers/host.py
@@ -108,7 +108,6 @@
 
     def hear_loads(self, digest: Digest, sent_wall_ms: int) -> None:
         """Take in the loads of a digest."""
-        self._share_engines()
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         for item in digest.loads:
             endpoint = self._keys.get(item.key)
--- /dev/null
+++ b/testing/peers/test_exchange.py
@@ -0,0 +1,153 @@
+import unittest
+
+from _monsoonpulley.peers.builder import FULL_INTERVAL_MS, DigestBuilder, UrgentItems
+from _monsoonpulley.peers.digest import Digest, LoadItem, TrippedVersion
+from _monsoonpulley.peers.envelope import MAX_AGE_MS, Envelope, Rejection, Sealer
+from _monsoonpulley.peers.reporters import EndpointKeys, Reporters, endpoint_key
+from _monsoonpulley.platform.livelist import MemberState
+from _monsoonpulley.standins.world import PEER_KEY
+
+from .fleet import SEEDS, SPREAD_MS, instances, live_as_seen_by, run_fleet
+
+HEAD = Digest(MemberState.LIVE, 1, 0, False, zone="zone-a", address="me")
+
+
+def load(key, running=1, age_ms=5):
+    return LoadItem(key, age_ms, running, 0, 0, 0, 8_000, 12_000, 64)
+
+
+class HostileMessageTest(unittest.TestCase):
+    def setUp(self):
+        self.sealer = Sealer(PEER_KEY)
+
+    def message(self, world, leaving, *, seq=10_000, wall_ms=None, key=PEER_KEY):
+        sender = world.entries["zone-a-entry-1"].instance.identity
+        digest = Digest(MemberState.LEAVING, 1, 0, False, leaving=leaving)
+        sent_wall_ms = world.clock.wall_ms() if wall_ms is None else wall_ms
+        sealed = Envelope(
+            sender.instance, sender.incarnation, seq, sent_wall_ms, digest
+        )
+        return Sealer(key).seal(sealed)
+
+    def run_against_peer(self, script):
+        async def with_peer(world):
+            peer = world.entries["zone-a-entry-2"].instance
+            await script(world, peer)
+            self.assertIn("zone-a-entry-1", live_as_seen_by(peer, world.clock.now_ms()))
+            state = peer.router.fleet.endpoints["zone-a-engine-1"].state
+            self.assertEqual(state, MemberState.LIVE)
+
+        for seed in SEEDS[:2]:
+            run_fleet(with_peer, seed)
+
+    def test_a_forged_message_changes_nothing(self):
+        async def script(world, peer):
+            forged = self.message(world, ("zone-a-engine-1",), key="another-key")
+            self.assertEqual(peer.exchange.receive(forged), Rejection.WRONG_KEY)
+
+        self.run_against_peer(script)
+
+    def test_a_message_that_waited_through_a_pause_changes_nothing(self):
+        async def script(world, peer):
+            wall_ms = world.clock.wall_ms() - MAX_AGE_MS - 1
+            late = self.message(world, ("zone-a-engine-1",), wall_ms=wall_ms)
+            self.assertEqual(peer.exchange.receive(late), Rejection.STALE)
+
+        self.run_against_peer(script)
+
+    def test_a_replayed_message_changes_nothing(self):
+        async def script(world, peer):
+            old = self.message(world, ("zone-a-engine-1",), seq=1)
+            self.assertEqual(peer.exchange.receive(old), Rejection.REPLAYED)
+
+        self.run_against_peer(script)
+
+
+class TrippedVersionTest(unittest.TestCase):
+    def test_a_tripped_version_reaches_every_data_centre_in_seconds(self):
+        async def script(world):
+            heard = {name: [] for name in world.entries}
+            for name, instance in instances(world).items():
+                instance.peer_host.on_tripped(heard[name].append)
+            item = TrippedVersion("model", "v1", "errors", world.clock.wall_ms())
+            world.entries["zone-a-entry-1"].instance.exchange.add_tripped(item)
+            await world.clock.sleep_ms(SPREAD_MS)
+            del heard["zone-a-entry-1"]
+            for name, items in heard.items():
+                self.assertEqual(items, [item], name)
+
+        for seed in SEEDS:
+            run_fleet(script, seed)
+
+
+class DigestBuilderTest(unittest.TestCase):
+    def setUp(self):
+        self.urgent = UrgentItems()
+        self.builder = DigestBuilder(self.urgent)
+
+    def build(self, loads=(), seq=1, now_ms=0):
+        return self.builder.build(HEAD, loads, seq, now_ms)
+
+    def test_a_digest_holds_only_what_changed(self):
+        self.assertEqual(len(self.build([load(1), load(2)], seq=1).loads), 2)
+        delta = self.build([load(1, age_ms=9), load(2, running=5)], seq=2, now_ms=1)
+        self.assertEqual([item.key for item in delta.loads], [2])
+        self.assertEqual((delta.previous_seq, delta.address), (1, ""))
+
+    def test_a_full_digest_comes_in_time_and_on_request(self):
+        self.assertTrue(self.build().is_full)
+        self.assertFalse(self.build(now_ms=FULL_INTERVAL_MS - 1).is_full)
+        self.assertTrue(self.build(now_ms=FULL_INTERVAL_MS).is_full)
+        self.builder.want_full()
+        self.assertTrue(self.build(now_ms=FULL_INTERVAL_MS + 1).is_full)
+
+    def test_news_is_told_once_and_again_in_full_digests(self):
+        self.build()
+        self.assertTrue(self.urgent.add_leaving("engine-1", 1))
+        self.assertFalse(self.urgent.add_leaving("engine-1", 2))
+        self.assertEqual(self.build(now_ms=2).leaving, ("engine-1",))
+        self.assertEqual(self.build(now_ms=3).leaving, ())
+        full = self.build(now_ms=FULL_INTERVAL_MS)
+        self.assertEqual(full.leaving, ("engine-1",))
+
+    def test_an_older_change_of_a_version_is_no_news(self):
+        cleared = TrippedVersion("model", "v2", "", 20, is_tripped=False)
+        self.assertTrue(self.urgent.add_tripped(cleared))
+        self.assertFalse(
+            self.urgent.add_tripped(TrippedVersion("model", "v2", "errors", 10))
+        )
+
+
+class ReportersTest(unittest.TestCase):
+    def shared(self, instances, workers):
+        found = []
+        for own in instances:
+            reporters = Reporters(own)
+            reporters.update(instances, workers)
+            found.append(reporters)
+        return found
+
+    def test_each_worker_has_one_reporter_and_few_move_when_one_dies(self):
+        instances = [f"entry-{n}" for n in range(60)]
+        workers = [f"engine-{n}" for n in range(417)]
+        before = self.shared(instances, workers)
+        counts = [len(reporters.reported()) for reporters in before]
+        self.assertEqual(sum(counts), 417)
+        after = Reporters("entry-1")
+        after.update(instances[1:], workers)
+        lost = set(before[0].reported())
+        for worker in set(workers) - lost:
+            self.assertEqual(after.reporter(worker), before[0].reporter(worker))
+
+    def test_all_read_all_in_a_small_data_centre(self):
+        for reporters in self.shared(["entry-1", "entry-2"], ["engine-1", "engine-2"]):
+            self.assertEqual(len(reporters.read()), 2)
+
+    def test_a_key_of_two_endpoints_names_neither(self):
+        keys = EndpointKeys()
+        keys.update(["engine-1"])
+        self.assertEqual(keys.get(endpoint_key("engine-1")), "engine-1")
+        first, second = "engine-31533", "engine-110733"
+        self.assertEqual(endpoint_key(first), endpoint_key(second))
+        keys.update([first, second])
+        self.assertIsNone(keys.get(endpoint_key(first)))
