Pass leaving entry instances on inside other data centres

Change: leaving members are urgent items like leaving endpoints and tripped versions. Digest intervals rise by 60 ms a peer, summaries go with every second.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -27,7 +27,7 @@
 from _monsoonpulley.peers.envelope import Envelope, Sealer
 from _monsoonpulley.peers.exchange import PeerExchange
 from _monsoonpulley.peers.host import RouterHost
-from _monsoonpulley.peers.membership import Membership
+from _monsoonpulley.peers.membership import SUMMARY_DIGESTS, Membership
 from _monsoonpulley.peers.pynng_transport import PynngTransport
 from _monsoonpulley.platform.livelist import Member, MemberState, Role
 from _monsoonpulley.routing.router import Router
@@ -169,21 +169,22 @@
 
     def messages_per_s(self) -> float:
         """Return messages sent and received."""
-        sent = self.peers + self.summaries_received
-        received = self.digests_received + self.summaries_received
-        return (sent + received) * 1_000 / self.interval_ms
+        digests = self.peers + self.digests_received
+        summaries = 2 * self.summaries_received / SUMMARY_DIGESTS
+        return (digests + summaries) * 1_000 / self.interval_ms
 
     def payload_per_s(self) -> float:
         """Return bytes of messages sent and received."""
         digests = (self.peers + self.digests_received) * self.digest_bytes
-        summaries = 2 * self.summaries_received * self.summary_bytes
+        summaries = 2 * self.summaries_received / SUMMARY_DIGESTS * self.summary_bytes
         return (digests + summaries) * 1_000 / self.interval_ms
 
     def core_ratio(self, transport_us: float) -> float:
         """Return the share of a core, with half of ``transport_us`` a message."""
         once_us = self.send_us
         once_us += self.digests_received * self.receive_digest_us
-        once_us += self.summaries_received * self.receive_summary_us
+        summaries = self.summaries_received / SUMMARY_DIGESTS
+        once_us += summaries * self.receive_summary_us
         per_s = once_us * 1_000 / self.interval_ms
         return (per_s + self.messages_per_s() * transport_us / 2) / 1e6
 
@@ -217,6 +218,8 @@
             for daemon in everyone
         ]
         for daemon, (digest, summary) in zip(everyone, sent, strict=True):
+            if daemon in partners and not summary:
+                continue
             if daemon in partners:
                 receivers = [subject] if measured else daemons
                 deliver(daemon, receivers, subject, summary, spent["summary"], measured)
--- a/src/_monsoonpulley/peers/builder.py
+++ b/src/_monsoonpulley/peers/builder.py
@@ -3,28 +3,74 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Generic, TypeVar
 
 import msgspec
 
 from ..ids import EndpointId, ServiceId, VersionId
-from .digest import Digest, LoadItem, TrippedVersion
+from .digest import Digest, LeavingMember, LoadItem, TrippedVersion, UrgentBody
 
 FULL_INTERVAL_MS = 30_000
 KEEP_LEAVING_MS = 120_000
-"""How long full digests and summaries repeat that an endpoint leaves."""
+"""How long full digests and summaries repeat that an instance leaves."""
 
 MAX_LEAVING = 2_000
 MAX_TRIPPED = 200
 
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class NewsTable(Generic[K, V]):
+    """Items by key, and which of them no digest had yet."""
+
+    def __init__(self) -> None:
+        self._items: dict[K, tuple[V, int]] = {}
+        self._unsent: set[K] = set()
+
+    def get(self, key: K) -> V | None:
+        """Return the item of a key."""
+        found = self._items.get(key)
+        return found[0] if found else None
+
+    def put(self, key: K, item: V, now_ms: int, pass_on: bool) -> None:
+        """Add an item; ``pass_on`` says whether the next digest tells it."""
+        self._items[key] = (item, now_ms)
+        if pass_on:
+            self._unsent.add(key)
+
+    def forget_before(self, since_ms: int) -> None:
+        """Forget items that are older."""
+        for key, (_, put_ms) in list(self._items.items()):
+            if put_ms < since_ms:
+                del self._items[key]
+                self._unsent.discard(key)
+
+    def newest(self, limit: int) -> tuple[V, ...]:
+        """Return the newest items, at most ``limit``."""
+        items = list(reversed(self._items.values()))[:limit]
+        return tuple(item for item, _ in items)
+
+    def has_news(self) -> bool:
+        """Return whether an item is to be told."""
+        return bool(self._unsent)
+
+    def take_news(self, limit: int) -> tuple[V, ...]:
+        """Return at most ``limit`` items that no digest had, as told now."""
+        keys = sorted(self._unsent)[:limit]
+        self._unsent.difference_update(keys)
+        return tuple(self._items[key][0] for key in keys)
+
 
 class UrgentItems:
-    """What must spread at once: leaving endpoints and tripped versions."""
+    """What must spread at once: leaving instances and tripped versions."""
 
     def __init__(self) -> None:
-        self._leaving: dict[EndpointId, int] = {}
-        self._tripped: dict[tuple[ServiceId, VersionId], TrippedVersion] = {}
-        self._unsent_leaving: set[EndpointId] = set()
-        self._unsent_tripped: set[tuple[ServiceId, VersionId]] = set()
+        self._endpoints: NewsTable[EndpointId, EndpointId] = NewsTable()
+        self._members: NewsTable[tuple[str, int], LeavingMember] = NewsTable()
+        self._tripped: NewsTable[tuple[ServiceId, VersionId], TrippedVersion] = (
+            NewsTable()
+        )
 
     def add_leaving(
         self, endpoint: EndpointId, now_ms: int, *, pass_on: bool = True
@@ -33,50 +79,54 @@
 
         ``pass_on`` says whether the next digest tells it.
         """
-        if endpoint in self._leaving:
+        if self._endpoints.get(endpoint) is not None:
             return False
-        self._leaving[endpoint] = now_ms
-        if pass_on:
-            self._unsent_leaving.add(endpoint)
+        self._endpoints.put(endpoint, endpoint, now_ms, pass_on)
+        return True
+
+    def add_member(
+        self, item: LeavingMember, now_ms: int, *, pass_on: bool = True
+    ) -> bool:
+        """Note a leaving entry instance; return whether that was news."""
+        key = (item.instance, item.incarnation)
+        if self._members.get(key) is not None:
+            return False
+        self._members.put(key, item, now_ms, pass_on)
         return True
 
-    def add_tripped(self, item: TrippedVersion, *, pass_on: bool = True) -> bool:
+    def add_tripped(
+        self, item: TrippedVersion, now_ms: int, *, pass_on: bool = True
+    ) -> bool:
         """Note a change of a version; return whether that was news."""
         key = (item.service, item.version)
         known = self._tripped.get(key)
         if known is not None and known.since_wall_ms >= item.since_wall_ms:
             return False
-        self._tripped[key] = item
-        if pass_on:
-            self._unsent_tripped.add(key)
+        self._tripped.put(key, item, now_ms, pass_on)
         return True
 
     def has_news(self) -> bool:
         """Return whether there is anything that no digest had yet."""
-        return bool(self._unsent_leaving or self._unsent_tripped)
-
-    def all_leaving(self, now_ms: int) -> tuple[EndpointId, ...]:
-        """Return the endpoints that lately began to leave."""
-        for endpoint, since_ms in list(self._leaving.items()):
-            if now_ms - since_ms > KEEP_LEAVING_MS:
-                del self._leaving[endpoint]
-                self._unsent_leaving.discard(endpoint)
-        return tuple(sorted(self._leaving)[:MAX_LEAVING])
-
-    def all_tripped(self) -> tuple[TrippedVersion, ...]:
-        """Return the newest item of each version."""
-        newest = sorted(self._tripped.values(), key=lambda item: -item.since_wall_ms)
-        return tuple(newest[:MAX_TRIPPED])
-
-    def take_news(
-        self,
-    ) -> tuple[tuple[EndpointId, ...], tuple[TrippedVersion, ...]]:
-        """Return what no digest had yet, and take it as sent."""
-        leaving = tuple(sorted(self._unsent_leaving))[:MAX_LEAVING]
-        tripped = tuple(self._tripped[key] for key in sorted(self._unsent_tripped))
-        self._unsent_leaving.difference_update(leaving)
-        self._unsent_tripped.clear()
-        return leaving, tripped
+        tables = (self._endpoints, self._members, self._tripped)
+        return any(table.has_news() for table in tables)
+
+    def recent(self, now_ms: int) -> UrgentBody:
+        """Return what lately began to leave and each version's newest change."""
+        self._endpoints.forget_before(now_ms - KEEP_LEAVING_MS)
+        self._members.forget_before(now_ms - KEEP_LEAVING_MS)
+        return UrgentBody(
+            self._endpoints.newest(MAX_LEAVING),
+            self._members.newest(MAX_LEAVING),
+            self._tripped.newest(MAX_TRIPPED),
+        )
+
+    def take_news(self) -> UrgentBody:
+        """Return what no digest had yet, and take it as told."""
+        return UrgentBody(
+            self._endpoints.take_news(MAX_LEAVING),
+            self._members.take_news(MAX_LEAVING),
+            self._tripped.take_news(MAX_TRIPPED),
+        )
 
 
 class DigestBuilder:
@@ -118,11 +168,10 @@
         """
         is_full = now_ms >= self._full_due_ms
         by_key = {item.key: item for item in loads}
-        leaving, tripped = self._urgent.take_news()
+        urgent = self._urgent.take_news()
         if is_full:
             self._full_due_ms = now_ms + FULL_INTERVAL_MS
-            leaving = self._urgent.all_leaving(now_ms)
-            tripped = self._urgent.all_tripped()
+            urgent = self._urgent.recent(now_ms)
             changed = tuple(by_key.values())
         else:
             changed = tuple(
@@ -135,8 +184,7 @@
             previous_seq=previous_seq,
             is_full=is_full,
             loads=changed,
-            leaving=leaving,
-            tripped=tripped,
+            urgent=urgent,
             zone=head.zone if is_full else "",
             change_token=head.change_token if is_full else "",
             address=head.address if is_full else "",
--- a/src/_monsoonpulley/peers/digest.py
+++ b/src/_monsoonpulley/peers/digest.py
@@ -95,6 +95,35 @@
     is_tripped: bool = True
 
 
+class LeavingMember(msgspec.Struct, frozen=True, array_like=True):
+    """An entry instance that leaves, in one of its incarnations."""
+
+    instance: InstanceId
+    incarnation: Number
+    zone: ZoneId
+
+
+class UrgentBody(msgspec.Struct, frozen=True, array_like=True):
+    """What spreads at once.
+
+    Attributes
+    ----------
+    endpoints : tuple
+        Endpoints that leave.
+    members : tuple
+        Entry instances that leave.
+    tripped : tuple
+        Changes of versions.
+    """
+
+    endpoints: tuple[EndpointId, ...] = ()
+    members: tuple[LeavingMember, ...] = ()
+    tripped: tuple[TrippedVersion, ...] = ()
+
+
+NOTHING_URGENT = UrgentBody()
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """What one entry instance tells the others of its data centre.
 
@@ -108,8 +137,10 @@
         Sequence number of the sender's digest before this one.
     is_full : bool
         Whether all items are there, or those that changed since.
-    loads, leaving, tripped : tuple
-        Items; ``leaving`` names endpoints.
+    loads : tuple
+        Loads that the sender reports.
+    urgent : UrgentBody
+        News, or in full digests all that is recent.
     zone, change_token, address : str
         Only in full digests, else empty.
     """
@@ -119,8 +150,7 @@
     previous_seq: Number
     is_full: bool
     loads: tuple[LoadItem, ...] = ()
-    leaving: tuple[EndpointId, ...] = ()
-    tripped: tuple[TrippedVersion, ...] = ()
+    urgent: UrgentBody = NOTHING_URGENT
     zone: ZoneId = ZoneId("")
     change_token: Name = ""
     address: Name = ""
@@ -153,9 +183,7 @@
     zone: ZoneId
     members: tuple[MemberItem, ...]
     services: tuple[ServiceSummary, ...] = ()
-    leaving: tuple[EndpointId, ...] = ()
-    tripped: tuple[TrippedVersion, ...] = ()
-    address: Name = ""
+    urgent: UrgentBody = NOTHING_URGENT
 
 
 class FullRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/src/_monsoonpulley/peers/exchange.py
+++ b/src/_monsoonpulley/peers/exchange.py
@@ -18,6 +18,7 @@
 from .digest import (
     Digest,
     FullRequest,
+    LeavingMember,
     LoadItem,
     Message,
     RevisionAnswer,
@@ -25,6 +26,7 @@
     ServiceSummary,
     Summary,
     TrippedVersion,
+    UrgentBody,
 )
 from .envelope import Envelope, Rejection, Sealer, SequenceGuard
 from .membership import Membership, PeerMember
@@ -141,7 +143,7 @@
 
     def add_tripped(self, item: TrippedVersion) -> None:
         """Tell everyone that a version was tripped or cleared."""
-        if self.urgent.add_tripped(item):
+        if self.urgent.add_tripped(item, self._clock.now_ms()):
             self._push_news()
 
     def revision_changed(self, number: int) -> None:
@@ -152,6 +154,9 @@
     def leave(self) -> None:
         """Tell everyone at once that this instance leaves."""
         self._membership.leave()
+        identity = self._membership.identity
+        own = LeavingMember(identity.instance, identity.incarnation, identity.zone)
+        self.urgent.add_member(own, self._clock.now_ms())
         self._push_news()
 
     def _push_news(self) -> None:
@@ -198,7 +203,9 @@
         """Send a summary if the next one is due, or at once for own news."""
         if not own_news and now_ms < self._summary_due_ms:
             return
-        self._summary_due_ms = now_ms + self._membership.interval_ms() // 2
+        # Digests come up to a tenth early.
+        wait_ms = round(0.75 * self._membership.summary_interval_ms())
+        self._summary_due_ms = now_ms + wait_ms
         self._turn += 1
         count = URGENT_PARTNERS if own_news else SUMMARY_PARTNERS
         partners = self._membership.partners(now_ms, count, self._turn)
@@ -255,30 +262,28 @@
         if wants_full:
             self._ask_full(member, now_ms)
         self._host.hear_loads(digest, envelope.sent_wall_ms)
-        self._hear_urgent(digest.leaving, digest.tripped, pass_on=False)
+        self._hear_urgent(digest.urgent, pass_on=False)
         self._hear_number(digest.number)
 
     def _hear_summary(self, envelope: Envelope, summary: Summary) -> None:
         now_ms = self._clock.now_ms()
         self._membership.hear_summary(summary, now_ms)
         self._host.hear_services(summary, envelope.sent_wall_ms)
-        self._hear_urgent(summary.leaving, summary.tripped, pass_on=True)
+        self._hear_urgent(summary.urgent, pass_on=True)
         self._hear_number(max((item.number for item in summary.members), default=0))
 
-    def _hear_urgent(
-        self,
-        leaving: tuple[EndpointId, ...],
-        tripped: tuple[TrippedVersion, ...],
-        *,
-        pass_on: bool,
-    ) -> None:
+    def _hear_urgent(self, urgent: UrgentBody, *, pass_on: bool) -> None:
         """Apply what is news; ``pass_on`` tells it to this data centre."""
         now_ms = self._clock.now_ms()
-        for endpoint in leaving:
+        for endpoint in urgent.endpoints:
             if self.urgent.add_leaving(endpoint, now_ms, pass_on=pass_on):
                 self._host.hear_leaving(endpoint)
-        for item in tripped:
-            if self.urgent.add_tripped(item, pass_on=pass_on):
+        for member in urgent.members:
+            if self.urgent.add_member(member, now_ms, pass_on=pass_on):
+                self._membership.hear_leaving(member)
+                self._host.members_changed()
+        for item in urgent.tripped:
+            if self.urgent.add_tripped(item, now_ms, pass_on=pass_on):
                 self._host.hear_tripped(item)
         if self.urgent.has_news():
             self._push.set()
@@ -347,9 +352,7 @@
             zone=self._membership.identity.zone,
             members=self._membership.items(now_ms),
             services=self._host.services(),
-            leaving=self.urgent.all_leaving(now_ms),
-            tripped=self.urgent.all_tripped(),
-            address=self._transport.address,
+            urgent=self.urgent.recent(now_ms),
         )
 
     async def _send_all(self, members: list[PeerMember], message: Message) -> None:
--- a/src/_monsoonpulley/peers/membership.py
+++ b/src/_monsoonpulley/peers/membership.py
@@ -15,16 +15,19 @@
 from ..identity import Identity
 from ..ids import InstanceId, ZoneId
 from ..platform.livelist import Member, MemberState, Role
-from .digest import Digest, MemberItem, Summary
+from .digest import Digest, LeavingMember, MemberItem, Summary
 from .rendezvous import chosen
 
 INTERVAL_MS = 1_000
-MS_PER_PEER = 50
+MS_PER_PEER = 60
 """Digests are sent this much less often for each peer, see `interval_ms`."""
 
 MISSED_DIGESTS = 3
-CUT_OFF_DIGESTS = 5
-GONE_AFTER_MS = 20_000
+SUMMARY_DIGESTS = 2
+"""Summaries go to other data centres with every so many digests."""
+
+CUT_OFF_DIGESTS = 8
+GONE_AFTER_MS = 30_000
 GONE_WHILE_CUT_OFF_MS = 120_000
 FORGET_AFTER_MS = 3_600_000
 PAUSE_MS = 3_000
@@ -126,6 +129,17 @@
             heard_ms = now_ms - item.heard_ms_ago
             self._hear(member, item.incarnation, item.state, item.number, heard_ms)
 
+    def hear_leaving(self, item: LeavingMember) -> None:
+        """Take in that an incarnation of an instance leaves."""
+        if item.instance == self.identity.instance:
+            return
+        member = self._member(item.instance, item.zone)
+        if item.incarnation > member.incarnation:
+            member.incarnation = item.incarnation
+            member.stream_seq = 0
+        if item.incarnation == member.incarnation:
+            member.state = MemberState.LEAVING
+
     def tick(self, now_ms: int) -> bool:
         """Note that this process runs; return whether it had been paused.
 
@@ -146,6 +160,10 @@
         """Return the interval of digests, longer the more peers there are."""
         return max(INTERVAL_MS, MS_PER_PEER * len(self.zone_peers()))
 
+    def summary_interval_ms(self) -> int:
+        """Return the interval of summaries for other data centres."""
+        return SUMMARY_DIGESTS * self.interval_ms()
+
     def zone_peers(self) -> list[PeerMember]:
         """Return the others of this data centre that may be there."""
         zone = self.identity.zone
--- a/testing/peers/test_envelope.py
+++ b/testing/peers/test_envelope.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from _monsoonpulley.peers.digest import Digest, FullRequest, LoadItem
+from _monsoonpulley.peers.digest import Digest, FullRequest, LoadItem, UrgentBody
 from _monsoonpulley.peers.envelope import (
     MAX_AGE_MS,
     MAX_BYTES,
@@ -27,7 +27,8 @@
 class SealerTest(unittest.TestCase):
     def test_a_sealed_message_opens_unchanged(self):
         load = LoadItem(7, 20, 3, 4, 500, 250, 8_000, 12_000, 64)
-        digest = Digest(MemberState.LEAVING, 9, 4, False, (load,), ("engine-1",))
+        urgent = UrgentBody(("engine-1",))
+        digest = Digest(MemberState.LEAVING, 9, 4, False, (load,), urgent)
         for message in (digest, FullRequest("tcp://10.0.0.1:7101")):
             sent = envelope(message=message)
             self.assertEqual(SEALER.open(SEALER.seal(sent), WALL_MS), sent)
--- a/testing/peers/test_exchange.py
+++ b/testing/peers/test_exchange.py
@@ -1,7 +1,7 @@
 import unittest
 
 from _monsoonpulley.peers.builder import FULL_INTERVAL_MS, DigestBuilder, UrgentItems
-from _monsoonpulley.peers.digest import Digest, LoadItem, TrippedVersion
+from _monsoonpulley.peers.digest import Digest, LoadItem, TrippedVersion, UrgentBody
 from _monsoonpulley.peers.envelope import MAX_AGE_MS, Envelope, Rejection, Sealer
 from _monsoonpulley.peers.reporters import EndpointKeys, Reporters, endpoint_key
 from _monsoonpulley.platform.livelist import MemberState
@@ -22,7 +22,7 @@
 
     def message(self, world, leaving, *, seq=10_000, wall_ms=None, key=PEER_KEY):
         sender = world.entries["zone-a-entry-1"].instance.identity
-        digest = Digest(MemberState.LEAVING, 1, 0, False, leaving=leaving)
+        digest = Digest(MemberState.LEAVING, 1, 0, False, urgent=UrgentBody(leaving))
         sent_wall_ms = world.clock.wall_ms() if wall_ms is None else wall_ms
         sealed = Envelope(
             sender.instance, sender.incarnation, seq, sent_wall_ms, digest
@@ -105,16 +105,16 @@
         self.build()
         self.assertTrue(self.urgent.add_leaving("engine-1", 1))
         self.assertFalse(self.urgent.add_leaving("engine-1", 2))
-        self.assertEqual(self.build(now_ms=2).leaving, ("engine-1",))
-        self.assertEqual(self.build(now_ms=3).leaving, ())
+        self.assertEqual(self.build(now_ms=2).urgent.endpoints, ("engine-1",))
+        self.assertEqual(self.build(now_ms=3).urgent.endpoints, ())
         full = self.build(now_ms=FULL_INTERVAL_MS)
-        self.assertEqual(full.leaving, ("engine-1",))
+        self.assertEqual(full.urgent.endpoints, ("engine-1",))
 
     def test_an_older_change_of_a_version_is_no_news(self):
         cleared = TrippedVersion("model", "v2", "", 20, is_tripped=False)
-        self.assertTrue(self.urgent.add_tripped(cleared))
+        self.assertTrue(self.urgent.add_tripped(cleared, 1))
         self.assertFalse(
-            self.urgent.add_tripped(TrippedVersion("model", "v2", "errors", 10))
+            self.urgent.add_tripped(TrippedVersion("model", "v2", "errors", 10), 2)
         )
 
 
