--- a/src/_monsoonpulley/lifecycle.py
+++ b/src/_monsoonpulley/lifecycle.py
@@ -107,6 +107,10 @@
         """Return once the instance is, or was, ready."""
         await self._ready.wait()
 
+    async def wait_nothing_in_progress(self) -> None:
+        """Return once no request is in progress."""
+        await self._idle.wait()
+
     async def wait_leaving(self) -> None:
         """Return once the instance is leaving."""
         await self._leaving.wait()
