Give the demo's entry instances peers; test news against long intervals

Cause: breaking the passing on of news, or of revision numbers, went unnoticed by the tests; the demo's instances had no peer addresses. Change: two stricter tests; the daemon listens for peers when it is built.

--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -15,7 +15,6 @@
 from .endpoints.adapters import EndpointTarget, engine_adapters, service_adapters
 from .endpoints.http_transport import HttpSessions
 from .endpoints.pool import Client
-from .errors import Failure
 from .httpserver import HttpServer
 from .identity import Identity
 from .ids import EndpointId
@@ -63,11 +62,13 @@
         listen = entry.http_listen
         self.server = HttpServer(self.instance.app, listen.ip, listen.port)
 
+    @property
+    def peer_address(self) -> str:
+        """Where other entry instances reach this one."""
+        return self._transport.address
+
     async def run(self) -> None:
         """Serve until the instance has left and drained."""
-        failure = self._transport.open()
-        if isinstance(failure, Failure):
-            raise RuntimeError(str(failure))
         serving = asyncio.create_task(self.server.run(), name="http")
         working = asyncio.create_task(self.instance.run(), name="instance")
         leaving = asyncio.create_task(self._drain(), name="drain")
@@ -120,7 +121,11 @@
 
     def _build_transport(self) -> PynngTransport:
         listen = self._settings.entry.peer_listen
-        return PynngTransport(f"tcp://{listen}", self._metrics)
+        transport = PynngTransport(f"tcp://{listen}", self._metrics)
+        failure = transport.open()
+        if failure is not None:
+            raise RuntimeError(str(failure))
+        return transport
 
     def _make_client(self, member: Member, service: Service) -> Client:
         target = EndpointTarget(
--- a/src/_monsoonpulley/demo/deployment.py
+++ b/src/_monsoonpulley/demo/deployment.py
@@ -124,6 +124,7 @@
                 role=Role.ENTRY,
                 zone=zone,
                 address=f"127.0.0.1:{daemon.server.port}",
+                peer_address=daemon.peer_address,
             )
         )
         self._run(daemon.run())
--- a/testing/peers/fleet.py
+++ b/testing/peers/fleet.py
@@ -14,6 +14,7 @@
 LIST_LAG_MS = 30_000
 SPREAD_MS = 3_000
 SETTLE_MS = 8_000
+LARGE_INTERVAL_MS = 20_000
 
 
 def fleet_deployment(per_zone=3):
--- a/testing/peers/test_fleet.py
+++ b/testing/peers/test_fleet.py
@@ -1,10 +1,12 @@
 import unittest
+from unittest import mock
 
 from _monsoonpulley.platform.livelist import MemberState
 from _monsoonpulley.standins.faults import FaultKind
 
 from ..support import ALICE
 from .fleet import (
+    LARGE_INTERVAL_MS,
     LIST_LAG_MS,
     SEEDS,
     SETTLE_MS,
@@ -61,6 +63,25 @@
 
         self.on_each_seed(script)
 
+    def test_urgent_news_does_not_wait_for_the_interval_of_digests(self):
+        async def script(world):
+            await world.clock.sleep_ms(3 * LARGE_INTERVAL_MS)
+            instance = world.entries["zone-a-entry-1"].instance
+            self.assertEqual(instance.membership.interval_ms(), LARGE_INTERVAL_MS)
+            instance.exchange.add_leaving("zone-c-engine-1")
+            instance.router.mark_leaving("zone-c-engine-1", world.clock.now_ms())
+            world.entries["zone-b-entry-1"].instance.leave("test")
+            await world.clock.sleep_ms(SPREAD_MS)
+            self.assert_leaving(world, "zone-c-engine-1")
+            now_ms = world.clock.now_ms()
+            for name, instance in instances(world).items():
+                seen = live_as_seen_by(instance, now_ms)
+                self.assertNotIn("zone-b-entry-1", seen, name)
+
+        per_peer = "_monsoonpulley.peers.membership.MS_PER_PEER"
+        with mock.patch(per_peer, LARGE_INTERVAL_MS // 2):
+            self.on_each_seed(script)
+
     def assert_leaving(self, world, endpoint):
         for name, instance in instances(world).items():
             state = instance.router.fleet.endpoints[endpoint].state
@@ -129,7 +150,11 @@
             await world.apply(changed_document(document), 1, "operator")
             for name in pollers[:-1]:
                 world.kill_entry(name)
-            await world.clock.sleep_ms(5_000)
+            await world.clock.sleep_ms(SPREAD_MS)
+            for name, instance in instances(world).items():
+                if name[:6] == pollers[-1][:6]:
+                    self.assertEqual(instance.watcher.number, 2, name)
+            await world.clock.sleep_ms(2_000)
             for name, instance in instances(world).items():
                 self.assertEqual(instance.watcher.number, 2, name)
 
