Answer a request for a full digest to all peers

Cause: the answer went to the asker alone and took a sequence number of the common stream, so every other peer saw a gap, and news in it reached only the asker. Tested: the new test fails before the change and passes after it.

--- a/src/_monsoonpulley/peers/exchange.py
+++ b/src/_monsoonpulley/peers/exchange.py
@@ -240,8 +240,9 @@
         elif isinstance(message, Summary):
             self._hear_summary(envelope, message)
         elif isinstance(message, FullRequest):
+            # To all: for the others one digest to one peer would leave a gap.
             self._builder.want_full()
-            self._send(message.address, self._digest(self._clock.now_ms()))
+            self._push.set()
         elif isinstance(message, RevisionRequest):
             self._answer_revision(message)
         else:
--- a/testing/peers/test_fleet.py
+++ b/testing/peers/test_fleet.py
@@ -1,8 +1,11 @@
 import unittest
 from unittest import mock
 
+from _monsoonpulley.peers.digest import FullRequest
+from _monsoonpulley.peers.envelope import Envelope, Sealer
 from _monsoonpulley.platform.livelist import MemberState
 from _monsoonpulley.standins.faults import FaultKind
+from _monsoonpulley.standins.world import PEER_KEY
 
 from ..support import ALICE
 from .fleet import (
@@ -199,6 +202,29 @@
 
         self.on_each_seed(script)
 
+    def test_a_full_digest_for_one_leaves_no_gap_for_the_others(self):
+        async def script(world):
+            asked = world.entries["zone-a-entry-1"].instance
+            asker = world.entries["zone-a-entry-2"].instance.identity
+            request = Envelope(
+                asker.instance,
+                asker.incarnation,
+                10_000,
+                world.clock.wall_ms(),
+                FullRequest(asker.instance),
+            )
+            asked.exchange.receive(Sealer(PEER_KEY).seal(request))
+            await world.clock.sleep_ms(400)
+            heard = {
+                world.entries[name]
+                .instance.membership.members["zone-a-entry-1"]
+                .stream_seq
+                for name in ("zone-a-entry-2", "zone-a-entry-3")
+            }
+            self.assertEqual(len(heard), 1)
+
+        self.on_each_seed(script)
+
     def test_loss_of_messages_delays_but_hides_nothing(self):
         async def script(world):
             world.peer_network.loss = 0.3
