--- a/src/_monsoonpulley/config/store.py
+++ b/src/_monsoonpulley/config/store.py
@@ -13,9 +13,11 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
-from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
-from .change import PEER, STEP, ApplyConflict, Change, in_doubt
+from ..log import Log
+from ..platform.table import ABSENT_REVISION, Committed, Conflict, Table, Write
+from .change import PEER, STEP, ApplyConflict, Change, explain, in_doubt
 from .document import Document, Revision
+from .reader import ConfigReader
 from .rows import (
     HEAD_KEY,
     HISTORY_PREFIX,
@@ -42,7 +44,7 @@
     in_doubt: bool
 
 
-class ConfigStore:
+class ConfigStore(ConfigReader):
     """Applies and reads revisions of the configuration.
 
     Parameters
@@ -55,6 +57,8 @@
         Draws change tokens; `random.SystemRandom` outside of tests.
     history_kept : int
         Number of revisions kept, the one in force among them.
+    log : Log, optional
+        Gets an `ApplyDecision` for each change.
     """
 
     def __init__(
@@ -64,11 +68,13 @@
         rng: random.Random,
         *,
         history_kept: int = HISTORY_KEPT,
+        log: Log | None = None,
     ):
-        self._table = table
+        super().__init__(table)
         self._clock = clock
         self._rng = rng
         self._history_kept = history_kept
+        self._log = log
 
     async def apply(
         self,
@@ -123,6 +129,17 @@
             may_be_applied=bool(change_token) and repeated,
             merge=merge,
         )
+        result = await self._settle(change)
+        if self._log is not None:
+            self._log.decision(explain(change, result))
+        if isinstance(result, Revision):
+            await self._prune(result.number)
+        return result
+
+    async def _settle(self, change: Change) -> Revision | ApplyConflict | Failure:
+        """Apply on one head after the other until it is known how it ends."""
+        detail = f"the head moved on {MERGE_ROUNDS} times"
+        result: Revision | ApplyConflict | Failure | _HeadMoved
         for _ in range(MERGE_ROUNDS):
             result = await self._apply_on_head(change)
             if not isinstance(result, _HeadMoved):
@@ -130,62 +147,11 @@
             change.may_be_applied = change.may_be_applied or result.in_doubt
             change.is_in_doubt = change.is_in_doubt or result.in_doubt
         else:
-            detail = f"the head moved on {MERGE_ROUNDS} times"
             result = Failure(Reason.CONFLICT, STEP, PEER, detail)
         if isinstance(result, Failure) and change.is_in_doubt:
             return in_doubt(change, str(result))
-        if isinstance(result, Revision):
-            await self._prune(result.number)
         return result
 
-    async def head(self) -> Revision | Failure | None:
-        """Return the revision in force, or ``None`` before the first."""
-        head = await self._read_head()
-        return head if isinstance(head, Failure) else head[1]
-
-    async def show(self, number: int) -> Revision | Failure | None:
-        """Return a kept revision, or ``None`` if it isn't kept."""
-        row = await self._table.read(history_key(number))
-        return row if isinstance(row, Failure) else decode_revision(row)
-
-    async def next_after(self, number: int) -> tuple[Revision, ...] | Failure:
-        """Return the first one or two revisions above ``number``.
-
-        The answer is empty while there is none, so that frequent polls stay
-        small however large the document is. With two there may be more.
-        """
-        return await self._kept(number, limit=2)
-
-    async def history(self, limit: int = 20) -> tuple[Revision, ...] | Failure:
-        """Return the last ``limit`` kept revisions, newest first."""
-        head = await self.head()
-        if head is None or isinstance(head, Failure):
-            return () if head is None else head
-        kept = await self._kept(max(0, head.number - limit), limit)
-        return kept if isinstance(kept, Failure) else kept[::-1]
-
-    async def _kept(self, after: int, limit: int) -> tuple[Revision, ...] | Failure:
-        rows = await self._table.scan(
-            HISTORY_PREFIX, after=history_key(after), limit=limit
-        )
-        if isinstance(rows, Failure):
-            return rows
-        revisions = []
-        for row in rows:
-            revision = decode_revision(row)
-            if isinstance(revision, Failure):
-                return revision
-            assert revision is not None
-            revisions.append(revision)
-        return tuple(revisions)
-
-    async def _read_head(self) -> tuple[Row | None, Revision | None] | Failure:
-        row = await self._table.read(HEAD_KEY)
-        if isinstance(row, Failure):
-            return row
-        revision = decode_revision(row)
-        return revision if isinstance(revision, Failure) else (row, revision)
-
     async def _apply_on_head(
         self, change: Change
     ) -> Revision | ApplyConflict | Failure | _HeadMoved:
--- a/src/_monsoonpulley/routing/admission.py
+++ b/src/_monsoonpulley/routing/admission.py
@@ -11,103 +11,23 @@
 
 import random
 
-import msgspec
-
 from ..config.document import Document
-from ..errors import Delivery, Failure, Reason
-from ..ids import ClassId, CustomerId, RequestId, ServiceId
-from ..log import Decision
+from ..errors import Reason
+from ..ids import CustomerId, RequestId, ServiceId
+from .admissiondecision import AdmissionRequest, Admit, Refuse, Wait
 from .fairqueue import FairQueue, Ticket
 
 MAX_QUEUED_REQUESTS = 2_048
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
 RESIDENCE_WEIGHT = 0.1
-MAX_ENDPOINT_QUEUE_MS = 250
+MAX_ENDPOINT_QUEUE_MS = 100
 FACTOR_STEP_MS = 100
 FACTOR_DOWN = 0.9
 FACTOR_UP = 0.05
 MIN_FACTOR = 0.1
 
-
-class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that asks to be admitted.
-
-    Attributes
-    ----------
-    cost_tokens : int
-        What it costs: uncached prompt plus expected output; 1 for calls of
-        plain services.
-    target_ms : int
-        Time left to meet its class target.
-    predicted_ms, queue_ms : float
-        Predicted time and the part of it that is the endpoint's own queue,
-        from `Router.choose`.
-    """
-
-    request_id: RequestId
-    service: ServiceId
-    customer: CustomerId
-    request_class: ClassId
-    cost_tokens: int
-    target_ms: int
-    predicted_ms: float = 0.0
-    queue_ms: float = 0.0
-
-
-class AdmissionDecision(Decision, frozen=True, kw_only=True):
-    """What was decided on a request, and from what.
-
-    Attributes
-    ----------
-    waited_ms, expected_wait_ms : int, float
-        Wait so far, and what was expected on top.
-    customer_queued, queued : int
-        Waiting requests of the customer, and of all.
-    in_flight_tokens, capacity_tokens : int, float
-        Cost in progress, and the bound on it.
-    """
-
-    request_id: RequestId
-    service: ServiceId
-    customer: CustomerId
-    request_class: ClassId
-    cost_tokens: int
-    latest_start_ms: int
-    predicted_ms: float
-    waited_ms: int
-    expected_wait_ms: float
-    customer_queued: int
-    queued: int
-    in_flight_tokens: int
-    capacity_tokens: float
-    now_ms: int
-
-
-class Admit(AdmissionDecision, frozen=True, kw_only=True, tag="admit"):
-    """The request goes on; `Admission.release` must follow."""
-
-
-class Wait(AdmissionDecision, frozen=True, kw_only=True, tag="admission_wait"):
-    """The request waits for `Admission.next_ready`."""
-
-
-class Refuse(AdmissionDecision, frozen=True, kw_only=True, tag="refuse"):
-    """The request was not run and will not be."""
-
-    reason: Reason
-    retry_after_ms: int
-
-    def failure(self) -> Failure:
-        """Return the refusal as a failure."""
-        return Failure(
-            self.reason,
-            "routing.admission",
-            str(self.service),
-            self.rule,
-            Delivery.NOT_SENT,
-            self.retry_after_ms,
-        )
+__all__ = ["Admission", "AdmissionRequest", "Admit", "Refuse", "Wait"]
 
 
 class _ServiceGate:
@@ -117,7 +37,6 @@
         self.queue = FairQueue()
         self.slots: float | None = None
         self.in_flight: dict[RequestId, Ticket] = {}
-        self.in_flight_tokens = 0
         self.waiting: dict[RequestId, Ticket] = {}
         self.residence_ms: float | None = None
         self.factor = 1.0
@@ -133,26 +52,26 @@
         else:
             self.factor = min(1.0, self.factor + FACTOR_UP)
 
-    def capacity_tokens(self) -> float:
-        """Return the bound on the cost in progress."""
-        if self.slots is None:
-            return float("inf")
-        return self.slots * self.factor * (self.queue.mean_cost_tokens or 1.0)
+    def bound(self) -> float | None:
+        """Return the bound on requests in progress; ``None`` for none."""
+        return None if self.slots is None else self.slots * self.factor
 
     def has_room(self) -> bool:
         """Return whether another request may go."""
-        return not self.in_flight or self.in_flight_tokens < self.capacity_tokens()
+        bound = self.bound()
+        return bound is None or not self.in_flight or len(self.in_flight) < bound
 
     def expected_wait_ms(self, customer: CustomerId) -> float:
         """Return how long a new request of ``customer`` would wait.
 
-        By Little's law the capacity in progress over the mean time in
-        progress is the rate at which the queue is served when full.
+        By Little's law the bound over the mean time in progress is the rate
+        at which the queue is served when full.
         """
-        if self.residence_ms is None or self.has_room():
+        bound = self.bound()
+        if self.residence_ms is None or bound is None or self.has_room():
             return 0.0
-        ahead = self.queue.tokens_ahead(customer)
-        return ahead * self.residence_ms / self.capacity_tokens()
+        requests_ahead = self.queue.tokens_ahead(customer) / self.queue.mean_cost()
+        return requests_ahead * self.residence_ms / max(1.0, bound)
 
 
 class Admission:
@@ -178,7 +97,7 @@
         self._customers = max(1, len(document.customers))
 
     def set_slots(self, service: ServiceId, slots: float) -> None:
-        """Bound a service's requests in progress, in requests of mean cost."""
+        """Bound a service's requests in progress from this daemon."""
         self._gate(service).slots = max(1.0, slots)
 
     def _gate(self, service: ServiceId) -> _ServiceGate:
@@ -238,7 +157,6 @@
         ticket = gate.in_flight.pop(request_id, None)
         if ticket is None:
             return
-        gate.in_flight_tokens -= ticket.cost_tokens
         if used_tokens is not None:
             gate.queue.correct(ticket.customer, used_tokens - ticket.cost_tokens)
         took_ms = now_ms - ticket.admitted_ms
@@ -304,7 +222,6 @@
         decision = Admit(**_fields(gate, ticket, rule, 0.0, now_ms))
         ticket.admitted_ms = now_ms
         gate.in_flight[ticket.request_id] = ticket
-        gate.in_flight_tokens += ticket.cost_tokens
         return decision
 
     def _refuse(
@@ -343,7 +260,7 @@
         "expected_wait_ms": wait_ms,
         "customer_queued": customer.queued if customer else 0,
         "queued": gate.queue.queued,
-        "in_flight_tokens": gate.in_flight_tokens,
-        "capacity_tokens": gate.capacity_tokens(),
+        "in_flight": len(gate.in_flight),
+        "bound": gate.bound(),
         "now_ms": now_ms,
     }
--- a/src/_monsoonpulley/routing/view.py
+++ b/src/_monsoonpulley/routing/view.py
@@ -14,11 +14,10 @@
 from ..endpoints.engine import LoadReport
 from ..ids import AttemptId, EndpointId, ServiceId, VersionId, ZoneId
 from ..platform.livelist import Member, MemberState, Role
+from .pool import Pool, ServiceTraffic
 
 MAX_REPORT_AGE_MS = 10_000
 SERVICE_TIME_WEIGHT = 0.2
-RATE_WINDOW_MS = 2_000
-DEFAULT_OUTPUT_TOKENS = 128.0
 KEEP_LEFT_MS = 3_600_000
 
 
@@ -44,9 +43,9 @@
         This daemon's attempts in progress.
     pending_tokens : int
         Prompt tokens of own attempts without a first token.
-    sent_requests, sent_total, sent_tokens : int
-        Own attempts since the report was measured: those in progress, all of
-        them, and the prompt tokens of all.
+    sent_requests, sent_tokens : int
+        Own attempts in progress that started after the report was measured,
+        and prompt tokens sent since then, finished attempts included.
     decoding_tokens : int
         Tokens own attempts may still generate.
     gone_requests : int
@@ -69,7 +68,6 @@
     pending_tokens: int = 0
     sent_requests: int = 0
     sent_tokens: int = 0
-    sent_total: int = 0
     decoding_tokens: int = 0
     gone_requests: int = 0
     progress_ms: int = 0
@@ -80,61 +78,10 @@
         """Count again what the newest report can't know."""
         since = [a for a in self.attempts.values() if a.started_ms > self.measured_ms]
         self.sent_requests = len(since)
-        self.sent_total = len(since)
         self.sent_tokens = sum(a.prefill_tokens for a in since)
         self.gone_requests = 0
 
 
-class Pool:
-    """The LIVE endpoints of one version in one data centre, in O(1) steps."""
-
-    def __init__(self) -> None:
-        self.endpoints: list[EndpointView] = []
-        self._index: dict[EndpointId, int] = {}
-
-    def add(self, endpoint: EndpointView) -> None:
-        """Add an endpoint; nothing happens if it is there."""
-        if endpoint.id not in self._index:
-            self._index[endpoint.id] = len(self.endpoints)
-            self.endpoints.append(endpoint)
-
-    def holds(self, endpoint: EndpointId) -> bool:
-        """Return whether the endpoint is in the pool."""
-        return endpoint in self._index
-
-    def discard(self, endpoint: EndpointId) -> None:
-        """Remove an endpoint, if it is there."""
-        index = self._index.pop(endpoint, None)
-        if index is None:
-            return
-        last = self.endpoints.pop()
-        if last.id != endpoint:
-            self.endpoints[index] = last
-            self._index[last.id] = index
-
-
-class ServiceTraffic(msgspec.Struct):
-    """Own traffic of a service: a decayed count and moving averages."""
-
-    decayed_requests: float = 0.0
-    counted_ms: int = 0
-    prompt_tokens: float = 0.0
-    output_tokens: float = DEFAULT_OUTPUT_TOKENS
-
-    def requests_per_ms(self, now_ms: int) -> float:
-        """Return this daemon's own rate of late."""
-        faded = max(0.0, 1.0 - (now_ms - self.counted_ms) / (4 * RATE_WINDOW_MS))
-        return self.decayed_requests * faded / RATE_WINDOW_MS
-
-    def count(self, prompt_tokens: int, now_ms: int) -> None:
-        """Count one request sent."""
-        gap_ms = max(0, now_ms - self.counted_ms)
-        kept = max(0.0, 1.0 - gap_ms / RATE_WINDOW_MS)
-        self.decayed_requests = self.decayed_requests * kept + 1.0
-        self.counted_ms = now_ms
-        self.prompt_tokens += 0.1 * (prompt_tokens - self.prompt_tokens)
-
-
 class FleetView:
     """Every known endpoint, pooled by service, version and data centre."""
 
@@ -281,7 +228,6 @@
         view.pending_tokens += prefill_tokens
         view.decoding_tokens += decode_tokens
         view.sent_requests += 1
-        view.sent_total += 1
         view.sent_tokens += prefill_tokens
         self.traffic_of(view.service).count(prefill_tokens, now_ms)
 
@@ -334,5 +280,4 @@
                 own.in_flight_at_start - view.usual_in_flight
             )
         if output_tokens:
-            traffic = self.traffic_of(view.service)
-            traffic.output_tokens += 0.05 * (output_tokens - traffic.output_tokens)
+            self.traffic_of(view.service).observe_output(output_tokens)
--- a/testing/journal/test_journal.py
+++ b/testing/journal/test_journal.py
@@ -11,6 +11,7 @@
 from .faults import Call, Fault
 from .world import RETENTION_MS, SETTINGS, World, submission
 
+SETTLED_WITHIN_S = 600
 LARGE = b"book a frame of the gallery"
 
 
@@ -23,7 +24,8 @@
         self.assertEqual(self.world.violations, [])
 
     def settled(self, task):
-        return self.world.loop.run_until_complete(task)
+        within = asyncio.wait_for(task, SETTLED_WITHIN_S)
+        return self.world.loop.run_until_complete(within)
 
     def assert_done(self, index):
         settled = self.settled(self.world.submit(index, "key"))
@@ -97,6 +99,30 @@
         self.world.heal()
         self.assertEqual(self.runs(), 0)
 
+    def test_a_refused_repeat_gets_what_the_row_says(self):
+        self.assert_done(0)
+        self.world.tick(100)
+        self.next_commits(*[Fault.UNAVAILABLE] * 1_000)
+        self.assert_done(1)
+        reused = self.settled(self.world.submit(1, "key", LARGE))
+        self.assertEqual(reused.failure.reason, Reason.KEY_REUSED)
+        new = self.settled(self.world.submit(1, "new"))
+        self.assertEqual(new.outcome, Outcome.NOT_RUN)
+
+    def test_a_draining_instance_still_tells_what_the_row_says(self):
+        self.assert_done(0)
+        self.world.tick(100)
+        journal = self.world.instances[0].journal
+        self.world.loop.run_until_complete(journal.drain(0))
+        self.assert_done(0)
+        reused = self.settled(self.world.submit(0, "key", LARGE))
+        self.assertEqual(reused.failure.reason, Reason.KEY_REUSED)
+        self.next_calls(Call.SLOW)
+        self.world.submit(1, "running")
+        self.world.tick(100)
+        running = self.settled(self.world.submit(0, "running"))
+        self.assertEqual(running.outcome, Outcome.UNKNOWN)
+
     def test_an_accept_in_doubt_when_the_store_leaves_is_unknown(self):
         self.next_commits(Fault.ANSWER_LOST, *[Fault.UNAVAILABLE] * 1_000)
         settled = self.settled(self.world.submit(0, "key"))
@@ -117,13 +143,51 @@
         self.assertEqual(self.record().state, State.DONE)
 
     def test_an_answer_is_told_though_the_store_left_after_the_call(self):
-        self.next_commits(Fault.NONE, Fault.NONE, *[Fault.UNAVAILABLE] * 20)
+        self.next_commits(Fault.NONE, *[Fault.UNAVAILABLE] * 20)
         settled = self.settled(self.world.submit(0, "key"))
         self.assertEqual(settled.outcome, Outcome.DONE)
         self.assertEqual(self.record().state, State.DISPATCHED)
         self.world.tick(20_000)
         self.assertEqual(self.record().state, State.DONE)
 
+    def test_first_writes_are_merged_only_where_an_endpoint_is_free(self):
+        self.settled(self.world.submit(0, "key"))
+        self.world.tick(100)
+        self.assertEqual(self.world.table.commits, 2)
+        self.world.endpoints.has_room = False
+        self.world.submit(0, "waits")
+        self.world.tick(100)
+        self.assertEqual(self.record("waits").state, State.ACCEPTED)
+        self.world.endpoints.has_room = True
+        self.world.tick(1_000)
+        self.assertEqual(self.record("waits").state, State.DONE)
+        self.assertEqual(self.world.table.commits, 5)
+
+    def test_work_whose_run_died_of_a_fault_is_taken_up_again(self):
+        def fail(line):
+            if "no endpoint yet" in line:
+                raise RuntimeError("fault in the log")
+
+        self.world.on_log = fail
+        self.world.instances[0].__init__("i0", 1, self.world)
+        self.world.endpoints.has_room = False
+        task = self.world.submit(0, "key")
+        self.assertEqual(self.settled(task).outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.record().state, State.ACCEPTED)
+        self.world.endpoints.has_room = True
+        self.world.recover(0)
+        self.world.tick(1_000)
+        self.assertEqual(self.record().state, State.DONE)
+
+    def test_a_choice_that_raises_is_no_endpoint(self):
+        def fail(submission, tried):
+            raise RuntimeError("fault in the routing")
+
+        self.world.instances[0].dispatcher.choose = fail
+        settled = self.settled(self.world.submit(0, "key"))
+        self.assertEqual((settled.outcome, settled.key_closed), (Outcome.NOT_RUN, True))
+        self.assertEqual(settled.failure.reason, Reason.INTERNAL)
+
     def test_work_goes_on_when_its_caller_vanishes(self):
         async def vanish():
             journal = self.world.instances[0].journal
@@ -202,6 +266,7 @@
 
     def test_a_dispatch_that_ran_is_done_with_its_answer(self):
         self.next_calls(Call.SLOW)
+        self.world.endpoints.delay_ms = lambda: 1_500
         self.world.submit(0, "key")
         self.world.tick(100)
         self.world.crash(0)
