--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -20,7 +20,8 @@
 from .ids import EndpointId
 from .instance import EntryInstance, Surroundings
 from .log import Log
-from .metrics import metrics_to
+from .metrics import Metrics, metrics_to
+from .peers.pynng_transport import PynngTransport
 from .platform.connect import connect_platform
 from .platform.livelist import Member
 from .settings import Settings
@@ -50,6 +51,8 @@
         self._platform_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0)
         )
+        self._metrics = self._build_metrics()
+        self._transport = self._build_transport()
         entry = settings.entry
         self.instance = EntryInstance(
             Identity(entry.instance, entry.zone, entry.region, self._clock.wall_ms()),
@@ -59,6 +62,11 @@
         listen = entry.http_listen
         self.server = HttpServer(self.instance.app, listen.ip, listen.port)
 
+    @property
+    def peer_address(self) -> str:
+        """Where other entry instances reach this one."""
+        return self._transport.address
+
     async def run(self) -> None:
         """Serve until the instance has left and drained."""
         serving = asyncio.create_task(self.server.run(), name="http")
@@ -77,6 +85,7 @@
             await _end({serving, working, leaving})
             await self._endpoint_sessions.close()
             await self._platform_session.close()
+            await self._transport.close()
 
     def leave(self, reason: str) -> None:
         """Begin a planned stop, which waits for what is in progress."""
@@ -95,16 +104,29 @@
 
     def _surroundings(self) -> Surroundings:
         settings = self._settings
-        metrics = settings.metrics
         return Surroundings(
             platform=connect_platform(settings.platform, self._platform_session),
             make_client=self._make_client,
             clock=self._clock,
             rng=random.Random(secrets.randbits(128)),
             log=self._log,
-            metrics=metrics_to(metrics.host, metrics.port, metrics.prefix),
+            metrics=self._metrics,
+            transport=self._transport,
+            peer_key=settings.peers.key.value,
         )
 
+    def _build_metrics(self) -> Metrics:
+        metrics = self._settings.metrics
+        return metrics_to(metrics.host, metrics.port, metrics.prefix)
+
+    def _build_transport(self) -> PynngTransport:
+        listen = self._settings.entry.peer_listen
+        transport = PynngTransport(f"tcp://{listen}", self._metrics)
+        failure = transport.open()
+        if failure is not None:
+            raise RuntimeError(str(failure))
+        return transport
+
     def _make_client(self, member: Member, service: Service) -> Client:
         target = EndpointTarget(
             EndpointId(member.instance),
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -5,15 +5,11 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
-
 import msgspec
 from starlette.applications import Starlette
 from starlette.routing import BaseRoute
 
-from .clock import Clock
-from .config.document import Document, Revision, Service, ServiceKind
+from .config.document import Document, Revision
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
 from .control.startingversions import StartingVersions
@@ -35,23 +31,23 @@
 from .journal.recovery import Recovery, RecoverySettings
 from .journal.settings import JournalSettings
 from .lifecycle import Lifecycle
-from .log import Log
-from .metrics import Metrics
 from .noticewatch import NoticeWatch
 from .overview import InstanceOverview
-from .platform.bundle import Platform
+from .peers.envelope import Sealer
+from .peers.exchange import PeerExchange
+from .peers.host import RouterHost
+from .peers.membership import Membership
 from .platform.cloud import ReclaimNotice
 from .platform.livelist import Member
 from .requests.admissiongate import AdmissionGate
-from .requests.detached import DetachedLimits, DetachedStreams
 from .requests.dispatcher import JournalDispatcher
 from .requests.evacuator import Evacuator, reported_speeds
-from .requests.handover import StreamStore
 from .requests.passthrough import ServiceAttempts
 from .requests.routed import RoutedPlacement
 from .requests.streams import Streams
 from .routing.router import Router
 from .supervisor import Restart, Supervisor
+from .surroundings import Surroundings
 
 RECLAIM_MARGIN_MS = 1_000
 """How long before a reclaim deadline the instance hands over what is left."""
@@ -63,30 +59,6 @@
 COLLECTION_INTERVAL_MS = 60_000
 
 
-MakeClient = Callable[[Member, Service], Client]
-
-
-class Surroundings(msgspec.Struct, frozen=True):
-    """What an instance needs from outside.
-
-    Attributes
-    ----------
-    platform : Platform
-        The platform's services.
-    make_client : callable
-        Makes the client of an endpoint from its member and service.
-    clock, rng, log, metrics
-        Time, randomness, log and metrics of the process.
-    """
-
-    platform: Platform
-    make_client: MakeClient
-    clock: Clock
-    rng: random.Random
-    log: Log
-    metrics: Metrics
-
-
 class EntryInstance:
     """One entry instance.
 
@@ -107,8 +79,10 @@
         self._around = surroundings
         self._operator_sha256 = operator_sha256
         self.lifecycle = Lifecycle(surroundings.clock, surroundings.log)
+        self.membership = Membership(identity, surroundings.clock.now_ms())
         self._build_configuration()
         self._build_endpoints()
+        self._build_peers()
         self._build_requests()
         self._build_streams()
         self._build_recovery()
@@ -127,6 +101,7 @@
     def leave(self, reason: str, deadline_ms: int | None = None) -> None:
         """Begin a graceful shutdown; see `Lifecycle.leave`."""
         self.lifecycle.leave(reason, deadline_ms)
+        self.exchange.leave()
 
     async def drain(self) -> None:
         """Wait for what is in progress, up to the deadline, and hand over."""
@@ -148,7 +123,7 @@
             around.clock,
             around.rng,
             around.log,
-            is_fast_poller=lambda: True,
+            is_fast_poller=self._is_fast_poller,
             metrics=around.metrics,
         )
         self.watcher.on_change(self._reconfigure)
@@ -165,8 +140,11 @@
             around.metrics,
         )
         self.roster.on_members(self._apply_members)
+        self.peer_host = RouterHost(
+            self.membership, self.router, self.watcher, around.clock
+        )
         self.feed = EngineFeed(
-            self._engines, self.router, around.clock, around.rng, around.metrics
+            self._engines, self.peer_host, around.clock, around.rng, around.metrics
         )
         self.notices = NoticeWatch(
             around.platform.cloud,
@@ -176,6 +154,19 @@
             around.metrics,
         )
 
+    def _build_peers(self) -> None:
+        around = self._around
+        self.exchange = PeerExchange(
+            self.membership,
+            around.transport,
+            Sealer(around.peer_key),
+            self.peer_host,
+            around.clock,
+            around.rng,
+            around.log,
+            around.metrics,
+        )
+
     def _build_requests(self) -> None:
         around = self._around
         versions = StartingVersions(self.document)
@@ -207,15 +198,10 @@
 
     def _build_streams(self) -> None:
         around = self._around
-        store = StreamStore(
-            around.platform.objects,
-            around.platform.table,
-            f"{self.identity.instance}/{self.identity.incarnation}",
-            around.clock,
-            around.log,
+        holder = f"{self.identity.instance}/{self.identity.incarnation}"
+        self.streams = Streams.from_platform(
+            around.platform, holder, around.clock, around.rng, around.log
         )
-        detached = DetachedStreams(DetachedLimits())
-        self.streams = Streams(detached, store, around.clock, around.rng, around.log)
         self.evacuator = Evacuator(
             self.streams,
             self.placement,
@@ -282,6 +268,8 @@
             self.watcher,
             self.pool,
             self.router,
+            self.membership,
+            self._around.clock,
         )
         handlers = OperatorHandlers(
             self._operator_sha256, self.config_store, self.watcher, overview
@@ -294,6 +282,9 @@
         endpoints.add("roster", self.roster.run)
         endpoints.add("feed", self.feed.run)
         endpoints.add("notices", self.notices.run)
+        peers = self._new_supervisor("peers")
+        peers.add("sending", self.exchange.run_sending)
+        peers.add("receiving", self.exchange.run_receiving)
         requests = self._new_supervisor("requests")
         requests.add("admission", self.gate.run)
         requests.add("evacuation", self.evacuator.run)
@@ -303,6 +294,7 @@
         root.add("configuration", self.watcher.run)
         root.add("readiness", self._become_ready, Restart.ON_FAILURE)
         root.add("endpoints", endpoints.run)
+        root.add("peers", peers.run)
         root.add("requests", requests.run)
         return root
 
@@ -322,22 +314,23 @@
         if document is None:
             return {}
         engines: dict[EndpointId, EngineClient] = {}
-        for member in self.pool.members():
-            service = document.services.get(member.service)
-            endpoint = EndpointId(member.instance)
+        for endpoint in self.peer_host.read_endpoints():
             client = self.pool.client(endpoint)
-            if service and service.kind is ServiceKind.MODEL and client is not None:
+            if client is not None:
                 engines[endpoint] = client
         return engines
 
     def _reconfigure(self, revision: Revision) -> None:
         self.router.reconfigure(revision.document)
         self.pool.update(self.roster.members)
+        self.peer_host.members_changed()
+        self.exchange.revision_changed(revision.number)
 
     def _apply_members(self, members: tuple[Member, ...]) -> None:
         self.pool.update(members)
+        self.membership.apply_list(members, self._around.clock.now_ms())
         self.router.apply_members(members, self._around.clock.now_ms())
-        self.router.update_slots()
+        self.peer_host.members_changed()
 
     def _on_notice(self, notice: ReclaimNotice) -> None:
         clock = self._around.clock
@@ -346,13 +339,13 @@
             reclaimed=notice.instance,
             deadline_wall_ms=notice.deadline_wall_ms,
         )
-        left_ms = notice.deadline_wall_ms - clock.wall_ms()
-        deadline_ms = clock.now_ms() + left_ms
+        deadline_ms = clock.now_ms() + notice.deadline_wall_ms - clock.wall_ms()
         if notice.instance == self.identity.instance:
             self.leave("reclaim", deadline_ms)
             return
         endpoint = EndpointId(notice.instance)
         self.router.mark_leaving(endpoint, clock.now_ms())
+        self.exchange.add_leaving(endpoint)
         self.evacuator.notice(endpoint, deadline_ms)
 
     async def _become_ready(self) -> None:
@@ -381,9 +374,8 @@
             self._around.log.event(f"{name}_pass", report=report)
 
     def _is_gone(self, instance: InstanceId, incarnation: int) -> bool:
-        """Tell whether an entry instance left, by the newest list."""
-        if not self.roster.members:
-            return False
-        if instance == self.identity.instance:
-            return incarnation < self.identity.incarnation
-        return all(member.instance != instance for member in self.roster.members)
+        now_ms = self._around.clock.now_ms()
+        return self.membership.is_gone(instance, incarnation, now_ms)
+
+    def _is_fast_poller(self) -> bool:
+        return self.membership.is_fast_poller(self._around.clock.now_ms())
--- a/src/_monsoonpulley/requests/streams.py
+++ b/src/_monsoonpulley/requests/streams.py
@@ -12,8 +12,9 @@
 from ..errors import Failure, Reason
 from ..ids import CustomerId, EndpointId, RequestId
 from ..log import Log
+from ..platform.bundle import Platform
 from .context import RequestContext
-from .detached import DetachedStreams
+from .detached import DetachedLimits, DetachedStreams
 from .generation import Generation
 from .handover import HandOverReport, StreamStore
 from .streamstate import StreamState
@@ -83,6 +84,19 @@
         self._running: dict[RequestId, RunningStream] = {}
         self._claimed: set[RequestId] = set()
 
+    @classmethod
+    def from_platform(
+        cls,
+        platform: Platform,
+        holder: str,
+        clock: Clock,
+        rng: random.Random,
+        log: Log,
+    ) -> Streams:
+        """Return the streams of the process that ``holder`` names."""
+        store = StreamStore(platform.objects, platform.table, holder, clock, log)
+        return cls(DetachedStreams(DetachedLimits()), store, clock, rng, log)
+
     def enter(self, running: RunningStream) -> None:
         """Note that a generation begins, or goes on, here."""
         request_id = running.context.request_id
