Hold control duties by leases in the table

Change: a lease row per duty with a fencing number, spread by rendezvous hash; recovery and collection run as 16 sharded duties each, one holder at a time. Tested: testing.control.test_instances passes (spread, take-over after a kill, hand-over on leaving). Conclusion: a first working version; rules are tested next.

--- /dev/null
+++ b/src/_monsoonpulley/control/journalduties.py
@@ -0,0 +1,68 @@
+"""Recovery and collection of the journal, sharded by first hex digit."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import Failure
+from ..log import Log
+from .duties import duty_kinds
+from .leases import Hold
+from .parts import DutyParts
+
+SHARDS = tuple("0123456789abcdef")
+RECOVERY_INTERVAL_MS = 2_000
+COLLECTION_INTERVAL_MS = 60_000
+
+
+@duty_kinds.register("recovery")
+class RecoveryDuty:
+    """Takes over the records of one shard whose holder is gone."""
+
+    def __init__(self, parts: DutyParts):
+        self._parts = parts
+
+    def shards(self) -> tuple[str, ...]:
+        """Return the hex digits with which request ids begin."""
+        return SHARDS
+
+    async def run(self, shard: str, hold: Hold) -> None:
+        """Look at the shard again and again."""
+        parts = self._parts
+        while True:
+            if hold.may_act():
+                report = await parts.recovery.recover(parts.is_gone, shard)
+                log_pass(parts.log, "recovery", report)
+            await parts.clock.sleep_ms(RECOVERY_INTERVAL_MS)
+
+
+@duty_kinds.register("collection")
+class CollectionDuty:
+    """Deletes the records of one shard that are past retention."""
+
+    def __init__(self, parts: DutyParts):
+        self._parts = parts
+
+    def shards(self) -> tuple[str, ...]:
+        """Return the hex digits with which request ids begin."""
+        return SHARDS
+
+    async def run(self, shard: str, hold: Hold) -> None:
+        """Look at one page of the shard after the other."""
+        parts = self._parts
+        after = ""
+        while True:
+            await parts.clock.sleep_ms(COLLECTION_INTERVAL_MS)
+            if not hold.may_act():
+                continue
+            report = await parts.collection.collect(shard, after)
+            log_pass(parts.log, "collection", report)
+            after = "" if isinstance(report, Failure) else report.after
+
+
+def log_pass(log: Log, name: str, report: msgspec.Struct) -> None:
+    """Log a pass over the journal that failed or changed something."""
+    if isinstance(report, Failure):
+        log.event(f"{name}_failed", failure=report)
+    elif getattr(report, "adopted", 0) or getattr(report, "deleted", 0):
+        log.event(f"{name}_pass", report=report)
--- /dev/null
+++ b/src/_monsoonpulley/control/lease.py
@@ -0,0 +1,249 @@
+"""Leases: the rules by which an instance claims, renews and lets go of a duty.
+
+Safety rests on three facts. A write is conditional on the revision of the row
+that it replaces, so that of two claims one fails, and a delayed write can't
+land on a changed row. A claimer waits the full lease from when it saw the row
+change, by its own clock; the row changed before that. The holder counts from
+before it sent the write that was confirmed; the row changed after that.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..identity import Identity
+from .leasestate import (
+    NOBODY,
+    Confirmed,
+    Event,
+    Held,
+    LeaseDecision,
+    LeaseRow,
+    LeaseSettings,
+    LeaseState,
+    NotDone,
+    Observed,
+    Pending,
+    Refused,
+    Seen,
+    Tick,
+    WriteKind,
+)
+
+replace = msgspec.structs.replace
+Next = tuple[LeaseState, LeaseDecision | None]
+
+
+class LeaseRules:
+    """The rules of one lease for one instance.
+
+    Parameters
+    ----------
+    identity : Identity
+        Instance and incarnation that decide.
+    settings : LeaseSettings
+        Times.
+    """
+
+    def __init__(self, identity: Identity, settings: LeaseSettings):
+        self._identity = identity
+        self._settings = settings
+
+    def step(self, state: LeaseState, event: Event, now_ms: int) -> Next:
+        """Return the state after an event, and what was decided, if anything."""
+        match event:
+            case Seen():
+                return self._seen(state, event.row, event.revision, now_ms)
+            case Tick():
+                return self._tick(state, event, now_ms)
+            case Confirmed():
+                return self._confirmed(state, event, now_ms)
+            case Refused():
+                if state.pending is None or state.pending.row.token != event.token:
+                    return self._seen(state, event.row, event.revision, now_ms)
+                return self._settle(state, event.row, event.revision, now_ms)
+            case NotDone():
+                return self._not_done(state, event), None
+
+    def _seen(
+        self, state: LeaseState, row: LeaseRow | None, revision: int, now_ms: int
+    ) -> Next:
+        """Take in a read; one that is older than what is known is dropped."""
+        known = state.observed
+        if known is not None and revision <= known.revision:
+            return state, None
+        if state.pending is not None and revision > state.pending.expected_revision:
+            return self._settle(state, row, revision, now_ms)
+        return self._observe(state, row, revision, now_ms)
+
+    def _observe(
+        self, state: LeaseState, row: LeaseRow | None, revision: int, now_ms: int
+    ) -> Next:
+        after = replace(state, observed=Observed(row, revision, now_ms))
+        if state.held is None:
+            return after, None
+        same = self._is_own(row) and row.fencing_number == state.held.fencing_number
+        if same:
+            return after, None
+        after = replace(after, held=None)
+        return after, self._decide("another holds it", state, now_ms)
+
+    def _settle(
+        self, state: LeaseState, row: LeaseRow | None, revision: int, now_ms: int
+    ) -> Next:
+        """Settle the pending write by the row that is there instead.
+
+        Its expected revision is gone, so that no copy of it can land any more.
+        """
+        pending = state.pending
+        if row is not None and row.token == pending.row.token:
+            return self._landed(state, revision, now_ms)
+        known = state.observed
+        state = replace(state, pending=None)
+        if known is not None and revision <= known.revision:
+            return state, None
+        return self._observe(state, row, revision, now_ms)
+
+    def _confirmed(self, state: LeaseState, event: Confirmed, now_ms: int) -> Next:
+        if state.pending is None or state.pending.row.token != event.token:
+            return state, None
+        return self._landed(state, event.revision, now_ms)
+
+    def _landed(self, state: LeaseState, revision: int, now_ms: int) -> Next:
+        """Take in that the pending write took effect."""
+        pending = state.pending
+        after = LeaseState(Observed(pending.row, revision, now_ms), None, state.held)
+        if pending.kind is WriteKind.RELEASE:
+            return after, None
+        times = self._settings
+        deadline_ms = pending.first_sent_ms + times.lease_ms - times.margin_ms
+        if pending.kind is WriteKind.RENEW and not state.may_act(now_ms):
+            return after, None
+        if now_ms >= deadline_ms:
+            return after, None
+        number = pending.row.fencing_number
+        after = replace(after, held=Held(number, deadline_ms, pending.first_sent_ms))
+        if pending.kind is WriteKind.RENEW:
+            return after, None
+        return after, self._decide("the claim is confirmed", state, now_ms)
+
+    def _not_done(self, state: LeaseState, event: NotDone) -> LeaseState:
+        pending = state.pending
+        if pending is None or pending.row.token != event.token:
+            return state
+        if not event.is_in_doubt and not pending.is_in_doubt:
+            return replace(state, pending=None)
+        waiting = replace(pending, is_in_flight=False, is_in_doubt=True)
+        return replace(state, pending=waiting)
+
+    def _tick(self, state: LeaseState, tick: Tick, now_ms: int) -> Next:
+        if state.held is not None and not state.may_act(now_ms):
+            after = replace(state, held=None)
+            decision = self._decide("not renewed in time", state, now_ms, tick.rank)
+            return after, decision
+        if state.pending is not None:
+            return self._resend(state, tick, now_ms)
+        if state.observed is None:
+            return state, None
+        if tick.rank is None:
+            return self._let_go(state, tick, now_ms)
+        if state.held is not None:
+            return self._renew_if_due(state, tick, now_ms)
+        rule = self._claim_rule(state.observed, tick.rank, now_ms)
+        if rule is None:
+            return state, None
+        return self._send(state, WriteKind.CLAIM, rule, tick, now_ms)
+
+    def _resend(self, state: LeaseState, tick: Tick, now_ms: int) -> Next:
+        """Send an unsettled write again unchanged; it takes effect once."""
+        pending = state.pending
+        if pending.is_in_flight:
+            return state, None
+        again = replace(pending, is_in_flight=True)
+        after = replace(state, pending=again)
+        rule = "its answer was lost"
+        return after, self._decide(rule, state, now_ms, tick.rank, again)
+
+    def _let_go(self, state: LeaseState, tick: Tick, now_ms: int) -> Next:
+        """Stop acting, then release what the row says is this instance's."""
+        if not self._is_own(state.observed.row):
+            return replace(state, held=None), None
+        rule = "no longer a candidate"
+        after, decision = self._send(state, WriteKind.RELEASE, rule, tick, now_ms)
+        return replace(after, held=None), decision
+
+    def _renew_if_due(self, state: LeaseState, tick: Tick, now_ms: int) -> Next:
+        if now_ms - state.held.renewed_ms < self._settings.renew_ms:
+            return state, None
+        return self._send(state, WriteKind.RENEW, "renewal is due", tick, now_ms)
+
+    def _claim_rule(self, seen: Observed, rank: int, now_ms: int) -> str | None:
+        """Return the rule by which the lease may be claimed now, if any."""
+        row = seen.row
+        if self._is_own(row):
+            return "own lease lapsed"
+        delay_ms = self._settings.claim_delay_ms(rank)
+        unchanged_ms = now_ms - seen.since_ms
+        if row is None:
+            return "nobody held it yet" if unchanged_ms >= delay_ms else None
+        if row.holder == NOBODY:
+            return self._claim_released_rule(row, delay_ms, unchanged_ms)
+        if unchanged_ms >= self._settings.lease_ms + delay_ms:
+            return "not renewed for the full lease"
+        return None
+
+    def _claim_released_rule(
+        self, row: LeaseRow, delay_ms: int, unchanged_ms: int
+    ) -> str | None:
+        if row.successor == self._identity.instance:
+            return "its holder named this successor"
+        if row.successor != NOBODY:
+            delay_ms += self._settings.scan_worst_ms()
+        return "it was released" if unchanged_ms >= delay_ms else None
+
+    def _send(
+        self, state: LeaseState, kind: WriteKind, rule: str, tick: Tick, now_ms: int
+    ) -> Next:
+        seen = state.observed
+        row = self._next_row(kind, seen.row, tick)
+        pending = Pending(kind, row, seen.revision, now_ms)
+        after = replace(state, pending=pending)
+        return after, self._decide(rule, state, now_ms, tick.rank, pending)
+
+    def _next_row(
+        self, kind: WriteKind, current: LeaseRow | None, tick: Tick
+    ) -> LeaseRow:
+        token = tick.token
+        number = current.fencing_number if current is not None else 0
+        me = self._identity
+        if kind is WriteKind.RELEASE:
+            return LeaseRow(NOBODY, 0, number, token, successor=tick.successor)
+        if kind is WriteKind.RENEW:
+            renewals = current.renewals + 1
+            return LeaseRow(me.instance, me.incarnation, number, token, renewals)
+        return LeaseRow(me.instance, me.incarnation, number + 1, token)
+
+    def _is_own(self, row: LeaseRow | None) -> bool:
+        """Tell whether this very incarnation holds the lease."""
+        if row is None:
+            return False
+        me = self._identity
+        return (row.holder, row.incarnation) == (me.instance, me.incarnation)
+
+    def _decide(
+        self,
+        rule: str,
+        state: LeaseState,
+        now_ms: int,
+        rank: int | None = None,
+        write: Pending | None = None,
+    ) -> LeaseDecision:
+        return LeaseDecision(
+            rule=rule,
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            now_ms=now_ms,
+            before=state,
+            rank=rank,
+            write=write,
+        )
--- /dev/null
+++ b/src/_monsoonpulley/control/leases.py
@@ -0,0 +1,322 @@
+"""Carries the leases of one instance to the table and back.
+
+One scan an interval shows all leases; writes that are due together go in one
+transaction. Commits run beside the loop, so that a slow table never keeps a
+holder from noticing that its time is over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import msgspec
+
+from ..clock import Clock
+from ..errors import Failure, Reason
+from ..identity import Identity
+from ..ids import InstanceId
+from ..log import Log
+from ..metrics import Metrics
+from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
+from .lease import LeaseRules
+from .leasestate import (
+    LEASE_PREFIX,
+    Confirmed,
+    Event,
+    LeaseDecision,
+    LeaseRow,
+    LeaseSettings,
+    LeaseState,
+    NotDone,
+    Pending,
+    Refused,
+    Seen,
+    Tick,
+    WriteKind,
+    decode_row,
+    lease_key,
+)
+
+GROUP_WRITES = 64
+"""Most leases written in one transaction."""
+SCAN_ROWS = 500
+TOKEN_BITS = 64
+STEP = "leases"
+
+
+class Placement(Protocol):
+    """Which instance should hold which duty."""
+
+    def duties(self) -> Sequence[str]:
+        """Return the names of all duties that there are."""
+        ...
+
+    def rank(self, duty: str) -> int | None:
+        """Return this instance's place among the candidates, if it is one."""
+        ...
+
+    def successor(self, duty: str) -> InstanceId:
+        """Return who should take the duty over from this instance."""
+        ...
+
+
+class Hold:
+    """A held lease, for the duty that runs under it.
+
+    Attributes
+    ----------
+    fencing_number : int
+        Goes with each order.
+    """
+
+    def __init__(self, fencing_number: int, may_act: Callable[[int], bool]):
+        self.fencing_number = fencing_number
+        self._may_act = may_act
+
+    def may_act(self) -> bool:
+        """Tell whether an order may be sent now; ask right before each."""
+        return self._may_act(self.fencing_number)
+
+
+class _Sent(msgspec.Struct, frozen=True):
+    """A pending write on its way."""
+
+    duty: str
+    pending: Pending
+
+    def write(self) -> Write:
+        value = msgspec.json.encode(self.pending.row)
+        return Write(lease_key(self.duty), value, self.pending.expected_revision)
+
+
+class Leases:
+    """All leases as one instance sees them.
+
+    Parameters
+    ----------
+    table : Table
+        Where the leases are.
+    identity : Identity
+        Who holds what this instance claims.
+    placement : Placement
+        Which duties there are and who should hold them.
+    clock, rng, log, metrics
+        Of the instance.
+    settings : LeaseSettings
+        Times, the same on every instance.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        identity: Identity,
+        placement: Placement,
+        clock: Clock,
+        rng: random.Random,
+        log: Log,
+        metrics: Metrics,
+        settings: LeaseSettings,
+    ):
+        self._table = table
+        self._placement = placement
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._metrics = metrics
+        self._settings = settings
+        self._rules = LeaseRules(identity, settings)
+        self._states: dict[str, LeaseState] = {}
+        self._commits: set[asyncio.Task[None]] = set()
+        self._failing = False
+        self.after_tick: Callable[[], None] = lambda: None
+
+    def state(self, duty: str) -> LeaseState:
+        """Return what is known of a duty's lease."""
+        return self._states.get(duty, LeaseState())
+
+    def rows(self) -> list[tuple[str, LeaseRow]]:
+        """Return each lease by duty as last seen, leaving out absent ones."""
+        seen = [(d, s.observed) for d, s in sorted(self._states.items())]
+        return [(duty, o.row) for duty, o in seen if o is not None and o.row]
+
+    def hold(self, duty: str) -> Hold | None:
+        """Return the hold on a duty, ``None`` while it may not be acted on."""
+        state = self.state(duty)
+        if not state.may_act(self._clock.now_ms()):
+            return None
+        return Hold(state.held.fencing_number, lambda n: self._may_act(duty, n))
+
+    async def run(self) -> None:
+        """Scan, claim and renew until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._watch(), name="leases/watch")
+                group.create_task(self._keep(), name="leases/keep")
+        finally:
+            for task in self._commits:
+                task.cancel()
+
+    async def scan(self) -> Failure | None:
+        """Look at all leases once."""
+        rows: dict[str, Row] = {}
+        after = ""
+        while True:
+            page = await self._scan_page(after)
+            if isinstance(page, Failure):
+                return page
+            rows.update((row.key, row) for row in page)
+            if len(page) < SCAN_ROWS:
+                break
+            after = page[-1].key
+        for duty in self._placement.duties():
+            self._take_row(duty, rows.get(lease_key(duty)))
+        return None
+
+    def tick(self) -> None:
+        """Decide on each lease and send the writes that are due."""
+        due: list[_Sent] = []
+        for duty in self._known_duties():
+            token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
+            rank = self._placement.rank(duty)
+            successor = self._placement.successor(duty) if rank is None else ""
+            decision = self._step(duty, Tick(rank, token, InstanceId(successor)))
+            if decision is not None and decision.write is not None:
+                due.append(_Sent(duty, decision.write))
+        self.after_tick()
+        self._send(due)
+
+    def _known_duties(self) -> list[str]:
+        """Return the duties that there are, and those still held."""
+        duties = list(self._placement.duties())
+        held = [d for d, s in self._states.items() if s.held or s.pending]
+        return list(dict.fromkeys(duties + held))
+
+    async def _watch(self) -> None:
+        while True:
+            failure = await self.scan()
+            self._note_scan(failure)
+            wait_ms = self._scan_interval_ms()
+            spread = self._rng.uniform(
+                1 - self._settings.jitter, 1 + self._settings.jitter
+            )
+            await self._clock.sleep_ms(wait_ms * spread)
+
+    async def _keep(self) -> None:
+        while True:
+            self.tick()
+            await self._clock.sleep_ms(self._settings.tick_ms)
+
+    def _scan_interval_ms(self) -> int:
+        """Return the short interval for who may have to take over soon."""
+        for duty in self._placement.duties():
+            rank = self._placement.rank(duty)
+            if rank is not None and rank < self._settings.watchers:
+                return self._settings.scan_ms
+        return self._settings.idle_scan_ms
+
+    async def _scan_page(self, after: str) -> tuple[Row, ...] | Failure:
+        self._metrics.incr("leases.scans")
+        call = self._table.scan(LEASE_PREFIX, after=after, limit=SCAN_ROWS)
+        try:
+            return await asyncio.wait_for(call, self._settings.call_ms / 1000)
+        except TimeoutError:
+            return Failure(Reason.TIMEOUT, f"{STEP}.scan", "platform")
+
+    def _note_scan(self, failure: Failure | None) -> None:
+        if failure is not None:
+            self._metrics.incr("leases.scan_failed")
+        if failure is not None and not self._failing:
+            self._log.event("lease_scan_failed", failure=failure)
+        self._failing = failure is not None
+
+    def _take_row(self, duty: str, row: Row | None) -> None:
+        if row is None:
+            self._step(duty, Seen(None, ABSENT_REVISION))
+            return
+        lease = decode_row(row)
+        if lease is None:
+            self._log.event("lease_unreadable", duty=duty, revision=row.revision)
+            return
+        self._step(duty, Seen(lease, row.revision))
+
+    def _send(self, due: list[_Sent]) -> None:
+        """Send renewals apart from the rest, which meets conflicts more often."""
+        renewals = [s for s in due if s.pending.kind is WriteKind.RENEW]
+        others = [s for s in due if s.pending.kind is not WriteKind.RENEW]
+        for group in (renewals, others):
+            for start in range(0, len(group), GROUP_WRITES):
+                self._spawn_commit(group[start : start + GROUP_WRITES])
+
+    def _spawn_commit(self, group: list[_Sent]) -> None:
+        task = asyncio.create_task(self._commit(group), name="leases/commit")
+        self._commits.add(task)
+        task.add_done_callback(self._commits.discard)
+
+    async def _commit(self, group: list[_Sent]) -> None:
+        """Commit until each write is settled, done or in doubt."""
+        while group:
+            result = await self._commit_once([sent.write() for sent in group])
+            if isinstance(result, Conflict):
+                group = self._take_conflict(group, result)
+                continue
+            for sent in group:
+                self._step(sent.duty, _answer(sent, result))
+            return
+
+    async def _commit_once(self, writes: list[Write]) -> Committed | Conflict | Failure:
+        self._metrics.incr("leases.commits")
+        self._metrics.incr("leases.rows_written", len(writes))
+        call = self._table.commit(writes)
+        try:
+            return await asyncio.wait_for(call, self._settings.call_ms / 1000)
+        except TimeoutError:
+            return Failure(Reason.IN_DOUBT, f"{STEP}.commit", "platform")
+
+    def _take_conflict(self, group: list[_Sent], conflict: Conflict) -> list[_Sent]:
+        """Settle the writes whose rows changed; return the others."""
+        left = []
+        for sent in group:
+            row = conflict.current.get(lease_key(sent.duty))
+            revision = row.revision if row else ABSENT_REVISION
+            if revision == sent.pending.expected_revision:
+                left.append(sent)
+                continue
+            lease = decode_row(row) if row else None
+            self._step(sent.duty, Refused(sent.pending.row.token, lease, revision))
+        if len(left) < len(group):
+            return left
+        for sent in left:
+            self._step(sent.duty, NotDone(sent.pending.row.token, False))
+        return []
+
+    def _step(self, duty: str, event: Event) -> LeaseDecision | None:
+        now_ms = self._clock.now_ms()
+        after, decision = self._rules.step(self.state(duty), event, now_ms)
+        self._states[duty] = after
+        if decision is not None:
+            self._note(duty, decision)
+        return decision
+
+    def _note(self, duty: str, decision: LeaseDecision) -> None:
+        """Log a decision; renewals that are due are only counted."""
+        write = decision.write
+        if write is not None and decision.rule == "renewal is due":
+            self._metrics.incr("leases.renewals")
+            return
+        self._log.decision(msgspec.structs.replace(decision, duty=duty))
+
+    def _may_act(self, duty: str, fencing_number: int) -> bool:
+        state = self.state(duty)
+        if not state.may_act(self._clock.now_ms()):
+            return False
+        return state.held.fencing_number == fencing_number
+
+
+def _answer(sent: _Sent, result: Committed | Failure) -> Event:
+    token = sent.pending.row.token
+    if isinstance(result, Committed):
+        return Confirmed(token, result.revision)
+    return NotDone(token, result.reason is not Reason.UNAVAILABLE)
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -16,12 +16,16 @@
 from .config.document import Document, Revision, Service, ServiceKind
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
+from .control.duties import DutyRunner, make_duties
+from .control.leases import Leases
+from .control.leasestate import LeaseSettings
+from .control.journalduties import log_pass
+from .control.parts import DutyParts
 from .control.startingversions import StartingVersions
 from .endpoints.engine import EngineClient
 from .endpoints.feed import EngineFeed
 from .endpoints.pool import Client, EndpointPool
 from .endpoints.roster import Roster
-from .errors import Failure
 from .gateway.app import Handlers, make_app
 from .gateway.generations import GenerationHandler
 from .gateway.intake import Reception
@@ -41,7 +45,7 @@
 from .overview import InstanceOverview
 from .platform.bundle import Platform
 from .platform.cloud import ReclaimNotice
-from .platform.livelist import Member
+from .platform.livelist import Member, MemberState, Role
 from .requests.admissiongate import AdmissionGate
 from .requests.dispatcher import JournalDispatcher
 from .requests.passthrough import ServiceAttempts
@@ -55,8 +59,10 @@
 DRAIN_JOURNAL_MS = 60_000
 """How long a planned stop waits for work that runs without its caller."""
 
-RECOVERY_INTERVAL_MS = 5_000
-COLLECTION_INTERVAL_MS = 60_000
+OWN_RECORDS_FIRST_MS = 5_000
+OWN_RECORDS_INTERVAL_MS = 60_000
+"""Mean interval at which an instance looks for records of its own that it does
+not act on; no other instance can tell that they were left."""
 
 
 MakeClient = Callable[[Member, Service], Client]
@@ -107,6 +113,7 @@
         self._build_endpoints()
         self._build_requests()
         self._build_recovery()
+        self._build_control()
         self.app = self._build_app()
         self._supervisor = self._build_supervisor()
 
@@ -212,6 +219,39 @@
             CollectionSettings(),
         )
 
+    def _build_control(self) -> None:
+        around = self._around
+        settings = LeaseSettings()
+        rng = random.Random(around.rng.getrandbits(64))
+        parts = DutyParts(
+            clock=around.clock,
+            log=around.log,
+            document=self.document,
+            recovery=self.recovery,
+            collection=self.collection,
+            is_gone=self._is_gone,
+        )
+        self.duties = DutyRunner(
+            self.identity.instance,
+            make_duties(parts),
+            self._live_entries,
+            settings,
+            around.clock,
+            around.log,
+            rng,
+        )
+        self.leases = Leases(
+            around.platform.table,
+            self.identity,
+            self.duties,
+            around.clock,
+            rng,
+            around.log,
+            around.metrics,
+            settings,
+        )
+        self.duties.bind(self.leases)
+
     def _build_app(self) -> Starlette:
         around = self._around
         reception = Reception(self.document, self.lifecycle, around.rng)
@@ -254,6 +294,7 @@
             self.watcher,
             self.pool,
             self.router,
+            self.leases,
         )
         handlers = OperatorHandlers(
             self._operator_sha256, self.config_store, self.watcher, overview
@@ -268,12 +309,15 @@
         endpoints.add("notices", self.notices.run)
         requests = self._new_supervisor("requests")
         requests.add("admission", self.gate.run)
-        requests.add("recovery", self._recover)
-        requests.add("collection", self._collect)
+        requests.add("own-records", self._recover_own)
+        control = self._new_supervisor("control")
+        control.add("leases", self._hold_leases)
+        control.add("hand-over", self._hand_over, Restart.ON_FAILURE)
         root.add("configuration", self.watcher.run)
         root.add("readiness", self._become_ready, Restart.ON_FAILURE)
         root.add("endpoints", endpoints.run)
         root.add("requests", requests.run)
+        root.add("control", control.run)
         return root
 
     def _new_supervisor(self, name: str) -> Supervisor:
@@ -327,30 +371,40 @@
         await self.roster.refresh()
         self.lifecycle.ready()
 
-    async def _recover(self) -> None:
-        while True:
-            await self._around.clock.sleep_ms(RECOVERY_INTERVAL_MS)
-            report = await self.recovery.recover(self._is_gone)
-            self._log_pass("recovery", report)
+    async def _hold_leases(self) -> None:
+        await self.lifecycle.wait_ready()
+        try:
+            await self.leases.run()
+        finally:
+            self.duties.cancel()
 
-    async def _collect(self) -> None:
-        after = ""
-        while True:
-            await self._around.clock.sleep_ms(COLLECTION_INTERVAL_MS)
-            report = await self.collection.collect(after=after)
-            self._log_pass("collection", report)
-            after = "" if isinstance(report, Failure) else report.after
+    async def _hand_over(self) -> None:
+        await self.lifecycle.wait_leaving()
+        await self.duties.leave()
 
-    def _log_pass(self, name: str, report: msgspec.Struct) -> None:
-        if isinstance(report, Failure):
-            self._around.log.event(f"{name}_failed", failure=report)
-        elif getattr(report, "adopted", 0) or getattr(report, "deleted", 0):
-            self._around.log.event(f"{name}_pass", report=report)
+    async def _recover_own(self) -> None:
+        wait_ms = OWN_RECORDS_FIRST_MS
+        while True:
+            await self._around.clock.sleep_ms(wait_ms * self._around.rng.uniform(1, 2))
+            report = await self.recovery.recover(self._is_former_self)
+            log_pass(self._around.log, "recovery", report)
+            wait_ms = OWN_RECORDS_INTERVAL_MS
+
+    def _live_entries(self) -> list[InstanceId]:
+        return [
+            InstanceId(member.instance)
+            for member in self.roster.members
+            if member.role is Role.ENTRY and member.state is MemberState.LIVE
+        ]
+
+    def _is_former_self(self, instance: InstanceId, incarnation: int) -> bool:
+        is_self = instance == self.identity.instance
+        return is_self and incarnation < self.identity.incarnation
 
     def _is_gone(self, instance: InstanceId, incarnation: int) -> bool:
         """Tell whether an entry instance left, by the newest list."""
         if not self.roster.members:
             return False
         if instance == self.identity.instance:
-            return incarnation < self.identity.incarnation
+            return self._is_former_self(instance, incarnation)
         return all(member.instance != instance for member in self.roster.members)
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/overview.py
@@ -6,6 +6,7 @@
 
 from . import operator_wire as wire
 from .config.watcher import ConfigWatcher
+from .control.leases import Leases
 from .endpoints.pool import EndpointPool
 from .identity import Identity
 from .ids import EndpointId
@@ -26,6 +27,8 @@
         What is in force.
     pool, router : EndpointPool, Router
         Endpoints and the requests in progress there.
+    leases : Leases
+        Control duties and who holds them.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         watcher: ConfigWatcher,
         pool: EndpointPool,
         router: Router,
+        leases: Leases,
     ):
         self._identity = identity
         self._lifecycle = lifecycle
@@ -43,6 +47,7 @@
         self._watcher = watcher
         self._pool = pool
         self._router = router
+        self._leases = leases
 
     def config_status(self) -> wire.ConfigStatusBody:
         """Say in which entry instances the newest known revision is in force."""
@@ -57,6 +62,7 @@
             number=self._watcher.number,
             entries=(self._own_status(),),
             endpoints=self._endpoints(),
+            duties=self._duties(),
         )
 
     async def explain(self, subject: str) -> wire.ExplainBody:
@@ -93,6 +99,12 @@
             )
         return tuple(statuses)
 
+    def _duties(self) -> tuple[wire.DutyStatus, ...]:
+        return tuple(
+            wire.DutyStatus(duty, row.holder, row.fencing_number)
+            for duty, row in self._leases.rows()
+        )
+
 
 def _explain_line(text: str) -> wire.ExplainLine:
     fields = msgspec.json.decode(text)
--- /dev/null
+++ b/testing/control/test_instances.py
@@ -0,0 +1,79 @@
+"""Control duties of whole entry instances on manual time."""
+
+from __future__ import annotations
+
+import unittest
+
+from _monsoonpulley.control.journalduties import RECOVERY_INTERVAL_MS
+from _monsoonpulley.control.leasestate import LeaseSettings
+from _monsoonpulley.standins.world import EntryPlan
+
+from ..support import run_world, small_deployment
+
+ENTRIES = tuple(EntryPlan(f"entry-{i}", f"zone-{i % 2}") for i in range(6))
+SETTLED_MS = 12_000
+
+
+def holders(world) -> dict[str, list[str]]:
+    found: dict[str, list[str]] = {}
+    for name, entry in world.entries.items():
+        for duty in entry.instance.duties.held():
+            found.setdefault(duty, []).append(name)
+    return found
+
+
+class TestDutiesOfInstances(unittest.TestCase):
+    def test_each_duty_has_one_holder_and_they_are_spread(self):
+        async def script(world):
+            await world.clock.sleep_ms(SETTLED_MS)
+            found = holders(world)
+            self.assertEqual(len(found), 32)
+            self.assertTrue(all(len(names) == 1 for names in found.values()))
+            self.assertGreater(len({names[0] for names in found.values()}), 3)
+
+        run_world(script, small_deployment(entries=ENTRIES))
+
+    def test_a_killed_instances_duties_are_taken_over_within_the_bound(self):
+        bound_ms = LeaseSettings().take_over_worst_ms()
+
+        async def script(world):
+            await world.clock.sleep_ms(SETTLED_MS)
+            lost = [d for d, names in holders(world).items() if names == ["entry-1"]]
+            self.assertTrue(lost)
+            world.kill_entry("entry-1")
+            await world.clock.sleep_ms(bound_ms)
+            found = holders(world)
+            self.assertTrue(all(len(found.get(duty, ())) == 1 for duty in lost))
+
+        for seed in range(5):
+            run_world(script, small_deployment(entries=ENTRIES), seed)
+
+    def test_a_leaving_instance_hands_over_without_the_lease_time(self):
+        settings = LeaseSettings()
+        self.assertLess(settings.scan_worst_ms(), settings.lease_ms)
+
+        async def script(world):
+            await world.clock.sleep_ms(SETTLED_MS)
+            leaving = world.entries["entry-1"].instance
+            handed = list(leaving.duties.held())
+            self.assertTrue(handed)
+            leaving.leave("planned")
+            await world.clock.sleep_ms(settings.scan_worst_ms() + settings.call_ms)
+            self.assertFalse(leaving.duties.held())
+            found = holders(world)
+            self.assertTrue(all(len(found.get(duty, ())) == 1 for duty in handed))
+
+        for seed in range(5):
+            run_world(script, small_deployment(entries=ENTRIES), seed)
+
+    def test_status_names_the_holder_of_each_duty(self):
+        async def script(world):
+            await world.clock.sleep_ms(SETTLED_MS)
+            row = world.entries["entry-1"].instance.leases.rows()
+            status = {duty: lease.holder for duty, lease in row}
+            self.assertEqual({d: [h] for d, h in status.items()}, holders(world))
+
+        run_world(script, small_deployment(entries=ENTRIES))
+
+    def test_recovery_looks_at_each_shard_often(self):
+        self.assertLessEqual(RECOVERY_INTERVAL_MS, 3_000)
