--- a/src/_monsoonpulley/control/lease.py
+++ b/src/_monsoonpulley/control/lease.py
@@ -182,25 +182,17 @@
         row = seen.row
         if self._is_own(row):
             return "own lease lapsed"
-        delay_ms = self._settings.claim_delay_ms(rank)
+        times = self._settings
         unchanged_ms = now_ms - seen.since_ms
-        if row is None:
-            return "nobody held it yet" if unchanged_ms >= delay_ms else None
-        if row.holder == NOBODY:
-            return self._claim_released_rule(row, delay_ms, unchanged_ms)
-        if unchanged_ms >= self._settings.lease_ms + delay_ms:
+        if row is None or row.holder == NOBODY:
+            if row is not None and row.successor == self._identity.instance:
+                return "its holder named this successor"
+            free = unchanged_ms >= times.free_delay_ms(rank)
+            return "nobody holds it" if free else None
+        if unchanged_ms >= times.lease_ms + times.claim_delay_ms(rank):
             return "not renewed for the full lease"
         return None
 
-    def _claim_released_rule(
-        self, row: LeaseRow, delay_ms: int, unchanged_ms: int
-    ) -> str | None:
-        if row.successor == self._identity.instance:
-            return "its holder named this successor"
-        if row.successor != NOBODY:
-            delay_ms += self._settings.scan_worst_ms()
-        return "it was released" if unchanged_ms >= delay_ms else None
-
     def _send(
         self, state: LeaseState, kind: WriteKind, rule: str, tick: Tick, now_ms: int
     ) -> Next:
--- a/src/_monsoonpulley/control/leasestate.py
+++ b/src/_monsoonpulley/control/leasestate.py
@@ -33,11 +33,11 @@
     idle_scan_ms : int
         Mean interval of scans by all others.
     stagger_ms : int
-        How much longer each later candidate waits before it claims.
-    staggered : int
-        Candidates beyond this rank wait no longer than the one at it.
+        How much longer each later watcher waits before it claims.
     watchers : int
-        Candidates of a duty, the preferred one included, that scan often.
+        Candidates of a duty, the preferred one included, that scan often and
+        claim early. Each further group of as many waits long enough to have
+        seen a claim of the group before it.
     tick_ms : int
         Interval at which leases are looked at, without I/O.
     call_ms : int
@@ -55,8 +55,7 @@
     scan_ms: int = 1_500
     idle_scan_ms: int = 6_000
     stagger_ms: int = 300
-    staggered: int = 3
-    watchers: int = 2
+    watchers: int = 3
     tick_ms: int = 250
     call_ms: int = 1_000
     hand_over_ms: int = 30_000
@@ -64,26 +63,42 @@
 
     def claim_delay_ms(self, rank: int) -> int:
         """Return how much longer the candidate of a rank waits."""
-        return min(rank, self.staggered) * self.stagger_ms
+        if rank < self.watchers:
+            return rank * self.stagger_ms
+        group = rank // self.watchers
+        return self.watchers * self.stagger_ms + group * self.idle_scan_worst_ms()
+
+    def free_delay_ms(self, rank: int) -> int:
+        """Return how long a candidate leaves a free lease to those before it."""
+        if rank == 0:
+            return 0
+        return self.scan_worst_ms() + self.claim_delay_ms(rank)
 
     def scan_worst_ms(self) -> int:
         """Return the longest time from one look of a watcher to the next."""
-        return round(self.scan_ms * (1 + self.jitter)) + self.tick_ms + self.call_ms
+        return self._worst_ms(self.scan_ms)
+
+    def idle_scan_worst_ms(self) -> int:
+        """Return the longest time between two looks of any other instance."""
+        return self._worst_ms(self.idle_scan_ms)
 
     def take_over_worst_ms(self) -> int:
         """Return the longest time from a holder's end to its successor's start.
 
-        It holds while the table answers within ``call_ms``, two successors at
-        most are lost together with the holder, and watchers are awake: the
-        last renewal lands late, is seen at the end of a scan interval, the
-        lease runs out, the last candidate's delay and a tick pass, and the
-        claim is confirmed.
+        It holds while the table answers within ``call_ms`` and one of the first
+        ``watchers`` candidates is left: the last renewal lands late, is seen at
+        the end of a scan interval, the lease runs out, the last watcher's delay
+        and a tick pass, and the claim is confirmed, and a tick later the duty
+        is started.
         """
-        delay_ms = self.claim_delay_ms(self.staggered)
-        claim_ms = 2 * self.tick_ms + self.call_ms
         seen_ms = self.call_ms + self.scan_worst_ms()
+        delay_ms = self.claim_delay_ms(self.watchers - 1)
+        claim_ms = 2 * self.tick_ms + self.call_ms
         return seen_ms + self.lease_ms + delay_ms + claim_ms
 
+    def _worst_ms(self, interval_ms: int) -> int:
+        return round(interval_ms * (1 + self.jitter)) + self.call_ms
+
 
 class LeaseRow(msgspec.Struct, frozen=True):
     """The row of a duty; it is never deleted, so that its number only rises.
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -17,9 +17,9 @@
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
 from .control.duties import DutyRunner, make_duties
+from .control.journalduties import log_pass
 from .control.leases import Leases
 from .control.leasestate import LeaseSettings
-from .control.journalduties import log_pass
 from .control.parts import DutyParts
 from .control.startingversions import StartingVersions
 from .endpoints.engine import EngineClient
--- /dev/null
+++ b/testing/control/leasehistory.py
@@ -0,0 +1,192 @@
+"""A lease table, claimers and a checking endpoint on manual time.
+
+Every claimer has its own clock: another zero and, within what the margin covers,
+another speed. Copies of writes land when told to, in any order, or never.
+"""
+
+from __future__ import annotations
+
+import random
+
+from _monsoonpulley.control.lease import LeaseRules
+from _monsoonpulley.control.leasestate import (
+    Confirmed,
+    LeaseRow,
+    LeaseSettings,
+    LeaseState,
+    NotDone,
+    Pending,
+    Refused,
+    Seen,
+    Tick,
+)
+from _monsoonpulley.identity import Identity
+
+SETTINGS = LeaseSettings()
+
+
+class Claimer:
+    """One incarnation of an instance, with its own clock."""
+
+    def __init__(self, index: int, incarnation: int, rng: random.Random, rules_type):
+        self.identity = Identity(f"entry-{index}", "zone", "region", incarnation)
+        self.rules = rules_type(self.identity, SETTINGS)
+        self.state = LeaseState()
+        self.is_paused = False
+        self.offset_ms = rng.randrange(-10_000_000, 10_000_000)
+        self.speed = rng.uniform(0.97, 1.03)
+        self.order: int | None = None
+
+    def now_ms(self, true_ms: int) -> int:
+        return round(true_ms * self.speed) + self.offset_ms
+
+
+class LeaseHistory:
+    """Moves the parts along and asserts what must always hold."""
+
+    def __init__(self, seed: int, size: int = 3, rules_type=LeaseRules):
+        self.rng = random.Random(seed)
+        self.rules_type = rules_type
+        self.now_ms = 0
+        self.is_down = False
+        self.row: LeaseRow | None = None
+        self.revision = 0
+        self.copies: list[tuple[Claimer, Pending, bool]] = []
+        self.accepted: list[int] = []
+        self.numbers: list[tuple[int, str, int]] = []
+        self.claimers = [self._new(index) for index in range(size)]
+        self.lost: list[Claimer] = []
+
+    def pass_time(self, duration_ms: int) -> None:
+        self.now_ms += duration_ms
+
+    def scan(self, index: int) -> None:
+        claimer = self.claimers[index]
+        if not self.is_down and not claimer.is_paused:
+            self._step(claimer, Seen(self.row, self.revision))
+
+    def tick(self, index: int, rank: int | None = 0) -> None:
+        claimer = self.claimers[index]
+        if claimer.is_paused:
+            return
+        token = f"{self.rng.getrandbits(64):016x}"
+        decision = self._step(claimer, Tick(rank, token))
+        if decision is not None and decision.write is not None:
+            self.copies.append((claimer, decision.write, True))
+
+    def take_turn(self, index: int) -> None:
+        """Let a claimer look and write, with no fault on the way."""
+        self.scan(index)
+        sent = len(self.copies)
+        self.tick(index)
+        if len(self.copies) > sent:
+            self.land(sent)
+
+    def land(self, number: int, answer_arrives: bool = True) -> None:
+        """Let a copy reach the table; its sender may hear of it or not."""
+        if not self.copies or self.is_down:
+            return
+        claimer, pending, is_awaited = self.copies.pop(number % len(self.copies))
+        event = self._apply(claimer, pending)
+        if not is_awaited or claimer.is_paused:
+            return
+        if answer_arrives:
+            self._step(claimer, event)
+        else:
+            self._step(claimer, NotDone(pending.row.token, is_in_doubt=True))
+
+    def time_out(self, number: int, is_dropped: bool) -> None:
+        """Let a sender give up on a copy, which is dropped or lands later."""
+        if not self.copies:
+            return
+        number %= len(self.copies)
+        claimer, pending, is_awaited = self.copies[number]
+        if claimer.is_paused:
+            return
+        if is_awaited:
+            self._step(claimer, NotDone(pending.row.token, is_in_doubt=True))
+        self.copies[number] = (claimer, pending, False)
+        if is_dropped:
+            self.copies.pop(number)
+
+    def refuse(self, number: int) -> None:
+        """Let the table decline a copy that is still awaited."""
+        number %= max(1, len(self.copies))
+        if self.copies and self.copies[number][2]:
+            claimer, pending, _ = self.copies.pop(number)
+            self._step(claimer, NotDone(pending.row.token, is_in_doubt=False))
+
+    def prepare_order(self, index: int) -> None:
+        """Check `may_act` and stop right before the send."""
+        claimer = self.claimers[index]
+        if not claimer.is_paused and self._may_act(claimer):
+            claimer.order = claimer.state.held.fencing_number
+
+    def send_order(self, index: int) -> None:
+        """Send what was prepared, with no further check."""
+        claimer = self.claimers[index]
+        if claimer.order is not None and not claimer.is_paused:
+            self._arrive(claimer.order)
+            claimer.order = None
+
+    def pause(self, index: int) -> None:
+        self.claimers[index].is_paused = True
+
+    def resume(self, index: int) -> None:
+        self.claimers[index].is_paused = False
+
+    def restart(self, index: int) -> None:
+        """Start a new incarnation; the former one may still run, paused."""
+        self.lost.append(self.claimers[index])
+        self.claimers[index] = self._new(index)
+
+    def acting(self) -> list[Claimer]:
+        """Return who would act now if it were awake, paused ones included."""
+        return [c for c in self.claimers + self.lost if self._may_act(c)]
+
+    def check(self) -> None:
+        acting = self.acting()
+        assert len(acting) <= 1, [c.identity for c in acting]
+        numbers = [number for number, _, _ in self.numbers]
+        assert numbers == sorted(set(numbers)), self.numbers
+        assert self.accepted == sorted(self.accepted), self.accepted
+
+    def holder(self) -> int | None:
+        acting = self.acting()
+        return self.claimers.index(acting[0]) if acting else None
+
+    def hold(self, index: int) -> None:
+        """Let a claimer claim, or claim again, at once."""
+        self.scan(index)
+        self.tick(index)
+        self.land(0)
+        assert self.holder() == index
+
+    def _new(self, index: int) -> Claimer:
+        incarnation = self.now_ms + self.rng.randrange(1, 1_000_000_000)
+        return Claimer(index, incarnation, self.rng, self.rules_type)
+
+    def _apply(self, claimer: Claimer, pending: Pending):
+        token = pending.row.token
+        if pending.expected_revision != self.revision:
+            return Refused(token, self.row, self.revision)
+        before = self.row.fencing_number if self.row else 0
+        self.row = pending.row
+        self.revision += 1
+        if pending.row.fencing_number != before:
+            me = claimer.identity
+            holder = (pending.row.fencing_number, me.instance, me.incarnation)
+            self.numbers.append(holder)
+        return Confirmed(token, self.revision)
+
+    def _arrive(self, fencing_number: int) -> None:
+        if fencing_number >= max(self.accepted, default=0):
+            self.accepted.append(fencing_number)
+
+    def _may_act(self, claimer: Claimer) -> bool:
+        return claimer.state.may_act(claimer.now_ms(self.now_ms))
+
+    def _step(self, claimer: Claimer, event):
+        now_ms = claimer.now_ms(self.now_ms)
+        claimer.state, decision = claimer.rules.step(claimer.state, event, now_ms)
+        return decision
--- /dev/null
+++ b/testing/control/test_lease.py
@@ -0,0 +1,269 @@
+"""Rules of a lease, one failure or a pair of them at a time."""
+
+from __future__ import annotations
+
+import unittest
+
+from _monsoonpulley.control.leasestate import (
+    NOBODY,
+    Confirmed,
+    LeaseRow,
+    LeaseSettings,
+    NotDone,
+    Seen,
+    Tick,
+)
+
+from .leasehistory import SETTINGS, LeaseHistory
+
+SEEDS = range(12)
+LONG_MS = 2 * SETTINGS.lease_ms
+
+
+class TestClaims(unittest.TestCase):
+    def test_of_two_claims_at_once_one_holds_whichever_lands_first(self):
+        for seed in SEEDS:
+            for first in (0, 1):
+                history = LeaseHistory(seed)
+                for index in (0, 1):
+                    history.scan(index)
+                    history.tick(index)
+                history.land(first)
+                history.land(0)
+                self.assertEqual(history.holder(), first)
+                self.assertEqual(len(history.numbers), 1)
+
+    def test_another_claims_only_after_a_full_lease_as_it_saw_it(self):
+        for seed in SEEDS:
+            history = LeaseHistory(seed)
+            history.hold(0)
+            history.pass_time(LONG_MS)
+            history.scan(1)
+            claimer = history.claimers[1]
+            history.pass_time(round((SETTINGS.lease_ms - 2) / claimer.speed))
+            history.tick(1)
+            self.assertEqual(history.copies, [])
+            history.pass_time(10)
+            history.tick(1)
+            history.land(0)
+            self.assertEqual(history.holder(), 1)
+
+    def test_a_renewal_that_the_claimer_missed_refuses_its_claim(self):
+        for seed in SEEDS:
+            history = LeaseHistory(seed)
+            history.hold(0)
+            history.scan(1)
+            history.pass_time(SETTINGS.renew_ms + 200)
+            history.tick(0)
+            history.land(0)
+            history.pass_time(SETTINGS.lease_ms - SETTINGS.renew_ms)
+            history.tick(1)
+            history.land(0)
+            self.assertNotEqual(history.holder(), 1)
+            self.assertEqual(len(history.numbers), 1)
+
+    def test_a_new_incarnation_waits_like_any_other(self):
+        for seed in SEEDS:
+            history = LeaseHistory(seed)
+            history.hold(0)
+            history.restart(0)
+            history.scan(0)
+            history.tick(0)
+            self.assertEqual(history.copies, [])
+            history.pass_time(LONG_MS)
+            history.tick(0)
+            history.land(0)
+            self.assertEqual(history.holder(), 0)
+            self.assertEqual([n for n, _, _ in history.numbers], [1, 2])
+
+    def test_later_candidates_wait_longer(self):
+        times = LeaseSettings()
+        delays = [times.claim_delay_ms(rank) for rank in range(9)]
+        self.assertEqual(delays, sorted(delays))
+        self.assertEqual(delays[0], 0)
+        after_watchers = delays[times.watchers] - delays[times.watchers - 1]
+        self.assertGreaterEqual(after_watchers, times.idle_scan_worst_ms())
+
+    def test_an_older_read_that_comes_late_changes_nothing(self):
+        history = LeaseHistory(1)
+        claimer = history.claimers[0]
+        old = Seen(history.row, history.revision)
+        history.hold(1)
+        history.scan(0)
+        before = claimer.state
+        after, _ = claimer.rules.step(before, old, claimer.now_ms(1_000))
+        self.assertEqual(after, before)
+
+
+class TestHolder(unittest.TestCase):
+    def test_a_holder_stops_before_its_lease_counted_from_before_the_send(self):
+        for seed in SEEDS:
+            history = LeaseHistory(seed)
+            holder = history.claimers[0]
+            history.scan(0)
+            sent_ms = holder.now_ms(history.now_ms)
+            history.tick(0)
+            history.pass_time(2_000)
+            history.land(0)
+            deadline_ms = sent_ms + SETTINGS.lease_ms - SETTINGS.margin_ms
+            self.assertTrue(holder.state.may_act(deadline_ms - 1))
+            self.assertFalse(holder.state.may_act(deadline_ms))
+
+    def test_a_claim_confirmed_after_its_deadline_holds_nothing(self):
+        history = LeaseHistory(3)
+        history.scan(0)
+        history.tick(0)
+        history.pass_time(LONG_MS)
+        history.land(0)
+        self.assertIsNone(history.holder())
+
+    def test_a_holder_that_lapsed_comes_back_with_a_higher_number(self):
+        history = LeaseHistory(4)
+        history.hold(0)
+        history.pass_time(LONG_MS)
+        history.tick(0)
+        self.assertIsNone(history.holder())
+        history.tick(0)
+        history.land(0)
+        self.assertEqual(history.holder(), 0)
+        self.assertEqual([n for n, _, _ in history.numbers], [1, 2])
+
+    def test_a_paused_holders_order_is_refused_once_another_has_ordered(self):
+        for seed in SEEDS:
+            history = LeaseHistory(seed)
+            history.hold(0)
+            history.scan(1)
+            history.prepare_order(0)
+            history.pause(0)
+            history.pass_time(LONG_MS)
+            history.hold(1)
+            history.prepare_order(1)
+            history.send_order(1)
+            history.resume(0)
+            history.send_order(0)
+            self.assertEqual(history.accepted, [2])
+            history.prepare_order(0)
+            self.assertIsNone(history.claimers[0].order)
+
+    def test_a_table_outage_through_expiry_stops_all_and_all_resumes(self):
+        for seed in SEEDS:
+            history = LeaseHistory(seed)
+            history.hold(0)
+            history.scan(1)
+            history.is_down = True
+            for _ in range(20):
+                history.pass_time(1_000)
+                history.tick(0)
+                history.tick(1)
+                for number in range(len(history.copies)):
+                    history.time_out(number, is_dropped=False)
+                history.check()
+            self.assertIsNone(history.holder())
+            history.is_down = False
+            while history.copies:
+                history.land(0)
+                history.check()
+            for index in (0, 1, 0):
+                history.scan(index)
+                history.tick(index)
+                history.land(0)
+                history.check()
+            self.assertIsNotNone(history.holder())
+
+
+class TestAnswersAndReleases(unittest.TestCase):
+    def test_a_lost_answer_is_settled_by_the_token(self):
+        for by_scan in (True, False):
+            history = LeaseHistory(5)
+            history.scan(0)
+            history.tick(0)
+            history.land(0, answer_arrives=False)
+            self.assertIsNone(history.holder())
+            if by_scan:
+                history.scan(0)
+            else:
+                history.tick(0)
+                history.land(0)
+            self.assertEqual(history.holder(), 0)
+            self.assertEqual(len(history.numbers), 1)
+
+    def test_a_delayed_claim_can_not_land_on_a_row_that_changed(self):
+        history = LeaseHistory(6)
+        history.scan(0)
+        history.tick(0)
+        history.time_out(0, is_dropped=False)
+        history.scan(1)
+        history.tick(1)
+        history.land(1)
+        history.land(0)
+        self.assertEqual(history.holder(), 1)
+        history.scan(0)
+        self.assertIsNone(history.claimers[0].state.pending)
+
+    def test_a_write_in_doubt_is_sent_again_unchanged(self):
+        history = LeaseHistory(7)
+        history.scan(0)
+        history.tick(0)
+        first = history.copies[0][1]
+        history.time_out(0, is_dropped=True)
+        history.tick(0)
+        again = history.copies[0][1]
+        self.assertEqual(again.row, first.row)
+        self.assertEqual(again.first_sent_ms, first.first_sent_ms)
+
+    def test_an_answer_to_a_settled_write_is_ignored(self):
+        history = LeaseHistory(8)
+        history.hold(0)
+        claimer = history.claimers[0]
+        for event in (Confirmed("other", 99), NotDone("other", True)):
+            after, decision = claimer.rules.step(claimer.state, event, 0)
+            self.assertEqual((after, decision), (claimer.state, None))
+
+    def test_a_release_stops_the_holder_before_it_is_sent(self):
+        history = LeaseHistory(9)
+        history.hold(0)
+        history.tick(0, None)
+        self.assertIsNone(history.holder())
+        self.assertEqual(history.copies[0][1].row.holder, NOBODY)
+
+    def test_a_release_that_was_declined_is_sent_again(self):
+        history = LeaseHistory(10)
+        history.hold(0)
+        history.tick(0, None)
+        history.refuse(0)
+        history.tick(0, None)
+        history.land(0)
+        self.assertEqual(history.row.holder, NOBODY)
+
+    def test_the_named_successor_claims_a_released_lease_at_once(self):
+        history = LeaseHistory(11)
+        history.row = LeaseRow(NOBODY, 0, 4, "token", successor="entry-2")
+        history.revision = 1
+        history.scan(1)
+        history.tick(1, 1)
+        self.assertEqual(history.copies, [])
+        history.scan(2)
+        history.tick(2, 1)
+        history.land(0)
+        self.assertEqual(history.holder(), 2)
+        self.assertEqual(history.row.fencing_number, 5)
+
+    def test_without_its_successor_a_released_lease_is_not_lost(self):
+        history = LeaseHistory(12)
+        history.row = LeaseRow(NOBODY, 0, 4, "token", successor="entry-2")
+        history.revision = 1
+        history.scan(1)
+        history.pass_time(2 * SETTINGS.free_delay_ms(1))
+        history.tick(1, 1)
+        history.land(0)
+        self.assertEqual(history.holder(), 1)
+
+    def test_a_decision_has_its_inputs(self):
+        history = LeaseHistory(13)
+        history.scan(0)
+        claimer = history.claimers[0]
+        _, decision = claimer.rules.step(claimer.state, Tick(0, "t"), 10_000_000)
+        again, _ = claimer.rules.step(
+            decision.before, Tick(decision.rank, "t"), decision.now_ms
+        )
+        self.assertEqual(again.pending, decision.write)
