--- a/src/_monsoonpulley/control/duties.py
+++ b/src/_monsoonpulley/control/duties.py
@@ -59,22 +59,38 @@
 
 
 class Candidates:
-    """The order of candidates of each duty, kept until the instances change."""
+    """The place of one instance among the candidates of each duty.
 
-    def __init__(self, live_entries: LiveEntries):
+    Places are kept until the live instances change.
+    """
+
+    def __init__(self, instance: InstanceId, live_entries: LiveEntries):
+        self._instance = instance
         self._live_entries = live_entries
         self._instances: tuple[InstanceId, ...] = ()
-        self._orders: dict[str, list[InstanceId]] = {}
+        self._ranks: dict[str, int] = {}
 
-    def order(self, duty: str) -> list[InstanceId]:
-        """Return the live instances, the preferred one first."""
-        instances = tuple(sorted(self._live_entries()))
+    def refresh(self) -> None:
+        """Take in which instances are live now."""
+        instances = tuple(self._live_entries())
         if instances != self._instances:
             self._instances = instances
-            self._orders.clear()
-        if duty not in self._orders:
-            self._orders[duty] = rendezvous(duty, instances)
-        return self._orders[duty]
+            self._ranks.clear()
+
+    def rank(self, duty: str) -> int:
+        """Return the place; an instance that isn't listed yet comes last."""
+        if duty not in self._ranks:
+            order = rendezvous(duty, self._instances)
+            is_listed = self._instance in order
+            rank = order.index(self._instance) if is_listed else len(order)
+            self._ranks[duty] = rank
+        return self._ranks[duty]
+
+    def successor(self, duty: str) -> InstanceId:
+        """Return the preferred one of the other instances, empty for none."""
+        others = [each for each in self._instances if each != self._instance]
+        order = rendezvous(duty, others)
+        return order[0] if order else InstanceId("")
 
 
 class DutyRunner:
@@ -106,7 +122,7 @@
     ):
         self._instance = instance
         self._kinds = kinds
-        self._candidates = Candidates(live_entries)
+        self._candidates = Candidates(instance, live_entries)
         self._settings = settings
         self._clock = clock
         self._log = log
@@ -132,20 +148,19 @@
             for shard in kind.shards()
         ]
         self._known = frozenset(names)
+        self._candidates.refresh()
         return names
 
     def rank(self, duty: str) -> int | None:
         """Return this instance's place, ``None`` if it should let go."""
         if self._should_let_go(duty):
-            return None if self._has_stopped(duty) else self._place(duty)
+            return None if self._has_stopped(duty) else self._candidates.rank(duty)
         self._stopping_ms.pop(duty, None)
-        return self._place(duty)
+        return self._candidates.rank(duty)
 
     def successor(self, duty: str) -> InstanceId:
         """Return the preferred one of the others."""
-        order = self._candidates.order(duty)
-        others = [each for each in order if each != self._instance]
-        return others[0] if others else InstanceId("")
+        return self._candidates.successor(duty)
 
     def held(self) -> dict[str, int]:
         """Return the fencing number of each duty that runs here."""
@@ -185,19 +200,12 @@
         states = [self._leases.state(duty) for duty in self.duties()]
         return any(state.held or state.pending for state in states)
 
-    def _place(self, duty: str) -> int:
-        """Return the rank; an instance that isn't listed yet comes last."""
-        order = self._candidates.order(duty)
-        if self._instance in order:
-            return order.index(self._instance)
-        return len(order)
-
     def _should_let_go(self, duty: str) -> bool:
         """Tell whether the duty belongs elsewhere, and has for long enough."""
         if self._is_leaving or duty not in self._known:
             return True
         now_ms = self._clock.now_ms()
-        if duty not in self._numbers or self._place(duty) == 0:
+        if duty not in self._numbers or self._candidates.rank(duty) == 0:
             if duty not in self._stopping_ms:
                 self._misplaced_ms.pop(duty, None)
                 return False
--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -24,6 +24,7 @@
 from .lease import LeaseRules
 from .leasestate import (
     LEASE_PREFIX,
+    NOBODY,
     Confirmed,
     Event,
     LeaseDecision,
@@ -178,11 +179,11 @@
     def tick(self) -> None:
         """Decide on each lease and send the writes that are due."""
         due: list[_Sent] = []
+        token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
         for duty in self._known_duties():
-            token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
             rank = self._placement.rank(duty)
-            successor = self._placement.successor(duty) if rank is None else ""
-            decision = self._step(duty, Tick(rank, token, InstanceId(successor)))
+            successor = self._placement.successor(duty) if rank is None else NOBODY
+            decision = self._step(duty, Tick(rank, token, successor))
             if decision is not None and decision.write is not None:
                 due.append(_Sent(duty, decision.write))
         self.after_tick()
--- a/src/_monsoonpulley/control/leasestate.py
+++ b/src/_monsoonpulley/control/leasestate.py
@@ -110,7 +110,7 @@
     fencing_number : int
         Rises with each claim.
     token : str
-        Unique for each write.
+        Unique among the writes of this row.
     renewals : int
         Renewals since the claim.
     successor : InstanceId
@@ -206,7 +206,7 @@
         Place among the candidates, 0 for the preferred one; ``None`` if this
         instance is no candidate and lets go of what it holds.
     token : str
-        Token for a write, should one be due.
+        Token for a write, should one be due; other than at any other tick.
     successor : InstanceId
         Whom a release would name.
     """
--- /dev/null
+++ b/src/_monsoonpulley/control/orders.py
@@ -0,0 +1,336 @@
+"""Orders to endpoints, by the holder of a duty.
+
+Every order carries the fencing number of the hold under which it is sent. An
+endpoint that checks it refuses a former holder's orders by itself. For one that
+ignores it there is a row per endpoint: the holder writes its order there, on the
+condition that nobody wrote meanwhile, and sends only once that is confirmed. A
+former holder finds the higher number of its successor and sends nothing.
+
+One window is left at endpoints that ignore the number: a holder paused after
+its last check and before the order leaves may send it after its successor's.
+`OrderSender.reconcile` finds the wrong version and orders again.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from ..clock import Clock
+from ..config.document import FencingCheck
+from ..endpoints.engine import EngineClient, Order, OrderKind
+from ..errors import Delivery, Failure, Reason
+from ..ids import EndpointId, VersionId
+from ..log import Decision, Log
+from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
+from .leases import Hold
+
+ORDER_PREFIX = "order/"
+STEP = "orders.send"
+WRITE_ATTEMPTS = 8
+FIRST_WAIT_MS = 50
+LONGEST_WAIT_MS = 400
+TOKEN_BITS = 64
+
+
+class Intent(msgspec.Struct, frozen=True):
+    """What an endpoint shall do."""
+
+    kind: OrderKind
+    version: VersionId = VersionId("")
+    argument: str = ""
+
+
+class OrderRow(msgspec.Struct, frozen=True):
+    """The newest order to an endpoint.
+
+    Attributes
+    ----------
+    sequence : int
+        Rises with each new order to the endpoint and is part of its id.
+    fencing_number : int
+        Of the holder that wrote last.
+    token : str
+        Unique for each write.
+    """
+
+    sequence: int
+    intent: Intent
+    fencing_number: int
+    token: str
+
+
+class OrderDecision(Decision, frozen=True, kw_only=True, tag="order_decision"):
+    """What became of an order, with the row that it was decided on."""
+
+    endpoint: EndpointId
+    fencing: FencingCheck
+    fencing_number: int
+    intent: Intent
+    order_id: str = ""
+    row: OrderRow | None = None
+    failure: Failure | None = None
+    observed_version: VersionId = VersionId("")
+
+
+class _Sent(msgspec.Struct, frozen=True):
+    intent: Intent
+    fencing_number: int
+    sent_ms: int
+
+
+def next_row(
+    current: OrderRow | None, intent: Intent, number: int, token: str, is_new: bool
+) -> OrderRow | Failure:
+    """Return the row to write for an order, or why it may not be sent.
+
+    The same intent keeps its sequence, and with it the order's id, unless
+    ``is_new`` asks that the endpoint carry it out once more.
+    """
+    if current is None:
+        return OrderRow(1, intent, number, token)
+    if current.fencing_number > number:
+        detail = f"number {current.fencing_number} has ordered since {number}"
+        return Failure(Reason.FENCED, STEP, "platform", detail, Delivery.NOT_SENT)
+    is_repeat = current.intent == intent and not is_new
+    sequence = current.sequence if is_repeat else current.sequence + 1
+    return OrderRow(sequence, intent, number, token)
+
+
+class OrderSender:
+    """Sends the orders of one instance.
+
+    All orders to an endpoint have to come from one duty: fencing numbers of
+    different duties can't be compared.
+
+    Parameters
+    ----------
+    table : Table
+        Has a row per endpoint that ignores fencing numbers.
+    clock, rng, log
+        Of the instance.
+    settle_ms : int
+        How long an endpoint may take to show what it was ordered.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        rng: random.Random,
+        log: Log,
+        settle_ms: int = 60_000,
+    ):
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._settle_ms = settle_ms
+        self._rows: dict[EndpointId, tuple[OrderRow | None, int]] = {}
+        self._sent: dict[EndpointId, _Sent] = {}
+        self._count = 0
+
+    async def send(
+        self,
+        hold: Hold,
+        endpoint: EndpointId,
+        client: EngineClient,
+        fencing: FencingCheck,
+        intent: Intent,
+        *,
+        is_new: bool = False,
+    ) -> Order | Failure:
+        """Send an order under a hold.
+
+        Parameters
+        ----------
+        hold : Hold
+            Of the one duty that orders this endpoint.
+        endpoint, client : EndpointId, EngineClient
+            Whom to order.
+        fencing : FencingCheck
+            Whether the endpoint checks fencing numbers.
+        intent : Intent
+            What to order.
+        is_new : bool
+            Whether to have it carried out again if it was ordered before.
+
+        Returns
+        -------
+        Order
+            The endpoint took it.
+        Failure
+            ``Reason.FENCED`` if another holds the duty; ``Delivery.NOT_SENT``
+            if no order left.
+        """
+        row: OrderRow | Failure | None = None
+        if fencing is FencingCheck.IGNORED:
+            row = await self._write_row(hold, endpoint, intent, is_new)
+            if isinstance(row, Failure):
+                return self._failed(hold, endpoint, fencing, intent, row)
+        order = self._order(hold, endpoint, intent, row)
+        # Nothing may be awaited between this check and the send.
+        if not hold.may_act():
+            failure = _ended(endpoint)
+            return self._failed(hold, endpoint, fencing, intent, failure, row)
+        now_ms = self._clock.now_ms()
+        self._sent[endpoint] = _Sent(intent, hold.fencing_number, now_ms)
+        failure = await client.order(order)
+        if failure is not None:
+            return self._failed(hold, endpoint, fencing, intent, failure, row)
+        rule = "the lease is held"
+        self._note(rule, hold, endpoint, fencing, intent, row, order.order_id)
+        return order
+
+    async def reconcile(
+        self,
+        hold: Hold,
+        endpoint: EndpointId,
+        client: EngineClient,
+        fencing: FencingCheck,
+        intent: Intent,
+        observed: VersionId,
+    ) -> Order | Failure | None:
+        """Order again what an endpoint does not show; ``None`` if all is well.
+
+        Parameters
+        ----------
+        intent : Intent
+            The version it shall run.
+        observed : VersionId
+            The version it reports now.
+        """
+        if observed == intent.version:
+            return None
+        sent = self._sent.get(endpoint)
+        is_own = sent is not None and sent.intent == intent
+        is_own = is_own and sent.fencing_number == hold.fencing_number
+        if is_own and self._clock.now_ms() - sent.sent_ms < self._settle_ms:
+            return None
+        rule = "not carried out in time" if is_own else "reports another version"
+        self._note(rule, hold, endpoint, fencing, intent, observed=observed)
+        return await self.send(hold, endpoint, client, fencing, intent, is_new=is_own)
+
+    def _order(
+        self, hold: Hold, endpoint: EndpointId, intent: Intent, row: OrderRow | None
+    ) -> Order:
+        if row is not None:
+            order_id = f"{endpoint}.{row.sequence}"
+        else:
+            self._count += 1
+            order_id = f"{endpoint}.{hold.fencing_number}.{self._count}"
+        return Order(
+            order_id,
+            intent.kind,
+            hold.fencing_number,
+            intent.version,
+            intent.argument,
+        )
+
+    async def _write_row(
+        self, hold: Hold, endpoint: EndpointId, intent: Intent, is_new: bool
+    ) -> OrderRow | Failure:
+        """Write the order's row until that is confirmed or given up."""
+        current = await self._current(endpoint)
+        if isinstance(current, Failure):
+            return current
+        row, revision = current
+        token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
+        new = next_row(row, intent, hold.fencing_number, token, is_new)
+        wait_ms = FIRST_WAIT_MS
+        for _ in range(WRITE_ATTEMPTS):
+            if isinstance(new, Failure):
+                return new
+            if not hold.may_act():
+                break
+            write = Write(_key(endpoint), msgspec.json.encode(new), revision)
+            result = await self._table.commit([write])
+            if isinstance(result, Committed):
+                self._rows[endpoint] = (new, result.revision)
+                return new
+            if isinstance(result, Conflict):
+                found = _decode(result.current.get(write.key))
+                if isinstance(found, Failure):
+                    return found
+                row, revision = self._rows[endpoint] = found
+                if row is not None and row.token == token:
+                    return row
+                new = next_row(row, intent, hold.fencing_number, token, is_new)
+                continue
+            await self._clock.sleep_ms(wait_ms * self._rng.uniform(0.5, 1.0))
+            wait_ms = min(2 * wait_ms, LONGEST_WAIT_MS)
+        if not hold.may_act():
+            return _ended(endpoint)
+        detail = "the order's row could not be written"
+        return Failure(Reason.UNAVAILABLE, STEP, endpoint, detail, Delivery.NOT_SENT)
+
+    async def _current(
+        self, endpoint: EndpointId
+    ) -> tuple[OrderRow | None, int] | Failure:
+        """Return the row as last known; the write's condition proves it."""
+        if endpoint not in self._rows:
+            row = await self._table.read(_key(endpoint))
+            found = row if isinstance(row, Failure) else _decode(row)
+            if isinstance(found, Failure):
+                return msgspec.structs.replace(found, delivery=Delivery.NOT_SENT)
+            self._rows[endpoint] = found
+        return self._rows[endpoint]
+
+    def _failed(
+        self,
+        hold: Hold,
+        endpoint: EndpointId,
+        fencing: FencingCheck,
+        intent: Intent,
+        failure: Failure,
+        row: OrderRow | None = None,
+    ) -> Failure:
+        rule = failure.reason.value
+        self._note(rule, hold, endpoint, fencing, intent, row, failure=failure)
+        return failure
+
+    def _note(
+        self,
+        rule: str,
+        hold: Hold,
+        endpoint: EndpointId,
+        fencing: FencingCheck,
+        intent: Intent,
+        row: OrderRow | None = None,
+        order_id: str = "",
+        failure: Failure | None = None,
+        observed: VersionId = VersionId(""),
+    ) -> None:
+        self._log.decision(
+            OrderDecision(
+                rule=rule,
+                endpoint=endpoint,
+                fencing=fencing,
+                fencing_number=hold.fencing_number,
+                intent=intent,
+                order_id=order_id,
+                row=row,
+                failure=failure,
+                observed_version=observed,
+            )
+        )
+
+
+def _key(endpoint: EndpointId) -> str:
+    return ORDER_PREFIX + endpoint
+
+
+def _decode(row: Row | None) -> tuple[OrderRow | None, int] | Failure:
+    if row is None:
+        return None, ABSENT_REVISION
+    try:
+        return msgspec.json.decode(row.value, type=OrderRow), row.revision
+    except msgspec.DecodeError as error:
+        detail = f"{row.key} can't be read: {error}"
+        return Failure(Reason.PROTOCOL, STEP, "platform", detail, Delivery.NOT_SENT)
+
+
+def _ended(endpoint: EndpointId) -> Failure:
+    detail = "the lease ended before the order was sent"
+    return Failure(Reason.CANCELLED, STEP, endpoint, detail, Delivery.NOT_SENT)
