--- a/src/_monsoonpulley/control/duties.py
+++ b/src/_monsoonpulley/control/duties.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from functools import lru_cache
 from typing import Protocol
 
 import xxhash
@@ -23,6 +24,7 @@
 from .parts import DutyParts
 
 LiveEntries = Callable[[], Sequence[InstanceId]]
+SCORES_KEPT = 32_768
 STOP_WITHIN_MS = 1_000
 """How long a cancelled duty may take to end before its lease is released."""
 
@@ -48,14 +50,15 @@
     return {name: duty_kinds.get(name)(parts) for name in duty_kinds}
 
 
-def rendezvous(duty: str, instances: Sequence[InstanceId]) -> list[InstanceId]:
-    """Return the instances in the order in which they should hold a duty."""
+@lru_cache(maxsize=SCORES_KEPT)
+def _score(duty: str, instance: InstanceId) -> tuple[int, InstanceId]:
+    text = f"{duty}\0{instance}"
+    return xxhash.xxh3_64_intdigest(text.encode()), instance
 
-    def score(instance: InstanceId) -> tuple[int, InstanceId]:
-        text = f"{duty}\0{instance}"
-        return xxhash.xxh3_64_intdigest(text.encode()), instance
 
-    return sorted(instances, key=score, reverse=True)
+def rendezvous(duty: str, instances: Sequence[InstanceId]) -> list[InstanceId]:
+    """Return the instances in the order in which they should hold a duty."""
+    return sorted(instances, key=lambda each: _score(duty, each), reverse=True)
 
 
 class Candidates:
--- a/src/_monsoonpulley/control/lease.py
+++ b/src/_monsoonpulley/control/lease.py
@@ -49,6 +49,17 @@
         self._identity = identity
         self._settings = settings
 
+    def may_be_due(self, state: LeaseState, now_ms: int) -> bool:
+        """Tell whether a `Tick` could do anything now; most can't."""
+        if state.held is not None or state.pending is not None:
+            return True
+        seen = state.observed
+        if seen is None:
+            return False
+        if seen.row is None or seen.row.holder == NOBODY or self._is_own(seen.row):
+            return True
+        return now_ms - seen.since_ms >= self._settings.lease_ms
+
     def step(self, state: LeaseState, event: Event, now_ms: int) -> Next:
         """Return the state after an event, and what was decided, if anything."""
         match event:
--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -46,6 +46,7 @@
 SCAN_ROWS = 500
 TOKEN_BITS = 64
 STEP = "leases"
+UNKNOWN = LeaseState()
 
 
 class Placement(Protocol):
@@ -136,7 +137,7 @@
 
     def state(self, duty: str) -> LeaseState:
         """Return what is known of a duty's lease."""
-        return self._states.get(duty, LeaseState())
+        return self._states.get(duty, UNKNOWN)
 
     def rows(self) -> list[tuple[str, LeaseRow]]:
         """Return each lease by duty as last seen, leaving out absent ones."""
@@ -180,7 +181,10 @@
         """Decide on each lease and send the writes that are due."""
         due: list[_Sent] = []
         token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
+        now_ms = self._clock.now_ms()
         for duty in self._known_duties():
+            if not self._rules.may_be_due(self.state(duty), now_ms):
+                continue
             rank = self._placement.rank(duty)
             successor = self._placement.successor(duty) if rank is None else NOBODY
             decision = self._step(duty, Tick(rank, token, successor))
--- a/src/_monsoonpulley/control/leasestate.py
+++ b/src/_monsoonpulley/control/leasestate.py
@@ -49,15 +49,15 @@
         Share by which scan intervals vary around their mean.
     """
 
-    lease_ms: int = 5_000
-    margin_ms: int = 500
-    renew_ms: int = 1_500
-    scan_ms: int = 1_500
+    lease_ms: int = 4_000
+    margin_ms: int = 400
+    renew_ms: int = 1_200
+    scan_ms: int = 1_000
     idle_scan_ms: int = 6_000
     stagger_ms: int = 300
     watchers: int = 3
     tick_ms: int = 250
-    call_ms: int = 1_000
+    call_ms: int = 800
     hand_over_ms: int = 30_000
     jitter: float = 0.2
 
--- a/testing/control/test_lease.py
+++ b/testing/control/test_lease.py
@@ -267,3 +267,19 @@
             decision.before, Tick(decision.rank, "t"), decision.now_ms
         )
         self.assertEqual(again.pending, decision.write)
+
+
+class TestMayBeDue(unittest.TestCase):
+    def test_a_tick_that_is_skipped_would_have_done_nothing(self):
+        for seed in SEEDS:
+            history = LeaseHistory(seed)
+            for _ in range(200):
+                index = history.rng.randrange(3)
+                claimer = history.claimers[index]
+                now_ms = claimer.now_ms(history.now_ms)
+                if not claimer.rules.may_be_due(claimer.state, now_ms):
+                    tick = Tick(0, "token")
+                    after, decision = claimer.rules.step(claimer.state, tick, now_ms)
+                    self.assertEqual((after, decision), (claimer.state, None))
+                history.take_turn(index)
+                history.pass_time(history.rng.choice([100, 1_000, 4_000]))
