--- a/src/_monsoonpulley/control/lease.py
+++ b/src/_monsoonpulley/control/lease.py
@@ -74,7 +74,7 @@
                     return self._seen(state, event.row, event.revision, now_ms)
                 return self._settle(state, event.row, event.revision, now_ms)
             case NotDone():
-                return self._not_done(state, event), None
+                return self._not_done(state, event, now_ms), None
 
     def _seen(
         self, state: LeaseState, row: LeaseRow | None, revision: int, now_ms: int
@@ -110,7 +110,7 @@
         if row is not None and row.token == pending.row.token:
             return self._landed(state, revision, now_ms)
         known = state.observed
-        state = replace(state, pending=None)
+        state = replace(state, pending=None, failures=0, retry_ms=None)
         if known is not None and revision <= known.revision:
             return state, None
         return self._observe(state, row, revision, now_ms)
@@ -138,10 +138,13 @@
             return after, None
         return after, self._decide("the claim is confirmed", state, now_ms)
 
-    def _not_done(self, state: LeaseState, event: NotDone) -> LeaseState:
+    def _not_done(self, state: LeaseState, event: NotDone, now_ms: int) -> LeaseState:
         pending = state.pending
         if pending is None or pending.row.token != event.token:
             return state
+        is_renewal = pending.kind is WriteKind.RENEW
+        wait_ms = self._settings.retry_wait_ms(is_renewal, state.failures)
+        state = replace(state, failures=state.failures + 1, retry_ms=now_ms + wait_ms)
         if not event.is_in_doubt and not pending.is_in_doubt:
             return replace(state, pending=None)
         waiting = replace(pending, is_in_flight=False, is_in_doubt=True)
@@ -152,6 +155,8 @@
             after = replace(state, held=None)
             decision = self._decide("not renewed in time", state, now_ms, tick.rank)
             return after, decision
+        if state.retry_ms is not None and now_ms < state.retry_ms:
+            return state, None
         if state.pending is not None:
             return self._resend(state, tick, now_ms)
         if state.observed is None:
--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -306,11 +306,14 @@
         return decision
 
     def _note(self, duty: str, decision: LeaseDecision) -> None:
-        """Log a decision; renewals that are due are only counted."""
+        """Log a decision; due renewals and further tries are only counted."""
         write = decision.write
         if write is not None and decision.rule == "renewal is due":
             self._metrics.incr("leases.renewals")
             return
+        if write is not None and decision.before.failures > 1:
+            self._metrics.incr("leases.further_tries")
+            return
         self._log.decision(msgspec.structs.replace(decision, duty=duty))
 
     def _may_act(self, duty: str, fencing_number: int) -> bool:
--- a/src/_monsoonpulley/control/leasestate.py
+++ b/src/_monsoonpulley/control/leasestate.py
@@ -74,6 +74,16 @@
             return 0
         return self.scan_worst_ms() + self.claim_delay_ms(rank)
 
+    def retry_wait_ms(self, is_renewal: bool, failures: int) -> int:
+        """Return how long to wait after a write that the table did not take.
+
+        Claims of many instances wait ever longer, so that an outage does not
+        end in a flood; a holder has to be quick to keep what it holds.
+        """
+        if is_renewal:
+            return self.renew_ms // 3
+        return min(self.scan_ms << min(failures, 8), self.idle_scan_ms)
+
     def scan_worst_ms(self) -> int:
         """Return the longest time from one look of a watcher to the next."""
         return self._worst_ms(self.scan_ms)
@@ -179,11 +189,21 @@
 
 
 class LeaseState(msgspec.Struct, frozen=True):
-    """All that an instance knows of one lease; empty before the first look."""
+    """All that an instance knows of one lease; empty before the first look.
+
+    Attributes
+    ----------
+    failures : int
+        Writes that the table did not take since the last one that it did.
+    retry_ms : int or None
+        Monotonic time before which no write is sent, after a failure.
+    """
 
     observed: Observed | None = None
     pending: Pending | None = None
     held: Held | None = None
+    failures: int = 0
+    retry_ms: int | None = None
 
     def may_act(self, now_ms: int) -> bool:
         """Tell whether the instance may act as holder at this moment."""
--- a/testing/control/test_lease.py
+++ b/testing/control/test_lease.py
@@ -163,6 +163,7 @@
             while history.copies:
                 history.land(0)
                 history.check()
+            history.pass_time(2 * SETTINGS.idle_scan_ms)
             for index in (0, 1, 0):
                 history.scan(index)
                 history.tick(index)
@@ -182,6 +183,7 @@
             if by_scan:
                 history.scan(0)
             else:
+                history.pass_time(2 * SETTINGS.scan_ms)
                 history.tick(0)
                 history.land(0)
             self.assertEqual(history.holder(), 0)
@@ -206,6 +208,7 @@
         history.tick(0)
         first = history.copies[0][1]
         history.time_out(0, is_dropped=True)
+        history.pass_time(2 * SETTINGS.scan_ms)
         history.tick(0)
         again = history.copies[0][1]
         self.assertEqual(again.row, first.row)
@@ -232,6 +235,9 @@
         history.tick(0, None)
         history.refuse(0)
         history.tick(0, None)
+        self.assertEqual(history.copies, [])
+        history.pass_time(2 * SETTINGS.scan_ms)
+        history.tick(0, None)
         history.land(0)
         self.assertEqual(history.row.holder, NOBODY)
 
@@ -269,6 +275,33 @@
         self.assertEqual(again.pending, decision.write)
 
 
+class TestRetries(unittest.TestCase):
+    def test_claims_that_the_table_declines_come_ever_more_rarely(self):
+        history = LeaseHistory(14)
+        history.scan(0)
+        sent_ms = []
+        for _ in range(200):
+            history.tick(0)
+            if history.copies:
+                sent_ms.append(history.now_ms)
+                history.refuse(0)
+            history.pass_time(SETTINGS.tick_ms)
+        self.assertLess(len(sent_ms), 50_000 / SETTINGS.idle_scan_ms + 5)
+        self.assertGreater(len(sent_ms), 5)
+
+    def test_a_holder_retries_several_times_before_its_deadline(self):
+        history = LeaseHistory(15)
+        history.hold(0)
+        tries = 0
+        while history.holder() == 0:
+            history.pass_time(50)
+            history.tick(0)
+            if history.copies:
+                tries += 1
+                history.refuse(0)
+        self.assertGreaterEqual(tries, 3)
+
+
 class TestMayBeDue(unittest.TestCase):
     def test_a_tick_that_is_skipped_would_have_done_nothing(self):
         for seed in SEEDS:
