--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -87,6 +87,11 @@
             await self._platform_session.close()
             await self._transport.close()
 
+    @property
+    def peer_address(self) -> str:
+        """Where other entry instances reach this one."""
+        return self._transport.address
+
     def leave(self, reason: str) -> None:
         """Begin a planned stop, which waits for what is in progress."""
         wait_ms = self._settings.limits.shutdown_ms
