Draw the jitter of digests from a generator of its own

Cause: each digest drew from the instance's generator, so any change of how often digests go changed request ids and everything else that is drawn. Change: the exchange has its own generator, seeded by one draw.

--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -195,7 +195,8 @@
             Sealer(around.peer_key),
             self.peer_host,
             around.clock,
-            around.rng,
+            # Of its own, so that messages of peers shift no other draws.
+            random.Random(around.rng.getrandbits(64)),
             around.log,
             around.metrics,
         )
--- a/src/_monsoonpulley/peers/transport.py
+++ b/src/_monsoonpulley/peers/transport.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Protocol
 
 
@@ -43,8 +44,6 @@
 
     async def receive(self) -> bytes:
         """Wait for ever."""
-        import asyncio
-
         return await asyncio.get_running_loop().create_future()
 
     def keep_only(self, addresses: set[str]) -> None:
