--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -62,11 +62,6 @@
         listen = entry.http_listen
         self.server = HttpServer(self.instance.app, listen.ip, listen.port)
 
-    @property
-    def peer_address(self) -> str:
-        """Where other entry instances reach this one."""
-        return self._transport.address
-
     async def run(self) -> None:
         """Serve until the instance has left and drained."""
         serving = asyncio.create_task(self.server.run(), name="http")
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -1,17 +1,5 @@
 """The whole path in separate processes, as a user would start them."""
 
-import contextlib
-import http.client
-import json
-import signal
-import subprocess
-import sys
-import tempfile
-import unittest
-from pathlib import Path
-
-from benchmarks.processes import CUSTOMER, OPERATOR, Deployment
-
 PLAN = """
 [platform]
 listen = 127.0.0.1:0
