--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -3,25 +3,29 @@
 from __future__ import annotations
 
 import hashlib
+import json
 import os
-import socket
 import subprocess
 import sys
 import tempfile
+import time
 from contextlib import ExitStack
 from pathlib import Path
 
 CUSTOMER = "benchmark-customer-credential"
 OPERATOR = "benchmark-operator-credential"
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+EVENT_LOOK_S = 0.02
+EVENT_LOOKS = 3_000
+END_WITHIN_S = 60
 
 ENTRY = """
 [entry]
 instance = entry-1
 zone = zone-a
 region = bench
-http_listen = 127.0.0.1:{port}
-peer_listen = 127.0.0.1:{peer_port}
+http_listen = 127.0.0.1:0
+peer_listen = 127.0.0.1:0
 [platform]
 table = etcd-v3-json http://{platform}/zone-a
 objects = http http://{platform}/zone-a/objects
@@ -37,18 +41,52 @@
 
 
 class Process:
-    """A child process of a measurement."""
+    """A child process of a measurement or a test.
 
-    def __init__(self, *arguments: str, stderr: int | None = subprocess.DEVNULL):
+    Its standard error, where its log goes, is kept in a file.
+    """
+
+    def __init__(self, *arguments: str):
         command = [sys.executable, "-m", "monsoonpulley", *arguments]
+        self._errors = tempfile.TemporaryFile("w+")
         self._child = subprocess.Popen(
-            command, stdout=subprocess.PIPE, stderr=stderr, text=True
+            command, stdout=subprocess.PIPE, stderr=self._errors, text=True
         )
 
     def lines(self, count: int) -> list[str]:
         """Return the next lines of its standard output."""
         return [self._child.stdout.readline().strip() for _ in range(count)]
 
+    def errors(self) -> str:
+        """Return all that it has written to standard error."""
+        self._errors.seek(0)
+        return self._errors.read()
+
+    def wait_for_event(self, event: str) -> str:
+        """Wait until its log has an event, and return its line.
+
+        Raises
+        ------
+        RuntimeError
+            If the process ends first, or the event does not come in time.
+        """
+        for _ in range(EVENT_LOOKS):
+            for line in self.errors().splitlines():
+                if f'"event":"{event}"' in line:
+                    return line
+            if self._child.poll() is not None:
+                break
+            time.sleep(EVENT_LOOK_S)
+        raise RuntimeError(f"no event {event!r}: {self.errors()[-2_000:]}")
+
+    def terminate(self) -> None:
+        """Ask it to stop, by SIGTERM."""
+        self._child.terminate()
+
+    def wait(self) -> int:
+        """Return its exit code once it has ended."""
+        return self._child.wait(END_WITHIN_S)
+
     def cpu_s(self) -> float:
         """Return the processor time that it has used, in seconds."""
         fields = Path(f"/proc/{self._child.pid}/stat").read_text().split()
@@ -60,10 +98,11 @@
         return int(pages) * os.sysconf("SC_PAGE_SIZE")
 
     def end(self) -> None:
-        """Kill it and wait for its end."""
+        """Kill it, if it still runs, and wait for its end."""
         self._child.kill()
         self._child.wait()
         self._child.stdout.close()
+        self._errors.close()
 
 
 class Deployment(ExitStack):
@@ -85,16 +124,15 @@
         count = plan.count("[endpoint ") + 1
         lines = self.standins.lines(count)
         self.addresses = dict(line.split() for line in lines)
-        self.port = free_port()
         settings = ENTRY.format(
-            port=self.port,
-            peer_port=free_port(),
             platform=self.addresses["platform"],
             operator=sha256(OPERATOR),
             log_level=log_level,
         )
         (folder / "entry.ini").write_text(settings)
         self.entry = self._start("entry", "--settings", str(folder / "entry.ini"))
+        listening = self.entry.wait_for_event("instance_listening")
+        self.port = int(json.loads(listening)["http"].rpartition(":")[2])
         self._configuration = folder / "configuration.ini"
         self._configuration.write_text(configuration)
 
@@ -119,12 +157,6 @@
         return process
 
 
-def free_port() -> int:
-    """Return a TCP port that was free just now."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
-
-
 def sha256(text: str) -> str:
     """Return the SHA-256 of a text in hexadecimal."""
     return hashlib.sha256(text.encode()).hexdigest()
--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -64,6 +64,9 @@
 
     async def run(self) -> None:
         """Serve until the instance has left and drained."""
+        self._log.event(
+            "instance_listening", http=self.server.url, peers=self.peer_address
+        )
         serving = asyncio.create_task(self.server.run(), name="http")
         working = asyncio.create_task(self.instance.run(), name="instance")
         leaving = asyncio.create_task(self._drain(), name="drain")
