--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 from starlette.applications import Starlette
@@ -114,11 +115,13 @@
     async def drain(self) -> None:
         """Wait for what is in progress, up to the deadline, and hand over."""
         await self.lifecycle.wait_idle(RECLAIM_MARGIN_MS)
-        await self.streams.hand_over()
+        storing = asyncio.create_task(self.streams.hand_over())
         deadline_ms = self.lifecycle.deadline_ms
         if deadline_ms is None:
             deadline_ms = self._around.clock.now_ms() + DRAIN_JOURNAL_MS
         left = await self.journal.drain(deadline_ms - RECLAIM_MARGIN_MS // 2)
+        left_ms = deadline_ms - RECLAIM_MARGIN_MS // 4 - self._around.clock.now_ms()
+        await asyncio.wait({storing}, timeout=max(0, left_ms) / 1000)
         self._around.log.event("instance_drained", handed_over=left)
         self.lifecycle.stop()
 
--- a/src/_monsoonpulley/requests/handover.py
+++ b/src/_monsoonpulley/requests/handover.py
@@ -85,7 +85,10 @@
         return await self._objects.delete(object_name(request_id))
 
     async def store(self, states: Sequence[StreamState]) -> HandOverReport:
-        """Store streams, a few at once; each is tried twice.
+        """Store streams, a few at once, the longest first; each is tried twice.
+
+        If the time is too short for all, those that cost least to generate
+        again are lost.
 
         Objects are stored even if their index is not: a caller's text goes
         before a leftover object.
@@ -101,7 +104,8 @@
                 kept = msgspec.structs.replace(state, expires_wall_ms=expires_wall_ms)
                 return await self._put(kept)
 
-        results = await asyncio.gather(*(put(state) for state in states))
+        longest_first = sorted(states, key=lambda state: -state.next_offset)
+        results = await asyncio.gather(*(put(state) for state in longest_first))
         await index
         stored = sum(results)
         return HandOverReport(stored, len(results) - stored)
--- a/testing/requests/test_continuation.py
+++ b/testing/requests/test_continuation.py
@@ -1,11 +1,13 @@
 import asyncio
 import unittest
 
+from _monsoonpulley.standins.caller import Caller
 from _monsoonpulley.standins.faults import Part
 
-from ..support import BOB, run_world
+from ..support import ALICE, BOB, run_world
 from .streaming import (
     PATH,
+    PROMPT,
     Stream,
     check_whole,
     is_done,
@@ -26,6 +28,45 @@
     await world.processes.start(entry, instance.drain())
 
 
+class Puts:
+    """Notes the lengths of streams in the order in which they are stored."""
+
+    def __init__(self):
+        self.lengths = []
+
+    async def __call__(self, state):
+        self.lengths.append(state.next_offset)
+        return True
+
+
+class SlowCaller:
+    """Reads some events of a stream and then nothing, with its line open."""
+
+    def __init__(self, world, after_events):
+        self.parts = []
+        self._events_left = after_events
+        app = world.entries["entry-1"].instance.app
+        caller = Caller(app, ALICE)
+        body = {"model": "report", "prompt": PROMPT, "max_tokens": 60}
+        body["stream"] = True
+        caller._app = self._stalling(app)
+        self.task = asyncio.create_task(caller.post_json(PATH, body))
+
+    def _stalling(self, app):
+        async def call(scope, receive, send):
+            async def slow_send(message):
+                if message.get("body"):
+                    if not self._events_left:
+                        await asyncio.Event().wait()
+                    self._events_left -= 1
+                    self.parts.append(message["body"])
+                await send(message)
+
+            await app(scope, receive, slow_send)
+
+        return call
+
+
 class EntryReclaimTest(unittest.TestCase):
     def check_goes_on_elsewhere(self, seed, method, path):
         async def script(world):
@@ -107,6 +148,33 @@
 
         run_world(script)
 
+    def test_a_hanging_store_does_not_keep_the_journal_from_draining(self):
+        async def script(world):
+            stream = Stream(world, tokens=600)
+            await stream.until(50)
+            world.platform.faults.outage(True, Part.OBJECTS, hanging=True)
+            await reclaim(world, "entry-1")
+            self.assertTrue((await stream.result()).complete)
+            drained = world.last("instance_drained")["wall_ms"]
+            leaving = world.last("instance_leaving")
+            now_ms = world.clock.now_ms() - world.clock.wall_ms()
+            self.assertLessEqual(drained + now_ms, leaving["deadline_ms"])
+
+        run_world(script)
+
+    def test_the_longest_streams_are_stored_first(self):
+        async def script(world):
+            streams = []
+            for _ in range(3):
+                streams.append(Stream(world, tokens=600))
+                await streams[-1].until(20)
+            world.entries["entry-1"].instance.streams._store._put = put = Puts()
+            await reclaim(world, "entry-1")
+            self.assertEqual(put.lengths, sorted(put.lengths, reverse=True))
+            self.assertEqual(len(put.lengths), 3)
+
+        run_world(script)
+
     def test_a_planned_stop_cuts_off_no_stream(self):
         async def script(world):
             stream = Stream(world, tokens=600)
@@ -191,6 +259,25 @@
 
         run_world(script)
 
+    def test_another_customer_never_gets_what_is_kept(self):
+        async def script(world):
+            stream = Stream(world)
+            await stream.until(20)
+            stream.leave.set()
+            first = await stream.result()
+            event_id = last_id(first.body)
+            refused = await resume(world, "entry-1", event_id, credential=BOB)
+            self.assertEqual(refused.status, 404)
+            instance = world.entries["entry-1"].instance
+            instance.leave("deployment")
+            await instance.drain()
+            refused = await resume(world, "entry-2", event_id, credential=BOB)
+            self.assertEqual(refused.status, 404)
+            rest = await resume(world, "entry-2", event_id)
+            check_whole(self, stream, first.body + rest.body)
+
+        run_world(script)
+
     def test_wrong_places_are_400_and_lose_nothing(self):
         async def script(world):
             stream = Stream(world)
@@ -228,6 +315,20 @@
 
         run_world(script)
 
+    def test_a_caller_that_reads_nothing_is_left_and_can_come_back(self):
+        async def script(world):
+            caller = SlowCaller(world, after_events=10)
+            await caller.task
+            entry = world.entries["entry-1"].instance
+            self.assertEqual(entry.lifecycle.in_progress, 0)
+            self.assertLessEqual(world.clock.now_ms(), 70_000)
+            got = offsets(b"".join(caller.parts))
+            request_id = world.last("route")["request_id"]
+            rest = await resume(world, "entry-1", f"{request_id}:{got[-1]}")
+            self.assertEqual(got + offsets(rest.body), list(range(60)))
+
+        run_world(script)
+
     def test_state_is_kept_for_a_bounded_time(self):
         async def script(world):
             stream = Stream(world)
