Test the promises under pairs of faults

Cause: each fault had its tests, but faults come together. Change: ten faults and every pair of them at once (45) through whole instances: eight keys submitted two to three times each and three streams, then a long settling time; what callers were told is held against what was executed. Answers to once-only work carry x-key-state, so that not_run of one submission is not taken for the key's.

--- a/src/_monsoonpulley/gateway/services.py
+++ b/src/_monsoonpulley/gateway/services.py
@@ -38,6 +38,11 @@
 REPEATED_HEADER = "x-repeated"
 """Set to ``true`` where the answer is that of an earlier submission."""
 
+KEY_STATE_HEADER = "x-key-state"
+"""``closed`` where the outcome is final for the key. With ``open`` it speaks of
+this submission only: an earlier one with the key may have run, and a later one
+may run."""
+
 
 class ServiceHandler:
     """Serves pass-through requests.
@@ -125,7 +130,7 @@
         context = prepared.context(request_id)
         answered = await self._admitted_call(context, prepared.call)
         self._ended(context, answered)
-        return _response(answered, request_id, context.class_id, repeated=False)
+        return _response(answered, request_id, context.class_id)
 
     async def _admitted_call(
         self, context: RequestContext, call: PassThrough
@@ -147,9 +152,12 @@
         settled = await self._journal.submit(prepared.submission(key))
         answered = Answered(settled.outcome, settled.answer, settled.failure)
         self._ended(context, answered, settled)
-        return _response(
-            answered, request_id, context.class_id, repeated=settled.repeated
-        )
+        response = _response(answered, request_id, context.class_id)
+        if settled.repeated:
+            response.headers[REPEATED_HEADER] = "true"
+        closed = settled.key_closed or settled.outcome is Outcome.DONE
+        response.headers[KEY_STATE_HEADER] = "closed" if closed else "open"
+        return response
 
     def _refused(self, refusal: Refusal) -> Response:
         self._metrics.incr(f"requests.refused.{refusal.failure.reason.value}")
@@ -249,9 +257,7 @@
     return f"{rest}?{query}" if query else rest
 
 
-def _response(
-    answered: Answered, request_id: RequestId, class_id: ClassId, *, repeated: bool
-) -> Response:
+def _response(answered: Answered, request_id: RequestId, class_id: ClassId) -> Response:
     if answered.answer is None:
         failure = answered.failure or _no_answer()
         return problem_response(failure, answered.outcome, request_id, class_id)
@@ -259,10 +265,7 @@
     response = Response(answer.body, answer.status)
     for name, value in answer_headers(answer.headers):
         response.headers.append(name, value)
-    own = response_headers(request_id, class_id, answered.outcome)
-    if repeated:
-        own[REPEATED_HEADER] = "true"
-    response.headers.update(own)
+    response.headers.update(response_headers(request_id, class_id, answered.outcome))
     return response
 
 
--- a/testing/gateway/test_requests.py
+++ b/testing/gateway/test_requests.py
@@ -93,6 +93,8 @@
                 )
             )
             self.assertEqual({answer.status for answer in answers}, {200})
+            states = {answer.headers["x-key-state"] for answer in answers}
+            self.assertEqual(states, {"closed"})
             self.assertEqual(len({answer.body for answer in answers}), 1)
             self.assertEqual(world.ledger.most(), 1)
             repeated = [a for a in answers if a.headers.get("x-repeated")]
@@ -152,6 +154,7 @@
             )
             self.assertEqual(refused.status, 503)
             self.assertEqual(refused.headers["x-outcome"], "not_run")
+            self.assertEqual(refused.headers["x-key-state"], "open")
             self.assertIn("retry-after", refused.headers)
             found = await caller.request("GET", "/services/lookup/frames/3")
             self.assertEqual(found.status, 200)
--- /dev/null
+++ b/testing/promises/test_pairs.py
@@ -0,0 +1,161 @@
+"""What must always hold, under pairs of faults at once."""
+
+import asyncio
+import itertools
+import json
+import os
+import random
+import unittest
+
+from _monsoonpulley.standins.generated_text import whole_text
+from _monsoonpulley.standins.world import EndpointPlan, EntryPlan
+
+from ..support import ALICE, run_world, small_deployment
+from .faults import faults
+
+SUBMISSIONS = 8
+REPORT = "condition report on the gilded frame of the harbour view " * 6
+REPORT_TOKENS = 150
+SETTLE_MS = 75_000
+SEEDS = int(os.environ.get("PROMISE_SEEDS", "1"))
+"""Seeds for each pair; more of them by ``PROMISE_SEEDS=20``."""
+
+ENTRIES = tuple(
+    EntryPlan(f"entry-{number}", f"zone-{'ab'[number % 2]}") for number in range(1, 5)
+)
+
+
+class Telling:
+    """What callers were told of one key, by submission."""
+
+    def __init__(self):
+        self.outcomes = []
+
+    def hear(self, response):
+        if response.complete:
+            outcome = response.headers.get("x-outcome")
+            self.outcomes.append((outcome, response.headers.get("x-key-state")))
+
+
+class PairsOfFaultsTest(unittest.TestCase):
+    def play(self, names, seed):
+        async def script(world):
+            rng = random.Random(seed)
+            await world.clock.sleep_ms(3_000)
+            bringing = [asyncio.ensure_future(bring(name, rng)) for name in names]
+            reports = [
+                asyncio.ensure_future(self.report(world, number)) for number in range(3)
+            ]
+            tellings = {f"key-{number}": Telling() for number in range(SUBMISSIONS)}
+            submitting = [
+                asyncio.ensure_future(self.submit(world, rng, key, telling))
+                for key, telling in tellings.items()
+            ]
+            await asyncio.gather(*bringing, *reports, *submitting)
+            await world.clock.sleep_ms(SETTLE_MS)
+            for key, telling in tellings.items():
+                await self.submit_again(world, key, telling)
+            self.check_submissions(world, tellings)
+            for report in reports:
+                self.check_report(report.result())
+
+        async def bring(name, rng):
+            world = self.world
+            await world.clock.sleep_ms(rng.randrange(0, 400))
+            await faults.get(name)(world, rng)
+
+        async def with_world(world):
+            self.world = world
+            await script(world)
+
+        run_world(with_world, self.deployment(), seed)
+
+    def deployment(self):
+        base = small_deployment()
+        spare = [
+            EndpointPlan(
+                f"{plan.endpoint}-spare",
+                plan.service,
+                plan.version,
+                "zone-a",
+                plan.profile,
+            )
+            for plan in base.endpoints
+        ]
+        return small_deployment(entries=ENTRIES, endpoints=(*base.endpoints, *spare))
+
+    async def submit(self, world, rng, key, telling):
+        for _ in range(2):
+            await world.clock.sleep_ms(rng.randrange(0, 1_500))
+            await self.submit_again(world, key, telling, rng)
+
+    async def submit_again(self, world, key, telling, rng=None):
+        names = sorted(world.entries)
+        name = rng.choice(names) if rng else names[0]
+        telling.hear(
+            await world.caller(name, ALICE).post_json(
+                "/services/booking/orders", {"key": key}, {"idempotency-key": key}
+            )
+        )
+
+    async def report(self, world, number):
+        await world.clock.sleep_ms(100 * number)
+        name = sorted(world.entries)[number % len(world.entries)]
+        body = {
+            "model": "report",
+            "prompt": REPORT + str(number),
+            "max_tokens": REPORT_TOKENS,
+            "stream": True,
+        }
+        response = await world.caller(name, ALICE).post_json("/v1/completions", body)
+        return number, name in world.entries, response
+
+    def check_submissions(self, world, tellings):
+        self.assertLessEqual(world.ledger.most(), 1)
+        for key, telling in tellings.items():
+            ran = world.executions("booking", key, "alice")
+            for outcome, state in telling.outcomes:
+                if outcome == "done":
+                    self.assertEqual(ran, 1, key)
+                if (outcome, state) == ("not_run", "closed"):
+                    self.assertEqual(ran, 0, key)
+            if ran:
+                last = telling.outcomes[-1]
+                self.assertIn(last, (("done", "closed"), ("unknown", "closed")), key)
+
+    def check_report(self, result):
+        number, entry_lives, response = result
+        texts, offsets = read_stream(response.body)
+        prompt = (REPORT + str(number)).split()
+        expected = whole_text(prompt, REPORT_TOKENS)
+        self.assertEqual("".join(texts).split(), expected[: len(offsets)])
+        self.assertEqual(offsets, list(range(len(offsets))))
+        if entry_lives and response.status == 200:
+            whole = len(offsets) == REPORT_TOKENS
+            told = b'"error"' in response.body
+            self.assertTrue(whole or told, "a stream ended short without a word")
+
+
+def read_stream(body):
+    texts, offsets = [], []
+    for line in body.decode().splitlines():
+        if line.startswith("id: "):
+            offsets.append(int(line.rpartition(":")[2]))
+        if line.startswith("data: {"):
+            chunk = json.loads(line[6:])
+            texts += [choice.get("text", "") for choice in chunk.get("choices", ())]
+    return texts, offsets
+
+
+def _add_pair(names):
+    def test(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                self.play(names, seed)
+
+    title = "_and_".join(name.replace("-", "_") for name in names)
+    setattr(PairsOfFaultsTest, f"test_promises_hold_under_{title}", test)
+
+
+for _names in itertools.combinations(faults.names(), 2):
+    _add_pair(_names)
--- a/testing/support.py
+++ b/testing/support.py
@@ -15,6 +15,7 @@
     Version,
 )
 from _monsoonpulley.gateway.credentials import credential_sha256
+from _monsoonpulley.journal.record import request_id_for
 from _monsoonpulley.standins.engine_profile import EngineProfile
 from _monsoonpulley.standins.manualloop import run_manual
 from _monsoonpulley.standins.plainservice import PlainServiceProfile
@@ -88,6 +89,10 @@
     def last(self, name: str) -> dict:
         return self.events(name)[-1]
 
+    def executions(self, class_id: str, key: str, customer: str) -> int:
+        """Return how often work under an idempotency key was executed."""
+        return self.ledger.count(request_id_for(customer, class_id, key))
+
 
 def run_world(
     script: Callable[[WatchedWorld], Awaitable[None]],
