--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -9,75 +9,31 @@
 import random
 from collections.abc import Sequence
 
-import msgspec
-
 from ..config.document import Document
 from ..endpoints.engine import CacheEvent, LoadReport
 from ..errors import Delivery, Failure, Reason
-from ..ids import AttemptId, EndpointId, RequestId, ServiceId, VersionId, ZoneId
-from ..log import Decision
+from ..ids import (
+    AttemptId,
+    ClassId,
+    CustomerId,
+    EndpointId,
+    ServiceId,
+    VersionId,
+    ZoneId,
+)
 from ..platform.livelist import Member, MemberState
-from .admission import Admission
-from .breaker import BreakerRule, Breakers
+from .admission import Admission, AdmissionRequest, Admit, Refuse, Wait
+from .attemptbreakers import AttemptBreakers
 from .policies import POLICIES, RouteRequest, Scorer
 from .prediction import Prediction
 from .prefixindex import PrefixIndex
 from .retries import Retries
+from .routedecision import RouteDecision, target_time_ms
 from .view import EndpointView, FleetView
 
 OTHER_ZONE_MS = 2
+MAX_OTHER_ZONES = 2
 SLOTS_RATIO = 1.0
-ENDPOINT_RULE = BreakerRule(min_count=5)
-VERSION_RULE = BreakerRule(min_count=20, open_ms=2_000, max_probes=2)
-
-
-class RouteDecision(Decision, frozen=True, kw_only=True, tag="route"):
-    """Where one attempt goes, and why.
-
-    Attributes
-    ----------
-    chosen, runner_up : EndpointId or None
-        The endpoint, and the next best; ``None`` if it was the only one.
-    predicted_ms, runner_up_ms : float or None
-        Predicted time by which they were compared.
-    queue_ms : float
-        Part of it that is the chosen endpoint's own queue.
-    candidate_count : int
-        How many endpoints were looked at.
-    candidates : tuple of Prediction
-        What was expected of each, best first.
-    versions : dict
-        Shares of traffic by which the version was drawn.
-    """
-
-    request_id: RequestId
-    service: ServiceId
-    version: VersionId
-    zone: ZoneId
-    chosen: EndpointId
-    address: str
-    predicted_ms: float
-    queue_ms: float
-    runner_up: EndpointId | None
-    runner_up_ms: float | None
-    candidate_count: int
-    target_ms: int
-    stream: bool
-    prompt_tokens: int
-    cached_tokens: int
-    tried: tuple[EndpointId, ...]
-    versions: dict[VersionId, float]
-    candidates: tuple[Prediction, ...]
-    now_ms: int
-
-
-class _Open(msgspec.Struct):
-    """Breaker keys of an attempt in progress and whether it probes them."""
-
-    endpoint: EndpointId
-    version_key: tuple[ServiceId, VersionId, str]
-    endpoint_probe: bool
-    version_probe: bool
 
 
 class Router:
@@ -101,13 +57,12 @@
         self.prefixes = PrefixIndex()
         self.admission = Admission(rng)
         self.retries = Retries(rng)
-        self.endpoint_breakers = Breakers(ENDPOINT_RULE, rng)
-        self.version_breakers = Breakers(VERSION_RULE, rng)
+        self.breakers = AttemptBreakers(rng)
         self._scorer = Scorer(self.fleet, self.prefixes)
+        self._policy_name = policy
         self._policy = POLICIES.get(policy)(self._scorer, rng)
         self._rng = rng
         self._cut_off_zones: frozenset[ZoneId] = frozenset()
-        self._open: dict[AttemptId, _Open] = {}
 
     @classmethod
     def from_config(
@@ -142,7 +97,7 @@
         self.fleet.apply_members(members, now_ms)
         for endpoint in before - set(self.fleet.endpoints):
             self.prefixes.forget(endpoint)
-            self.endpoint_breakers.forget(endpoint)
+            self.breakers.endpoints.forget(endpoint)
 
     def mark_leaving(self, endpoint: EndpointId, now_ms: int) -> None:
         """Give an endpoint no new work from now on."""
@@ -206,7 +161,7 @@
         return self._nowhere(request, now_ms)
 
     def _versions_in_order(self, request: RouteRequest) -> list[VersionId]:
-        """Draw a version by share; then only those with larger shares.
+        """Draw a version by share; then only those with no smaller a share.
 
         A version with a small share never takes over what a larger one can't
         serve, so a canary's share stays what was decided.
@@ -220,7 +175,7 @@
             return list(shares)
         names = list(shares)
         drawn = self._rng.choices(names, weights=[shares[n] for n in names])[0]
-        larger = [name for name in names if shares[name] > shares[drawn]]
+        larger = [n for n in names if n != drawn and shares[n] >= shares[drawn]]
         larger.sort(key=lambda name: -shares[name])
         return [drawn, *larger]
 
@@ -228,7 +183,7 @@
         self, request: RouteRequest, version: VersionId, now_ms: int
     ) -> bool:
         key = (request.service, version, request.route)
-        return self.version_breakers.allows(key, now_ms)
+        return self.breakers.versions.allows(key, now_ms)
 
     def _rank_zones(
         self, request: RouteRequest, version: VersionId, now_ms: int
@@ -236,7 +191,7 @@
         """Look at the local data centre, and at others if it is too slow."""
         pools = self.fleet.pools(request.service, version)
         tried = request.tried
-        breakers = self.endpoint_breakers
+        breakers = self.breakers.endpoints
 
         def usable(view: EndpointView) -> bool:
             return view.id not in tried and breakers.allows(view.id, now_ms)
@@ -246,20 +201,25 @@
         found: list[Prediction] = []
         if local is not None:
             found = self._policy.rank(request, local, usable, now_ms)
-        if found and _time(request, found[0]) <= request.target_ms:
+        if found and target_time_ms(request, found[0]) <= request.target_ms:
             return self._decision(request, version, found, "local", now_ms)
         others: list[Prediction] = []
-        for zone, pool in pools.items():
-            if zone != local_zone and zone not in self._cut_off_zones:
-                others += self._policy.rank(request, pool, usable, now_ms)
-        others.sort(key=lambda prediction: _time(request, prediction))
+        zones = [z for z in pools if z != local_zone and z not in self._cut_off_zones]
+        self._rng.shuffle(zones)
+        for looked_at, zone in enumerate(zones):
+            if looked_at >= MAX_OTHER_ZONES and others:
+                break
+            others += self._policy.rank(request, pools[zone], usable, now_ms)
+        others.sort(key=lambda prediction: target_time_ms(request, prediction))
         if not found and not others:
             return None
         if not others:
             return self._decision(request, version, found, "local", now_ms)
         if not found:
             return self._decision(request, version, others, "only-elsewhere", now_ms)
-        if _time(request, others[0]) + OTHER_ZONE_MS < _time(request, found[0]):
+        if target_time_ms(request, others[0]) + OTHER_ZONE_MS < target_time_ms(
+            request, found[0]
+        ):
             ranked = others + found
             return self._decision(request, version, ranked, "elsewhere", now_ms)
         return self._decision(request, version, found + others, "local", now_ms)
@@ -275,17 +235,17 @@
         best = ranked[0]
         second = ranked[1] if len(ranked) > 1 else None
         return RouteDecision(
-            rule=rule,
+            rule=f"{self._policy_name}/{rule}",
             request_id=request.request_id,
             service=request.service,
             version=version,
             zone=best.zone,
             chosen=best.endpoint,
             address=self.fleet.endpoints[best.endpoint].address,
-            predicted_ms=_time(request, best),
+            predicted_ms=target_time_ms(request, best),
             queue_ms=best.queue_ms,
             runner_up=second.endpoint if second else None,
-            runner_up_ms=_time(request, second) if second else None,
+            runner_up_ms=target_time_ms(request, second) if second else None,
             candidate_count=len(ranked),
             target_ms=request.target_ms,
             stream=request.stream,
@@ -326,7 +286,35 @@
         self, request: RouteRequest, version: VersionId, now_ms: int
     ) -> int:
         key = (request.service, version, request.route)
-        return self.version_breakers.open_for_ms(key, now_ms)
+        return self.breakers.versions.open_for_ms(key, now_ms)
+
+    def admit(
+        self,
+        request: RouteRequest,
+        decision: RouteDecision,
+        customer: CustomerId,
+        request_class: ClassId,
+        now_ms: int,
+    ) -> Admit | Wait | Refuse:
+        """Ask admission for a request that `choose` found a place for.
+
+        After ``Wait`` and its turn, choose again. After ``Admit``,
+        ``admission.release`` must follow when the request ends.
+        """
+        traffic = self.fleet.traffic_of(request.service)
+        output = min(request.max_tokens, round(traffic.output_tokens))
+        uncached = max(0, request.prompt_tokens - decision.cached_tokens)
+        offer = AdmissionRequest(
+            request_id=request.request_id,
+            service=request.service,
+            customer=customer,
+            request_class=request_class,
+            cost_tokens=max(1, uncached + output),
+            target_ms=request.target_ms,
+            predicted_ms=decision.predicted_ms,
+            queue_ms=decision.queue_ms,
+        )
+        return self.admission.offer(offer, now_ms)
 
     def started(
         self,
@@ -336,13 +324,8 @@
         now_ms: int,
     ) -> None:
         """Note that the attempt of ``decision`` is being sent."""
-        version_key = (request.service, decision.version, request.route)
-        self._open[attempt] = _Open(
-            decision.chosen,
-            version_key,
-            self.endpoint_breakers.begin(decision.chosen, now_ms),
-            self.version_breakers.begin(version_key, now_ms),
-        )
+        version_route = (request.service, decision.version, request.route)
+        self.breakers.begin(attempt, decision.chosen, version_route, now_ms)
         uncached = max(0, request.prompt_tokens - decision.cached_tokens)
         self.fleet.started(
             attempt, decision.chosen, uncached, request.max_tokens, now_ms
@@ -363,26 +346,4 @@
     ) -> None:
         """Note the attempt's end; a refusal or a cancel opens no breaker."""
         self.fleet.finished(attempt, now_ms, failure is None, output_tokens)
-        opened = self._open.pop(attempt, None)
-        if opened is None:
-            return
-        ok = _breaker_result(failure)
-        self.endpoint_breakers.end(opened.endpoint, ok, opened.endpoint_probe, now_ms)
-        if failure is not None and failure.delivery is Delivery.NOT_SENT:
-            # Nothing listens there: more attempts would only spend the budget.
-            self.endpoint_breakers.trip(opened.endpoint, now_ms)
-            ok = None
-        self.version_breakers.end(opened.version_key, ok, opened.version_probe, now_ms)
-
-
-def _time(request: RouteRequest, prediction: Prediction) -> float:
-    """Return the predicted time that the class target is about."""
-    return prediction.first_token_ms if request.stream else prediction.completion_ms
-
-
-def _breaker_result(failure: Failure | None) -> bool | None:
-    if failure is None:
-        return True
-    if failure.reason is Reason.CANCELLED:
-        return None
-    return None if failure.delivery is Delivery.REFUSED else False
+        self.breakers.end(attempt, failure, now_ms)
