--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -62,13 +62,11 @@
         listen = entry.http_listen
         self.server = HttpServer(self.instance.app, listen.ip, listen.port)
 
-    @property
-    def peer_address(self) -> str:
-        """Where other entry instances reach this one."""
-        return self._transport.address
-
     async def run(self) -> None:
         """Serve until the instance has left and drained."""
+        self._log.event(
+            "instance_listening", http=self.server.url, peers=self.peer_address
+        )
         serving = asyncio.create_task(self.server.run(), name="http")
         working = asyncio.create_task(self.instance.run(), name="instance")
         leaving = asyncio.create_task(self._drain(), name="drain")
