Move versions over by their deadline, or take them back

Cause: a version with a deadline in the configuration got no traffic, and nothing told operators what became of it.

Change: a duty per service holds a row per version (pending, canary, ramp, soak, done, taken back) and moves it by conditional writes with its fencing number. Each daemon derives the shares from the rows, judges the version by its own attempts with a sequential test, and stops its traffic at once when it sees a fault. 'monsoonpulley rollout status|history' shows it.

--- a/src/_monsoonpulley/cli.py
+++ b/src/_monsoonpulley/cli.py
@@ -31,6 +31,8 @@
     difference_text,
     explain_text,
     history_text,
+    rollout_history_text,
+    rollout_status_text,
     status_text,
 )
 from .config.difference import difference
@@ -46,6 +48,8 @@
 )
 config = App(name="config", help="Check, apply and look at the configuration.")
 app.command(config)
+rollout = App(name="rollout", help="See versions take over, or be taken back.")
+app.command(rollout)
 
 
 @app.command
@@ -232,6 +236,22 @@
     return print_answer_of(access, lambda client: client.status(), status_text)
 
 
+@rollout.command(name="status")
+def rollout_status(*, access: Access = FROM_ENVIRONMENT) -> int:
+    """Show where each version with a deadline stands, and why."""
+    return print_answer_of(
+        access, lambda client: client.rollouts(), rollout_status_text
+    )
+
+
+@rollout.command(name="history")
+def rollout_history(*, access: Access = FROM_ENVIRONMENT) -> int:
+    """List how each version got where it is, oldest first."""
+    return print_answer_of(
+        access, lambda client: client.rollouts(), rollout_history_text
+    )
+
+
 @app.command
 def explain(request_id: str, *, access: Access = FROM_ENVIRONMENT) -> int:
     """Show what was decided about a request, and from what.
--- a/src/_monsoonpulley/cli_output.py
+++ b/src/_monsoonpulley/cli_output.py
@@ -15,6 +15,7 @@
     ExplainBody,
     HistoryBody,
     RevisionSummary,
+    RolloutsBody,
     StatusBody,
 )
 
@@ -115,6 +116,41 @@
     )
 
 
+def rollout_status_text(body: RolloutsBody) -> str:
+    """Return where each ordered version stands."""
+    head = ("SERVICE", "VERSION", "STATE", "SHARE", "DEADLINE", "WHY")
+    rows = [
+        (
+            one.service,
+            one.version,
+            one.state,
+            f"{one.share:.0%}",
+            _deadline(one.deadline_wall_ms),
+            one.why,
+        )
+        for one in body.rollouts
+    ]
+    return f"as {body.instance} knows it\n{table(head, rows)}"
+
+
+def rollout_history_text(body: RolloutsBody) -> str:
+    """Return how each ordered version got where it is, oldest first."""
+    head = ("AT", "SERVICE", "VERSION", "STATE", "SHARE", "WHY")
+    rows = [
+        (step.wall_ms, one.service, one.version, step.state, step.share, step.why)
+        for one in body.rollouts
+        for step in one.steps
+    ]
+    rows.sort(key=lambda row: row[:3])
+    return table(
+        head,
+        [
+            (format_deadline(wall_ms), *names, f"{share:.0%}", why)
+            for wall_ms, *names, share, why in rows
+        ],
+    )
+
+
 def _deadline(deadline_wall_ms: int | None) -> str:
     return "-" if deadline_wall_ms is None else format_deadline(deadline_wall_ms)
 
--- a/src/_monsoonpulley/control/parts.py
+++ b/src/_monsoonpulley/control/parts.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from ..clock import Clock
 from ..config.document import Document
+from ..ids import EndpointId, InstanceId, ServiceId, VersionId
 from ..journal.collection import Collection
 from ..journal.recovery import IsGone, Recovery
 from ..log import Log
+from ..platform.table import Table
 
 
 class DutyParts(msgspec.Struct, frozen=True, kw_only=True):
@@ -22,6 +25,10 @@
         Returns the configuration in force, ``None`` before there is one.
     is_gone : callable
         Tells for an instance and incarnation whether it has left.
+    live_entries : callable
+        Returns the live entry instances.
+    endpoints_of : callable
+        Returns the LIVE endpoints of a version.
     """
 
     clock: Clock
@@ -30,3 +37,7 @@
     recovery: Recovery
     collection: Collection
     is_gone: IsGone
+    table: Table
+    rng: random.Random
+    live_entries: Callable[[], Sequence[InstanceId]]
+    endpoints_of: Callable[[ServiceId, VersionId], Sequence[EndpointId]]
--- /dev/null
+++ b/src/_monsoonpulley/control/rollout.py
@@ -0,0 +1,368 @@
+"""Decides how a version takes over by its deadline, or is taken back.
+
+Stage times are planned back from the deadline: the ramp and the soak are short
+and come last, all other time is spent with a small share, where faults that
+come late cost little.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..config.document import Version
+from ..ids import InstanceId, VersionId
+from ..log import Decision
+from .rolloutrows import SETTLED, RolloutRow, RolloutState, RolloutStep
+
+replace = msgspec.structs.replace
+
+RAMP_SHARES = (0.2, 0.45)
+KEPT_STEPS = 20
+
+
+class RolloutSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Times and evidence of rollouts; the same on every instance.
+
+    Attributes
+    ----------
+    canary_share : float
+        Mean share of the service's requests until the version is judged.
+    min_canary_ms, min_step_ms, min_soak_ms, confirm_ms : int
+        Least times of the canary, a step of the ramp, the soak, and of the
+        confirmations after it.
+    max_step_ms, max_soak_ms : int
+        Longest times of a step and the soak, however far the deadline is.
+    step_part, soak_part : float
+        Parts of the whole time that a step and the soak take.
+    canary_results, total_results : int
+        Results that must be seen before the ramp and before the end.
+    done_margin_ms : int
+        How long before the deadline the end must be written, so that it is
+        read everywhere in time.
+    """
+
+    canary_share: float = 0.03
+    min_canary_ms: int = 20_000
+    min_step_ms: int = 5_000
+    min_soak_ms: int = 15_000
+    confirm_ms: int = 10_000
+    max_step_ms: int = 150_000
+    max_soak_ms: int = 900_000
+    step_part: float = 0.02
+    soak_part: float = 0.06
+    canary_results: int = 10
+    total_results: int = 30
+    done_margin_ms: int = 4_000
+
+    def least_after_ms(self, state: RolloutState, share: float = 0.0) -> int:
+        """Return the least time that the stages after this one take."""
+        end_ms = self.confirm_ms + self.done_margin_ms
+        if state is RolloutState.SOAK:
+            return end_ms
+        end_ms += self.min_soak_ms
+        steps = sum(step > share for step in RAMP_SHARES)
+        end_ms += steps * self.min_step_ms
+        if state is RolloutState.PENDING:
+            end_ms += self.min_canary_ms
+        return end_ms
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """Results of the version that all daemons reported."""
+
+    results: int = 0
+    bad: int = 0
+
+
+class Observation(msgspec.Struct, frozen=True, kw_only=True):
+    """What the holder knows besides the row.
+
+    Attributes
+    ----------
+    endpoints : int
+        LIVE endpoints of the version.
+    base : tuple of VersionId
+        Versions that have the traffic now.
+    ahead : VersionId or str
+        Version that goes first; empty if it is this one's turn.
+    next_deadline_wall_ms : int or None
+        Earliest deadline among the versions that wait for this one.
+    trip : str
+        Why a daemon stopped the version's traffic; empty if none did.
+    live, confirmed : tuple of InstanceId
+        Live daemons, and those in which the row's shares are in force.
+    """
+
+    endpoints: int
+    base: tuple[VersionId, ...] = ()
+    ahead: str = ""
+    next_deadline_wall_ms: int | None = None
+    evidence: Evidence = Evidence()
+    trip: str = ""
+    live: tuple[InstanceId, ...] = ()
+    confirmed: tuple[InstanceId, ...] = ()
+
+
+class RolloutDecision(Decision, frozen=True, kw_only=True, tag="rollout_decision"):
+    """What the holder does about a version, with all that decided it.
+
+    Attributes
+    ----------
+    before, after : RolloutRow or None
+        The row before and, if it changes, after.
+    runner_up : RolloutState
+        The state that was next likely.
+    """
+
+    order: Version
+    now_wall_ms: int
+    observation: Observation
+    before: RolloutRow | None
+    after: RolloutRow | None = None
+    runner_up: RolloutState = RolloutState.TAKEN_BACK
+
+
+class RolloutRules:
+    """The rules of all rollouts.
+
+    Parameters
+    ----------
+    settings : RolloutSettings
+        Times and evidence.
+    """
+
+    def __init__(self, settings: RolloutSettings):
+        self._settings = settings
+
+    def decide(
+        self,
+        row: RolloutRow | None,
+        order: Version,
+        seen: Observation,
+        now_wall_ms: int,
+    ) -> RolloutDecision:
+        """Return what to do now; ``after`` is ``None`` if nothing."""
+        step = _Step(self._settings, row, order, seen, now_wall_ms)
+        return step.decide()
+
+    def dropped(self, row: RolloutRow, now_wall_ms: int) -> RolloutDecision | None:
+        """Return the decision on a version that is no longer ordered."""
+        if row.state in SETTLED:
+            return None
+        order = Version(row.service, row.version, row.deadline_wall_ms)
+        step = _Step(self._settings, row, order, Observation(endpoints=0), now_wall_ms)
+        return step.take_back("the configuration no longer names it")
+
+
+class _Step:
+    """One decision in the making."""
+
+    def __init__(
+        self,
+        settings: RolloutSettings,
+        row: RolloutRow | None,
+        order: Version,
+        seen: Observation,
+        now_wall_ms: int,
+    ):
+        self._settings = settings
+        self._row = row
+        self._order = order
+        self._seen = seen
+        self._now_ms = now_wall_ms
+
+    def decide(self) -> RolloutDecision:
+        row = self._row
+        if row is None:
+            return self._first_seen(1)
+        if row.state in SETTLED:
+            return self._settled(row)
+        if row.deadline_wall_ms != self._order.deadline_wall_ms:
+            changed = replace(row, deadline_wall_ms=self._order.deadline_wall_ms)
+            return self._write("the deadline was changed", changed)
+        if self._seen.trip:
+            return self.take_back(self._seen.trip)
+        if self._left_ms() <= 0:
+            return self.take_back(f"the deadline came in state {row.state.value}")
+        if row.state is RolloutState.PENDING:
+            return self._pending()
+        if row.state is RolloutState.CANARY:
+            return self._canary(row)
+        if row.state is RolloutState.RAMP:
+            return self._ramp(row)
+        return self._soak(row)
+
+    def take_back(self, why: str) -> RolloutDecision:
+        fields = self._fresh(1) if self._row is None else self._row
+        after = replace(fields, state=RolloutState.TAKEN_BACK, share=0.0)
+        return self._write(why, after, runner_up=fields.state)
+
+    def _first_seen(
+        self, attempt: int, steps: tuple[RolloutStep, ...] = ()
+    ) -> RolloutDecision:
+        fresh = replace(self._fresh(attempt), steps=steps)
+        if self._left_ms() <= 0:
+            after = replace(fresh, state=RolloutState.TAKEN_BACK)
+            rule = "its deadline had passed when it was first seen"
+            return self._write(rule, after, runner_up=RolloutState.PENDING)
+        return self._write("a version was ordered", fresh)
+
+    def _settled(self, row: RolloutRow) -> RolloutDecision:
+        is_new = self._order.deadline_wall_ms != row.deadline_wall_ms
+        if row.state is RolloutState.TAKEN_BACK and is_new:
+            return self._first_seen(row.attempt + 1, row.steps)
+        return self._wait("it is settled")
+
+    def _pending(self) -> RolloutDecision:
+        if self._left_ms() < self._settings.least_after_ms(RolloutState.PENDING):
+            return self.take_back(self._why_not_started())
+        if self._seen.ahead:
+            return self._wait(f"{self._seen.ahead} goes first")
+        if not self._seen.endpoints:
+            return self._wait("none of its endpoints is live")
+        share = self._settings.canary_share
+        rule = "endpoints are live and it is its turn"
+        started = replace(self._row, started_wall_ms=self._now_ms)
+        return self._advance(rule, started, RolloutState.CANARY, share)
+
+    def _why_not_started(self) -> str:
+        if self._seen.ahead:
+            return f"too little time was left behind {self._seen.ahead}"
+        if not self._seen.endpoints:
+            return "no endpoint of it came up in time"
+        return "too little time is left for a rollout"
+
+    def _canary(self, row: RolloutRow) -> RolloutDecision:
+        settings = self._settings
+        results = self._seen.evidence.results
+        if self._left_ms() < settings.least_after_ms(RolloutState.CANARY):
+            return self.take_back(
+                f"too little evidence in time: {results} of"
+                f" {settings.canary_results} results"
+            )
+        if self._left_ms() > self._planned_after_ms(row):
+            return self._wait("time is left for the canary")
+        if results < settings.canary_results:
+            return self._wait("evidence is missing")
+        rule = f"{results} results without a fault and the ramp is due"
+        return self._advance(rule, row, RolloutState.RAMP, RAMP_SHARES[0])
+
+    def _ramp(self, row: RolloutRow) -> RolloutDecision:
+        settings = self._settings
+        if self._left_ms() < settings.least_after_ms(RolloutState.RAMP, row.share):
+            return self.take_back("too little time is left for the ramp and the soak")
+        if self._now_ms - row.since_wall_ms < self._step_ms(row):
+            return self._wait("the step of the ramp goes on")
+        larger = [share for share in RAMP_SHARES if share > row.share]
+        if larger:
+            rule = "the step went without a fault"
+            return self._advance(rule, row, RolloutState.RAMP, larger[0])
+        rule = "the ramp went without a fault"
+        return self._advance(rule, row, RolloutState.SOAK, 1.0)
+
+    def _soak(self, row: RolloutRow) -> RolloutDecision:
+        settings = self._settings
+        missing = [i for i in self._seen.live if i not in self._seen.confirmed]
+        results = self._seen.evidence.results
+        if self._left_ms() < settings.done_margin_ms:
+            why = f"not confirmed by {', '.join(missing)}" if missing else "no end"
+            if results < settings.total_results:
+                why = f"only {results} of {settings.total_results} results"
+            return self.take_back(f"the deadline came: {why}")
+        if self._now_ms - row.since_wall_ms < self._soak_ms(row):
+            return self._wait("the soak goes on")
+        if results < settings.total_results:
+            return self._wait("evidence is missing")
+        if missing or not self._seen.live:
+            return self._wait("confirmations are missing")
+        rule = f"soaked without a fault and confirmed by {len(self._seen.live)} daemons"
+        return self._advance(rule, row, RolloutState.DONE, 1.0)
+
+    def _fresh(self, attempt: int) -> RolloutRow:
+        return RolloutRow(
+            service=self._order.service,
+            version=self._order.version,
+            state=RolloutState.PENDING,
+            deadline_wall_ms=self._order.deadline_wall_ms,
+            attempt=attempt,
+        )
+
+    def _left_ms(self) -> int:
+        return self._order.deadline_wall_ms - self._now_ms
+
+    def _total_ms(self, row: RolloutRow) -> int:
+        return max(0, row.deadline_wall_ms - row.started_wall_ms)
+
+    def _step_ms(self, row: RolloutRow) -> int:
+        settings = self._settings
+        planned_ms = round(self._total_ms(row) * settings.step_part)
+        planned_ms = min(max(planned_ms, settings.min_step_ms), settings.max_step_ms)
+        return min(planned_ms, max(settings.min_step_ms, self._spare_ms(row)))
+
+    def _soak_ms(self, row: RolloutRow) -> int:
+        settings = self._settings
+        planned_ms = round(self._total_ms(row) * settings.soak_part)
+        planned_ms = min(max(planned_ms, settings.min_soak_ms), settings.max_soak_ms)
+        in_time_ms = row.deadline_wall_ms - row.since_wall_ms
+        in_time_ms -= settings.least_after_ms(RolloutState.SOAK)
+        return min(planned_ms, max(settings.min_soak_ms, in_time_ms))
+
+    def _spare_ms(self, row: RolloutRow) -> int:
+        """Return how long this step may take if the rest takes its least."""
+        left_ms = row.deadline_wall_ms - row.since_wall_ms
+        return left_ms - self._settings.least_after_ms(RolloutState.RAMP, row.share)
+
+    def _planned_after_ms(self, row: RolloutRow) -> int:
+        """Return the time before the deadline at which the ramp is due.
+
+        A version that waits for this one makes it due earlier.
+        """
+        settings = self._settings
+        after_ms = len(RAMP_SHARES) * self._step_ms(row) + self._soak_ms(row)
+        after_ms += 2 * settings.confirm_ms + settings.done_margin_ms
+        next_ms = self._seen.next_deadline_wall_ms
+        if next_ms is not None:
+            start_ms = next_ms - 2 * settings.least_after_ms(RolloutState.PENDING)
+            after_ms += max(0, row.deadline_wall_ms - start_ms)
+        canary_ms = self._now_ms - row.since_wall_ms
+        if canary_ms < settings.min_canary_ms:
+            after_ms = settings.least_after_ms(RolloutState.CANARY)
+        return after_ms
+
+    def _wait(self, rule: str) -> RolloutDecision:
+        return self._decision(rule, None, RolloutState.TAKEN_BACK)
+
+    def _advance(
+        self, rule: str, row: RolloutRow, state: RolloutState, share: float
+    ) -> RolloutDecision:
+        return self._write(rule, replace(row, state=state, share=share))
+
+    def _write(
+        self,
+        rule: str,
+        after: RolloutRow,
+        runner_up: RolloutState = RolloutState.TAKEN_BACK,
+    ) -> RolloutDecision:
+        if (
+            self._row is None
+            or after.state is not self._row.state
+            or (after.share != self._row.share)
+        ):
+            after = replace(after, since_wall_ms=self._now_ms)
+        step = RolloutStep(after.state, after.share, self._now_ms, rule)
+        steps = (*after.steps, step)[-KEPT_STEPS:]
+        after = replace(after, why=rule, steps=steps)
+        return self._decision(rule, after, runner_up)
+
+    def _decision(
+        self, rule: str, after: RolloutRow | None, runner_up: RolloutState
+    ) -> RolloutDecision:
+        return RolloutDecision(
+            rule=rule,
+            order=self._order,
+            now_wall_ms=self._now_ms,
+            observation=self._seen,
+            before=self._row,
+            after=after,
+            runner_up=runner_up,
+        )
--- /dev/null
+++ b/src/_monsoonpulley/control/rolloutview.py
@@ -0,0 +1,120 @@
+"""What one daemon knows of the rollouts: rows as read, trips as heard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from ..config.document import Document
+from ..ids import ServiceId, VersionId
+from .rolloutrows import WITH_TRAFFIC, RolloutRow, RolloutState, TripRow
+
+VersionKey = tuple[ServiceId, VersionId]
+OnTrip = Callable[[TripRow], None]
+
+
+class Known(msgspec.Struct, frozen=True):
+    """A row and the revision at which it was read."""
+
+    row: RolloutRow
+    revision: int
+
+
+class RolloutView:
+    """Rows and trips that this daemon knows.
+
+    Parameters
+    ----------
+    document : callable
+        Returns the configuration in force, ``None`` before there is one.
+    """
+
+    def __init__(self, document: Callable[[], Document | None]):
+        self._document = document
+        self._known: dict[VersionKey, Known] = {}
+        self._trips: dict[tuple[ServiceId, VersionId, int], TripRow] = {}
+        self._on_trip: list[OnTrip] = []
+
+    def on_trip(self, callback: OnTrip) -> None:
+        """Call ``callback`` with each trip, once, when it is first known."""
+        self._on_trip.append(callback)
+
+    def rows(self) -> list[RolloutRow]:
+        """Return the rows of all versions in the order of their keys."""
+        return [self._known[key].row for key in sorted(self._known)]
+
+    def row(self, service: ServiceId, version: VersionId) -> RolloutRow | None:
+        """Return a version's row, ``None`` if none was read."""
+        known = self._known.get((service, version))
+        return known.row if known else None
+
+    def apply_row(self, row: RolloutRow, revision: int) -> RolloutRow | None:
+        """Take in a row; return the one before if this one is newer."""
+        key = (row.service, row.version)
+        known = self._known.get(key)
+        if known is not None and known.revision >= revision:
+            return None
+        self._known[key] = Known(row, revision)
+        return known.row if known else msgspec.structs.replace(row, token="")
+
+    def trip(self, trip: TripRow) -> bool:
+        """Stop a version's traffic here; return whether that is news."""
+        key = (trip.service, trip.version, trip.attempt)
+        if key in self._trips:
+            return False
+        self._trips[key] = trip
+        for callback in self._on_trip:
+            callback(trip)
+        return True
+
+    def trip_of(self, row: RolloutRow) -> TripRow | None:
+        """Return why a version's attempt was stopped, if it was."""
+        return self._trips.get((row.service, row.version, row.attempt))
+
+    def active(self, service: ServiceId, wall_ms: int) -> RolloutRow | None:
+        """Return the version that may get traffic beside the old one, if any.
+
+        There is none after a trip, and none past the deadline unless the table
+        said that it is done: what can't be read can't have been advanced.
+        """
+        for row in self._ordered_rows(service):
+            if row.state not in WITH_TRAFFIC or self.trip_of(row) is not None:
+                continue
+            if wall_ms < row.deadline_wall_ms:
+                return row
+        return None
+
+    def base(self, service: ServiceId) -> tuple[VersionId, ...]:
+        """Return the versions that have the traffic."""
+        document = self._document()
+        if document is None:
+            return ()
+        return base_versions(document, service, self._ordered_rows(service))
+
+    def _ordered_rows(self, service: ServiceId) -> list[RolloutRow]:
+        """Return the rows of a service's versions that are still ordered."""
+        document = self._document()
+        if document is None:
+            return []
+        ordered = [
+            self.row(service, version.version)
+            for version in document.versions
+            if version.service == service and version.deadline_wall_ms is not None
+        ]
+        return [row for row in ordered if row is not None]
+
+
+def base_versions(
+    document: Document, service: ServiceId, rows: Iterable[RolloutRow]
+) -> tuple[VersionId, ...]:
+    """Return the version that was done last, else those it starts with."""
+    done = [row for row in rows if row.state is RolloutState.DONE]
+    if done:
+        newest = max(done, key=lambda row: (row.since_wall_ms, row.version))
+        return (newest.version,)
+    return tuple(
+        version.version
+        for version in document.versions
+        if version.service == service and version.deadline_wall_ms is None
+    )
--- /dev/null
+++ b/src/_monsoonpulley/control/verdict.py
@@ -0,0 +1,227 @@
+"""Compares a version with the one that it replaces, attempt by attempt.
+
+Each result is bad or not, by failure and by slowness apart. Under the null
+hypothesis a result is bad with a probability of at most ``p0``, taken from the
+old version. The statistic is a mixture likelihood ratio (mixture SPRT, Robbins
+1970) over three bad rates and over the result from which on the version is
+bad, so that a fault that comes late is seen as soon as one at the start. It is
+a nonnegative supermartingale that starts at 1 at most; by Ville's inequality it
+ever reaches ``1 / alpha`` with a probability of at most ``alpha``.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+
+from ..ids import EndpointId, ServiceId, VersionId
+
+FALSE_ALARM_RATE = 0.01
+"""Probability that a good version is taken back, over all daemons and routes."""
+
+BAD_RATES = (0.2, 0.5, 0.95)
+SLOW_P0 = 0.05
+FAIL_P0 = 0.01
+OLD_TIMES = 200
+MIN_OLD_TIMES = 20
+SLOW_QUANTILE = 0.95
+SLOW_FACTOR = 1.5
+SLOW_SLACK_MS = 10
+CRASH_WINDOW_MS = 20
+"""Failures of one endpoint this close to each other count once."""
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """How one attempt went.
+
+    Attributes
+    ----------
+    route : str
+        Route and class, between which times aren't compared.
+    is_failure : bool
+        Whether it failed in a way that speaks against its version.
+    first_answer_ms : int
+        Time to the first token or the whole answer.
+    gap_ms : float or None
+        Mean time between tokens.
+    target_ms : int
+        Class target of the first answer.
+    """
+
+    service: ServiceId
+    version: VersionId
+    route: str
+    endpoint: EndpointId
+    is_failure: bool
+    first_answer_ms: int
+    target_ms: int
+    gap_ms: float | None = None
+
+
+class ChangeTest:
+    """Tests whether bad results became more frequent than ``p0``.
+
+    Parameters
+    ----------
+    alpha : float
+        Probability of ever raising an alarm under the null hypothesis.
+    """
+
+    def __init__(self, alpha: float):
+        self.alpha = alpha
+        self.count = 0
+        self.bad = 0
+        self._sums = [0.0 for _ in BAD_RATES]
+
+    def add(self, is_bad: bool, p0: float) -> bool:
+        """Take in a result; return whether the alarm is raised."""
+        self.count += 1
+        self.bad += is_bad
+        start_weight = 1.0 / (self.count * (self.count + 1))
+        for index, rate in enumerate(BAD_RATES):
+            rate = max(rate, p0)
+            ratio = rate / p0 if is_bad else (1.0 - rate) / (1.0 - p0)
+            self._sums[index] = (self._sums[index] + start_weight) * ratio
+        return self.statistic() >= 1.0 / self.alpha
+
+    def statistic(self) -> float:
+        """Return the mixture likelihood ratio so far."""
+        return sum(self._sums) / len(self._sums)
+
+
+class OldTimes:
+    """Times of the old version on one route, the newest ones."""
+
+    def __init__(self) -> None:
+        self._times: deque[float] = deque(maxlen=OLD_TIMES)
+        self._limit_ms: float | None = None
+
+    def add(self, time_ms: float) -> None:
+        """Take in one time."""
+        self._times.append(time_ms)
+        self._limit_ms = None
+
+    def limit_ms(self) -> float | None:
+        """Return the time above which another version's result is slow."""
+        if len(self._times) < MIN_OLD_TIMES:
+            return None
+        if self._limit_ms is None:
+            ordered = sorted(self._times)
+            quantile_ms = ordered[int(SLOW_QUANTILE * (len(ordered) - 1))]
+            self._limit_ms = quantile_ms * SLOW_FACTOR + SLOW_SLACK_MS
+        return self._limit_ms
+
+
+class _Old:
+    """What is known of the old version on one route."""
+
+    def __init__(self) -> None:
+        self.first = OldTimes()
+        self.gap = OldTimes()
+        self.count = 0
+        self.failed = 0
+
+    def fail_p0(self) -> float:
+        rate = (self.failed + 1) / (self.count + 100)
+        return min(max(FAIL_P0, 2.0 * rate), 0.5)
+
+
+class _Tests:
+    """The tests of one version on one route."""
+
+    def __init__(self, alpha: float):
+        self.failure = ChangeTest(alpha / 2)
+        self.slow = ChangeTest(alpha / 2)
+
+
+class Verdict:
+    """Tests of one version of a service in one daemon.
+
+    Parameters
+    ----------
+    alpha : float
+        Share of `FALSE_ALARM_RATE` that this daemon may spend.
+    """
+
+    def __init__(self, alpha: float):
+        self._alpha = alpha
+        self._tests: dict[str, _Tests] = {}
+        self._last_failure_ms: dict[EndpointId, int] = {}
+        self.results = 0
+        self.bad = 0
+
+    def add(self, result: Result, old: OldResults, now_ms: int) -> str:
+        """Take in a result; return why the version is bad, if it is."""
+        if result.is_failure and self._is_same_crash(result.endpoint, now_ms):
+            return ""
+        tests = self._tests.get(result.route)
+        if tests is None:
+            rank = len(self._tests) + 1
+            tests = _Tests(self._alpha / (rank * (rank + 1)))
+            self._tests[result.route] = tests
+        is_slow = not result.is_failure and old.is_slow(result)
+        self.results += 1
+        self.bad += result.is_failure or is_slow
+        fail_p0 = old.fail_p0(result.route)
+        if tests.failure.add(result.is_failure, fail_p0):
+            return _why("failed", tests.failure, fail_p0, result.route)
+        if result.is_failure:
+            return ""
+        if tests.slow.add(is_slow, SLOW_P0):
+            return _why("were slow", tests.slow, SLOW_P0, result.route)
+        return ""
+
+    def _is_same_crash(self, endpoint: EndpointId, now_ms: int) -> bool:
+        last_ms = self._last_failure_ms.get(endpoint)
+        if last_ms is not None and now_ms - last_ms < CRASH_WINDOW_MS:
+            return True
+        self._last_failure_ms[endpoint] = now_ms
+        return False
+
+
+class OldResults:
+    """Results of the version that has the traffic, by route."""
+
+    def __init__(self) -> None:
+        self._old: dict[str, _Old] = {}
+
+    def add(self, result: Result) -> None:
+        """Take in a result of the old version."""
+        old = self._old.setdefault(result.route, _Old())
+        old.count += 1
+        old.failed += result.is_failure
+        if result.is_failure:
+            return
+        old.first.add(result.first_answer_ms)
+        if result.gap_ms is not None:
+            old.gap.add(result.gap_ms)
+
+    def fail_p0(self, route: str) -> float:
+        """Return the failure rate that the old version doesn't exceed."""
+        old = self._old.get(route)
+        return old.fail_p0() if old else FAIL_P0
+
+    def is_slow(self, result: Result) -> bool:
+        """Tell whether a result is slower than the old version's."""
+        first_ms = self.first_limit_ms(result.route, result.target_ms)
+        if result.first_answer_ms > first_ms:
+            return True
+        old = self._old.get(result.route)
+        gap_ms = old.gap.limit_ms() if old else None
+        if gap_ms is None or result.gap_ms is None:
+            return False
+        return result.gap_ms > gap_ms
+
+    def first_limit_ms(self, route: str, target_ms: int) -> float:
+        """Return the time by which a first answer is due; else it is slow."""
+        old = self._old.get(route)
+        limit_ms = old.first.limit_ms() if old else None
+        return float(target_ms) if limit_ms is None else limit_ms
+
+
+def _why(what: str, test: ChangeTest, p0: float, route: str) -> str:
+    return (
+        f"{test.bad} of {test.count} results {what} on {route}"
+        f" (at most {p0:.3f} expected, false-alarm rate {test.alpha:.2g})"
+    )
--- a/src/_monsoonpulley/gateway/operator.py
+++ b/src/_monsoonpulley/gateway/operator.py
@@ -48,6 +48,10 @@
         """Return instances, endpoints, rollouts and duties."""
         ...
 
+    def rollouts(self) -> wire.RolloutsBody:
+        """Return where each ordered version stands and how it got there."""
+        ...
+
     async def explain(self, subject: str) -> wire.ExplainBody:
         """Return the events and decisions about a subject, oldest first."""
         ...
@@ -89,6 +93,7 @@
             self._route(wire.HISTORY_PATH, self._history),
             self._route(wire.CONFIG_STATUS_PATH, self._config_status),
             self._route(wire.STATUS_PATH, self._status),
+            self._route(wire.ROLLOUTS_PATH, self._rollouts),
             self._route(explain_path, self._explain),
         ]
 
@@ -160,6 +165,9 @@
     async def _status(self, request: Request) -> msgspec.Struct:
         return self._overview.status()
 
+    async def _rollouts(self, request: Request) -> msgspec.Struct:
+        return self._overview.rollouts()
+
     async def _explain(self, request: Request) -> msgspec.Struct:
         subject = request.path_params["subject"]
         body = await self._overview.explain(subject)
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -16,12 +16,17 @@
 from .config.document import Document, Revision, Service, ServiceKind
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
+from .control import rolloutduty  # noqa: F401  (registers the duty)
 from .control.duties import DutyRunner, make_duties
+from .control.journalduties import log_pass
 from .control.leases import Leases
 from .control.leasestate import LeaseSettings
-from .control.journalduties import log_pass
 from .control.parts import DutyParts
-from .control.startingversions import StartingVersions
+from .control.rollout import RolloutSettings
+from .control.rolloutobserver import RolloutObserver
+from .control.rolloutview import RolloutView
+from .control.rolloutwatch import RolloutWatch
+from .control.versionshares import RolloutShares
 from .endpoints.engine import EngineClient
 from .endpoints.feed import EngineFeed
 from .endpoints.pool import Client, EndpointPool
@@ -65,6 +70,9 @@
 not act on; no other instance can tell that they were left."""
 
 
+FIRST_ROLLOUTS_MS = 5_000
+"""How long readiness waits for the first read of the rollouts."""
+
 MakeClient = Callable[[Member, Service], Client]
 
 
@@ -111,6 +119,7 @@
         self.lifecycle = Lifecycle(surroundings.clock, surroundings.log)
         self._build_configuration()
         self._build_endpoints()
+        self._build_rollouts()
         self._build_requests()
         self._build_recovery()
         self._build_control()
@@ -177,12 +186,42 @@
             around.metrics,
         )
 
+    def _build_rollouts(self) -> None:
+        around = self._around
+        view = RolloutView(self.document)
+        self.rollouts = view
+        self.versions = RolloutShares(
+            view,
+            self.identity.instance,
+            self._live_entries,
+            self.router.fleet.live_endpoints,
+            around.clock,
+            RolloutSettings(),
+        )
+        self.rollout_observer = RolloutObserver(
+            view,
+            self.identity.instance,
+            lambda: len(self._live_entries()),
+            around.clock,
+        )
+        self.rollout_watch = RolloutWatch(
+            around.platform.table,
+            self.identity,
+            view,
+            self.rollout_observer,
+            self._hold_back,
+            around.clock,
+            random.Random(around.rng.getrandbits(64)),
+            around.log,
+            around.metrics,
+        )
+
     def _build_requests(self) -> None:
         around = self._around
-        versions = StartingVersions(self.document)
         self.placement = RoutedPlacement(
-            self.router, versions, around.clock, around.log, around.metrics
+            self.router, self.versions, around.clock, around.log, around.metrics
         )
+        self.placement.observer = self.rollout_observer
         self.gate = AdmissionGate(
             self.router, self.placement, around.clock, around.log, around.metrics
         )
@@ -230,6 +269,10 @@
             recovery=self.recovery,
             collection=self.collection,
             is_gone=self._is_gone,
+            table=around.platform.table,
+            rng=rng,
+            live_entries=self._live_entries,
+            endpoints_of=self.router.fleet.live_endpoints,
         )
         self.duties = DutyRunner(
             self.identity.instance,
@@ -295,6 +338,7 @@
             self.pool,
             self.router,
             self.leases,
+            self.rollouts,
         )
         handlers = OperatorHandlers(
             self._operator_sha256, self.config_store, self.watcher, overview
@@ -312,6 +356,7 @@
         requests.add("own-records", self._recover_own)
         control = self._new_supervisor("control")
         control.add("leases", self._hold_leases)
+        control.add("rollouts", self.rollout_watch.run)
         control.add("hand-over", self._hand_over, Restart.ON_FAILURE)
         root.add("configuration", self.watcher.run)
         root.add("readiness", self._become_ready, Restart.ON_FAILURE)
@@ -369,6 +414,7 @@
     async def _become_ready(self) -> None:
         await self.watcher.wait_ready()
         await self.roster.refresh()
+        await self.rollout_watch.wait_read(FIRST_ROLLOUTS_MS)
         self.lifecycle.ready()
 
     async def _hold_leases(self) -> None:
@@ -390,6 +436,12 @@
             log_pass(self._around.log, "recovery", report)
             wait_ms = OWN_RECORDS_INTERVAL_MS
 
+    def _hold_back(self) -> None:
+        """Keep a canary's traffic on few endpoints."""
+        document = self.document()
+        services = list(document.services) if document else []
+        self.router.held_back = self.versions.held_back(services)
+
     def _live_entries(self) -> list[InstanceId]:
         return [
             InstanceId(member.instance)
--- a/src/_monsoonpulley/operator_client.py
+++ b/src/_monsoonpulley/operator_client.py
@@ -16,6 +16,7 @@
     CONFIG_STATUS_PATH,
     EXPLAIN_PATH,
     HISTORY_PATH,
+    ROLLOUTS_PATH,
     STATUS_PATH,
     ApplyBody,
     ConfigStatusBody,
@@ -25,6 +26,7 @@
     HistoryBody,
     InvalidBody,
     RevisionBody,
+    RolloutsBody,
     StatusBody,
 )
 
@@ -113,6 +115,10 @@
         """Return the state of the system."""
         return await self._get(STATUS_PATH, StatusBody)
 
+    async def rollouts(self) -> RolloutsBody | Failure:
+        """Return where each ordered version stands."""
+        return await self._get(ROLLOUTS_PATH, RolloutsBody)
+
     async def explain(self, request_id: str) -> ExplainBody | Failure:
         """Return what happened to a request."""
         return await self._get(EXPLAIN_PATH + quote(request_id, safe=""), ExplainBody)
--- a/src/_monsoonpulley/operator_wire.py
+++ b/src/_monsoonpulley/operator_wire.py
@@ -8,6 +8,7 @@
 ``GET /operator/config/history[?limit=N]``    `HistoryBody`
 ``GET /operator/config/status``               `ConfigStatusBody`
 ``GET /operator/status``                      `StatusBody`
+``GET /operator/rollouts``                     `RolloutsBody`
 ``GET /operator/explain/{request_id}``        `ExplainBody`
 ============================================  ===========================
 
@@ -33,6 +34,7 @@
 HISTORY_PATH = "/operator/config/history"
 CONFIG_STATUS_PATH = "/operator/config/status"
 STATUS_PATH = "/operator/status"
+ROLLOUTS_PATH = "/operator/rollouts"
 EXPLAIN_PATH = "/operator/explain/"
 
 HISTORY_MAX = 500
@@ -210,6 +212,15 @@
     in_progress: int = 0
 
 
+class RolloutStepStatus(msgspec.Struct, frozen=True):
+    """One transition of a version."""
+
+    state: str
+    share: float
+    wall_ms: int
+    why: str
+
+
 class RolloutStatus(msgspec.Struct, frozen=True):
     """How far a version has taken over, and why it stands there."""
 
@@ -218,6 +229,16 @@
     state: str
     deadline_wall_ms: int | None = None
     why: str = ""
+    share: float = 0.0
+    attempt: int = 1
+    steps: tuple[RolloutStepStatus, ...] = ()
+
+
+class RolloutsBody(msgspec.Struct, frozen=True):
+    """Ordered versions as one entry instance knows them."""
+
+    instance: str
+    rollouts: tuple[RolloutStatus, ...] = ()
 
 
 class DutyStatus(msgspec.Struct, frozen=True):
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/overview.py
@@ -7,6 +7,8 @@
 from . import operator_wire as wire
 from .config.watcher import ConfigWatcher
 from .control.leases import Leases
+from .control.rolloutrows import SETTLED, RolloutRow
+from .control.rolloutview import RolloutView
 from .endpoints.pool import EndpointPool
 from .identity import Identity
 from .ids import EndpointId
@@ -29,6 +31,8 @@
         Endpoints and the requests in progress there.
     leases : Leases
         Control duties and who holds them.
+    rollouts : RolloutView
+        Versions on their way.
     """
 
     def __init__(
@@ -40,6 +44,7 @@
         pool: EndpointPool,
         router: Router,
         leases: Leases,
+        rollouts: RolloutView,
     ):
         self._identity = identity
         self._lifecycle = lifecycle
@@ -48,6 +53,7 @@
         self._pool = pool
         self._router = router
         self._leases = leases
+        self._rollouts = rollouts
 
     def config_status(self) -> wire.ConfigStatusBody:
         """Say in which entry instances the newest known revision is in force."""
@@ -62,9 +68,36 @@
             number=self._watcher.number,
             entries=(self._own_status(),),
             endpoints=self._endpoints(),
+            rollouts=self.rollouts().rollouts,
             duties=self._duties(),
         )
 
+    def rollouts(self) -> wire.RolloutsBody:
+        """Return where each ordered version stands and how it got there."""
+        return wire.RolloutsBody(
+            self._identity.instance,
+            tuple(self._rollout(row) for row in self._rollouts.rows()),
+        )
+
+    def _rollout(self, row: RolloutRow) -> wire.RolloutStatus:
+        trip = self._rollouts.trip_of(row)
+        why = row.why
+        if trip is not None and row.state not in SETTLED:
+            why = f"tripped by {trip.instance}: {trip.why}"
+        return wire.RolloutStatus(
+            service=row.service,
+            version=row.version,
+            state=row.state.value,
+            deadline_wall_ms=row.deadline_wall_ms,
+            why=why,
+            share=row.share,
+            attempt=row.attempt,
+            steps=tuple(
+                wire.RolloutStepStatus(s.state.value, s.share, s.wall_ms, s.why)
+                for s in row.steps
+            ),
+        )
+
     async def explain(self, subject: str) -> wire.ExplainBody:
         """Return the events and decisions about a request, oldest first."""
         lines = [_explain_line(text) for text in self._log.memory.recall(subject)]
--- a/src/_monsoonpulley/requests/routed.py
+++ b/src/_monsoonpulley/requests/routed.py
@@ -25,6 +25,30 @@
         ...
 
 
+class AttemptObserver(Protocol):
+    """Hears of attempts beside the router."""
+
+    def started(
+        self, context: RequestContext, placed: Placed, attempt: AttemptId
+    ) -> None:
+        """Note that an attempt was sent."""
+        ...
+
+    def progressed(self, attempt: AttemptId) -> None:
+        """Note that an attempt has generated a token."""
+        ...
+
+    def ended(
+        self,
+        context: RequestContext,
+        placed: Placed,
+        attempt: AttemptId,
+        end: AttemptEnd,
+    ) -> None:
+        """Note how an attempt ended."""
+        ...
+
+
 class RoutedPlacement:
     """Chooses endpoints by the router.
 
@@ -36,6 +60,11 @@
         Which versions may get traffic.
     clock, log, metrics
         Of the instance.
+
+    Attributes
+    ----------
+    observer : AttemptObserver or None
+        Hears of each attempt.
     """
 
     def __init__(
@@ -51,6 +80,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self.observer: AttemptObserver | None = None
 
     def choose(
         self, context: RequestContext, tried: frozenset[EndpointId]
@@ -103,10 +133,14 @@
         self._router.started(
             attempt, placed.route, placed.decision, self._clock.now_ms()
         )
+        if self.observer is not None:
+            self.observer.started(context, placed, attempt)
 
     def progressed(self, attempt: AttemptId, tokens: int) -> None:
         """Note that an attempt has generated a token."""
         self._router.progressed(attempt, self._clock.now_ms())
+        if self.observer is not None:
+            self.observer.progressed(attempt)
 
     def ended(
         self,
@@ -118,6 +152,8 @@
         """Note how an attempt ended."""
         now_ms = self._clock.now_ms()
         self._router.finished(attempt, now_ms, end.failure, end.tokens)
+        if self.observer is not None:
+            self.observer.ended(context, placed, attempt, end)
         if end.failure is None:
             return
         self._metrics.incr(f"attempts.failed.{end.failure.reason.value}")
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -47,6 +47,11 @@
         For sampling and jitter.
     policy : str
         Name in `policies.POLICIES`.
+
+    Attributes
+    ----------
+    held_back : frozenset of EndpointId
+        Endpoints that get nothing while a canary is kept on few.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         self._policy = POLICIES.get(policy)(self._scorer, rng)
         self._rng = rng
         self._cut_off_zones: frozenset[ZoneId] = frozenset()
+        self.held_back: frozenset[EndpointId] = frozenset()
 
     @classmethod
     def from_config(
@@ -193,6 +199,8 @@
         breakers = self.breakers.endpoints
 
         def usable(view: EndpointView) -> bool:
+            if view.id in self.held_back:
+                return False
             return view.id not in tried and breakers.allows(view.id, now_ms)
 
         local_zone = request.zone or self.zone
--- a/src/_monsoonpulley/routing/view.py
+++ b/src/_monsoonpulley/routing/view.py
@@ -107,6 +107,13 @@
         """Return the pools of a version by data centre."""
         return self._pools.get(service, {}).get(version, {})
 
+    def live_endpoints(
+        self, service: ServiceId, version: VersionId
+    ) -> list[EndpointId]:
+        """Return the LIVE endpoints of a version in all data centres."""
+        pools = self.pools(service, version).values()
+        return [view.id for pool in pools for view in pool.endpoints]
+
     def pool_size(self, service: ServiceId) -> int:
         """Return how many LIVE endpoints a service has."""
         return sum(
--- /dev/null
+++ b/testing/control/test_rollout_world.py
@@ -0,0 +1,63 @@
+"""Whole rollouts through real entry instances."""
+
+from __future__ import annotations
+
+import unittest
+
+from _monsoonpulley.standins.bad_version import BadEffect, BadVersion
+
+from ..support import run_world
+from .rollouts import DEADLINE_MS, Calls, rollout_deployment, row, sends, state
+
+SHARE_AIM = 0.05
+SEEDS = (1, 2, 3)
+BAD = {
+    "fails at once": BadVersion.fails_at_once(),
+    "slow at once": BadVersion.slow_at_once(),
+    "fails late": BadVersion.late(BadEffect.FAIL, after_ms=90_000),
+    "slow late": BadVersion.late(BadEffect.SLOW, after_ms=90_000),
+    "fails on a route": BadVersion.on_route(BadEffect.FAIL, "/frames/1"),
+    "fails under load": BadVersion.under_load(BadEffect.FAIL, above_running=0),
+}
+PATHS = ("/frames", "/frames/1")
+
+
+class TestRollouts(unittest.TestCase):
+    def test_a_good_version_is_done_by_its_deadline(self):
+        async def script(world):
+            calls = Calls(world, 1)
+            await calls.run_ms(DEADLINE_MS, lambda: state(world) == "done")
+            self.assertEqual(state(world), "done", row(world))
+            self.assertFalse(calls.failed())
+            await world.clock.sleep_ms(2_500)
+            done = world.events("rollout_done")
+            self.assertEqual({e["instance"] for e in done}, set(world.entries))
+            until = row(world)["steps"][2]["wall_ms"]
+            canary = [at for at in sends(world, "v2") if at < until]
+            old = [at for at in sends(world, "v1") if at < until]
+            self.assertLess(len(canary), SHARE_AIM * (len(canary) + len(old)))
+            for entry in world.entries.values():
+                shares = entry.instance.versions.shares("catalogue")
+                self.assertEqual(shares, {"v2": 1.0})
+
+        for seed in SEEDS:
+            run_world(script, rollout_deployment(), seed)
+
+    def test_each_kind_of_bad_version_is_taken_back(self):
+        async def script(world):
+            calls = Calls(world, 2, paths=PATHS)
+            await calls.run_ms(DEADLINE_MS, lambda: state(world) == "taken_back")
+            self.assertEqual(state(world), "taken_back", row(world))
+            self.assertIn("of", row(world)["why"])
+            tripped = world.events("rollout_tripped")[0]
+            later = [at for at in sends(world, "v2") if at > tripped["wall_ms"] + 3_000]
+            self.assertFalse(later)
+            self.assertFalse([a for a in calls.failed() if a[1] != 500])
+            await calls.run_ms(5_000)
+            shares = world.entries["entry-0"].instance.versions.shares("catalogue")
+            self.assertEqual(shares, {"v1": 1.0})
+
+        for name, bad in BAD.items():
+            for seed in SEEDS[:1]:
+                with self.subTest(name, seed=seed):
+                    run_world(script, rollout_deployment(bad), seed)
