Bring about failures in rollouts and measure them

Cause: only whole rollouts without any failure of the system were tested.

Slots of the canary count from its start and are shorter, after a rollout of 120 s was taken back with 12 results since they had come in two lumps. As many daemons send at a time as an endpoint's full load takes: with 4 endpoints and 7 daemons one daemon alone brought it 0.13 of the traffic where 0.25 is its load.

--- a/src/_monsoonpulley/control/rollout.py
+++ b/src/_monsoonpulley/control/rollout.py
@@ -236,10 +236,10 @@
         settings = self._settings
         results = self._seen.evidence.results
         if self._left_ms() < settings.least_after_ms(RolloutState.CANARY):
-            return self.take_back(
-                f"too little evidence in time: {results} of"
-                f" {settings.canary_results} results"
-            )
+            why = "too little time is left for the ramp and the soak"
+            if results < settings.canary_results:
+                why = f"only {results} of {settings.canary_results} results in time"
+            return self.take_back(why)
         if self._left_ms() > self._planned_after_ms(row):
             return self._wait("time is left for the canary")
         if results < settings.canary_results:
--- a/src/_monsoonpulley/control/rolloutobserver.py
+++ b/src/_monsoonpulley/control/rolloutobserver.py
@@ -17,6 +17,9 @@
 
 VerdictKey = tuple[str, str, int]
 
+SUSPECT_MS = 8_000
+"""How long after a bad result this daemon goes on sending, to be certain."""
+
 
 class _Waiting(msgspec.Struct):
     """An attempt without a first answer."""
@@ -57,12 +60,18 @@
         self._verdicts: dict[VerdictKey, Verdict] = {}
         self._waiting: dict[AttemptId, _Waiting] = {}
         self._judged: set[AttemptId] = set()
+        self._suspected_ms: dict[VerdictKey, int] = {}
 
     def counts(self, row: RolloutRow) -> tuple[int, int]:
         """Return the results and the bad results of a version here."""
         verdict = self._verdicts.get((row.service, row.version, row.attempt))
         return (verdict.results, verdict.bad) if verdict else (0, 0)
 
+    def is_suspected(self, row: RolloutRow) -> bool:
+        """Tell whether a bad result of a version came here just now."""
+        until_ms = self._suspected_ms.get((row.service, row.version, row.attempt))
+        return until_ms is not None and self._clock.now_ms() < until_ms
+
     def started(
         self, context: RequestContext, placed: Placed, attempt: AttemptId
     ) -> None:
@@ -123,7 +132,10 @@
         if verdict is None:
             alpha = FALSE_ALARM_RATE / max(1, self._daemons())
             verdict = self._verdicts[key] = Verdict(alpha)
+        bad_before = verdict.bad
         why = verdict.add(result, old, self._clock.now_ms())
+        if verdict.bad > bad_before:
+            self._suspected_ms[key] = self._clock.now_ms() + SUSPECT_MS
         if why:
             self._trip(row, why)
 
--- /dev/null
+++ b/src/_monsoonpulley/control/rolloutpass.py
@@ -0,0 +1,134 @@
+"""Decides on all versions of one service from what the table holds of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from ..config.document import Document, Version
+from ..ids import EndpointId, InstanceId, ServiceId, VersionId
+from ..platform.table import Row
+from .rollout import Evidence, Observation, RolloutDecision, RolloutRules
+from .rolloutrows import (
+    SETTLED,
+    WITH_TRAFFIC,
+    ReportRow,
+    RolloutRow,
+    RolloutState,
+    TripRow,
+    rollout_key,
+)
+from .rolloutview import base_versions
+
+EndpointsOf = Callable[[ServiceId, VersionId], Sequence[EndpointId]]
+
+
+class Found(msgspec.Struct):
+    """What the table holds of one service's rollouts.
+
+    Attributes
+    ----------
+    rows : dict
+        Rows and their revisions by key.
+    trips : list of TripRow
+        Faults that daemons saw.
+    reports : list
+        Reports and the rows that hold them.
+    """
+
+    rows: dict[str, tuple[RolloutRow, int]]
+    trips: list[TripRow]
+    reports: list[tuple[ReportRow, Row]]
+
+    def row(self, order: Version) -> RolloutRow | None:
+        """Return the row of an ordered version, if there is one."""
+        known = self.rows.get(rollout_key(order.service, order.version))
+        return known[0] if known else None
+
+    def is_settled(self) -> bool:
+        """Tell whether each version is done or taken back."""
+        return all(row.state in SETTLED for row, _ in self.rows.values())
+
+
+def orders_of(document: Document | None) -> list[Version]:
+    """Return the versions that are ordered by a deadline."""
+    if document is None:
+        return []
+    return [o for o in document.versions if o.deadline_wall_ms is not None]
+
+
+def decide_all(
+    rules: RolloutRules,
+    document: Document,
+    service: ServiceId,
+    found: Found,
+    *,
+    live: Sequence[InstanceId],
+    endpoints_of: EndpointsOf,
+    wall_ms: int,
+) -> list[RolloutDecision]:
+    """Return the decisions on a service's versions, at this moment."""
+    orders = [order for order in orders_of(document) if order.service == service]
+    named = {order.version for order in orders}
+    decisions = []
+    for row, _ in found.rows.values():
+        dropped = None if row.version in named else rules.dropped(row, wall_ms)
+        if dropped is not None:
+            decisions.append(dropped)
+    queue = queue_of(orders, found)
+    rows = [row for row, _ in found.rows.values() if row.version in named]
+    base = base_versions(document, service, rows)
+    for order in orders:
+        row = found.row(order)
+        seen = _observe(order, row, queue, found)
+        seen = msgspec.structs.replace(
+            seen,
+            endpoints=len(endpoints_of(service, order.version)),
+            base=base,
+            live=tuple(live),
+        )
+        decisions.append(rules.decide(row, order, seen, wall_ms))
+    return decisions
+
+
+def queue_of(orders: Sequence[Version], found: Found) -> list[Version]:
+    """Return the unsettled versions: those with traffic, then by deadline."""
+
+    def place(order: Version) -> tuple[bool, int, str]:
+        row = found.row(order)
+        has_traffic = row is not None and row.state in WITH_TRAFFIC
+        return not has_traffic, order.deadline_wall_ms or 0, order.version
+
+    unsettled = []
+    for order in orders:
+        row = found.row(order)
+        is_new = row is None or row.deadline_wall_ms != order.deadline_wall_ms
+        is_done = row is not None and row.state is RolloutState.DONE
+        if not is_done and (is_new or row.state not in SETTLED):
+            unsettled.append(order)
+    return sorted(unsettled, key=place)
+
+
+def _observe(
+    order: Version, row: RolloutRow | None, queue: Sequence[Version], found: Found
+) -> Observation:
+    behind = [o.deadline_wall_ms for o in queue if o.version != order.version]
+    first = queue[0].version if queue else order.version
+    seen = Observation(
+        endpoints=0,
+        ahead="" if first == order.version else first,
+        next_deadline_wall_ms=min(behind, default=None),
+    )
+    if row is None:
+        return seen
+    this = (row.version, row.attempt)
+    reports = [r for r, _ in found.reports if (r.version, r.attempt) == this]
+    trips = [t for t in found.trips if (t.version, t.attempt) == this]
+    confirmed = {r.instance for r in reports if r.seen_token == row.token}
+    return msgspec.structs.replace(
+        seen,
+        evidence=Evidence(sum(r.results for r in reports), sum(r.bad for r in reports)),
+        trip=trips[0].why if trips else "",
+        confirmed=tuple(sorted(confirmed)),
+    )
--- a/src/_monsoonpulley/control/rolloutwatch.py
+++ b/src/_monsoonpulley/control/rolloutwatch.py
@@ -111,19 +111,25 @@
             self._log.event("rollouts_not_read", waited_ms=timeout_ms)
 
     def trip_from_peer(
-        self, service: ServiceId, version: VersionId, attempt: int, why: str, peer: str
+        self, service: ServiceId, version: VersionId, why: str, peer: InstanceId
     ) -> None:
-        """Take in that a peer saw a fault."""
-        self._view.trip(
-            TripRow(
-                service=service,
-                version=version,
-                attempt=attempt,
-                instance=InstanceId(peer),
-                seen_wall_ms=self._clock.wall_ms(),
-                why=why,
-            )
+        """Take in that a peer stopped a version's traffic.
+
+        It counts for the attempt that is on its way here; without one the row
+        or the trip in the table will tell.
+        """
+        row = self._view.row(service, version)
+        if row is None or row.state not in WITH_TRAFFIC:
+            return
+        trip = TripRow(
+            service=service,
+            version=version,
+            attempt=row.attempt,
+            instance=peer,
+            seen_wall_ms=self._clock.wall_ms(),
+            why=why,
         )
+        self._view.trip(trip)
 
     async def refresh(self) -> Failure | None:
         """Read all rows, and trips where a version is on its way."""
--- a/src/_monsoonpulley/control/verdict.py
+++ b/src/_monsoonpulley/control/verdict.py
@@ -21,8 +21,7 @@
 """Probability that a good version is taken back, over all daemons and routes."""
 
 BAD_RATES = (0.2, 0.5, 0.95)
-SLOW_P0 = 0.05
-FAIL_P0 = 0.01
+MIN_P0 = 0.002
 OLD_TIMES = 200
 MIN_OLD_TIMES = 20
 SLOW_QUANTILE = 0.95
@@ -121,10 +120,12 @@
         self.gap = OldTimes()
         self.count = 0
         self.failed = 0
+        self.slow = 0
 
-    def fail_p0(self) -> float:
-        rate = (self.failed + 1) / (self.count + 100)
-        return min(max(FAIL_P0, 2.0 * rate), 0.5)
+    def p0(self, bad: int) -> float:
+        """Return twice the old version's rate, as it may have been by chance."""
+        rate = (bad + 1) / (self.count + 200)
+        return min(max(MIN_P0, 2.0 * rate), 0.5)
 
 
 class _Tests:
@@ -168,8 +169,9 @@
             return _why("failed", tests.failure, fail_p0, result.route)
         if result.is_failure:
             return ""
-        if tests.slow.add(is_slow, SLOW_P0):
-            return _why("were slow", tests.slow, SLOW_P0, result.route)
+        slow_p0 = old.slow_p0(result.route)
+        if tests.slow.add(is_slow, slow_p0):
+            return _why("were slow", tests.slow, slow_p0, result.route)
         return ""
 
     def _is_same_crash(self, endpoint: EndpointId, now_ms: int) -> bool:
@@ -191,6 +193,7 @@
         old = self._old.setdefault(result.route, _Old())
         old.count += 1
         old.failed += result.is_failure
+        old.slow += not result.is_failure and self.is_slow(result)
         if result.is_failure:
             return
         old.first.add(result.first_answer_ms)
@@ -200,7 +203,12 @@
     def fail_p0(self, route: str) -> float:
         """Return the failure rate that the old version doesn't exceed."""
         old = self._old.get(route)
-        return old.fail_p0() if old else FAIL_P0
+        return old.p0(old.failed) if old else MIN_P0
+
+    def slow_p0(self, route: str) -> float:
+        """Return the rate of slow results that the old version doesn't exceed."""
+        old = self._old.get(route)
+        return old.p0(old.slow) if old else MIN_P0
 
     def is_slow(self, result: Result) -> bool:
         """Tell whether a result is slower than the old version's."""
--- a/src/_monsoonpulley/control/versionshares.py
+++ b/src/_monsoonpulley/control/versionshares.py
@@ -20,7 +20,7 @@
 from .rolloutrows import RolloutRow, RolloutState
 from .rolloutview import RolloutView
 
-SLOT_MS = 5_000
+SLOT_MS = 3_000
 MAX_SLOT_SHARE = 0.9
 """Share of its own requests that a daemon sends to the canary in its slot."""
 
@@ -55,7 +55,8 @@
         """Return the plan for a mean share of the service's requests."""
         endpoints = max(1, int(mean_share * old_endpoints))
         full_load = max(mean_share, endpoints / max(old_endpoints, 1))
-        at_a_time = max(1, math.ceil(mean_share * daemons / MAX_SLOT_SHARE))
+        at_a_time = max(1, math.ceil(full_load * daemons / MAX_SLOT_SHARE))
+        at_a_time = min(at_a_time, daemons)
         slot_share = min(MAX_SLOT_SHARE, full_load * daemons / at_a_time)
         active = min(1.0, mean_share * daemons / (slot_share * at_a_time))
         return cls(endpoints, at_a_time, slot_share, active)
@@ -63,10 +64,11 @@
     def is_sender(self, index: int, daemons: int, slot: int) -> bool:
         """Tell whether a daemon of a sorted list sends in a slot.
 
-        Slots are spread evenly and the daemons take turns.
+        Slots count from the canary's start. Active ones are spread evenly, the
+        first one comes after half of the gap, and the daemons take turns.
         """
-        number = math.floor(slot * self.active_slots)
-        if math.floor((slot + 1) * self.active_slots) == number:
+        number = math.floor(slot * self.active_slots + 0.5)
+        if math.floor((slot + 1) * self.active_slots + 0.5) == number:
             return False
         return (index - number * self.daemons) % daemons < self.daemons
 
@@ -88,6 +90,10 @@
         Its wall time chooses slots and ends what its deadline has passed.
     settings : RolloutSettings
         Mean share of a canary.
+    is_suspected : callable
+        Tells whether a bad result came here just now; then this daemon goes on
+        sending past its slot, so that one verdict is reached soon instead of
+        another daemon beginning anew.
     """
 
     def __init__(
@@ -98,6 +104,7 @@
         endpoints_of: EndpointsOf,
         clock: Clock,
         settings: RolloutSettings,
+        is_suspected: Callable[[RolloutRow], bool] = lambda row: False,
     ):
         self._view = view
         self._instance = instance
@@ -105,6 +112,7 @@
         self._endpoints_of = endpoints_of
         self._clock = clock
         self._settings = settings
+        self._is_suspected = is_suspected
 
     def shares(self, service: ServiceId) -> dict[VersionId, float]:
         """Return the share of each version that may get any traffic now."""
@@ -136,11 +144,10 @@
         if row.state is not RolloutState.CANARY:
             return row.share
         plan, daemons = self._plan(row, base)
-        slot = self._clock.wall_ms() // SLOT_MS
+        slot = (self._clock.wall_ms() - row.since_wall_ms) // SLOT_MS
         index = daemons.index(self._instance)
-        if not plan.is_sender(index, len(daemons), slot):
-            return 0.0
-        return plan.slot_share
+        is_sender = plan.is_sender(index, len(daemons), slot)
+        return plan.slot_share if is_sender or self._is_suspected(row) else 0.0
 
     def _plan(
         self, row: RolloutRow, base: tuple[VersionId, ...]
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -190,19 +190,20 @@
         around = self._around
         view = RolloutView(self.document)
         self.rollouts = view
-        self.versions = RolloutShares(
+        self.rollout_observer = RolloutObserver(
             view,
             self.identity.instance,
-            self._live_entries,
-            self.router.fleet.live_endpoints,
+            lambda: len(self._live_entries()),
             around.clock,
-            RolloutSettings(),
         )
-        self.rollout_observer = RolloutObserver(
+        self.versions = RolloutShares(
             view,
             self.identity.instance,
-            lambda: len(self._live_entries()),
+            self._live_entries,
+            self.router.fleet.live_endpoints,
             around.clock,
+            RolloutSettings(),
+            self.rollout_observer.is_suspected,
         )
         self.rollout_watch = RolloutWatch(
             around.platform.table,
--- /dev/null
+++ b/testing/control/test_rollout.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+import msgspec
+
+from _monsoonpulley.config.document import Version
+from _monsoonpulley.control.rollout import (
+    Evidence,
+    Observation,
+    RolloutRules,
+    RolloutSettings,
+)
+from _monsoonpulley.control.rolloutrows import SETTLED, RolloutState
+
+SETTINGS = RolloutSettings()
+RULES = RolloutRules(SETTINGS)
+ENOUGH = Evidence(1_000, 0)
+LIVE = ("a", "b")
+GOOD = Observation(
+    endpoints=2, base=("v1",), evidence=ENOUGH, live=LIVE, confirmed=LIVE
+)
+
+
+def seen(**changes) -> Observation:
+    return msgspec.structs.replace(GOOD, **changes)
+
+
+def play(order, at_ms, observe=lambda row, now_ms: GOOD, step_ms=1_000, row=None):
+    """Decide each second until the version is settled; return the rows."""
+    rows = [row] if row else []
+    for now_ms in range(at_ms, order.deadline_wall_ms + 60_000, step_ms):
+        current = rows[-1] if rows else None
+        after = RULES.decide(current, order, observe(current, now_ms), now_ms).after
+        if after is not None:
+            rows.append(after)
+            if after.state in SETTLED:
+                break
+    return rows
+
+
+class TestRolloutRules(unittest.TestCase):
+    def test_a_good_version_passes_each_state_and_ends_before_its_deadline(self):
+        least_ms = SETTINGS.least_after_ms(RolloutState.PENDING)
+        for left_ms in (least_ms + 3_000, 120_000, 3_600_000, 86_400_000):
+            with self.subTest(left_ms):
+                rows = play(Version("s", "v2", left_ms), 0)
+                states = list(dict.fromkeys(row.state for row in rows))
+                self.assertEqual(
+                    states,
+                    [
+                        RolloutState.PENDING,
+                        RolloutState.CANARY,
+                        RolloutState.RAMP,
+                        RolloutState.SOAK,
+                        RolloutState.DONE,
+                    ],
+                )
+                self.assertLessEqual(rows[-1].since_wall_ms, left_ms)
+
+    def test_most_of_a_long_time_is_spent_as_canary(self):
+        rows = play(Version("s", "v2", 3_600_000), 0)
+        ramp = next(row for row in rows if row.state is RolloutState.RAMP)
+        self.assertGreater(ramp.since_wall_ms, 0.8 * 3_600_000)
+
+    def test_a_deadline_in_the_past_is_taken_back_without_traffic(self):
+        decision = RULES.decide(None, Version("s", "v2", 5), GOOD, 6)
+        self.assertIs(decision.after.state, RolloutState.TAKEN_BACK)
+        self.assertEqual(decision.after.share, 0.0)
+        self.assertEqual(decision.after.started_wall_ms, 0)
+
+    def test_too_near_a_deadline_gets_no_traffic(self):
+        rows = play(Version("s", "v2", 30_000), 0)
+        states = [row.state for row in rows]
+        self.assertEqual(states, [RolloutState.PENDING, RolloutState.TAKEN_BACK])
+
+    def test_without_evidence_it_is_taken_back_by_the_deadline(self):
+        few = seen(evidence=Evidence(SETTINGS.canary_results - 1, 0))
+        rows = play(Version("s", "v2", 300_000), 0, lambda row, now_ms: few)
+        self.assertIs(rows[-1].state, RolloutState.TAKEN_BACK)
+        self.assertIn("only 9 of 10 results", rows[-1].why)
+        self.assertLess(max(row.share for row in rows), 0.05)
+        self.assertLessEqual(rows[-1].since_wall_ms, 300_000)
+
+    def test_a_trip_takes_back_from_each_state(self):
+        order = Version("s", "v2", 300_000)
+        for row in play(order, 0)[:-1]:
+            decision = RULES.decide(
+                row, order, seen(trip="3 of 3 failed"), row.since_wall_ms + 1
+            )
+            self.assertIs(decision.after.state, RolloutState.TAKEN_BACK)
+            self.assertEqual(decision.after.why, "3 of 3 failed")
+            self.assertEqual(decision.after.share, 0.0)
+
+    def test_it_is_not_done_before_every_live_daemon_has_confirmed(self):
+        partly = seen(confirmed=("a",))
+        rows = play(Version("s", "v2", 300_000), 0, lambda row, now_ms: partly)
+        self.assertIs(rows[-1].state, RolloutState.TAKEN_BACK)
+        self.assertIn("not confirmed by b", rows[-1].why)
+        self.assertLessEqual(rows[-1].since_wall_ms, 300_000)
+
+    def test_no_write_for_any_length_never_ends_in_done_past_the_deadline(self):
+        order = Version("s", "v2", 300_000)
+        for row in play(order, 0)[:-1]:
+            decision = RULES.decide(row, order, GOOD, 300_000)
+            self.assertIs(decision.after.state, RolloutState.TAKEN_BACK)
+
+    def test_gaps_between_passes_at_any_time_end_in_time_or_back(self):
+        for seed in range(200):
+            rng = random.Random(seed)
+            order = Version("s", "v2", rng.randrange(60_000, 600_000))
+            gap = (at := rng.randrange(0, 600_000), at + rng.randrange(0, 200_000))
+            rows = []
+            for now_ms in range(0, order.deadline_wall_ms + 250_000, 1_000):
+                if gap[0] <= now_ms < gap[1]:
+                    continue
+                row = rows[-1] if rows else None
+                after = RULES.decide(row, order, GOOD, now_ms).after
+                if after is not None:
+                    rows.append(after)
+            self.assertIn(rows[-1].state, SETTLED)
+            if rows[-1].state is RolloutState.DONE:
+                self.assertLess(rows[-1].since_wall_ms, order.deadline_wall_ms)
+
+    def test_a_queued_version_waits_and_is_taken_back_when_time_is_short(self):
+        behind = seen(ahead="v2")
+        rows = play(Version("s", "v3", 300_000), 0, lambda row, now_ms: behind)
+        states = [row.state for row in rows]
+        self.assertEqual(states, [RolloutState.PENDING, RolloutState.TAKEN_BACK])
+        self.assertIn("behind v2", rows[-1].why)
+
+    def test_a_version_that_waits_makes_the_one_ahead_hurry(self):
+        hurried = seen(next_deadline_wall_ms=600_000)
+        rows = play(Version("s", "v2", 3_600_000), 0, lambda row, now_ms: hurried)
+        self.assertIs(rows[-1].state, RolloutState.DONE)
+        least_ms = SETTINGS.least_after_ms(RolloutState.PENDING)
+        self.assertLess(rows[-1].since_wall_ms, 600_000 - least_ms)
+
+    def test_a_version_that_was_taken_back_starts_anew_with_a_new_deadline(self):
+        order = Version("s", "v2", 300_000)
+        back = play(order, 0, lambda row, now_ms: seen(trip="bad"))[-1]
+        self.assertIsNone(RULES.decide(back, order, GOOD, 400_000).after)
+        again = RULES.decide(back, Version("s", "v2", 900_000), GOOD, 400_000).after
+        self.assertIs(again.state, RolloutState.PENDING)
+        self.assertEqual(again.attempt, back.attempt + 1)
+
+    def test_a_version_no_longer_named_is_taken_back(self):
+        row = play(Version("s", "v2", 300_000), 0)[1]
+        self.assertIs(RULES.dropped(row, 9).after.state, RolloutState.TAKEN_BACK)
+        done = play(Version("s", "v2", 300_000), 0)[-1]
+        self.assertIsNone(RULES.dropped(done, 9))
+
+    def test_a_decision_can_be_replayed_from_its_fields(self):
+        for row in play(Version("s", "v2", 300_000), 0):
+            decision = RULES.decide(row, Version("s", "v2", 300_000), GOOD, 9_000)
+            again = RULES.decide(
+                decision.before,
+                decision.order,
+                decision.observation,
+                decision.now_wall_ms,
+            )
+            self.assertEqual(decision, again)
--- /dev/null
+++ b/testing/control/test_rollout_failures.py
@@ -0,0 +1,235 @@
+"""Rollouts while the store, holders or data centres fail."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from types import SimpleNamespace
+
+import msgspec
+
+from _monsoonpulley.config.document import Version
+from _monsoonpulley.control.leases import Hold
+from _monsoonpulley.control.rolloutduty import RolloutDuty
+from _monsoonpulley.control.rolloutrows import TRIP_PREFIX
+from _monsoonpulley.log import Log
+from _monsoonpulley.platform.table import Table
+from _monsoonpulley.standins.bad_version import BadEffect, BadVersion
+from _monsoonpulley.standins.faults import Part
+from _monsoonpulley.standins.manualloop import run_manual, running_clock
+from _monsoonpulley.standins.table import TableStandin
+
+from ..support import run_world, small_document
+from .rollouts import ENTRIES, Calls, rollout_deployment, row, sends, state
+
+START_WALL_MS = 1_800_000_000_000
+DEADLINE_MS = 120_000
+SHARE_AIM = 0.05
+PER_S = 9.0
+SEEDS = (1,)
+
+
+def shares(world, service="catalogue") -> list[dict]:
+    return [e.instance.versions.shares(service) for e in world.entries.values()]
+
+
+def holder(world, service="catalogue") -> str:
+    for name, entry in world.entries.items():
+        if f"rollout/{service}" in entry.instance.duties.held():
+            return name
+    return ""
+
+
+def left_ms(world) -> int:
+    return START_WALL_MS + DEADLINE_MS - world.clock.wall_ms()
+
+
+class TestStoreAway(unittest.TestCase):
+    def test_nothing_advances_and_the_old_version_has_all_at_the_deadline(self):
+        for away_from_ms in (1_000, 90_000):
+
+            async def script(world, away_from_ms=away_from_ms):
+                calls = Calls(world, 1, PER_S)
+                await calls.run_ms(away_from_ms)
+                world.platform.faults.outage(True, Part.TABLE)
+                stood = state(world)
+                await calls.run_ms(left_ms(world))
+                self.assertEqual(state(world), stood)
+                self.assertEqual(shares(world), [{"v1": 1.0}] * len(ENTRIES))
+                self.assertFalse(calls.failed())
+                world.platform.faults.outage(False, Part.TABLE)
+                await calls.run_ms(15_000)
+                self.assertEqual(state(world), "taken_back")
+                self.assertEqual(len(world.events("rollout_taken_back")), len(ENTRIES))
+
+            with self.subTest(away_from_ms):
+                run_world(script, rollout_deployment(deadline_ms=DEADLINE_MS))
+
+    def test_each_daemon_that_sees_the_fault_stops_without_the_store(self):
+        bad = BadVersion.late(BadEffect.FAIL, after_ms=95_000)
+
+        async def script(world):
+            calls = Calls(world, 2, PER_S)
+            await calls.run_ms(80_000)
+            self.assertIn(state(world), ("canary", "ramp"))
+            world.platform.faults.outage(True, Part.TABLE)
+            await calls.run_ms(left_ms(world))
+            self.assertEqual(shares(world), [{"v1": 1.0}] * len(ENTRIES))
+            self.assertTrue(world.events("rollout_tripped"))
+            world.platform.faults.outage(False, Part.TABLE)
+            await calls.run_ms(15_000)
+            self.assertEqual(state(world), "taken_back")
+            trips = [k for k in world.platform.table.rows if k.startswith(TRIP_PREFIX)]
+            self.assertEqual(len(trips), 1)
+
+        run_world(script, rollout_deployment(bad, deadline_ms=DEADLINE_MS))
+
+
+class TestHolders(unittest.TestCase):
+    def test_holders_that_die_in_each_state_are_followed_by_others(self):
+        async def script(world):
+            calls = Calls(world, 3, PER_S)
+            killed = set()
+            for before in ("canary", "ramp", "soak"):
+                await calls.run_ms(
+                    left_ms(world), lambda before=before: state(world) == before
+                )
+                if name := holder(world):
+                    world.kill_entry(name)
+                    world.platform.livelist.remove(name)
+                    killed.add(name)
+            await calls.run_ms(left_ms(world), lambda: state(world) == "done")
+            self.assertGreater(len(killed), 1)
+            self.assertEqual(state(world), "done", row(world))
+            self.assertLess(row(world)["since_wall_ms"], START_WALL_MS + DEADLINE_MS)
+
+        for seed in SEEDS:
+            run_world(script, rollout_deployment(deadline_ms=DEADLINE_MS), seed)
+
+    def test_of_two_holders_only_one_writes_a_transition(self):
+        async def main():
+            clock = running_clock()
+            table = TableStandin(clock, random.Random(1))
+            lines: list[str] = []
+            document = msgspec.structs.replace(
+                small_document(),
+                versions=(
+                    Version("catalogue", "v1"),
+                    Version("catalogue", "v2", clock.wall_ms() + 300_000),
+                ),
+            )
+
+            def duty(name: str, connection: Table) -> RolloutDuty:
+                parts = SimpleNamespace(
+                    clock=clock,
+                    log=Log(clock, lines.append, name),
+                    document=lambda: document,
+                    table=connection,
+                    rng=random.Random(name),
+                    live_entries=lambda: ["a", "b"],
+                    endpoints_of=lambda service, version: ["e"],
+                )
+                return RolloutDuty(parts)
+
+            first = table.connect("a", "zone-a")
+            paused = asyncio.Event()
+            commit = first.commit
+
+            async def commit_when_woken(writes):
+                await paused.wait()
+                return await commit(writes)
+
+            first.commit = commit_when_woken
+            old = duty("a", first)
+            new = duty("b", table.connect("b", "zone-b"))
+            # Its lease ended in the pause, after it had asked for the last time.
+            sending = asyncio.create_task(
+                old.look("catalogue", Hold(1, lambda number: True))
+            )
+            await clock.sleep_ms(100)
+            for _ in range(2):
+                await new.look("catalogue", Hold(2, lambda number: True))
+            paused.set()
+            await sending
+            found = msgspec.json.decode(table.rows["rollout/catalogue/v2"].value)
+            self.assertEqual(found["state"], "canary")
+            self.assertEqual(found["fencing_number"], 2)
+            self.assertEqual(len(found["steps"]), 2)
+            failure = await old.look("catalogue", Hold(1, lambda number: True))
+            self.assertIsNone(failure)
+            lapsed = await new.look("catalogue", Hold(3, lambda number: False))
+            self.assertIsNone(lapsed)
+            after = msgspec.json.decode(table.rows["rollout/catalogue/v2"].value)
+            self.assertEqual(after, found)
+
+        run_manual(main())
+
+    def test_all_entry_instances_restart_and_the_rollout_goes_on(self):
+        async def script(world):
+            calls = Calls(world, 4, PER_S)
+            for until_ms in (30_000, 95_000):
+                await calls.run_ms(until_ms - (DEADLINE_MS - left_ms(world)))
+                attempts = row(world)["attempt"]
+                for plan in ENTRIES:
+                    world.kill_entry(plan.instance)
+                for plan in ENTRIES:
+                    world.start_entry(plan)
+                await world.clock.sleep_ms(500)
+                self.assertEqual(row(world)["attempt"], attempts)
+            await calls.run_ms(left_ms(world), lambda: state(world) == "done")
+            self.assertEqual(state(world), "done", row(world))
+
+        for seed in SEEDS:
+            run_world(script, rollout_deployment(deadline_ms=DEADLINE_MS), seed)
+
+
+class TestDataCentreCutOff(unittest.TestCase):
+    def test_it_takes_back_at_the_deadline_and_never_advances(self):
+        async def script(world):
+            calls = Calls(world, 5, PER_S)
+            await calls.run_ms(left_ms(world), lambda: state(world) == "ramp")
+            await calls.run_ms(2_500)
+            world.platform.network.partition({"zone-a"}, {"zone-b", "platform"})
+            cut = [p.instance for p in ENTRIES if p.zone == "zone-a"]
+            stood = {}
+            for name in cut:
+                versions = world.entries[name].instance.versions
+                stood[name] = versions.shares("catalogue").get("v2", 0.0)
+            while left_ms(world) > 0:
+                await calls.run_ms(min(1_000, left_ms(world)))
+                for name in cut:
+                    versions = world.entries[name].instance.versions
+                    share = versions.shares("catalogue").get("v2", 0.0)
+                    self.assertLessEqual(share, stood[name])
+            for name in cut:
+                versions = world.entries[name].instance.versions
+                self.assertEqual(versions.shares("catalogue"), {"v1": 1.0})
+            self.assertEqual(state(world), "taken_back")
+            self.assertIn("not confirmed by entry-0, entry-2", row(world)["why"])
+            world.platform.network.heal_all()
+            await calls.run_ms(10_000)
+            self.assertEqual(shares(world), [{"v1": 1.0}] * len(ENTRIES))
+
+        for seed in SEEDS:
+            run_world(script, rollout_deployment(deadline_ms=DEADLINE_MS), seed)
+
+
+class TestSecondVersion(unittest.TestCase):
+    def test_it_waits_for_the_first_and_then_takes_over_from_it(self):
+        second = Version("catalogue", "v3", START_WALL_MS + 2 * DEADLINE_MS)
+        deployment = rollout_deployment(
+            deadline_ms=DEADLINE_MS, more=(second,), versions=("v1", "v2", "v3")
+        )
+
+        async def script(world):
+            calls = Calls(world, 6, PER_S)
+            await calls.run_ms(left_ms(world), lambda: state(world) == "done")
+            self.assertEqual(state(world), "done", row(world))
+            self.assertFalse(sends(world, "v3"))
+            await calls.run_ms(DEADLINE_MS, lambda: state(world, "v3") == "done")
+            self.assertEqual(state(world, "v3"), "done", row(world, "v3"))
+            await calls.run_ms(2_500)
+            self.assertEqual(shares(world), [{"v3": 1.0}] * len(ENTRIES))
+
+        run_world(script, deployment)
--- /dev/null
+++ b/testing/control/test_verdict.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from _monsoonpulley.control.verdict import (
+    CRASH_WINDOW_MS,
+    ChangeTest,
+    OldResults,
+    Result,
+    Verdict,
+)
+
+
+def result(version="v2", failed=False, first_ms=100, gap_ms=None, endpoint="e"):
+    return Result(
+        service="s",
+        version=version,
+        route="class /r",
+        endpoint=endpoint,
+        is_failure=failed,
+        first_answer_ms=first_ms,
+        target_ms=2_000,
+        gap_ms=gap_ms,
+    )
+
+
+def old_results(rng, count=300, failed=0.0) -> OldResults:
+    old = OldResults()
+    for _ in range(count):
+        time_ms = round(100 * rng.lognormvariate(0, 0.3))
+        old.add(result("v1", rng.random() < failed, time_ms, time_ms / 10))
+    return old
+
+
+class TestChangeTest(unittest.TestCase):
+    def test_false_alarms_stay_below_the_stated_rate(self):
+        alpha = 0.05
+        for p0 in (0.002, 0.05):
+            alarms = 0
+            for seed in range(400):
+                rng = random.Random(seed)
+                test = ChangeTest(alpha)
+                alarms += any(test.add(rng.random() < p0, p0) for _ in range(500))
+            # 400 trials at 5% give more than 36 with a probability below 0.1%.
+            self.assertLessEqual(alarms, 36)
+
+    def test_a_fault_that_comes_late_is_seen_within_few_results(self):
+        for good in (0, 100, 10_000):
+            test = ChangeTest(1e-4)
+            self.assertFalse(any(test.add(False, 0.01) for _ in range(good)))
+            bad = next(n for n in range(1, 20) if test.add(True, 0.01))
+            self.assertLessEqual(bad, 8)
+
+
+class TestVerdict(unittest.TestCase):
+    def test_failures_and_slow_results_speak_against_a_version(self):
+        bad = {
+            "failed": result(failed=True),
+            "slow first answer": result(first_ms=1_000),
+            "slow tokens": result(gap_ms=100.0),
+        }
+        for name, each in bad.items():
+            with self.subTest(name):
+                verdict, old = Verdict(0.001), old_results(random.Random(1))
+                times = range(0, 10_000, 100)
+                found = [w for t in times[:8] if (w := verdict.add(each, old, t))]
+                self.assertTrue(found)
+                self.assertIn("class /r", found[0])
+
+    def test_as_good_a_version_passes(self):
+        rng = random.Random(2)
+        verdict, old = Verdict(0.001), old_results(rng, failed=0.02)
+        for number in range(2_000):
+            time_ms = round(100 * rng.lognormvariate(0, 0.3))
+            each = result("v2", rng.random() < 0.02, time_ms, time_ms / 10)
+            self.assertFalse(verdict.add(each, old, number * 100))
+
+    def test_without_old_times_the_class_target_decides(self):
+        old = OldResults()
+        self.assertFalse(old.is_slow(result(first_ms=1_999)))
+        self.assertTrue(old.is_slow(result(first_ms=2_001)))
+
+    def test_requests_cut_off_by_one_crash_count_once(self):
+        verdict, old = Verdict(0.001), old_results(random.Random(3))
+        for number in range(50):
+            crash = result(failed=True)
+            now_ms = 1_000 + number % CRASH_WINDOW_MS
+            self.assertFalse(verdict.add(crash, old, now_ms))
+        self.assertEqual(verdict.bad, 1)
--- /dev/null
+++ b/testing/control/test_versionshares.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+import unittest
+
+from _monsoonpulley.clock import ManualClock
+from _monsoonpulley.config.document import Document, Version
+from _monsoonpulley.control.rollout import RolloutSettings
+from _monsoonpulley.control.rolloutrows import RolloutRow, RolloutState, TripRow
+from _monsoonpulley.control.rolloutview import RolloutView
+from _monsoonpulley.control.versionshares import SLOT_MS, CanaryPlan, RolloutShares
+
+SHARE_AIM = 0.05
+DEADLINE_MS = 10_000_000
+DOCUMENT = Document(versions=(Version("s", "v1"), Version("s", "v2", DEADLINE_MS)))
+
+
+def row(state=RolloutState.CANARY, share=0.03, **changes) -> RolloutRow:
+    fields = {"service": "s", "version": "v2", "deadline_wall_ms": DEADLINE_MS}
+    return RolloutRow(state=state, share=share, **{**fields, **changes})
+
+
+class Setup:
+    def __init__(self, daemons=("a", "b", "c"), endpoints=10, document=DOCUMENT):
+        self.clock = ManualClock()
+        self.view = RolloutView(lambda: document)
+        self.endpoints = {
+            version: [f"{version}-{n}" for n in range(endpoints)]
+            for version in ("v1", "v2", "v3")
+        }
+        self.shares = {
+            name: RolloutShares(
+                self.view,
+                name,
+                lambda: daemons,
+                lambda _, version: self.endpoints[version],
+                self.clock,
+                RolloutSettings(),
+            )
+            for name in daemons
+        }
+
+    def of(self, daemon="a") -> dict:
+        return self.shares[daemon].shares("s")
+
+
+class TestCanaryPlan(unittest.TestCase):
+    def test_the_mean_share_stays_small_at_any_size(self):
+        for endpoints in (1, 2, 4, 10, 417, 2_500):
+            for daemons in (1, 2, 7, 60, 360):
+                with self.subTest(endpoints=endpoints, daemons=daemons):
+                    plan = CanaryPlan.for_sizes(0.03, endpoints, daemons)
+                    slots = range(2_000)
+                    sent = sum(
+                        plan.slot_share
+                        for slot in slots
+                        for index in range(daemons)
+                        if plan.is_sender(index, daemons, slot)
+                    )
+                    mean = sent / len(slots) / daemons
+                    self.assertLess(mean, SHARE_AIM)
+                    self.assertGreater(mean, 0.02)
+
+    def test_a_canary_endpoint_sees_an_old_ones_load_in_its_slots(self):
+        for endpoints, daemons in ((4, 7), (10, 7), (417, 60), (2_500, 360)):
+            plan = CanaryPlan.for_sizes(0.03, endpoints, daemons)
+            load = plan.slot_share * plan.daemons / daemons / plan.endpoints
+            self.assertGreaterEqual(load, 0.85 / endpoints)
+
+
+class TestRolloutShares(unittest.TestCase):
+    def test_without_a_rollout_the_starting_version_has_all(self):
+        self.assertEqual(Setup().of(), {"v1": 1.0})
+
+    def test_canary_traffic_goes_to_few_endpoints(self):
+        setup = Setup()
+        setup.view.apply_row(row(), 1)
+        held = setup.shares["a"].held_back(["s"])
+        self.assertEqual(len(held), 9)
+        setup.view.apply_row(row(RolloutState.RAMP, 0.2), 2)
+        self.assertFalse(setup.shares["a"].held_back(["s"]))
+
+    def test_shares_follow_the_states(self):
+        setup = Setup()
+        setup.view.apply_row(row(RolloutState.RAMP, 0.2), 1)
+        self.assertEqual(setup.of(), {"v1": 0.8, "v2": 0.2})
+        setup.view.apply_row(row(RolloutState.SOAK, 1.0), 2)
+        self.assertEqual(setup.of(), {"v2": 1.0})
+        setup.view.apply_row(row(RolloutState.DONE, 1.0), 3)
+        self.assertEqual(setup.of(), {"v2": 1.0})
+        setup.view.apply_row(row(RolloutState.TAKEN_BACK, 0.0), 4)
+        self.assertEqual(setup.of(), {"v1": 1.0})
+
+    def test_an_older_row_does_not_bring_traffic_back(self):
+        setup = Setup()
+        setup.view.apply_row(row(RolloutState.TAKEN_BACK, 0.0), 4)
+        setup.view.apply_row(row(RolloutState.SOAK, 1.0), 3)
+        self.assertEqual(setup.of(), {"v1": 1.0})
+
+    def test_a_trip_stops_the_traffic_at_once_and_for_its_attempt_only(self):
+        setup = Setup()
+        setup.view.apply_row(row(RolloutState.SOAK, 1.0), 1)
+        trip = TripRow(
+            service="s",
+            version="v2",
+            attempt=1,
+            instance="b",
+            seen_wall_ms=0,
+            why="bad",
+        )
+        self.assertTrue(setup.view.trip(trip))
+        self.assertFalse(setup.view.trip(trip))
+        self.assertEqual(setup.of(), {"v1": 1.0})
+        setup.view.apply_row(row(RolloutState.RAMP, 0.2, attempt=2), 2)
+        self.assertEqual(setup.of(), {"v1": 0.8, "v2": 0.2})
+
+    def test_past_the_deadline_only_done_keeps_the_traffic(self):
+        for state, version in ((RolloutState.SOAK, "v1"), (RolloutState.DONE, "v2")):
+            setup = Setup()
+            setup.view.apply_row(row(state, 1.0), 1)
+            setup.clock.advance_ms(DEADLINE_MS)
+            self.assertEqual(setup.of(), {version: 1.0})
+
+    def test_the_version_done_last_is_the_old_one_of_the_next(self):
+        versions = (*DOCUMENT.versions, Version("s", "v3", DEADLINE_MS))
+        setup = Setup(document=Document(versions=versions))
+        setup.view.apply_row(row(RolloutState.DONE, 1.0, since_wall_ms=5), 1)
+        setup.view.apply_row(row(RolloutState.RAMP, 0.2, version="v3"), 2)
+        self.assertEqual(setup.of(), {"v2": 0.8, "v3": 0.2})
+
+    def test_one_daemon_at_a_time_sends_the_canarys_traffic(self):
+        setup = Setup()
+        setup.view.apply_row(row(), 1)
+        senders = set()
+        for _ in range(200):
+            sending = [name for name in setup.shares if "v2" in setup.of(name)]
+            self.assertLessEqual(len(sending), 1)
+            senders.update(sending)
+            setup.clock.advance_ms(SLOT_MS)
+        self.assertEqual(senders, {"a", "b", "c"})
