--- a/benchmarks/controlfakes.py
+++ b/benchmarks/controlfakes.py
@@ -26,8 +26,8 @@
     REPORT_MS,
     TICK_MS,
 )
-from _monsoonpulley.control.versionshares import RolloutShares
 from _monsoonpulley.control.verdict import Result
+from _monsoonpulley.control.versionshares import RolloutShares
 from _monsoonpulley.errors import Failure, Reason
 from _monsoonpulley.platform.table import Row
 from _monsoonpulley.requests.placement import AttemptEnd
--- a/src/_monsoonpulley/control/lease.py
+++ b/src/_monsoonpulley/control/lease.py
@@ -49,6 +49,17 @@
         self._identity = identity
         self._settings = settings
 
+    def may_be_due(self, state: LeaseState, now_ms: int) -> bool:
+        """Tell whether a `Tick` could do anything now; most can't."""
+        if state.held is not None or state.pending is not None:
+            return True
+        seen = state.observed
+        if seen is None:
+            return False
+        if seen.row is None or seen.row.holder == NOBODY or self._is_own(seen.row):
+            return True
+        return now_ms - seen.since_ms >= self._settings.lease_ms
+
     def step(self, state: LeaseState, event: Event, now_ms: int) -> Next:
         """Return the state after an event, and what was decided, if anything."""
         match event:
@@ -63,7 +74,7 @@
                     return self._seen(state, event.row, event.revision, now_ms)
                 return self._settle(state, event.row, event.revision, now_ms)
             case NotDone():
-                return self._not_done(state, event), None
+                return self._not_done(state, event, now_ms), None
 
     def _seen(
         self, state: LeaseState, row: LeaseRow | None, revision: int, now_ms: int
@@ -99,7 +110,7 @@
         if row is not None and row.token == pending.row.token:
             return self._landed(state, revision, now_ms)
         known = state.observed
-        state = replace(state, pending=None)
+        state = replace(state, pending=None, failures=0, retry_ms=None)
         if known is not None and revision <= known.revision:
             return state, None
         return self._observe(state, row, revision, now_ms)
@@ -127,10 +138,13 @@
             return after, None
         return after, self._decide("the claim is confirmed", state, now_ms)
 
-    def _not_done(self, state: LeaseState, event: NotDone) -> LeaseState:
+    def _not_done(self, state: LeaseState, event: NotDone, now_ms: int) -> LeaseState:
         pending = state.pending
         if pending is None or pending.row.token != event.token:
             return state
+        is_renewal = pending.kind is WriteKind.RENEW
+        wait_ms = self._settings.retry_wait_ms(is_renewal, state.failures)
+        state = replace(state, failures=state.failures + 1, retry_ms=now_ms + wait_ms)
         if not event.is_in_doubt and not pending.is_in_doubt:
             return replace(state, pending=None)
         waiting = replace(pending, is_in_flight=False, is_in_doubt=True)
@@ -141,6 +155,8 @@
             after = replace(state, held=None)
             decision = self._decide("not renewed in time", state, now_ms, tick.rank)
             return after, decision
+        if state.retry_ms is not None and now_ms < state.retry_ms:
+            return state, None
         if state.pending is not None:
             return self._resend(state, tick, now_ms)
         if state.observed is None:
@@ -182,25 +198,17 @@
         row = seen.row
         if self._is_own(row):
             return "own lease lapsed"
-        delay_ms = self._settings.claim_delay_ms(rank)
+        times = self._settings
         unchanged_ms = now_ms - seen.since_ms
-        if row is None:
-            return "nobody held it yet" if unchanged_ms >= delay_ms else None
-        if row.holder == NOBODY:
-            return self._claim_released_rule(row, delay_ms, unchanged_ms)
-        if unchanged_ms >= self._settings.lease_ms + delay_ms:
+        if row is None or row.holder == NOBODY:
+            if row is not None and row.successor == self._identity.instance:
+                return "its holder named this successor"
+            free = unchanged_ms >= times.free_delay_ms(rank)
+            return "nobody holds it" if free else None
+        if unchanged_ms >= times.lease_ms + times.claim_delay_ms(rank):
             return "not renewed for the full lease"
         return None
 
-    def _claim_released_rule(
-        self, row: LeaseRow, delay_ms: int, unchanged_ms: int
-    ) -> str | None:
-        if row.successor == self._identity.instance:
-            return "its holder named this successor"
-        if row.successor != NOBODY:
-            delay_ms += self._settings.scan_worst_ms()
-        return "it was released" if unchanged_ms >= delay_ms else None
-
     def _send(
         self, state: LeaseState, kind: WriteKind, rule: str, tick: Tick, now_ms: int
     ) -> Next:
--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -24,6 +24,7 @@
 from .lease import LeaseRules
 from .leasestate import (
     LEASE_PREFIX,
+    NOBODY,
     Confirmed,
     Event,
     LeaseDecision,
@@ -45,6 +46,7 @@
 SCAN_ROWS = 500
 TOKEN_BITS = 64
 STEP = "leases"
+UNKNOWN = LeaseState()
 
 
 class Placement(Protocol):
@@ -135,7 +137,7 @@
 
     def state(self, duty: str) -> LeaseState:
         """Return what is known of a duty's lease."""
-        return self._states.get(duty, LeaseState())
+        return self._states.get(duty, UNKNOWN)
 
     def rows(self) -> list[tuple[str, LeaseRow]]:
         """Return each lease by duty as last seen, leaving out absent ones."""
@@ -178,11 +180,14 @@
     def tick(self) -> None:
         """Decide on each lease and send the writes that are due."""
         due: list[_Sent] = []
+        token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
+        now_ms = self._clock.now_ms()
         for duty in self._known_duties():
-            token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
+            if not self._rules.may_be_due(self.state(duty), now_ms):
+                continue
             rank = self._placement.rank(duty)
-            successor = self._placement.successor(duty) if rank is None else ""
-            decision = self._step(duty, Tick(rank, token, InstanceId(successor)))
+            successor = self._placement.successor(duty) if rank is None else NOBODY
+            decision = self._step(duty, Tick(rank, token, successor))
             if decision is not None and decision.write is not None:
                 due.append(_Sent(duty, decision.write))
         self.after_tick()
@@ -301,11 +306,14 @@
         return decision
 
     def _note(self, duty: str, decision: LeaseDecision) -> None:
-        """Log a decision; renewals that are due are only counted."""
+        """Log a decision; due renewals and further tries are only counted."""
         write = decision.write
         if write is not None and decision.rule == "renewal is due":
             self._metrics.incr("leases.renewals")
             return
+        if write is not None and decision.before.failures > 1:
+            self._metrics.incr("leases.further_tries")
+            return
         self._log.decision(msgspec.structs.replace(decision, duty=duty))
 
     def _may_act(self, duty: str, fencing_number: int) -> bool:
--- a/src/_monsoonpulley/control/rolloutrows.py
+++ b/src/_monsoonpulley/control/rolloutrows.py
@@ -86,7 +86,7 @@
 
 
 class TripRow(msgspec.Struct, frozen=True, kw_only=True):
-    """A daemon saw a fault of a version."""
+    """A daemon saw a fault of a version; ``instance`` is empty for some peer."""
 
     service: ServiceId
     version: VersionId
--- a/src/_monsoonpulley/control/rolloutwatch.py
+++ b/src/_monsoonpulley/control/rolloutwatch.py
@@ -111,22 +111,24 @@
             self._log.event("rollouts_not_read", waited_ms=timeout_ms)
 
     def trip_from_peer(
-        self, service: ServiceId, version: VersionId, why: str, peer: InstanceId
+        self, service: ServiceId, version: VersionId, why: str, seen_wall_ms: int
     ) -> None:
         """Take in that a peer stopped a version's traffic.
 
-        It counts for the attempt that is on its way here; without one the row
-        or the trip in the table will tell.
+        It counts for the attempt that is on its way here, unless that began
+        later; without one the row or the trip in the table will tell.
         """
         row = self._view.row(service, version)
         if row is None or row.state not in WITH_TRAFFIC:
             return
+        if seen_wall_ms < row.started_wall_ms:
+            return
         trip = TripRow(
             service=service,
             version=version,
             attempt=row.attempt,
-            instance=peer,
-            seen_wall_ms=self._clock.wall_ms(),
+            instance=InstanceId(""),
+            seen_wall_ms=seen_wall_ms,
             why=why,
         )
         self._view.trip(trip)
--- a/src/_monsoonpulley/routing/policies.py
+++ b/src/_monsoonpulley/routing/policies.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
@@ -15,13 +16,21 @@
 from ..ids import EndpointId, RequestId, ServiceId, VersionId, ZoneId
 from ..registry import Registry
 from .pool import Pool
-from .prediction import Prediction, predict_model, predict_plain
+from .prediction import (
+    Prediction,
+    backlog_tokens,
+    expected_peer_tokens,
+    fill_lowest,
+    predict_model,
+    predict_plain,
+)
 from .prefixindex import PrefixIndex
 from .view import EndpointView, FleetView
 
-FULL_SCAN_ENDPOINTS = 8
-SAMPLE_ENDPOINTS = 8
-PREFIX_ENDPOINTS = 4
+FULL_SCAN_ENDPOINTS = 6
+SAMPLE_ENDPOINTS = 6
+PREFIX_ENDPOINTS = 2
+TIE_RATIO = 0.1
 
 
 class RouteRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -92,22 +101,54 @@
         self.kinds: dict[ServiceId, ServiceKind] = {}
 
     def predict(
-        self, request: RouteRequest, view: EndpointView, endpoints: int, now_ms: int
+        self,
+        request: RouteRequest,
+        view: EndpointView,
+        now_ms: int,
+        peer_tokens: float = 0.0,
+        backlog: float | None = None,
     ) -> Prediction:
         """Return the prediction for ``request`` at ``view``."""
-        if self.kinds.get(request.service) is ServiceKind.PLAIN:
+        if self.is_plain(request):
             return predict_plain(view)
         cached = self.prefixes.cached_tokens(view.id, request.prefix_blocks)
         return predict_model(
             view,
             self.fleet,
-            endpoints,
             request.prompt_tokens,
             cached,
             request.max_tokens,
+            peer_tokens,
             now_ms,
+            backlog,
         )
 
+    def predict_all(
+        self,
+        request: RouteRequest,
+        views: Sequence[EndpointView],
+        endpoints: int,
+        now_ms: int,
+    ) -> list[Prediction]:
+        """Return predictions that take in what peers sent unseen.
+
+        ``endpoints`` is how many share the traffic, looked at or not.
+        """
+        if self.is_plain(request) or not self.fleet.peers:
+            return [self.predict(request, view, now_ms) for view in views]
+        fleet = self.fleet
+        amount = sum(expected_peer_tokens(v, fleet, endpoints, now_ms) for v in views)
+        backlogs = [backlog_tokens(view, now_ms) for view in views]
+        fills = fill_lowest(backlogs, amount)
+        return [
+            self.predict(request, view, now_ms, fill, backlog)
+            for view, fill, backlog in zip(views, fills, backlogs, strict=True)
+        ]
+
+    def is_plain(self, request: RouteRequest) -> bool:
+        """Return whether the request is for a plain service."""
+        return self.kinds.get(request.service) is ServiceKind.PLAIN
+
 
 PolicyFactory = type
 POLICIES: Registry[PolicyFactory] = Registry("routing policy")
@@ -125,6 +166,7 @@
     full_scan_endpoints = FULL_SCAN_ENDPOINTS
     sample_endpoints = SAMPLE_ENDPOINTS
     prefix_endpoints = PREFIX_ENDPOINTS
+    tie_ratio = TIE_RATIO
 
     def __init__(self, scorer: Scorer, rng: random.Random):
         self._scorer = scorer
@@ -136,15 +178,30 @@
         """Return the sample's usable endpoints, best first."""
         views = self._sample(request, pool, usable)
         count = len(pool.endpoints)
-        scorer = self._scorer
-        found = [scorer.predict(request, view, count, now_ms) for view in views]
+        found = self._scorer.predict_all(request, views, count, now_ms)
         if len(found) > 1:
             self._rng.shuffle(found)
-        if request.stream:
-            found.sort(key=_by_first_token)
-        else:
-            found.sort(key=_by_completion)
-        return found
+        found.sort(key=_by_first_token if request.stream else _by_completion)
+        return self._settle_ties(found)
+
+    def _settle_ties(self, found: list[Prediction]) -> list[Prediction]:
+        """Put one of those that are as good as the best first, at random.
+
+        Differences below the error of predictions would send a burst from
+        all daemons to one endpoint before any report shows it.
+        """
+        if len(found) < 2 or self.tie_ratio <= 0.0:
+            return found
+        best = found[0]
+        limit_ms = best.first_token_ms * self.tie_ratio
+        slower_ms = [
+            prediction.first_token_ms - best.first_token_ms for prediction in found
+        ]
+        ties = [i for i, late_ms in enumerate(slower_ms) if abs(late_ms) <= limit_ms]
+        least = min(found[i].own_requests for i in ties)
+        ties = [i for i in ties if found[i].own_requests == least]
+        chosen = found.pop(self._rng.choice(ties))
+        return [chosen, *found]
 
     def _sample(
         self, request: RouteRequest, pool: Pool, usable: Usable
@@ -208,9 +265,8 @@
             return []
         self._next += 1
         picked = [usables[(self._next + i) % len(usables)] for i in range(2)]
-        count = len(pool.endpoints)
         views = picked[: len(usables)]
-        return [self._scorer.predict(request, v, count, now_ms) for v in views]
+        return self._scorer.predict_all(request, views, len(pool.endpoints), now_ms)
 
 
 @POLICIES.register("least-outstanding")
@@ -228,5 +284,5 @@
         usables = [view for view in pool.endpoints if usable(view)]
         self._rng.shuffle(usables)
         usables.sort(key=lambda view: len(view.attempts))
-        count = len(pool.endpoints)
-        return [self._scorer.predict(request, v, count, now_ms) for v in usables[:2]]
+        views = usables[:2]
+        return self._scorer.predict_all(request, views, len(pool.endpoints), now_ms)
