--- a/testing/control/rollouts.py
+++ b/testing/control/rollouts.py
@@ -55,6 +55,24 @@
     )
 
 
+def engine_deployment(bad: BadVersion, deadline_ms: int) -> Deployment:
+    """Return a deployment in which ``v2`` of the model service is ordered."""
+    profile = EngineProfile(bad_versions={"v2": bad})
+    document = small_document()
+    order = Version("model", "v2", 1_800_000_000_000 + deadline_ms)
+    return small_deployment(
+        document=msgspec.structs.replace(
+            document, versions=(*document.versions, order)
+        ),
+        entries=ENTRIES,
+        endpoints=tuple(
+            EndpointPlan(f"engine-{version}-{n}", "model", version, zone, profile)
+            for version in ("v1", "v2")
+            for n, zone in enumerate(("zone-a", "zone-b", "zone-a", "zone-b"))
+        ),
+    )
+
+
 class Calls:
     """Calls of the catalogue at a steady rate through random entry instances."""
 
@@ -99,9 +117,9 @@
     return msgspec.json.decode(found.value) if found else None
 
 
-def state(world, version: str = "v2") -> str:
+def state(world, version: str = "v2", service: str = "catalogue") -> str:
     """Return a version's state as the table has it."""
-    found = row(world, version)
+    found = row(world, version, service)
     return found["state"] if found else ""
 
 
--- a/testing/control/test_rollout_failures.py
+++ b/testing/control/test_rollout_failures.py
@@ -86,6 +86,25 @@
         run_world(script, rollout_deployment(bad, deadline_ms=DEADLINE_MS))
 
 
+class TestPeers(unittest.TestCase):
+    def test_a_trip_reaches_the_peers_without_the_store(self):
+        async def script(world):
+            calls = Calls(world, 7, PER_S)
+            await calls.run_ms(left_ms(world), lambda: state(world) == "ramp")
+            await calls.run_ms(2_500)
+            world.platform.faults.outage(True, Part.TABLE)
+            first, *_ = world.entries.values()
+            watch = first.instance.rollout_watch
+            seen_ms = world.clock.wall_ms()
+            watch.trip_from_peer("catalogue", "v2", "an old one", 1)
+            self.assertNotEqual(shares(world)[0], {"v1": 1.0})
+            watch.trip_from_peer("catalogue", "v2", "seen", seen_ms)
+            await world.clock.sleep_ms(1_000)
+            self.assertEqual(shares(world), [{"v1": 1.0}] * len(ENTRIES))
+
+        run_world(script, rollout_deployment(deadline_ms=DEADLINE_MS))
+
+
 class TestHolders(unittest.TestCase):
     def test_holders_that_die_in_each_state_are_followed_by_others(self):
         async def script(world):
--- a/testing/control/test_rollout_world.py
+++ b/testing/control/test_rollout_world.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from _monsoonpulley.standins.bad_version import BadEffect, BadVersion
 
-from ..support import run_world
-from .rollouts import Calls, rollout_deployment, row, sends, state
+from ..support import ALICE, run_world
+from .rollouts import Calls, engine_deployment, rollout_deployment, row, sends, state
 
 SHARE_AIM = 0.05
 SEEDS = (1,)
@@ -63,3 +64,32 @@
             for seed in SEEDS:
                 with self.subTest(name, seed=seed):
                     run_world(script, rollout_deployment(bad, DEADLINE_MS), seed)
+
+    def test_a_slow_engine_version_is_taken_back_and_streams_stay_whole(self):
+        async def script(world):
+            answers = []
+
+            async def ask(number):
+                entry = sorted(world.entries)[number % len(world.entries)]
+                body = {
+                    "model": "question",
+                    "messages": [{"role": "user", "content": f"case {number} " * 20}],
+                    "max_tokens": 8,
+                    "stream": True,
+                }
+                caller = world.caller(entry, ALICE)
+                path = "/v1/chat/completions"
+                answers.append(await caller.post_json(path, body))
+
+            tasks = []
+            for number in range(600):
+                tasks.append(asyncio.create_task(ask(number)))
+                await world.clock.sleep_ms(100)
+                if state(world, service="model") == "taken_back":
+                    break
+            await asyncio.gather(*tasks)
+            self.assertEqual(state(world, service="model"), "taken_back")
+            self.assertIn("slow", row(world, service="model")["why"])
+            self.assertTrue(all(a.complete and a.status == 200 for a in answers))
+
+        run_world(script, engine_deployment(BadVersion.slow_at_once(), DEADLINE_MS))
--- a/testing/operatorserver.py
+++ b/testing/operatorserver.py
@@ -22,7 +22,9 @@
     EntryStatus,
     ExplainBody,
     ExplainLine,
+    RolloutsBody,
     RolloutStatus,
+    RolloutStepStatus,
     StatusBody,
 )
 from testing.config.faketable import FakeTable, TableClient
@@ -44,6 +46,13 @@
         rollouts = (RolloutStatus("pool", "v2", "ramp", 1_796_378_400_000, "3 of 10"),)
         return StatusBody("e1", "z1", 2, rollouts=rollouts)
 
+    def rollouts(self):
+        step = RolloutStepStatus("canary", 0.03, 1_796_378_300_000, "its turn")
+        rollout = RolloutStatus(
+            "pool", "v2", "ramp", 1_796_378_400_000, "3 of 10", 0.2, 1, (step,)
+        )
+        return RolloutsBody("e1", (rollout,))
+
     async def explain(self, subject):
         line = ExplainLine(1_796_378_400_000, "e1", "routed", {"endpoint": "w1"})
         return ExplainBody(subject, (line,))
--- a/testing/test_cli.py
+++ b/testing/test_cli.py
@@ -207,6 +207,8 @@
             (["config", "history"], r"1 +\S+Z +ana +[0-9a-f]{32} +start"),
             (["config", "status"], r"revision 2: in force in 1 of 2 known"),
             (["status"], r"pool +v2 +ramp +\S+Z +3 of 10"),
+            (["rollout", "status"], r"pool +v2 +ramp +20% +\S+Z +3 of 10"),
+            (["rollout", "history"], r"\S+Z +pool +v2 +canary +3% +its turn"),
             (["explain", "r/1"], r"request r/1\n\S+Z  e1  routed  endpoint=\"w1\""),
         ):
             with self.subTest(arguments):
