Record sessions in which a version is done and one is taken back

Cause: no session ordered a version.

Change: sessions good-version and bad-version.

A test reads both recordings: done and taken back before the deadline, and each of the callers' answers has status 200.

--- a/testing/goldens/test_sessions.py
+++ b/testing/goldens/test_sessions.py
@@ -34,3 +34,15 @@
                 self.assertLessEqual(summary["most_executions_of_a_key"], 1)
                 for line in lines:
                     self.assertNotIn(line["event"], ("request_fault", "journal_fault"))
+
+    def test_versions_end_as_they_should_and_every_caller_is_answered(self):
+        for name, state in (("good-version", "done"), ("bad-version", "taken_back")):
+            with self.subTest(name):
+                text = plans.get(name).path().read_text(encoding="utf-8")
+                lines = [msgspec.json.decode(line) for line in text.splitlines()]
+                stands = [x["row"] for x in lines if x["event"] == "rollout_stands"]
+                row = next(row for row in stands if row["version"] == "3.3")
+                self.assertEqual(row["state"], state)
+                self.assertLess(row["since_wall_ms"], row["deadline_wall_ms"])
+                answers = [x for x in lines if x["event"] == "caller_gets"]
+                self.assertEqual({x["status"] for x in answers}, {200})
