Take no trouble of both versions for the new one's; settle dropped versions

Cause: the old version's rate was that of all its time, so that a trouble that began just now for both spoke against the new one alone. A version whose service had no other order was never settled once it was dropped, since the duty was gone. Each start of an instance said 'rollout_done' or 'rollout_taken_back' for versions settled long before.

Change: the old version's last 30 results count too; services with an unsettled row keep their duty; what was settled before the first read is no news.

--- a/src/_monsoonpulley/control/parts.py
+++ b/src/_monsoonpulley/control/parts.py
@@ -14,6 +14,7 @@
 from ..journal.recovery import IsGone, Recovery
 from ..log import Log
 from ..platform.table import Table
+from .rolloutview import RolloutView
 
 
 class DutyParts(msgspec.Struct, frozen=True, kw_only=True):
@@ -29,6 +30,8 @@
         Returns the live entry instances.
     endpoints_of : callable
         Returns the LIVE endpoints of a version.
+    rollouts : RolloutView
+        Versions on their way, as this instance knows them.
     """
 
     clock: Clock
@@ -41,3 +44,4 @@
     rng: random.Random
     live_entries: Callable[[], Sequence[InstanceId]]
     endpoints_of: Callable[[ServiceId, VersionId], Sequence[EndpointId]]
+    rollouts: RolloutView
--- a/src/_monsoonpulley/control/rolloutduty.py
+++ b/src/_monsoonpulley/control/rolloutduty.py
@@ -46,9 +46,11 @@
         self._unclean: set[ServiceId] = set()
 
     def shards(self) -> Sequence[str]:
-        """Return the services for which a version with a deadline is named."""
-        document = self._parts.document()
-        return sorted({order.service for order in orders_of(document)})
+        """Return the services with an ordered version, or one to take back."""
+        named = {order.service for order in orders_of(self._parts.document())}
+        rows = self._parts.rollouts.rows()
+        left = {row.service for row in rows if row.state not in SETTLED}
+        return sorted(named | left)
 
     async def run(self, shard: str, hold: Hold) -> None:
         """Look at the service's versions again and again."""
--- a/src/_monsoonpulley/control/rolloutwatch.py
+++ b/src/_monsoonpulley/control/rolloutwatch.py
@@ -48,6 +48,11 @@
 JITTER = 0.2
 STEP = "rollouts"
 
+SETTLED_EVENTS = {
+    RolloutState.DONE: "rollout_done",
+    RolloutState.TAKEN_BACK: "rollout_taken_back",
+}
+
 
 class RolloutWatch:
     """Keeps this daemon's view of the rollouts up to date.
@@ -187,12 +192,10 @@
         self._say(row)
 
     def _say(self, row: RolloutRow) -> None:
-        """Log that a row is in force here."""
+        """Log that a row is in force here; one from before the start is no news."""
         name = "rollout_in_force"
-        if row.state is RolloutState.DONE:
-            name = "rollout_done"
-        if row.state is RolloutState.TAKEN_BACK:
-            name = "rollout_taken_back"
+        if self._has_read.is_set():
+            name = SETTLED_EVENTS.get(row.state, name)
         self._log.event(
             name,
             service=row.service,
--- a/src/_monsoonpulley/control/verdict.py
+++ b/src/_monsoonpulley/control/verdict.py
@@ -24,6 +24,10 @@
 BAD_WEIGHTS = (0.2, 0.2, 0.6)
 """Mixture weights of the bad rates; they sum to 1."""
 MIN_P0 = 0.002
+MAX_P0 = 0.95
+RECENT = 30
+RECENT_BAD = 3
+"""Bad results of the old version's last `RECENT` that count as trouble of late."""
 OLD_TIMES = 200
 LIMIT_EVERY = 10
 """Old times after which the limit is worked out again."""
@@ -121,20 +125,36 @@
         return self._limit_ms
 
 
+class _BadRate:
+    """How often the old version's results are bad, in all and of late."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._bad = 0
+        self._recent: deque[bool] = deque(maxlen=RECENT)
+
+    def add(self, is_bad: bool) -> None:
+        self._count += 1
+        self._bad += is_bad
+        self._recent.append(is_bad)
+
+    def p0(self) -> float:
+        """Return twice the rate; of late, if both versions may be meeting trouble."""
+        rate = (self._bad + 1) / (self._count + 200)
+        recent = sum(self._recent)
+        if recent >= RECENT_BAD:
+            rate = max(rate, recent / len(self._recent))
+        return min(max(MIN_P0, 2.0 * rate), MAX_P0)
+
+
 class _Old:
     """What is known of the old version on one route."""
 
     def __init__(self) -> None:
         self.first = OldTimes()
         self.gap = OldTimes()
-        self.count = 0
-        self.failed = 0
-        self.slow = 0
-
-    def p0(self, bad: int) -> float:
-        """Return twice the old version's rate, as it may have been by chance."""
-        rate = (bad + 1) / (self.count + 200)
-        return min(max(MIN_P0, 2.0 * rate), 0.5)
+        self.failed = _BadRate()
+        self.slow = _BadRate()
 
 
 class _Tests:
@@ -200,9 +220,8 @@
     def add(self, result: Result) -> None:
         """Take in a result of the old version."""
         old = self._old.setdefault(result.route, _Old())
-        old.count += 1
-        old.failed += result.is_failure
-        old.slow += not result.is_failure and self.is_slow(result)
+        old.failed.add(result.is_failure)
+        old.slow.add(not result.is_failure and self.is_slow(result))
         if result.is_failure:
             return
         old.first.add(result.first_answer_ms)
@@ -212,12 +231,12 @@
     def fail_p0(self, route: str) -> float:
         """Return the failure rate that the old version doesn't exceed."""
         old = self._old.get(route)
-        return old.p0(old.failed) if old else MIN_P0
+        return old.failed.p0() if old else MIN_P0
 
     def slow_p0(self, route: str) -> float:
         """Return the rate of slow results that the old version doesn't exceed."""
         old = self._old.get(route)
-        return old.p0(old.slow) if old else MIN_P0
+        return old.slow.p0() if old else MIN_P0
 
     def is_slow(self, result: Result) -> bool:
         """Tell whether a result is slower than the old version's."""
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -323,6 +323,7 @@
             rng=rng,
             live_entries=self._all_entries,
             endpoints_of=self.router.fleet.live_endpoints,
+            rollouts=self.rollouts,
         )
         self.duties = DutyRunner(
             self.identity.instance,
--- a/testing/control/test_rollout_failures.py
+++ b/testing/control/test_rollout_failures.py
@@ -234,6 +234,21 @@
             run_world(script, rollout_deployment(deadline_ms=DEADLINE_MS), seed)
 
 
+class TestDroppedVersion(unittest.TestCase):
+    def test_a_version_that_is_no_longer_named_is_taken_back(self):
+        async def script(world):
+            calls = Calls(world, 8, PER_S)
+            await calls.run_ms(10_000)
+            self.assertEqual(state(world), "canary")
+            head = await world.config_store().head()
+            await world.apply(small_document(), head.number, "operator")
+            await calls.run_ms(15_000)
+            self.assertEqual(state(world), "taken_back")
+            self.assertEqual(shares(world), [{"v1": 1.0}] * len(ENTRIES))
+
+        run_world(script, rollout_deployment(deadline_ms=DEADLINE_MS))
+
+
 class TestSecondVersion(unittest.TestCase):
     def test_it_waits_for_the_first_and_then_takes_over_from_it(self):
         second = Version("catalogue", "v3", START_WALL_MS + 2 * DEADLINE_MS)
--- a/testing/control/test_verdict.py
+++ b/testing/control/test_verdict.py
@@ -88,3 +88,10 @@
             now_ms = 1_000 + number % CRASH_WINDOW_MS
             self.assertFalse(verdict.add(crash, old, now_ms))
         self.assertEqual(verdict.bad, 1)
+
+    def test_trouble_that_both_versions_meet_is_no_fault_of_the_new_one(self):
+        verdict, old = Verdict(0.001), old_results(random.Random(4))
+        for number in range(100):
+            for _ in range(5):
+                old.add(result("v1", failed=True))
+            self.assertFalse(verdict.add(result(failed=True), old, number * 100))
