--- a/src/_monsoonpulley/control/parts.py
+++ b/src/_monsoonpulley/control/parts.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from ..clock import Clock
 from ..config.document import Document
+from ..ids import EndpointId, InstanceId, ServiceId, VersionId
 from ..journal.collection import Collection
 from ..journal.recovery import IsGone, Recovery
 from ..log import Log
+from ..platform.table import Table
+from .rolloutview import RolloutView
 
 
 class DutyParts(msgspec.Struct, frozen=True, kw_only=True):
@@ -22,6 +26,12 @@
         Returns the configuration in force, ``None`` before there is one.
     is_gone : callable
         Tells for an instance and incarnation whether it has left.
+    live_entries : callable
+        Returns the live entry instances.
+    endpoints_of : callable
+        Returns the LIVE endpoints of a version.
+    rollouts : RolloutView
+        Versions on their way, as this instance knows them.
     """
 
     clock: Clock
@@ -30,3 +40,8 @@
     recovery: Recovery
     collection: Collection
     is_gone: IsGone
+    table: Table
+    rng: random.Random
+    live_entries: Callable[[], Sequence[InstanceId]]
+    endpoints_of: Callable[[ServiceId, VersionId], Sequence[EndpointId]]
+    rollouts: RolloutView
--- /dev/null
+++ b/src/_monsoonpulley/control/rolloutduty.py
@@ -0,0 +1,171 @@
+"""The duty that moves the versions of one service; one holder at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+import msgspec
+
+from ..errors import Failure, Reason
+from ..ids import ServiceId
+from ..platform.table import ABSENT_REVISION, Row, Write
+from .duties import duty_kinds
+from .leases import Hold
+from .parts import DutyParts
+from .rollout import RolloutDecision, RolloutRules, RolloutSettings
+from .rolloutpass import Found, decide_all, orders_of
+from .rolloutrows import (
+    REPORT_PREFIX,
+    ROLLOUT_PREFIX,
+    SETTLED,
+    TRIP_PREFIX,
+    ReportRow,
+    RolloutRow,
+    TripRow,
+    decode,
+    rollout_key,
+)
+
+PASS_MS = 1_000
+CALL_MS = 1_000
+SCAN_ROWS = 500
+DELETED_ROWS = 64
+TOKEN_BITS = 64
+replace = msgspec.structs.replace
+
+
+@duty_kinds.register("rollout")
+class RolloutDuty:
+    """Moves traffic to ordered versions, or takes them back."""
+
+    def __init__(self, parts: DutyParts):
+        self._parts = parts
+        self._rules = RolloutRules(RolloutSettings())
+        self._said: dict[str, str] = {}
+        self._unclean: set[ServiceId] = set()
+
+    def shards(self) -> Sequence[str]:
+        """Return the services with an ordered version, or one to take back."""
+        named = {order.service for order in orders_of(self._parts.document())}
+        rows = self._parts.rollouts.rows()
+        left = {row.service for row in rows if row.state not in SETTLED}
+        return sorted(named | left)
+
+    async def run(self, shard: str, hold: Hold) -> None:
+        """Look at the service's versions again and again."""
+        was_failing = False
+        while True:
+            if hold.may_act():
+                failure = await self.look(ServiceId(shard), hold)
+                if failure is not None and not was_failing:
+                    self._parts.log.event("rollout_failed", failure=failure)
+                was_failing = failure is not None
+            await self._parts.clock.sleep_ms(PASS_MS)
+
+    async def look(self, service: ServiceId, hold: Hold) -> Failure | None:
+        """Decide on each version of a service once."""
+        found = await self._read(service)
+        if isinstance(found, Failure):
+            return found
+        document = self._parts.document()
+        if document is None:
+            return None
+        for decision in decide_all(
+            self._rules,
+            document,
+            service,
+            found,
+            live=sorted(self._parts.live_entries()),
+            endpoints_of=self._parts.endpoints_of,
+            wall_ms=self._parts.clock.wall_ms(),
+        ):
+            self._note(decision)
+            if decision.after is not None:
+                key = rollout_key(service, decision.order.version)
+                _, revision = found.rows.get(key, (None, ABSENT_REVISION))
+                return await self._write(decision, revision, hold)
+        return await self._clean(found, hold)
+
+    async def _write(
+        self, decision: RolloutDecision, revision: int, hold: Hold
+    ) -> Failure | None:
+        """Write a transition under the lease; a conflict is looked at again."""
+        before, after = decision.before, decision.after
+        if before is not None and before.fencing_number > hold.fencing_number:
+            return Failure(Reason.FENCED, "rollout.write", "platform")
+        token = f"{self._parts.rng.getrandbits(TOKEN_BITS):016x}"
+        after = replace(after, fencing_number=hold.fencing_number, token=token)
+        key = rollout_key(after.service, after.version)
+        write = Write(key, msgspec.json.encode(after), revision)
+        if not hold.may_act():
+            return Failure(Reason.FENCED, "rollout.write", "platform")
+        result = await self._call(self._parts.table.commit([write]), Reason.IN_DOUBT)
+        return result if isinstance(result, Failure) else None
+
+    async def _clean(self, found: Found, hold: Hold) -> Failure | None:
+        """Delete reports of versions that are settled."""
+        settled = {
+            row.version for row, _ in found.rows.values() if row.state in SETTLED
+        }
+        old = [row for report, row in found.reports if report.version in settled]
+        if not old or not hold.may_act():
+            return None
+        writes = [Write(row.key, None, row.revision) for row in old[:DELETED_ROWS]]
+        result = await self._call(self._parts.table.commit(writes), Reason.IN_DOUBT)
+        return result if isinstance(result, Failure) else None
+
+    async def _read(self, service: ServiceId) -> Found | Failure:
+        found = Found({}, [], [])
+        rows = await self._scan(f"{ROLLOUT_PREFIX}{service}/")
+        if isinstance(rows, Failure):
+            return rows
+        for stored in rows:
+            row = decode(stored, RolloutRow)
+            if row is not None:
+                found.rows[stored.key] = (row, stored.revision)
+        if found.is_settled() and service not in self._unclean:
+            return found
+        trips = await self._scan(f"{TRIP_PREFIX}{service}/")
+        reports = await self._scan(f"{REPORT_PREFIX}{service}/")
+        for each in (trips, reports):
+            if isinstance(each, Failure):
+                return each
+        decoded = [decode(stored, TripRow) for stored in trips]
+        found.trips = [trip for trip in decoded if trip is not None]
+        for stored in reports:
+            report = decode(stored, ReportRow)
+            if report is not None:
+                found.reports.append((report, stored))
+        self._unclean.discard(service)
+        if not found.is_settled() or found.reports:
+            self._unclean.add(service)
+        return found
+
+    async def _scan(self, prefix: str) -> list[Row] | Failure:
+        rows: list[Row] = []
+        while True:
+            after = rows[-1].key if rows else ""
+            page = await self._call(
+                self._parts.table.scan(prefix, after=after, limit=SCAN_ROWS),
+                Reason.TIMEOUT,
+            )
+            if isinstance(page, Failure):
+                return page
+            rows += page
+            if len(page) < SCAN_ROWS:
+                return rows
+
+    async def _call(self, call, unanswered: Reason):
+        try:
+            return await asyncio.wait_for(call, CALL_MS / 1000)
+        except TimeoutError:
+            return Failure(unanswered, "rollout.table", "platform")
+
+    def _note(self, decision: RolloutDecision) -> None:
+        """Log a decision, those to wait only when their rule changed."""
+        key = rollout_key(decision.order.service, decision.order.version)
+        if decision.after is None and self._said.get(key) == decision.rule:
+            return
+        self._said[key] = decision.rule
+        self._parts.log.decision(decision)
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -14,12 +14,18 @@
 from .config.document import Document, Revision
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
+from .control import rolloutduty  # noqa: F401  (registers the duty)
 from .control.duties import DutyRunner, make_duties
 from .control.journalduties import log_pass
 from .control.leases import Leases
 from .control.leasestate import LeaseSettings
 from .control.parts import DutyParts
-from .control.startingversions import StartingVersions
+from .control.rollout import RolloutSettings
+from .control.rolloutobserver import RolloutObserver
+from .control.rolloutrows import TripRow
+from .control.rolloutview import RolloutView
+from .control.rolloutwatch import RolloutWatch
+from .control.versionshares import RolloutShares
 from .endpoints.engine import EngineClient
 from .endpoints.feed import EngineFeed
 from .endpoints.pool import Client, EndpointPool
@@ -39,12 +45,13 @@
 from .lifecycle import Lifecycle
 from .noticewatch import NoticeWatch
 from .overview import InstanceOverview
+from .peers.digest import TrippedVersion
 from .peers.envelope import Sealer
 from .peers.exchange import PeerExchange
 from .peers.host import RouterHost
 from .peers.membership import Membership
 from .platform.cloud import ReclaimNotice
-from .platform.livelist import Member, MemberState
+from .platform.livelist import Member, MemberState, Role
 from .requests.admissiongate import AdmissionGate
 from .requests.dispatcher import JournalDispatcher
 from .requests.evacuator import Evacuator, reported_speeds
@@ -67,6 +74,10 @@
 not act on; no other instance can tell that they were left."""
 
 
+FIRST_ROLLOUTS_MS = 5_000
+"""How long readiness waits for the first read of the rollouts."""
+
+
 class EntryInstance:
     """One entry instance.
 
@@ -91,6 +102,7 @@
         self._build_configuration()
         self._build_endpoints()
         self._build_peers()
+        self._build_rollouts()
         self._build_requests()
         self._build_streams()
         self._build_recovery()
@@ -165,6 +177,53 @@
             around.metrics,
         )
 
+    def _build_rollouts(self) -> None:
+        around = self._around
+        view = RolloutView(self.document)
+        self.rollouts = view
+        self.rollout_observer = RolloutObserver(
+            view,
+            self.identity.instance,
+            lambda: len(self._live_entries()),
+            around.clock,
+        )
+        self.versions = RolloutShares(
+            view,
+            self.identity.instance,
+            self._live_entries,
+            self.router.fleet.live_endpoints,
+            around.clock,
+            RolloutSettings(),
+            self.rollout_observer.is_suspected,
+        )
+        self.rollout_watch = RolloutWatch(
+            around.platform.table,
+            self.identity,
+            view,
+            self.rollout_observer,
+            self._hold_back,
+            around.clock,
+            random.Random(around.rng.getrandbits(64)),
+            around.log,
+            around.metrics,
+        )
+        self.rollouts.on_trip(self._tell_trip)
+        self.peer_host.on_tripped(self._hear_trip)
+
+    def _tell_trip(self, trip: TripRow) -> None:
+        """Tell the peers at once that a version gets no more traffic."""
+        self.exchange.add_tripped(
+            TrippedVersion(
+                trip.service, trip.version, trip.why[:500], trip.seen_wall_ms
+            )
+        )
+
+    def _hear_trip(self, item: TrippedVersion) -> None:
+        if item.is_tripped:
+            self.rollout_watch.trip_from_peer(
+                item.service, item.version, item.why, item.since_wall_ms
+            )
+
     def _build_peers(self) -> None:
         around = self._around
         self.exchange = PeerExchange(
@@ -181,10 +240,10 @@
 
     def _build_requests(self) -> None:
         around = self._around
-        versions = StartingVersions(self.document)
         self.placement = RoutedPlacement(
-            self.router, versions, around.clock, around.log, around.metrics
+            self.router, self.versions, around.clock, around.log, around.metrics
         )
+        self.placement.observer = self.rollout_observer
         self.gate = AdmissionGate(
             self.router, self.placement, around.clock, around.log, around.metrics
         )
@@ -248,6 +307,11 @@
             recovery=self.recovery,
             collection=self.collection,
             is_gone=self._is_gone,
+            table=around.platform.table,
+            rng=rng,
+            live_entries=self._all_entries,
+            endpoints_of=self.router.fleet.live_endpoints,
+            rollouts=self.rollouts,
         )
         self.duties = DutyRunner(
             self.identity.instance,
@@ -316,6 +380,7 @@
             self.membership,
             self._around.clock,
             self.leases,
+            self.rollouts,
         )
         handlers = OperatorHandlers(
             self._operator_sha256, self.config_store, self.watcher, overview
@@ -338,6 +403,7 @@
         requests.add("own-records", self._recover_own)
         control = self._new_supervisor("control")
         control.add("leases", self._hold_leases)
+        control.add("rollouts", self.rollout_watch.run)
         control.add("hand-over", self._hand_over, Restart.ON_FAILURE)
         root.add("configuration", self.watcher.run)
         root.add("readiness", self._become_ready, Restart.ON_FAILURE)
@@ -400,6 +466,7 @@
     async def _become_ready(self) -> None:
         await self.watcher.wait_ready()
         await self.roster.refresh()
+        await self.rollout_watch.wait_read(FIRST_ROLLOUTS_MS)
         self.lifecycle.ready()
 
     async def _hold_leases(self) -> None:
@@ -421,6 +488,12 @@
             log_pass(self._around.log, "recovery", report)
             wait_ms = OWN_RECORDS_INTERVAL_MS
 
+    def _hold_back(self) -> None:
+        """Keep a canary's traffic on few endpoints."""
+        document = self.document()
+        services = list(document.services) if document else []
+        self.router.held_back = self.versions.held_back(services)
+
     def _live_entries(self) -> list[InstanceId]:
         """Return who may hold duties, of all data centres that are heard."""
         now_ms = self._around.clock.now_ms()
@@ -429,6 +502,15 @@
             live.append(self.identity.instance)
         return sorted(live)
 
+    def _all_entries(self) -> list[InstanceId]:
+        """Return who may have requests, also in data centres not heard now."""
+        listed = {
+            InstanceId(member.instance)
+            for member in self.roster.members
+            if member.role is Role.ENTRY and member.state is MemberState.LIVE
+        }
+        return sorted(listed.union(self._live_entries()))
+
     def _is_former_self(self, instance: InstanceId, incarnation: int) -> bool:
         is_self = instance == self.identity.instance
         return is_self and incarnation < self.identity.incarnation
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/overview.py
@@ -8,6 +8,8 @@
 from .clock import Clock
 from .config.watcher import ConfigWatcher
 from .control.leases import Leases
+from .control.rolloutrows import SETTLED, RolloutRow
+from .control.rolloutview import RolloutView
 from .endpoints.pool import EndpointPool
 from .identity import Identity
 from .ids import EndpointId
@@ -35,6 +37,8 @@
         Of the instance.
     leases : Leases
         Control duties and who holds them.
+    rollouts : RolloutView
+        Versions on their way.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         membership: Membership,
         clock: Clock,
         leases: Leases,
+        rollouts: RolloutView,
     ):
         self._identity = identity
         self._lifecycle = lifecycle
@@ -58,6 +63,7 @@
         self._membership = membership
         self._clock = clock
         self._leases = leases
+        self._rollouts = rollouts
 
     def config_status(self) -> wire.ConfigStatusBody:
         """Say in which entry instances the newest known revision is in force."""
@@ -75,9 +81,36 @@
             number=self._watcher.number,
             entries=(own, *self._peer_statuses(own)),
             endpoints=self._endpoints(),
+            rollouts=self.rollouts().rollouts,
             duties=self._duties(),
         )
 
+    def rollouts(self) -> wire.RolloutsBody:
+        """Return where each ordered version stands and how it got there."""
+        return wire.RolloutsBody(
+            self._identity.instance,
+            tuple(self._rollout(row) for row in self._rollouts.rows()),
+        )
+
+    def _rollout(self, row: RolloutRow) -> wire.RolloutStatus:
+        trip = self._rollouts.trip_of(row)
+        why = row.why
+        if trip is not None and row.state not in SETTLED:
+            why = f"tripped by {trip.instance or 'a peer'}: {trip.why}"
+        return wire.RolloutStatus(
+            service=row.service,
+            version=row.version,
+            state=row.state.value,
+            deadline_wall_ms=row.deadline_wall_ms,
+            why=why,
+            share=row.share,
+            attempt=row.attempt,
+            steps=tuple(
+                wire.RolloutStepStatus(s.state.value, s.share, s.wall_ms, s.why)
+                for s in row.steps
+            ),
+        )
+
     async def explain(self, subject: str) -> wire.ExplainBody:
         """Return the events and decisions about a request, oldest first."""
         lines = [_explain_line(text) for text in self._log.memory.recall(subject)]
--- a/src/_monsoonpulley/standins/processes.py
+++ b/src/_monsoonpulley/standins/processes.py
@@ -6,7 +6,6 @@
 from collections.abc import Coroutine
 from contextvars import ContextVar
 from typing import Any
-from weakref import WeakSet
 
 from starlette.types import ASGIApp, Receive, Scope, Send
 
@@ -21,7 +20,8 @@
     """
 
     def __init__(self) -> None:
-        self._tasks: dict[str, WeakSet[asyncio.Task]] = {}
+        # Dicts keep the order of starts, so that kills are repeatable.
+        self._tasks: dict[str, dict[asyncio.Task, None]] = {}
 
     def install(self) -> None:
         """Note the owner of each task that the running loop makes from now on."""
@@ -67,5 +67,7 @@
         task = asyncio.Task(coro, loop=loop, **options)
         owner = _owner.get()
         if owner:
-            self._tasks.setdefault(owner, WeakSet()).add(task)
+            tasks = self._tasks.setdefault(owner, {})
+            tasks[task] = None
+            task.add_done_callback(lambda done: tasks.pop(done, None))
         return task
