--- a/testing/control/test_rollout_kinds.py
+++ b/testing/control/test_rollout_kinds.py
@@ -10,6 +10,8 @@
 
 SHARE_AIM = 0.05
 SEEDS = (1001, 1002)
+WHOLE = ("fails at once", "slow at once", "fails late", "slow late")
+"""Kinds of which every request is affected."""
 
 
 class TestKindsOfVersions(unittest.TestCase):
@@ -30,3 +32,18 @@
                 bad = faults(random.Random(1))[kind]
                 outcome = play(Managed, bad, SEEDS[0], bad)
                 self.assertEqual(outcome.state, "done", outcome.why)
+
+    def test_a_version_bad_on_all_requests_gets_none_3_s_after_it_shows(self):
+        for kind in WHOLE:
+            for seed in SEEDS:
+                self._check_grace(kind, seed)
+
+    def test_a_version_bad_on_one_route_gets_none_3_s_after_it_shows(self):
+        for seed in range(20):
+            self._check_grace("fails on a route", seed)
+
+    def _check_grace(self, kind: str, seed: int) -> None:
+        with self.subTest(kind, seed=seed):
+            bad = faults(random.Random(seed))[kind]
+            outcome = play(Managed, bad, seed)
+            self.assertEqual(outcome.after_showing, 0)
