Plan the capacity of services over zones and markets

Cause: endpoint instances are reclaimed a zone at a time, and a fleet bought only by price stands in one zone.

--- /dev/null
+++ b/src/_monsoonpulley/control/capacityfill.py
@@ -0,0 +1,140 @@
+"""Filling a fleet of a given size from the cheapest offer on, zone by zone."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+import msgspec
+
+from ..ids import ZoneId
+from .capacityneed import EPSILON
+from .fleet import FleetEndpoint, Need, Offer, units_by_zone
+
+MS_PER_H = 3_600_000
+
+
+class Pricing(msgspec.Struct, frozen=True):
+    """Cost of an offer, risk included.
+
+    Attributes
+    ----------
+    load_ms : int
+        From an instance's process to its serving: wait for the weight store and
+        loading.
+    late_milli_per_unit_h : float
+        Cost of an hour in which one unit a second of capacity is missing.
+    """
+
+    load_ms: int
+    late_milli_per_unit_h: float
+
+    def cost_milli_per_h(self, offer: Offer, zone_share: float = 1.0) -> float:
+        """Return price, replacement and lateness after a reclaim.
+
+        ``zone_share`` is the share of the fleet that goes with the zone.
+        """
+        lead_h = (offer.start_ms + self.load_ms) / MS_PER_H
+        late = offer.units_per_s * self.late_milli_per_unit_h * zone_share
+        return offer.milli_per_h + offer.reclaims_per_h * lead_h * (
+            offer.milli_per_h + late
+        )
+
+
+class Filled(msgspec.Struct, frozen=True):
+    """A fleet of one size: what to start, at what cost, and whether it is whole."""
+
+    size_units_per_s: float
+    counts: tuple[tuple[Offer, int], ...]
+    cost_milli_per_h: float
+    is_whole: bool
+
+
+class _Filling:
+    """Counts while a fleet is filled."""
+
+    def __init__(self, endpoints: Sequence[FleetEndpoint]):
+        self.zones: dict[ZoneId, float] = units_by_zone(endpoints)
+        self.total = sum(self.zones.values())
+        self.firm = sum(
+            each.units_per_s for each in endpoints if not each.market.reclaimable
+        )
+        self.counts: dict[Offer, int] = {}
+
+    def add(self, offer: Offer, count: int) -> None:
+        if count <= 0:
+            return
+        units = offer.units_per_s * count
+        zone = offer.market.zone
+        self.counts[offer] = self.counts.get(offer, 0) + count
+        self.zones[zone] = self.zones.get(zone, 0.0) + units
+        self.total += units
+        if not offer.market.reclaimable:
+            self.firm += units
+
+    def fits(self, offer: Offer, zone_limit: float) -> int:
+        room = zone_limit - self.zones.get(offer.market.zone, 0.0)
+        return max(0, math.floor(room / offer.units_per_s + EPSILON))
+
+
+def fill(
+    need: Need,
+    size_units_per_s: float,
+    endpoints: Sequence[FleetEndpoint],
+    offers: Sequence[Offer],
+    pricing: Pricing,
+) -> Filled:
+    """Return what to add for a fleet of the size that survives any zone."""
+    zone_limit = size_units_per_s - need.loss_units_per_s
+    share = zone_limit / size_units_per_s if size_units_per_s else 1.0
+    ordered = _by_unit_cost(offers, pricing, share)
+    filling = _Filling(endpoints)
+    for offer in ordered:
+        if not offer.market.reclaimable:
+            missing = _count(need.firm_units_per_s - filling.firm, offer)
+            filling.add(offer, min(missing, filling.fits(offer, zone_limit)))
+    for offer in ordered:
+        missing = _count(size_units_per_s - filling.total, offer)
+        filling.add(offer, min(missing, filling.fits(offer, zone_limit)))
+    return _filled(need, size_units_per_s, filling, pricing, share)
+
+
+def fill_regardless(
+    need: Need,
+    endpoints: Sequence[FleetEndpoint],
+    offers: Sequence[Offer],
+    pricing: Pricing,
+) -> Filled:
+    """Return what to add for the total alone, where not all zones can be had."""
+    filling = _Filling(endpoints)
+    for offer in _by_unit_cost(offers, pricing, 1.0):
+        filling.add(offer, _count(need.total_units_per_s - filling.total, offer))
+    return _filled(need, need.total_units_per_s, filling, pricing, 1.0)
+
+
+def _count(missing_units_per_s: float, offer: Offer) -> int:
+    return max(0, math.ceil(missing_units_per_s / offer.units_per_s - EPSILON))
+
+
+def _by_unit_cost(
+    offers: Sequence[Offer], pricing: Pricing, share: float
+) -> list[Offer]:
+    def key(offer: Offer) -> tuple:
+        cost = pricing.cost_milli_per_h(offer, share)
+        return cost / offer.units_per_s, offer.market
+
+    return sorted(offers, key=key)
+
+
+def _filled(
+    need: Need, size: float, filling: _Filling, pricing: Pricing, share: float
+) -> Filled:
+    counts = tuple(filling.counts.items())
+    cost = sum(pricing.cost_milli_per_h(each, share) * n for each, n in counts)
+    most = max(filling.zones.values(), default=0.0)
+    is_whole = (
+        filling.total >= need.total_units_per_s - EPSILON
+        and filling.total - most >= need.loss_units_per_s - EPSILON
+        and filling.firm >= need.firm_units_per_s - EPSILON
+    )
+    return Filled(size, counts, cost, is_whole)
--- /dev/null
+++ b/src/_monsoonpulley/control/capacityneed.py
@@ -0,0 +1,68 @@
+"""Whether endpoints meet a need, as they are and while some are taken away."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from .fleet import FleetEndpoint, Market, Need, Offer, units_by_zone
+
+EPSILON = 1e-9
+"""Slack of comparisons, in units a second."""
+
+
+def unmet(need: Need, endpoints: Sequence[FleetEndpoint]) -> tuple[str, ...]:
+    """Return the constraints that the endpoints don't meet."""
+    zones = units_by_zone(endpoints)
+    total = sum(zones.values())
+    firm = sum(
+        each.units_per_s
+        for each in endpoints
+        if each.counts and not each.market.reclaimable
+    )
+    found = []
+    if total < need.total_units_per_s - EPSILON:
+        found.append("total")
+    if firm < need.firm_units_per_s - EPSILON:
+        found.append("firm")
+    for zone in sorted(zones):
+        if total - zones[zone] < need.loss_units_per_s - EPSILON:
+            found.append(f"without {zone}")
+    return tuple(found)
+
+
+class Room:
+    """Capacity by zone while instances are taken away."""
+
+    def __init__(self, endpoints: Sequence[FleetEndpoint]):
+        self._zones = units_by_zone(endpoints)
+        self._total = sum(self._zones.values())
+        self._firm = sum(
+            each.units_per_s for each in endpoints if not each.market.reclaimable
+        )
+
+    def can_lose(self, endpoint: FleetEndpoint, need: Need) -> bool:
+        """Tell whether the need is met without the endpoint."""
+        market = endpoint.market
+        return self._is_met(need, market, -endpoint.units_per_s)
+
+    def is_met_with(self, offer: Offer, need: Need) -> bool:
+        """Tell whether the need is met with one instance of the offer."""
+        return self._is_met(need, offer.market, offer.units_per_s)
+
+    def lose(self, endpoint: FleetEndpoint) -> None:
+        """Take the endpoint away."""
+        self._zones[endpoint.market.zone] -= endpoint.units_per_s
+        self._total -= endpoint.units_per_s
+        if not endpoint.market.reclaimable:
+            self._firm -= endpoint.units_per_s
+
+    def _is_met(self, need: Need, market: Market, change: float) -> bool:
+        zones = {**self._zones}
+        zones[market.zone] = zones.get(market.zone, 0.0) + change
+        total = self._total + change
+        firm = self._firm + (0.0 if market.reclaimable else change)
+        return (
+            total >= need.total_units_per_s - EPSILON
+            and total - max(zones.values()) >= need.loss_units_per_s - EPSILON
+            and firm >= need.firm_units_per_s - EPSILON
+        )
--- /dev/null
+++ b/testing/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of control duties."""
--- /dev/null
+++ b/testing/control/capacityfixtures.py
@@ -0,0 +1,61 @@
+"""Small fleets and offers for tests of capacity."""
+
+from __future__ import annotations
+
+from _monsoonpulley.control.capacitydecision import (
+    Plan,
+    PlanSettings,
+    PlanState,
+    Situation,
+)
+from _monsoonpulley.control.fleet import (
+    EndpointState,
+    FleetEndpoint,
+    Market,
+    Need,
+    Offer,
+)
+
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+UNITS = 100.0
+
+
+def offer(zone, price, reclaimable=True, size="small", units=UNITS, reclaims=0.2):
+    return Offer(Market(zone, size, reclaimable), price, units, 60_000, reclaims)
+
+
+def offers(prices=(400, 430, 470, 520), on_demand=1_300):
+    found = [offer(z, p) for z, p in zip(ZONES, prices, strict=True)]
+    found += [offer(z, on_demand, reclaimable=False, reclaims=0.0) for z in ZONES]
+    return tuple(found)
+
+
+def endpoint(name, zone, state=EndpointState.READY, reclaimable=True, **fields):
+    market = Market(zone, "small", reclaimable)
+    return FleetEndpoint(name, market, "v1", UNITS, state, **fields)
+
+
+def spread_fleet(count):
+    return tuple(endpoint(f"e{n}", ZONES[n % 4]) for n in range(count))
+
+
+def need(total=1_000.0, loss=700.0, firm=0.0, version="v1"):
+    return Need(version, total, loss, firm)
+
+
+def situation(fleet=(), needs=None, **fields):
+    fields = {"offers": offers(), **fields}
+    return Situation(
+        service="model", needs=needs or (need(),), fleet=tuple(fleet), **fields
+    )
+
+
+def as_ready(made: Plan) -> list[FleetEndpoint]:
+    return [
+        FleetEndpoint(f"new{n}", each.order.market, each.order.version, UNITS)
+        for n, each in enumerate(made.orders)
+    ]
+
+
+SETTINGS = PlanSettings(late_milli_per_unit_h=20.0)
+START = PlanState()
