--- /dev/null
+++ b/src/_monsoonpulley/control/fleetrows.py
@@ -0,0 +1,157 @@
+"""Rows of the instances that capacity ordered, one each, in the table.
+
+A row is written before its order is sent, on the condition that nobody wrote it
+meanwhile, and says how far the order got. Any holder goes on from there.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+
+from ..errors import Failure, Reason
+from ..ids import ServiceId
+from ..platform.cloud import InstanceSpec
+from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
+
+PREFIX = "capacity/"
+PAGE_ROWS = 500
+STEP = "capacity.rows"
+
+
+class RowState(Enum):
+    """How far an order got."""
+
+    WANTED = "wanted"
+    """The instance may have been started, or not."""
+    STARTED = "started"
+    LOADED = "loaded"
+    """It has its weights."""
+    LEAVING = "leaving"
+    """Gets no new work and is stopped when nothing is in progress; for good."""
+    RECLAIMED = "reclaimed"
+    """The platform takes it back."""
+    STOPPING = "stopping"
+    """Being stopped; for good."""
+    REFUSED = "refused"
+    """The platform would not start it; kept for a while."""
+
+
+ENDING = frozenset(
+    (RowState.LEAVING, RowState.RECLAIMED, RowState.STOPPING, RowState.REFUSED)
+)
+
+
+class FleetRow(msgspec.Struct, frozen=True):
+    """One instance that was ordered, or adopted in order to release it.
+
+    Attributes
+    ----------
+    token : str
+        Under which it is started; the same token gives the same instance.
+    instance : str
+        Its name, empty before the platform's answer.
+    fencing_number : int
+        Of the holder that wrote last.
+    ready_wall_ms, changed_wall_ms : int
+        When it is expected to serve, and when the state changed.
+    replaces : str
+        Instance to be released when this one serves; else empty.
+    """
+
+    token: str
+    spec: InstanceSpec
+    state: RowState
+    fencing_number: int
+    ready_wall_ms: int
+    changed_wall_ms: int
+    instance: str = ""
+    replaces: str = ""
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """A row and its revision in the table."""
+
+    row: FleetRow
+    revision: int
+
+
+def row_key(row: FleetRow) -> str:
+    """Return the key of a row."""
+    return f"{PREFIX}{row.spec.service}/{row.token}"
+
+
+def decode(row: Row) -> Stored | Failure:
+    """Return a row of the table as a `FleetRow`."""
+    try:
+        return Stored(msgspec.json.decode(row.value, type=FleetRow), row.revision)
+    except msgspec.DecodeError as error:
+        return Failure(Reason.PROTOCOL, STEP, "platform", f"{row.key}: {error}")
+
+
+class FleetRows:
+    """The rows of one service.
+
+    Parameters
+    ----------
+    table : Table
+        Where they are.
+    service : ServiceId
+        Whose they are.
+    """
+
+    def __init__(self, table: Table, service: ServiceId):
+        self._table = table
+        self._prefix = f"{PREFIX}{service}/"
+
+    async def scan(self) -> dict[str, Stored] | Failure:
+        """Return all rows by token."""
+        found: dict[str, Stored] = {}
+        after = ""
+        while True:
+            page = await self._table.scan(self._prefix, after=after, limit=PAGE_ROWS)
+            if isinstance(page, Failure):
+                return page
+            for row in page:
+                stored = decode(row)
+                if isinstance(stored, Failure):
+                    return stored
+                found[stored.row.token] = stored
+            if len(page) < PAGE_ROWS:
+                return found
+            after = page[-1].key
+
+    async def create(self, rows: Sequence[FleetRow]) -> list[Stored] | Failure:
+        """Write new rows, all or none."""
+        writes = [
+            Write(row_key(row), msgspec.json.encode(row), ABSENT_REVISION)
+            for row in rows
+        ]
+        result = await self._table.commit(writes)
+        if isinstance(result, Committed):
+            return [Stored(row, result.revision) for row in rows]
+        return self._refusal(result)
+
+    async def replace(self, stored: Stored, row: FleetRow) -> Stored | Failure:
+        """Write a changed row if nobody else did since it was read."""
+        write = Write(row_key(row), msgspec.json.encode(row), stored.revision)
+        result = await self._table.commit([write])
+        if isinstance(result, Committed):
+            return Stored(row, result.revision)
+        return self._refusal(result)
+
+    async def delete(self, stored: Stored) -> Failure | None:
+        """Delete a row if nobody changed it since it was read."""
+        result = await self._table.commit(
+            [Write(row_key(stored.row), None, stored.revision)]
+        )
+        return None if isinstance(result, Committed) else self._refusal(result)
+
+    @staticmethod
+    def _refusal(result: Conflict | Failure) -> Failure:
+        if isinstance(result, Failure):
+            return result
+        detail = "another holder wrote the row"
+        return Failure(Reason.CONFLICT, STEP, "platform", detail)
--- /dev/null
+++ b/src/_monsoonpulley/control/offers.py
@@ -0,0 +1,85 @@
+"""Offers for the planner: prices, speeds of machine classes and reclaim rates."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from ..ids import ZoneId
+from ..platform.cloud import Price
+from .fleet import Market, Offer
+
+MS_PER_H = 3_600_000
+
+
+class MachineProfile(msgspec.Struct, frozen=True):
+    """What an instance of a machine class gives for a service.
+
+    Attributes
+    ----------
+    units_per_s : float
+        Tokens or requests that it serves a second, fully used.
+    start_ms : int
+        From the order to its process, without loading weights.
+    """
+
+    units_per_s: float
+    start_ms: int
+
+
+class ReclaimRates:
+    """Waves of reclaims a hour for each zone, from the notices seen.
+
+    Notices of a zone within ``wave_ms`` of its first one are one wave. Before
+    much was seen the rate is near the prior one.
+    """
+
+    def __init__(
+        self,
+        started_ms: int,
+        prior_per_h: float = 0.1,
+        prior_h: float = 10.0,
+        wave_ms: int = 120_000,
+    ):
+        self._started_ms = started_ms
+        self._prior_per_h = prior_per_h
+        self._prior_h = prior_h
+        self._wave_ms = wave_ms
+        self._waves: dict[ZoneId, int] = {}
+        self._last_ms: dict[ZoneId, int] = {}
+
+    def noticed(self, zone: ZoneId, now_ms: int) -> None:
+        """Take in a notice."""
+        last_ms = self._last_ms.get(zone)
+        if last_ms is None or now_ms - last_ms > self._wave_ms:
+            self._waves[zone] = self._waves.get(zone, 0) + 1
+            self._last_ms[zone] = now_ms
+
+    def per_h(self, zone: ZoneId, now_ms: int) -> float:
+        """Return the expected waves an hour."""
+        seen_h = (now_ms - self._started_ms) / MS_PER_H
+        waves = self._prior_per_h * self._prior_h + self._waves.get(zone, 0)
+        return waves / (self._prior_h + seen_h)
+
+
+def make_offers(
+    prices: Iterable[Price],
+    profiles: Mapping[str, MachineProfile],
+    rates: ReclaimRates,
+    now_ms: int,
+) -> tuple[Offer, ...]:
+    """Return an offer for each price whose machine class has a profile."""
+    offers = []
+    for price in prices:
+        profile = profiles.get(price.machine_class)
+        if profile is None:
+            continue
+        market = Market(price.zone, price.machine_class, price.reclaimable)
+        rate = rates.per_h(price.zone, now_ms) if price.reclaimable else 0.0
+        offers.append(
+            Offer(
+                market, price.milli_per_h, profile.units_per_s, profile.start_ms, rate
+            )
+        )
+    return tuple(offers)
--- /dev/null
+++ b/src/_monsoonpulley/standins/weightstore.py
@@ -0,0 +1,58 @@
+"""Stand-in of the weight store: one load at a time, at a fixed rate."""
+
+from __future__ import annotations
+
+from ..clock import Clock
+from ..errors import Failure, Reason
+from ..ids import ServiceId, VersionId
+from ..platform.weightstore import WeightFacts
+
+
+class WeightStoreStandin:
+    """A `platform.weightstore.WeightStore` that refuses a second load at a time.
+
+    Parameters
+    ----------
+    clock : Clock
+        Of the running loop.
+    size_bytes, limit_bytes_per_s : int
+        The same for every version.
+
+    Attributes
+    ----------
+    refused : int
+        Loads that were refused for the limit.
+    loaded : list of str
+        Instances in the order in which they were loaded.
+    """
+
+    def __init__(self, clock: Clock, size_bytes: int, limit_bytes_per_s: int):
+        self._clock = clock
+        self._facts = WeightFacts(size_bytes, limit_bytes_per_s)
+        self._is_busy = False
+        self.refused = 0
+        self.loaded: list[str] = []
+
+    async def facts(
+        self, service: ServiceId, version: VersionId
+    ) -> WeightFacts | Failure:
+        """Return size and limit of a version's weights."""
+        return self._facts
+
+    async def load(
+        self, instance: str, service: ServiceId, version: VersionId
+    ) -> Failure | None:
+        """Load weights onto an instance and return when they are there."""
+        if instance in self.loaded:
+            return None
+        if self._is_busy:
+            self.refused += 1
+            detail = "another load is in progress"
+            return Failure(Reason.OVERLOADED, "weights.load", "platform", detail)
+        self._is_busy = True
+        try:
+            await self._clock.sleep_ms(self._facts.load_ms)
+        finally:
+            self._is_busy = False
+        self.loaded.append(instance)
+        return None
