--- /dev/null
+++ b/src/_monsoonpulley/control/duties.py
@@ -0,0 +1,249 @@
+"""Duties: work that one entry instance at a time does for the whole system.
+
+A kind of duty is a class that a decorator registers. Each kind has shards; each
+shard is one duty with its own lease, called ``KIND/SHARD``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from functools import lru_cache
+from typing import Protocol
+
+import xxhash
+
+from ..clock import Clock
+from ..ids import InstanceId
+from ..log import Log
+from ..registry import Registry
+from ..supervisor import Supervisor
+from .leases import Hold, Leases
+from .leasestate import LeaseSettings
+from .parts import DutyParts
+
+LiveEntries = Callable[[], Sequence[InstanceId]]
+SCORES_KEPT = 32_768
+STOP_WITHIN_MS = 1_000
+"""How long a cancelled duty may take to end before its lease is released."""
+
+
+class Duty(Protocol):
+    """One kind of duty on one instance."""
+
+    def shards(self) -> Sequence[str]:
+        """Return the names of the parts, each of which has its own lease."""
+        ...
+
+    async def run(self, shard: str, hold: Hold) -> None:
+        """Do the work of one part until cancelled."""
+        ...
+
+
+duty_kinds: Registry[Callable[[DutyParts], Duty]] = Registry("duty")
+"""Kinds of duties; each is made from the instance's `DutyParts`."""
+
+
+def make_duties(parts: DutyParts) -> dict[str, Duty]:
+    """Return every registered kind of duty, made for one instance."""
+    return {name: duty_kinds.get(name)(parts) for name in duty_kinds}
+
+
+@lru_cache(maxsize=SCORES_KEPT)
+def _score(duty: str, instance: InstanceId) -> tuple[int, InstanceId]:
+    text = f"{duty}\0{instance}"
+    return xxhash.xxh3_64_intdigest(text.encode()), instance
+
+
+def rendezvous(duty: str, instances: Sequence[InstanceId]) -> list[InstanceId]:
+    """Return the instances in the order in which they should hold a duty."""
+    return sorted(instances, key=lambda each: _score(duty, each), reverse=True)
+
+
+class Candidates:
+    """The place of one instance among the candidates of each duty.
+
+    Places are kept until the live instances change.
+    """
+
+    def __init__(self, instance: InstanceId, live_entries: LiveEntries):
+        self._instance = instance
+        self._live_entries = live_entries
+        self._instances: tuple[InstanceId, ...] = ()
+        self._ranks: dict[str, int] = {}
+
+    def refresh(self) -> None:
+        """Take in which instances are live now."""
+        instances = tuple(self._live_entries())
+        if instances != self._instances:
+            self._instances = instances
+            self._ranks.clear()
+
+    def rank(self, duty: str) -> int:
+        """Return the place; an instance that isn't listed yet comes last."""
+        if duty not in self._ranks:
+            order = rendezvous(duty, self._instances)
+            is_listed = self._instance in order
+            rank = order.index(self._instance) if is_listed else len(order)
+            self._ranks[duty] = rank
+        return self._ranks[duty]
+
+    def successor(self, duty: str) -> InstanceId:
+        """Return the preferred one of the other instances, empty for none."""
+        others = [each for each in self._instances if each != self._instance]
+        order = rendezvous(duty, others)
+        return order[0] if order else InstanceId("")
+
+
+class DutyRunner:
+    """Runs the duties that this instance holds; a `leases.Placement`.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        This instance.
+    kinds : dict of str to Duty
+        The kinds of duties by name.
+    live_entries : callable
+        Returns the live entry instances.
+    settings : LeaseSettings
+        Times.
+    clock, log, rng
+        Of the instance.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        kinds: dict[str, Duty],
+        live_entries: LiveEntries,
+        settings: LeaseSettings,
+        clock: Clock,
+        log: Log,
+        rng: random.Random,
+    ):
+        self._instance = instance
+        self._kinds = kinds
+        self._candidates = Candidates(instance, live_entries)
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._rng = rng
+        self._leases: Leases | None = None
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._numbers: dict[str, int] = {}
+        self._misplaced_ms: dict[str, int] = {}
+        self._stopping_ms: dict[str, int] = {}
+        self._known: frozenset[str] = frozenset()
+        self._is_leaving = False
+
+    def bind(self, leases: Leases) -> None:
+        """Set the leases under which the duties run; before `run`."""
+        self._leases = leases
+        leases.after_tick = self.update
+
+    def duties(self) -> list[str]:
+        """Return the names of all duties that there are."""
+        names = [
+            f"{name}/{shard}"
+            for name, kind in self._kinds.items()
+            for shard in kind.shards()
+        ]
+        self._known = frozenset(names)
+        self._candidates.refresh()
+        return names
+
+    def rank(self, duty: str) -> int | None:
+        """Return this instance's place, ``None`` if it should let go."""
+        if self._should_let_go(duty):
+            return None if self._has_stopped(duty) else self._candidates.rank(duty)
+        self._stopping_ms.pop(duty, None)
+        return self._candidates.rank(duty)
+
+    def successor(self, duty: str) -> InstanceId:
+        """Return the preferred one of the others."""
+        return self._candidates.successor(duty)
+
+    def held(self) -> dict[str, int]:
+        """Return the fencing number of each duty that runs here."""
+        return dict(self._numbers)
+
+    def update(self) -> None:
+        """Start the duties whose lease is held, cancel the others."""
+        for duty in list(self._tasks):
+            hold = self._leases.hold(duty)
+            if hold is None or hold.fencing_number != self._numbers.get(duty):
+                self._stop(duty)
+            if self._tasks[duty].done():
+                del self._tasks[duty]
+        for duty in [each for each in self._stopping_ms if self._is_released(each)]:
+            del self._stopping_ms[duty]
+            self._misplaced_ms.pop(duty, None)
+        for duty in self.duties():
+            if duty not in self._tasks and duty not in self._stopping_ms:
+                self._start(duty)
+
+    async def leave(self) -> None:
+        """Stop all duties and hand their leases over."""
+        self._is_leaving = True
+        deadline_ms = self._clock.now_ms() + 2 * self._settings.call_ms
+        deadline_ms += STOP_WITHIN_MS
+        while self._clock.now_ms() < deadline_ms:
+            if not self._tasks and not self._unreleased():
+                return
+            await self._clock.sleep_ms(self._settings.tick_ms)
+
+    def cancel(self) -> None:
+        """Cancel every duty at once."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _unreleased(self) -> bool:
+        states = [self._leases.state(duty) for duty in self.duties()]
+        return any(state.held or state.pending for state in states)
+
+    def _should_let_go(self, duty: str) -> bool:
+        """Tell whether the duty belongs elsewhere, and has for long enough."""
+        if self._is_leaving or duty not in self._known:
+            return True
+        now_ms = self._clock.now_ms()
+        if duty not in self._numbers or self._candidates.rank(duty) == 0:
+            if duty not in self._stopping_ms:
+                self._misplaced_ms.pop(duty, None)
+                return False
+        since_ms = self._misplaced_ms.setdefault(duty, now_ms)
+        return now_ms - since_ms >= self._settings.hand_over_ms
+
+    def _has_stopped(self, duty: str) -> bool:
+        """Stop the duty's task and tell whether its lease may be released."""
+        now_ms = self._clock.now_ms()
+        began_ms = self._stopping_ms.setdefault(duty, now_ms)
+        task = self._tasks.get(duty)
+        if task is None or task.done():
+            return True
+        self._stop(duty)
+        return now_ms - began_ms >= STOP_WITHIN_MS
+
+    def _is_released(self, duty: str) -> bool:
+        state = self._leases.state(duty)
+        if state.held or state.pending or state.observed is None:
+            return False
+        row = state.observed.row
+        return row is None or row.holder != self._instance
+
+    def _stop(self, duty: str) -> None:
+        if duty in self._numbers:
+            del self._numbers[duty]
+            self._tasks[duty].cancel()
+
+    def _start(self, duty: str) -> None:
+        hold = self._leases.hold(duty)
+        if hold is None:
+            return
+        name, _, shard = duty.partition("/")
+        kind = self._kinds[name]
+        supervisor = Supervisor(f"duty/{name}", self._clock, self._log, self._rng)
+        supervisor.add(shard, lambda: kind.run(shard, hold))
+        self._numbers[duty] = hold.fencing_number
+        self._tasks[duty] = asyncio.create_task(supervisor.run(), name=f"duty/{duty}")
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/overview.py
@@ -7,6 +7,7 @@
 from . import operator_wire as wire
 from .clock import Clock
 from .config.watcher import ConfigWatcher
+from .control.leases import Leases
 from .endpoints.pool import EndpointPool
 from .identity import Identity
 from .ids import EndpointId
@@ -32,6 +33,8 @@
         The other entry instances.
     clock : Clock
         Of the instance.
+    leases : Leases
+        Control duties and who holds them.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         router: Router,
         membership: Membership,
         clock: Clock,
+        leases: Leases,
     ):
         self._identity = identity
         self._lifecycle = lifecycle
@@ -53,6 +57,7 @@
         self._router = router
         self._membership = membership
         self._clock = clock
+        self._leases = leases
 
     def config_status(self) -> wire.ConfigStatusBody:
         """Say in which entry instances the newest known revision is in force."""
@@ -70,6 +75,7 @@
             number=self._watcher.number,
             entries=(own, *self._peer_statuses(own)),
             endpoints=self._endpoints(),
+            duties=self._duties(),
         )
 
     async def explain(self, subject: str) -> wire.ExplainBody:
@@ -127,6 +133,12 @@
             )
         return tuple(statuses)
 
+    def _duties(self) -> tuple[wire.DutyStatus, ...]:
+        return tuple(
+            wire.DutyStatus(duty, row.holder, row.fencing_number)
+            for duty, row in self._leases.rows()
+        )
+
 
 def _explain_line(text: str) -> wire.ExplainLine:
     fields = msgspec.json.decode(text)
