--- a/src/_monsoonpulley/control/capacitydecision.py
+++ b/src/_monsoonpulley/control/capacitydecision.py
@@ -50,7 +50,7 @@
     """
 
     overdue_ms: int = 120_000
-    release_margin: float = 0.1
+    release_margin: float = 0.05
     surplus_hold_ms: int = 600_000
     release_ratio: float = 0.1
     switch_ratio: float = 0.15
--- a/src/_monsoonpulley/control/fleetview.py
+++ b/src/_monsoonpulley/control/fleetview.py
@@ -23,10 +23,35 @@
         Instances that the list had at least once.
     noticed : set of str
         Instances whose reclaim was announced; a late list brings none back.
+    missing_ms : dict of str to int
+        Since when listed ones are missing from the list.
     """
 
     listed: set[str] = msgspec.field(default_factory=set)
     noticed: set[str] = msgspec.field(default_factory=set)
+    missing_ms: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def see(self, instances: Iterable[str], now_ms: int) -> None:
+        """Take in which instances the list has now."""
+        now_listed = set(instances)
+        self.listed |= now_listed
+        for name in self.listed - now_listed:
+            self.missing_ms.setdefault(name, now_ms)
+        for name in now_listed:
+            self.missing_ms.pop(name, None)
+
+    def keep(self, instances: Iterable[str]) -> None:
+        """Forget what is neither among the given instances nor listed."""
+        kept = set(instances) | (self.listed - set(self.missing_ms))
+        self.listed &= kept
+        self.noticed &= kept
+        for name in set(self.missing_ms) - kept:
+            del self.missing_ms[name]
+
+    def is_lost(self, instance: str, now_ms: int, after_ms: int) -> bool:
+        """Tell whether a listed instance has been missing for ``after_ms``."""
+        since_ms = self.missing_ms.get(instance)
+        return since_ms is not None and now_ms - since_ms >= after_ms
 
 
 class FleetView(msgspec.Struct, frozen=True):
@@ -57,6 +82,8 @@
     units_per_s: Mapping[Market, float],
     in_progress: InProgress,
     loads_weights: bool,
+    now_ms: int,
+    lost_after_ms: int,
 ) -> FleetView:
     """Return the fleet; a market of unknown speed counts as no capacity."""
     listed = {
@@ -64,7 +91,7 @@
         for each in members
         if each.role is Role.ENDPOINT and each.service == service
     }
-    known.listed.update(listed)
+    known.see(listed, now_ms)
     endpoints: list[FleetEndpoint] = []
     instances: set[str] = set()
     for stored in rows.values():
@@ -72,6 +99,7 @@
         instances.add(row.instance)
         if row.state is RowState.REFUSED:
             continue
+        is_lost = known.is_lost(row.instance, now_ms, lost_after_ms)
         market = Market(row.spec.zone, row.spec.machine_class, row.spec.reclaimable)
         endpoints.append(
             FleetEndpoint(
@@ -79,7 +107,9 @@
                 market,
                 row.spec.version,
                 units_per_s.get(market, 0.0),
-                _row_state(row, listed.get(row.instance), known, loads_weights),
+                _row_state(
+                    row, listed.get(row.instance), known, loads_weights, is_lost
+                ),
                 row.ready_wall_ms,
                 in_progress(EndpointId(row.instance)) or 0,
                 row.replaces,
@@ -102,14 +132,17 @@
 
 
 def _row_state(
-    row: FleetRow, member: Member | None, known: FleetKnown, loads_weights: bool
+    row: FleetRow,
+    member: Member | None,
+    known: FleetKnown,
+    loads_weights: bool,
+    is_lost: bool,
 ) -> EndpointState:
-    if row.state in ENDING or row.instance in known.noticed:
+    if row.state in ENDING or row.instance in known.noticed or is_lost:
         return EndpointState.LEAVING
     if member is None:
-        # Once listed and now gone: it died without a notice.
-        is_lost = bool(row.instance) and row.instance in known.listed
-        return EndpointState.LEAVING if is_lost else EndpointState.COMING
+        was_listed = row.instance in known.missing_ms
+        return EndpointState.READY if was_listed else EndpointState.COMING
     if member.state is MemberState.LEAVING:
         return EndpointState.LEAVING
     if loads_weights and row.state is not RowState.LOADED:
--- /dev/null
+++ b/testing/control/capacityworld.py
@@ -0,0 +1,161 @@
+"""Holders of one service's capacity on a whole platform stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+
+import msgspec
+
+from _monsoonpulley.control.capacitydecision import PlanSettings
+from _monsoonpulley.control.capacityneed import unmet
+from _monsoonpulley.control.fleet import FleetEndpoint, Market
+from _monsoonpulley.control.fleetorders import CapacityParts, FleetOrders
+from _monsoonpulley.control.fleetrows import PREFIX, FleetRow
+from _monsoonpulley.control.leases import Hold
+from _monsoonpulley.control.offers import MachineProfile
+from _monsoonpulley.log import Log
+from _monsoonpulley.platform.cloud import InstanceSpec, Price
+from _monsoonpulley.platform.livelist import Member, Role
+from _monsoonpulley.standins.cloud import CloudState
+from _monsoonpulley.standins.manualloop import running_clock
+from _monsoonpulley.standins.platform import PlatformStandin
+from _monsoonpulley.standins.weightstore import WeightStoreStandin
+
+from .capacityfixtures import UNITS, ZONES, need
+
+LAG_MS = 3_000
+START_MS = 20_000
+LOAD_MS = 5_000
+
+
+class Holder:
+    """One holder; `may_act` is what its lease says."""
+
+    def __init__(self, world, number):
+        self.may_act = True
+        hold = Hold(number, lambda _: self.may_act)
+        self.orders = FleetOrders(world.parts(f"entry-{number}", number), hold)
+        self.task = asyncio.create_task(self.orders.run())
+
+    def kill(self):
+        self.may_act = False
+        self.task.cancel()
+
+
+class CapacityWorld:
+    """A platform and what its instances do."""
+
+    def __init__(self, seed, wanted=None, **changes):
+        self.clock = running_clock()
+        self.rng = random.Random(seed)
+        self.platform = PlatformStandin(
+            self.clock, random.Random(seed), lag_ms=LAG_MS, lead_ms=START_MS
+        )
+        self.cloud, self.faults = self.platform.cloud, self.platform.faults
+        self.weights = WeightStoreStandin(self.clock, LOAD_MS, 1_000)
+        self.wanted = wanted or need()
+        self.in_progress: dict[str, int] = {}
+        self.cut_off: list[str] = []
+        self.lines: list[str] = []
+        self.changes = changes
+        self.marked: list[str] = []
+        self.cloud.on_ready.append(self._on_ready)
+        self.cloud.on_ended.append(self._on_ended)
+        self.set_prices((400, 430, 470, 520))
+
+    def set_prices(self, prices):
+        priced = zip(ZONES, prices, strict=True)
+        self.cloud.set_prices(
+            [Price(z, "small", True, p) for z, p in priced]
+            + [Price(z, "small", False, 1_300) for z in ZONES]
+        )
+
+    def parts(self, name, number):
+        platform = self.platform.connect(name, ZONES[number % 4])
+        fields = {
+            "service": "model",
+            "table": platform.table,
+            "cloud": platform.cloud,
+            "livelist": platform.livelist,
+            "weights": self.weights,
+            "clock": self.clock,
+            "rng": random.Random(self.rng.getrandbits(64)),
+            "log": Log(self.clock, self.lines.append, name),
+            "needs": lambda now_ms, lead_ms: (self.wanted,),
+            "profiles": {"small": MachineProfile(UNITS, START_MS)},
+            "in_progress": lambda endpoint: self.in_progress.get(endpoint, 0),
+            "mark_leaving": self.marked.append,
+            "planning": PlanSettings(overdue_ms=60_000, surplus_hold_ms=60_000),
+        }
+        return CapacityParts(**{**fields, **self.changes})
+
+    async def sleep(self, seconds):
+        await self.clock.sleep_ms(seconds * 1_000)
+
+    async def until_whole(self, seconds):
+        """Wait until the fleet serves the need; return how long it took."""
+        began_ms = self.clock.now_ms()
+        while self.clock.now_ms() - began_ms < seconds * 1_000:
+            if not unmet(self.wanted, self.serving()):
+                return (self.clock.now_ms() - began_ms) / 1_000
+            await self.sleep(1)
+        raise AssertionError(f"unmet: {unmet(self.wanted, self.serving())}")
+
+    def serving(self):
+        return [
+            FleetEndpoint(
+                each.name,
+                Market(each.spec.zone, "small", each.spec.reclaimable),
+                each.spec.version,
+                UNITS,
+            )
+            for each in self.alive()
+            if each.state is CloudState.RUNNING
+            and each.name in self.weights.loaded
+            and each.name not in self.marked
+        ]
+
+    def alive(self):
+        return [each for each in self.cloud.instances.values() if each.alive]
+
+    def states(self):
+        return Counter(each.state for each in self.cloud.instances.values())
+
+    async def rows(self):
+        table = self.platform.table.connect("test", ZONES[0])
+        rows = await table.scan(PREFIX)
+        return [msgspec.json.decode(each.value, type=FleetRow) for each in rows]
+
+    def events(self, name):
+        parsed = [msgspec.json.decode(line) for line in self.lines]
+        return [line for line in parsed if line["event"] == name]
+
+    async def check(self):
+        """Assert what must hold after any failures."""
+        assert self.cut_off == [], self.cut_off
+        known = {row.instance for row in await self.rows()}
+        listed = {each.instance for each in self.platform.livelist.actual()}
+        lost = {each.name for each in self.alive()} - known - listed
+        assert not lost, lost
+
+    def _on_ready(self, instance):
+        spec: InstanceSpec = instance.spec
+        self.platform.livelist.set(
+            Member(
+                instance.name,
+                Role.ENDPOINT,
+                spec.zone,
+                instance.name,
+                service=spec.service,
+                version=spec.version,
+                machine_class=spec.machine_class,
+                reclaimable=spec.reclaimable,
+            )
+        )
+
+    def _on_ended(self, instance):
+        is_order = instance.state is CloudState.STOPPED
+        if is_order and self.in_progress.get(instance.name, 0):
+            self.cut_off.append(instance.name)
--- /dev/null
+++ b/testing/control/test_fleetorders.py
@@ -0,0 +1,297 @@
+from __future__ import annotations
+
+import unittest
+
+from _monsoonpulley.control.fleetdecision import FleetSettings
+from _monsoonpulley.control.fleetrows import RowState
+from _monsoonpulley.platform.table import Write
+from _monsoonpulley.standins.cloud import CloudState
+from _monsoonpulley.standins.faults import FaultKind, Part
+from _monsoonpulley.standins.manualloop import run_manual
+
+from .capacityfixtures import ZONES, need
+from .capacityworld import CapacityWorld, Holder
+
+SEEDS = (1, 2, 3)
+FIRST_S = 200
+
+
+def scenario(script, seeds=SEEDS, **fields):
+    for seed in seeds:
+
+        async def main(seed=seed):
+            world = CapacityWorld(seed, **fields)
+            holder = Holder(world, 1)
+            try:
+                await script(world, holder)
+                await world.check()
+            finally:
+                holder.kill()
+
+        run_manual(main())
+
+
+class WaveTests(unittest.TestCase):
+    def test_a_wave_of_any_zone_is_replaced_elsewhere(self):
+        for zone in ZONES:
+            with self.subTest(zone=zone):
+
+                async def script(world, holder, zone=zone):
+                    await world.until_whole(FIRST_S)
+                    names = world.cloud.reclaim_zone(zone, 10_000)
+                    self.assertLess(len(names), 4)
+                    left = 1_000 - 100 * len(names)
+                    self.assertGreaterEqual(left, world.wanted.loss_units_per_s)
+                    ordered = len(world.cloud.instances)
+                    await world.sleep(3)
+                    new = list(world.cloud.instances.values())[ordered:]
+                    self.assertGreaterEqual(len(new), len(names))
+                    self.assertNotIn(zone, {each.spec.zone for each in new})
+                    await world.sleep(10)
+                    await world.until_whole(100)
+
+                scenario(script)
+
+    def test_two_waves_with_early_deaths_end_whole(self):
+        async def script(world, holder):
+            await world.until_whole(FIRST_S)
+            for zone in ZONES[:2]:
+                world.cloud.reclaim_zone(zone, 8_000, early_death_probability=0.5)
+                await world.sleep(6)
+            await world.sleep(10)
+            await world.until_whole(200)
+
+        scenario(script)
+
+    def test_a_store_outage_through_a_wave_orders_nothing_and_stops_nothing(self):
+        async def script(world, holder):
+            await world.until_whole(FIRST_S)
+            world.faults.outage(True, Part.TABLE, hanging=world.rng.random() < 0.5)
+            world.cloud.reclaim_zone(ZONES[0], 5_000)
+            before = len(world.cloud.instances)
+            await world.sleep(120)
+            self.assertEqual(len(world.cloud.instances), before)
+            self.assertEqual(world.states()[CloudState.STOPPED], 0)
+            world.faults.outage(False, Part.TABLE)
+            await world.until_whole(120)
+
+        scenario(script)
+
+
+class RefusalTests(unittest.TestCase):
+    def test_starts_refused_everywhere_but_one_market_go_there(self):
+        async def script(world, holder):
+            for zone in ZONES:
+                for reclaimable in (True, False):
+                    if (zone, reclaimable) != (ZONES[3], False):
+                        world.cloud.refuse_starts(
+                            True, zone=zone, reclaimable=reclaimable
+                        )
+            await world.sleep(150)
+            places = {(e.spec.zone, e.spec.reclaimable) for e in world.alive()}
+            self.assertEqual(places, {(ZONES[3], False)})
+            self.assertGreaterEqual(len(world.alive()), 10)
+            refused = [
+                each
+                for each in world.events("fleet_decision")
+                if each["rule"] == "start refused"
+            ]
+            self.assertLess(len(refused), 150)
+
+        scenario(script)
+
+
+class LostAnswerTests(unittest.TestCase):
+    def test_lost_answers_of_starts_start_nothing_twice(self):
+        for kind in (FaultKind.LOST_ANSWER, FaultKind.DELAYED_EFFECT):
+
+            async def script(world, holder, kind=kind):
+                world.faults.chance("cloud.start", kind, 0.5)
+                await world.until_whole(FIRST_S + 60)
+                self.assertEqual(len(world.cloud.instances), 10)
+
+            scenario(script)
+
+    def test_lost_answers_of_the_table_start_few_too_many(self):
+        async def script(world, holder):
+            world.faults.chance("table.commit", FaultKind.LOST_ANSWER, 0.3)
+            world.faults.chance("table.commit", FaultKind.DELAYED_EFFECT, 0.1)
+            await world.until_whole(FIRST_S + 100)
+            self.assertEqual(len(world.cloud.instances), 10)
+
+        scenario(script)
+
+
+class HolderTests(unittest.TestCase):
+    def test_a_successor_carries_on_from_a_row_without_an_order(self):
+        async def script(world, holder):
+            world.faults.next_call("cloud.start", FaultKind.LOST_REQUEST, 10)
+            await world.sleep(1)
+            holder.kill()
+            self.assertEqual(len(world.cloud.instances), 0)
+            rows = await world.rows()
+            self.assertEqual({row.state for row in rows}, {RowState.WANTED})
+            successor = Holder(world, 2)
+            await world.until_whole(FIRST_S)
+            self.assertEqual(len(world.cloud.instances), 10)
+            successor.kill()
+
+        scenario(script)
+
+    def test_a_successor_carries_on_between_order_and_confirmation(self):
+        async def script(world, holder):
+            world.faults.next_call("cloud.start", FaultKind.LOST_ANSWER, 10)
+            await world.sleep(1)
+            holder.kill()
+            self.assertEqual(len(world.cloud.instances), FleetSettings().calls_at_once)
+            successor = Holder(world, 2)
+            await world.until_whole(FIRST_S)
+            self.assertEqual(len(world.cloud.instances), 10)
+            successor.kill()
+
+        scenario(script)
+
+    def test_holders_killed_at_random_leave_no_instance_behind(self):
+        async def script(world, holder):
+            number = 1
+            for _ in range(12):
+                await world.sleep(world.rng.uniform(0.1, 15))
+                holder.kill()
+                number += 1
+                holder = Holder(world, number)
+            await world.until_whole(FIRST_S)
+            await world.sleep(300)
+            self.assertEqual(len(world.alive()), 10)
+            holder.kill()
+
+        scenario(script, seeds=range(1, 9), wanted=need(950.0, 665.0))
+
+    def test_a_former_holder_that_still_thinks_it_holds_stops_nothing(self):
+        async def script(world, holder):
+            await world.until_whole(FIRST_S)
+            await world.sleep(10)
+            successor = Holder(world, 2)
+            world.wanted = need(500.0, 350.0)
+            await world.sleep(300)
+            world.in_progress.clear()
+            self.assertGreaterEqual(len(world.alive()), 5)
+            self.assertFalse([e for e in world.cut_off])
+            successor.kill()
+
+        scenario(script)
+
+    def test_without_its_lease_a_holder_sends_nothing(self):
+        async def script(world, holder):
+            holder.may_act = False
+            await world.sleep(60)
+            self.assertEqual(len(world.cloud.instances), 0)
+            self.assertEqual(await world.rows(), [])
+
+        scenario(script)
+
+    def test_a_lease_lost_between_row_and_order_sends_no_order(self):
+        async def script(world, holder):
+            commit = world.platform.table.commit
+
+            def lapse(writes):
+                holder.may_act = False
+                return commit(writes)
+
+            world.platform.table.commit = lapse
+            await world.sleep(60)
+            self.assertEqual(len(world.cloud.instances), 0)
+            self.assertTrue(await world.rows())
+
+        scenario(script)
+
+
+class ReleaseTests(unittest.TestCase):
+    def test_a_release_waits_for_what_is_in_progress(self):
+        async def script(world, holder):
+            await world.until_whole(FIRST_S)
+            for name in world.cloud.instances:
+                world.in_progress[name] = 2
+            world.wanted = need(500.0, 350.0)
+            await world.sleep(400)
+            self.assertTrue(world.marked)
+            self.assertEqual(world.states()[CloudState.STOPPED], 0)
+            world.in_progress.clear()
+            await world.sleep(30)
+            self.assertEqual(world.states()[CloudState.STOPPED], len(world.marked))
+            await world.until_whole(1)
+
+        scenario(script)
+
+    def test_an_instance_is_not_stopped_before_all_know_that_it_leaves(self):
+        async def script(world, holder):
+            await world.until_whole(FIRST_S)
+            world.wanted = need(500.0, 350.0)
+            while not world.marked:
+                await world.sleep(1)
+            await world.sleep(4)
+            self.assertEqual(world.states()[CloudState.STOPPED], 0)
+
+        scenario(script)
+
+
+class ReconcileTests(unittest.TestCase):
+    def test_an_instance_that_never_comes_is_replaced_and_stopped(self):
+        async def script(world, holder):
+            on_ready = world.cloud.on_ready.pop()
+            skipped = []
+
+            def ready(instance):
+                if not skipped:
+                    skipped.append(instance.name)
+                    return
+                on_ready(instance)
+
+            world.cloud.on_ready.append(ready)
+            await world.sleep(500)
+            never = world.cloud.instances[skipped[0]]
+            self.assertIs(never.state, CloudState.STOPPED)
+            await world.until_whole(1)
+
+        scenario(script)
+
+    def test_an_instance_whose_row_is_lost_is_counted_from_the_list(self):
+        async def script(world, holder):
+            await world.until_whole(FIRST_S)
+            await world.sleep(10)
+            table = world.platform.table.connect("test", ZONES[0])
+            for row in await table.scan("capacity/"):
+                await table.commit([Write(row.key, None, row.revision)])
+            before = len(world.cloud.instances)
+            await world.sleep(60)
+            self.assertEqual(len(world.cloud.instances), before)
+            world.wanted = need(500.0, 350.0)
+            await world.sleep(400)
+            self.assertLess(len(world.alive()), 10)
+
+        scenario(script)
+
+
+class WeightTests(unittest.TestCase):
+    def test_loads_never_exceed_the_limit_of_the_store(self):
+        async def script(world, holder):
+            took_s = await world.until_whole(FIRST_S)
+            self.assertEqual(world.weights.refused, 0)
+            self.assertGreaterEqual(took_s, 50)
+
+        scenario(script)
+
+
+class PriceTests(unittest.TestCase):
+    def test_swinging_prices_start_and_stop_nothing(self):
+        async def script(world, holder):
+            await world.until_whole(FIRST_S)
+            for _ in range(60):
+                world.set_prices(tuple(world.rng.randint(400, 520) for _ in ZONES))
+                await world.sleep(60)
+            self.assertEqual(len(world.cloud.instances), 10)
+
+        scenario(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
