Fence the creation of rows by a head row of the service

Cause: a former holder paused before its write could still create rows. Change: every transaction with new rows writes the service's head row, which a new holder claims before it reads. Tested: testing.control.test_fleetorders, 20 tests, pass. Conclusion: creation is fenced; late calls to the cloud API stay as described.

--- a/src/_monsoonpulley/control/fleetorders.py
+++ b/src/_monsoonpulley/control/fleetorders.py
@@ -2,11 +2,13 @@
 
 Each order is a row first. Right before a call to the cloud API the holder stamps
 the row with its fencing number, on the condition that nobody wrote it meanwhile,
-and checks its lease. The cloud API checks no fencing number: a holder paused
-after that check may still send its call late. A late start has the same token and
-gives the same instance; a late stop is of an instance that never serves again.
-Only a start that was refused before may then succeed without a row; its instance
-shows up on the list and is counted and released from there.
+and checks its lease. New rows also need the service's head row unchanged.
+
+The cloud API checks no fencing number: a holder paused after that check may still
+send its call late. A late start has the same token and gives the same instance; a
+late stop is of an instance that never serves again. Only a start that was refused
+before may then succeed without a row; its instance shows up on the list and is
+counted and released from there.
 """
 
 from __future__ import annotations
@@ -89,7 +91,7 @@
     def __init__(self, parts: CapacityParts, hold: Hold):
         self._parts = parts
         self._hold = hold
-        self._rows = FleetRows(parts.table, parts.service)
+        self._rows = FleetRows(parts.table, parts.service, hold.fencing_number)
         self._refusals = Refusals(parts.refusing)
         self._rates = ReclaimRates(parts.clock.wall_ms())
         self._loads = LoadQueue(parts.weights, parts.clock)
@@ -114,6 +116,7 @@
     async def step(self) -> None:
         """Take one pass: read, settle what is open, plan, order."""
         failure = await self._read_platform()
+        failure = failure or await self._rows.claim()
         rows = failure or await self._rows.scan()
         if self._unconfirmed and not isinstance(rows, Failure):
             failure = await self._settle_unconfirmed(rows)
@@ -211,18 +214,20 @@
         rows = [self._row(each) for each in orders]
         size = self._parts.settings.orders_per_commit
         for first in range(0, len(rows), size):
-            await self._create(rows[first : first + size])
+            if not await self._create(rows[first : first + size]):
+                return
 
-    async def _create(self, rows: list[FleetRow]) -> None:
+    async def _create(self, rows: list[FleetRow]) -> bool:
         if not self._hold.may_act():
-            return
+            return False
         created = await self._rows.create(rows)
         if isinstance(created, Failure):
             # The rows may be there, or come; the same ones are written again.
             self._parts.log.event("capacity_unconfirmed", failure=created)
             self._unconfirmed += rows
-            return
+            return False
         await self._steps.start_all(created)
+        return True
 
     async def _settle_unconfirmed(self, rows: dict[str, Stored]) -> Failure | None:
         """Write rows in doubt once more, but for those that are there.
--- a/src/_monsoonpulley/control/fleetrows.py
+++ b/src/_monsoonpulley/control/fleetrows.py
@@ -17,6 +17,7 @@
 from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 
 PREFIX = "capacity/"
+HEAD_PREFIX = "capacity-head/"
 PAGE_ROWS = 500
 STEP = "capacity.rows"
 
@@ -78,6 +79,17 @@
     revision: int
 
 
+class HeadRow(msgspec.Struct, frozen=True):
+    """Row of a service that each transaction with new rows writes too.
+
+    A new holder writes it before it reads, so that no new row of a former holder
+    can land after that.
+    """
+
+    fencing_number: int
+    sequence: int
+
+
 def row_key(row: FleetRow) -> str:
     """Return the key of a row."""
     return f"{PREFIX}{row.spec.service}/{row.token}"
@@ -100,11 +112,39 @@
         Where they are.
     service : ServiceId
         Whose they are.
+    fencing_number : int
+        Of the lease under which they are written.
     """
 
-    def __init__(self, table: Table, service: ServiceId):
+    def __init__(self, table: Table, service: ServiceId, fencing_number: int):
         self._table = table
         self._prefix = f"{PREFIX}{service}/"
+        self._head_key = f"{HEAD_PREFIX}{service}"
+        self._fencing_number = fencing_number
+        self._head: tuple[HeadRow, int] | None = None
+
+    async def claim(self) -> Failure | None:
+        """Make sure that only this holder creates rows from now on."""
+        if self._head is not None:
+            return None
+        row = await self._table.read(self._head_key)
+        if isinstance(row, Failure):
+            return row
+        head, revision = HeadRow(0, 0), ABSENT_REVISION
+        if row is not None:
+            head, revision = msgspec.json.decode(row.value, type=HeadRow), row.revision
+        if head.fencing_number > self._fencing_number:
+            detail = f"a holder with number {head.fencing_number} took over"
+            return Failure(Reason.FENCED, STEP, "platform", detail)
+        if head.fencing_number < self._fencing_number:
+            head = HeadRow(self._fencing_number, head.sequence + 1)
+            write = Write(self._head_key, msgspec.json.encode(head), revision)
+            result = await self._table.commit([write])
+            if not isinstance(result, Committed):
+                return self._refusal(result)
+            revision = result.revision
+        self._head = (head, revision)
+        return None
 
     async def scan(self) -> dict[str, Stored] | Failure:
         """Return all rows by token."""
@@ -124,15 +164,22 @@
             after = page[-1].key
 
     async def create(self, rows: Sequence[FleetRow]) -> list[Stored] | Failure:
-        """Write new rows, all or none."""
-        writes = [
+        """Write new rows, all or none, if no other holder took over."""
+        if self._head is None:
+            detail = "the head row has to be claimed first"
+            return Failure(Reason.UNAVAILABLE, STEP, "platform", detail)
+        (head, revision), self._head = self._head, None
+        head = HeadRow(head.fencing_number, head.sequence + 1)
+        writes = [Write(self._head_key, msgspec.json.encode(head), revision)]
+        writes += [
             Write(row_key(row), msgspec.json.encode(row), ABSENT_REVISION)
             for row in rows
         ]
         result = await self._table.commit(writes)
-        if isinstance(result, Committed):
-            return [Stored(row, result.revision) for row in rows]
-        return self._refusal(result)
+        if not isinstance(result, Committed):
+            return self._refusal(result)
+        self._head = (head, result.revision)
+        return [Stored(row, result.revision) for row in rows]
 
     async def replace(self, stored: Stored, row: FleetRow) -> Stored | Failure:
         """Write a changed row if nobody else did since it was read."""
