Test the fencing of rows

Cause: two rules of the head row broken on purpose were not caught. Change: tests of a former holder's creation, delayed creation and change. Tested: testing.control.test_fleetrows, 3 tests, pass; the broken rules are caught. Conclusion: the fencing of rows is covered.

--- /dev/null
+++ b/testing/control/test_fleetrows.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from _monsoonpulley.control.fleetrows import FleetRow, FleetRows, RowState
+from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.platform.cloud import InstanceSpec
+from _monsoonpulley.standins.faults import FaultKind
+from _monsoonpulley.standins.manualloop import run_manual, running_clock
+from _monsoonpulley.standins.table import TableStandin
+
+SPEC = InstanceSpec("zone-a", "small", True, "model", "v1")
+
+
+def row(token, number):
+    return FleetRow(token, SPEC, RowState.WANTED, number, 0, 0)
+
+
+class FormerHolderTests(unittest.TestCase):
+    def run_two(self, script):
+        async def main():
+            table = TableStandin(running_clock(), random.Random(1))
+            former = FleetRows(table.connect("entry-1", "zone-a"), "model", 1)
+            holder = FleetRows(table.connect("entry-2", "zone-b"), "model", 2)
+            self.assertIsNone(await former.claim())
+            await script(table, former, holder)
+
+        run_manual(main())
+
+    def test_it_creates_no_row_once_another_claimed(self):
+        async def script(table, former, holder):
+            self.assertIsNone(await holder.claim())
+            created = await former.create([row("a", 1)])
+            self.assertIs(created.reason, Reason.CONFLICT)
+            self.assertIs((await former.claim()).reason, Reason.FENCED)
+            self.assertIsInstance(await former.create([row("a", 1)]), Failure)
+            self.assertEqual(await holder.scan(), {})
+
+        self.run_two(script)
+
+    def test_its_delayed_creation_lands_no_more(self):
+        async def script(table, former, holder):
+            table.faults.next_commit(FaultKind.DELAYED_EFFECT, peer="entry-1")
+            created = await former.create([row("a", 1)])
+            self.assertIs(created.reason, Reason.IN_DOUBT)
+            self.assertIsNone(await holder.claim())
+            await running_clock().sleep_ms(60_000)
+            self.assertEqual(await holder.scan(), {})
+
+        self.run_two(script)
+
+    def test_it_changes_no_row_that_was_written_since(self):
+        async def script(table, former, holder):
+            (stored,) = await former.create([row("a", 1)])
+            await holder.claim()
+            await holder.replace(stored, row("a", 2))
+            changed = await former.replace(stored, row("a", 1))
+            self.assertIs(changed.reason, Reason.CONFLICT)
+            self.assertIs((await former.delete(stored)).reason, Reason.CONFLICT)
+            self.assertEqual((await holder.scan())["a"].row.fencing_number, 2)
+
+        self.run_two(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
