--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -60,15 +60,19 @@
         Whether the loss of a zone and the risk of reclaims count.
     extra : float
         What the total need is multiplied with.
+    utilization : Utilization
+        How far endpoints are planned to be used.
     """
 
     name: str
     is_diverse: bool
     extra: float = 1.0
+    utilization: Utilization = Utilization()
 
 
 POLICIES = (
     Policy("product", True),
+    Policy("product, lean", True, 1.0, Utilization(0.87, 1.15)),
     Policy("cheapest", False),
     Policy("cheapest + 1/3", False, 4 / 3),
 )
@@ -216,7 +220,7 @@
             self._leave(self._machines[release.name], now_ms + DRAIN_MS)
 
     def _need(self, units_per_s: float) -> Need:
-        need = Utilization().need(V1, units_per_s)
+        need = self._policy.utilization.need(V1, units_per_s)
         if self._policy.is_diverse:
             return need
         return Need(V1, need.total_units_per_s * self._policy.extra, 0.0)
--- a/src/_monsoonpulley/control/capacitydecision.py
+++ b/src/_monsoonpulley/control/capacitydecision.py
@@ -43,6 +43,10 @@
         hysteresis of prices.
     switch_hold_ms : int
         How long the saving must have lasted.
+    firm_hold_ms : int
+        The same for on-demand instances, whose prices hardly move.
+    switch_share : float
+        Most of the fleet that may be in replacement; at least one instance.
     payback_ms : int
         Time within which the saving must pay for running both for a while.
     late_milli_per_unit_h : float
@@ -55,6 +59,8 @@
     release_ratio: float = 0.1
     switch_ratio: float = 0.15
     switch_hold_ms: int = 900_000
+    firm_hold_ms: int = 120_000
+    switch_share: float = 0.25
     payback_ms: int = 7_200_000
     late_milli_per_unit_h: float = 0.0
 
@@ -64,12 +70,16 @@
 
     Attributes
     ----------
-    surplus_since_ms, saving_since_ms : int or None
-        Since when something could be released, or replaced by cheaper.
+    surplus_since_ms : int or None
+        Since when something could be released.
+    saving_since_ms, firm_saving_since_ms : int or None
+        Since when something reclaimable, or on-demand, could be replaced by
+        something cheaper.
     """
 
     surplus_since_ms: int | None = None
     saving_since_ms: int | None = None
+    firm_saving_since_ms: int | None = None
 
 
 class Situation(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/_monsoonpulley/control/capacityneed.py
+++ b/src/_monsoonpulley/control/capacityneed.py
@@ -45,16 +45,27 @@
         market = endpoint.market
         return self._is_met(need, market, -endpoint.units_per_s)
 
-    def is_met_with(self, offer: Offer, need: Need) -> bool:
-        """Tell whether the need is met with one instance of the offer."""
-        return self._is_met(need, offer.market, offer.units_per_s)
+    def is_met_with(self, offer: Offer, need: Need, without: FleetEndpoint) -> bool:
+        """Tell whether the need is met with the offer in the endpoint's place."""
+        self.lose(without)
+        is_met = self._is_met(need, offer.market, offer.units_per_s)
+        self._change(without.market, without.units_per_s)
+        return is_met
+
+    def gain(self, offer: Offer) -> None:
+        """Add one instance of the offer."""
+        self._change(offer.market, offer.units_per_s)
 
     def lose(self, endpoint: FleetEndpoint) -> None:
         """Take the endpoint away."""
-        self._zones[endpoint.market.zone] -= endpoint.units_per_s
-        self._total -= endpoint.units_per_s
-        if not endpoint.market.reclaimable:
-            self._firm -= endpoint.units_per_s
+        self._change(endpoint.market, -endpoint.units_per_s)
+
+    def _change(self, market: Market, units_per_s: float) -> None:
+        zones = self._zones
+        zones[market.zone] = zones.get(market.zone, 0.0) + units_per_s
+        self._total += units_per_s
+        if not market.reclaimable:
+            self._firm += units_per_s
 
     def _is_met(self, need: Need, market: Market, change: float) -> bool:
         zones = {**self._zones}
--- a/src/_monsoonpulley/control/capacityplan.py
+++ b/src/_monsoonpulley/control/capacityplan.py
@@ -28,6 +28,7 @@
 from .fleet import (
     EndpointState,
     FleetEndpoint,
+    Market,
     Need,
     Offer,
     Order,
@@ -70,6 +71,7 @@
         self._decisions: list[CapacityDecision] = []
         self._has_surplus = False
         self._has_saving = False
+        self._has_firm_saving = False
         self._versions: dict[VersionId, list[FleetEndpoint]] = {}
         for endpoint in situation.fleet:
             if endpoint.counts and not self._is_overdue(endpoint):
@@ -80,13 +82,18 @@
         lead_ms = situation.loads.load_ms + self._loads_free_ms - now_ms
         self._pricing = Pricing(lead_ms, settings.late_milli_per_unit_h)
         self._costs = {
-            offer.market: self._unit_cost(offer) for offer in situation.offers
+            offer.market: self._pricing.cost_milli_per_h(offer) / offer.units_per_s
+            for offer in situation.offers
         }
+        self._offers_by_cost = sorted(
+            self._offers, key=lambda offer: self._costs[offer.market]
+        )
 
     def result(self) -> Plan:
         state = PlanState(
             self._since(self._has_surplus, self._state.surplus_since_ms),
             self._since(self._has_saving, self._state.saving_since_ms),
+            self._since(self._has_firm_saving, self._state.firm_saving_since_ms),
         )
         return Plan(
             tuple(self._orders), tuple(self._releases), state, tuple(self._decisions)
@@ -194,46 +201,68 @@
         return bool(names)
 
     def _switch_to_cheaper(self, need: Need, endpoints: list[FleetEndpoint]) -> None:
-        """Order a cheaper instance in place of the dearest; one at a time."""
-        if any(each.replaces for each in endpoints) or len(endpoints) < 2:
-            return
-        prices = {offer.market: offer for offer in self._situation.offers}
-        priced = [each for each in _ready(endpoints) if each.market in prices]
-        if not priced or not self._offers:
-            return
-        dearest = max(priced, key=lambda each: self._unit_cost(prices[each.market]))
-        old = prices[dearest.market]
+        """Order cheaper instances in place of the dearest, a few at a time."""
+        names = {each.name for each in endpoints}
+        pending = {each.replaces for each in endpoints} & names
+        most = max(1, int(self._settings.switch_share * len(endpoints)))
+        offers = {offer.market: offer for offer in self._situation.offers}
         room = Room(endpoints)
-        room.lose(dearest)
-        for offer in sorted(self._offers, key=self._unit_cost):
-            if not self._saves(old, offer):
+        priced = [
+            each
+            for each in _ready(endpoints)
+            if each.market in offers and each.name not in pending
+        ]
+        for dearest in sorted(priced, key=self._release_order):
+            if len(pending) >= most:
                 return
-            if room.is_met_with(offer, need):
-                break
-        else:
-            return
-        self._has_saving = True
-        if not self._has_lasted(
-            self._state.saving_since_ms, self._settings.switch_hold_ms
-        ):
-            return
-        self._start(need.version, offer, dearest.name)
-        self._decide(
-            "cheaper for long enough",
-            need,
-            endpoints,
-            ordered=(MarketCount(offer.market, 1),),
-            replaced=dearest.name,
-        )
+            new = self._cheaper(offers[dearest.market], dearest, room, need)
+            if new is None:
+                return
+            if not self._is_lasting(dearest.market):
+                continue
+            room.lose(dearest)
+            room.gain(new)
+            pending.add(dearest.name)
+            self._start(need.version, new, dearest.name)
+            self._decide(
+                "cheaper for long enough",
+                need,
+                endpoints,
+                ordered=(MarketCount(new.market, 1),),
+                replaced=dearest.name,
+            )
+
+    def _cheaper(
+        self, old: Offer, endpoint: FleetEndpoint, room: Room, need: Need
+    ) -> Offer | None:
+        """Return the cheapest offer that may replace the endpoint."""
+        for offer in self._offers_by_cost:
+            if not self._saves(old, offer):
+                return None
+            if room.is_met_with(offer, need, without=endpoint):
+                return offer
+        return None
 
     def _saves(self, old: Offer, new: Offer) -> bool:
-        old_cost, new_cost = self._unit_cost(old), self._unit_cost(new)
+        old_cost, new_cost = self._costs[old.market], self._costs[new.market]
         if new_cost > old_cost * (1 - self._settings.switch_ratio):
             return False
         lead_ms = new.start_ms + self._pricing.load_ms
         saved = (old_cost - new_cost) * self._settings.payback_ms
         return saved > old_cost * lead_ms
 
+    def _is_lasting(self, market: Market) -> bool:
+        """Tell whether replacing instances of the market paid for long enough.
+
+        On-demand prices hardly move, so less time is asked for there.
+        """
+        settings, state = self._settings, self._state
+        if market.reclaimable:
+            self._has_saving = True
+            return self._has_lasted(state.saving_since_ms, settings.switch_hold_ms)
+        self._has_firm_saving = True
+        return self._has_lasted(state.firm_saving_since_ms, settings.firm_hold_ms)
+
     def _start(self, version: VersionId, offer: Offer, replaces: str = "") -> None:
         begin_ms = max(self._now_ms + offer.start_ms, self._loads_free_ms)
         ready_ms = begin_ms + self._situation.loads.load_ms
@@ -249,9 +278,6 @@
             endpoint.name,
         )
 
-    def _unit_cost(self, offer: Offer) -> float:
-        return self._pricing.cost_milli_per_h(offer) / offer.units_per_s
-
     def _is_overdue(self, endpoint: FleetEndpoint) -> bool:
         if endpoint.state is not EndpointState.COMING:
             return False
