Register capacity as a duty with a lease for each service

Cause: only one entry instance may plan a service's fleet. Change: a duty that runs the orders under its hold; the instance's parts may carry what capacity takes. The parts moved to a module of their own. Conclusion: an instance has no capacity until its parts are given.

--- a/src/_monsoonpulley/control/fleetorders.py
+++ b/src/_monsoonpulley/control/fleetorders.py
@@ -14,68 +14,25 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
-import msgspec
-
-from ..clock import Clock
 from ..errors import Failure
-from ..ids import EndpointId, ServiceId
-from ..log import Log
-from ..platform.cloud import Cloud, InstanceSpec, Price, ReclaimNotice
-from ..platform.livelist import LiveList, Member
-from ..platform.table import Table
-from ..platform.weightstore import WeightFacts, WeightStore
-from .capacitydecision import Loads, PlannedOrder, PlanSettings, PlanState, Situation
+from ..platform.cloud import InstanceSpec, Price, ReclaimNotice
+from ..platform.livelist import Member
+from ..platform.weightstore import WeightFacts
+from .capacitydecision import Loads, PlannedOrder, PlanState, Situation
 from .capacityplan import plan
 from .fleet import Need, Offer
-from .fleetdecision import FleetSettings
+from .fleetparts import CapacityParts
 from .fleetrows import FleetRow, FleetRows, RowState, Stored
 from .fleetsteps import FleetSteps, LoadQueue
-from .fleetview import FleetKnown, FleetView, InProgress, market_of, view
+from .fleetview import FleetKnown, FleetView, market_of, view
 from .leases import Hold
-from .offers import MachineProfile, ReclaimRates, make_offers
-from .refusals import Refusals, RefusalSettings
+from .offers import ReclaimRates, make_offers
+from .refusals import Refusals
 
 TOKEN_BITS = 64
 
-Needs = Callable[[int, int], tuple[Need, ...] | None]
-"""Takes now and the lead time; ``None`` while the demand is unknown."""
-
-
-class CapacityParts(msgspec.Struct, frozen=True, kw_only=True):
-    """What ordering the instances of one service takes.
-
-    Attributes
-    ----------
-    needs : callable
-        Returns the needs of each version, `None` while unknown.
-    profiles : dict of str to MachineProfile
-        Machine classes that the service may use.
-    in_progress : callable
-        Returns how many requests all entry instances have at an endpoint,
-        ``None`` where that is unknown.
-    mark_leaving : callable
-        Tells all entry instances that an endpoint gets no new work.
-    """
-
-    service: ServiceId
-    table: Table
-    cloud: Cloud
-    livelist: LiveList
-    weights: WeightStore
-    clock: Clock
-    rng: random.Random
-    log: Log
-    needs: Needs
-    profiles: dict[str, MachineProfile]
-    in_progress: InProgress
-    mark_leaving: Callable[[EndpointId], None]
-    settings: FleetSettings = FleetSettings()
-    planning: PlanSettings = PlanSettings()
-    refusing: RefusalSettings = RefusalSettings()
-
 
 class FleetOrders:
     """Keeps the fleet of one service at its needs, while its lease is held.
--- /dev/null
+++ b/src/_monsoonpulley/control/fleetparts.py
@@ -0,0 +1,58 @@
+"""What ordering the instances of a service takes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from ..clock import Clock
+from ..ids import EndpointId, ServiceId
+from ..log import Log
+from ..platform.cloud import Cloud
+from ..platform.livelist import LiveList
+from ..platform.table import Table
+from ..platform.weightstore import WeightStore
+from .capacitydecision import PlanSettings
+from .fleet import Need
+from .fleetdecision import FleetSettings
+from .fleetview import InProgress
+from .offers import MachineProfile
+from .refusals import RefusalSettings
+
+Needs = Callable[[int, int], tuple[Need, ...] | None]
+"""Takes now and the lead time; ``None`` while the demand is unknown."""
+
+
+class CapacityParts(msgspec.Struct, frozen=True, kw_only=True):
+    """What ordering the instances of one service takes.
+
+    Attributes
+    ----------
+    needs : callable
+        Returns the needs of each version, `None` while unknown.
+    profiles : dict of str to MachineProfile
+        Machine classes that the service may use.
+    in_progress : callable
+        Returns how many requests all entry instances have at an endpoint,
+        ``None`` where that is unknown.
+    mark_leaving : callable
+        Tells all entry instances that an endpoint gets no new work.
+    """
+
+    service: ServiceId
+    table: Table
+    cloud: Cloud
+    livelist: LiveList
+    weights: WeightStore
+    clock: Clock
+    rng: random.Random
+    log: Log
+    needs: Needs
+    profiles: dict[str, MachineProfile]
+    in_progress: InProgress
+    mark_leaving: Callable[[EndpointId], None]
+    settings: FleetSettings = FleetSettings()
+    planning: PlanSettings = PlanSettings()
+    refusing: RefusalSettings = RefusalSettings()
--- a/src/_monsoonpulley/control/fleetsteps.py
+++ b/src/_monsoonpulley/control/fleetsteps.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping
-from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -14,14 +13,12 @@
 from ..platform.weightstore import WeightStore
 from .fleet import Market
 from .fleetdecision import FleetDecision
+from .fleetparts import CapacityParts
 from .fleetrows import ENDING, FleetRow, FleetRows, RowState, Stored
 from .fleetview import FleetKnown, FleetView
 from .leases import Hold
 from .refusals import Refusals
 
-if TYPE_CHECKING:
-    from .fleetorders import CapacityParts
-
 replace = msgspec.structs.replace
 OPEN_REASONS = frozenset((Reason.IN_DOUBT, Reason.UNAVAILABLE, Reason.TIMEOUT))
 """After these a start is repeated with the same token."""
--- a/src/_monsoonpulley/control/parts.py
+++ b/src/_monsoonpulley/control/parts.py
@@ -8,9 +8,11 @@
 
 from ..clock import Clock
 from ..config.document import Document
+from ..ids import ServiceId
 from ..journal.collection import Collection
 from ..journal.recovery import IsGone, Recovery
 from ..log import Log
+from .fleetparts import CapacityParts
 
 
 class DutyParts(msgspec.Struct, frozen=True, kw_only=True):
@@ -22,6 +24,9 @@
         Returns the configuration in force, ``None`` before there is one.
     is_gone : callable
         Tells for an instance and incarnation whether it has left.
+    capacity : callable, optional
+        Returns what ordering a service's instances takes, ``None`` for a service
+        whose instances are not ordered here.
     """
 
     clock: Clock
@@ -30,3 +35,4 @@
     recovery: Recovery
     collection: Collection
     is_gone: IsGone
+    capacity: Callable[[ServiceId], CapacityParts | None] | None = None
--- a/testing/control/capacityworld.py
+++ b/testing/control/capacityworld.py
@@ -11,7 +11,8 @@
 from _monsoonpulley.control.capacitydecision import PlanSettings
 from _monsoonpulley.control.capacityneed import unmet
 from _monsoonpulley.control.fleet import FleetEndpoint, Market
-from _monsoonpulley.control.fleetorders import CapacityParts, FleetOrders
+from _monsoonpulley.control.fleetorders import FleetOrders
+from _monsoonpulley.control.fleetparts import CapacityParts
 from _monsoonpulley.control.fleetrows import PREFIX, FleetRow
 from _monsoonpulley.control.leases import Hold
 from _monsoonpulley.control.offers import MachineProfile
--- a/testing/control/test_fleetorders.py
+++ b/testing/control/test_fleetorders.py
@@ -1,9 +1,14 @@
 from __future__ import annotations
 
+import asyncio
 import unittest
 
+from _monsoonpulley.config.document import Document, Service, ServiceKind
+from _monsoonpulley.control.capacityduty import CapacityDuty
 from _monsoonpulley.control.fleetdecision import FleetSettings
 from _monsoonpulley.control.fleetrows import PREFIX, RowState
+from _monsoonpulley.control.leases import Hold
+from _monsoonpulley.control.parts import DutyParts
 from _monsoonpulley.platform.table import Write
 from _monsoonpulley.standins.cloud import CloudState
 from _monsoonpulley.standins.faults import FaultKind, Part
@@ -241,6 +246,33 @@
         scenario(script)
 
 
+class DutyTests(unittest.TestCase):
+    def test_it_has_a_shard_for_each_service_with_capacity_and_runs_it(self):
+        async def main():
+            world = CapacityWorld(1)
+            services = {
+                "model": Service(ServiceKind.MODEL),
+                "records": Service(ServiceKind.PLAIN),
+            }
+            made = world.parts("entry-1", 1)
+            parts = DutyParts(
+                clock=world.clock,
+                log=made.log,
+                document=lambda: Document(services=services),
+                recovery=None,
+                collection=None,
+                is_gone=lambda *_: False,
+                capacity={"model": made}.get,
+            )
+            duty = CapacityDuty(parts)
+            self.assertEqual(duty.shards(), ("model",))
+            task = asyncio.create_task(duty.run("model", Hold(1, lambda _: True)))
+            await world.until_whole(FIRST_S)
+            task.cancel()
+
+        run_manual(main())
+
+
 class ReleaseTests(unittest.TestCase):
     def test_a_release_waits_for_what_is_in_progress(self):
         async def script(world, holder):
