--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -6,14 +6,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 
-import msgspec
 from starlette.applications import Starlette
 from starlette.routing import BaseRoute
 
-from .clock import Clock
-from .config.document import Document, Revision, Service
+from .config.document import Document, Revision
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
 from .control.duties import DutyRunner, make_duties
@@ -39,24 +36,23 @@
 from .journal.recovery import Recovery, RecoverySettings
 from .journal.settings import JournalSettings
 from .lifecycle import Lifecycle
-from .log import Log
-from .metrics import Metrics
 from .noticewatch import NoticeWatch
 from .overview import InstanceOverview
 from .peers.envelope import Sealer
 from .peers.exchange import PeerExchange
 from .peers.host import RouterHost
 from .peers.membership import Membership
-from .peers.transport import NoTransport, PeerTransport
-from .platform.bundle import Platform
 from .platform.cloud import ReclaimNotice
 from .platform.livelist import Member, MemberState
 from .requests.admissiongate import AdmissionGate
 from .requests.dispatcher import JournalDispatcher
+from .requests.evacuator import Evacuator, reported_speeds
 from .requests.passthrough import ServiceAttempts
 from .requests.routed import RoutedPlacement
+from .requests.streams import Streams
 from .routing.router import Router
 from .supervisor import Restart, Supervisor
+from .surroundings import Surroundings
 
 RECLAIM_MARGIN_MS = 1_000
 """How long before a reclaim deadline the instance hands over what is left."""
@@ -70,36 +66,6 @@
 not act on; no other instance can tell that they were left."""
 
 
-MakeClient = Callable[[Member, Service], Client]
-
-
-class Surroundings(msgspec.Struct, frozen=True):
-    """What an instance needs from outside.
-
-    Attributes
-    ----------
-    platform : Platform
-        The platform's services.
-    make_client : callable
-        Makes the client of an endpoint from its member and service.
-    clock, rng, log, metrics
-        Time, randomness, log and metrics of the process.
-    transport : PeerTransport
-        Carries messages to other entry instances.
-    peer_key : str
-        Signs these messages.
-    """
-
-    platform: Platform
-    make_client: MakeClient
-    clock: Clock
-    rng: random.Random
-    log: Log
-    metrics: Metrics
-    transport: PeerTransport = NoTransport()
-    peer_key: str = ""
-
-
 class EntryInstance:
     """One entry instance.
 
@@ -125,6 +91,7 @@
         self._build_endpoints()
         self._build_peers()
         self._build_requests()
+        self._build_streams()
         self._build_recovery()
         self._build_control()
         self.app = self._build_app()
@@ -147,6 +114,7 @@
     async def drain(self) -> None:
         """Wait for what is in progress, up to the deadline, and hand over."""
         await self.lifecycle.wait_idle(RECLAIM_MARGIN_MS)
+        await self.streams.hand_over()
         deadline_ms = self.lifecycle.deadline_ms
         if deadline_ms is None:
             deadline_ms = self._around.clock.now_ms() + DRAIN_JOURNAL_MS
@@ -237,6 +205,22 @@
             JournalSettings(),
         )
 
+    def _build_streams(self) -> None:
+        around = self._around
+        holder = f"{self.identity.instance}/{self.identity.incarnation}"
+        self.streams = Streams.from_platform(
+            around.platform, holder, around.clock, around.rng, around.log
+        )
+        self.evacuator = Evacuator(
+            self.streams,
+            self.placement,
+            self.pool.client,
+            reported_speeds(self.router.fleet),
+            around.clock,
+            around.log,
+            around.metrics,
+        )
+
     def _build_recovery(self) -> None:
         around = self._around
         self.recovery = Recovery(
@@ -291,6 +275,7 @@
             self.gate,
             self.placement,
             self.pool.client,
+            self.streams,
             self.lifecycle,
             around.clock,
             around.log,
@@ -345,6 +330,8 @@
         peers.add("receiving", self.exchange.run_receiving)
         requests = self._new_supervisor("requests")
         requests.add("admission", self.gate.run)
+        requests.add("evacuation", self.evacuator.run)
+        requests.add("stream-collection", self.streams.run_collection)
         requests.add("own-records", self._recover_own)
         control = self._new_supervisor("control")
         control.add("leases", self._hold_leases)
@@ -398,12 +385,14 @@
             reclaimed=notice.instance,
             deadline_wall_ms=notice.deadline_wall_ms,
         )
+        deadline_ms = clock.now_ms() + notice.deadline_wall_ms - clock.wall_ms()
         if notice.instance == self.identity.instance:
-            left_ms = notice.deadline_wall_ms - clock.wall_ms()
-            self.leave("reclaim", clock.now_ms() + left_ms)
+            self.leave("reclaim", deadline_ms)
             return
-        self.router.mark_leaving(EndpointId(notice.instance), clock.now_ms())
-        self.exchange.add_leaving(EndpointId(notice.instance))
+        endpoint = EndpointId(notice.instance)
+        self.router.mark_leaving(endpoint, clock.now_ms())
+        self.exchange.add_leaving(endpoint)
+        self.evacuator.notice(endpoint, deadline_ms)
 
     async def _become_ready(self) -> None:
         await self.watcher.wait_ready()
--- /dev/null
+++ b/src/_monsoonpulley/surroundings.py
@@ -0,0 +1,46 @@
+"""What an entry instance needs from outside of itself."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from .clock import Clock
+from .config.document import Service
+from .endpoints.pool import Client
+from .log import Log
+from .metrics import Metrics
+from .peers.transport import NoTransport, PeerTransport
+from .platform.bundle import Platform
+from .platform.livelist import Member
+
+MakeClient = Callable[[Member, Service], Client]
+
+
+class Surroundings(msgspec.Struct, frozen=True):
+    """What an instance needs from outside.
+
+    Attributes
+    ----------
+    platform : Platform
+        The platform's services.
+    make_client : callable
+        Makes the client of an endpoint from its member and service.
+    clock, rng, log, metrics
+        Time, randomness, log and metrics of the process.
+    transport : PeerTransport
+        Carries messages to other entry instances.
+    peer_key : str
+        Signs these messages.
+    """
+
+    platform: Platform
+    make_client: MakeClient
+    clock: Clock
+    rng: random.Random
+    log: Log
+    metrics: Metrics
+    transport: PeerTransport = NoTransport()
+    peer_key: str = ""
