--- a/testing/control/test_fleetorders.py
+++ b/testing/control/test_fleetorders.py
@@ -82,6 +82,18 @@
 
         scenario(script)
 
+    def test_an_instance_that_dies_without_notice_is_replaced(self):
+        async def script(world, holder):
+            await world.until_whole(FIRST_S)
+            await world.sleep(10)
+            world.cloud.take(world.rng.choice(list(world.cloud.instances)))
+            await world.sleep(1)
+            await world.until_whole(60)
+            await world.sleep(60)
+            self.assertEqual(len(await world.rows()), 10)
+
+        scenario(script)
+
 
 class RefusalTests(unittest.TestCase):
     def test_starts_refused_everywhere_but_one_market_go_there(self):
