Find a whole fleet beside a blocked remnant of a zone

Cause: sizes were tried only near that of a fleet with all zones equally full, so a large fleet with a few instances in a blocked zone was filled without diversity. Change: sizes for each count of zones that carry the load; where none is whole, zones are filled evenly first.

--- a/src/_monsoonpulley/control/capacityfill.py
+++ b/src/_monsoonpulley/control/capacityfill.py
@@ -105,9 +105,17 @@
     offers: Sequence[Offer],
     pricing: Pricing,
 ) -> Filled:
-    """Return what to add for the total alone, where not all zones can be had."""
+    """Return what to add for the total alone, where not all zones can be had.
+
+    Zones are filled evenly first, so that a lost one takes no more than it must.
+    """
     filling = _Filling(endpoints)
-    for offer in _by_unit_cost(offers, pricing, 1.0):
+    ordered = _by_unit_cost(offers, pricing, 1.0)
+    even = need.total_units_per_s / max(1, len({o.market.zone for o in offers}))
+    for offer in ordered:
+        missing = _count(need.total_units_per_s - filling.total, offer)
+        filling.add(offer, min(missing, filling.fits(offer, even)))
+    for offer in ordered:
         filling.add(offer, _count(need.total_units_per_s - filling.total, offer))
     return _filled(need, need.total_units_per_s, filling, pricing, 1.0)
 
--- a/src/_monsoonpulley/control/capacityplan.py
+++ b/src/_monsoonpulley/control/capacityplan.py
@@ -155,17 +155,20 @@
         )
 
     def _fills(self, need: Need, endpoints: list[FleetEndpoint]) -> list[Filled]:
+        """Return fleets of several sizes; all zones equally full is the least."""
         if not self._offers:
             return []
         zones = units_by_zone(endpoints)
         usable = {offer.market.zone for offer in self._offers}
         places = len(usable | set(zones))
-        spread = places / (places - 1) if places > 1 else 1.0
-        held = need.loss_units_per_s + max(zones.values(), default=0.0)
-        least = max(need.total_units_per_s, need.loss_units_per_s * spread)
         step = min(offer.units_per_s for offer in self._offers)
-        sizes = {least + step * number for number in range(SIZES_TRIED)}
-        sizes.add(max(least, held))
+        sizes = {need.loss_units_per_s + max(zones.values(), default=0.0)}
+        for count in range(2, places + 1):
+            # Some zones may hold too little and be blocked: fewer carry the rest.
+            least = need.loss_units_per_s * count / (count - 1)
+            sizes |= {least + step * more for more in range(places + 1)}
+        sizes = {max(need.total_units_per_s, size) for size in sizes}
+        sizes |= {min(sizes) + step * more for more in range(SIZES_TRIED)}
         return [
             fill(need, size, endpoints, self._offers, self._pricing)
             for size in sorted(sizes)
--- a/testing/control/capacityfixtures.py
+++ b/testing/control/capacityfixtures.py
@@ -51,10 +51,13 @@
 
 
 def as_ready(made: Plan) -> list[FleetEndpoint]:
-    return [
-        FleetEndpoint(f"new{n}", each.order.market, each.order.version, UNITS)
-        for n, each in enumerate(made.orders)
-    ]
+    found = []
+    for number, each in enumerate(made.orders):
+        market = each.order.market
+        units = 2 * UNITS if market.machine_class == "large" else UNITS
+        version = each.order.version
+        found.append(FleetEndpoint(f"new{number}", market, version, units))
+    return found
 
 
 SETTINGS = PlanSettings(late_milli_per_unit_h=20.0)
--- a/testing/control/test_capacityplan.py
+++ b/testing/control/test_capacityplan.py
@@ -19,6 +19,7 @@
     as_ready,
     endpoint,
     need,
+    offer,
     offers,
     situation,
     spread_fleet,
@@ -67,6 +68,21 @@
         self.assertEqual(Counter(o.order.market for o in made.orders), {left: 10})
         self.assertEqual(made.decisions[0].unmet, ("without zone-d",))
 
+    def test_a_large_fleet_with_a_blocked_remnant_of_a_zone_becomes_whole(self):
+        zones = [f"zone-{n}" for n in range(6)]
+        market = [offer(zone, 400 + n) for n, zone in enumerate(zones)]
+        counts = [5, 80, 120, 120, 120, 120]
+        fleet = [
+            endpoint(f"{zone} {n}", zone)
+            for zone, count in zip(zones, counts, strict=True)
+            for n in range(count)
+        ]
+        wanted = need(60_000.0, 50_000.0)
+        blocked = frozenset((market[0].market,))
+        now = situation(fleet, needs=(wanted,), offers=market, blocked=blocked)
+        made = plan(now, START, SETTINGS, 0)
+        self.assertEqual(unmet(wanted, [*fleet, *as_ready(made)]), ())
+
     def test_without_any_market_nothing_is_ordered(self):
         blocked = frozenset(each.market for each in offers())
         made = plan(situation(blocked=blocked), START, SETTINGS, 0)
@@ -99,20 +115,24 @@
         st.integers(0, 2_000),
         st.floats(0.5, 1.0),
         st.integers(0, 3),
+        st.booleans(),
     )
     def test_orders_meet_and_releases_keep_every_constraint(
-        self, places, total, loss_ratio, blocked_zones
+        self, places, total, loss_ratio, blocked_zones, with_large
     ):
         fleet = [
             endpoint(f"e{n}", zone, reclaimable=kind)
             for n, (zone, kind) in enumerate(places)
         ]
         wanted = need(float(total), total * loss_ratio)
+        market = offers()
+        if with_large:
+            market += tuple(offer(z, 700, size="large", units=200.0) for z in ZONES)
         blocked = frozenset(
-            o.market for o in offers() if o.market.zone in ZONES[:blocked_zones]
+            o.market for o in market if o.market.zone in ZONES[:blocked_zones]
         )
         held = PlanState(surplus_since_ms=0)
-        now = situation(fleet, needs=(wanted,), blocked=blocked)
+        now = situation(fleet, needs=(wanted,), offers=market, blocked=blocked)
         made = plan(now, held, SETTINGS, SETTINGS.surplus_hold_ms)
         gone = {each.name for each in made.releases}
         after = [e for e in fleet if e.name not in gone] + as_ready(made)
