Log a shortage that can't be mended once

Cause: with markets closed, each pass logged the same decision. Change: a decision that changes nothing is logged when its unmet constraints change. Tested: testing.control.test_fleetorders.RefusalTests, 2 tests, pass; the new one fails when the rule is taken out. Conclusion: the log shows one line for each round of tries.

--- a/src/_monsoonpulley/control/fleetorders.py
+++ b/src/_monsoonpulley/control/fleetorders.py
@@ -17,10 +17,17 @@
 from collections.abc import Sequence
 
 from ..errors import Failure
+from ..ids import VersionId
 from ..platform.cloud import InstanceSpec, Price, ReclaimNotice
 from ..platform.livelist import Member
 from ..platform.weightstore import WeightFacts
-from .capacitydecision import Loads, PlannedOrder, PlanState, Situation
+from .capacitydecision import (
+    CapacityDecision,
+    Loads,
+    PlannedOrder,
+    PlanState,
+    Situation,
+)
 from .capacityplan import plan
 from .fleet import Need, Offer
 from .fleetparts import CapacityParts
@@ -55,6 +62,7 @@
         self._steps = FleetSteps(parts, hold, self._rows, self._refusals, self._loads)
         self._known = FleetKnown()
         self._state = PlanState()
+        self._idle: dict[VersionId, tuple[str, ...]] = {}
         self._unconfirmed: list[FleetRow] = []
         self._members: tuple[Member, ...] | None = None
         self._prices: tuple[Price, ...] = ()
@@ -162,11 +170,22 @@
         made = plan(situation, self._state, self._parts.planning, now_ms)
         self._state = made.state
         for decision in made.decisions:
-            self._parts.log.decision(decision)
+            self._note(decision)
         await self._order(made.orders)
         names = {each.name for each in made.releases}
         await self._release(names, rows)
 
+    def _note(self, decision: CapacityDecision) -> None:
+        """Log a decision; one that changes nothing only when it is new."""
+        version = decision.need.version
+        is_idle = not decision.ordered and not decision.releases
+        if is_idle and self._idle.get(version) == decision.unmet:
+            return
+        self._idle.pop(version, None)
+        if is_idle:
+            self._idle[version] = decision.unmet
+        self._parts.log.decision(decision)
+
     async def _order(self, orders: Sequence[PlannedOrder]) -> None:
         rows = [self._row(each) for each in orders]
         size = self._parts.settings.orders_per_commit
--- a/testing/control/test_fleetorders.py
+++ b/testing/control/test_fleetorders.py
@@ -117,6 +117,22 @@
 
         scenario(script)
 
+    def test_a_shortage_that_no_order_can_mend_is_logged_once(self):
+        async def script(world, holder):
+            for zone in ZONES[1:]:
+                world.cloud.refuse_starts(True, zone=zone)
+            await world.sleep(300)
+            idle = [
+                each["unmet"]
+                for each in world.events("capacity_decision")
+                if not each["ordered"]
+            ]
+            self.assertTrue(idle)
+            # Refused markets are tried after 10 s, doubled each time.
+            self.assertLessEqual(len(idle), 6)
+
+        scenario(script)
+
 
 class LostAnswerTests(unittest.TestCase):
     def test_lost_answers_of_starts_start_nothing_twice(self):
