--- a/src/_monsoonpulley/control/parts.py
+++ b/src/_monsoonpulley/control/parts.py
@@ -14,6 +14,7 @@
 from ..journal.recovery import IsGone, Recovery
 from ..log import Log
 from ..platform.table import Table
+from .fleetparts import CapacityParts
 from .rolloutview import RolloutView
 
 
@@ -32,6 +33,9 @@
         Returns the LIVE endpoints of a version.
     rollouts : RolloutView
         Versions on their way, as this instance knows them.
+    capacity : callable, optional
+        Returns what ordering a service's instances takes, ``None`` for a service
+        whose instances are not ordered here.
     """
 
     clock: Clock
@@ -45,3 +49,4 @@
     live_entries: Callable[[], Sequence[InstanceId]]
     endpoints_of: Callable[[ServiceId, VersionId], Sequence[EndpointId]]
     rollouts: RolloutView
+    capacity: Callable[[ServiceId], CapacityParts | None] | None = None
--- a/src/_monsoonpulley/endpoints/feed.py
+++ b/src/_monsoonpulley/endpoints/feed.py
@@ -14,10 +14,18 @@
 from .engine import CacheEvent, EngineClient, LoadReport
 
 POLL_INTERVAL_MS = 500
+POLL_MS_PER_ENGINE = 300
+"""An instance that reports on many engines polls each less often, so that its
+traffic for control stays bounded."""
 POLL_TIMEOUT_MS = 2_000
 POLLS_AT_ONCE = 16
 
 
+def poll_interval_ms(engines: int) -> int:
+    """Return the time between polls of one engine, among ``engines``."""
+    return max(POLL_INTERVAL_MS, POLL_MS_PER_ENGINE * engines)
+
+
 class FeedSink(Protocol):
     """Takes what the engines report."""
 
@@ -67,7 +75,8 @@
         while True:
             await self.poll()
             spread = self._rng.uniform(0.9, 1.1)
-            await self._clock.sleep_ms(POLL_INTERVAL_MS * spread)
+            wait_ms = poll_interval_ms(len(self._engines()))
+            await self._clock.sleep_ms(wait_ms * spread)
 
     async def poll(self) -> None:
         """Poll every engine once, a bounded number at a time."""
--- a/src/_monsoonpulley/endpoints/roster.py
+++ b/src/_monsoonpulley/endpoints/roster.py
@@ -12,10 +12,18 @@
 from ..platform.livelist import LiveList, Member
 
 REFRESH_INTERVAL_MS = 2_000
+REFRESH_MS_PER_MEMBER = 40
+"""The whole list comes each time, so a long one is asked for less often. What
+leaves is told by digests meanwhile; only what is new is noticed later."""
 
 OnMembers = Callable[[tuple[Member, ...]], None]
 
 
+def refresh_interval_ms(members: int) -> int:
+    """Return the time between refreshes of a list of ``members``."""
+    return max(REFRESH_INTERVAL_MS, REFRESH_MS_PER_MEMBER * members)
+
+
 class Roster:
     """The newest list of members that the platform gave.
 
@@ -56,7 +64,8 @@
         while True:
             await self.refresh()
             spread = self._rng.uniform(0.9, 1.1)
-            await self._clock.sleep_ms(REFRESH_INTERVAL_MS * spread)
+            wait_ms = refresh_interval_ms(len(self.members))
+            await self._clock.sleep_ms(wait_ms * spread)
 
     async def refresh(self) -> None:
         """Ask the platform once."""
