Remember log lines by all that they are about

Explaining a rollout, an instance, a duty or the configuration needs their lines; so far only a request's lines were found. Each line is now kept under each subject, with a bound of bytes for each kind, so that the many lines of requests push out no other kind's.

--- a/src/_monsoonpulley/eventmemory.py
+++ b/src/_monsoonpulley/eventmemory.py
@@ -3,51 +3,98 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
+from .subjects import Subject, SubjectKind
+
 MAX_SUBJECTS = 20_000
 MAX_LINES_PER_SUBJECT = 200
-MAX_BYTES = 32 * 1024 * 1024
+MAX_BYTES = {
+    SubjectKind.REQUEST: 20 * 1024 * 1024,
+    SubjectKind.ROLLOUT: 2 * 1024 * 1024,
+    SubjectKind.INSTANCE: 4 * 1024 * 1024,
+    SubjectKind.DUTY: 4 * 1024 * 1024,
+    SubjectKind.CONFIG: 2 * 1024 * 1024,
+}
+"""Bytes of lines for each kind, so that none pushes out another's."""
 
 
-class RememberedLine(msgspec.Struct, frozen=True):
-    """One log line as it was written, and its size in bytes."""
+class RememberedLine(msgspec.Struct, frozen=True, gc=False):
+    """One log line as it was written; ``sequence`` counts all lines."""
 
+    sequence: int
     text: str
     size_bytes: int
 
 
-class EventMemory:
-    """Log lines by the request that they are about, the newest kept.
+class SubjectLines:
+    """Lines by subject, the newest kept.
 
-    Bounded in requests, in lines for each and in bytes over all; what was
+    Bounded in subjects, in lines for each and in bytes over all; what was
     least recently written to goes first.
     """
 
-    def __init__(self, max_bytes: int = MAX_BYTES):
+    def __init__(self, max_bytes: int):
         self._max_bytes = max_bytes
-        self._size_bytes = 0
         self._lines: OrderedDict[str, list[RememberedLine]] = OrderedDict()
+        self.size_bytes = 0
 
-    @property
-    def size_bytes(self) -> int:
-        """Bytes of all remembered lines."""
-        return self._size_bytes
-
-    def remember(self, subject: str, text: str) -> None:
+    def add(self, subject: str, line: RememberedLine) -> None:
         """Keep a line about ``subject``."""
-        lines = self._lines.setdefault(subject, [])
-        self._lines.move_to_end(subject)
+        lines = self._lines.get(subject)
+        if lines is None:
+            lines = self._lines[subject] = []
+        else:
+            self._lines.move_to_end(subject)
         if len(lines) >= MAX_LINES_PER_SUBJECT:
-            self._size_bytes -= lines.pop(0).size_bytes
-        line = RememberedLine(text, len(text))
+            self.size_bytes -= lines.pop(0).size_bytes
         lines.append(line)
-        self._size_bytes += line.size_bytes
-        while self._size_bytes > self._max_bytes or len(self._lines) > MAX_SUBJECTS:
+        self.size_bytes += line.size_bytes
+        while self.size_bytes > self._max_bytes or len(self._lines) > MAX_SUBJECTS:
             _, dropped = self._lines.popitem(last=False)
-            self._size_bytes -= sum(line.size_bytes for line in dropped)
+            self.size_bytes -= sum(one.size_bytes for one in dropped)
+
+    def lines(self, subject: str) -> list[RememberedLine]:
+        """Return the lines about ``subject``, oldest first."""
+        return self._lines.get(subject, [])
+
+
+class EventMemory:
+    """Log lines by what they are about, each kind with a bound of its own.
+
+    Lines about a request are kept within the requests' bound also where they
+    are found under the endpoint that they name. A line counts once for each
+    subject.
+    """
+
+    def __init__(self, max_bytes: Mapping[SubjectKind, int] = MAX_BYTES):
+        self._parts = {kind: SubjectLines(size) for kind, size in max_bytes.items()}
+        self._sequence = 0
+
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of all remembered lines."""
+        return sum(part.size_bytes for part in self._parts.values())
+
+    def remember(
+        self,
+        subjects: Iterable[Subject],
+        text: str,
+        size_bytes: int,
+        *,
+        is_about_request: bool,
+    ) -> None:
+        """Keep a line under each of its subjects."""
+        self._sequence += 1
+        line = RememberedLine(self._sequence, text, size_bytes)
+        for subject in subjects:
+            kind = SubjectKind.REQUEST if is_about_request else subject.kind
+            self._parts[kind].add(subject.text, line)
 
     def recall(self, subject: str) -> list[str]:
         """Return the lines about ``subject``, oldest first."""
-        return [line.text for line in self._lines.get(subject, [])]
+        found = [line for part in self._parts.values() for line in part.lines(subject)]
+        found.sort(key=lambda line: line.sequence)
+        return [line.text for line in found]
--- a/src/_monsoonpulley/log.py
+++ b/src/_monsoonpulley/log.py
@@ -15,6 +15,7 @@
 
 from .clock import Clock
 from .eventmemory import EventMemory
+from .subjects import is_about_request, subjects_of
 
 Sink = Callable[[str], Any]
 
@@ -74,8 +75,14 @@
             line["instance"] = self._instance
         line["event"] = event
         line.update(fields)
-        text = msgspec.json.encode(line, enc_hook=str).decode()
-        subject = fields.get("request_id")
-        if subject:
-            self.memory.remember(subject, text)
+        data = msgspec.json.encode(line, enc_hook=str)
+        text = data.decode()
+        subjects = subjects_of(event, fields, self._instance)
+        if subjects:
+            self.memory.remember(
+                subjects,
+                text,
+                len(data),
+                is_about_request=is_about_request(fields),
+            )
         self._sink(text)
--- /dev/null
+++ b/src/_monsoonpulley/subjects.py
@@ -0,0 +1,155 @@
+"""What a log line is about, so that it can be found again.
+
+============================  =================================
+Subject                       Text
+============================  =================================
+A request                     its id
+A version of a service        ``rollout:SERVICE/VERSION``
+An instance or an endpoint    ``instance:NAME``
+A control duty                ``duty:NAME``
+The configuration             ``config``
+============================  =================================
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum
+from functools import lru_cache
+from typing import Any
+
+import msgspec
+
+Fields = Mapping[str, Any]
+Finder = Callable[[Fields], Iterable["Subject"]]
+
+
+class SubjectKind(Enum):
+    """Kind of what a line is about."""
+
+    REQUEST = "request"
+    ROLLOUT = "rollout"
+    INSTANCE = "instance"
+    DUTY = "duty"
+    CONFIG = "config"
+
+
+class Subject(msgspec.Struct, frozen=True, gc=False):
+    """What a line is about; ``text`` is how operators name it."""
+
+    kind: SubjectKind
+    text: str
+
+
+CONFIG = Subject(SubjectKind.CONFIG, "config")
+INSTANCE_FIELDS = ("endpoint", "chosen", "peer", "reclaimed", "holder", "adopter")
+_finders: dict[str, Finder] = {}
+
+
+def subjects_in(event: str) -> Callable[[Finder], Finder]:
+    """Register what finds the subjects of an event beyond its plain fields.
+
+    A name that ends in ``_`` stands for all events that begin with it.
+    """
+
+    def register(finder: Finder) -> Finder:
+        _finders[event] = finder
+        return finder
+
+    return register
+
+
+def request(request_id: str) -> Subject:
+    """Return the subject of a request."""
+    return Subject(SubjectKind.REQUEST, request_id)
+
+
+def rollout(service: str, version: str) -> Subject:
+    """Return the subject of a version of a service."""
+    return Subject(SubjectKind.ROLLOUT, f"rollout:{service}/{version}")
+
+
+@lru_cache(maxsize=10_000)
+def instance(name: str) -> Subject:
+    """Return the subject of an instance or an endpoint."""
+    return Subject(SubjectKind.INSTANCE, f"instance:{name}")
+
+
+@lru_cache(maxsize=1_000)
+def duty(name: str) -> Subject:
+    """Return the subject of a control duty."""
+    return Subject(SubjectKind.DUTY, f"duty:{name}")
+
+
+def subjects_of(event: str, fields: Fields, own_instance: str = "") -> list[Subject]:
+    """Return what a line is about, each subject once.
+
+    Parameters
+    ----------
+    event : str
+        Name of the event.
+    fields : mapping
+        The line's other fields.
+    own_instance : str
+        Instance that writes the line.
+    """
+    found: list[Subject] = []
+    request_id = fields.get("request_id")
+    if request_id:
+        found.append(request(request_id))
+    for name in INSTANCE_FIELDS:
+        value = fields.get(name)
+        if value and type(value) is str:
+            found.append(instance(value))
+    duty_name = fields.get("duty")
+    if duty_name:
+        found.append(duty(duty_name))
+    finder = _finder_of(event)
+    if finder is not None:
+        found.extend(finder(fields))
+    if event.startswith("instance_") and own_instance:
+        found.append(instance(own_instance))
+    if len(found) < 2:
+        return found
+    return list({subject.text: subject for subject in found}.values())
+
+
+def is_about_request(fields: Fields) -> bool:
+    """Tell whether a line is one of the many that each request brings."""
+    return "request_id" in fields or "attempt_id" in fields
+
+
+@lru_cache(maxsize=1_000)
+def _finder_of(event: str) -> Finder | None:
+    """Return the finder of an event, or that of its name's beginning."""
+    prefix = event.partition("_")[0] + "_"
+    return _finders.get(event) or _finders.get(prefix)
+
+
+@subjects_in("config_")
+def _configuration(fields: Fields) -> Iterable[Subject]:
+    return (CONFIG,)
+
+
+@subjects_in("rollout_")
+def _rollout(fields: Fields) -> Iterable[Subject]:
+    version = fields.get("version")
+    return (rollout(fields.get("service", ""), version),) if version else ()
+
+
+@subjects_in("attempt_failed")
+def _attempt(fields: Fields) -> Iterable[Subject]:
+    yield request(fields["attempt_id"].rpartition(".")[0])
+
+
+@subjects_in("evacuation")
+def _evacuated(fields: Fields) -> Iterable[Subject]:
+    for step in fields["steps"]:
+        yield request(step["request_id"])
+
+
+@subjects_in("order_decision")
+def _ordered(fields: Fields) -> Iterable[Subject]:
+    intent = fields["intent"]
+    if intent.get("version"):
+        yield rollout(intent.get("service", ""), intent["version"])
