--- a/src/_monsoonpulley/cli.py
+++ b/src/_monsoonpulley/cli.py
@@ -25,11 +25,11 @@
     print_answer_of,
     print_failure,
 )
+from .cli_explain import explain_json, explain_text, missing_text
 from .cli_output import (
     config_status_text,
     conflict_text,
     difference_text,
-    explain_text,
     history_text,
     status_text,
 )
@@ -233,17 +233,33 @@
 
 
 @app.command
-def explain(request_id: str, *, access: Access = FROM_ENVIRONMENT) -> int:
-    """Show what was decided about a request, and from what.
+def explain(
+    subject: str, *, json: bool = False, access: Access = FROM_ENVIRONMENT
+) -> int:
+    """Show what was decided about a subject, by which rules and from what.
+
+    All entry instances are asked; standard error names those without an answer.
 
     Parameters
     ----------
-    request_id
-        As named in the answer to the caller.
+    subject
+        A request's id, as named in the answer to the caller;
+        rollout:SERVICE/VERSION; instance:NAME, also for endpoints; duty:NAME;
+        or config.
+    json
+        Print the log lines as they are.
     """
-    return print_answer_of(
-        access, lambda client: client.explain(request_id), explain_text
-    )
+
+    async def explain_with(client: OperatorClient) -> int:
+        answer = await client.explain(subject)
+        if isinstance(answer, Failure):
+            return print_failure(answer)
+        print(explain_json(answer) if json else explain_text(answer))
+        if answer.missing:
+            print(missing_text(answer), file=sys.stderr)
+        return ExitCode.OK
+
+    return ask_entry(access, explain_with)
 
 
 def _finish(result: Any) -> int:
--- /dev/null
+++ b/src/_monsoonpulley/cli_explain.py
@@ -0,0 +1,100 @@
+"""What ``monsoonpulley explain`` prints: a timeline as text or as raw lines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from .config.ini import format_deadline
+from .operator_wire import ExplainBody, ExplainLine, RequestRecord
+from .sentences import sentence_of
+
+MAX_VALUE_CHARS = 60
+MAX_INPUTS_CHARS = 400
+SHOWN_ELSEWHERE = frozenset({"rule", "runner_up", "now_ms", "request_id"})
+
+
+def explain_text(body: ExplainBody) -> str:
+    """Return the timeline: what was decided, by which rule, from what."""
+    return "\n".join(_text_lines(body))
+
+
+def explain_json(body: ExplainBody) -> str:
+    """Return the lines as they were logged, one JSON object each."""
+    return "\n".join(_raw_line(line) for line in body.lines)
+
+
+def missing_text(body: ExplainBody) -> str:
+    """Return who did not answer, one line each."""
+    return "\n".join(f"no answer from {one.name}: {one.reason}" for one in body.missing)
+
+
+def _text_lines(body: ExplainBody) -> Iterator[str]:
+    yield body.subject
+    if body.record is not None:
+        yield f"  {_record_text(body.record)}"
+    for one in body.history:
+        at = format_deadline(one.applied_wall_ms)
+        note = f" ({one.note})" if one.note else ""
+        yield f"  revision {one.number} of {one.author!r}, applied {at}{note}"
+    if not body.lines:
+        yield "  no instance that answered has lines about it"
+        return
+    start_ms = body.lines[0].wall_ms
+    yield f"  from {format_deadline(start_ms)}, in ms:"
+    width = max(len(line.instance) for line in body.lines)
+    for line in body.lines:
+        yield from _line_text(line, line.wall_ms - start_ms, width)
+
+
+def _line_text(line: ExplainLine, at_ms: int, width: int) -> Iterator[str]:
+    said = sentence_of(line.event, line.fields)
+    yield f"{at_ms:>+9}  {line.instance.ljust(width)}  {said}"
+    indent = " " * (13 + width)
+    rule = line.fields.get("rule")
+    if rule:
+        runner_up = line.fields.get("runner_up")
+        instead = f"; instead of: {runner_up}" if runner_up else ""
+        yield f"{indent}rule: {rule}{instead}"
+    inputs = _inputs_text(line.fields)
+    if inputs:
+        yield f"{indent}from: {inputs}"
+
+
+def _inputs_text(fields: dict[str, object]) -> str:
+    shown = (
+        f"{name}={_short(value)}"
+        for name, value in fields.items()
+        if name not in SHOWN_ELSEWHERE and value not in (None, "", [], {})
+    )
+    return _cut(" ".join(shown), MAX_INPUTS_CHARS)
+
+
+def _short(value: object) -> str:
+    text = value if isinstance(value, str) else msgspec.json.encode(value).decode()
+    return _cut(text, MAX_VALUE_CHARS)
+
+
+def _cut(text: str, max_chars: int) -> str:
+    return text if len(text) <= max_chars else f"{text[: max_chars - 3]}..."
+
+
+def _record_text(record: RequestRecord) -> str:
+    endpoint = f" at {record.endpoint}" if record.endpoint else ""
+    tried = f", not run at {', '.join(record.tried)}" if record.tried else ""
+    failure = f", {record.failure}" if record.failure else ""
+    return (
+        f"journal: {record.state}, holder {record.holder}, attempt "
+        f"{record.attempt}{endpoint}{tried}{failure}"
+    )
+
+
+def _raw_line(line: ExplainLine) -> str:
+    raw = {
+        "wall_ms": line.wall_ms,
+        "instance": line.instance,
+        "event": line.event,
+        **line.fields,
+    }
+    return msgspec.json.encode(raw).decode()
--- a/src/_monsoonpulley/cli_output.py
+++ b/src/_monsoonpulley/cli_output.py
@@ -12,7 +12,6 @@
     ConfigStatusBody,
     ConflictBody,
     EntryStatus,
-    ExplainBody,
     HistoryBody,
     RevisionSummary,
     StatusBody,
@@ -117,16 +116,3 @@
 
 def _deadline(deadline_wall_ms: int | None) -> str:
     return "-" if deadline_wall_ms is None else format_deadline(deadline_wall_ms)
-
-
-def explain_text(explain: ExplainBody) -> str:
-    """Return the timeline of a request, each line with its fields."""
-    lines = [f"request {explain.request_id}"]
-    for one in explain.lines:
-        fields = " ".join(
-            f"{name}={msgspec.json.encode(value).decode()}"
-            for name, value in one.fields.items()
-        )
-        at = format_deadline(one.wall_ms)
-        lines.append(f"{at}  {one.instance}  {one.event}  {fields}".rstrip())
-    return "\n".join(lines)
--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -21,6 +21,7 @@
 from .instance import EntryInstance, Surroundings
 from .log import Log
 from .metrics import Metrics, metrics_to
+from .peeroperators import HttpPeerOperators
 from .peers.pynng_transport import PynngTransport
 from .platform.connect import connect_platform
 from .platform.livelist import Member
@@ -116,6 +117,7 @@
             metrics=self._metrics,
             transport=self._transport,
             peer_key=settings.peers.key.value,
+            peer_operators=HttpPeerOperators(self._platform_session),
         )
 
     def _build_metrics(self) -> Metrics:
--- a/src/_monsoonpulley/gateway/operator.py
+++ b/src/_monsoonpulley/gateway/operator.py
@@ -48,8 +48,12 @@
         """Return instances, endpoints, rollouts and duties."""
         ...
 
-    async def explain(self, subject: str) -> wire.ExplainBody:
-        """Return the events and decisions about a subject, oldest first."""
+    def explain_local(self, subject: str) -> wire.ExplainBody:
+        """Return what this instance itself remembers of a subject."""
+        ...
+
+    async def explain(self, subject: str, authorization: str) -> wire.ExplainBody:
+        """Return what all entry instances remember of a subject."""
         ...
 
 
@@ -164,8 +168,15 @@
 
     async def _explain(self, request: Request) -> msgspec.Struct:
         subject = request.path_params["subject"]
-        body = await self._overview.explain(subject)
-        if not body.lines:
+        scope = request.query_params.get("scope", "all")
+        if scope == "local":
+            return self._overview.explain_local(subject)
+        if scope != "all":
+            detail = f"scope={scope!r}: expected local or all"
+            return Failure(Reason.BAD_REQUEST, STEP, "", detail)
+        authorization = request.headers["authorization"]
+        body = await self._overview.explain(subject, authorization)
+        if body.is_empty():
             detail = f"no entry instance remembers {subject!r}"
             return Failure(Reason.NOT_FOUND, STEP, "", detail)
         return body
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -23,6 +23,7 @@
 from .endpoints.feed import EngineFeed
 from .endpoints.pool import Client, EndpointPool
 from .endpoints.roster import Roster
+from .explainer import Explainer, Peer, other_entries
 from .gateway.app import Handlers, make_app
 from .gateway.generations import GenerationHandler
 from .gateway.intake import Reception
@@ -306,19 +307,33 @@
         overview = InstanceOverview(
             self.identity,
             self.lifecycle,
-            self._around.log,
             self.watcher,
             self.pool,
             self.router,
             self.membership,
             self._around.clock,
             self.leases,
+            self._build_explainer(),
         )
         handlers = OperatorHandlers(
             self._operator_sha256, self.config_store, self.watcher, overview
         )
         return handlers.routes()
 
+    def _build_explainer(self) -> Explainer:
+        around = self._around
+        return Explainer(
+            around.log,
+            self._find_peers,
+            around.peer_operators,
+            around.platform.table,
+            self.config_store,
+        )
+
+    def _find_peers(self) -> list[Peer]:
+        expected = self.membership.expected(self._around.clock.now_ms())
+        return other_entries(self.identity.instance, expected, self.roster.members)
+
     def _build_supervisor(self) -> Supervisor:
         root = self._new_supervisor("instance")
         endpoints = self._new_supervisor("endpoints")
--- a/src/_monsoonpulley/journal/decision.py
+++ b/src/_monsoonpulley/journal/decision.py
@@ -1,4 +1,9 @@
-"""Log lines of the journal's decisions, with their inputs but no bodies."""
+"""Log lines of the journal's decisions, with their inputs but no bodies.
+
+A line holds each record once: the confirmed one whole, and of the pending one
+what differs from it. The call's digest, method and path are in the lines whose
+rules compare them.
+"""
 
 from __future__ import annotations
 
@@ -9,51 +14,64 @@
 from . import steps as s
 from .record import JournalRecord, RecordedAnswer, State, StoredRecord
 
+CALL_IS_COMPARED = (s.Submitted, s.Adopting, s.WriteConflicted)
+DEFAULT_FIELDS = msgspec.structs.asdict(s.Progress())
+
 
-class RecordInput(msgspec.Struct, frozen=True):
+class RecordInput(msgspec.Struct, frozen=True, omit_defaults=True):
     """What the transitions look at in a record."""
 
     state: State
     holder: InstanceId
     incarnation: int
     token: str
-    body_sha256: str
-    method: str
-    path: str
-    attempt: int
-    endpoint: EndpointId | None
-    tried: tuple[EndpointId, ...]
     retention_ms: int
+    timeout_ms: int
+    body_sha256: str = ""
+    method: str = ""
+    path: str = ""
+    attempt: int = 0
+    endpoint: EndpointId | None = None
+    tried: tuple[EndpointId, ...] = ()
 
     @classmethod
-    def from_record(cls, record: JournalRecord | None) -> RecordInput | None:
-        """Return the record's inputs, ``None`` for no record."""
-        if record is None:
-            return None
+    def from_record(cls, record: JournalRecord, with_call: bool) -> RecordInput:
+        """Return the record's inputs; ``with_call`` if its call is compared."""
         return cls(
             state=record.state,
             holder=record.holder,
             incarnation=record.incarnation,
             token=record.token,
-            body_sha256=record.body_sha256,
-            method=record.call.method,
-            path=record.call.path,
+            retention_ms=record.retention_ms,
+            timeout_ms=record.call.timeout_ms,
+            body_sha256=record.body_sha256 if with_call else "",
+            method=record.call.method if with_call else "",
+            path=record.call.path if with_call else "",
             attempt=record.attempt,
             endpoint=record.endpoint,
             tried=record.tried,
-            retention_ms=record.retention_ms,
         )
 
+    def changes_from(self, other: RecordInput) -> dict[str, object]:
+        """Return the fields that differ from ``other``'s."""
+        theirs = msgspec.structs.asdict(other)
+        own = msgspec.structs.asdict(self)
+        return {name: value for name, value in own.items() if value != theirs[name]}
+
 
-class JournalDecision(Decision, frozen=True, kw_only=True, tag="journal"):
+class JournalDecision(
+    Decision, frozen=True, kw_only=True, omit_defaults=True, tag="journal"
+):
     """One transition of one submission.
 
     Attributes
     ----------
-    confirmed, pending : RecordInput or None
-        Records of the progress before the event.
+    confirmed : RecordInput or None
+        Confirmed record of the progress before the event.
+    pending : RecordInput, dict or None
+        Pending record; where there is a confirmed one, the fields that differ.
     before : dict
-        The other fields of the progress before the event.
+        The other fields of the progress before the event, but for defaults.
     on : str
         The event.
     event_fields : dict
@@ -62,14 +80,14 @@
 
     request_id: RequestId
     now_ms: int
-    confirmed: RecordInput | None
-    pending: RecordInput | None
-    before: dict[str, object]
+    confirmed: RecordInput | None = None
+    pending: RecordInput | dict[str, object] | None = None
+    before: dict[str, object] = {}
     on: str
-    event_fields: dict[str, object]
+    event_fields: dict[str, object] = {}
     step: s.Step | str
-    runner_up: str
-    tell: s.Tell | None
+    runner_up: str = ""
+    tell: s.Tell | None = None
 
     @classmethod
     def from_transition(
@@ -82,15 +100,17 @@
     ) -> JournalDecision:
         """Return the log line of one transition."""
         step = following.step
+        with_call = isinstance(event, CALL_IS_COMPARED)
+        confirmed, pending = _records(before, with_call)
         return cls(
             rule=following.rule,
             request_id=request_id,
             now_ms=now_ms,
-            confirmed=RecordInput.from_record(before.confirmed),
-            pending=RecordInput.from_record(before.pending),
-            before=_plain_fields(before),
+            confirmed=confirmed,
+            pending=pending,
+            before=_progress_fields(before),
             on=type(event).__name__,
-            event_fields=_plain_fields(event),
+            event_fields=_event_fields(event, with_call),
             # A followed row is in the event's fields already.
             step="FollowStep" if isinstance(step, s.FollowStep) else step,
             runner_up=following.runner_up,
@@ -98,17 +118,40 @@
         )
 
 
-def _plain_fields(struct: msgspec.Struct) -> dict[str, object]:
-    """Return the fields of a progress or event without calls and answers."""
+def _records(
+    progress: s.Progress, with_call: bool
+) -> tuple[RecordInput | None, RecordInput | dict[str, object] | None]:
+    """Return the confirmed record, and the pending one or how it differs."""
+    confirmed = pending = None
+    if progress.confirmed is not None:
+        confirmed = RecordInput.from_record(progress.confirmed, with_call)
+    if progress.pending is not None:
+        pending = RecordInput.from_record(progress.pending, with_call)
+    if confirmed is None or pending is None:
+        return confirmed, pending
+    return confirmed, pending.changes_from(confirmed)
+
+
+def _progress_fields(progress: s.Progress) -> dict[str, object]:
+    """Return the fields of a progress that aren't defaults, without records."""
+    return {
+        name: value
+        for name, value in msgspec.structs.asdict(progress).items()
+        if name not in ("confirmed", "pending") and value != DEFAULT_FIELDS[name]
+    }
+
+
+def _event_fields(event: s.Event, with_call: bool) -> dict[str, object]:
+    """Return the fields of an event without calls and answers."""
     fields: dict[str, object] = {}
-    for name, value in msgspec.structs.asdict(struct).items():
+    for name, value in msgspec.structs.asdict(event).items():
         if isinstance(value, StoredRecord):
-            fields[name] = RecordInput.from_record(value.record)
+            fields[name] = RecordInput.from_record(value.record, with_call)
             fields["revision"] = value.revision
         elif isinstance(value, JournalRecord):
-            fields[name] = RecordInput.from_record(value)
+            fields[name] = RecordInput.from_record(value, with_call)
         elif isinstance(value, RecordedAnswer):
             fields["status"] = value.status
-        elif name not in ("confirmed", "pending"):
+        else:
             fields[name] = value
     return fields
--- a/src/_monsoonpulley/operator_client.py
+++ b/src/_monsoonpulley/operator_client.py
@@ -113,9 +113,9 @@
         """Return the state of the system."""
         return await self._get(STATUS_PATH, StatusBody)
 
-    async def explain(self, request_id: str) -> ExplainBody | Failure:
-        """Return what happened to a request."""
-        return await self._get(EXPLAIN_PATH + quote(request_id, safe=""), ExplainBody)
+    async def explain(self, subject: str) -> ExplainBody | Failure:
+        """Return what all entry instances remember of a subject."""
+        return await self._get(EXPLAIN_PATH + quote(subject, safe=""), ExplainBody)
 
     async def apply(
         self,
--- a/src/_monsoonpulley/operator_wire.py
+++ b/src/_monsoonpulley/operator_wire.py
@@ -8,11 +8,13 @@
 ``GET /operator/config/history[?limit=N]``    `HistoryBody`
 ``GET /operator/config/status``               `ConfigStatusBody`
 ``GET /operator/status``                      `StatusBody`
-``GET /operator/explain/{request_id}``        `ExplainBody`
+``GET /operator/explain/{subject}``           `ExplainBody`
 ============================================  ===========================
 
 Other statuses: 409 `ConflictBody`, 422 `InvalidBody`, and `FailureBody` for
-400, 401, 403, 404 and 503. Requests carry ``Authorization: Bearer CREDENTIAL``.
+400, 401, 403, 404 and 503. ``explain`` asks all entry instances, with
+``?scope=local`` only the one that answers. Requests carry
+``Authorization: Bearer CREDENTIAL``.
 """
 
 from __future__ import annotations
@@ -241,7 +243,7 @@
 
 
 class ExplainLine(msgspec.Struct, frozen=True):
-    """One event or decision about a request."""
+    """One event or decision, as an instance logged it."""
 
     wall_ms: int
     instance: str
@@ -249,8 +251,54 @@
     fields: dict[str, Any] = {}
 
 
-class ExplainBody(msgspec.Struct, frozen=True):
-    """What happened to a request, oldest first."""
+class MissingPart(msgspec.Struct, frozen=True):
+    """An entry instance, or the ``table``, that gave no answer, and why."""
 
-    request_id: str
+    name: str
+    reason: str
+
+
+class RequestRecord(msgspec.Struct, frozen=True):
+    """The journal's record of a request, without bodies and headers.
+
+    Times are Unix epoch ms; ``settled_wall_ms`` is 0 while it is in progress.
+    """
+
+    state: str
+    holder: str
+    customer: str
+    class_id: str
+    attempt: int
+    endpoint: str
+    tried: tuple[str, ...]
+    accepted_wall_ms: int
+    settled_wall_ms: int
+    failure: str = ""
+
+
+class ExplainBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What happened to a subject, oldest first.
+
+    Attributes
+    ----------
+    subject : str
+        As operators name it, see ``subjects``.
+    lines : tuple of ExplainLine
+        Of all instances that answered.
+    missing : tuple of MissingPart
+        Who did not answer; their lines may be lacking.
+    record : RequestRecord or None
+        For requests that the journal has.
+    history : tuple of RevisionSummary
+        For the configuration, newest first.
+    """
+
+    subject: str
     lines: tuple[ExplainLine, ...]
+    missing: tuple[MissingPart, ...] = ()
+    record: RequestRecord | None = None
+    history: tuple[RevisionSummary, ...] = ()
+
+    def is_empty(self) -> bool:
+        """Whether everyone answered and knows nothing."""
+        return not (self.lines or self.missing or self.record or self.history)
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/overview.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from . import operator_wire as wire
 from .clock import Clock
 from .config.watcher import ConfigWatcher
 from .control.leases import Leases
 from .endpoints.pool import EndpointPool
+from .explainer import Explainer
 from .identity import Identity
 from .ids import EndpointId
 from .lifecycle import Lifecycle
-from .log import Log
 from .peers.membership import Membership, PeerMember
 from .platform.livelist import MemberState
 from .routing.router import Router
@@ -23,7 +21,7 @@
 
     Parameters
     ----------
-    identity, lifecycle, log
+    identity, lifecycle
         Of the instance.
     watcher : ConfigWatcher
         What is in force.
@@ -35,29 +33,31 @@
         Of the instance.
     leases : Leases
         Control duties and who holds them.
+    explainer : Explainer
+        Timelines of subjects.
     """
 
     def __init__(
         self,
         identity: Identity,
         lifecycle: Lifecycle,
-        log: Log,
         watcher: ConfigWatcher,
         pool: EndpointPool,
         router: Router,
         membership: Membership,
         clock: Clock,
         leases: Leases,
+        explainer: Explainer,
     ):
         self._identity = identity
         self._lifecycle = lifecycle
-        self._log = log
         self._watcher = watcher
         self._pool = pool
         self._router = router
         self._membership = membership
         self._clock = clock
         self._leases = leases
+        self._explainer = explainer
 
     def config_status(self) -> wire.ConfigStatusBody:
         """Say in which entry instances the newest known revision is in force."""
@@ -78,10 +78,13 @@
             duties=self._duties(),
         )
 
-    async def explain(self, subject: str) -> wire.ExplainBody:
-        """Return the events and decisions about a request, oldest first."""
-        lines = [_explain_line(text) for text in self._log.memory.recall(subject)]
-        return wire.ExplainBody(subject, tuple(lines))
+    def explain_local(self, subject: str) -> wire.ExplainBody:
+        """Return what this instance itself remembers of a subject."""
+        return self._explainer.explain_local(subject)
+
+    async def explain(self, subject: str, authorization: str) -> wire.ExplainBody:
+        """Return what all entry instances remember of a subject."""
+        return await self._explainer.explain(subject, authorization)
 
     def _own_status(self) -> wire.EntryStatus:
         revision = self._watcher.revision
@@ -138,13 +141,3 @@
             wire.DutyStatus(duty, row.holder, row.fencing_number)
             for duty, row in self._leases.rows()
         )
-
-
-def _explain_line(text: str) -> wire.ExplainLine:
-    fields = msgspec.json.decode(text)
-    return wire.ExplainLine(
-        wall_ms=fields.pop("wall_ms"),
-        instance=fields.pop("instance", ""),
-        event=fields.pop("event"),
-        fields=fields,
-    )
--- a/src/_monsoonpulley/standins/caller.py
+++ b/src/_monsoonpulley/standins/caller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from urllib.parse import unquote
 
 import msgspec
 from starlette.types import ASGIApp, Message
@@ -152,7 +153,7 @@
         "http_version": "1.1",
         "method": method,
         "scheme": "http",
-        "path": plain,
+        "path": unquote(plain),
         "raw_path": plain.encode(),
         "query_string": query.encode(),
         "root_path": "",
--- a/src/_monsoonpulley/standins/world.py
+++ b/src/_monsoonpulley/standins/world.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 
 import msgspec
+from starlette.types import ASGIApp
 
 from ..clock import Clock
 from ..config.document import Document, Revision, Service, ServiceKind
@@ -29,6 +30,7 @@
 from .engine_counters import ComputedBlocks
 from .engine_profile import EngineProfile
 from .manualloop import running_clock
+from .operators import OperatorFaults, PeerOperatorsStandin
 from .peernetwork import PeerNetwork
 from .plainservice import ExecutionLedger, PlainServiceProfile, PlainServiceStandin
 from .platform import PlatformStandin
@@ -112,6 +114,7 @@
         self.services: dict[EndpointId, PlainServiceStandin] = {}
         self.entries: dict[InstanceId, RunningEntry] = {}
         self.processes = Processes()
+        self.operator_faults = OperatorFaults()
         self._deployment = deployment
         self._sink = sink
         self.platform.cloud.on_ended.append(self._on_ended)
@@ -140,6 +143,10 @@
         app = self.entries[instance].instance.app
         return Caller(self.processes.application(instance, app), credential)
 
+    def operator(self, instance: InstanceId) -> Caller:
+        """Return an operator's caller of one entry instance."""
+        return self.caller(instance, OPERATOR_CREDENTIAL)
+
     def config_store(self) -> ConfigStore:
         """Return a store of the configuration as an operator's process has it."""
         platform = self.platform.connect("operator", ZoneId("operator"))
@@ -198,6 +205,9 @@
             metrics=NoMetrics(),
             transport=self.peer_network.connect(plan.instance, plan.zone),
             peer_key=PEER_KEY,
+            peer_operators=PeerOperatorsStandin(
+                self._application, self.operator_faults
+            ),
         )
         instance = EntryInstance(
             identity, around, credential_sha256(OPERATOR_CREDENTIAL)
@@ -211,6 +221,12 @@
         del self.entries[name]
         self.processes.kill(name)
 
+    def _application(self, address: str) -> ASGIApp | None:
+        entry = self.entries.get(InstanceId(address))
+        if entry is None:
+            return None
+        return self.processes.application(address, entry.instance.app)
+
     def _entry_member(self, plan: EntryPlan) -> Member:
         self._in_cloud(plan.instance, plan.zone, ServiceId(""), VersionId(""))
         return Member(
--- a/src/_monsoonpulley/subjects.py
+++ b/src/_monsoonpulley/subjects.py
@@ -43,6 +43,7 @@
 
 CONFIG = Subject(SubjectKind.CONFIG, "config")
 INSTANCE_FIELDS = ("endpoint", "chosen", "peer", "reclaimed", "holder", "adopter")
+MARKS_OF_REQUESTS = frozenset({"request_id", "attempt_id", "request"})
 _finders: dict[str, Finder] = {}
 
 
@@ -116,7 +117,7 @@
 
 def is_about_request(fields: Fields) -> bool:
     """Tell whether a line is one of the many that each request brings."""
-    return "request_id" in fields or "attempt_id" in fields
+    return not MARKS_OF_REQUESTS.isdisjoint(fields)
 
 
 @lru_cache(maxsize=1_000)
@@ -142,6 +143,11 @@
     yield request(fields["attempt_id"].rpartition(".")[0])
 
 
+@subjects_in("route_failed")
+def _not_routed(fields: Fields) -> Iterable[Subject]:
+    yield request(fields["request"].request_id)
+
+
 @subjects_in("evacuation")
 def _evacuated(fields: Fields) -> Iterable[Subject]:
     for step in fields["steps"]:
@@ -153,3 +159,10 @@
     intent = fields["intent"]
     if intent.get("version"):
         yield rollout(intent.get("service", ""), intent["version"])
+
+
+@subjects_in("journal")
+def _sent(fields: Fields) -> Iterable[Subject]:
+    endpoint = fields["event_fields"].get("endpoint")
+    if endpoint:
+        yield instance(endpoint)
--- a/src/_monsoonpulley/surroundings.py
+++ b/src/_monsoonpulley/surroundings.py
@@ -12,6 +12,7 @@
 from .endpoints.pool import Client
 from .log import Log
 from .metrics import Metrics
+from .peeroperators import NoPeerOperators, PeerOperators
 from .peers.transport import NoTransport, PeerTransport
 from .platform.bundle import Platform
 from .platform.livelist import Member
@@ -34,6 +35,8 @@
         Carries messages to other entry instances.
     peer_key : str
         Signs these messages.
+    peer_operators : PeerOperators
+        Asks other entry instances what they remember.
     """
 
     platform: Platform
@@ -44,3 +47,4 @@
     metrics: Metrics
     transport: PeerTransport = NoTransport()
     peer_key: str = ""
+    peer_operators: PeerOperators = NoPeerOperators()
--- a/testing/operatorserver.py
+++ b/testing/operatorserver.py
@@ -44,10 +44,13 @@
         rollouts = (RolloutStatus("pool", "v2", "ramp", 1_796_378_400_000, "3 of 10"),)
         return StatusBody("e1", "z1", 2, rollouts=rollouts)
 
-    async def explain(self, subject):
+    def explain_local(self, subject):
         line = ExplainLine(1_796_378_400_000, "e1", "routed", {"endpoint": "w1"})
         return ExplainBody(subject, (line,))
 
+    async def explain(self, subject, authorization):
+        return self.explain_local(subject)
+
 
 class OperatorServer:
     """Serves a store on a fake table from a thread of its own.
--- a/testing/test_cli.py
+++ b/testing/test_cli.py
@@ -207,7 +207,9 @@
             (["config", "history"], r"1 +\S+Z +ana +[0-9a-f]{32} +start"),
             (["config", "status"], r"revision 2: in force in 1 of 2 known"),
             (["status"], r"pool +v2 +ramp +\S+Z +3 of 10"),
-            (["explain", "r/1"], r"request r/1\n\S+Z  e1  routed  endpoint=\"w1\""),
+            (["explain", "r/1"], r"^r/1\n  from \S+Z, in ms:\n +\+0  e1  routed\n +"),
+            (["explain", "r/1"], r"\n +from: endpoint=w1\n$"),
+            (["explain", "r/1", "--json"], r'^{"wall_ms":\d+,.*"endpoint":"w1"}\n$'),
         ):
             with self.subTest(arguments):
                 result = Result(*arguments)
