Explain any subject over all entry instances

Lines live in each instance's memory, and the asked one only told its own.

It now has the confirmed one whole, of the pending one what differs, and no defaults.

--- a/src/_monsoonpulley/explainer.py
+++ b/src/_monsoonpulley/explainer.py
@@ -29,6 +29,7 @@
 MAX_ASKED_AT_ONCE = 64
 HISTORY_REVISIONS = 20
 TABLE = "table"
+GONE = "it is gone, and its lines with it"
 
 _JOURNAL_ID = re.compile("[0-9a-f]{32}")
 
@@ -58,6 +59,8 @@
 
     Parameters
     ----------
+    own : InstanceId
+        This instance.
     log : Log
         Remembers this instance's lines.
     find_peers : callable
@@ -72,12 +75,14 @@
 
     def __init__(
         self,
+        own: InstanceId,
         log: Log,
         find_peers: FindPeers,
         peers: PeerOperators,
         table: Table,
         store: ConfigReader,
     ):
+        self._own = own
         self._log = log
         self._find_peers = find_peers
         self._peers = peers
@@ -113,6 +118,9 @@
             else:
                 lines.extend(answer.lines)
         lines.sort(key=lambda line: line.wall_ms)
+        known = {self._own, *(peer.instance for peer in peers)}
+        named = _holders(record, lines)
+        missing += [wire.MissingPart(name, GONE) for name in sorted(named - known)]
         return wire.ExplainBody(
             subject=subject,
             lines=tuple(lines),
@@ -164,6 +172,15 @@
         return tuple(wire.RevisionSummary.from_revision(one) for one in revisions)
 
 
+def _holders(record: object, lines: Iterable[wire.ExplainLine]) -> set[str]:
+    """Return the entry instances that a request's record had as holder."""
+    adoptions = (line for line in lines if line.event == "journal_adoption")
+    names = {str(line.fields["holder"]) for line in adoptions}
+    if isinstance(record, wire.RequestRecord):
+        names.add(record.holder)
+    return names
+
+
 def _failed(result: object) -> bool:
     return isinstance(result, Failure)
 
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -323,6 +323,7 @@
     def _build_explainer(self) -> Explainer:
         around = self._around
         return Explainer(
+            self.identity.instance,
             around.log,
             self._find_peers,
             around.peer_operators,
--- /dev/null
+++ b/testing/journal/test_decision.py
@@ -0,0 +1,114 @@
+import random
+import unittest
+
+import msgspec
+
+from _monsoonpulley.errors import Delivery, Failure, Reason
+from _monsoonpulley.journal import steps as s
+from _monsoonpulley.journal.decision import JournalDecision, RecordInput
+from _monsoonpulley.journal.record import RecordedAnswer, StoredRecord
+from _monsoonpulley.journal.transitions import Transitions
+
+from . import world as w
+
+LOST = Failure(Reason.TIMEOUT, "table.commit", "table", "", Delivery.MAYBE)
+BEGUN = w.submission("key").to_record("i0", 1, "token", 0, 1_024)
+ANSWER = RecordedAnswer(200, (), b"a customer's answer")
+
+
+def line_of(progress, event, following, now_ms):
+    decision = JournalDecision.from_transition(
+        BEGUN.request_id, progress, event, following, now_ms
+    )
+    return msgspec.json.decode(msgspec.json.encode(decision))
+
+
+def record_of(fields):
+    """Return a record that has a line's inputs and nothing else of the real one."""
+    inputs = msgspec.convert(fields, RecordInput)
+    call = msgspec.structs.replace(
+        BEGUN.call,
+        method=inputs.method,
+        path=inputs.path,
+        timeout_ms=inputs.timeout_ms,
+        headers=(),
+        body=b"",
+    )
+    named = msgspec.structs.asdict(inputs)
+    for name in ("method", "path", "timeout_ms"):
+        del named[name]
+    return msgspec.structs.replace(BEGUN, call=call, **named)
+
+
+def progress_of(line):
+    confirmed, pending = line.get("confirmed"), line.get("pending")
+    if confirmed and pending is not None:
+        pending = {**confirmed, **pending}
+    before = msgspec.convert(line.get("before", {}), s.Progress)
+    return msgspec.structs.replace(
+        before,
+        confirmed=record_of(confirmed) if confirmed else None,
+        pending=record_of(pending) if pending else None,
+    )
+
+
+def event_of(line):
+    fields = dict(line.get("event_fields", {}))
+    if "status" in fields:
+        fields["answer"] = RecordedAnswer(fields.pop("status"), ())
+    if fields.get("current"):
+        current = record_of(fields["current"])
+        fields["current"] = StoredRecord(current, fields.pop("revision"))
+    if "record" in fields:
+        fields["record"] = record_of(fields["record"])
+    if "failure" in fields:
+        fields["failure"] = msgspec.convert(fields["failure"], Failure)
+    return getattr(s, line["on"])(**fields)
+
+
+class ReplayTest(unittest.TestCase):
+    def check_replays(self, *events):
+        progress = s.Progress()
+        for number, event in enumerate(events):
+            rules = Transitions(w.SETTINGS, random.Random(number))
+            following = rules.next(progress, event, number, 0)
+            line = line_of(progress, event, following, number)
+            rules = Transitions(w.SETTINGS, random.Random(number))
+            again = rules.next(progress_of(line), event_of(line), line["now_ms"], 0)
+            with self.subTest(line["on"], number=number):
+                self.assertEqual(again.rule, following.rule)
+                self.assertEqual(again.step.__class__, following.step.__class__)
+                if not isinstance(again.step, s.FollowStep):
+                    self.assertEqual(again.step, following.step)
+            self.assertNotIn("a customer's", msgspec.json.encode(line).decode())
+            progress = following.progress
+
+    def test_each_decision_can_be_made_again_from_its_line(self):
+        self.check_replays(
+            s.Submitted(BEGUN),
+            s.WriteFailed(LOST),
+            s.WriteConfirmed(1),
+            s.EndpointChosen("e1"),
+            s.WriteConfirmed(2),
+            s.SendFailed(LOST),
+            s.LookupFailed(LOST),
+            s.Answered(ANSWER),
+            s.WriteConfirmed(3),
+        )
+
+    def test_a_conflict_is_decided_alike_from_its_line(self):
+        other = msgspec.structs.replace(BEGUN, token="other", holder="i2")
+        other_call = msgspec.structs.replace(other, body_sha256="0" * 64)
+        for current in (other, other_call, BEGUN):
+            with self.subTest(current.token):
+                stored = StoredRecord(current, 7)
+                self.check_replays(s.Submitted(BEGUN), s.WriteConflicted(stored))
+
+    def test_a_line_holds_what_differs_from_the_confirmed_record_only(self):
+        progress = s.Progress(confirmed=BEGUN, pending=BEGUN, revision=1)
+        progress = msgspec.structs.replace(
+            progress, pending=msgspec.structs.replace(BEGUN, token="new")
+        )
+        following = s.Next(progress, s.StopStep(), "rule")
+        line = line_of(progress, s.WriteConfirmed(2), following, 0)
+        self.assertEqual(line["pending"], {"token": "new"})
--- /dev/null
+++ b/testing/test_explain.py
@@ -0,0 +1,209 @@
+import asyncio
+import unittest
+
+import msgspec
+
+from _monsoonpulley.cli_explain import explain_text
+from _monsoonpulley.eventmemory import EventMemory
+from _monsoonpulley.explainer import ANSWER_TIMEOUT_MS
+from _monsoonpulley.journal.record import request_id_for
+from _monsoonpulley.operator_wire import ExplainBody
+from _monsoonpulley.peers.membership import GONE_AFTER_MS
+from _monsoonpulley.standins.plainservice import PlainServiceProfile
+from _monsoonpulley.standins.world import EndpointPlan, EntryPlan
+from _monsoonpulley.subjects import SubjectKind, duty, request, subjects_of
+from testing.support import ALICE, run_world, small_deployment
+
+SECRET = "what only alice knows"
+ENTRIES = tuple(EntryPlan(f"entry-{n}", f"zone-{'ab'[n % 2]}") for n in range(1, 4))
+THREE = small_deployment(entries=ENTRIES)
+
+
+async def ask(world, entry, subject, query=""):
+    answer = await world.operator(entry).request(
+        "GET", f"/operator/explain/{subject}{query}"
+    )
+    return answer
+
+
+async def explain(world, entry, subject, query=""):
+    answer = await ask(world, entry, subject, query)
+    return msgspec.json.decode(answer.body, type=ExplainBody)
+
+
+async def book(world, entry, key="k"):
+    headers = {"idempotency-key": key}
+    caller = world.caller(entry, ALICE)
+    body = {"note": SECRET}
+    return await caller.post_json("/services/booking/orders", body, headers)
+
+
+class SubjectTest(unittest.TestCase):
+    def test_lines_are_found_under_all_that_they_are_about(self):
+        for event, fields, expected in (
+            ("admit", {"request_id": "r"}, {"r"}),
+            ("route", {"request_id": "r", "chosen": "e"}, {"r", "instance:e"}),
+            ("attempt_failed", {"attempt_id": "r.2", "endpoint": "e"}, None),
+            ("peer_member", {"peer": "p"}, {"instance:p"}),
+            ("instance_ready", {}, {"instance:me"}),
+            ("lease_decision", {"duty": "d/1"}, {"duty:d/1"}),
+            ("config_apply", {"author": "ana"}, {"config"}),
+            (
+                "rollout_step",
+                {"service": "s", "version": "v"},
+                {"rollout:s/v"},
+            ),
+            ("evacuation", {"endpoint": "e", "steps": [{"request_id": "r"}]}, None),
+            ("task_restarted", {}, set()),
+        ):
+            with self.subTest(event):
+                found = {one.text for one in subjects_of(event, fields, "me")}
+                self.assertEqual(
+                    found, {"r", "instance:e"} if expected is None else expected
+                )
+
+
+class MemoryTest(unittest.TestCase):
+    def test_many_lines_of_requests_push_out_no_duty(self):
+        memory = EventMemory(dict.fromkeys(SubjectKind, 1_000), 1_000)
+        memory.remember([duty("d")], "kept", 100, is_about_request=False)
+        for number in range(1_000):
+            about = [request(str(number)), duty("other")]
+            memory.remember(about, "x", 100, is_about_request=True)
+        self.assertEqual(memory.recall("duty:d"), ["kept"])
+        self.assertLessEqual(memory.size_bytes, 2 * 1_000 + 100)
+        self.assertEqual(memory.recall("0"), [])
+        self.assertEqual(memory.recall("999"), ["x"])
+
+    def test_lines_of_a_subject_come_in_the_order_of_their_writing(self):
+        memory = EventMemory()
+        for number in range(4):
+            memory.remember([duty("d")], str(number), 1, is_about_request=number % 2)
+        self.assertEqual(memory.recall("duty:d"), ["0", "1", "2", "3"])
+
+
+class OverInstancesTest(unittest.TestCase):
+    def test_any_instance_tells_what_another_one_decided(self):
+        async def script(world):
+            answer = await book(world, "entry-1")
+            self.assertEqual(answer.status, 200, answer.body)
+            await world.clock.sleep_ms(1_000)
+            request_id = request_id_for("alice", "booking", "k")
+            body = await explain(world, "entry-3", request_id)
+            self.assertEqual({line.instance for line in body.lines}, {"entry-1"})
+            self.assertIn("request_ended", [line.event for line in body.lines])
+            self.assertEqual(body.record.state, "done")
+            self.assertEqual(body.missing, ())
+            local = await explain(world, "entry-3", request_id, "?scope=local")
+            self.assertEqual(local.lines, ())
+
+        run_world(script, THREE)
+
+    def test_an_instance_away_or_slow_is_named_and_the_others_answer(self):
+        async def script(world):
+            await book(world, "entry-1")
+            request_id = request_id_for("alice", "booking", "k")
+            world.kill_entry("entry-2")
+            world.operator_faults.delay_ms["entry-3"] = 10 * ANSWER_TIMEOUT_MS
+            began_ms = world.clock.now_ms()
+            body = await explain(world, "entry-1", request_id)
+            took_ms = world.clock.now_ms() - began_ms
+            self.assertLessEqual(took_ms, ANSWER_TIMEOUT_MS + 100)
+            reasons = {one.name: one.reason for one in body.missing}
+            self.assertEqual(set(reasons), {"entry-2", "entry-3"})
+            self.assertIn("unavailable", reasons["entry-2"])
+            self.assertIn("timeout", reasons["entry-3"])
+            self.assertTrue(body.lines)
+
+        run_world(script, THREE)
+
+    def test_nothing_is_found_only_if_everyone_answered(self):
+        async def script(world):
+            self.assertEqual((await ask(world, "entry-1", "nobody")).status, 404)
+            world.kill_entry("entry-2")
+            self.assertEqual((await ask(world, "entry-1", "nobody")).status, 200)
+
+        run_world(script, THREE)
+
+    def test_another_credential_gets_nothing_from_any_instance(self):
+        async def script(world):
+            for query in ("", "?scope=local"):
+                caller = world.caller("entry-1", ALICE)
+                path = f"/operator/explain/config{query}"
+                self.assertEqual((await caller.request("GET", path)).status, 401)
+
+        run_world(script, THREE)
+
+    def test_configuration_duties_and_instances_are_explained(self):
+        async def script(world):
+            await world.clock.sleep_ms(20_000)
+            config = await explain(world, "entry-2", "config")
+            told = {line.instance for line in config.lines}
+            self.assertEqual(told, {"entry-1", "entry-2", "entry-3"})
+            self.assertEqual([one.number for one in config.history], [1])
+            held = await explain(world, "entry-2", "duty:recovery%2F0")
+            self.assertIn("claim the lease of recovery/0", explain_text(held))
+            peer = await explain(world, "entry-2", "instance:entry-1")
+            events = {line.event for line in peer.lines}
+            self.assertLessEqual({"instance_ready", "peer_member"}, events)
+
+        run_world(script, THREE)
+
+    def test_a_request_adopted_after_its_holder_was_killed_keeps_its_timeline(self):
+        async def script(world):
+            task = asyncio.ensure_future(book(world, "entry-1"))
+            await world.clock.sleep_ms(500)
+            world.kill_entry("entry-1")
+            world.platform.livelist.remove("entry-1")
+            await task
+            await world.clock.sleep_ms(4 * GONE_AFTER_MS)
+            request_id = request_id_for("alice", "booking", "k")
+            body = await explain(world, "entry-2", request_id)
+            adopted = [one for one in body.lines if one.event == "journal_adoption"]
+            self.assertEqual(adopted[0].fields["holder"], "entry-1")
+            self.assertEqual(body.record.holder, adopted[0].instance)
+            self.assertEqual([one.name for one in body.missing], ["entry-1"])
+            text = explain_text(body)
+            self.assertIn("takes over the dispatched record of entry-1", text)
+            self.assertIn("rule: its holder is gone", text)
+            self.assertIn("what became of the call", text)
+            times = [line.wall_ms for line in body.lines]
+            self.assertEqual(times, sorted(times))
+
+        slow = PlainServiceProfile(service_ms=1_500)
+        run_world(
+            script,
+            small_deployment(
+                entries=ENTRIES,
+                endpoints=(
+                    EndpointPlan("intake-1", "intake", "v1", "zone-a", slow),
+                    EndpointPlan("intake-2", "intake", "v1", "zone-b", slow),
+                ),
+            ),
+        )
+
+    def test_no_body_and_no_credential_is_ever_explained(self):
+        async def script(world):
+            await book(world, "entry-1")
+            chat = {
+                "model": "question",
+                "messages": [{"role": "user", "content": SECRET}],
+            }
+            caller = world.caller("entry-2", ALICE)
+            answer = await caller.post_json("/v1/chat/completions", chat)
+            subjects = [
+                request_id_for("alice", "booking", "k"),
+                answer.headers["x-request-id"],
+                "config",
+                "instance:engine-1",
+                "instance:engine-2",
+                "instance:intake-1",
+            ]
+            for subject in subjects:
+                found = (await ask(world, "entry-3", subject)).body.decode()
+                for hidden in (SECRET, ALICE, "operator-credential"):
+                    self.assertNotIn(hidden, found)
+            chatted = await explain(world, "entry-3", subjects[1])
+            self.assertIn("route", [line.event for line in chatted.lines])
+
+        run_world(script, THREE)
