--- a/src/_monsoonpulley/cli_explain.py
+++ b/src/_monsoonpulley/cli_explain.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
+from itertools import groupby
 
 import msgspec
 
@@ -12,12 +14,13 @@
 
 MAX_VALUE_CHARS = 60
 MAX_INPUTS_CHARS = 400
+_NUMBERS = re.compile(r"\b[0-9]+ ms")
 SHOWN_ELSEWHERE = frozenset({"rule", "runner_up", "now_ms", "request_id"})
 
 
 def explain_text(body: ExplainBody) -> str:
     """Return the timeline: what was decided, by which rule, from what."""
-    return "\n".join(_text_lines(body))
+    return "\n".join(_printable(line) for line in _text_lines(body))
 
 
 def explain_json(body: ExplainBody) -> str:
@@ -30,6 +33,11 @@
     return "\n".join(f"no answer from {one.name}: {one.reason}" for one in body.missing)
 
 
+def _printable(text: str) -> str:
+    """Return a line that can't steer a terminal, whatever callers sent."""
+    return "".join(char if char.isprintable() else "?" for char in text)
+
+
 def _text_lines(body: ExplainBody) -> Iterator[str]:
     yield body.subject
     if body.record is not None:
@@ -44,8 +52,20 @@
     start_ms = body.lines[0].wall_ms
     yield f"  from {format_deadline(start_ms)}, in ms:"
     width = max(len(line.instance) for line in body.lines)
-    for line in body.lines:
+    for _, alike in groupby(body.lines, _likeness):
+        line, *repeats = alike
         yield from _line_text(line, line.wall_ms - start_ms, width)
+        if repeats:
+            last_ms = repeats[-1].wall_ms - start_ms
+            indent = " " * (13 + width)
+            yield f"{indent}and {len(repeats)} more like it, the last at {last_ms:+}"
+
+
+def _likeness(line: ExplainLine) -> tuple[str, ...]:
+    """Return what lines have in common that are shown as one."""
+    said = sentence_of(line.event, line.fields)
+    rule = str(line.fields.get("rule", ""))
+    return (line.instance, line.event, _NUMBERS.sub("", said), rule)
 
 
 def _line_text(line: ExplainLine, at_ms: int, width: int) -> Iterator[str]:
--- a/src/_monsoonpulley/sentences.py
+++ b/src/_monsoonpulley/sentences.py
@@ -113,6 +113,25 @@
 }
 
 
+_HAPPENED: dict[str, Callable[[Fields], str]] = {
+    "Submitted": lambda event: "the call came",
+    "Adopting": lambda event: "the holder is gone",
+    "WriteConfirmed": lambda event: "the record is written",
+    "WriteConflicted": lambda event: "another write came first",
+    "WriteFailed": lambda event: f"write failed: {failure_text(event['failure'])}",
+    "RowAbsent": lambda event: "the key was not accepted before",
+    "EndpointChosen": lambda event: f"{event['endpoint']} can take it",
+    "NoEndpoint": lambda event: f"no endpoint: {failure_text(event['failure'])}",
+    "SendLapsed": lambda event: "the dispatch was too old to send",
+    "Answered": lambda event: f"the endpoint answered {event['status']}",
+    "SendFailed": lambda event: f"the call failed: {failure_text(event['failure'])}",
+    "LookedUp": lambda event: f"the endpoint says {event['execution']}",
+    "LookupFailed": lambda event: (
+        f"the endpoint could not be asked: {failure_text(event['failure'])}"
+    ),
+}
+
+
 def _after(step: Fields) -> str:
     return f" after {step['after_ms']} ms" if step.get("after_ms") else ""
 
@@ -124,7 +143,8 @@
         step = {"type": step}
     tell = fields.get("tell")
     told = f"; tell the caller {tell['outcome']}" if tell else ""
-    return f"journal, on {fields['on']}: {_STEPS[step['type']](step)}{told}"
+    happened = _HAPPENED[fields["on"]](fields.get("event_fields", {}))
+    return f"{happened}; {_STEPS[step['type']](step)}{told}"
 
 
 @sentence("journal_adoption")
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -7,7 +7,7 @@
 from _monsoonpulley.eventmemory import EventMemory
 from _monsoonpulley.explainer import ANSWER_TIMEOUT_MS
 from _monsoonpulley.journal.record import request_id_for
-from _monsoonpulley.operator_wire import ExplainBody
+from _monsoonpulley.operator_wire import ExplainBody, ExplainLine
 from _monsoonpulley.peers.membership import GONE_AFTER_MS
 from _monsoonpulley.standins.plainservice import PlainServiceProfile
 from _monsoonpulley.standins.world import EndpointPlan, EntryPlan
@@ -38,6 +38,27 @@
     return await caller.post_json("/services/booking/orders", body, headers)
 
 
+class TextTest(unittest.TestCase):
+    def test_repeated_decisions_are_shown_once_with_their_count(self):
+        retry = {"allowed": True, "wait_ms": 5, "attempts": 1, "rule": "a"}
+        lines = [ExplainLine(n, "e1", "retry", {**retry, "wait_ms": n}) for n in (1, 2)]
+        lines.append(ExplainLine(9, "e1", "retry", {**retry, "rule": "b"}))
+        text = explain_text(ExplainBody("r", tuple(lines)))
+        self.assertEqual(text.count("another attempt in"), 2)
+        self.assertIn("and 1 more like it, the last at +1", text)
+
+    def test_what_callers_sent_can_not_steer_the_terminal(self):
+        line = ExplainLine(1, "e1", "new_event", {"a": "x\x1b[2J\ny"})
+        self.assertIn("a=x?[2J?y", explain_text(ExplainBody("r", (line,))))
+
+    def test_unknown_events_and_lines_that_lack_fields_print_generically(self):
+        for event, fields in (("new_event", {"a": 1}), ("route", {"a": 1})):
+            line = ExplainLine(1, "e1", event, fields)
+            text = explain_text(ExplainBody("r", (line,)))
+            self.assertIn(f"e1  {event}\n", text)
+            self.assertIn("from: a=1", text)
+
+
 class SubjectTest(unittest.TestCase):
     def test_lines_are_found_under_all_that_they_are_about(self):
         for event, fields, expected in (
@@ -166,7 +187,7 @@
             text = explain_text(body)
             self.assertIn("takes over the dispatched record of entry-1", text)
             self.assertIn("rule: its holder is gone", text)
-            self.assertIn("what became of the call", text)
+            self.assertIn("the endpoint says running; ask intake-", text)
             times = [line.wall_ms for line in body.lines]
             self.assertEqual(times, sorted(times))
 
