--- a/testing/journal/test_decision.py
+++ b/testing/journal/test_decision.py
@@ -3,6 +3,7 @@
 
 import msgspec
 
+from _monsoonpulley.endpoints.service import Execution
 from _monsoonpulley.errors import Delivery, Failure, Reason
 from _monsoonpulley.journal import steps as s
 from _monsoonpulley.journal.decision import JournalDecision, RecordInput
@@ -61,18 +62,21 @@
         fields["current"] = StoredRecord(current, fields.pop("revision"))
     if "record" in fields:
         fields["record"] = record_of(fields["record"])
+    if "execution" in fields:
+        fields["execution"] = Execution(fields["execution"])
     if "failure" in fields:
         fields["failure"] = msgspec.convert(fields["failure"], Failure)
     return getattr(s, line["on"])(**fields)
 
 
 class ReplayTest(unittest.TestCase):
-    def check_replays(self, *events):
+    def check_replays(self, *events, step_ms=1):
         progress = s.Progress()
         for number, event in enumerate(events):
+            now_ms = number * step_ms
             rules = Transitions(w.SETTINGS, random.Random(number))
-            following = rules.next(progress, event, number, 0)
-            line = line_of(progress, event, following, number)
+            following = rules.next(progress, event, now_ms, 0)
+            line = line_of(progress, event, following, now_ms)
             rules = Transitions(w.SETTINGS, random.Random(number))
             again = rules.next(progress_of(line), event_of(line), line["now_ms"], 0)
             with self.subTest(line["on"], number=number):
@@ -96,6 +100,14 @@
             s.WriteConfirmed(3),
         )
 
+    def test_how_long_a_running_call_is_asked_after_is_in_the_line(self):
+        started = s.Submitted(BEGUN, "e1")
+        running = s.LookedUp(Execution.RUNNING)
+        within_ms = w.SETTINGS.lookup_within_ms + BEGUN.call.timeout_ms
+        for step_ms in (within_ms // 2 - 1, within_ms // 2 + 1):
+            events = (started, s.WriteConfirmed(1), running, running)
+            self.check_replays(*events, step_ms=step_ms)
+
     def test_a_conflict_is_decided_alike_from_its_line(self):
         other = msgspec.structs.replace(BEGUN, token="other", holder="i2")
         other_call = msgspec.structs.replace(other, body_sha256="0" * 64)
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -167,6 +167,9 @@
             peer = await explain(world, "entry-2", "instance:entry-1")
             events = {line.event for line in peer.lines}
             self.assertLessEqual({"instance_ready", "peer_member"}, events)
+            times = [line.wall_ms for line in peer.lines]
+            self.assertGreater(len({line.instance for line in peer.lines}), 1)
+            self.assertEqual(times, sorted(times))
 
         run_world(script, THREE)
 
