--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -164,7 +164,7 @@
             self.assertEqual([one.number for one in config.history], [1])
             held = await explain(world, "entry-2", "duty:recovery%2F0")
             self.assertIn("claim the lease of recovery/0", explain_text(held))
-            peer = await explain(world, "entry-2", "instance:entry-1")
+            peer = await explain(world, "entry-3", "instance:entry-1")
             events = {line.event for line in peer.lines}
             self.assertLessEqual({"instance_ready", "peer_member"}, events)
             times = [line.wall_ms for line in peer.lines]
