--- a/src/_monsoonpulley/subjects.py
+++ b/src/_monsoonpulley/subjects.py
@@ -107,7 +107,7 @@
         found.append(duty(duty_name))
     finder = _finder_of(event)
     if finder is not None:
-        found.extend(finder(fields))
+        found.extend(_found_by(finder, fields))
     if event.startswith("instance_") and own_instance:
         found.append(instance(own_instance))
     if len(found) < 2:
@@ -127,6 +127,17 @@
     return _finders.get(event) or _finders.get(prefix)
 
 
+def _found_by(finder: Finder, fields: Fields) -> list[Subject]:
+    """Return what a finder finds; a line without its fields is about nothing.
+
+    Work must not fail over where its lines are kept.
+    """
+    try:
+        return list(finder(fields))
+    except (LookupError, TypeError, AttributeError):
+        return []
+
+
 @subjects_in("config_")
 def _configuration(fields: Fields) -> Iterable[Subject]:
     return (CONFIG,)
@@ -163,6 +174,6 @@
 
 @subjects_in("journal")
 def _sent(fields: Fields) -> Iterable[Subject]:
-    endpoint = fields["event_fields"].get("endpoint")
+    endpoint = fields.get("event_fields", {}).get("endpoint")
     if endpoint:
         yield instance(endpoint)
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -83,6 +83,12 @@
                     found, {"r", "instance:e"} if expected is None else expected
                 )
 
+    def test_a_line_that_lacks_fields_stops_nothing(self):
+        for event in ("journal", "evacuation", "attempt_failed", "order_decision"):
+            self.assertEqual(subjects_of(event, {}), [])
+        line = {"request_id": "r", "event_fields": {}}
+        self.assertEqual([one.text for one in subjects_of("journal", line)], ["r"])
+
 
 class MemoryTest(unittest.TestCase):
     def test_many_lines_of_requests_push_out_no_duty(self):
