--- a/src/_monsoonpulley/sentences.py
+++ b/src/_monsoonpulley/sentences.py
@@ -188,6 +188,13 @@
     return f"order {fields['intent']['kind']} to {fields['endpoint']}: {end}"
 
 
+@sentence("rollout_decision")
+def _rollout_decision(fields: Fields) -> str:
+    order, after = fields["order"], fields.get("after")
+    state = f"goes to {after['state']}" if after else "stays as it is"
+    return f"version {order['version']} of {order['service']} {state}"
+
+
 @sentence("config_revision")
 def _config_revision(fields: Fields) -> str:
     return (
--- a/src/_monsoonpulley/subjects.py
+++ b/src/_monsoonpulley/subjects.py
@@ -145,8 +145,11 @@
 
 @subjects_in("rollout_")
 def _rollout(fields: Fields) -> Iterable[Subject]:
-    version = fields.get("version")
-    return (rollout(fields.get("service", ""), version),) if version else ()
+    # Decisions name the ordered version, trips are rows that have not become JSON.
+    about = fields.get("order") or fields.get("trip") or fields
+    if not isinstance(about, Mapping):
+        about = {"service": about.service, "version": about.version}
+    return (rollout(about["service"], about["version"]),)
 
 
 @subjects_in("attempt_failed")
@@ -165,13 +168,6 @@
         yield request(step["request_id"])
 
 
-@subjects_in("order_decision")
-def _ordered(fields: Fields) -> Iterable[Subject]:
-    intent = fields["intent"]
-    if intent.get("version"):
-        yield rollout(intent.get("service", ""), intent["version"])
-
-
 @subjects_in("journal")
 def _sent(fields: Fields) -> Iterable[Subject]:
     endpoint = fields.get("event_fields", {}).get("endpoint")
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from _monsoonpulley.cli_explain import explain_text
+from _monsoonpulley.config.document import Version
 from _monsoonpulley.eventmemory import EventMemory
 from _monsoonpulley.explainer import ANSWER_TIMEOUT_MS
 from _monsoonpulley.journal.record import request_id_for
@@ -70,10 +71,11 @@
             ("lease_decision", {"duty": "d/1"}, {"duty:d/1"}),
             ("config_apply", {"author": "ana"}, {"config"}),
             (
-                "rollout_step",
-                {"service": "s", "version": "v"},
+                "rollout_decision",
+                {"order": {"service": "s", "version": "v"}},
                 {"rollout:s/v"},
             ),
+            ("rollout_tripped", {"trip": Version("s", "v")}, {"rollout:s/v"}),
             ("evacuation", {"endpoint": "e", "steps": [{"request_id": "r"}]}, None),
             ("task_restarted", {}, set()),
         ):
