--- a/src/_monsoonpulley/operator_client.py
+++ b/src/_monsoonpulley/operator_client.py
@@ -119,9 +119,9 @@
         """Return where each ordered version stands."""
         return await self._get(ROLLOUTS_PATH, RolloutsBody)
 
-    async def explain(self, request_id: str) -> ExplainBody | Failure:
-        """Return what happened to a request."""
-        return await self._get(EXPLAIN_PATH + quote(request_id, safe=""), ExplainBody)
+    async def explain(self, subject: str) -> ExplainBody | Failure:
+        """Return what all entry instances remember of a subject."""
+        return await self._get(EXPLAIN_PATH + quote(subject, safe=""), ExplainBody)
 
     async def apply(
         self,
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/overview.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from . import operator_wire as wire
 from .clock import Clock
 from .config.watcher import ConfigWatcher
@@ -11,10 +9,10 @@
 from .control.rolloutrows import SETTLED, RolloutRow
 from .control.rolloutview import RolloutView
 from .endpoints.pool import EndpointPool
+from .explainer import Explainer
 from .identity import Identity
 from .ids import EndpointId
 from .lifecycle import Lifecycle
-from .log import Log
 from .peers.membership import Membership, PeerMember
 from .platform.livelist import MemberState
 from .routing.router import Router
@@ -25,7 +23,7 @@
 
     Parameters
     ----------
-    identity, lifecycle, log
+    identity, lifecycle
         Of the instance.
     watcher : ConfigWatcher
         What is in force.
@@ -39,13 +37,14 @@
         Control duties and who holds them.
     rollouts : RolloutView
         Versions on their way.
+    explainer : Explainer
+        Timelines of subjects.
     """
 
     def __init__(
         self,
         identity: Identity,
         lifecycle: Lifecycle,
-        log: Log,
         watcher: ConfigWatcher,
         pool: EndpointPool,
         router: Router,
@@ -53,10 +52,10 @@
         clock: Clock,
         leases: Leases,
         rollouts: RolloutView,
+        explainer: Explainer,
     ):
         self._identity = identity
         self._lifecycle = lifecycle
-        self._log = log
         self._watcher = watcher
         self._pool = pool
         self._router = router
@@ -64,6 +63,7 @@
         self._clock = clock
         self._leases = leases
         self._rollouts = rollouts
+        self._explainer = explainer
 
     def config_status(self) -> wire.ConfigStatusBody:
         """Say in which entry instances the newest known revision is in force."""
@@ -111,10 +111,13 @@
             ),
         )
 
-    async def explain(self, subject: str) -> wire.ExplainBody:
-        """Return the events and decisions about a request, oldest first."""
-        lines = [_explain_line(text) for text in self._log.memory.recall(subject)]
-        return wire.ExplainBody(subject, tuple(lines))
+    def explain_local(self, subject: str) -> wire.ExplainBody:
+        """Return what this instance itself remembers of a subject."""
+        return self._explainer.explain_local(subject)
+
+    async def explain(self, subject: str, authorization: str) -> wire.ExplainBody:
+        """Return what all entry instances remember of a subject."""
+        return await self._explainer.explain(subject, authorization)
 
     def _own_status(self) -> wire.EntryStatus:
         revision = self._watcher.revision
@@ -171,13 +174,3 @@
             wire.DutyStatus(duty, row.holder, row.fencing_number)
             for duty, row in self._leases.rows()
         )
-
-
-def _explain_line(text: str) -> wire.ExplainLine:
-    fields = msgspec.json.decode(text)
-    return wire.ExplainLine(
-        wall_ms=fields.pop("wall_ms"),
-        instance=fields.pop("instance", ""),
-        event=fields.pop("event"),
-        fields=fields,
-    )
--- a/testing/operatorserver.py
+++ b/testing/operatorserver.py
@@ -53,10 +53,13 @@
         )
         return RolloutsBody("e1", (rollout,))
 
-    async def explain(self, subject):
+    def explain_local(self, subject):
         line = ExplainLine(1_796_378_400_000, "e1", "routed", {"endpoint": "w1"})
         return ExplainBody(subject, (line,))
 
+    async def explain(self, subject, authorization):
+        return self.explain_local(subject)
+
 
 class OperatorServer:
     """Serves a store on a fake table from a thread of its own.
