Split the entry instance into its parts, its application and its tasks

Change: entryapp.py makes the HTTP application, entrytasks.py the tree of supervisors; instance.py, 393 lines, puts the parts together.

--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -8,15 +8,11 @@
 import asyncio
 import random
 
-from starlette.applications import Starlette
-from starlette.routing import BaseRoute
-
 from .config.document import Document, Revision
 from .config.store import ConfigStore
 from .config.watcher import ConfigWatcher
 from .control import rolloutduty  # noqa: F401  (registers the duty)
 from .control.duties import DutyRunner, make_duties
-from .control.journalduties import log_pass
 from .control.leases import Leases
 from .control.leasestate import LeaseSettings
 from .control.parts import DutyParts
@@ -30,13 +26,8 @@
 from .endpoints.feed import EngineFeed
 from .endpoints.pool import Client, EndpointPool
 from .endpoints.roster import Roster
-from .explainer import Explainer, Peer, other_entries
-from .gateway.app import Handlers, make_app
-from .gateway.generations import GenerationHandler
-from .gateway.intake import Reception
-from .gateway.lookup import LookupHandler
-from .gateway.operator import OperatorHandlers
-from .gateway.services import ServiceHandler
+from .entryapp import make_entry_app
+from .entrytasks import EntryTasks
 from .identity import Identity
 from .ids import EndpointId, InstanceId
 from .journal.collection import Collection, CollectionSettings
@@ -45,7 +36,6 @@
 from .journal.settings import JournalSettings
 from .lifecycle import Lifecycle
 from .noticewatch import NoticeWatch
-from .overview import InstanceOverview
 from .peers.digest import TrippedVersion
 from .peers.envelope import Sealer
 from .peers.exchange import PeerExchange
@@ -60,7 +50,6 @@
 from .requests.routed import RoutedPlacement
 from .requests.streams import Streams
 from .routing.router import Router
-from .supervisor import Restart, Supervisor
 from .surroundings import Surroundings
 
 RECLAIM_MARGIN_MS = 1_000
@@ -69,15 +58,6 @@
 DRAIN_JOURNAL_MS = 60_000
 """How long a planned stop waits for work that runs without its caller."""
 
-OWN_RECORDS_FIRST_MS = 5_000
-OWN_RECORDS_INTERVAL_MS = 60_000
-"""Mean interval at which an instance looks for records of its own that it does
-not act on; no other instance can tell that they were left."""
-
-
-FIRST_ROLLOUTS_MS = 5_000
-"""How long readiness waits for the first read of the rollouts."""
-
 
 class EntryInstance:
     """One entry instance.
@@ -96,8 +76,7 @@
         self, identity: Identity, surroundings: Surroundings, operator_sha256: str
     ):
         self.identity = identity
-        self._around = surroundings
-        self._operator_sha256 = operator_sha256
+        self.surroundings = surroundings
         self.lifecycle = Lifecycle(surroundings.clock, surroundings.log)
         self.membership = Membership(identity, surroundings.clock.now_ms())
         self._build_configuration()
@@ -108,8 +87,8 @@
         self._build_streams()
         self._build_recovery()
         self._build_control()
-        self.app = self._build_app()
-        self._supervisor = self._build_supervisor()
+        self.app = make_entry_app(self, operator_sha256)
+        self._supervisor = EntryTasks(self).supervisor()
 
     def document(self) -> Document | None:
         """Return the configuration in force, ``None`` before there is one."""
@@ -131,15 +110,17 @@
         storing = asyncio.create_task(self.streams.hand_over())
         deadline_ms = self.lifecycle.deadline_ms
         if deadline_ms is None:
-            deadline_ms = self._around.clock.now_ms() + DRAIN_JOURNAL_MS
+            deadline_ms = self.surroundings.clock.now_ms() + DRAIN_JOURNAL_MS
         left = await self.journal.drain(deadline_ms - RECLAIM_MARGIN_MS // 2)
-        left_ms = deadline_ms - RECLAIM_MARGIN_MS // 4 - self._around.clock.now_ms()
+        left_ms = (
+            deadline_ms - RECLAIM_MARGIN_MS // 4 - self.surroundings.clock.now_ms()
+        )
         await asyncio.wait({storing}, timeout=max(0, left_ms) / 1000)
-        self._around.log.event("instance_drained", handed_over=left)
+        self.surroundings.log.event("instance_drained", handed_over=left)
         self.lifecycle.stop()
 
     def _build_configuration(self) -> None:
-        around = self._around
+        around = self.surroundings
         store = ConfigStore(around.platform.table, around.clock, around.rng)
         self.config_store = store
         self.watcher = ConfigWatcher(
@@ -153,7 +134,7 @@
         self.watcher.on_change(self._reconfigure)
 
     def _build_endpoints(self) -> None:
-        around = self._around
+        around = self.surroundings
         self.router = Router(self.identity.zone, around.rng)
         self.pool = EndpointPool(self._make_client)
         self.roster = Roster(
@@ -179,7 +160,7 @@
         )
 
     def _build_rollouts(self) -> None:
-        around = self._around
+        around = self.surroundings
         view = RolloutView(self.document)
         self.rollouts = view
         self.rollout_observer = RolloutObserver(
@@ -226,7 +207,7 @@
             )
 
     def _build_peers(self) -> None:
-        around = self._around
+        around = self.surroundings
         self.exchange = PeerExchange(
             self.membership,
             around.transport,
@@ -240,7 +221,7 @@
         )
 
     def _build_requests(self) -> None:
-        around = self._around
+        around = self.surroundings
         self.placement = RoutedPlacement(
             self.router, self.versions, around.clock, around.log, around.metrics
         )
@@ -269,7 +250,7 @@
         )
 
     def _build_streams(self) -> None:
-        around = self._around
+        around = self.surroundings
         holder = f"{self.identity.instance}/{self.identity.incarnation}"
         self.streams = Streams.from_platform(
             around.platform, holder, around.clock, around.rng, around.log
@@ -285,7 +266,7 @@
         )
 
     def _build_recovery(self) -> None:
-        around = self._around
+        around = self.surroundings
         self.recovery = Recovery(
             self.journal, around.platform.table, around.log, RecoverySettings()
         )
@@ -298,7 +279,7 @@
         )
 
     def _build_control(self) -> None:
-        around = self._around
+        around = self.surroundings
         settings = LeaseSettings()
         rng = random.Random(around.rng.getrandbits(64))
         parts = DutyParts(
@@ -335,110 +316,12 @@
         )
         self.duties.bind(self.leases)
 
-    def _build_app(self) -> Starlette:
-        around = self._around
-        reception = Reception(self.document, self.lifecycle, around.rng)
-        generations = GenerationHandler(
-            reception,
-            self.gate,
-            self.placement,
-            self.pool.client,
-            self.streams,
-            self.lifecycle,
-            around.clock,
-            around.log,
-            around.metrics,
-        )
-        services = ServiceHandler(
-            reception,
-            self.gate,
-            self.placement,
-            self.attempts,
-            self.journal,
-            self.lifecycle,
-            around.clock,
-            around.log,
-            around.metrics,
-        )
-        handlers = Handlers(
-            generations=generations,
-            services=services,
-            lookup=LookupHandler(reception, self.journal),
-            reception=reception,
-            lifecycle=self.lifecycle,
-            operator_routes=self._operator_routes(),
-        )
-        return make_app(handlers, around.log)
-
-    def _operator_routes(self) -> list[BaseRoute]:
-        overview = InstanceOverview(
-            self.identity,
-            self.lifecycle,
-            self.watcher,
-            self.pool,
-            self.router,
-            self.membership,
-            self._around.clock,
-            self.leases,
-            self.rollouts,
-            self._build_explainer(),
-        )
-        handlers = OperatorHandlers(
-            self._operator_sha256, self.config_store, self.watcher, overview
-        )
-        return handlers.routes()
-
-    def _build_explainer(self) -> Explainer:
-        around = self._around
-        return Explainer(
-            self.identity.instance,
-            around.log,
-            self._find_peers,
-            around.peer_operators,
-            around.platform.table,
-            self.config_store,
-        )
-
-    def _find_peers(self) -> list[Peer]:
-        expected = self.membership.expected(self._around.clock.now_ms())
-        return other_entries(self.identity.instance, expected, self.roster.members)
-
-    def _build_supervisor(self) -> Supervisor:
-        root = self._new_supervisor("instance")
-        endpoints = self._new_supervisor("endpoints")
-        endpoints.add("roster", self.roster.run)
-        endpoints.add("feed", self.feed.run)
-        endpoints.add("notices", self.notices.run)
-        peers = self._new_supervisor("peers")
-        peers.add("sending", self.exchange.run_sending)
-        peers.add("receiving", self.exchange.run_receiving)
-        requests = self._new_supervisor("requests")
-        requests.add("admission", self.gate.run)
-        requests.add("evacuation", self.evacuator.run)
-        requests.add("stream-collection", self.streams.run_collection)
-        requests.add("own-records", self._recover_own)
-        control = self._new_supervisor("control")
-        control.add("leases", self._hold_leases)
-        control.add("rollouts", self.rollout_watch.run)
-        control.add("hand-over", self._hand_over, Restart.ON_FAILURE)
-        root.add("configuration", self.watcher.run)
-        root.add("readiness", self._become_ready, Restart.ON_FAILURE)
-        root.add("endpoints", endpoints.run)
-        root.add("peers", peers.run)
-        root.add("requests", requests.run)
-        root.add("control", control.run)
-        return root
-
-    def _new_supervisor(self, name: str) -> Supervisor:
-        around = self._around
-        return Supervisor(name, around.clock, around.log, around.rng)
-
     def _make_client(self, member: Member) -> Client | None:
         document = self.document()
         service = document.services.get(member.service) if document else None
         if service is None:
             return None
-        return self._around.make_client(member, service)
+        return self.surroundings.make_client(member, service)
 
     def _engines(self) -> dict[EndpointId, EngineClient]:
         document = self.document()
@@ -459,13 +342,13 @@
 
     def _apply_members(self, members: tuple[Member, ...]) -> None:
         self.pool.update(members)
-        self.membership.apply_list(members, self._around.clock.now_ms())
-        self.router.apply_members(members, self._around.clock.now_ms())
+        self.membership.apply_list(members, self.surroundings.clock.now_ms())
+        self.router.apply_members(members, self.surroundings.clock.now_ms())
         self.peer_host.members_changed()
 
     def _on_notice(self, notice: ReclaimNotice) -> None:
-        clock = self._around.clock
-        self._around.log.event(
+        clock = self.surroundings.clock
+        self.surroundings.log.event(
             "reclaim_notice",
             reclaimed=notice.instance,
             deadline_wall_ms=notice.deadline_wall_ms,
@@ -479,31 +362,6 @@
         self.exchange.add_leaving(endpoint)
         self.evacuator.notice(endpoint, deadline_ms)
 
-    async def _become_ready(self) -> None:
-        await self.watcher.wait_ready()
-        await self.roster.refresh()
-        await self.rollout_watch.wait_read(FIRST_ROLLOUTS_MS)
-        self.lifecycle.ready()
-
-    async def _hold_leases(self) -> None:
-        await self.lifecycle.wait_ready()
-        try:
-            await self.leases.run()
-        finally:
-            self.duties.cancel()
-
-    async def _hand_over(self) -> None:
-        await self.lifecycle.wait_leaving()
-        await self.duties.leave()
-
-    async def _recover_own(self) -> None:
-        wait_ms = OWN_RECORDS_FIRST_MS
-        while True:
-            await self._around.clock.sleep_ms(wait_ms * self._around.rng.uniform(1, 2))
-            report = await self.recovery.recover(self._is_former_self)
-            log_pass(self._around.log, "recovery", report)
-            wait_ms = OWN_RECORDS_INTERVAL_MS
-
     def _hold_back(self) -> None:
         """Keep a canary's traffic on few endpoints."""
         document = self.document()
@@ -512,7 +370,7 @@
 
     def _live_entries(self) -> list[InstanceId]:
         """Return who may hold duties, of all data centres that are heard."""
-        now_ms = self._around.clock.now_ms()
+        now_ms = self.surroundings.clock.now_ms()
         live = [peer.instance for peer in self.membership.live_peers(now_ms)]
         if self.membership.state is MemberState.LIVE:
             live.append(self.identity.instance)
@@ -527,13 +385,9 @@
         }
         return sorted(listed.union(self._live_entries()))
 
-    def _is_former_self(self, instance: InstanceId, incarnation: int) -> bool:
-        is_self = instance == self.identity.instance
-        return is_self and incarnation < self.identity.incarnation
-
     def _is_gone(self, instance: InstanceId, incarnation: int) -> bool:
-        now_ms = self._around.clock.now_ms()
+        now_ms = self.surroundings.clock.now_ms()
         return self.membership.is_gone(instance, incarnation, now_ms)
 
     def _is_fast_poller(self) -> bool:
-        return self.membership.is_fast_poller(self._around.clock.now_ms())
+        return self.membership.is_fast_poller(self.surroundings.clock.now_ms())
