--- a/src/_monsoonpulley/routing/prediction.py
+++ b/src/_monsoonpulley/routing/prediction.py
@@ -20,7 +20,7 @@
 KV_FULL_RATIO = 0.95
 
 
-class Prediction(msgspec.Struct, frozen=True):
+class Prediction(msgspec.Struct, frozen=True, gc=False):
     """What is expected of one endpoint, and from what.
 
     Attributes
