Make the choice between data centres a registered rule

The choice stood inside Router._rank_zones, so other rules could not be measured against it. It is now one of routing/overflow.py: local first by prediction (as before, the default), least predicted, and backlog difference minus cost. Prices by data centre are an optional input, equal by default.

--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -24,6 +24,7 @@
 from ..platform.livelist import Member, MemberState
 from .admission import Admission, AdmissionRequest, Admit, Refuse, Wait
 from .attemptbreakers import AttemptBreakers
+from .overflow import EQUAL_PRICES, OVERFLOW_RULES, OverflowRule, Prices, ZoneOffer
 from .policies import POLICIES, RouteRequest, Scorer
 from .prediction import Prediction
 from .prefixindex import PrefixIndex
@@ -31,8 +32,7 @@
 from .routedecision import RouteDecision, target_time_ms
 from .view import EndpointView, FleetView
 
-OTHER_ZONE_MS = 2
-MAX_OTHER_ZONES = 2
+DEFAULT_OVERFLOW = "local-first-by-prediction"
 SLOTS_RATIO = 1.0
 
 
@@ -47,10 +47,19 @@
         For sampling and jitter.
     policy : str
         Name in `policies.POLICIES`.
+    overflow : OverflowRule, optional
+        Choice between data centres; local first by default.
+    prices : Prices
+        What work costs by data centre, for rules that weigh it.
     """
 
     def __init__(
-        self, zone: ZoneId, rng: random.Random, policy: str = "predicted-completion"
+        self,
+        zone: ZoneId,
+        rng: random.Random,
+        policy: str = "predicted-completion",
+        overflow: OverflowRule | None = None,
+        prices: Prices = EQUAL_PRICES,
     ):
         self.zone = zone
         self.fleet = FleetView()
@@ -62,6 +71,8 @@
         self._policy_name = policy
         self._policy = POLICIES.get(policy)(self._scorer, rng)
         self._rng = rng
+        self._overflow = overflow or OVERFLOW_RULES.get(DEFAULT_OVERFLOW)()
+        self._prices = prices
         self._cut_off_zones: frozenset[ZoneId] = frozenset()
 
     @classmethod
@@ -201,28 +212,41 @@
         found: list[Prediction] = []
         if local is not None:
             found = self._policy.rank(request, local, usable, now_ms)
-        if found and target_time_ms(request, found[0]) <= request.target_ms:
+        here = self._offer(request, found, local_zone) if found else None
+        if here and self._overflow.is_local_enough(here, request.target_ms):
             return self._decision(request, version, found, "local", now_ms)
         others: list[Prediction] = []
+        offers: list[ZoneOffer] = []
         zones = [z for z in pools if z != local_zone and z not in self._cut_off_zones]
         self._rng.shuffle(zones)
         for looked_at, zone in enumerate(zones):
-            if looked_at >= MAX_OTHER_ZONES and others:
+            if looked_at >= self._overflow.max_other_zones and others:
                 break
-            others += self._policy.rank(request, pools[zone], usable, now_ms)
+            there = self._policy.rank(request, pools[zone], usable, now_ms)
+            there.sort(key=lambda prediction: target_time_ms(request, prediction))
+            if there:
+                others += there
+                offers.append(self._offer(request, there, local_zone))
         others.sort(key=lambda prediction: target_time_ms(request, prediction))
-        if not found and not others:
-            return None
-        if not others:
+        if not offers:
+            if not found:
+                return None
             return self._decision(request, version, found, "local", now_ms)
-        if not found:
+        if here is None:
             return self._decision(request, version, others, "only-elsewhere", now_ms)
-        if target_time_ms(request, others[0]) + OTHER_ZONE_MS < target_time_ms(
-            request, found[0]
-        ):
-            ranked = others + found
-            return self._decision(request, version, ranked, "elsewhere", now_ms)
-        return self._decision(request, version, found + others, "local", now_ms)
+        chosen = self._overflow.choose(here, offers)
+        if chosen.zone == local_zone:
+            return self._decision(request, version, found + others, "local", now_ms)
+        first = next(p for p in others if p.zone == chosen.zone)
+        ranked = [first, *(p for p in others if p is not first), *found]
+        return self._decision(request, version, ranked, "elsewhere", now_ms)
+
+    def _offer(
+        self, request: RouteRequest, ranked: list[Prediction], local: ZoneId
+    ) -> ZoneOffer:
+        time_ms = target_time_ms(request, ranked[0])
+        tokens = request.prompt_tokens + request.max_tokens
+        return ZoneOffer.from_predictions(ranked, time_ms, local, tokens, self._prices)
 
     def _decision(
         self,
