--- a/src/_monsoonpulley/routing/overflow.py
+++ b/src/_monsoonpulley/routing/overflow.py
@@ -128,13 +128,23 @@
 
 @OVERFLOW_RULES.register("local-first-by-prediction")
 class LocalFirst:
-    """Local when it meets the target, else the least predicted time."""
+    """Local when it meets the target, else the least predicted time.
+
+    Parameters
+    ----------
+    target_ratio : float
+        Part of the target that local may take; the rest is headroom for the
+        error of predictions.
+    """
 
     max_other_zones = 2
 
+    def __init__(self, target_ratio: float = 1.0):
+        self.target_ratio = target_ratio
+
     def is_local_enough(self, local: ZoneOffer, target_ms: float) -> bool:
         """Return whether the local data centre meets the target."""
-        return local.time_ms <= target_ms
+        return local.time_ms <= self.target_ratio * target_ms
 
     def choose(self, local: ZoneOffer, others: Sequence[ZoneOffer]) -> ZoneOffer:
         """Return the least predicted time, local unless others lead."""
