Choose once for admission and the first attempt

One cause of several: the router chose twice for each request, once to predict for admission, once to send. Change: the first attempt takes over a choice that is at most 2 ms old; after a wait, a refusal or a failed attempt the router chooses anew.

--- a/src/_monsoonpulley/requests/admissiongate.py
+++ b/src/_monsoonpulley/requests/admissiongate.py
@@ -52,9 +52,9 @@
         An admitted request must be released in every case.
         """
         now_ms = self._clock.now_ms()
-        predicted_ms = self._predicted_ms(context, now_ms)
-        if isinstance(predicted_ms, Failure):
-            return predicted_ms
+        preview = self._placement.preview(context)
+        if isinstance(preview, Failure):
+            return preview
         request = AdmissionRequest(
             request_id=context.request_id,
             service=context.request_class.service,
@@ -62,10 +62,12 @@
             request_class=context.class_id,
             cost_tokens=context.prompt_tokens + context.max_tokens,
             target_ms=context.target_ms - now_ms,
-            predicted_ms=predicted_ms,
+            predicted_ms=preview.predicted_ms,
         )
         decision = self._router.admission.offer(request, now_ms)
         self._log.decision(decision)
+        if not isinstance(decision, Admit):
+            self._placement.forget(context.request_id)
         if isinstance(decision, Wait):
             decision = await self._turn(request)
         if isinstance(decision, Refuse):
@@ -88,16 +90,6 @@
             self._answer_waiting()
             await self._wait_for_change()
 
-    def _predicted_ms(self, context: RequestContext, now_ms: int) -> float | Failure:
-        route = self._placement.route_request(context, frozenset(), now_ms)
-        decision = self._router.choose(route, now_ms)
-        if isinstance(decision, Failure):
-            self._log.event(
-                "route_failed", request=route, failure=decision, now_ms=now_ms
-            )
-            return decision
-        return decision.predicted_ms
-
     async def _turn(self, request: AdmissionRequest) -> Admit | Refuse:
         turn: asyncio.Future[Admit | Refuse] = asyncio.Future()
         self._turns[request.request_id] = turn
--- a/src/_monsoonpulley/requests/routed.py
+++ b/src/_monsoonpulley/requests/routed.py
@@ -4,14 +4,17 @@
 
 from typing import Protocol
 
+import msgspec
+
 from ..clock import Clock
 from ..errors import Delivery, Failure, Reason
-from ..ids import AttemptId, EndpointId, ServiceId, VersionId
+from ..ids import AttemptId, EndpointId, RequestId, ServiceId, VersionId
 from ..log import Log
 from ..metrics import Metrics
 from ..routing.policies import RouteRequest
 from ..routing.priority import engine_priority
 from ..routing.retries import RetryAsk
+from ..routing.routedecision import RouteDecision
 from ..routing.router import Router
 from .context import RequestContext
 from .placement import AttemptEnd, Placed, Retry
@@ -49,6 +52,17 @@
         ...
 
 
+PREVIEW_MS = 2
+
+
+class Preview(msgspec.Struct, frozen=True):
+    """A choice made for admission, which the first attempt may take over."""
+
+    route: RouteRequest
+    decision: RouteDecision
+    until_ms: int
+
+
 class RoutedPlacement:
     """Chooses endpoints by the router.
 
@@ -80,6 +94,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._previewed: dict[RequestId, Preview] = {}
         self.observer: AttemptObserver | None = None
 
     def choose(
@@ -87,8 +102,12 @@
     ) -> Placed | Failure:
         """Choose an endpoint that is not in ``tried`` and log why."""
         now_ms = self._clock.now_ms()
-        route = self.route_request(context, tried, now_ms)
-        decision = self._router.choose(route, now_ms)
+        previewed = self._previewed.pop(context.request_id, None)
+        if previewed is not None and not tried and now_ms <= previewed.until_ms:
+            route, decision = previewed.route, previewed.decision
+        else:
+            route = self.route_request(context, tried, now_ms)
+            decision = self._router.choose(route, now_ms)
         if isinstance(decision, Failure):
             self._metrics.incr("routing.no_choice")
             self._log.event(
@@ -105,6 +124,28 @@
             decision=decision,
         )
 
+    def preview(self, context: RequestContext) -> RouteDecision | Failure:
+        """Return the choice for a first attempt that is made at once.
+
+        `choose` takes it over if it follows within `PREVIEW_MS`; `forget` must
+        be called if it does not follow.
+        """
+        now_ms = self._clock.now_ms()
+        route = self.route_request(context, frozenset(), now_ms)
+        decision = self._router.choose(route, now_ms)
+        if isinstance(decision, Failure):
+            self._log.event(
+                "route_failed", request=route, failure=decision, now_ms=now_ms
+            )
+            return decision
+        preview = Preview(route, decision, now_ms + PREVIEW_MS)
+        self._previewed[context.request_id] = preview
+        return decision
+
+    def forget(self, request_id: RequestId) -> None:
+        """Drop what was previewed for a request."""
+        self._previewed.pop(request_id, None)
+
     def route_request(
         self, context: RequestContext, tried: frozenset[EndpointId], now_ms: int
     ) -> RouteRequest:
