--- a/src/_monsoonpulley/requests/attempt.py
+++ b/src/_monsoonpulley/requests/attempt.py
@@ -35,11 +35,11 @@
         )
 
 
-def gone(endpoint: EndpointId) -> Failure:
+def gone(endpoint: EndpointId, step: str = "engine.connect") -> Failure:
     """Return the failure of an attempt whose endpoint is not listed."""
     return Failure(
         Reason.UNAVAILABLE,
-        "engine.connect",
+        step,
         endpoint,
         "the endpoint is no longer listed",
         Delivery.NOT_SENT,
@@ -68,11 +68,11 @@
     )
 
 
-def abandoned(endpoint: EndpointId) -> Failure:
+def abandoned(endpoint: EndpointId, step: str = "engine.generate") -> Failure:
     """Return how an attempt ends whose caller went away."""
     return Failure(
         Reason.CANCELLED,
-        "engine.generate",
+        step,
         endpoint,
         "the caller went away",
         Delivery.MAYBE,
--- a/src/_monsoonpulley/requests/passthrough.py
+++ b/src/_monsoonpulley/requests/passthrough.py
@@ -11,6 +11,7 @@
 from ..errors import Delivery, Failure, Reason
 from ..ids import EndpointId, attempt_id
 from ..outcome import Outcome
+from .attempt import abandoned, gone
 from .context import RequestContext
 from .placement import AttemptEnd, Placed, Placement, Retry, may_have_run
 
@@ -68,7 +69,7 @@
         """Send the request to the chosen endpoint once."""
         client = self._connect(placed.endpoint)
         if client is None:
-            return _gone(placed.endpoint)
+            return gone(placed.endpoint, "service.connect")
         attempt_name = attempt_id(context.request_id, attempt)
         started_ms = self._clock.now_ms()
         call = ServiceCall(
@@ -82,7 +83,7 @@
             once=once,
         )
         self._placement.started(context, placed, attempt_name)
-        answer: ServiceAnswer | Failure = _abandoned(placed.endpoint)
+        answer: ServiceAnswer | Failure = abandoned(placed.endpoint, "service.call")
         try:
             answer = await client.call(call)
         finally:
@@ -162,23 +163,3 @@
     if answer.status in RETRYABLE_STATUSES:
         return True
     return answer.status == 500 and len(placed.route.versions) > 1
-
-
-def _gone(endpoint: EndpointId) -> Failure:
-    return Failure(
-        Reason.UNAVAILABLE,
-        "service.connect",
-        endpoint,
-        "the endpoint is no longer listed",
-        Delivery.NOT_SENT,
-    )
-
-
-def _abandoned(endpoint: EndpointId) -> Failure:
-    return Failure(
-        Reason.CANCELLED,
-        "service.call",
-        endpoint,
-        "the caller went away",
-        Delivery.MAYBE,
-    )
