--- a/src/_monsoonpulley/control/demand.py
+++ b/src/_monsoonpulley/control/demand.py
@@ -1,6 +1,6 @@
 """Demand of a service in a data centre, estimated from what daemons saw.
 
-Callers send at the last moment, so short bursts are the normal case. The estimate
+Requests arrive in short bursts as a rule. The estimate
 is a high quantile of short windows, not their mean, raised by the trend over the
 time that new capacity takes to come.
 """
--- a/testing/goldens/sessions/faults.py
+++ b/testing/goldens/sessions/faults.py
@@ -8,7 +8,7 @@
 from ..deployments import andina, lakes
 from ..recorder import Session, session
 
-HISTORY = "a whole treatment history of the frame from the harbour room " * 40
+HISTORY = "the record of earlier work on the frame from the harbour room " * 40
 UPLOADS = "/services/survey-upload/tallies"
 
 
@@ -25,7 +25,7 @@
         order = {"frame": number}
         path = "/services/work-order/orders"
         play.post("entry-2", "intake-desk", path, order, f"order-{number}")
-        question = f"may the size go off today, case {number}"
+        question = f"how thin may the glue be, case {number}"
         play.stream("entry-3", "study-room", "bench-question", question, 8)
     await play.settle()
     await play.sleep_ms(10_000)
--- a/testing/requests/streaming.py
+++ b/testing/requests/streaming.py
@@ -10,7 +10,7 @@
 from ..support import ALICE
 
 PATH = "/v1/completions"
-PROMPT = "the whole treatment history of the frame " * 8
+PROMPT = "the record of earlier work on the frame " * 8
 
 
 class Stream:
