--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -29,7 +29,7 @@
 ROUTES = ("/a", "/a", "/a", "/b")
 GRACE_MS = 3_000
 START_WALL_MS = 1_800_000_000_000
-PROCESSES = 2
+PROCESSES = 8
 OFTEN_FAILING = "good, 1% fail"
 """Both versions fail as often."""
 GOOD = ("good", OFTEN_FAILING)
