--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -85,7 +85,8 @@
     skipped = sum(result.skipped for result in results)
     new = [test for test in failures if test not in red]
     print(f"known red: {len(failures) - len(new)}")
-    print(f"{run - skipped - len(new)} passed, {len(new)} failed, {skipped} skipped")
+    passed = run - skipped - len(failures)
+    print(f"{passed} passed, {len(new)} failed, {skipped} skipped")
     return 1 if new or run == skipped else 0
 
 
