Say that a key stays open where a submission is refused at the door

Change: refusals of requests with an Idempotency-Key carry x-key-state: open. Result: the new test fails before (no such header) and passes; the 28 tests of requests and sessions pass, the recordings unchanged.

--- a/src/_monsoonpulley/gateway/services.py
+++ b/src/_monsoonpulley/gateway/services.py
@@ -95,7 +95,10 @@
         request_id = self._reception.new_request_id()
         prepared = await self._prepare(request, request_id)
         if isinstance(prepared, Refusal):
-            return self._refused(prepared)
+            response = self._refused(prepared)
+            if IDEMPOTENCY_HEADER in request.headers:
+                response.headers[KEY_STATE_HEADER] = "open"
+            return response
         if prepared.key is not None:
             return await self._run_once(prepared, prepared.key)
         return await self._run_idempotent(prepared, request_id)
--- a/testing/gateway/test_requests.py
+++ b/testing/gateway/test_requests.py
@@ -169,6 +169,20 @@
 
         run_world(script)
 
+    def test_a_refusal_before_the_journal_leaves_the_key_open(self):
+        async def script(world):
+            caller = world.caller("entry-1", ALICE)
+            path, key = "/services/booking/orders", {"idempotency-key": "order-7"}
+            done = await caller.post_json(path, {}, key)
+            self.assertEqual(done.headers["x-key-state"], "closed")
+            world.entries["entry-1"].instance.leave("test")
+            await world.clock.sleep_ms(2_500)
+            refused = await caller.post_json(path, {}, key)
+            self.assertEqual(refused.headers["x-outcome"], "not_run")
+            self.assertEqual(refused.headers["x-key-state"], "open")
+
+        run_world(script)
+
     def test_a_reset_after_sending_is_unknown_and_runs_at_most_once(self):
         async def script(world):
             for service in world.services.values():
