Move the product's own platform interfaces to external/

The folder platform/ is to hold the adapter for the users' platform. The interfaces and adapters of the product's own platform (table, objects, live list, cloud, weight store) move unchanged to external/; imports follow.

--- a/benchmarks/capacity_day.py
+++ b/benchmarks/capacity_day.py
@@ -9,8 +9,8 @@
 
 from _monsoonpulley.control.demand import DemandSettings
 from _monsoonpulley.control.fleet import Market
+from _monsoonpulley.external.cloud import Price
 from _monsoonpulley.ids import ZoneId
-from _monsoonpulley.platform.cloud import Price
 
 DAY_MS = 86_400_000
 WINDOW_MS = DemandSettings().window_ms
--- a/benchmarks/controlfakes.py
+++ b/benchmarks/controlfakes.py
@@ -29,7 +29,7 @@
 from _monsoonpulley.control.verdict import Result
 from _monsoonpulley.control.versionshares import RolloutShares
 from _monsoonpulley.errors import Failure, Reason
-from _monsoonpulley.platform.table import Row
+from _monsoonpulley.external.table import Row
 from _monsoonpulley.requests.placement import AttemptEnd
 
 SERVICE = "service"
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -15,7 +15,7 @@
 
 from _monsoonpulley.config.document import Document, Service, ServiceKind
 from _monsoonpulley.endpoints.engine import CacheEvent, CacheEventKind, LoadReport
-from _monsoonpulley.platform.livelist import Member, Role
+from _monsoonpulley.external.livelist import Member, Role
 from _monsoonpulley.routing.admission import Admission, AdmissionRequest
 from _monsoonpulley.routing.policies import RouteRequest
 from _monsoonpulley.routing.prefixindex import PrefixIndex
--- a/benchmarks/overflow.py
+++ b/benchmarks/overflow.py
@@ -15,7 +15,7 @@
 from collections import Counter
 
 from _monsoonpulley.endpoints.engine import LoadReport
-from _monsoonpulley.platform.livelist import Member, Role
+from _monsoonpulley.external.livelist import Member, Role
 from _monsoonpulley.routing.overflow import (
     BacklogDifference,
     LeastPredicted,
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -20,6 +20,7 @@
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.config.document import Document, Revision, Service, ServiceKind
 from _monsoonpulley.endpoints.engine import LoadReport
+from _monsoonpulley.external.livelist import Member, MemberState, Role
 from _monsoonpulley.identity import Identity
 from _monsoonpulley.log import Log
 from _monsoonpulley.metrics import NoMetrics
@@ -29,7 +30,6 @@
 from _monsoonpulley.peers.host import RouterHost
 from _monsoonpulley.peers.membership import SUMMARY_DIGESTS, Membership
 from _monsoonpulley.peers.pynng_transport import PynngTransport
-from _monsoonpulley.platform.livelist import Member, MemberState, Role
 from _monsoonpulley.routing.router import Router
 
 HEADER_BYTES = 100
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -17,7 +17,7 @@
 
 from _monsoonpulley.config.document import Document, Service, ServiceKind
 from _monsoonpulley.errors import Failure
-from _monsoonpulley.platform.livelist import Member, Role
+from _monsoonpulley.external.livelist import Member, Role
 from _monsoonpulley.routing.admission import Admit, Refuse
 from _monsoonpulley.routing.policies import RouteRequest
 from _monsoonpulley.routing.priority import engine_priority
--- a/src/_monsoonpulley/config/reader.py
+++ b/src/_monsoonpulley/config/reader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..errors import Failure
-from ..platform.table import Row, Table
+from ..external.table import Row, Table
 from .document import Revision
 from .rows import HEAD_KEY, HISTORY_PREFIX, decode_revision, history_key
 
--- a/src/_monsoonpulley/config/rows.py
+++ b/src/_monsoonpulley/config/rows.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..errors import Failure, Reason
-from ..platform.table import Row
+from ..external.table import Row
 from .document import Revision
 
 HEAD_KEY = "config/head"
--- a/src/_monsoonpulley/control/fleetorders.py
+++ b/src/_monsoonpulley/control/fleetorders.py
@@ -17,10 +17,10 @@
 from collections.abc import Sequence
 
 from ..errors import Failure
+from ..external.cloud import InstanceSpec, Price, ReclaimNotice
+from ..external.livelist import Member
+from ..external.weightstore import WeightFacts
 from ..ids import VersionId
-from ..platform.cloud import InstanceSpec, Price, ReclaimNotice
-from ..platform.livelist import Member
-from ..platform.weightstore import WeightFacts
 from .capacitydecision import (
     CapacityDecision,
     Loads,
--- a/src/_monsoonpulley/control/fleetparts.py
+++ b/src/_monsoonpulley/control/fleetparts.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from ..clock import Clock
+from ..external.cloud import Cloud
+from ..external.livelist import LiveList
+from ..external.table import Table
+from ..external.weightstore import WeightStore
 from ..ids import EndpointId, ServiceId
 from ..log import Log
-from ..platform.cloud import Cloud
-from ..platform.livelist import LiveList
-from ..platform.table import Table
-from ..platform.weightstore import WeightStore
 from .capacitydecision import PlanSettings
 from .fleet import Need
 from .fleetdecision import FleetSettings
--- a/src/_monsoonpulley/control/fleetrows.py
+++ b/src/_monsoonpulley/control/fleetrows.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from ..errors import Failure, Reason
+from ..external.cloud import InstanceSpec
+from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..ids import ServiceId
-from ..platform.cloud import InstanceSpec
-from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 
 PREFIX = "capacity/"
 HEAD_PREFIX = "capacity-head/"
--- a/src/_monsoonpulley/control/fleetsteps.py
+++ b/src/_monsoonpulley/control/fleetsteps.py
@@ -9,8 +9,8 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..external.weightstore import WeightStore
 from ..ids import EndpointId
-from ..platform.weightstore import WeightStore
 from .fleet import Market
 from .fleetdecision import FleetDecision
 from .fleetparts import CapacityParts
--- a/src/_monsoonpulley/control/fleetview.py
+++ b/src/_monsoonpulley/control/fleetview.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from ..external.livelist import Member, MemberState, Role
 from ..ids import EndpointId, ServiceId
-from ..platform.livelist import Member, MemberState, Role
 from .fleet import EndpointState, FleetEndpoint, Market
 from .fleetrows import ENDING, FleetRow, RowState, Stored
 
--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -16,11 +16,11 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..identity import Identity
 from ..ids import InstanceId
 from ..log import Log
 from ..metrics import Metrics
-from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from .lease import LeaseRules
 from .leasestate import (
     LEASE_PREFIX,
--- a/src/_monsoonpulley/control/leasestate.py
+++ b/src/_monsoonpulley/control/leasestate.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from ..external.table import Row
 from ..ids import InstanceId
 from ..log import Decision
-from ..platform.table import Row
 
 LEASE_PREFIX = "lease/"
 NOBODY = InstanceId("")
--- a/src/_monsoonpulley/control/offers.py
+++ b/src/_monsoonpulley/control/offers.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from ..external.cloud import Price
 from ..ids import ZoneId
-from ..platform.cloud import Price
 from .fleet import Market, Offer
 
 MS_PER_H = 3_600_000
--- a/src/_monsoonpulley/control/orders.py
+++ b/src/_monsoonpulley/control/orders.py
@@ -21,9 +21,9 @@
 from ..config.document import FencingCheck
 from ..endpoints.engine import EngineClient, Order, OrderKind
 from ..errors import Delivery, Failure, Reason
+from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..ids import EndpointId, VersionId
 from ..log import Decision, Log
-from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from .leases import Hold
 
 ORDER_PREFIX = "order/"
--- a/src/_monsoonpulley/control/parts.py
+++ b/src/_monsoonpulley/control/parts.py
@@ -9,11 +9,11 @@
 
 from ..clock import Clock
 from ..config.document import Document
+from ..external.table import Table
 from ..ids import EndpointId, InstanceId, ServiceId, VersionId
 from ..journal.collection import Collection
 from ..journal.recovery import IsGone, Recovery
 from ..log import Log
-from ..platform.table import Table
 from .fleetparts import CapacityParts
 from .rolloutview import RolloutView
 
--- a/src/_monsoonpulley/control/rolloutduty.py
+++ b/src/_monsoonpulley/control/rolloutduty.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from ..errors import Failure, Reason
+from ..external.table import ABSENT_REVISION, Row, Write
 from ..ids import ServiceId
-from ..platform.table import ABSENT_REVISION, Row, Write
 from .duties import duty_kinds
 from .leases import Hold
 from .parts import DutyParts
--- a/src/_monsoonpulley/control/rolloutpass.py
+++ b/src/_monsoonpulley/control/rolloutpass.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from ..config.document import Document, Version
+from ..external.table import Row
 from ..ids import EndpointId, InstanceId, ServiceId, VersionId
-from ..platform.table import Row
 from .rollout import Evidence, Observation, RolloutDecision, RolloutRules
 from .rolloutrows import (
     SETTLED,
--- a/src/_monsoonpulley/control/rolloutrows.py
+++ b/src/_monsoonpulley/control/rolloutrows.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
+from ..external.table import Row
 from ..ids import InstanceId, ServiceId, VersionId
-from ..platform.table import Row
 
 ROLLOUT_PREFIX = "rollout/"
 TRIP_PREFIX = "rollout-trip/"
--- a/src/_monsoonpulley/control/rolloutwatch.py
+++ b/src/_monsoonpulley/control/rolloutwatch.py
@@ -10,11 +10,7 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
-from ..identity import Identity
-from ..ids import InstanceId, ServiceId, VersionId
-from ..log import Log
-from ..metrics import Metrics
-from ..platform.table import (
+from ..external.table import (
     ABSENT_REVISION,
     Committed,
     Conflict,
@@ -22,6 +18,10 @@
     Table,
     Write,
 )
+from ..identity import Identity
+from ..ids import InstanceId, ServiceId, VersionId
+from ..log import Log
+from ..metrics import Metrics
 from ..supervisor import Supervisor
 from .rolloutobserver import RolloutObserver
 from .rolloutrows import (
--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/daemon.py
@@ -15,6 +15,8 @@
 from .endpoints.adapters import EndpointTarget, engine_adapters, service_adapters
 from .endpoints.http_transport import HttpSessions
 from .endpoints.pool import Client
+from .external.connect import connect_platform
+from .external.livelist import Member
 from .httpserver import HttpServer
 from .identity import Identity
 from .ids import EndpointId
@@ -23,8 +25,6 @@
 from .metrics import Metrics, metrics_to
 from .peeroperators import HttpPeerOperators
 from .peers.pynng_transport import PynngTransport
-from .platform.connect import connect_platform
-from .platform.livelist import Member
 from .settings import Settings
 
 ENGINE_ADAPTER = "openai"
--- a/src/_monsoonpulley/demo/deployment.py
+++ b/src/_monsoonpulley/demo/deployment.py
@@ -17,11 +17,11 @@
 from ..config.store import ConfigStore
 from ..daemon import EntryDaemon
 from ..errors import Failure
+from ..external.livelist import Member, Role
 from ..gateway.credentials import credential_sha256
 from ..ids import InstanceId, ServiceId, VersionId, ZoneId
 from ..inivalues import ListenAddress, Secret
 from ..log import Log
-from ..platform.livelist import Member, Role
 from ..settings import (
     EntrySettings,
     OperatorSettings,
--- a/src/_monsoonpulley/endpoints/pool.py
+++ b/src/_monsoonpulley/endpoints/pool.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable, Iterable
 
+from ..external.livelist import Member, Role
 from ..ids import EndpointId
-from ..platform.livelist import Member, Role
 from .engine import EngineClient
 from .service import ServiceClient
 
--- a/src/_monsoonpulley/explainer.py
+++ b/src/_monsoonpulley/explainer.py
@@ -15,14 +15,14 @@
 from . import operator_wire as wire
 from .config.reader import ConfigReader
 from .errors import Failure, Reason
+from .external.livelist import Member, Role
+from .external.table import Row, Table
 from .ids import InstanceId, RequestId
 from .journal.record import JournalRecord, row_key
 from .journal.store import stored_record
 from .log import Log
 from .peeroperators import PeerOperators
 from .peers.membership import PeerMember
-from .platform.livelist import Member, Role
-from .platform.table import Row, Table
 from .subjects import CONFIG
 
 ANSWER_TIMEOUT_MS = 2_000
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/instance.py
@@ -28,6 +28,8 @@
 from .endpoints.roster import Roster
 from .entryapp import make_entry_app
 from .entrytasks import EntryTasks
+from .external.cloud import ReclaimNotice
+from .external.livelist import Member, MemberState, Role
 from .identity import Identity
 from .ids import EndpointId, InstanceId
 from .journal.collection import Collection, CollectionSettings
@@ -41,8 +43,6 @@
 from .peers.exchange import PeerExchange
 from .peers.host import RouterHost
 from .peers.membership import Membership
-from .platform.cloud import ReclaimNotice
-from .platform.livelist import Member, MemberState, Role
 from .requests.admissiongate import AdmissionGate
 from .requests.dispatcher import JournalDispatcher
 from .requests.evacuator import Evacuator, reported_speeds
--- a/src/_monsoonpulley/journal/collection.py
+++ b/src/_monsoonpulley/journal/collection.py
@@ -10,9 +10,9 @@
 
 from ..clock import Clock
 from ..errors import Failure
+from ..external.objects import ObjectStore
+from ..external.table import Committed, Table, Write
 from ..log import Log
-from ..platform.objects import ObjectStore
-from ..platform.table import Committed, Table, Write
 from .record import KEY_PREFIX, JournalRecord, StoredRecord, row_key
 from .store import stored_record
 
--- a/src/_monsoonpulley/journal/journal.py
+++ b/src/_monsoonpulley/journal/journal.py
@@ -15,11 +15,11 @@
 from ..clock import Clock
 from ..endpoints.service import ServiceAnswer
 from ..errors import Failure, Reason
+from ..external.objects import ObjectStore
+from ..external.table import Table
 from ..ids import InstanceId, RequestId
 from ..log import Log
 from ..outcome import Outcome
-from ..platform.objects import ObjectStore
-from ..platform.table import Table
 from .moves import new_token
 from .record import (
     JournalRecord,
--- a/src/_monsoonpulley/journal/recovery.py
+++ b/src/_monsoonpulley/journal/recovery.py
@@ -17,9 +17,9 @@
 import msgspec
 
 from ..errors import Failure
+from ..external.table import Table
 from ..ids import EndpointId, InstanceId, RequestId
 from ..log import Decision, Log
-from ..platform.table import Table
 from .journal import Journal
 from .record import KEY_PREFIX, JournalRecord, State, StoredRecord
 from .store import stored_record
--- a/src/_monsoonpulley/journal/store.py
+++ b/src/_monsoonpulley/journal/store.py
@@ -4,9 +4,9 @@
 
 from ..endpoints.service import ServiceAnswer
 from ..errors import Failure, Reason
+from ..external.objects import ObjectStore
+from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..ids import RequestId
-from ..platform.objects import ObjectStore
-from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from . import steps as s
 from .record import (
     JournalRecord,
--- a/src/_monsoonpulley/journal/writer.py
+++ b/src/_monsoonpulley/journal/writer.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
-from ..platform.table import (
+from ..external.table import (
     ABSENT_REVISION,
     Committed,
     Conflict,
--- a/src/_monsoonpulley/noticewatch.py
+++ b/src/_monsoonpulley/noticewatch.py
@@ -7,8 +7,8 @@
 
 from .clock import Clock
 from .errors import Failure
+from .external.cloud import Cloud, ReclaimNotice
 from .metrics import Metrics
-from .platform.cloud import Cloud, ReclaimNotice
 
 POLL_INTERVAL_MS = 1_000
 
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/overview.py
@@ -10,11 +10,11 @@
 from .control.rolloutview import RolloutView
 from .endpoints.pool import EndpointPool
 from .explainer import Explainer
+from .external.livelist import MemberState
 from .identity import Identity
 from .ids import EndpointId
 from .lifecycle import Lifecycle
 from .peers.membership import Membership, PeerMember
-from .platform.livelist import MemberState
 from .routing.router import Router
 
 
--- a/src/_monsoonpulley/peers/digest.py
+++ b/src/_monsoonpulley/peers/digest.py
@@ -13,8 +13,8 @@
 from msgspec import Meta
 
 from ..endpoints.engine import LoadReport
+from ..external.livelist import MemberState
 from ..ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
-from ..platform.livelist import MemberState
 
 MAX_LOAD_AGE_MS = 5_000
 
--- a/src/_monsoonpulley/peers/exchange.py
+++ b/src/_monsoonpulley/peers/exchange.py
@@ -10,10 +10,10 @@
 
 from ..clock import Clock
 from ..config.document import Revision
+from ..external.livelist import MemberState
 from ..ids import EndpointId
 from ..log import Log
 from ..metrics import Metrics
-from ..platform.livelist import MemberState
 from .builder import DigestBuilder, UrgentItems
 from .digest import (
     Digest,
--- a/src/_monsoonpulley/peers/host.py
+++ b/src/_monsoonpulley/peers/host.py
@@ -8,8 +8,8 @@
 from ..config.document import Revision, ServiceKind
 from ..config.watcher import ConfigWatcher
 from ..endpoints.engine import CacheEvent, LoadReport
+from ..external.livelist import MemberState
 from ..ids import EndpointId, ServiceId
-from ..platform.livelist import MemberState
 from ..routing.router import Router
 from .digest import (
     MAX_LOAD_AGE_MS,
--- a/src/_monsoonpulley/peers/membership.py
+++ b/src/_monsoonpulley/peers/membership.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
+from ..external.livelist import Member, MemberState, Role
 from ..identity import Identity
 from ..ids import InstanceId, ZoneId
-from ..platform.livelist import Member, MemberState, Role
 from .digest import Digest, LeavingMember, MemberItem, Summary
 from .rendezvous import chosen
 
--- a/src/_monsoonpulley/requests/handover.py
+++ b/src/_monsoonpulley/requests/handover.py
@@ -14,10 +14,10 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..external.objects import ObjectStore
+from ..external.table import ABSENT_REVISION, Row, Table, Write
 from ..ids import RequestId
 from ..log import Log
-from ..platform.objects import ObjectStore
-from ..platform.table import ABSENT_REVISION, Row, Table, Write
 from .streamstate import StreamState, decode_state, encode_state, object_name
 
 INDEX_PREFIX = "stream-index/"
--- a/src/_monsoonpulley/requests/streams.py
+++ b/src/_monsoonpulley/requests/streams.py
@@ -10,9 +10,9 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..external.bundle import Platform
 from ..ids import CustomerId, EndpointId, RequestId
 from ..log import Log
-from ..platform.bundle import Platform
 from .context import RequestContext
 from .detached import DetachedLimits, DetachedStreams
 from .generation import Generation
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -12,6 +12,7 @@
 from ..config.document import Document
 from ..endpoints.engine import CacheEvent, LoadReport
 from ..errors import Delivery, Failure, Reason
+from ..external.livelist import Member, MemberState
 from ..ids import (
     AttemptId,
     ClassId,
@@ -21,7 +22,6 @@
     VersionId,
     ZoneId,
 )
-from ..platform.livelist import Member, MemberState
 from .admission import Admission, AdmissionRequest, Admit, Refuse, Wait
 from .attemptbreakers import AttemptBreakers
 from .overflow import EQUAL_PRICES, OVERFLOW_RULES, OverflowRule, Prices, ZoneOffer
--- a/src/_monsoonpulley/routing/view.py
+++ b/src/_monsoonpulley/routing/view.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from ..endpoints.engine import LoadReport
+from ..external.livelist import Member, MemberState, Role
 from ..ids import AttemptId, EndpointId, ServiceId, VersionId, ZoneId
-from ..platform.livelist import Member, MemberState, Role
 from .pool import Pool, ServiceTraffic
 
 MAX_REPORT_AGE_MS = 10_000
--- a/src/_monsoonpulley/standins/cloud.py
+++ b/src/_monsoonpulley/standins/cloud.py
@@ -11,8 +11,8 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..external.cloud import InstanceSpec, Price, ReclaimNotice
 from ..ids import ZoneId
-from ..platform.cloud import InstanceSpec, Price, ReclaimNotice
 from .calls import DEFAULT_TIMEOUT_MS, Caller
 from .faults import Faults
 
--- a/src/_monsoonpulley/standins/etcd_http.py
+++ b/src/_monsoonpulley/standins/etcd_http.py
@@ -11,14 +11,14 @@
 from starlette.responses import Response
 
 from ..errors import Failure, Reason
-from ..platform.bundle import Platform
-from ..platform.etcd_table import (
+from ..external.bundle import Platform
+from ..external.etcd_table import (
     MAX_KEY,
     GatewayError,
     RangeRequest,
     TxnRequest,
 )
-from ..platform.table import Committed, Row, Write
+from ..external.table import Committed, Row, Write
 
 INVALID_ARGUMENT = 3
 RESOURCE_EXHAUSTED = 8
--- a/src/_monsoonpulley/standins/livelist.py
+++ b/src/_monsoonpulley/standins/livelist.py
@@ -10,8 +10,8 @@
 
 from ..clock import Clock
 from ..errors import Failure
+from ..external.livelist import Member, MemberState
 from ..ids import ZoneId
-from ..platform.livelist import Member, MemberState
 from .calls import DEFAULT_TIMEOUT_MS, Caller
 from .faults import Faults
 
--- a/src/_monsoonpulley/standins/platform.py
+++ b/src/_monsoonpulley/standins/platform.py
@@ -5,8 +5,8 @@
 from random import Random
 
 from ..clock import Clock
+from ..external.bundle import Platform
 from ..ids import ZoneId
-from ..platform.bundle import Platform
 from .calls import DEFAULT_TIMEOUT_MS
 from .cloud import CloudInstance, CloudStandin
 from .faults import Faults, Network
--- a/src/_monsoonpulley/standins/platform_http.py
+++ b/src/_monsoonpulley/standins/platform_http.py
@@ -16,11 +16,11 @@
 from starlette.routing import Route
 
 from ..errors import Failure, Reason
+from ..external.bundle import Platform
+from ..external.http_cloud import ErrorBody, StartRequest, StartResponse
+from ..external.http_livelist import target_group
 from ..ids import ZoneId
 from ..inivalues import AdapterAddress
-from ..platform.bundle import Platform
-from ..platform.http_cloud import ErrorBody, StartRequest, StartResponse
-from ..platform.http_livelist import target_group
 from ..settings import PlatformSettings
 from .calls import DEFAULT_TIMEOUT_MS
 from .etcd_http import EtcdHttp
--- a/src/_monsoonpulley/standins/serve.py
+++ b/src/_monsoonpulley/standins/serve.py
@@ -8,10 +8,10 @@
 
 from ..clock import Clock
 from ..config.document import ServiceKind
+from ..external.cloud import InstanceSpec
+from ..external.livelist import Member, Role
 from ..httpserver import HttpServer
 from ..ids import EndpointId, VersionId
-from ..platform.cloud import InstanceSpec
-from ..platform.livelist import Member, Role
 from .endpoints_http import engine_app, service_app
 from .engine import EngineStandin
 from .plainservice import ExecutionLedger, PlainServiceStandin
--- a/src/_monsoonpulley/standins/table.py
+++ b/src/_monsoonpulley/standins/table.py
@@ -12,8 +12,8 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Write
 from ..ids import ZoneId
-from ..platform.table import ABSENT_REVISION, Committed, Conflict, Row, Write
 from .calls import DEFAULT_TIMEOUT_MS, Caller
 from .faults import Faults
 
--- a/src/_monsoonpulley/standins/weightstore.py
+++ b/src/_monsoonpulley/standins/weightstore.py
@@ -4,8 +4,8 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..external.weightstore import WeightFacts
 from ..ids import ServiceId, VersionId
-from ..platform.weightstore import WeightFacts
 
 
 class WeightStoreStandin:
--- a/src/_monsoonpulley/surroundings.py
+++ b/src/_monsoonpulley/surroundings.py
@@ -10,12 +10,12 @@
 from .clock import Clock
 from .config.document import Service
 from .endpoints.pool import Client
+from .external.bundle import Platform
+from .external.livelist import Member
 from .log import Log
 from .metrics import Metrics
 from .peeroperators import NoPeerOperators, PeerOperators
 from .peers.transport import NoTransport, PeerTransport
-from .platform.bundle import Platform
-from .platform.livelist import Member
 
 MakeClient = Callable[[Member, Service], Client]
 
--- a/testing/config/faketable.py
+++ b/testing/config/faketable.py
@@ -9,7 +9,7 @@
 
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.errors import Failure, Reason
-from _monsoonpulley.platform.table import (
+from _monsoonpulley.external.table import (
     ABSENT_REVISION,
     Committed,
     Conflict,
--- a/testing/config/test_pages.py
+++ b/testing/config/test_pages.py
@@ -8,8 +8,8 @@
 
 from _monsoonpulley.config.document import Customer, RequestClass, Service, Version
 from _monsoonpulley.config.ini import parse_document
-from _monsoonpulley.platform.bundle import Platform
-from _monsoonpulley.platform.connect import connect_platform
+from _monsoonpulley.external.bundle import Platform
+from _monsoonpulley.external.connect import connect_platform
 from _monsoonpulley.settings import Settings
 
 ROOT = Path(__file__).parent.parent.parent
--- a/testing/control/capacityworld.py
+++ b/testing/control/capacityworld.py
@@ -16,9 +16,9 @@
 from _monsoonpulley.control.fleetrows import PREFIX, FleetRow
 from _monsoonpulley.control.leases import Hold
 from _monsoonpulley.control.offers import MachineProfile
+from _monsoonpulley.external.cloud import InstanceSpec, Price
+from _monsoonpulley.external.livelist import Member, Role
 from _monsoonpulley.log import Log
-from _monsoonpulley.platform.cloud import InstanceSpec, Price
-from _monsoonpulley.platform.livelist import Member, Role
 from _monsoonpulley.standins.cloud import CloudState
 from _monsoonpulley.standins.manualloop import running_clock
 from _monsoonpulley.standins.platform import PlatformStandin
--- a/testing/control/test_fleetorders.py
+++ b/testing/control/test_fleetorders.py
@@ -9,7 +9,7 @@
 from _monsoonpulley.control.fleetrows import PREFIX, RowState
 from _monsoonpulley.control.leases import Hold
 from _monsoonpulley.control.parts import DutyParts
-from _monsoonpulley.platform.table import Write
+from _monsoonpulley.external.table import Write
 from _monsoonpulley.standins.cloud import CloudState
 from _monsoonpulley.standins.faults import FaultKind, Part
 from _monsoonpulley.standins.manualloop import run_manual
--- a/testing/control/test_fleetrows.py
+++ b/testing/control/test_fleetrows.py
@@ -5,7 +5,7 @@
 
 from _monsoonpulley.control.fleetrows import FleetRow, FleetRows, RowState
 from _monsoonpulley.errors import Failure, Reason
-from _monsoonpulley.platform.cloud import InstanceSpec
+from _monsoonpulley.external.cloud import InstanceSpec
 from _monsoonpulley.standins.faults import FaultKind
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from _monsoonpulley.standins.table import TableStandin
--- a/testing/platform/test_adapters.py
+++ b/testing/external/test_adapters.py
@@ -9,12 +9,12 @@
 
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.errors import Failure, Reason, SettingsError
+from _monsoonpulley.external.cloud import InstanceSpec, Price
+from _monsoonpulley.external.connect import connect_platform
+from _monsoonpulley.external.livelist import Member, MemberState, Role
+from _monsoonpulley.external.table import Committed, Conflict, Row, Write
 from _monsoonpulley.ids import ZoneId
 from _monsoonpulley.inivalues import AdapterAddress
-from _monsoonpulley.platform.cloud import InstanceSpec, Price
-from _monsoonpulley.platform.connect import connect_platform
-from _monsoonpulley.platform.livelist import Member, MemberState, Role
-from _monsoonpulley.platform.table import Committed, Conflict, Row, Write
 from _monsoonpulley.standins.brokenanswers import Breakage, BrokenAnswers
 from _monsoonpulley.standins.faults import FaultKind
 from _monsoonpulley.standins.httpserver import serving
--- a/testing/journal/faults.py
+++ b/testing/journal/faults.py
@@ -8,8 +8,8 @@
 
 from _monsoonpulley.endpoints.service import Execution, Lookup, ServiceAnswer
 from _monsoonpulley.errors import Delivery, Failure, Reason
+from _monsoonpulley.external.table import Committed, Conflict, Row
 from _monsoonpulley.ids import EndpointId
-from _monsoonpulley.platform.table import Committed, Conflict, Row
 
 
 class Gate:
--- a/testing/journal/test_writer.py
+++ b/testing/journal/test_writer.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.external.table import Committed, Conflict, Write
 from _monsoonpulley.journal.writer import GroupWriter
-from _monsoonpulley.platform.table import Committed, Conflict, Write
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 
 from .faults import Fault, FaultyTable
--- a/testing/peers/test_envelope.py
+++ b/testing/peers/test_envelope.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from _monsoonpulley.external.livelist import MemberState
 from _monsoonpulley.peers.digest import Digest, FullRequest, LoadItem, UrgentBody
 from _monsoonpulley.peers.envelope import (
     MAX_AGE_MS,
@@ -13,7 +14,6 @@
     Sealer,
     SequenceGuard,
 )
-from _monsoonpulley.platform.livelist import MemberState
 
 WALL_MS = 1_800_000_000_000
 SEALER = Sealer("key-of-the-tests")
--- a/testing/peers/test_exchange.py
+++ b/testing/peers/test_exchange.py
@@ -1,10 +1,10 @@
 import unittest
 
+from _monsoonpulley.external.livelist import MemberState
 from _monsoonpulley.peers.builder import FULL_INTERVAL_MS, DigestBuilder, UrgentItems
 from _monsoonpulley.peers.digest import Digest, LoadItem, TrippedVersion, UrgentBody
 from _monsoonpulley.peers.envelope import MAX_AGE_MS, Envelope, Rejection, Sealer
 from _monsoonpulley.peers.reporters import EndpointKeys, Reporters, endpoint_key
-from _monsoonpulley.platform.livelist import MemberState
 from _monsoonpulley.standins.world import PEER_KEY
 
 from .fleet import SEEDS, SPREAD_MS, instances, live_as_seen_by, run_fleet
--- a/testing/peers/test_fleet.py
+++ b/testing/peers/test_fleet.py
@@ -1,9 +1,9 @@
 import unittest
 from unittest import mock
 
+from _monsoonpulley.external.livelist import MemberState
 from _monsoonpulley.peers.digest import FullRequest
 from _monsoonpulley.peers.envelope import Envelope, Sealer
-from _monsoonpulley.platform.livelist import MemberState
 from _monsoonpulley.standins.faults import FaultKind
 from _monsoonpulley.standins.world import PEER_KEY
 
--- a/testing/peers/test_membership.py
+++ b/testing/peers/test_membership.py
@@ -1,5 +1,6 @@
 import unittest
 
+from _monsoonpulley.external.livelist import Member, MemberState, Role
 from _monsoonpulley.identity import Identity
 from _monsoonpulley.peers.digest import Digest, MemberItem, Summary
 from _monsoonpulley.peers.membership import (
@@ -7,7 +8,6 @@
     GONE_WHILE_CUT_OFF_MS,
     Membership,
 )
-from _monsoonpulley.platform.livelist import Member, MemberState, Role
 
 LIVE, LEAVING = MemberState.LIVE, MemberState.LEAVING
 STEP_MS = 1_000
--- a/testing/routing/fixtures.py
+++ b/testing/routing/fixtures.py
@@ -4,7 +4,7 @@
 
 from _monsoonpulley.config.document import Document, Service, ServiceKind
 from _monsoonpulley.endpoints.engine import LoadReport
-from _monsoonpulley.platform.livelist import Member, MemberState, Role
+from _monsoonpulley.external.livelist import Member, MemberState, Role
 from _monsoonpulley.routing.policies import RouteRequest
 from _monsoonpulley.routing.router import Router
 
--- a/testing/routing/test_router.py
+++ b/testing/routing/test_router.py
@@ -7,7 +7,7 @@
 
 from _monsoonpulley.endpoints.engine import CacheEvent, CacheEventKind
 from _monsoonpulley.errors import Delivery, Failure, Reason
-from _monsoonpulley.platform.livelist import MemberState
+from _monsoonpulley.external.livelist import MemberState
 
 from .fixtures import member, report, request, router
 
--- a/testing/routing/test_view.py
+++ b/testing/routing/test_view.py
@@ -1,6 +1,6 @@
 import unittest
 
-from _monsoonpulley.platform.livelist import MemberState
+from _monsoonpulley.external.livelist import MemberState
 from _monsoonpulley.routing.prediction import (
     expected_peer_tokens,
     fill_lowest,
--- a/testing/standins/test_faults.py
+++ b/testing/standins/test_faults.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from _monsoonpulley.errors import Failure, Reason
-from _monsoonpulley.platform.table import Committed, Conflict, Write
+from _monsoonpulley.external.table import Committed, Conflict, Write
 from _monsoonpulley.standins.faults import FaultKind, Faults, Latency, Part
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from _monsoonpulley.standins.table import TableStandin
--- a/testing/standins/test_platform.py
+++ b/testing/standins/test_platform.py
@@ -3,8 +3,8 @@
 from random import Random
 
 from _monsoonpulley.errors import Reason
-from _monsoonpulley.platform.cloud import InstanceSpec, Price
-from _monsoonpulley.platform.livelist import Member, MemberState, Role
+from _monsoonpulley.external.cloud import InstanceSpec, Price
+from _monsoonpulley.external.livelist import Member, MemberState, Role
 from _monsoonpulley.standins.cloud import CloudState
 from _monsoonpulley.standins.faults import FaultKind
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
--- a/testing/standins/test_table.py
+++ b/testing/standins/test_table.py
@@ -6,7 +6,7 @@
 
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.errors import Failure, Reason
-from _monsoonpulley.platform.table import Committed, Conflict, Row, Write
+from _monsoonpulley.external.table import Committed, Conflict, Row, Write
 from _monsoonpulley.standins.table import MAX_WRITES, TableStandin
 
 KEYS = st.sampled_from(["a", "ab", "b", "é", "z"])
