Report usage and order endpoints under one lease

The product's own lease rules now run on the users' store through its table interface; the holder fixes each usage window by a row before it reports it, and orders reclaimable endpoints spread over the data centres.

--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -203,11 +203,20 @@
         while True:
             failure = await self.scan()
             self._note_scan(failure)
-            wait_ms = self._scan_interval_ms()
             spread = self._rng.uniform(
                 1 - self._settings.jitter, 1 + self._settings.jitter
             )
-            await self._clock.sleep_ms(wait_ms * spread)
+            await self._wait_for_scan(spread)
+
+    async def _wait_for_scan(self, spread: float) -> None:
+        """Wait for the interval, which shortens once this instance may be next."""
+        since_ms = self._clock.now_ms()
+        while True:
+            left_ms = since_ms + self._scan_interval_ms() * spread
+            left_ms -= self._clock.now_ms()
+            if left_ms <= 0:
+                return
+            await self._clock.sleep_ms(min(left_ms, self._settings.tick_ms))
 
     async def _keep(self) -> None:
         while True:
@@ -217,6 +226,9 @@
     def _scan_interval_ms(self) -> int:
         """Return the short interval for who may have to take over soon."""
         for duty in self._placement.duties():
+            if self.state(duty).held is not None:
+                # Its own renewals show the holder any change.
+                continue
             rank = self._placement.rank(duty)
             if rank is not None and rank < self._settings.watchers:
                 return self._settings.scan_ms
--- /dev/null
+++ b/src/_monsoonpulley/duties/capacityplan.py
@@ -0,0 +1,207 @@
+"""How many endpoints of a service each data centre should have.
+
+Answers for load that changes within seconds and for data centres whose
+reclaimable machines are all taken back at once: reclaimable endpoints are
+spread over all data centres with room to spare, since they cost a fraction of
+the others. Others are ordered only where no reclaimable ones are to be had and
+those left can't carry the load.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from ..fleet.model import ScalingSpec
+from ..ids import ZoneId
+
+FILL = 0.45
+"""Share of an endpoint's slots that the load should take: steps stay short, and
+the loss of a data centre or a burst finds the rest free."""
+
+URGENT_FILL = 0.8
+"""Beyond this share of the slots that are left, others are ordered too."""
+
+BACKLOG_TOKENS = 30_000.0
+"""Unread prompt tokens, about 500 ms of reading, that call for an endpoint more."""
+
+SPARE_PER_ZONE = 2
+"""Reclaimable endpoints in each data centre at least, so that one is left when
+another crashes."""
+
+HOLD_MS = 20_000
+"""A need is kept this long after it was last seen: bursts come in series, and an
+endpoint takes seconds to start."""
+
+DRY_MS = 2_500
+"""After a refused order, or machines taken back, until the next try there."""
+
+REPEAT_MS = 1_500
+"""Between two equal orders while the endpoints are not there yet."""
+
+
+class ZoneFleet(msgspec.Struct):
+    """Endpoints of a service in one data centre that take requests."""
+
+    reclaimable: int = 0
+    others: int = 0
+    reclaimed: int = 0
+    """Reclaimable endpoints that have announced their leaving."""
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Work at a service's endpoints.
+
+    Attributes
+    ----------
+    running : int
+        Requests without a complete answer.
+    unread_tokens : int
+        Prompt tokens that are yet to be read.
+    """
+
+    running: int
+    unread_tokens: int
+
+
+class Order(msgspec.Struct, frozen=True):
+    """An order: so many endpoints of a kind in a data centre, and why."""
+
+    zone: ZoneId
+    is_reclaimable: bool
+    count: int
+    rule: str
+
+
+class _Sent(msgspec.Struct):
+    count: int
+    sent_ms: int
+
+
+class CapacityPlan:
+    """Plans the endpoints of one service.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that one endpoint runs at once.
+    """
+
+    def __init__(self, slots: int):
+        self._slots = slots
+        self._needs: list[tuple[int, int]] = []
+        self._sent: dict[tuple[ZoneId, bool], _Sent] = {}
+        self._dry_until_ms: dict[ZoneId, int] = {}
+
+    def orders(
+        self,
+        spec: ScalingSpec,
+        fleet: dict[ZoneId, ZoneFleet],
+        load: Load,
+        now_ms: int,
+    ) -> list[Order]:
+        """Return the orders to give now.
+
+        Parameters
+        ----------
+        spec : ScalingSpec
+            Limits and prices.
+        fleet : dict
+            What stands, by data centre.
+        load : Load
+            Over all data centres.
+        now_ms : int
+            Monotonic time.
+        """
+        zones = sorted(spec.zone_prices, key=lambda zone: spec.zone_prices[zone])
+        if not zones:
+            return []
+        for zone in zones:
+            if fleet.get(zone, ZoneFleet()).reclaimed:
+                self._dry_until_ms[zone] = now_ms + DRY_MS
+        need = self._need(load, len(zones), now_ms)
+        wanted = self._wanted(spec, zones, need, now_ms)
+        others = self._others(spec, zones, fleet, load, wanted)
+        orders = []
+        for zone in zones:
+            stand = fleet.get(zone, ZoneFleet())
+            if not self._is_dry(zone, now_ms):
+                order = Order(zone, True, wanted[zone], f"need of {need}")
+                self._add(orders, order, stand.reclaimable, now_ms)
+            order = Order(zone, False, others[zone], "what reclaimable ones lack")
+            self._add(orders, order, stand.others, now_ms)
+        return orders
+
+    def refused(self, order: Order, now_ms: int) -> None:
+        """Note that no endpoints of the kind are to be had there now."""
+        if order.is_reclaimable:
+            self._dry_until_ms[order.zone] = now_ms + DRY_MS
+        self._sent.pop((order.zone, order.is_reclaimable), None)
+
+    def sent(self, order: Order, now_ms: int) -> None:
+        """Note that an order was taken."""
+        self._sent[order.zone, order.is_reclaimable] = _Sent(order.count, now_ms)
+
+    def _need(self, load: Load, zones: int, now_ms: int) -> int:
+        need = math.ceil(load.running / (FILL * self._slots))
+        need += int(load.unread_tokens / BACKLOG_TOKENS)
+        need = max(need, SPARE_PER_ZONE * zones)
+        self._needs = [(n, ms) for n, ms in self._needs if now_ms - ms < HOLD_MS]
+        self._needs = [(n, ms) for n, ms in self._needs if n > need]
+        self._needs.append((need, now_ms))
+        return self._needs[0][0]
+
+    def _wanted(
+        self, spec: ScalingSpec, zones: list[ZoneId], need: int, now_ms: int
+    ) -> dict[ZoneId, int]:
+        """Return reclaimable endpoints by data centre, dry ones left as they are."""
+        if spec.reclaimable_price >= 1:
+            return dict.fromkeys(zones, 0)
+        open_zones = [zone for zone in zones if not self._is_dry(zone, now_ms)]
+        wanted = dict.fromkeys(zones, 0)
+        for index, zone in enumerate(open_zones):
+            share = need // len(open_zones) + (index < need % len(open_zones))
+            wanted[zone] = min(spec.maximum, max(spec.minimum, share))
+        return wanted
+
+    def _others(
+        self,
+        spec: ScalingSpec,
+        zones: list[ZoneId],
+        fleet: dict[ZoneId, ZoneFleet],
+        load: Load,
+        wanted: dict[ZoneId, int],
+    ) -> dict[ZoneId, int]:
+        """Return endpoints that can't be reclaimed, by data centre."""
+        stand = {zone: fleet.get(zone, ZoneFleet()) for zone in zones}
+        reclaimable = sum(f.reclaimable for f in stand.values())
+        if spec.reclaimable_price < 1 and reclaimable == 0:
+            # Nothing has arrived yet: what stands carries the load meanwhile.
+            return {zone: stand[zone].others for zone in zones}
+        least = math.ceil(load.running / (URGENT_FILL * self._slots))
+        if spec.reclaimable_price >= 1:
+            least = max(least, SPARE_PER_ZONE * len(zones))
+        lacking = max(0, least - reclaimable)
+        others = dict.fromkeys(zones, 0)
+        for zone in zones:
+            room = max(0, spec.maximum - max(wanted[zone], stand[zone].reclaimable))
+            others[zone] = min(room, lacking)
+            lacking -= others[zone]
+        return others
+
+    def _add(
+        self, orders: list[Order], order: Order, standing: int, now_ms: int
+    ) -> None:
+        sent = self._sent.get((order.zone, order.is_reclaimable))
+        if sent is None:
+            if standing != order.count:
+                orders.append(order)
+            return
+        if sent.count != order.count:
+            orders.append(order)
+        elif standing < order.count and now_ms - sent.sent_ms > REPEAT_MS:
+            orders.append(order)
+
+    def _is_dry(self, zone: ZoneId, now_ms: int) -> bool:
+        return now_ms < self._dry_until_ms.get(zone, 0)
--- /dev/null
+++ b/src/_monsoonpulley/duties/controlloop.py
@@ -0,0 +1,67 @@
+"""The loop that does the duties while this instance holds their lease."""
+
+from __future__ import annotations
+
+from ..clock import Clock
+from ..control.leases import Hold, Leases
+from ..log import Log
+from .capacity import CapacityDuty
+from .placement import CONTROL
+from .usagereport import UsageReporter
+
+STEP_MS = 500
+"""Between two rounds: short next to the time that an endpoint takes to start."""
+
+
+class ControlLoop:
+    """Does what is due, while the lease is held.
+
+    Parameters
+    ----------
+    leases : Leases
+        Has the hold.
+    usage : UsageReporter
+        Reports usage.
+    capacity : CapacityDuty
+        Orders endpoints.
+    clock, log : Clock, Log
+        Time, and where taking over and losing the duty are noted.
+    """
+
+    def __init__(
+        self,
+        leases: Leases,
+        usage: UsageReporter,
+        capacity: CapacityDuty,
+        clock: Clock,
+        log: Log,
+    ):
+        self._leases = leases
+        self._usage = usage
+        self._capacity = capacity
+        self._clock = clock
+        self._log = log
+        self._fencing_number = 0
+
+    def fencing_number(self) -> int:
+        """Return the number of the lease if it is held here, else 0."""
+        hold = self._leases.hold(CONTROL)
+        return hold.fencing_number if hold is not None else 0
+
+    async def run(self) -> None:
+        """Do the duties until cancelled."""
+        while True:
+            hold = self._leases.hold(CONTROL)
+            self._note(hold)
+            if hold is not None:
+                await self._usage.step(hold)
+            if hold is not None and hold.may_act():
+                await self._capacity.step(hold)
+            await self._clock.sleep_ms(STEP_MS)
+
+    def _note(self, hold: Hold | None) -> None:
+        number = hold.fencing_number if hold is not None else 0
+        if number != self._fencing_number:
+            event = "duties_taken" if number else "duties_lost"
+            self._log.event(event, fencing_number=number or self._fencing_number)
+            self._fencing_number = number
--- /dev/null
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -0,0 +1,112 @@
+"""Usage reports: each window once, with one set of counts whoever sends it.
+
+A report's counts are fixed by a row in the store before they are sent. A holder
+that takes over sends what it finds there, unchanged.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..clock import Clock
+from ..control.leases import Hold
+from ..errors import Failure
+from ..external.table import ABSENT_REVISION, Committed, Conflict, Table, Write
+from ..log import Log
+from ..platform.cloud import CloudClient
+from .usage import KEEP_WINDOWS, UsageCounter
+
+REPORT_AFTER_MS = 2_500
+"""From a window's end to its report: digests of its last requests have arrived,
+and several tries are left until it is late."""
+
+REPORT_PREFIX = "usage/"
+
+
+class UsageReporter:
+    """Reports the windows that are due.
+
+    Parameters
+    ----------
+    counter : UsageCounter
+        Has the counts.
+    table : Table
+        Keeps what was reported.
+    cloud : CloudClient
+        Takes the reports.
+    clock, log : Clock, Log
+        Wall time decides windows.
+    """
+
+    def __init__(
+        self,
+        counter: UsageCounter,
+        table: Table,
+        cloud: CloudClient,
+        clock: Clock,
+        log: Log,
+    ):
+        self._counter = counter
+        self._table = table
+        self._cloud = cloud
+        self._clock = clock
+        self._log = log
+        self._first = counter.window_of(clock.wall_ms())
+        self._reported: set[int] = set()
+
+    def due(self) -> list[int]:
+        """Return the windows to report now, the oldest first.
+
+        Windows that ended before this instance started are left to others:
+        its counts of them are not complete.
+        """
+        due_ms = self._clock.wall_ms() - REPORT_AFTER_MS
+        newest = self._counter.window_of(due_ms) - 1
+        oldest = max(self._first, newest - KEEP_WINDOWS + 2)
+        windows = range(oldest, newest + 1)
+        return [window for window in windows if window not in self._reported]
+
+    async def step(self, hold: Hold) -> None:
+        """Report what is due, while the duty is held."""
+        for window in self.due():
+            counts = await self._fix(window)
+            if isinstance(counts, Failure):
+                self._log.event("usage_not_fixed", window=window, error=str(counts))
+                return
+            if not hold.may_act():
+                return
+            failure = await self._cloud.report_usage(
+                hold.fencing_number, window, counts
+            )
+            self._log.event(
+                "usage_reported",
+                window=window,
+                counts=counts,
+                fencing_number=hold.fencing_number,
+                error=str(failure) if failure else "",
+            )
+            if failure is not None:
+                return
+            self._reported.add(window)
+        self._reported = {w for w in self._reported if w > self._newest_kept()}
+
+    def _newest_kept(self) -> int:
+        return self._counter.window_of(self._clock.wall_ms()) - 4 * KEEP_WINDOWS
+
+    async def _fix(self, window: int) -> dict[str, int] | Failure:
+        """Write a window's counts, or return those that were written before."""
+        counts = self._counter.totals(window)
+        key = _key(window)
+        write = Write(key, msgspec.json.encode(counts), ABSENT_REVISION)
+        result = await self._table.commit([write])
+        if isinstance(result, Committed):
+            return counts
+        if isinstance(result, Conflict):
+            row = result.current.get(key)
+            value = row.value if row is not None else b"{}"
+            return msgspec.json.decode(value, type=dict[str, int])
+        return result
+
+
+def _key(window: int) -> str:
+    return f"{REPORT_PREFIX}{window:012d}"
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -7,22 +7,32 @@
 from collections.abc import Awaitable, Callable
 
 from ..clock import Clock
+from ..control.leases import Leases
+from ..control.leasestate import LeaseSettings
+from ..duties.capacity import CapacityDuty
+from ..duties.controlloop import ControlLoop
+from ..duties.placement import CONTROL, ControlPlacement
 from ..duties.usage import UsageCounter
+from ..duties.usagereport import UsageReporter
 from ..fleet.configurationholder import ConfigurationHolder
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Configuration, Endpoint
 from ..fleet.tablefollower import TableFollower
+from ..identity import Identity
 from ..ids import InstanceId
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
 from ..log import Log
+from ..metrics import NoMetrics
 from ..placing.health import EndpointHealth
 from ..placing.loadboard import LoadBoard
 from ..placing.placer import Placer
 from ..placing.promptmemory import PromptMemory
+from ..platform.cloud import CloudClient
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
 from ..platform.store import Store
+from ..platform.table import StoreTable
 from ..sharing.digest import Digest
 from ..sharing.exchange import DigestExchange
 from ..sharing.members import Members
@@ -51,6 +61,12 @@
 """A round so much late means that the process stood still: what it believes of
 others is old."""
 
+SHORTEST_LEASE_MS = 3_000
+"""Three renewals and the margin fit; used where the platform allows less."""
+
+IDLE_LEASE_SCAN_MS = 30_000
+"""Of an instance that hears another hold the lease."""
+
 DRAIN_LISTEN_MS = 3_300
 """From the announced stop to the end of listening: the balancer takes out an
 instance after two checks, a second apart, and callers connect until then."""
@@ -100,6 +116,52 @@
         self._metrics = HttpServer(self._on_metrics, CallerLimits, clock)
         self._followers = self._make_followers()
         self._last_tick_ms = clock.now_ms()
+        self._leases = self._make_leases()
+        self._control = self._make_control()
+
+    def _make_leases(self) -> Leases:
+        settings = self.settings
+        identity = Identity(settings.instance, settings.zone, "", self.incarnation)
+        placement = ControlPlacement(
+            settings.instance,
+            self.parts.members,
+            lambda: self._leases.hold(CONTROL) is not None,
+            lambda: self.is_stopping,
+        )
+        lease_ms = max(SHORTEST_LEASE_MS, round(settings.bounds.lease_duration_ms))
+        return Leases(
+            StoreTable(self.store),
+            identity,
+            placement,
+            self.clock,
+            self._rng,
+            self.log,
+            NoMetrics(),
+            LeaseSettings(
+                lease_ms=lease_ms,
+                renew_ms=lease_ms // 3,
+                idle_scan_ms=IDLE_LEASE_SCAN_MS,
+            ),
+        )
+
+    def _make_control(self) -> ControlLoop | None:
+        settings, parts = self.settings, self.parts
+        if settings.cloud is None:
+            return None
+        caller = HttpCaller(settings.cloud.ip, settings.cloud.port, self.clock)
+        cloud = CloudClient(caller, settings.instance)
+        usage = UsageReporter(
+            parts.usage, StoreTable(self.store), cloud, self.clock, self.log
+        )
+        capacity = CapacityDuty(
+            parts.configuration,
+            parts.directory,
+            parts.board,
+            cloud,
+            self.clock,
+            self.log,
+        )
+        return ControlLoop(self._leases, usage, capacity, self.clock, self.log)
 
     def _make_parts(self) -> IngressParts:
         settings, clock, log = self.settings, self.clock, self.log
@@ -161,8 +223,11 @@
             (f"follow/{name}", follower.run)
             for name, follower in self._followers.items()
         ]
+        control = [("control", self._control.run)] if self._control else []
         return [
             *followed,
+            *control,
+            ("leases", self._leases.run),
             ("digests", self.exchange.run),
             ("registration", self._register),
             ("sweep", self.callers.sweep),
@@ -276,6 +341,7 @@
             port=self.settings.peer_ports[0],
             configuration=current.version if current else 0,
             is_leaving=self.is_stopping,
+            lease_token=self._control.fencing_number() if self._control else 0,
             loads=parts.board.own_loads(),
             used=parts.quotas.used(),
             begun=parts.usage.own(),
--- a/src/_monsoonpulley/metrics.py
+++ b/src/_monsoonpulley/metrics.py
@@ -4,8 +4,6 @@
 
 from typing import Protocol
 
-import statsd
-
 
 class Metrics(Protocol):
     """What the rest of the program may do with metrics."""
@@ -40,4 +38,6 @@
     """Return metrics to a ``statsd`` address, or `NoMetrics` without a host."""
     if not host:
         return NoMetrics()
+    import statsd
+
     return statsd.StatsClient(host, port, prefix=prefix)
--- /dev/null
+++ b/src/_monsoonpulley/platform/table.py
@@ -0,0 +1,76 @@
+"""The platform's store as the project's table of rows."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ..errors import Delivery, Failure, Reason
+from ..external.table import Committed, Row, Write
+from ..external.table import Conflict as TableConflict
+from .store import Conflict, Drop, Expected, Put, Store
+from .store import Row as StoreRow
+
+TABLE = "control"
+"""Holds the project's own rows, all under the empty part: one transaction may
+then cover any of them."""
+
+
+class StoreTable:
+    """`external.table.Table` over the platform's store.
+
+    Parameters
+    ----------
+    store : Store
+        The client that all parts share.
+    """
+
+    def __init__(self, store: Store):
+        self._store = store
+
+    async def read(self, key: str) -> Row | Failure | None:
+        """Return the row, or ``None`` where there is none."""
+        row = await self._store.get_one(TABLE, key)
+        if row is None:
+            return None
+        if isinstance(row, Failure):
+            return _settled(row)
+        return _table_row(row)
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 500
+    ) -> tuple[Row, ...] | Failure:
+        """Return rows whose key starts with ``prefix``, in key order."""
+        rows = await self._store.get(TABLE)
+        if isinstance(rows, Failure):
+            return _settled(rows)
+        found = [r for r in rows.rows if r.key.startswith(prefix) and r.key > after]
+        return tuple(_table_row(row) for row in found[:limit])
+
+    async def commit(
+        self, writes: Sequence[Write]
+    ) -> Committed | TableConflict | Failure:
+        """Apply all writes, or none if any expected revision does not hold."""
+        result = await self._store.write(
+            expect=tuple(Expected(TABLE, w.key, w.expected_revision) for w in writes),
+            put=tuple(
+                Put(TABLE, w.key, w.value) for w in writes if w.value is not None
+            ),
+            drop=tuple(Drop(TABLE, w.key) for w in writes if w.value is None),
+        )
+        if isinstance(result, Failure):
+            return _settled(result)
+        if isinstance(result, Conflict):
+            rows = [r for r in result.rows if r.value is not None and r.row_version]
+            return TableConflict({row.key: _table_row(row) for row in rows})
+        return Committed(result)
+
+
+def _table_row(row: StoreRow) -> Row:
+    return Row(row.key, row.value or b"", row.row_version)
+
+
+def _settled(failure: Failure) -> Failure:
+    """Return the failure with the reason that the table's interface promises."""
+    is_in_doubt = failure.delivery is Delivery.MAYBE
+    reason = Reason.IN_DOUBT if is_in_doubt else Reason.UNAVAILABLE
+    return Failure(reason, failure.step, failure.peer, failure.detail, failure.delivery)
