--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -75,9 +75,7 @@
                 continue
             zone = fleet.setdefault(endpoint.zone, ZoneFleet())
             if endpoint.is_draining:
-                zone.reclaimed += endpoint.is_reclaimable and (
-                    endpoint.leaves_in_ms is not None
-                )
+                zone.leaving += endpoint.is_reclaimable
             elif endpoint.is_reclaimable:
                 zone.reclaimable += 1
             else:
