Reset given-up calls; start orders only under a lease that outlasts them

The call timed out after 1.2 s and its connection was closed, but a close leaves the kernel sending what was not acknowledged: the order arrived 5 s later, after the next holder's. Ruled out: two holders at once (the lease was lost at 53.7 s, claimed at 55.7 s). Change: connections that are given up are reset; an order starts only if the lease outlasts its timeout, now 1 s.

Listening now ends 2.6 s after SIGTERM, once the balancer has had its two checks.

An instance that hears no holder any more looks at the lease at once.

--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -74,13 +74,19 @@
         Goes with each order.
     """
 
-    def __init__(self, fencing_number: int, may_act: Callable[[int], bool]):
+    def __init__(self, fencing_number: int, may_act: Callable[[int, int], bool]):
         self.fencing_number = fencing_number
         self._may_act = may_act
 
-    def may_act(self) -> bool:
-        """Tell whether an order may be sent now; ask right before each."""
-        return self._may_act(self.fencing_number)
+    def may_act(self, for_ms: int = 0) -> bool:
+        """Tell whether an order may be sent now; ask right before each.
+
+        Parameters
+        ----------
+        for_ms : int
+            How long the order may be on its way.
+        """
+        return self._may_act(self.fencing_number, for_ms)
 
 
 class _Sent(msgspec.Struct, frozen=True):
@@ -133,6 +139,7 @@
         self._states: dict[str, LeaseState] = {}
         self._commits: set[asyncio.Task[None]] = set()
         self._failing = False
+        self._woken = asyncio.Event()
         self.after_tick: Callable[[], None] = lambda: None
 
     def state(self, duty: str) -> LeaseState:
@@ -149,7 +156,11 @@
         state = self.state(duty)
         if not state.may_act(self._clock.now_ms()):
             return None
-        return Hold(state.held.fencing_number, lambda n: self._may_act(duty, n))
+        return Hold(state.held.fencing_number, lambda n, ms: self._may_act(duty, n, ms))
+
+    def wake(self) -> None:
+        """Look at the leases now: this instance may have become a candidate."""
+        self._woken.set()
 
     async def run(self) -> None:
         """Scan, claim and renew until cancelled."""
@@ -203,20 +214,20 @@
         while True:
             failure = await self.scan()
             self._note_scan(failure)
+            wait_ms = self._scan_interval_ms()
             spread = self._rng.uniform(
                 1 - self._settings.jitter, 1 + self._settings.jitter
             )
-            await self._wait_for_scan(spread)
+            await self._wait_for_scan(wait_ms * spread)
 
-    async def _wait_for_scan(self, spread: float) -> None:
-        """Wait for the interval, which shortens once this instance may be next."""
-        since_ms = self._clock.now_ms()
-        while True:
-            left_ms = since_ms + self._scan_interval_ms() * spread
-            left_ms -= self._clock.now_ms()
-            if left_ms <= 0:
-                return
-            await self._clock.sleep_ms(min(left_ms, self._settings.tick_ms))
+    async def _wait_for_scan(self, wait_ms: float) -> None:
+        self._woken.clear()
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._woken.wait()
+        except TimeoutError:
+            # Nobody asked for an earlier look.
+            return
 
     async def _keep(self) -> None:
         while True:
@@ -226,9 +237,6 @@
     def _scan_interval_ms(self) -> int:
         """Return the short interval for who may have to take over soon."""
         for duty in self._placement.duties():
-            if self.state(duty).held is not None:
-                # Its own renewals show the holder any change.
-                continue
             rank = self._placement.rank(duty)
             if rank is not None and rank < self._settings.watchers:
                 return self._settings.scan_ms
@@ -328,9 +336,9 @@
             return
         self._log.decision(msgspec.structs.replace(decision, duty=duty))
 
-    def _may_act(self, duty: str, fencing_number: int) -> bool:
+    def _may_act(self, duty: str, fencing_number: int, for_ms: int) -> bool:
         state = self.state(duty)
-        if not state.may_act(self._clock.now_ms()):
+        if not state.may_act(self._clock.now_ms() + for_ms):
             return False
         return state.held.fencing_number == fencing_number
 
--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -11,7 +11,7 @@
 from ..ids import ServiceId, ZoneId
 from ..log import Log
 from ..placing.loadboard import LoadBoard
-from ..platform.cloud import CloudClient
+from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
 from .capacityplan import CapacityPlan, Load, Order, ZoneFleet
 
 
@@ -63,7 +63,7 @@
         fleet, load = self._look(service.id)
         orders = plan.orders(service.scaling, fleet, load, self._clock.now_ms())
         for order in orders:
-            if not hold.may_act():
+            if not hold.may_act(CALL_TIMEOUT_MS):
                 return
             await self._give(plan, service.id, order, load, hold)
 
--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -13,7 +13,7 @@
 from ..errors import Failure
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Table, Write
 from ..log import Log
-from ..platform.cloud import CloudClient
+from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
 from .usage import KEEP_WINDOWS, UsageCounter
 
 REPORT_AFTER_MS = 2_500
@@ -73,7 +73,7 @@
             if isinstance(counts, Failure):
                 self._log.event("usage_not_fixed", window=window, error=str(counts))
                 return
-            if not hold.may_act():
+            if not hold.may_act(CALL_TIMEOUT_MS):
                 return
             failure = await self._cloud.report_usage(
                 hold.fencing_number, window, counts
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -64,14 +64,17 @@
 SHORTEST_LEASE_MS = 3_000
 """Three renewals and the margin fit; used where the platform allows less."""
 
+LEASE_SCAN_MS = 2_000
+"""Of the holder, whose renewals show it most changes, and of who may be next."""
+
 IDLE_LEASE_SCAN_MS = 30_000
 """Of an instance that hears another hold the lease."""
 
-DRAIN_LISTEN_MS = 3_300
+DRAIN_LISTEN_MS = 2_600
 """From the announced stop to the end of listening: the balancer takes out an
 instance after two checks, a second apart, and callers connect until then."""
 
-DRAIN_MARGIN_MS = 500
+DRAIN_MARGIN_MS = 300
 """Kept back from the time until the process is killed."""
 
 
@@ -116,6 +119,7 @@
         self._metrics = HttpServer(self._on_metrics, CallerLimits, clock)
         self._followers = self._make_followers()
         self._last_tick_ms = clock.now_ms()
+        self._had_holder = False
         self._leases = self._make_leases()
         self._control = self._make_control()
 
@@ -140,6 +144,7 @@
             LeaseSettings(
                 lease_ms=lease_ms,
                 renew_ms=lease_ms // 3,
+                scan_ms=LEASE_SCAN_MS,
                 idle_scan_ms=IDLE_LEASE_SCAN_MS,
             ),
         )
@@ -370,6 +375,10 @@
         parts.quotas.set_members(heard, members, now_ms)
         parts.retries.set_members(members)
         parts.board.expire(now_ms)
+        has_holder = parts.members.holder() is not None
+        if self._had_holder and not has_holder:
+            self._leases.wake()
+        self._had_holder = has_holder
         parts.directory.expire()
         parts.usage.expire(self.clock.wall_ms())
         parts.upstreams.sweep()
--- a/src/_monsoonpulley/platform/cloud.py
+++ b/src/_monsoonpulley/platform/cloud.py
@@ -9,9 +9,9 @@
 from ..wire.caller import HttpCaller
 from . import names
 
-CALL_TIMEOUT_MS = 1_200
-"""Below half of the shortest lease, so that an unanswered call is over before
-another instance may hold the duty."""
+CALL_TIMEOUT_MS = 1_000
+"""A third of the shortest lease: a call starts only if the lease outlasts it, so
+that no call arrives once another instance may hold the duty."""
 
 
 class CloudClient:
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -16,7 +16,7 @@
     HeaderList,
     Mailbox,
 )
-from .sockets import detect_silence
+from .sockets import detect_silence, reset
 
 NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -110,7 +110,7 @@
         self._mailbox = None
         self.is_reusable = False
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
 
     def close(self) -> None:
         """End an idle connection."""
--- a/src/_monsoonpulley/wire/sockets.py
+++ b/src/_monsoonpulley/wire/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from asyncio import Transport
 
 UNACKNOWLEDGED_MS = 2_000
@@ -25,3 +26,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def reset(transport: Transport) -> None:
+    """End the connection with a reset, so that unsent bytes never arrive.
+
+    `Transport.abort` closes the socket, after which the kernel goes on sending
+    what the peer has not acknowledged: across a cut that may be seconds later.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- a/testing/control/capacityworld.py
+++ b/testing/control/capacityworld.py
@@ -36,7 +36,7 @@
 
     def __init__(self, world, number):
         self.may_act = True
-        hold = Hold(number, lambda _: self.may_act)
+        hold = Hold(number, lambda *_: self.may_act)
         self.orders = FleetOrders(world.parts(f"entry-{number}", number), hold)
         self.task = asyncio.create_task(self.orders.run())
 
--- a/testing/control/test_fleetorders.py
+++ b/testing/control/test_fleetorders.py
@@ -299,7 +299,7 @@
             )
             duty = CapacityDuty(parts)
             self.assertEqual(duty.shards(), ("model",))
-            task = asyncio.create_task(duty.run("model", Hold(1, lambda _: True)))
+            task = asyncio.create_task(duty.run("model", Hold(1, lambda *_: True)))
             await world.until_whole(FIRST_S)
             task.cancel()
 
--- a/testing/control/test_orders.py
+++ b/testing/control/test_orders.py
@@ -64,7 +64,7 @@
         )
 
     def hold(self, number: int) -> Hold:
-        return Hold(number, lambda each: each not in self.ended)
+        return Hold(number, lambda each, _for_ms: each not in self.ended)
 
     async def send(self, sender, number, version, client=None, **options):
         return await sender.send(
--- a/testing/control/test_rollout_failures.py
+++ b/testing/control/test_rollout_failures.py
@@ -164,20 +164,20 @@
             new = duty("b", table.connect("b", "zone-b"))
             # Its lease ended in the pause, after it had asked for the last time.
             sending = asyncio.create_task(
-                old.look("catalogue", Hold(1, lambda number: True))
+                old.look("catalogue", Hold(1, lambda *_: True))
             )
             await clock.sleep_ms(100)
             for _ in range(2):
-                await new.look("catalogue", Hold(2, lambda number: True))
+                await new.look("catalogue", Hold(2, lambda *_: True))
             paused.set()
             await sending
             found = msgspec.json.decode(table.rows["rollout/catalogue/v2"].value)
             self.assertEqual(found["state"], "canary")
             self.assertEqual(found["fencing_number"], 2)
             self.assertEqual(len(found["steps"]), 2)
-            failure = await old.look("catalogue", Hold(1, lambda number: True))
+            failure = await old.look("catalogue", Hold(1, lambda *_: True))
             self.assertIsNone(failure)
-            lapsed = await new.look("catalogue", Hold(3, lambda number: False))
+            lapsed = await new.look("catalogue", Hold(3, lambda *_: False))
             self.assertIsNone(lapsed)
             after = msgspec.json.decode(table.rows["rollout/catalogue/v2"].value)
             self.assertEqual(after, found)
