--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -24,6 +24,10 @@
 """Requests that may wait behind the one in progress before reading pauses."""
 
 
+HEADER_LINE_BYTES = 4
+"""A header line's colon, space and end of line."""
+
+
 class CallerLimits(msgspec.Struct, frozen=True):
     """What a caller may send, and how slowly.
 
@@ -253,8 +257,13 @@
         self._head_done = True
         self._head_bytes = 0
         fields = dict((name.lower(), value) for name, value in reversed(self._headers))
+        size = len(self._target) + sum(
+            len(name) + len(value) + HEADER_LINE_BYTES for name, value in self._headers
+        )
         length = fields.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > self._limits().body_bytes:
+        if size > self._limits().header_bytes:
+            self._refusal = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        elif length.isdigit() and int(length) > self._limits().body_bytes:
             self._refusal = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
         elif fields.get(b"expect", b"").lower() == b"100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- /dev/null
+++ b/testing/ingress/site.py
@@ -0,0 +1,306 @@
+"""An ingress instance on loopback with stand-ins around it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+
+from _monsoonpulley.clock import Clock
+from _monsoonpulley.ids import InstanceId, ZoneId
+from _monsoonpulley.ingress.counters import Counters
+from _monsoonpulley.ingress.service import IngressService
+from _monsoonpulley.log import Log
+from _monsoonpulley.platform.localsettings import Address, Bounds, LocalSettings
+from _monsoonpulley.standins.rowstore import RowStore
+
+LONGEST_S = 10
+"""A test that hangs fails after this long."""
+
+HOST = "site.example"
+KEY = "key-1"
+
+Script = Callable[["EndpointCall"], Awaitable[None]]
+
+
+class EndpointCall:
+    """A request at an endpoint stand-in."""
+
+    def __init__(self, head: bytes, body: bytes, writer: asyncio.StreamWriter):
+        self.head = head
+        self.body = body
+        self.writer = writer
+        lines = head.split(b"\r\n")
+        self.request_line = lines[0].decode()
+        self.headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.decode().partition(":") for line in lines[1:])
+            if name
+        }
+
+    @property
+    def request_id(self) -> str:
+        return self.headers["monsoonpulley-request-id"]
+
+    def answer(
+        self,
+        status: int = 200,
+        body: bytes = b"answer",
+        *,
+        seal: str | None = "seal-1",
+        request_id: str | None = None,
+        extra: str = "",
+        length: int | None = None,
+    ) -> None:
+        """Write an answer; ``length`` may lie."""
+        head = f"HTTP/1.1 {status} Status\r\n"
+        head += f"Monsoonpulley-Request-Id: {request_id or self.request_id}\r\n"
+        if seal is not None:
+            head += f"Monsoonpulley-Response-Seal: {seal}\r\n"
+        head += f"Content-Length: {len(body) if length is None else length}\r\n"
+        self.writer.write(head.encode() + extra.encode() + b"\r\n" + body)
+
+    def start_stream(self) -> None:
+        """Write the head of a stream of events, in chunks."""
+        self.writer.write(
+            b"HTTP/1.1 200 OK\r\n"
+            + f"Monsoonpulley-Request-Id: {self.request_id}\r\n".encode()
+            + b"Monsoonpulley-Response-Seal: seal-1\r\n"
+            + b"Content-Type: text/event-stream\r\n"
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+
+    def chunk(self, data: bytes) -> None:
+        self.writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def event(self, number: int) -> None:
+        self.chunk(b"id: %d\ndata: piece %d\n\n" % (number, number))
+
+
+class EndpointStandin:
+    """An endpoint that does with each request what its script says."""
+
+    def __init__(self, script: Script):
+        self.script = script
+        self.calls: list[EndpointCall] = []
+        self.connections_lost = 0
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> str:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        ip, port = self._server.sockets[0].getsockname()
+        return f"{ip}:{port}"
+
+    def close(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n"))[:-4]
+                call = EndpointCall(head, b"", writer)
+                call.body = await reader.readexactly(
+                    int(call.headers.get("content-length", 0))
+                )
+                self.calls.append(call)
+                await self.script(call)
+                if writer.is_closing():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.connections_lost += 1
+        except asyncio.CancelledError:
+            # The test is over while a script still hangs.
+            return
+        finally:
+            writer.close()
+
+
+def configuration(
+    version: int = 1,
+    *,
+    kind: str = "safe",
+    max_attempts: int = 2,
+    timeout_ms: int = 2_000,
+    **changes: object,
+) -> dict:
+    """Return a configuration of one route and one customer."""
+    route = {
+        "name": "r-1",
+        "host": HOST,
+        "prefix": "/app/",
+        "kind": kind,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": 200,
+        "priority": 1,
+        "service": "svc",
+        "max_attempts": max_attempts,
+        "allow_anonymous": False,
+        "resume_streams": changes.pop("resume_streams", False),
+    }
+    document = {
+        "version": version,
+        "routes": [route],
+        "services": [{"name": "svc", "max_connections": 100}],
+        "limits": {"idle_timeout_ms": 15_000},
+        "tenants": [{"name": "customer-1", "api_keys": [KEY]}],
+    }
+    return {**document, **changes}
+
+
+def endpoint_row(address: str, **changes: object) -> dict:
+    """Return an endpoint's row."""
+    row = {
+        "service": "svc",
+        "address": address,
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+    }
+    return {**row, **changes}
+
+
+class Answer:
+    """What a caller read: status, headers, body, and whether it was whole."""
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes, whole: bool):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.is_whole = whole
+
+
+class Site:
+    """One instance, its store and its endpoints."""
+
+    def __init__(self) -> None:
+        self.clock = Clock.from_system()
+        self.store = RowStore(self.clock)
+        self.lines: list[dict] = []
+        self.endpoints: list[EndpointStandin] = []
+        self.service: IngressService | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    async def add_endpoint(self, script: Script, **row: object) -> EndpointStandin:
+        endpoint = EndpointStandin(script)
+        address = await endpoint.listen()
+        self.endpoints.append(endpoint)
+        name = f"i-{len(self.endpoints)}"
+        self.store.put("servers", name, endpoint_row(address, **row))
+        return endpoint
+
+    async def start(self, document: dict | None, **bounds: float) -> None:
+        ip, port = await self.store.listen()
+        if document is not None:
+            self.store.put("op", "config", document)
+        settings = LocalSettings(
+            instance=InstanceId("instance-1"),
+            zone=ZoneId("zone-a"),
+            callers=Address("127.0.0.1", 0),
+            readiness=Address("127.0.0.1", 0),
+            peer_ip="127.0.0.1",
+            peer_ports=(0, 0),
+            store=Address(ip, port),
+            cloud=None,
+            duties=(),
+            bounds=Bounds(**bounds),
+            is_first_start=True,
+        )
+        log = Log(
+            self.clock,
+            lambda line: self.lines.append(json.loads(line)),
+            "instance-1",
+            remembers=False,
+        )
+        self.service = IngressService(
+            settings, self.clock, log, Counters(), random.Random(1)
+        )
+        await self.service.listen(0)
+        for _, run in self.service.children():
+            self._tasks.append(asyncio.create_task(run()))
+        if document is not None:
+            await self.until(lambda: self.service.is_ready)
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.service is not None:
+            self.service.callers.stop_listening()
+            self.service.store.close()
+        self.store.close()
+        for endpoint in self.endpoints:
+            endpoint.close()
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(LONGEST_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    async def connect(self):
+        return await asyncio.open_connection(*self.service.callers.address())
+
+    async def ask(self, request_id: str = "a1", **kwargs) -> Answer:
+        """Send one request on a connection of its own and read its answer."""
+        reader, writer = await self.connect()
+        writer.write(request(request_id, **kwargs))
+        try:
+            return await asyncio.wait_for(read_answer(reader), LONGEST_S)
+        finally:
+            writer.close()
+
+    def events(self, name: str) -> list[dict]:
+        return [line for line in self.lines if line["event"] == name]
+
+
+def request(
+    request_id: str = "a1",
+    *,
+    method: str = "POST",
+    path: str = "/app/x?q=1",
+    key: str | None = KEY,
+    body: bytes = b"work",
+    deadline_ms: int = 5_000,
+    extra: str = "",
+    host: str = HOST,
+) -> bytes:
+    """Return the bytes of a caller's request."""
+    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
+    if request_id:
+        head += f"Monsoonpulley-Request-Id: {request_id}\r\n"
+    head += f"Monsoonpulley-Deadline-Milliseconds: {deadline_ms}\r\n"
+    if key is not None:
+        head += f"Authorization: Bearer {key}\r\n"
+    head += f"Content-Length: {len(body)}\r\n"
+    return (head + extra + "\r\n").encode() + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer; one that ends early is not whole."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    status = int(lines[0].split()[1])
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines[1:])
+        if name
+    }
+    if "content-length" in headers:
+        length = int(headers["content-length"])
+        body = await reader.read(length)
+        while len(body) < length and (more := await reader.read(length - len(body))):
+            body += more
+        return Answer(status, headers, body, len(body) == length)
+    body = b""
+    while True:
+        try:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            data = await reader.readexactly(size + 2)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Answer(status, headers, body, False)
+        if size == 0:
+            return Answer(status, headers, body, True)
+        body += data[:-2]
--- /dev/null
+++ b/testing/ingress/test_requests.py
@@ -0,0 +1,422 @@
+"""What callers and endpoints see of single requests."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from .site import Site, configuration, read_answer, request
+
+
+async def answer(call) -> None:
+    call.answer(body=b"whole answer")
+
+
+async def reset(call) -> None:
+    call.writer.transport.abort()
+
+
+async def refuse(call) -> None:
+    call.answer(503, b"", seal=None, extra="Monsoonpulley-Not-Executed: 1\r\n")
+
+
+async def truncate(call) -> None:
+    call.answer(body=b"half", length=100)
+    await call.writer.drain()
+    call.writer.close()
+
+
+class SiteTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.site = Site()
+        self.addAsyncCleanup(self.site.stop)
+
+
+class TestForwarding(SiteTest):
+    async def test_an_endpoints_answer_is_passed_unchanged(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        got = await self.site.ask("a1", extra="X-Own: kept\r\n")
+        self.assertEqual((got.status, got.body), (200, b"whole answer"))
+        self.assertEqual(got.headers["monsoonpulley-response-seal"], "seal-1")
+        call = endpoint.calls[0]
+        self.assertEqual(call.request_line, "POST /app/x?q=1 HTTP/1.1")
+        self.assertEqual(call.body, b"work")
+        self.assertEqual(call.headers["x-own"], "kept")
+        self.assertEqual(call.request_id, "a1")
+
+    async def test_the_endpoint_is_told_customer_deadline_and_its_own_id(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        await self.site.ask("a1", deadline_ms=900)
+        headers = endpoint.calls[0].headers
+        self.assertEqual(headers["monsoonpulley-tenant"], "customer-1")
+        self.assertEqual(headers["monsoonpulley-expect-instance"], "i-1")
+        left_ms = int(headers["monsoonpulley-deadline-milliseconds"])
+        self.assertTrue(0 < left_ms <= 900, left_ms)
+        self.assertNotIn("authorization", headers)
+
+    async def test_headers_that_the_system_sets_are_not_taken_from_callers(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        await self.site.ask(
+            "a1",
+            extra="Monsoonpulley-Tenant: other\r\nKv-From: 1.2.3.4:5/x\r\n"
+            "Monsoonpulley-Cache-Hold: h\r\nmonsoonpulley-pin-milliseconds: 9\r\n"
+            "Monsoonpulley-Cache-Backup: 1.2.3.4:5\r\n"
+            "Monsoonpulley-Expect-Instance: i-9\r\n",
+        )
+        call = endpoint.calls[0]
+        self.assertEqual(call.head.lower().count(b"monsoonpulley-tenant"), 1)
+        self.assertEqual(call.headers["monsoonpulley-tenant"], "customer-1")
+        self.assertEqual(call.headers["monsoonpulley-expect-instance"], "i-1")
+        for name in ("kv-from", "monsoonpulley-cache-hold"):
+            self.assertNotIn(name, call.headers)
+        self.assertNotIn("monsoonpulley-pin-milliseconds", call.headers)
+        self.assertNotIn("monsoonpulley-cache-backup", call.headers)
+
+    async def test_headers_named_by_connection_stay_with_the_connection(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        await self.site.ask(
+            "a1",
+            extra="Connection: x-hop, Monsoonpulley-Request-Id\r\nX-Hop: 1\r\n",
+        )
+        headers = endpoint.calls[0].headers
+        self.assertNotIn("x-hop", headers)
+        self.assertEqual(headers["monsoonpulley-request-id"], "a1")
+
+    async def test_a_body_in_chunks_arrives_whole(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        reader, writer = await self.site.connect()
+        head = request("a1", body=b"").replace(
+            b"Content-Length: 0", b"Transfer-Encoding: chunked"
+        )
+        writer.write(head + b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n")
+        got = await read_answer(reader)
+        writer.close()
+        self.assertEqual(got.status, 200)
+        self.assertEqual(endpoint.calls[0].body, b"abcdefg")
+
+    async def test_requests_of_one_connection_are_answered_in_order(self):
+        await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        reader, writer = await self.site.connect()
+        writer.write(request("a1") + request("a2"))
+        first, second = await read_answer(reader), await read_answer(reader)
+        writer.close()
+        ids = [a.headers["monsoonpulley-request-id"] for a in (first, second)]
+        self.assertEqual(ids, ["a1", "a2"])
+
+
+class TestRefusals(SiteTest):
+    async def test_unknown_routes_and_keys_are_refused_by_the_configuration(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        cases = {
+            404: {"path": "/other/"},
+            401: {"key": "unknown"},
+            400: {"request_id": ""},
+        }
+        for status, kwargs in cases.items():
+            with self.subTest(status=status):
+                self.assertEqual((await self.site.ask(**kwargs)).status, status)
+        self.assertEqual(endpoint.calls, [])
+
+    async def test_before_a_configuration_is_known_the_answer_is_503(self):
+        await self.site.start(None)
+        got = await self.site.ask(path="/other/", key="unknown")
+        self.assertEqual(got.status, 503)
+        self.assertIn("retry-after", got.headers)
+        self.assertFalse(self.site.service.is_ready)
+
+    async def test_the_longest_prefix_decides(self):
+        endpoint = await self.site.add_endpoint(answer)
+        document = configuration()
+        longer = {**document["routes"][0], "prefix": "/app/x/", "service": "none"}
+        document["routes"].append(longer)
+        await self.site.start(document)
+        self.assertEqual((await self.site.ask(path="/app/x/1")).status, 503)
+        self.assertEqual((await self.site.ask(path="/app/xy")).status, 200)
+        self.assertEqual(len(endpoint.calls), 1)
+
+    async def test_smuggled_requests_are_refused_and_reach_no_endpoint(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        inner = request("inner")
+        both = request("outer", body=b"").replace(
+            b"Content-Length: 0", b"Content-Length: 5\r\nTransfer-Encoding: chunked"
+        )
+        reader, writer = await self.site.connect()
+        writer.write(both + b"0\r\n\r\n" + inner)
+        self.assertEqual((await read_answer(reader)).status, 400)
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+        self.assertEqual(endpoint.calls, [])
+
+    async def test_large_heads_and_bodies_are_refused(self):
+        endpoint = await self.site.add_endpoint(answer)
+        limits = {"max_header_bytes": 2_000, "max_body_bytes": 1_000}
+        await self.site.start(configuration(limits=limits))
+        head = await self.site.ask(extra=f"X-Large: {'x' * 3_000}\r\n")
+        self.assertEqual(head.status, 431)
+        self.assertEqual((await self.site.ask(body=b"x" * 1_001)).status, 413)
+        self.assertEqual((await self.site.ask(body=b"x" * 1_000)).status, 200)
+        self.assertEqual(len(endpoint.calls), 1)
+
+    async def test_a_customer_beyond_its_quota_is_told_when_to_return(self):
+        endpoint = await self.site.add_endpoint(answer)
+        tenants = [
+            {"name": "customer-1", "api_keys": ["key-1"], "rate_per_s": 1, "burst": 2}
+        ]
+        await self.site.start(configuration(tenants=tenants), quota_overage=0.0)
+        answers = [await self.site.ask(f"a{n}") for n in range(4)]
+        self.assertEqual([a.status for a in answers], [200, 200, 429, 429])
+        self.assertGreater(float(answers[3].headers["retry-after"]), 0)
+        self.assertEqual(len(endpoint.calls), 2)
+
+
+class TestRepeats(SiteTest):
+    async def test_a_safe_request_is_sent_again_after_a_reset(self):
+        lost = await self.site.add_endpoint(reset)
+        good = await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        for number in range(6):
+            self.assertEqual((await self.site.ask(f"a{number}")).status, 200)
+        self.assertGreater(len(lost.calls), 0)
+        self.assertEqual(len(good.calls), 6)
+
+    async def test_an_unsafe_request_that_may_have_run_is_never_sent_again(self):
+        for fault in (reset, truncate):
+            with self.subTest(fault=fault.__name__):
+                site = Site()
+                first = await site.add_endpoint(fault)
+                second = await site.add_endpoint(fault)
+                await site.start(configuration(kind="unsafe"))
+                got = await site.ask()
+                self.assertEqual(got.status, 502)
+                self.assertEqual(len(first.calls) + len(second.calls), 1)
+                await site.stop()
+
+    async def test_an_unsafe_request_goes_on_after_the_endpoints_own_refusal(self):
+        first = await self.site.add_endpoint(refuse)
+        second = await self.site.add_endpoint(answer)
+        await self.site.start(configuration(kind="unsafe"))
+        for number in range(4):
+            self.assertEqual((await self.site.ask(f"a{number}")).status, 200)
+        self.assertGreater(len(first.calls), 0)
+        self.assertEqual(len(second.calls), 4)
+
+    async def test_max_attempts_counts_the_endpoints(self):
+        endpoints = [await self.site.add_endpoint(refuse) for _ in range(3)]
+        await self.site.start(configuration(max_attempts=2))
+        got = await self.site.ask()
+        self.assertEqual(got.status, 503)
+        self.assertIn("retry-after", got.headers)
+        self.assertEqual(sum(len(e.calls) for e in endpoints), 2)
+
+    async def test_without_retry_budget_nothing_is_sent_again(self):
+        endpoints = [await self.site.add_endpoint(reset) for _ in range(2)]
+        await self.site.start(
+            configuration(), retry_budget_ratio=0.0, budget_extra_retries=0
+        )
+        self.assertEqual((await self.site.ask()).status, 502)
+        self.assertEqual(sum(len(e.calls) for e in endpoints), 1)
+
+    async def test_an_unreachable_endpoint_is_passed_over(self):
+        gone = await self.site.add_endpoint(answer)
+        gone.close()
+        good = await self.site.add_endpoint(answer)
+        await self.site.start(configuration(kind="unsafe", max_attempts=1))
+        for number in range(3):
+            self.assertEqual((await self.site.ask(f"a{number}")).status, 200)
+        self.assertEqual(len(good.calls), 3)
+
+    async def test_another_endpoint_at_the_address_does_not_end_the_request(self):
+        async def misdirected(call) -> None:
+            call.answer(421, b"", seal=None)
+
+        await self.site.add_endpoint(misdirected)
+        good = await self.site.add_endpoint(answer)
+        await self.site.start(configuration(kind="unsafe"))
+        for number in range(3):
+            self.assertEqual((await self.site.ask(f"a{number}")).status, 200)
+        self.assertEqual(len(good.calls), 3)
+
+
+class TestSpoiledAnswers(SiteTest):
+    async def ask_with(self, script, kind="unsafe"):
+        await self.site.add_endpoint(script)
+        await self.site.start(configuration(kind=kind))
+        return await self.site.ask()
+
+    async def test_a_success_without_its_seal_is_no_success(self):
+        async def unsealed(call) -> None:
+            call.answer(seal=None)
+
+        self.assertEqual((await self.ask_with(unsealed)).status, 502)
+
+    async def test_an_encoded_success_is_no_success(self):
+        async def encoded(call) -> None:
+            call.answer(extra="Content-Encoding: gzip\r\n")
+
+        self.assertEqual((await self.ask_with(encoded)).status, 502)
+
+    async def test_a_failure_is_passed_with_its_own_status(self):
+        async def fail(call) -> None:
+            call.answer(500, b"why")
+
+        got = await self.ask_with(fail)
+        self.assertEqual((got.status, got.body), (500, b"why"))
+
+    async def test_an_answer_to_another_request_is_passed_over(self):
+        async def late(call) -> None:
+            call.answer(body=b"other", request_id="someone-else")
+            call.answer(body=b"own")
+
+        self.assertEqual((await self.ask_with(late)).body, b"own")
+
+    async def test_bytes_after_an_answer_end_up_nowhere(self):
+        async def extra(call) -> None:
+            call.answer(body=b"own")
+            call.answer(body=b"extra")
+
+        await self.site.add_endpoint(extra)
+        await self.site.start(configuration())
+        bodies = [(await self.site.ask(f"a{n}")).body for n in range(4)]
+        self.assertEqual(bodies, [b"own"] * 4)
+
+    async def test_an_answer_without_a_length_ends_with_its_connection(self):
+        async def unframed(call) -> None:
+            call.writer.write(
+                b"HTTP/1.1 200 OK\r\nMonsoonpulley-Request-Id: a1\r\n"
+                b"Monsoonpulley-Response-Seal: s\r\n\r\nall of it"
+            )
+            await call.writer.drain()
+            call.writer.close()
+
+        got = await self.ask_with(unframed)
+        self.assertEqual((got.status, got.body), (200, b"all of it"))
+
+    async def test_an_answer_without_a_length_that_is_reset_is_not_whole(self):
+        async def unframed(call) -> None:
+            call.writer.write(
+                b"HTTP/1.1 200 OK\r\nMonsoonpulley-Request-Id: a1\r\n"
+                b"Monsoonpulley-Response-Seal: s\r\n\r\nhalf of it"
+            )
+            await call.writer.drain()
+            await asyncio.sleep(0.05)
+            call.writer.transport.abort()
+
+        async def linger(call) -> None:
+            import socket
+            import struct
+
+            sock = call.writer.get_extra_info("socket")
+            option = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+            await unframed(call)
+
+        self.assertEqual((await self.ask_with(linger)).status, 502)
+
+
+class TestTime(SiteTest):
+    async def test_the_final_answer_comes_at_the_routes_timeout(self):
+        async def hang(call) -> None:
+            await asyncio.sleep(5)
+
+        await self.site.add_endpoint(hang)
+        await self.site.start(configuration(kind="unsafe", timeout_ms=150))
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        got = await self.site.ask(deadline_ms=4_000)
+        self.assertEqual(got.status, 504)
+        self.assertLess(loop.time() - started_s, 0.15 + 0.5)
+
+    async def test_a_caller_that_leaves_ends_the_endpoints_work(self):
+        async def hang(call) -> None:
+            # Reading on shows the end of the connection.
+            await asyncio.sleep(0)
+
+        endpoint = await self.site.add_endpoint(hang)
+        await self.site.start(configuration())
+        _, writer = await self.site.connect()
+        writer.write(request("a1"))
+        await self.site.until(lambda: endpoint.calls)
+        writer.close()
+        await asyncio.wait_for(
+            self.site.until(lambda: endpoint.connections_lost == 1), 0.5
+        )
+        await self.site.until(lambda: self.site.events("request"))
+        self.assertEqual(self.site.events("request")[0]["detail"], "caller left")
+
+
+class TestStreams(SiteTest):
+    async def test_events_are_passed_as_they_arrive(self):
+        release = asyncio.Event()
+
+        async def stream(call) -> None:
+            call.start_stream()
+            call.event(1)
+            await release.wait()
+            call.event(2)
+            call.chunk(b"")
+
+        await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming"))
+        reader, writer = await self.site.connect()
+        writer.write(request("a1"))
+        first = await asyncio.wait_for(reader.readuntil(b"piece 1\n\n"), 5)
+        self.assertNotIn(b"piece 2", first)
+        release.set()
+        rest = await asyncio.wait_for(reader.readuntil(b"0\r\n\r\n"), 5)
+        self.assertIn(b"piece 2", rest)
+        writer.close()
+
+    async def test_a_stream_resumes_at_another_endpoint_within_one_answer(self):
+        async def stream(call) -> None:
+            last = int(call.headers.get("last-event-id", 0))
+            call.start_stream()
+            for number in range(last + 1, 7):
+                call.event(number)
+                await call.writer.drain()
+                if last == 0 and number == 3:
+                    call.chunk(b"id: 4\ndata: pie")
+                    await call.writer.drain()
+                    await asyncio.sleep(0.02)
+                    call.writer.close()
+                    return
+            call.chunk(b"")
+
+        endpoints = [await self.site.add_endpoint(stream) for _ in range(2)]
+        await self.site.start(configuration(kind="streaming", resume_streams=True))
+        got = await self.site.ask()
+        self.assertTrue(got.is_whole)
+        pieces = [f"piece {n}\n" for n in range(1, 7)]
+        self.assertEqual(
+            got.body.decode(),
+            "".join(f"id: {n}\ndata: {p}\n" for n, p in enumerate(pieces, 1)),
+        )
+        calls = [call for e in endpoints for call in e.calls]
+        self.assertEqual(
+            sorted(c.headers.get("last-event-id", "") for c in calls), ["", "3"]
+        )
+
+    async def test_a_broken_stream_that_may_not_resume_does_not_look_whole(self):
+        async def stream(call) -> None:
+            call.start_stream()
+            call.event(1)
+            await call.writer.drain()
+            await asyncio.sleep(0.02)
+            call.writer.close()
+
+        endpoints = [await self.site.add_endpoint(stream) for _ in range(2)]
+        await self.site.start(configuration(kind="streaming"))
+        got = await self.site.ask()
+        self.assertFalse(got.is_whole)
+        self.assertEqual(sum(len(e.calls) for e in endpoints), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testing/limits/test_retrybudget.py
@@ -0,0 +1,66 @@
+"""The retry budget over several instances."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _monsoonpulley.ids import ServiceId
+from _monsoonpulley.limits.retrybudget import RetryBudget
+
+SERVICE = ServiceId("svc")
+RATIO, WINDOW_S, EXTRA = 0.2, 10, 52
+
+
+class TestRetryBudget(unittest.TestCase):
+    @settings(max_examples=30, derandomize=True, deadline=None)
+    @given(st.integers(min_value=1, max_value=9), st.integers(0, 1_000))
+    def test_no_window_exceeds_the_limit_over_all_instances(self, count, seed):
+        rng = random.Random(seed)
+        budgets = [RetryBudget(RATIO, WINDOW_S, EXTRA) for _ in range(count)]
+        requests: list[int] = []
+        repeats: list[int] = []
+        for budget in budgets:
+            budget.set_members(count)
+        for now_ms in range(0, 25_000, 20):
+            for budget in budgets:
+                if rng.random() < 0.3:
+                    budget.count_request(SERVICE, now_ms)
+                    requests.append(now_ms)
+                while budget.take(SERVICE, now_ms):
+                    repeats.append(now_ms)
+        for end_ms in range(0, 25_000, 500):
+            window = range(end_ms - WINDOW_S * 1000, end_ms)
+            sent = sum(ms in window for ms in repeats)
+            asked = sum(ms in window for ms in requests)
+            self.assertLessEqual(sent, RATIO * asked + EXTRA)
+
+    def test_a_share_of_the_requests_may_be_repeated(self):
+        budget = RetryBudget(RATIO, WINDOW_S, 0)
+        for _ in range(100):
+            budget.count_request(SERVICE, 0)
+        taken = 0
+        while budget.take(SERVICE, 0):
+            taken += 1
+        self.assertIn(taken, range(15, 21))
+
+    def test_the_budget_returns_after_a_window(self):
+        budget = RetryBudget(0.0, WINDOW_S, 2)
+        self.assertTrue(budget.take(SERVICE, 0))
+        self.assertFalse(budget.take(SERVICE, 9_999))
+        self.assertTrue(budget.take(SERVICE, 10_000))
+
+    def test_each_service_has_its_own(self):
+        budget = RetryBudget(0.0, WINDOW_S, 2)
+        self.assertTrue(budget.take(SERVICE, 0))
+        self.assertTrue(budget.take(ServiceId("other"), 0))
+
+    def test_a_changed_limit_is_taken_over(self):
+        budget = RetryBudget(0.0, WINDOW_S, 0)
+        self.assertFalse(budget.take(SERVICE, 0))
+        budget.set_limit(0.0, 1, 2)
+        self.assertTrue(budget.take(SERVICE, 0))
+        self.assertTrue(budget.take(SERVICE, 1_000))
