--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -32,6 +32,8 @@
         How long the store may wait for a change before it answers.
     pause_ms : int
         Between an answer and the next call.
+    on_regained : callable
+        Called when the store answers again, before what it says is handed on.
 
     Attributes
     ----------
@@ -51,6 +53,7 @@
         *,
         wait_ms: int,
         pause_ms: int,
+        on_regained: Callable[[], None] = lambda: None,
     ):
         self._store = store
         self._table = table
@@ -59,6 +62,7 @@
         self._log = log
         self._wait_ms = wait_ms
         self._pause_ms = pause_ms
+        self._on_regained = on_regained
         self._version: int | None = None
         self._backoff_ms = FIRST_BACKOFF_MS
         self.heard_ms: int | None = None
@@ -117,3 +121,4 @@
                 lost_for_ms=now_ms - self.lost_ms,
             )
             self.lost_ms = None
+            self._on_regained()
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -214,11 +214,12 @@
             ENDPOINT_TABLE: TableFollower(
                 self.store,
                 ENDPOINT_TABLE,
-                self._on_endpoint_rows,
+                parts.directory.apply,
                 self.clock,
                 self.log,
                 wait_ms=0,
                 pause_ms=ENDPOINTS_PAUSE_MS,
+                on_regained=parts.directory.store_returned,
             ),
         }
 
@@ -318,9 +319,6 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.counters.configuration_version.set(configuration.version)
 
-    def _on_endpoint_rows(self, rows: object, is_whole: bool) -> None:
-        self.parts.directory.apply(rows, is_whole)  # type: ignore[arg-type]
-
     def _on_endpoint_gone(self, endpoint: Endpoint) -> None:
         self.parts.upstreams.forget(endpoint)
         self.parts.memory.forget(endpoint.id)
--- /dev/null
+++ b/testing/duties/test_usagereport.py
@@ -0,0 +1,130 @@
+"""Usage: counted over instances, reported once with one set of counts."""
+
+from __future__ import annotations
+
+import unittest
+
+from _monsoonpulley.clock import ManualClock
+from _monsoonpulley.control.leases import Hold
+from _monsoonpulley.duties.usage import UsageCounter
+from _monsoonpulley.duties.usagereport import REPORT_AFTER_MS, UsageReporter
+from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.ids import CustomerId, InstanceId
+from _monsoonpulley.log import Log
+from _monsoonpulley.standins.table import TableStandin
+
+CUSTOMER = CustomerId("customer-1")
+WINDOW_MS = 5_000
+
+
+class Cloud:
+    """Keeps the reports; loses answers on request."""
+
+    def __init__(self):
+        self.reports: list[tuple[int, int, dict]] = []
+        self.loses = False
+
+    async def report_usage(self, fencing_number, window, counts):
+        self.reports.append((fencing_number, window, dict(counts)))
+        if self.loses:
+            return Failure(Reason.TIMEOUT, "cloud/usage")
+        return None
+
+
+class FailingTable:
+    """A table whose commits take effect without an answer."""
+
+    def __init__(self, table):
+        self._table = table
+        self.loses = False
+
+    async def commit(self, writes):
+        result = await self._table.commit(writes)
+        if self.loses:
+            return Failure(Reason.IN_DOUBT, "table.commit")
+        return result
+
+
+class Holder:
+    """One instance that may report."""
+
+    def __init__(self, test: TestUsageReporter, name: str):
+        self.counter = UsageCounter(WINDOW_MS / 1000)
+        self.table = FailingTable(test.table.connect(name, "zone-a"))
+        self.reporter = UsageReporter(
+            self.counter,
+            self.table,
+            test.cloud,
+            test.clock,
+            Log(test.clock, lambda line: None),
+        )
+
+
+class TestUsageReporter(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        import random
+
+        self.clock = ManualClock(1_000_000)
+        self.table = TableStandin(self.clock, random.Random(1))
+        self.cloud = Cloud()
+
+    def hold(self, number: int) -> Hold:
+        return Hold(number, lambda *_: True)
+
+    async def test_a_window_is_reported_once_after_its_end(self):
+        holder = Holder(self, "a")
+        holder.counter.begun(CUSTOMER, self.clock.wall_ms())
+        window = holder.counter.window_of(self.clock.wall_ms())
+        await holder.reporter.step(self.hold(1))
+        self.assertEqual(self.cloud.reports, [])
+        self.clock.advance_ms(WINDOW_MS + REPORT_AFTER_MS)
+        for _ in range(3):
+            await holder.reporter.step(self.hold(1))
+        self.assertEqual(self.cloud.reports, [(1, window, {CUSTOMER: 1})])
+
+    async def test_two_holders_report_the_same_counts(self):
+        first, second = Holder(self, "a"), Holder(self, "b")
+        first.counter.begun(CUSTOMER, self.clock.wall_ms())
+        for _ in range(3):
+            second.counter.begun(CUSTOMER, self.clock.wall_ms())
+        self.clock.advance_ms(WINDOW_MS + REPORT_AFTER_MS)
+        self.cloud.loses = True
+        await first.reporter.step(self.hold(1))
+        await second.reporter.step(self.hold(2))
+        counts = [report[2] for report in self.cloud.reports]
+        self.assertEqual(counts, [{CUSTOMER: 1}, {CUSTOMER: 1}])
+
+    async def test_a_lost_answer_of_the_store_does_not_change_the_counts(self):
+        holder = Holder(self, "a")
+        holder.counter.begun(CUSTOMER, self.clock.wall_ms())
+        self.clock.advance_ms(WINDOW_MS + REPORT_AFTER_MS)
+        holder.table.loses = True
+        await holder.reporter.step(self.hold(1))
+        self.assertEqual(self.cloud.reports, [])
+        holder.counter.hear(InstanceId("late"), 1, {200: {CUSTOMER: 9}})
+        holder.table.loses = False
+        await holder.reporter.step(self.hold(1))
+        self.assertEqual([r[2] for r in self.cloud.reports], [{CUSTOMER: 1}])
+
+    async def test_nothing_is_reported_without_the_lease(self):
+        holder = Holder(self, "a")
+        self.clock.advance_ms(WINDOW_MS + REPORT_AFTER_MS)
+        await holder.reporter.step(Hold(1, lambda *_: False))
+        self.assertEqual(self.cloud.reports, [])
+
+
+class TestUsageCounter(unittest.TestCase):
+    def test_windows_are_summed_over_instances_and_incarnations(self):
+        counter = UsageCounter(5)
+        counter.begun(CUSTOMER, 12_000)
+        counter.hear(InstanceId("a"), 1, {2: {CUSTOMER: 4}})
+        counter.hear(InstanceId("a"), 1, {2: {CUSTOMER: 5}})
+        counter.hear(InstanceId("a"), 2, {2: {CUSTOMER: 1}})
+        self.assertEqual(counter.totals(2), {CUSTOMER: 7})
+
+    def test_old_windows_are_forgotten(self):
+        counter = UsageCounter(5)
+        counter.begun(CUSTOMER, 0)
+        counter.hear(InstanceId("a"), 1, {0: {CUSTOMER: 4}})
+        counter.expire(60_000)
+        self.assertEqual((counter.totals(0), counter.own()), ({}, {}))
--- /dev/null
+++ b/testing/sharing/test_members.py
@@ -0,0 +1,85 @@
+"""Which instances are heard, and when they are forgotten."""
+
+from __future__ import annotations
+
+import unittest
+
+from _monsoonpulley.clock import ManualClock
+from _monsoonpulley.errors import Failure
+from _monsoonpulley.ids import InstanceId
+from _monsoonpulley.log import Log
+from _monsoonpulley.sharing.digest import Digest, decode_digest, encode_digest
+from _monsoonpulley.sharing.members import FORGET_MS, HEARD_MS, Members
+
+OWN = InstanceId("own")
+
+
+def digest(name: str, sequence: int = 1, incarnation: int = 1, **changes) -> Digest:
+    return Digest(name, incarnation, sequence, "10.0.0.1", 7600, **changes)
+
+
+class TestMembers(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.members = Members(OWN, self.clock, Log(self.clock, lambda line: None))
+
+    def test_rows_make_members_and_digests_make_them_heard(self):
+        for name in ("a", "b", OWN):
+            self.members.know(InstanceId(name), "10.0.0.1", 7600)
+        self.assertEqual(self.members.count(), (1, 3))
+        self.members.hear(digest("a"))
+        self.assertEqual(self.members.count(), (2, 3))
+
+    def test_an_instance_without_a_row_is_known_by_its_digest(self):
+        self.assertTrue(self.members.hear(digest("new")))
+        self.assertEqual(self.members.count(), (2, 2))
+
+    def test_a_silent_instance_keeps_its_share_until_it_is_forgotten(self):
+        for name in "abc":
+            self.members.hear(digest(name))
+        self.clock.advance_ms(HEARD_MS)
+        for name in "ab":
+            self.members.hear(digest(name, 2))
+        self.assertEqual(self.members.count(), (3, 4))
+        self.clock.advance_ms(FORGET_MS)
+        for name in "ab":
+            self.members.hear(digest(name, 3))
+        self.assertEqual(self.members.count(), (3, 3))
+
+    def test_an_instance_that_is_cut_off_forgets_nobody(self):
+        for name in "abcd":
+            self.members.hear(digest(name))
+        self.clock.advance_ms(FORGET_MS * 3)
+        self.members.hear(digest("a", 2))
+        self.assertEqual(self.members.count(), (2, 5))
+
+    def test_old_digests_change_nothing(self):
+        self.assertTrue(self.members.hear(digest("a", 5, 2)))
+        self.assertFalse(self.members.hear(digest("a", 5, 2)))
+        self.assertFalse(self.members.hear(digest("a", 9, 1)))
+        self.assertTrue(self.members.hear(digest("a", 1, 3)))
+
+    def test_only_a_heard_holder_counts(self):
+        self.members.hear(digest("a", lease_token=4))
+        self.members.hear(digest("b", lease_token=5))
+        self.assertEqual(self.members.holder().instance, "b")
+        self.members.hear(digest("b", 2, is_leaving=True, lease_token=5))
+        self.assertEqual(self.members.holder().instance, "a")
+        self.clock.advance_ms(HEARD_MS)
+        self.assertIsNone(self.members.holder())
+
+
+class TestDigest(unittest.TestCase):
+    def test_a_digest_survives_the_wire(self):
+        sent = digest(
+            "a",
+            configuration=7,
+            loads={"i-1": (3, 4_000)},
+            used={"customer-1": 12.5},
+            begun={355: {"customer-1": 4}},
+        )
+        self.assertEqual(decode_digest(encode_digest(sent)), sent)
+
+    def test_garbage_is_a_failure(self):
+        for data in (b"", b"\xff" * 10, b"{}", encode_digest(digest("a"))[:-3]):
+            self.assertIsInstance(decode_digest(data), Failure)
