Let two instances read the store for all

Change: the first two instances by name, of those that are heard and reach the store, follow its tables and relay what changed over UDP; each relay names the versions it lies between, so that a receiver sees a gap and asks for itself, as it does when no relay comes. Each part of a divided network has its own readers.

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -1,23 +1,37 @@
-"""Following one table of the store through its feed."""
+"""Following one table of the store, by its feed or by what readers relay."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ..clock import Clock
 from ..errors import Failure, Reason
 from ..log import Log
-from ..platform.store import Rows, Store
+from ..platform.store import Row, Rows, Store
+from .relay import Relay, relays_of
 
 FIRST_BACKOFF_MS = 200
 LONGEST_BACKOFF_MS = 1_000
 """Between calls to a store that fails: found again within half of the shortest
 bound on configurations."""
 
+IDLE_STEP_MS = 100
+"""Between two looks at whether a call has become necessary."""
+
+SILENT_MS = 2_000
+"""After so long without news, rows may have lapsed for want of a store."""
+
+LOST_RETRY_MS = 10_000
+"""An instance that the store has turned away, but that hears others' relays, asks
+again after this long: turning away lasts seconds."""
+
 
 class TableFollower:
     """Reads a table whole once, then what changes in it.
 
+    A reader asks the store for changes and relays them. Other instances take the
+    relays and ask for themselves only when one is missing or none comes.
+
     Parameters
     ----------
     store : Store
@@ -25,34 +39,46 @@
     table : str
         Its name.
     on_rows : callable
-        Takes `Rows` and whether they are the whole table.
+        Takes `Rows` and whether they are the whole table; returns those rows
+        that changed something.
     clock, log : Clock, Log
         Time, and where a lost or regained store is noted.
     wait_ms : int
         How long the store may wait for a change before it answers.
     pause_ms : int
         Between an answer and the next call.
+    fresh_ms : int
+        How long relays may stay away before this instance asks for itself.
+    carries_rows : bool
+        Whether relays hold the changed rows; where rows are large they only say
+        that there are some.
+    is_reader : callable
+        Whether this instance reads for others.
+    send : callable
+        Takes the relays to send to all other instances.
     on_regained : callable
-        Called when the store answers again, before what it says is handed on.
+        Called when there is news after a silence, before it is handed on.
 
     Attributes
     ----------
-    heard_ms : int or None
-        When the store last answered.
     lost_ms : int or None
-        Since when it has not answered; None while it does.
+        When the store last failed to answer; None while it does.
     """
 
     def __init__(
         self,
         store: Store,
         table: str,
-        on_rows: Callable[[Rows, bool], None],
+        on_rows: Callable[[Rows, bool], Sequence[Row]],
         clock: Clock,
         log: Log,
         *,
         wait_ms: int,
         pause_ms: int,
+        fresh_ms: int,
+        carries_rows: bool,
+        is_reader: Callable[[], bool] = lambda: True,
+        send: Callable[[list[Relay]], None] = lambda relays: None,
         on_regained: Callable[[], None] = lambda: None,
     ):
         self._store = store
@@ -62,32 +88,82 @@
         self._log = log
         self._wait_ms = wait_ms
         self._pause_ms = pause_ms
+        self._fresh_ms = fresh_ms
+        self._carries_rows = carries_rows
+        self._is_reader = is_reader
+        self._send = send
         self._on_regained = on_regained
         self._version: int | None = None
+        self._announced_version = 0
         self._backoff_ms = FIRST_BACKOFF_MS
-        self.heard_ms: int | None = None
+        self._news_ms: int | None = None
         self.lost_ms: int | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            await self._clock.sleep_ms(await self.step())
+            if self.must_ask():
+                await self._clock.sleep_ms(await self.step())
+            else:
+                await self._clock.sleep_ms(IDLE_STEP_MS)
+
+    def must_ask(self) -> bool:
+        """Return whether this instance has to ask the store itself now."""
+        if self._version is None or self._news_ms is None:
+            return True
+        if self._announced_version > self._version:
+            return True
+        now_ms = self._clock.now_ms()
+        if self.lost_ms is not None:
+            relays_come = self._news_ms > self.lost_ms
+            return not relays_come or now_ms - self.lost_ms >= LOST_RETRY_MS
+        return self._is_reader() or now_ms - self._news_ms >= self._fresh_ms
 
     async def step(self) -> int:
         """Make one call; return how long to pause before the next, in ms."""
-        if self._version is None:
+        before = self._version
+        if before is None:
             answer = await self._store.get(self._table)
         else:
-            answer = await self._store.feed(self._table, self._version, self._wait_ms)
+            wait_ms = self._wait_ms if self._is_reader() else 0
+            answer = await self._store.feed(self._table, before, wait_ms)
         if isinstance(answer, Failure):
             return self._failed(answer)
         self._answered()
-        is_whole = self._version is None
+        is_whole = before is None
         self._version = max(answer.store_version, self._version or 0)
+        changed: Sequence[Row] = ()
         if is_whole or answer.rows:
-            self._on_rows(answer, is_whole)
+            changed = self._on_rows(answer, is_whole)
+        if before is not None and self._is_reader():
+            self._relay(before, answer, changed)
         return self._pause_ms
 
+    def take(self, relay: Relay) -> None:
+        """Take in what a reader relays."""
+        if self._version is None:
+            return
+        if relay.since > self._version or (relay.has_more and relay.until):
+            # Something is missing, or too large to be relayed: ask for it.
+            self._announced_version = max(self._announced_version, relay.until)
+            return
+        self._news()
+        if relay.until <= self._version:
+            return
+        self._version = relay.until
+        if relay.rows:
+            self._on_rows(Rows(relay.decode_rows(), relay.until), False)
+
+    def _relay(self, before: int, answer: Rows, changed: Sequence[Row]) -> None:
+        if not self._carries_rows:
+            has_more = bool(answer.rows)
+            changed = ()
+        else:
+            has_more = False
+        self._send(
+            relays_of(self._table, before, answer.store_version, changed, has_more)
+        )
+
     def _failed(self, failure: Failure) -> int:
         if failure.reason is Reason.CONFLICT:
             self._log.event(
@@ -95,8 +171,8 @@
             )
             self._version = None
             return 0
+        now_ms = self._clock.now_ms()
         if self.lost_ms is None:
-            self.lost_ms = self._clock.now_ms()
             self._log.event(
                 "dependency_lost",
                 dependency="store",
@@ -104,13 +180,12 @@
                 version=self._version,
                 error=str(failure),
             )
+        self.lost_ms = now_ms
         backoff_ms = self._backoff_ms
         self._backoff_ms = min(backoff_ms * 2, LONGEST_BACKOFF_MS)
         return backoff_ms
 
     def _answered(self) -> None:
-        now_ms = self._clock.now_ms()
-        self.heard_ms = now_ms
         self._backoff_ms = FIRST_BACKOFF_MS
         if self.lost_ms is not None:
             self._log.event(
@@ -118,7 +193,13 @@
                 dependency="store",
                 table=self._table,
                 version=self._version,
-                lost_for_ms=now_ms - self.lost_ms,
             )
             self.lost_ms = None
             self._on_regained()
+        self._news()
+
+    def _news(self) -> None:
+        now_ms = self._clock.now_ms()
+        if self._news_ms is not None and now_ms - self._news_ms > SILENT_MS:
+            self._on_regained()
+        self._news_ms = now_ms
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -17,6 +17,7 @@
 from ..fleet.configurationholder import ConfigurationHolder
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Configuration, Endpoint
+from ..fleet.relay import Relay
 from ..fleet.tablefollower import TableFollower
 from ..identity import Identity
 from ..ids import InstanceId
@@ -50,9 +51,15 @@
 lost on a silent connection is made again within the time that the platform
 allows instances to get back in touch."""
 
-ENDPOINTS_PAUSE_MS = 700
-"""Between two looks at the endpoints' rows: twice within the time in which a
-draining endpoint may still get requests."""
+CONFIGURATION_FRESH_MS = 4_500
+"""One of the readers' waits and a time-out later, an instance asks for itself."""
+
+ENDPOINTS_PAUSE_MS = 500
+"""Between two looks of a reader at the endpoints' rows."""
+
+ENDPOINTS_FRESH_MS = 1_000
+"""Half of the time in which a draining endpoint may still get requests; two
+relays of each reader fit."""
 
 TICK_MS = 250
 """Between two rounds of small periodic work."""
@@ -112,7 +119,7 @@
         self.parts = self._make_parts()
         parts = self.parts
         self.exchange = DigestExchange(
-            parts.members, self._digest, self._on_digest, clock, log
+            parts.members, self._digest, self._on_digest, self._on_relay, clock, log
         )
         self.callers = HttpServer(self._on_request, self._caller_limits, clock)
         self._readiness = HttpServer(self._on_readiness, CallerLimits, clock)
@@ -210,6 +217,10 @@
                 self.log,
                 wait_ms=CONFIGURATION_WAIT_MS,
                 pause_ms=0,
+                fresh_ms=CONFIGURATION_FRESH_MS,
+                carries_rows=False,
+                is_reader=parts.members.is_reader,
+                send=self.exchange.relay,
             ),
             ENDPOINT_TABLE: TableFollower(
                 self.store,
@@ -219,6 +230,10 @@
                 self.log,
                 wait_ms=0,
                 pause_ms=ENDPOINTS_PAUSE_MS,
+                fresh_ms=ENDPOINTS_FRESH_MS,
+                carries_rows=True,
+                is_reader=parts.members.is_reader,
+                send=self.exchange.relay,
                 on_regained=parts.directory.store_returned,
             ),
         }
@@ -344,6 +359,7 @@
             port=self.settings.peer_ports[0],
             configuration=current.version if current else 0,
             is_leaving=self.is_stopping,
+            reaches_store=all(f.lost_ms is None for f in self._followers.values()),
             lease_token=self._control.fencing_number() if self._control else 0,
             loads=parts.board.own_loads(),
             used=parts.quotas.used(),
@@ -357,6 +373,11 @@
         parts.quotas.hear(peer, digest.incarnation, digest.used)
         parts.usage.hear(peer, digest.incarnation, digest.begun)
 
+    def _on_relay(self, relay: Relay) -> None:
+        follower = self._followers.get(relay.table)
+        if follower is not None:
+            follower.take(relay)
+
     async def _tick(self) -> None:
         while True:
             await self.clock.sleep_ms(TICK_MS)
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from ..errors import Failure, Reason
+from ..fleet.relay import Relay
 
 
-class Digest(msgspec.Struct, array_like=True, frozen=True):
+class Digest(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
     """The state of one instance that matters to the others.
 
     Nothing here is needed to keep a promise: it only makes decisions better.
@@ -26,6 +27,8 @@
         Version in force, 0 for none.
     is_leaving : bool
         Whether the sender is stopping.
+    reaches_store : bool
+        Whether the store answered the sender's last calls.
     lease_token : int
         Fencing token of the duties' lease if the sender holds it, else 0.
     loads : dict
@@ -43,6 +46,7 @@
     port: int
     configuration: int = 0
     is_leaving: bool = False
+    reaches_store: bool = True
     lease_token: int = 0
     loads: dict[str, tuple[int, int]] = {}
     used: dict[str, float] = {}
@@ -50,17 +54,17 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Digest)
+_decoder = msgspec.msgpack.Decoder(Digest | Relay)
 
 
-def encode_digest(digest: Digest) -> bytes:
-    """Return the datagram for a digest."""
-    return _encoder.encode(digest)
+def encode_message(message: Digest | Relay) -> bytes:
+    """Return the datagram for a message to another instance."""
+    return _encoder.encode(message)
 
 
-def decode_digest(data: bytes) -> Digest | Failure:
-    """Return the digest in a datagram, or why it is none."""
+def decode_message(data: bytes) -> Digest | Relay | Failure:
+    """Return the message in a datagram, or why it is none."""
     try:
         return _decoder.decode(data)
     except msgspec.MsgspecError as error:
-        return Failure(Reason.PROTOCOL, "digest.decode", detail=str(error))
+        return Failure(Reason.PROTOCOL, "message.decode", detail=str(error))
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -11,8 +11,9 @@
 
 from ..clock import Clock
 from ..errors import Failure
+from ..fleet.relay import Relay
 from ..log import Log
-from .digest import Digest, decode_digest, encode_digest
+from .digest import Digest, decode_message, encode_message
 from .members import Members
 
 INTERVAL_MS = 150
@@ -34,6 +35,8 @@
         Returns this instance's `Digest` of now.
     on_digest : callable
         Takes each `Digest` that is newer than what was known.
+    on_relay : callable
+        Takes each `Relay`.
     clock, log : Clock, Log
         Time, and where bad datagrams are noted.
 
@@ -48,12 +51,14 @@
         members: Members,
         make: Callable[[], Digest],
         on_digest: Callable[[Digest], None],
+        on_relay: Callable[[Relay], None],
         clock: Clock,
         log: Log,
     ):
         self._members = members
         self._make = make
         self._on_digest = on_digest
+        self._on_relay = on_relay
         self._clock = clock
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
@@ -82,13 +87,18 @@
 
     def send_all(self) -> None:
         """Send one digest to every other instance."""
-        transport = self._transport
-        members = self._members.all()
-        if transport is None or not members:
+        self._send(encode_message(self._make()))
+
+    def relay(self, relays: list[Relay]) -> None:
+        """Send relays to every other instance."""
+        for relay in relays:
+            self._send(encode_message(relay))
+
+    def _send(self, data: bytes) -> None:
+        if self._transport is None:
             return
-        data = encode_digest(self._make())
-        for member in members:
-            transport.sendto(data, (member.ip, member.port))
+        for member in self._members.all():
+            self._transport.sendto(data, (member.ip, member.port))
             self.sent += 1
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -96,15 +106,17 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in one digest."""
-        digest = decode_digest(data)
-        if isinstance(digest, Failure):
+        """Take in one message."""
+        message = decode_message(data)
+        if isinstance(message, Failure):
             self.refused += 1
-            self._log.event("digest_refused", peer=addr[0], error=str(digest))
+            self._log.event("message_refused", peer=addr[0], error=str(message))
             return
         self.received += 1
-        if self._members.hear(digest):
-            self._on_digest(digest)
+        if isinstance(message, Relay):
+            self._on_relay(message)
+        elif self._members.hear(message):
+            self._on_digest(message)
 
     def error_received(self, exc: Exception) -> None:
         """Pass over errors of single datagrams: the next one may arrive."""
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -16,6 +16,10 @@
 """Longer than cuts usually last: until then a silent instance may still serve
 callers elsewhere, and keeps its share of what is divided."""
 
+READERS = 2
+"""Instances that read the store for all: the second bridges the time until the
+loss of the first is noticed."""
+
 
 class Member(msgspec.Struct):
     """Another instance as last heard, or as its row in the store names it."""
@@ -29,6 +33,7 @@
     sequence: int = 0
     configuration: int = 0
     is_leaving: bool = False
+    reaches_store: bool = True
     lease_token: int = 0
 
 
@@ -88,6 +93,7 @@
         member.incarnation, member.sequence = order
         member.configuration = digest.configuration
         member.is_leaving = digest.is_leaving
+        member.reaches_store = digest.reaches_store
         member.lease_token = digest.lease_token
         member.heard_ms = now_ms
         return True
@@ -116,6 +122,19 @@
         holders = [m for m in holders if self.is_heard(m) and not m.is_leaving]
         return max(holders, key=lambda m: m.lease_token, default=None)
 
+    def is_reader(self) -> bool:
+        """Return whether this instance reads the store for the others.
+
+        The first ones by name do, of those that are heard and reach the store:
+        each part of a divided network so has readers of its own.
+        """
+        names = [
+            member.instance
+            for member in self._members.values()
+            if member.reaches_store and not member.is_leaving and self.is_heard(member)
+        ]
+        return sum(name < self._own for name in names) < READERS
+
     def _forget(self) -> None:
         now_ms = self._clock.now_ms()
         for member in list(self._members.values()):
--- a/testing/sharing/test_members.py
+++ b/testing/sharing/test_members.py
@@ -8,7 +8,7 @@
 from _monsoonpulley.errors import Failure
 from _monsoonpulley.ids import InstanceId
 from _monsoonpulley.log import Log
-from _monsoonpulley.sharing.digest import Digest, decode_digest, encode_digest
+from _monsoonpulley.sharing.digest import Digest, decode_message, encode_message
 from _monsoonpulley.sharing.members import FORGET_MS, HEARD_MS, Members
 
 OWN = InstanceId("own")
@@ -78,8 +78,8 @@
             used={"customer-1": 12.5},
             begun={355: {"customer-1": 4}},
         )
-        self.assertEqual(decode_digest(encode_digest(sent)), sent)
+        self.assertEqual(decode_message(encode_message(sent)), sent)
 
     def test_garbage_is_a_failure(self):
-        for data in (b"", b"\xff" * 10, b"{}", encode_digest(digest("a"))[:-3]):
-            self.assertIsInstance(decode_digest(data), Failure)
+        for data in (b"", b"\xff" * 10, b"{}", encode_message(digest("a"))[:-3]):
+            self.assertIsInstance(decode_message(data), Failure)
