Pass over a data centre that is cut off; count calls to the store

Change: one timed-out connection to a data centre none of whose instances is heard takes its endpoints out of the choice until one is heard again, 3 s at most; connections time out after 300 ms.

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -144,8 +144,11 @@
         if self._version is None:
             return
         if relay.since > self._version or (relay.has_more and relay.until):
-            # Something is missing, or too large to be relayed: ask for it.
+            # Something is missing, or too large to be relayed: ask for it. What
+            # is here is taken meanwhile, in case the store turns this one away.
             self._announced_version = max(self._announced_version, relay.until)
+            if relay.rows:
+                self._on_rows(Rows(relay.decode_rows(), relay.until), False)
             return
         self._news()
         if relay.until <= self._version:
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..errors import Failure
+from ..errors import Failure, Reason
 from ..placing.placer import Choice
 from ..platform.answerheaders import (
     is_event_stream,
@@ -87,9 +87,7 @@
         connection = await self._connect()
         if isinstance(connection, Failure):
             self.detail = str(connection)
-            self._parts.health.failed(
-                self._endpoint.id, self._parts.clock.now_ms(), UNREACHABLE_WEIGHT
-            )
+            self._note_unreachable(connection)
             return Result.UNREACHABLE
         pool = self._pool
         board = self._parts.board
@@ -136,6 +134,12 @@
         )
         return await self._pool.acquire()
 
+    def _note_unreachable(self, failure: Failure) -> None:
+        now_ms = self._parts.clock.now_ms()
+        self._parts.health.failed(self._endpoint.id, now_ms, UNREACHABLE_WEIGHT)
+        if failure.reason is Reason.TIMEOUT:
+            self._parts.reach.timed_out(self._endpoint.zone, now_ms)
+
     def _send(self, connection: ClientConnection) -> None:
         run = self._run
         data = endpoint_request(
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -16,6 +16,7 @@
 from ..placing.loadboard import LoadBoard
 from ..placing.placer import Placer
 from ..placing.promptmemory import PromptMemory
+from ..placing.zonereach import ZoneReach
 from ..sharing.members import Members
 from .counters import Counters
 from .upstreams import Upstreams
@@ -37,5 +38,6 @@
     health: EndpointHealth
     memory: PromptMemory
     placer: Placer
+    reach: ZoneReach
     upstreams: Upstreams
     usage: UsageCounter
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -221,6 +221,7 @@
     def _choose(self) -> Choice | NoPlace:
         assert self.service is not None and self.route is not None
         parts = self.parts
+        now_ms = parts.clock.now_ms()
         need = Need(
             is_generation=self.service.engine is not None,
             parts=self.facts.parts,
@@ -232,7 +233,8 @@
             parts.directory.ready(self.service.id),
             self.tried,
             parts.zone,
-            parts.clock.now_ms(),
+            now_ms,
+            parts.reach.cut(now_ms),
         )
 
     def _may_repeat(self, result: Result) -> bool:
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -29,6 +29,7 @@
 from ..placing.loadboard import LoadBoard
 from ..placing.placer import Placer
 from ..placing.promptmemory import PromptMemory
+from ..placing.zonereach import ZoneReach
 from ..platform.cloud import CloudClient
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
@@ -115,7 +116,10 @@
         self._rng = rng
         self._sequence = 0
         self._runs: set[asyncio.Task[None]] = set()
-        self.store = Store(HttpCaller(settings.store.ip, settings.store.port, clock))
+        self.store = Store(
+            HttpCaller(settings.store.ip, settings.store.port, clock),
+            lambda name, result: counters.store_calls.labels(name, result).inc(),
+        )
         self.parts = self._make_parts()
         parts = self.parts
         self.exchange = DigestExchange(
@@ -202,6 +206,7 @@
             health=health,
             memory=memory,
             placer=Placer(board, health, memory, self._rng),
+            reach=ZoneReach(),
             upstreams=Upstreams(clock),
             usage=UsageCounter(bounds.usage_window_s),
         )
@@ -357,6 +362,7 @@
             sequence=self._sequence,
             ip=self.settings.peer_ip,
             port=self.settings.peer_ports[0],
+            zone=self.settings.zone,
             configuration=current.version if current else 0,
             is_leaving=self.is_stopping,
             reaches_store=all(f.lost_ms is None for f in self._followers.values()),
@@ -393,6 +399,7 @@
         heard, members = parts.members.count()
         parts.quotas.set_members(heard, members, now_ms)
         parts.retries.set_members(members)
+        parts.reach.set_silent(parts.members.silent_zones(parts.zone))
         parts.board.expire(now_ms)
         has_holder = parts.members.holder() is not None
         if self._had_holder and not has_holder:
--- a/src/_monsoonpulley/placing/placer.py
+++ b/src/_monsoonpulley/placing/placer.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ..fleet.model import Endpoint
-from ..ids import EndpointId
+from ..ids import EndpointId, ZoneId
 from .health import EndpointHealth
 from .loadboard import LoadBoard
 from .promptmemory import PromptMemory, PromptPart
@@ -38,6 +38,13 @@
 OTHER_ZONE_MS = 1.0
 """A round trip to another data centre, which decides between equals."""
 
+NONE_RETRY_MS = 1_000
+"""An endpoint that has just started is known to all instances by then."""
+
+SHORTEST_RETRY_MS = 100
+LONGEST_RETRY_MS = 5_000
+"""Of what a refused caller is told: predictions reach no further."""
+
 
 class Need(msgspec.Struct, frozen=True):
     """What a request asks of an endpoint.
@@ -122,6 +129,7 @@
         tried: set[EndpointId],
         zone: str,
         now_ms: int,
+        cut: frozenset[ZoneId] = frozenset(),
     ) -> Choice | NoPlace:
         """Return the endpoint for a request, or why there is none.
 
@@ -137,10 +145,14 @@
             The data centre of this instance.
         now_ms : int
             Monotonic time.
+        cut : frozenset of ZoneId
+            Data centres that can't be reached.
         """
         candidates = [e for e in endpoints if e.id not in tried]
         if not candidates:
-            return NoPlace("no endpoint takes requests", 1_000)
+            return NoPlace("no endpoint takes requests", NONE_RETRY_MS)
+        reachable = [e for e in candidates if e.zone not in cut]
+        candidates = reachable or candidates
         sound = [e for e in candidates if not self._health.is_avoided(e.id, now_ms)]
         candidates = sound or candidates
         cached = (
@@ -172,7 +184,7 @@
         if time_ms > need.left_ms:
             return NoPlace(
                 "no endpoint can answer in time",
-                max(100, min(5_000, round(time_ms - need.left_ms))),
+                _retry_after_ms(time_ms - need.left_ms),
             )
         return Choice(
             endpoint,
@@ -199,3 +211,8 @@
     waiting = max(0, running + 1 - slots)
     # Endpoints that are nearly full slow down: prefer the emptier one.
     return SERVICE_MS * (1 + 0.2 * running / slots + waiting / slots)
+
+
+def _retry_after_ms(missing_ms: float) -> int:
+    """Return when the queue will have drained by ``missing_ms``."""
+    return max(SHORTEST_RETRY_MS, min(LONGEST_RETRY_MS, round(missing_ms)))
--- a/src/_monsoonpulley/platform/store.py
+++ b/src/_monsoonpulley/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from urllib.parse import urlencode
 
 import msgspec
@@ -109,16 +110,17 @@
     ----------
     caller : HttpCaller
         Carries the calls.
-
-    Attributes
-    ----------
-    calls : dict
-        Calls made so far, by name.
+    on_call : callable
+        Takes each call's name and its status, or why it failed.
     """
 
-    def __init__(self, caller: HttpCaller):
+    def __init__(
+        self,
+        caller: HttpCaller,
+        on_call: Callable[[str, str], None] = lambda name, result: None,
+    ):
         self._caller = caller
-        self.calls: dict[str, int] = {}
+        self._on_call = on_call
 
     @property
     def peer(self) -> str:
@@ -253,11 +255,13 @@
         body: bytes = b"",
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> Reply | Failure:
-        self.calls[name] = self.calls.get(name, 0) + 1
         headers = (("Content-Type", "application/json"),) if body else ()
-        return await self._caller.call(
+        reply = await self._caller.call(
             method, target, body=body, headers=headers, timeout_ms=timeout_ms
         )
+        failed = isinstance(reply, Failure)
+        self._on_call(name, reply.reason.value if failed else str(reply.status))
+        return reply
 
     def _decode(self, name: str, reply: Reply) -> _Answer | Failure:
         try:
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -23,6 +23,8 @@
         Rises with each digest of one incarnation.
     ip, port : str, int
         Where the sender listens for digests.
+    zone : str
+        The sender's data centre.
     configuration : int
         Version in force, 0 for none.
     is_leaving : bool
@@ -44,6 +46,7 @@
     sequence: int
     ip: str
     port: int
+    zone: str = ""
     configuration: int = 0
     is_leaving: bool = False
     reaches_store: bool = True
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -5,13 +5,17 @@
 import msgspec
 
 from ..clock import Clock
-from ..ids import InstanceId
+from ..ids import InstanceId, ZoneId
 from ..log import Log
 from .digest import Digest
 
 HEARD_MS = 1_200
 """Eight digests: an instance silent for so long is cut off, frozen or gone."""
 
+ZONE_SILENT_MS = 500
+"""Three digests; only together with a connection that timed out does the silence
+of a data centre's instances count."""
+
 FORGET_MS = 30_000
 """Longer than cuts usually last: until then a silent instance may still serve
 callers elsewhere, and keeps its share of what is divided."""
@@ -29,6 +33,7 @@
     port: int
     known_ms: int
     heard_ms: int | None = None
+    zone: ZoneId = ZoneId("")
     incarnation: int = 0
     sequence: int = 0
     configuration: int = 0
@@ -90,6 +95,7 @@
         if order <= (member.incarnation, member.sequence):
             return False
         member.ip, member.port = digest.ip, digest.port
+        member.zone = ZoneId(digest.zone)
         member.incarnation, member.sequence = order
         member.configuration = digest.configuration
         member.is_leaving = digest.is_leaving
@@ -135,6 +141,20 @@
         ]
         return sum(name < self._own for name in names) < READERS
 
+    def silent_zones(self, own: ZoneId) -> frozenset[ZoneId]:
+        """Return other data centres none of whose instances is heard.
+
+        Those that announced their stop are expected to be silent.
+        """
+        now_ms = self._clock.now_ms()
+        silent: dict[ZoneId, bool] = {}
+        for member in self._members.values():
+            if member.heard_ms is None or member.is_leaving or member.zone == own:
+                continue
+            is_silent = now_ms - member.heard_ms > ZONE_SILENT_MS
+            silent[member.zone] = silent.get(member.zone, True) and is_silent
+        return frozenset(zone for zone, is_silent in silent.items() if is_silent)
+
     def _forget(self) -> None:
         now_ms = self._clock.now_ms()
         for member in list(self._members.values()):
--- a/src/_monsoonpulley/wire/pool.py
+++ b/src/_monsoonpulley/wire/pool.py
@@ -8,9 +8,9 @@
 from ..errors import Delivery, Failure, Reason
 from .clientconnection import ClientConnection
 
-CONNECT_TIMEOUT_MS = 500
-"""Hundreds of round trips between data centres; a lost opening packet is sent
-again after 1 s, which another endpoint answers sooner."""
+CONNECT_TIMEOUT_MS = 300
+"""A hundred round trips between data centres; a lost opening packet is sent again
+after 1 s, and another endpoint answers sooner."""
 
 IDLE_LIMIT_MS = 4_000
 """Where the server names no limit: below the shortest one usually set, 5 s."""
--- /dev/null
+++ b/testing/fleet/test_tablefollower.py
@@ -0,0 +1,257 @@
+"""Followers of one table: readers, relays that get lost, stores that fail."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import unittest
+
+from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.fleet.relay import MOST_BYTES, Relay, relays_of
+from _monsoonpulley.fleet.tablefollower import TableFollower
+from _monsoonpulley.log import Log
+from _monsoonpulley.platform.store import Row, Rows
+from _monsoonpulley.standins.manualloop import run_manual, running_clock
+
+PAUSE_MS, FRESH_MS = 500, 1_000
+
+
+class FakeStore:
+    """Rows in memory; ``away`` makes every call fail."""
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+        self.changes: list[Row] = []
+        self.version = 0
+        self.oldest = 0
+        self.away = False
+        self.calls = 0
+
+    def put(self, key: str, value: bytes | None) -> None:
+        self.version += 1
+        row = Row(key, value, self.version)
+        self.changes.append(row)
+        self.rows.pop(key, None)
+        if value is not None:
+            self.rows[key] = row
+
+    async def get(self, table):
+        self.calls += 1
+        if self.away:
+            return Failure(Reason.TIMEOUT, "store.get")
+        return Rows(tuple(self.rows.values()), self.version)
+
+    async def feed(self, table, after, wait_ms):
+        self.calls += 1
+        if self.away:
+            return Failure(Reason.TIMEOUT, "store.feed")
+        if after < self.oldest:
+            return Failure(Reason.CONFLICT, "store.feed")
+        latest = {r.key: r for r in self.changes if r.row_version > after}
+        rows = sorted(latest.values(), key=lambda row: row.row_version)
+        return Rows(tuple(rows), self.version)
+
+
+class Group:
+    """Followers that relay to each other over a network that loses messages."""
+
+    def __init__(self, count: int, *, readers: int = 1, loss: float = 0.0, rows=True):
+        self.store = FakeStore()
+        self.stores = [FakeView(self.store) for _ in range(count)]
+        self.seen: list[dict[str, bytes]] = [{} for _ in range(count)]
+        self.seen_ms: list[dict[str, int]] = [{} for _ in range(count)]
+        self.regained = [0] * count
+        self.alive = [True] * count
+        self.reads = [index < readers for index in range(count)]
+        self.rng = random.Random(1)
+        self.loss = loss
+        self.clock = running_clock()
+        self.followers = [self._make(index, rows) for index in range(count)]
+        self.tasks = [asyncio.create_task(f.run()) for f in self.followers]
+
+    def _make(self, index: int, carries_rows: bool) -> TableFollower:
+        return TableFollower(
+            self.stores[index],
+            "t",
+            lambda rows, whole: self._on_rows(index, rows, whole),
+            self.clock,
+            Log(self.clock, lambda line: None),
+            wait_ms=0,
+            pause_ms=PAUSE_MS,
+            fresh_ms=FRESH_MS,
+            carries_rows=carries_rows,
+            is_reader=lambda: self.reads[index],
+            send=lambda relays: self._send(index, relays),
+            on_regained=lambda: self._count_regained(index),
+        )
+
+    def _on_rows(self, index, rows, whole):
+        if whole:
+            self.seen[index].clear()
+        for row in rows.rows:
+            if row.value is None:
+                self.seen[index].pop(row.key, None)
+            else:
+                self.seen[index][row.key] = row.value
+            self.seen_ms[index][row.key] = self.clock.now_ms()
+        return rows.rows
+
+    def _count_regained(self, index):
+        self.regained[index] += 1
+
+    def _send(self, sender, relays):
+        for relay in relays:
+            for index, follower in enumerate(self.followers):
+                if index != sender and self.rng.random() >= self.loss:
+                    follower.take(relay)
+
+    def kill(self, index: int) -> None:
+        self.tasks[index].cancel()
+        self.reads[index] = False
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class FakeView:
+    """One follower's way to the store; ``cut`` makes its calls fail."""
+
+    def __init__(self, store: FakeStore):
+        self._store = store
+        self.cut = False
+
+    async def get(self, table):
+        if self.cut:
+            return Failure(Reason.TIMEOUT, "store.get")
+        return await self._store.get(table)
+
+    async def feed(self, table, after, wait_ms):
+        if self.cut:
+            return Failure(Reason.TIMEOUT, "store.feed")
+        return await self._store.feed(table, after, wait_ms)
+
+
+def play(script, **kwargs) -> None:
+    async def main():
+        group = Group(**kwargs)
+        try:
+            await group.clock.sleep_ms(1_000)
+            await script(group)
+        finally:
+            await group.close()
+
+    run_manual(main())
+
+
+class TestRelays(unittest.TestCase):
+    def assert_all_know(self, group, key, value):
+        for index, seen in enumerate(group.seen):
+            self.assertEqual(seen.get(key), value, f"follower {index}")
+
+    def test_one_reader_keeps_all_up_to_date(self):
+        async def script(group):
+            calls = group.store.calls
+            for number in range(20):
+                group.store.put("a", b"%d" % number)
+                await group.clock.sleep_ms(PAUSE_MS + 100)
+                self.assert_all_know(group, "a", b"%d" % number)
+            self.assertLessEqual(group.store.calls - calls, 26)
+
+        play(script, count=10)
+
+    def test_lost_relays_are_noticed_and_asked_for(self):
+        async def script(group):
+            for number in range(40):
+                group.store.put(f"k{number}", b"v")
+                group.store.put("k0", b"%d" % number)
+                await group.clock.sleep_ms(150)
+            await group.clock.sleep_ms(FRESH_MS + PAUSE_MS)
+            for number in range(1, 40):
+                self.assert_all_know(group, f"k{number}", b"v")
+            self.assert_all_know(group, "k0", b"39")
+
+        play(script, count=6, loss=0.3)
+
+    def test_a_lost_reader_is_bridged_within_the_bound(self):
+        async def script(group):
+            group.kill(0)
+            group.store.put("a", b"late")
+            put_ms = group.clock.now_ms()
+            await group.clock.sleep_ms(FRESH_MS + 200)
+            for index in range(1, 5):
+                self.assertEqual(group.seen[index].get("a"), b"late")
+                took_ms = group.seen_ms[index]["a"] - put_ms
+                self.assertLessEqual(took_ms, FRESH_MS + 150)
+
+        play(script, count=5)
+
+    def test_a_reader_that_the_store_turns_away_is_bridged(self):
+        async def script(group):
+            group.stores[0].cut = True
+            group.store.put("a", b"late")
+            await group.clock.sleep_ms(FRESH_MS + 200)
+            for index in range(1, 5):
+                self.assertEqual(group.seen[index].get("a"), b"late")
+            # The digest says that it does not reach the store: another reads.
+            group.reads = [False, True, False, False, False]
+            group.store.put("b", b"relayed")
+            await group.clock.sleep_ms(PAUSE_MS + 200)
+            self.assertEqual(group.seen[0].get("b"), b"relayed")
+            # What it missed before is asked for once the store answers it.
+            group.stores[0].cut = False
+            await group.clock.sleep_ms(2_000)
+            self.assertEqual(group.seen[0].get("a"), b"late")
+
+        play(script, count=5)
+
+    def test_changes_that_are_not_carried_are_asked_for(self):
+        async def script(group):
+            group.store.put("a", b"x" * 20_000)
+            await group.clock.sleep_ms(PAUSE_MS + 200)
+            self.assert_all_know(group, "a", b"x" * 20_000)
+
+        play(script, count=5, rows=False)
+
+    def test_a_forgotten_history_is_read_whole(self):
+        async def script(group):
+            for number in range(5):
+                group.store.put(f"k{number}", b"v")
+            group.store.put("k0", None)
+            group.store.oldest = group.store.version
+            group.store.changes.clear()
+            await group.clock.sleep_ms(2 * FRESH_MS)
+            for index in range(4):
+                self.assertNotIn("k0", group.seen[index])
+                self.assertEqual(group.seen[index].get("k4"), b"v")
+
+        play(script, count=4)
+
+    def test_news_after_an_outage_is_announced_to_all_first(self):
+        async def script(group):
+            group.store.away = True
+            await group.clock.sleep_ms(5_000)
+            self.assertTrue(all(f.lost_ms is not None for f in group.followers))
+            group.store.away = False
+            await group.clock.sleep_ms(2_500)
+            self.assertTrue(all(group.regained), group.regained)
+
+        play(script, count=4)
+
+
+class TestRelay(unittest.TestCase):
+    def test_many_rows_go_in_datagrams_that_form_a_chain(self):
+        rows = [Row(f"k{n}", b"x" * 370, 10 + n) for n in range(20)]
+        relays = relays_of("t", 5, 40, rows, False)
+        self.assertEqual((relays[0].since, relays[-1].until), (5, 40))
+        for before, after in itertools.pairwise(relays):
+            self.assertEqual(before.until, after.since)
+        self.assertEqual(sum(len(r.rows) for r in relays), 20)
+        for relay in relays:
+            size = sum(len(r.value) for r in relay.rows)
+            self.assertLessEqual(size, MOST_BYTES)
+
+    def test_no_change_is_still_news(self):
+        self.assertEqual(relays_of("t", 5, 5, [], False), [Relay("t", 5, 5)])
