Send digests to other data centres less often; keep more endpoints where more may be had

Change: digests go out every 150 ms to the own data centre and every 600 ms to others, use and usage windows with every third; 0.3 of a data centre's most endpoints are kept.

--- a/src/_monsoonpulley/duties/capacityplan.py
+++ b/src/_monsoonpulley/duties/capacityplan.py
@@ -27,6 +27,10 @@
 """Reclaimable endpoints in each data centre at least, so that one is left when
 another crashes."""
 
+SPARE_SHARE = 0.3
+"""Of the most endpoints that a data centre may have, the share kept there at least:
+bursts come faster than an endpoint starts."""
+
 HOLD_MS = 20_000
 """A need is kept this long after it was last seen: bursts come in series, and an
 endpoint takes seconds to start."""
@@ -126,7 +130,7 @@
             if self._is_reclaimed(zone, fleet.get(zone, ZoneFleet())):
                 self._dry_until_ms[zone] = now_ms + DRY_MS
                 self._scarce_until_ms = now_ms + SCARCE_MS
-        need = self._need(load, len(zones), now_ms)
+        need = self._need(spec, load, len(zones), now_ms)
         wanted = self._wanted(spec, zones, need, now_ms)
         others = self._others(spec, zones, fleet, load, now_ms)
         orders = []
@@ -156,8 +160,9 @@
         ordered = sent.count if sent is not None else 0
         return stand.leaving > 0 and stand.reclaimable < ordered
 
-    def _need(self, load: Load, zones: int, now_ms: int) -> int:
-        need = max(self._load_need(load), SPARE_PER_ZONE * zones)
+    def _need(self, spec: ScalingSpec, load: Load, zones: int, now_ms: int) -> int:
+        spare = max(SPARE_PER_ZONE, math.ceil(SPARE_SHARE * spec.maximum))
+        need = max(self._load_need(load), spare * zones)
         self._needs = [(n, ms) for n, ms in self._needs if now_ms - ms < HOLD_MS]
         self._needs = [(n, ms) for n, ms in self._needs if n > need]
         self._needs.append((need, now_ms))
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -123,7 +123,13 @@
         self.parts = self._make_parts()
         parts = self.parts
         self.exchange = DigestExchange(
-            parts.members, self._digest, self._on_digest, self._on_relay, clock, log
+            parts.members,
+            settings.zone,
+            self._digest,
+            self._on_digest,
+            self._on_relay,
+            clock,
+            log,
         )
         self.callers = HttpServer(self._on_request, self._caller_limits, clock)
         self._readiness = HttpServer(self._on_readiness, CallerLimits, clock)
@@ -289,6 +295,7 @@
         self.is_stopping = True
         stop_ms = self.clock.now_ms()
         self.log.event("stopping", in_progress=len(self._runs))
+        self.exchange.send_all()
         self.callers.drain()
         await self.clock.sleep_ms(DRAIN_LISTEN_MS)
         self.callers.stop_listening()
@@ -352,7 +359,7 @@
         )
         await registration.run(self.clock, self.log)
 
-    def _digest(self) -> Digest:
+    def _digest(self, is_full: bool) -> Digest:
         self._sequence += 1
         parts = self.parts
         current = parts.configuration.current
@@ -368,8 +375,8 @@
             reaches_store=all(f.lost_ms is None for f in self._followers.values()),
             lease_token=self._control.fencing_number() if self._control else 0,
             loads=parts.board.own_loads(),
-            used=parts.quotas.used(),
-            begun=parts.usage.own(),
+            used=parts.quotas.used() if is_full else {},
+            begun=parts.usage.own() if is_full else {},
         )
 
     def _on_digest(self, digest: Digest) -> None:
--- a/src/_monsoonpulley/limits/quota.py
+++ b/src/_monsoonpulley/limits/quota.py
@@ -142,7 +142,12 @@
         return {customer: bucket.used for customer, bucket in self._buckets.items()}
 
     def hear(self, peer: InstanceId, incarnation: int, used: dict[str, float]) -> None:
-        """Subtract what another instance has used since its last digest."""
+        """Subtract what another instance has used since its last full digest.
+
+        ``used`` is empty in other digests, which say nothing of it.
+        """
+        if not used:
+            return
         known_incarnation, known = self._peer_used.get(peer, (incarnation, None))
         self._peer_used[peer] = (incarnation, used)
         if known is None:
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -12,16 +12,23 @@
 from ..clock import Clock
 from ..errors import Failure
 from ..fleet.relay import Relay
+from ..ids import ZoneId
 from ..log import Log
 from .digest import Digest, decode_message, encode_message
-from .members import Members
+from .members import Member, Members
 
 INTERVAL_MS = 150
-"""Between two digests to the same instance, up to `FULL_RATE_MEMBERS`."""
+"""Between two digests to the same instance."""
 
 FULL_RATE_MEMBERS = 12
-"""With more instances the interval grows, so that messages a second of one
-instance stay the same."""
+"""With more instances, those of other data centres get only every
+`FAR_INTERVALS`-th digest: bytes between data centres are paid for."""
+
+FAR_INTERVALS = 4
+
+FULL_INTERVALS = 3
+"""Every so many digests carries customers' use and usage windows, which change
+slowly next to the load of endpoints; the others leave them out."""
 
 
 class DigestExchange(asyncio.DatagramProtocol):
@@ -31,8 +38,11 @@
     ----------
     members : Members
         Whom to send to.
+    zone : ZoneId
+        This instance's data centre.
     make : callable
-        Returns this instance's `Digest` of now.
+        Takes whether the digest is to be a full one, returns this instance's
+        `Digest` of now.
     on_digest : callable
         Takes each `Digest` that is newer than what was known.
     on_relay : callable
@@ -49,13 +59,16 @@
     def __init__(
         self,
         members: Members,
-        make: Callable[[], Digest],
+        zone: ZoneId,
+        make: Callable[[bool], Digest],
         on_digest: Callable[[Digest], None],
         on_relay: Callable[[Relay], None],
         clock: Clock,
         log: Log,
     ):
         self._members = members
+        self._zone = zone
+        self._round = 0
         self._make = make
         self._on_digest = on_digest
         self._on_relay = on_relay
@@ -80,24 +93,34 @@
     async def run(self) -> None:
         """Send until cancelled."""
         while True:
-            self.send_all()
-            others = len(self._members.all())
-            factor = max(1.0, others / FULL_RATE_MEMBERS)
-            await self._clock.sleep_ms(INTERVAL_MS * factor)
+            self.send_round()
+            await self._clock.sleep_ms(INTERVAL_MS)
+
+    def send_round(self) -> None:
+        """Send the digests that are due."""
+        self._round += 1
+        members = self._members.all()
+        is_large = len(members) > FULL_RATE_MEMBERS
+        if is_large and self._round % FAR_INTERVALS:
+            members = [m for m in members if m.zone in (self._zone, "")]
+            is_full = self._round % FULL_INTERVALS == 0
+        else:
+            is_full = is_large or self._round % FULL_INTERVALS == 0
+        self._send(encode_message(self._make(is_full)), members)
 
     def send_all(self) -> None:
-        """Send one digest to every other instance."""
-        self._send(encode_message(self._make()))
+        """Send a full digest to every other instance at once."""
+        self._send(encode_message(self._make(True)), self._members.all())
 
     def relay(self, relays: list[Relay]) -> None:
         """Send relays to every other instance."""
         for relay in relays:
-            self._send(encode_message(relay))
+            self._send(encode_message(relay), self._members.all())
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, data: bytes, members: list[Member]) -> None:
         if self._transport is None:
             return
-        for member in self._members.all():
+        for member in members:
             self._transport.sendto(data, (member.ip, member.port))
             self.sent += 1
 
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -9,8 +9,9 @@
 from ..log import Log
 from .digest import Digest
 
-HEARD_MS = 1_200
-"""Eight digests: an instance silent for so long is cut off, frozen or gone."""
+HEARD_MS = 1_500
+"""Two digests between data centres where there are many instances: an instance
+silent for so long is cut off, frozen or gone."""
 
 ZONE_SILENT_MS = 500
 """Three digests; only together with a connection that timed out does the silence
--- a/testing/limits/test_quota.py
+++ b/testing/limits/test_quota.py
@@ -171,6 +171,14 @@
         allowed = (10 * WINDOW_S + 10) * (1 + OVERAGE) + SLACK
         self.assertLessEqual(taken * 10, allowed)
 
+    def test_digests_without_use_change_nothing(self):
+        each = ledger()
+        peer = InstanceId("peer")
+        for _ in range(10):
+            each.hear(peer, 1, {CUSTOMER: 500.0})
+            each.hear(peer, 1, {})
+        self.assertIsNone(each.take(CUSTOMER, 1_000, 0))
+
     def test_a_customer_without_quota_is_never_refused(self):
         each = QuotaLedger(WINDOW_S, OVERAGE, SLACK, starts_full=False)
         self.assertIsNone(each.take(CUSTOMER, 1e9, 0))
