--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -31,7 +31,7 @@
 from _monsoonpulley.config.rows import encode_revision
 from _monsoonpulley.config.store import ApplyConflict, ConfigStore
 from _monsoonpulley.config.watcher import ConfigWatcher
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 
 CHANGES_PER_DAY = 4_100
--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -19,7 +19,7 @@
 from _monsoonpulley.journal import steps as s
 from _monsoonpulley.journal.journal import Journal
 from _monsoonpulley.journal.transitions import Transitions
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 
 INTERLEAVINGS = 20_000
--- a/benchmarks/logging.py
+++ b/benchmarks/logging.py
@@ -16,7 +16,7 @@
 
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.journal.journal import Journal
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 
 REQUESTS = 20_000
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -22,8 +22,8 @@
 from _monsoonpulley.endpoints.engine import LoadReport
 from _monsoonpulley.external.livelist import Member, MemberState, Role
 from _monsoonpulley.identity import Identity
-from _monsoonpulley.log import Log
-from _monsoonpulley.metrics import NoMetrics
+from _monsoonpulley.observability.log import Log
+from _monsoonpulley.observability.metrics import NoMetrics
 from _monsoonpulley.peers.digest import Digest, LoadItem
 from _monsoonpulley.peers.envelope import Envelope, Sealer
 from _monsoonpulley.peers.exchange import PeerExchange
--- a/benchmarks/sizing.py
+++ b/benchmarks/sizing.py
@@ -20,8 +20,8 @@
 from _monsoonpulley.endpoints.engine_metrics import metrics_text, parse_metrics
 from _monsoonpulley.endpoints.feed import poll_interval_ms
 from _monsoonpulley.endpoints.roster import refresh_interval_ms
+from _monsoonpulley.entry.noticewatch import POLL_INTERVAL_MS as NOTICE_INTERVAL_MS
 from _monsoonpulley.external.http_livelist import target_group
-from _monsoonpulley.noticewatch import POLL_INTERVAL_MS as NOTICE_INTERVAL_MS
 from _monsoonpulley.routing.router import Router
 
 from .peers import SIZES, FleetSize, fleet_members, measure, random_report, transport_us
--- /dev/null
+++ b/src/_monsoonpulley/commandline/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: ``monsoonpulley COMMAND``."""
--- a/src/_monsoonpulley/cli_access.py
+++ b/src/_monsoonpulley/commandline/access.py
@@ -15,10 +15,10 @@
 
 from cyclopts import Parameter
 
-from .clock import Clock
-from .errors import Failure, Reason
-from .operator_client import OperatorClient
-from .settings import read_text
+from ..clock import Clock
+from ..errors import Failure, Reason
+from ..settings.process import read_text
+from .operatorclient import OperatorClient
 
 T = TypeVar("T")
 
--- a/src/_monsoonpulley/cli.py
+++ b/src/_monsoonpulley/commandline/cli.py
@@ -16,7 +16,12 @@
 
 from cyclopts import App, CycloptsError
 
-from .cli_access import (
+from ..config.difference import difference
+from ..config.ini import base_number, parse_document
+from ..errors import Failure, Reason, SettingsError
+from ..operator_wire import HISTORY_MAX, ConflictBody, InvalidBody, RevisionBody
+from ..settings.process import Settings, read_text
+from .access import (
     FROM_ENVIRONMENT,
     Access,
     ExitCode,
@@ -25,8 +30,9 @@
     print_answer_of,
     print_failure,
 )
-from .cli_explain import explain_json, explain_text, missing_text
-from .cli_output import (
+from .explanation import explain_json, explain_text, missing_text
+from .operatorclient import ApplyAnswer, OperatorClient
+from .output import (
     config_status_text,
     conflict_text,
     difference_text,
@@ -35,12 +41,6 @@
     rollout_status_text,
     status_text,
 )
-from .config.difference import difference
-from .config.ini import base_number, parse_document
-from .errors import Failure, Reason, SettingsError
-from .operator_client import ApplyAnswer, OperatorClient
-from .operator_wire import HISTORY_MAX, ConflictBody, InvalidBody, RevisionBody
-from .settings import Settings, read_text
 
 app = App(
     name="monsoonpulley",
@@ -62,7 +62,7 @@
         INI file with the settings of this process.
     """
     checked = Settings.from_file(settings)
-    from .daemon import run_entry
+    from ..entry.daemon import run_entry
 
     return _finish(run_entry(checked))
 
@@ -70,7 +70,7 @@
 @app.command
 def demo() -> int:
     """Run the whole system with stand-ins on this machine and show it work."""
-    from .demo import run_demo
+    from ..demo import run_demo
 
     return _finish(run_demo())
 
@@ -87,8 +87,8 @@
     plan
         INI file that lists what to serve.
     """
-    from .standins.plan import StandinPlan
-    from .standins.serve import run_standin
+    from ..standins.plan import StandinPlan
+    from ..standins.serve import run_standin
 
     return _finish(run_standin(StandinPlan.from_text(read_text(plan), str(plan))))
 
--- a/src/_monsoonpulley/cli_explain.py
+++ b/src/_monsoonpulley/commandline/explanation.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from .config.ini import format_deadline
-from .operator_wire import ExplainBody, ExplainLine, RequestRecord
-from .sentences import sentence_of
+from ..config.ini import format_deadline
+from ..explain.sentences import sentence_of
+from ..operator_wire import ExplainBody, ExplainLine, RequestRecord
 
 MAX_VALUE_CHARS = 60
 MAX_INPUTS_CHARS = 400
--- a/src/_monsoonpulley/operator_client.py
+++ b/src/_monsoonpulley/commandline/operatorclient.py
@@ -9,9 +9,9 @@
 import aiohttp
 import msgspec
 
-from .clock import Clock
-from .errors import Failure, Reason
-from .operator_wire import (
+from ..clock import Clock
+from ..errors import Failure, Reason
+from ..operator_wire import (
     CONFIG_PATH,
     CONFIG_STATUS_PATH,
     EXPLAIN_PATH,
--- a/src/_monsoonpulley/cli_output.py
+++ b/src/_monsoonpulley/commandline/output.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from .config.difference import Difference
-from .config.ini import format_deadline
-from .operator_wire import (
+from ..config.difference import Difference
+from ..config.ini import format_deadline
+from ..operator_wire import (
     ConfigStatusBody,
     ConflictBody,
     EntryStatus,
--- a/src/_monsoonpulley/config/change.py
+++ b/src/_monsoonpulley/config/change.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..errors import Failure, Reason
-from ..log import Decision
+from ..observability.log import Decision
 from .check import check_document
 from .difference import Difference, difference
 from .document import Document, Revision
--- a/src/_monsoonpulley/config/check.py
+++ b/src/_monsoonpulley/config/check.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..ids import ServiceId
-from ..inisections import Problem, Problems, suggestion
+from ..settings.inisections import Problem, Problems, suggestion
 from .document import Document, RequestClass, ServiceKind, Version
 
 MIN_DEADLINE_WALL_MS = 1_577_836_800_000
--- a/src/_monsoonpulley/config/ini.py
+++ b/src/_monsoonpulley/config/ini.py
@@ -16,7 +16,7 @@
 
 from ..errors import SettingsError
 from ..ids import ClassId, CustomerId, ServiceId, VersionId
-from ..inisections import (
+from ..settings.inisections import (
     InvalidFile,
     Problem,
     Problems,
--- a/src/_monsoonpulley/config/store.py
+++ b/src/_monsoonpulley/config/store.py
@@ -14,7 +14,7 @@
 from ..clock import Clock
 from ..errors import Failure, Reason
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Table, Write
-from ..log import Log
+from ..observability.log import Log
 from .change import PEER, STEP, ApplyConflict, Change, explain, in_doubt
 from .document import Document, Revision
 from .reader import ConfigReader
--- a/src/_monsoonpulley/config/watcher.py
+++ b/src/_monsoonpulley/config/watcher.py
@@ -29,8 +29,8 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
-from ..log import Log
-from ..metrics import Metrics, NoMetrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics, NoMetrics
 from .document import Revision
 from .inforce import InForce, RevisionDecision, Source, Verdict
 from .store import ConfigStore
--- a/src/_monsoonpulley/control/capacitydecision.py
+++ b/src/_monsoonpulley/control/capacitydecision.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..ids import ServiceId, ZoneId
-from ..log import Decision
+from ..observability.log import Decision
 from .fleet import FleetEndpoint, Market, Need, Offer, Order, Release
 
 
--- a/src/_monsoonpulley/control/duties.py
+++ b/src/_monsoonpulley/control/duties.py
@@ -16,7 +16,7 @@
 
 from ..clock import Clock
 from ..ids import InstanceId
-from ..log import Log
+from ..observability.log import Log
 from ..registry import Registry
 from ..supervisor import Supervisor
 from .leases import Hold, Leases
--- a/src/_monsoonpulley/control/fleetdecision.py
+++ b/src/_monsoonpulley/control/fleetdecision.py
@@ -6,7 +6,7 @@
 
 from ..errors import Failure
 from ..ids import ServiceId
-from ..log import Decision
+from ..observability.log import Decision
 from .fleetrows import FleetRow
 
 
--- a/src/_monsoonpulley/control/fleetparts.py
+++ b/src/_monsoonpulley/control/fleetparts.py
@@ -13,7 +13,7 @@
 from ..external.table import Table
 from ..external.weightstore import WeightStore
 from ..ids import EndpointId, ServiceId
-from ..log import Log
+from ..observability.log import Log
 from .capacitydecision import PlanSettings
 from .fleet import Need
 from .fleetdecision import FleetSettings
--- a/src/_monsoonpulley/control/journalduties.py
+++ b/src/_monsoonpulley/control/journalduties.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..errors import Failure
-from ..log import Log
+from ..observability.log import Log
 from .duties import duty_kinds
 from .leases import Hold
 from .parts import DutyParts
--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -19,8 +19,8 @@
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..identity import Identity
 from ..ids import InstanceId
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from .lease import LeaseRules
 from .leasestate import (
     LEASE_PREFIX,
--- a/src/_monsoonpulley/control/leasestate.py
+++ b/src/_monsoonpulley/control/leasestate.py
@@ -8,7 +8,7 @@
 
 from ..external.table import Row
 from ..ids import InstanceId
-from ..log import Decision
+from ..observability.log import Decision
 
 LEASE_PREFIX = "lease/"
 NOBODY = InstanceId("")
--- a/src/_monsoonpulley/control/orders.py
+++ b/src/_monsoonpulley/control/orders.py
@@ -23,7 +23,7 @@
 from ..errors import Delivery, Failure, Reason
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..ids import EndpointId, VersionId
-from ..log import Decision, Log
+from ..observability.log import Decision, Log
 from .leases import Hold
 
 ORDER_PREFIX = "order/"
--- a/src/_monsoonpulley/control/parts.py
+++ b/src/_monsoonpulley/control/parts.py
@@ -13,7 +13,7 @@
 from ..ids import EndpointId, InstanceId, ServiceId, VersionId
 from ..journal.collection import Collection
 from ..journal.recovery import IsGone, Recovery
-from ..log import Log
+from ..observability.log import Log
 from .fleetparts import CapacityParts
 from .rolloutview import RolloutView
 
--- a/src/_monsoonpulley/control/rollout.py
+++ b/src/_monsoonpulley/control/rollout.py
@@ -11,7 +11,7 @@
 
 from ..config.document import Version
 from ..ids import InstanceId, VersionId
-from ..log import Decision
+from ..observability.log import Decision
 from .rolloutrows import SETTLED, RolloutRow, RolloutState, RolloutStep
 
 replace = msgspec.structs.replace
--- a/src/_monsoonpulley/control/rolloutwatch.py
+++ b/src/_monsoonpulley/control/rolloutwatch.py
@@ -20,8 +20,8 @@
 )
 from ..identity import Identity
 from ..ids import InstanceId, ServiceId, VersionId
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from ..supervisor import Supervisor
 from .rolloutobserver import RolloutObserver
 from .rolloutrows import (
--- a/src/_monsoonpulley/demo/deployment.py
+++ b/src/_monsoonpulley/demo/deployment.py
@@ -15,14 +15,14 @@
     Version,
 )
 from ..config.store import ConfigStore
-from ..daemon import EntryDaemon
+from ..entry.daemon import EntryDaemon
 from ..errors import Failure
 from ..external.livelist import Member, Role
 from ..gateway.credentials import credential_sha256
 from ..ids import InstanceId, ServiceId, VersionId, ZoneId
-from ..inivalues import ListenAddress, Secret
-from ..log import Log
-from ..settings import (
+from ..observability.log import Log
+from ..settings.inivalues import ListenAddress, Secret
+from ..settings.process import (
     EntrySettings,
     OperatorSettings,
     PeerSettings,
--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -9,7 +9,7 @@
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Service
 from ..ids import ServiceId, ZoneId
-from ..log import Log
+from ..observability.log import Log
 from ..placing.loadboard import LoadBoard
 from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
 from .capacityplan import CapacityPlan, Load, Order, ZoneFleet
--- a/src/_monsoonpulley/duties/controlloop.py
+++ b/src/_monsoonpulley/duties/controlloop.py
@@ -4,7 +4,7 @@
 
 from ..clock import Clock
 from ..control.leases import Hold, Leases
-from ..log import Log
+from ..observability.log import Log
 from .capacity import CapacityDuty
 from .placement import CONTROL
 from .usagereport import UsageReporter
--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -12,7 +12,7 @@
 from ..control.leases import Hold
 from ..errors import Failure
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Table, Write
-from ..log import Log
+from ..observability.log import Log
 from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
 from .usage import KEEP_WINDOWS, UsageCounter
 
--- a/src/_monsoonpulley/endpoints/feed.py
+++ b/src/_monsoonpulley/endpoints/feed.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..errors import Failure
 from ..ids import EndpointId
-from ..metrics import Metrics
+from ..observability.metrics import Metrics
 from .engine import CacheEvent, EngineClient, LoadReport
 
 POLL_INTERVAL_MS = 500
--- a/src/_monsoonpulley/endpoints/roster.py
+++ b/src/_monsoonpulley/endpoints/roster.py
@@ -8,8 +8,8 @@
 from ..clock import Clock
 from ..errors import Failure
 from ..external.livelist import LiveList, Member
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 
 REFRESH_INTERVAL_MS = 2_000
 REFRESH_MS_PER_MEMBER = 40
--- /dev/null
+++ b/src/_monsoonpulley/entry/__init__.py
@@ -0,0 +1,1 @@
+"""An entry instance of the product's own gateway: assembly and life."""
--- a/src/_monsoonpulley/entryapp.py
+++ b/src/_monsoonpulley/entry/app.py
@@ -7,14 +7,14 @@
 from starlette.applications import Starlette
 from starlette.routing import BaseRoute
 
-from .explainer import Explainer, Peer, other_entries
-from .gateway.app import Handlers, make_app
-from .gateway.generations import GenerationHandler
-from .gateway.intake import Reception
-from .gateway.lookup import LookupHandler
-from .gateway.operator import OperatorHandlers
-from .gateway.services import ServiceHandler
-from .overview import InstanceOverview
+from ..explain.explainer import Explainer, Peer, other_entries
+from ..explain.overview import InstanceOverview
+from ..gateway.app import Handlers, make_app
+from ..gateway.generations import GenerationHandler
+from ..gateway.intake import Reception
+from ..gateway.lookup import LookupHandler
+from ..gateway.operator import OperatorHandlers
+from ..gateway.services import ServiceHandler
 
 if TYPE_CHECKING:
     from .instance import EntryInstance
--- a/src/_monsoonpulley/daemon.py
+++ b/src/_monsoonpulley/entry/daemon.py
@@ -9,23 +9,23 @@
 
 import aiohttp
 
-from .clock import Clock
-from .config.document import Service, ServiceKind
-from .endpoints import builtin  # noqa: F401  (registers the adapters)
-from .endpoints.adapters import EndpointTarget, engine_adapters, service_adapters
-from .endpoints.http_transport import HttpSessions
-from .endpoints.pool import Client
-from .external.connect import connect_platform
-from .external.livelist import Member
+from ..clock import Clock
+from ..config.document import Service, ServiceKind
+from ..endpoints import builtin  # noqa: F401  (registers the adapters)
+from ..endpoints.adapters import EndpointTarget, engine_adapters, service_adapters
+from ..endpoints.http_transport import HttpSessions
+from ..endpoints.pool import Client
+from ..explain.peeroperators import HttpPeerOperators
+from ..external.connect import connect_platform
+from ..external.livelist import Member
+from ..identity import Identity
+from ..ids import EndpointId
+from ..observability.log import Log
+from ..observability.metrics import Metrics, metrics_to
+from ..peers.pynng_transport import PynngTransport
+from ..settings.process import Settings
 from .httpserver import HttpServer
-from .identity import Identity
-from .ids import EndpointId
 from .instance import EntryInstance, Surroundings
-from .log import Log
-from .metrics import Metrics, metrics_to
-from .peeroperators import HttpPeerOperators
-from .peers.pynng_transport import PynngTransport
-from .settings import Settings
 
 ENGINE_ADAPTER = "openai"
 SERVICE_ADAPTER = "http"
--- a/src/_monsoonpulley/instance.py
+++ b/src/_monsoonpulley/entry/instance.py
@@ -8,49 +8,49 @@
 import asyncio
 import random
 
-from .config.document import Document, Revision
-from .config.store import ConfigStore
-from .config.watcher import ConfigWatcher
-from .control import rolloutduty  # noqa: F401  (registers the duty)
-from .control.duties import DutyRunner, make_duties
-from .control.leases import Leases
-from .control.leasestate import LeaseSettings
-from .control.parts import DutyParts
-from .control.rollout import RolloutSettings
-from .control.rolloutobserver import RolloutObserver
-from .control.rolloutrows import TripRow
-from .control.rolloutview import RolloutView
-from .control.rolloutwatch import RolloutWatch
-from .control.versionshares import RolloutShares
-from .endpoints.engine import EngineClient
-from .endpoints.feed import EngineFeed
-from .endpoints.pool import Client, EndpointPool
-from .endpoints.roster import Roster
-from .entryapp import make_entry_app
-from .entrytasks import EntryTasks
-from .external.cloud import ReclaimNotice
-from .external.livelist import Member, MemberState, Role
-from .identity import Identity
-from .ids import EndpointId, InstanceId
-from .journal.collection import Collection, CollectionSettings
-from .journal.journal import Journal
-from .journal.recovery import Recovery, RecoverySettings
-from .journal.settings import JournalSettings
+from ..config.document import Document, Revision
+from ..config.store import ConfigStore
+from ..config.watcher import ConfigWatcher
+from ..control import rolloutduty  # noqa: F401  (registers the duty)
+from ..control.duties import DutyRunner, make_duties
+from ..control.leases import Leases
+from ..control.leasestate import LeaseSettings
+from ..control.parts import DutyParts
+from ..control.rollout import RolloutSettings
+from ..control.rolloutobserver import RolloutObserver
+from ..control.rolloutrows import TripRow
+from ..control.rolloutview import RolloutView
+from ..control.rolloutwatch import RolloutWatch
+from ..control.versionshares import RolloutShares
+from ..endpoints.engine import EngineClient
+from ..endpoints.feed import EngineFeed
+from ..endpoints.pool import Client, EndpointPool
+from ..endpoints.roster import Roster
+from ..external.cloud import ReclaimNotice
+from ..external.livelist import Member, MemberState, Role
+from ..identity import Identity
+from ..ids import EndpointId, InstanceId
+from ..journal.collection import Collection, CollectionSettings
+from ..journal.journal import Journal
+from ..journal.recovery import Recovery, RecoverySettings
+from ..journal.settings import JournalSettings
+from ..peers.digest import TrippedVersion
+from ..peers.envelope import Sealer
+from ..peers.exchange import PeerExchange
+from ..peers.host import RouterHost
+from ..peers.membership import Membership
+from ..requests.admissiongate import AdmissionGate
+from ..requests.dispatcher import JournalDispatcher
+from ..requests.evacuator import Evacuator, reported_speeds
+from ..requests.passthrough import ServiceAttempts
+from ..requests.routed import RoutedPlacement
+from ..requests.streams import Streams
+from ..routing.router import Router
+from .app import make_entry_app
 from .lifecycle import Lifecycle
 from .noticewatch import NoticeWatch
-from .peers.digest import TrippedVersion
-from .peers.envelope import Sealer
-from .peers.exchange import PeerExchange
-from .peers.host import RouterHost
-from .peers.membership import Membership
-from .requests.admissiongate import AdmissionGate
-from .requests.dispatcher import JournalDispatcher
-from .requests.evacuator import Evacuator, reported_speeds
-from .requests.passthrough import ServiceAttempts
-from .requests.routed import RoutedPlacement
-from .requests.streams import Streams
-from .routing.router import Router
 from .surroundings import Surroundings
+from .tasks import EntryTasks
 
 RECLAIM_MARGIN_MS = 1_000
 """How long before a reclaim deadline the instance hands over what is left."""
--- a/src/_monsoonpulley/lifecycle.py
+++ b/src/_monsoonpulley/entry/lifecycle.py
@@ -7,8 +7,8 @@
 from contextlib import contextmanager
 from enum import Enum
 
-from .clock import Clock
-from .log import Log
+from ..clock import Clock
+from ..observability.log import Log
 
 LEAVE_GRACE_MS = 2_000
 """How long a leaving instance still takes requests that the balancer sends
--- a/src/_monsoonpulley/noticewatch.py
+++ b/src/_monsoonpulley/entry/noticewatch.py
@@ -5,10 +5,10 @@
 import random
 from collections.abc import Callable
 
-from .clock import Clock
-from .errors import Failure
-from .external.cloud import Cloud, ReclaimNotice
-from .metrics import Metrics
+from ..clock import Clock
+from ..errors import Failure
+from ..external.cloud import Cloud, ReclaimNotice
+from ..observability.metrics import Metrics
 
 POLL_INTERVAL_MS = 1_000
 
--- a/src/_monsoonpulley/surroundings.py
+++ b/src/_monsoonpulley/entry/surroundings.py
@@ -7,15 +7,15 @@
 
 import msgspec
 
-from .clock import Clock
-from .config.document import Service
-from .endpoints.pool import Client
-from .external.bundle import Platform
-from .external.livelist import Member
-from .log import Log
-from .metrics import Metrics
-from .peeroperators import NoPeerOperators, PeerOperators
-from .peers.transport import NoTransport, PeerTransport
+from ..clock import Clock
+from ..config.document import Service
+from ..endpoints.pool import Client
+from ..explain.peeroperators import NoPeerOperators, PeerOperators
+from ..external.bundle import Platform
+from ..external.livelist import Member
+from ..observability.log import Log
+from ..observability.metrics import Metrics
+from ..peers.transport import NoTransport, PeerTransport
 
 MakeClient = Callable[[Member, Service], Client]
 
--- a/src/_monsoonpulley/entrytasks.py
+++ b/src/_monsoonpulley/entry/tasks.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from .control.journalduties import log_pass
-from .ids import InstanceId
-from .supervisor import Restart, Supervisor
+from ..control.journalduties import log_pass
+from ..ids import InstanceId
+from ..supervisor import Restart, Supervisor
 
 if TYPE_CHECKING:
     from .instance import EntryInstance
--- /dev/null
+++ b/src/_monsoonpulley/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Why things happened: log lines by subject, told as sentences."""
--- a/src/_monsoonpulley/explainer.py
+++ b/src/_monsoonpulley/explain/explainer.py
@@ -12,17 +12,17 @@
 
 import msgspec
 
-from . import operator_wire as wire
-from .config.reader import ConfigReader
-from .errors import Failure, Reason
-from .external.livelist import Member, Role
-from .external.table import Row, Table
-from .ids import InstanceId, RequestId
-from .journal.record import JournalRecord, row_key
-from .journal.store import stored_record
-from .log import Log
+from .. import operator_wire as wire
+from ..config.reader import ConfigReader
+from ..errors import Failure, Reason
+from ..external.livelist import Member, Role
+from ..external.table import Row, Table
+from ..ids import InstanceId, RequestId
+from ..journal.record import JournalRecord, row_key
+from ..journal.store import stored_record
+from ..observability.log import Log
+from ..peers.membership import PeerMember
 from .peeroperators import PeerOperators
-from .peers.membership import PeerMember
 from .subjects import CONFIG
 
 ANSWER_TIMEOUT_MS = 2_000
--- a/src/_monsoonpulley/overview.py
+++ b/src/_monsoonpulley/explain/overview.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-from . import operator_wire as wire
-from .clock import Clock
-from .config.watcher import ConfigWatcher
-from .control.leases import Leases
-from .control.rolloutrows import SETTLED, RolloutRow
-from .control.rolloutview import RolloutView
-from .endpoints.pool import EndpointPool
+from .. import operator_wire as wire
+from ..clock import Clock
+from ..config.watcher import ConfigWatcher
+from ..control.leases import Leases
+from ..control.rolloutrows import SETTLED, RolloutRow
+from ..control.rolloutview import RolloutView
+from ..endpoints.pool import EndpointPool
+from ..entry.lifecycle import Lifecycle
+from ..external.livelist import MemberState
+from ..identity import Identity
+from ..ids import EndpointId
+from ..peers.membership import Membership, PeerMember
+from ..routing.router import Router
 from .explainer import Explainer
-from .external.livelist import MemberState
-from .identity import Identity
-from .ids import EndpointId
-from .lifecycle import Lifecycle
-from .peers.membership import Membership, PeerMember
-from .routing.router import Router
 
 
 class InstanceOverview:
--- a/src/_monsoonpulley/peeroperators.py
+++ b/src/_monsoonpulley/explain/peeroperators.py
@@ -8,9 +8,9 @@
 import aiohttp
 import msgspec
 
-from .errors import Failure, Reason
-from .ids import InstanceId
-from .operator_wire import EXPLAIN_PATH, ExplainBody, FailureBody
+from ..errors import Failure, Reason
+from ..ids import InstanceId
+from ..operator_wire import EXPLAIN_PATH, ExplainBody, FailureBody
 
 STEP = "explain.peer"
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
--- a/src/_monsoonpulley/external/connect.py
+++ b/src/_monsoonpulley/external/connect.py
@@ -7,9 +7,9 @@
 import aiohttp
 
 from ..errors import SettingsError
-from ..inivalues import AdapterAddress
 from ..registry import Registry
-from ..settings import PlatformSettings
+from ..settings.inivalues import AdapterAddress
+from ..settings.process import PlatformSettings
 
 # Importing the adapters registers them.
 from . import etcd_table, http_cloud, http_livelist, http_objects  # noqa: F401
--- a/src/_monsoonpulley/fleet/configurationholder.py
+++ b/src/_monsoonpulley/fleet/configurationholder.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..errors import Failure
-from ..log import Log
+from ..observability.log import Log
 from ..platform.configuration import decode_configuration
 from ..platform.names import CONFIGURATION_KEY
 from ..platform.store import Row, Rows
--- a/src/_monsoonpulley/fleet/directory.py
+++ b/src/_monsoonpulley/fleet/directory.py
@@ -7,7 +7,7 @@
 from ..clock import Clock
 from ..errors import Failure
 from ..ids import EndpointId, ServiceId
-from ..log import Log
+from ..observability.log import Log
 from ..platform.endpoints import decode_endpoint
 from ..platform.store import Row, Rows
 from .model import Endpoint
--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
-from ..log import Log
+from ..observability.log import Log
 from ..platform.store import Row, Rows, Store
 from .relay import Relay, relays_of
 
--- a/src/_monsoonpulley/gateway/app.py
+++ b/src/_monsoonpulley/gateway/app.py
@@ -11,9 +11,9 @@
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import BaseRoute, Route
 
+from ..entry.lifecycle import Lifecycle, Phase
 from ..errors import Failure, Reason
-from ..lifecycle import Lifecycle, Phase
-from ..log import Log
+from ..observability.log import Log
 from ..outcome import Outcome
 from .formats import formats
 from .generations import GenerationHandler
--- a/src/_monsoonpulley/gateway/generationcall.py
+++ b/src/_monsoonpulley/gateway/generationcall.py
@@ -13,8 +13,8 @@
 from ..endpoints.engine import Finished, Token
 from ..errors import Failure, Reason
 from ..ids import AttemptId
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from ..outcome import Outcome
 from ..requests.context import RequestContext
 from ..requests.generation import Generation, GenerationFailed
--- a/src/_monsoonpulley/gateway/generations.py
+++ b/src/_monsoonpulley/gateway/generations.py
@@ -9,11 +9,11 @@
 from ..clock import Clock
 from ..config.document import ServiceKind
 from ..endpoints.tokens import block_hashes, prompt_words
+from ..entry.lifecycle import Lifecycle
 from ..errors import Failure, Reason
 from ..ids import ClassId, RequestId
-from ..lifecycle import Lifecycle
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from ..outcome import Outcome
 from ..requests.admissiongate import AdmissionGate
 from ..requests.context import RequestContext
--- a/src/_monsoonpulley/gateway/intake.py
+++ b/src/_monsoonpulley/gateway/intake.py
@@ -10,9 +10,9 @@
 from starlette.responses import Response
 
 from ..config.document import Document, RequestClass, Service
+from ..entry.lifecycle import Lifecycle, Phase
 from ..errors import Failure, Reason
 from ..ids import ClassId, CustomerId, RequestId
-from ..lifecycle import Lifecycle, Phase
 from ..outcome import Outcome
 from .body import read_body
 from .credentials import CustomerCredentials
--- a/src/_monsoonpulley/gateway/operator.py
+++ b/src/_monsoonpulley/gateway/operator.py
@@ -16,7 +16,7 @@
 from ..config.store import ApplyConflict, ConfigStore
 from ..config.watcher import ConfigWatcher
 from ..errors import Failure, Reason
-from ..inisections import InvalidFile
+from ..settings.inisections import InvalidFile
 from .body import read_body
 from .credentials import check_operator
 
--- a/src/_monsoonpulley/gateway/services.py
+++ b/src/_monsoonpulley/gateway/services.py
@@ -13,14 +13,14 @@
 
 from ..clock import Clock
 from ..config.document import ServiceKind
+from ..entry.lifecycle import Lifecycle
 from ..errors import Failure, Reason
 from ..ids import ClassId, IdempotencyKey, RequestId
 from ..journal.journal import Journal
 from ..journal.record import request_id_for
 from ..journal.submission import Settled, Submission
-from ..lifecycle import Lifecycle
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from ..outcome import Outcome
 from ..requests.admissiongate import AdmissionGate
 from ..requests.context import GIVE_UP_TARGETS, RequestContext
--- a/src/_monsoonpulley/ingress/daemon.py
+++ b/src/_monsoonpulley/ingress/daemon.py
@@ -14,8 +14,8 @@
 
 from ..clock import Clock
 from ..errors import SettingsError
-from ..log import Log
-from ..logwriter import LogWriter
+from ..observability.log import Log
+from ..observability.logwriter import LogWriter
 from ..platform.localsettings import LocalSettings
 from ..platform.names import CONFIG_ENVIRONMENT
 from ..supervisor import Restart, Supervisor
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -11,7 +11,7 @@
 from ..ids import ZoneId
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
-from ..log import Log
+from ..observability.log import Log
 from ..placing.health import EndpointHealth
 from ..placing.loadboard import LoadBoard
 from ..placing.placer import Placer
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from ..log import Decision
+from ..observability.log import Decision
 
 
 class Result(Enum):
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -23,8 +23,8 @@
 from ..ids import InstanceId
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
-from ..log import Log
-from ..metrics import NoMetrics
+from ..observability.log import Log
+from ..observability.metrics import NoMetrics
 from ..placing.health import EndpointHealth
 from ..placing.loadboard import LoadBoard
 from ..placing.placer import Placer
--- a/src/_monsoonpulley/journal/collection.py
+++ b/src/_monsoonpulley/journal/collection.py
@@ -12,7 +12,7 @@
 from ..errors import Failure
 from ..external.objects import ObjectStore
 from ..external.table import Committed, Table, Write
-from ..log import Log
+from ..observability.log import Log
 from .record import KEY_PREFIX, JournalRecord, StoredRecord, row_key
 from .store import stored_record
 
--- a/src/_monsoonpulley/journal/decision.py
+++ b/src/_monsoonpulley/journal/decision.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..ids import EndpointId, InstanceId, RequestId
-from ..log import Decision
+from ..observability.log import Decision
 from . import steps as s
 from .record import JournalRecord, RecordedAnswer, State, StoredRecord
 
--- a/src/_monsoonpulley/journal/journal.py
+++ b/src/_monsoonpulley/journal/journal.py
@@ -18,7 +18,7 @@
 from ..external.objects import ObjectStore
 from ..external.table import Table
 from ..ids import InstanceId, RequestId
-from ..log import Log
+from ..observability.log import Log
 from ..outcome import Outcome
 from .moves import new_token
 from .record import (
--- a/src/_monsoonpulley/journal/recovery.py
+++ b/src/_monsoonpulley/journal/recovery.py
@@ -19,7 +19,7 @@
 from ..errors import Failure
 from ..external.table import Table
 from ..ids import EndpointId, InstanceId, RequestId
-from ..log import Decision, Log
+from ..observability.log import Decision, Log
 from .journal import Journal
 from .record import KEY_PREFIX, JournalRecord, State, StoredRecord
 from .store import stored_record
--- a/src/_monsoonpulley/journal/run.py
+++ b/src/_monsoonpulley/journal/run.py
@@ -11,7 +11,7 @@
 from ..endpoints.service import ServiceAnswer
 from ..errors import Delivery, Failure, Reason
 from ..ids import EndpointId, attempt_id
-from ..log import Log
+from ..observability.log import Log
 from ..outcome import Outcome
 from . import steps as s
 from .decision import JournalDecision
--- /dev/null
+++ b/src/_monsoonpulley/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines and metrics."""
--- a/src/_monsoonpulley/log.py
+++ b/src/_monsoonpulley/observability/log.py
@@ -13,9 +13,9 @@
 import msgspec
 from loguru import logger
 
-from .clock import Clock
-from .eventmemory import EventMemory
-from .subjects import is_about_request, subjects_of
+from ..clock import Clock
+from ..explain.eventmemory import EventMemory
+from ..explain.subjects import is_about_request, subjects_of
 
 Sink = Callable[[str], Any]
 
--- a/src/_monsoonpulley/operator_wire.py
+++ b/src/_monsoonpulley/operator_wire.py
@@ -30,7 +30,7 @@
 from .config.ini import render_document, with_base
 from .config.store import ApplyConflict
 from .errors import Failure, Reason
-from .inisections import InvalidFile, Problem
+from .settings.inisections import InvalidFile, Problem
 
 CONFIG_PATH = "/operator/config"
 HISTORY_PATH = "/operator/config/history"
--- a/src/_monsoonpulley/peers/exchange.py
+++ b/src/_monsoonpulley/peers/exchange.py
@@ -12,8 +12,8 @@
 from ..config.document import Revision
 from ..external.livelist import MemberState
 from ..ids import EndpointId
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from .builder import DigestBuilder, UrgentItems
 from .digest import (
     Digest,
--- a/src/_monsoonpulley/peers/pynng_transport.py
+++ b/src/_monsoonpulley/peers/pynng_transport.py
@@ -14,7 +14,7 @@
 import pynng
 
 from ..errors import Failure, Reason
-from ..metrics import Metrics
+from ..observability.metrics import Metrics
 from .envelope import MAX_BYTES
 
 SEND_QUEUE = 16
--- a/src/_monsoonpulley/requests/admissiongate.py
+++ b/src/_monsoonpulley/requests/admissiongate.py
@@ -7,8 +7,8 @@
 from ..clock import Clock
 from ..errors import Failure
 from ..ids import RequestId, ServiceId
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from ..routing.admission import AdmissionRequest, Admit, Refuse, Wait
 from ..routing.router import Router
 from .context import RequestContext
--- a/src/_monsoonpulley/requests/evacuation.py
+++ b/src/_monsoonpulley/requests/evacuation.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..ids import EndpointId, RequestId
-from ..log import Decision
+from ..observability.log import Decision
 
 MARGIN_MS = 500
 """How long before the deadline an engine should be empty."""
--- a/src/_monsoonpulley/requests/evacuator.py
+++ b/src/_monsoonpulley/requests/evacuator.py
@@ -10,8 +10,8 @@
 from ..clock import Clock
 from ..errors import Failure
 from ..ids import AttemptId, EndpointId, attempt_id
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from ..routing.view import FleetView
 from .evacuation import (
     Conditions,
--- a/src/_monsoonpulley/requests/handover.py
+++ b/src/_monsoonpulley/requests/handover.py
@@ -17,7 +17,7 @@
 from ..external.objects import ObjectStore
 from ..external.table import ABSENT_REVISION, Row, Table, Write
 from ..ids import RequestId
-from ..log import Log
+from ..observability.log import Log
 from .streamstate import StreamState, decode_state, encode_state, object_name
 
 INDEX_PREFIX = "stream-index/"
--- a/src/_monsoonpulley/requests/routed.py
+++ b/src/_monsoonpulley/requests/routed.py
@@ -9,8 +9,8 @@
 from ..clock import Clock
 from ..errors import Delivery, Failure, Reason
 from ..ids import AttemptId, EndpointId, RequestId, ServiceId, VersionId
-from ..log import Log
-from ..metrics import Metrics
+from ..observability.log import Log
+from ..observability.metrics import Metrics
 from ..routing.policies import RouteRequest
 from ..routing.priority import engine_priority
 from ..routing.retries import RetryAsk
--- a/src/_monsoonpulley/requests/streams.py
+++ b/src/_monsoonpulley/requests/streams.py
@@ -12,7 +12,7 @@
 from ..errors import Failure, Reason
 from ..external.bundle import Platform
 from ..ids import CustomerId, EndpointId, RequestId
-from ..log import Log
+from ..observability.log import Log
 from .context import RequestContext
 from .detached import DetachedLimits, DetachedStreams
 from .generation import Generation
--- a/src/_monsoonpulley/routing/admissiondecision.py
+++ b/src/_monsoonpulley/routing/admissiondecision.py
@@ -6,7 +6,7 @@
 
 from ..errors import Delivery, Failure, Reason
 from ..ids import ClassId, CustomerId, RequestId, ServiceId
-from ..log import Decision
+from ..observability.log import Decision
 
 
 class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/_monsoonpulley/routing/retries.py
+++ b/src/_monsoonpulley/routing/retries.py
@@ -18,7 +18,7 @@
 
 from ..errors import Delivery
 from ..ids import RequestId, ServiceId
-from ..log import Decision
+from ..observability.log import Decision
 
 RETRY_RATIO = 0.1
 MAX_CREDIT = 10.0
--- a/src/_monsoonpulley/routing/routedecision.py
+++ b/src/_monsoonpulley/routing/routedecision.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..ids import EndpointId, RequestId, ServiceId, VersionId, ZoneId
-from ..log import Decision
+from ..observability.log import Decision
 from .policies import RouteRequest
 from .prediction import Prediction
 
--- /dev/null
+++ b/src/_monsoonpulley/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process, in INI."""
--- a/src/_monsoonpulley/inisections.py
+++ b/src/_monsoonpulley/settings/inisections.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from .errors import SettingsError
+from ..errors import SettingsError
 from .inivalues import convert_value
 
 T = TypeVar("T")
--- a/src/_monsoonpulley/settings.py
+++ b/src/_monsoonpulley/settings/process.py
@@ -13,8 +13,8 @@
 import msgspec
 from msgspec import Meta
 
-from .errors import SettingsError
-from .ids import InstanceId, ZoneId
+from ..errors import SettingsError
+from ..ids import InstanceId, ZoneId
 from .inisections import (
     Problems,
     parse_sections,
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -13,7 +13,7 @@
 from ..errors import Failure
 from ..fleet.relay import Relay
 from ..ids import ZoneId
-from ..log import Log
+from ..observability.log import Log
 from .digest import Digest, decode_message, encode_message
 from .members import Member, Members
 
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..ids import InstanceId, ZoneId
-from ..log import Log
+from ..observability.log import Log
 from .digest import Digest
 
 HEARD_MS = 1_500
--- a/src/_monsoonpulley/sharing/registration.py
+++ b/src/_monsoonpulley/sharing/registration.py
@@ -7,7 +7,7 @@
 from ..clock import Clock
 from ..errors import Failure
 from ..ids import InstanceId
-from ..log import Log
+from ..observability.log import Log
 from ..platform.store import Conflict, Put, Store
 from .members import Members
 
--- a/src/_monsoonpulley/standins/httpserver.py
+++ b/src/_monsoonpulley/standins/httpserver.py
@@ -8,7 +8,7 @@
 
 from starlette.types import ASGIApp
 
-from ..httpserver import HttpServer
+from ..entry.httpserver import HttpServer
 
 
 @contextlib.asynccontextmanager
--- a/src/_monsoonpulley/standins/operators.py
+++ b/src/_monsoonpulley/standins/operators.py
@@ -8,9 +8,9 @@
 from starlette.types import ASGIApp
 
 from ..errors import Failure, Reason
+from ..explain.peeroperators import STEP, decode_answer, explain_target
 from ..ids import InstanceId
 from ..operator_wire import ExplainBody
-from ..peeroperators import STEP, decode_answer, explain_target
 from .caller import Caller
 from .manualloop import running_clock
 
--- a/src/_monsoonpulley/standins/plan.py
+++ b/src/_monsoonpulley/standins/plan.py
@@ -9,8 +9,8 @@
 
 from ..config.document import ServiceKind
 from ..ids import ServiceId, VersionId, ZoneId
-from ..inisections import Problems, parse_sections, read_struct, suggestion
-from ..inivalues import ListenAddress
+from ..settings.inisections import Problems, parse_sections, read_struct, suggestion
+from ..settings.inivalues import ListenAddress
 from .engine_profile import EngineProfile
 from .plainservice import PlainServiceProfile
 
--- a/src/_monsoonpulley/standins/platform_http.py
+++ b/src/_monsoonpulley/standins/platform_http.py
@@ -20,8 +20,8 @@
 from ..external.http_cloud import ErrorBody, StartRequest, StartResponse
 from ..external.http_livelist import target_group
 from ..ids import ZoneId
-from ..inivalues import AdapterAddress
-from ..settings import PlatformSettings
+from ..settings.inivalues import AdapterAddress
+from ..settings.process import PlatformSettings
 from .calls import DEFAULT_TIMEOUT_MS
 from .etcd_http import EtcdHttp
 from .platform import PlatformStandin
--- a/src/_monsoonpulley/standins/serve.py
+++ b/src/_monsoonpulley/standins/serve.py
@@ -8,9 +8,9 @@
 
 from ..clock import Clock
 from ..config.document import ServiceKind
+from ..entry.httpserver import HttpServer
 from ..external.cloud import InstanceSpec
 from ..external.livelist import Member, Role
-from ..httpserver import HttpServer
 from ..ids import EndpointId, VersionId
 from .endpoints_http import engine_app, service_app
 from .engine import EngineStandin
--- a/src/_monsoonpulley/standins/world.py
+++ b/src/_monsoonpulley/standins/world.py
@@ -17,14 +17,14 @@
 from ..config.document import Document, Revision, Service, ServiceKind
 from ..config.store import ConfigStore
 from ..endpoints.pool import Client
+from ..entry.instance import EntryInstance, Surroundings
 from ..external.cloud import InstanceSpec
 from ..external.livelist import Member, Role
 from ..gateway.credentials import credential_sha256
 from ..identity import Identity
 from ..ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
-from ..instance import EntryInstance, Surroundings
-from ..log import Log
-from ..metrics import NoMetrics
+from ..observability.log import Log
+from ..observability.metrics import NoMetrics
 from .caller import Caller
 from .engine import EngineStandin
 from .engine_counters import ComputedBlocks
--- a/src/_monsoonpulley/supervisor.py
+++ b/src/_monsoonpulley/supervisor.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from .clock import Clock
-from .log import Log
+from .observability.log import Log
 
 FIRST_BACKOFF_MS = 100
 LONGEST_BACKOFF_MS = 10_000
--- a/src/monsoonpulley/__main__.py
+++ b/src/monsoonpulley/__main__.py
@@ -5,7 +5,7 @@
 
 def main() -> None:
     """Run the command line."""
-    from _monsoonpulley.cli import run
+    from _monsoonpulley.commandline.cli import run
 
     run()
 
--- a/testing/test_cli.py
+++ b/testing/commandline/test_cli.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from unittest import mock
 
-from _monsoonpulley.cli import main
+from _monsoonpulley.commandline.cli import main
 from testing.config.documents import VALID, document_of
 from testing.operatorserver import CREDENTIAL, OperatorServer
 
@@ -165,7 +165,7 @@
 
     def test_lost_answers_without_end_are_in_doubt_and_name_the_token(self):
         self.server.lost_answers = 100
-        with mock.patch("_monsoonpulley.operator_client.APPLY_RETRY_MS", 1):
+        with mock.patch("_monsoonpulley.commandline.operatorclient.APPLY_RETRY_MS", 1):
             result = self.apply(VALID)
         self.assertEqual(result.code, 3)
         self.assertIn(self.head().change_token, result.err)
@@ -177,7 +177,7 @@
 
         self.server.before_apply = before_apply
         self.server.lost_answers = 1
-        with mock.patch("_monsoonpulley.operator_client.APPLY_RETRY_MS", 1):
+        with mock.patch("_monsoonpulley.commandline.operatorclient.APPLY_RETRY_MS", 1):
             result = self.apply(VALID)
         self.assertEqual(result.code, 3)
         self.assertIn(f"change token {self.server.puts[0].change_token}", result.err)
--- a/testing/config/test_ini.py
+++ b/testing/config/test_ini.py
@@ -6,7 +6,7 @@
 from _monsoonpulley.config.document import Document, Service, ServiceKind
 from _monsoonpulley.config.ini import parse_document, render_document
 from _monsoonpulley.errors import SettingsError
-from _monsoonpulley.inisections import InvalidFile
+from _monsoonpulley.settings.inisections import InvalidFile
 from testing.config.documents import VALID, document_of, documents
 
 STEERING = "targets and version deadlines are the only controls"
--- a/testing/config/test_pages.py
+++ b/testing/config/test_pages.py
@@ -10,7 +10,7 @@
 from _monsoonpulley.config.ini import parse_document
 from _monsoonpulley.external.bundle import Platform
 from _monsoonpulley.external.connect import connect_platform
-from _monsoonpulley.settings import Settings
+from _monsoonpulley.settings.process import Settings
 
 ROOT = Path(__file__).parent.parent.parent
 
--- a/testing/config/test_store.py
+++ b/testing/config/test_store.py
@@ -18,7 +18,7 @@
 from _monsoonpulley.config.rows import HEAD_KEY, HISTORY_PREFIX, decode_revision
 from _monsoonpulley.config.store import ApplyConflict, ConfigStore
 from _monsoonpulley.errors import Failure, Reason
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from testing.config.documents import document_of
 from testing.config.faketable import FakeTable, Fault, TableClient
--- a/testing/config/test_watcher.py
+++ b/testing/config/test_watcher.py
@@ -12,7 +12,7 @@
     PollSchedule,
     WatchTimes,
 )
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from testing.config.documents import document_of
 from testing.config.faketable import FakeTable, TableClient
--- a/testing/control/capacityworld.py
+++ b/testing/control/capacityworld.py
@@ -18,7 +18,7 @@
 from _monsoonpulley.control.offers import MachineProfile
 from _monsoonpulley.external.cloud import InstanceSpec, Price
 from _monsoonpulley.external.livelist import Member, Role
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.cloud import CloudState
 from _monsoonpulley.standins.manualloop import running_clock
 from _monsoonpulley.standins.platform import PlatformStandin
--- a/testing/control/leasegroup.py
+++ b/testing/control/leasegroup.py
@@ -10,8 +10,8 @@
 from _monsoonpulley.control.leases import Hold, Leases
 from _monsoonpulley.control.leasestate import LeaseSettings
 from _monsoonpulley.identity import Identity
-from _monsoonpulley.log import Log
-from _monsoonpulley.metrics import NoMetrics
+from _monsoonpulley.observability.log import Log
+from _monsoonpulley.observability.metrics import NoMetrics
 from _monsoonpulley.standins.manualloop import running_clock
 from _monsoonpulley.standins.table import TableStandin
 
--- a/testing/control/test_instances.py
+++ b/testing/control/test_instances.py
@@ -5,7 +5,7 @@
 import unittest
 
 from _monsoonpulley.control.leasestate import LeaseSettings
-from _monsoonpulley.entrytasks import OWN_RECORDS_FIRST_MS
+from _monsoonpulley.entry.tasks import OWN_RECORDS_FIRST_MS
 from _monsoonpulley.standins.world import EntryPlan
 
 from ..support import ALICE, run_world, small_deployment
--- a/testing/control/test_orders.py
+++ b/testing/control/test_orders.py
@@ -11,7 +11,7 @@
 from _monsoonpulley.control.orders import Intent, OrderRow, OrderSender, next_row
 from _monsoonpulley.endpoints.engine import Order, OrderKind
 from _monsoonpulley.errors import Delivery, Failure, Reason
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.faults import FaultKind, Latency
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from _monsoonpulley.standins.table import TableStandin
--- a/testing/control/test_rollout_failures.py
+++ b/testing/control/test_rollout_failures.py
@@ -14,7 +14,7 @@
 from _monsoonpulley.control.rolloutduty import RolloutDuty
 from _monsoonpulley.control.rolloutrows import TRIP_PREFIX
 from _monsoonpulley.external.table import Table
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.bad_version import BadEffect, BadVersion
 from _monsoonpulley.standins.faults import Part
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
--- a/testing/duties/test_usagereport.py
+++ b/testing/duties/test_usagereport.py
@@ -10,7 +10,7 @@
 from _monsoonpulley.duties.usagereport import REPORT_AFTER_MS, UsageReporter
 from _monsoonpulley.errors import Failure, Reason
 from _monsoonpulley.ids import CustomerId, InstanceId
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.table import TableStandin
 
 CUSTOMER = CustomerId("customer-1")
--- a/testing/test_httpserver.py
+++ b/testing/entry/test_httpserver.py
@@ -2,7 +2,7 @@
 import socket
 import unittest
 
-from _monsoonpulley.httpserver import listening_socket
+from _monsoonpulley.entry.httpserver import listening_socket
 
 
 class ListeningSocketTest(unittest.IsolatedAsyncioTestCase):
--- a/testing/test_explain.py
+++ b/testing/explain/test_explain.py
@@ -3,16 +3,16 @@
 
 import msgspec
 
-from _monsoonpulley.cli_explain import explain_text
+from _monsoonpulley.commandline.explanation import explain_text
 from _monsoonpulley.config.document import Version
-from _monsoonpulley.eventmemory import EventMemory
-from _monsoonpulley.explainer import ANSWER_TIMEOUT_MS
+from _monsoonpulley.explain.eventmemory import EventMemory
+from _monsoonpulley.explain.explainer import ANSWER_TIMEOUT_MS
+from _monsoonpulley.explain.subjects import SubjectKind, duty, request, subjects_of
 from _monsoonpulley.journal.record import request_id_for
 from _monsoonpulley.operator_wire import ExplainBody, ExplainLine
 from _monsoonpulley.peers.membership import GONE_AFTER_MS
 from _monsoonpulley.standins.plainservice import PlainServiceProfile
 from _monsoonpulley.standins.world import EndpointPlan, EntryPlan
-from _monsoonpulley.subjects import SubjectKind, duty, request, subjects_of
 from testing.support import ALICE, run_world, small_deployment
 
 SECRET = "what only alice knows"
--- a/testing/test_peeroperators.py
+++ b/testing/explain/test_peeroperators.py
@@ -3,8 +3,8 @@
 import aiohttp
 
 from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.explain.peeroperators import HttpPeerOperators
 from _monsoonpulley.operator_wire import ExplainBody
-from _monsoonpulley.peeroperators import HttpPeerOperators
 from testing.operatorserver import CREDENTIAL, OperatorServer
 
 
--- a/testing/external/test_adapters.py
+++ b/testing/external/test_adapters.py
@@ -14,7 +14,7 @@
 from _monsoonpulley.external.livelist import Member, MemberState, Role
 from _monsoonpulley.external.table import Committed, Conflict, Row, Write
 from _monsoonpulley.ids import ZoneId
-from _monsoonpulley.inivalues import AdapterAddress
+from _monsoonpulley.settings.inivalues import AdapterAddress
 from _monsoonpulley.standins.brokenanswers import Breakage, BrokenAnswers
 from _monsoonpulley.standins.faults import FaultKind
 from _monsoonpulley.standins.httpserver import serving
--- a/testing/fleet/test_configurationholder.py
+++ b/testing/fleet/test_configurationholder.py
@@ -8,7 +8,7 @@
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.fleet.configurationholder import ConfigurationHolder
 from _monsoonpulley.fleet.model import RouteKind
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.store import Row, Rows
 
 from ..ingress.site import configuration
--- a/testing/fleet/test_directory.py
+++ b/testing/fleet/test_directory.py
@@ -8,7 +8,7 @@
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.fleet.directory import RETURN_GRACE_MS, EndpointDirectory
 from _monsoonpulley.ids import EndpointId, ServiceId
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.store import Row, Rows
 
 SERVICE = ServiceId("svc")
--- a/testing/fleet/test_tablefollower.py
+++ b/testing/fleet/test_tablefollower.py
@@ -10,7 +10,7 @@
 from _monsoonpulley.errors import Failure, Reason
 from _monsoonpulley.fleet.relay import MOST_BYTES, Relay, relays_of
 from _monsoonpulley.fleet.tablefollower import TableFollower
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.store import Row, Rows
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 
--- a/testing/ingress/site.py
+++ b/testing/ingress/site.py
@@ -11,7 +11,7 @@
 from _monsoonpulley.ids import InstanceId, ZoneId
 from _monsoonpulley.ingress.counters import Counters
 from _monsoonpulley.ingress.service import IngressService
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.localsettings import Address, Bounds, LocalSettings
 from _monsoonpulley.standins.rowstore import RowStore
 
--- a/testing/journal/world.py
+++ b/testing/journal/world.py
@@ -15,7 +15,7 @@
 from _monsoonpulley.journal.recovery import Recovery, RecoverySettings
 from _monsoonpulley.journal.settings import JournalSettings
 from _monsoonpulley.journal.submission import Submission
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.outcome import Outcome
 from _monsoonpulley.standins.manualloop import ManualLoop
 
--- a/testing/test_logwriter.py
+++ b/testing/observability/test_logwriter.py
@@ -6,7 +6,7 @@
 import os
 import unittest
 
-from _monsoonpulley.logwriter import BURST_LINES, LINES_PER_S, LogWriter
+from _monsoonpulley.observability.logwriter import BURST_LINES, LINES_PER_S, LogWriter
 
 
 class TestLogWriter(unittest.IsolatedAsyncioTestCase):
--- a/testing/test_metrics.py
+++ b/testing/observability/test_metrics.py
@@ -1,7 +1,7 @@
 import socket
 import unittest
 
-from _monsoonpulley.metrics import NoMetrics, metrics_to
+from _monsoonpulley.observability.metrics import NoMetrics, metrics_to
 
 
 class MetricsTest(unittest.TestCase):
--- a/testing/operatorserver.py
+++ b/testing/operatorserver.py
@@ -12,10 +12,10 @@
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.config.store import ConfigStore
 from _monsoonpulley.config.watcher import ConfigWatcher
+from _monsoonpulley.entry.httpserver import HttpServer
 from _monsoonpulley.gateway.credentials import credential_sha256
 from _monsoonpulley.gateway.operator import OperatorHandlers
-from _monsoonpulley.httpserver import HttpServer
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.operator_wire import (
     ApplyBody,
     ConfigStatusBody,
--- a/testing/peers/test_pynng_transport.py
+++ b/testing/peers/test_pynng_transport.py
@@ -2,7 +2,7 @@
 import unittest
 
 from _monsoonpulley.errors import Failure, Reason
-from _monsoonpulley.metrics import NoMetrics
+from _monsoonpulley.observability.metrics import NoMetrics
 from _monsoonpulley.peers.pynng_transport import SEND_QUEUE, PynngTransport
 
 ANY_PORT = "tcp://127.0.0.1:0"
--- a/testing/placing/test_zonereach.py
+++ b/testing/placing/test_zonereach.py
@@ -6,7 +6,7 @@
 
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.ids import InstanceId, ZoneId
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.placing.zonereach import HOLD_MS, ZoneReach
 from _monsoonpulley.sharing.digest import Digest
 from _monsoonpulley.sharing.members import ZONE_SILENT_MS, Members
--- a/testing/test_settings.py
+++ b/testing/settings/test_process.py
@@ -3,10 +3,10 @@
 from pathlib import Path
 
 from _monsoonpulley.errors import SettingsError
-from _monsoonpulley.inivalues import AdapterAddress, ListenAddress, Secret
-from _monsoonpulley.settings import LogLevel, Settings
+from _monsoonpulley.settings.inivalues import AdapterAddress, ListenAddress, Secret
+from _monsoonpulley.settings.process import LogLevel, Settings
 
-EXAMPLES = Path(__file__).parent.parent / "examples"
+EXAMPLES = Path(__file__).parents[2] / "examples"
 VALID = (EXAMPLES / "entry.ini").read_text(encoding="utf-8")
 
 
--- a/testing/sharing/test_members.py
+++ b/testing/sharing/test_members.py
@@ -7,7 +7,7 @@
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.errors import Failure
 from _monsoonpulley.ids import InstanceId
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.sharing.digest import Digest, decode_message, encode_message
 from _monsoonpulley.sharing.members import FORGET_MS, HEARD_MS, Members
 
--- a/testing/test_supervisor.py
+++ b/testing/test_supervisor.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from _monsoonpulley.log import Log
+from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from _monsoonpulley.supervisor import LONGEST_BACKOFF_MS, Restart, Supervisor
 
