--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from ..errors import Failure, Reason
 from ..placing.placer import Choice
 from ..platform.answerheaders import (
@@ -26,9 +24,7 @@
 )
 from .eventsplitter import EventSplitter, StreamEvent, is_after
 from .requestlog import Result
-
-if TYPE_CHECKING:
-    from .requestrun import RequestRun
+from .requeststate import SHED_RETRY_MS, RequestState
 
 MOST_ANSWER_BYTES = 8_388_608
 """A plain answer larger than this is not collected: it would crowd out others."""
@@ -51,7 +47,7 @@
 
     Parameters
     ----------
-    run : RequestRun
+    run : RequestState
         The request.
     choice : Choice
         Where it goes.
@@ -66,7 +62,7 @@
         What went wrong, for the log.
     """
 
-    def __init__(self, run: RequestRun, choice: Choice):
+    def __init__(self, run: RequestState, choice: Choice):
         self._run = run
         self.choice = choice
         self._parts = run.parts
@@ -120,7 +116,7 @@
         elif result is Result.FAILED and self._head is not None:
             self._pass_whole(self._head)
         elif result is Result.NOT_RUN and not run.may_have_run:
-            run.respond(503, self.detail, retry_after_ms=500)
+            run.respond(503, self.detail, SHED_RETRY_MS)
         else:
             run.respond(502, self.detail)
 
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -5,17 +5,16 @@
 import asyncio
 import random
 
-from ..fleet.model import Configuration, Customer, Route, RouteKind, Service
-from ..ids import CustomerId, EndpointId, ServiceId
+from ..fleet.model import Configuration, Route
+from ..ids import ServiceId
 from ..limits.quota import Refused
 from ..placing.placer import Choice, Need, NoPlace
-from ..platform.answerheaders import own_headers
-from ..platform.requestheaders import read_request
 from ..wire.events import TimeUp
 from ..wire.serverconnection import Exchange
 from .attempt import Attempt
 from .parts import IngressParts
 from .requestlog import AttemptEnded, RequestEnded, Result
+from .requeststate import SHED_RETRY_MS, RequestState
 
 NO_CONFIGURATION_RETRY_MS = 1_000
 """An instance that has just started knows its configuration by then."""
@@ -23,11 +22,8 @@
 MOST_UNREACHABLE = 3
 """Endpoints that may be found unreachable before the request is refused."""
 
-SHED_RETRY_MS = 500
-"""After an endpoint had no room: about six of its plain requests later."""
 
-
-class RequestRun:
+class RequestRun(RequestState):
     """Handles one request.
 
     Parameters
@@ -41,27 +37,10 @@
     """
 
     def __init__(self, exchange: Exchange, parts: IngressParts, rng: random.Random):
-        self.exchange = exchange
-        self.parts = parts
+        super().__init__(exchange, parts)
         self._rng = rng
-        self.facts = read_request(exchange.request)
-        self.request_id = self.facts.request_id.decode("latin-1")
-        self.configuration: Configuration | None = parts.configuration.current
-        self.route: Route | None = None
-        self.customer: Customer | None = None
-        self.service: Service | None = None
-        self.deadline_ms = 0
-        self.tried: set[EndpointId] = set()
-        self.sends = 0
-        self.may_have_run = False
-        self.is_counted = False
-        self.first_ms: int | None = None
-        self.last_event_id: bytes | None = None
         self._cost = 0.0
         self._unreachable = 0
-        self._status = 0
-        self._detail = ""
-        self._retry_after_ms: int | None = None
 
     async def run(self) -> None:
         """Serve the request; its exchange is over afterwards."""
@@ -84,41 +63,6 @@
             self.parts.counters.in_progress.dec()
             self._log()
 
-    def respond(
-        self, status: int, detail: str, retry_after_ms: int | None = None
-    ) -> None:
-        """Write a final answer of the project's own, or break off a begun one."""
-        self._detail = detail
-        if self.exchange.has_started:
-            self.exchange.abort()
-            return
-        self._status = status
-        self._retry_after_ms = retry_after_ms
-        self.exchange.respond(
-            status, own_headers(self.facts.request_id, retry_after_ms)
-        )
-
-    def passed(self, status: int, detail: str = "") -> None:
-        """Note that an endpoint's answer went to the caller."""
-        self._status = status
-        self._detail = detail
-
-    def left(self) -> None:
-        """Note that the caller is gone."""
-        self._detail = "caller left"
-        self.exchange.abort()
-
-    def time_up(self) -> None:
-        """Give the final answer at the deadline or the route's timeout."""
-        if self.may_have_run:
-            self.respond(504, "time is up")
-        else:
-            self.respond(503, "time is up", SHED_RETRY_MS)
-
-    def left_ms(self) -> int:
-        """Return the time until the final answer is due."""
-        return self.deadline_ms - self.parts.clock.now_ms()
-
     def _admit(self) -> bool:
         configuration = self.configuration
         if configuration is None:
@@ -285,7 +229,7 @@
         kind = self.route.kind if self.route else None
         kind_name = kind.value if kind else ""
         counters = self.parts.counters
-        counters.requests.labels(kind_name, str(self._status), self._detail[:40]).inc()
+        counters.requests.labels(kind_name, str(self.status), self.detail[:40]).inc()
         if self.first_ms is not None:
             counters.first_byte_s.labels(kind_name).observe(self.first_ms / 1000)
         since_ms = self.parts.configuration.since_ms
@@ -297,24 +241,14 @@
                 kind=kind_name,
                 customer=self.customer.id if self.customer else "",
                 service=self.service.id if self.service else "",
-                status=self._status,
-                detail=self._detail,
+                status=self.status,
+                detail=self.detail,
                 may_have_run=self.may_have_run,
                 attempts=self.sends,
                 took_ms=now_ms - received_ms,
                 first_ms=self.first_ms,
-                retry_after_ms=self._retry_after_ms,
+                retry_after_ms=self.retry_after_ms,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
             )
         )
-
-    @property
-    def customer_id(self) -> CustomerId | None:
-        """Return the id of the customer whose key was shown."""
-        return self.customer.id if self.customer else None
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether the answer is passed on while it arrives."""
-        return self.route is not None and self.route.kind is RouteKind.STREAMING
--- a/src/_monsoonpulley/routing/pool.py
+++ b/src/_monsoonpulley/routing/pool.py
@@ -2,27 +2,36 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Generic, Protocol, TypeVar
 
 import msgspec
 
 from ..ids import EndpointId
 
-if TYPE_CHECKING:
-    from .view import EndpointView
-
 RATE_WINDOW_MS = 2_000
 MEAN_OUTPUT_REQUESTS = 20
 
 
-class Pool:
+class Pooled(Protocol):
+    """What a pool needs to know of an endpoint."""
+
+    @property
+    def id(self) -> EndpointId:
+        """Return the endpoint's id."""
+        ...
+
+
+E = TypeVar("E", bound=Pooled)
+
+
+class Pool(Generic[E]):
     """The LIVE endpoints of one version in one data centre, in O(1) steps."""
 
     def __init__(self) -> None:
-        self.endpoints: list[EndpointView] = []
+        self.endpoints: list[E] = []
         self._index: dict[EndpointId, int] = {}
 
-    def add(self, endpoint: EndpointView) -> None:
+    def add(self, endpoint: E) -> None:
         """Add an endpoint; nothing happens if it is there."""
         if endpoint.id not in self._index:
             self._index[endpoint.id] = len(self.endpoints)
