--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Callable
+
 import msgspec
 
 from ..clock import Clock
 from ..duties.usage import UsageCounter
 from ..fleet.configurationholder import ConfigurationHolder
 from ..fleet.directory import EndpointDirectory
+from ..fleet.model import Configuration, Endpoint
 from ..ids import ZoneId
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
@@ -17,6 +21,7 @@
 from ..placing.placer import Placer
 from ..placing.promptmemory import PromptMemory
 from ..placing.zonereach import ZoneReach
+from ..platform.localsettings import LocalSettings
 from ..sharing.members import Members
 from .counters import Counters
 from .upstreams import Upstreams
@@ -41,3 +46,46 @@
     reach: ZoneReach
     upstreams: Upstreams
     usage: UsageCounter
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: LocalSettings,
+        clock: Clock,
+        log: Log,
+        counters: Counters,
+        rng: random.Random,
+        *,
+        on_configuration: Callable[[Configuration], None],
+        on_endpoint_gone: Callable[[Endpoint], None],
+    ) -> IngressParts:
+        """Return the parts of an instance that has just started."""
+        bounds = settings.bounds
+        board, health, memory = LoadBoard(), EndpointHealth(), PromptMemory()
+        return cls(
+            zone=settings.zone,
+            clock=clock,
+            log=log,
+            counters=counters,
+            configuration=ConfigurationHolder(clock, log, on_configuration),
+            directory=EndpointDirectory(clock, log, on_endpoint_gone),
+            members=Members(settings.instance, clock, log),
+            quotas=QuotaLedger(
+                bounds.quota_window_s,
+                bounds.quota_overage,
+                bounds.quota_slack,
+                starts_full=settings.is_first_start,
+            ),
+            retries=RetryBudget(
+                bounds.retry_budget_ratio,
+                bounds.budget_window_s,
+                bounds.budget_extra_retries,
+            ),
+            board=board,
+            health=health,
+            memory=memory,
+            placer=Placer(board, health, memory, rng),
+            reach=ZoneReach(),
+            upstreams=Upstreams(clock),
+            usage=UsageCounter(bounds.usage_window_s),
+        )
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -7,37 +7,17 @@
 from collections.abc import Awaitable, Callable
 
 from ..clock import Clock
-from ..control.leases import Leases
-from ..control.leasestate import LeaseSettings
-from ..duties.capacity import CapacityDuty
-from ..duties.controlloop import ControlLoop
-from ..duties.placement import CONTROL, ControlPlacement
-from ..duties.usage import UsageCounter
-from ..duties.usagereport import UsageReporter
-from ..fleet.configurationholder import ConfigurationHolder
-from ..fleet.directory import EndpointDirectory
+from ..duties.control import Control
 from ..fleet.model import Configuration, Endpoint
 from ..fleet.relay import Relay
 from ..fleet.tablefollower import TableFollower
-from ..identity import Identity
 from ..ids import InstanceId
-from ..limits.quota import QuotaLedger
-from ..limits.retrybudget import RetryBudget
 from ..observability.log import Log
-from ..observability.metrics import NoMetrics
-from ..placing.health import EndpointHealth
-from ..placing.loadboard import LoadBoard
-from ..placing.placer import Placer
-from ..placing.promptmemory import PromptMemory
-from ..placing.zonereach import ZoneReach
-from ..platform.cloud import CloudClient
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
 from ..platform.store import Store
-from ..platform.table import StoreTable
 from ..sharing.digest import Digest
 from ..sharing.exchange import DigestExchange
-from ..sharing.members import Members
 from ..sharing.registration import InstanceRow, Registration
 from ..wire.caller import HttpCaller
 from ..wire.server import HttpServer
@@ -45,7 +25,6 @@
 from .counters import Counters
 from .parts import IngressParts
 from .requestrun import RequestRun
-from .upstreams import Upstreams
 
 CONFIGURATION_WAIT_MS = 3_000
 """How long the store holds a call for a change of the configuration: a call
@@ -69,15 +48,6 @@
 """A round so much late means that the process stood still: what it believes of
 others is old."""
 
-SHORTEST_LEASE_MS = 3_000
-"""Three renewals and the margin fit; used where the platform allows less."""
-
-LEASE_SCAN_MS = 2_000
-"""Of the holder, whose renewals show it most changes, and of who may be next."""
-
-IDLE_LEASE_SCAN_MS = 30_000
-"""Of an instance that hears another hold the lease."""
-
 DRAIN_LISTEN_MS = 2_600
 """From the announced stop to the end of listening: the balancer takes out an
 instance after two checks, a second apart, and callers connect until then."""
@@ -120,7 +90,15 @@
             HttpCaller(settings.store.ip, settings.store.port, clock),
             lambda name, result: counters.store_calls.labels(name, result).inc(),
         )
-        self.parts = self._make_parts()
+        self.parts = IngressParts.from_settings(
+            settings,
+            clock,
+            log,
+            counters,
+            rng,
+            on_configuration=self._on_configuration,
+            on_endpoint_gone=self._on_endpoint_gone,
+        )
         parts = self.parts
         self.exchange = DigestExchange(
             parts.members,
@@ -136,86 +114,14 @@
         self._metrics = HttpServer(self._on_metrics, CallerLimits, clock)
         self._followers = self._make_followers()
         self._last_tick_ms = clock.now_ms()
-        self._had_holder = False
-        self._leases = self._make_leases()
-        self._control = self._make_control()
-
-    def _make_leases(self) -> Leases:
-        settings = self.settings
-        identity = Identity(settings.instance, settings.zone, "", self.incarnation)
-        placement = ControlPlacement(
-            settings.instance,
-            self.parts.members,
-            lambda: self._leases.hold(CONTROL) is not None,
+        self._control = Control(
+            settings,
+            self.incarnation,
+            parts,
+            self.store,
+            rng,
             lambda: self.is_stopping,
         )
-        lease_ms = max(SHORTEST_LEASE_MS, round(settings.bounds.lease_duration_ms))
-        return Leases(
-            StoreTable(self.store),
-            identity,
-            placement,
-            self.clock,
-            self._rng,
-            self.log,
-            NoMetrics(),
-            LeaseSettings(
-                lease_ms=lease_ms,
-                renew_ms=lease_ms // 3,
-                scan_ms=LEASE_SCAN_MS,
-                idle_scan_ms=IDLE_LEASE_SCAN_MS,
-            ),
-        )
-
-    def _make_control(self) -> ControlLoop | None:
-        settings, parts = self.settings, self.parts
-        if settings.cloud is None:
-            return None
-        caller = HttpCaller(settings.cloud.ip, settings.cloud.port, self.clock)
-        cloud = CloudClient(caller, settings.instance)
-        usage = UsageReporter(
-            parts.usage, StoreTable(self.store), cloud, self.clock, self.log
-        )
-        capacity = CapacityDuty(
-            parts.configuration,
-            parts.directory,
-            parts.board,
-            cloud,
-            self.clock,
-            self.log,
-        )
-        return ControlLoop(self._leases, usage, capacity, self.clock, self.log)
-
-    def _make_parts(self) -> IngressParts:
-        settings, clock, log = self.settings, self.clock, self.log
-        bounds = settings.bounds
-        board, health, memory = LoadBoard(), EndpointHealth(), PromptMemory()
-        return IngressParts(
-            zone=settings.zone,
-            clock=clock,
-            log=log,
-            counters=self.counters,
-            configuration=ConfigurationHolder(clock, log, self._on_configuration),
-            directory=EndpointDirectory(clock, log, self._on_endpoint_gone),
-            members=Members(settings.instance, clock, log),
-            quotas=QuotaLedger(
-                bounds.quota_window_s,
-                bounds.quota_overage,
-                bounds.quota_slack,
-                starts_full=settings.is_first_start,
-            ),
-            retries=RetryBudget(
-                bounds.retry_budget_ratio,
-                bounds.budget_window_s,
-                bounds.budget_extra_retries,
-            ),
-            board=board,
-            health=health,
-            memory=memory,
-            placer=Placer(board, health, memory, self._rng),
-            reach=ZoneReach(),
-            upstreams=Upstreams(clock),
-            usage=UsageCounter(bounds.usage_window_s),
-        )
 
     def _make_followers(self) -> dict[str, TableFollower]:
         parts = self.parts
@@ -255,11 +161,12 @@
             (f"follow/{name}", follower.run)
             for name, follower in self._followers.items()
         ]
-        control = [("control", self._control.run)] if self._control else []
+        loop = self._control.loop
+        control = [("control", loop.run)] if loop is not None else []
         return [
             *followed,
             *control,
-            ("leases", self._leases.run),
+            ("leases", self._control.leases.run),
             ("digests", self.exchange.run),
             ("registration", self._register),
             ("sweep", self.callers.sweep),
@@ -373,7 +280,7 @@
             configuration=current.version if current else 0,
             is_leaving=self.is_stopping,
             reaches_store=all(f.lost_ms is None for f in self._followers.values()),
-            lease_token=self._control.fencing_number() if self._control else 0,
+            lease_token=self._control.fencing_number(),
             loads=parts.board.own_loads(),
             used=parts.quotas.used() if is_full else {},
             begun=parts.usage.own() if is_full else {},
@@ -408,10 +315,7 @@
         parts.retries.set_members(members)
         parts.reach.set_silent(parts.members.silent_zones(parts.zone))
         parts.board.expire(now_ms)
-        has_holder = parts.members.holder() is not None
-        if self._had_holder and not has_holder:
-            self._leases.wake()
-        self._had_holder = has_holder
+        self._control.tick()
         parts.directory.expire()
         parts.usage.expire(self.clock.wall_ms())
         parts.upstreams.sweep()
