Measure time by the clock that goes on while a machine is suspended

The monotonic clock stands still then: a holder that was suspended past its lease would have taken it for held, and wall time would have been late by the suspension.

--- a/src/_monsoonpulley/clock.py
+++ b/src/_monsoonpulley/clock.py
@@ -25,9 +25,14 @@
 
     @classmethod
     def from_system(cls) -> Clock:
-        """Return a clock on the machine's own time."""
-        offset_ms = round((time.time() - time.monotonic()) * 1000)
-        return cls(time.monotonic, offset_ms)
+        """Return a clock on the machine's own time.
+
+        It goes on while the machine is suspended: a lease or a share of a quota
+        that lapsed meanwhile must not look fresh. Wall time is taken once, so that
+        later steps of the time of day change nothing.
+        """
+        offset_ms = round((time.time() - _boot_s()) * 1000)
+        return cls(_boot_s, offset_ms)
 
     def now_ms(self) -> int:
         """Return monotonic milliseconds."""
@@ -42,6 +47,10 @@
         await asyncio.sleep(duration_ms / 1000)
 
 
+def _boot_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to, for tests of pure decisions."""
 
