Move services to new versions by their deadline, or take them back

Cause: orders of roll-outs were not read, so that the endpoints of a new version got traffic like all others, whatever they answered. Change: a new version gets 0.04 of a service's requests for half of its time, then 0.2, 0.5 and all; results of all instances are pooled by digest and put to the product's own test against the old version's; any instance that sees the fault takes the version back for all. The holder of the duties writes the status by conditional writes. A restarted instance reads how an order has ended before the version gets anything.

Tests play good versions, and versions that fail, are slow, fail on one route, late or under load.

--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -14,10 +14,12 @@
 from ..platform.localsettings import LocalSettings
 from ..platform.store import Store
 from ..platform.table import StoreTable
+from ..rollouts.recall import RolloutRecall
 from ..wire.caller import HttpCaller
 from .capacity import CapacityDuty
 from .controlloop import ControlLoop
 from .placement import CONTROL, ControlPlacement
+from .rollout import RolloutDuty
 from .usagereport import UsageReporter
 
 SHORTEST_LEASE_MS = 3_000
@@ -60,7 +62,9 @@
     ):
         self._settings = settings
         self._parts = parts
+        self._store = store
         self._table = StoreTable(store)
+        self.recall = RolloutRecall(parts.rollouts, store, parts.clock, parts.log)
         self.leases = self._make_leases(incarnation, rng, is_leaving)
         self.loop = self._make_loop()
         self._had_holder = False
@@ -116,6 +120,7 @@
             CapacityDuty(
                 parts.configuration, parts.directory, parts.board, cloud, clock, log
             ),
+            RolloutDuty(parts.rollouts, self.recall, parts.directory, self._store, log),
             clock,
             log,
         )
--- a/src/_monsoonpulley/duties/controlloop.py
+++ b/src/_monsoonpulley/duties/controlloop.py
@@ -7,6 +7,7 @@
 from ..observability.log import Log
 from .capacity import CapacityDuty
 from .placement import CONTROL
+from .rollout import RolloutDuty
 from .usagereport import UsageReporter
 
 STEP_MS = 500
@@ -24,6 +25,8 @@
         Reports usage.
     capacity : CapacityDuty
         Orders endpoints.
+    rollout : RolloutDuty
+        Moves traffic to new versions.
     clock, log : Clock, Log
         Time, and where taking over and losing the duty are noted.
     """
@@ -33,12 +36,14 @@
         leases: Leases,
         usage: UsageReporter,
         capacity: CapacityDuty,
+        rollout: RolloutDuty,
         clock: Clock,
         log: Log,
     ):
         self._leases = leases
         self._usage = usage
         self._capacity = capacity
+        self._rollout = rollout
         self._clock = clock
         self._log = log
         self._fencing_number = 0
@@ -54,6 +59,8 @@
             hold = self._leases.hold(CONTROL)
             self._note(hold)
             if hold is not None:
+                await self._rollout.step(hold)
+            if hold is not None and hold.may_act():
                 await self._usage.step(hold)
             if hold is not None and hold.may_act():
                 await self._capacity.step(hold)
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..control.verdict import Result as VersionResult
 from ..errors import Failure, Reason
 from ..placing.placer import Choice
 from ..platform.answerheaders import (
@@ -41,6 +42,9 @@
 SHED_WEIGHT = 1.0
 """An endpoint without room counts like one failure."""
 
+_TELLING = frozenset((Result.ANSWERED, Result.FAILED, Result.SPOILED, Result.TIME_UP))
+"""Results that say something of the endpoint's version."""
+
 
 class Attempt:
     """Sends the request to the chosen endpoint and passes on what it answers.
@@ -74,6 +78,7 @@
         self._size_bytes = 0
         self._splitter: EventSplitter | None = None
         self._unread_tokens = choice.unread_tokens
+        self._events = 0
         self.took_ms = 0
         self.first_ms: int | None = None
         self.detail = ""
@@ -254,6 +259,7 @@
             if not is_after(event.id, run.last_event_id):
                 return
             run.last_event_id = event.id
+        self._events += 1
         if self.first_ms is None:
             self._note_first()
             self._count_begun(self._parts.clock.wall_ms())
@@ -302,8 +308,27 @@
         self.detail = detail
         return Result.SPOILED
 
+    def _result(self, result: Result) -> VersionResult:
+        assert self._run.route is not None
+        first_ms = self.first_ms if self.first_ms is not None else self.took_ms
+        gap_ms = None
+        if self._events > 1:
+            gap_ms = (self.took_ms - first_ms) / (self._events - 1)
+        return VersionResult(
+            service=self._endpoint.service,
+            version=self._endpoint.version,
+            route=self._run.route.name,
+            endpoint=self._endpoint.id,
+            is_failure=result is not Result.ANSWERED,
+            first_answer_ms=first_ms,
+            target_ms=self._run.route.target_latency_ms,
+            gap_ms=gap_ms,
+        )
+
     def _judge(self, result: Result) -> None:
-        """Note how the endpoint did."""
+        """Note how the endpoint did, and its version."""
+        if result in _TELLING:
+            self._parts.rollouts.note(self._result(result))
         now_ms = self._parts.clock.now_ms()
         if result is Result.ANSWERED:
             took_ms = self.first_ms if self.first_ms is not None else self.took_ms
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -22,6 +22,8 @@
 from ..placing.promptmemory import PromptMemory
 from ..placing.zonereach import ZoneReach
 from ..platform.localsettings import LocalSettings
+from ..platform.store import Row
+from ..rollouts.rollouts import Rollouts
 from ..sharing.members import Members
 from .counters import Counters
 from .upstreams import Upstreams
@@ -46,6 +48,7 @@
     reach: ZoneReach
     upstreams: Upstreams
     usage: UsageCounter
+    rollouts: Rollouts
 
     @classmethod
     def from_settings(
@@ -57,6 +60,7 @@
         rng: random.Random,
         *,
         on_configuration: Callable[[Configuration], None],
+        on_operator_row: Callable[[Row], None],
         on_endpoint_gone: Callable[[Endpoint], None],
     ) -> IngressParts:
         """Return the parts of an instance that has just started."""
@@ -67,7 +71,9 @@
             clock=clock,
             log=log,
             counters=counters,
-            configuration=ConfigurationHolder(clock, log, on_configuration),
+            configuration=ConfigurationHolder(
+                clock, log, on_configuration, on_operator_row
+            ),
             directory=EndpointDirectory(clock, log, on_endpoint_gone),
             members=Members(settings.instance, clock, log),
             quotas=QuotaLedger(
@@ -88,4 +94,5 @@
             reach=ZoneReach(),
             upstreams=Upstreams(clock),
             usage=UsageCounter(bounds.usage_window_s),
+            rollouts=Rollouts(clock, log, rng),
         )
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -174,7 +174,9 @@
         )
         return parts.placer.choose(
             need,
-            parts.directory.ready(self.service.id),
+            parts.rollouts.allowed(
+                self.service.id, parts.directory.ready(self.service.id)
+            ),
             self.tried,
             parts.zone,
             now_ms,
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -8,15 +8,17 @@
 
 from ..clock import Clock
 from ..duties.control import Control
+from ..errors import Failure
 from ..fleet.model import Configuration, Endpoint
 from ..fleet.relay import Relay
 from ..fleet.tablefollower import TableFollower
-from ..ids import InstanceId
+from ..ids import InstanceId, ServiceId
 from ..observability.log import Log
 from ..platform.endpoints import decode_endpoint
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
-from ..platform.store import Store
+from ..platform.rollouts import ORDER_PREFIX, decode_order
+from ..platform.store import Row, Store
 from ..sharing.digest import Digest
 from ..sharing.exchange import DigestExchange
 from ..sharing.registration import InstanceRow, Registration
@@ -98,6 +100,7 @@
             counters,
             rng,
             on_configuration=self._on_configuration,
+            on_operator_row=self._on_operator_row,
             on_endpoint_gone=self._on_endpoint_gone,
         )
         parts = self.parts
@@ -173,6 +176,7 @@
             *followed,
             *control,
             ("leases", self._control.leases.run),
+            ("rollouts", self._control.recall.run),
             ("digests", self.exchange.run),
             ("registration", self._register),
             ("sweep", self.callers.sweep),
@@ -259,6 +263,19 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.counters.configuration_version.set(configuration.version)
 
+    def _on_operator_row(self, row: Row) -> None:
+        if not row.key.startswith(ORDER_PREFIX):
+            return
+        if row.value is None:
+            service = ServiceId(row.key.removeprefix(ORDER_PREFIX))
+            self.parts.rollouts.drop_order(service)
+            return
+        order = decode_order(row.value, row.row_version)
+        if isinstance(order, Failure):
+            self.log.event("rollout_order_refused", row=row.key, error=str(order))
+            return
+        self.parts.rollouts.set_order(order)
+
     def _on_endpoint_gone(self, endpoint: Endpoint) -> None:
         self.parts.upstreams.forget(endpoint)
         self.parts.memory.forget(endpoint.id)
@@ -272,7 +289,7 @@
         )
         await registration.run(self.clock, self.log)
 
-    def _digest(self, is_full: bool) -> Digest:
+    def _digest(self, is_full: bool, to_all: bool) -> Digest:
         self._sequence += 1
         parts = self.parts
         current = parts.configuration.current
@@ -290,6 +307,8 @@
             loads=parts.board.own_loads(),
             used=parts.quotas.used() if is_full else {},
             begun=parts.usage.own() if is_full else {},
+            rollouts=parts.rollouts.progress(),
+            results=parts.rollouts.take_outbox() if to_all else (),
         )
 
     def _on_digest(self, digest: Digest) -> None:
@@ -298,6 +317,7 @@
         parts.board.hear(peer, digest.loads, self.clock.now_ms())
         parts.quotas.hear(peer, digest.incarnation, digest.used)
         parts.usage.hear(peer, digest.incarnation, digest.begun)
+        parts.rollouts.hear(digest.rollouts, digest.results)
 
     def _on_relay(self, relay: Relay) -> None:
         follower = self._followers.get(relay.table)
--- /dev/null
+++ b/src/_monsoonpulley/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Versions that take over a service's traffic, or are taken back."""
--- /dev/null
+++ b/src/_monsoonpulley/rollouts/recall.py
@@ -0,0 +1,67 @@
+"""How orders that were given before this process started have ended."""
+
+from __future__ import annotations
+
+from ..clock import Clock
+from ..errors import Failure
+from ..observability.log import Log
+from ..platform.rollouts import (
+    STATUS_TABLE,
+    RolloutOrder,
+    RolloutStatus,
+    decode_status,
+    rollout_key,
+)
+from ..platform.store import Store
+from .rollouts import Phase, Rollouts
+
+CHECK_MS = 500
+"""Between two looks for orders whose status was not read yet."""
+
+_ENDED = {
+    RolloutStatus.DONE: Phase.DONE,
+    RolloutStatus.TAKEN_BACK: Phase.TAKEN_BACK,
+}
+
+
+class RolloutRecall:
+    """Reads the status of each order once, when it is first seen.
+
+    Until then the new version gets nothing: it may have been taken back.
+    """
+
+    def __init__(self, rollouts: Rollouts, store: Store, clock: Clock, log: Log):
+        self._rollouts = rollouts
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._read: set[int] = set()
+
+    def is_read(self, order: RolloutOrder) -> bool:
+        """Return whether the order's status has been read."""
+        return order.row_version in self._read
+
+    async def run(self) -> None:
+        """Look for new orders until cancelled."""
+        while True:
+            await self._clock.sleep_ms(CHECK_MS)
+            for order in self._rollouts.orders():
+                if not self.is_read(order):
+                    await self.read(order)
+
+    async def read(self, order: RolloutOrder) -> None:
+        """Read the status of one order."""
+        row = await self._store.get_one(STATUS_TABLE, rollout_key(order.service))
+        if isinstance(row, Failure):
+            self._log.event("rollout_status_unread", error=str(row))
+            return
+        self._read.add(order.row_version)
+        if row is None or row.value is None or row.row_version < order.row_version:
+            return
+        status = decode_status(row.value)
+        if isinstance(status, Failure):
+            self._log.event("rollout_status_unread", error=str(status))
+            return
+        version, state = status
+        if version == order.version and state in _ENDED:
+            self._rollouts.advance(order, _ENDED[state], "by its status row")
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -6,6 +6,7 @@
 
 from ..errors import Failure, Reason
 from ..fleet.relay import Relay
+from ..rollouts.rollouts import Progress, SharedResult
 
 
 class Digest(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -39,6 +40,10 @@
         What each customer has used here since the start.
     begun : dict
         Requests begun, by usage window and customer.
+    rollouts : tuple of Progress
+        How far orders of roll-outs have come, as the sender knows.
+    results : tuple of SharedResult
+        Results of new versions since the sender's last digest to all.
     """
 
     instance: str
@@ -54,6 +59,8 @@
     loads: dict[str, tuple[int, int]] = {}
     used: dict[str, float] = {}
     begun: dict[int, dict[str, int]] = {}
+    rollouts: tuple[Progress, ...] = ()
+    results: tuple[SharedResult, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -41,8 +41,8 @@
     zone : ZoneId
         This instance's data centre.
     make : callable
-        Takes whether the digest is to be a full one, returns this instance's
-        `Digest` of now.
+        Takes whether the digest is to be a full one, and whether it goes to all;
+        returns this instance's `Digest` of now.
     on_digest : callable
         Takes each `Digest` that is newer than what was known.
     on_relay : callable
@@ -60,7 +60,7 @@
         self,
         members: Members,
         zone: ZoneId,
-        make: Callable[[bool], Digest],
+        make: Callable[[bool, bool], Digest],
         on_digest: Callable[[Digest], None],
         on_relay: Callable[[Relay], None],
         clock: Clock,
@@ -101,16 +101,18 @@
         self._round += 1
         members = self._members.all()
         is_large = len(members) > FULL_RATE_MEMBERS
+        to_all = True
         if is_large and self._round % FAR_INTERVALS:
+            to_all = False
             members = [m for m in members if m.zone in (self._zone, "")]
             is_full = self._round % FULL_INTERVALS == 0
         else:
             is_full = is_large or self._round % FULL_INTERVALS == 0
-        self._send(encode_message(self._make(is_full)), members)
+        self._send(encode_message(self._make(is_full, to_all)), members)
 
     def send_all(self) -> None:
         """Send a full digest to every other instance at once."""
-        self._send(encode_message(self._make(True)), self._members.all())
+        self._send(encode_message(self._make(True, True)), self._members.all())
 
     def relay(self, relays: list[Relay]) -> None:
         """Send relays to every other instance."""
