Concentrate a new version's traffic, so that faults under load show early

Change: before it has all traffic, a version's endpoints get twice the load of the old ones, on as few endpoints as that takes, the same on every instance.

--- a/src/_monsoonpulley/rollouts/rollouts.py
+++ b/src/_monsoonpulley/rollouts/rollouts.py
@@ -48,6 +48,10 @@
 STOPPING_MS = 10_000
 """After a version is done, the old endpoints stop at once; their rows go later."""
 
+CONCENTRATION = 2
+"""How many times the load of an old endpoint one of a new version gets before it has
+all traffic: faults that show under load have to show early."""
+
 
 class Progress(msgspec.Struct, array_like=True, frozen=True):
     """Where an order stands; ``order`` is the version of the order's row."""
@@ -181,8 +185,9 @@
         if rollout.phase is Phase.TAKEN_BACK:
             return old
         new = tuple(e for e in endpoints if e.version == version)
-        if new and self._rng.random() < SHARES[rollout.phase]:
-            return new
+        share = SHARES[rollout.phase]
+        if new and self._rng.random() < share:
+            return new if share >= 1 else _concentrated(new, share * len(old))
         if not old and rollout.phase is not Phase.HELD:
             return new
         return old
@@ -233,3 +238,12 @@
         if rollout is None or rollout.order.row_version != order.row_version:
             return None
         return rollout
+
+
+def _concentrated(new: tuple[Endpoint, ...], worth: float) -> tuple[Endpoint, ...]:
+    """Return those of a version that share the load of ``worth`` old endpoints.
+
+    They are the same on every instance.
+    """
+    count = max(1, int(worth / CONCENTRATION))
+    return tuple(sorted(new, key=lambda endpoint: endpoint.id)[:count])
--- a/testing/rollouts/test_rollouts.py
+++ b/testing/rollouts/test_rollouts.py
@@ -254,6 +254,29 @@
         self.assertIs(self.store.status, RolloutStatus.DONE)
 
 
+class TestConcentration(RolloutTest):
+    async def test_few_endpoints_of_a_new_version_see_more_than_the_usual_load(self):
+        await self.order()
+        old = tuple(endpoint(f"o-{n}", OLD) for n in range(8))
+        new = tuple(endpoint(f"n-{n}", NEW) for n in range(8))
+        for phase, most in ((Phase.CANARY, 1), (Phase.RAMP, 1), (Phase.HALF, 2)):
+            used = set()
+            for each in self.instances:
+                each.rollouts.advance(ORDER, phase, "test")
+                for _ in range(200):
+                    used |= set(each.rollouts.allowed(SERVICE, old + new))
+            with self.subTest(phase=phase):
+                self.assertEqual(sum(e.version == NEW for e in used), most)
+
+    async def test_with_all_traffic_all_endpoints_are_used(self):
+        await self.order()
+        rollouts = self.instances[0].rollouts
+        rollouts.advance(ORDER, Phase.FULL, "test")
+        allowed = rollouts.allowed(SERVICE, ENDPOINTS)
+        self.assertEqual({e.version for e in allowed}, {NEW})
+        self.assertEqual(len(allowed), 3)
+
+
 class TestKnowledge(RolloutTest):
     async def test_taken_back_stays_so_for_an_order(self):
         await self.order()
