--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -231,7 +231,9 @@
         kind = self.route.kind if self.route else None
         kind_name = kind.value if kind else ""
         counters = self.parts.counters
-        counters.requests.labels(kind_name, str(self.status), self.detail[:40]).inc()
+        # What follows a colon differs from request to request.
+        reason = self.detail.partition(":")[0]
+        counters.requests.labels(kind_name, str(self.status), reason).inc()
         if self.first_ms is not None:
             counters.first_byte_s.labels(kind_name).observe(self.first_ms / 1000)
         since_ms = self.parts.configuration.since_ms
