--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -213,6 +213,7 @@
     async def _watch(self) -> None:
         while True:
             failure = await self.scan()
+            _stop_if_cancelled()
             self._note_scan(failure)
             wait_ms = self._scan_interval_ms()
             spread = self._rng.uniform(
@@ -343,6 +344,17 @@
         return state.held.fencing_number == fencing_number
 
 
+def _stop_if_cancelled() -> None:
+    """End the task if it was cancelled while a call was answered.
+
+    On Python 3.11 `asyncio.wait_for` loses a cancellation that comes together with
+    the answer, and the task would never end.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 def _answer(sent: _Sent, result: Committed | Failure) -> Event:
     token = sent.pending.row.token
     if isinstance(result, Committed):
