Let a roll-out that is done stand; pass over usage rows that can't be read

Found by reading. A write of done whose answer was lost, or that another holder had made, was overwritten by rolled_back when a fault was told afterwards, although the old version's endpoints had stopped: a conflict with a row that says done for this order now ends it. A usage row that can't be read raised out of the duties' loop, so that all duties stopped at it for good, and a conflict without its row would have been reported as no use at all: the first is logged and passed over, the second a failure.

--- a/src/_monsoonpulley/duties/rollout.py
+++ b/src/_monsoonpulley/duties/rollout.py
@@ -116,7 +116,7 @@
         if isinstance(result, int):
             self._row_versions[key] = result
         elif isinstance(result, Conflict):
-            is_done = self._take_conflict(key, value, result)
+            is_done = self._take_conflict(order, key, value, result)
         self._log.event(
             "rollout_status_written",
             service=order.service,
@@ -129,8 +129,19 @@
             self._written[order.row_version] = status
         return is_done
 
-    def _take_conflict(self, key: str, value: bytes, conflict: Conflict) -> bool:
-        """Return whether the row already says what was to be written."""
+    def _take_conflict(
+        self, order: RolloutOrder, key: str, value: bytes, conflict: Conflict
+    ) -> bool:
+        """Return whether the row already says what was to be written.
+
+        A row that says that the order is done stands, whoever wrote it: the old
+        version's endpoints have stopped.
+        """
         row = next((row for row in conflict.rows if row.key == key), None)
         self._row_versions[key] = row.row_version if row is not None else 0
-        return row is not None and row.value == value
+        if row is None or row.value is None:
+            return False
+        done = encode_status(order, RolloutStatus.DONE)
+        if row.value == done and row.row_version > order.row_version:
+            self._rollouts.advance(order, Phase.DONE, "by its status row")
+        return row.value == value
--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..control.leases import Hold
-from ..errors import Failure
+from ..errors import Failure, Reason
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Table, Write
 from ..observability.log import Log
 from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
@@ -22,6 +22,9 @@
 
 REPORT_PREFIX = "usage/"
 
+FORGET_WINDOWS = 4 * KEEP_WINDOWS
+"""Windows after which it is forgotten that one was reported: it is due no more."""
+
 
 class UsageReporter:
     """Reports the windows that are due.
@@ -72,7 +75,11 @@
             counts = await self._fix(window)
             if isinstance(counts, Failure):
                 self._log.event("usage_not_fixed", window=window, error=str(counts))
-                return
+                if counts.reason is not Reason.INVALID:
+                    return
+                # No later try would find other counts: go on to the next window.
+                self._reported.add(window)
+                continue
             if not hold.may_act(CALL_TIMEOUT_MS):
                 return
             failure = await self._cloud.report_usage(
@@ -88,10 +95,8 @@
             if failure is not None:
                 return
             self._reported.add(window)
-        self._reported = {w for w in self._reported if w > self._newest_kept()}
-
-    def _newest_kept(self) -> int:
-        return self._counter.window_of(self._clock.wall_ms()) - 4 * KEEP_WINDOWS
+        forget = self._counter.window_of(self._clock.wall_ms()) - FORGET_WINDOWS
+        self._reported = {w for w in self._reported if w > forget}
 
     async def _fix(self, window: int) -> dict[str, int] | Failure:
         """Write a window's counts, or return those that were written before."""
@@ -102,11 +107,20 @@
         if isinstance(result, Committed):
             return counts
         if isinstance(result, Conflict):
-            row = result.current.get(key)
-            value = row.value if row is not None else b"{}"
-            return msgspec.json.decode(value, type=dict[str, int])
+            return _written_counts(key, result)
         return result
 
 
+def _written_counts(key: str, conflict: Conflict) -> dict[str, int] | Failure:
+    """Return the counts that another write has fixed."""
+    row = conflict.current.get(key)
+    if row is None:
+        return Failure(Reason.CONFLICT, "usage.fix", detail="the row is not named")
+    try:
+        return msgspec.json.decode(row.value, type=dict[str, int])
+    except msgspec.MsgspecError as error:
+        return Failure(Reason.INVALID, "usage.fix", detail=f"{key}: {error}")
+
+
 def _key(window: int) -> str:
     return f"{REPORT_PREFIX}{window:012d}"
--- a/testing/duties/test_usagereport.py
+++ b/testing/duties/test_usagereport.py
@@ -9,6 +9,7 @@
 from _monsoonpulley.duties.usage import UsageCounter
 from _monsoonpulley.duties.usagereport import REPORT_AFTER_MS, UsageReporter
 from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.external.table import Write
 from _monsoonpulley.ids import CustomerId, InstanceId
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.table import TableStandin
@@ -106,6 +107,24 @@
         await holder.reporter.step(self.hold(1))
         self.assertEqual([r[2] for r in self.cloud.reports], [{CUSTOMER: 1}])
 
+    async def test_counts_that_can_not_be_read_are_not_reported(self):
+        holder = Holder(self, "a")
+        window = holder.counter.window_of(self.clock.wall_ms())
+        write = Write(f"usage/{window:012d}", b"not counts", 0)
+        await holder.table.commit([write])
+        self.clock.advance_ms(WINDOW_MS + REPORT_AFTER_MS)
+        await holder.reporter.step(self.hold(1))
+        self.assertEqual(self.cloud.reports, [])
+
+    async def test_a_window_that_can_not_be_read_does_not_hold_up_the_next(self):
+        holder = Holder(self, "a")
+        window = holder.counter.window_of(self.clock.wall_ms())
+        write = Write(f"usage/{window:012d}", b"not counts", 0)
+        await holder.table.commit([write])
+        self.clock.advance_ms(2 * WINDOW_MS + REPORT_AFTER_MS)
+        await holder.reporter.step(self.hold(1))
+        self.assertEqual([r[1] for r in self.cloud.reports], [window + 1])
+
     async def test_nothing_is_reported_without_the_lease(self):
         holder = Holder(self, "a")
         self.clock.advance_ms(WINDOW_MS + REPORT_AFTER_MS)
--- a/testing/rollouts/test_rollouts.py
+++ b/testing/rollouts/test_rollouts.py
@@ -203,6 +203,39 @@
         self.assertEqual(self.sent_new, 0)
 
 
+class TestUnconfirmedEnd(RolloutTest):
+    async def test_done_is_not_taken_back_although_its_answer_was_lost(self):
+        # The old version's endpoints have stopped by then.
+        await self.order()
+        await self.play(13_500, good)
+        self.assertEqual(self.phases(), {Phase.FULL})
+        self.store.loses = True
+        while self.store.status is not RolloutStatus.DONE:
+            await self.play(500, good)
+        self.store.loses = False
+        for each in self.instances:
+            each.rollouts.advance(ORDER, Phase.TAKEN_BACK, "a late fault")
+        await self.play(1_500, good)
+        self.assertIs(self.store.status, RolloutStatus.DONE)
+        self.assertEqual(self.phases(), {Phase.DONE})
+
+    async def test_a_holder_that_never_heard_of_the_end_does_not_undo_it(self):
+        await self.order()
+        row = encode_status(ORDER, RolloutStatus.DONE)
+        self.store.row = Row("rollout/svc", row, 50)
+        for each in self.instances:
+            each.rollouts.advance(ORDER, Phase.TAKEN_BACK, "a late fault")
+        await self.play(1_500, good)
+        self.assertIs(self.store.status, RolloutStatus.DONE)
+
+    async def test_the_end_of_an_earlier_order_is_overwritten(self):
+        row = encode_status(ORDER, RolloutStatus.DONE)
+        self.store.row = Row("rollout/svc", row, 5)
+        await self.order()
+        await self.play(2_000, good)
+        self.assertIs(self.store.status, RolloutStatus.RUNNING)
+
+
 class TestBadVersions(RolloutTest):
     EXPOSURE = 0.1
     """Share of the requests that a bad version may get until its deadline."""
