Remove what nothing uses; name figures; one rendezvous hash; test slow callers

No behaviour is meant to change but for the hash by which unseen prompts are placed, which now is the one of the digests between instances. A refused settings file is told as valid JSON, an unreadable row of an instance as a log line. New tests: heads that take too long, idle connections, answers before the body's end, announced closes.

--- a/src/_monsoonpulley/ingress/daemon.py
+++ b/src/_monsoonpulley/ingress/daemon.py
@@ -10,6 +10,7 @@
 import sys
 from pathlib import Path
 
+import msgspec
 from loguru import logger
 
 from ..clock import Clock
@@ -26,6 +27,9 @@
 """Of the instance's own ports, the one with the metrics; `deploy/system.toml`
 names it too."""
 
+EXIT_WRONG_SETTINGS = 2
+"""As of the command line, for wrong usage or an invalid file."""
+
 SETTINGS_CHECK_MS = 2_000
 """How often the settings file is looked at: it may change without a signal."""
 
@@ -36,8 +40,9 @@
     try:
         settings = LocalSettings.from_file(path)
     except SettingsError as error:
-        print(f'{{"event":"settings_refused","error":"{error}"}}', flush=True)
-        return 2
+        line = {"event": "settings_refused", "error": str(error)}
+        print(msgspec.json.encode(line).decode(), flush=True)
+        return EXIT_WRONG_SETTINGS
     asyncio.run(_run(path, settings))
     return 0
 
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -55,6 +55,9 @@
 """From the announced stop to the end of listening: the balancer takes out an
 instance after two checks, a second apart, and callers connect until then."""
 
+DRAIN_CHECK_MS = 50
+"""Between two looks at whether requests are still in progress."""
+
 DRAIN_MARGIN_MS = 300
 """Kept back from the time until the process is killed."""
 
@@ -218,7 +221,7 @@
         self.callers.stop_listening()
         left_ms = round(self.settings.bounds.grace_period_s * 1000) - DRAIN_MARGIN_MS
         while self._runs and self.clock.now_ms() - stop_ms < left_ms:
-            await self.clock.sleep_ms(50)
+            await self.clock.sleep_ms(DRAIN_CHECK_MS)
         self.log.event("stopped", cut_off=len(self._runs))
         self.store.close()
 
@@ -285,9 +288,14 @@
         settings = self.settings
         row = InstanceRow(settings.peer_ip, settings.peer_ports[0])
         registration = Registration(
-            settings.instance, row, self.store, self.parts.members
+            settings.instance,
+            row,
+            self.store,
+            self.parts.members,
+            self.clock,
+            self.log,
         )
-        await registration.run(self.clock, self.log)
+        await registration.run()
 
     def _digest(self, is_full: bool, to_all: bool) -> Digest:
         self._sequence += 1
--- a/src/_monsoonpulley/placing/health.py
+++ b/src/_monsoonpulley/placing/health.py
@@ -22,6 +22,10 @@
 LATENCY_SMOOTHING = 0.2
 """Weight of the newest answer in the mean excess time."""
 
+ANSWER_RELIEF = 0.8
+"""What is left of the weight of failures after an answer: three answers in a row
+halve it."""
+
 EXCESS_DECAY_MS = 3_000
 """The excess time of an endpoint that isn't used any more halves in this time."""
 
@@ -51,7 +55,7 @@
         known = self.excess_ms(endpoint, now_ms)
         health.excess_ms = known + LATENCY_SMOOTHING * (excess_ms - known)
         health.answered_ms = now_ms
-        health.failures = self._decayed(health, now_ms) * 0.8
+        health.failures = self._decayed(health, now_ms) * ANSWER_RELIEF
         health.failed_ms = now_ms
 
     def failures(self, endpoint: EndpointId, now_ms: int) -> float:
--- a/src/_monsoonpulley/placing/loadboard.py
+++ b/src/_monsoonpulley/placing/loadboard.py
@@ -81,11 +81,6 @@
             own.running + peers.running, own.unread_tokens + peers.unread_tokens
         )
 
-    def own_running(self, endpoint: EndpointId) -> int:
-        """Return how many of this instance's requests run at an endpoint."""
-        load = self._own.get(endpoint)
-        return load.running if load else 0
-
     def own_loads(self) -> dict[str, tuple[int, int]]:
         """Return this instance's load, for its digest."""
         return {
--- a/src/_monsoonpulley/placing/placer.py
+++ b/src/_monsoonpulley/placing/placer.py
@@ -32,6 +32,10 @@
 SERVICE_MS = 80.0
 """Time of a plain service's request, at the mean of the sheets."""
 
+FULLNESS_SHARE = 0.2
+"""By which a plain service's request takes longer on an endpoint that is full: such
+endpoints slow down, so that the emptier one is preferred."""
+
 FAILURE_MS = 100.0
 """What one recent failure counts in predicted time."""
 
@@ -209,8 +213,7 @@
 def _answer_ms(running: int, slots: int) -> float:
     """Return the predicted time to the answer of a plain service."""
     waiting = max(0, running + 1 - slots)
-    # Endpoints that are nearly full slow down: prefer the emptier one.
-    return SERVICE_MS * (1 + 0.2 * running / slots + waiting / slots)
+    return SERVICE_MS * (1 + (FULLNESS_SHARE * running + waiting) / slots)
 
 
 def _retry_after_ms(missing_ms: float) -> int:
--- a/src/_monsoonpulley/placing/promptmemory.py
+++ b/src/_monsoonpulley/placing/promptmemory.py
@@ -11,9 +11,9 @@
 from collections.abc import Iterable
 
 import msgspec
-import xxhash
 
 from ..ids import EndpointId
+from ..peers.rendezvous import weight
 
 MOST_PARTS = 4_096
 """Parts that are remembered: several times those in use on the users' sheets;
@@ -92,7 +92,4 @@
 
 def rendezvous(key: str, endpoints: Iterable[EndpointId]) -> EndpointId:
     """Return the endpoint on which all instances agree for a key."""
-    return max(
-        endpoints,
-        key=lambda endpoint: xxhash.xxh64_intdigest(f"{key}/{endpoint}".encode()),
-    )
+    return max(endpoints, key=lambda endpoint: weight(endpoint, key))
--- a/src/_monsoonpulley/platform/requestheaders.py
+++ b/src/_monsoonpulley/platform/requestheaders.py
@@ -98,7 +98,6 @@
     endpoint: EndpointId,
     customer: CustomerId | None,
     left_ms: int,
-    urgency: int | None = None,
     last_event_id: bytes | None = None,
 ) -> bytes:
     """Return the bytes of a request for an endpoint.
@@ -113,8 +112,6 @@
         Whose key the caller showed.
     left_ms : int
         Time until the endpoint has to be done.
-    urgency : int or None
-        0 is first; None leaves the endpoint's default.
     last_event_id : bytes or None
         The last event that the caller has, for a stream that goes on; None
         leaves what the caller sent.
@@ -132,8 +129,6 @@
     lines.append(b"%s: %s" % (names.EXPECT_INSTANCE, endpoint.encode()))
     if customer is not None:
         lines.append(b"%s: %s" % (names.TENANT, customer.encode()))
-    if urgency is not None:
-        lines.append(b"%s: %d" % (names.URGENCY, urgency))
     if last_event_id is not None:
         lines.append(b"%s: %s" % (names.LAST_EVENT_ID, last_event_id))
     has_body_header = {b"content-length", b"transfer-encoding"} & request.fields.keys()
--- a/src/_monsoonpulley/sharing/registration.py
+++ b/src/_monsoonpulley/sharing/registration.py
@@ -36,22 +36,30 @@
     """
 
     def __init__(
-        self, own: InstanceId, row: InstanceRow, store: Store, members: Members
+        self,
+        own: InstanceId,
+        row: InstanceRow,
+        store: Store,
+        members: Members,
+        clock: Clock,
+        log: Log,
     ):
         self._own = own
         self._row = row
         self._store = store
         self._members = members
+        self._clock = clock
+        self._log = log
 
-    async def run(self, clock: Clock, log: Log) -> None:
+    async def run(self) -> None:
         """Register, trying again until it is done."""
         while True:
             error = await self.register()
             if not error:
-                log.event("instance_registered", known=len(self._members.all()))
+                self._log.event("instance_registered", known=len(self._members.all()))
                 return
-            log.event("registration_failed", error=error, retry_ms=RETRY_MS)
-            await clock.sleep_ms(RETRY_MS)
+            self._log.event("registration_failed", error=error, retry_ms=RETRY_MS)
+            await self._clock.sleep_ms(RETRY_MS)
 
     async def register(self) -> str:
         """Register once; return why it failed, empty if it did not."""
@@ -69,7 +77,8 @@
     def _know(self, key: str, value: bytes) -> None:
         try:
             row = _decoder.decode(value)
-        except msgspec.MsgspecError:
-            # Another version's row: that instance's digests name its address.
+        except msgspec.MsgspecError as error:
+            # That instance's digests name its address.
+            self._log.event("instance_row_refused", peer=key, error=str(error))
             return
         self._members.know(InstanceId(key), row.ip, row.port)
--- a/src/_monsoonpulley/wire/pool.py
+++ b/src/_monsoonpulley/wire/pool.py
@@ -46,25 +46,15 @@
         """Return ``IP:PORT``."""
         return f"{self._ip}:{self._port}"
 
-    @property
-    def in_use(self) -> int:
-        """Return how many connections carry an exchange."""
-        return len(self._used)
-
-    async def acquire(self, *, fresh: bool = False) -> ClientConnection | Failure:
+    async def acquire(self) -> ClientConnection | Failure:
         """Return a connection for one exchange.
 
-        Parameters
-        ----------
-        fresh : bool
-            Whether to open a new connection even if one is idle.
-
         Returns
         -------
         ClientConnection or Failure
             A failure is always `Delivery.NOT_SENT`.
         """
-        connection = None if fresh else self._take_idle()
+        connection = self._take_idle()
         if connection is None:
             if len(self._used) >= self.most:
                 return self._failure(Reason.OVERLOADED, "all connections are in use")
--- a/src/_monsoonpulley/wire/server.py
+++ b/src/_monsoonpulley/wire/server.py
@@ -41,11 +41,6 @@
         self._server: asyncio.Server | None = None
         self._is_draining = False
 
-    @property
-    def connection_count(self) -> int:
-        """Return how many connections stand."""
-        return len(self._connections)
-
     async def listen(self, ip: str, port: int) -> None:
         """Accept connections at the address.
 
--- a/testing/ingress/site.py
+++ b/testing/ingress/site.py
@@ -81,8 +81,9 @@
 class EndpointStandin:
     """An endpoint that does with each request what its script says."""
 
-    def __init__(self, script: Script):
+    def __init__(self, script: Script, answers_before_body: bool = False):
         self.script = script
+        self.answers_before_body = answers_before_body
         self.calls: list[EndpointCall] = []
         self.connections_lost = 0
         self._server: asyncio.Server | None = None
@@ -100,11 +101,14 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n"))[:-4]
                 call = EndpointCall(head, b"", writer)
+                if self.answers_before_body:
+                    await self.script(call)
                 call.body = await reader.readexactly(
                     int(call.headers.get("content-length", 0))
                 )
                 self.calls.append(call)
-                await self.script(call)
+                if not self.answers_before_body:
+                    await self.script(call)
                 if writer.is_closing():
                     return
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -184,8 +188,10 @@
         self.service: IngressService | None = None
         self._tasks: list[asyncio.Task] = []
 
-    async def add_endpoint(self, script: Script, **row: object) -> EndpointStandin:
-        endpoint = EndpointStandin(script)
+    async def add_endpoint(
+        self, script: Script, *, answers_before_body: bool = False, **row: object
+    ) -> EndpointStandin:
+        endpoint = EndpointStandin(script, answers_before_body)
         address = await endpoint.listen()
         self.endpoints.append(endpoint)
         name = f"i-{len(self.endpoints)}"
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -352,6 +352,66 @@
         self.assertEqual(self.site.events("request")[0]["detail"], "caller left")
 
 
+class TestSlowCallers(SiteTest):
+    LIMITS = {"header_timeout_ms": 300, "idle_timeout_ms": 900}
+
+    async def test_a_head_that_takes_too_long_is_refused(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration(limits=self.LIMITS))
+        self.sweep()
+        reader, writer = await self.site.connect()
+        writer.write(request("a1")[:30])
+        got = await asyncio.wait_for(read_answer(reader), 5)
+        writer.close()
+        self.assertEqual(got.status, 408)
+        self.assertEqual(endpoint.calls, [])
+
+    async def test_an_idle_connection_stays_for_its_time_and_no_longer(self):
+        await self.site.add_endpoint(answer)
+        await self.site.start(configuration(limits=self.LIMITS))
+        self.sweep()
+        loop = asyncio.get_running_loop()
+        reader, writer = await self.site.connect()
+        writer.write(request("a1"))
+        await read_answer(reader)
+        started_s = loop.time()
+        self.assertEqual(await asyncio.wait_for(reader.read(), 5), b"")
+        writer.close()
+        self.assertGreaterEqual(loop.time() - started_s, 0.9 * 4 / 5)
+
+    def sweep(self) -> None:
+        task = asyncio.create_task(self.site.service.callers.sweep())
+        self.addCleanup(task.cancel)
+
+
+class TestConnections(SiteTest):
+    async def test_an_answer_before_the_bodys_end_keeps_later_requests_whole(self):
+        # The endpoint answers first and reads the rest of the body afterwards.
+        async def early(call) -> None:
+            call.answer(body=b"early")
+
+        endpoint = await self.site.add_endpoint(early, answers_before_body=True)
+        await self.site.start(configuration())
+        for number in range(3):
+            body = b"%d" % number * 300_000
+            got = await self.site.ask(f"a{number}", body=body)
+            self.assertEqual((got.status, got.body), (200, b"early"))
+        await self.site.until(lambda: len(endpoint.calls) == 3)
+        self.assertEqual([c.request_id for c in endpoint.calls], ["a0", "a1", "a2"])
+
+    async def test_an_endpoint_that_announces_its_close_gets_no_further_request_there(
+        self,
+    ):
+        async def closing(call) -> None:
+            call.answer(body=b"last", extra="Connection: close\r\n")
+
+        endpoint = await self.site.add_endpoint(closing)
+        await self.site.start(configuration(kind="unsafe"))
+        for number in range(3):
+            self.assertEqual((await self.site.ask(f"a{number}")).status, 200)
+        self.assertEqual(len({id(call.writer) for call in endpoint.calls}), 3)
+
+
 class TestStreams(SiteTest):
     async def test_events_are_passed_as_they_arrive(self):
         release = asyncio.Event()
