--- /dev/null
+++ b/testing/duties/test_capacity.py
@@ -0,0 +1,87 @@
+"""Orders of endpoints are given under the lease only."""
+
+from __future__ import annotations
+
+import unittest
+
+from _monsoonpulley.clock import ManualClock
+from _monsoonpulley.control.leases import Hold
+from _monsoonpulley.duties.capacity import CapacityDuty
+from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.fleet.model import Configuration, ScalingSpec, Service
+from _monsoonpulley.ids import ServiceId, ZoneId
+from _monsoonpulley.observability.log import Log
+from _monsoonpulley.placing.loadboard import LoadBoard
+from _monsoonpulley.platform.cloud import CALL_TIMEOUT_MS
+from _monsoonpulley.wire.serverconnection import CallerLimits
+
+SERVICE = Service(
+    ServiceId("svc"),
+    "/health",
+    100,
+    scaling=ScalingSpec(
+        1, 5, 4_000, 0.2, {ZoneId("zone-a"): 1.0, ZoneId("zone-b"): 1.0}
+    ),
+)
+
+
+class Holder:
+    """The configuration in force."""
+
+    current = Configuration(1, {}, {SERVICE.id: SERVICE}, {}, {}, False, CallerLimits())
+
+
+class NoEndpoints:
+    """A list of endpoints that has been read and is empty."""
+
+    is_known = True
+
+    def all(self):
+        return []
+
+
+class Cloud:
+    """Keeps the orders; refuses on request."""
+
+    def __init__(self):
+        self.orders = []
+        self.refuses = False
+
+    async def order(self, number, service, zone, count, *, is_reclaimable):
+        self.orders.append((number, zone, count, is_reclaimable))
+        return Failure(Reason.TIMEOUT, "cloud/scaling") if self.refuses else None
+
+
+class TestCapacityDuty(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        self.cloud = Cloud()
+        self.duty = CapacityDuty(
+            Holder(),
+            NoEndpoints(),
+            LoadBoard(),
+            self.cloud,
+            self.clock,
+            Log(self.clock, lambda line: None),
+        )
+
+    async def test_orders_bear_the_fencing_number(self):
+        await self.duty.step(Hold(7, lambda *_: True))
+        self.assertEqual({order[0] for order in self.cloud.orders}, {7})
+        self.assertEqual(
+            {order[1] for order in self.cloud.orders}, {"zone-a", "zone-b"}
+        )
+
+    async def test_no_order_starts_that_the_lease_does_not_outlast(self):
+        left_ms = CALL_TIMEOUT_MS - 1
+        await self.duty.step(Hold(7, lambda number, for_ms: for_ms <= left_ms))
+        self.assertEqual(self.cloud.orders, [])
+
+    async def test_an_order_without_an_answer_is_given_again(self):
+        self.cloud.refuses = True
+        hold = Hold(7, lambda *_: True)
+        await self.duty.step(hold)
+        given = len(self.cloud.orders)
+        self.clock.advance_ms(500)
+        await self.duty.step(hold)
+        self.assertEqual(len(self.cloud.orders), 2 * given)
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -4,8 +4,17 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from .site import Site, configuration, read_answer, request
+import msgspec
+
+from _monsoonpulley.platform.store import Row, Rows
+from _monsoonpulley.wire.pool import ConnectionPool
+
+from .site import Site, configuration, endpoint_row, read_answer, request
+
+LATER = 1_000_000
+"""A row version after all others."""
 
 
 async def answer(call) -> None:
@@ -399,6 +408,38 @@
         await self.site.until(lambda: len(endpoint.calls) == 3)
         self.assertEqual([c.request_id for c in endpoint.calls], ["a0", "a1", "a2"])
 
+    async def test_an_endpoint_that_leaves_while_it_is_connected_to_gets_nothing(self):
+        leaving = await self.site.add_endpoint(answer)
+        other = await self.site.add_endpoint(answer)
+        await self.site.start(configuration(kind="unsafe", max_attempts=1))
+        directory = self.site.service.parts.directory
+        opened = ConnectionPool._open
+
+        async def open_while_it_leaves(pool):
+            connection = await opened(pool)
+            row = endpoint_row(directory.get("i-1").address, state="draining")
+            value = msgspec.json.encode(row)
+            directory.apply(Rows((Row("i-1", value, LATER),), LATER), False)
+            return connection
+
+        # The emptier endpoint is chosen first.
+        self.site.service.parts.board.sent("i-2", 60_000)
+        self.site.service.parts.health.failed("i-2", self.site.clock.now_ms())
+        with mock.patch.object(ConnectionPool, "_open", open_while_it_leaves):
+            self.assertEqual((await self.site.ask()).status, 200)
+        self.assertEqual((len(leaving.calls), len(other.calls)), (0, 1))
+
+    async def test_a_connection_with_an_answer_to_nobody_is_not_used_again(self):
+        async def late(call) -> None:
+            call.answer(body=b"other", request_id="someone-else")
+            call.answer(body=b"own")
+
+        endpoint = await self.site.add_endpoint(late)
+        await self.site.start(configuration())
+        for number in range(3):
+            self.assertEqual((await self.site.ask(f"a{number}")).body, b"own")
+        self.assertEqual(len({id(call.writer) for call in endpoint.calls}), 3)
+
     async def test_an_endpoint_that_announces_its_close_gets_no_further_request_there(
         self,
     ):
@@ -463,6 +504,40 @@
             sorted(c.headers.get("last-event-id", "") for c in calls), ["", "3"]
         )
 
+    async def test_events_that_come_again_after_a_resumption_are_passed_once(self):
+        async def stream(call) -> None:
+            is_first = "last-event-id" not in call.headers
+            call.start_stream()
+            for number in range(1, 4 if is_first else 6):
+                call.event(number)
+            await call.writer.drain()
+            if is_first:
+                await asyncio.sleep(0.02)
+                call.writer.close()
+                return
+            call.chunk(b"")
+
+        for _ in range(2):
+            await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming", resume_streams=True))
+        got = await self.site.ask()
+        self.assertTrue(got.is_whole)
+        ids = [line for line in got.body.decode().split("\n") if line.startswith("id")]
+        self.assertEqual(ids, [f"id: {n}" for n in range(1, 6)])
+
+    async def test_a_stream_that_ends_within_an_event_does_not_look_whole(self):
+        async def stream(call) -> None:
+            call.start_stream()
+            call.event(1)
+            call.chunk(b"id: 2\ndata: pie")
+            call.chunk(b"")
+
+        await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming"))
+        got = await self.site.ask()
+        self.assertFalse(got.is_whole)
+        self.assertNotIn(b"pie", got.body.replace(b"piece 1", b""))
+
     async def test_a_broken_stream_that_may_not_resume_does_not_look_whole(self):
         async def stream(call) -> None:
             call.start_stream()
--- a/testing/ingress/test_service.py
+++ b/testing/ingress/test_service.py
@@ -146,6 +146,7 @@
         await asyncio.sleep(2.8)
         with self.assertRaises(OSError):
             await asyncio.open_connection(*address)
+        self.assertFalse(stopping.done())
         release.set()
         got = await read_answer(reader)
         self.assertEqual((got.status, got.headers["connection"]), (200, "close"))
--- a/testing/limits/test_quota.py
+++ b/testing/limits/test_quota.py
@@ -145,6 +145,15 @@
         group.run(at_ms, at_ms + 15_000)
         self.assertLessEqual(group.most_in_window(), ALLOWED)
 
+    def test_restarting_again_and_again_gains_nothing(self):
+        group = Group(1, random.Random(5))
+        for now_ms in range(0, 16_200, 10):
+            if now_ms % 300 == 0:
+                group.restart(0, now_ms)
+            while group.ledgers[0].take(CUSTOMER, COST, now_ms) is None:
+                group.taken.append((now_ms, COST))
+        self.assertLessEqual(group.most_in_window(), ALLOWED)
+
 
 class TestLedger(unittest.TestCase):
     def test_a_refusal_names_the_time_until_there_is_room(self):
