Lend a restarted instance its part of the tolerance over one window

Cause: each start lent 0.4 of the tolerance beyond a quota anew, so restarts of all instances for the third time within one window allowed more than the quota: 28,250 of 10,900 in test_quota's restart test, listed in KNOWN-RED.txt. Ruled out: the level (it starts at 0) and digests of the earlier process (the test has one instance). The loan now grows from 0 over one window after a restart, so what two processes lend within a window stays below one loan.

--- a/src/_monsoonpulley/limits/quota.py
+++ b/src/_monsoonpulley/limits/quota.py
@@ -30,6 +30,9 @@
     quota: Quota
     level: float
     filled_ms: int
+    lent_from_ms: int | None
+    """Start of the window over which the loan grows; None once it is lent whole."""
+
     used: float = 0.0
 
 
@@ -65,8 +68,7 @@
                 continue
             bucket = self._buckets.get(customer.id)
             if bucket is None:
-                level = quota.burst if self._starts_full else 0.0
-                bucket = _Bucket(quota, level, now_ms)
+                bucket = self._new_bucket(quota, now_ms)
             else:
                 self._fill(bucket, now_ms)
                 bucket.quota = quota
@@ -121,7 +123,7 @@
         if bucket is None:
             return None
         self._fill(bucket, now_ms)
-        missing = cost - bucket.level - self._lent(bucket.quota)
+        missing = cost - bucket.level - self._lent(bucket, now_ms)
         if missing > 0:
             per_ms = bucket.quota.rate_per_s / 1000
             wait_ms = missing / per_ms if per_ms else self._window_s * 1000
@@ -160,10 +162,26 @@
             if bucket is not None:
                 bucket.level -= total - known.get(customer, 0.0)
 
-    def _lent(self, quota: Quota) -> float:
-        allowed = quota.rate_per_s * self._window_s + quota.burst
+    def _new_bucket(self, quota: Quota, now_ms: int) -> _Bucket:
+        if self._starts_full:
+            return _Bucket(quota, quota.burst, now_ms, lent_from_ms=None)
+        return _Bucket(quota, 0.0, now_ms, lent_from_ms=now_ms)
+
+    def _lent(self, bucket: _Bucket, now_ms: int) -> float:
+        """Return what is lent beyond the level.
+
+        After a restart it grows over one window, as the process before may have
+        used its loan within the same one.
+        """
+        allowed = bucket.quota.rate_per_s * self._window_s + bucket.quota.burst
         tolerated = allowed * self._overage + self._slack
-        return TOLERANCE_SHARE * tolerated / self._members
+        lent = TOLERANCE_SHARE * tolerated / self._members
+        if bucket.lent_from_ms is None:
+            return lent
+        grown = (now_ms - bucket.lent_from_ms) / (self._window_s * 1000)
+        if grown >= 1:
+            bucket.lent_from_ms = None
+        return lent * min(1.0, max(0.0, grown))
 
     def _fill(self, bucket: _Bucket, now_ms: int) -> None:
         share = self._heard / self._members
