Pool the results of a canary over all daemons by digest

Now every result of a canary goes to all daemons, a bad one at once; while the tests leave the version in doubt the others send too, each group to endpoints of its own at the canary's load. The ingress shares the same type of result.

--- a/benchmarks/controlfakes.py
+++ b/benchmarks/controlfakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from typing import Protocol
 
 import msgspec
@@ -37,6 +38,8 @@
 WARM_MS = 5_000
 """Time before the version is ordered."""
 WRITE_MS = 10
+HEARD_MS = 300
+"""Until a result is with all peers: the delay of urgent news, and a margin."""
 FAILED = Failure(Reason.PEER_ERROR, "service.call")
 
 
@@ -119,8 +122,10 @@
             fleet.clock,
             fleet.settings,
             self.observer.is_suspected,
+            self.observer.is_joined,
         )
         self.view.on_trip(lambda trip: fleet.on_trip(self, trip))
+        self.observer.on_canary_result(lambda result, _: fleet.on_result(self, result))
         self.next_poll_ms = fleet.rng.uniform(0, POLL_MS)
         self.next_report_ms = fleet.rng.uniform(0, REPORT_MS)
         self.current: dict[str, float] = {"v1": 1.0}
@@ -154,6 +159,7 @@
         self._row: RolloutRow | None = None
         self._revision = 0
         self._trips: list[tuple[int, object]] = []
+        self._results: deque[tuple[int, int, _Daemon, Result]] = deque()
         self._reports: dict[str, ReportRow] = {}
         self._next_tick_ms = 0
         self._next_pass_ms = 0
@@ -183,6 +189,11 @@
         if trip.instance == daemon.name:
             self._trips.append((self.clock.now_ms() + WRITE_MS, trip))
 
+    def on_result(self, daemon: _Daemon, result: Result) -> None:
+        """Tell a daemon's peers of a result."""
+        due_ms = self.clock.now_ms() + HEARD_MS
+        self._results.append((due_ms, self.clock.wall_ms(), daemon, result))
+
     def advance(self, now_ms: int) -> None:
         """Let time pass, tick by tick."""
         while self._next_tick_ms <= now_ms:
@@ -241,6 +252,11 @@
     def _tick(self, now_ms: int) -> None:
         if now_ms >= WARM_MS:
             self.document = self._ordered
+        while self._results and self._results[0][0] <= now_ms:
+            _, seen_wall_ms, sender, result = self._results.popleft()
+            for daemon in self._daemons:
+                if daemon is not sender:
+                    daemon.observer.hear(result, seen_wall_ms)
         for daemon in self._daemons:
             if now_ms >= daemon.next_poll_ms:
                 self._poll(daemon, now_ms)
--- a/src/_monsoonpulley/control/rolloutobserver.py
+++ b/src/_monsoonpulley/control/rolloutobserver.py
@@ -11,15 +11,20 @@
 from ..ids import AttemptId, InstanceId, ServiceId
 from ..requests.context import RequestContext
 from ..requests.placement import AttemptEnd, Placed
-from .rolloutrows import RolloutRow, TripRow
+from .rolloutrows import RolloutRow, RolloutState, TripRow
 from .rolloutview import RolloutView
 from .verdict import FALSE_ALARM_RATE, OldResults, Result, Verdict
 
 VerdictKey = tuple[str, str, int]
+OnCanaryResult = Callable[[Result, bool], None]
 
 SUSPECT_MS = 8_000
 """How long after a bad result this daemon goes on sending, to be certain."""
 
+JOIN_MS = 3_000
+"""How long after a bad result of a peer this daemon sends too while in doubt: the
+time in which a bad version is to be stopped."""
+
 
 class _Waiting(msgspec.Struct):
     """An attempt without a first answer."""
@@ -58,14 +63,29 @@
         self._clock = clock
         self._old: dict[ServiceId, OldResults] = {}
         self._verdicts: dict[VerdictKey, Verdict] = {}
+        self._counts: dict[VerdictKey, tuple[int, int]] = {}
         self._waiting: dict[AttemptId, _Waiting] = {}
         self._judged: set[AttemptId] = set()
         self._suspected_ms: dict[VerdictKey, int] = {}
+        self._joined_ms: dict[VerdictKey, int] = {}
+        self._on_canary_result: list[OnCanaryResult] = []
+
+    def on_canary_result(self, callback: OnCanaryResult) -> None:
+        """Call ``callback`` with each own result of a canary and whether it is bad."""
+        self._on_canary_result.append(callback)
+
+    def hear(self, result: Result, seen_wall_ms: int) -> bool:
+        """Take in a peer's result of a canary; return whether it counts as bad."""
+        row = self._view.active(result.service, self._clock.wall_ms())
+        if row is None or row.version != result.version:
+            return False
+        if row.state is not RolloutState.CANARY or seen_wall_ms < row.started_wall_ms:
+            return False
+        return self._judge(row, result, self._joined_ms, JOIN_MS)
 
     def counts(self, row: RolloutRow) -> tuple[int, int]:
         """Return the results and the bad results of a version here."""
-        verdict = self._verdicts.get((row.service, row.version, row.attempt))
-        return (verdict.results, verdict.bad) if verdict else (0, 0)
+        return self._counts.get((row.service, row.version, row.attempt), (0, 0))
 
     def old_results(self, service: ServiceId) -> OldResults:
         """Return the results of the version that has a service's traffic."""
@@ -76,8 +96,14 @@
 
     def is_suspected(self, row: RolloutRow) -> bool:
         """Tell whether a bad result of a version came here just now."""
-        until_ms = self._suspected_ms.get((row.service, row.version, row.attempt))
-        return until_ms is not None and self._clock.now_ms() < until_ms
+        key = (row.service, row.version, row.attempt)
+        return self._clock.now_ms() < self._suspected_ms.get(key, 0)
+
+    def is_joined(self, row: RolloutRow) -> bool:
+        """Tell whether a peer's bad result just now leaves a version in doubt."""
+        key = (row.service, row.version, row.attempt)
+        is_recent = self._clock.now_ms() < self._joined_ms.get(key, 0)
+        return is_recent and self._verdicts[key].is_doubtful()
 
     def started(
         self, context: RequestContext, placed: Placed, attempt: AttemptId
@@ -134,6 +160,23 @@
             if placed.version in self._view.base(result.service):
                 old.add(result)
             return
+        is_bad = self._judge(row, result, self._suspected_ms, SUSPECT_MS)
+        results, bad = self.counts(row)
+        key = (row.service, row.version, row.attempt)
+        self._counts[key] = (results + 1, bad + is_bad)
+        if row.state is RolloutState.CANARY:
+            for callback in self._on_canary_result:
+                callback(result, is_bad)
+
+    def _judge(
+        self,
+        row: RolloutRow,
+        result: Result,
+        until_ms: dict[VerdictKey, int],
+        suspect_ms: int,
+    ) -> bool:
+        """Test a version with a result, tell if it is bad, and until when it counts."""
+        old = self.old_results(row.service)
         key = (row.service, row.version, row.attempt)
         verdict = self._verdicts.get(key)
         if verdict is None:
@@ -141,10 +184,12 @@
             verdict = self._verdicts[key] = Verdict(alpha)
         bad_before = verdict.bad
         why = verdict.add(result, old, self._clock.now_ms())
-        if verdict.bad > bad_before:
-            self._suspected_ms[key] = self._clock.now_ms() + SUSPECT_MS
+        is_bad = verdict.bad > bad_before
+        if is_bad:
+            until_ms[key] = self._clock.now_ms() + suspect_ms
         if why:
             self._trip(row, why)
+        return is_bad
 
     def _trip(self, row: RolloutRow, why: str) -> None:
         trip = TripRow(
--- a/src/_monsoonpulley/control/verdict.py
+++ b/src/_monsoonpulley/control/verdict.py
@@ -39,8 +39,8 @@
 """Failures of one endpoint this close to each other count once."""
 
 
-class Result(msgspec.Struct, frozen=True, kw_only=True):
-    """How one attempt went.
+class Result(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """How one attempt went; instances tell each other of those of new versions.
 
     Attributes
     ----------
@@ -203,6 +203,14 @@
             return _why("were slow", tests.slow, slow_p0, result.route)
         return ""
 
+    def is_doubtful(self) -> bool:
+        """Tell whether the results of a route speak rather against the version."""
+        return any(
+            test.statistic() >= 1.0
+            for tests in self._tests.values()
+            for test in (tests.failure, tests.slow)
+        )
+
     def _is_same_crash(self, endpoint: EndpointId, now_ms: int) -> bool:
         last_ms = self._last_failure_ms.get(endpoint)
         if last_ms is not None and now_ms - last_ms < CRASH_WINDOW_MS:
--- a/src/_monsoonpulley/control/versionshares.py
+++ b/src/_monsoonpulley/control/versionshares.py
@@ -94,6 +94,9 @@
         Tells whether a bad result came here just now; then this daemon goes on
         sending past its slot, so that one verdict is reached soon instead of
         another daemon beginning anew.
+    is_joined : callable
+        Tells whether the canary is in doubt by a peer's result; then this daemon
+        sends to endpoints beside it, so that a verdict needs less time.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         clock: Clock,
         settings: RolloutSettings,
         is_suspected: Callable[[RolloutRow], bool] = lambda row: False,
+        is_joined: Callable[[RolloutRow], bool] = lambda row: False,
     ):
         self._view = view
         self._instance = instance
@@ -113,6 +117,7 @@
         self._clock = clock
         self._settings = settings
         self._is_suspected = is_suspected
+        self._is_joined = is_joined
 
     def shares(self, service: ServiceId) -> dict[VersionId, float]:
         """Return the share of each version that may get any traffic now.
@@ -135,9 +140,13 @@
             row = self._view.active(service, self._clock.wall_ms())
             if row is None or row.state is not RolloutState.CANARY:
                 continue
-            plan, _ = self._plan(row, self._view.base(service))
-            ranked = sorted(self._endpoints_of(service, row.version), key=_rank)
-            held.update(ranked[plan.endpoints :])
+            plan, daemons = self._plan(row, self._view.base(service))
+            ranked = self._ranked(row)
+            first = 0
+            if self._is_joined(row) and not self._is_sender(row, plan, daemons):
+                first = plan.endpoints * self._group(plan, daemons)
+            held.update(ranked)
+            held.difference_update(ranked[first : first + plan.endpoints])
         return frozenset(held)
 
     def _share(self, row: RolloutRow, base: tuple[VersionId, ...]) -> float:
@@ -146,10 +155,31 @@
         if row.state is not RolloutState.CANARY:
             return row.share
         plan, daemons = self._plan(row, base)
+        if self._is_sender(row, plan, daemons):
+            return plan.slot_share
+        groups = len(self._ranked(row)) // plan.endpoints
+        if self._is_joined(row) and self._group(plan, daemons) < groups:
+            return plan.slot_share
+        return 0.0
+
+    def _is_sender(
+        self, row: RolloutRow, plan: CanaryPlan, daemons: list[InstanceId]
+    ) -> bool:
         slot = (self._clock.wall_ms() - row.since_wall_ms) // SLOT_MS
         index = daemons.index(self._instance)
         is_sender = plan.is_sender(index, len(daemons), slot)
-        return plan.slot_share if is_sender or self._is_suspected(row) else 0.0
+        return is_sender or self._is_suspected(row)
+
+    def _group(self, plan: CanaryPlan, daemons: list[InstanceId]) -> int:
+        """Return which endpoints this daemon sends to if it joins in.
+
+        Each group is as large as the canary and has as many daemons, so that its
+        endpoints are under the canary's load too; the canary's own is group 0.
+        """
+        return 1 + daemons.index(self._instance) // plan.daemons
+
+    def _ranked(self, row: RolloutRow) -> list[EndpointId]:
+        return sorted(self._endpoints_of(row.service, row.version), key=_rank)
 
     def _plan(
         self, row: RolloutRow, base: tuple[VersionId, ...]
--- a/src/_monsoonpulley/entry/instance.py
+++ b/src/_monsoonpulley/entry/instance.py
@@ -21,6 +21,7 @@
 from ..control.rolloutrows import TripRow
 from ..control.rolloutview import RolloutView
 from ..control.rolloutwatch import RolloutWatch
+from ..control.verdict import Result
 from ..control.versionshares import RolloutShares
 from ..endpoints.engine import EngineClient
 from ..endpoints.feed import EngineFeed
@@ -34,7 +35,7 @@
 from ..journal.journal import Journal
 from ..journal.recovery import Recovery, RecoverySettings
 from ..journal.settings import JournalSettings
-from ..peers.digest import TrippedVersion
+from ..peers.digest import CanaryResult, TrippedVersion
 from ..peers.envelope import Sealer
 from ..peers.exchange import PeerExchange
 from ..peers.host import RouterHost
@@ -177,6 +178,7 @@
             around.clock,
             RolloutSettings(),
             self.rollout_observer.is_suspected,
+            self.rollout_observer.is_joined,
         )
         self.rollout_watch = RolloutWatch(
             around.platform.table,
@@ -191,6 +193,8 @@
         )
         self.rollouts.on_trip(self._tell_trip)
         self.peer_host.on_tripped(self._hear_trip)
+        self.rollout_observer.on_canary_result(self._tell_result)
+        self.peer_host.on_result(self._hear_result)
 
     def _tell_trip(self, trip: TripRow) -> None:
         """Tell the peers at once that a version gets no more traffic."""
@@ -200,6 +204,15 @@
             )
         )
 
+    def _tell_result(self, result: Result, is_bad: bool) -> None:
+        self.exchange.add_result(result, is_bad=is_bad)
+
+    def _hear_result(self, item: CanaryResult) -> None:
+        if self.rollout_observer.hear(item.result, item.seen_wall_ms):
+            self.surroundings.log.event(
+                "rollout_doubted", peer=item.instance, result=item.result
+            )
+
     def _hear_trip(self, item: TrippedVersion) -> None:
         if item.is_tripped:
             self.rollout_watch.trip_from_peer(
--- a/src/_monsoonpulley/peers/builder.py
+++ b/src/_monsoonpulley/peers/builder.py
@@ -7,8 +7,15 @@
 
 import msgspec
 
-from ..ids import EndpointId, ServiceId, VersionId
-from .digest import Digest, LeavingMember, LoadItem, TrippedVersion, UrgentBody
+from ..ids import EndpointId, InstanceId, ServiceId, VersionId
+from .digest import (
+    CanaryResult,
+    Digest,
+    LeavingMember,
+    LoadItem,
+    TrippedVersion,
+    UrgentBody,
+)
 
 FULL_INTERVAL_MS = 30_000
 KEEP_LEAVING_MS = 120_000
@@ -17,6 +24,13 @@
 MAX_LEAVING = 2_000
 MAX_TRIPPED = 200
 
+KEEP_RESULTS_MS = 10_000
+"""How long full digests and summaries repeat results of canaries: a few times the 3 s
+in which a bad version is to be stopped."""
+
+MAX_RESULTS = 200
+"""At 4% of 1,000 requests a second, with digests each second, 40 are told in one."""
+
 K = TypeVar("K")
 V = TypeVar("V")
 
@@ -63,7 +77,7 @@
 
 
 class UrgentItems:
-    """What must spread at once: leaving instances and tripped versions."""
+    """What must spread at once: who leaves, and what is seen of new versions."""
 
     def __init__(self) -> None:
         self._endpoints: NewsTable[EndpointId, EndpointId] = NewsTable()
@@ -71,6 +85,9 @@
         self._tripped: NewsTable[tuple[ServiceId, VersionId], TrippedVersion] = (
             NewsTable()
         )
+        self._results: NewsTable[tuple[InstanceId, int, int], CanaryResult] = (
+            NewsTable()
+        )
 
     def add_leaving(
         self, endpoint: EndpointId, now_ms: int, *, pass_on: bool = True
@@ -105,19 +122,32 @@
         self._tripped.put(key, item, now_ms, pass_on)
         return True
 
+    def add_result(
+        self, item: CanaryResult, now_ms: int, *, pass_on: bool = True
+    ) -> bool:
+        """Note a result of a canary; return whether that was news."""
+        key = (item.instance, item.incarnation, item.number)
+        if self._results.get(key) is not None:
+            return False
+        self._results.forget_before(now_ms - KEEP_RESULTS_MS)
+        self._results.put(key, item, now_ms, pass_on)
+        return True
+
     def has_news(self) -> bool:
         """Return whether there is anything that no digest had yet."""
-        tables = (self._endpoints, self._members, self._tripped)
+        tables = (self._endpoints, self._members, self._tripped, self._results)
         return any(table.has_news() for table in tables)
 
     def recent(self, now_ms: int) -> UrgentBody:
         """Return what lately began to leave and each version's newest change."""
         self._endpoints.forget_before(now_ms - KEEP_LEAVING_MS)
         self._members.forget_before(now_ms - KEEP_LEAVING_MS)
+        self._results.forget_before(now_ms - KEEP_RESULTS_MS)
         return UrgentBody(
             self._endpoints.newest(MAX_LEAVING),
             self._members.newest(MAX_LEAVING),
             self._tripped.newest(MAX_TRIPPED),
+            self._results.newest(MAX_RESULTS),
         )
 
     def take_news(self) -> UrgentBody:
@@ -126,6 +156,7 @@
             self._endpoints.take_news(MAX_LEAVING),
             self._members.take_news(MAX_LEAVING),
             self._tripped.take_news(MAX_TRIPPED),
+            self._results.take_news(MAX_RESULTS),
         )
 
 
--- a/src/_monsoonpulley/peers/digest.py
+++ b/src/_monsoonpulley/peers/digest.py
@@ -12,6 +12,7 @@
 import msgspec
 from msgspec import Meta
 
+from ..control.verdict import Result
 from ..endpoints.engine import LoadReport
 from ..external.livelist import MemberState
 from ..ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
@@ -95,6 +96,24 @@
     is_tripped: bool = True
 
 
+class CanaryResult(msgspec.Struct, frozen=True, array_like=True):
+    """An attempt of a version that gets its first traffic.
+
+    Attributes
+    ----------
+    instance, incarnation, number : InstanceId, int, int
+        Who saw it, and the number that it gave this result.
+    seen_wall_ms : int
+        When the attempt ended, or was seen to be slow.
+    """
+
+    instance: InstanceId
+    incarnation: Number
+    number: Number
+    seen_wall_ms: Number
+    result: Result
+
+
 class LeavingMember(msgspec.Struct, frozen=True, array_like=True):
     """An entry instance that leaves, in one of its incarnations."""
 
@@ -114,11 +133,14 @@
         Entry instances that leave.
     tripped : tuple
         Changes of versions.
+    results : tuple
+        Results of versions that get their first traffic.
     """
 
     endpoints: tuple[EndpointId, ...] = ()
     members: tuple[LeavingMember, ...] = ()
     tripped: tuple[TrippedVersion, ...] = ()
+    results: tuple[CanaryResult, ...] = ()
 
 
 NOTHING_URGENT = UrgentBody()
--- a/src/_monsoonpulley/peers/exchange.py
+++ b/src/_monsoonpulley/peers/exchange.py
@@ -10,12 +10,14 @@
 
 from ..clock import Clock
 from ..config.document import Revision
+from ..control.verdict import Result
 from ..external.livelist import MemberState
 from ..ids import EndpointId
 from ..observability.log import Log
 from ..observability.metrics import Metrics
 from .builder import DigestBuilder, UrgentItems
 from .digest import (
+    CanaryResult,
     Digest,
     FullRequest,
     LeavingMember,
@@ -75,6 +77,10 @@
         """Take in that a version was tripped or cleared."""
         ...
 
+    def hear_result(self, item: CanaryResult) -> None:
+        """Take in a result of a version that gets its first traffic."""
+        ...
+
     def hear_number(self, number: int) -> None:
         """Note the revision number of a peer."""
         ...
@@ -128,6 +134,7 @@
         self._metrics = metrics
         self._builder = DigestBuilder(self.urgent)
         self._seq = 0
+        self._result_number = 0
         self._turn = 0
         self._summary_due_ms = 0
         self._push = asyncio.Event()
@@ -146,6 +153,21 @@
         if self.urgent.add_tripped(item, self._clock.now_ms()):
             self._push_news()
 
+    def add_result(self, result: Result, *, is_bad: bool) -> None:
+        """Tell everyone of an own result of a canary; at once if it is bad."""
+        identity = self._membership.identity
+        self._result_number += 1
+        item = CanaryResult(
+            identity.instance,
+            identity.incarnation,
+            self._result_number,
+            self._clock.wall_ms(),
+            result,
+        )
+        self.urgent.add_result(item, self._clock.now_ms())
+        if is_bad:
+            self._push_news()
+
     def revision_changed(self, number: int) -> None:
         """Tell everyone of a revision that no peer spoke of."""
         if number > self._heard_number:
@@ -286,6 +308,9 @@
         for item in urgent.tripped:
             if self.urgent.add_tripped(item, now_ms, pass_on=pass_on):
                 self._host.hear_tripped(item)
+        for result in urgent.results:
+            if self.urgent.add_result(result, now_ms, pass_on=pass_on):
+                self._host.hear_result(result)
         if self.urgent.has_news():
             self._push.set()
 
--- a/src/_monsoonpulley/peers/host.py
+++ b/src/_monsoonpulley/peers/host.py
@@ -13,6 +13,7 @@
 from ..routing.router import Router
 from .digest import (
     MAX_LOAD_AGE_MS,
+    CanaryResult,
     Digest,
     LoadItem,
     ServiceSummary,
@@ -23,6 +24,7 @@
 from .reporters import EndpointKeys, Reporters, endpoint_key
 
 OnTripped = Callable[[TrippedVersion], None]
+OnResult = Callable[[CanaryResult], None]
 
 
 class RouterHost:
@@ -55,11 +57,16 @@
         self._keys = EndpointKeys()
         self._reports: dict[EndpointId, LoadReport] = {}
         self._on_tripped: list[OnTripped] = []
+        self._on_result: list[OnResult] = []
 
     def on_tripped(self, callback: OnTripped) -> None:
         """Call ``callback`` with each change of a version that peers tell."""
         self._on_tripped.append(callback)
 
+    def on_result(self, callback: OnResult) -> None:
+        """Call ``callback`` with each result of a canary that peers tell."""
+        self._on_result.append(callback)
+
     def read_endpoints(self) -> list[EndpointId]:
         """Return the engines whose loads and events this instance reads."""
         self._share_engines()
@@ -135,6 +142,11 @@
         for callback in self._on_tripped:
             callback(item)
 
+    def hear_result(self, item: CanaryResult) -> None:
+        """Take in a peer's result of a version that gets its first traffic."""
+        for callback in self._on_result:
+            callback(item)
+
     def hear_number(self, number: int) -> None:
         """Note the revision number of a peer."""
         self._watcher.notice(number)
--- a/src/_monsoonpulley/rollouts/rollouts.py
+++ b/src/_monsoonpulley/rollouts/rollouts.py
@@ -17,7 +17,7 @@
 from ..clock import Clock
 from ..control.verdict import FALSE_ALARM_RATE, OldResults, Result, Verdict
 from ..fleet.model import Endpoint
-from ..ids import EndpointId, ServiceId, VersionId
+from ..ids import ServiceId
 from ..observability.log import Log
 from ..platform.rollouts import RolloutOrder
 
@@ -61,32 +61,6 @@
     phase: int
 
 
-class SharedResult(msgspec.Struct, array_like=True, frozen=True):
-    """A result of a new version, for the other instances."""
-
-    service: ServiceId
-    version: VersionId
-    route: str
-    endpoint: EndpointId
-    is_failure: bool
-    first_answer_ms: int
-    target_ms: int
-    gap_ms: float | None
-
-    def decode(self) -> Result:
-        """Return the result as the tests take it."""
-        return Result(
-            service=self.service,
-            version=self.version,
-            route=self.route,
-            endpoint=self.endpoint,
-            is_failure=self.is_failure,
-            first_answer_ms=self.first_answer_ms,
-            target_ms=self.target_ms,
-            gap_ms=self.gap_ms,
-        )
-
-
 class _Rollout:
     """One order on this instance."""
 
@@ -115,7 +89,7 @@
         self._log = log
         self._rng = rng
         self._rollouts: dict[ServiceId, _Rollout] = {}
-        self._outbox: list[SharedResult] = []
+        self._outbox: list[Result] = []
 
     def set_order(self, order: RolloutOrder) -> None:
         """Take over an operator's order; a known one changes nothing."""
@@ -200,10 +174,10 @@
         if result.version != rollout.order.version:
             rollout.old.add(result)
             return
-        self._outbox.append(SharedResult(**msgspec.structs.asdict(result)))
+        self._outbox.append(result)
         self._test(rollout, result)
 
-    def take_outbox(self) -> tuple[SharedResult, ...]:
+    def take_outbox(self) -> tuple[Result, ...]:
         """Return the results that the others have not been told."""
         results, self._outbox = tuple(self._outbox), []
         return results
@@ -215,18 +189,16 @@
             for service, rollout in self._rollouts.items()
         )
 
-    def hear(
-        self, progress: Iterable[Progress], results: Iterable[SharedResult]
-    ) -> None:
+    def hear(self, progress: Iterable[Progress], results: Iterable[Result]) -> None:
         """Take in what another instance knows."""
         for each in progress:
             rollout = self._rollouts.get(each.service)
             if rollout is not None and rollout.order.row_version == each.order:
                 self.advance(rollout.order, Phase(each.phase), "told by another")
-        for shared in results:
-            rollout = self._rollouts.get(shared.service)
-            if rollout is not None and rollout.order.version == shared.version:
-                self._test(rollout, shared.decode())
+        for result in results:
+            rollout = self._rollouts.get(result.service)
+            if rollout is not None and rollout.order.version == result.version:
+                self._test(rollout, result)
 
     def _test(self, rollout: _Rollout, result: Result) -> None:
         why = rollout.verdict.add(result, rollout.old, self._clock.now_ms())
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
+from ..control.verdict import Result
 from ..errors import Failure, Reason
 from ..fleet.relay import Relay
-from ..rollouts.rollouts import Progress, SharedResult
+from ..rollouts.rollouts import Progress
 
 
 class Digest(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -42,7 +43,7 @@
         Requests begun, by usage window and customer.
     rollouts : tuple of Progress
         How far orders of roll-outs have come, as the sender knows.
-    results : tuple of SharedResult
+    results : tuple of Result
         Results of new versions since the sender's last digest to all.
     """
 
@@ -60,7 +61,7 @@
     used: dict[str, float] = {}
     begun: dict[int, dict[str, int]] = {}
     rollouts: tuple[Progress, ...] = ()
-    results: tuple[SharedResult, ...] = ()
+    results: tuple[Result, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/testing/control/test_rolloutobserver.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from _monsoonpulley.clock import ManualClock
+from _monsoonpulley.config.document import Document, Version
+from _monsoonpulley.control.rolloutobserver import JOIN_MS, RolloutObserver
+from _monsoonpulley.control.rolloutrows import RolloutRow, RolloutState
+from _monsoonpulley.control.rolloutview import RolloutView
+from _monsoonpulley.control.verdict import Result
+
+DEADLINE_MS = 10_000_000
+STARTED_MS = 500
+DOCUMENT = Document(versions=(Version("s", "v1"), Version("s", "v2", DEADLINE_MS)))
+CANARY = RolloutRow(
+    service="s",
+    version="v2",
+    state=RolloutState.CANARY,
+    deadline_wall_ms=DEADLINE_MS,
+    share=0.04,
+    started_wall_ms=STARTED_MS,
+)
+
+
+class HearTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        self.view = RolloutView(lambda: DOCUMENT)
+        self.view.apply_row(CANARY, 1)
+        self.observer = RolloutObserver(self.view, "a", lambda: 7, self.clock)
+        for number in range(300):
+            self.observer.old_results("s").add(self.result("v1", number, False))
+
+    def result(self, version="v2", endpoint="e", is_failure=True):
+        return Result(
+            service="s",
+            version=version,
+            route="class /r",
+            endpoint=f"{version}-{endpoint}",
+            is_failure=is_failure,
+            first_answer_ms=100,
+            target_ms=2_000,
+        )
+
+    def hear(self, count=1, seen_wall_ms=STARTED_MS, **changes):
+        for number in range(count):
+            self.observer.hear(self.result(endpoint=number, **changes), seen_wall_ms)
+
+    def test_bad_results_of_peers_together_stop_the_version(self):
+        self.hear(4)
+        self.assertIsNotNone(self.view.trip_of(CANARY))
+
+    def test_one_bad_result_of_a_peer_makes_this_daemon_join_for_a_while(self):
+        self.hear()
+        self.assertTrue(self.observer.is_joined(CANARY))
+        self.assertFalse(self.observer.is_suspected(CANARY))
+        self.clock.advance_ms(JOIN_MS)
+        self.assertFalse(self.observer.is_joined(CANARY))
+
+    def test_good_results_end_the_doubt(self):
+        self.hear()
+        self.hear(100, is_failure=False)
+        self.assertFalse(self.observer.is_joined(CANARY))
+
+    def test_results_of_an_earlier_attempt_or_another_version_do_not_count(self):
+        self.hear(4, seen_wall_ms=STARTED_MS - 1)
+        self.hear(4, version="v3")
+        self.assertIsNone(self.view.trip_of(CANARY))
+        self.assertEqual(self.observer.counts(CANARY), (0, 0))
+
+    def test_what_peers_saw_is_not_reported_as_seen_here(self):
+        self.hear(3)
+        self.assertEqual(self.observer.counts(CANARY), (0, 0))
+
+    def test_beyond_the_canary_each_daemon_judges_by_its_own(self):
+        ramp = msgspec.structs.replace(CANARY, state=RolloutState.RAMP, share=0.2)
+        self.view.apply_row(ramp, 2)
+        self.hear(4)
+        self.assertIsNone(self.view.trip_of(ramp))
--- a/testing/control/test_versionshares.py
+++ b/testing/control/test_versionshares.py
@@ -22,6 +22,7 @@
 class Setup:
     def __init__(self, daemons=("a", "b", "c"), endpoints=10, document=DOCUMENT):
         self.clock = ManualClock()
+        self.is_joined = False
         self.view = RolloutView(lambda: document)
         self.endpoints = {
             version: [f"{version}-{n}" for n in range(endpoints)]
@@ -35,6 +36,7 @@
                 lambda _, version: self.endpoints[version],
                 self.clock,
                 RolloutSettings(),
+                is_joined=lambda _: self.is_joined,
             )
             for name in daemons
         }
@@ -137,3 +139,19 @@
             senders.update(sending)
             setup.clock.advance_ms(SLOT_MS)
         self.assertEqual(senders, {"a", "b", "c"})
+
+    def test_a_canary_in_doubt_gets_more_senders_and_no_endpoint_more_load(self):
+        daemons = tuple(f"d-{n:02}" for n in range(14))
+        setup = Setup(daemons)
+        setup.view.apply_row(row(), 1)
+        setup.is_joined = True
+        load: dict[str, float] = {}
+        for name in daemons:
+            share = setup.of(name).get("v2", 0.0)
+            usable = set(setup.endpoints["v2"]) - setup.shares[name].held_back(["s"])
+            for endpoint in usable:
+                load[endpoint] = load.get(endpoint, 0.0) + share / len(usable)
+        plan = CanaryPlan.for_sizes(0.03, 10, len(daemons))
+        canary = plan.slot_share * plan.daemons / plan.endpoints
+        self.assertGreater(sum(load.values()), 4 * canary)
+        self.assertLessEqual(max(load.values()), canary + 1e-9)
--- a/testing/peers/test_exchange.py
+++ b/testing/peers/test_exchange.py
@@ -1,8 +1,20 @@
 import unittest
 
+from _monsoonpulley.control.verdict import Result
 from _monsoonpulley.external.livelist import MemberState
-from _monsoonpulley.peers.builder import FULL_INTERVAL_MS, DigestBuilder, UrgentItems
-from _monsoonpulley.peers.digest import Digest, LoadItem, TrippedVersion, UrgentBody
+from _monsoonpulley.peers.builder import (
+    FULL_INTERVAL_MS,
+    KEEP_RESULTS_MS,
+    DigestBuilder,
+    UrgentItems,
+)
+from _monsoonpulley.peers.digest import (
+    CanaryResult,
+    Digest,
+    LoadItem,
+    TrippedVersion,
+    UrgentBody,
+)
 from _monsoonpulley.peers.envelope import MAX_AGE_MS, Envelope, Rejection, Sealer
 from _monsoonpulley.peers.reporters import EndpointKeys, Reporters, endpoint_key
 from _monsoonpulley.standins.world import PEER_KEY
@@ -80,6 +92,45 @@
             run_fleet(script, seed)
 
 
+class CanaryResultTest(unittest.TestCase):
+    def result(self, is_failure=True):
+        return Result(
+            service="model",
+            version="v1",
+            route="class /r",
+            endpoint="engine-1",
+            is_failure=is_failure,
+            first_answer_ms=100,
+            target_ms=2_000,
+        )
+
+    def test_a_bad_result_reaches_every_data_centre_once(self):
+        async def script(world):
+            heard = {name: [] for name in world.entries}
+            for name, instance in instances(world).items():
+                instance.peer_host.on_result(heard[name].append)
+            exchange = world.entries["zone-a-entry-1"].instance.exchange
+            exchange.add_result(self.result(), is_bad=True)
+            exchange.add_result(self.result(), is_bad=True)
+            await world.clock.sleep_ms(SPREAD_MS)
+            del heard["zone-a-entry-1"]
+            for name, items in heard.items():
+                self.assertEqual(sorted(i.number for i in items), [1, 2], name)
+                self.assertEqual(items[0].result, self.result())
+
+        for seed in SEEDS:
+            run_fleet(script, seed)
+
+    def test_old_results_are_forgotten(self):
+        urgent = UrgentItems()
+        item = CanaryResult("entry-1", 1, 1, 0, self.result())
+        self.assertTrue(urgent.add_result(item, 0))
+        self.assertFalse(urgent.add_result(item, KEEP_RESULTS_MS))
+        later = CanaryResult("entry-1", 1, 2, 0, self.result())
+        self.assertTrue(urgent.add_result(later, KEEP_RESULTS_MS + 1))
+        self.assertEqual(urgent.take_news().results, (later,))
+
+
 class DigestBuilderTest(unittest.TestCase):
     def setUp(self):
         self.urgent = UrgentItems()
