Ignore SIGHUP until the ingress can reload

Cause: the handler was set after the libraries were imported, 0.2 to 0.4 s after the start; a reload signal before that ended the process (code -1). The entry point now ignores the signal before it imports anything; the settings are read afterwards in any case. What is left are the interpreter's first milliseconds. test_process fails without the change.

--- a/src/__main__.py
+++ b/src/__main__.py
@@ -1,5 +1,11 @@
 """Run the ingress from the source folder, as ``python3 src``."""
 
-from _monsoonpulley.ingress.daemon import run_ingress
+import signal
+
+# Until the settings are read there is nothing to reload, and the default action
+# would end the process while it still imports its libraries.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from _monsoonpulley.ingress.daemon import run_ingress  # noqa: E402
 
 raise SystemExit(run_ingress())
