--- /dev/null
+++ b/testing/soak/__main__.py
@@ -0,0 +1,58 @@
+"""Play seeds: ``python -m testing.soak --seeds 50 [--first N] [--jobs N]``.
+
+Prints a line for each seed and a line for each broken promise; ends with code 1
+if there was one. ``--keep FOLDER`` keeps the logs and records of failed seeds.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import cyclopts
+
+from .run import Outcome, Plan, play_seed
+
+app = cyclopts.App(name="soak", help=__doc__)
+
+
+@app.default
+def soak(
+    seeds: int = 1,
+    first: int | None = None,
+    jobs: int = 3,
+    length_s: float = 15.0,
+    faults: int = 12,
+    instances: int = 4,
+    keep: Path | None = None,
+) -> int:
+    """Play ``seeds`` seeds from ``first`` on, by default fresh ones."""
+    start = first if first is not None else int(time.time())
+    plans = [Plan(start + n, length_s, faults, instances) for n in range(seeds)]
+    failed = 0
+    # A process plays one seed: subnets of loopback go by the process.
+    with ProcessPoolExecutor(jobs, max_tasks_per_child=1) as pool:
+        for outcome in pool.map(play_seed, plans, [keep] * len(plans)):
+            failed += bool(outcome.broken)
+            _print(outcome)
+    print(f"{len(plans)} seeds, {failed} with a broken promise")
+    return 1 if failed else 0
+
+
+def _print(outcome: Outcome) -> None:
+    word = "BROKEN" if outcome.broken else "held"
+    print(
+        f"seed {outcome.plan.seed}: {word},"
+        f" {outcome.answered} of {outcome.calls} calls served",
+        flush=True,
+    )
+    if outcome.broken:
+        print("\n".join(f"  {line}" for line in outcome.faults))
+    for line in outcome.broken:
+        print(f"  {line}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,135 @@
+"""Callers that keep their connections until an instance is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from ..ingress.site import read_answer, request
+from .instances import CALLERS_PORT
+from .records import Call
+from .world import CUSTOMERS, LIMITED_KEY, OPEN_KEY, World
+
+CONNECTIONS = 5
+"""To each instance."""
+
+PAUSE_S = 0.12
+"""Mean time between an answer and the next request of a connection."""
+
+DEADLINE_MS = 3_000
+PATIENCE_S = 4.0
+"""From a request until its caller leaves: past its deadline and the route's timeout."""
+
+KINDS = {"app": 5, "order": 5, "stream": 2, "other": 2, "feature": 2}
+"""Kinds of requests and how often they come."""
+
+LIMITED_SHARE = 0.3
+LEAVING_SHARE = 0.02
+"""Of the requests, those whose caller leaves soon after."""
+
+
+class Caller:
+    """One kept connection to one instance.
+
+    Parameters
+    ----------
+    world : World
+        The run.
+    name : str
+        Unique; request ids begin with it.
+    instance : str
+        Whom it calls.
+    rng : random.Random
+        What it asks and when.
+    """
+
+    def __init__(self, world: World, name: str, instance: str, rng: random.Random):
+        self._world = world
+        self._name = name
+        self._instance = world.instances[instance]
+        self._rng = rng
+        self._number = 0
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        while True:
+            await asyncio.sleep(self._rng.expovariate(1 / PAUSE_S))
+            await self.call(self._draw_kind())
+
+    async def call(self, kind: str, feature: int = 0) -> Call | None:
+        """Send one request and note its answer; None if there is no connection."""
+        try:
+            async with asyncio.timeout(1):
+                reader, writer = self._streams or await self._connect()
+        except (OSError, TimeoutError):
+            return None
+        self._streams = (reader, writer)
+        call, data = self._make(kind, feature)
+        patience_s = PATIENCE_S
+        if self._rng.random() < LEAVING_SHARE:
+            patience_s = self._rng.uniform(0.005, 0.3)
+            call.has_left = True
+        try:
+            async with asyncio.timeout(patience_s):
+                writer.write(data)
+                await self._read(call, reader)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            # No whole answer: the call says so, the checks tell whether it may be.
+            self._leave()
+        call.ended_ms = self._world.clock.now_ms()
+        return call
+
+    def close(self) -> None:
+        """Leave the connection."""
+        self._leave()
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        ip = self._world.caller_ip(self._instance.name)
+        return await asyncio.open_connection(ip, CALLERS_PORT)
+
+    def _leave(self) -> None:
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+    def _draw_kind(self) -> str:
+        return self._rng.choices(list(KINDS), list(KINDS.values()))[0]
+
+    def _make(self, kind: str, feature: int) -> tuple[Call, bytes]:
+        self._number += 1
+        key = LIMITED_KEY if self._rng.random() < LIMITED_SHARE else OPEN_KEY
+        path = f"/{kind}/x"
+        if kind == "feature":
+            feature = feature or self._rng.randint(1, len(self._world.records.versions))
+            path = f"/feature-{feature}/x"
+        call = Call(
+            id=f"{self._name}-{self._number}",
+            instance=self._instance.name,
+            incarnation=self._instance.incarnation,
+            kind=kind,
+            customer=CUSTOMERS[key],
+            sent_ms=self._world.clock.now_ms(),
+            body=self._rng.randbytes(self._rng.choice((0, 20, 5_000))),
+            feature=feature,
+        )
+        self._world.records.calls[call.id] = call
+        return call, request(
+            call.id, path=path, key=key, body=call.body, deadline_ms=DEADLINE_MS
+        )
+
+    async def _read(self, call: Call, reader: asyncio.StreamReader) -> None:
+        answer = await read_answer(reader)
+        call.status = answer.status
+        call.seal = answer.headers.get("monsoonpulley-response-seal", "")
+        call.answered_id = answer.headers.get("monsoonpulley-request-id", "")
+        call.answer = answer.body
+        call.is_whole = answer.is_whole
+        if "text/event-stream" in answer.headers.get("content-type", ""):
+            call.events = [
+                int(line[4:])
+                for line in answer.body.split(b"\n")
+                if line.startswith(b"id: ")
+            ]
+        if not answer.is_whole or answer.headers.get("connection") == "close":
+            self._leave()
--- /dev/null
+++ b/testing/soak/endpoints.py
@@ -0,0 +1,213 @@
+"""Endpoints that record what reaches them and fail on request."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from enum import Enum
+
+from _monsoonpulley.clock import Clock
+from _monsoonpulley.wire.sockets import reset
+
+from .records import Records, Run
+
+EVENTS = 12
+"""Of a stream."""
+
+EVENT_GAP_MS = 40
+"""Between two events of a stream."""
+
+SERVICE_MS = 30
+"""Of a call, in the middle."""
+
+
+class Manner(Enum):
+    """How an endpoint treats requests."""
+
+    SOUND = "sound"
+    SLOW = "slow"
+    SHEDDING = "shedding"
+    """Refuses and says that nothing was run."""
+    FAILING = "failing"
+    """Runs requests and answers 500."""
+    BREAKING = "breaking"
+    """Runs requests and resets the connection within the answer."""
+    GARBLING = "garbling"
+    """Answers for another request."""
+    HANGING = "hanging"
+    """Runs requests and answers nothing."""
+
+
+class Endpoint:
+    """One endpoint of a service.
+
+    Parameters
+    ----------
+    name, service : str
+        Its id and what it serves.
+    records : Records
+        Where what reaches it is noted.
+    clock, rng : Clock, random.Random
+        Times, and how long calls take.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        records: Records,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self.name = name
+        self.service = service
+        self.manner = Manner.SOUND
+        self._records = records
+        self._clock = clock
+        self._rng = rng
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self, ip: str, port: int) -> None:
+        """Accept connections there."""
+        self._server = await asyncio.start_server(self._serve, ip, port)
+
+    def die(self) -> None:
+        """End with all connections, as a lost machine's process would."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            reset(writer.transport)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                lines = head.split("\r\n")
+                fields = {
+                    name.lower(): value.strip()
+                    for name, _, value in (line.partition(":") for line in lines[1:])
+                    if name
+                }
+                body = await reader.readexactly(int(fields.get("content-length", 0)))
+                await self._answer(writer, lines[0], fields, body)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # The caller left; what it asked was noted.
+        except asyncio.CancelledError:
+            return  # The run is over.
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self,
+        writer: asyncio.StreamWriter,
+        request_line: str,
+        fields: dict[str, str],
+        body: bytes,
+    ) -> None:
+        request_id = fields.get("monsoonpulley-request-id", "")
+        run = Run(
+            endpoint=self.name,
+            service=self.service,
+            arrived_ms=self._clock.now_ms(),
+            was_run=True,
+            customer=fields.get("monsoonpulley-tenant", ""),
+            request_body=body,
+        )
+        call = self._records.calls.get(request_id)
+        if call is None:
+            self._records.unknown_runs.append((request_id, run))
+        else:
+            call.runs.append(run)
+        if fields.get("monsoonpulley-expect-instance") != self.name:
+            run.was_run = False
+            self._write(writer, run, request_id, 421, b"another endpoint")
+            return
+        if self.manner is Manner.SHEDDING:
+            run.was_run = False
+            self._write(writer, run, request_id, 503, b"full")
+            return
+        if "/stream/" in request_line:
+            await self._stream(writer, run, request_id, fields)
+            return
+        await self._call(writer, run, request_id)
+
+    async def _call(
+        self, writer: asyncio.StreamWriter, run: Run, request_id: str
+    ) -> None:
+        took_ms = SERVICE_MS * self._rng.lognormvariate(0, 0.5)
+        if self.manner is Manner.SLOW:
+            took_ms *= 20
+        await asyncio.sleep(took_ms / 1000)
+        if self.manner is Manner.HANGING:
+            await asyncio.Event().wait()
+        if self.manner is Manner.FAILING:
+            self._write(writer, run, request_id, 500, b"failed")
+            return
+        body = self._rng.randbytes(self._rng.choice((10, 800, 40_000)))
+        if self.manner is Manner.GARBLING:
+            self._write(writer, run, "another-request", 200, body)
+            run.body = None
+            return
+        if self.manner is Manner.BREAKING:
+            self._write(writer, run, request_id, 200, body, missing=7)
+            await writer.drain()
+            reset(writer.transport)
+            return
+        self._write(writer, run, request_id, 200, body)
+        await writer.drain()
+
+    def _write(
+        self,
+        writer: asyncio.StreamWriter,
+        run: Run,
+        request_id: str,
+        status: int,
+        body: bytes,
+        missing: int = 0,
+    ) -> None:
+        run.status = status
+        run.seal = f"{self.name}-{self._rng.getrandbits(32):08x}"
+        run.body = body if status == 200 and not missing else None
+        head = f"HTTP/1.1 {status} Status\r\nMonsoonpulley-Request-Id: {request_id}\r\n"
+        if run.was_run:
+            head += f"Monsoonpulley-Response-Seal: {run.seal}\r\n"
+        else:
+            head += "Monsoonpulley-Not-Executed: 1\r\n"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body[: len(body) - missing])
+
+    async def _stream(
+        self,
+        writer: asyncio.StreamWriter,
+        run: Run,
+        request_id: str,
+        fields: dict[str, str],
+    ) -> None:
+        run.status = 200
+        run.seal = f"{self.name}-{self._rng.getrandbits(32):08x}"
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            + f"Monsoonpulley-Request-Id: {request_id}\r\n".encode()
+            + f"Monsoonpulley-Response-Seal: {run.seal}\r\n".encode()
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        first = int(fields.get("last-event-id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            if self.manner is Manner.HANGING:
+                await asyncio.Event().wait()
+            if self.manner is Manner.BREAKING and number > first + 3:
+                reset(writer.transport)
+                return
+            slow = 5 if self.manner is Manner.SLOW else 1
+            await asyncio.sleep(EVENT_GAP_MS * slow / 1000)
+            event = b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
--- /dev/null
+++ b/testing/soak/instances.py
@@ -0,0 +1,142 @@
+"""Instances of the ingress as processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from _monsoonpulley.clock import Clock
+
+from .records import Records
+
+CALLERS_PORT, READINESS_PORT, FIRST_PEER_PORT = 8_080, 8_081, 7_600
+PEER_PORTS = 40
+
+GRACE_MS = 5_000
+"""From SIGTERM to SIGKILL; longer than the instances go on listening."""
+
+INTERPRETER_MS = 150
+"""Until the interpreter runs the first line of the program: a reload signal before
+that ends any Python process, and no program can prevent it."""
+
+SOURCE = Path(__file__).parents[2] / "src"
+
+
+class Instance:
+    """One instance.
+
+    Parameters
+    ----------
+    name, zone, ip : str
+        Of the machine.
+    folder : Path
+        Where its settings and log are kept.
+    addresses : dict
+        ``store`` and ``cloud``, as the instance reaches them.
+    bounds : dict
+        Written into its settings.
+    records, clock : Records, Clock
+        Where exits are noted, and what dates them.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        ip: str,
+        folder: Path,
+        addresses: dict[str, str],
+        bounds: dict[str, float],
+        records: Records,
+        clock: Clock,
+    ):
+        self.name = name
+        self.zone = zone
+        self.ip = ip
+        self.bounds = dict(bounds)
+        self.incarnation = 0
+        self.is_stopping = False
+        self._settings = folder / f"{name}.toml"
+        self._log = folder / f"{name}.log"
+        self._addresses = addresses
+        self._records = records
+        self._clock = clock
+        self._process: asyncio.subprocess.Process | None = None
+        self._watch: asyncio.Task[None] | None = None
+        self._is_first_start = True
+        self._started_ms = 0
+
+    @property
+    def is_running(self) -> bool:
+        return self._process is not None
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.write_settings()
+        self._is_first_start = False
+        self.incarnation += 1
+        self._started_ms = self._clock.now_ms()
+        self.is_stopping = False
+        environment = dict(os.environ, MONSOONPULLEY_CONFIG=str(self._settings))
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable, str(SOURCE), stdout=log, stderr=log, env=environment
+            )
+        self._watch = asyncio.create_task(self._note_exit(self._process))
+
+    def write_settings(self) -> None:
+        """Write the settings file anew."""
+        bounds = "".join(f"{name} = {value}\n" for name, value in self.bounds.items())
+        self._settings.write_text(
+            f'node_name = "{self.name}"\nzone = "{self.zone}"\n'
+            f'ip_address = "{self.ip}"\n'
+            f"internal_port_range = [{FIRST_PEER_PORT}, {FIRST_PEER_PORT + PEER_PORTS}]"
+            f"\nfirst_start = {str(self._is_first_start).lower()}\n"
+            f'[listen]\nfrontend = "{self.ip}:{CALLERS_PORT}"\n'
+            f'ready = "{self.ip}:{READINESS_PORT}"\n'
+            f'[platform]\naddress = "{self._addresses["store"]}"\n'
+            f'[cloud]\naddress = "{self._addresses["cloud"]}"\nduties = ["usage"]\n'
+            f"[bounds]\n{bounds}"
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self._process is None:
+            return
+        age_ms = self._clock.now_ms() - self._started_ms
+        if number is not signal.SIGHUP or age_ms > INTERPRETER_MS:
+            self._process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.is_stopping = True
+        if self._process is not None:
+            process = self._process
+            process.kill()
+            await process.wait()
+            self._process = None
+
+    async def stop(self) -> None:
+        """Stop the process as the platform would: killed after the grace period."""
+        self.is_stopping = True
+        process = self._process
+        if process is None:
+            return
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        try:
+            async with asyncio.timeout(GRACE_MS / 1000):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+        self._process = None
+
+    async def _note_exit(self, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        if not self.is_stopping:
+            self._records.exits.append((self.name, code))
+            self._process = None
--- /dev/null
+++ b/testing/soak/link.py
@@ -0,0 +1,142 @@
+"""A TCP proxy on loopback whose connections can be harmed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+from _monsoonpulley.wire.sockets import reset
+
+CHUNK_BYTES = 65_536
+
+
+class Direction(Enum):
+    """Of bytes, as seen from who connects."""
+
+    UP = "up"
+    DOWN = "down"
+
+
+class _Pair:
+    """One connection and its continuation."""
+
+    def __init__(self, *writers: asyncio.StreamWriter):
+        self.writers = writers
+        self.is_silent = False
+
+    def close(self, *, with_reset: bool) -> None:
+        for writer in self.writers:
+            if with_reset:
+                reset(writer.transport)
+            else:
+                writer.close()
+
+
+class Link:
+    """Forwards connections to a target.
+
+    Parameters
+    ----------
+    target : callable
+        Returns the IP and port to connect to.
+
+    Attributes
+    ----------
+    delay_ms : int
+        Added to each chunk, either way.
+    refuses : bool
+        Whether new connections are reset at once.
+    """
+
+    def __init__(self, target: Callable[[], tuple[str, int]]):
+        self._target = target
+        self._open = {direction: asyncio.Event() for direction in Direction}
+        self._pairs: set[_Pair] = set()
+        self._server: asyncio.Server | None = None
+        self.delay_ms = 0
+        self.refuses = False
+        self.heal()
+
+    async def listen(self, ip: str, port: int) -> None:
+        """Accept connections there."""
+        self._server = await asyncio.start_server(self._accept, ip, port)
+
+    def cut(self, *directions: Direction) -> None:
+        """Hold back what goes these ways until `heal`, as lost packets would be."""
+        for direction in directions:
+            self._open[direction].clear()
+
+    def silence(self) -> None:
+        """Pass nothing more on the connections that are open, and leave them open."""
+        for pair in self._pairs:
+            pair.is_silent = True
+
+    def reset_all(self) -> None:
+        """Reset the connections that are open."""
+        for pair in list(self._pairs):
+            pair.close(with_reset=True)
+
+    def heal(self) -> None:
+        """Pass everything again, on connections that are not silent."""
+        self.delay_ms = 0
+        self.refuses = False
+        for event in self._open.values():
+            event.set()
+
+    def close(self) -> None:
+        """End the proxy and its connections."""
+        if self._server is not None:
+            self._server.close()
+        for pair in list(self._pairs):
+            pair.close(with_reset=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.refuses:
+            reset(writer.transport)
+            return
+        try:
+            await self._open[Direction.UP].wait()
+            onward, back = await asyncio.open_connection(*self._target())
+        except OSError:
+            reset(writer.transport)
+            return
+        except asyncio.CancelledError:
+            return  # The run is over.
+        pair = _Pair(writer, back)
+        self._pairs.add(pair)
+        try:
+            await asyncio.gather(
+                self._pump(pair, reader, back, Direction.UP),
+                self._pump(pair, onward, writer, Direction.DOWN),
+            )
+        except OSError:
+            # One side ended with a reset: so does the other.
+            pair.close(with_reset=True)
+        except asyncio.CancelledError:
+            return  # The run is over.
+        finally:
+            self._pairs.discard(pair)
+            pair.close(with_reset=False)
+
+    async def _pump(
+        self,
+        pair: _Pair,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+    ) -> None:
+        while data := await reader.read(CHUNK_BYTES):
+            if self.delay_ms:
+                await asyncio.sleep(self.delay_ms / 1000)
+            await self._open[direction].wait()
+            if not pair.is_silent:
+                writer.write(data)
+                await writer.drain()
+        await self._open[direction].wait()
+        if pair.is_silent:
+            return
+        if writer.can_write_eof():
+            writer.write_eof()
--- /dev/null
+++ b/testing/soak/promises.py
@@ -0,0 +1,363 @@
+"""What must hold whatever goes wrong, checked from what was seen."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
+
+from .endpoints import EVENTS
+from .records import Call, Records, Run
+from .world import BOUNDS, BURST, ROUTE_TIMEOUT_MS
+
+Check = Callable[[Records], Iterable[str]]
+
+CHECKS: dict[str, Check] = {}
+
+REFUSALS = frozenset((408, 421, 429, 503))
+"""Answers that promise that the request has not run and never will."""
+
+STABLE_MS = 4_000
+"""An instance counts as calm after this long without any harm."""
+
+APPLY_MS = 3_000
+"""Until a configuration that the store has is in force."""
+
+DRAIN_MS = BOUNDS["drain_timeout_ms"]
+
+STEP_BACK_MS = 250
+DISTURBED_STEP_BACK_MS = 8 * STEP_BACK_MS
+"""Requests sent this long after an instance showed a configuration are handled by
+it; on an instance that is harmed the longer time holds."""
+
+LATE_MS = 500
+"""After a route's timeout, until its final answer must be there."""
+
+MOST_LATE, MOST_LATE_SHARE = 7, 0.25
+"""Of the requests that outlast their timeout, those whose answer may be late."""
+
+MOST_LOST = 3
+"""Of the requests of calm instances, those that may end without an answer."""
+
+RECOVERY_MS = 15_000
+"""Until every instance serves again once all harm has ended."""
+
+THAW_MS = 300
+"""Calls that come this soon after a pause or a cut may have been under way."""
+
+
+def check(judge: Check) -> Check:
+    """Register a check by its name."""
+    CHECKS[judge.__name__] = judge
+    return judge
+
+
+def broken(records: Records) -> list[str]:
+    """Return a line for each promise that was broken."""
+    return [
+        f"{name}: {text}" for name, judge in CHECKS.items() for text in judge(records)
+    ]
+
+
+def _executed(call: Call) -> list[Run]:
+    return [run for run in call.runs if run.was_run]
+
+
+@check
+def once_only(records: Records) -> Iterator[str]:
+    """A request that isn't idempotent runs once at most."""
+    for call in records.calls.values():
+        runs = _executed(call)
+        if call.kind == "order" and len(runs) > 1:
+            where = ", ".join(f"{run.endpoint} at {run.arrived_ms}" for run in runs)
+            yield f"{call.id} ran {len(runs)} times: {where}"
+
+
+@check
+def honest_refusals(records: Records) -> Iterator[str]:
+    """What is refused has not run and does not run later."""
+    for call in records.calls.values():
+        if call.kind == "order" and call.status in REFUSALS and _executed(call):
+            yield f"{call.id} was answered {call.status} and ran"
+
+
+@check
+def whole_answers(records: Records) -> Iterator[str]:
+    """A success is one endpoint's whole answer to this request."""
+    for call in records.calls.values():
+        if call.status is None or not call.is_whole:
+            continue
+        if call.answered_id != call.id:
+            yield f"{call.id} got an answer for {call.answered_id!r}"
+        if call.status != 200:
+            continue
+        if not call.seal:
+            yield f"{call.id} got a success that no endpoint sealed"
+        elif call.kind == "stream":
+            if call.seal not in [run.seal for run in call.runs]:
+                yield f"{call.id} got the seal of no run"
+        elif not any(
+            run.seal == call.seal and run.body == call.answer for run in call.runs
+        ):
+            yield f"{call.id} got {len(call.answer)} bytes that no endpoint sent"
+
+
+@check
+def streams_in_order(records: Records) -> Iterator[str]:
+    """Events come in order, each once, and a complete stream has all."""
+    for call in records.calls.values():
+        if call.kind != "stream" or call.status != 200:
+            continue
+        if call.events != list(range(1, len(call.events) + 1)):
+            yield f"{call.id} got the events {call.events}"
+        elif call.is_whole and len(call.events) != EVENTS:
+            yield f"{call.id} ended as complete after {len(call.events)} events"
+
+
+@check
+def nothing_unasked(records: Records) -> Iterator[str]:
+    """Endpoints run what callers sent, unchanged, for the key's customer."""
+    for request_id, run in records.unknown_runs:
+        yield f"{run.endpoint} got a request with the unknown id {request_id!r}"
+    for call in records.calls.values():
+        service = "other" if call.kind == "other" else "app"
+        for run in _executed(call):
+            if run.request_body != call.body:
+                yield f"{call.id} ran at {run.endpoint} with another body"
+            if run.customer != call.customer:
+                yield f"{call.id} ran for {run.customer!r}, not {call.customer!r}"
+            if run.service != service:
+                yield f"{call.id} ran at the service {run.service}"
+
+
+@check
+def nothing_to_drained_endpoints(records: Records) -> Iterator[str]:
+    """Endpoints that leave get no request late from calm instances."""
+    for call in records.calls.values():
+        for run in _executed(call):
+            due_ms = records.drained_ms.get(run.endpoint, run.arrived_ms) + DRAIN_MS
+            whats = (call.instance, "store", run.endpoint)
+            since_ms = min(due_ms - DRAIN_MS, run.arrived_ms) - STABLE_MS
+            if run.arrived_ms > due_ms and records.is_calm(
+                whats, since_ms, run.arrived_ms
+            ):
+                late_ms = run.arrived_ms - due_ms
+                yield f"{call.id} reached {run.endpoint} {late_ms:.0f} ms too late"
+
+
+def _shown(call: Call) -> tuple[int, int] | None:
+    """Return the configuration that a call's handling shows, and when it did."""
+    if call.feature and (runs := _executed(call)):
+        return call.feature, runs[0].arrived_ms
+    return None
+
+
+@check
+def no_step_back(records: Records) -> Iterator[str]:
+    """An instance never handles requests by an older configuration again."""
+    by_process: dict[tuple[str, int], list[Call]] = defaultdict(list)
+    for call in records.calls.values():
+        if call.feature:
+            by_process[call.instance, call.incarnation].append(call)
+    for (instance, incarnation), calls in by_process.items():
+        seen = sorted(filter(None, map(_shown, calls)), key=lambda each: each[1])
+        for call in calls:
+            if call.status != 404:
+                continue
+            is_calm = records.is_calm(
+                (instance,), call.sent_ms - STABLE_MS, call.ended_ms or call.sent_ms
+            )
+            slack_ms = STEP_BACK_MS if is_calm else DISTURBED_STEP_BACK_MS
+            if any(
+                number >= call.feature and at_ms + slack_ms < call.sent_ms
+                for number, at_ms in seen
+            ):
+                yield f"{instance}/{incarnation} went back behind {call.feature}"
+
+
+@check
+def configurations_in_time(records: Records) -> Iterator[str]:
+    """Calm instances handle requests by what the store has had for a while."""
+    written_ms = {version.number: version.written_ms for version in records.versions}
+    for call in records.calls.values():
+        if call.status != 404:
+            continue
+        if not call.feature:
+            yield f"{call.id} was denied a route that always was"
+            continue
+        age_ms = call.sent_ms - written_ms[call.feature]
+        whats = (call.instance, "store")
+        since_ms = call.sent_ms - APPLY_MS - STABLE_MS
+        if age_ms > APPLY_MS and records.is_calm(whats, since_ms, call.sent_ms):
+            yield f"{call.instance} had not applied {call.feature} after {age_ms} ms"
+
+
+def _most_in_window(times_ms: list[int], window_ms: float) -> int:
+    times_ms = sorted(times_ms)
+    most = first = 0
+    for index, at_ms in enumerate(times_ms):
+        while times_ms[first] <= at_ms - window_ms:
+            first += 1
+        most = max(most, index - first + 1)
+    return most
+
+
+@check
+def quotas(records: Records) -> Iterator[str]:
+    """A customer's requests stay within its quota, over all instances."""
+    window_s = BOUNDS["quota_window_s"]
+    rate_per_s = max(version.rate_per_s for version in records.versions)
+    allowed = (rate_per_s * window_s + BURST) * (1 + BOUNDS["quota_overage"])
+    allowed += BOUNDS["quota_slack"]
+    times_ms = [
+        call.runs[0].arrived_ms
+        for call in records.calls.values()
+        if call.customer == "limited" and _executed(call)
+    ]
+    most = _most_in_window(times_ms, window_s * 1000)
+    if most > allowed:
+        yield f"{most} requests in {window_s} s, {allowed:.0f} allowed"
+
+
+@check
+def retry_budgets(records: Records) -> Iterator[str]:
+    """Repeats to a service stay within the budget, over all instances."""
+    window_ms = BOUNDS["budget_window_s"] * 1000
+    for service in ("app", "other"):
+        asked = sorted(
+            call.sent_ms
+            for call in records.calls.values()
+            if ("other" if call.kind == "other" else "app") == service
+        )
+        repeats = sorted(
+            run.arrived_ms
+            for call in records.calls.values()
+            for run in call.runs[1:]
+            if run.service == service
+        )
+        for end_ms in repeats:
+            count = sum(end_ms - window_ms < at_ms <= end_ms for at_ms in repeats)
+            requests = max(
+                sum(
+                    end_ms - back_ms - window_ms < at_ms <= end_ms - back_ms
+                    for at_ms in asked
+                )
+                for back_ms in (0, window_ms / 2, window_ms)
+            )
+            allowed = BOUNDS["retry_budget_ratio"] * requests
+            allowed += BOUNDS["budget_extra_retries"]
+            if count > allowed:
+                yield f"{count} repeats to {service}, {allowed:.0f} allowed"
+                break
+
+
+@check
+def one_holder(records: Records) -> Iterator[str]:
+    """One instance at a time acts for a duty, by rising fencing numbers."""
+    highest = 0
+    holders: dict[int, str] = {}
+    counts: dict[int, dict[str, int]] = {}
+    for call in records.duty_calls:
+        holder = holders.setdefault(call.fencing_number, call.holder)
+        if holder != call.holder:
+            yield f"{holder} and {call.holder} both act by {call.fencing_number}"
+        reported = counts.setdefault(call.window, call.counts)
+        if reported != call.counts:
+            yield f"two reports for window {call.window}: {reported}, {call.counts}"
+        whats = (call.holder, "store", "cloud")
+        is_calm = records.is_calm(whats, call.at_ms - THAW_MS, call.at_ms)
+        if call.fencing_number < highest and is_calm:
+            yield f"{call.holder} acted by {call.fencing_number} after {highest}"
+        highest = max(highest, call.fencing_number)
+    yield from _alternating(records)
+
+
+def _alternating(records: Records) -> Iterator[str]:
+    """Yield where holders act in the order A, B, A within a lease."""
+    turns: list[tuple[str, int, int]] = []
+    for call in records.duty_calls:
+        whats = (call.holder, "store", "cloud")
+        if not records.is_calm(whats, call.at_ms - THAW_MS, call.at_ms):
+            continue
+        if turns and turns[-1][0] == call.holder:
+            turns[-1] = (call.holder, turns[-1][1], call.at_ms)
+        else:
+            turns.append((call.holder, call.at_ms, call.at_ms))
+    for before, _, after in zip(turns, turns[1:], turns[2:], strict=False):
+        apart_ms = after[1] - before[2]
+        if before[0] == after[0] and apart_ms < BOUNDS["lease_duration_ms"]:
+            yield f"{before[0]} acted again {apart_ms} ms after another had"
+
+
+@check
+def answers_in_time(records: Records) -> Iterator[str]:
+    """Requests that outlast their route's timeout get their answer at it."""
+    long, late = 0, []
+    for call in records.calls.values():
+        if call.ended_ms is None:
+            continue
+        took_ms = call.ended_ms - call.sent_ms
+        since_ms = call.sent_ms - STABLE_MS
+        if took_ms <= ROUTE_TIMEOUT_MS or not records.is_calm(
+            (call.instance,), since_ms, call.ended_ms
+        ):
+            continue
+        long += 1
+        if took_ms > ROUTE_TIMEOUT_MS + LATE_MS:
+            late.append(call.id)
+    if len(late) > max(MOST_LATE, MOST_LATE_SHARE * long):
+        yield f"{len(late)} of {long} had no answer at their timeout: {late[:5]}"
+
+
+@check
+def nothing_lost(records: Records) -> Iterator[str]:
+    """Calm instances answer what they passed on to sound endpoints."""
+    lost = []
+    for call in records.calls.values():
+        if call.status is not None or call.ended_ms is None or not call.runs:
+            continue
+        left_early = call.ended_ms - call.sent_ms < ROUTE_TIMEOUT_MS
+        whats = (call.instance, *(run.endpoint for run in call.runs))
+        since_ms = call.sent_ms - STABLE_MS
+        if not call.has_left and left_early:
+            if records.is_calm(whats, since_ms, call.ended_ms):
+                lost.append(call.id)
+    if len(lost) > MOST_LOST:
+        yield f"{len(lost)} without an answer: {lost[:5]}"
+
+
+@check
+def nothing_cut_off_by_a_stop(records: Records) -> Iterator[str]:
+    """An instance that is told to stop answers what it has passed on."""
+    stops = [each for each in records.disturbances if each.kind == "stop"]
+    for call in records.calls.values():
+        if call.status is not None or call.has_left or not _executed(call):
+            continue
+        ended_ms = call.ended_ms or call.sent_ms
+        if ended_ms - call.sent_ms >= ROUTE_TIMEOUT_MS:
+            continue
+        is_within = any(
+            stop.what == call.instance
+            and stop.from_ms - ROUTE_TIMEOUT_MS <= call.sent_ms <= (stop.until_ms or 0)
+            for stop in stops
+        )
+        others = Records(
+            disturbances=[d for d in records.disturbances if d.kind != "stop"]
+        )
+        whats = (call.instance, *(run.endpoint for run in call.runs))
+        if is_within and others.is_calm(whats, call.sent_ms - STABLE_MS, ended_ms):
+            yield f"{call.id} ran and got no answer while {call.instance} stopped"
+
+
+@check
+def no_process_ends_by_itself(records: Records) -> Iterator[str]:
+    """Instances run until they are told to stop."""
+    for name, code in records.exits:
+        yield f"{name} ended with code {code}"
+
+
+@check
+def service_returns(records: Records) -> Iterator[str]:
+    """Every instance serves again once all harm has ended."""
+    for name, at_ms in records.served_again_ms.items():
+        if at_ms < 0:
+            yield f"{name} served nothing {RECOVERY_MS} ms after the last harm"
--- /dev/null
+++ b/testing/soak/records.py
@@ -0,0 +1,122 @@
+"""What callers, endpoints and the platform saw, for the checks."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Run(msgspec.Struct):
+    """A request at an endpoint.
+
+    Attributes
+    ----------
+    arrived_ms : int
+        When its last byte was read.
+    was_run : bool
+        False where the endpoint refused it and said so.
+    body : bytes or None
+        The whole answer; None for failures and streams.
+    """
+
+    endpoint: str
+    service: str
+    arrived_ms: int
+    was_run: bool
+    customer: str
+    request_body: bytes
+    status: int = 0
+    seal: str = ""
+    body: bytes | None = None
+
+
+class Call(msgspec.Struct):
+    """A caller's request and what came of it.
+
+    Attributes
+    ----------
+    feature : int
+        Number of the first configuration that has its route; 0 for all.
+    status : int or None
+        None if no answer came.
+    events : list of int
+        Numbers of the events of a stream, as they came.
+    is_whole : bool
+        Whether the answer looks complete.
+    has_left : bool
+        Whether the caller left on purpose.
+    """
+
+    id: str
+    instance: str
+    incarnation: int
+    kind: str
+    customer: str
+    sent_ms: int
+    body: bytes
+    feature: int = 0
+    runs: list[Run] = msgspec.field(default_factory=list)
+    status: int | None = None
+    seal: str = ""
+    answered_id: str = ""
+    answer: bytes = b""
+    events: list[int] = msgspec.field(default_factory=list)
+    is_whole: bool = False
+    has_left: bool = False
+    ended_ms: int | None = None
+
+
+class DutyCall(msgspec.Struct):
+    """A call of an instance at the platform's API."""
+
+    at_ms: int
+    holder: str
+    fencing_number: int
+    path: str
+    window: int
+    counts: dict[str, int]
+
+
+class Disturbance(msgspec.Struct):
+    """Something that was harmed, from when to when; ``until_ms`` None: still is."""
+
+    what: str
+    kind: str
+    from_ms: int
+    until_ms: int | None = None
+
+
+class Version(msgspec.Struct):
+    """A configuration that the store has acknowledged."""
+
+    number: int
+    written_ms: int
+    rate_per_s: float
+
+
+class Records(msgspec.Struct):
+    """All that was seen in a run."""
+
+    calls: dict[str, Call] = msgspec.field(default_factory=dict)
+    unknown_runs: list[tuple[str, Run]] = msgspec.field(default_factory=list)
+    duty_calls: list[DutyCall] = msgspec.field(default_factory=list)
+    disturbances: list[Disturbance] = msgspec.field(default_factory=list)
+    versions: list[Version] = msgspec.field(default_factory=list)
+    drained_ms: dict[str, int] = msgspec.field(default_factory=dict)
+    exits: list[tuple[str, int]] = msgspec.field(default_factory=list)
+    healed_ms: int = 0
+    served_again_ms: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def begin(self, what: str, kind: str, now_ms: int) -> Disturbance:
+        """Note that something is harmed from now on."""
+        disturbance = Disturbance(what, kind, now_ms)
+        self.disturbances.append(disturbance)
+        return disturbance
+
+    def is_calm(self, whats: tuple[str, ...], from_ms: int, until_ms: int) -> bool:
+        """Return whether none of these was harmed in the whole span."""
+        return not any(
+            each.what in whats
+            and each.from_ms <= until_ms
+            and (each.until_ms is None or each.until_ms >= from_ms)
+            for each in self.disturbances
+        )
--- /dev/null
+++ b/testing/soak/run.py
@@ -0,0 +1,137 @@
+"""Plays one seed and tells which promises were broken."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+from .callers import CONNECTIONS, Caller
+from .faults import FAULTS, schedule
+from .promises import RECOVERY_MS, STABLE_MS, broken
+from .records import Records
+from .world import World, dump
+
+WARM_S = 1.0
+"""Calls before the first fault."""
+
+SETTLE_S = STABLE_MS / 1000 + 1
+"""Calls after the last fault, so that calm instances show what they do."""
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """A run.
+
+    Attributes
+    ----------
+    seed : int
+        Of the faults and the calls.
+    length_s : float
+        In which faults begin.
+    faults : int
+        How many.
+    instances : int
+        Processes.
+    """
+
+    seed: int
+    length_s: float = 15.0
+    faults: int = 12
+    instances: int = 4
+
+
+class Outcome(msgspec.Struct):
+    """What a run showed."""
+
+    plan: Plan
+    broken: list[str]
+    calls: int
+    answered: int
+    faults: list[str]
+    records: Records
+
+
+async def play(plan: Plan, folder: Path) -> Outcome:
+    """Play a seed; settings and logs of the instances go to ``folder``."""
+    rng = random.Random(plan.seed)
+    world = World(folder, random.Random(rng.random()), plan.instances)
+    faults = schedule(plan.seed, plan.faults, plan.length_s)
+    try:
+        await world.start()
+        callers = [
+            Caller(world, f"{name}-c{number}", name, random.Random(rng.random()))
+            for name in world.instances
+            for number in range(CONNECTIONS)
+        ]
+        calling = [asyncio.create_task(caller.run()) for caller in callers]
+        await asyncio.sleep(WARM_S)
+        await _play_faults(world, faults)
+        await world.heal()
+        await _wait_served(world)
+        await asyncio.sleep(SETTLE_S)
+        for task in calling:
+            task.cancel()
+        results = await asyncio.gather(*calling, return_exceptions=True)
+        for result in results:
+            if isinstance(result, Exception):
+                raise result
+        for caller in callers:
+            caller.close()
+    finally:
+        await world.stop()
+    records = world.records
+    return Outcome(
+        plan=plan,
+        broken=broken(records),
+        calls=len(records.calls),
+        answered=sum(call.status == 200 for call in records.calls.values()),
+        faults=[f"{at_s:5.1f} s {name}" for at_s, name, _ in faults],
+        records=records,
+    )
+
+
+async def _play_faults(world: World, faults: list[tuple[float, str, int]]) -> None:
+    async def play_one(at_s: float, name: str, seed: int) -> None:
+        await asyncio.sleep(at_s)
+        await FAULTS[name](world, random.Random(seed))
+
+    await asyncio.gather(*(play_one(*each) for each in faults))
+
+
+async def _wait_served(world: World) -> None:
+    """Note when each instance serves again after the last harm."""
+
+    async def wait(name: str) -> None:
+        caller = Caller(world, f"{name}-probe", name, random.Random(name))
+        served = world.records.served_again_ms
+        served[name] = -1
+        try:
+            async with asyncio.timeout(RECOVERY_MS / 1000):
+                while True:
+                    call = await caller.call("other")
+                    if call is not None and call.status == 200:
+                        served[name] = world.clock.now_ms()
+                        return
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            return
+        finally:
+            caller.close()
+
+    await asyncio.gather(*(wait(name) for name in world.instances))
+
+
+def play_seed(plan: Plan, keep: Path | None = None) -> Outcome:
+    """Play a seed in a loop of its own; keep the logs of a failed run."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        outcome = asyncio.run(play(plan, Path(folder)))
+        if outcome.broken and keep is not None:
+            kept = keep / f"seed-{plan.seed}"
+            kept.mkdir(parents=True, exist_ok=True)
+            for log in Path(folder).glob("*.log"):
+                (kept / log.name).write_bytes(log.read_bytes())
+            (kept / "records.json").write_bytes(dump(outcome.records))
+    return outcome
--- /dev/null
+++ b/testing/soak/world.py
@@ -0,0 +1,266 @@
+"""The instances of a run and everything around them, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from pathlib import Path
+
+import msgspec
+
+from _monsoonpulley.clock import Clock
+from _monsoonpulley.standins.rowstore import RowStore, Trouble
+
+from ..ingress.site import HOST, endpoint_row
+from .endpoints import Endpoint, Manner
+from .instances import CALLERS_PORT, READINESS_PORT, Instance
+from .link import Link
+from .platform import DutyApi
+from .records import Records, Version
+
+ZONES = ("zone-a", "zone-b")
+ENDPOINTS = {"app": 5, "other": 2}
+ENDPOINT_PORT = 9_000
+ROUTE_TIMEOUT_MS = 2_500
+START_S = 10
+"""Until all instances must be ready for the first time."""
+
+OPEN_KEY, LIMITED_KEY = "open-key", "limited-key"
+CUSTOMERS = {OPEN_KEY: "open", LIMITED_KEY: "limited"}
+RATE_PER_S, BURST = 12.0, 12.0
+
+BOUNDS = {
+    "retry_budget_ratio": 0.2,
+    "budget_window_s": 10,
+    "budget_extra_retries": 30,
+    "quota_window_s": 8,
+    "quota_overage": 0.1,
+    "quota_slack": 12,
+    "grace_period_s": 5,
+    "lease_duration_ms": 3_000,
+    "usage_window_s": 1,
+    "drain_timeout_ms": 3_000,
+}
+"""As on the users' sheets, but with windows of usage so short that a duty's calls
+show who holds it, and with budgets that faults reach."""
+
+FIRST_SUBNETS = 64
+"""Subnets of 127.0.0.0/8 from here on are the soak's, one for a process."""
+
+
+class World:
+    """Instances, endpoints, store and platform, and the links between them.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    rng : random.Random
+        For what the endpoints do.
+    count : int
+        Instances.
+    """
+
+    def __init__(self, folder: Path, rng: random.Random, count: int):
+        self.clock = Clock.from_system()
+        self.records = Records()
+        self.store = RowStore(self.clock)
+        self.rng = rng
+        self._subnet = f"127.{FIRST_SUBNETS + os.getpid() // 250 % 128}"
+        self._subnet += f".{os.getpid() % 250}"
+        self._platform = DutyApi(self.records, self.clock)
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._numbers = 0
+        self.instances: dict[str, Instance] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.caller_links: dict[str, Link] = {}
+        self.store_links: dict[str, Link] = {}
+        self.endpoint_links: dict[str, Link] = {}
+        self.cloud_link = Link(self._platform.server.address)
+        self._folder = folder
+        self._count = count
+
+    def is_calm(self, whats: tuple[str, ...], from_ms: int, until_ms: int) -> bool:
+        """Return whether none of these was harmed in the whole span."""
+        return self.records.is_calm(whats, from_ms, until_ms)
+
+    async def start(self) -> None:
+        """Start everything; returns when all instances are ready."""
+        store_address = await self.store.listen()
+        await self._platform.server.listen("127.0.0.1", 0)
+        cloud_ip = f"{self._subnet}.240"
+        await self.cloud_link.listen(cloud_ip, CALLERS_PORT)
+        self.configure()
+        for service, count in ENDPOINTS.items():
+            for _ in range(count):
+                await self.add_endpoint(service)
+        for number in range(1, self._count + 1):
+            name, ip = f"instance-{number}", f"{self._subnet}.{number}"
+            store = Link(lambda: store_address)
+            await store.listen(f"{self._subnet}.{100 + number}", CALLERS_PORT)
+            callers = Link(lambda ip=ip: (ip, CALLERS_PORT))
+            await callers.listen(f"{self._subnet}.{150 + number}", CALLERS_PORT)
+            self.store_links[name], self.caller_links[name] = store, callers
+            self.instances[name] = Instance(
+                name,
+                ZONES[number % len(ZONES)],
+                ip,
+                self._folder,
+                {
+                    "store": f"{self._subnet}.{100 + number}:{CALLERS_PORT}",
+                    "cloud": f"{cloud_ip}:{CALLERS_PORT}",
+                },
+                BOUNDS,
+                self.records,
+                self.clock,
+            )
+        await asyncio.gather(*(each.start() for each in self.instances.values()))
+        async with asyncio.timeout(START_S):
+            for instance in self.instances.values():
+                while not await self.is_ready(instance):
+                    await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """End what was started."""
+        await asyncio.gather(*(each.kill() for each in self.instances.values()))
+        links = (self.caller_links, self.store_links, self.endpoint_links)
+        for link in [each for group in links for each in group.values()]:
+            link.close()
+        self.cloud_link.close()
+        for endpoint in self.endpoints.values():
+            endpoint.die()
+        self._platform.server.stop_listening()
+        self.store.close()
+
+    async def heal(self) -> None:
+        """End every harm; instances that are down start again."""
+        self.store.trouble = Trouble.NONE
+        for link in (*self.caller_links.values(), *self.store_links.values()):
+            link.heal()
+        for link in self.endpoint_links.values():
+            link.heal()
+        self.cloud_link.heal()
+        for endpoint in self.endpoints.values():
+            endpoint.manner = Manner.SOUND
+        for instance in self.instances.values():
+            if not instance.is_running:
+                await instance.start()
+        now_ms = self.clock.now_ms()
+        for disturbance in self.records.disturbances:
+            if disturbance.until_ms is None:
+                disturbance.until_ms = now_ms
+        self.records.healed_ms = now_ms
+
+    def caller_ip(self, instance: str) -> str:
+        """Return where callers of an instance connect."""
+        return f"{self._subnet}.{150 + int(instance.rpartition('-')[2])}"
+
+    async def is_ready(self, instance: Instance) -> bool:
+        """Ask an instance as the balancer would."""
+        try:
+            async with asyncio.timeout(1):
+                reader, writer = await asyncio.open_connection(
+                    instance.ip, READINESS_PORT
+                )
+                writer.write(b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                return b" 200 " in line
+        except (OSError, TimeoutError):
+            return False
+
+    def configure(self, rate_per_s: float = RATE_PER_S) -> int:
+        """Write the next configuration; return its number."""
+        number = len(self.records.versions) + 1
+        self.store.put("op", "config", document(number, rate_per_s))
+        self.records.versions.append(Version(number, self.clock.now_ms(), rate_per_s))
+        return number
+
+    async def add_endpoint(
+        self, service: str, address: tuple[str, int] | None = None
+    ) -> Endpoint:
+        """Start an endpoint, at an address that was used before if one is given."""
+        self._numbers += 1
+        name = f"endpoint-{self._numbers}"
+        rng = random.Random(f"{self.rng.random()}")
+        endpoint = Endpoint(name, service, self.records, self.clock, rng)
+        ip = f"{self._subnet}.{200 + self._numbers % 40}"
+        address = address or (ip, ENDPOINT_PORT + 2 * self._numbers)
+        await endpoint.listen(address[0], address[1] + 1)
+        link = Link(lambda: (address[0], address[1] + 1))
+        await link.listen(*address)
+        self.endpoints[name], self.endpoint_links[name] = endpoint, link
+        self._addresses[name] = address
+        self.describe(endpoint)
+        return endpoint
+
+    def thin_out(self) -> None:
+        """End endpoints of services that have more than at the start."""
+        for service, count in ENDPOINTS.items():
+            having = [e for e in self.endpoints.values() if e.service == service]
+            for endpoint in having[: len(having) - count]:
+                self.remove_endpoint(endpoint.name)
+
+    def describe(self, endpoint: Endpoint, state: str = "ready") -> None:
+        """Write an endpoint's row."""
+        ip, port = self._addresses[endpoint.name]
+        zone = ZONES[sum(endpoint.name.encode()) % len(ZONES)]
+        row = endpoint_row(
+            f"{ip}:{port}", service=endpoint.service, state=state, zone=zone
+        )
+        self.store.put("servers", endpoint.name, row)
+        if state == "draining":
+            self.records.drained_ms[endpoint.name] = self.clock.now_ms()
+
+    def remove_endpoint(self, name: str) -> tuple[str, int]:
+        """End an endpoint and its row; return its address, which is free now."""
+        self.records.begin(name, "gone", self.clock.now_ms())
+        self.endpoints.pop(name).die()
+        self.endpoint_links.pop(name).close()
+        self.store.remove("servers", name)
+        self.records.drained_ms.setdefault(name, self.clock.now_ms())
+        return self._addresses[name]
+
+
+def document(number: int, rate_per_s: float) -> dict:
+    """Return a configuration: its number of features tells it from earlier ones."""
+    kinds = {"app": "safe", "order": "unsafe", "stream": "streaming", "other": "safe"}
+    kinds |= {f"feature-{feature}": "safe" for feature in range(1, number + 1)}
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": ROUTE_TIMEOUT_MS,
+            "target_latency_ms": 300,
+            "target_gap_ms": 500,
+            "priority": 1,
+            "service": "other" if name == "other" else "app",
+            "max_attempts": 3,
+            "allow_anonymous": False,
+            "resume_streams": kind == "streaming",
+        }
+        for name, kind in kinds.items()
+    ]
+    return {
+        "version": number,
+        "routes": routes,
+        "services": [{"name": name, "max_connections": 100} for name in ENDPOINTS],
+        "limits": {"idle_timeout_ms": 15_000},
+        "tenants": [
+            {"name": "open", "api_keys": [OPEN_KEY]},
+            {
+                "name": "limited",
+                "api_keys": [LIMITED_KEY],
+                "rate_per_s": rate_per_s,
+                "burst": BURST,
+            },
+        ],
+    }
+
+
+def dump(records: Records) -> bytes:
+    """Return all that was seen, to be kept with the seed of a failed run."""
+    return msgspec.json.format(msgspec.json.encode(records))
