Send no call after its time, however long connecting took

Cause: the timeout of a call began once there was a connection, up to 300 ms later, or any time later if the process stood still while it connected. Calls of a duty are allowed only if the lease outlasts their timeout, so an order could be sent after the lease. Now the time runs from the call's start, and a call whose time is over is not sent. testing/wire/test_caller.py fails before.

--- a/src/_monsoonpulley/wire/caller.py
+++ b/src/_monsoonpulley/wire/caller.py
@@ -36,6 +36,7 @@
 
     def __init__(self, ip: str, port: int, clock: Clock):
         self._host = f"{ip}:{port}"
+        self._clock = clock
         self._pool = ConnectionPool(ip, port, clock, MOST_CONNECTIONS)
 
     @property
@@ -63,23 +64,31 @@
         headers : tuple of pairs
             Sent besides ``Host`` and ``Content-Length``.
         timeout_ms : int
-            From here to the end of the answer.
+            From here to the end of the answer; nothing is sent after it, however
+            long connecting took or the process stood still meanwhile.
 
         Returns
         -------
         Reply or Failure
             A failure's ``delivery`` says whether the call may have arrived.
         """
+        due_ms = self._clock.now_ms() + timeout_ms
         connection = await self._pool.acquire()
         if isinstance(connection, Failure):
             return connection
+        left_ms = due_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            self._pool.release(connection)
+            return self._failure(
+                Reason.TIMEOUT, "connecting took too long", Delivery.NOT_SENT
+            )
         mailbox = Mailbox()
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self._host}"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines.append(f"Content-Length: {len(body)}")
         connection.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body, mailbox)
         timer = asyncio.get_running_loop().call_later(
-            timeout_ms / 1000, mailbox.put, None, TimeUp("call")
+            left_ms / 1000, mailbox.put, None, TimeUp("call")
         )
         try:
             result = await self._collect(mailbox)
@@ -111,5 +120,7 @@
             elif isinstance(event, TimeUp):
                 return self._failure(Reason.TIMEOUT, "no complete answer in time")
 
-    def _failure(self, reason: Reason, detail: str) -> Failure:
-        return Failure(reason, "http.call", self._host, detail, Delivery.MAYBE)
+    def _failure(
+        self, reason: Reason, detail: str, delivery: Delivery = Delivery.MAYBE
+    ) -> Failure:
+        return Failure(reason, "http.call", self._host, detail, delivery)
