Send no request whose time ran out while connecting

Cause: such a request was sent with 1 ms left, and its caller got 504 for work that may have run. It is refused now: nothing was sent. The test fails before (504). Also tests that were missing: a later send has a shorter deadline, a caller that leaves a stream ends its endpoint's work.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -99,6 +99,9 @@
                 # It began to leave while the connection was being made.
                 self.detail = "the endpoint is leaving"
                 return Result.UNREACHABLE
+            if self._run.left_ms() <= 0:
+                self.detail = "the time ran out while connecting"
+                return Result.UNREACHABLE
             board.sent(self._endpoint.id, self._unread_tokens)
             try:
                 self._send(connection)
@@ -147,7 +150,7 @@
             run.exchange.request,
             endpoint=self._endpoint.id,
             customer=run.customer_id,
-            left_ms=max(1, run.left_ms()),
+            left_ms=run.left_ms(),
             last_event_id=run.last_event_id,
         )
         run.sends += 1
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -196,6 +196,29 @@
         self.assertGreater(len(lost.calls), 0)
         self.assertEqual(len(good.calls), 6)
 
+    async def test_a_later_send_is_given_only_the_time_that_is_left(self):
+        took_ms = 700
+
+        async def reset_late(call) -> None:
+            if not resets:
+                resets.append(call)
+                await asyncio.sleep(took_ms / 1000)
+                call.writer.transport.abort()
+                return
+            call.answer()
+
+        resets: list = []
+        endpoints = [await self.site.add_endpoint(reset_late) for _ in range(2)]
+        await self.site.start(configuration(kind="safe"))
+        self.assertEqual((await self.site.ask(deadline_ms=1_900)).status, 200)
+        calls = [call for e in endpoints for call in e.calls]
+        given_ms = sorted(
+            int(call.headers["monsoonpulley-deadline-milliseconds"]) for call in calls
+        )
+        self.assertEqual(len(given_ms), 2)
+        self.assertLessEqual(given_ms[0], 1_900 - took_ms)
+        self.assertLessEqual(given_ms[1], 1_900)
+
     async def test_an_unsafe_request_that_may_have_run_is_never_sent_again(self):
         for fault in (reset, truncate):
             with self.subTest(fault=fault.__name__):
@@ -360,6 +383,24 @@
         await self.site.until(lambda: self.site.events("request"))
         self.assertEqual(self.site.events("request")[0]["detail"], "caller left")
 
+    async def test_a_caller_that_leaves_a_stream_ends_the_endpoints_work(self):
+        async def stream(call) -> None:
+            call.start_stream()
+            call.event(1)
+            # Reading on shows the end of the connection.
+            await call.writer.drain()
+
+        endpoint = await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming", resume_streams=True))
+        reader, writer = await self.site.connect()
+        writer.write(request("a1"))
+        await asyncio.wait_for(reader.readuntil(b"piece 1\n\n"), 5)
+        writer.close()
+        await asyncio.wait_for(
+            self.site.until(lambda: endpoint.connections_lost == 1), 0.5
+        )
+        self.assertEqual(len(endpoint.calls), 1)
+
 
 class TestSlowCallers(SiteTest):
     LIMITS = {"header_timeout_ms": 300, "idle_timeout_ms": 900}
@@ -429,6 +470,22 @@
             self.assertEqual((await self.site.ask()).status, 200)
         self.assertEqual((len(leaving.calls), len(other.calls)), (0, 1))
 
+    async def test_a_request_whose_time_runs_out_while_connecting_is_not_sent(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration(kind="unsafe", timeout_ms=100))
+        acquire = ConnectionPool.acquire
+
+        async def connect_slowly(pool):
+            connection = await acquire(pool)
+            await asyncio.sleep(0.15)
+            return connection
+
+        with mock.patch.object(ConnectionPool, "acquire", connect_slowly):
+            got = await self.site.ask()
+        # It has not run and never will, and the answer may say so.
+        self.assertEqual(got.status, 503)
+        self.assertEqual(endpoint.calls, [])
+
     async def test_a_connection_with_an_answer_to_nobody_is_not_used_again(self):
         async def late(call) -> None:
             call.answer(body=b"other", request_id="someone-else")
