Ask the store again as soon as relays stop, also after an outage

Such an instance went by relays and asked again only 10 s after its loss, even if the relays had stopped meanwhile, as they do while the readers change. Ruled out: reading of the configuration (regained within 5 s in each case), a process that stood still (no such line). Now silence of 1 s is a reason to ask, whatever came before. The test fails before: nothing learnt 1.2 s after the reader was lost.

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -119,10 +119,12 @@
         if self._announced_version > self._version:
             return True
         now_ms = self._clock.now_ms()
+        if now_ms - self._news_ms >= self._fresh_ms:
+            return True
         if self.lost_ms is not None:
             relays_come = self._news_ms > self.lost_ms
             return not relays_come or now_ms - self.lost_ms >= LOST_RETRY_MS
-        return self._is_reader() or now_ms - self._news_ms >= self._fresh_ms
+        return self._is_reader()
 
     async def step(self) -> int:
         """Make one call; return how long to pause before the next, in ms."""
--- a/testing/fleet/test_tablefollower.py
+++ b/testing/fleet/test_tablefollower.py
@@ -221,6 +221,25 @@
 
         play(script, count=5)
 
+    def test_a_lost_reader_is_bridged_also_just_after_an_outage(self):
+        # The others have heard the reader's relays since, but not asked themselves.
+        async def script(group):
+            group.store.away = True
+            await group.clock.sleep_ms(3_000)
+            group.store.away = False
+            await group.clock.sleep_ms(2_000)
+            self.assertTrue(any(f.lost_ms is not None for f in group.followers[1:]))
+            group.kill(0)
+            group.store.put("a", b"late")
+            put_ms = group.clock.now_ms()
+            await group.clock.sleep_ms(FRESH_MS + 200)
+            for index in range(1, 5):
+                self.assertEqual(group.seen[index].get("a"), b"late", index)
+                took_ms = group.seen_ms[index]["a"] - put_ms
+                self.assertLessEqual(took_ms, FRESH_MS + 150)
+
+        play(script, count=5)
+
     def test_a_reader_that_the_store_turns_away_is_bridged(self):
         async def script(group):
             group.stores[0].cut = True
