Report requests that fail in one crash once, as before

Cause: since results are pooled a daemon's own counts are kept apart from its verdict, and requests that ended in one crash of an endpoint were counted each, 3 results for 1. The verdict itself was right. The test fails before: (3, 1).

--- a/src/_monsoonpulley/control/rolloutobserver.py
+++ b/src/_monsoonpulley/control/rolloutobserver.py
@@ -160,10 +160,13 @@
             if placed.version in self._view.base(result.service):
                 old.add(result)
             return
-        is_bad = self._judge(row, result, self._suspected_ms, SUSPECT_MS)
+        verdict = self._verdict(row)
         results, bad = self.counts(row)
+        results_before = verdict.results
+        is_bad = self._judge(row, result, self._suspected_ms, SUSPECT_MS)
         key = (row.service, row.version, row.attempt)
-        self._counts[key] = (results + 1, bad + is_bad)
+        counted = verdict.results - results_before
+        self._counts[key] = (results + counted, bad + is_bad)
         if row.state is RolloutState.CANARY:
             for callback in self._on_canary_result:
                 callback(result, is_bad)
@@ -178,10 +181,7 @@
         """Test a version with a result, tell if it is bad, and until when it counts."""
         old = self.old_results(row.service)
         key = (row.service, row.version, row.attempt)
-        verdict = self._verdicts.get(key)
-        if verdict is None:
-            alpha = FALSE_ALARM_RATE / max(1, self._daemons())
-            verdict = self._verdicts[key] = Verdict(alpha)
+        verdict = self._verdict(row)
         bad_before = verdict.bad
         why = verdict.add(result, old, self._clock.now_ms())
         is_bad = verdict.bad > bad_before
@@ -191,6 +191,14 @@
             self._trip(row, why)
         return is_bad
 
+    def _verdict(self, row: RolloutRow) -> Verdict:
+        key = (row.service, row.version, row.attempt)
+        verdict = self._verdicts.get(key)
+        if verdict is None:
+            alpha = FALSE_ALARM_RATE / max(1, self._daemons())
+            verdict = self._verdicts[key] = Verdict(alpha)
+        return verdict
+
     def _trip(self, row: RolloutRow, why: str) -> None:
         trip = TripRow(
             service=row.service,
--- a/testing/control/test_rolloutobserver.py
+++ b/testing/control/test_rolloutobserver.py
@@ -1,15 +1,18 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 import msgspec
 
 from _monsoonpulley.clock import ManualClock
-from _monsoonpulley.config.document import Document, Version
+from _monsoonpulley.config.document import Document, RequestClass, Version
 from _monsoonpulley.control.rolloutobserver import JOIN_MS, RolloutObserver
 from _monsoonpulley.control.rolloutrows import RolloutRow, RolloutState
 from _monsoonpulley.control.rolloutview import RolloutView
 from _monsoonpulley.control.verdict import Result
+from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.requests.placement import AttemptEnd
 
 DEADLINE_MS = 10_000_000
 STARTED_MS = 500
@@ -74,6 +77,17 @@
         self.hear(3)
         self.assertEqual(self.observer.counts(CANARY), (0, 0))
 
+    def test_requests_that_fail_in_one_crash_are_reported_once(self):
+        request_class = RequestClass("s", 2_000)
+        context = mock.Mock(class_id="class", path="/r", request_class=request_class)
+        route = mock.Mock(service="s")
+        placed = mock.Mock(route=route, version="v2", endpoint="v2-e")
+        failed = Failure(Reason.PEER_ERROR, "service.call")
+        for attempt in ("1", "2", "3"):
+            end = AttemptEnd(failed, 10, 10)
+            self.observer.ended(context, placed, attempt, end)
+        self.assertEqual(self.observer.counts(CANARY), (1, 1))
+
     def test_beyond_the_canary_each_daemon_judges_by_its_own(self):
         ramp = msgspec.structs.replace(CANARY, state=RolloutState.RAMP, share=0.2)
         self.view.apply_row(ramp, 2)
