Log each failed read of a table with its times

The first failure of a table's reads was logged, the later ones weren't: whether an instance that was late after an outage waited for an answer, paused between calls or was refused could only be inferred from sums of time-outs. table_read_failed has the call's wait, time-out and duration, the pause after it and the versions known; at most one line per call, which the pauses bound. Test: the lines account for the whole outage.

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -144,9 +144,8 @@
         previous_version = self._version
         started_ms = self._clock.now_ms()
         if previous_version is None:
-            answer = await self._store.read_table(
-                self._table, timeout_ms=self._timeout_ms
-            )
+            wait_ms, timeout_ms = 0, self._timeout_ms
+            answer = await self._store.read_table(self._table, timeout_ms=timeout_ms)
         else:
             wait_ms = self._wait_ms if self._is_reader() else 0
             # A call that may wait for a change has that time for a slow answer, too.
@@ -155,7 +154,19 @@
                 self._table, previous_version, wait_ms, timeout_ms
             )
         if isinstance(answer, Failure):
-            return self._record_failure(answer)
+            pause_ms = self._record_failure(answer)
+            self._log.event(
+                "table_read_failed",
+                table=self._table,
+                version=self._version,
+                announced_version=self._announced_version,
+                wait_ms=wait_ms,
+                timeout_ms=timeout_ms,
+                took_ms=self._clock.now_ms() - started_ms,
+                retry_ms=pause_ms,
+                error=str(answer),
+            )
+            return pause_ms
         if self._clock.now_ms() - started_ms < CALL_TIMEOUT_MS / 2:
             self._timeout_ms = CALL_TIMEOUT_MS
         self._record_answer()
