Show that a call lost in an outage delays the configuration; listed as red

A follower over a store that leaves calls unanswered, for outages of 0.4 to 12 s: at a reader the configuration is later than 3 s after the store's return for an outage of 2,010 ms from 3,000 ms on, at another instance for 10,060 ms from 4,750 ms on.

--- a/testing/fleet/test_outages.py
+++ b/testing/fleet/test_outages.py
@@ -118,6 +118,18 @@
 
 
 class TestOutage(unittest.TestCase):
+    def check_outages(self, **kwargs):
+        for before_ms in range(3_000, 5_000, 250):
+            for silence_ms in range(400, 12_000, 230):
+                reader = run_outage(before_ms, silence_ms, **kwargs)
+                self.assertEqual(reader.version, 2, (before_ms, silence_ms))
+
+    def test_a_call_lost_in_an_outage_does_not_delay_a_reader_s_configuration(self):
+        self.check_outages(is_reader=True)
+
+    def test_a_call_lost_in_an_outage_does_not_delay_a_configuration(self):
+        self.check_outages(is_reader=False)
+
     def test_each_failed_read_is_logged_with_its_times(self):
         reader = run_outage(3_000, 6_000)
         lines = [json.loads(line) for line in reader.lines]
