Repeat a table's read once another call finds the store back

The store's client now tells when an answer follows an unanswered call; a table's call in progress is then sent once more, and a pause ends. 429 ends none.

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
 
 from ..clock import Clock
 from ..errors import Delivery, Failure, Reason
@@ -63,6 +64,10 @@
         Returns whether this instance reads the table for the others.
     send : callable
         Called with the relays to send to all other instances.
+    next_recovery : callable
+        Returns an event that is set when the store answers some call of this instance
+        after leaving one without an answer. It ends the pause after a failed call, and
+        a call in progress is sent again, as its connection may be silent.
     on_recovered : callable
         Called when updates arrive again after an outage, before they are passed
         to ``on_rows``. Failed calls are no outage if relays arrive meanwhile: the
@@ -90,6 +95,7 @@
         content_of: Callable[[Row], object] = lambda row: row,
         is_reader: Callable[[], bool] = lambda: True,
         send: Callable[[list[Relay]], None] = lambda relays: None,
+        next_recovery: Callable[[], asyncio.Event] = asyncio.Event,
         on_recovered: Callable[[], None] = lambda: None,
     ):
         self._store = store
@@ -107,6 +113,7 @@
         self._content_by_key: dict[str, object] = {}
         self._is_reader = is_reader
         self._send = send
+        self._next_recovery = next_recovery
         self._on_recovered = on_recovered
         self._version: int | None = None
         self._announced_version = 0
@@ -119,7 +126,7 @@
         """Follow until cancelled."""
         while True:
             if self.must_query_store():
-                await self._clock.sleep_ms(await self.poll_store())
+                await self._pause(await self.poll_store())
             else:
                 await self._clock.sleep_ms(IDLE_CHECK_INTERVAL_MS)
 
@@ -145,7 +152,9 @@
         started_ms = self._clock.now_ms()
         if previous_version is None:
             wait_ms, timeout_ms = 0, self._timeout_ms
-            answer = await self._store.read_table(self._table, timeout_ms=timeout_ms)
+            answer = await self._call(
+                lambda: self._store.read_table(self._table, timeout_ms=timeout_ms)
+            )
         else:
             # After a failure the store's return is the news: a call that waited for a
             # change and was lost would hide it for that time too.
@@ -153,8 +162,10 @@
             wait_ms = self._wait_ms if waits else 0
             # A call that may wait for a change has that time for a slow answer, too.
             timeout_ms = CALL_TIMEOUT_MS if wait_ms else self._timeout_ms
-            answer = await self._store.read_changes(
-                self._table, previous_version, wait_ms, timeout_ms
+            answer = await self._call(
+                lambda: self._store.read_changes(
+                    self._table, previous_version, wait_ms, timeout_ms
+                )
             )
         if isinstance(answer, Failure):
             took_ms = self._clock.now_ms() - started_ms
@@ -183,6 +194,38 @@
             self._send_relays(previous_version, answer, changed)
         return self._pause_ms
 
+    async def _pause(self, pause_ms: int) -> None:
+        """Wait for the next call; after a failure at most until a recovery."""
+        if self.last_failure_ms is None:
+            await self._clock.sleep_ms(pause_ms)
+            return
+        try:
+            async with asyncio.timeout(pause_ms / 1000):
+                await self._next_recovery().wait()
+        except TimeoutError:
+            return  # No recovery: the next call is due.
+
+    async def _call(
+        self, call: Callable[[], Awaitable[Rows | Failure]]
+    ) -> Rows | Failure:
+        """Call the store, once more if it recovers before the answer.
+
+        The second call is not repeated: at a slow store recoveries may be frequent.
+        """
+        first_call = asyncio.ensure_future(call())
+        recovery = asyncio.ensure_future(self._next_recovery().wait())
+        try:
+            await asyncio.wait(
+                {first_call, recovery}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if first_call.done():
+                return first_call.result()
+        finally:
+            first_call.cancel()
+            recovery.cancel()
+        self._log.event("table_read_repeated", table=self._table, version=self._version)
+        return await call()
+
     def handle_relay(self, relay: Relay) -> None:
         """Apply a relay from a reader."""
         if self._version is None or self._is_active_reader():
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -155,6 +155,7 @@
                 carries_rows=False,
                 is_reader=is_reader,
                 send=self.digest_exchange.broadcast_relays,
+                next_recovery=self.store.next_recovery,
             ),
             ENDPOINT_TABLE: TableFollower(
                 self.store,
@@ -169,6 +170,7 @@
                 content_of=lambda row: decode_endpoint(row.key, row.value or b""),
                 is_reader=is_reader,
                 send=self.digest_exchange.broadcast_relays,
+                next_recovery=self.store.next_recovery,
                 on_recovered=parts.directory.on_store_recovered,
             ),
         }
--- a/src/_monsoonpulley/platform/store.py
+++ b/src/_monsoonpulley/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 from collections.abc import Callable
@@ -123,12 +124,18 @@
     ):
         self._client = client
         self._on_call = on_call
+        self._is_failing = False
+        self._recovery = asyncio.Event()
 
     @property
     def peer(self) -> str:
         """Return the store's address."""
         return self._client.peer
 
+    def next_recovery(self) -> asyncio.Event:
+        """Return an event set by the next answer that follows an unanswered call."""
+        return self._recovery
+
     async def read_table(
         self, table: str, key_prefix: str = "", timeout_ms: int = CALL_TIMEOUT_MS
     ) -> Rows | Failure:
@@ -280,8 +287,18 @@
         )
         failed = isinstance(reply, Failure)
         self._on_call(name, reply.reason.value if failed else str(reply.status))
+        self._record_reach(reply)
         return reply
 
+    def _record_reach(self, reply: Reply | Failure) -> None:
+        if isinstance(reply, Failure) or reply.status == 503:
+            self._is_failing = True
+        elif self._is_failing and reply.status != 429:
+            # 429 asks for fewer calls, so that it must not end any pause.
+            self._is_failing = False
+            self._recovery.set()
+            self._recovery = asyncio.Event()
+
     def _decode(self, name: str, reply: Reply) -> _Answer | Failure:
         try:
             return _answer_decoder.decode(reply.body)
--- a/testing/fleet/test_outages.py
+++ b/testing/fleet/test_outages.py
@@ -30,6 +30,8 @@
         self.clock = running_clock()
         self.version = 1
         self.is_silent = False
+        self.refuses = False
+        self.answer_ms = ANSWER_MS
         self.silence_count = 0
         self._changed = asyncio.Event()
 
@@ -49,6 +51,8 @@
         return await self._call(wait_ms + timeout_ms, wait_ms, after)
 
     async def _call(self, limit_ms, wait_ms, after):
+        if self.refuses:
+            return Failure(Reason.UNAVAILABLE, "store.call")
         try:
             async with asyncio.timeout(limit_ms / 1000):
                 return await self._answer(wait_ms, after)
@@ -65,7 +69,7 @@
                     await changed.wait()
             except TimeoutError:
                 pass  # No change: the answer has no rows.
-        await self.clock.sleep_ms(ANSWER_MS)
+        await self.clock.sleep_ms(self.answer_ms)
         if was_silent or self.silence_count != met_silences:
             await asyncio.Event().wait()
         rows = (Row("config", b"", self.version),) if self.version > after else ()
@@ -75,7 +79,9 @@
 class Reader:
     """A follower of configurations that reads them for others too."""
 
-    def __init__(self, store: SilentStore, *, is_reader: bool = True):
+    def __init__(
+        self, store: SilentStore, *, is_reader: bool = True, next_recovery=asyncio.Event
+    ):
         self.store = store
         self.clock = store.clock
         self.version = 0
@@ -92,6 +98,7 @@
             max_timeout_ms=CONFIGURATION_LONG_POLL_MS,
             carries_rows=False,
             is_reader=lambda: is_reader,
+            next_recovery=next_recovery,
         )
 
     def _apply(self, rows, is_snapshot):
@@ -142,3 +149,62 @@
             elapsed_ms = after["wall_ms"] - before["wall_ms"]
             planned_ms = before["retry_ms"] + after["took_ms"]
             self.assertAlmostEqual(elapsed_ms, planned_ms, delta=2)
+
+
+class TestRecovery(unittest.TestCase):
+    """Other calls of the instance show that the store answers again."""
+
+    def run_recovery(self, script) -> int:
+        """Return the time from the recovery to the configuration in force."""
+
+        async def main():
+            store = SilentStore()
+            recovery = asyncio.Event()
+            reader = Reader(store, next_recovery=lambda: recovery)
+            task = asyncio.create_task(reader.follower.run())
+            await store.clock.sleep_ms(3_100)
+            await script(store)
+            recovery.set()
+            recovery = asyncio.Event()
+            recovered_ms = store.clock.now_ms()
+            while reader.version < 2:
+                await store.clock.sleep_ms(1)
+            task.cancel()
+            return store.clock.now_ms() - recovered_ms
+
+        return run_manual(main())
+
+    def test_a_call_lost_on_a_silent_connection_is_repeated_after_a_recovery(self):
+        async def script(store):
+            # The call in progress is lost; new connections work.
+            store.set_silent(True)
+            store.set_silent(False)
+            store.put()
+            await store.clock.sleep_ms(700)
+
+        self.assertLess(self.run_recovery(script), 10 * ANSWER_MS)
+
+    def test_a_recovery_ends_the_pause_after_a_failed_call(self):
+        async def script(store):
+            store.refuses = True
+            await store.clock.sleep_ms(9_000)
+            store.refuses = False
+            store.put()
+
+        self.assertLess(self.run_recovery(script), 10 * ANSWER_MS)
+
+    def test_frequent_recoveries_of_a_slow_store_do_not_starve_a_call(self):
+        async def main():
+            store = SilentStore()
+            store.answer_ms = 1_500
+            recovery = asyncio.Event()
+            reader = Reader(store, next_recovery=lambda: recovery, is_reader=False)
+            task = asyncio.create_task(reader.follower.run())
+            for _ in range(20):
+                await store.clock.sleep_ms(500)
+                recovery.set()
+                recovery = asyncio.Event()
+            task.cancel()
+            return reader.version
+
+        self.assertEqual(run_manual(main()), 1)
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -91,3 +91,16 @@
     async def test_a_refused_scan_returns_a_failure(self):
         self.rows.fault = StoreFault.BUSY
         self.assertIsInstance(await self.table.scan("x/"), Failure)
+
+
+class TestRecovery(StoreTest):
+    async def test_the_first_answer_after_a_refusal_is_a_recovery(self):
+        await self.store.read_table("x")
+        recovery = self.store.next_recovery()
+        self.rows.fault = StoreFault.BUSY
+        await self.store.read_table("x")
+        self.assertFalse(recovery.is_set())
+        self.rows.fault = StoreFault.NONE
+        await self.store.read_table("x")
+        self.assertTrue(recovery.is_set())
+        self.assertFalse(self.store.next_recovery().is_set())
