Call the store at the first relay after a silence

The cause found then: a call that failed just before a cut's end is followed by a pause of up to 1 s, and the grace for rows that may return starts only after it. Change: the first relay after 2 s of silence ends the pause. Test: an endpoint without a row is gone 3 s after the cut's end if a relay arrives with it; failed before (3.5 s).

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -120,6 +120,8 @@
         self._backoff_ms = MIN_BACKOFF_MS
         self._last_update_ms: int | None = None
         self._has_relays_since_failure = False
+        self._last_relay_ms = 0
+        self._relays_resumed = asyncio.Event()
         self.last_failure_ms: int | None = None
 
     async def run(self) -> None:
@@ -150,6 +152,7 @@
         """Make one call; return the pause before the next one in milliseconds."""
         previous_version = self._version
         started_ms = self._clock.now_ms()
+        self._relays_resumed.clear()
         if previous_version is None:
             wait_ms, timeout_ms = 0, self._timeout_ms
             answer = await self._call(
@@ -195,15 +198,17 @@
         return self._pause_ms
 
     async def _pause(self, pause_ms: int) -> None:
-        """Wait for the next call; after a failure at most until a recovery."""
+        """Wait for the next call; after a failure, news of the store end the wait."""
         if self.last_failure_ms is None:
             await self._clock.sleep_ms(pause_ms)
             return
-        try:
-            async with asyncio.timeout(pause_ms / 1000):
-                await self._next_recovery().wait()
-        except TimeoutError:
-            return  # No recovery: the next call is due.
+        events = (self._next_recovery(), self._relays_resumed)
+        waits = [asyncio.ensure_future(event.wait()) for event in events]
+        await asyncio.wait(
+            waits, timeout=pause_ms / 1000, return_when=asyncio.FIRST_COMPLETED
+        )
+        for wait in waits:
+            wait.cancel()
 
     async def _call(
         self, call: Callable[[], Awaitable[Rows | Failure]]
@@ -230,6 +235,7 @@
         """Apply a relay from a reader."""
         if self._version is None or self._is_active_reader():
             return
+        self._record_relay()
         # The last own read predates the relay and no longer shows which rows of the
         # next read are unchanged.
         self._content_by_key.clear()
@@ -250,6 +256,16 @@
         if relay.rows:
             self._on_rows(Rows(relay.decode_rows(), relay.until), False)
 
+    def _record_relay(self) -> None:
+        """End the pause after a failed call at the first relay after a silence.
+
+        The link that was cut may carry calls to the store again, too.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_relay_ms > OUTAGE_SILENCE_MS:
+            self._relays_resumed.set()
+        self._last_relay_ms = now_ms
+
     def _is_active_reader(self) -> bool:
         return self._is_reader() and self.last_failure_ms is None
 
--- a/testing/fleet/test_recovery.py
+++ b/testing/fleet/test_recovery.py
@@ -6,6 +6,7 @@
 import unittest
 
 from _monsoonpulley.fleet.directory import EndpointDirectory
+from _monsoonpulley.fleet.relay import Relay
 from _monsoonpulley.fleet.tablefollower import TableFollower
 from _monsoonpulley.ids import ServiceId
 from _monsoonpulley.observability.log import Log
@@ -15,6 +16,9 @@
 from .test_tablefollower import DRAIN_BOUND_MS, FakeStore, FakeStoreClient
 
 CUT_MS = 5_500
+STABLE_MS = 3_000
+"""Time after a disruption's end from which users hold an instance to its bounds."""
+
 RETURN_MS = 1_900
 """Rows of endpoints that run are back about 2 s after the store's return."""
 
@@ -22,7 +26,7 @@
 class CutInstance:
     """A follower and a directory behind a link that can be cut."""
 
-    def __init__(self):
+    def __init__(self, *, is_reader: bool = True):
         self.clock = running_clock()
         self.store = FakeStore()
         self.client = FakeStoreClient(self.store, answer_ms=0)
@@ -38,6 +42,7 @@
             pause_ms=500,
             max_silence_ms=1_000,
             carries_rows=True,
+            is_reader=lambda: is_reader,
             on_recovered=self.directory.on_store_recovered,
         )
 
@@ -60,9 +65,9 @@
 
 
 class TestCut(unittest.TestCase):
-    def run_cut(self, script):
+    def run_cut(self, script, **kwargs):
         async def main():
-            instance = CutInstance()
+            instance = CutInstance(**kwargs)
             await instance.run_through_cut()
             await script(instance)
             instance.task.cancel()
@@ -88,3 +93,15 @@
                 self.assertTrue(instance.is_ready("a"))
 
         self.run_cut(script)
+
+    def test_an_endpoint_that_left_in_a_cut_gets_nothing_once_relays_return(self):
+        # Rules that bind within a time do so from 3 s after the cut's end on.
+        async def script(instance):
+            version = instance.store.version
+            await instance.clock.sleep_ms(20)
+            instance.follower.handle_relay(Relay("t", version, version))
+            await instance.clock.sleep_ms(STABLE_MS - 20)
+            self.assertFalse(instance.is_ready("a"))
+            self.assertTrue(instance.is_ready("b"))
+
+        self.run_cut(script, is_reader=False)
