Show that an endpoint's rate limit is not kept; listed as red

An endpoint that names Server-Limit: 1.6 gets all of 60 requests in 2 s, where the users allow 14 in 4 s.

--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -14,6 +14,9 @@
 
 from .site import KEY, Site, configuration, endpoint_row, read_answer, request
 
+RATE_LIMIT_NOTICE_S = 0.5
+"""Time after an endpoint's first answer with a limit from which the limit binds."""
+
 LATER = 1_000_000
 """A row version greater than all others."""
 
@@ -749,3 +752,22 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestRateLimits(SiteTest):
+    async def test_an_endpoint_that_names_a_rate_limit_gets_no_more_than_it_allows(
+        self,
+    ):
+        async def answer_with_limit(call):
+            call.answer(extra="Server-Limit: 1.6\r\n")
+
+        endpoint = await self.site.add_endpoint(answer_with_limit)
+        await self.site.start(configuration())
+        await self.site.send_request("told")
+        await asyncio.sleep(RATE_LIMIT_NOTICE_S)
+        statuses = []
+        for number in range(60):
+            statuses.append((await self.site.send_request(f"a{number}")).status)
+            await asyncio.sleep(0.03)
+        self.assertLessEqual(len(endpoint.calls) - 1, 1.5 * 1.6 * 4 + 5)
+        self.assertEqual(set(statuses), {200, 503})
