Cut off endpoints that send bytes without end

In 12 of 16 tests with such an endpoint the caller waited out its time and got 504, or 502 where the endpoint had said that nothing ran, while the bytes were kept: a head, a header, a status line, empty lines, interim answers, answers to others, framing, trailers and an event that never ends. Cause: only the body of a plain answer had a limit. Change: a connection counts all bytes of an exchange outside of its body and fails beyond 512 KB; an event may have 1 MB, as in the gateway; the body of a refusal is skipped; plain answers in progress together take 32 MB, beyond which only small ones are buffered (20 requests to such an endpoint could take 160 MB). The store's client reads at most 16 MB. In the gateway, whose library limits heads and trailers, tests now hold that. Tests: testing/ingress/test_endless_answers.py, 12 of 16 failed before.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -33,6 +33,9 @@
 """Limit of a plain answer, which is buffered whole: a larger one would take the
 memory of other requests."""
 
+MIN_BUFFERED_BYTES = 65_536
+"""Size up to which an answer is buffered whatever others take."""
+
 CONNECTION_SHARE = 0.9
 """Share of an endpoint's connections that all instances may use together."""
 
@@ -85,6 +88,7 @@
         self._head: AnswerHead | None = None
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
+        self._held_bytes = 0
         self._splitter: EventSplitter | None = None
         self._prefill_tokens = choice.prefill_tokens
         self._held_tokens = state.facts.held_tokens
@@ -130,6 +134,7 @@
                 load_board.record_end(self._endpoint.id, self._held_tokens)
         finally:
             self._state.exchange.set_upstream(None)
+            self._parts.answer_memory.release(self._held_bytes)
             pool.release(connection)
             self.elapsed_ms = self._parts.clock.now_ms() - self._started_ms
         self._record_outcome(result)
@@ -260,13 +265,31 @@
         if self._splitter is not None:
             for event in self._splitter.feed(data):
                 self._forward_event(event)
+            if self._splitter.is_too_large:
+                return self._reject_answer("an event is too large")
             return None
+        assert self._head is not None
+        if was_not_run(self._head):
+            return self._discard_refusal_body(len(data))
         self._body_bytes += len(data)
+        memory = self._parts.answer_memory
+        memory.add(len(data))
+        self._held_bytes += len(data)
         if self._body_bytes > MAX_ANSWER_BYTES:
             return self._reject_answer("the answer is too large")
+        if memory.is_exhausted and self._body_bytes > MIN_BUFFERED_BYTES:
+            return self._reject_answer("answers take too much memory")
         self._body_chunks.append(data)
         return None
 
+    def _discard_refusal_body(self, size_bytes: int) -> Result | None:
+        """Skip the body of an answer that says that the request did not run."""
+        self._body_bytes += size_bytes
+        if self._body_bytes <= MIN_BUFFERED_BYTES:
+            return None
+        self.detail = "not run, the refusal is too large"
+        return Result.NOT_RUN
+
     def _handle_end(self) -> Result:
         head = self._head
         assert head is not None
--- a/src/_monsoonpulley/ingress/eventsplitter.py
+++ b/src/_monsoonpulley/ingress/eventsplitter.py
@@ -6,6 +6,9 @@
 
 EVENT_END = b"\n\n"
 
+MAX_EVENT_BYTES = 1_048_576
+"""Limit of one event, as in the gateway; a faulty engine may never end one."""
+
 
 class StreamEvent(msgspec.Struct, frozen=True):
     """One complete event as received, with its id if it has one."""
@@ -25,6 +28,11 @@
         """Whether the buffer holds an incomplete event."""
         return bool(self._buffer.strip())
 
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the incomplete event exceeds `MAX_EVENT_BYTES`."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete."""
         pieces = (self._buffer + data).split(EVENT_END)
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -29,6 +29,7 @@
 from ..platform.store import Row
 from ..rollouts.rollouts import Rollouts
 from ..sharing.members import Members
+from .answermemory import AnswerMemory
 from .counters import Counters
 from .upstreams import Upstreams
 
@@ -55,6 +56,7 @@
     placer: Placer
     zone_reach: ZoneReach
     upstreams: Upstreams
+    answer_memory: AnswerMemory
     usage: UsageCounter
     rollouts: Rollouts
 
@@ -112,6 +114,7 @@
             placer=Placer(load_board, health, cache_index, endpoint_models, rng),
             zone_reach=ZoneReach(),
             upstreams=Upstreams(clock),
+            answer_memory=AnswerMemory(),
             usage=UsageCounter(bounds.usage_window_s),
             rollouts=Rollouts(clock, log, rng),
         )
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -18,6 +18,11 @@
 )
 from .sockets import enable_keepalive, reset
 
+MAX_OVERHEAD_BYTES = 524_288
+"""Bytes of one exchange that are no part of the answer's body: head, framing, trailers
+and answers that are skipped. Over thirty times the largest head that callers may send;
+a faulty server can send them without end."""
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -55,6 +60,7 @@
         self._is_skipping_message = False
         self._ends_at_close = False
         self._received_foreign_answer = False
+        self._overhead_bytes = 0
         self.is_open = False
         self.is_reusable = False
         self.idle_timeout_ms: int | None = None
@@ -95,6 +101,7 @@
         self._mailbox = mailbox
         self._expected_id = expected_id
         self._is_head_request = is_head
+        self._overhead_bytes = 0
         self.is_reusable = False
         self._transport.write(data)
 
@@ -127,10 +134,14 @@
         if self._mailbox is None:
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail_exchange(f"malformed answer: {error}")
+            return
+        if self._mailbox is not None and self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._fail_exchange("malformed answer: too many bytes outside of its body")
 
     def eof_received(self) -> bool:
         """Complete an answer without a length; fail the exchange of any other."""
@@ -180,6 +191,7 @@
     def on_body(self, data: bytes) -> None:
         """Put a piece of the body into the mailbox."""
         if not self._is_skipping_message:
+            self._overhead_bytes -= len(data)
             self._put(AnswerData(data))
 
     def on_message_complete(self) -> None:
--- a/src/_monsoonpulley/wire/httpclient.py
+++ b/src/_monsoonpulley/wire/httpclient.py
@@ -22,6 +22,10 @@
 """Enough for all calls that may wait at the same time, with room for retries."""
 
 
+MAX_REPLY_BYTES = 16_777_216
+"""Twice the largest object that the platform's store keeps."""
+
+
 class Reply(msgspec.Struct):
     """A complete answer."""
 
@@ -116,11 +120,16 @@
     async def _collect(self, mailbox: Mailbox) -> Reply | Failure:
         head: AnswerHead | None = None
         body_chunks: list[bytes] = []
+        body_bytes = 0
         while True:
             _, event = await mailbox.get()
             if isinstance(event, AnswerHead):
                 head = event
             elif isinstance(event, AnswerData):
+                body_bytes += len(event.data)
+                if body_bytes > MAX_REPLY_BYTES:
+                    detail = f"the answer has over {MAX_REPLY_BYTES} bytes"
+                    return self._failure(Reason.PROTOCOL, detail)
                 body_chunks.append(event.data)
             elif isinstance(event, AnswerEnd) and head is not None:
                 return Reply(head.status, head.fields, b"".join(body_chunks))
--- a/testing/endpoints/test_http_service.py
+++ b/testing/endpoints/test_http_service.py
@@ -114,6 +114,15 @@
         endless = [head] + [piece] * 300
         self.check_maybe(ScriptedHandler(endless), Reason.PROTOCOL, timeout_ms=5_000)
 
+    def test_a_head_or_trailer_without_end_is_a_protocol_failure(self):
+        endless = [b"x-more: more\r\n" * 4_096] * 400
+        body = b"transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+        for rest in (b"", body):
+            script = ScriptedHandler([b"HTTP/1.1 200 OK\r\n" + rest, *endless])
+            self.check_maybe(script, Reason.PROTOCOL, timeout_ms=5_000)
+        script = ScriptedHandler([b"HTTP/1.1 200 ", *[b"O" * 65_536] * 400])
+        self.check_maybe(script, Reason.PROTOCOL, timeout_ms=5_000)
+
     def test_only_refusal_statuses_are_refusals(self):
         busy = answer(b"", "503 Busy", b"retry-after: 3")
         refused = send_calls(ScriptedHandler(busy), refusal_statuses=(503,))[0]
--- /dev/null
+++ b/testing/ingress/test_endless_answers.py
@@ -0,0 +1,150 @@
+"""Endpoints that send bytes without end, until their caller closes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from .site import Site, configuration
+
+MAX_SENT_BYTES = 12_000_000
+"""What an endpoint may get rid of: the largest plain answer and socket buffers."""
+
+MAX_TAKEN_S = 2.0
+"""Far less than the callers' deadline of 5 s."""
+
+SUCCESS = (
+    b"HTTP/1.1 200 OK\r\nMonsoonpulley-Request-Id: a1\r\n"
+    b"Monsoonpulley-Response-Seal: s\r\n"
+)
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+NOT_RUN = (
+    b"HTTP/1.1 503 Busy\r\nMonsoonpulley-Request-Id: a1\r\n"
+    b"Monsoonpulley-Not-Executed: 1\r\n"
+)
+STREAM = SUCCESS + b"Content-Type: text/event-stream\r\n"
+
+
+class TestEndlessAnswers(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.site = Site()
+        self.addAsyncCleanup(self.site.stop)
+        self.sent_bytes = 0
+
+    async def send_request_to(
+        self, start: bytes, piece: bytes, kind: str = "unsafe", **changes
+    ):
+        """Return the answer of a site whose endpoint repeats ``piece`` for ever."""
+        block = piece * max(1, 65_536 // len(piece))
+
+        async def answer_without_end(call):
+            call.writer.write(start)
+            while True:
+                call.writer.write(block)
+                self.sent_bytes += len(block)
+                await call.writer.drain()
+
+        await self.site.add_endpoint(answer_without_end)
+        await self.site.start(configuration(kind=kind, timeout_ms=5_000, **changes))
+        started_s = time.monotonic()
+        try:
+            return await self.site.send_request()
+        finally:
+            self.taken_s = time.monotonic() - started_s
+
+    def assert_ended_early(self):
+        self.assertLess(self.taken_s, MAX_TAKEN_S)
+        self.assertLess(self.sent_bytes, MAX_SENT_BYTES)
+
+    async def check_failure(self, start: bytes, piece: bytes, **kwargs):
+        got = await self.send_request_to(start, piece, **kwargs)
+        self.assertEqual(got.status, 502)
+        self.assert_ended_early()
+
+    async def test_a_head_without_end_fails(self):
+        await self.check_failure(SUCCESS, b"X-More: more\r\n")
+
+    async def test_a_header_without_end_fails(self):
+        await self.check_failure(SUCCESS + b"X-More: ", b"more")
+
+    async def test_a_status_line_without_end_fails(self):
+        await self.check_failure(b"HTTP/1.1 200 ", b"OK")
+
+    async def test_bytes_that_are_no_answer_fail(self):
+        await self.check_failure(b"", b"\x00\x01noise")
+
+    async def test_empty_lines_without_end_fail(self):
+        await self.check_failure(b"", b"\r\n")
+
+    async def test_interim_answers_without_end_fail(self):
+        await self.check_failure(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n")
+
+    async def test_answers_to_other_requests_without_end_fail(self):
+        foreign = b"HTTP/1.1 200 OK\r\nMonsoonpulley-Request-Id: b2\r\n"
+        await self.check_failure(b"", foreign + b"Content-Length: 2\r\n\r\nno")
+
+    async def test_a_body_without_end_fails(self):
+        await self.check_failure(SUCCESS + b"\r\n", b"more")
+
+    async def test_a_chunked_body_without_end_fails(self):
+        await self.check_failure(SUCCESS + CHUNKED, b"4\r\nmore\r\n")
+
+    async def test_a_chunk_extension_without_end_fails(self):
+        await self.check_failure(SUCCESS + CHUNKED + b"4;", b"more")
+
+    async def test_a_trailer_without_end_fails(self):
+        start = SUCCESS + CHUNKED + b"4\r\nmore\r\n0\r\n"
+        await self.check_failure(start, b"X-More: more\r\n")
+
+    async def test_an_event_without_end_fails(self):
+        got = await self.send_request_to(
+            STREAM + b"\r\n", b"data: more\n", kind="streaming"
+        )
+        self.assertTrue(got.status == 502 or not got.is_whole)
+        self.assert_ended_early()
+
+    async def test_a_refusal_with_a_body_without_end_has_not_run(self):
+        got = await self.send_request_to(NOT_RUN + b"\r\n", b"more")
+        self.assertEqual(got.status, 503)
+        self.assert_ended_early()
+
+    async def test_a_failure_with_a_body_without_end_fails(self):
+        failure = SUCCESS.replace(b"200 OK", b"500 Failed")
+        await self.check_failure(failure + b"\r\n", b"more")
+
+    async def test_a_safe_request_is_repeated_elsewhere(self):
+        async def answer(call):
+            call.answer(body=b"whole")
+
+        await self.site.add_endpoint(answer)
+        for number in range(3):
+            got = (
+                await self.send_request_to(SUCCESS + b"X-More: ", b"more", kind="safe")
+                if number == 0
+                else await self.site.send_request()
+            )
+            self.assertEqual((got.status, got.body), (200, b"whole"))
+
+    async def test_many_bodies_without_end_take_little_memory(self):
+        tasks = []
+        peak_bytes = 0
+
+        async def answer_without_end(call):
+            call.writer.write(SUCCESS.replace(b"a1", call.request_id.encode()))
+            call.writer.write(b"\r\n")
+            nonlocal peak_bytes
+            while True:
+                call.writer.write(b"more" * 16_384)
+                await call.writer.drain()
+                memory = self.site.service.parts.answer_memory
+                peak_bytes = max(peak_bytes, memory.total_bytes)
+
+        await self.site.add_endpoint(answer_without_end)
+        await self.site.start(configuration(kind="unsafe", timeout_ms=5_000))
+        for number in range(20):
+            tasks.append(asyncio.create_task(self.site.send_request(f"a{number}")))
+        for got in await asyncio.gather(*tasks):
+            self.assertIn(got.status, (502, 503))
+        self.assertLess(peak_bytes, 40_000_000)
+        self.assertEqual(self.site.service.parts.answer_memory.total_bytes, 0)
--- a/testing/wire/test_httpclient.py
+++ b/testing/wire/test_httpclient.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from unittest import mock
 
@@ -49,3 +50,26 @@
         # The connection is reused, and nothing was sent on it before.
         reply = await self.client.call("GET", "/next", timeout_ms=1_000)
         self.assertEqual((reply.status, self.targets), (200, [b"/next"]))
+
+
+class TestSize(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_without_end_fails_before_the_timeout(self):
+        async def answer_without_end(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            try:
+                while True:
+                    writer.write(b"more" * 65_536)
+                    await writer.drain()
+            except ConnectionError:
+                writer.close()
+
+        server = await asyncio.start_server(answer_without_end, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = HttpClient(*server.sockets[0].getsockname(), Clock.from_system())
+        self.addCleanup(client.close)
+        result = await client.call("GET", "/rows", timeout_ms=30_000)
+        self.assertIsInstance(result, Failure)
+        self.assertEqual(
+            (result.reason, result.delivery), (Reason.PROTOCOL, Delivery.MAYBE)
+        )
