Answer 503 if the time runs out in the body of a refusal

Found while testing endless answers: an endpoint's head said that the request did not run, its body stalled, and the caller got 504, which promises nothing, at its deadline. Cause: the end of the time always counted as a possible run. Test: failed before with 504.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -202,9 +202,10 @@
                 return self._handle_disconnect()
             if isinstance(event, TimerExpired):
                 connection.abort()
-                self._state.may_have_run = True
-                if not self._state.is_stream:
-                    self._record_start(self._started_wall_ms)
+                if self._head is None or not was_not_run(self._head):
+                    self._state.may_have_run = True
+                    if not self._state.is_stream:
+                        self._record_start(self._started_wall_ms)
                 self._state.respond_timeout()
                 return Result.TIMED_OUT
             if source is not connection:
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -471,6 +471,17 @@
         )
         self.assertEqual(len(endpoint.calls), 1)
 
+    async def test_a_refusal_whose_body_never_comes_has_not_run(self):
+        async def refuse_and_stall(call) -> None:
+            call.answer(503, b"", length=9, extra="Monsoonpulley-Not-Executed: 1\r\n")
+            await asyncio.sleep(5)
+
+        await self.site.add_endpoint(refuse_and_stall)
+        await self.site.start(configuration(kind="unsafe", timeout_ms=300))
+        got = await self.site.send_request()
+        self.assertEqual(got.status, 503)
+        self.assertIn("retry-after", got.headers)
+
 
 class TestSlowCallers(SiteTest):
     LIMITS = {"header_timeout_ms": 300, "idle_timeout_ms": 900}
