Send nothing more to an endpoint that says that it leaves

Nothing read it; an endpoint that said so got 9 of 20 further requests, as long as its row said ready. Change: the directory marks that incarnation as draining, whatever rows come later, for 60 s after its row is gone; another start under the same id is served. Digests tell the others. Placing, waiting connection attempts, repeats and capacity follow, as they do for rows. A success without a seal and a 421 are not believed: the one may be spoiled, the other is another endpoint's, and the mark would take an endpoint out for good.

--- a/src/_monsoonpulley/fleet/directory.py
+++ b/src/_monsoonpulley/fleet/directory.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from ..clock import Clock
 from ..errors import Failure
 from ..ids import EndpointId, ServiceId
@@ -18,6 +20,23 @@
 gone."""
 
 
+LEAVING_MEMORY_MS = 60_000
+"""An endpoint that said that it leaves is remembered for this long after its row is
+gone. Its row may return after an outage of the store; its process ends sooner."""
+
+LEAVING_NOTICE_MS = 10_000
+"""Other instances are told for this long of an endpoint that leaves. By then its row
+says so or is gone."""
+
+
+class _Leaving(msgspec.Struct):
+    """An incarnation of an endpoint that said that it leaves."""
+
+    endpoint: Endpoint
+    heard_here_ms: int | None
+    listed_ms: int
+
+
 class EndpointDirectory:
     """Endpoints by id and by service; each change is logged.
 
@@ -42,6 +61,7 @@
         self._row_versions: dict[EndpointId, int] = {}
         self._missing_since_ms: dict[EndpointId, int] = {}
         self._ready_by_service: dict[ServiceId, tuple[Endpoint, ...]] = {}
+        self._leaving: dict[EndpointId, _Leaving] = {}
         self._rejected_ids: set[EndpointId] = set()
         self._recovered_ms = -RECOVERY_GRACE_MS
         self.loaded_ms: int | None = None
@@ -80,6 +100,36 @@
             and current.is_same_incarnation(endpoint)
         )
 
+    def record_leaving(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint said in an answer to this instance that it leaves."""
+        now_ms = self._clock.now_ms()
+        self._mark_leaving(endpoint, now_ms, "its answer says so")
+
+    def record_peer_leaving(self, notices: dict[str, int | None], peer: str) -> None:
+        """Record endpoints that leave as a peer's digest tells.
+
+        Parameters
+        ----------
+        notices : dict
+            Wall time of the endpoint's start, or None, by its id.
+        peer : str
+            The instance that sent the digest.
+        """
+        for name, started_wall_ms in notices.items():
+            endpoint = self._endpoints.get(EndpointId(name))
+            if endpoint is not None and endpoint.started_wall_ms == started_wall_ms:
+                self._mark_leaving(endpoint, None, f"{peer} says so")
+
+    def leaving_notices(self) -> dict[str, int | None]:
+        """Return the endpoints that lately said that they leave, for the digest."""
+        earliest_ms = self._clock.now_ms() - LEAVING_NOTICE_MS
+        return {
+            endpoint_id: leaving.endpoint.started_wall_ms
+            for endpoint_id, leaving in self._leaving.items()
+            if leaving.heard_here_ms is not None
+            and leaving.heard_here_ms >= earliest_ms
+        }
+
     def on_store_recovered(self) -> None:
         """Keep endpoints without rows for `RECOVERY_GRACE_MS` from now on."""
         self._recovered_ms = self._clock.now_ms()
@@ -99,6 +149,7 @@
     def expire(self) -> None:
         """Remove endpoints without rows once the grace period is over."""
         now_ms = self._clock.now_ms()
+        self._expire_leaving(now_ms)
         if now_ms < self._recovered_ms + RECOVERY_GRACE_MS:
             return
         for endpoint_id in list(self._missing_since_ms):
@@ -128,9 +179,53 @@
             return
         self._rejected_ids.discard(endpoint_id)
         self._missing_since_ms.pop(endpoint_id, None)
+        endpoint = self._with_leaving(endpoint)
         if endpoint != self._endpoints.get(endpoint_id):
             self._update_endpoint(endpoint, row.row_version)
 
+    def _mark_leaving(
+        self, endpoint: Endpoint, heard_here_ms: int | None, reason: str
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        known = self._leaving.get(endpoint.id)
+        if known is not None and known.endpoint.is_same_incarnation(endpoint):
+            if heard_here_ms is not None:
+                known.heard_here_ms = heard_here_ms
+            return
+        self._leaving[endpoint.id] = _Leaving(endpoint, heard_here_ms, now_ms)
+        self._log.event(
+            "endpoint_leaving",
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            why=reason,
+        )
+        current = self._endpoints.get(endpoint.id)
+        if current is not None and current.is_same_incarnation(endpoint):
+            self._update_endpoint(
+                msgspec.structs.replace(current, is_draining=True),
+                self._row_versions.get(endpoint.id, 0),
+            )
+
+    def _with_leaving(self, endpoint: Endpoint) -> Endpoint:
+        """Return the endpoint, draining if this incarnation said that it leaves.
+
+        Its row may have been written before, or by a process that hangs.
+        """
+        known = self._leaving.get(endpoint.id)
+        if known is None:
+            return endpoint
+        if not known.endpoint.is_same_incarnation(endpoint):
+            del self._leaving[endpoint.id]
+            return endpoint
+        return msgspec.structs.replace(endpoint, is_draining=True)
+
+    def _expire_leaving(self, now_ms: int) -> None:
+        for endpoint_id, leaving in list(self._leaving.items()):
+            if endpoint_id in self._endpoints:
+                leaving.listed_ms = now_ms
+            elif now_ms - leaving.listed_ms > LEAVING_MEMORY_MS:
+                del self._leaving[endpoint_id]
+
     def _update_endpoint(self, endpoint: Endpoint, row_version: int) -> None:
         previous = self._endpoints.get(endpoint.id)
         if previous is not None and not previous.is_same_incarnation(endpoint):
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -12,6 +12,7 @@
     is_sealed,
     is_success,
     read_rate_limit,
+    says_leaving,
     was_not_run,
 )
 from ..platform.requestheaders import REQUEST_ID_FIELD, encode_endpoint_request
@@ -234,6 +235,8 @@
     ) -> Result | None:
         self._head = head
         self._record_rate_limit(head)
+        if says_leaving(head):
+            self._parts.directory.record_leaving(self._endpoint)
         if was_not_run(head):
             return None
         self._state.may_have_run = True
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -345,6 +345,7 @@
             results=parts.rollouts.drain_outbox() if to_all else (),
             lease_row=self._control.lease.announced_row(),
             rate_limits=parts.rate_limits.own_notices(self.clock.now_ms()),
+            leaving=parts.directory.leaving_notices(),
         )
 
     def _on_digest(self, digest: Digest) -> None:
@@ -354,6 +355,7 @@
         parts.load_board.update_peer(peer, digest.loads)
         parts.demand.update(peer, digest.incarnation, digest.demand, now_ms)
         parts.endpoint_models.update_peer(peer, digest.learned)
+        parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
         parts.rollouts.merge_peer(digest.rollouts, digest.results)
--- a/src/_monsoonpulley/platform/answerheaders.py
+++ b/src/_monsoonpulley/platform/answerheaders.py
@@ -11,6 +11,7 @@
 _NOT_EXECUTED = names.NOT_EXECUTED.lower()
 _SEAL = names.SEAL.lower()
 _REQUEST_ID = names.REQUEST_ID.lower()
+_LEAVING = names.LEAVING.lower()
 _RATE_LIMIT = names.RATE_LIMIT.lower()
 
 _CONNECTION_HEADERS = frozenset(
@@ -66,6 +67,19 @@
     return is_marked and head.status != MISDIRECTED_STATUS
 
 
+def says_leaving(head: AnswerHead) -> bool:
+    """Return whether the endpoint says that it leaves.
+
+    A success without a seal may be spoiled and is not believed: it would take an
+    endpoint out for good. Any other answer is forwarded to the caller, 421 excepted,
+    which another endpoint has written.
+    """
+    if head.fields.get(_LEAVING, b"").strip() != b"1":
+        return False
+    is_forwarded = not is_success(head) and head.status != MISDIRECTED_STATUS
+    return is_from_endpoint(head) or is_forwarded
+
+
 def read_rate_limit(head: AnswerHead) -> float | Failure | None:
     """Return the requests a second that the endpoint takes, None if it names no limit.
 
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -48,6 +48,9 @@
         Row of that lease if the sender holds it.
     rate_limits : dict
         Rate limits of endpoints that the sender heard of itself, with their age.
+    leaving : dict
+        Endpoints that lately told the sender that they leave, with the wall time of
+        their start.
     loads : dict
         The sender's own requests in progress at each endpoint.
     used : dict
@@ -76,6 +79,7 @@
     learned: dict[str, Sums] = {}
     lease_row: AnnouncedRow | None = None
     rate_limits: dict[str, Notice] = {}
+    leaving: dict[str, int | None] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -835,3 +835,108 @@
             got = await self.site.send_request(f"a{number}")
             self.assertEqual(got.status, 200)
         self.assertEqual(len(self.site.log_events("endpoint_rate_limit_refused")), 3)
+
+
+class TestLeavingEndpoints(SiteTest):
+    LEAVING = "Server-Leaving: 1\r\n"
+
+    async def start_with(self, script, *, has_other: bool, **row):
+        leaving = await self.site.add_endpoint(script, born=1_000, **row)
+        other = await self.site.add_endpoint(answer) if has_other else None
+        await self.site.start(configuration(kind="unsafe"))
+        return leaving, other
+
+    async def send_until_told(self, leaving):
+        for number in range(100):
+            await self.site.send_request(f"t{number}")
+            if leaving.calls:
+                return
+        self.fail("the endpoint got no request")
+
+    def row_of(self, endpoint_index: int = 0, **changes) -> dict:
+        ip, port = self.site.endpoints[endpoint_index]._server.sockets[0].getsockname()
+        return endpoint_row(f"{ip}:{port}", born=1_000, **changes)
+
+    async def answer_and_leave(self, call) -> None:
+        call.answer(extra=self.LEAVING)
+
+    async def test_an_endpoint_that_says_that_it_leaves_gets_nothing_more(self):
+        leaving, other = await self.start_with(self.answer_and_leave, has_other=True)
+        await self.send_until_told(leaving)
+        for number in range(20):
+            got = await self.site.send_request(f"a{number}")
+            self.assertEqual(got.status, 200)
+        self.assertEqual(len(leaving.calls), 1)
+        self.assertGreaterEqual(len(other.calls), 20)
+
+    async def test_a_refusal_that_says_that_the_endpoint_leaves_is_believed(self):
+        async def refuse_and_leave(call) -> None:
+            extra = "Monsoonpulley-Not-Executed: 1\r\n" + self.LEAVING
+            call.answer(503, b"", seal=None, extra=extra)
+
+        leaving, _ = await self.start_with(refuse_and_leave, has_other=True)
+        await self.send_until_told(leaving)
+        for number in range(20):
+            await self.site.send_request(f"a{number}")
+        self.assertEqual(len(leaving.calls), 1)
+
+    async def test_answers_that_others_may_have_written_take_no_endpoint_out(self):
+        async def misdirect(call) -> None:
+            call.answer(421, b"", seal=None, extra=self.LEAVING)
+
+        async def unsealed(call) -> None:
+            call.answer(seal=None, extra=self.LEAVING)
+
+        for script in (misdirect, unsealed):
+            self.site = Site()
+            self.addAsyncCleanup(self.site.stop)
+            await self.start_with(script, has_other=False)
+            await self.site.send_request()
+            self.assertEqual(self.site.log_events("endpoint_leaving"), [])
+
+    async def test_a_late_row_does_not_bring_a_leaving_endpoint_back(self):
+        leaving, _ = await self.start_with(self.answer_and_leave, has_other=True)
+        await self.send_until_told(leaving)
+        for sequence, row in enumerate(({}, None, {"slots": 3}), 2):
+            if row is None:
+                self.site.store.remove("servers", "i-1")
+            else:
+                self.site.store.put(
+                    "servers", "i-1", self.row_of(sequence=sequence, **row)
+                )
+            await asyncio.sleep(0.7)
+        for number in range(20):
+            await self.site.send_request(f"a{number}")
+        self.assertEqual(len(leaving.calls), 1)
+
+    async def test_an_endpoint_that_starts_again_under_its_id_is_used(self):
+        leaving, _ = await self.start_with(self.answer_and_leave, has_other=False)
+        await self.send_until_told(leaving)
+        leaving.script = answer
+        self.site.store.put("servers", "i-1", {**self.row_of(), "born": 2_000})
+        await self.site.wait_until(
+            lambda: self.site.service.parts.directory.ready_endpoints("svc")
+        )
+        self.assertEqual((await self.site.send_request("a1")).status, 200)
+
+    async def test_requests_to_the_last_endpoint_are_refused_once_it_leaves(self):
+        leaving, _ = await self.start_with(self.answer_and_leave, has_other=False)
+        await self.send_until_told(leaving)
+        got = await self.site.send_request("a1")
+        self.assertEqual(got.status, 503)
+        self.assertIn("retry-after", got.headers)
+        self.assertEqual(len(leaving.calls), 1)
+
+    async def test_other_instances_hear_of_an_endpoint_that_leaves(self):
+        leaving, _ = await self.start_with(self.answer_and_leave, has_other=False)
+        await self.send_until_told(leaving)
+        digest = self.site.service._build_digest(False, True)
+        self.assertEqual(digest.leaving, {"i-1": 1_000})
+        told = Site()
+        self.addAsyncCleanup(told.stop)
+        await told.add_endpoint(answer, born=1_000)
+        await told.start(configuration())
+        told.service._on_digest(msgspec.structs.replace(digest, leaving={"i-1": 9}))
+        self.assertEqual((await told.send_request("a1")).status, 200)
+        told.service._on_digest(digest)
+        self.assertEqual((await told.send_request("a2")).status, 503)
