Send nothing to an endpoint until the end of the pause that it asks for

Nothing read it; an endpoint that asked for 0.6 s got the next request at once. Change: each instance keeps the end of the pause by endpoint; one gate before placing asks for pauses and rate limits, and again once a connection is open. If all endpoints pause the caller gets 503 at once, to return when the first pause ends. A pause is no failure in health.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -11,6 +11,7 @@
     is_from_endpoint,
     is_sealed,
     is_success,
+    read_pause_ms,
     read_rate_limit,
     says_leaving,
     was_not_run,
@@ -28,7 +29,7 @@
 )
 from .eventsplitter import EventSplitter, StreamEvent, is_after
 from .requestlog import Result
-from .requeststate import UNAVAILABLE_RETRY_MS, RequestState
+from .requeststate import RequestState
 
 MAX_ANSWER_BYTES = 8_388_608
 """Limit of a plain answer, which is buffered whole: a larger one would take the
@@ -94,6 +95,7 @@
         self._prefill_tokens = choice.prefill_tokens
         self._held_tokens = state.facts.held_tokens
         self._event_count = 0
+        self._wants_pause = False
         self.was_sent = False
         self.elapsed_ms = 0
         self.first_byte_ms: int | None = None
@@ -117,6 +119,12 @@
                 # The endpoint started to leave while the connection was being opened.
                 self.detail = "the endpoint is leaving"
                 return Result.UNREACHABLE
+            if self._parts.gate.is_paused(
+                self._endpoint.id, self._parts.clock.now_ms()
+            ):
+                # It refused another request while the connection was being opened.
+                self.detail = "the endpoint wants a pause"
+                return Result.UNREACHABLE
             if self._state.remaining_ms() <= 0:
                 self.detail = "the time ran out while connecting"
                 return Result.UNREACHABLE
@@ -141,15 +149,23 @@
         self._record_outcome(result)
         return result
 
-    def give_final_answer(self, result: Result) -> None:
-        """Answer the caller with the outcome of this attempt, the last one."""
+    def give_final_answer(self, result: Result, retry_after_ms: int) -> None:
+        """Answer the caller with the outcome of this attempt, the last one.
+
+        Parameters
+        ----------
+        result : Result
+            How the attempt ended.
+        retry_after_ms : int
+            When the caller may return if the request has not run.
+        """
         state = self._state
         if state.exchange.has_started:
             state.respond(502, self.detail)
         elif result is Result.FAILED and self._head is not None:
             self._forward_answer(self._head)
         elif result is Result.NOT_RUN and not state.may_have_run:
-            state.respond(503, self.detail, UNAVAILABLE_RETRY_MS)
+            state.respond(503, self.detail, retry_after_ms)
         else:
             state.respond(502, self.detail)
 
@@ -235,6 +251,7 @@
     ) -> Result | None:
         self._head = head
         self._record_rate_limit(head)
+        self._record_pause(head)
         if says_leaving(head):
             self._parts.directory.record_leaving(self._endpoint)
         if was_not_run(head):
@@ -265,6 +282,24 @@
                 self._endpoint.id, per_s, self._parts.clock.now_ms()
             )
 
+    def _record_pause(self, head: AnswerHead) -> None:
+        clock = self._parts.clock
+        pause_ms = read_pause_ms(head, clock.wall_ms())
+        if pause_ms is None:
+            return
+        if isinstance(pause_ms, Failure):
+            self._parts.log.event(
+                "endpoint_pause_refused",
+                endpoint=self._endpoint.id,
+                error=str(pause_ms),
+            )
+            return
+        self._wants_pause = True
+        self._parts.pauses.record_refusal(self._endpoint.id, pause_ms, clock.now_ms())
+        self._parts.log.event(
+            "endpoint_paused", endpoint=self._endpoint.id, pause_ms=pause_ms
+        )
+
     def _handle_data(self, data: bytes) -> Result | None:
         if self._splitter is not None:
             for event in self._splitter.feed(data):
@@ -463,7 +498,7 @@
             self._parts.health.record_failure(self._endpoint.id, now_ms)
         if result in (Result.TIMED_OUT, Result.CALLER_LEFT):
             self._record_no_event(now_ms)
-        if result is Result.NOT_RUN:
+        if result is Result.NOT_RUN and not self._wants_pause:
             self._parts.health.record_failure(
                 self._endpoint.id, now_ms, NOT_RUN_FAILURE_WEIGHT
             )
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -13,12 +13,14 @@
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Configuration, Endpoint
 from ..ids import EndpointId, InstanceId, ZoneId
+from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
 from ..limits.waitlimit import WaitLimits
 from ..observability.log import Log
 from ..placing.demandmeter import DemandMeter
+from ..placing.endpointgate import EndpointGate
 from ..placing.endpointmodels import EndpointModels
 from ..placing.health import EndpointHealth
 from ..placing.loadboard import LoadBoard
@@ -47,6 +49,8 @@
     quotas: QuotaLedger
     retry_budget: RetryBudget
     rate_limits: EndpointRateLimits
+    pauses: EndpointPauses
+    gate: EndpointGate
     load_board: LoadBoard
     health: EndpointHealth
     cache_index: PromptCacheIndex
@@ -81,6 +85,8 @@
             PromptCacheIndex(),
             EndpointModels(),
         )
+        rate_limits = EndpointRateLimits(settings.instance, rng, _log_rate_limits(log))
+        pauses = EndpointPauses()
         return cls(
             zone=settings.zone,
             clock=clock,
@@ -102,9 +108,9 @@
                 bounds.budget_window_s,
                 bounds.budget_extra_retries,
             ),
-            rate_limits=EndpointRateLimits(
-                settings.instance, rng, _log_rate_limits(log)
-            ),
+            rate_limits=rate_limits,
+            pauses=pauses,
+            gate=EndpointGate(rate_limits, pauses, rng),
             load_board=load_board,
             health=health,
             cache_index=cache_index,
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -32,8 +32,8 @@
     predicted_ms, running, unread_tokens, backlog_tokens, held_tokens, runner_up, \
 candidates
         See `Choice`; ``unread_tokens`` are its ``prefill_tokens``.
-    limited : int
-        Endpoints left out because of their rate limits.
+    limited, paused : int
+        Endpoints left out because of their rate limits, and because they want a pause.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -59,6 +59,7 @@
     runner_up: str
     candidates: int
     limited: int
+    paused: int
     heard: int
     members: int
     left_ms: int
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -9,6 +9,7 @@
 from ..fleet.model import Configuration, Route
 from ..ids import ServiceId
 from ..limits.quota import QuotaRefusal
+from ..placing.endpointgate import Admission
 from ..placing.placer import Choice, PlacementRefusal, Requirements
 from ..wire.events import TimerExpired
 from ..wire.serverconnection import Exchange
@@ -45,7 +46,7 @@
         self._rng = rng
         self._quota_cost = 0.0
         self._unreachable_count = 0
-        self._limited_count = 0
+        self._admission = Admission(())
         self._is_demand_counted = False
         self._spent_ms = 0
 
@@ -167,9 +168,7 @@
             self._log_attempt(attempt, result)
             self.tried_ids.add(choice.endpoint.id)
             if not attempt.was_sent:
-                self.parts.rate_limits.refund(
-                    choice.endpoint.id, self.parts.clock.now_ms()
-                )
+                self.parts.gate.refund(choice.endpoint.id, self.parts.clock.now_ms())
             if self.exchange.is_over:
                 return
             if result is Result.UNREACHABLE:
@@ -182,7 +181,7 @@
                 )
                 return
             if not self._may_retry(result):
-                attempt.give_final_answer(result)
+                attempt.give_final_answer(result, self._not_run_retry_ms())
                 return
 
     def _choose(self) -> Choice | PlacementRefusal:
@@ -201,25 +200,31 @@
             self.service.id, parts.directory.ready_endpoints(self.service.id)
         )
         untried = tuple(e for e in eligible if e.id not in self.tried_ids)
-        usable = parts.rate_limits.usable_endpoints(untried, now_ms)
-        self._limited_count = len(untried) - len(usable)
-        if untried and not usable:
-            return PlacementRefusal(
-                "all endpoints are at their rate limit",
-                parts.rate_limits.retry_after_ms(untried, now_ms),
-            )
+        self._admission = parts.gate.admit(untried, now_ms)
+        if untried and not self._admission.usable:
+            return parts.gate.refuse(untried, now_ms)
         choice = parts.placer.choose(
             requirements,
-            usable,
+            self._admission.usable,
             self.tried_ids,
             parts.zone,
             now_ms,
             parts.zone_reach.unreachable_zones(now_ms),
         )
         if isinstance(choice, Choice):
-            parts.rate_limits.record_send(choice.endpoint.id, now_ms)
+            parts.gate.record_send(choice.endpoint.id, now_ms)
         return choice
 
+    def _not_run_retry_ms(self) -> int:
+        """Return when a request that endpoints refused to run may return."""
+        assert self.service is not None
+        ready = self.parts.directory.ready_endpoints(self.service.id)
+        now_ms = self.parts.clock.now_ms()
+        if not ready or self.parts.gate.admit(ready, now_ms).usable:
+            return UNAVAILABLE_RETRY_MS
+        refusal = self.parts.gate.refuse(ready, now_ms)
+        return max(UNAVAILABLE_RETRY_MS, refusal.retry_after_ms)
+
     def _max_wait_ms(self, now_ms: int) -> float:
         """Return the longest wait for an endpoint; work that was begun has no limit."""
         assert self.route is not None
@@ -274,7 +279,8 @@
                 rank=self.rank,
                 runner_up=choice.runner_up_id,
                 candidates=choice.candidate_count,
-                limited=self._limited_count,
+                limited=self._admission.limited_count,
+                paused=self._admission.paused_count,
                 heard=reachable_count,
                 members=member_count,
                 left_ms=self.remaining_ms(),
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -304,6 +304,7 @@
         self.parts.cache_index.remove_endpoint(endpoint.id)
         self.parts.health.remove(endpoint.id)
         self.parts.rate_limits.remove(endpoint.id)
+        self.parts.pauses.remove(endpoint.id)
 
     async def _register(self) -> None:
         settings = self.settings
--- /dev/null
+++ b/src/_monsoonpulley/placing/endpointgate.py
@@ -0,0 +1,97 @@
+"""Which endpoints may get a request of this instance now, by what they ask for.
+
+An endpoint can limit the requests a second from all instances, and can ask this
+instance for a pause. Both are asked here, before the choice between endpoints. What
+keeps an endpoint out for longer, that it leaves, is in `fleet.directory`; failures
+weigh in the choice itself.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from ..fleet.model import Endpoint
+from ..ids import EndpointId
+from ..limits.endpointpauses import EndpointPauses
+from ..limits.endpointrates import EndpointRateLimits
+from .placer import PlacementRefusal
+
+PAUSE_SPREAD = 0.25
+"""Retry times after a pause are spread over this share of it, so that the callers who
+were refused don't return together."""
+
+
+class Admission(msgspec.Struct, frozen=True):
+    """Endpoints that may get a request, and how many may not.
+
+    Attributes
+    ----------
+    usable : tuple of Endpoint
+        Those that may get it.
+    paused_count, limited_count : int
+        Those that want a pause, and those at their rate limit.
+    """
+
+    usable: tuple[Endpoint, ...]
+    paused_count: int = 0
+    limited_count: int = 0
+
+
+class EndpointGate:
+    """Decides whether endpoints may get requests of this instance.
+
+    Parameters
+    ----------
+    rate_limits : EndpointRateLimits
+        Limits that endpoints name for all instances together.
+    pauses : EndpointPauses
+        Pauses that endpoints ask this instance for.
+    rng : random.Random
+        Spreads retry times.
+    """
+
+    def __init__(
+        self,
+        rate_limits: EndpointRateLimits,
+        pauses: EndpointPauses,
+        rng: random.Random,
+    ):
+        self._rate_limits = rate_limits
+        self._pauses = pauses
+        self._rng = rng
+
+    def admit(self, endpoints: tuple[Endpoint, ...], now_ms: int) -> Admission:
+        """Return which of the endpoints may get a request now."""
+        awake = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
+        usable = self._rate_limits.usable_endpoints(awake, now_ms)
+        return Admission(usable, len(endpoints) - len(awake), len(awake) - len(usable))
+
+    def is_paused(self, endpoint: EndpointId, now_ms: int) -> bool:
+        """Return whether an endpoint wants no requests of this instance."""
+        return self._pauses.wait_ms(endpoint, now_ms) > 0
+
+    def refuse(self, endpoints: tuple[Endpoint, ...], now_ms: int) -> PlacementRefusal:
+        """Return the refusal of a request that none of the endpoints may get.
+
+        Its retry time is when the first pause ends, or when the limits allow the next
+        request.
+        """
+        awake = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
+        if awake:
+            return PlacementRefusal(
+                "all endpoints are at their rate limit",
+                self._rate_limits.retry_after_ms(awake, now_ms),
+            )
+        shortest_ms = min(self._pauses.wait_ms(e.id, now_ms) for e in endpoints)
+        spread_ms = shortest_ms * self._rng.uniform(1.0, 1.0 + PAUSE_SPREAD)
+        return PlacementRefusal("all endpoints want a pause", round(spread_ms))
+
+    def record_send(self, endpoint: EndpointId, now_ms: int) -> None:
+        """Count a request that is about to be sent."""
+        self._rate_limits.record_send(endpoint, now_ms)
+
+    def refund(self, endpoint: EndpointId, now_ms: int) -> None:
+        """Uncount a request that was not sent after all."""
+        self._rate_limits.refund(endpoint, now_ms)
--- a/src/_monsoonpulley/platform/answerheaders.py
+++ b/src/_monsoonpulley/platform/answerheaders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import email.utils
 import math
 
 from ..errors import Failure, Reason
@@ -31,6 +32,9 @@
 MISDIRECTED_STATUS = 421
 """Sent by an endpoint that is not the expected one and did not run the request."""
 
+REFUSED_STATUS = 503
+"""The only status whose ``Retry-After`` asks for a pause."""
+
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
@@ -101,6 +105,52 @@
     return per_s
 
 
+def read_pause_ms(head: AnswerHead, wall_ms: int) -> int | Failure | None:
+    """Return for how long the endpoint wants no requests of this instance.
+
+    Parameters
+    ----------
+    head : AnswerHead
+        Its answer; only a 503 asks for a pause.
+    wall_ms : int
+        Wall time, in case the pause is given by its end.
+
+    Returns
+    -------
+    int or Failure or None
+        None if it asks for none, `Reason.INVALID` if the value is neither a number of
+        seconds, fractions included, nor a date.
+    """
+    text = head.fields.get(b"retry-after")
+    if text is None or head.status != REFUSED_STATUS:
+        return None
+    pause_ms = _seconds_to_ms(text)
+    if pause_ms is None:
+        pause_ms = _ms_until_date(text, wall_ms)
+    if pause_ms is None:
+        detail = f"no retry time: {text[:40]!r}"
+        return Failure(Reason.INVALID, "answer.retry_after", detail=detail)
+    return pause_ms
+
+
+def _seconds_to_ms(text: bytes) -> int | None:
+    try:
+        pause_s = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(pause_s) or pause_s < 0:
+        return None
+    return math.ceil(pause_s * 1000)
+
+
+def _ms_until_date(text: bytes, wall_ms: int) -> int | None:
+    try:
+        end = email.utils.parsedate_to_datetime(text.decode("latin-1"))
+    except ValueError:
+        return None
+    return max(0, round(end.timestamp() * 1000) - wall_ms)
+
+
 def headers_for_caller(head: AnswerHead) -> HeaderList:
     """Return the headers to forward to the caller, unchanged and in order."""
     return [(n, v) for n, v in head.headers if n.lower() not in _CONNECTION_HEADERS]
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -940,3 +940,74 @@
         self.assertEqual((await told.send_request("a1")).status, 200)
         told.service._on_digest(digest)
         self.assertEqual((await told.send_request("a2")).status, 503)
+
+
+class TestPausingEndpoints(SiteTest):
+    @staticmethod
+    def pausing(retry_after: str):
+        """Return a script that refuses requests and asks for a pause."""
+
+        async def refuse_for(call) -> None:
+            extra = f"Monsoonpulley-Not-Executed: 1\r\nRetry-After: {retry_after}\r\n"
+            call.answer(503, b"", seal=None, extra=extra)
+
+        return refuse_for
+
+    async def test_an_endpoint_that_wants_a_pause_gets_no_request_until_its_end(self):
+        endpoint = await self.site.add_endpoint(self.pausing("0.6"))
+        await self.site.start(configuration(kind="unsafe"))
+        got = await self.site.send_request("a0")
+        self.assertEqual(got.status, 503)
+        self.assertGreaterEqual(float(got.headers["retry-after"]), 0.5)
+        endpoint.script = answer
+        for number in range(20):
+            got = await self.site.send_request(f"b{number}")
+            self.assertEqual(got.status, 503)
+            self.assertGreater(float(got.headers["retry-after"]), 0)
+        self.assertEqual(len(endpoint.calls), 1)
+        await asyncio.sleep(0.7)
+        self.assertEqual((await self.site.send_request("c1")).status, 200)
+
+    async def test_requests_go_elsewhere_while_an_endpoint_pauses(self):
+        pausing = await self.site.add_endpoint(self.pausing("30"))
+        other = await self.site.add_endpoint(answer)
+        await self.site.start(configuration(kind="unsafe"))
+        for number in range(40):
+            got = await self.site.send_request(f"a{number}")
+            self.assertEqual(got.status, 200)
+        self.assertEqual(len(pausing.calls), 1)
+        self.assertEqual(len(other.calls), 40)
+        lines = self.site.log_events("attempt")
+        self.assertIn(1, [line["paused"] for line in lines])
+
+    async def test_a_pause_is_no_sign_of_failure(self):
+        await self.site.add_endpoint(self.pausing("0.2"))
+        await self.site.start(configuration(kind="unsafe"))
+        await self.site.send_request("a0")
+        parts = self.site.service.parts
+        self.assertEqual(
+            parts.health.failure_weight("i-1", self.site.clock.now_ms()), 0
+        )
+
+    async def test_a_connection_that_opens_during_a_pause_is_not_used(self):
+        endpoint = await self.site.add_endpoint(answer)
+        await self.site.start(configuration(kind="unsafe"))
+        acquire = ConnectionPool.acquire
+        parts = self.site.service.parts
+
+        async def acquire_and_pause(pool):
+            connection = await acquire(pool)
+            now_ms = self.site.clock.now_ms()
+            parts.pauses.record_refusal("i-1", 3_000, now_ms)
+            return connection
+
+        with mock.patch.object(ConnectionPool, "acquire", acquire_and_pause):
+            got = await self.site.send_request("a1")
+        self.assertEqual((got.status, endpoint.calls), (503, []))
+
+    async def test_a_retry_time_that_is_no_number_is_logged_and_ignored(self):
+        await self.site.add_endpoint(self.pausing("soon"))
+        await self.site.start(configuration(kind="unsafe"))
+        await self.site.send_request("a0")
+        self.assertEqual(len(self.site.log_events("endpoint_pause_refused")), 1)
+        self.assertEqual(self.site.log_events("endpoint_paused"), [])
--- a/testing/platform/test_answerheaders.py
+++ b/testing/platform/test_answerheaders.py
@@ -5,7 +5,11 @@
 import unittest
 
 from _monsoonpulley.errors import Failure
-from _monsoonpulley.platform.answerheaders import is_from_endpoint, read_rate_limit
+from _monsoonpulley.platform.answerheaders import (
+    is_from_endpoint,
+    read_pause_ms,
+    read_rate_limit,
+)
 from _monsoonpulley.wire.events import AnswerHead
 
 
@@ -32,3 +36,30 @@
         self.assertTrue(is_from_endpoint(head(503, **{not_run: b"1"})))
         self.assertFalse(is_from_endpoint(head(421, **{not_run: b"1"})))
         self.assertFalse(is_from_endpoint(head(500)))
+
+
+class TestPause(unittest.TestCase):
+    WALL_MS = 784_111_777_000
+    """Sun, 06 Nov 1994 08:49:37 GMT."""
+
+    def read(self, value: bytes, status: int = 503):
+        return read_pause_ms(head(status, retry_after=value), self.WALL_MS)
+
+    def test_seconds_may_have_fractions(self):
+        self.assertEqual(self.read(b"2"), 2_000)
+        self.assertEqual(self.read(b"0.25"), 250)
+        self.assertEqual(self.read(b"0"), 0)
+        self.assertEqual(self.read(b"7200"), 7_200_000)
+
+    def test_a_date_is_the_end_of_the_pause(self):
+        self.assertEqual(self.read(b"Sun, 06 Nov 1994 08:49:40 GMT"), 3_000)
+        self.assertEqual(self.read(b"Sun, 06 Nov 1994 08:00:00 GMT"), 0)
+
+    def test_other_values_are_failures(self):
+        for value in (b"", b"-1", b"soon", b"nan", b"inf", b"2 s"):
+            self.assertIsInstance(self.read(value), Failure, value)
+
+    def test_only_a_503_asks_for_a_pause(self):
+        self.assertIsNone(self.read(b"2", status=429))
+        self.assertIsNone(self.read(b"2", status=200))
+        self.assertIsNone(read_pause_ms(head(503), self.WALL_MS))
