--- a/src/_monsoonpulley/control/lease.py
+++ b/src/_monsoonpulley/control/lease.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from ..identity import Identity
@@ -46,11 +48,20 @@
         Instance and incarnation that decide.
     settings : LeaseSettings
         Durations and intervals of leases.
+    number_floor : callable
+        Returns the number above which claims take their fencing numbers, for tables
+        that may lose a row with a higher number.
     """
 
-    def __init__(self, identity: Identity, settings: LeaseSettings):
+    def __init__(
+        self,
+        identity: Identity,
+        settings: LeaseSettings,
+        number_floor: Callable[[], int] = lambda: 0,
+    ):
         self._identity = identity
         self._settings = settings
+        self._number_floor = number_floor
 
     def may_need_tick(self, state: LeaseState, now_ms: int) -> bool:
         """Return whether a `Tick` could have an effect now; most have none."""
@@ -253,6 +264,7 @@
         if kind is WriteKind.RENEW:
             renewals = current.renewals + 1
             return LeaseRow(me.instance, me.incarnation, number, token, renewals)
+        number = max(number, self._number_floor())
         return LeaseRow(me.instance, me.incarnation, number + 1, token)
 
     def _is_own(self, row: LeaseRow | None) -> bool:
--- a/src/_monsoonpulley/control/leases.py
+++ b/src/_monsoonpulley/control/leases.py
@@ -120,6 +120,8 @@
         Shared with the rest of the instance.
     settings : LeaseSettings
         The same on every instance.
+    number_floor : callable
+        See `LeaseRules`.
 
     Attributes
     ----------
@@ -138,6 +140,7 @@
         log: Log,
         metrics: Metrics,
         settings: LeaseSettings,
+        number_floor: Callable[[], int] = lambda: 0,
     ):
         self._table = table
         self._placement = placement
@@ -146,7 +149,8 @@
         self._log = log
         self._metrics = metrics
         self._settings = settings
-        self._rules = LeaseRules(identity, settings)
+        self._rules = LeaseRules(identity, settings, number_floor)
+        self._suspended_until_ms: int | None = None
         self._states: dict[str, LeaseState] = {}
         self._commits: set[asyncio.Task[None]] = set()
         self._is_scan_failing = False
@@ -191,6 +195,17 @@
         """
         self._step(duty, RowRead(announced.row, announced.revision))
 
+    def forget_rows(self) -> None:
+        """Drop all leases and claim none for one lease: the table lost writes.
+
+        Whoever held a lease renewed it before the loss, and so acts on it for less long
+        than the first claim after the loss waits.
+        """
+        now_ms = self._clock.now_ms()
+        self._suspended_until_ms = now_ms + self._settings.lease_duration_ms
+        self._states.clear()
+        self.request_scan()
+
     def request_scan(self) -> None:
         """Scan now: this instance may have become a candidate."""
         self._scan_requested.set()
@@ -228,6 +243,11 @@
         # this instance recognizes the write by it in a row that it reads later.
         token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
         now_ms = self._clock.now_ms()
+        if self._suspended_until_ms is not None:
+            if now_ms < self._suspended_until_ms:
+                self.after_tick()
+                return
+            self._suspended_until_ms = None
         for duty in self._duties_to_tick():
             if not self._rules.may_need_tick(self.state(duty), now_ms):
                 continue
--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -62,7 +62,10 @@
             rng,
             parts.log,
             is_leaving,
+            lambda: store.era or 0,
         )
+        self._usage: UsageReporter | None = None
+        self._rollout: RolloutDuty | None = None
         self.status_reader = RolloutStatusReader(
             parts.rollouts,
             store,
@@ -72,6 +75,14 @@
         )
         self.loop = self._make_loop()
 
+    def handle_era_change(self) -> None:
+        """Act on a store that has lost what was written last."""
+        was_holder = self.lease.hold() is not None
+        self.lease.handle_era_change()
+        if self._usage is not None and self._rollout is not None:
+            self._usage.handle_era_change(was_holder)
+            self._rollout.handle_era_change()
+
     def _make_loop(self) -> ControlLoop | None:
         settings, parts = self._settings, self._parts
         if settings.cloud_address is None:
@@ -81,17 +92,21 @@
             settings.cloud_address.ip, settings.cloud_address.port, clock
         )
         cloud = CloudClient(client, settings.instance)
+        self._usage = UsageReporter(
+            parts.usage,
+            self._table,
+            cloud,
+            clock,
+            log,
+            round(settings.bounds.usage_late_s * 1000),
+            parts.members.expected_ids,
+        )
+        self._rollout = RolloutDuty(
+            parts.rollouts, self.status_reader, parts.directory, self._store, log
+        )
         return ControlLoop(
             self.lease,
-            UsageReporter(
-                parts.usage,
-                self._table,
-                cloud,
-                clock,
-                log,
-                round(settings.bounds.usage_late_s * 1000),
-                parts.members.expected_ids,
-            ),
+            self._usage,
             CapacityDuty(
                 parts.configuration,
                 parts.directory,
@@ -102,9 +117,7 @@
                 clock,
                 log,
             ),
-            RolloutDuty(
-                parts.rollouts, self.status_reader, parts.directory, self._store, log
-            ),
+            self._rollout,
             clock,
             log,
         )
--- a/src/_monsoonpulley/duties/controllease.py
+++ b/src/_monsoonpulley/duties/controllease.py
@@ -31,6 +31,11 @@
 """Time within which the digests of a new holder reach the other candidates."""
 
 
+NUMBERS_PER_ERA = 1_000_000
+"""Fencing numbers start again above those of all earlier eras of the store, whose
+highest it may have lost. A claim every 3 s uses so many in a month."""
+
+
 class ControlLease:
     """The lease of the duties as seen by this instance.
 
@@ -52,6 +57,8 @@
         Time source, spread of the scans, and the log of decisions.
     is_leaving : callable
         Returns whether this instance is stopping.
+    store_era : callable
+        Returns the era of the store.
     """
 
     def __init__(
@@ -64,6 +71,7 @@
         rng: random.Random,
         log: Log,
         is_leaving: Callable[[], bool],
+        store_era: Callable[[], int] = lambda: 0,
     ):
         self._members = members
         self._placement = ControlPlacement(
@@ -86,6 +94,7 @@
             log,
             NoMetrics(),
             self._settings,
+            lambda: store_era() * NUMBERS_PER_ERA,
         )
         self._had_holder = False
 
@@ -110,6 +119,10 @@
         """Handle the lease's row in the digest of its holder."""
         self._leases.observe_row(CONTROL, announced)
 
+    def handle_era_change(self) -> None:
+        """Give up the duties, and wait for a lease before any claim."""
+        self._leases.forget_rows()
+
     def next_holders(self) -> list[Member]:
         """Return the other instances that hold the duties or would claim them next."""
         holder = self._members.lease_holder()
--- a/src/_monsoonpulley/duties/rollout.py
+++ b/src/_monsoonpulley/duties/rollout.py
@@ -71,6 +71,11 @@
         self._stored_status: dict[int, RolloutStatus] = {}
         self._row_versions: dict[str, int] = {}
 
+    def handle_era_change(self) -> None:
+        """Forget what the status rows held: the store lost what was written last."""
+        self._stored_status.clear()
+        self._row_versions.clear()
+
     async def step(self, hold: Hold) -> None:
         """Advance every order while the duty is held."""
         for order in self._rollouts.orders():
--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -71,6 +71,8 @@
         self._log = log
         self._first_window = counter.window_of(clock.wall_ms())
         self._reported_windows: set[int] = set()
+        self._fixed_counts: dict[int, dict[str, int]] = {}
+        self._has_caught_up = False
 
     def due_windows(self) -> list[int]:
         """Return the windows to report now, oldest first.
@@ -89,6 +91,25 @@
             and not self._is_waiting(window)
         ]
 
+    def handle_era_change(self, was_holder: bool) -> None:
+        """Skip windows that may have been reported with counts that the table lost.
+
+        Only an instance that held the duty until now, and had caught up with what
+        others reported, knows what was sent.
+
+        Parameters
+        ----------
+        was_holder : bool
+            Whether this instance held the duty when it heard of the loss.
+        """
+        if not (was_holder and self._has_caught_up):
+            newest = self._counter.window_of(self._clock.wall_ms()) - 1
+            skipped = range(newest - RETAINED_WINDOWS + 2, newest + 1)
+            unknown = sorted(set(skipped) - self._reported_windows)
+            self._reported_windows.update(unknown)
+            self._log.event("usage_windows_skipped", windows=unknown)
+        self._has_caught_up = False
+
     def _is_waiting(self, window: int) -> bool:
         """Return whether to wait for counts of other instances."""
         wait_ms = max(MIN_REPORT_DELAY_MS, self._late_ms - REPORT_MARGIN_MS)
@@ -124,20 +145,26 @@
             if failure is not None:
                 return
             self._reported_windows.add(window)
+        self._has_caught_up = True
         expired_window = (
             self._counter.window_of(self._clock.wall_ms()) - REPORTED_RETENTION_WINDOWS
         )
         self._reported_windows = {
             w for w in self._reported_windows if w > expired_window
         }
+        self._fixed_counts = {
+            w: counts for w, counts in self._fixed_counts.items() if w > expired_window
+        }
 
     async def _store_counts(self, window: int) -> dict[str, int] | Failure:
         """Store a window's counts, or return those stored before."""
-        counts = self._counter.totals(window)
+        # Counts that may have been sent stay, even if the table has lost them.
+        counts = self._fixed_counts.get(window) or self._counter.totals(window)
         key = _key(window)
         write = Write(key, msgspec.json.encode(counts), ABSENT_REVISION)
         result = await self._table.commit([write])
         if isinstance(result, Committed):
+            self._fixed_counts[window] = counts
             return counts
         if isinstance(result, Conflict):
             return _stored_counts(key, result)
--- a/src/_monsoonpulley/fleet/directory.py
+++ b/src/_monsoonpulley/fleet/directory.py
@@ -12,6 +12,7 @@
 from ..observability.log import Log
 from ..platform.endpoints import decode_endpoint
 from ..platform.store import Row, Rows
+from ..platform.storeversion import era_of
 from .model import Endpoint
 
 RECOVERY_GRACE_MS = 2_500
@@ -22,7 +23,8 @@
 
 LEAVING_MEMORY_MS = 60_000
 """An endpoint that said that it leaves is remembered for this long after its row is
-gone. Its row may return after an outage of the store; its process ends sooner."""
+gone, and one that is gone for as long. Its row may return after an outage of the store
+or with an older copy of it; its process ends sooner."""
 
 LEAVING_NOTICE_MS = 10_000
 """Other instances are told for this long of an endpoint that leaves. By then its row
@@ -62,6 +64,9 @@
         self._missing_since_ms: dict[EndpointId, int] = {}
         self._ready_by_service: dict[ServiceId, tuple[Endpoint, ...]] = {}
         self._leaving: dict[EndpointId, _Leaving] = {}
+        self._gone: dict[EndpointId, tuple[Endpoint, int]] = {}
+        self._unconfirmed: dict[EndpointId, int] = {}
+        self._era: int | None = None
         self._rejected_ids: set[EndpointId] = set()
         self._recovered_ms = -RECOVERY_GRACE_MS
         self.loaded_ms: int | None = None
@@ -136,6 +141,8 @@
 
     def apply(self, rows: Rows, is_snapshot: bool) -> None:
         """Apply changed rows, or a snapshot of the table."""
+        if is_snapshot and self._record_era(era_of(rows.store_version)):
+            self._hold_back_gone(rows.rows)
         if is_snapshot:
             self._handle_missing_rows(
                 {row.key for row in rows.rows}, rows.store_version
@@ -146,6 +153,21 @@
             self.loaded_ms = self._clock.now_ms()
         self.expire()
 
+    def _record_era(self, era: int) -> bool:
+        """Return whether the store has lost writes since the last snapshot."""
+        previous, self._era = self._era, era
+        return previous is not None and era > previous
+
+    def _hold_back_gone(self, rows: tuple[Row, ...]) -> None:
+        """Use endpoints that were gone only after they have written their rows again.
+
+        Until then these rows may only be in the store because its copy is older.
+        """
+        for row in rows:
+            endpoint_id = EndpointId(row.key)
+            if endpoint_id in self._gone and endpoint_id not in self._endpoints:
+                self._unconfirmed[endpoint_id] = row.row_version
+
     def expire(self) -> None:
         """Remove endpoints without rows once the grace period is over."""
         now_ms = self._clock.now_ms()
@@ -179,6 +201,8 @@
             return
         self._rejected_ids.discard(endpoint_id)
         self._missing_since_ms.pop(endpoint_id, None)
+        if self._is_unconfirmed(endpoint, row.row_version):
+            return
         endpoint = self._with_leaving(endpoint)
         if endpoint != self._endpoints.get(endpoint_id):
             self._update_endpoint(endpoint, row.row_version)
@@ -206,6 +230,17 @@
                 self._row_versions.get(endpoint.id, 0),
             )
 
+    def _is_unconfirmed(self, endpoint: Endpoint, row_version: int) -> bool:
+        """Return whether a row may only be a leftover of an older copy."""
+        held_version = self._unconfirmed.get(endpoint.id)
+        if held_version is None:
+            return False
+        gone, _ = self._gone[endpoint.id]
+        if row_version == held_version and gone.is_same_incarnation(endpoint):
+            return True
+        del self._unconfirmed[endpoint.id]
+        return False
+
     def _with_leaving(self, endpoint: Endpoint) -> Endpoint:
         """Return the endpoint, draining if this incarnation said that it leaves.
 
@@ -220,6 +255,10 @@
         return msgspec.structs.replace(endpoint, is_draining=True)
 
     def _expire_leaving(self, now_ms: int) -> None:
+        for endpoint_id, (_, gone_ms) in list(self._gone.items()):
+            if now_ms - gone_ms > LEAVING_MEMORY_MS:
+                del self._gone[endpoint_id]
+                self._unconfirmed.pop(endpoint_id, None)
         for endpoint_id, leaving in list(self._leaving.items()):
             if endpoint_id in self._endpoints:
                 leaving.listed_ms = now_ms
@@ -232,6 +271,10 @@
             self._remove(endpoint.id, "another incarnation has the same id")
             previous = None
         self._endpoints[endpoint.id] = endpoint
+        if endpoint.is_draining and endpoint.id not in self._leaving:
+            # An older copy of the store may have a row from before.
+            now_ms = self._clock.now_ms()
+            self._leaving[endpoint.id] = _Leaving(endpoint, None, now_ms)
         if previous is not None and previous.is_draining == endpoint.is_draining:
             if previous.version != endpoint.version:
                 self._ready_by_service.pop(endpoint.service, None)
@@ -271,6 +314,7 @@
         self._missing_since_ms.pop(endpoint_id, None)
         if endpoint is None:
             return
+        self._gone[endpoint_id] = (endpoint, self._clock.now_ms())
         self._ready_by_service.pop(endpoint.service, None)
         self._log.event(
             "endpoint_gone", endpoint=endpoint_id, service=endpoint.service, why=reason
--- a/src/_monsoonpulley/fleet/relay.py
+++ b/src/_monsoonpulley/fleet/relay.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..platform.store import Row
+from ..platform.storeversion import era_of, join_version, wire_version
 
 MAX_RELAY_BYTES = 1_100
 """Limit on the rows in one datagram: it fits one Ethernet frame with its headers."""
@@ -35,6 +36,9 @@
         Whether there are changes that ``rows`` does not contain.
     must_forward : bool
         Whether the receiver sends it on within its data centre.
+    era : int
+        Era of all versions, which are those on the wire; 0 from instances that know of
+        no eras.
     """
 
     table: str
@@ -43,6 +47,19 @@
     rows: tuple[RelayedRow, ...] = ()
     has_more: bool = False
     must_forward: bool = False
+    era: int = 0
+
+    def join_versions(self, era: int) -> Relay:
+        """Return the relay with the versions that are used inside the system."""
+        return msgspec.structs.replace(
+            self,
+            since=join_version(era, self.since),
+            until=join_version(era, self.until),
+            rows=tuple(
+                msgspec.structs.replace(r, row_version=join_version(era, r.row_version))
+                for r in self.rows
+            ),
+        )
 
     def decode_rows(self) -> tuple[Row, ...]:
         """Return the rows in the form that the store's client returns."""
@@ -57,6 +74,8 @@
     A row that is larger by itself is sent alone. Receivers detect a lost relay by
     the gap between the versions of the relays around it.
     """
+    era = era_of(until)
+    since, until = wire_version(since), wire_version(until)
     relays: list[Relay] = []
     batch: list[RelayedRow] = []
     batch_bytes = 0
@@ -64,9 +83,10 @@
         row_bytes = len(row.key) + len(row.value or b"")
         if batch and batch_bytes + row_bytes > MAX_RELAY_BYTES:
             batch_end = batch[-1].row_version
-            relays.append(Relay(table, since, batch_end, tuple(batch)))
+            relays.append(Relay(table, since, batch_end, tuple(batch), era=era))
             since, batch, batch_bytes = batch_end, [], 0
-        batch.append(RelayedRow(row.key, row.value, row.row_version))
+        version = wire_version(row.row_version)
+        batch.append(RelayedRow(row.key, row.value, version))
         batch_bytes += row_bytes
-    relays.append(Relay(table, since, until, tuple(batch), has_more))
+    relays.append(Relay(table, since, until, tuple(batch), has_more, era=era))
     return relays
--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -9,6 +9,7 @@
 from ..errors import Delivery, Failure, Reason
 from ..observability.log import Log
 from ..platform.store import CALL_TIMEOUT_MS, Row, Rows, Store
+from ..platform.storeversion import era_of
 from .relay import Relay, build_relays
 
 MIN_BACKOFF_MS = 200
@@ -116,6 +117,8 @@
         self._next_recovery = next_recovery
         self._on_recovered = on_recovered
         self._version: int | None = None
+        self._first_era: int | None = None
+        self._last_era = 0
         self._announced_version = 0
         self._backoff_ms = MIN_BACKOFF_MS
         self._last_update_ms: int | None = None
@@ -189,6 +192,7 @@
             self._timeout_ms = CALL_TIMEOUT_MS
         self._record_answer()
         is_snapshot = previous_version is None
+        self._record_era(era_of(answer.store_version))
         self._version = max(answer.store_version, self._version or 0)
         changed = self._find_changed_rows(answer, is_snapshot)
         if is_snapshot or answer.rows:
@@ -235,6 +239,10 @@
         """Apply a relay from a reader."""
         if self._version is None or self._is_active_reader():
             return
+        era = self._era_of_relay(relay)
+        if era is None or era < era_of(self._version):
+            return
+        relay = relay.join_versions(era)
         self._record_relay()
         # The last own read predates the relay and no longer shows which rows of the
         # next read are unchanged.
@@ -256,6 +264,17 @@
         if relay.rows:
             self._on_rows(Rows(relay.decode_rows(), relay.until), False)
 
+    def _era_of_relay(self, relay: Relay) -> int | None:
+        """Return the era of a relay's versions, None if it can't be known.
+
+        Instances that know of no eras send none. Until this instance has seen the era
+        change, they read the same history.
+        """
+        if relay.era or self._version is None:
+            return relay.era
+        era = era_of(self._version)
+        return era if era == self._first_era else None
+
     def _record_relay(self) -> None:
         """End the pause after a failed call at the first relay after a silence.
 
@@ -351,6 +370,14 @@
             self._on_recovered()
         self._last_update_ms = self._clock.now_ms()
 
+    def _record_era(self, era: int) -> None:
+        """Count a store that lost writes as recovered: rows may be missing or old."""
+        if self._first_era is None:
+            self._first_era = self._last_era = era
+        if era > self._last_era:
+            self._last_era = era
+            self._on_recovered()
+
     def _is_silent(self) -> bool:
         """Return whether no update has arrived for `OUTAGE_SILENCE_MS`."""
         last_ms = self._last_update_ms
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -6,7 +6,10 @@
 import random
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from ..clock import Clock
+from ..control.leasestate import AnnouncedRow
 from ..duties.control import Control
 from ..errors import Failure
 from ..fleet.model import Configuration, Endpoint
@@ -19,6 +22,7 @@
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
 from ..platform.rollouts import ORDER_PREFIX, decode_order
 from ..platform.store import Row, Store
+from ..platform.storeversion import join_version, wire_version
 from ..sharing.digest import Digest, UsageCounts
 from ..sharing.exchange import DigestExchange
 from ..sharing.registration import InstanceRow, Registration
@@ -97,6 +101,7 @@
         self.store = Store(
             HttpClient(settings.store_address.ip, settings.store_address.port, clock),
             lambda name, result: counters.store_calls.labels(name, result).inc(),
+            self._on_store_era,
         )
         self.parts = IngressParts.from_settings(
             settings,
@@ -133,6 +138,24 @@
             rng,
             lambda: self.is_stopping,
         )
+        self._registration = Registration(
+            settings.instance,
+            InstanceRow(settings.peer_ip, settings.peer_ports[0], settings.zone),
+            self.store,
+            parts.members,
+            clock,
+            log,
+            rng,
+        )
+
+    def _on_store_era(self, before: int, after: int) -> None:
+        """Act on a store that has come back from an older copy.
+
+        The followers find out by themselves, from the versions that they hold.
+        """
+        self.log.event("store_lost_writes", era=after, previous=before)
+        self._control.handle_era_change()
+        self._registration.repeat()
 
     def _make_followers(self) -> dict[str, TableFollower]:
         parts = self.parts
@@ -189,7 +212,7 @@
             ("leases", self._control.lease.run),
             ("rollouts", self._control.status_reader.run),
             ("digests", self.digest_exchange.run),
-            ("registration", self._register),
+            ("registration", self._registration.run),
             ("sweep", self.caller_server.sweep),
             ("tick", self._tick),
         ]
@@ -306,19 +329,6 @@
         self.parts.rate_limits.remove(endpoint.id)
         self.parts.pauses.remove(endpoint.id)
 
-    async def _register(self) -> None:
-        settings = self.settings
-        row = InstanceRow(settings.peer_ip, settings.peer_ports[0], settings.zone)
-        registration = Registration(
-            settings.instance,
-            row,
-            self.store,
-            self.parts.members,
-            self.clock,
-            self.log,
-        )
-        await registration.run()
-
     def _build_digest(self, is_full: bool, to_all: bool) -> Digest:
         self._digest_sequence += 1
         parts = self.parts
@@ -338,13 +348,17 @@
             lease_token=self._control.lease.fencing_number(),
             loads=parts.load_board.own_loads(),
             used=parts.quotas.used_by_customer() if is_full else {},
-            rollouts=parts.rollouts.progress(),
+            rollouts=tuple(
+                msgspec.structs.replace(p, row_version=wire_version(p.row_version))
+                for p in parts.rollouts.progress()
+            ),
             demand=parts.demand.own_totals() if is_full else {},
             learned=(
                 parts.endpoint_models.own_sums(self.clock.now_ms()) if is_full else {}
             ),
             results=parts.rollouts.drain_outbox() if to_all else (),
-            lease_row=self._control.lease.announced_row(),
+            lease_row=_wire_lease_row(self._control.lease.announced_row()),
+            era=self.store.era or 0,
             rate_limits=parts.rate_limits.own_notices(self.clock.now_ms()),
             leaving=parts.directory.leaving_notices(),
         )
@@ -359,9 +373,31 @@
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
-        parts.rollouts.merge_peer(digest.rollouts, digest.results)
-        if digest.lease_row is not None:
-            self._control.lease.observe_row(digest.lease_row)
+        era = self._era_of_digest(digest)
+        progress = () if era is None else digest.rollouts
+        parts.rollouts.merge_peer(
+            [
+                msgspec.structs.replace(p, row_version=join_version(era, p.row_version))
+                for p in progress
+            ],
+            digest.results,
+        )
+        row = digest.lease_row
+        if row is not None and era is not None and era == (self.store.era or 0):
+            revision = join_version(era, row.revision)
+            self._control.lease.observe_row(
+                msgspec.structs.replace(row, revision=revision)
+            )
+
+    def _era_of_digest(self, digest: Digest) -> int | None:
+        """Return the era of a digest's versions, None if it can't be known.
+
+        Instances that know of no eras send none. Until this instance has seen the era
+        change, they read the same history.
+        """
+        if digest.era or not self.store.era:
+            return digest.era
+        return self.store.era if self.store.era == self.store.first_era else None
 
     def _send_usage(self) -> None:
         counter = self.parts.usage
@@ -426,3 +462,10 @@
         parts.directory.expire()
         parts.usage.expire(self.clock.wall_ms())
         parts.upstreams.sweep()
+
+
+def _wire_lease_row(announced: AnnouncedRow | None) -> AnnouncedRow | None:
+    if announced is None:
+        return None
+    revision = wire_version(announced.revision)
+    return msgspec.structs.replace(announced, revision=revision)
--- a/src/_monsoonpulley/platform/names.py
+++ b/src/_monsoonpulley/platform/names.py
@@ -52,6 +52,10 @@
 CONFIG_PATH_VARIABLE = "MONSOONPULLEY_CONFIG"
 """Environment variable with the path of the platform's settings file."""
 
+STORE_ERA = b"Store-Era"
+"""In all answers of the store; rises by one whenever it comes back from an older copy,
+without what was written since."""
+
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 ENDPOINT_TABLE = "servers"
--- a/src/_monsoonpulley/platform/store.py
+++ b/src/_monsoonpulley/platform/store.py
@@ -12,6 +12,10 @@
 
 from ..errors import Delivery, Failure, Reason
 from ..wire.httpclient import HttpClient, Reply
+from .names import STORE_ERA
+from .storeversion import era_of, join_version, wire_version
+
+_ERA_FIELD = STORE_ERA.lower()
 
 CALL_TIMEOUT_MS = 800
 """Two hundred times an ordinary answer time and several times that of a slow store,
@@ -32,7 +36,8 @@
     value : bytes or None
         None if the row was removed.
     row_version : int
-        Version of its last change; versions increase across all rows.
+        Version of its last change; versions increase across all rows and eras, see
+        `storeversion`.
     """
 
     key: str
@@ -82,21 +87,34 @@
     value: str = ""
     deleted: bool = False
 
-    def decode(self) -> Row:
+    def decode(self, era: int) -> Row:
         """Return the row; a value that is not Base64 counts as empty."""
+        # 0 stands for a row that does not exist, in every era.
+        version = join_version(era, self.row_version) if self.row_version else 0
         if self.deleted:
-            return Row(self.key, None, self.row_version)
+            return Row(self.key, None, version)
         try:
             value = base64.b64decode(self.value)
         except (binascii.Error, ValueError):
             value = b""
-        return Row(self.key, value, self.row_version)
+        return Row(self.key, value, version)
 
 
 class _Answer(msgspec.Struct):
     rows: list[_WireRow] = []
     row_version: int = 0
     has_more: bool = False
+    era: int = 0
+    """Taken from the answer's headers."""
+
+    def decode_rows(self) -> tuple[Row, ...]:
+        """Return the rows."""
+        return tuple(row.decode(self.era) for row in self.rows)
+
+    @property
+    def version(self) -> int:
+        """The store's version at the time of the answer."""
+        return join_version(self.era, self.row_version)
 
 
 _answer_decoder = msgspec.json.Decoder(_Answer)
@@ -115,15 +133,28 @@
         HTTP client connected to the store.
     on_call : callable
         Called with each call's name and its HTTP status or failure reason.
+    on_era : callable
+        Called with the old and the new era when the store has come back from an older
+        copy, before the answer that shows it is returned.
+
+    Attributes
+    ----------
+    era, first_era : int or None
+        The highest and the first era of an answer, 0 if answers name none; None before
+        the first.
     """
 
     def __init__(
         self,
         client: HttpClient,
         on_call: Callable[[str, str], None] = lambda name, result: None,
+        on_era: Callable[[int, int], None] = lambda before, after: None,
     ):
         self._client = client
         self._on_call = on_call
+        self._on_era = on_era
+        self.era: int | None = None
+        self.first_era: int | None = None
         self._is_failing = False
         self._recovery = asyncio.Event()
 
@@ -151,9 +182,11 @@
             answer = await self._read("rows-get", query, timeout_ms)
             if isinstance(answer, Failure):
                 return answer
-            rows += [row.decode() for row in answer.rows]
+            if rows and era_of(rows[0].row_version) != answer.era:
+                return self._lost_history("get")
+            rows += answer.decode_rows()
             if not answer.has_more or not answer.rows:
-                return Rows(tuple(rows), answer.row_version)
+                return Rows(tuple(rows), answer.version)
             # The smallest key after the last one.
             start_key = answer.rows[-1].key + "\0"
 
@@ -163,9 +196,9 @@
         answer = await self._read("rows-get", query, CALL_TIMEOUT_MS)
         if isinstance(answer, Failure):
             return answer
-        for row in answer.rows:
+        for row in answer.decode_rows():
             if row.key == key:
-                return row.decode()
+                return row
         return None
 
     async def read_changes(
@@ -193,12 +226,20 @@
         Rows or Failure
             `Reason.CONFLICT` if the store no longer has the changes since then.
         """
-        query = {"table": table, "after": after_version, "wait_ms": wait_ms}
+        if self.era is not None and era_of(after_version) != self.era:
+            return self._lost_history("feed")
+        query = {
+            "table": table,
+            "after": wire_version(after_version),
+            "wait_ms": wait_ms,
+        }
         answer = await self._read("rows-feed", query, wait_ms + timeout_ms)
         if isinstance(answer, Failure):
             return answer
-        rows = tuple(row.decode() for row in answer.rows)
-        return Rows(rows, max(answer.row_version, after_version))
+        if answer.era != era_of(after_version):
+            # Changes since a version of another history.
+            return self._lost_history("feed")
+        return Rows(answer.decode_rows(), max(answer.version, after_version))
 
     async def write(
         self,
@@ -214,6 +255,19 @@
         int or Conflict or Failure
             Version of the write, or the current rows of its conditions.
         """
+        era = self.era
+        if any(
+            c.row_version and era is not None and era_of(c.row_version) != era
+            for c in conditions
+        ):
+            # Sent, it could match a version that was given out again.
+            return Failure(
+                Reason.UNAVAILABLE,
+                "store.rows-tx",
+                self.peer,
+                "a condition is from before the store lost writes",
+                Delivery.REFUSED,
+            )
         body = msgspec.json.encode(
             {
                 "expect": [
@@ -221,7 +275,7 @@
                         "table": e.table,
                         "part": "",
                         "key": e.key,
-                        "row_version": e.row_version,
+                        "row_version": wire_version(e.row_version),
                     }
                     for e in conditions
                 ],
@@ -248,8 +302,17 @@
         if isinstance(answer, Failure):
             return answer
         if reply.status == 412:
-            return Conflict(tuple(row.decode() for row in answer.rows))
-        return answer.row_version
+            return Conflict(answer.decode_rows())
+        if era is not None and answer.era != era:
+            # Done in another history than the one that the caller has read.
+            return Failure(
+                Reason.IN_DOUBT,
+                "store.rows-tx",
+                self.peer,
+                "the store lost writes meanwhile",
+                Delivery.MAYBE,
+            )
+        return answer.version
 
     def close(self) -> None:
         """Close all connections."""
@@ -263,12 +326,7 @@
         if isinstance(reply, Failure):
             return reply
         if reply.status == 410:
-            return Failure(
-                Reason.CONFLICT,
-                f"store.{name}",
-                self.peer,
-                "change history since the requested version is gone",
-            )
+            return self._lost_history(name)
         if reply.status != 200:
             return self._refusal(name, reply)
         return self._decode(name, reply)
@@ -288,7 +346,46 @@
         failed = isinstance(reply, Failure)
         self._on_call(name, reply.reason.value if failed else str(reply.status))
         self._record_reach(reply)
-        return reply
+        if isinstance(reply, Failure):
+            return reply
+        return self._check_era(name, reply) or reply
+
+    def _check_era(self, name: str, reply: Reply) -> Failure | None:
+        """Record the era of an answer; return a failure if it can't be used."""
+        text = reply.fields.get(_ERA_FIELD)
+        if text is None:
+            if not self.era:
+                self.era = self.first_era = 0
+                return None
+            if reply.status not in (200, 412):
+                return None  # Refused: nothing in it depends on the era.
+            detail = "the answer names no era"
+        elif not text.isdigit():
+            detail = f"the answer's era is no number: {text[:40]!r}"
+        else:
+            era = int(text)
+            if not self.era:
+                # The first answer, or the first one that names an era.
+                self.era = self.first_era = era
+                return None
+            if era == self.era:
+                return None
+            if era > self.era:
+                before, self.era = self.era, era
+                self._on_era(before, era)
+                return None
+            detail = f"the answer is of era {era}, before {self.era}"
+        return Failure(
+            Reason.PROTOCOL, f"store.{name}", self.peer, detail, Delivery.MAYBE
+        )
+
+    def _lost_history(self, name: str) -> Failure:
+        return Failure(
+            Reason.CONFLICT,
+            f"store.{name}",
+            self.peer,
+            "change history since the requested version is gone",
+        )
 
     def _record_reach(self, reply: Reply | Failure) -> None:
         if isinstance(reply, Failure) or reply.status == 503:
@@ -301,7 +398,9 @@
 
     def _decode(self, name: str, reply: Reply) -> _Answer | Failure:
         try:
-            return _answer_decoder.decode(reply.body)
+            answer = _answer_decoder.decode(reply.body)
+            answer.era = int(reply.fields.get(_ERA_FIELD, 0))
+            return answer
         except msgspec.MsgspecError as error:
             return Failure(
                 Reason.PROTOCOL, f"store.{name}", self.peer, str(error), Delivery.MAYBE
--- a/src/_monsoonpulley/rollouts/rollouts.py
+++ b/src/_monsoonpulley/rollouts/rollouts.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Iterable
 from enum import IntEnum
 
@@ -20,6 +21,7 @@
 from ..ids import ServiceId
 from ..observability.log import Log
 from ..platform.rollouts import RolloutOrder
+from ..platform.storeversion import era_of
 
 
 class Phase(IntEnum):
@@ -45,6 +47,9 @@
 """Share of the traffic in each phase. The canary's is less than half of what a bad
 version may get in all; the rest is left for faults that show late."""
 
+MAX_PAST = 8
+"""Past orders of a service that are remembered. A copy of the store is seconds old."""
+
 OLD_ROWS_REMOVAL_MS = 10_000
 """Time after a roll-out is done for which the old endpoints, which stop at once, may
 still have rows."""
@@ -90,13 +95,19 @@
         self._log = log
         self._rng = rng
         self._rollouts: dict[ServiceId, _Rollout] = {}
+        self._past_orders: dict[ServiceId, deque[RolloutOrder]] = {}
         self._outbox: list[Result] = []
 
     def set_order(self, order: RolloutOrder) -> None:
         """Set an operator's order; ignore one that is not newer."""
         known = self._rollouts.get(order.service)
-        if known is not None and known.order.row_version >= order.row_version:
-            return
+        if known is not None:
+            if known.order.row_version >= order.row_version:
+                return
+            if self._is_known_again(known, order):
+                return
+            past = self._past_orders.setdefault(order.service, deque(maxlen=MAX_PAST))
+            past.append(known.order)
         self._rollouts[order.service] = _Rollout(order, self._clock.now_ms())
         self._log.event(
             "rollout_ordered",
@@ -106,6 +117,20 @@
             row_version=order.row_version,
         )
 
+    def _is_known_again(self, known: _Rollout, order: RolloutOrder) -> bool:
+        """Return whether an order was read before the store lost writes.
+
+        The last one goes on in its phase, as its row has only been written again. A
+        past one is in the older copy until the last one has been written again.
+        """
+        if era_of(order.row_version) == era_of(known.order.row_version):
+            return False
+        if _is_same_order(known.order, order):
+            known.order = order
+            return True
+        past = self._past_orders.get(order.service, ())
+        return any(_is_same_order(each, order) for each in past)
+
     def remove_order(self, service: ServiceId) -> None:
         """Remove an order whose row was deleted."""
         if self._rollouts.pop(service, None) is not None:
@@ -239,6 +264,10 @@
         return rollout
 
 
+def _is_same_order(one: RolloutOrder, other: RolloutOrder) -> bool:
+    return (one.version, one.duration_ms) == (other.version, other.duration_ms)
+
+
 def _loaded_subset(new: tuple[Endpoint, ...], old_count: float) -> tuple[Endpoint, ...]:
     """Return the new endpoints that take the load of ``old_count`` old ones.
 
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -48,6 +48,9 @@
         Row of that lease if the sender holds it.
     rate_limits : dict
         Rate limits of endpoints that the sender heard of itself, with their age.
+    era : int
+        Era of the store as known to the sender, and of the versions in ``rollouts``
+        and ``lease_row``, which are those on the wire; 0 if it knows of none.
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
@@ -80,6 +83,7 @@
     lease_row: AnnouncedRow | None = None
     rate_limits: dict[str, Notice] = {}
     leaving: dict[str, int | None] = {}
+    era: int = 0
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/src/_monsoonpulley/sharing/registration.py
+++ b/src/_monsoonpulley/sharing/registration.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+
 import msgspec
 
 from ..clock import Clock
@@ -18,6 +21,11 @@
 one other instance is known."""
 
 
+MAX_REPEAT_DELAY_MS = 1_000
+"""Spread of the instances' rows after the store has lost writes: hundreds notice it at
+the same time."""
+
+
 class InstanceRow(msgspec.Struct, frozen=True):
     """Address at which an instance receives digests, and its data centre."""
 
@@ -32,6 +40,8 @@
 class Registration:
     """Writes this instance's row and reads those of others, once at the start.
 
+    It does so again after the store has lost writes, with the row perhaps among them.
+
     An instance that starts later sends digests to all instances whose rows it reads,
     which thereby know its address.
     """
@@ -44,7 +54,10 @@
         members: Members,
         clock: Clock,
         log: Log,
+        rng: random.Random,
     ):
+        self._rng = rng
+        self._is_lost = asyncio.Event()
         self._own = own
         self._row = row
         self._store = store
@@ -52,8 +65,20 @@
         self._clock = clock
         self._log = log
 
+    def repeat(self) -> None:
+        """Register again soon."""
+        self._is_lost.set()
+
     async def run(self) -> None:
-        """Register, with retries until it succeeds."""
+        """Register, and again whenever the row may be lost, until cancelled."""
+        while True:
+            self._is_lost.clear()
+            await self._register_with_retries()
+            await self._is_lost.wait()
+            delay_ms = self._rng.uniform(0, MAX_REPEAT_DELAY_MS)
+            await self._clock.sleep_ms(delay_ms)
+
+    async def _register_with_retries(self) -> None:
         while True:
             error = await self.register()
             if not error:
--- a/src/_monsoonpulley/standins/rowstore.py
+++ b/src/_monsoonpulley/standins/rowstore.py
@@ -1,7 +1,8 @@
 """Stand-in of the users' platform store: rows, transactions and a change feed.
 
 It serves the HTTP calls that `platform.store` makes. Tests can make it silent,
-let it refuse calls or lose answers, and discard its history.
+let it refuse calls or lose answers, discard its history, and bring it back from an
+older copy.
 """
 
 from __future__ import annotations
@@ -40,6 +41,14 @@
     row_version: int
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """All that the store had at one time."""
+
+    rows: dict[tuple[str, str], _Row]
+    changes: list[tuple[int, str, str]]
+    version: int
+
+
 class RowStoreStandin:
     """Rows by table and key, served over HTTP; their part is always empty.
 
@@ -52,12 +61,15 @@
     ----------
     fault : StoreFault
         Fault that affects later calls.
+    era : int or None
+        Named in all answers; None names none.
     calls : list of str
         Paths of all calls so far, in order.
     """
 
     def __init__(self, clock: Clock):
         self.fault = StoreFault.NONE
+        self.era: int | None = None
         self.call_paths: list[str] = []
         self._row_by_key: dict[tuple[str, str], _Row] = {}
         self._changes: list[tuple[int, str, str]] = []
@@ -102,6 +114,19 @@
         self._discarded_version = self._version
         self._changes.clear()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy to which `return_to` brings the store back."""
+        return StoreCopy(dict(self._row_by_key), list(self._changes), self._version)
+
+    def return_to(self, copy: StoreCopy) -> None:
+        """Lose what was written since a copy, and begin the next era."""
+        self._row_by_key = dict(copy.rows)
+        self._changes = list(copy.changes)
+        self._version = copy.version
+        self.era = (self.era or 0) + 1
+        self._change_event.set()
+        self._change_event = asyncio.Event()
+
     def _put(self, table: str, key: str, value: str) -> None:
         self._record_change(table, key)
         self._row_by_key[table, key] = _Row(table, key, value, self._version)
@@ -123,7 +148,7 @@
         if self.fault is StoreFault.SILENT:
             return
         if self.fault is StoreFault.BUSY:
-            exchange.respond(503, [])
+            exchange.respond(503, self._headers())
             return
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         if parts.path == "/v1/rows-tx":
@@ -137,7 +162,10 @@
         if self.fault is StoreFault.LOST_ANSWER:
             exchange.abort()
             return
-        exchange.respond(status, [], msgspec.json.encode(body))
+        exchange.respond(status, self._headers(), msgspec.json.encode(body))
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        return [] if self.era is None else [(b"Store-Era", b"%d" % self.era)]
 
     def _commit(self, body: bytes) -> tuple[int, dict]:
         request = msgspec.json.decode(body)
@@ -172,7 +200,7 @@
 
     async def _feed(self, query: dict[str, str]) -> tuple[int, dict]:
         after, table = int(query["after"]), query["table"]
-        if after < self._discarded_version:
+        if not self._discarded_version <= after <= self._version:
             return 410, {}
         changes = self._changes_after(table, after)
         if not changes:
--- a/testing/duties/test_controllease.py
+++ b/testing/duties/test_controllease.py
@@ -6,7 +6,10 @@
 import random
 import unittest
 
-from _monsoonpulley.duties.controllease import ControlLease
+from _monsoonpulley.control.leasestate import lease_key
+from _monsoonpulley.duties.controllease import NUMBERS_PER_ERA, ControlLease
+from _monsoonpulley.duties.placement import CONTROL
+from _monsoonpulley.external.table import Write
 from _monsoonpulley.identity import Identity
 from _monsoonpulley.ids import InstanceId
 from _monsoonpulley.observability.log import Log
@@ -15,6 +18,7 @@
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from _monsoonpulley.standins.table import TableStandin
 
+LEASE_KEY = lease_key(CONTROL)
 LEASE_MS = 3_000
 DIGEST_MS = 150
 SETTLED_MS = 40_000
@@ -33,7 +37,7 @@
         clock, log = group.clock, Log(group.clock, lambda line: None)
         self.members = Members(self.name, clock, log)
         self.reaches_store = True
-        self.is_alive = True
+        self.is_alive = self.is_heard = True
         self.zone = f"zone-{name}"
         self.lease = ControlLease(
             Identity(self.name, self.zone, "", 1),
@@ -44,6 +48,7 @@
             random.Random(name),
             log,
             lambda: False,
+            lambda: group.era,
         )
         self._sequence = 0
         self.task = asyncio.create_task(self.lease.run())
@@ -76,19 +81,24 @@
         self.table = TableStandin(self.clock, random.Random(1))
         self.instances = [Instance(self, f"i-{n:03d}") for n in range(count)]
         self.held: list[tuple[int, InstanceId]] = []
+        self.numbers: list[tuple[int, InstanceId, int]] = []
+        self.era = 1
 
     async def run(self, for_ms: int) -> None:
         end_ms = self.clock.now_ms() + for_ms
         while self.clock.now_ms() < end_ms:
             alive = [each for each in self.instances if each.is_alive]
-            data = {each.name: each.digest() for each in alive}
+            data = {each.name: each.digest() for each in alive if each.is_heard}
             for each in alive:
                 for name, digest in data.items():
-                    if name != each.name:
+                    if name != each.name and each.is_heard:
                         each.receive(digest)
                 each.lease.check_holder()
-                if each.lease.hold() is not None:
-                    self.held.append((self.clock.now_ms(), each.name))
+                hold = each.lease.hold()
+                if hold is not None:
+                    now_ms = self.clock.now_ms()
+                    self.held.append((now_ms, each.name))
+                    self.numbers.append((now_ms, each.name, hold.fencing_number))
             await self.clock.sleep_ms(DIGEST_MS)
 
     def holder(self) -> Instance:
@@ -169,3 +179,86 @@
             self.assertLessEqual(group.table.counts.scans - before - quiet, 20)
 
         self.run_group(script, count=60)
+
+
+class TestLostWrites(unittest.TestCase):
+    """The store comes back from a copy with an older row of the lease."""
+
+    def run_loss(self, *, notice_ms: int) -> tuple[Group, InstanceId]:
+        """Return the group after a loss that the last holder hears of late.
+
+        The copy is from the time of the holder before it.
+        """
+
+        async def main():
+            group = Group(5)
+            await group.run(SETTLED_MS)
+            first = group.holder()
+            old_row = group.table.read(LEASE_KEY)
+            group.cut_from_store(first)
+            await group.run(3 * LEASE_MS)
+            group.table.faults.network.reconnect(first.zone)
+            first.reaches_store = True
+            last = group.holder()
+            newest = group.table.read(LEASE_KEY)
+            group.table.commit([Write(LEASE_KEY, old_row.value, newest.revision)])
+            group.era += 1
+            group.numbers.clear()
+            for each in group.instances:
+                if each is not last:
+                    each.lease.handle_era_change()
+            # It is cut off from the store and from the others meanwhile.
+            group.table.faults.network.disconnect(last.zone)
+            last.is_heard = False
+            await group.run(notice_ms)
+            group.table.faults.network.reconnect(last.zone)
+            last.is_heard = True
+            last.lease.handle_era_change()
+            await group.run(6 * LEASE_MS)
+            return group, last.name
+
+        return run_manual(main())
+
+    def test_no_fencing_number_repeats_or_falls(self):
+        for notice_ms in (0, 400, 1_200, 2_700, 6_000):
+            group, _ = self.run_loss(notice_ms=notice_ms)
+            numbers = [number for _, _, number in group.numbers]
+            self.assertEqual(numbers, sorted(numbers))
+            holders: dict[int, set[InstanceId]] = {}
+            for _, name, number in group.numbers:
+                holders.setdefault(number, set()).add(name)
+            self.assertTrue(all(len(names) == 1 for names in holders.values()))
+            self.assertGreater(numbers[-1], 2 * NUMBERS_PER_ERA)
+
+    def test_nobody_acts_within_one_lease_of_another_holder(self):
+        for notice_ms in (0, 400, 1_200, 2_700, 6_000):
+            group, last = self.run_loss(notice_ms=notice_ms)
+            acts: dict[InstanceId, list[int]] = {}
+            for ms, name, _ in group.numbers:
+                acts.setdefault(name, []).append(ms)
+            successors = [times for name, times in acts.items() if name != last]
+            ends_ms = max(
+                (
+                    ms
+                    for ms, name, number in group.numbers
+                    if name == last and number < 2 * NUMBERS_PER_ERA
+                ),
+                default=0,
+            )
+            self.assertTrue(
+                all(min(times) > ends_ms for times in successors), notice_ms
+            )
+
+    def test_the_holder_stops_when_it_hears_of_the_loss(self):
+        async def main():
+            group = Group(3)
+            await group.run(SETTLED_MS)
+            holder = group.holder()
+            hold = holder.lease.hold()
+            holder.lease.handle_era_change()
+            self.assertFalse(hold.may_act())
+            self.assertIsNone(holder.lease.hold())
+            await group.run(LEASE_MS - DIGEST_MS)
+            self.assertIsNone(holder.lease.hold())
+
+        run_manual(main())
--- a/testing/duties/test_usagereport.py
+++ b/testing/duties/test_usagereport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from _monsoonpulley.clock import ManualClock
@@ -66,8 +67,6 @@
 
 class TestUsageReporter(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        import random
-
         self.clock = ManualClock(1_000_000)
         self.table = TableStandin(self.clock, random.Random(1))
         self.cloud = Cloud()
@@ -199,6 +198,53 @@
         await holder.reporter.step(Hold(1, lambda *_: False))
         self.assertEqual(self.cloud.reports, [])
 
+    async def test_windows_that_another_may_have_reported_are_skipped_after_a_loss(
+        self,
+    ):
+        holder, successor = (ReportingInstance(self, name) for name in "ab")
+        self.clock.advance_ms(2 * WINDOW_MS)
+        for each in (holder, successor):
+            each.counter.record_start(CUSTOMER, self.clock.wall_ms() - WINDOW_MS)
+        self.clock.advance_ms(WINDOW_MS + MIN_REPORT_DELAY_MS)
+        await holder.reporter.step(self.hold(1))
+        sent = list(self.cloud.reports)
+        # The table lost the counts; the successor has counted others since.
+        successor.table._table = TableStandin(self.clock, random.Random(2)).connect(
+            "b", "zone-a"
+        )
+        successor.counter.record_start(CUSTOMER, self.clock.wall_ms() - 2 * WINDOW_MS)
+        successor.reporter.handle_era_change(was_holder=False)
+        await successor.reporter.step(self.hold(2))
+        self.assertEqual(self.cloud.reports, sent)
+
+    async def test_the_holder_goes_on_after_a_loss_with_what_it_has_not_reported(self):
+        holder = ReportingInstance(self, "a")
+        await holder.reporter.step(self.hold(1))
+        holder.counter.record_start(CUSTOMER, self.clock.wall_ms())
+        window = holder.counter.window_of(self.clock.wall_ms())
+        self.clock.advance_ms(WINDOW_MS + MIN_REPORT_DELAY_MS)
+        holder.reporter.handle_era_change(was_holder=True)
+        await holder.reporter.step(self.hold(2))
+        self.assertIn((2, window, {CUSTOMER: 1}), self.cloud.reports)
+
+    async def test_counts_that_may_have_been_sent_are_repeated_after_a_loss(self):
+        holder = ReportingInstance(self, "a")
+        holder.counter.record_start(CUSTOMER, self.clock.wall_ms())
+        self.clock.advance_ms(WINDOW_MS + MIN_REPORT_DELAY_MS)
+        await holder.reporter.step(self.hold(1))
+        holder.reporter._reported_windows.clear()
+        holder.table._table = TableStandin(self.clock, random.Random(2)).connect(
+            "a", "zone-a"
+        )
+        holder.counter.record_start(
+            CUSTOMER, self.clock.wall_ms() - WINDOW_MS - MIN_REPORT_DELAY_MS
+        )
+        await holder.reporter.step(self.hold(1))
+        by_window: dict[int, set[int]] = {}
+        for _, window, counts in self.cloud.reports:
+            by_window.setdefault(window, set()).add(counts.get(CUSTOMER, 0))
+        self.assertTrue(all(len(sent) == 1 for sent in by_window.values()))
+
 
 class TestUsageCounter(unittest.TestCase):
     def test_windows_are_summed_over_instances_and_incarnations(self):
--- a/testing/fleet/test_directory.py
+++ b/testing/fleet/test_directory.py
@@ -10,6 +10,7 @@
 from _monsoonpulley.ids import EndpointId, ServiceId
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.store import Row, Rows
+from _monsoonpulley.platform.storeversion import join_version
 
 SERVICE = ServiceId("svc")
 
@@ -149,3 +150,46 @@
         self.apply(("a", row_value()), ("b", row_value()), is_snapshot=True)
         self.apply(("a", row_value()), is_snapshot=True)
         self.assertEqual(self.ready(), ["a"])
+
+
+class TestLostWrites(DirectoryTest):
+    """Snapshots of a store that has come back from an older copy."""
+
+    def apply_copy(self, *rows: tuple[str, bytes | None, int], era: int = 2) -> None:
+        """Apply a snapshot of the next era, as a follower does."""
+        self.directory.on_store_recovered()
+        changed = tuple(Row(k, v, join_version(era, n)) for k, v, n in rows)
+        self.directory.apply(Rows(changed, join_version(era, 99)), True)
+
+    def setUp(self):
+        super().setUp()
+        self.clock.advance_ms(10_000)
+        self.version = join_version(1, 50)
+        self.apply(("a", row_value()), ("b", row_value()), is_snapshot=True)
+        self.clock.advance_ms(10_000)
+
+    def test_rows_with_lower_versions_are_applied(self):
+        self.apply_copy(("a", row_value(), 3), ("b", row_value(state="draining"), 4))
+        self.assertEqual(self.ready(), ["a"])
+
+    def test_an_endpoint_that_drains_is_not_brought_back(self):
+        self.apply(("a", row_value(state="draining")))
+        self.apply_copy(("a", row_value(), 3), ("b", row_value(), 4))
+        self.assertEqual(self.ready(), ["b"])
+
+    def test_an_endpoint_that_is_gone_comes_back_only_with_a_new_row(self):
+        self.apply(("a", None))
+        self.apply_copy(("a", row_value(), 3), ("b", row_value(), 4))
+        self.assertEqual(self.ready(), ["b"])
+        again = Row("a", row_value(sequence=2), join_version(2, 100))
+        self.directory.apply(Rows((again,), again.row_version), False)
+        self.assertEqual(self.ready(), ["a", "b"])
+
+    def test_an_endpoint_that_the_copy_lacks_is_kept_until_it_must_be_back(self):
+        self.apply_copy(("a", row_value(), 3))
+        self.clock.advance_ms(2_000)
+        self.directory.expire()
+        self.assertEqual(self.ready(), ["a", "b"])
+        self.clock.advance_ms(RECOVERY_GRACE_MS)
+        self.directory.expire()
+        self.assertEqual(self.ready(), ["a"])
--- a/testing/fleet/test_tablefollower.py
+++ b/testing/fleet/test_tablefollower.py
@@ -7,11 +7,14 @@
 import random
 import unittest
 
+import msgspec
+
 from _monsoonpulley.errors import Failure, Reason
 from _monsoonpulley.fleet.relay import MAX_RELAY_BYTES, Relay, build_relays
 from _monsoonpulley.fleet.tablefollower import TableFollower
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.store import CALL_TIMEOUT_MS, Row, Rows
+from _monsoonpulley.platform.storeversion import join_version
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
 from _monsoonpulley.wire.pool import CONNECT_TIMEOUT_MS
 
@@ -467,3 +470,80 @@
 
     def test_no_change_gives_an_empty_relay(self):
         self.assertEqual(build_relays("t", 5, 5, [], False), [Relay("t", 5, 5)])
+
+
+class TestEras(unittest.TestCase):
+    """Relays around a store that comes back from an older copy."""
+
+    def run_follower(self, script):
+        async def main():
+            store = FakeStore()
+            store.version = join_version(1, 20)
+            follower = TableFollower(
+                FakeStoreClient(store, answer_ms=0),
+                "t",
+                lambda rows, is_snapshot: self.rows.extend(rows.rows),
+                running_clock(),
+                Log(running_clock(), lambda line: None),
+                wait_ms=0,
+                pause_ms=PAUSE_MS,
+                max_silence_ms=MAX_SILENCE_MS,
+                carries_rows=True,
+                is_reader=lambda: False,
+                on_recovered=lambda: self.recoveries.append(1),
+            )
+            await follower.poll_store()
+            await script(store, follower)
+
+        self.rows, self.recoveries = [], []
+        run_manual(main())
+
+    def relay(self, era, since, until, value):
+        rows = [Row("a", value, join_version(era, until))]
+        versions = (join_version(era, since), join_version(era, until))
+        return build_relays("t", *versions, rows, False)[0]
+
+    def test_versions_on_the_wire_are_those_of_the_store(self):
+        relay = self.relay(3, 4, 5, b"x")
+        self.assertEqual((relay.era, relay.since, relay.until), (3, 4, 5))
+        self.assertEqual(relay.rows[0].row_version, 5)
+
+    def test_relays_of_the_era_in_force_are_applied(self):
+        async def script(store, follower):
+            follower.handle_relay(self.relay(1, 20, 21, b"x"))
+
+        self.run_follower(script)
+        self.assertEqual([row.row_version for row in self.rows], [join_version(1, 21)])
+
+    def test_relays_of_an_earlier_era_are_ignored(self):
+        async def script(store, follower):
+            store.version = join_version(2, 7)
+            follower._version = None
+            await follower.poll_store()
+            follower.handle_relay(self.relay(1, 20, 21, b"x"))
+            self.assertFalse(follower.must_query_store())
+
+        self.run_follower(script)
+        self.assertEqual(self.rows, [])
+        self.assertEqual(self.recoveries, [1])
+
+    def test_a_relay_of_the_next_era_leads_to_a_call(self):
+        async def script(store, follower):
+            self.assertFalse(follower.must_query_store())
+            follower.handle_relay(self.relay(2, 7, 8, b"x"))
+            self.assertTrue(follower.must_query_store())
+
+        self.run_follower(script)
+
+    def test_relays_of_instances_without_eras_count_until_the_era_changes(self):
+        async def script(store, follower):
+            old_build = msgspec.structs.replace(self.relay(1, 20, 21, b"x"), era=0)
+            follower.handle_relay(old_build)
+            self.assertEqual(len(self.rows), 1)
+            store.version = join_version(2, 22)
+            follower._version = None
+            await follower.poll_store()
+            follower.handle_relay(msgspec.structs.replace(old_build, until=23))
+            self.assertEqual(len(self.rows), 1)
+
+        self.run_follower(script)
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -7,7 +7,8 @@
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.errors import Delivery, Failure, Reason
 from _monsoonpulley.external.table import Committed, Conflict, Write
-from _monsoonpulley.platform.store import Store
+from _monsoonpulley.platform.store import Condition, Put, Store
+from _monsoonpulley.platform.storeversion import wire_version
 from _monsoonpulley.platform.table import StoreTable
 from _monsoonpulley.standins.rowstore import RowStoreStandin, StoreFault
 from _monsoonpulley.wire.httpclient import HttpClient
@@ -104,3 +105,96 @@
         await self.store.read_table("x")
         self.assertTrue(recovery.is_set())
         self.assertFalse(self.store.next_recovery().is_set())
+
+
+class TestEras(StoreTest):
+    """A store that comes back from an older copy."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.eras = []
+        self.store._on_era = lambda before, after: self.eras.append((before, after))
+        self.rows.era = 1
+
+    async def lose_writes(self) -> None:
+        """Write a row after a copy and bring the store back to it."""
+        self.copy = self.rows.take_copy()
+        self.rows.put("t", "lost", b"1")
+        self.before = await self.store.read_table("t")
+        self.rows.return_to(self.copy)
+
+    async def test_versions_rise_when_the_store_loses_writes(self):
+        self.rows.put("t", "a", b"1")
+        await self.lose_writes()
+        self.rows.put("t", "b", b"1")
+        after = await self.store.read_table("t")
+        self.assertEqual({row.key for row in after.rows}, {"a", "b"})
+        self.assertGreater(after.store_version, self.before.store_version)
+        newest = max(row.row_version for row in self.before.rows)
+        self.assertTrue(all(row.row_version > newest for row in after.rows))
+        self.assertEqual(self.eras, [(1, 2)])
+
+    async def test_changes_since_a_version_before_the_loss_are_a_lost_history(self):
+        await self.lose_writes()
+        self.rows.put("t", "b", b"1")
+        for _ in range(2):
+            # Once without knowing of the loss, once with it.
+            failure = await self.store.read_changes("t", self.before.store_version, 0)
+            self.assertIs(failure.reason, Reason.CONFLICT)
+
+    async def test_a_condition_from_before_the_loss_is_not_sent(self):
+        await self.lose_writes()
+        self.rows.put("t", "lost", b"2")
+        after = await self.store.read_table("t")
+        old, new = (
+            next(row for row in rows.rows if row.key == "lost")
+            for rows in (self.before, after)
+        )
+        self.assertEqual(wire_version(old.row_version), wire_version(new.row_version))
+        for row, expected in ((old, Failure), (new, int)):
+            result = await self.store.write(
+                conditions=(Condition("t", "lost", row.row_version),),
+                puts=(Put("t", "lost", b"3"),),
+            )
+            self.assertIsInstance(result, expected)
+
+    async def test_a_write_that_is_done_after_the_loss_is_in_doubt(self):
+        await self.lose_writes()
+        result = await self.store.write(puts=(Put("t", "b", b"1"),))
+        self.assertIs(result.reason, Reason.IN_DOUBT)
+        result = await self.store.write(puts=(Put("t", "b", b"2"),))
+        self.assertIsInstance(result, int)
+
+    async def test_two_losses_in_a_row_are_told_in_order(self):
+        await self.lose_writes()
+        self.rows.return_to(self.copy)
+        await self.store.read_table("t")
+        self.assertEqual(self.eras, [(1, 3)])
+
+    async def test_a_late_answer_of_an_earlier_era_is_a_failure(self):
+        await self.lose_writes()
+        await self.store.read_table("t")
+        self.rows.era = 1
+        failure = await self.store.read_table("t")
+        self.assertIs(failure.reason, Reason.PROTOCOL)
+        self.assertEqual(self.eras, [(1, 2)])
+
+    async def test_an_answer_without_its_era_is_a_failure(self):
+        await self.store.read_table("t")
+        self.rows.era = None
+        failure = await self.store.read_table("t")
+        self.assertIs(failure.reason, Reason.PROTOCOL)
+
+    async def test_a_refusal_needs_no_era(self):
+        await self.store.read_table("t")
+        self.rows.era, self.rows.fault = None, StoreFault.BUSY
+        failure = await self.store.write()
+        self.assertIs(failure.delivery, Delivery.REFUSED)
+
+    async def test_an_outage_without_a_loss_changes_nothing(self):
+        await self.store.read_table("t")
+        self.rows.fault = StoreFault.BUSY
+        await self.store.read_table("t")
+        self.rows.fault = StoreFault.NONE
+        await self.store.read_table("t")
+        self.assertEqual(self.eras, [])
--- a/testing/rollouts/test_rollouts.py
+++ b/testing/rollouts/test_rollouts.py
@@ -21,6 +21,7 @@
     encode_status,
 )
 from _monsoonpulley.platform.store import Conflict, Row
+from _monsoonpulley.platform.storeversion import join_version
 from _monsoonpulley.rollouts.rollouts import TRAFFIC_SHARES, Phase, Rollouts
 from _monsoonpulley.rollouts.statusreader import PEER_WAIT_MS, RolloutStatusReader
 
@@ -441,3 +442,41 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestLostWrites(unittest.TestCase):
+    """Orders that are read again from a store that has lost writes."""
+
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        log = Log(self.clock, lambda line: None)
+        self.rollouts = Rollouts(self.clock, log, random.Random(1))
+
+    def order(self, version, row_version, era=1) -> RolloutOrder:
+        return RolloutOrder(SERVICE, version, 15_000, join_version(era, row_version))
+
+    def test_an_order_that_is_written_again_goes_on_in_its_phase(self):
+        first, again = self.order(NEW, 10), self.order(NEW, 7, era=2)
+        self.rollouts.set_order(first)
+        self.rollouts.advance(first, Phase.TAKEN_BACK, "bad")
+        self.rollouts.set_order(again)
+        self.assertIs(self.rollouts.phase(again), Phase.TAKEN_BACK)
+        got = self.rollouts.eligible_endpoints(SERVICE, ENDPOINTS)
+        self.assertEqual({each.version for each in got}, {OLD})
+
+    def test_a_past_order_of_the_copy_does_not_replace_the_last_one(self):
+        past, last = self.order(VersionId("v0"), 5), self.order(NEW, 10)
+        for order in (past, last):
+            self.rollouts.set_order(order)
+        self.rollouts.advance(last, Phase.TAKEN_BACK, "bad")
+        self.rollouts.set_order(self.order(VersionId("v0"), 5, era=2))
+        again = self.order(NEW, 6, era=2)
+        self.rollouts.set_order(again)
+        self.assertIs(self.rollouts.phase(again), Phase.TAKEN_BACK)
+
+    def test_the_same_version_ordered_again_is_a_new_order(self):
+        first, second = self.order(NEW, 10), self.order(NEW, 20)
+        self.rollouts.set_order(first)
+        self.rollouts.advance(first, Phase.TAKEN_BACK, "bad")
+        self.rollouts.set_order(second)
+        self.assertIs(self.rollouts.phase(second), Phase.HELD)
