Keep the pauses of endpoints in the gateway's router, too

One decision for one matter: a refusal with a retry time delayed only the repeat of its own request there, while new requests went to the same endpoint. The router now keeps its pause with the ingress's EndpointPauses, and if all live endpoints pause the failure says so, with the earliest end. The ingress is not touched.

--- a/src/_monsoonpulley/routing/attemptbreakers.py
+++ b/src/_monsoonpulley/routing/attemptbreakers.py
@@ -54,6 +54,11 @@
             self.versions.start_call(version_route, now_ms),
         )
 
+    def endpoint_of(self, attempt: AttemptId) -> EndpointId | None:
+        """Return the endpoint of an attempt in progress, None if it has ended."""
+        calls = self._attempts.get(attempt)
+        return None if calls is None else calls.endpoint
+
     def end_attempt(
         self, attempt: AttemptId, failure: Failure | None, now_ms: int
     ) -> None:
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -23,6 +23,7 @@
     VersionId,
     ZoneId,
 )
+from ..limits.endpointpauses import EndpointPauses
 from .admission import Admission, AdmissionRequest, Admit, Refuse, Wait
 from .attemptbreakers import AttemptBreakers
 from .overflow import EQUAL_PRICES, OVERFLOW_RULES, OverflowRule, Prices, ZoneOffer
@@ -74,6 +75,7 @@
         self.admission = Admission(rng)
         self.retries = Retries(rng)
         self.breakers = AttemptBreakers(rng)
+        self.pauses = EndpointPauses()
         self._predictor = Predictor(self.fleet, self.prefixes)
         self._policy_name = policy
         self._policy = POLICIES.get(policy)(self._predictor, rng)
@@ -119,6 +121,7 @@
         for endpoint in known_before - set(self.fleet.endpoints):
             self.prefixes.remove_endpoint(endpoint)
             self.breakers.endpoints.remove(endpoint)
+            self.pauses.remove(endpoint)
 
     def mark_leaving(self, endpoint: EndpointId, now_ms: int) -> None:
         """Send an endpoint no new requests from now on."""
@@ -226,6 +229,8 @@
         def is_usable(view: EndpointView) -> bool:
             if view.id in self.excluded_endpoints:
                 return False
+            if self.pauses.wait_ms(view.id, now_ms):
+                return False
             return view.id not in tried and breakers.allows(view.id, now_ms)
 
         local_zone = request.zone or self.zone
@@ -324,6 +329,16 @@
             for version in self.fleet.versions(request.service)
             if (wait_ms := self._version_wait_ms(request, version, now_ms))
         ]
+        pause_ms = self._shortest_pause_ms(request.service, now_ms)
+        if pause_ms:
+            return Failure(
+                Reason.UNAVAILABLE,
+                "routing.choose",
+                str(request.service),
+                f"all {live_count} live endpoints want a pause",
+                Delivery.NOT_SENT,
+                pause_ms,
+            )
         if not live_count:
             return Failure(
                 Reason.NO_ENDPOINT,
@@ -343,6 +358,17 @@
             max(waits_ms, default=1_000),
         )
 
+    def _shortest_pause_ms(self, service: ServiceId, now_ms: int) -> int:
+        """Return when the first live endpoint's pause ends, 0 if one has none."""
+        return min(
+            (
+                self.pauses.wait_ms(view.id, now_ms)
+                for view in self.fleet.endpoints.values()
+                if view.service == service and view.state is MemberState.LIVE
+            ),
+            default=0,
+        )
+
     def _version_wait_ms(
         self, request: RouteRequest, version: VersionId, now_ms: int
     ) -> int:
@@ -405,6 +431,13 @@
         failure: Failure | None = None,
         output_tokens: int = 0,
     ) -> None:
-        """Record an attempt's end; refusals and cancels don't affect breakers."""
+        """Record an attempt's end; refusals and cancels don't affect breakers.
+
+        A refusal with a retry time keeps the endpoint out until then.
+        """
+        endpoint = self.breakers.endpoint_of(attempt)
+        if endpoint is not None and failure is not None and failure.retry_after_ms:
+            if failure.delivery is Delivery.REFUSED:
+                self.pauses.record_refusal(endpoint, failure.retry_after_ms, now_ms)
         self.fleet.record_attempt_end(attempt, now_ms, failure is None, output_tokens)
         self.breakers.end_attempt(attempt, failure, now_ms)
--- a/testing/routing/test_router.py
+++ b/testing/routing/test_router.py
@@ -225,6 +225,25 @@
         chosen = {subject.choose(request(), now_ms=2).chosen for _ in range(20)}
         self.assertEqual(chosen, {"w1"})
 
+    def test_an_endpoint_that_asks_for_a_pause_gets_no_request_until_its_end(self):
+        subject = router(FIVE_ENDPOINTS[:2])
+        refusal = Failure(
+            Reason.UNAVAILABLE, "e", delivery=Delivery.REFUSED, retry_after_ms=2_000
+        )
+        for attempt in ("r1.1", "r1.2"):
+            decision = subject.choose(request(), now_ms=1)
+            subject.record_attempt_start(attempt, request(), decision, now_ms=1)
+            subject.record_attempt_end(attempt, 1, refusal)
+            if attempt == "r1.1":
+                others = [subject.choose(request(), now_ms=5) for _ in range(9)]
+                self.assertNotIn(decision.chosen, {each.chosen for each in others})
+        failure = subject.choose(request(), now_ms=501)
+        self.assertEqual(
+            (failure.reason, failure.retry_after_ms), (Reason.UNAVAILABLE, 1_500)
+        )
+        self.assertIn("pause", failure.detail)
+        self.assertNotIsInstance(subject.choose(request(), now_ms=2_001), Failure)
+
     def test_refusals_open_no_breaker(self):
         subject = router(FIVE_ENDPOINTS[:1])
         for _ in range(50):
