--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -202,7 +202,7 @@
         untried = tuple(e for e in eligible if e.id not in self.tried_ids)
         self._admission = parts.gate.admit(untried, now_ms)
         if untried and not self._admission.usable:
-            return parts.gate.refuse(untried, now_ms)
+            return parts.gate.refuse(untried, self.facts.prompt_tokens, now_ms)
         choice = parts.placer.choose(
             requirements,
             self._admission.usable,
@@ -222,7 +222,7 @@
         now_ms = self.parts.clock.now_ms()
         if not ready or self.parts.gate.admit(ready, now_ms).usable:
             return UNAVAILABLE_RETRY_MS
-        refusal = self.parts.gate.refuse(ready, now_ms)
+        refusal = self.parts.gate.refuse(ready, 0, now_ms)
         return max(UNAVAILABLE_RETRY_MS, refusal.retry_after_ms)
 
     def _max_wait_ms(self, now_ms: int) -> float:
--- a/src/_monsoonpulley/placing/endpointgate.py
+++ b/src/_monsoonpulley/placing/endpointgate.py
@@ -72,21 +72,26 @@
         """Return whether an endpoint wants no requests of this instance."""
         return self._pauses.wait_ms(endpoint, now_ms) > 0
 
-    def refuse(self, endpoints: tuple[Endpoint, ...], now_ms: int) -> PlacementRefusal:
+    def refuse(
+        self, endpoints: tuple[Endpoint, ...], prompt_tokens: int, now_ms: int
+    ) -> PlacementRefusal:
         """Return the refusal of a request that none of the endpoints may get.
 
         Its retry time is when the first pause ends, or when the limits allow the next
-        request.
+        request. Its prompt counts whole as work that has arrived.
         """
         awake = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
         if awake:
             return PlacementRefusal(
                 "all endpoints are at their rate limit",
                 self._rate_limits.retry_after_ms(awake, now_ms),
+                prompt_tokens,
             )
         shortest_ms = min(self._pauses.wait_ms(e.id, now_ms) for e in endpoints)
         spread_ms = shortest_ms * self._rng.uniform(1.0, 1.0 + PAUSE_SPREAD)
-        return PlacementRefusal("all endpoints want a pause", round(spread_ms))
+        return PlacementRefusal(
+            "all endpoints want a pause", round(spread_ms), prompt_tokens
+        )
 
     def record_send(self, endpoint: EndpointId, now_ms: int) -> None:
         """Count a request that is about to be sent."""
--- /dev/null
+++ b/testing/placing/test_endpointgate.py
@@ -0,0 +1,74 @@
+"""What endpoints ask for, in one decision."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from _monsoonpulley.fleet.model import Endpoint
+from _monsoonpulley.ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
+from _monsoonpulley.limits.endpointpauses import EndpointPauses
+from _monsoonpulley.limits.endpointrates import EndpointRateLimits
+from _monsoonpulley.placing.endpointgate import PAUSE_SPREAD, EndpointGate
+
+
+def endpoint(name: str) -> Endpoint:
+    return Endpoint(
+        id=EndpointId(name),
+        started_wall_ms=None,
+        service=ServiceId("svc"),
+        ip="10.0.0.1",
+        port=80,
+        zone=ZoneId("zone-a"),
+        version=VersionId("v1"),
+        slots=4,
+    )
+
+
+A, B, C = ENDPOINTS = tuple(map(endpoint, "abc"))
+
+
+class TestGate(unittest.TestCase):
+    def setUp(self):
+        rng = random.Random(1)
+        self.limits = EndpointRateLimits(InstanceId("i-1"), rng)
+        self.pauses = EndpointPauses()
+        self.gate = EndpointGate(self.limits, self.pauses, rng)
+
+    def test_endpoints_are_left_out_each_for_its_reason(self):
+        self.pauses.record_refusal(A.id, 2_000, 0)
+        self.limits.record_answer(B.id, 1.0, 0)
+        admission = self.gate.admit(ENDPOINTS, 10)
+        self.assertEqual(admission.usable, (C,))
+        self.assertEqual((admission.paused_count, admission.limited_count), (1, 1))
+
+    def test_without_statements_all_are_admitted(self):
+        self.assertEqual(self.gate.admit(ENDPOINTS, 10).usable, ENDPOINTS)
+
+    def test_a_refusal_ends_with_the_first_pause(self):
+        for each, pause_ms in ((A, 4_000), (B, 2_000), (C, 9_000)):
+            self.pauses.record_refusal(each.id, pause_ms, 0)
+        refusal = self.gate.refuse(ENDPOINTS, 700, 500)
+        self.assertIn("pause", refusal.reason)
+        self.assertGreaterEqual(refusal.retry_after_ms, 1_500)
+        self.assertLessEqual(refusal.retry_after_ms, 1_500 * (1 + PAUSE_SPREAD))
+        self.assertEqual(refusal.prefill_tokens, 700)
+
+    def test_a_refusal_names_the_limits_if_not_all_pause(self):
+        self.pauses.record_refusal(A.id, 60_000, 0)
+        self.limits.record_answer(B.id, 0.5, 0)
+        refusal = self.gate.refuse((A, B), 700, 0)
+        self.assertIn("rate limit", refusal.reason)
+        self.assertLessEqual(refusal.retry_after_ms, 4_000)
+
+    def test_callers_of_one_pause_return_spread(self):
+        self.pauses.record_refusal(A.id, 2_000, 0)
+        retries_ms = {self.gate.refuse((A,), 0, 0).retry_after_ms for _ in range(20)}
+        self.assertGreater(len(retries_ms), 10)
+
+    def test_a_request_that_was_not_sent_frees_its_share(self):
+        self.limits.record_answer(A.id, 1.0, 0)
+        self.gate.record_send(A.id, 1_000)
+        self.assertEqual(self.gate.admit((A,), 1_000).usable, ())
+        self.gate.refund(A.id, 1_000)
+        self.assertEqual(self.gate.admit((A,), 1_000).usable, (A,))
