Repeat an empty usage report unchanged after the store lost it

Found by reading the diff: counts that may have been sent were kept for a loss, but empty ones were taken for none and counted anew. Test: fails if they are.

--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -159,7 +159,9 @@
     async def _store_counts(self, window: int) -> dict[str, int] | Failure:
         """Store a window's counts, or return those stored before."""
         # Counts that may have been sent stay, even if the table has lost them.
-        counts = self._fixed_counts.get(window) or self._counter.totals(window)
+        counts = self._fixed_counts.get(window)
+        if counts is None:
+            counts = self._counter.totals(window)
         key = _key(window)
         write = Write(key, msgspec.json.encode(counts), ABSENT_REVISION)
         result = await self._table.commit([write])
--- a/src/_monsoonpulley/placing/endpointgate.py
+++ b/src/_monsoonpulley/placing/endpointgate.py
@@ -64,9 +64,11 @@
 
     def admit(self, endpoints: tuple[Endpoint, ...], now_ms: int) -> Admission:
         """Return which of the endpoints may get a request now."""
-        awake = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
-        usable = self._rate_limits.usable_endpoints(awake, now_ms)
-        return Admission(usable, len(endpoints) - len(awake), len(awake) - len(usable))
+        unpaused = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
+        usable = self._rate_limits.usable_endpoints(unpaused, now_ms)
+        return Admission(
+            usable, len(endpoints) - len(unpaused), len(unpaused) - len(usable)
+        )
 
     def is_paused(self, endpoint: EndpointId, now_ms: int) -> bool:
         """Return whether an endpoint wants no requests of this instance."""
@@ -80,11 +82,11 @@
         Its retry time is when the first pause ends, or when the limits allow the next
         request. Its prompt counts whole as work that has arrived.
         """
-        awake = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
-        if awake:
+        unpaused = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
+        if unpaused:
             return PlacementRefusal(
                 "all endpoints are at their rate limit",
-                self._rate_limits.retry_after_ms(awake, now_ms),
+                self._rate_limits.retry_after_ms(unpaused, now_ms),
                 prompt_tokens,
             )
         shortest_ms = min(self._pauses.wait_ms(e.id, now_ms) for e in endpoints)
--- a/testing/duties/test_usagereport.py
+++ b/testing/duties/test_usagereport.py
@@ -228,8 +228,13 @@
         self.assertIn((2, window, {CUSTOMER: 1}), self.cloud.reports)
 
     async def test_counts_that_may_have_been_sent_are_repeated_after_a_loss(self):
+        for count in (0, 1):
+            await self.check_repeated_counts(count)
+
+    async def check_repeated_counts(self, count: int) -> None:
         holder = ReportingInstance(self, "a")
-        holder.counter.record_start(CUSTOMER, self.clock.wall_ms())
+        for _ in range(count):
+            holder.counter.record_start(CUSTOMER, self.clock.wall_ms())
         self.clock.advance_ms(WINDOW_MS + MIN_REPORT_DELAY_MS)
         await holder.reporter.step(self.hold(1))
         holder.reporter._reported_windows.clear()
