Keep a cancellation that arrives with an engine stand-in's item

Traced: of six runs of gateway.test_openai_client at once one hung for 45 s after its last test, with a stand-in's stream in the state cancelling, waiting for the next item. asyncio.wait_for of Python 3.11 loses a cancellation that arrives together with the result; the stream then waits for its token time-out, and the loop's end for the stream. Change: asyncio.timeout in its place. Other uses of wait_for in src either check for a lost cancellation or wait for an event; control/rolloutduty and control/rolloutwatch were not examined.

--- a/src/_monsoonpulley/standins/engine_streams.py
+++ b/src/_monsoonpulley/standins/engine_streams.py
@@ -48,4 +48,7 @@
             If no item arrives within ``timeout_ms``.
         """
         queue = self._queues[attempt]
-        return await asyncio.wait_for(queue.get(), timeout_ms / 1000)
+        # Not `asyncio.wait_for`: on Python 3.11 it loses a cancellation that arrives
+        # together with the item.
+        async with asyncio.timeout(timeout_ms / 1000):
+            return await queue.get()
