--- a/src/_monsoonpulley/standins/engine_streams.py
+++ b/src/_monsoonpulley/standins/engine_streams.py
@@ -48,7 +48,9 @@
             If no item arrives within ``timeout_ms``.
         """
         queue = self._queues[attempt]
-        # Not `asyncio.wait_for`: on Python 3.11 it loses a cancellation that arrives
-        # together with the item.
-        async with asyncio.timeout(timeout_ms / 1000):
-            return await queue.get()
+        item = await asyncio.wait_for(queue.get(), timeout_ms / 1000)
+        # On Python 3.11 a cancellation that arrives together with the item is lost.
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise asyncio.CancelledError
+        return item
