Log what arrived of an answer that broke off, and which shared parts its prompt held

The attempt's line now has the status, the number of events and, if the answer broke off, keyed hashes of the prompt's parts but the last. No decision changes.

--- a/src/_monsoonpulley/ids.py
+++ b/src/_monsoonpulley/ids.py
@@ -17,6 +17,8 @@
 AttemptId = NewType("AttemptId", str)
 """One attempt of a request at one endpoint: ``request id`` + ``.`` + attempt number."""
 IdempotencyKey = NewType("IdempotencyKey", str)
+Fingerprint = NewType("Fingerprint", str)
+"""Keyed hash of a request or of a part of prompts, with its kind in front."""
 
 
 def attempt_id(request_id: RequestId, attempt: int) -> AttemptId:
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -78,6 +78,10 @@
         of a stream.
     detail : str
         Why the attempt failed, for log and metrics; empty if it succeeded.
+    event_count : int
+        Whole events of a stream that arrived.
+    broke_off : bool
+        Whether the connection ended before the answer was complete.
     """
 
     def __init__(self, state: RequestState, choice: Choice):
@@ -94,14 +98,20 @@
         self._splitter: EventSplitter | None = None
         self._prefill_tokens = choice.prefill_tokens
         self._held_tokens = state.facts.held_tokens
-        self._event_count = 0
+        self.event_count = 0
         self._wants_pause = False
         self.was_sent = False
+        self.broke_off = False
         self.elapsed_ms = 0
         self.first_byte_ms: int | None = None
         self._first_event_ms: int | None = None
         self.detail = ""
 
+    @property
+    def status(self) -> int:
+        """Status in the head of the endpoint's answer; 0 if none arrived."""
+        return self._head.status if self._head is not None else 0
+
     async def run(self) -> Result:
         """Send the request once and return how the attempt ended."""
         connection = await self._connect()
@@ -344,6 +354,7 @@
             self._forward_answer(head)
             return Result.ANSWERED
         if self._splitter.has_partial_event:
+            self.broke_off = True
             return self._reject_answer("the stream ended within an event")
         if not self._state.exchange.has_started:
             self._start_stream()
@@ -356,6 +367,7 @@
             self.detail = f"not run, status {self._head.status}"
             return Result.NOT_RUN
         self._state.may_have_run = True
+        self.broke_off = True
         if self._splitter is None:
             self._record_start(self._started_wall_ms)
         return self._reject_answer(event.detail)
@@ -366,7 +378,7 @@
             if not is_after(event.id, state.last_event_id):
                 return
             state.last_event_id = event.id
-        self._event_count += 1
+        self.event_count += 1
         if self.first_byte_ms is None:
             self._record_first_byte()
             self._record_start(self._parts.clock.wall_ms())
@@ -463,8 +475,8 @@
             self.first_byte_ms if self.first_byte_ms is not None else self.elapsed_ms
         )
         gap_ms = None
-        if self._event_count > 1:
-            gap_ms = (self.elapsed_ms - first_byte_ms) / (self._event_count - 1)
+        if self.event_count > 1:
+            gap_ms = (self.elapsed_ms - first_byte_ms) / (self.event_count - 1)
         return VersionResult(
             service=self._endpoint.service,
             version=self._endpoint.version,
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -29,6 +29,7 @@
 from ..placing.zonereach import ZoneReach
 from ..platform.localsettings import LocalSettings
 from ..platform.store import Row
+from ..quarantine.fingerprint import Fingerprinter
 from ..rollouts.rollouts import Rollouts
 from ..sharing.members import Members
 from .answermemory import AnswerMemory
@@ -61,6 +62,7 @@
     zone_reach: ZoneReach
     upstreams: Upstreams
     answer_memory: AnswerMemory
+    fingerprinter: Fingerprinter
     usage: UsageCounter
     rollouts: Rollouts
 
@@ -121,6 +123,7 @@
             zone_reach=ZoneReach(),
             upstreams=Upstreams(clock),
             answer_memory=AnswerMemory(),
+            fingerprinter=Fingerprinter(),
             usage=UsageCounter(bounds.usage_window_s),
             rollouts=Rollouts(clock, log, rng),
         )
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -44,6 +44,13 @@
         Time from the choice to the end of the attempt.
     first_ms : int or None
         Time from the choice to the first byte of the answer.
+    status : int
+        Status in the head of the endpoint's answer; 0 if none arrived.
+    events : int
+        Whole events of a stream that arrived.
+    parts : tuple of str
+        Fingerprints of the prompt's parts that other requests may share, if the
+        answer broke off.
     """
 
     request: str
@@ -67,6 +74,9 @@
     first_ms: int | None
     result: str
     detail: str = ""
+    status: int = 0
+    events: int = 0
+    parts: tuple[str, ...] = ()
 
 
 class RequestEnded(Decision, frozen=True, tag="request", kw_only=True):
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -288,6 +288,9 @@
                 first_ms=attempt.first_byte_ms,
                 result=result.value,
                 detail=attempt.detail,
+                status=attempt.status,
+                events=attempt.event_count,
+                parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
 
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..fleet.model import Configuration, Customer, Route, RouteKind, Service
-from ..ids import CustomerId, EndpointId
+from ..ids import CustomerId, EndpointId, Fingerprint
 from ..platform.answerheaders import local_answer_headers
 from ..platform.requestheaders import parse_request_headers
 from ..wire.serverconnection import Exchange
@@ -99,6 +99,14 @@
         else:
             self.respond(503, "time is up", UNAVAILABLE_RETRY_MS)
 
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return those of the prompt's parts that other requests may share.
+
+        The last part belongs to the request or its session alone.
+        """
+        of_part = self.parts.fingerprinter.of_part
+        return tuple(of_part(part.id) for part in self.facts.parts[:-1])
+
     def remaining_ms(self) -> int:
         """Return the time until the final answer is due."""
         return self.deadline_ms - self.parts.clock.now_ms()
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -1022,3 +1022,30 @@
         await self.site.send_request("a0")
         self.assertEqual(len(self.site.log_events("endpoint_pause_refused")), 1)
         self.assertEqual(self.site.log_events("endpoint_paused"), [])
+
+
+class TestBrokenOffAnswers(SiteTest):
+    PROMPT = "Monsoonpulley-Prompt-Prefix: a1:10,b2:20,c3:5\r\n"
+
+    async def test_the_log_tells_what_arrived_and_which_parts_were_in_the_prompt(self):
+        async def break_off(call) -> None:
+            call.start_stream()
+            call.write_event(1)
+            await call.writer.drain()
+            call.writer.transport.abort()
+
+        await self.site.add_endpoint(break_off)
+        await self.site.start(configuration(kind="streaming"))
+        for request_id in ("a1", "a2"):
+            await self.site.send_request(request_id, extra=self.PROMPT)
+        first, second = self.site.log_events("attempt")
+        self.assertEqual((first["status"], first["events"]), (200, 1))
+        self.assertEqual(len(set(first["parts"])), 2)
+        self.assertEqual(first["parts"], second["parts"])
+        self.assertNotIn("a1:10", str(first["parts"]))
+
+    async def test_the_log_does_not_name_the_parts_of_complete_answers(self):
+        await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        await self.site.send_request("a1", extra=self.PROMPT)
+        self.assertEqual(self.site.log_events("attempt")[0]["parts"], [])
