--- /dev/null
+++ b/testing/ingress/test_crashes.py
@@ -0,0 +1,55 @@
+"""Requests that crash the endpoints they are sent to."""
+
+from __future__ import annotations
+
+import unittest
+
+from .crashing import CrashingStream, CrashPlay
+from .site import Site
+
+STABLE_WINDOW_S = 3.0
+"""Time from the threshold of crashes after which the bound holds."""
+
+PART_CRASHES = 5
+MAX_REQUESTS_BEYOND = 3
+"""The users' bound: requests that reach endpoints after that time, of all instances."""
+
+MIN_SOUND_SHARE = 0.95
+"""Goal for sound requests from twice the time after the threshold."""
+
+FAULTY_PART = "bad0"
+
+
+def prompt(*parts: str) -> dict:
+    """Return arguments for a request with these parts before one of its own."""
+    listed = ",".join(f"{part}:100" for part in parts)
+    return {"extra": f"Monsoonpulley-Prompt-Prefix: {listed}\r\n"}
+
+
+class CrashTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.site = Site()
+        self.addAsyncCleanup(self.site.stop)
+
+
+class TestParts(CrashTest):
+    async def test_a_part_that_crashes_endpoints_reaches_few_more_after_the_fifth(self):
+        play = CrashPlay(
+            self.site,
+            CrashingStream,
+            lambda call: (
+                f"{FAULTY_PART}:" in call.headers["monsoonpulley-prompt-prefix"]
+            ),
+        )
+        await play.start("streaming", resume_streams=True)
+        await play.run(
+            2 * STABLE_WINDOW_S + 4,
+            lambda n: prompt("cafe", FAULTY_PART, f"{n:x}f"),
+            lambda n: prompt("cafe", "beef", f"{n:x}5"),
+        )
+        fifth_s = play.crash_time_s(PART_CRASHES)
+        self.assertLessEqual(
+            play.faulty_arrivals_after(fifth_s + STABLE_WINDOW_S), MAX_REQUESTS_BEYOND
+        )
+        share = play.sound_share_after(fifth_s + 2 * STABLE_WINDOW_S)
+        self.assertGreaterEqual(share, MIN_SOUND_SHARE)
