--- a/src/_monsoonpulley/errors.py
+++ b/src/_monsoonpulley/errors.py
@@ -29,6 +29,8 @@
     SHUTTING_DOWN = "shutting_down"
     UNAVAILABLE = "unavailable"
     """The peer was unreachable or refused; nothing took effect."""
+    NOT_LISTENING = "not_listening"
+    """The peer's machine answered that nothing listens at the address."""
     IN_DOUBT = "in_doubt"
     """No answer arrived; the step may have taken effect, or may do so later."""
     TIMEOUT = "timeout"
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -51,6 +51,9 @@
 NOT_RUN_FAILURE_WEIGHT = 1.0
 """Weight of an answer that the request was not run: that of one failure."""
 
+PROOF_MS = 500
+"""An endpoint that has been writing a stream for this long does not crash under it."""
+
 _VERSION_RESULTS = frozenset(
     (Result.ANSWERED, Result.FAILED, Result.INVALID, Result.TIMED_OUT)
 )
@@ -100,6 +103,7 @@
         self._held_tokens = state.facts.held_tokens
         self.event_count = 0
         self._wants_pause = False
+        self._is_proven = False
         self.was_sent = False
         self.broke_off = False
         self.elapsed_ms = 0
@@ -135,6 +139,9 @@
                 # It refused another request while the connection was being opened.
                 self.detail = "the endpoint wants a pause"
                 return Result.UNREACHABLE
+            if self._state.find_quarantine_entry() is not None:
+                self.detail = "requests like this one crash endpoints"
+                return Result.UNREACHABLE
             if self._state.remaining_ms() <= 0:
                 self.detail = "the time ran out while connecting"
                 return Result.UNREACHABLE
@@ -384,6 +391,11 @@
             self._record_start(self._parts.clock.wall_ms())
             self._record_prefill_end()
             self._record_first_event()
+        elif not self._is_proven:
+            now_ms = self._parts.clock.now_ms()
+            self._is_proven = now_ms - self._started_ms >= self.first_byte_ms + PROOF_MS
+            if self._is_proven:
+                state.record_served()
         if not state.exchange.has_started:
             self._start_stream()
         state.exchange.write(event.raw)
@@ -490,10 +502,15 @@
 
     def _record_outcome(self, result: Result) -> None:
         """Record the outcome for the endpoint's health and its version's roll-out."""
+        state = self._state
         if result in _VERSION_RESULTS:
             self._parts.rollouts.record_result(self._version_result(result))
         now_ms = self._parts.clock.now_ms()
+        if self.broke_off:
+            suspect = None if self._is_proven else state.as_suspect(self.elapsed_ms)
+            self._parts.crash_watch.record_broken(self._endpoint, suspect)
         if result is Result.ANSWERED:
+            state.record_served()
             answer_ms = (
                 self.first_byte_ms
                 if self.first_byte_ms is not None
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -48,6 +48,17 @@
             "Endpoints that limit the requests a second from all instances.",
             registry=self.registry,
         )
+        self.quarantine_entries = Gauge(
+            "monsoonpulley_quarantine_entries",
+            "Entries of requests that are refused because they crash endpoints.",
+            registry=self.registry,
+        )
+        self.endpoint_crashes = Counter(
+            "monsoonpulley_endpoint_crashes",
+            "Crashes of endpoints that this instance saw, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "monsoonpulley_attempts",
             "Requests sent to endpoints, by service and result.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -29,7 +29,11 @@
 from ..placing.zonereach import ZoneReach
 from ..platform.localsettings import LocalSettings
 from ..platform.store import Row
+from ..quarantine.crashwatch import CrashWatch
+from ..quarantine.evidence import CrashReport, Entry, QuarantineNews
 from ..quarantine.fingerprint import Fingerprinter
+from ..quarantine.history import ServedParts
+from ..quarantine.quarantine import Quarantine
 from ..rollouts.rollouts import Rollouts
 from ..sharing.members import Members
 from .answermemory import AnswerMemory
@@ -63,6 +67,9 @@
     upstreams: Upstreams
     answer_memory: AnswerMemory
     fingerprinter: Fingerprinter
+    served_parts: ServedParts
+    quarantine: Quarantine
+    crash_watch: CrashWatch
     usage: UsageCounter
     rollouts: Rollouts
 
@@ -78,6 +85,9 @@
         on_configuration: Callable[[Configuration], None],
         on_operator_row: Callable[[Row], None],
         on_endpoint_removed: Callable[[Endpoint], None],
+        send_quarantine_news: Callable[[QuarantineNews], None],
+        on_quarantined: Callable[[Entry], None],
+        on_quarantine_lifted: Callable[[Entry], None],
     ) -> IngressParts:
         """Return the shared objects of an instance that has just started."""
         bounds = settings.bounds
@@ -89,6 +99,21 @@
         )
         rate_limits = EndpointRateLimits(settings.instance, rng, _log_rate_limits(log))
         pauses = EndpointPauses()
+        directory = EndpointDirectory(clock, log, on_endpoint_removed)
+        upstreams = Upstreams(clock)
+        quarantine = Quarantine(
+            settings.instance,
+            clock,
+            log,
+            send_quarantine_news,
+            on_quarantined,
+            on_quarantine_lifted,
+        )
+
+        def on_crash(report: CrashReport) -> None:
+            counters.endpoint_crashes.labels(report.service).inc()
+            quarantine.record_crash(report)
+
         return cls(
             zone=settings.zone,
             clock=clock,
@@ -97,7 +122,7 @@
             configuration=ConfigurationHolder(
                 clock, log, on_configuration, on_operator_row
             ),
-            directory=EndpointDirectory(clock, log, on_endpoint_removed),
+            directory=directory,
             members=Members(settings.instance, clock, log),
             quotas=QuotaLedger(
                 bounds.quota_window_s,
@@ -121,9 +146,19 @@
             demand=DemandMeter(settings.instance),
             placer=Placer(load_board, health, cache_index, endpoint_models, rng),
             zone_reach=ZoneReach(),
-            upstreams=Upstreams(clock),
+            upstreams=upstreams,
             answer_memory=AnswerMemory(),
             fingerprinter=Fingerprinter(),
+            served_parts=ServedParts(),
+            quarantine=quarantine,
+            crash_watch=CrashWatch(
+                settings.instance,
+                clock,
+                log,
+                upstreams.probe,
+                directory.is_current,
+                on_crash,
+            ),
             usage=UsageCounter(bounds.usage_window_s),
             rollouts=Rollouts(clock, log, rng),
         )
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -11,6 +11,8 @@
 from ..limits.quota import QuotaRefusal
 from ..placing.endpointgate import Admission
 from ..placing.placer import Choice, PlacementRefusal, Requirements
+from ..quarantine.evidence import Entry
+from ..quarantine.quarantine import RETRY_AFTER_MS
 from ..wire.events import TimerExpired
 from ..wire.serverconnection import Exchange
 from .attempt import Attempt
@@ -99,6 +101,10 @@
             )
             return False
         self.service = service
+        entry = self.find_quarantine_entry()
+        if entry is not None and not self._may_try(entry):
+            self._refuse_quarantined(entry)
+            return False
         self._spent_ms = self.parts.wait_limits.spent_ms(route, facts.timeout_ms)
         self.parts.retry_budget.count_request(service.id, self.parts.clock.now_ms())
         return self._consume_quota()
@@ -158,6 +164,10 @@
 
     async def _try_endpoints(self) -> None:
         while not self.exchange.is_over:
+            entry = self.find_quarantine_entry()
+            if entry is not None:
+                self._refuse_quarantined(entry)
+                return
             choice = self._choose()
             self._count_demand(choice)
             if isinstance(choice, PlacementRefusal):
@@ -184,6 +194,14 @@
                 attempt.give_final_answer(result, self._not_run_retry_ms())
                 return
 
+    def _may_try(self, entry: Entry) -> bool:
+        """Return whether this request may show that an entry no longer holds."""
+        assert self.service is not None
+        ready = self.parts.directory.ready_endpoints(self.service.id)
+        versions = {endpoint.version for endpoint in ready}
+        self.is_trial = self.parts.quarantine.try_acquire_trial(entry, versions)
+        return self.is_trial
+
     def _choose(self) -> Choice | PlacementRefusal:
         assert self.service is not None and self.route is not None
         parts = self.parts
@@ -259,6 +277,15 @@
         else:
             self.respond(503, refusal.reason, refusal.retry_after_ms)
 
+    def _refuse_quarantined(self, entry: Entry) -> None:
+        """Answer that requests like this one crash endpoints."""
+        self.parts.quarantine.record_refusal(entry)
+        detail = f"quarantined: {entry.key} crashed {len(entry.endpoints)} endpoints"
+        if self.may_have_run:
+            self.respond(502, detail)
+        else:
+            self.respond(503, detail, RETRY_AFTER_MS)
+
     def _log_attempt(self, attempt: Attempt, result: Result) -> None:
         assert self.service is not None
         choice = attempt.choice
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -4,8 +4,10 @@
 
 from ..fleet.model import Configuration, Customer, Route, RouteKind, Service
 from ..ids import CustomerId, EndpointId, Fingerprint
+from ..placing.promptcacheindex import PromptPart
 from ..platform.answerheaders import local_answer_headers
 from ..platform.requestheaders import parse_request_headers
+from ..quarantine.evidence import Entry, PartEvidence, Suspect
 from ..wire.serverconnection import Exchange
 from .parts import IngressParts
 
@@ -37,6 +39,8 @@
         How often the request was sent to an endpoint.
     may_have_run : bool
         Whether an endpoint may have started the request.
+    is_trial : bool
+        Whether it may be sent once although it is in quarantine.
     is_usage_recorded : bool
         Whether the request is counted in its customer's usage.
     first_byte_ms : int or None
@@ -58,6 +62,7 @@
         self.tried_ids: set[EndpointId] = set()
         self.send_count = 0
         self.may_have_run = False
+        self.is_trial = False
         self.is_usage_recorded = False
         self.first_byte_ms: int | None = None
         self.last_event_id: bytes | None = None
@@ -99,13 +104,61 @@
         else:
             self.respond(503, "time is up", UNAVAILABLE_RETRY_MS)
 
-    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
-        """Return those of the prompt's parts that other requests may share.
+    def find_quarantine_entry(self) -> Entry | None:
+        """Return the entry for which the request must not be sent, if any."""
+        if not self.parts.quarantine.entry_count():
+            return None
+        if self.is_trial and not self.send_count:
+            return None
+        return self.parts.quarantine.find_entry(self.part_fingerprints())
+
+    def record_served(self) -> None:
+        """Record that an endpoint answers the request soundly."""
+        parts = self.parts
+        now_ms = parts.clock.now_ms()
+        parts.served_parts.record((p.id for p in self._shared_parts()), now_ms)
+        assert self.service is not None
+        if parts.quarantine.is_idle:
+            parts.quarantine.count_success(self.service.id)
+        else:
+            parts.quarantine.record_success(self.service.id, self.part_fingerprints())
 
-        The last part belongs to the request or its session alone.
+    def as_suspect(self, ran_ms: int) -> Suspect:
+        """Return the request as one that an endpoint may have crashed under.
+
+        Parameters
+        ----------
+        ran_ms : int
+            Time since its sending.
         """
+        parts, facts = self.parts, self.facts
+        now_ms = parts.clock.now_ms()
+        evidence = tuple(
+            PartEvidence(
+                parts.fingerprinter.of_part(part.id),
+                parts.served_parts.age_ms(part.id, now_ms),
+            )
+            for part in self._shared_parts()
+        )
+        request = self.exchange.request
+        fingerprint = parts.fingerprinter.of_request(
+            request.method,
+            facts.host.encode(),
+            request.target,
+            facts.api_key.encode(),
+            *(part.id.encode() for part in facts.parts),
+            request.body,
+        )
+        return Suspect(fingerprint, evidence, ran_ms)
+
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return those of the prompt's parts that other requests may share."""
         of_part = self.parts.fingerprinter.of_part
-        return tuple(of_part(part.id) for part in self.facts.parts[:-1])
+        return tuple(of_part(part.id) for part in self._shared_parts())
+
+    def _shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return all parts but the last, which is of the request or session alone."""
+        return self.facts.parts[:-1]
 
     def remaining_ms(self) -> int:
         """Return the time until the final answer is due."""
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -23,6 +23,7 @@
 from ..platform.rollouts import ORDER_PREFIX, decode_order
 from ..platform.store import Row, Store
 from ..platform.storeversion import join_version, wire_version
+from ..quarantine.rows import QuarantineRows
 from ..sharing.digest import Digest, UsageCounts
 from ..sharing.exchange import DigestExchange
 from ..sharing.registration import InstanceRow, Registration
@@ -112,6 +113,11 @@
             on_configuration=self._on_configuration,
             on_operator_row=self._on_operator_row,
             on_endpoint_removed=self._on_endpoint_removed,
+            send_quarantine_news=lambda news: self.digest_exchange.broadcast_quarantine(
+                news
+            ),
+            on_quarantined=lambda entry: self._quarantine_rows.put(entry),
+            on_quarantine_lifted=lambda entry: self._quarantine_rows.remove(entry),
         )
         parts = self.parts
         self.digest_exchange = DigestExchange(
@@ -122,6 +128,7 @@
             self._on_digest,
             self._on_usage,
             self._on_relay,
+            parts.quarantine.handle_news,
             clock,
             log,
         )
@@ -138,6 +145,9 @@
             rng,
             lambda: self.is_stopping,
         )
+        self._quarantine_rows = QuarantineRows(
+            self.store, parts.quarantine, parts.fingerprinter, clock, log, rng
+        )
         self._registration = Registration(
             settings.instance,
             InstanceRow(settings.peer_ip, settings.peer_ports[0], settings.zone),
@@ -156,6 +166,7 @@
         self.log.event("store_lost_writes", era=after, previous=before)
         self._control.handle_era_change()
         self._registration.repeat()
+        self._quarantine_rows.repeat()
 
     def _make_followers(self) -> dict[str, TableFollower]:
         parts = self.parts
@@ -213,6 +224,7 @@
             ("rollouts", self._control.status_reader.run),
             ("digests", self.digest_exchange.run),
             ("registration", self._registration.run),
+            ("quarantine", self._quarantine_rows.run),
             ("sweep", self.caller_server.sweep),
             ("tick", self._tick),
         ]
@@ -361,6 +373,8 @@
             era=self.store.era or 0,
             rate_limits=parts.rate_limits.own_notices(self.clock.now_ms()),
             leaving=parts.directory.leaving_notices(),
+            quarantined=parts.quarantine.told_entries() if is_full else (),
+            served=parts.quarantine.served_notices() if is_full else {},
         )
 
     def _on_digest(self, digest: Digest) -> None:
@@ -372,6 +386,9 @@
         parts.endpoint_models.update_peer(peer, digest.learned)
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
+        parts.quarantine.record_peer_served(digest.served)
+        for entry, idle_ms in digest.quarantined:
+            parts.quarantine.add_entry(entry, idle_ms)
         parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
         era = self._era_of_digest(digest)
         progress = () if era is None else digest.rollouts
@@ -457,6 +474,9 @@
         known_ids = [member.instance for member in parts.members.all()]
         parts.rate_limits.set_instances(known_ids, now_ms)
         self.counters.limited_endpoints.set(parts.rate_limits.limited_count())
+        parts.quarantine.set_reachable(parts.members.reachable_ids)
+        parts.quarantine.tick()
+        self.counters.quarantine_entries.set(parts.quarantine.entry_count())
         parts.zone_reach.set_silent_zones(parts.members.silent_zones(parts.zone))
         self._control.lease.check_holder()
         parts.directory.expire()
--- a/src/_monsoonpulley/ingress/upstreams.py
+++ b/src/_monsoonpulley/ingress/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..clock import Clock
+from ..errors import Failure, Reason
 from ..fleet.model import Endpoint
 from ..ids import EndpointId
 from ..wire.pool import ConnectionPool
@@ -43,6 +44,21 @@
         pool.max_connections = max_connections
         return pool
 
+    async def probe(self, endpoint: Endpoint) -> Failure | None:
+        """Open a connection to an endpoint that was connected before.
+
+        Returns
+        -------
+        Failure or None
+            `Reason.NOT_LISTENING` if nothing listens at its address any more.
+        """
+        pool = self._pools.get(endpoint.id)
+        if pool is None or pool.address != endpoint.address:
+            return Failure(
+                Reason.CANCELLED, "endpoint.probe", endpoint.id, "it has no pool"
+            )
+        return await pool.probe()
+
     def remove(self, endpoint: Endpoint) -> None:
         """Remove the pool of an endpoint and close its idle connections.
 
--- /dev/null
+++ b/src/_monsoonpulley/quarantine/attribution.py
@@ -0,0 +1,373 @@
+"""Which requests crash endpoints, by what crashed endpoints had in common.
+
+Each crash has suspects: the requests that the endpoint had and had not been answering
+for a while. One of them may be the cause, the others were there by chance, and an
+endpoint may crash for any other reason. A part of prompts is blamed if
+
+- enough endpoints crashed while they had a request with it, and none has answered such
+  a request since the first of these crashes;
+- these requests were sent one after the other: endpoints that are lost together say
+  nothing about the requests that they had;
+- they were several requests: a bystander may be repeated and meet the next crash;
+- no other suspect of the same crash is more likely to be its cause;
+- other requests to the service were served meanwhile, and so many that the crashes of
+  these requests are not chance.
+
+See ``docs/design/quarantine.md``.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+import msgspec
+
+from ..ids import Fingerprint
+from .evidence import CrashReport
+from .fingerprint import FingerprintKind, kind_of
+
+MAX_CRASHES = 256
+"""Crashes that are remembered; the oldest is forgotten first."""
+
+CRASH_MEMORY_MS = 600_000
+"""Crashes are remembered for this long."""
+
+REPORT_DELAY_MS = 200
+"""Time after a crash by which the others' reports of it have arrived."""
+
+SAME_CRASH_MS = 1_000
+"""Reports of an endpoint's crash that are this close are about the same crash. It may
+start again at its address before its row shows that."""
+
+MAX_SERVED = 8_192
+"""Fingerprints for which the time of the last sound answer is remembered."""
+
+SERVED_NOTICE_MS = 1_500
+"""Other instances are told for this long that a suspected fingerprint was served: every
+one of them gets a digest in it."""
+
+MAX_SERVED_NOTICES = 32
+"""Suspected fingerprints in a digest."""
+
+MAX_SUCCESSES = 64
+"""Times of successes that are remembered for each service."""
+
+
+class Rule(msgspec.Struct, frozen=True):
+    """What it takes to blame a fingerprint.
+
+    Attributes
+    ----------
+    crash_count : int
+        Endpoints that crashed.
+    round_count : int
+        Requests of which each was sent after the crash under the one before.
+    request_count : int
+        Different requests.
+    success_count : int
+        Requests without the fingerprint that this instance saw served meanwhile.
+    max_chance : float
+        Limit of the probability that requests without the fingerprint would all have
+        met as many crashes.
+    lookback_ms : int
+        Time before the first crash from which "meanwhile" begins.
+    """
+
+    crash_count: int
+    round_count: int
+    request_count: int
+    success_count: int
+    max_chance: float
+    lookback_ms: int
+
+
+RULES = {
+    FingerprintKind.PART: Rule(
+        crash_count=5,
+        round_count=3,
+        request_count=3,
+        success_count=1,
+        max_chance=0.01,
+        lookback_ms=0,
+    ),
+}
+
+
+class Culprits(msgspec.Struct, frozen=True):
+    """Fingerprints that are blamed together, as the evidence doesn't tell them apart.
+
+    Attributes
+    ----------
+    fingerprints : tuple of Fingerprint
+        Sorted.
+    service : str
+        The service whose endpoints crashed.
+    endpoints, versions : tuple of str
+        These endpoints in the order of their crashes, and their versions.
+    """
+
+    fingerprints: tuple[Fingerprint, ...]
+    service: str
+    endpoints: tuple[str, ...]
+    versions: tuple[str, ...]
+
+
+class _Suspect(msgspec.Struct, frozen=True):
+    fingerprints: frozenset[Fingerprint]
+    request: str
+    sent_ms: int
+
+
+class _Crash(msgspec.Struct):
+    """A crash with the suspects of all instances that reported it."""
+
+    endpoint: str
+    started_wall_ms: int | None
+    service: str
+    version: str
+    at_ms: int
+    suspects: list[_Suspect]
+    reporters: set[str]
+
+
+_Charges = dict[Fingerprint, list[_Crash]]
+
+
+class CrashLedger:
+    """Crashes of endpoints, and the fingerprints that explain them.
+
+    Attributes
+    ----------
+    has_candidates : bool
+        Whether to look for culprits again without a new crash: some fingerprint has
+        met enough of them, or not all instances have reported the last one.
+    """
+
+    def __init__(self) -> None:
+        self._instance_count = 1
+        self._crashes: deque[_Crash] = deque(maxlen=MAX_CRASHES)
+        self._served_ms: OrderedDict[Fingerprint, int] = OrderedDict()
+        self._successes_ms: dict[str, deque[int]] = {}
+        self._suspected: set[Fingerprint] = set()
+        self._served_here_ms: OrderedDict[Fingerprint, int] = OrderedDict()
+        self.has_candidates = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no crash is remembered."""
+        return not self._crashes
+
+    def record_crash(self, report: CrashReport, now_ms: int) -> None:
+        """Record one instance's report of a crash; a repeated one changes nothing."""
+        at_ms = now_ms - max(0, report.age_ms)
+        crash = self._crash_of(report, at_ms)
+        if report.instance in crash.reporters:
+            return
+        crash.reporters.add(report.instance)
+        crash.at_ms = min(crash.at_ms, at_ms)
+        for suspect in report.suspects:
+            for part in suspect.parts:
+                if part.served_ms is not None:
+                    self._record_served(
+                        Fingerprint(part.fingerprint), at_ms - part.served_ms
+                    )
+            names = [suspect.request, *(p.fingerprint for p in suspect.parts)]
+            fingerprints = frozenset(Fingerprint(name) for name in names if name)
+            self._suspected |= fingerprints
+            crash.suspects.append(
+                _Suspect(fingerprints, suspect.request, at_ms - suspect.ran_ms)
+            )
+
+    def record_success(
+        self, service: str, fingerprints: Iterable[Fingerprint], now_ms: int
+    ) -> None:
+        """Record that an endpoint served a request of this instance."""
+        for fingerprint in fingerprints:
+            self._record_served(fingerprint, now_ms)
+            if fingerprint in self._suspected:
+                self._served_here_ms[fingerprint] = now_ms
+                self._served_here_ms.move_to_end(fingerprint)
+        self.count_success(service, now_ms)
+
+    def count_success(self, service: str, now_ms: int) -> None:
+        """Count a request that was served, whatever its fingerprints."""
+        times_ms = self._successes_ms.get(service)
+        if times_ms is None:
+            times_ms = self._successes_ms[service] = deque(maxlen=MAX_SUCCESSES)
+        times_ms.append(now_ms)
+
+    def acquit(self, fingerprints: Iterable[Fingerprint], at_ms: int) -> None:
+        """Drop the charges against fingerprints up to a time."""
+        for fingerprint in fingerprints:
+            self._record_served(fingerprint, at_ms)
+
+    def served_notices(self, now_ms: int) -> dict[str, int]:
+        """Return suspected fingerprints that were served here lately, for the digest.
+
+        The values are the times since then.
+        """
+        while self._served_here_ms:
+            fingerprint, served_ms = next(iter(self._served_here_ms.items()))
+            if now_ms - served_ms <= SERVED_NOTICE_MS:
+                break
+            del self._served_here_ms[fingerprint]
+        latest = list(self._served_here_ms.items())[-MAX_SERVED_NOTICES:]
+        return {fingerprint: now_ms - served_ms for fingerprint, served_ms in latest}
+
+    def expire(self, now_ms: int) -> None:
+        """Forget old crashes."""
+        while self._crashes and now_ms - self._crashes[0].at_ms > CRASH_MEMORY_MS:
+            self._crashes.popleft()
+        if self.is_empty:
+            self._served_ms.clear()
+            self._suspected.clear()
+            self._served_here_ms.clear()
+
+    def set_instance_count(self, count: int) -> None:
+        """Set how many instances send requests, this one included."""
+        self._instance_count = max(1, count)
+
+    def find_culprits(self, now_ms: int) -> list[Culprits]:
+        """Return the fingerprints that are to blame, by what is known now."""
+        self.has_candidates = False
+        charges = self._charges(now_ms - REPORT_DELAY_MS)
+        groups: dict[tuple, list[Fingerprint]] = {}
+        evidence: dict[tuple, list[_Crash]] = {}
+        for fingerprint, crashes in charges.items():
+            rule = RULES.get(kind_of(fingerprint))
+            if rule is None or len(crashes) < rule.crash_count:
+                continue
+            self.has_candidates = True
+            own = [
+                c for c in crashes if not self._is_explained(fingerprint, c, charges)
+            ]
+            if self._is_enough(fingerprint, own, rule):
+                key = (kind_of(fingerprint), tuple(id(crash) for crash in own))
+                groups.setdefault(key, []).append(fingerprint)
+                evidence[key] = own
+        return [
+            Culprits(
+                tuple(sorted(fingerprints)),
+                evidence[key][0].service,
+                tuple(c.endpoint for c in evidence[key]),
+                tuple(sorted({c.version for c in evidence[key]})),
+            )
+            for key, fingerprints in groups.items()
+        ]
+
+    def _crash_of(self, report: CrashReport, at_ms: int) -> _Crash:
+        """Return the crash that a report is about, a new one if it is the first."""
+        for crash in reversed(self._crashes):
+            if (crash.endpoint, crash.started_wall_ms) == (
+                report.endpoint,
+                report.started_wall_ms,
+            ) and abs(at_ms - crash.at_ms) < SAME_CRASH_MS:
+                return crash
+        crash = _Crash(
+            report.endpoint,
+            report.started_wall_ms,
+            report.service,
+            report.version,
+            at_ms,
+            [],
+            set(),
+        )
+        self._crashes.append(crash)
+        return crash
+
+    def _record_served(self, fingerprint: Fingerprint, at_ms: int) -> None:
+        latest_ms = max(at_ms, self._served_ms.pop(fingerprint, at_ms))
+        self._served_ms[fingerprint] = latest_ms
+        if len(self._served_ms) > MAX_SERVED:
+            self._served_ms.popitem(last=False)
+
+    def _charges(self, until_ms: int) -> _Charges:
+        """Return the crashes of each fingerprint since it was last served, in order."""
+        charges: _Charges = {}
+        for crash in sorted(self._crashes, key=lambda c: c.at_ms):
+            if crash.at_ms > until_ms:
+                self.has_candidates = True
+                break
+            present = {f for suspect in crash.suspects for f in suspect.fingerprints}
+            for fingerprint in present:
+                if crash.at_ms > self._served_ms.get(fingerprint, -math.inf):
+                    charges.setdefault(fingerprint, []).append(crash)
+        return charges
+
+    def _is_explained(
+        self, fingerprint: Fingerprint, crash: _Crash, charges: _Charges
+    ) -> bool:
+        """Return whether another suspect is more likely to have caused the crash."""
+        holders = [s for s in crash.suspects if fingerprint in s.fingerprints]
+        companions = frozenset().union(*(s.fingerprints for s in holders))
+        others = {
+            other
+            for suspect in crash.suspects
+            if fingerprint not in suspect.fingerprints
+            for other in suspect.fingerprints - companions
+        }
+        own_weight = self._weight(fingerprint, charges)
+        return any(self._weight(other, charges) > own_weight for other in others)
+
+    def _weight(self, fingerprint: Fingerprint, charges: _Charges) -> tuple[int, float]:
+        """Return how likely a fingerprint is a cause: what was served later is less."""
+        served_ms = self._served_ms.get(fingerprint, -math.inf)
+        return len(charges.get(fingerprint, ())), -served_ms
+
+    def _is_enough(
+        self, fingerprint: Fingerprint, crashes: list[_Crash], rule: Rule
+    ) -> bool:
+        if len(crashes) < rule.crash_count:
+            return False
+        holders = [
+            [s for s in crash.suspects if fingerprint in s.fingerprints]
+            for crash in crashes
+        ]
+        requests = {suspect.request for found in holders for suspect in found}
+        if len(requests) < rule.request_count:
+            return False
+        rounds, last_crash_ms = 0, -math.inf
+        for crash, found in zip(crashes, holders, strict=True):
+            if max(suspect.sent_ms for suspect in found) >= last_crash_ms:
+                rounds += 1
+                last_crash_ms = crash.at_ms
+        if rounds < rule.round_count:
+            return False
+        return self._is_no_chance(fingerprint, crashes, rule)
+
+    def _is_no_chance(
+        self, fingerprint: Fingerprint, crashes: list[_Crash], rule: Rule
+    ) -> bool:
+        """Return whether chance hardly explains these crashes.
+
+        Other requests were served so often that so many crashes in a row are unlikely,
+        or requests with the fingerprint are so rare that they are unlikely to be among
+        the suspects of each crash.
+        """
+        service, since_ms = crashes[0].service, crashes[0].at_ms - rule.lookback_ms
+        successes_ms = self._successes_ms.get(service, ())
+        success_count = sum(ms > since_ms for ms in successes_ms)
+        if success_count < rule.success_count:
+            return False
+        # Served requests are known of this instance only.
+        success_count *= self._instance_count
+        meanwhile = [
+            crash
+            for crash in self._crashes
+            if crash.service == service and crash.at_ms >= since_ms
+        ]
+        suspects = [suspect for crash in meanwhile for suspect in crash.suspects]
+        own_count = sum(fingerprint in s.fingerprints for s in suspects)
+        other_count = len(suspects) - own_count
+        # Laplace's rule of succession.
+        failing_share = (other_count + 1) / (other_count + success_count + 2)
+        chance = failing_share ** len(crashes)
+        if chance <= rule.max_chance:
+            return True
+        own_share = (own_count + 1) / (len(suspects) + success_count + 2)
+        chance = float(math.comb(len(meanwhile), len(crashes)))
+        for crash in crashes:
+            chance *= 1 - (1 - own_share) ** len(crash.suspects)
+        return chance <= rule.max_chance
--- /dev/null
+++ b/src/_monsoonpulley/quarantine/crashwatch.py
@@ -0,0 +1,111 @@
+"""Tells endpoints that crashed from connections that merely broke.
+
+When the connection of a request in progress ends, a new one is opened to the endpoint:
+only if nothing listens there any more, although the endpoint is listed and has not said
+that it leaves, has it crashed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from ..clock import Clock
+from ..errors import Failure, Reason
+from ..fleet.model import Endpoint
+from ..ids import EndpointId, InstanceId
+from ..observability.log import Log
+from .evidence import MAX_SUSPECTS, CrashReport, Suspect
+
+SETTLE_MS = 30
+"""Time in which the connections of a process that has ended are found broken."""
+
+
+class CrashWatch:
+    """Checks endpoints whose connections broke.
+
+    Parameters
+    ----------
+    own : InstanceId
+        This instance.
+    clock, log : Clock, Log
+        Time source, and the log of checks.
+    connect : callable
+        Opens a connection to an endpoint and returns the `Failure`, if any.
+    is_listed : callable
+        Returns whether an incarnation of an endpoint is listed and not leaving.
+    on_crash : callable
+        Called with a `CrashReport`.
+    """
+
+    def __init__(
+        self,
+        own: InstanceId,
+        clock: Clock,
+        log: Log,
+        connect: Callable[[Endpoint], Awaitable[Failure | None]],
+        is_listed: Callable[[Endpoint], bool],
+        on_crash: Callable[[CrashReport], None],
+    ):
+        self._own = own
+        self._clock = clock
+        self._log = log
+        self._connect = connect
+        self._is_listed = is_listed
+        self._on_crash = on_crash
+        self._suspects: dict[EndpointId, list[Suspect]] = {}
+        self._checks: set[asyncio.Task[None]] = set()
+
+    def record_broken(self, endpoint: Endpoint, suspect: Suspect | None) -> None:
+        """Check an endpoint whose connection to a request in progress has ended.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        suspect : Suspect or None
+            The request; None if it had been answered for a while, so that it can't be
+            the cause.
+        """
+        if not self._is_listed(endpoint):
+            return
+        suspects = self._suspects.get(endpoint.id)
+        if suspects is None:
+            suspects = self._suspects[endpoint.id] = []
+            check = asyncio.get_running_loop().create_task(self._check(endpoint))
+            self._checks.add(check)
+            check.add_done_callback(self._on_check_done)
+        if suspect is not None and len(suspects) < MAX_SUSPECTS:
+            suspects.append(suspect)
+
+    async def _check(self, endpoint: Endpoint) -> None:
+        started_ms = self._clock.now_ms()
+        await self._clock.sleep_ms(SETTLE_MS)
+        failure = await self._connect(endpoint)
+        suspects = self._suspects.pop(endpoint.id)
+        is_down = failure is not None and failure.reason is Reason.NOT_LISTENING
+        if not suspects or not is_down or not self._is_listed(endpoint):
+            self._log.event(
+                "endpoint_checked",
+                endpoint=endpoint.id,
+                is_down=is_down,
+                suspects=len(suspects),
+                error=str(failure) if failure is not None else "",
+            )
+            return
+        self._on_crash(
+            CrashReport(
+                endpoint.id,
+                endpoint.service,
+                endpoint.version,
+                endpoint.started_wall_ms,
+                self._own,
+                tuple(suspects),
+                age_ms=self._clock.now_ms() - started_ms,
+            )
+        )
+
+    def _on_check_done(self, check: asyncio.Task[None]) -> None:
+        self._checks.discard(check)
+        if not check.cancelled() and check.exception() is not None:
+            self._log.event("endpoint_check_error", error=repr(check.exception()))
--- a/src/_monsoonpulley/quarantine/fingerprint.py
+++ b/src/_monsoonpulley/quarantine/fingerprint.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from enum import Enum
 
 from ..ids import Fingerprint
 
@@ -15,6 +15,19 @@
 """Few fingerprints are compared at a time, so that 64 bits don't collide."""
 
 
+MAX_ROW_KEY_BYTES = 200
+"""Limit of the store."""
+
+
+class FingerprintKind(Enum):
+    """What a fingerprint stands for; its value is the fingerprint's prefix."""
+
+    PART = "part"
+    """A part of prompts."""
+    REQUEST = "request"
+    """A request: what its repeats have in common."""
+
+
 class Fingerprinter:
     """Computes fingerprints.
 
@@ -29,14 +42,33 @@
 
     def of_part(self, part_id: str) -> Fingerprint:
         """Return the fingerprint of a part of prompts."""
-        return self._digest("part", (part_id.encode(),))
+        return self._digest(FingerprintKind.PART, part_id.encode())
 
-    def _digest(self, kind: str, fields: Iterable[bytes]) -> Fingerprint:
+    def of_request(self, *fields: bytes) -> Fingerprint:
+        """Return the fingerprint of a request, given what its repeats share."""
+        return self._digest(FingerprintKind.REQUEST, *fields)
+
+    def shorten(self, text: str) -> str:
+        """Return a text if it may be a row's key, else its hash."""
+        data = text.encode()
+        if len(data) <= MAX_ROW_KEY_BYTES:
+            return text
+        return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+    def _digest(self, kind: FingerprintKind, *fields: bytes) -> Fingerprint:
         digest = hashlib.blake2b(
-            digest_size=DIGEST_BYTES, key=self.key, person=kind.encode()
+            digest_size=DIGEST_BYTES, key=self.key, person=kind.value.encode()
         )
         for field in fields:
             # The length separates the fields.
             digest.update(b"%d:" % len(field))
             digest.update(field)
-        return Fingerprint(f"{kind}-{digest.hexdigest()}")
+        return Fingerprint(f"{kind.value}-{digest.hexdigest()}")
+
+
+def kind_of(fingerprint: Fingerprint) -> FingerprintKind | None:
+    """Return what a fingerprint stands for, None if its kind is not known."""
+    try:
+        return FingerprintKind(fingerprint.partition("-")[0])
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/_monsoonpulley/quarantine/quarantine.py
@@ -0,0 +1,402 @@
+"""Requests that are refused because they crash endpoints, on all instances alike.
+
+Each instance reports the crashes that it sees to all others, so that each can decide
+from all evidence. Whichever decides first tells the others, and the entry stays in
+force everywhere until it is lifted: a request with its fingerprints was served, or no
+such request has come for long.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from ..clock import Clock
+from ..ids import Fingerprint, InstanceId, ServiceId, VersionId
+from ..observability.log import Log
+from ..peers.rendezvous import choose_nodes
+from .attribution import CrashLedger, Culprits
+from .evidence import CrashReport, Entry, QuarantineNews
+from .fingerprint import FingerprintKind, kind_of
+
+MAX_ENTRIES = 10_000
+"""Entries in force; the one that was refused least lately makes room."""
+
+MAX_TOLD_ENTRIES = 32
+"""Entries in a digest: those that were refused most lately."""
+
+REPEAT_MS = 1_000
+"""News are sent again for this long, as datagrams get lost."""
+
+IDLE_EXPIRY_MS = 600_000
+"""An entry ends after this long without a request that it refuses."""
+
+LIFTED_MEMORY_MS = 600_000
+"""Lifted entries are remembered for this long, as peers may still tell of them."""
+
+DECISION_INTERVAL_MS = 200
+"""Without new crashes, evidence is weighed again after this time."""
+
+TRIAL_AFTER_MS = 30_000
+"""Time from the decision to the only trial, and from there on the time in which one
+instance may send it."""
+
+RETRY_AFTER_MS = 60_000
+"""Retry time of refused requests: what makes them crash endpoints lasts."""
+
+
+class _State(msgspec.Struct):
+    """What this instance knows of an entry.
+
+    Attributes
+    ----------
+    entry : Entry
+        The entry.
+    since_ms, refused_ms : int
+        Times of the decision, and of the last request that an instance refused.
+    refused_count : int
+        Requests that this instance refused.
+    was_tried : bool
+        Whether this instance has sent the trial.
+    tried_versions : frozenset of str
+        Versions of the service for which this instance has sent a trial.
+    """
+
+    entry: Entry
+    since_ms: int
+    refused_ms: int
+    refused_count: int = 0
+    was_tried: bool = False
+    tried_versions: frozenset[str] = frozenset()
+
+
+class Quarantine:
+    """Entries in force, and the evidence for new ones.
+
+    Parameters
+    ----------
+    own : InstanceId
+        This instance.
+    clock, log : Clock, Log
+        Time source, and the log of crashes and entries.
+    send_news : callable
+        Called with `QuarantineNews` for all other instances.
+    on_entry, on_lifted : callable
+        Called with an `Entry` that this instance decided, and with one that it lifted,
+        to store that.
+    """
+
+    def __init__(
+        self,
+        own: InstanceId,
+        clock: Clock,
+        log: Log,
+        send_news: Callable[[QuarantineNews], None] = lambda news: None,
+        on_entry: Callable[[Entry], None] = lambda entry: None,
+        on_lifted: Callable[[Entry], None] = lambda entry: None,
+    ):
+        self._own = own
+        self._clock = clock
+        self._log = log
+        self._send_news = send_news
+        self._on_entry = on_entry
+        self._on_lifted = on_lifted
+        self._ledger = CrashLedger()
+        self._states: OrderedDict[str, _State] = OrderedDict()
+        self._keys_by_fingerprint: dict[Fingerprint, list[str]] = {}
+        self._lifted_wall_ms: dict[str, int] = {}
+        self._fresh_reports: list[tuple[int, CrashReport]] = []
+        self._fresh_entries: list[tuple[int, Entry]] = []
+        self._fresh_lifted: list[tuple[int, str]] = []
+        self._reachable: frozenset[InstanceId] = frozenset((own,))
+        self._request_entry_count = 0
+        self._decided_ms = clock.now_ms()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether there is neither an entry nor evidence."""
+        return not self._states and self._ledger.is_empty
+
+    @property
+    def needs_request_fingerprints(self) -> bool:
+        """Whether an entry is about whole requests, not about parts of prompts."""
+        return self._request_entry_count > 0
+
+    def entries(self) -> list[Entry]:
+        """Return the entries in force."""
+        return [state.entry for state in self._states.values()]
+
+    def entry_count(self) -> int:
+        """Return the number of entries in force."""
+        return len(self._states)
+
+    def set_reachable(self, instances: Iterable[InstanceId]) -> None:
+        """Set the other instances that are reachable, one of which sends trials."""
+        self._reachable = frozenset((self._own, *instances))
+        self._ledger.set_instance_count(len(self._reachable))
+
+    def find_entry(self, fingerprints: Iterable[Fingerprint]) -> Entry | None:
+        """Return the entry that refuses a request with these fingerprints, if any."""
+        if not self._states:
+            return None
+        present = frozenset(fingerprints)
+        for fingerprint in present:
+            for key in self._keys_by_fingerprint.get(fingerprint, ()):
+                entry = self._states[key].entry
+                if present.issuperset(entry.fingerprints):
+                    return entry
+        return None
+
+    def is_responsible(self, key: str) -> bool:
+        """Return whether this instance, of those that are reachable, acts for all."""
+        return choose_nodes(self._reachable, key) == [self._own]
+
+    def try_acquire_trial(self, entry: Entry, versions: Iterable[VersionId]) -> bool:
+        """Return whether this instance may send one request in spite of an entry.
+
+        One instance of those that know each other sends a single trial some time after
+        the decision, and one for each change to versions that have not crashed.
+
+        Parameters
+        ----------
+        entry : Entry
+            The entry that refuses the request.
+        versions : iterable of VersionId
+            Versions of all endpoints that may get it.
+        """
+        state = self._states.get(entry.key)
+        if state is None or not self.is_responsible(entry.key):
+            return False
+        now_versions = frozenset(versions)
+        is_new = bool(now_versions) and now_versions.isdisjoint(
+            (*entry.versions, *state.tried_versions)
+        )
+        age_ms = self._clock.now_ms() - state.since_ms
+        is_due = TRIAL_AFTER_MS <= age_ms < 2 * TRIAL_AFTER_MS and not state.was_tried
+        if not is_new and not is_due:
+            return False
+        state.was_tried = True
+        state.tried_versions |= now_versions
+        self._log.event(
+            "quarantine_trial",
+            entry=entry.key,
+            age_ms=age_ms,
+            versions=sorted(now_versions),
+        )
+        return True
+
+    def record_refusal(self, entry: Entry) -> None:
+        """Record that a request was refused for an entry."""
+        state = self._states.get(entry.key)
+        if state is not None:
+            state.refused_count += 1
+            state.refused_ms = self._clock.now_ms()
+            self._states.move_to_end(entry.key)
+
+    def record_crash(self, report: CrashReport) -> None:
+        """Record a crash that this instance saw, and tell the others at once."""
+        now_ms = self._clock.now_ms()
+        self._log.event(
+            "endpoint_crashed",
+            endpoint=report.endpoint,
+            service=report.service,
+            version=report.version,
+            age_ms=report.age_ms,
+            requests=[suspect.request for suspect in report.suspects],
+            parts=sorted({p.fingerprint for s in report.suspects for p in s.parts}),
+        )
+        self._ledger.record_crash(report, now_ms)
+        self._fresh_reports.append((now_ms, report))
+        self._send_news(QuarantineNews(reports=(report,)))
+        self.decide()
+
+    def record_success(
+        self, service: ServiceId, fingerprints: tuple[Fingerprint, ...]
+    ) -> None:
+        """Record that an endpoint served a request with these fingerprints.
+
+        While the quarantine is idle, `count_success` is enough.
+        """
+        self._ledger.record_success(service, fingerprints, self._clock.now_ms())
+        entry = self.find_entry(fingerprints)
+        if entry is not None:
+            self.lift(entry, "such a request was served")
+
+    def count_success(self, service: ServiceId) -> None:
+        """Count a request that an endpoint served."""
+        self._ledger.count_success(service, self._clock.now_ms())
+
+    def lift(self, entry: Entry, why: str) -> None:
+        """End an entry on all instances."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        self._ledger.acquit(map(Fingerprint, entry.fingerprints), now_ms)
+        self._remove(entry.key, why)
+        self._lifted_wall_ms[entry.key] = wall_ms
+        self._fresh_lifted.append((now_ms, entry.key))
+        self._send_news(QuarantineNews(lifted={entry.key: wall_ms}))
+        self._on_lifted(entry)
+
+    def handle_news(self, news: QuarantineNews) -> None:
+        """Apply what another instance tells."""
+        for key, wall_ms in news.lifted.items():
+            self._apply_lifted(key, wall_ms)
+        for entry in news.entries:
+            self.add_entry(entry, idle_ms=0)
+        now_ms = self._clock.now_ms()
+        for report in news.reports:
+            self._ledger.record_crash(report, now_ms)
+        if news.reports:
+            self.decide()
+
+    def served_notices(self) -> dict[str, int]:
+        """Return suspects that were served here lately, for the digest."""
+        return self._ledger.served_notices(self._clock.now_ms())
+
+    def record_peer_served(self, notices: dict[str, int]) -> None:
+        """Drop charges against fingerprints that another instance saw served.
+
+        Parameters
+        ----------
+        notices : dict
+            Time since then, by fingerprint.
+        """
+        now_ms = self._clock.now_ms()
+        for name, age_ms in notices.items():
+            self._ledger.acquit((Fingerprint(name),), now_ms - max(0, age_ms))
+
+    def told_entries(self) -> tuple[tuple[Entry, int], ...]:
+        """Return entries and the time since they refused a request, for the digest."""
+        now_ms = self._clock.now_ms()
+        latest = list(self._states.values())[-MAX_TOLD_ENTRIES:]
+        return tuple((state.entry, now_ms - state.refused_ms) for state in latest)
+
+    def add_entry(self, entry: Entry, idle_ms: int) -> None:
+        """Put an entry of another instance or of the store in force.
+
+        Parameters
+        ----------
+        entry : Entry
+            The entry.
+        idle_ms : int
+            Time since it last refused a request, as far as its source knows.
+        """
+        lifted_wall_ms = self._lifted_wall_ms.get(entry.key)
+        if lifted_wall_ms is not None and entry.since_wall_ms <= lifted_wall_ms:
+            return
+        refused_ms = self._clock.now_ms() - max(0, idle_ms)
+        state = self._states.get(entry.key)
+        if state is not None:
+            if refused_ms > state.refused_ms:
+                state.refused_ms = refused_ms
+                self._states.move_to_end(entry.key)
+            return
+        if idle_ms <= IDLE_EXPIRY_MS:
+            self._insert(entry, refused_ms)
+
+    def decide(self) -> None:
+        """Put culprits in quarantine that the evidence shows."""
+        self._decided_ms = self._clock.now_ms()
+        for culprits in self._ledger.find_culprits(self._decided_ms):
+            self._quarantine(culprits)
+
+    def tick(self) -> None:
+        """Repeat fresh news, decide again and end what is over."""
+        now_ms = self._clock.now_ms()
+        if not self._ledger.is_empty:
+            self._ledger.expire(now_ms)
+            is_due = now_ms - self._decided_ms >= DECISION_INTERVAL_MS
+            if self._ledger.has_candidates and is_due:
+                self.decide()
+        self._repeat_news(now_ms)
+        for state in list(self._states.values()):
+            if now_ms - state.refused_ms > IDLE_EXPIRY_MS:
+                self._remove(state.entry.key, "no such request has come for long")
+                if self.is_responsible(state.entry.key):
+                    self._on_lifted(state.entry)
+        earliest_wall_ms = self._clock.wall_ms() - LIFTED_MEMORY_MS
+        for key, wall_ms in list(self._lifted_wall_ms.items()):
+            if wall_ms < earliest_wall_ms:
+                del self._lifted_wall_ms[key]
+
+    def _quarantine(self, culprits: Culprits) -> None:
+        entry = Entry(
+            culprits.fingerprints,
+            culprits.service,
+            culprits.versions,
+            self._clock.wall_ms(),
+            self._own,
+            culprits.endpoints,
+        )
+        if entry.key in self._states:
+            return
+        now_ms = self._clock.now_ms()
+        self._insert(entry, now_ms)
+        self._fresh_entries.append((now_ms, entry))
+        self._send_news(QuarantineNews(entries=(entry,)))
+        self._on_entry(entry)
+
+    def _insert(self, entry: Entry, refused_ms: int) -> None:
+        age_ms = max(0, self._clock.wall_ms() - entry.since_wall_ms)
+        since_ms = self._clock.now_ms() - age_ms
+        self._states[entry.key] = _State(entry, since_ms, refused_ms)
+        for fingerprint in entry.fingerprints:
+            keys = self._keys_by_fingerprint.setdefault(Fingerprint(fingerprint), [])
+            keys.append(entry.key)
+        self._request_entry_count += self._is_about_requests(entry)
+        self._log.event(
+            "quarantined",
+            entry=entry.key,
+            service=entry.service,
+            versions=entry.versions,
+            endpoints=entry.endpoints,
+            decided_by=entry.instance,
+            age_ms=age_ms,
+        )
+        if len(self._states) > MAX_ENTRIES:
+            self._remove(next(iter(self._states)), "there are too many")
+
+    def _remove(self, key: str, why: str) -> None:
+        state = self._states.pop(key, None)
+        if state is None:
+            return
+        for fingerprint in state.entry.fingerprints:
+            keys = self._keys_by_fingerprint[Fingerprint(fingerprint)]
+            keys.remove(key)
+            if not keys:
+                del self._keys_by_fingerprint[Fingerprint(fingerprint)]
+        self._request_entry_count -= self._is_about_requests(state.entry)
+        self._log.event(
+            "quarantine_ended", entry=key, why=why, refused=state.refused_count
+        )
+
+    @staticmethod
+    def _is_about_requests(entry: Entry) -> bool:
+        return any(
+            kind_of(Fingerprint(f)) is FingerprintKind.REQUEST
+            for f in entry.fingerprints
+        )
+
+    def _apply_lifted(self, key: str, wall_ms: int) -> None:
+        if wall_ms <= self._lifted_wall_ms.get(key, 0):
+            return
+        self._lifted_wall_ms[key] = wall_ms
+        self._ledger.acquit(map(Fingerprint, key.split("+")), self._clock.now_ms())
+        state = self._states.get(key)
+        if state is not None and state.entry.since_wall_ms <= wall_ms:
+            self._remove(key, "another instance lifted it")
+
+    def _repeat_news(self, now_ms: int) -> None:
+        earliest_ms = now_ms - REPEAT_MS
+        self._fresh_reports = [f for f in self._fresh_reports if f[0] >= earliest_ms]
+        self._fresh_entries = [f for f in self._fresh_entries if f[0] >= earliest_ms]
+        self._fresh_lifted = [f for f in self._fresh_lifted if f[0] >= earliest_ms]
+        for seen_ms, report in self._fresh_reports:
+            age_ms = report.age_ms + now_ms - seen_ms
+            aged = msgspec.structs.replace(report, age_ms=age_ms)
+            self._send_news(QuarantineNews(reports=(aged,)))
+        entries = tuple(entry for _, entry in self._fresh_entries)
+        lifted = {key: self._lifted_wall_ms[key] for _, key in self._fresh_lifted}
+        if entries or lifted:
+            self._send_news(QuarantineNews(entries=entries, lifted=lifted))
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -12,6 +12,7 @@
 from ..placing.demandmeter import Totals
 from ..placing.loadboard import LoadEntry
 from ..placing.sharedsums import Sums
+from ..quarantine.evidence import Entry, QuarantineNews
 from ..rollouts.rollouts import Progress
 
 
@@ -51,6 +52,12 @@
     era : int
         Era of the store as known to the sender, and of the versions in ``rollouts``
         and ``lease_row``, which are those on the wire; 0 if it knows of none.
+    quarantined : tuple
+        Entries of requests that are refused because they crash endpoints, each with the
+        time since it last refused one.
+    served : dict
+        Fingerprints suspected of crashes that were served at the sender lately, with
+        the time since then.
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
@@ -84,6 +91,8 @@
     rate_limits: dict[str, Notice] = {}
     leaving: dict[str, int | None] = {}
     era: int = 0
+    quarantined: tuple[tuple[Entry, int], ...] = ()
+    served: dict[str, int] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
@@ -114,7 +123,7 @@
     counts: dict[int, dict[str, int]]
 
 
-Message = Digest | Bundle | UsageCounts | Relay
+Message = Digest | Bundle | UsageCounts | Relay | QuarantineNews
 """What instances send each other."""
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -21,6 +21,7 @@
 from ..ids import ZoneId
 from ..observability.log import Log
 from ..peers.rendezvous import weight
+from ..quarantine.evidence import QuarantineNews
 from .bundles import BundleReceivers, DigestBundles
 from .digest import Bundle, Digest, UsageCounts, decode_message, encode_message
 from .members import Member, Members
@@ -83,6 +84,8 @@
         Called with each `UsageCounts`.
     on_relay : callable
         Called with each `Relay`.
+    on_quarantine : callable
+        Called with each `QuarantineNews`.
     clock, log : Clock, Log
         Time source, and the log of malformed datagrams.
 
@@ -101,6 +104,7 @@
         on_digest: Callable[[Digest], None],
         on_usage: Callable[[UsageCounts], None],
         on_relay: Callable[[Relay], None],
+        on_quarantine: Callable[[QuarantineNews], None],
         clock: Clock,
         log: Log,
     ):
@@ -113,6 +117,7 @@
         self._on_digest = on_digest
         self._on_usage = on_usage
         self._on_relay = on_relay
+        self._on_quarantine = on_quarantine
         self._clock = clock
         self._log = log
         self._near_data = b""
@@ -247,38 +252,43 @@
         In large fleets two instances of each data centre send them on there: a small
         link takes seconds for as many datagrams as there are instances.
         """
-        is_large = len(self._members.all()) > FULL_RATE_MAX_MEMBERS
         for relay in relays:
-            if is_large:
-                self._send_relay_by_zone(relay)
-            else:
-                self._broadcast(encode_message(relay))
+            self._send_to_all(relay, f"{relay.table}/{relay.until}")
 
-    def _send_relay_by_zone(self, relay: Relay) -> None:
+    def broadcast_quarantine(self, news: QuarantineNews) -> None:
+        """Send news of crashes and of refused requests to every other instance."""
+        self._send_to_all(news, f"quarantine/{self._clock.now_ms()}")
+
+    def _send_to_all(self, message: Relay | QuarantineNews, key: str) -> None:
+        if len(self._members.all()) > FULL_RATE_MAX_MEMBERS:
+            self._send_by_zone(message, key)
+        else:
+            self._broadcast(encode_message(message))
+
+    def _send_by_zone(self, message: Relay | QuarantineNews, key: str) -> None:
         by_zone: dict[ZoneId, list[Member]] = {}
         for member in self._members.all():
             by_zone.setdefault(member.zone or self._zone, []).append(member)
         forwarders = [
             member
             for members in by_zone.values()
-            for member in self._choose_forwarders(members, relay)
+            for member in self._choose_forwarders(members, key)
         ]
-        relay = msgspec.structs.replace(relay, must_forward=True)
-        self._queue(encode_message(relay), forwarders)
+        message = msgspec.structs.replace(message, must_forward=True)
+        self._queue(encode_message(message), forwarders)
 
-    def _choose_forwarders(self, members: list[Member], relay: Relay) -> list[Member]:
-        """Return instances of a data centre, others for each relay."""
+    def _choose_forwarders(self, members: list[Member], key: str) -> list[Member]:
+        """Return instances of a data centre, others for each key."""
         reachable = [m for m in members if self._members.is_reachable(m)]
         candidates = [m for m in reachable if not m.is_leaving] or members
-        key = f"{relay.table}/{relay.until}"
         return heapq.nlargest(
             FORWARDER_COUNT, candidates, key=lambda m: weight(m.instance, key)
         )
 
-    def _forward(self, relay: Relay) -> None:
+    def _forward(self, message: Relay | QuarantineNews) -> None:
         near = [m for m in self._members.all() if m.zone in (self._zone, "")]
         self._queue(
-            encode_message(msgspec.structs.replace(relay, must_forward=False)), near
+            encode_message(msgspec.structs.replace(message, must_forward=False)), near
         )
 
     def send_usage(self, usage: UsageCounts, members: list[Member]) -> None:
@@ -321,6 +331,10 @@
             if message.must_forward:
                 self._forward(message)
             self._on_relay(message)
+        elif isinstance(message, QuarantineNews):
+            if message.must_forward:
+                self._forward(message)
+            self._on_quarantine(message)
         elif isinstance(message, UsageCounts):
             self._on_usage(message)
         elif isinstance(message, Bundle):
--- a/src/_monsoonpulley/wire/pool.py
+++ b/src/_monsoonpulley/wire/pool.py
@@ -81,6 +81,14 @@
         elif connection.is_open:
             connection.abort()
 
+    async def probe(self) -> Failure | None:
+        """Open a connection to see whether the server listens, and keep it for use."""
+        opened = await self._open()
+        if isinstance(opened, Failure):
+            return opened
+        self._idle.append(opened)
+        return None
+
     def sweep(self) -> None:
         """Close the connections that have been idle for too long."""
         now_ms = self._clock.now_ms()
@@ -141,6 +149,8 @@
             return self._failure(
                 Reason.TIMEOUT, f"not connected within {CONNECT_TIMEOUT_MS} ms"
             )
+        except ConnectionRefusedError as error:
+            return self._failure(Reason.NOT_LISTENING, f"can't connect: {error}")
         except OSError as error:
             return self._failure(Reason.UNAVAILABLE, f"can't connect: {error}")
         self.opened_count += 1
--- /dev/null
+++ b/testing/quarantine/test_fleet.py
@@ -0,0 +1,123 @@
+"""Faulty parts of prompts and lost endpoints in fleets of several sizes."""
+
+from __future__ import annotations
+
+import unittest
+
+from .crashfleet import (
+    LOSSES,
+    CrashFleet,
+    Request,
+    faulty_request,
+    lose_all_in_turn,
+    play,
+)
+
+MAX_FAULTY = 3
+"""Faulty requests that the users allow after the bound, from all instances."""
+
+BAD = faulty_request("part-system", "part-bad")
+
+
+class TestSoundRequests(unittest.TestCase):
+    def test_no_sound_request_is_refused_when_endpoints_are_lost_for_other_reasons(
+        self,
+    ):
+        for name, losses in LOSSES.items():
+            for seed in (2, 3, 4):
+                with self.subTest(name, seed=seed):
+                    fleet = play(9, 9, seed, losses=losses)
+                    self.assertEqual(fleet.refused_sound_count, 0)
+
+    def test_no_sound_request_is_refused_in_larger_fleets(self):
+        for name, losses in LOSSES.items():
+            with self.subTest(name):
+                fleet = play(30, 30, 1, losses=losses, duration_ms=6_000)
+                self.assertEqual(fleet.refused_sound_count, 0)
+
+    def test_no_sound_request_is_refused_when_all_endpoints_crash_in_turn(self):
+        fleet = play(9, 9, 1, losses=lose_all_in_turn)
+        self.assertEqual(fleet.refused_sound_count, 0)
+
+
+class TestFaultyParts(unittest.TestCase):
+    def assert_bounded(self, fleet: CrashFleet, *, sound_refused: int = 0) -> None:
+        self.assertLessEqual(fleet.faulty_after_bound(), MAX_FAULTY)
+        self.assertLessEqual(fleet.refused_sound_count, sound_refused)
+
+    def test_few_faulty_requests_are_sent_after_the_bound(self):
+        for per_s in (0.5, 2.0, 4.0):
+            for seed in (1, 2):
+                with self.subTest(per_s=per_s, seed=seed):
+                    self.assert_bounded(
+                        play(9, 9, seed, faulty=(BAD,), faulty_per_s=per_s)
+                    )
+
+    def test_few_are_sent_while_other_endpoints_are_lost(self):
+        for name, losses in LOSSES.items():
+            with self.subTest(name):
+                self.assert_bounded(
+                    play(9, 9, 2, losses=losses, faulty=(BAD,), faulty_per_s=2)
+                )
+
+    def test_few_are_sent_by_many_instances(self):
+        self.assert_bounded(play(60, 60, 1, faulty=(BAD,), duration_ms=8_000))
+
+    def test_few_are_sent_when_endpoints_are_down_most_of_the_time(self):
+        self.assert_bounded(
+            play(9, 9, 6, faulty=(BAD,), faulty_per_s=10, duration_ms=12_000)
+        )
+
+    def test_two_faulty_parts_at_one_time_are_both_found(self):
+        other = faulty_request("part-system", "part-worse")
+        fleet = play(9, 9, 1, faulty=(BAD, other), faulty_per_s=1)
+        for instance in fleet.instances:
+            keys = {entry.key for entry in instance.quarantine.entries()}
+            self.assertEqual(keys, {"part-bad", "part-worse"})
+        self.assertEqual(fleet.refused_sound_count, 0)
+
+    def test_a_faulty_part_is_found_at_any_place(self):
+        first = faulty_request("part-bad", "part-customer1")
+        self.assert_bounded(play(9, 9, 1, faulty=(first,), faulty_per_s=2))
+
+    def test_a_part_that_was_sound_before_is_found(self):
+        fleet = CrashFleet(9, 9, 3)
+        fleet.send_steadily(36, fleet.sound_request)
+        fleet.send_steadily(
+            2, lambda n: Request(("part-system", "part-bad"), f"f{n}", fleet.is_broken)
+        )
+        fleet.run(6_000)
+        self.assertEqual(fleet.crash_times_ms, [])
+        fleet.is_broken = True
+        fleet.run(15_000)
+        self.assert_bounded(fleet)
+        self.assertEqual(
+            [e.key for e in fleet.instances[0].quarantine.entries()], ["part-bad"]
+        )
+
+    def test_a_sound_part_beside_the_faulty_one_is_served_without_it(self):
+        fleet = CrashFleet(9, 9, 1)
+        fleet.send_steadily(36, fleet.sound_request)
+        both = faulty_request("part-system", "part-twin", "part-bad")
+        fleet.send_steadily(2, both)
+        fleet.run(10_000)
+        self.assertEqual(fleet.faulty_after_bound(), 0)
+        twin = Request(("part-system", "part-twin"), "alone")
+        self.assertFalse(fleet.instances[0].refuses(twin))
+
+    def test_a_faulty_part_is_refused_without_the_sound_one_soon(self):
+        fleet = CrashFleet(9, 9, 1)
+        fleet.send_steadily(36, fleet.sound_request)
+        fleet.send_steadily(2, faulty_request("part-system", "part-twin", "part-bad"))
+        fleet.run(10_000)
+        fleet.send_steadily(2, BAD)
+        fleet.run(5_000)
+        self.assert_bounded(fleet)
+
+    def test_instances_that_start_later_know_what_is_refused(self):
+        fleet = play(9, 9, 1, faulty=(BAD,), faulty_per_s=2)
+        for instance in fleet.instances:
+            instance.start()
+            instance.quarantine.set_reachable(i.name for i in fleet.instances)
+            fleet.run(1_000)
+        self.assert_bounded(fleet)
--- a/testing/sharing/test_exchange.py
+++ b/testing/sharing/test_exchange.py
@@ -12,6 +12,7 @@
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.names import ENDPOINT_TABLE
 from _monsoonpulley.platform.store import Row
+from _monsoonpulley.quarantine.evidence import QuarantineNews
 from _monsoonpulley.sharing.digest import Digest, UsageCounts, encode_message
 from _monsoonpulley.sharing.exchange import (
     DIGEST_INTERVAL_MS,
@@ -68,6 +69,7 @@
         self.zone = ZoneId(f"zone-{number % zone_count}")
         self.results: tuple[Result, ...] = ()
         self.relays: set[tuple[int, int]] = set()
+        self.news: list[QuarantineNews] = []
         self.results_seen = 0
         self._number = number
         self._sequence = 0
@@ -81,6 +83,7 @@
             self._count_results,
             lambda usage: None,
             lambda relay: self.relays.add((relay.since, relay.until)),
+            lambda news: self.news.append(news),
             clock,
             log,
         )
