--- a/testing/ingress/test_crashes.py
+++ b/testing/ingress/test_crashes.py
@@ -4,13 +4,14 @@
 
 import unittest
 
-from .crashing import CrashingStream, CrashPlay
+from .crashing import CrashingEndpoint, CrashingStream, CrashPlay
 from .site import Site
 
 STABLE_WINDOW_S = 3.0
 """Time from the threshold of crashes after which the bound holds."""
 
 PART_CRASHES = 5
+REQUEST_CRASHES = 3
 MAX_REQUESTS_BEYOND = 3
 """The users' bound: requests that reach endpoints after that time, of all instances."""
 
@@ -18,6 +19,7 @@
 """Goal for sound requests from twice the time after the threshold."""
 
 FAULTY_PART = "bad0"
+FAULTY_BODY = b"crash"
 
 
 def prompt(*parts: str) -> dict:
@@ -53,3 +55,24 @@
         )
         share = play.sound_share_after(fifth_s + 2 * STABLE_WINDOW_S)
         self.assertGreaterEqual(share, MIN_SOUND_SHARE)
+
+
+class TestRequests(CrashTest):
+    async def test_a_request_that_crashes_endpoints_is_repeated_rarely_after_the_third(
+        self,
+    ):
+        play = CrashPlay(
+            self.site, CrashingEndpoint, lambda call: call.body == FAULTY_BODY
+        )
+        await play.start("safe")
+        await play.run(
+            2 * STABLE_WINDOW_S + 4,
+            lambda n: {"body": FAULTY_BODY},
+            lambda n: {"body": b"sound %d" % n},
+        )
+        third_s = play.crash_time_s(REQUEST_CRASHES)
+        self.assertLessEqual(
+            play.faulty_arrivals_after(third_s + STABLE_WINDOW_S), MAX_REQUESTS_BEYOND
+        )
+        share = play.sound_share_after(third_s + 2 * STABLE_WINDOW_S)
+        self.assertGreaterEqual(share, MIN_SOUND_SHARE)
