Refuse a request that crashes endpoints when it comes again

Cause: each repeat has an id of its own, and nothing compared requests by what they ask for.

Change: requests have a fingerprint, too, of method, path, customer, prompt and body, and a rule of their own in the ledger of crashes: three crashes without an answer in between. A body is hashed only if the request's outline, a hash of everything but its content, is that of a suspect or an entry.

Why it works: the client's repeat has the same fingerprint at any instance, and the entry also binds the repeat that the instance itself would make.

--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -110,7 +110,7 @@
             return None
         if self.is_trial and not self.send_count:
             return None
-        return self.parts.quarantine.find_entry(self.part_fingerprints())
+        return self.parts.quarantine.find_entry(self._fingerprints())
 
     def record_served(self) -> None:
         """Record that an endpoint answers the request soundly."""
@@ -121,7 +121,7 @@
         if parts.quarantine.is_idle:
             parts.quarantine.count_success(self.service.id)
         else:
-            parts.quarantine.record_success(self.service.id, self.part_fingerprints())
+            parts.quarantine.record_success(self.service.id, self._fingerprints())
 
     def as_suspect(self, ran_ms: int) -> Suspect:
         """Return the request as one that an endpoint may have crashed under.
@@ -131,7 +131,7 @@
         ran_ms : int
             Time since its sending.
         """
-        parts, facts = self.parts, self.facts
+        parts = self.parts
         now_ms = parts.clock.now_ms()
         evidence = tuple(
             PartEvidence(
@@ -140,16 +140,29 @@
             )
             for part in self._shared_parts()
         )
-        request = self.exchange.request
-        fingerprint = parts.fingerprinter.of_request(
+        return Suspect(self._fingerprint(self._outline()), evidence, ran_ms)
+
+    def _fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of which entries or evidence may be."""
+        outline = self._outline()
+        if not self.parts.quarantine.needs_request(outline):
+            return self.part_fingerprints()
+        return (*self.part_fingerprints(), self._fingerprint(outline))
+
+    def _outline(self) -> str:
+        request, facts = self.exchange.request, self.facts
+        return self.parts.fingerprinter.outline_of_request(
             request.method,
             facts.host.encode(),
             request.target,
             facts.api_key.encode(),
             *(part.id.encode() for part in facts.parts),
-            request.body,
+            body_bytes=len(request.body),
         )
-        return Suspect(fingerprint, evidence, ran_ms)
+
+    def _fingerprint(self, outline: str) -> Fingerprint:
+        body = self.exchange.request.body
+        return self.parts.fingerprinter.of_request(outline, body)
 
     def part_fingerprints(self) -> tuple[Fingerprint, ...]:
         """Return those of the prompt's parts that other requests may share."""
--- a/src/_monsoonpulley/quarantine/attribution.py
+++ b/src/_monsoonpulley/quarantine/attribution.py
@@ -2,13 +2,15 @@
 
 Each crash has suspects: the requests that the endpoint had and had not been answering
 for a while. One of them may be the cause, the others were there by chance, and an
-endpoint may crash for any other reason. A part of prompts is blamed if
+endpoint may crash for any other reason. A part of prompts, or a request that comes
+again, is blamed if
 
 - enough endpoints crashed while they had a request with it, and none has answered such
   a request since the first of these crashes;
 - these requests were sent one after the other: endpoints that are lost together say
   nothing about the requests that they had;
-- they were several requests: a bystander may be repeated and meet the next crash;
+- for a part, they were several requests: a bystander may be repeated and meet the next
+  crash;
 - no other suspect of the same crash is more likely to be its cause;
 - other requests to the service were served meanwhile, and so many that the crashes of
   these requests are not chance.
@@ -26,7 +28,7 @@
 
 from ..ids import Fingerprint
 from .evidence import CrashReport
-from .fingerprint import FingerprintKind, kind_of
+from .fingerprint import FingerprintKind, kind_of, outline_in
 
 MAX_CRASHES = 256
 """Crashes that are remembered; the oldest is forgotten first."""
@@ -92,6 +94,14 @@
         max_chance=0.01,
         lookback_ms=0,
     ),
+    FingerprintKind.REQUEST: Rule(
+        crash_count=3,
+        round_count=2,
+        request_count=1,
+        success_count=0,
+        max_chance=0.01,
+        lookback_ms=10_000,
+    ),
 }
 
 
@@ -151,6 +161,7 @@
         self._served_ms: OrderedDict[Fingerprint, int] = OrderedDict()
         self._successes_ms: dict[str, deque[int]] = {}
         self._suspected: set[Fingerprint] = set()
+        self._suspected_outlines: set[str | None] = set()
         self._served_here_ms: OrderedDict[Fingerprint, int] = OrderedDict()
         self.has_candidates = False
 
@@ -166,6 +177,7 @@
         if report.instance in crash.reporters:
             return
         crash.reporters.add(report.instance)
+        self.has_candidates = True
         crash.at_ms = min(crash.at_ms, at_ms)
         for suspect in report.suspects:
             for part in suspect.parts:
@@ -175,7 +187,7 @@
                     )
             names = [suspect.request, *(p.fingerprint for p in suspect.parts)]
             fingerprints = frozenset(Fingerprint(name) for name in names if name)
-            self._suspected |= fingerprints
+            self._suspect(fingerprints)
             crash.suspects.append(
                 _Suspect(fingerprints, suspect.request, at_ms - suspect.ran_ms)
             )
@@ -198,6 +210,10 @@
             times_ms = self._successes_ms[service] = deque(maxlen=MAX_SUCCESSES)
         times_ms.append(now_ms)
 
+    def suspects_outline(self, outline: str) -> bool:
+        """Return whether a request with this outline may be among the suspects."""
+        return outline in self._suspected_outlines
+
     def acquit(self, fingerprints: Iterable[Fingerprint], at_ms: int) -> None:
         """Drop the charges against fingerprints up to a time."""
         for fingerprint in fingerprints:
@@ -223,6 +239,7 @@
         if self.is_empty:
             self._served_ms.clear()
             self._suspected.clear()
+            self._suspected_outlines.clear()
             self._served_here_ms.clear()
 
     def set_instance_count(self, count: int) -> None:
@@ -257,6 +274,18 @@
             for key, fingerprints in groups.items()
         ]
 
+    def _suspect(self, fingerprints: frozenset[Fingerprint]) -> None:
+        self._suspected |= fingerprints
+        if len(self._suspected) > MAX_SERVED:
+            self._suspected = {
+                fingerprint
+                for crash in self._crashes
+                for suspect in crash.suspects
+                for fingerprint in suspect.fingerprints
+            } | fingerprints
+            self._suspected_outlines = set(map(outline_in, self._suspected))
+        self._suspected_outlines.update(map(outline_in, fingerprints))
+
     def _crash_of(self, report: CrashReport, at_ms: int) -> _Crash:
         """Return the crash that a report is about, a new one if it is the first."""
         for crash in reversed(self._crashes):
--- a/src/_monsoonpulley/quarantine/fingerprint.py
+++ b/src/_monsoonpulley/quarantine/fingerprint.py
@@ -42,11 +42,33 @@
 
     def of_part(self, part_id: str) -> Fingerprint:
         """Return the fingerprint of a part of prompts."""
-        return self._digest(FingerprintKind.PART, part_id.encode())
-
-    def of_request(self, *fields: bytes) -> Fingerprint:
-        """Return the fingerprint of a request, given what its repeats share."""
-        return self._digest(FingerprintKind.REQUEST, *fields)
+        digest = self._digest(FingerprintKind.PART, part_id.encode())
+        return Fingerprint(f"{FingerprintKind.PART.value}-{digest}")
+
+    def of_request(self, outline: str, body: bytes) -> Fingerprint:
+        """Return the fingerprint of a request.
+
+        Parameters
+        ----------
+        outline : str
+            Its outline.
+        body : bytes
+            Its body.
+        """
+        digest = self._digest(FingerprintKind.REQUEST, outline.encode(), body)
+        return Fingerprint(f"{FingerprintKind.REQUEST.value}-{outline}-{digest}")
+
+    def outline_of_request(self, *fields: bytes, body_bytes: int) -> str:
+        """Return what can be told of a request's fingerprint without hashing its body.
+
+        Parameters
+        ----------
+        *fields : bytes
+            What its repeats share: method, path, customer and the like.
+        body_bytes : int
+            Size of its body.
+        """
+        return self._digest(FingerprintKind.REQUEST, *fields, b"%d" % body_bytes)
 
     def shorten(self, text: str) -> str:
         """Return a text if it may be a row's key, else its hash."""
@@ -55,7 +77,7 @@
             return text
         return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
 
-    def _digest(self, kind: FingerprintKind, *fields: bytes) -> Fingerprint:
+    def _digest(self, kind: FingerprintKind, *fields: bytes) -> str:
         digest = hashlib.blake2b(
             digest_size=DIGEST_BYTES, key=self.key, person=kind.value.encode()
         )
@@ -63,7 +85,7 @@
             # The length separates the fields.
             digest.update(b"%d:" % len(field))
             digest.update(field)
-        return Fingerprint(f"{kind.value}-{digest.hexdigest()}")
+        return digest.hexdigest()
 
 
 def kind_of(fingerprint: Fingerprint) -> FingerprintKind | None:
@@ -72,3 +94,10 @@
         return FingerprintKind(fingerprint.partition("-")[0])
     except ValueError:
         return None
+
+
+def outline_in(fingerprint: Fingerprint) -> str | None:
+    """Return the outline in the fingerprint of a request, None for other kinds."""
+    if kind_of(fingerprint) is not FingerprintKind.REQUEST:
+        return None
+    return fingerprint.split("-")[1]
--- a/src/_monsoonpulley/quarantine/quarantine.py
+++ b/src/_monsoonpulley/quarantine/quarantine.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -19,7 +19,7 @@
 from ..peers.rendezvous import choose_nodes
 from .attribution import CrashLedger, Culprits
 from .evidence import CrashReport, Entry, QuarantineNews
-from .fingerprint import FingerprintKind, kind_of
+from .fingerprint import outline_in
 
 MAX_ENTRIES = 10_000
 """Entries in force; the one that was refused least lately makes room."""
@@ -36,9 +36,6 @@
 LIFTED_MEMORY_MS = 600_000
 """Lifted entries are remembered for this long, as peers may still tell of them."""
 
-DECISION_INTERVAL_MS = 200
-"""Without new crashes, evidence is weighed again after this time."""
-
 TRIAL_AFTER_MS = 30_000
 """Time from the decision to the only trial, and from there on the time in which one
 instance may send it."""
@@ -111,18 +108,19 @@
         self._fresh_entries: list[tuple[int, Entry]] = []
         self._fresh_lifted: list[tuple[int, str]] = []
         self._reachable: frozenset[InstanceId] = frozenset((own,))
-        self._request_entry_count = 0
-        self._decided_ms = clock.now_ms()
+        self._entry_outlines: Counter[str | None] = Counter()
 
     @property
     def is_idle(self) -> bool:
         """Whether there is neither an entry nor evidence."""
         return not self._states and self._ledger.is_empty
 
-    @property
-    def needs_request_fingerprints(self) -> bool:
-        """Whether an entry is about whole requests, not about parts of prompts."""
-        return self._request_entry_count > 0
+    def needs_request(self, outline: str) -> bool:
+        """Return whether entries or evidence may be about a request with this outline.
+
+        Only then its fingerprint, which takes its whole body, has to be known.
+        """
+        return outline in self._entry_outlines or self._ledger.suspects_outline(outline)
 
     def entries(self) -> list[Entry]:
         """Return the entries in force."""
@@ -210,7 +208,6 @@
         self._ledger.record_crash(report, now_ms)
         self._fresh_reports.append((now_ms, report))
         self._send_news(QuarantineNews(reports=(report,)))
-        self.decide()
 
     def record_success(
         self, service: ServiceId, fingerprints: tuple[Fingerprint, ...]
@@ -247,8 +244,6 @@
         now_ms = self._clock.now_ms()
         for report in news.reports:
             self._ledger.record_crash(report, now_ms)
-        if news.reports:
-            self.decide()
 
     def served_notices(self) -> dict[str, int]:
         """Return suspects that were served here lately, for the digest."""
@@ -295,20 +290,16 @@
         if idle_ms <= IDLE_EXPIRY_MS:
             self._insert(entry, refused_ms)
 
-    def decide(self) -> None:
-        """Put culprits in quarantine that the evidence shows."""
-        self._decided_ms = self._clock.now_ms()
-        for culprits in self._ledger.find_culprits(self._decided_ms):
-            self._quarantine(culprits)
-
     def tick(self) -> None:
-        """Repeat fresh news, decide again and end what is over."""
+        """Decide by the evidence, repeat fresh news and end what is over.
+
+        Called several times a second.
+        """
         now_ms = self._clock.now_ms()
         if not self._ledger.is_empty:
             self._ledger.expire(now_ms)
-            is_due = now_ms - self._decided_ms >= DECISION_INTERVAL_MS
-            if self._ledger.has_candidates and is_due:
-                self.decide()
+            if self._ledger.has_candidates:
+                self._decide(now_ms)
         self._repeat_news(now_ms)
         for state in list(self._states.values()):
             if now_ms - state.refused_ms > IDLE_EXPIRY_MS:
@@ -320,6 +311,11 @@
             if wall_ms < earliest_wall_ms:
                 del self._lifted_wall_ms[key]
 
+    def _decide(self, now_ms: int) -> None:
+        """Put culprits in quarantine that the evidence shows."""
+        for culprits in self._ledger.find_culprits(now_ms):
+            self._quarantine(culprits)
+
     def _quarantine(self, culprits: Culprits) -> None:
         entry = Entry(
             culprits.fingerprints,
@@ -344,7 +340,7 @@
         for fingerprint in entry.fingerprints:
             keys = self._keys_by_fingerprint.setdefault(Fingerprint(fingerprint), [])
             keys.append(entry.key)
-        self._request_entry_count += self._is_about_requests(entry)
+            self._entry_outlines[outline_in(Fingerprint(fingerprint))] += 1
         self._log.event(
             "quarantined",
             entry=entry.key,
@@ -366,18 +362,14 @@
             keys.remove(key)
             if not keys:
                 del self._keys_by_fingerprint[Fingerprint(fingerprint)]
-        self._request_entry_count -= self._is_about_requests(state.entry)
+            outline = outline_in(Fingerprint(fingerprint))
+            self._entry_outlines[outline] -= 1
+            if not self._entry_outlines[outline]:
+                del self._entry_outlines[outline]
         self._log.event(
             "quarantine_ended", entry=key, why=why, refused=state.refused_count
         )
 
-    @staticmethod
-    def _is_about_requests(entry: Entry) -> bool:
-        return any(
-            kind_of(Fingerprint(f)) is FingerprintKind.REQUEST
-            for f in entry.fingerprints
-        )
-
     def _apply_lifted(self, key: str, wall_ms: int) -> None:
         if wall_ms <= self._lifted_wall_ms.get(key, 0):
             return
--- a/testing/quarantine/crashfleet.py
+++ b/testing/quarantine/crashfleet.py
@@ -45,6 +45,10 @@
     is_faulty: bool = False
     client_repeats: int = 1
 
+    @property
+    def fingerprints(self) -> tuple[Fingerprint, ...]:
+        return (*map(Fingerprint, self.parts), Fingerprint(f"request-{self.name}-0"))
+
 
 @dataclass(eq=False)
 class Attempt:
@@ -81,7 +85,7 @@
         )
 
     def refuses(self, request: Request) -> bool:
-        entry = self.quarantine.find_entry(map(Fingerprint, request.parts))
+        entry = self.quarantine.find_entry(request.fingerprints)
         if entry is None:
             return False
         if self.quarantine.try_acquire_trial(entry, ()):
@@ -96,14 +100,13 @@
         if self.quarantine.is_idle:
             self.quarantine.count_success(SERVICE)
         else:
-            parts = tuple(map(Fingerprint, request.parts))
-            self.quarantine.record_success(SERVICE, parts)
+            self.quarantine.record_success(SERVICE, request.fingerprints)
 
     def report(self, endpoint: str, attempts: list[Attempt], crashed_ms: int) -> None:
         now_ms = self.fleet.clock.now_ms()
         suspects = tuple(
             Suspect(
-                f"request-{attempt.request.name}",
+                attempt.request.fingerprints[-1],
                 tuple(
                     PartEvidence(part, self._age_ms(part, now_ms))
                     for part in attempt.request.parts
@@ -231,11 +234,14 @@
                     lambda o=other: o.quarantine.handle_news(news),
                 )
 
-    def faulty_after_bound(self) -> int:
-        """Return how many faulty requests were sent later than the users allow for."""
-        if len(self.crash_times_ms) < 5:
+    def faulty_after_bound(self, crash_count: int = 5) -> int:
+        """Return how many faulty requests were sent later than the users allow for.
+
+        ``crash_count`` is the number of crashes from which on the bound counts.
+        """
+        if len(self.crash_times_ms) < crash_count:
             return 0
-        bound_ms = self.crash_times_ms[4] + STABLE_WINDOW_MS
+        bound_ms = self.crash_times_ms[crash_count - 1] + STABLE_WINDOW_MS
         return sum(sent_ms > bound_ms for sent_ms in self.faulty_times_ms)
 
     def refused_share(self) -> float:
@@ -318,6 +324,11 @@
     return lambda number: Request(parts, f"f{number}", is_faulty=True)
 
 
+def repeated_request(number: int) -> Request:
+    """Return a request that crashes endpoints and is the same each time."""
+    return Request(("part-system", "part-customer1"), "again", is_faulty=True)
+
+
 def lose_a_third_at_random(fleet: CrashFleet) -> None:
     """Crash a third of the endpoints within 4 s."""
     for endpoint in fleet.rng.sample(fleet.endpoints, len(fleet.endpoints) // 3):
