Treat a stream that ends with its connection before its first event as broken off

Callers saw an empty stream that looked complete when an engine ended right after the head of an answer with neither a length nor chunks.

Cause: the connection's end completes such an answer, whatever has arrived. A stream has at least one event, so that nothing of it can have been delivered. The end of an answer now tells whether a length or chunks showed it. An engine that crashed at that point is checked like any other whose connection broke, and a part of prompts that crashes engines is not taken for served.

Test: test_a_stream_that_ends_before_its_first_event_is_a_failure failed before (200). Six further tests name the cases of such answers that held already.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -259,7 +259,7 @@
         if isinstance(event, AnswerData):
             return self._handle_data(event.data)
         if isinstance(event, AnswerEnd):
-            return self._handle_end()
+            return self._handle_end(event)
         assert isinstance(event, AnswerIncomplete)
         return self._handle_incomplete(event)
 
@@ -346,7 +346,7 @@
         self.detail = "not run, the refusal is too large"
         return Result.NOT_RUN
 
-    def _handle_end(self) -> Result:
+    def _handle_end(self, end: AnswerEnd) -> Result:
         head = self._head
         assert head is not None
         if was_not_run(head):
@@ -363,6 +363,9 @@
         if self._splitter.has_partial_event:
             self.broke_off = True
             return self._reject_answer("the stream ended within an event")
+        if not end.is_framed and not self.event_count:
+            self.broke_off = True
+            return self._reject_answer("the connection ended before the first event")
         if not self._state.exchange.has_started:
             self._start_stream()
         self._state.exchange.end()
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -146,7 +146,7 @@
     def eof_received(self) -> bool:
         """Complete an answer without a length; fail the exchange of any other."""
         if self._ends_at_close and self._mailbox is not None:
-            self._finish()
+            self._finish(is_framed=False)
         else:
             self._fail_exchange("connection closed")
         return False
@@ -215,10 +215,10 @@
         name, value = self._expected_id
         return fields.get(name, value) != value
 
-    def _finish(self) -> None:
+    def _finish(self, *, is_framed: bool = True) -> None:
         self._ends_at_close = False
         self.last_used_ms = self._clock.now_ms()
-        self._put(AnswerEnd())
+        self._put(AnswerEnd(is_framed))
         self._mailbox = None
 
     def _fail_exchange(self, detail: str) -> None:
--- a/src/_monsoonpulley/wire/events.py
+++ b/src/_monsoonpulley/wire/events.py
@@ -37,7 +37,16 @@
 
 
 class AnswerEnd(msgspec.Struct):
-    """The end of a complete answer."""
+    """The end of a complete answer.
+
+    Attributes
+    ----------
+    is_framed : bool
+        Whether its length or its chunks told the end. Otherwise the connection's end
+        did, as it would if the server had ended.
+    """
+
+    is_framed: bool = True
 
 
 class AnswerIncomplete(msgspec.Struct):
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -12,6 +12,7 @@
 from _monsoonpulley.errors import Failure, Reason
 from _monsoonpulley.platform.store import Row, Rows
 from _monsoonpulley.wire.pool import ConnectionPool
+from _monsoonpulley.wire.sockets import reset as reset_transport
 
 from .site import KEY, Site, configuration, endpoint_row, read_answer, request
 
@@ -1049,3 +1050,87 @@
         await self.site.start(configuration())
         await self.site.send_request("a1", extra=self.PROMPT)
         self.assertEqual(self.site.log_events("attempt")[0]["parts"], [])
+
+
+class TestAnswersThatEndWithTheirConnection(SiteTest):
+    """Answers with neither a length nor chunks."""
+
+    EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+
+    def script(
+        self, *pieces: bytes, version: str = "1.1", extra: bytes = b"", resets=False
+    ):
+        async def write(call) -> None:
+            call.writer.write(
+                f"HTTP/{version} 200 OK\r\n".encode()
+                + f"Monsoonpulley-Request-Id: {call.request_id}\r\n".encode()
+                + b"Monsoonpulley-Response-Seal: seal-1\r\n"
+                + extra
+                + b"\r\n"
+            )
+            for piece in pieces:
+                call.writer.write(piece)
+                await call.writer.drain()
+                await asyncio.sleep(0.02)
+            if resets:
+                reset_transport(call.writer.transport)
+            else:
+                call.writer.close()
+
+        return write
+
+    async def answer_of(self, script, kind: str):
+        self.site = Site()
+        self.addAsyncCleanup(self.site.stop)
+        self.endpoint = await self.site.add_endpoint(script)
+        await self.site.start(configuration(kind=kind, max_attempts=1))
+        return await self.site.send_request()
+
+    async def test_a_plain_answer_is_complete_at_its_end(self):
+        for version in ("1.0", "1.1"):
+            for extra in (b"", b"Connection: close\r\n"):
+                with self.subTest(version, extra=extra):
+                    script = self.script(
+                        b"whole ", b"answer", version=version, extra=extra
+                    )
+                    got = await self.answer_of(script, "safe")
+                    self.assertEqual((got.status, got.body), (200, b"whole answer"))
+                    self.assertTrue(got.is_whole)
+
+    async def test_a_plain_answer_that_is_reset_is_a_failure(self):
+        got = await self.answer_of(self.script(b"half", resets=True), "safe")
+        self.assertEqual(got.status, 502)
+
+    async def test_a_stream_is_complete_at_an_event_s_border(self):
+        extra = b"Content-Type: text/event-stream\r\n"
+        for version in ("1.0", "1.1"):
+            with self.subTest(version):
+                script = self.script(*self.EVENTS, version=version, extra=extra)
+                got = await self.answer_of(script, "streaming")
+                self.assertEqual(got.body, b"".join(self.EVENTS))
+                self.assertTrue(got.is_whole)
+
+    async def test_a_stream_that_ends_within_an_event_is_broken_off(self):
+        extra = b"Content-Type: text/event-stream\r\n"
+        for rest in (b"id: 2", b"id: 2\ndata: b\n"):
+            with self.subTest(rest):
+                script = self.script(self.EVENTS[0], rest, extra=extra)
+                got = await self.answer_of(script, "streaming")
+                self.assertEqual(got.body, self.EVENTS[0])
+                self.assertFalse(got.is_whole)
+
+    async def test_a_stream_that_ends_before_its_first_event_is_a_failure(self):
+        extra = b"Content-Type: text/event-stream\r\n"
+        got = await self.answer_of(self.script(extra=extra), "streaming")
+        self.assertEqual(got.status, 502)
+
+    async def test_a_stream_that_is_reset_is_broken_off(self):
+        extra = b"Content-Type: text/event-stream\r\n"
+        script = self.script(self.EVENTS[0], extra=extra, resets=True)
+        got = await self.answer_of(script, "streaming")
+        self.assertFalse(got.is_whole)
+
+    async def test_the_connection_is_not_used_again(self):
+        await self.answer_of(self.script(b"answer"), "safe")
+        self.assertEqual((await self.site.send_request("a2")).status, 200)
+        self.assertEqual(len({call.writer for call in self.endpoint.calls}), 2)
