Let the soak play requests that crash endpoints

The soak had no endpoint that crashes under what it is sent. A fault now sends requests for 6 to 10 s that have one part in their prompts, or are the same request, to all instances; endpoints crash under them and are replaced after 1 s. Two promises are checked from outside: at most three such requests reach endpoints through calm instances from 4 s after the fifth or third crash on, and sound requests begin at their first attempt at least half as often as before.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -28,6 +28,10 @@
 """Share of requests whose caller disconnects soon after sending."""
 
 
+PART_CAUSE, BODY_CAUSE = "part", "body"
+"""Beginnings of the causes of crashes: a part of the prompt, and the request itself."""
+
+
 class Caller:
     """A caller with one keep-alive connection to one instance.
 
@@ -59,15 +63,18 @@
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_S))
             await self.call(self._draw_kind())
 
-    async def call(self, kind: str, feature: int = 0) -> Call | None:
-        """Send a request and record its answer; return None without a connection."""
+    async def call(self, kind: str, feature: int = 0, cause: str = "") -> Call | None:
+        """Send a request and record its answer; return None without a connection.
+
+        With a ``cause`` it crashes endpoints: by its body, or by a part of its prompt.
+        """
         try:
             async with asyncio.timeout(1):
                 reader, writer = self._connection or await self._connect()
         except (OSError, TimeoutError):
             return None
         self._connection = (reader, writer)
-        call, data = self._build_request(kind, feature)
+        call, data = self._build_request(kind, feature, cause)
         timeout_s = CALLER_TIMEOUT_S
         if self._rng.random() < DISCONNECT_SHARE:
             timeout_s = self._rng.uniform(0.005, 0.3)
@@ -98,9 +105,10 @@
     def _draw_kind(self) -> str:
         return self._rng.choices(list(KINDS), list(KINDS.values()))[0]
 
-    def _build_request(self, kind: str, feature: int) -> tuple[Call, bytes]:
+    def _build_request(self, kind: str, feature: int, cause: str) -> tuple[Call, bytes]:
         self._number += 1
         key = LIMITED_KEY if self._rng.random() < LIMITED_SHARE else OPEN_KEY
+        key = OPEN_KEY if cause else key
         path = f"/{kind}/x"
         if kind == "feature":
             feature = feature or self._rng.randint(1, len(self._world.records.versions))
@@ -114,10 +122,28 @@
             sent_ms=self._world.clock.now_ms(),
             body=self._rng.randbytes(self._rng.choice((0, 20, 5_000))),
             feature=feature,
+            cause=cause,
         )
+        if cause.startswith(BODY_CAUSE):
+            call.body = cause.encode()
         self._world.records.calls[call.id] = call
+        parts = [
+            "cafe",
+            f"{self._rng.randrange(8):x}",
+            f"{self._rng.getrandbits(32):x}",
+        ]
+        if cause.startswith(PART_CAUSE):
+            parts[1] = cause
+        elif cause:
+            parts[1:] = [cause, cause]
+        listed = ",".join(f"{part}:50" for part in parts)
         return call, request(
-            call.id, path=path, key=key, body=call.body, deadline_ms=DEADLINE_MS
+            call.id,
+            path=path,
+            key=key,
+            body=call.body,
+            deadline_ms=DEADLINE_MS,
+            extra=f"Monsoonpulley-Prompt-Prefix: {listed}\r\n",
         )
 
     async def _read(self, call: Call, reader: asyncio.StreamReader) -> None:
--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from enum import Enum
 
 from _monsoonpulley.clock import Clock
@@ -60,6 +61,8 @@
         Requests a second that all answers name as its limit.
     pause_s : float
         Pause that it asks for while it is pausing.
+    on_crash : callable
+        Called with the endpoint's name and the cause when a request crashes it.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self.says_leaving = False
         self.limit_per_s: float | None = None
         self.pause_s = 1.0
+        self.on_crash: Callable[[str, str], None] = lambda name, cause: None
         self._records = records
         self._clock = clock
         self._rng = rng
@@ -146,6 +150,10 @@
             run.was_run = False
             self._write(writer, run, request_id, 503, b"full")
             return
+        if call is not None and call.cause:
+            await asyncio.sleep(MEDIAN_SERVICE_MS / 1000)
+            self.on_crash(self.name, call.cause)
+            return
         if "/stream/" in request_line:
             await self._stream(writer, run, request_id, fields)
             return
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -14,6 +14,7 @@
 
 from _monsoonpulley.standins.rowstore import StoreFault
 
+from .callers import BODY_CAUSE, PART_CAUSE, Caller
 from .endpoints import Behaviour
 from .link import Direction, Link
 from .world import RATE_PER_S, World
@@ -302,6 +303,27 @@
         await _wait(rng, 0.02, 0.4)
 
 
+@fault
+async def send_crashing_requests(world: World, rng: random.Random) -> None:
+    """Send requests that crash endpoints to all instances for 6 to 10 s.
+
+    All of them have one part in their prompts, or all are the same request.
+    """
+    kind = rng.choice((PART_CAUSE, BODY_CAUSE))
+    cause = f"{kind}{rng.getrandbits(32):x}"
+    callers = [
+        Caller(world, f"{name}-{cause}", name, random.Random(rng.random()))
+        for name in world.instances
+    ]
+    end_ms = world.clock.now_ms() + rng.uniform(6_000, 10_000)
+    while world.clock.now_ms() < end_ms:
+        caller = rng.choice(callers)
+        await caller.call("app" if kind == BODY_CAUSE else "stream", cause=cause)
+        await _wait(rng, 0.1, 0.6)
+    for caller in callers:
+        caller.close()
+
+
 def schedule(
     seed: int, count: int, length_s: float, names: tuple[str, ...] = ()
 ) -> list[tuple[float, str, int]]:
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 
+from .callers import BODY_CAUSE, PART_CAUSE
 from .endpoints import STREAM_EVENT_COUNT
 from .records import Call, Records, Run, Statement, StatementKind
 from .world import BOUNDS, BURST, ROUTE_TIMEOUT_MS
@@ -51,6 +52,15 @@
 LIMIT_WINDOW_MS = 4_000
 """Any time of this length may have one and a half times a limit, and five requests."""
 
+CRASHES = {PART_CAUSE: 5, BODY_CAUSE: 3}
+"""Crashes under a part of prompts, and under a request, after which it is bound."""
+
+MAX_CRASHING = 3
+"""Requests that crash endpoints and may reach them after that, of all instances."""
+
+MIN_SOUND_CALLS = 20
+"""Sound requests without which their share isn't compared."""
+
 MISDIRECTED = 421
 
 RESTARTS = frozenset(("kill", "stop", "pause"))
@@ -498,3 +508,59 @@
     for name, at_ms in records.served_again_ms.items():
         if at_ms < 0:
             yield f"{name} served nothing {RECOVERY_TIMEOUT_MS} ms after the last fault"
+
+
+@check
+def crashing_requests_bounded(records: Records) -> Iterator[str]:
+    """Check that few requests that crash endpoints reach them once that is clear."""
+    for cause, bound_ms in _crash_bounds(records):
+        count = 0
+        for call, run in _arrivals(records):
+            targets = (call.instance, "store")
+            count += (
+                call.cause == cause
+                and call.sent_ms > bound_ms
+                and records.is_undisturbed(
+                    targets, call.sent_ms - STABLE_MS, run.arrived_ms
+                )
+            )
+        if count > MAX_CRASHING:
+            yield f"{count} requests with {cause} reached endpoints after {bound_ms}"
+
+
+@check
+def sound_requests_begin_beside_crashing_ones(records: Records) -> Iterator[str]:
+    """Check that sound requests begin at half the usual share at least meanwhile."""
+    for cause, bound_ms in _crash_bounds(records):
+        times = [c.sent_ms for c in records.calls.values() if c.cause == cause]
+        meanwhile, usually = [], []
+        for call in records.calls.values():
+            if call.cause or call.has_left or call.customer == "limited":
+                continue
+            targets = (call.instance, "store", *(run.endpoint for run in call.runs))
+            if call.kind not in ("app", "stream") or not records.is_undisturbed(
+                targets, call.sent_ms - STABLE_MS, call.ended_ms or call.sent_ms
+            ):
+                continue
+            has_begun = call.status == 200 and len(call.runs) == 1
+            if bound_ms + STABLE_MS < call.sent_ms < max(times):
+                meanwhile.append(has_begun)
+            elif call.sent_ms < min(times):
+                usually.append(has_begun)
+        if min(len(meanwhile), len(usually)) < MIN_SOUND_CALLS:
+            continue
+        share, usual = (sum(each) / len(each) for each in (meanwhile, usually))
+        if share < usual / 2:
+            yield (
+                f"{share:.2f} of sound requests begin beside {cause},"
+                f" {usual:.2f} before"
+            )
+
+
+def _crash_bounds(records: Records) -> Iterator[tuple[str, int]]:
+    """Return each cause of crashes and the time from which its bound holds."""
+    for cause in sorted({crash.cause for crash in records.crashes}):
+        needed = next(n for name, n in CRASHES.items() if cause.startswith(name))
+        times = sorted(c.at_ms for c in records.crashes if c.cause == cause)
+        if len(times) >= needed:
+            yield cause, times[needed - 1] + STABLE_MS
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -46,6 +46,8 @@
         Whether the answer is complete by its framing.
     has_left : bool
         Whether the caller was to disconnect early.
+    cause : str
+        What makes it crash endpoints; empty for a sound request.
     """
 
     id: str
@@ -64,6 +66,7 @@
     events: list[int] = msgspec.field(default_factory=list)
     is_whole: bool = False
     has_left: bool = False
+    cause: str = ""
     ended_ms: int | None = None
 
 
@@ -108,6 +111,14 @@
     value: float
 
 
+class Crash(msgspec.Struct):
+    """A crash of an endpoint under a request, ``cause`` being what made it faulty."""
+
+    endpoint: str
+    cause: str
+    at_ms: int
+
+
 class Version(msgspec.Struct):
     """A configuration that was written to the store."""
 
@@ -125,6 +136,7 @@
     disturbances: list[Disturbance] = msgspec.field(default_factory=list)
     versions: list[Version] = msgspec.field(default_factory=list)
     statements: list[Statement] = msgspec.field(default_factory=list)
+    crashes: list[Crash] = msgspec.field(default_factory=list)
     drained_ms: dict[str, int] = msgspec.field(default_factory=dict)
     exits: list[tuple[str, int]] = msgspec.field(default_factory=list)
     healed_ms: int = 0
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -8,6 +8,7 @@
 from .promises import CHECKS, STABLE_MS, find_violations
 from .records import (
     Call,
+    Crash,
     Disturbance,
     DutyCall,
     Records,
@@ -269,6 +270,38 @@
         del seen.calls[calls[0].id]
         self.assertEqual(find_violations(seen), [])
 
+    def test_crashing_requests_bounded(self):
+        for cause, crash_count in (("part-a", 5), ("body-a", 3)):
+            crashes = [
+                Crash(f"endpoint-{n}", cause, SENT_MS - STABLE_MS - 1)
+                for n in range(crash_count)
+            ]
+            calls = [make_call(n, cause=cause) for n in range(4)]
+            seen = make_records(*calls, crashes=crashes)
+            self.assert_violates("crashing_requests_bounded", seen)
+            del seen.calls[calls[0].id]
+            self.assertEqual(find_violations(seen), [])
+
+    def test_sound_requests_begin_beside_crashing_ones(self):
+        crashed_ms = SENT_MS - 3 * STABLE_MS
+        crashes = [Crash(f"endpoint-{n}", "part-a", crashed_ms) for n in range(5)]
+        faulty = [
+            unsuccessful_call(
+                n, 503, cause="part-a", sent_ms=sent_ms, ended_ms=sent_ms + 50
+            )
+            for n, sent_ms in enumerate((crashed_ms - 100, SENT_MS + 100))
+        ]
+        before = [
+            make_call(100 + n, sent_ms=crashed_ms - 200, ended_ms=crashed_ms - 150)
+            for n in range(20)
+        ]
+        meanwhile = [unsuccessful_call(200 + n, 503) for n in range(20)]
+        seen = make_records(*faulty, *before, *meanwhile, crashes=crashes)
+        self.assert_violates("sound_requests_begin_beside_crashing_ones", seen)
+        for call in meanwhile[:10]:
+            seen.calls[call.id] = make_call(int(call.id.rpartition("-")[2]))
+        self.assertEqual(find_violations(seen), [])
+
     def test_no_unexpected_exits(self):
         seen = make_records(exits=[("instance-1", 1)])
         self.assert_violates("no_unexpected_exits", seen)
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -17,7 +17,7 @@
 from .instances import CALLERS_PORT, READINESS_PORT, Instance
 from .link import Link
 from .platform import DutyApi
-from .records import Records, Version
+from .records import Crash, Records, Version
 
 ZONES = ("zone-a", "zone-b")
 ENDPOINTS = {"app": 5, "other": 2}
@@ -45,6 +45,9 @@
 """The users' values, but with usage windows so short that a duty's calls show its
 holder, and with budgets that faults use up."""
 
+CRASH_DOWN_S = 1.0
+"""Time from the crash of an endpoint until another one takes its place."""
+
 FIRST_SUBNET = 64
 """First of the subnets of 127.0.0.0/8 for soak runs, one for each process."""
 
@@ -74,6 +77,7 @@
         self._platform = DutyApi(self.records, self.clock)
         self._addresses: dict[str, tuple[str, int]] = {}
         self._last_endpoint_number = 0
+        self._restarts: set[asyncio.Task[None]] = set()
         self.instances: dict[str, Instance] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.caller_links: dict[str, Link] = {}
@@ -121,6 +125,8 @@
 
     async def stop(self) -> None:
         """Stop everything."""
+        for task in self._restarts:
+            task.cancel()
         await asyncio.gather(*(each.kill() for each in self.instances.values()))
         links = (self.caller_links, self.store_links, self.endpoint_links)
         for link in [each for group in links for each in group.values()]:
@@ -177,6 +183,27 @@
         self.records.versions.append(Version(number, self.clock.now_ms(), rate_per_s))
         return number
 
+    def _on_crash(self, name: str, cause: str) -> None:
+        """Crash an endpoint under a request and start another one soon."""
+        endpoint = self.endpoints.pop(name, None)
+        if endpoint is None:
+            return
+        now_ms = self.clock.now_ms()
+        self.records.start_disturbance(name, "gone", now_ms)
+        self.records.crashes.append(Crash(name, cause, now_ms))
+        endpoint.crash()
+        # The link's address must refuse connections, as the endpoint's own would.
+        self.endpoint_links.pop(name).close()
+        task = asyncio.get_running_loop().create_task(self._replace(endpoint))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _replace(self, endpoint: Endpoint) -> None:
+        await asyncio.sleep(CRASH_DOWN_S)
+        await self.add_endpoint(endpoint.service)
+        self.store.remove("servers", endpoint.name)
+        self.records.drained_ms.setdefault(endpoint.name, self.clock.now_ms())
+
     def write_rows_again(self) -> None:
         """Write what operators and endpoints have written last."""
         self.store.put("op", "config", self._document)
@@ -196,6 +223,7 @@
         await endpoint.listen(address[0], address[1] + 1)
         link = Link(lambda: (address[0], address[1] + 1))
         await link.listen(*address)
+        endpoint.on_crash = self._on_crash
         self.endpoints[name], self.endpoint_links[name] = endpoint, link
         self._addresses[name] = address
         self.write_endpoint_row(endpoint)
