Refuse what crashes engines in the gateway, too

Callers of the OpenAI API saw what callers of the ingress did: a generation under which engines end was repeated at the next engine, by the instance and again by its caller.

Cause: the same as in the ingress; the gateway's breakers and retry budget blame the engine. Change: the gateway feeds the same quarantine. Its parts are the messages before the last; a request's fingerprint is of class, customer, path and body. A broken attempt makes the instance open a connection to the endpoint; an answer, of whatever status, does not. Reports and entries go to the other instances with the items that are sent at once. A refused request is answered 503 with the outcome not_run, or unknown if an attempt may have run; a stream that was crashed under does not wait for another engine.

Not done: entries are not written to the table, so that instances that start later learn them only from reports of the last 10 s; reports take up to half a second to arrive, more than the ledger waits for them.

--- a/src/_monsoonpulley/entry/environment.py
+++ b/src/_monsoonpulley/entry/environment.py
@@ -16,6 +16,7 @@
 from ..observability.log import Log
 from ..observability.metrics import Metrics
 from ..peers.transport import NoTransport, PeerTransport
+from ..requests.crashguard import Probe, probe_address
 
 MakeClient = Callable[[Member, Service], Client]
 
@@ -37,6 +38,8 @@
         Key that signs these messages.
     peer_operators : PeerOperatorClient
         Reads the explain records of other entry instances.
+    probe : callable
+        Opens a connection to an endpoint to see whether it listens.
     """
 
     platform: Platform
@@ -48,3 +51,4 @@
     transport: PeerTransport = NoTransport()
     peer_key: str = ""
     peer_operators: PeerOperatorClient = NoPeerOperatorClient()
+    probe: Probe = probe_address
--- a/src/_monsoonpulley/entry/instance.py
+++ b/src/_monsoonpulley/entry/instance.py
@@ -41,6 +41,7 @@
 from ..peers.host import RouterHost
 from ..peers.membership import Membership
 from ..requests.admissiongate import AdmissionGate
+from ..requests.crashguard import CrashGuard
 from ..requests.dispatcher import JournalDispatcher
 from ..requests.evacuator import Evacuator, reported_speeds
 from ..requests.passthrough import ServiceAttempts
@@ -243,6 +244,18 @@
             self.router, self.rollout_shares, env.clock, env.log, env.metrics
         )
         self.placement.observer = self.rollout_observer
+        self.crash_guard = CrashGuard(
+            self.identity.instance,
+            env.peer_key,
+            self.pool.member,
+            env.probe,
+            self._live_entries,
+            self.exchange.announce_quarantine,
+            env.clock,
+            env.log,
+        )
+        self.placement.crash_guard = self.crash_guard
+        self.peer_host.on_quarantine(self.crash_guard.handle_news)
         self.gate = AdmissionGate(
             self.router, self.placement, env.clock, env.log, env.metrics
         )
--- a/src/_monsoonpulley/entry/tasks.py
+++ b/src/_monsoonpulley/entry/tasks.py
@@ -55,6 +55,7 @@
         supervisor = self._new_supervisor("requests")
         supervisor.add("admission", self._instance.gate.run)
         supervisor.add("evacuation", self._instance.evacuator.run)
+        supervisor.add("quarantine", self._instance.crash_guard.run)
         supervisor.add("stream-collection", self._instance.streams.run_collection)
         supervisor.add("own-records", self._recover_own_records)
         return supervisor
--- a/src/_monsoonpulley/errors.py
+++ b/src/_monsoonpulley/errors.py
@@ -25,6 +25,8 @@
     OVERLOADED = "overloaded"
     TARGET_UNREACHABLE = "target_unreachable"
     NO_ENDPOINT = "no_endpoint"
+    QUARANTINED = "quarantined"
+    """Requests like this one crash endpoints."""
     RETRIES_SPENT = "retries_spent"
     SHUTTING_DOWN = "shutting_down"
     UNAVAILABLE = "unavailable"
--- a/src/_monsoonpulley/gateway/generations.py
+++ b/src/_monsoonpulley/gateway/generations.py
@@ -214,6 +214,7 @@
             max_tokens=body.fields.token_limit,
             prefix_blocks=block_hashes(words),
             stream=options.stream,
+            content=body.json_object,
         )
         engine_body = {**body.json_object, "model": access.request_class.service}
         generation = Generation(
--- a/src/_monsoonpulley/gateway/services.py
+++ b/src/_monsoonpulley/gateway/services.py
@@ -229,6 +229,7 @@
             request_class=self.access.request_class,
             received_ms=self.received_ms,
             path=self.call.path.partition("?")[0],
+            content=self.call.body,
         )
 
     def submission(self, key: IdempotencyKey) -> Submission:
--- a/src/_monsoonpulley/peers/builder.py
+++ b/src/_monsoonpulley/peers/builder.py
@@ -13,6 +13,7 @@
     Digest,
     LeavingMember,
     LoadItem,
+    QuarantineItem,
     TrippedVersion,
     UrgentBody,
 )
@@ -32,6 +33,9 @@
 """A canary with 4% of 1,000 requests per second gives 40 results per digest, at one
 digest per second."""
 
+MAX_QUARANTINE_ITEMS = 20
+"""A report of a crash has up to 40 requests, about 4 KB."""
+
 K = TypeVar("K")
 V = TypeVar("V")
 
@@ -89,6 +93,9 @@
         self._results: UrgentTable[tuple[InstanceId, int, int], CanaryResult] = (
             UrgentTable()
         )
+        self._quarantine: UrgentTable[tuple[InstanceId, int, int], QuarantineItem] = (
+            UrgentTable()
+        )
 
     def add_leaving_endpoint(
         self, endpoint: EndpointId, now_ms: int, *, forward: bool = True
@@ -134,9 +141,26 @@
         self._results.put(key, item, now_ms, forward)
         return True
 
+    def add_quarantine(
+        self, item: QuarantineItem, now_ms: int, *, forward: bool = True
+    ) -> bool:
+        """Add news of the quarantine; return whether they are new."""
+        key = (item.instance, item.incarnation, item.number)
+        if self._quarantine.get(key) is not None:
+            return False
+        self._quarantine.remove_before(now_ms - RESULT_RETENTION_MS)
+        self._quarantine.put(key, item, now_ms, forward)
+        return True
+
     def has_unsent(self) -> bool:
         """Return whether there are items to send."""
-        tables = (self._endpoints, self._members, self._tripped, self._results)
+        tables = (
+            self._endpoints,
+            self._members,
+            self._tripped,
+            self._results,
+            self._quarantine,
+        )
         return any(table.has_unsent() for table in tables)
 
     def recent_items(self, now_ms: int) -> UrgentBody:
@@ -144,11 +168,13 @@
         self._endpoints.remove_before(now_ms - LEAVING_RETENTION_MS)
         self._members.remove_before(now_ms - LEAVING_RETENTION_MS)
         self._results.remove_before(now_ms - RESULT_RETENTION_MS)
+        self._quarantine.remove_before(now_ms - RESULT_RETENTION_MS)
         return UrgentBody(
             self._endpoints.newest(MAX_LEAVING_ITEMS),
             self._members.newest(MAX_LEAVING_ITEMS),
             self._tripped.newest(MAX_TRIPPED_ITEMS),
             self._results.newest(MAX_RESULT_ITEMS),
+            self._quarantine.newest(MAX_QUARANTINE_ITEMS),
         )
 
     def pop_unsent(self) -> UrgentBody:
@@ -158,6 +184,7 @@
             self._members.pop_unsent(MAX_LEAVING_ITEMS),
             self._tripped.pop_unsent(MAX_TRIPPED_ITEMS),
             self._results.pop_unsent(MAX_RESULT_ITEMS),
+            self._quarantine.pop_unsent(MAX_QUARANTINE_ITEMS),
         )
 
 
--- a/src/_monsoonpulley/peers/digest.py
+++ b/src/_monsoonpulley/peers/digest.py
@@ -16,6 +16,7 @@
 from ..endpoints.engine import LoadReport
 from ..external.livelist import MemberState
 from ..ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
+from ..quarantine.evidence import QuarantineNews
 
 MAX_LOAD_AGE_MS = 5_000
 
@@ -114,6 +115,24 @@
     result: Result
 
 
+class QuarantineItem(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry instance knows of requests that crash endpoints.
+
+    Attributes
+    ----------
+    instance, incarnation, number : InstanceId, int, int
+        The entry instance, and its number of this item.
+    sent_wall_ms : int
+        When the ages in ``news`` were taken.
+    """
+
+    instance: InstanceId
+    incarnation: Number
+    number: Number
+    sent_wall_ms: Number
+    news: QuarantineNews
+
+
 class LeavingMember(msgspec.Struct, frozen=True, array_like=True):
     """One incarnation of an entry instance that is leaving."""
 
@@ -135,12 +154,15 @@
         Versions that were tripped or cleared.
     results : tuple
         Results of versions that receive their first traffic.
+    quarantine : tuple
+        News of crashes and of requests that are refused for them.
     """
 
     endpoints: tuple[EndpointId, ...] = ()
     members: tuple[LeavingMember, ...] = ()
     tripped: tuple[TrippedVersion, ...] = ()
     results: tuple[CanaryResult, ...] = ()
+    quarantine: tuple[QuarantineItem, ...] = ()
 
 
 NO_URGENT_ITEMS = UrgentBody()
--- a/src/_monsoonpulley/peers/exchange.py
+++ b/src/_monsoonpulley/peers/exchange.py
@@ -15,6 +15,7 @@
 from ..ids import EndpointId
 from ..observability.log import Log
 from ..observability.metrics import Metrics
+from ..quarantine.evidence import QuarantineNews
 from .builder import DigestBuilder, UrgentItems
 from .digest import (
     CanaryResult,
@@ -23,6 +24,7 @@
     LeavingMember,
     LoadItem,
     Message,
+    QuarantineItem,
     RevisionAnswer,
     RevisionRequest,
     ServiceSummary,
@@ -81,6 +83,10 @@
         """Record a result of a version that receives its first traffic."""
         ...
 
+    def handle_quarantine(self, item: QuarantineItem) -> None:
+        """Apply news of crashes and of what is refused."""
+        ...
+
     def handle_revision_number(self, number: int) -> None:
         """Record the revision number of a peer."""
         ...
@@ -135,6 +141,7 @@
         self._builder = DigestBuilder(self.urgent)
         self._seq = 0
         self._result_number = 0
+        self._quarantine_number = 0
         self._summary_round = 0
         self._summary_due_ms = 0
         self._wake_sender = asyncio.Event()
@@ -168,6 +175,20 @@
         if is_bad:
             self._send_urgent_soon()
 
+    def announce_quarantine(self, news: QuarantineNews) -> None:
+        """Notify all entry instances at once of crashes and of what is refused."""
+        identity = self._membership.identity
+        self._quarantine_number += 1
+        item = QuarantineItem(
+            identity.instance,
+            identity.incarnation,
+            self._quarantine_number,
+            self._clock.wall_ms(),
+            news,
+        )
+        self.urgent.add_quarantine(item, self._clock.now_ms())
+        self._send_urgent_soon()
+
     def announce_revision(self, number: int) -> None:
         """Notify all entry instances of a revision unless a peer had it first."""
         if number > self._highest_peer_number:
@@ -315,6 +336,9 @@
         for result in urgent.results:
             if self.urgent.add_result(result, now_ms, forward=forward):
                 self._host.handle_result(result)
+        for news in urgent.quarantine:
+            if self.urgent.add_quarantine(news, now_ms, forward=forward):
+                self._host.handle_quarantine(news)
         if self.urgent.has_unsent():
             self._wake_sender.set()
 
--- a/src/_monsoonpulley/peers/host.py
+++ b/src/_monsoonpulley/peers/host.py
@@ -4,18 +4,22 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from ..clock import Clock
 from ..config.document import Revision, ServiceKind
 from ..config.watcher import ConfigWatcher
 from ..endpoints.engine import CacheEvent, LoadReport
 from ..external.livelist import MemberState
 from ..ids import EndpointId, ServiceId
+from ..quarantine.evidence import QuarantineNews
 from ..routing.router import Router
 from .digest import (
     MAX_LOAD_AGE_MS,
     CanaryResult,
     Digest,
     LoadItem,
+    QuarantineItem,
     ServiceSummary,
     Summary,
     TrippedVersion,
@@ -24,6 +28,7 @@
 from .reporters import EndpointKeys, Reporters, endpoint_key
 
 OnTripped = Callable[[TrippedVersion], None]
+OnQuarantine = Callable[[QuarantineNews], None]
 OnResult = Callable[[CanaryResult], None]
 
 
@@ -58,6 +63,7 @@
         self._reports: dict[EndpointId, LoadReport] = {}
         self._on_tripped: list[OnTripped] = []
         self._on_result: list[OnResult] = []
+        self._on_quarantine: list[OnQuarantine] = []
 
     def on_tripped(self, callback: OnTripped) -> None:
         """Call ``callback`` with each change of a version from a peer."""
@@ -67,6 +73,20 @@
         """Call ``callback`` with each result of a canary from a peer."""
         self._on_result.append(callback)
 
+    def on_quarantine(self, callback: OnQuarantine) -> None:
+        """Call ``callback`` with news of the quarantine from a peer."""
+        self._on_quarantine.append(callback)
+
+    def handle_quarantine(self, item: QuarantineItem) -> None:
+        """Apply news of crashes and of what is refused, with their present ages."""
+        passed_ms = max(0, self._clock.wall_ms() - item.sent_wall_ms)
+        reports = tuple(
+            msgspec.structs.replace(report, age_ms=report.age_ms + passed_ms)
+            for report in item.news.reports
+        )
+        for callback in self._on_quarantine:
+            callback(msgspec.structs.replace(item.news, reports=reports))
+
     def read_endpoints(self) -> list[EndpointId]:
         """Return the engines whose loads and events this instance reads."""
         self._distribute_engines()
--- a/src/_monsoonpulley/requests/context.py
+++ b/src/_monsoonpulley/requests/context.py
@@ -26,6 +26,8 @@
         Chained hashes of the prompt's blocks.
     stream : bool
         Whether the class's target applies to the first token only.
+    content : dict or bytes
+        The JSON object of a generation, or the body of a call; not copied.
     """
 
     request_id: RequestId
@@ -38,6 +40,7 @@
     max_tokens: int = 0
     prefix_blocks: tuple[int, ...] = ()
     stream: bool = False
+    content: dict | bytes = b""
 
     @property
     def target_ms(self) -> int:
--- a/src/_monsoonpulley/requests/dispatcher.py
+++ b/src/_monsoonpulley/requests/dispatcher.py
@@ -120,6 +120,7 @@
             request_class=request_class,
             received_ms=self._clock.now_ms(),
             path=submission.path.partition("?")[0],
+            content=submission.body,
         )
 
 
--- a/src/_monsoonpulley/requests/generation.py
+++ b/src/_monsoonpulley/requests/generation.py
@@ -278,6 +278,8 @@
         new engines may start.
         """
         lost_ms = self._engine_lost_ms
+        if failure.reason is Reason.QUARANTINED:
+            return None
         if lost_ms is None or failure.retry_after_ms is None:
             return None
         now_ms = self._clock.now_ms()
--- a/src/_monsoonpulley/requests/passthrough.py
+++ b/src/_monsoonpulley/requests/passthrough.py
@@ -90,7 +90,12 @@
             answer = await client.call(call)
         finally:
             elapsed_ms = self._clock.now_ms() - started_ms
-            end = AttemptEnd(_failure_of(answer, placed), elapsed_ms, elapsed_ms)
+            end = AttemptEnd(
+                _failure_of(answer, placed),
+                elapsed_ms,
+                elapsed_ms,
+                has_answer=isinstance(answer, ServiceAnswer),
+            )
             self._placement.record_end(context, placed, full_attempt_id, end)
         return answer
 
--- a/src/_monsoonpulley/requests/placement.py
+++ b/src/_monsoonpulley/requests/placement.py
@@ -36,13 +36,15 @@
     """The end of an attempt; ``failure`` is ``None`` if it was answered.
 
     ``first_answer_ms`` is the time to the first token or the whole answer,
-    ``tokens`` the number of tokens that the attempt generated.
+    ``tokens`` the number of tokens that the attempt generated, ``has_answer`` whether
+    the endpoint sent a whole answer, be it one that says that it failed.
     """
 
     failure: Failure | None
     first_answer_ms: int
     total_ms: int
     tokens: int = 0
+    has_answer: bool = False
 
 
 class Placement(Protocol):
--- a/src/_monsoonpulley/requests/routed.py
+++ b/src/_monsoonpulley/requests/routed.py
@@ -17,6 +17,7 @@
 from ..routing.routedecision import RouteDecision
 from ..routing.router import Router
 from .context import RequestContext
+from .crashguard import CrashGuard
 from .placement import AttemptEnd, PlacedAttempt, Retry
 
 
@@ -80,6 +81,8 @@
     ----------
     observer : AttemptObserver or None
         Records each attempt besides the router.
+    crash_guard : CrashGuard or None
+        Refuses requests that crash endpoints.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         self._metrics = metrics
         self._previews: dict[RequestId, Preview] = {}
         self.observer: AttemptObserver | None = None
+        self.crash_guard: CrashGuard | None = None
 
     def choose(
         self, context: RequestContext, tried: frozenset[EndpointId]
@@ -108,7 +112,9 @@
             route, decision = preview.route, preview.decision
         else:
             route = self.route_request(context, tried, now_ms)
-            decision = self._router.choose(route, now_ms)
+            decision = self._refuse(context, route) or self._router.choose(
+                route, now_ms
+            )
         if isinstance(decision, Failure):
             self._metrics.incr("routing.no_choice")
             self._log.event(
@@ -133,7 +139,7 @@
         """
         now_ms = self._clock.now_ms()
         route = self.route_request(context, frozenset(), now_ms)
-        decision = self._router.choose(route, now_ms)
+        decision = self._refuse(context, route) or self._router.choose(route, now_ms)
         if isinstance(decision, Failure):
             self._log.event(
                 "route_failed", request=route, failure=decision, now_ms=now_ms
@@ -143,6 +149,11 @@
         self._previews[context.request_id] = preview
         return decision
 
+    def _refuse(self, context: RequestContext, route: RouteRequest) -> Failure | None:
+        if self.crash_guard is None:
+            return None
+        return self.crash_guard.refuse(context, route.versions)
+
     def discard_preview(self, request_id: RequestId) -> None:
         """Drop the choice that `preview` made for a request."""
         self._previews.pop(request_id, None)
@@ -196,6 +207,8 @@
         self._router.record_attempt_end(attempt, now_ms, end.failure, end.tokens)
         if self.observer is not None:
             self.observer.record_end(context, placed, attempt, end)
+        if self.crash_guard is not None:
+            self.crash_guard.record_end(context, placed, end)
         if end.failure is None:
             return
         self._metrics.incr(f"attempts.failed.{end.failure.reason.value}")
--- a/src/_monsoonpulley/standins/world.py
+++ b/src/_monsoonpulley/standins/world.py
@@ -18,6 +18,7 @@
 from ..config.store import ConfigStore
 from ..endpoints.pool import Client
 from ..entry.instance import EntryInstance, Environment
+from ..errors import Failure, Reason
 from ..external.cloud import InstanceSpec
 from ..external.livelist import Member, Role
 from ..gateway.credentials import credential_sha256
@@ -214,6 +215,7 @@
             peer_operators=PeerOperatorClientStandin(
                 self._find_application, self.operator_faults
             ),
+            probe=self._probe,
         )
         instance = EntryInstance(
             identity, environment, credential_sha256(OPERATOR_CREDENTIAL)
@@ -255,6 +257,13 @@
             return self.engines.get(endpoint)
         return self.services.get(endpoint)
 
+    async def _probe(self, member: Member) -> Failure | None:
+        endpoint = EndpointId(member.instance)
+        standin = self.engines.get(endpoint) or self.services.get(endpoint)
+        if standin is None or not standin.is_crashed:
+            return None
+        return Failure(Reason.NOT_LISTENING, "endpoint.probe", endpoint)
+
     def _on_instance_ended(self, instance) -> None:
         name = instance.name
         standins: Iterable = (
