--- a/testing/sharing/test_digest.py
+++ b/testing/sharing/test_digest.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from _monsoonpulley.fleet.relay import Relay, RelayedRow
+from _monsoonpulley.quarantine.evidence import Entry
 from _monsoonpulley.sharing.digest import Digest, decode_message, encode_message
 
 
@@ -55,6 +56,22 @@
         got = msgspec.msgpack.decode(encode_message(sent), type=OlderDigest)
         self.assertEqual((got.instance, got.lease_row), ("i-1", None))
 
+    def test_an_older_build_reads_a_digest_with_entries(self):
+        entry = Entry(("part-1",), "svc", ("v1",), 5, "i-1", ("e",))
+        sent = Digest(
+            "i-1",
+            1,
+            2,
+            "10.0.0.1",
+            7600,
+            quarantined=((entry, 7),),
+            served={"part-2": 8},
+        )
+        data = encode_message(sent)
+        got = msgspec.msgpack.decode(data, type=OlderDigest)
+        self.assertEqual((got.instance, got.lease_row), ("i-1", None))
+        self.assertEqual(decode_message(data), sent)
+
     def test_older_relays_are_read_and_have_no_era(self):
         sent = OlderRelay("servers", 4, 5, (("a", b"x", 5),))
         got = decode_message(msgspec.msgpack.encode(sent))
--- a/testing/sharing/test_exchange.py
+++ b/testing/sharing/test_exchange.py
@@ -12,7 +12,13 @@
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.names import ENDPOINT_TABLE
 from _monsoonpulley.platform.store import Row
-from _monsoonpulley.quarantine.evidence import QuarantineNews
+from _monsoonpulley.quarantine.attribution import REPORT_DELAY_MS
+from _monsoonpulley.quarantine.evidence import (
+    CrashReport,
+    PartEvidence,
+    QuarantineNews,
+    Suspect,
+)
 from _monsoonpulley.sharing.digest import Digest, UsageCounts, encode_message
 from _monsoonpulley.sharing.exchange import (
     DIGEST_INTERVAL_MS,
@@ -238,6 +244,25 @@
         ]
         self.assertEqual(missing, [])
 
+    def test_a_report_of_a_crash_reaches_large_fleets_before_it_is_weighed(self):
+        part = PartEvidence("part-0123456789abcdef", 1_000)
+        suspects = (Suspect("request-0123456789abcdef-0123456789abcdef", (part,), 9),)
+        report = CrashReport("i-1", "svc", "v1", None, "instance-1", suspects * 40)
+        for count, zone_count in ((60, 4), (200, 6)):
+            with self.subTest(count=count):
+                network = Network(count, zone_count, drops_bursts=True)
+                news = QuarantineNews(reports=(report,))
+                sender = network.running["instance-000"]
+                sender.exchange.broadcast_quarantine(news)
+                for _ in range(REPORT_DELAY_MS // SLICE_INTERVAL_MS):
+                    network.send_slices()
+                missed = [
+                    each.name
+                    for each in network.running.values()
+                    if each is not sender and not each.news
+                ]
+                self.assertEqual(missed, [])
+
     def test_broadcasts_are_sent_in_slices_that_such_links_take(self):
         network = Network()
         sender = network.running["instance-005"]
