--- a/testing/requests/test_crashing_requests.py
+++ b/testing/requests/test_crashing_requests.py
@@ -8,7 +8,7 @@
 
 from _monsoonpulley.errors import Delivery, Failure, Reason
 
-from ..support import ALICE, run_world
+from ..support import ALICE, run_world, small_deployment
 from .test_lost_engines import many_engines
 
 STABLE_WINDOW_MS = 3_000
@@ -95,6 +95,11 @@
     return [{"role": "user", "content": content} for content in contents]
 
 
+def faulty_message(number: int) -> list[dict]:
+    """Return the messages of a generation whose second message crashes engines."""
+    return messages("be brief", FAULTY, f"about frame {number}")
+
+
 class CrashingRequestsTest(unittest.TestCase):
     def play(self, make_faulty, crash_count: int) -> CrashPlay:
         plays = []
@@ -110,13 +115,24 @@
         return play
 
     def test_a_message_that_crashes_engines_reaches_few_more_after_the_fifth(self):
-        play = self.play(
-            lambda n: messages("be brief", FAULTY, f"about frame {n}"), crash_count=5
-        )
+        play = self.play(faulty_message, crash_count=5)
         last = play.faulty_answers[-1]
         self.assertEqual(last.status, 503)
         self.assertEqual(last.headers["x-outcome"], "not_run")
 
+    def test_instances_that_all_start_anew_send_few_more(self):
+        async def script(world):
+            play = CrashPlay(world)
+            await play.run(6_000, faulty_message)
+            for plan in small_deployment().entries:
+                world.kill_entry(plan.instance)
+                world.start_entry(plan)
+            await world.clock.sleep_ms(2_000)
+            await play.run(4_000, faulty_message)
+            self.assertLessEqual(play.beyond(5), MAX_BEYOND)
+
+        run_world(script, many_engines(9))
+
     def test_a_generation_that_crashes_engines_is_repeated_rarely_after_the_third(
         self,
     ):
--- a/testing/wire/test_pool.py
+++ b/testing/wire/test_pool.py
@@ -58,3 +58,24 @@
         self.assertIs(failure.reason, Reason.TIMEOUT)
         self.assertGreaterEqual(took_ms, CONNECT_TIMEOUT_MS * 0.95)
         self.assertLess(took_ms, 1000)
+
+
+class TestProbe(unittest.IsolatedAsyncioTestCase):
+    async def test_the_connection_of_a_probe_is_kept_for_the_next_request(self):
+        server = await asyncio.start_server(ignore, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool("127.0.0.1", port, Clock.from_system(), 1)
+        self.assertIsNone(await pool.probe())
+        connection = await pool.acquire()
+        self.assertEqual(pool.opened_count, 1)
+        connection.abort()
+
+    async def test_an_address_where_nothing_listens_is_told_from_other_failures(self):
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        port = listener.getsockname()[1]
+        listener.close()
+        pool = ConnectionPool("127.0.0.1", port, Clock.from_system(), 1)
+        failure = await pool.probe()
+        self.assertIs(failure.reason, Reason.NOT_LISTENING)
