Keep the gateway's entries of refused requests in the platform's table

Callers saw endpoints crash anew after all entry instances had been restarted: entries were in memory only. They are rows now, written by the instance that decides.

--- a/src/_monsoonpulley/entry/instance.py
+++ b/src/_monsoonpulley/entry/instance.py
@@ -251,6 +251,7 @@
             env.probe,
             self._live_entries,
             self.exchange.announce_quarantine,
+            env.platform.table,
             env.clock,
             env.log,
         )
--- a/src/_monsoonpulley/requests/crashguard.py
+++ b/src/_monsoonpulley/requests/crashguard.py
@@ -10,6 +10,7 @@
 from ..clock import Clock
 from ..errors import Delivery, Failure, Reason
 from ..external.livelist import Member, MemberState
+from ..external.table import Table
 from ..fleet.model import Endpoint
 from ..ids import EndpointId, Fingerprint, InstanceId, VersionId
 from ..observability.log import Log
@@ -19,6 +20,7 @@
 from ..quarantine.quarantine import RETRY_AFTER_MS, Quarantine
 from .context import RequestContext
 from .placement import AttemptEnd, PlacedAttempt
+from .quarantinetable import QuarantineTable
 
 TICK_INTERVAL_MS = 250
 
@@ -74,6 +76,8 @@
         Returns the instances that are reachable.
     announce : callable
         Called with `QuarantineNews` for the other instances.
+    table : Table
+        Keeps the entries. It is read with the first evidence of an instance.
     clock, log : Clock, Log
         Those of the instance.
     """
@@ -86,6 +90,7 @@
         probe: Probe,
         reachable: Callable[[], Iterable[InstanceId]],
         announce: Callable[[QuarantineNews], None],
+        table: Table,
         clock: Clock,
         log: Log,
     ):
@@ -98,7 +103,15 @@
         self._announced: set[bytes] = set()
         self._has_evidence = asyncio.Event()
         self._fingerprinter = Fingerprinter(key.encode()[:KEY_BYTES])
-        self.quarantine = Quarantine(own, clock, log, self._announce_once)
+        self.quarantine = Quarantine(
+            own,
+            clock,
+            log,
+            self._announce_once,
+            lambda entry: self._table.put(entry),
+            lambda entry: self._table.remove(entry),
+        )
+        self._table = QuarantineTable(table, self.quarantine, log)
         self._watch = CrashWatch(
             own,
             clock,
@@ -150,10 +163,12 @@
         """Decide by the evidence, while there is any, until cancelled."""
         while True:
             await self._has_evidence.wait()
+            await self._table.synchronize()
             await self._clock.sleep_ms(TICK_INTERVAL_MS)
             self.quarantine.set_reachable(self._reachable())
             self.quarantine.tick()
             if self.quarantine.is_idle:
+                await self._table.synchronize()
                 self._has_evidence.clear()
 
     def handle_news(self, news: QuarantineNews) -> None:
--- /dev/null
+++ b/src/_monsoonpulley/requests/quarantinetable.py
@@ -0,0 +1,97 @@
+"""Keeps the gateway's entries of the quarantine in the platform's table."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import Failure
+from ..external.table import ABSENT_REVISION, Conflict, Table, Write
+from ..observability.log import Log
+from ..quarantine.evidence import Entry
+from ..quarantine.quarantine import Quarantine
+
+PREFIX = "quarantine/"
+
+PAGE_ROWS = 500
+
+_decoder = msgspec.json.Decoder(Entry)
+
+
+class QuarantineTable:
+    """Reads the entries once and writes changes.
+
+    Parameters
+    ----------
+    table : Table
+        The platform's table.
+    quarantine : Quarantine
+        Gets the entries that are read.
+    log : Log
+        Log of failures and of rows that can't be read.
+    """
+
+    def __init__(self, table: Table, quarantine: Quarantine, log: Log):
+        self._table = table
+        self._quarantine = quarantine
+        self._log = log
+        self._is_loaded = False
+        self._unwritten: dict[str, Entry | None] = {}
+
+    def put(self, entry: Entry) -> None:
+        """Write an entry with the next `synchronize`."""
+        self._unwritten[entry.key] = entry
+
+    def remove(self, entry: Entry) -> None:
+        """Remove an entry with the next `synchronize`."""
+        self._unwritten[entry.key] = None
+
+    async def synchronize(self) -> None:
+        """Read the table if that was not done, and write what is due.
+
+        What fails is logged and done with a later call.
+        """
+        failure = None if self._is_loaded else await self._load()
+        while failure is None and self._unwritten:
+            key, entry = next(iter(self._unwritten.items()))
+            failure = await self._write(key, entry)
+            if failure is None and self._unwritten.get(key) is entry:
+                del self._unwritten[key]
+        if failure is not None:
+            self._log.event("quarantine_rows_failed", error=str(failure))
+
+    async def _load(self) -> Failure | None:
+        after = ""
+        while True:
+            rows = await self._table.scan(PREFIX, after=after, limit=PAGE_ROWS)
+            if isinstance(rows, Failure):
+                return rows
+            for row in rows:
+                self._add_row(row.key, row.value)
+            if len(rows) < PAGE_ROWS:
+                self._is_loaded = True
+                return None
+            after = rows[-1].key
+
+    def _add_row(self, key: str, value: bytes) -> None:
+        try:
+            entry = _decoder.decode(value)
+        except msgspec.MsgspecError as error:
+            self._log.event("quarantine_row_refused", row=key, error=str(error))
+            return
+        self._quarantine.add_entry(entry, idle_ms=0)
+
+    async def _write(self, key: str, entry: Entry | None) -> Failure | None:
+        row = await self._table.read(PREFIX + key)
+        if isinstance(row, Failure):
+            return row
+        if (row is None) == (entry is None):
+            return None
+        revision = ABSENT_REVISION if row is None else row.revision
+        value = None if entry is None else msgspec.json.encode(entry)
+        result = await self._table.commit([Write(PREFIX + key, value, revision)])
+        # After a conflict another instance has written the same.
+        return None if isinstance(result, Conflict) else _failure_of(result)
+
+
+def _failure_of(result: object) -> Failure | None:
+    return result if isinstance(result, Failure) else None
--- a/testing/requests/test_crashguard.py
+++ b/testing/requests/test_crashguard.py
@@ -1,4 +1,4 @@
-"""Whether an endpoint of the gateway still listens."""
+"""Whether an endpoint of the gateway listens, and the entries in its table."""
 
 from __future__ import annotations
 
@@ -7,7 +7,12 @@
 
 from _monsoonpulley.errors import Reason
 from _monsoonpulley.external.livelist import Member, Role
+from _monsoonpulley.external.table import ABSENT_REVISION, Write
+from _monsoonpulley.quarantine.evidence import Entry
 from _monsoonpulley.requests.crashguard import probe_address
+from _monsoonpulley.requests.quarantinetable import PREFIX, QuarantineTable
+
+from ..support import run_world
 
 
 def member(address: str) -> Member:
@@ -27,3 +32,34 @@
     async def test_an_address_that_can_not_be_read_shows_nothing(self):
         failure = await probe_address(member("somewhere"))
         self.assertEqual(failure.reason, Reason.UNAVAILABLE)
+
+
+class TestTable(unittest.TestCase):
+    def test_a_row_that_is_no_entry_is_logged_and_ignored(self):
+        async def script(world):
+            instance = world.entries["entry-1"].instance
+            table = instance.environment.platform.table
+            await table.commit([Write(f"{PREFIX}part-1", b"7", ABSENT_REVISION)])
+            guard = instance.crash_guard
+            rows = QuarantineTable(table, guard.quarantine, instance.environment.log)
+            await rows.synchronize()
+            self.assertEqual(guard.quarantine.entries(), [])
+            self.assertEqual(len(world.events("quarantine_row_refused")), 1)
+
+        run_world(script)
+
+    def test_an_entry_is_written_and_removed(self):
+        async def script(world):
+            instance = world.entries["entry-1"].instance
+            table = instance.environment.platform.table
+            guard = instance.crash_guard
+            rows = QuarantineTable(table, guard.quarantine, instance.environment.log)
+            entry = Entry(("part-1",), "model", ("v1",), 5, "entry-1", ("e",))
+            rows.put(entry)
+            await rows.synchronize()
+            self.assertEqual(len(await table.scan(PREFIX)), 1)
+            rows.remove(entry)
+            await rows.synchronize()
+            self.assertEqual(await table.scan(PREFIX), ())
+
+        run_world(script)
