Combine both probabilities that crashes under a fingerprint are chance

Where endpoints are down most of the time, a faulty part was blamed too late: neither that other requests are served nor that the part is rare was by itself too unlikely for chance. Fisher's method combines them.

--- a/src/_monsoonpulley/quarantine/attribution.py
+++ b/src/_monsoonpulley/quarantine/attribution.py
@@ -373,7 +373,7 @@
 
         Other requests were served so often that so many crashes in a row are unlikely,
         or requests with the fingerprint are so rare that they are unlikely to be among
-        the suspects of each crash.
+        the suspects of each crash, or both together are.
         """
         service, since_ms = crashes[0].service, crashes[0].at_ms - rule.lookback_ms
         successes_ms = self._successes_ms.get(service, ())
@@ -392,11 +392,12 @@
         other_count = len(suspects) - own_count
         # Laplace's rule of succession.
         failing_share = (other_count + 1) / (other_count + success_count + 2)
-        chance = failing_share ** len(crashes)
-        if chance <= rule.max_chance:
-            return True
+        failing_chance = failing_share ** len(crashes)
         own_share = (own_count + 1) / (len(suspects) + success_count + 2)
-        chance = float(math.comb(len(meanwhile), len(crashes)))
+        presence_chance = float(math.comb(len(meanwhile), len(crashes)))
         for crash in crashes:
-            chance *= 1 - (1 - own_share) ** len(crash.suspects)
-        return chance <= rule.max_chance
+            presence_chance *= 1 - (1 - own_share) ** len(crash.suspects)
+        product = failing_chance * min(1.0, presence_chance)
+        # Fisher's combination of two probabilities.
+        combined = product * (1 - math.log(product)) if product else 0.0
+        return min(failing_chance, presence_chance, combined) <= rule.max_chance
