Bound the work and the messages of a loss of many endpoints

Each instance sent each of its reports five times by itself, so that all got over 800 messages a second, and weighed the evidence four times a second for as long as any fingerprint had met enough crashes, ten minutes, with the weights of all suspects computed anew for each crash.

Change: beyond four reports between two ticks the others are sent together with the tick, and all are repeated for 500 ms; weights are computed once; without new reports the evidence is weighed twice a second, and only for fingerprints that met a crash in the last minute. The ledger waits 400 ms for reports, as the tick may delay them.

--- a/src/_monsoonpulley/quarantine/attribution.py
+++ b/src/_monsoonpulley/quarantine/attribution.py
@@ -36,9 +36,12 @@
 CRASH_MEMORY_MS = 600_000
 """Crashes are remembered for this long."""
 
-REPORT_DELAY_MS = 200
+REPORT_DELAY_MS = 400
 """Time after a crash by which the others' reports of it have arrived."""
 
+RECENT_MS = 60_000
+"""A fingerprint whose last crash is longer ago waits for the next one to be blamed."""
+
 SAME_CRASH_MS = 1_000
 """Reports of an endpoint's crash that are this close are about the same crash. It may
 start again at its address before its row shows that."""
@@ -144,6 +147,10 @@
 
 _Charges = dict[Fingerprint, list[_Crash]]
 
+_Weight = tuple[int, float]
+
+_NO_WEIGHT: _Weight = (0, -math.inf)
+
 
 class CrashLedger:
     """Crashes of endpoints, and the fingerprints that explain them.
@@ -250,15 +257,22 @@
         """Return the fingerprints that are to blame, by what is known now."""
         self.has_candidates = False
         charges = self._charges(now_ms - REPORT_DELAY_MS)
+        weights = {f: self._weight(f, crashes) for f, crashes in charges.items()}
+        highest = self._highest_weights(weights)
         groups: dict[tuple, list[Fingerprint]] = {}
         evidence: dict[tuple, list[_Crash]] = {}
         for fingerprint, crashes in charges.items():
             rule = RULES.get(kind_of(fingerprint))
             if rule is None or len(crashes) < rule.crash_count:
                 continue
+            if now_ms - crashes[-1].at_ms > RECENT_MS:
+                continue
             self.has_candidates = True
             own = [
-                c for c in crashes if not self._is_explained(fingerprint, c, charges)
+                crash
+                for crash in crashes
+                if weights[fingerprint] >= highest[id(crash)]
+                or not _is_explained(fingerprint, crash, weights)
             ]
             if self._is_enough(fingerprint, own, rule):
                 key = (kind_of(fingerprint), tuple(id(crash) for crash in own))
@@ -325,25 +339,25 @@
                     charges.setdefault(fingerprint, []).append(crash)
         return charges
 
-    def _is_explained(
-        self, fingerprint: Fingerprint, crash: _Crash, charges: _Charges
-    ) -> bool:
-        """Return whether another suspect is more likely to have caused the crash."""
-        holders = [s for s in crash.suspects if fingerprint in s.fingerprints]
-        companions = frozenset().union(*(s.fingerprints for s in holders))
-        others = {
-            other
-            for suspect in crash.suspects
-            if fingerprint not in suspect.fingerprints
-            for other in suspect.fingerprints - companions
-        }
-        own_weight = self._weight(fingerprint, charges)
-        return any(self._weight(other, charges) > own_weight for other in others)
-
-    def _weight(self, fingerprint: Fingerprint, charges: _Charges) -> tuple[int, float]:
+    def _weight(self, fingerprint: Fingerprint, crashes: list[_Crash]) -> _Weight:
         """Return how likely a fingerprint is a cause: what was served later is less."""
-        served_ms = self._served_ms.get(fingerprint, -math.inf)
-        return len(charges.get(fingerprint, ())), -served_ms
+        return len(crashes), -self._served_ms.get(fingerprint, -math.inf)
+
+    def _highest_weights(
+        self, weights: dict[Fingerprint, _Weight]
+    ) -> dict[int, _Weight]:
+        """Return the highest weight among each crash's suspects, by its id()."""
+        return {
+            id(crash): max(
+                (
+                    weights.get(f, _NO_WEIGHT)
+                    for s in crash.suspects
+                    for f in s.fingerprints
+                ),
+                default=_NO_WEIGHT,
+            )
+            for crash in self._crashes
+        }
 
     def _is_enough(
         self, fingerprint: Fingerprint, crashes: list[_Crash], rule: Rule
@@ -401,3 +415,19 @@
         # Fisher's combination of two probabilities.
         combined = product * (1 - math.log(product)) if product else 0.0
         return min(failing_chance, presence_chance, combined) <= rule.max_chance
+
+
+def _is_explained(
+    fingerprint: Fingerprint, crash: _Crash, weights: dict[Fingerprint, _Weight]
+) -> bool:
+    """Return whether another suspect is more likely to have caused the crash."""
+    holders = [s for s in crash.suspects if fingerprint in s.fingerprints]
+    companions = frozenset().union(*(s.fingerprints for s in holders))
+    own_weight = weights[fingerprint]
+    return any(
+        weights.get(other, _NO_WEIGHT) > own_weight
+        for suspect in crash.suspects
+        if fingerprint not in suspect.fingerprints
+        for other in suspect.fingerprints
+        if other not in companions
+    )
--- a/src/_monsoonpulley/quarantine/quarantine.py
+++ b/src/_monsoonpulley/quarantine/quarantine.py
@@ -17,7 +17,7 @@
 from ..ids import Fingerprint, InstanceId, ServiceId, VersionId
 from ..observability.log import Log
 from ..peers.rendezvous import choose_nodes
-from .attribution import CrashLedger, Culprits
+from .attribution import REPORT_DELAY_MS, CrashLedger, Culprits
 from .evidence import CrashReport, Entry, QuarantineNews
 from .fingerprint import outline_in
 
@@ -27,15 +27,26 @@
 MAX_TOLD_ENTRIES = 32
 """Entries in a digest: those that were refused most lately."""
 
-REPEAT_MS = 1_000
+REPEAT_MS = 500
 """News are sent again for this long, as datagrams get lost."""
 
+MAX_IMMEDIATE_REPORTS = 4
+"""Reports that are sent at once between two ticks. If many endpoints are lost together,
+the others wait for the tick, which sends them in one message."""
+
+MAX_MESSAGE_SUSPECTS = 60
+"""Suspects in a message: about 6 KB."""
+
 IDLE_EXPIRY_MS = 600_000
 """An entry ends after this long without a request that it refuses."""
 
 LIFTED_MEMORY_MS = 600_000
 """Lifted entries are remembered for this long, as peers may still tell of them."""
 
+DECISION_INTERVAL_MS = 500
+"""Without new reports, evidence is weighed again after this time: requests that were
+served meanwhile may show who is to blame."""
+
 TRIAL_AFTER_MS = 30_000
 """Time from the decision to the only trial, and from there on the time in which one
 instance may send it."""
@@ -104,6 +115,9 @@
         self._states: OrderedDict[str, _State] = OrderedDict()
         self._keys_by_fingerprint: dict[Fingerprint, list[str]] = {}
         self._lifted_wall_ms: dict[str, int] = {}
+        self._immediate_count = 0
+        self._has_new_evidence = False
+        self._reported_ms = self._decided_ms = clock.now_ms()
         self._fresh_reports: list[tuple[int, CrashReport]] = []
         self._fresh_entries: list[tuple[int, Entry]] = []
         self._fresh_lifted: list[tuple[int, str]] = []
@@ -206,8 +220,11 @@
             parts=sorted({p.fingerprint for s in report.suspects for p in s.parts}),
         )
         self._ledger.record_crash(report, now_ms)
+        self._note_evidence(now_ms)
         self._fresh_reports.append((now_ms, report))
-        self._send_news(QuarantineNews(reports=(report,)))
+        self._immediate_count += 1
+        if self._immediate_count <= MAX_IMMEDIATE_REPORTS:
+            self._send_news(QuarantineNews(reports=(report,)))
 
     def record_success(
         self, service: ServiceId, fingerprints: tuple[Fingerprint, ...]
@@ -244,6 +261,7 @@
         now_ms = self._clock.now_ms()
         for report in news.reports:
             self._ledger.record_crash(report, now_ms)
+            self._note_evidence(now_ms)
 
     def served_notices(self) -> dict[str, int]:
         """Return suspects that were served here lately, for the digest."""
@@ -298,7 +316,8 @@
         now_ms = self._clock.now_ms()
         if not self._ledger.is_empty:
             self._ledger.expire(now_ms)
-            if self._ledger.has_candidates:
+            is_due = now_ms - self._decided_ms >= DECISION_INTERVAL_MS
+            if self._ledger.has_candidates and (is_due or self._has_new_evidence):
                 self._decide(now_ms)
         self._repeat_news(now_ms)
         for state in list(self._states.values()):
@@ -311,8 +330,14 @@
             if wall_ms < earliest_wall_ms:
                 del self._lifted_wall_ms[key]
 
+    def _note_evidence(self, now_ms: int) -> None:
+        self._has_new_evidence, self._reported_ms = True, now_ms
+
     def _decide(self, now_ms: int) -> None:
         """Put culprits in quarantine that the evidence shows."""
+        # A last report may still be too young to be weighed.
+        self._has_new_evidence = now_ms - self._reported_ms < REPORT_DELAY_MS
+        self._decided_ms = now_ms
         for culprits in self._ledger.find_culprits(now_ms):
             self._quarantine(culprits)
 
@@ -384,11 +409,27 @@
         self._fresh_reports = [f for f in self._fresh_reports if f[0] >= earliest_ms]
         self._fresh_entries = [f for f in self._fresh_entries if f[0] >= earliest_ms]
         self._fresh_lifted = [f for f in self._fresh_lifted if f[0] >= earliest_ms]
-        for seen_ms, report in self._fresh_reports:
-            age_ms = report.age_ms + now_ms - seen_ms
-            aged = msgspec.structs.replace(report, age_ms=age_ms)
-            self._send_news(QuarantineNews(reports=(aged,)))
+        self._immediate_count = 0
+        aged = [
+            msgspec.structs.replace(report, age_ms=report.age_ms + now_ms - seen_ms)
+            for seen_ms, report in self._fresh_reports
+        ]
+        for reports in _split_by_suspects(aged):
+            self._send_news(QuarantineNews(reports=reports))
         entries = tuple(entry for _, entry in self._fresh_entries)
         lifted = {key: self._lifted_wall_ms[key] for _, key in self._fresh_lifted}
         if entries or lifted:
             self._send_news(QuarantineNews(entries=entries, lifted=lifted))
+
+
+def _split_by_suspects(reports: list[CrashReport]) -> list[tuple[CrashReport, ...]]:
+    """Return the reports in groups of few suspects, each for one message."""
+    groups: list[list[CrashReport]] = []
+    suspect_count = MAX_MESSAGE_SUSPECTS
+    for report in reports:
+        suspect_count += len(report.suspects)
+        if suspect_count > MAX_MESSAGE_SUSPECTS:
+            groups.append([])
+            suspect_count = len(report.suspects)
+        groups[-1].append(report)
+    return [tuple(group) for group in groups]
--- a/src/_monsoonpulley/requests/crashguard.py
+++ b/src/_monsoonpulley/requests/crashguard.py
@@ -30,6 +30,9 @@
 KEY_BYTES = 64
 """Longest key of a fingerprint."""
 
+MAX_ANNOUNCED = 1_000
+"""Announcements that are remembered so that they are not repeated."""
+
 BROKEN_REASONS = frozenset((Reason.PEER_ERROR, Reason.PROTOCOL))
 """Reasons of failures whose connection may have ended with its endpoint."""
 
@@ -100,7 +103,7 @@
         self._announce = announce
         self._clock = clock
         self._log = log
-        self._announced: set[bytes] = set()
+        self._announced: dict[bytes, None] = {}
         self._has_evidence = asyncio.Event()
         self._fingerprinter = Fingerprinter(key.encode()[:KEY_BYTES])
         self.quarantine = Quarantine(
@@ -234,13 +237,20 @@
 
     def _announce_once(self, news: QuarantineNews) -> None:
         """Announce what is new; the peers' messages repeat it themselves."""
-        aged = [msgspec.structs.replace(r, age_ms=0) for r in news.reports]
-        name = msgspec.msgpack.encode(msgspec.structs.replace(news, reports=aged))
-        if name not in self._announced:
-            self._announced.add(name)
+        reports = tuple(r for r in news.reports if self._is_new(_without_age(r)))
+        news = msgspec.structs.replace(news, reports=reports)
+        is_new = self._is_new(msgspec.structs.replace(news, reports=()))
+        if reports or is_new:
             self._announce(news)
-        if self.quarantine.is_idle:
-            self._announced.clear()
+
+    def _is_new(self, item: CrashReport | QuarantineNews) -> bool:
+        name = msgspec.msgpack.encode(item)
+        if name in self._announced:
+            return False
+        self._announced[name] = None
+        if len(self._announced) > MAX_ANNOUNCED:
+            del self._announced[next(iter(self._announced))]
+        return True
 
     async def _connect(self, endpoint: Endpoint) -> Failure | None:
         member = self._find_member(endpoint.id)
@@ -253,6 +263,10 @@
         return member is not None and member.state is MemberState.LIVE
 
 
+def _without_age(report: CrashReport) -> CrashReport:
+    return msgspec.structs.replace(report, age_ms=0)
+
+
 def _may_be_broken(failure: Failure) -> bool:
     return failure.delivery is Delivery.MAYBE and failure.reason in BROKEN_REASONS
 
