Count few crashes of each request against the parts of its prompt

Callers saw sound requests refused that shared a customer's part with one request that crashed endpoints by itself: its crashes and those of two bystanders made five crashes of three requests with the part.

Change: a request counts for three crashes of a part at most; the part then needs others that crash.

Test: testing.quarantine.test_fleet, TestFaultyRequests.

--- a/src/_monsoonpulley/quarantine/attribution.py
+++ b/src/_monsoonpulley/quarantine/attribution.py
@@ -21,7 +21,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
 
 import msgspec
@@ -71,6 +71,9 @@
         Requests of which each was sent after the crash under the one before.
     request_count : int
         Different requests.
+    crashes_per_request : int
+        Crashes that count for each of them: a request that crashes endpoints by itself
+        must not make its parts suspicious.
     success_count : int
         Requests without the fingerprint that this instance saw served meanwhile.
     max_chance : float
@@ -83,6 +86,7 @@
     crash_count: int
     round_count: int
     request_count: int
+    crashes_per_request: int
     success_count: int
     max_chance: float
     lookback_ms: int
@@ -93,6 +97,7 @@
         crash_count=5,
         round_count=3,
         request_count=3,
+        crashes_per_request=3,
         success_count=1,
         max_chance=0.01,
         lookback_ms=0,
@@ -101,6 +106,7 @@
         crash_count=3,
         round_count=2,
         request_count=1,
+        crashes_per_request=MAX_CRASHES,
         success_count=0,
         max_chance=0.01,
         lookback_ms=10_000,
@@ -274,6 +280,7 @@
                 if weights[fingerprint] >= highest[id(crash)]
                 or not _is_explained(fingerprint, crash, weights)
             ]
+            own = _limit_by_request(fingerprint, own, rule.crashes_per_request)
             if self._is_enough(fingerprint, own, rule):
                 key = (kind_of(fingerprint), tuple(id(crash) for crash in own))
                 groups.setdefault(key, []).append(fingerprint)
@@ -431,3 +438,18 @@
         for other in suspect.fingerprints
         if other not in companions
     )
+
+
+def _limit_by_request(
+    fingerprint: Fingerprint, crashes: list[_Crash], limit: int
+) -> list[_Crash]:
+    """Return the crashes without those beyond the limit of each request."""
+    counts: Counter[str] = Counter()
+    kept = []
+    for crash in crashes:
+        requests = {s.request for s in crash.suspects if fingerprint in s.fingerprints}
+        request = min(requests, key=lambda each: (counts[each], each))
+        counts[request] += 1
+        if counts[request] <= limit:
+            kept.append(crash)
+    return kept
