--- a/testing/quarantine/test_fleet.py
+++ b/testing/quarantine/test_fleet.py
@@ -152,6 +152,18 @@
                 self.assertLessEqual(count, MAX_FAULTY)
                 self.assertEqual(fleet.refused_sound_count, 0)
 
+    def test_a_request_that_crashes_endpoints_does_not_accuse_its_parts(self):
+        fleet = play(
+            9,
+            9,
+            2,
+            faulty=(repeated_request,),
+            faulty_per_s=2,
+            duration_ms=12_000,
+        )
+        self.assertGreaterEqual(len(fleet.crash_times_ms), self.CRASH_COUNT)
+        self.assertEqual(fleet.refused_sound_count, 0)
+
     def test_a_sound_request_that_clients_poll_is_not_refused(self):
         for seed in (1, 2):
             with self.subTest(seed=seed):
