--- a/testing/quarantine/test_fleet.py
+++ b/testing/quarantine/test_fleet.py
@@ -63,6 +63,11 @@
                     )
                 )
 
+    def test_few_are_sent_where_two_requests_and_their_repeats_made_five_crashes(self):
+        self.assert_bounded(
+            play(6, 9, 10, faulty=(BAD,), faulty_per_s=1, duration_ms=12_000)
+        )
+
     def test_few_are_sent_by_many_instances(self):
         self.assert_bounded(play(30, 30, 1, faulty=(BAD,), duration_ms=7_000))
 
