Blame a part for crashes of two different requests instead of three

Cause, shown by a played fleet that fails the same way: a request is sent up to four times, by two attempts and its caller's repeat, so that two requests make five crashes within a second. The part was blamed only with a third different request, and all of that one's sends came before the ledger had weighed its first crash.

Change: two different requests are enough, each counted for three crashes at most. One request that comes again and one bystander still make fewer than five.

A faulty part that always came with a sound one and then comes alone is again refused late (8 requests) and listed.

--- a/src/_monsoonpulley/quarantine/attribution.py
+++ b/src/_monsoonpulley/quarantine/attribution.py
@@ -9,8 +9,8 @@
   a request since the first of these crashes;
 - these requests were sent one after the other: endpoints that are lost together say
   nothing about the requests that they had;
-- for a part, they were several requests: a bystander may be repeated and meet the next
-  crash;
+- for a part, they were different requests: a bystander may be repeated and meet the
+  next crash;
 - no other suspect of the same crash is more likely to be its cause;
 - other requests to the service were served meanwhile, and so many that the crashes of
   these requests are not chance.
@@ -96,7 +96,7 @@
     FingerprintKind.PART: Rule(
         crash_count=5,
         round_count=3,
-        request_count=3,
+        request_count=2,
         crashes_per_request=3,
         success_count=1,
         max_chance=0.01,
