--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -272,6 +272,7 @@
         while self._request_tasks and self.clock.now_ms() - stop_ms < max_drain_ms:
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
         self.log.event("stopped", cut_off=len(self._request_tasks))
+        self.digest_exchange.close()
         self.store.close()
 
     def reload(self, settings: LocalSettings) -> None:
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -144,6 +144,12 @@
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
 
+    def close(self) -> None:
+        """Stop receiving and sending."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
     async def run(self) -> None:
         """Send digests and what is queued until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/src/_monsoonpulley/standins/rowstore.py
+++ b/src/_monsoonpulley/standins/rowstore.py
@@ -82,6 +82,10 @@
     async def listen(self) -> tuple[str, int]:
         """Serve on a free loopback port and return host and port."""
         await self._server.listen("127.0.0.1", 0)
+        return self.address()
+
+    def address(self) -> tuple[str, int]:
+        """Return host and port once the store listens."""
         return self._server.address()
 
     def close(self) -> None:
--- a/testing/ingress/site.py
+++ b/testing/ingress/site.py
@@ -180,11 +180,32 @@
 
 
 class Site:
-    """One ingress instance with its store and endpoints."""
+    """One ingress instance with its store and endpoints.
+
+    Parameters
+    ----------
+    number : int
+        Number of the instance, and of its data centre in the alphabet.
+    ip, peer_port : str, int
+        Where it listens, and receives messages of other instances; 0 is any port.
+    store : RowStoreStandin or None
+        A store that it shares with others and that listens already.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        number: int = 1,
+        ip: str = "127.0.0.1",
+        peer_port: int = 0,
+        store: RowStoreStandin | None = None,
+    ) -> None:
         self.clock = Clock.from_system()
-        self.store = RowStoreStandin(self.clock)
+        self.name = f"instance-{number}"
+        self._zone = f"zone-{'abcdef'[number - 1]}"
+        self._ip = ip
+        self._peer_port = peer_port
+        self._shares_store = store is not None
+        self.store = store or RowStoreStandin(self.clock)
         self.log_lines: list[dict] = []
         self.endpoints: list[EndpointStandin] = []
         self.service: IngressService | None = None
@@ -201,16 +222,19 @@
         return endpoint
 
     async def start(self, document: dict | None, **bounds: float) -> None:
-        ip, port = await self.store.listen()
+        if self._shares_store:
+            ip, port = self.store.address()
+        else:
+            ip, port = await self.store.listen()
         if document is not None:
             self.store.put("op", "config", document)
         settings = LocalSettings(
-            instance=InstanceId("instance-1"),
-            zone=ZoneId("zone-a"),
-            caller_address=Address("127.0.0.1", 0),
-            readiness_address=Address("127.0.0.1", 0),
-            peer_ip="127.0.0.1",
-            peer_ports=(0, 0),
+            instance=InstanceId(self.name),
+            zone=ZoneId(self._zone),
+            caller_address=Address(self._ip, 0),
+            readiness_address=Address(self._ip, 0),
+            peer_ip=self._ip,
+            peer_ports=(self._peer_port, self._peer_port),
             store_address=Address(ip, port),
             cloud_address=None,
             duties=(),
@@ -220,7 +244,7 @@
         log = Log(
             self.clock,
             lambda line: self.log_lines.append(json.loads(line)),
-            "instance-1",
+            self.name,
             keeps_lines=False,
         )
         self.service = IngressService(
@@ -238,8 +262,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self.service is not None:
             self.service.caller_server.stop_listening()
+            self.service.digest_exchange.close()
             self.service.store.close()
-        self.store.close()
+        if not self._shares_store:
+            self.store.close()
         for endpoint in self.endpoints:
             endpoint.close()
 
--- a/testing/soak/link.py
+++ b/testing/soak/link.py
@@ -62,6 +62,11 @@
         """Accept connections at an address."""
         self._server = await asyncio.start_server(self._accept, ip, port)
 
+    def address(self) -> tuple[str, int]:
+        """Return the address that it accepts connections at."""
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return ip, port
+
     def block(self, *directions: Direction) -> None:
         """Delay bytes in these directions until `heal`, as packet loss does."""
         for direction in directions:
