Separate the transfer of an answer from the attempt at an endpoint

A request that another instance sends on needs the same handling of answers: buffering, order of events, the caller's disconnect, time-outs. It moves to AnswerTransfer, with hooks for what an attempt at an endpoint learns from the answer.

--- /dev/null
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -0,0 +1,283 @@
+"""Receiving an answer and forwarding it to the caller."""
+
+from __future__ import annotations
+
+from ..platform.answerheaders import (
+    headers_for_caller,
+    is_event_stream,
+    is_sealed,
+    is_success,
+)
+from ..wire.clientconnection import ClientConnection
+from ..wire.events import (
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    AnswerIncomplete,
+    CallerDisconnected,
+    Event,
+    TimerExpired,
+)
+from .eventsplitter import EventSplitter, StreamEvent, is_after
+from .requestlog import Result
+from .requeststate import RequestState
+
+MAX_ANSWER_BYTES = 8_388_608
+"""Limit of a plain answer, which is buffered whole: a larger one would take the
+memory of other requests."""
+
+MIN_BUFFERED_BYTES = 65_536
+"""Size up to which an answer is buffered whatever others take."""
+
+
+class AnswerTransfer:
+    """Receives the answer to a request that was sent, and forwards it.
+
+    Subclasses send the request and learn from the answer, by the methods whose names
+    begin with ``_on_``.
+
+    Parameters
+    ----------
+    state : RequestState
+        The request and its progress.
+
+    Attributes
+    ----------
+    was_sent : bool
+        Whether the request was sent.
+    elapsed_ms : int
+        Time from the start of the attempt to its end.
+    first_byte_ms : int or None
+        Time from the start to the first byte of the answer, or to the first event
+        of a stream.
+    detail : str
+        Why the attempt failed, for log and metrics; empty if it succeeded.
+    event_count : int
+        Whole events of a stream that arrived.
+    broke_off : bool
+        Whether the connection ended before the answer was complete.
+    """
+
+    def __init__(self, state: RequestState):
+        self._state = state
+        self._parts = state.parts
+        self._started_ms = state.parts.clock.now_ms()
+        self._head: AnswerHead | None = None
+        self._body_chunks: list[bytes] = []
+        self._body_bytes = 0
+        self._held_bytes = 0
+        self._splitter: EventSplitter | None = None
+        self.event_count = 0
+        self.was_sent = False
+        self.broke_off = False
+        self.elapsed_ms = 0
+        self.first_byte_ms: int | None = None
+        self.detail = ""
+
+    @property
+    def status(self) -> int:
+        """Status in the head of the answer; 0 if none arrived."""
+        return self._head.status if self._head is not None else 0
+
+    def give_final_answer(self, result: Result, retry_after_ms: int) -> None:
+        """Answer the caller with the outcome of this attempt, the last one.
+
+        Parameters
+        ----------
+        result : Result
+            How the attempt ended.
+        retry_after_ms : int
+            When the caller may return if the request has not run.
+        """
+        state = self._state
+        if state.exchange.has_started:
+            state.respond(502, self.detail)
+        elif result is Result.FAILED and self._head is not None:
+            self._forward_answer(self._head)
+        elif result is Result.NOT_RUN and not state.may_have_run:
+            state.respond(503, self.detail, retry_after_ms)
+        else:
+            state.respond(502, self.detail)
+
+    def _was_not_run(self, head: AnswerHead) -> bool:
+        """Return whether an answer says that the request has not run."""
+        raise NotImplementedError
+
+    def _on_head(self, head: AnswerHead) -> None:
+        """Learn from the head of an answer."""
+
+    def _on_start(self) -> None:
+        """Learn that the request was begun, from an answer that is no stream."""
+
+    def _on_first_event(self) -> None:
+        """Learn from the first event of a stream."""
+
+    def _on_later_event(self) -> None:
+        """Learn from an event after the first."""
+
+    async def _receive(self, connection: ClientConnection) -> Result:
+        mailbox = self._state.exchange.mailbox
+        while True:
+            source, event = await mailbox.get()
+            if isinstance(event, CallerDisconnected):
+                connection.abort()
+                self._state.may_have_run = True
+                return self._handle_disconnect()
+            if isinstance(event, TimerExpired):
+                connection.abort()
+                if self._head is None or not self._was_not_run(self._head):
+                    self._state.may_have_run = True
+                    if not self._state.is_stream:
+                        self._on_start()
+                self._state.respond_timeout()
+                return Result.TIMED_OUT
+            if source is not connection:
+                continue
+            result = self._handle_event(connection, event)
+            if result is not None:
+                if result is Result.INVALID:
+                    connection.abort()
+                return result
+
+    def _handle_event(
+        self, connection: ClientConnection, event: Event
+    ) -> Result | None:
+        """Handle one event of the answer; return the result if it decides one."""
+        if isinstance(event, AnswerHead):
+            return self._handle_head(connection, event)
+        if isinstance(event, AnswerData):
+            return self._handle_data(event.data)
+        if isinstance(event, AnswerEnd):
+            return self._handle_end(event)
+        assert isinstance(event, AnswerIncomplete)
+        return self._handle_incomplete(event)
+
+    def _handle_head(
+        self, connection: ClientConnection, head: AnswerHead
+    ) -> Result | None:
+        self._head = head
+        self._on_head(head)
+        if self._was_not_run(head):
+            return None
+        self._state.may_have_run = True
+        if not is_success(head):
+            return None
+        if not is_sealed(head, self._state.facts.request_id):
+            return self._reject_answer(
+                "a success without its signature, id or plain body"
+            )
+        if self._state.is_stream and is_event_stream(head):
+            self._splitter = EventSplitter()
+            self._state.exchange.set_upstream(connection)
+        return None
+
+    def _handle_data(self, data: bytes) -> Result | None:
+        if self._splitter is not None:
+            for event in self._splitter.feed(data):
+                self._forward_event(event)
+            if self._splitter.is_too_large:
+                return self._reject_answer("an event is too large")
+            return None
+        assert self._head is not None
+        if self._was_not_run(self._head):
+            return self._discard_refusal_body(len(data))
+        self._body_bytes += len(data)
+        memory = self._parts.answer_memory
+        memory.add(len(data))
+        self._held_bytes += len(data)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            return self._reject_answer("the answer is too large")
+        if memory.is_exhausted and self._body_bytes > MIN_BUFFERED_BYTES:
+            return self._reject_answer("answers take too much memory")
+        self._body_chunks.append(data)
+        return None
+
+    def _discard_refusal_body(self, size_bytes: int) -> Result | None:
+        """Skip the body of an answer that says that the request did not run."""
+        self._body_bytes += size_bytes
+        if self._body_bytes <= MIN_BUFFERED_BYTES:
+            return None
+        self.detail = "not run, the refusal is too large"
+        return Result.NOT_RUN
+
+    def _handle_end(self, end: AnswerEnd) -> Result:
+        head = self._head
+        assert head is not None
+        if self._was_not_run(head):
+            self.detail = f"not run, status {head.status}"
+            return Result.NOT_RUN
+        if not is_success(head):
+            self._on_start()
+            self.detail = f"status {head.status}"
+            return Result.FAILED
+        if self._splitter is None:
+            self._on_start()
+            self._forward_answer(head)
+            return Result.ANSWERED
+        if self._splitter.has_partial_event:
+            self.broke_off = True
+            return self._reject_answer("the stream ended within an event")
+        if not end.is_framed and not self.event_count:
+            self.broke_off = True
+            return self._reject_answer("the connection ended before the first event")
+        if not self._state.exchange.has_started:
+            self._start_stream()
+        self._state.exchange.end()
+        self._state.record_answer(head.status)
+        return Result.ANSWERED
+
+    def _handle_incomplete(self, event: AnswerIncomplete) -> Result:
+        if self._head is not None and self._was_not_run(self._head):
+            self.detail = f"not run, status {self._head.status}"
+            return Result.NOT_RUN
+        self._state.may_have_run = True
+        self.broke_off = True
+        if self._splitter is None:
+            self._on_start()
+        return self._reject_answer(event.detail)
+
+    def _forward_event(self, event: StreamEvent) -> None:
+        state = self._state
+        if event.id is not None:
+            if not is_after(event.id, state.last_event_id):
+                return
+            state.last_event_id = event.id
+        self.event_count += 1
+        if self.first_byte_ms is None:
+            self._record_first_byte()
+            self._on_first_event()
+        else:
+            self._on_later_event()
+        if not state.exchange.has_started:
+            self._start_stream()
+        state.exchange.write(event.raw)
+
+    def _start_stream(self) -> None:
+        assert self._head is not None
+        self._record_first_byte()
+        self._state.exchange.start(self._head.status, headers_for_caller(self._head))
+
+    def _forward_answer(self, head: AnswerHead) -> None:
+        self._record_first_byte()
+        self._state.exchange.respond(
+            head.status, headers_for_caller(head), b"".join(self._body_chunks)
+        )
+        self._state.record_answer(head.status, self.detail)
+
+    def _record_first_byte(self) -> None:
+        now_ms = self._parts.clock.now_ms()
+        if self.first_byte_ms is None:
+            self.first_byte_ms = now_ms - self._started_ms
+        if self._state.first_byte_ms is None:
+            self._state.first_byte_ms = (
+                now_ms - self._state.exchange.request.received_ms
+            )
+
+    def _handle_disconnect(self) -> Result:
+        self._state.handle_disconnect()
+        self.detail = self._state.detail
+        return Result.CALLER_LEFT
+
+    def _reject_answer(self, detail: str) -> Result:
+        self.detail = detail
+        return Result.INVALID
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -331,7 +331,7 @@
         document["tenants"][0]["quota"] = {"rate_per_s": 10, "burst": 10}
         await self.site.start(document)
         with mock.patch(
-            "_monsoonpulley.ingress.attempt.is_success", side_effect=RuntimeError
+            "_monsoonpulley.ingress.answertransfer.is_success", side_effect=RuntimeError
         ):
             got = await self.site.send_request("a1")
         self.assertEqual(got.status, 502)
