Let other instances serve requests for which links are lost

What callers saw: an instance that lost its links to the endpoints answered 503 to everybody (0 of 101 first tries served beside 295 of 296 at the others) although callers, the store and all other instances reached it, until the links were back.

Cause: each instance served requests over its own links only, and had no notion of a link: a failed connection counted against the endpoint, was tried again by each request for up to 300 ms, three times, and then refused. Evidence: in the collected logs all 223 attempts after 8 s are unreachable, while heard is 6 of 6.

Change: EndpointLinks holds which links are lost, learnt from connections and probed every 500 ms; several lost ones without anything heard since mean that all are. Digests tell the number of lost links by service. A request that this instance can't place goes to an instance with more links, over HTTP at the port of the digests, which serves it like a caller's own: it authenticates, charges, counts and learns there; it isn't sent on again. Its own answers are marked, so that not_run is told apart from an endpoint's answer.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -115,6 +115,9 @@
     def _on_later_event(self) -> None:
         """Learn from an event after the first."""
 
+    def _on_broken(self, event: AnswerIncomplete) -> None:
+        """Learn from a connection that ended before the answer was complete."""
+
     async def _receive(self, connection: ClientConnection) -> Result:
         mailbox = self._state.exchange.mailbox
         while True:
@@ -227,6 +230,7 @@
         return Result.ANSWERED
 
     def _handle_incomplete(self, event: AnswerIncomplete) -> Result:
+        self._on_broken(event)
         if self._head is not None and self._was_not_run(self._head):
             self.detail = f"not run, status {self._head.status}"
             return Result.NOT_RUN
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -14,8 +14,9 @@
 )
 from ..platform.requestheaders import REQUEST_ID_FIELD, encode_endpoint_request
 from ..wire.clientconnection import ClientConnection
-from ..wire.events import AnswerHead
+from ..wire.events import AnswerHead, AnswerIncomplete
 from .answertransfer import AnswerTransfer
+from .parts import record_lost_link
 from .requestlog import Result
 from .requeststate import RequestState
 
@@ -157,6 +158,7 @@
         return was_not_run(head)
 
     def _on_head(self, head: AnswerHead) -> None:
+        self._parts.links.record_contact(self._parts.clock.now_ms())
         self._record_rate_limit(head)
         self._record_pause(head)
         if says_leaving(head):
@@ -165,16 +167,26 @@
     def _on_start(self) -> None:
         self._record_start(self._started_wall_ms)
 
+    def _on_broken(self, event: AnswerIncomplete) -> None:
+        now_ms = self._parts.clock.now_ms()
+        links = self._parts.links
+        links.record_broken(self._endpoint.id, now_ms)
+        if event.is_timeout or self._head is None:
+            record_lost_link(
+                links, self._endpoint, event.detail, now_ms, self._parts.log
+            )
+
     def _on_first_event(self) -> None:
         self._record_start(self._parts.clock.wall_ms())
         self._record_prefill_end()
         self._record_first_event()
 
     def _on_later_event(self) -> None:
+        now_ms = self._parts.clock.now_ms()
+        self._parts.links.record_contact(now_ms)
         if self._is_proven:
             return
         assert self.first_byte_ms is not None
-        now_ms = self._parts.clock.now_ms()
         self._is_proven = now_ms - self._started_ms >= self.first_byte_ms + PROOF_MS
         if self._is_proven:
             self._state.record_served()
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -65,6 +65,17 @@
             ("service", "result"),
             registry=self.registry,
         )
+        self.lost_links = Gauge(
+            "monsoonpulley_lost_links",
+            "Endpoints that this instance can't connect to.",
+            registry=self.registry,
+        )
+        self.peer_attempts = Counter(
+            "monsoonpulley_peer_attempts",
+            "Requests that other instances were asked to serve, by service and result.",
+            ("service", "result"),
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "monsoonpulley_store_calls",
             "Calls to the platform's store, by name and result.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -9,6 +9,7 @@
 
 from ..clock import Clock
 from ..duties.usage import UsageCounter
+from ..errors import Failure
 from ..fleet.configurationholder import ConfigurationHolder
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Configuration, Endpoint
@@ -21,6 +22,7 @@
 from ..observability.log import Log
 from ..placing.demandmeter import DemandMeter
 from ..placing.endpointgate import EndpointGate
+from ..placing.endpointlinks import EndpointLinks
 from ..placing.endpointmodels import EndpointModels
 from ..placing.health import EndpointHealth
 from ..placing.loadboard import LoadBoard
@@ -38,6 +40,7 @@
 from ..sharing.members import Members
 from .answermemory import AnswerMemory
 from .counters import Counters
+from .peerpools import PeerPools
 from .upstreams import Upstreams
 
 
@@ -56,6 +59,7 @@
     rate_limits: EndpointRateLimits
     pauses: EndpointPauses
     gate: EndpointGate
+    links: EndpointLinks
     load_board: LoadBoard
     health: EndpointHealth
     cache_index: PromptCacheIndex
@@ -65,6 +69,7 @@
     placer: Placer
     zone_reach: ZoneReach
     upstreams: Upstreams
+    peer_pools: PeerPools
     answer_memory: AnswerMemory
     fingerprinter: Fingerprinter
     served_parts: ServedParts
@@ -100,7 +105,8 @@
         rate_limits = EndpointRateLimits(settings.instance, rng, _log_rate_limits(log))
         pauses = EndpointPauses()
         directory = EndpointDirectory(clock, log, on_endpoint_removed)
-        upstreams = Upstreams(clock)
+        links = EndpointLinks()
+        upstreams = Upstreams(clock, _record_connections(links, clock, log))
         quarantine = Quarantine(
             settings.instance,
             clock,
@@ -138,6 +144,7 @@
             rate_limits=rate_limits,
             pauses=pauses,
             gate=EndpointGate(rate_limits, pauses, rng),
+            links=links,
             load_board=load_board,
             health=health,
             cache_index=cache_index,
@@ -147,6 +154,7 @@
             placer=Placer(load_board, health, cache_index, endpoint_models, rng),
             zone_reach=ZoneReach(),
             upstreams=upstreams,
+            peer_pools=PeerPools(clock),
             answer_memory=AnswerMemory(),
             fingerprinter=Fingerprinter(),
             served_parts=ServedParts(),
@@ -164,6 +172,41 @@
         )
 
 
+def _record_connections(
+    links: EndpointLinks, clock: Clock, log: Log
+) -> Callable[[Endpoint, Failure | None], None]:
+    def record(endpoint: Endpoint, failure: Failure | None) -> None:
+        now_ms = clock.now_ms()
+        if failure is not None:
+            record_lost_link(links, endpoint, str(failure), now_ms, log)
+            return
+        lost_for_ms = links.record_connected(endpoint.id, now_ms)
+        if lost_for_ms is not None:
+            log.event(
+                "endpoint_link_regained",
+                endpoint=endpoint.id,
+                lost_for_ms=lost_for_ms,
+                still_lost=links.lost_count,
+            )
+
+    return record
+
+
+def record_lost_link(
+    links: EndpointLinks, endpoint: Endpoint, error: str, now_ms: int, log: Log
+) -> None:
+    """Record that an endpoint can't be reached; log it once."""
+    if links.record_lost(endpoint, now_ms):
+        log.event(
+            "endpoint_link_lost",
+            endpoint=endpoint.id,
+            zone=endpoint.zone,
+            error=error,
+            lost=links.lost_count,
+            is_cut_off=links.is_cut_off(),
+        )
+
+
 def _log_rate_limits(
     log: Log,
 ) -> Callable[[EndpointId, float | None, float | None, InstanceId], None]:
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -79,6 +79,39 @@
     parts: tuple[str, ...] = ()
 
 
+class PeerAttemptEnded(Decision, frozen=True, tag="peer_attempt", kw_only=True):
+    """A request that another instance was asked to serve, and why.
+
+    Attributes
+    ----------
+    peer : str
+        The other instance.
+    lost, known : int
+        Lost links to ready endpoints of the service, and all of these endpoints.
+    is_cut_off : bool
+        Whether all links are presumed lost.
+    digest_age_ms : int
+        Age of what is known of the other instance.
+    outcome : str
+        What the other instance said itself; empty if an endpoint answered.
+    """
+
+    request: str
+    peer: str
+    service: str
+    lost: int
+    known: int
+    is_cut_off: bool
+    digest_age_ms: int
+    left_ms: int
+    took_ms: int
+    first_ms: int | None
+    result: str
+    outcome: str
+    detail: str = ""
+    status: int = 0
+
+
 class RequestEnded(Decision, frozen=True, tag="request", kw_only=True):
     """How a request ended for its caller.
 
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -6,18 +6,22 @@
 import math
 import random
 
-from ..fleet.model import Configuration, Route
-from ..ids import ServiceId
+from ..fleet.model import Configuration, Endpoint, Route
+from ..ids import InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
 from ..placing.endpointgate import Admission
 from ..placing.placer import Choice, PlacementRefusal, Requirements
+from ..platform.answerheaders import PeerOutcome
 from ..quarantine.evidence import Entry
 from ..quarantine.quarantine import RETRY_AFTER_MS
+from ..sharing.helpers import choose_helper, find_helpers
+from ..sharing.members import Member
 from ..wire.events import TimerExpired
 from ..wire.serverconnection import Exchange
 from .attempt import Attempt
 from .parts import IngressParts
-from .requestlog import AttemptEnded, RequestEnded, Result
+from .peerattempt import PeerAttempt
+from .requestlog import AttemptEnded, PeerAttemptEnded, RequestEnded, Result
 from .requeststate import UNAVAILABLE_RETRY_MS, RequestState
 
 NO_CONFIGURATION_RETRY_MS = 1_000
@@ -30,6 +34,11 @@
 """The request is refused after this many endpoints were unreachable."""
 
 
+MAX_HELPERS = 2
+"""Other instances that are asked to serve a request: the digests that tell who reaches
+endpoints may be older than a cut."""
+
+
 class RequestRun(RequestState):
     """Admits one request, attempts it at endpoints and answers its caller.
 
@@ -41,14 +50,24 @@
         State that all requests share.
     rng : random.Random
         Splits a route's traffic between services.
+    is_from_peer : bool
+        Whether another instance sent the request on; it is not sent on again.
     """
 
-    def __init__(self, exchange: Exchange, parts: IngressParts, rng: random.Random):
-        super().__init__(exchange, parts)
+    def __init__(
+        self,
+        exchange: Exchange,
+        parts: IngressParts,
+        rng: random.Random,
+        *,
+        is_from_peer: bool = False,
+    ):
+        super().__init__(exchange, parts, is_from_peer=is_from_peer)
         self._rng = rng
         self._quota_cost = 0.0
         self._unreachable_count = 0
         self._admission = Admission(())
+        self._helper_ids: set[InstanceId] = set()
         self._is_demand_counted = False
         self._spent_ms = 0
 
@@ -169,6 +188,11 @@
                 self._refuse_quarantined(entry)
                 return
             choice = self._choose()
+            if isinstance(choice, PlacementRefusal):
+                helper = choose_helper(self._find_helpers(), self._rng)
+                if helper is not None:
+                    await self._ask_helper(helper)
+                    continue
             self._count_demand(choice)
             if isinstance(choice, PlacementRefusal):
                 self._refuse(choice)
@@ -186,6 +210,7 @@
                 self._unreachable_count += 1
                 if self._unreachable_count < MAX_UNREACHABLE_ENDPOINTS:
                     continue
+                self.has_no_link = True
                 self._refuse(
                     PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
                 )
@@ -194,6 +219,68 @@
                 attempt.give_final_answer(result, self._not_run_retry_ms())
                 return
 
+    def _find_helpers(self) -> list[Member]:
+        """Return the instances that can perhaps serve what this one would refuse.
+
+        They have more links to endpoints.
+        """
+        assert self.service is not None and self.configuration is not None
+        parts = self.parts
+        if self.is_from_peer or len(self._helper_ids) >= MAX_HELPERS:
+            return []
+        lost_count = parts.links.unreachable_count(self._untried_endpoints())
+        if not lost_count:
+            return []
+        return find_helpers(
+            parts.members,
+            self.service.id,
+            lost_count,
+            self.configuration.version,
+            self._helper_ids,
+        )
+
+    async def _ask_helper(self, helper: Member) -> None:
+        """Let another instance serve the request and answer, unless it can't."""
+        assert self.service is not None
+        self._helper_ids.add(helper.instance)
+        self._release_charges()
+        attempt = PeerAttempt(self, helper)
+        result = await attempt.run()
+        self._log_peer_attempt(attempt, result)
+        if self.exchange.is_over:
+            return
+        is_unserved = result is Result.UNREACHABLE or (
+            result is Result.NOT_RUN and attempt.outcome is PeerOutcome.NO_LINK
+        )
+        if is_unserved or (result is Result.INVALID and self._may_retry(result)):
+            self._charge_again()
+            return
+        attempt.give_final_answer(result, UNAVAILABLE_RETRY_MS)
+
+    def _release_charges(self) -> None:
+        """Uncount the request here, as the other instance counts it."""
+        assert self.service is not None
+        self.parts.retry_budget.uncount_request(self.service.id)
+        if self.customer is not None:
+            self.parts.quotas.refund(self.customer.id, self._quota_cost)
+        self._quota_cost = 0.0
+
+    def _charge_again(self) -> None:
+        """Count a request that the other instance didn't serve."""
+        assert self.service is not None
+        self.parts.retry_budget.count_request(
+            self.service.id, self.parts.clock.now_ms()
+        )
+        self._consume_quota()
+
+    def _untried_endpoints(self) -> tuple[Endpoint, ...]:
+        assert self.service is not None
+        parts = self.parts
+        eligible = parts.rollouts.eligible_endpoints(
+            self.service.id, parts.directory.ready_endpoints(self.service.id)
+        )
+        return tuple(e for e in eligible if e.id not in self.tried_ids)
+
     def _may_try(self, entry: Entry) -> bool:
         """Return whether this request may show that an entry no longer holds."""
         assert self.service is not None
@@ -214,13 +301,14 @@
             remaining_ms=self.remaining_ms(),
             max_wait_ms=self._max_wait_ms(now_ms),
         )
-        eligible = parts.rollouts.eligible_endpoints(
-            self.service.id, parts.directory.ready_endpoints(self.service.id)
-        )
-        untried = tuple(e for e in eligible if e.id not in self.tried_ids)
-        self._admission = parts.gate.admit(untried, now_ms)
-        if untried and not self._admission.usable:
-            return parts.gate.refuse(untried, self.facts.prompt_tokens, now_ms)
+        untried = self._untried_endpoints()
+        linked = self._linked_endpoints(untried)
+        if untried and not linked:
+            self.has_no_link = True
+            return PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
+        self._admission = parts.gate.admit(linked, now_ms)
+        if linked and not self._admission.usable:
+            return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
         choice = parts.placer.choose(
             requirements,
             self._admission.usable,
@@ -233,6 +321,23 @@
             parts.gate.record_send(choice.endpoint.id, now_ms)
         return choice
 
+    def _linked_endpoints(
+        self, endpoints: tuple[Endpoint, ...]
+    ) -> tuple[Endpoint, ...]:
+        """Return the endpoints to try from here.
+
+        These are the ones to which there presumably are links. Once no other instance
+        can help, all are tried to which the link isn't known to be lost, or to which
+        a connection is open.
+        """
+        links, upstreams = self.parts.links, self.parts.upstreams
+        reachable = links.reachable(endpoints)
+        if reachable or self._find_helpers():
+            return reachable
+        return tuple(
+            e for e in endpoints if not links.is_lost(e.id) or upstreams.has_idle(e)
+        )
+
     def _not_run_retry_ms(self) -> int:
         """Return when a request that endpoints refused to run may return."""
         assert self.service is not None
@@ -321,6 +426,33 @@
             )
         )
 
+    def _log_peer_attempt(self, attempt: PeerAttempt, result: Result) -> None:
+        assert self.service is not None
+        parts = self.parts
+        now_ms = parts.clock.now_ms()
+        ready = parts.directory.ready_endpoints(self.service.id)
+        outcome = attempt.outcome
+        parts.counters.peer_attempts.labels(self.service.id, result.value).inc()
+        parts.log.decision(
+            PeerAttemptEnded(
+                rule="no_link_to_an_endpoint",
+                request=self.request_id,
+                peer=attempt.peer.instance,
+                service=self.service.id,
+                lost=sum(parts.links.is_lost(endpoint.id) for endpoint in ready),
+                known=len(ready),
+                is_cut_off=parts.links.is_cut_off(),
+                digest_age_ms=now_ms - (attempt.peer.last_received_ms or 0),
+                left_ms=self.remaining_ms(),
+                took_ms=attempt.elapsed_ms,
+                first_ms=attempt.first_byte_ms,
+                result=result.value,
+                outcome=outcome.value.decode() if outcome is not None else "",
+                detail=attempt.detail,
+                status=attempt.status,
+            )
+        )
+
     def _log_request(self) -> None:
         now_ms = self.parts.clock.now_ms()
         received_ms = self.exchange.request.received_ms
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -5,8 +5,12 @@
 from ..fleet.model import Configuration, Customer, Route, RouteKind, Service
 from ..ids import CustomerId, EndpointId, Fingerprint
 from ..placing.promptcacheindex import PromptPart
-from ..platform.answerheaders import local_answer_headers
-from ..platform.requestheaders import parse_request_headers
+from ..platform.answerheaders import (
+    PROMISES_NOT_RUN,
+    PeerOutcome,
+    local_answer_headers,
+)
+from ..platform.requestheaders import parse_request_headers, read_send_count
 from ..quarantine.evidence import Entry, PartEvidence, Suspect
 from ..wire.serverconnection import Exchange
 from .parts import IngressParts
@@ -26,6 +30,8 @@
         The request and the writer of its answer.
     parts : IngressParts
         State that all requests share.
+    is_from_peer : bool
+        Whether another instance sent the request on, instead of a caller.
 
     Attributes
     ----------
@@ -36,7 +42,9 @@
     tried_ids : set of EndpointId
         Endpoints that got the request or were unreachable.
     send_count : int
-        How often the request was sent to an endpoint.
+        How often the request was sent to an endpoint, also by another instance before.
+    has_no_link : bool
+        Whether this instance gave up since it reaches no endpoint.
     may_have_run : bool
         Whether an endpoint may have started the request.
     is_trial : bool
@@ -49,7 +57,9 @@
         Id of the last stream event that was forwarded to the caller.
     """
 
-    def __init__(self, exchange: Exchange, parts: IngressParts):
+    def __init__(
+        self, exchange: Exchange, parts: IngressParts, *, is_from_peer: bool = False
+    ):
         self.exchange = exchange
         self.parts = parts
         self.facts = parse_request_headers(exchange.request)
@@ -60,7 +70,9 @@
         self.service: Service | None = None
         self.deadline_ms = 0
         self.tried_ids: set[EndpointId] = set()
-        self.send_count = 0
+        self.is_from_peer = is_from_peer
+        self.send_count = read_send_count(exchange.request) if is_from_peer else 0
+        self.has_no_link = False
         self.may_have_run = False
         self.is_trial = False
         self.is_usage_recorded = False
@@ -83,10 +95,17 @@
             return
         self.status = status
         self.retry_after_ms = retry_after_ms
+        outcome = self._peer_outcome(status) if self.is_from_peer else None
         self.exchange.respond(
-            status, local_answer_headers(self.facts.request_id, retry_after_ms)
+            status,
+            local_answer_headers(self.facts.request_id, retry_after_ms, outcome),
         )
 
+    def _peer_outcome(self, status: int) -> PeerOutcome:
+        if self.may_have_run or status not in PROMISES_NOT_RUN:
+            return PeerOutcome.FINAL
+        return PeerOutcome.NO_LINK if self.has_no_link else PeerOutcome.NOT_RUN
+
     def record_answer(self, status: int, detail: str = "") -> None:
         """Record that an endpoint's answer was forwarded to the caller."""
         self.status = status
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -54,6 +54,10 @@
 TICK_INTERVAL_MS = 250
 """Interval of the periodic work in `IngressService.tick`."""
 
+LINK_PROBE_INTERVAL_MS = 500
+"""Interval of connections to an endpoint to which the link is lost. Requests that it
+could serve meanwhile go to others."""
+
 MIN_STALL_MS = 1_000
 """A tick this late is logged: the process stood still, and its knowledge of the
 other instances is out of date."""
@@ -133,6 +137,7 @@
             log,
         )
         self.caller_server = HttpServer(self._on_request, self._caller_limits, clock)
+        self.peer_server = HttpServer(self._on_peer_request, self._caller_limits, clock)
         self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
         self._followers = self._make_followers()
@@ -226,7 +231,9 @@
             ("registration", self._registration.run),
             ("quarantine", self._quarantine_rows.run),
             ("sweep", self.caller_server.sweep),
+            ("sweep/peers", self.peer_server.sweep),
             ("tick", self._tick),
+            ("links", self._probe_links),
         ]
 
     @property
@@ -256,6 +263,7 @@
         )
         await self._metrics_server.listen(settings.peer_ip, metrics_port)
         await self.digest_exchange.listen(settings.peer_ip, settings.peer_ports[0])
+        await self.peer_server.listen(settings.peer_ip, settings.peer_ports[0])
 
     async def stop(self) -> None:
         """Stop after the requests in progress, or near the end of the grace period."""
@@ -264,8 +272,10 @@
         self.log.event("stopping", in_progress=len(self._request_tasks))
         self.digest_exchange.broadcast_digest()
         self.caller_server.drain()
+        self.peer_server.drain()
         await self.clock.sleep_ms(DRAIN_LISTEN_MS)
         self.caller_server.stop_listening()
+        self.peer_server.stop_listening()
         max_drain_ms = (
             round(self.settings.bounds.grace_period_s * 1000) - DRAIN_MARGIN_MS
         )
@@ -289,7 +299,12 @@
         )
 
     def _on_request(self, exchange: Exchange) -> None:
-        run = RequestRun(exchange, self.parts, self._rng)
+        self._start_run(RequestRun(exchange, self.parts, self._rng))
+
+    def _on_peer_request(self, exchange: Exchange) -> None:
+        self._start_run(RequestRun(exchange, self.parts, self._rng, is_from_peer=True))
+
+    def _start_run(self, run: RequestRun) -> None:
         task = asyncio.get_running_loop().create_task(run.run())
         self._request_tasks.add(task)
         task.add_done_callback(self._on_request_done)
@@ -341,6 +356,7 @@
         self.parts.health.remove(endpoint.id)
         self.parts.rate_limits.remove(endpoint.id)
         self.parts.pauses.remove(endpoint.id)
+        self.parts.links.remove(endpoint.id)
 
     def _build_digest(self, is_full: bool, to_all: bool) -> Digest:
         self._digest_sequence += 1
@@ -376,8 +392,22 @@
             leaving=parts.directory.leaving_notices(),
             quarantined=parts.quarantine.told_entries() if is_full else (),
             served=parts.quarantine.served_notices() if is_full else {},
+            lost_links=self._lost_links(),
         )
 
+    def _lost_links(self) -> dict[str, int]:
+        parts = self.parts
+        current = parts.configuration.current
+        if not parts.links.lost_count or current is None:
+            return {}
+        counts = {
+            service: parts.links.unreachable_count(
+                parts.directory.ready_endpoints(service)
+            )
+            for service in current.services
+        }
+        return {service: count for service, count in counts.items() if count}
+
     def _on_digest(self, digest: Digest) -> None:
         parts = self.parts
         peer = InstanceId(digest.instance)
@@ -483,6 +513,27 @@
         parts.directory.expire()
         parts.usage.expire(self.clock.wall_ms())
         parts.upstreams.sweep()
+        parts.peer_pools.sweep()
+        self.counters.lost_links.set(parts.links.lost_count)
+
+    async def _probe_links(self) -> None:
+        """Look whether lost links work again, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(TICK_INTERVAL_MS)
+            endpoints = self._endpoints_to_probe()
+            if endpoints:
+                await asyncio.gather(*map(self.parts.upstreams.probe, endpoints))
+
+    def _endpoints_to_probe(self) -> list[Endpoint]:
+        parts = self.parts
+        endpoints = parts.links.take_probes(self.clock.now_ms(), LINK_PROBE_INTERVAL_MS)
+        if endpoints and parts.links.is_cut_off():
+            # Those that were tried may have ended while others are reachable.
+            untried = [
+                e for e in parts.directory.all() if not parts.links.is_lost(e.id)
+            ]
+            endpoints += self._rng.sample(untried, min(1, len(untried)))
+        return endpoints
 
 
 def _wire_lease_row(announced: AnnouncedRow | None) -> AnnouncedRow | None:
--- a/src/_monsoonpulley/ingress/upstreams.py
+++ b/src/_monsoonpulley/ingress/upstreams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..clock import Clock
 from ..errors import Failure, Reason
 from ..fleet.model import Endpoint
@@ -16,10 +18,16 @@
     ----------
     clock : Clock
         Measures idle time.
+    on_open : callable
+        Called after each try to open a connection with the endpoint and the
+        `Failure`, if any.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(
+        self, clock: Clock, on_open: Callable[[Endpoint, Failure | None], None]
+    ):
         self._clock = clock
+        self._on_open = on_open
         self._pools: dict[EndpointId, ConnectionPool] = {}
         self._closed_opened_count = 0
 
@@ -38,12 +46,21 @@
             if pool is not None:
                 self._close_pool(pool)
             pool = ConnectionPool(
-                endpoint.ip, endpoint.port, self._clock, max_connections
+                endpoint.ip,
+                endpoint.port,
+                self._clock,
+                max_connections,
+                lambda failure: self._on_open(endpoint, failure),
             )
             self._pools[endpoint.id] = pool
         pool.max_connections = max_connections
         return pool
 
+    def has_idle(self, endpoint: Endpoint) -> bool:
+        """Return whether a connection to an endpoint is open and not in use."""
+        pool = self._pools.get(endpoint.id)
+        return pool is not None and pool.has_idle
+
     async def probe(self, endpoint: Endpoint) -> Failure | None:
         """Open a connection to an endpoint that was connected before.
 
--- a/src/_monsoonpulley/limits/retrybudget.py
+++ b/src/_monsoonpulley/limits/retrybudget.py
@@ -30,6 +30,11 @@
         """Record one event."""
         self._event_times_ms.append(now_ms)
 
+    def remove_newest(self) -> None:
+        """Remove the newest event, if it is still in the window."""
+        if self._event_times_ms:
+            self._event_times_ms.pop()
+
     def count(self, now_ms: int) -> int:
         """Return the number of events in the window that ends now."""
         while (
@@ -72,6 +77,10 @@
         """Record a caller's request for a service."""
         self._window_of(self._requests, service).add(now_ms)
 
+    def uncount_request(self, service: ServiceId) -> None:
+        """Remove the newest recorded request: another instance counts it."""
+        self._window_of(self._requests, service).remove_newest()
+
     def try_acquire(self, service: ServiceId, now_ms: int) -> bool:
         """Take one retry from the budget; return whether one was left."""
         requests = self._window_of(self._requests, service).count(now_ms)
--- a/src/_monsoonpulley/platform/answerheaders.py
+++ b/src/_monsoonpulley/platform/answerheaders.py
@@ -4,6 +4,7 @@
 
 import email.utils
 import math
+from enum import Enum
 
 from ..errors import Failure, Reason
 from ..wire.events import AnswerHead, HeaderList
@@ -14,6 +15,7 @@
 _REQUEST_ID = names.REQUEST_ID.lower()
 _LEAVING = names.LEAVING.lower()
 _RATE_LIMIT = names.RATE_LIMIT.lower()
+_PEER_OUTCOME = names.PEER_OUTCOME.lower()
 
 _CONNECTION_HEADERS = frozenset(
     (
@@ -25,9 +27,13 @@
         b"transfer-encoding",
         b"upgrade",
         b"content-length",
+        _PEER_OUTCOME,
     )
 )
-"""Headers that apply to the connection with the endpoint only; not forwarded."""
+"""Headers that apply to one connection only; not forwarded."""
+
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+"""Statuses of our own answers that promise that the request has not run."""
 
 MISDIRECTED_STATUS = 421
 """Sent by an endpoint that is not the expected one and did not run the request."""
@@ -38,6 +44,28 @@
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
+class PeerOutcome(Enum):
+    """What an answer says that another instance has written itself."""
+
+    NOT_RUN = b"not_run"
+    """The request has not run; another instance would presumably say the same."""
+    NO_LINK = b"no_link"
+    """The request has not run: this instance reaches no endpoint either."""
+    FINAL = b"final"
+    """Any other answer."""
+
+
+def read_peer_outcome(head: AnswerHead) -> PeerOutcome | None:
+    """Return what another instance says; None if an endpoint wrote the answer."""
+    value = head.fields.get(_PEER_OUTCOME)
+    if value is None:
+        return None
+    try:
+        return PeerOutcome(value)
+    except ValueError:
+        return PeerOutcome.FINAL
+
+
 def was_not_run(head: AnswerHead) -> bool:
     """Return whether the endpoint reports that it did not run the request."""
     return _NOT_EXECUTED in head.fields or head.status == MISDIRECTED_STATUS
@@ -133,6 +161,12 @@
     return pause_ms
 
 
+def read_retry_after_ms(head: AnswerHead) -> int | None:
+    """Return the retry time that another instance gives in seconds, if any."""
+    text = head.fields.get(b"retry-after")
+    return None if text is None else _seconds_to_ms(text)
+
+
 def _seconds_to_ms(text: bytes) -> int | None:
     try:
         pause_s = float(text)
@@ -157,7 +191,9 @@
 
 
 def local_answer_headers(
-    request_id: bytes, retry_after_ms: int | None = None
+    request_id: bytes,
+    retry_after_ms: int | None = None,
+    outcome: PeerOutcome | None = None,
 ) -> HeaderList:
     """Return the headers of an answer that this instance generates itself.
 
@@ -167,10 +203,14 @@
         Returned to the caller if not empty.
     retry_after_ms : int or None
         Time after which the caller may retry; None sets no header.
+    outcome : PeerOutcome or None
+        For another instance; None if the answer goes to the caller.
     """
     headers: HeaderList = []
     if request_id:
         headers.append((names.REQUEST_ID, request_id))
     if retry_after_ms is not None:
         headers.append((b"Retry-After", b"%.2f" % (retry_after_ms / 1000)))
+    if outcome is not None:
+        headers.append((names.PEER_OUTCOME, outcome.value))
     return headers
--- a/src/_monsoonpulley/platform/names.py
+++ b/src/_monsoonpulley/platform/names.py
@@ -29,6 +29,11 @@
 DUTY_HOLDER = "Monsoonpulley-Duty-Holder"
 FENCING_TOKEN = "Monsoonpulley-Fencing-Token"
 
+PEER_SENDS = b"Monsoonpulley-Peer-Sends"
+"""Between instances: how often the request was sent to endpoints before."""
+PEER_OUTCOME = b"Monsoonpulley-Peer-Outcome"
+"""Between instances, in answers that no endpoint has written; a `PeerOutcome`."""
+
 STRIPPED_REQUEST_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -43,6 +48,7 @@
         b"Monsoonpulley-Cache-Backup",
         b"Kv-From",
         b"Kv-Fetch",
+        PEER_SENDS,
     )
 )
 """Lower-case names of headers that are removed from callers' requests."""
--- a/src/_monsoonpulley/platform/requestheaders.py
+++ b/src/_monsoonpulley/platform/requestheaders.py
@@ -28,12 +28,19 @@
 
 _DROPPED_HEADERS = _CONNECTION_HEADERS | names.STRIPPED_REQUEST_HEADERS
 
+_PEER_DROPPED_HEADERS = _CONNECTION_HEADERS | {
+    names.DEADLINE.lower(),
+    names.PEER_SENDS.lower(),
+}
+"""Other headers of the caller are left to the other instance."""
+
 _REQUEST_ID = names.REQUEST_ID.lower()
 _DEADLINE = names.DEADLINE.lower()
 _TOKEN_COUNTS = names.TOKEN_COUNTS.lower()
 _PROMPT_PREFIX = names.PROMPT_PREFIX.lower()
 _LENGTH_HINT = names.LENGTH_HINT.lower()
 _LAST_EVENT_ID = names.LAST_EVENT_ID.lower()
+_PEER_SENDS = names.PEER_SENDS.lower()
 
 REQUEST_ID_FIELD = _REQUEST_ID
 """Lower-case name of the header in which endpoints return the request's id."""
@@ -132,24 +139,65 @@
         Last event that the caller received, for a stream that resumes; None
         forwards the caller's own header.
     """
-    dropped = _DROPPED_HEADERS | _connection_listed_names(
-        request.fields.get(b"connection")
-    )
-    lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-    for name, value in request.headers:
-        lower = name.lower()
-        if lower in dropped:
-            continue
-        if lower == _LAST_EVENT_ID and last_event_id is not None:
-            continue
-        lines.append(b"%s: %s" % (name, value))
+    lines = _forwarded_lines(request, _DROPPED_HEADERS, last_event_id)
     lines.append(b"%s: %d" % (names.DEADLINE, remaining_ms))
     lines.append(b"%s: %d" % (names.URGENCY, min(rank, names.MAX_URGENCY)))
     lines.append(b"%s: %s" % (names.EXPECT_INSTANCE, endpoint_id.encode()))
     if customer_id is not None:
         lines.append(b"%s: %s" % (names.TENANT, customer_id.encode()))
+    return _with_body(lines, request)
+
+
+def encode_peer_request(
+    request: RequestMessage,
+    *,
+    remaining_ms: int,
+    send_count: int,
+    last_event_id: bytes | None = None,
+) -> bytes:
+    """Return a caller's request encoded for another instance.
+
+    The other instance authenticates the customer as if the caller had connected to it.
+
+    Parameters
+    ----------
+    request : RequestMessage
+        The caller's request.
+    remaining_ms : int
+        Time until the final answer is due.
+    send_count : int
+        How often it was sent to endpoints before.
+    last_event_id : bytes or None
+        See `encode_endpoint_request`.
+    """
+    lines = _forwarded_lines(request, _PEER_DROPPED_HEADERS, last_event_id)
+    lines.append(b"%s: %d" % (names.DEADLINE, remaining_ms))
+    lines.append(b"%s: %d" % (names.PEER_SENDS, send_count))
+    return _with_body(lines, request)
+
+
+def read_send_count(request: RequestMessage) -> int:
+    """Return how often another instance sent the request to endpoints before."""
+    return _parse_whole_number(request.fields.get(_PEER_SENDS)) or 0
+
+
+def _forwarded_lines(
+    request: RequestMessage, dropped: frozenset[bytes], last_event_id: bytes | None
+) -> list[bytes]:
+    """Return the request line and the headers to forward, with the last event's id."""
+    dropped = dropped | _connection_listed_names(request.fields.get(b"connection"))
+    if last_event_id is not None:
+        dropped = dropped | {_LAST_EVENT_ID}
+    lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+    lines += [
+        b"%s: %s" % (n, v) for n, v in request.headers if n.lower() not in dropped
+    ]
     if last_event_id is not None:
         lines.append(b"%s: %s" % (names.LAST_EVENT_ID, last_event_id))
+    return lines
+
+
+def _with_body(lines: list[bytes], request: RequestMessage) -> bytes:
     has_body_header = {b"content-length", b"transfer-encoding"} & request.fields.keys()
     if request.body or has_body_header:
         lines.append(b"Content-Length: %d" % len(request.body))
@@ -161,7 +209,7 @@
         return frozenset()
     listed = (token.strip().lower() for token in connection.split(b","))
     # Callers must not remove headers that the system's guarantees depend on.
-    return frozenset(listed) - {_REQUEST_ID, b"host"}
+    return frozenset(listed) - {_REQUEST_ID, b"host", b"authorization"}
 
 
 def _parse_bearer_key(authorization: bytes) -> str:
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -58,6 +58,8 @@
     served : dict
         Fingerprints suspected of crashes that were served at the sender lately, with
         the time since then.
+    lost_links : dict
+        Number of endpoints of each service that the sender presumably can't reach.
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
@@ -93,6 +95,7 @@
     era: int = 0
     quarantined: tuple[tuple[Entry, int], ...] = ()
     served: dict[str, int] = {}
+    lost_links: dict[str, int] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -50,6 +50,10 @@
     is_leaving: bool = False
     reaches_store: bool = True
     lease_token: int = 0
+    lost_links: dict[str, int] = {}
+    """Endpoints that it can't reach, by service; see `Digest`."""
+    in_progress: int = 0
+    """Requests that it had sent to endpoints and that had no complete answer yet."""
     is_bundled: bool = False
     """Whether the last digest arrived in a bundle."""
 
@@ -129,6 +133,8 @@
         member.is_leaving = digest.is_leaving
         member.reaches_store = digest.reaches_store
         member.lease_token = digest.lease_token
+        member.lost_links = digest.lost_links
+        member.in_progress = sum(entry[0] for entry in digest.loads.values())
         member.last_received_ms = now_ms
         member.is_bundled = is_bundled
         return True
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -155,7 +155,10 @@
         """Fail the current exchange."""
         self.is_open = False
         self.is_reusable = False
-        self._fail_exchange(f"connection lost: {exc or 'closed'}")
+        self._fail_exchange(
+            f"connection lost: {exc or 'closed'}",
+            is_timeout=isinstance(exc, TimeoutError),
+        )
 
     def on_message_begin(self) -> None:
         """Start parsing an answer."""
@@ -221,8 +224,8 @@
         self._put(AnswerEnd(is_framed))
         self._mailbox = None
 
-    def _fail_exchange(self, detail: str) -> None:
-        self._put(AnswerIncomplete(detail))
+    def _fail_exchange(self, detail: str, *, is_timeout: bool = False) -> None:
+        self._put(AnswerIncomplete(detail, is_timeout))
         self.abort()
 
     def _put(self, event: Event) -> None:
--- a/src/_monsoonpulley/wire/events.py
+++ b/src/_monsoonpulley/wire/events.py
@@ -53,6 +53,8 @@
     """The connection ended or failed to parse before the answer was complete."""
 
     detail: str
+    is_timeout: bool = False
+    """Whether the server's machine stopped to acknowledge."""
 
 
 class CallerDisconnected(msgspec.Struct):
--- a/src/_monsoonpulley/wire/pool.py
+++ b/src/_monsoonpulley/wire/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ..clock import Clock
 from ..errors import Delivery, Failure, Reason
@@ -12,6 +13,10 @@
 """A hundred round trips between data centres. A lost SYN is sent again only after
 1 s; another endpoint answers sooner."""
 
+PROBE_HOLD_MS = 50
+"""Some devices on a link accept a connection before they reset it, a few round trips
+later."""
+
 DEFAULT_IDLE_TIMEOUT_MS = 4_000
 """Used if the server announces none; below the shortest usual setting, 5 s."""
 
@@ -30,6 +35,8 @@
         Measures idle time.
     max_connections : int
         Limit of connections with an exchange at the same time.
+    on_open : callable or None
+        Called after each try to open a connection with the `Failure`, if any.
 
     Attributes
     ----------
@@ -37,11 +44,19 @@
         Connections opened so far.
     """
 
-    def __init__(self, ip: str, port: int, clock: Clock, max_connections: int):
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        clock: Clock,
+        max_connections: int,
+        on_open: Callable[[Failure | None], None] | None = None,
+    ):
         self._ip = ip
         self._port = port
         self._clock = clock
         self.max_connections = max_connections
+        self._on_open = on_open
         self._idle: list[ClientConnection] = []
         self._in_use: set[ClientConnection] = set()
         self.opened_count = 0
@@ -51,6 +66,17 @@
         """The server's address as ``IP:PORT``."""
         return f"{self._ip}:{self._port}"
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether an open connection can be used again."""
+        now_ms = self._clock.now_ms()
+        return any(self._is_usable(each, now_ms) for each in self._idle)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no connection is open."""
+        return not self._idle and not self._in_use
+
     async def acquire(self) -> ClientConnection | Failure:
         """Return a connection for one exchange.
 
@@ -82,12 +108,23 @@
             connection.abort()
 
     async def probe(self) -> Failure | None:
-        """Open a connection to see whether the server listens, and keep it for use."""
-        opened = await self._open()
-        if isinstance(opened, Failure):
-            return opened
-        self._idle.append(opened)
-        return None
+        """Open a connection to see whether the server is reachable; keep it for use.
+
+        Returns
+        -------
+        Failure or None
+            Also if the connection is reset soon after it was opened.
+        """
+        opened = await self._connect()
+        if not isinstance(opened, Failure):
+            await self._clock.sleep_ms(PROBE_HOLD_MS)
+            if not opened.is_open:
+                opened = self._failure(
+                    Reason.UNAVAILABLE, "reset soon after it was opened"
+                )
+        if not isinstance(opened, Failure):
+            self._idle.append(opened)
+        return self._report(opened)
 
     def sweep(self) -> None:
         """Close the connections that have been idle for too long."""
@@ -130,6 +167,18 @@
         return now_ms - connection.last_used_ms < timeout_ms - IDLE_MARGIN_MS
 
     async def _open(self) -> ClientConnection | Failure:
+        opened = await self._connect()
+        self._report(opened)
+        return opened
+
+    def _report(self, opened: ClientConnection | Failure) -> Failure | None:
+        """Tell how a try to open a connection ended; return the failure, if any."""
+        failure = opened if isinstance(opened, Failure) else None
+        if self._on_open is not None:
+            self._on_open(failure)
+        return failure
+
+    async def _connect(self) -> ClientConnection | Failure:
         loop = asyncio.get_running_loop()
         half_s = CONNECT_TIMEOUT_MS / 2 / 1000
         try:
--- a/testing/ingress/linked.py
+++ b/testing/ingress/linked.py
@@ -13,6 +13,7 @@
 
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.ids import EndpointId
+from _monsoonpulley.ingress.parts import IngressParts
 from _monsoonpulley.ingress.upstreams import Upstreams
 from _monsoonpulley.standins.rowstore import RowStoreStandin
 
@@ -66,8 +67,8 @@
 class LinkedUpstreams(Upstreams):
     """Pools that reach each endpoint over a link of this instance alone."""
 
-    def __init__(self, clock: Clock, silent: tuple[str, int]):
-        super().__init__(clock)
+    def __init__(self, parts: IngressParts, silent: tuple[str, int]):
+        super().__init__(parts.clock, parts.upstreams._on_open)
         self._silent = silent
         self.links: dict[EndpointId, Link] = {}
         self.silent_ids: set[EndpointId] = set()
@@ -119,7 +120,7 @@
         document = configuration(**changes)
         for site in self.sites:
             await site.start(document)
-            upstreams = LinkedUpstreams(site.clock, self.silent.address)
+            upstreams = LinkedUpstreams(site.service.parts, self.silent.address)
             for endpoint in site.service.parts.directory.all():
                 link = Link(lambda each=endpoint: (each.ip, each.port))
                 await link.listen("127.0.0.1", 0)
--- a/testing/ingress/site.py
+++ b/testing/ingress/site.py
@@ -262,6 +262,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self.service is not None:
             self.service.caller_server.stop_listening()
+            self.service.peer_server.stop_listening()
             self.service.digest_exchange.close()
             self.service.store.close()
         if not self._shares_store:
