Don't take an instance's lost links for crashes of endpoints

What callers would have seen: after a cut that resets connections, sound requests refused as if they crashed endpoints. Connections in progress to all endpoints end, the check of each finds that nothing listens, and the requests are blamed for as many crashes.

Evidence: TestBlame cuts one of four instances off from three endpoints; without this change each cut is reported as three crashes with their suspects, and the quarantine holds evidence.

Change: when connections to several endpoints end within 20 ms and nothing was heard from any since, a check that finds an endpoint down is no crash. Both front ends. Endpoints that crash one after the other under a repeated request are still counted, as the links of the others were used in between.

--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -165,6 +165,7 @@
                 log,
                 upstreams.probe,
                 directory.is_current,
+                links.is_cut_off,
                 on_crash,
             ),
             usage=UsageCounter(bounds.usage_window_s),
--- a/src/_monsoonpulley/quarantine/crashwatch.py
+++ b/src/_monsoonpulley/quarantine/crashwatch.py
@@ -2,12 +2,14 @@
 
 When the connection of a request in progress ends, a new one is opened to the endpoint:
 only if nothing listens there any more, although the endpoint is listed and has not said
-that it leaves, has it crashed.
+that it leaves, has it crashed. If connections to several endpoints ended together and
+nothing is heard from any, this instance has lost its links instead.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 from ..clock import Clock
@@ -21,6 +23,18 @@
 """Time in which the connections of a process that has ended are found broken."""
 
 
+CONFIRM_MS = 30
+"""A cut ends all connections at once, and the checks of all endpoints take about the
+same time."""
+
+TOGETHER_MS = 20
+"""Connections to several endpoints that end this soon after each other may have been
+ended by one cut."""
+
+MAX_RECENT = 64
+"""Ends of connections that are remembered for it."""
+
+
 class CrashWatch:
     """Checks endpoints whose connections broke.
 
@@ -34,6 +48,8 @@
         Opens a connection to an endpoint and returns the `Failure`, if any.
     is_listed : callable
         Returns whether an incarnation of an endpoint is listed and not leaving.
+    is_cut_off : callable
+        Returns whether this instance has presumably lost its links to all endpoints.
     on_crash : callable
         Called with a `CrashReport`.
     """
@@ -45,6 +61,7 @@
         log: Log,
         connect: Callable[[Endpoint], Awaitable[Failure | None]],
         is_listed: Callable[[Endpoint], bool],
+        is_cut_off: Callable[[], bool],
         on_crash: Callable[[CrashReport], None],
     ):
         self._own = own
@@ -52,8 +69,10 @@
         self._log = log
         self._connect = connect
         self._is_listed = is_listed
+        self._is_cut_off = is_cut_off
         self._on_crash = on_crash
         self._suspects: dict[EndpointId, list[Suspect]] = {}
+        self._recent: deque[tuple[EndpointId, int]] = deque(maxlen=MAX_RECENT)
         self._checks: set[asyncio.Task[None]] = set()
 
     def record_broken(self, endpoint: Endpoint, suspect: Suspect | None) -> None:
@@ -72,6 +91,7 @@
         suspects = self._suspects.get(endpoint.id)
         if suspects is None:
             suspects = self._suspects[endpoint.id] = []
+            self._recent.append((endpoint.id, self._clock.now_ms()))
             check = asyncio.get_running_loop().create_task(self._check(endpoint))
             self._checks.add(check)
             check.add_done_callback(self._on_check_done)
@@ -82,13 +102,19 @@
         started_ms = self._clock.now_ms()
         await self._clock.sleep_ms(SETTLE_MS)
         failure = await self._connect(endpoint)
+        if failure is not None:
+            # The checks of other endpoints, which began at the same time, end too.
+            await self._clock.sleep_ms(CONFIRM_MS)
         suspects = self._suspects.pop(endpoint.id)
         is_down = failure is not None and failure.reason is Reason.NOT_LISTENING
-        if not suspects or not is_down or not self._is_listed(endpoint):
+        is_cut_off = self._is_cut_off() and self._has_broken_with(endpoint, started_ms)
+        is_crash = is_down and not is_cut_off and self._is_listed(endpoint)
+        if not suspects or not is_crash:
             self._log.event(
                 "endpoint_checked",
                 endpoint=endpoint.id,
                 is_down=is_down,
+                is_cut_off=is_cut_off,
                 suspects=len(suspects),
                 error=str(failure) if failure is not None else "",
             )
@@ -105,6 +131,13 @@
             )
         )
 
+    def _has_broken_with(self, endpoint: Endpoint, broken_ms: int) -> bool:
+        """Return whether connections to another endpoint ended at the same time."""
+        return any(
+            other != endpoint.id and abs(other_ms - broken_ms) <= TOGETHER_MS
+            for other, other_ms in self._recent
+        )
+
     def _on_check_done(self, check: asyncio.Task[None]) -> None:
         self._checks.discard(check)
         if not check.cancelled() and check.exception() is not None:
--- a/src/_monsoonpulley/requests/crashguard.py
+++ b/src/_monsoonpulley/requests/crashguard.py
@@ -14,6 +14,7 @@
 from ..fleet.model import Endpoint
 from ..ids import EndpointId, Fingerprint, InstanceId, VersionId
 from ..observability.log import Log
+from ..placing.endpointlinks import EndpointLinks
 from ..quarantine.crashwatch import CrashWatch
 from ..quarantine.evidence import CrashReport, PartEvidence, QuarantineNews, Suspect
 from ..quarantine.fingerprint import Fingerprinter
@@ -115,12 +116,14 @@
             lambda entry: self._table.remove(entry),
         )
         self._table = QuarantineTable(table, self.quarantine, log)
+        self._links = EndpointLinks()
         self._watch = CrashWatch(
             own,
             clock,
             log,
             self._connect,
             self._is_listed,
+            self._links.is_cut_off,
             self._record_crash,
         )
 
@@ -158,6 +161,7 @@
         """Record how an attempt ended."""
         failure = end.failure
         if failure is None:
+            self._links.record_contact(self._clock.now_ms())
             self._record_success(context)
         elif not end.has_answer and _may_be_broken(failure):
             self._record_broken(context, placed.endpoint, end)
@@ -187,6 +191,7 @@
             return
         is_proven = end.tokens and end.total_ms - end.first_answer_ms > PROOF_MS
         suspect = None if is_proven else self._suspect(context, end.total_ms)
+        self._links.record_broken(endpoint, self._clock.now_ms())
         self._watch.record_broken(_endpoint_of(member), suspect)
 
     def _record_crash(self, report: CrashReport) -> None:
@@ -256,7 +261,12 @@
         member = self._find_member(endpoint.id)
         if member is None:
             return Failure(Reason.CANCELLED, "endpoint.probe", endpoint.id)
-        return await self._probe(member)
+        failure = await self._probe(member)
+        if failure is None:
+            self._links.record_connected(endpoint.id, self._clock.now_ms())
+        else:
+            self._links.record_lost(endpoint, self._clock.now_ms())
+        return failure
 
     def _is_listed(self, endpoint: Endpoint) -> bool:
         member = self._find_member(endpoint.id)
--- a/testing/ingress/linked.py
+++ b/testing/ingress/linked.py
@@ -32,6 +32,8 @@
 
 PEER_PORT = 7_600
 
+PROBE_CONNECTIONS = 8
+
 REQUEST_INTERVAL_S = 0.04
 
 
@@ -42,6 +44,8 @@
     """Open connections end and new ones are never answered."""
     RESET = "reset"
     """Open and new connections are reset."""
+    CLOSED = "closed"
+    """Open connections are reset and new ones refused, as if nothing listened."""
     REFUSED = "refused"
     """New connections are reset while open ones live on."""
 
@@ -64,25 +68,31 @@
             each.close()
 
 
+def closed_address() -> tuple[str, int]:
+    """Return an address at which nothing listens."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        return unused.getsockname()
+
+
 class LinkedUpstreams(Upstreams):
     """Pools that reach each endpoint over a link of this instance alone."""
 
-    def __init__(self, parts: IngressParts, silent: tuple[str, int]):
+    def __init__(self, parts: IngressParts):
         super().__init__(parts.clock, parts.upstreams._on_open)
-        self._silent = silent
         self.links: dict[EndpointId, Link] = {}
-        self.silent_ids: set[EndpointId] = set()
+        self.replaced: dict[EndpointId, tuple[str, int]] = {}
 
     def pool(self, endpoint, max_connections):
         return super().pool(self._linked(endpoint), max_connections)
 
     async def probe(self, endpoint):
+        self.pool(endpoint, PROBE_CONNECTIONS)  # The address may have been replaced.
         return await super().probe(self._linked(endpoint))
 
     def _linked(self, endpoint):
-        ip, port = self.links[endpoint.id].address()
-        if endpoint.id in self.silent_ids:
-            ip, port = self._silent
+        address = self.replaced.get(endpoint.id) or self.links[endpoint.id].address()
+        ip, port = address
         return msgspec.structs.replace(endpoint, ip=ip, port=port)
 
 
@@ -120,12 +130,13 @@
         document = configuration(**changes)
         for site in self.sites:
             await site.start(document)
-            upstreams = LinkedUpstreams(site.service.parts, self.silent.address)
+            upstreams = LinkedUpstreams(site.service.parts)
             for endpoint in site.service.parts.directory.all():
                 link = Link(lambda each=endpoint: (each.ip, each.port))
                 await link.listen("127.0.0.1", 0)
                 upstreams.links[endpoint.id] = link
             site.service.parts.upstreams = upstreams
+            site.service.parts.crash_watch._connect = upstreams.probe
         for site in self.sites:
             await site.wait_until(
                 lambda site=site: (
@@ -150,7 +161,9 @@
             for name, link in upstreams.links.items():
                 link.refuses_connections = True
                 if loss is Loss.SILENT:
-                    upstreams.silent_ids.add(name)
+                    upstreams.replaced[name] = self.silent.address
+                if loss is Loss.CLOSED:
+                    upstreams.replaced[name] = closed_address()
                 if loss is not Loss.REFUSED:
                     link.reset_all()
 
@@ -158,7 +171,7 @@
         """Restore all links."""
         for site in self.sites:
             upstreams = self._upstreams(site)
-            upstreams.silent_ids.clear()
+            upstreams.replaced.clear()
             for link in upstreams.links.values():
                 link.heal()
 
--- a/testing/ingress/test_lost_links.py
+++ b/testing/ingress/test_lost_links.py
@@ -54,6 +54,10 @@
         await self.fleet.start(answer)
         await self.check_served_like_others(Loss.RESET)
 
+    async def test_callers_of_instances_with_closed_links_are_served(self):
+        await self.fleet.start(answer)
+        await self.check_served_like_others(Loss.CLOSED)
+
     async def test_callers_of_instances_without_new_connections_are_served(self):
         await self.fleet.start(answer)
         await self.check_served_like_others(Loss.REFUSED)
@@ -67,5 +71,30 @@
         await self.check_served_like_others(Loss.SILENT)
 
 
+class TestBlame(LostLinksTest):
+    async def test_lost_links_are_not_taken_for_crashes_under_requests(self):
+        async def never(call) -> None:
+            call.start_stream()
+            await asyncio.sleep(30)
+
+        await self.fleet.start(never, kind="streaming", timeout_ms=8_000)
+        cut = self.fleet.sites[0]
+        calls = [
+            asyncio.create_task(self.fleet.send(cut, body=b"the same"))
+            for _ in range(12)
+        ]
+        await cut.wait_until(
+            lambda: all(endpoint.calls for endpoint in self.fleet.endpoints)
+        )
+        self.fleet.lose_links([cut], Loss.CLOSED)
+        await cut.wait_until(lambda: cut.log_events("endpoint_checked"))
+        await asyncio.sleep(0.5)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        self.assertEqual(len(cut.log_events("endpoint_checked")), 3)
+        self.assertTrue(cut.service.parts.quarantine.is_idle)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/quarantine/test_crashwatch.py
+++ b/testing/quarantine/test_crashwatch.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+import msgspec
+
 from _monsoonpulley.errors import Failure, Reason
 from _monsoonpulley.fleet.model import Endpoint
 from _monsoonpulley.ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
@@ -22,11 +24,20 @@
     VersionId("v1"),
     4,
 )
+OTHER_ENDPOINT = msgspec.structs.replace(ENDPOINT, id=EndpointId("i-2"))
 SUSPECT = Suspect("request-1", (), 5)
 
 
 class TestCrashWatch(unittest.TestCase):
-    def reports_after(self, reason, *, suspects=(SUSPECT,), is_listed=lambda e: True):
+    def reports_after(
+        self,
+        reason,
+        *,
+        suspects=(SUSPECT,),
+        is_listed=lambda e: True,
+        is_cut_off=lambda: False,
+        others=(),
+    ):
         reports = []
 
         async def connect(endpoint):
@@ -40,8 +51,11 @@
                 Log(clock, lambda line: None),
                 connect,
                 is_listed,
+                is_cut_off,
                 reports.append,
             )
+            for other in others:
+                watch.record_broken(other, None)
             for suspect in suspects:
                 watch.record_broken(ENDPOINT, suspect)
             await clock.sleep_ms(1_000)
@@ -64,6 +78,20 @@
         for reason in (Reason.TIMEOUT, Reason.UNAVAILABLE):
             self.assertEqual(self.reports_after(reason), [])
 
+    def test_an_instance_that_lost_its_links_takes_no_endpoint_for_crashed(self):
+        reports = self.reports_after(
+            Reason.NOT_LISTENING, is_cut_off=lambda: True, others=(OTHER_ENDPOINT,)
+        )
+        self.assertEqual(reports, [])
+
+    def test_endpoints_that_crash_one_after_the_other_are_reported_all(self):
+        (report,) = self.reports_after(Reason.NOT_LISTENING, is_cut_off=lambda: True)
+        self.assertEqual(report.endpoint, "i-1")
+
+    def test_endpoints_that_crash_together_are_reported_if_others_are_heard(self):
+        (report,) = self.reports_after(Reason.NOT_LISTENING, others=(OTHER_ENDPOINT,))
+        self.assertEqual(report.endpoint, "i-1")
+
     def test_the_end_of_an_endpoint_that_leaves_is_no_crash(self):
         reports = self.reports_after(
             Reason.NOT_LISTENING, is_listed=lambda endpoint: False
