--- /dev/null
+++ b/testing/ingress/test_peers.py
@@ -0,0 +1,211 @@
+"""Requests that other instances serve for one without links to endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from .linked import LinkedFleet, Loss
+from .site import read_answer, request
+
+MAX_REFUSAL_S = 0.7
+"""Two connections that time out, and the work around them."""
+
+FREE_S = 0.5
+"""Time in which the endpoint of a caller that left has to be free again."""
+
+
+async def answer(call) -> None:
+    call.answer(body=b"whole answer")
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, instance_count, script=answer, **changes):
+        self.fleet = LinkedFleet(instance_count)
+        self.addAsyncCleanup(self.fleet.stop)
+        await self.fleet.start(script, **changes)
+        self.cut, *self.others = self.fleet.sites
+
+    async def lose_links(self, sites, loss=Loss.SILENT) -> None:
+        """Cut instances off, and let all of them notice it."""
+        self.fleet.lose_links(sites, loss)
+        for site in sites:
+            await asyncio.gather(*(self.fleet.send(site) for _ in range(4)))
+            await site.wait_until(lambda each=site: each.service.parts.links.lost_count)
+        await asyncio.sleep(0.6)
+        for endpoint in self.fleet.endpoints:
+            endpoint.calls.clear()
+
+    def calls(self):
+        return [call for each in self.fleet.endpoints for call in each.calls]
+
+
+class TestChoice(PeersTest):
+    async def test_a_request_is_sent_on_only_once(self):
+        await self.start(3)
+        await self.lose_links([self.cut, *self.others])
+        started_s = time.monotonic()
+        got = await self.fleet.send(self.cut)
+        self.assertLess(time.monotonic() - started_s, MAX_REFUSAL_S)
+        self.assertEqual(got.status, 503)
+        self.assertGreater(float(got.headers["retry-after"]), 0)
+        self.assertEqual(self.calls(), [])
+
+    async def test_an_instance_that_is_cut_off_too_is_not_asked(self):
+        await self.start(3)
+        await self.lose_links([self.cut, self.others[0]])
+        for _ in range(6):
+            self.assertEqual((await self.fleet.send(self.cut)).status, 200)
+        asked = {line["peer"] for line in self.cut.log_events("peer_attempt")[-6:]}
+        self.assertEqual(asked, {self.others[1].name})
+
+    async def test_the_next_instance_is_asked_if_one_has_ended(self):
+        await self.start(3)
+        await self.lose_links([self.cut])
+        self.others[0].service.peer_server.stop_listening()
+        for _ in range(8):
+            self.assertEqual((await self.fleet.send(self.cut)).status, 200)
+
+    async def test_links_are_used_again_soon_after_they_work(self):
+        await self.start(2)
+        await self.lose_links([self.cut])
+        self.fleet.heal()
+        links = self.cut.service.parts.links
+        await asyncio.wait_for(self.cut.wait_until(lambda: not links.lost_count), 1.5)
+        before = len(self.cut.log_events("peer_attempt"))
+        self.assertEqual((await self.fleet.send(self.cut)).status, 200)
+        self.assertEqual(len(self.cut.log_events("peer_attempt")), before)
+
+
+class TestPromises(PeersTest):
+    async def test_a_once_only_request_is_not_sent_again_after_a_broken_answer(self):
+        async def break_off(call) -> None:
+            call.writer.transport.abort()
+
+        await self.start(3, kind="unsafe")
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = break_off
+        got = await self.fleet.send(self.cut)
+        self.assertEqual((got.status, len(self.calls())), (502, 1))
+
+    async def test_a_once_only_request_whose_helper_ends_is_answered_502(self):
+        async def never(call) -> None:
+            await asyncio.sleep(10)
+
+        await self.start(2, kind="unsafe")
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = never
+        sending = asyncio.create_task(self.fleet.send(self.cut))
+        await self.cut.wait_until(self.calls)
+        for connection in list(self.others[0].service.peer_server._connections):
+            connection.abort()
+        self.assertEqual((await sending).status, 502)
+        self.assertEqual(len(self.calls()), 1)
+
+    async def test_a_caller_who_leaves_frees_the_endpoint_at_once(self):
+        async def never(call) -> None:
+            await call.writer.wait_closed()
+
+        await self.start(2)
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = never
+        _, writer = await self.cut.connect()
+        writer.write(request("left"))
+        await self.cut.wait_until(self.calls)
+        writer.transport.abort()
+        load = self.others[0].service.parts.load_board
+        await asyncio.wait_for(
+            self.cut.wait_until(lambda: not load.own_loads()), FREE_S
+        )
+
+    async def test_the_time_that_endpoints_get_shrinks(self):
+        await self.start(2)
+        await self.lose_links([self.cut])
+        await self.fleet.send(self.cut, deadline_ms=1_500)
+        (call,) = self.calls()
+        left_ms = int(call.headers["monsoonpulley-deadline-milliseconds"])
+        self.assertLessEqual(left_ms, 1_500)
+        self.assertGreater(left_ms, 1_000)
+
+    async def test_headers_between_instances_reach_neither_callers_nor_endpoints(self):
+        await self.start(2)
+        await self.lose_links([self.cut])
+        got = await self.fleet.send(self.cut)
+        (call,) = self.calls()
+        names = [*got.headers, *call.headers]
+        self.assertEqual([n for n in names if "peer" in n], [])
+        self.assertEqual(call.headers["monsoonpulley-tenant"], "customer-1")
+        self.assertNotIn("authorization", call.headers)
+
+    async def test_a_stream_goes_on_at_another_instance_when_its_helper_ends(self):
+        async def stream(call) -> None:
+            first = int(call.headers.get("last-event-id", 0)) + 1
+            call.start_stream()
+            for number in range(first, 9):
+                call.write_event(number)
+                await asyncio.sleep(0.1)
+            call.writer.write(b"0\r\n\r\n")
+
+        await self.start(3, kind="streaming", resume_streams=True)
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = stream
+        reader, writer = await self.cut.connect()
+        writer.write(request("s1"))
+        await self.cut.wait_until(self.calls)
+        await asyncio.sleep(0.25)
+        for site in self.others:
+            for connection in list(site.service.peer_server._connections):
+                connection.abort()
+        got = await asyncio.wait_for(read_answer(reader), 5)
+        writer.close()
+        numbers = [
+            int(line.removeprefix(b"id: "))
+            for line in got.body.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+        self.assertEqual((got.is_whole, numbers), (True, list(range(1, 9))))
+
+
+class TestCharges(PeersTest):
+    TENANTS = (
+        {
+            "name": "customer-1",
+            "api_keys": ["key-1"],
+            "rate_per_s": 0.001,
+            "burst": 10,
+        },
+    )
+
+    def used(self) -> float:
+        return sum(
+            site.service.parts.quotas.used_by_customer()["customer-1"]
+            for site in self.fleet.sites
+        )
+
+    async def test_a_request_is_charged_once(self):
+        await self.start(2, tenants=list(self.TENANTS))
+        await self.lose_links([self.cut])
+        before = self.used()
+        self.assertEqual((await self.fleet.send(self.cut)).status, 200)
+        self.assertEqual(self.used() - before, 1)
+
+    async def test_a_refusal_of_the_other_instance_reaches_the_caller(self):
+        await self.start(2, tenants=list(self.TENANTS))
+        await self.lose_links([self.cut])
+        quotas = self.others[0].service.parts.quotas
+        quotas.consume("customer-1", 4, self.cut.clock.now_ms())
+        # What the other instance has used is not told yet.
+        got = await self.fleet.send(self.cut)
+        while got.status == 200:
+            got = await self.fleet.send(self.cut)
+        self.assertEqual(got.status, 429)
+        self.assertIn("retry-after", got.headers)
+
+
+if __name__ == "__main__":
+    unittest.main()
