Add failing tests: a pause and a rate limit are forgotten with their endpoint's row

Found on the second hypothesis: when the row of a paused endpoint expires and returns, as after an outage of the store or silent heartbeats, the endpoint gets a request at once. So does one with a rate limit, and in the gateway one that is missing from the list for a moment.

--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 import unittest
 from unittest import mock
@@ -41,6 +42,16 @@
     call.writer.close()
 
 
+async def replace_row(site: Site, **changes: object) -> None:
+    """Remove the only endpoint's row, and write it again with changes."""
+    directory = site.service.parts.directory
+    row = json.loads(site.store.read_value("servers", "i-1"))
+    site.store.remove("servers", "i-1")
+    await site.wait_until(lambda: not directory.ready_endpoints("svc"))
+    site.store.put("servers", "i-1", {**row, **changes})
+    await site.wait_until(lambda: directory.ready_endpoints("svc"))
+
+
 class SiteTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.site = Site()
@@ -821,6 +832,17 @@
         changes = self.site.log_events("endpoint_rate_limit")
         self.assertEqual([line["after_per_s"] for line in changes], [0.25])
 
+    async def test_a_limit_outlasts_the_loss_of_the_endpoint_s_row(self):
+        async def answer_with_limit(call):
+            call.answer(extra="Server-Limit: 0.25\r\n")
+
+        endpoint = await self.site.add_endpoint(answer_with_limit)
+        await self.site.start(configuration())
+        await self.site.send_request("told")
+        await replace_row(self.site)
+        self.assertEqual((await self.site.send_request("a1")).status, 503)
+        self.assertEqual(len(endpoint.calls), 1)
+
     async def test_an_answer_without_a_limit_ends_it(self):
         limits = iter(["Server-Limit: 4\r\n"])
 
@@ -992,6 +1014,22 @@
         lines = self.site.log_events("attempt")
         self.assertIn(1, [line["paused"] for line in lines])
 
+    async def test_a_pause_outlasts_the_loss_of_the_endpoint_s_row(self):
+        endpoint = await self.site.add_endpoint(self.pausing("30"))
+        await self.site.start(configuration(kind="unsafe"))
+        await self.site.send_request("a0")
+        await replace_row(self.site)
+        self.assertEqual((await self.site.send_request("a1")).status, 503)
+        self.assertEqual(len(endpoint.calls), 1)
+
+    async def test_a_pause_ends_with_the_endpoint_s_process(self):
+        endpoint = await self.site.add_endpoint(self.pausing("30"))
+        await self.site.start(configuration(kind="unsafe"))
+        await self.site.send_request("a0")
+        endpoint.script = answer
+        await replace_row(self.site, born=2)
+        self.assertEqual((await self.site.send_request("a1")).status, 200)
+
     async def test_a_pause_is_no_sign_of_failure(self):
         await self.site.add_endpoint(self.pausing("0.2"))
         await self.site.start(configuration(kind="unsafe"))
--- a/testing/routing/test_router.py
+++ b/testing/routing/test_router.py
@@ -244,6 +244,19 @@
         self.assertIn("pause", failure.detail)
         self.assertNotIsInstance(subject.choose(request(), now_ms=2_001), Failure)
 
+    def test_a_pause_outlasts_the_loss_of_the_endpoint_s_list_entry(self):
+        subject = router(FIVE_ENDPOINTS[:1])
+        decision = subject.choose(request(), now_ms=1)
+        subject.record_attempt_start("r1.1", request(), decision, now_ms=1)
+        refusal = Failure(
+            Reason.UNAVAILABLE, "e", delivery=Delivery.REFUSED, retry_after_ms=2_000
+        )
+        subject.record_attempt_end("r1.1", 1, refusal)
+        subject.apply_members([], 100)
+        subject.apply_members(FIVE_ENDPOINTS[:1], 200)
+        self.assertIsInstance(subject.choose(request(), now_ms=500), Failure)
+        self.assertNotIsInstance(subject.choose(request(), now_ms=2_002), Failure)
+
     def test_refusals_open_no_breaker(self):
         subject = router(FIVE_ENDPOINTS[:1])
         for _ in range(50):
