Keep pauses and rate limits while an endpoint's row is missing

What callers would have seen: requests at endpoints that had asked for rest, which refuse them, counted as repeats beyond what is allowed (BUDGET), after an outage of the store or silent heartbeats.

Cause: what an endpoint had said of itself was removed with its row, though the row's end is not the process's.

Pauses and limits end with the process; in the gateway, whose list names no incarnations, by themselves.

--- a/src/_monsoonpulley/fleet/directory.py
+++ b/src/_monsoonpulley/fleet/directory.py
@@ -47,7 +47,11 @@
     clock, log : Clock, Log
         Time source, and the log of changes.
     on_removed : callable
-        Called with each `Endpoint` whose incarnation has ended.
+        Called with each `Endpoint` that gets no further requests: its row is gone, or
+        another incarnation has taken its id.
+    on_ended : callable or None
+        Called with the id of each endpoint whose process has ended for certain:
+        another incarnation has its id, or it had no row for `LEAVING_MEMORY_MS`.
 
     Attributes
     ----------
@@ -55,10 +59,17 @@
         Time at which the table was first read; None before.
     """
 
-    def __init__(self, clock: Clock, log: Log, on_removed: Callable[[Endpoint], None]):
+    def __init__(
+        self,
+        clock: Clock,
+        log: Log,
+        on_removed: Callable[[Endpoint], None],
+        on_ended: Callable[[EndpointId], None] | None = None,
+    ):
         self._clock = clock
         self._log = log
         self._on_removed = on_removed
+        self._on_ended = on_ended
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._row_versions: dict[EndpointId, int] = {}
         self._missing_since_ms: dict[EndpointId, int] = {}
@@ -259,6 +270,8 @@
             if now_ms - gone_ms > LEAVING_MEMORY_MS:
                 del self._gone[endpoint_id]
                 self._unconfirmed.pop(endpoint_id, None)
+                if endpoint_id not in self._endpoints:
+                    self._end(endpoint_id)
         for endpoint_id, leaving in list(self._leaving.items()):
             if endpoint_id in self._endpoints:
                 leaving.listed_ms = now_ms
@@ -270,6 +283,8 @@
         if previous is not None and not previous.is_same_incarnation(endpoint):
             self._remove(endpoint.id, "another incarnation has the same id")
             previous = None
+        if previous is None:
+            self._end_other_incarnation(endpoint)
         self._endpoints[endpoint.id] = endpoint
         if endpoint.is_draining and endpoint.id not in self._leaving:
             # An older copy of the store may have a row from before.
@@ -293,6 +308,15 @@
             row_version=row_version,
         )
 
+    def _end_other_incarnation(self, endpoint: Endpoint) -> None:
+        gone = self._gone.get(endpoint.id)
+        if gone is not None and not gone[0].is_same_incarnation(endpoint):
+            self._end(endpoint.id)
+
+    def _end(self, endpoint_id: EndpointId) -> None:
+        if self._on_ended is not None:
+            self._on_ended(endpoint_id)
+
     def _reject_row(self, endpoint_id: EndpointId, failure: Failure) -> None:
         if endpoint_id not in self._rejected_ids:
             self._log.event(
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -104,7 +104,14 @@
         )
         rate_limits = EndpointRateLimits(settings.instance, rng, _log_rate_limits(log))
         pauses = EndpointPauses()
-        directory = EndpointDirectory(clock, log, on_endpoint_removed)
+
+        def on_endpoint_ended(endpoint: EndpointId) -> None:
+            rate_limits.remove(endpoint)
+            pauses.remove(endpoint)
+
+        directory = EndpointDirectory(
+            clock, log, on_endpoint_removed, on_endpoint_ended
+        )
         links = EndpointLinks()
         upstreams = Upstreams(clock, _record_connections(links, clock, log))
         quarantine = Quarantine(
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -354,8 +354,6 @@
         self.parts.upstreams.remove(endpoint)
         self.parts.cache_index.remove_endpoint(endpoint.id)
         self.parts.health.remove(endpoint.id)
-        self.parts.rate_limits.remove(endpoint.id)
-        self.parts.pauses.remove(endpoint.id)
         self.parts.links.remove(endpoint.id)
 
     def _build_digest(self, is_full: bool, to_all: bool) -> Digest:
--- a/src/_monsoonpulley/limits/endpointpauses.py
+++ b/src/_monsoonpulley/limits/endpointpauses.py
@@ -25,6 +25,7 @@
         A shorter pause that was asked for later doesn't end a longer one: the answers
         of requests in progress may overtake each other.
         """
+        self._expire(now_ms)
         until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
         self._until_ms[endpoint] = max(until_ms, self._until_ms.get(endpoint, 0))
 
@@ -39,5 +40,12 @@
         return until_ms - now_ms
 
     def remove(self, endpoint: EndpointId) -> None:
-        """Remove the pause of an endpoint that no longer exists."""
+        """Remove the pause of an endpoint whose process has ended.
+
+        A row or list entry that is missing for a moment doesn't end a pause.
+        """
         self._until_ms.pop(endpoint, None)
+
+    def _expire(self, now_ms: int) -> None:
+        for endpoint in [e for e, until in self._until_ms.items() if until <= now_ms]:
+            del self._until_ms[endpoint]
--- a/src/_monsoonpulley/routing/router.py
+++ b/src/_monsoonpulley/routing/router.py
@@ -121,7 +121,6 @@
         for endpoint in known_before - set(self.fleet.endpoints):
             self.prefixes.remove_endpoint(endpoint)
             self.breakers.endpoints.remove(endpoint)
-            self.pauses.remove(endpoint)
 
     def mark_leaving(self, endpoint: EndpointId, now_ms: int) -> None:
         """Send an endpoint no new requests from now on."""
--- a/testing/fleet/test_directory.py
+++ b/testing/fleet/test_directory.py
@@ -6,7 +6,11 @@
 import unittest
 
 from _monsoonpulley.clock import ManualClock
-from _monsoonpulley.fleet.directory import RECOVERY_GRACE_MS, EndpointDirectory
+from _monsoonpulley.fleet.directory import (
+    LEAVING_MEMORY_MS,
+    RECOVERY_GRACE_MS,
+    EndpointDirectory,
+)
 from _monsoonpulley.ids import EndpointId, ServiceId
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.platform.store import Row, Rows
@@ -33,10 +37,12 @@
         self.clock = ManualClock()
         self.lines: list[str] = []
         self.removed_ids: list[str] = []
+        self.ended_ids: list[str] = []
         self.directory = EndpointDirectory(
             self.clock,
             Log(self.clock, self.lines.append, keeps_lines=False),
             lambda endpoint: self.removed_ids.append(endpoint.id),
+            self.ended_ids.append,
         )
         self.version = 0
 
@@ -105,6 +111,29 @@
         self.assertFalse(self.directory.is_current(first))
         self.assertTrue(self.directory.is_current(self.directory.get(EndpointId("a"))))
 
+    def test_a_missing_row_is_not_the_end_of_its_process(self):
+        self.apply(("a", row_value(born=1)))
+        self.apply(("a", None))
+        self.apply(("a", row_value(born=1)))
+        self.clock.advance_ms(LEAVING_MEMORY_MS + 1)
+        self.directory.expire()
+        self.assertEqual(self.ended_ids, [])
+
+    def test_an_endpoint_without_a_row_for_long_has_ended(self):
+        self.apply(("a", row_value(born=1)), ("b", row_value()))
+        self.apply(("a", None))
+        self.clock.advance_ms(LEAVING_MEMORY_MS + 1)
+        self.directory.expire()
+        self.assertEqual(self.ended_ids, ["a"])
+
+    def test_another_incarnation_under_its_id_ends_an_endpoint(self):
+        self.apply(("a", row_value(born=1)))
+        self.apply(("a", row_value(born=2)))
+        self.assertEqual(self.ended_ids, ["a"])
+        self.apply(("a", None))
+        self.apply(("a", row_value(born=3)))
+        self.assertEqual(self.ended_ids, ["a", "a"])
+
     def test_heartbeats_are_not_logged(self):
         for sequence in range(10):
             self.apply(("a", row_value(sequence=sequence)))
