--- a/src/_monsoonpulley/wire/sockets.py
+++ b/src/_monsoonpulley/wire/sockets.py
@@ -9,13 +9,13 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 2_500
 """Time after which bytes without an acknowledgement end the connection: over a
 thousand round trips between data centres, and below the shortest deadline. On Linux it
-also ends a connection whose probes are unanswered, at the first probe after this time."""
+also ends a connection whose probes are unanswered, at the first one after this time."""
 
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
-"""A peer that is silent for 1 s is probed. Two unanswered probes end the connection, 3 s
-after its last sign; a sound peer may be silent for up to 2 s."""
+"""A peer that is silent for 1 s is probed. Two unanswered probes end the connection,
+3 s after its last sign; a sound peer may be silent for up to 2 s."""
 
 
 def enable_keepalive(transport: Transport) -> None:
