Send brittle endpoints only what they have room for

Change: BrittleServices keeps what answers say, for the service, at all instances (by digests), 5 s from the last. EndpointGate then admits only endpoints with fewer known requests in progress than three quarters of their slots, also after connecting; an instance that is turned away pauses, so that all of them together stay within half of N refusals a second. The ingress alone: the gateway's endpoints have no such statement.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -6,7 +6,9 @@
 from ..errors import Failure, Reason
 from ..placing.placer import Choice
 from ..platform.answerheaders import (
+    REFUSED_STATUS,
     is_from_endpoint,
+    read_bearable_refusals,
     read_pause_ms,
     read_rate_limit,
     says_leaving,
@@ -87,6 +89,12 @@
                 # It refused another request while the connection was being opened.
                 self.detail = "the endpoint wants a pause"
                 return Result.UNREACHABLE
+            if not self._parts.gate.has_room(
+                self._endpoint, self._parts.clock.now_ms()
+            ):
+                # Others were sent while the connection was being opened.
+                self.detail = "the endpoint has no room"
+                return Result.UNREACHABLE
             if self._state.find_quarantine_entry() is not None:
                 self.detail = "requests like this one crash endpoints"
                 return Result.UNREACHABLE
@@ -160,6 +168,7 @@
     def _on_head(self, head: AnswerHead) -> None:
         self._parts.links.record_contact(self._parts.clock.now_ms())
         self._record_rate_limit(head)
+        self._record_brittleness(head)
         self._record_pause(head)
         if says_leaving(head):
             self._parts.directory.record_leaving(self._endpoint)
@@ -205,6 +214,19 @@
                 self._endpoint.id, per_s, self._parts.clock.now_ms()
             )
 
+    def _record_brittleness(self, head: AnswerHead) -> None:
+        refusals_per_s = read_bearable_refusals(head)
+        if isinstance(refusals_per_s, Failure):
+            self._parts.log.event(
+                "endpoint_brittleness_refused",
+                endpoint=self._endpoint.id,
+                error=str(refusals_per_s),
+            )
+        elif refusals_per_s is not None and is_from_endpoint(head):
+            self._parts.brittle.record_answer(
+                self._endpoint.service, refusals_per_s, self._parts.clock.now_ms()
+            )
+
     def _record_pause(self, head: AnswerHead) -> None:
         clock = self._parts.clock
         pause_ms = read_pause_ms(head, clock.wall_ms())
@@ -321,6 +343,19 @@
         if result in (Result.TIMED_OUT, Result.CALLER_LEFT):
             self._record_no_event(now_ms)
         if result is Result.NOT_RUN and not self._wants_pause:
+            self._record_full(now_ms)
             self._parts.health.record_failure(
                 self._endpoint.id, now_ms, NOT_RUN_FAILURE_WEIGHT
             )
+
+    def _record_full(self, now_ms: int) -> None:
+        """Send nothing more for a while to a brittle endpoint that had no room."""
+        if self.status != REFUSED_STATUS:
+            return
+        pause_ms = self._parts.brittle.record_refusal(
+            self._endpoint.id, self._endpoint.service, now_ms
+        )
+        if pause_ms is not None:
+            self._parts.log.event(
+                "brittle_endpoint_full", endpoint=self._endpoint.id, pause_ms=pause_ms
+            )
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -14,6 +14,7 @@
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Configuration, Endpoint
 from ..ids import EndpointId, InstanceId, ZoneId
+from ..limits.brittleness import BrittleServices
 from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
 from ..limits.quota import QuotaLedger
@@ -58,6 +59,7 @@
     retry_budget: RetryBudget
     rate_limits: EndpointRateLimits
     pauses: EndpointPauses
+    brittle: BrittleServices
     gate: EndpointGate
     links: EndpointLinks
     load_board: LoadBoard
@@ -104,6 +106,7 @@
         )
         rate_limits = EndpointRateLimits(settings.instance, rng, _log_rate_limits(log))
         pauses = EndpointPauses()
+        brittle = BrittleServices(pauses)
 
         def on_endpoint_ended(endpoint: EndpointId) -> None:
             rate_limits.remove(endpoint)
@@ -150,7 +153,8 @@
             ),
             rate_limits=rate_limits,
             pauses=pauses,
-            gate=EndpointGate(rate_limits, pauses, rng),
+            brittle=brittle,
+            gate=EndpointGate(rate_limits, pauses, brittle, load_board, rng),
             links=links,
             load_board=load_board,
             health=health,
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -32,8 +32,9 @@
     predicted_ms, running, unread_tokens, backlog_tokens, held_tokens, runner_up, \
 candidates
         See `Choice`; ``unread_tokens`` are its ``prefill_tokens``.
-    limited, paused : int
-        Endpoints left out because of their rate limits, and because they want a pause.
+    limited, paused, full : int
+        Endpoints left out because of their rate limits, because they want a pause, and
+        because they are brittle and have no room.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -67,6 +68,7 @@
     candidates: int
     limited: int
     paused: int
+    full: int
     heard: int
     members: int
     left_ms: int
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -413,6 +413,7 @@
                 candidates=choice.candidate_count,
                 limited=self._admission.limited_count,
                 paused=self._admission.paused_count,
+                full=self._admission.full_count,
                 heard=reachable_count,
                 members=member_count,
                 left_ms=self.remaining_ms(),
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -391,6 +391,7 @@
             quarantined=parts.quarantine.told_entries() if is_full else (),
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
+            brittle=parts.brittle.notices(self.clock.now_ms()),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -415,6 +416,7 @@
         parts.endpoint_models.update_peer(peer, digest.learned)
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
+        parts.brittle.update_peer(digest.brittle, now_ms)
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
@@ -499,6 +501,7 @@
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
         parts.retry_budget.set_member_count(member_count)
+        parts.brittle.set_member_count(member_count)
         # Unreachable instances may still send requests.
         known_ids = [member.instance for member in parts.members.all()]
         parts.rate_limits.set_instances(known_ids, now_ms)
--- a/src/_monsoonpulley/placing/endpointgate.py
+++ b/src/_monsoonpulley/placing/endpointgate.py
@@ -1,9 +1,10 @@
 """Which endpoints may get a request of this instance now, by what they ask for.
 
-An endpoint can limit the requests a second from all instances, and can ask this
-instance for a pause. Both are asked here, before the choice between endpoints. What
-keeps an endpoint out for longer, that it leaves, is in `fleet.directory`; failures
-weigh in the choice itself.
+An endpoint can limit the requests a second from all instances, can ask this instance
+for a pause, and can say that it falls over when it turns too many requests away: then
+it gets only what it has room for. All are asked here, before the choice between
+endpoints. What keeps an endpoint out for longer, that it leaves, is in
+`fleet.directory`; failures weigh in the choice itself.
 """
 
 from __future__ import annotations
@@ -14,13 +15,18 @@
 
 from ..fleet.model import Endpoint
 from ..ids import EndpointId
+from ..limits.brittleness import BrittleServices
 from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
+from .loadboard import LoadBoard
 from .placer import PlacementRefusal
 
+FULL_RETRY_MS = 500
+"""Retry time while brittle endpoints have no room."""
+
 PAUSE_SPREAD = 0.25
-"""Retry times after a pause are spread over this share of it, so that the callers who
-were refused don't return together."""
+"""Retry times after a pause, and while there is no room, are spread over this share of
+it, so that the callers who were refused don't return together."""
 
 
 class Admission(msgspec.Struct, frozen=True):
@@ -30,13 +36,15 @@
     ----------
     usable : tuple of Endpoint
         Those that may get it.
-    paused_count, limited_count : int
-        Those that want a pause, and those at their rate limit.
+    paused_count, limited_count, full_count : int
+        Those that want a pause, those at their rate limit, and brittle ones without
+        room.
     """
 
     usable: tuple[Endpoint, ...]
     paused_count: int = 0
     limited_count: int = 0
+    full_count: int = 0
 
 
 class EndpointGate:
@@ -48,6 +56,10 @@
         Limits that endpoints name for all instances together.
     pauses : EndpointPauses
         Pauses that endpoints ask this instance for.
+    brittle : BrittleServices
+        Services whose endpoints may not be asked for more than they have room for.
+    board : LoadBoard
+        Requests in progress at the endpoints.
     rng : random.Random
         Spreads retry times.
     """
@@ -56,20 +68,36 @@
         self,
         rate_limits: EndpointRateLimits,
         pauses: EndpointPauses,
+        brittle: BrittleServices,
+        board: LoadBoard,
         rng: random.Random,
     ):
         self._rate_limits = rate_limits
         self._pauses = pauses
+        self._brittle = brittle
+        self._board = board
         self._rng = rng
 
     def admit(self, endpoints: tuple[Endpoint, ...], now_ms: int) -> Admission:
         """Return which of the endpoints may get a request now."""
         unpaused = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
-        usable = self._rate_limits.usable_endpoints(unpaused, now_ms)
+        unlimited = self._rate_limits.usable_endpoints(unpaused, now_ms)
+        usable = tuple(e for e in unlimited if self.has_room(e, now_ms))
         return Admission(
-            usable, len(endpoints) - len(unpaused), len(unpaused) - len(usable)
+            usable,
+            paused_count=len(endpoints) - len(unpaused),
+            limited_count=len(unpaused) - len(unlimited),
+            full_count=len(unlimited) - len(usable),
         )
 
+    def has_room(self, endpoint: Endpoint, now_ms: int) -> bool:
+        """Return whether an endpoint presumably won't turn another request away.
+
+        Only of those that bear few refusals this is asked for.
+        """
+        most = self._brittle.max_running(endpoint.service, endpoint.slots, now_ms)
+        return most is None or self._board.load(endpoint.id).running_count < most
+
     def is_paused(self, endpoint: EndpointId, now_ms: int) -> bool:
         """Return whether an endpoint wants no requests of this instance."""
         return self._pauses.wait_ms(endpoint, now_ms) > 0
@@ -79,10 +107,16 @@
     ) -> PlacementRefusal:
         """Return the refusal of a request that none of the endpoints may get.
 
-        Its retry time is when the first pause ends, or when the limits allow the next
-        request. Its prompt counts whole as work that has arrived.
+        Its retry time is when the first pause ends, when the limits allow the next
+        request, or when there may be room. Its prompt counts whole as work that has
+        arrived.
         """
         unpaused = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
+        if self._rate_limits.usable_endpoints(unpaused, now_ms):
+            spread_ms = FULL_RETRY_MS * self._rng.uniform(1.0, 1.0 + PAUSE_SPREAD)
+            return PlacementRefusal(
+                "brittle endpoints have no room", round(spread_ms), prompt_tokens
+            )
         if unpaused:
             return PlacementRefusal(
                 "all endpoints are at their rate limit",
--- a/src/_monsoonpulley/platform/answerheaders.py
+++ b/src/_monsoonpulley/platform/answerheaders.py
@@ -15,6 +15,7 @@
 _REQUEST_ID = names.REQUEST_ID.lower()
 _LEAVING = names.LEAVING.lower()
 _RATE_LIMIT = names.RATE_LIMIT.lower()
+_BRITTLE = names.BRITTLE.lower()
 _PEER_OUTCOME = names.PEER_OUTCOME.lower()
 
 _CONNECTION_HEADERS = frozenset(
@@ -120,7 +121,22 @@
     float or Failure or None
         `Reason.INVALID` if the value is no finite number or negative.
     """
-    text = head.fields.get(_RATE_LIMIT)
+    return _read_rate(head, _RATE_LIMIT, "answer.rate_limit")
+
+
+def read_bearable_refusals(head: AnswerHead) -> float | Failure | None:
+    """Return the refusals a second that the endpoint bears, None if it is not brittle.
+
+    Returns
+    -------
+    float or Failure or None
+        `Reason.INVALID` if the value is no finite number or negative.
+    """
+    return _read_rate(head, _BRITTLE, "answer.brittle")
+
+
+def _read_rate(head: AnswerHead, name: bytes, step: str) -> float | Failure | None:
+    text = head.fields.get(name)
     if text is None:
         return None
     try:
@@ -128,8 +144,7 @@
     except ValueError:
         per_s = math.nan
     if not math.isfinite(per_s) or per_s < 0:
-        detail = f"no rate limit: {text[:40]!r}"
-        return Failure(Reason.INVALID, "answer.rate_limit", detail=detail)
+        return Failure(Reason.INVALID, step, detail=f"no rate: {text[:40]!r}")
     return per_s
 
 
--- a/src/_monsoonpulley/platform/names.py
+++ b/src/_monsoonpulley/platform/names.py
@@ -24,6 +24,9 @@
 RATE_LIMIT = b"Server-Limit"
 """Holds the requests a second, a decimal number, that an endpoint takes from all
 instances together."""
+BRITTLE = b"Server-Brittle"
+"""Holds how many requests a second an endpoint may have to turn away for want of room
+before it falls over."""
 LEAVING = b"Server-Leaving"
 """In all answers of an endpoint that leaves, with the value 1."""
 DUTY_HOLDER = "Monsoonpulley-Duty-Holder"
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -8,6 +8,7 @@
 from ..control.verdict import Result
 from ..errors import Failure, Reason
 from ..fleet.relay import Relay
+from ..limits.brittleness import BrittleNotice
 from ..limits.endpointrates import Notice
 from ..placing.demandmeter import Totals
 from ..placing.loadboard import LoadEntry
@@ -60,6 +61,8 @@
         the time since then.
     lost_links : dict
         Number of endpoints of each service that the sender presumably can't reach.
+    brittle : dict
+        Services whose endpoints lately told an instance how many refusals they bear.
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
@@ -96,6 +99,7 @@
     quarantined: tuple[tuple[Entry, int], ...] = ()
     served: dict[str, int] = {}
     lost_links: dict[str, int] = {}
+    brittle: dict[str, BrittleNotice] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/ingress/linked.py
+++ b/testing/ingress/linked.py
@@ -6,7 +6,7 @@
 import itertools
 import os
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import msgspec
@@ -118,12 +118,16 @@
         self._request_numbers = itertools.count(1)
 
     async def start(
-        self, script: Script, endpoint_count: int = 3, **changes: object
+        self,
+        script: Script,
+        endpoint_count: int = 3,
+        make_endpoint: Callable[[Script], EndpointStandin] = EndpointStandin,
+        **changes: object,
     ) -> None:
         """Start everything and wait until the instances know each other."""
         await self.store.listen()
         for number in range(endpoint_count):
-            endpoint = EndpointStandin(script)
+            endpoint = make_endpoint(script)
             address = await endpoint.listen()
             self.endpoints.append(endpoint)
             self.store.put("servers", f"i-{number}", endpoint_row(address))
--- a/testing/placing/test_endpointgate.py
+++ b/testing/placing/test_endpointgate.py
@@ -7,9 +7,11 @@
 
 from _monsoonpulley.fleet.model import Endpoint
 from _monsoonpulley.ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
+from _monsoonpulley.limits.brittleness import MEMORY_MS, BrittleServices
 from _monsoonpulley.limits.endpointpauses import EndpointPauses
 from _monsoonpulley.limits.endpointrates import EndpointRateLimits
 from _monsoonpulley.placing.endpointgate import PAUSE_SPREAD, EndpointGate
+from _monsoonpulley.placing.loadboard import LoadBoard
 
 
 def endpoint(name: str) -> Endpoint:
@@ -33,7 +35,11 @@
         rng = random.Random(1)
         self.limits = EndpointRateLimits(InstanceId("i-1"), rng)
         self.pauses = EndpointPauses()
-        self.gate = EndpointGate(self.limits, self.pauses, rng)
+        self.brittle = BrittleServices(self.pauses)
+        self.board = LoadBoard()
+        self.gate = EndpointGate(
+            self.limits, self.pauses, self.brittle, self.board, rng
+        )
 
     def test_endpoints_are_left_out_each_for_its_reason(self):
         self.pauses.record_refusal(A.id, 2_000, 0)
@@ -61,6 +67,18 @@
         self.assertIn("rate limit", refusal.reason)
         self.assertLessEqual(refusal.retry_after_ms, 4_000)
 
+    def test_brittle_endpoints_get_only_what_they_have_room_for(self):
+        for _ in range(4):
+            self.board.record_dispatch(A.id, 0)
+        self.assertEqual(self.gate.admit(ENDPOINTS, 0).usable, ENDPOINTS)
+        self.brittle.record_answer(A.service, 5.0, 0)
+        admission = self.gate.admit(ENDPOINTS, 10)
+        self.assertEqual((admission.usable, admission.full_count), ((B, C), 1))
+        refusal = self.gate.refuse((A,), 0, 10)
+        self.assertIn("room", refusal.reason)
+        self.assertGreater(refusal.retry_after_ms, 0)
+        self.assertEqual(self.gate.admit((A,), MEMORY_MS + 1).usable, (A,))
+
     def test_callers_of_one_pause_return_spread(self):
         self.pauses.record_refusal(A.id, 2_000, 0)
         retries_ms = {self.gate.refuse((A,), 0, 0).retry_after_ms for _ in range(20)}
