Let answers that end with their connection acquit only if the endpoint lives

What callers would have seen: one part of a prompt went on crashing engines, where answers have neither length nor chunks and the engine crashes after its first whole event: such a stream looks complete, and counted as proof that its parts are sound.

Change: after such an answer the crash watch looks whether the endpoint listens; if it does, the request is acquitted, else it is a suspect. The gateway's streams end with a marker of their own.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -56,6 +56,9 @@
         Whole events of a stream that arrived.
     broke_off : bool
         Whether the connection ended before the answer was complete.
+    ended_unframed : bool
+        Whether a success ended with its connection, as it would if the endpoint had
+        crashed.
     """
 
     def __init__(self, state: RequestState):
@@ -70,6 +73,7 @@
         self.event_count = 0
         self.was_sent = False
         self.broke_off = False
+        self.ended_unframed = False
         self.elapsed_ms = 0
         self.first_byte_ms: int | None = None
         self.detail = ""
@@ -213,6 +217,7 @@
             self._on_start()
             self.detail = f"status {head.status}"
             return Result.FAILED
+        self.ended_unframed = not end.is_framed
         if self._splitter is None:
             self._on_start()
             self._forward_answer(head)
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -325,7 +325,13 @@
             suspect = None if self._is_proven else state.as_suspect(self.elapsed_ms)
             self._parts.crash_watch.record_broken(self._endpoint, suspect)
         if result is Result.ANSWERED:
-            state.record_served()
+            if self.ended_unframed and not self._is_proven:
+                suspect = state.as_suspect(self.elapsed_ms)
+                self._parts.crash_watch.record_broken(
+                    self._endpoint, suspect, state.record_served
+                )
+            else:
+                state.record_served()
             answer_ms = (
                 self.first_byte_ms
                 if self.first_byte_ms is not None
--- a/src/_monsoonpulley/quarantine/crashwatch.py
+++ b/src/_monsoonpulley/quarantine/crashwatch.py
@@ -35,6 +35,15 @@
 """Ends of connections that are remembered for it."""
 
 
+class _Check:
+    """What the check of one endpoint is to decide."""
+
+    def __init__(self) -> None:
+        self.suspects: list[Suspect] = []
+        self.on_up: list[Callable[[], None]] = []
+        self.has_broken = False
+
+
 class CrashWatch:
     """Checks endpoints whose connections broke.
 
@@ -71,11 +80,16 @@
         self._is_listed = is_listed
         self._is_cut_off = is_cut_off
         self._on_crash = on_crash
-        self._suspects: dict[EndpointId, list[Suspect]] = {}
+        self._pending: dict[EndpointId, _Check] = {}
         self._recent: deque[tuple[EndpointId, int]] = deque(maxlen=MAX_RECENT)
         self._checks: set[asyncio.Task[None]] = set()
 
-    def record_broken(self, endpoint: Endpoint, suspect: Suspect | None) -> None:
+    def record_broken(
+        self,
+        endpoint: Endpoint,
+        suspect: Suspect | None,
+        on_up: Callable[[], None] | None = None,
+    ) -> None:
         """Check an endpoint whose connection to a request in progress has ended.
 
         Parameters
@@ -85,18 +99,25 @@
         suspect : Suspect or None
             The request; None if it had been answered for a while, so that it can't be
             the cause.
+        on_up : callable or None
+            For an answer that is complete unless the endpoint has crashed: called if it
+            has not.
         """
         if not self._is_listed(endpoint):
             return
-        suspects = self._suspects.get(endpoint.id)
-        if suspects is None:
-            suspects = self._suspects[endpoint.id] = []
+        pending = self._pending.get(endpoint.id)
+        if pending is None:
+            pending = self._pending[endpoint.id] = _Check()
             self._recent.append((endpoint.id, self._clock.now_ms()))
             check = asyncio.get_running_loop().create_task(self._check(endpoint))
             self._checks.add(check)
             check.add_done_callback(self._on_check_done)
-        if suspect is not None and len(suspects) < MAX_SUSPECTS:
-            suspects.append(suspect)
+        if on_up is None:
+            pending.has_broken = True
+        else:
+            pending.on_up.append(on_up)
+        if suspect is not None and len(pending.suspects) < MAX_SUSPECTS:
+            pending.suspects.append(suspect)
 
     async def _check(self, endpoint: Endpoint) -> None:
         started_ms = self._clock.now_ms()
@@ -105,19 +126,24 @@
         if failure is not None:
             # The checks of other endpoints, which began at the same time, end too.
             await self._clock.sleep_ms(CONFIRM_MS)
-        suspects = self._suspects.pop(endpoint.id)
+        pending = self._pending.pop(endpoint.id)
+        suspects = pending.suspects
         is_down = failure is not None and failure.reason is Reason.NOT_LISTENING
         is_cut_off = self._is_cut_off() and self._has_broken_with(endpoint, started_ms)
         is_crash = is_down and not is_cut_off and self._is_listed(endpoint)
+        if failure is None:
+            for on_up in pending.on_up:
+                on_up()
         if not suspects or not is_crash:
-            self._log.event(
-                "endpoint_checked",
-                endpoint=endpoint.id,
-                is_down=is_down,
-                is_cut_off=is_cut_off,
-                suspects=len(suspects),
-                error=str(failure) if failure is not None else "",
-            )
+            if pending.has_broken or failure is not None:
+                self._log.event(
+                    "endpoint_checked",
+                    endpoint=endpoint.id,
+                    is_down=is_down,
+                    is_cut_off=is_cut_off,
+                    suspects=len(suspects),
+                    error=str(failure) if failure is not None else "",
+                )
             return
         self._on_crash(
             CrashReport(
--- a/testing/ingress/crashing.py
+++ b/testing/ingress/crashing.py
@@ -66,10 +66,13 @@
             self.faulty_times_s.append(asyncio.get_running_loop().time())
         await asyncio.sleep(SERVICE_S)
         if self._is_faulty(call):
-            self.crash()
+            self.crash_under(call)
         elif not call.writer.is_closing():
             self.answer_soundly(call)
 
+    def crash_under(self, call: EndpointCall) -> None:
+        self.crash()
+
     def answer_soundly(self, call: EndpointCall) -> None:
         call.answer(body=b"sound")
 
@@ -84,6 +87,32 @@
         call.writer.write(b"0\r\n\r\n")
 
 
+class CrashingUnframedStream(CrashingStream):
+    """An endpoint whose streams end with their connection, crashing after an event."""
+
+    def answer_soundly(self, call: EndpointCall) -> None:
+        self._start(call)
+        for number in (1, 2, 3):
+            call.writer.write(b"id: %d\ndata: piece\n\n" % number)
+        call.writer.close()
+
+    def crash_under(self, call: EndpointCall) -> None:
+        self._start(call)
+        call.writer.write(b"id: 1\ndata: piece\n\n")
+        call.writer.close()
+        self._writers.discard(call.writer)
+        self.crash()
+
+    @staticmethod
+    def _start(call: EndpointCall) -> None:
+        call.writer.write(
+            b"HTTP/1.1 200 OK\r\n"
+            + f"Monsoonpulley-Request-Id: {call.request_id}\r\n".encode()
+            + b"Monsoonpulley-Response-Seal: seal-1\r\n"
+            + b"Content-Type: text/event-stream\r\n\r\n"
+        )
+
+
 class CrashPlay:
     """Faulty and sound requests at a steady rate, and what becomes of them.
 
--- a/testing/ingress/test_crashes.py
+++ b/testing/ingress/test_crashes.py
@@ -4,7 +4,12 @@
 
 import unittest
 
-from .crashing import CrashingEndpoint, CrashingStream, CrashPlay
+from .crashing import (
+    CrashingEndpoint,
+    CrashingStream,
+    CrashingUnframedStream,
+    CrashPlay,
+)
 from .site import Site
 
 STABLE_WINDOW_S = 3.0
@@ -56,6 +61,29 @@
         share = play.sound_share_after(fifth_s + 2 * STABLE_WINDOW_S)
         self.assertGreaterEqual(share, MIN_SOUND_SHARE)
 
+    async def test_an_answer_that_ends_with_its_connection_does_not_acquit_its_part(
+        self,
+    ):
+        play = CrashPlay(
+            self.site,
+            CrashingUnframedStream,
+            lambda call: (
+                f"{FAULTY_PART}:" in call.headers["monsoonpulley-prompt-prefix"]
+            ),
+        )
+        await play.start("streaming", resume_streams=True)
+        await play.run(
+            2 * STABLE_WINDOW_S + 4,
+            lambda n: prompt("cafe", FAULTY_PART, f"{n:x}f"),
+            lambda n: prompt("cafe", "beef", f"{n:x}5"),
+        )
+        fifth_s = play.crash_time_s(PART_CRASHES)
+        self.assertLessEqual(
+            play.faulty_arrivals_after(fifth_s + STABLE_WINDOW_S), MAX_REQUESTS_BEYOND
+        )
+        share = play.sound_share_after(fifth_s + 2 * STABLE_WINDOW_S)
+        self.assertGreaterEqual(share, MIN_SOUND_SHARE)
+
 
 class TestRequests(CrashTest):
     async def test_a_request_that_crashes_endpoints_is_repeated_rarely_after_the_third(
