Let the soak play brittle and silent endpoints

Brittle endpoints have room for two requests and fall over when they turn away more than 2, 4 or 8 a second, from 3 s on; a check bounds their falls as users do. Silent endpoints hold their bytes back for 0.5 to 1.4 s, which excuses nothing.

--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.wire.sockets import reset
 
-from .records import Records, Run, Statement, StatementKind
+from .records import Call, Records, Run, Statement, StatementKind
 
 STREAM_EVENT_COUNT = 12
 """Events in a complete stream."""
@@ -61,8 +62,13 @@
         Requests a second that all answers name as its limit.
     pause_s : float
         Pause that it asks for while it is pausing.
-    on_crash : callable
-        Called with the endpoint's name and the cause when a request crashes it.
+    max_running : int or None
+        Requests that it has room for; it turns others away. None: any number.
+    refusals_per_s : float or None
+        Requests a second that it bears to turn away, as all answers say; None: any.
+    on_crash, on_fall : callable
+        Called with the endpoint's name and the cause when a request crashes it; and
+        with its name when it has turned too many requests away.
     """
 
     def __init__(
@@ -79,6 +85,11 @@
         self.says_leaving = False
         self.limit_per_s: float | None = None
         self.pause_s = 1.0
+        self.max_running: int | None = None
+        self.refusals_per_s: float | None = None
+        self._running_count = 0
+        self._refused_ms: deque[int] = deque()
+        self.on_fall: Callable[[str], None] = lambda name: None
         self.on_crash: Callable[[str, str], None] = lambda name, cause: None
         self._records = records
         self._clock = clock
@@ -150,6 +161,37 @@
             run.was_run = False
             self._write(writer, run, request_id, 503, b"full")
             return
+        if self.max_running is not None and self._running_count >= self.max_running:
+            run.was_run = False
+            self._write(writer, run, request_id, 503, b"full")
+            self._record_refusal()
+            return
+        self._running_count += 1
+        try:
+            await self._run(writer, run, request_line, fields, call)
+        finally:
+            self._running_count -= 1
+
+    def _record_refusal(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._refused_ms.append(now_ms)
+        while self._refused_ms[0] <= now_ms - 1_000:
+            self._refused_ms.popleft()
+        if (
+            self.refusals_per_s is not None
+            and len(self._refused_ms) > self.refusals_per_s
+        ):
+            self.on_fall(self.name)
+
+    async def _run(
+        self,
+        writer: asyncio.StreamWriter,
+        run: Run,
+        request_line: str,
+        fields: dict[str, str],
+        call: Call | None,
+    ) -> None:
+        request_id = fields.get("monsoonpulley-request-id", "")
         if call is not None and call.cause:
             await asyncio.sleep(MEDIAN_SERVICE_MS / 1000)
             self.on_crash(self.name, call.cause)
@@ -217,6 +259,8 @@
         if self.limit_per_s is not None:
             lines += f"Server-Limit: {self.limit_per_s}\r\n"
             self._record(StatementKind.LIMIT, request_id, self.limit_per_s)
+        if self.refusals_per_s is not None:
+            lines += f"Server-Brittle: {self.refusals_per_s:.0f}\r\n"
         return lines
 
     def _record(self, kind: StatementKind, request_id: str, value: float) -> None:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -17,6 +17,7 @@
 from .callers import BODY_CAUSE, PART_CAUSE, Caller
 from .endpoints import Behaviour
 from .link import Direction, Link
+from .records import Disturbance
 from .world import RATE_PER_S, World
 
 Fault = Callable[[World, random.Random], Awaitable[None]]
@@ -295,6 +296,27 @@
     endpoint.limit_per_s = None
 
 
+@fault
+async def make_endpoints_brittle(world: World, rng: random.Random) -> None:
+    """Let the endpoints of a service have little room and bear few refusals."""
+    refusals_per_s = rng.choice((2.0, 4.0, 8.0))
+    time = Disturbance("app", "brittle", world.clock.now_ms())
+    world.records.brittle.append(time)
+    world.set_brittle("app", refusals_per_s)
+    await _wait(rng, 6, 10)
+    world.set_brittle("app", None)
+    time.until_ms = world.clock.now_ms()
+
+
+@fault
+async def silence_endpoint(world: World, rng: random.Random) -> None:
+    """Hold back an endpoint's bytes for a second or so, which is no disturbance."""
+    link = world.endpoint_links[_endpoint(world, rng)]
+    link.block(*Direction)
+    await _wait(rng, 0.5, 1.4)
+    link.heal()
+
+
 @fault
 async def change_configuration(world: World, rng: random.Random) -> None:
     """Write one configuration, or five in quick succession."""
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 
 from .callers import BODY_CAUSE, PART_CAUSE
 from .endpoints import STREAM_EVENT_COUNT
 from .records import Call, Records, Run, Statement, StatementKind
-from .world import BOUNDS, BURST, ROUTE_TIMEOUT_MS
+from .world import BOUNDS, BURST, ENDPOINTS, ROUTE_TIMEOUT_MS
 
 Check = Callable[[Records], Iterable[str]]
 
@@ -58,6 +59,10 @@
 MAX_CRASHING = 3
 """Requests that crash endpoints and may reach them after that, of all instances."""
 
+MAX_FALLS, MAX_FALLS_SHARE = 2, 0.1
+"""Falls in one time in which a service is brittle: this number, and this share of its
+endpoints."""
+
 MIN_SOUND_CALLS = 20
 """Sound requests without which their share isn't compared."""
 
@@ -557,6 +562,25 @@
             )
 
 
+@check
+def brittle_endpoints_seldom_fall(records: Records) -> Iterator[str]:
+    """Check that few brittle endpoints are asked for more than they bear."""
+    everyone = tuple({call.instance for call in records.calls.values()})
+    for time in records.brittle:
+        until_ms = time.until_ms if time.until_ms is not None else math.inf
+        falls = [
+            fall
+            for fall in records.falls
+            if fall.cause == time.what
+            and time.from_ms <= fall.at_ms <= until_ms
+            and records.is_undisturbed(
+                (*everyone, "store"), fall.at_ms - STABLE_MS, fall.at_ms
+            )
+        ]
+        if len(falls) > MAX_FALLS + MAX_FALLS_SHARE * ENDPOINTS[time.what]:
+            yield f"{len(falls)} brittle endpoints of {time.what} fell over"
+
+
 def _crash_bounds(records: Records) -> Iterator[tuple[str, int]]:
     """Return each cause of crashes and the time from which its bound holds."""
     for cause in sorted({crash.cause for crash in records.crashes}):
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -137,6 +137,10 @@
     versions: list[Version] = msgspec.field(default_factory=list)
     statements: list[Statement] = msgspec.field(default_factory=list)
     crashes: list[Crash] = msgspec.field(default_factory=list)
+    brittle: list[Disturbance] = msgspec.field(default_factory=list)
+    """Times in which the endpoints of a service are brittle."""
+    falls: list[Crash] = msgspec.field(default_factory=list)
+    """Ends of brittle endpoints; the cause is their service."""
     drained_ms: dict[str, int] = msgspec.field(default_factory=dict)
     exits: list[tuple[str, int]] = msgspec.field(default_factory=list)
     healed_ms: int = 0
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -282,6 +282,16 @@
             del seen.calls[calls[0].id]
             self.assertEqual(find_violations(seen), [])
 
+    def test_brittle_endpoints_seldom_fall(self):
+        time = Disturbance("app", "brittle", SENT_MS, SENT_MS + 9_000)
+        falls = [Crash(f"endpoint-{n}", "app", SENT_MS + 5_000) for n in range(3)]
+        seen = make_records(make_call(), brittle=[time], falls=falls)
+        self.assert_violates("brittle_endpoints_seldom_fall", seen)
+        seen.disturbances.append(
+            Disturbance("instance-1", "kill", SENT_MS + 2_000, SENT_MS + 2_500)
+        )
+        self.assertEqual(find_violations(seen), [])
+
     def test_sound_requests_begin_beside_crashing_ones(self):
         crashed_ms = SENT_MS - 3 * STABLE_MS
         crashes = [Crash(f"endpoint-{n}", "part-a", crashed_ms) for n in range(5)]
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -45,6 +45,12 @@
 """The users' values, but with usage windows so short that a duty's calls show its
 holder, and with budgets that faults use up."""
 
+BRITTLE_SLOTS = 2
+"""Requests that a brittle endpoint has room for, so that callers fill it."""
+
+BRITTLE_FROM_MS = 3_000
+"""Time from the first statement after which brittle endpoints fall over."""
+
 CRASH_DOWN_S = 1.0
 """Time from the crash of an endpoint until another one takes its place."""
 
@@ -76,6 +82,8 @@
         self._subnet += f".{os.getpid() % 250}"
         self._platform = DutyApi(self.records, self.clock)
         self._addresses: dict[str, tuple[str, int]] = {}
+        self._refusals_per_s: dict[str, float | None] = {}
+        self._brittle_since_ms: dict[str, int] = {}
         self._last_endpoint_number = 0
         self._restarts: set[asyncio.Task[None]] = set()
         self.instances: dict[str, Instance] = {}
@@ -148,6 +156,8 @@
         for endpoint in self.endpoints.values():
             endpoint.behaviour = Behaviour.HEALTHY
             endpoint.limit_per_s = None
+        for service in ENDPOINTS:
+            self.set_brittle(service, None)
         for instance in self.instances.values():
             if not instance.is_running:
                 await instance.start()
@@ -189,8 +199,13 @@
         if endpoint is None:
             return
         now_ms = self.clock.now_ms()
-        self.records.start_disturbance(name, "gone", now_ms)
         self.records.crashes.append(Crash(name, cause, now_ms))
+        self._crash_and_replace(endpoint)
+
+    def _crash_and_replace(self, endpoint: Endpoint) -> None:
+        name = endpoint.name
+        self.endpoints.pop(name, None)
+        self.records.start_disturbance(name, "gone", self.clock.now_ms())
         endpoint.crash()
         # The link's address must refuse connections, as the endpoint's own would.
         self.endpoint_links.pop(name).close()
@@ -198,6 +213,32 @@
         self._restarts.add(task)
         task.add_done_callback(self._restarts.discard)
 
+    def _on_fall(self, name: str) -> None:
+        """Crash an endpoint that has turned too many requests away, if that counts."""
+        endpoint = self.endpoints[name]
+        now_ms = self.clock.now_ms()
+        since_ms = self._brittle_since_ms.get(endpoint.service)
+        if since_ms is None or now_ms < since_ms + BRITTLE_FROM_MS:
+            return
+        self.records.falls.append(Crash(name, endpoint.service, now_ms))
+        self._crash_and_replace(endpoint)
+
+    def set_brittle(self, service: str, refusals_per_s: float | None) -> None:
+        """Let the endpoints of a service have little room and bear few refusals."""
+        self._refusals_per_s[service] = refusals_per_s
+        self._brittle_since_ms.pop(service, None)
+        if refusals_per_s is not None:
+            self._brittle_since_ms[service] = self.clock.now_ms()
+        for endpoint in self.endpoints.values():
+            if endpoint.service == service:
+                self._apply_brittleness(endpoint)
+                self.write_endpoint_row(endpoint, self._states[endpoint.name])
+
+    def _apply_brittleness(self, endpoint: Endpoint) -> None:
+        endpoint.refusals_per_s = self._refusals_per_s.get(endpoint.service)
+        is_brittle = endpoint.refusals_per_s is not None
+        endpoint.max_running = BRITTLE_SLOTS if is_brittle else None
+
     async def _replace(self, endpoint: Endpoint) -> None:
         await asyncio.sleep(CRASH_DOWN_S)
         await self.add_endpoint(endpoint.service)
@@ -223,7 +264,8 @@
         await endpoint.listen(address[0], address[1] + 1)
         link = Link(lambda: (address[0], address[1] + 1))
         await link.listen(*address)
-        endpoint.on_crash = self._on_crash
+        endpoint.on_crash, endpoint.on_fall = self._on_crash, self._on_fall
+        self._apply_brittleness(endpoint)
         self.endpoints[name], self.endpoint_links[name] = endpoint, link
         self._addresses[name] = address
         self.write_endpoint_row(endpoint)
@@ -245,6 +287,8 @@
         row = endpoint_row(
             f"{ip}:{port}", service=endpoint.service, state=state, zone=zone
         )
+        if endpoint.max_running is not None:
+            row["slots"] = endpoint.max_running
         self._states[endpoint.name] = state
         self.store.put("servers", endpoint.name, row)
         if state == "draining":
