Ask other instances only when lost links are the reason for a refusal

A request that an instance refused for overload went to another instance as soon as one link was lost: in a large fleet under load, after any crash of an endpoint, each refusal would be decided twice. Now at least half of the service's links have to be lost. On the other hand a request that failed to connect three times was refused although others may reach the rest: it is asked for first. An instance that gave up for other reasons than connections doesn't say any more that it has no link.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -53,6 +53,11 @@
         The request and its progress.
     choice : Choice
         The endpoint, and the figures behind the choice.
+
+    Attributes
+    ----------
+    was_connected : bool
+        Whether there was a connection to the endpoint.
     """
 
     def __init__(self, state: RequestState, choice: Choice):
@@ -62,6 +67,7 @@
         self._started_wall_ms = state.parts.clock.wall_ms()
         self._prefill_tokens = choice.prefill_tokens
         self._held_tokens = state.facts.held_tokens
+        self.was_connected = False
         self._wants_pause = False
         self._is_proven = False
         self._first_event_ms: int | None = None
@@ -74,6 +80,7 @@
             self.detail = str(connection)
             self._record_unreachable(connection)
             return Result.UNREACHABLE
+        self.was_connected = True
         pool = self._pool
         load_board = self._parts.load_board
         try:
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -39,6 +39,11 @@
 endpoints may be older than a cut."""
 
 
+MIN_LOST_SHARE = 0.5
+"""Share of a service's endpoints from which on lost links are the reason for a refusal.
+With fewer of them lost, the others are as busy as for any other instance."""
+
+
 class RequestRun(RequestState):
     """Admits one request, attempts it at endpoints and answers its caller.
 
@@ -210,7 +215,11 @@
                 self._unreachable_count += 1
                 if self._unreachable_count < MAX_UNREACHABLE_ENDPOINTS:
                     continue
-                self.has_no_link = True
+                helper = choose_helper(self._find_helpers(0.0), self._rng)
+                if helper is not None:
+                    await self._ask_helper(helper)
+                    continue
+                self.has_no_link = not attempt.was_connected
                 self._refuse(
                     PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
                 )
@@ -219,17 +228,19 @@
                 attempt.give_final_answer(result, self._not_run_retry_ms())
                 return
 
-    def _find_helpers(self) -> list[Member]:
+    def _find_helpers(self, min_lost_share: float = MIN_LOST_SHARE) -> list[Member]:
         """Return the instances that can perhaps serve what this one would refuse.
 
-        They have more links to endpoints.
+        They have more links to endpoints; there are none while this instance has lost
+        a smaller share than ``min_lost_share`` of its own.
         """
         assert self.service is not None and self.configuration is not None
         parts = self.parts
         if self.is_from_peer or len(self._helper_ids) >= MAX_HELPERS:
             return []
-        lost_count = parts.links.unreachable_count(self._untried_endpoints())
-        if not lost_count:
+        untried = self._untried_endpoints()
+        lost_count = parts.links.unreachable_count(untried)
+        if not lost_count or lost_count < min_lost_share * len(untried):
             return []
         return find_helpers(
             parts.members,
--- a/testing/ingress/linked.py
+++ b/testing/ingress/linked.py
@@ -158,11 +158,15 @@
         self.silent.close()
         self.store.close()
 
-    def lose_links(self, sites: Iterable[Site], loss: Loss) -> None:
-        """Cut instances off from all endpoints."""
+    def lose_links(
+        self, sites: Iterable[Site], loss: Loss, kept: Iterable[str] = ()
+    ) -> None:
+        """Cut instances off from all endpoints but those that are ``kept``."""
         for site in sites:
             upstreams = self._upstreams(site)
             for name, link in upstreams.links.items():
+                if name in kept:
+                    continue
                 link.refuses_connections = True
                 if loss is Loss.SILENT:
                     upstreams.replaced[name] = self.silent.address
--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -21,7 +21,7 @@
 
 
 class PeersTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, instance_count, script=answer, **changes):
+    async def start(self, instance_count, script=answer, **changes) -> None:
         self.fleet = LinkedFleet(instance_count)
         self.addAsyncCleanup(self.fleet.stop)
         await self.fleet.start(script, **changes)
@@ -78,6 +78,34 @@
         self.assertEqual(len(self.cut.log_events("peer_attempt")), before)
 
 
+class TestFewLinks(PeersTest):
+    """Instances that have links to some endpoints, which want pauses of them."""
+
+    async def lose_links_but(self, kept: list[str], endpoint_count: int) -> None:
+        await self.start(2, endpoint_count=endpoint_count)
+        links = self.cut.service.parts.links
+        self.fleet.lose_links([self.cut], Loss.CLOSED, kept)
+        while links.lost_count < endpoint_count - len(kept):
+            await self.fleet.send(self.cut)
+        for name in kept:
+            now_ms = self.cut.clock.now_ms()
+            self.cut.service.parts.pauses.record_refusal(name, 30_000, now_ms)
+        await asyncio.sleep(0.5)
+        self.cut.log_lines.clear()
+
+    async def test_an_instance_with_few_links_does_not_refuse_for_its_endpoints(self):
+        await self.lose_links_but(["i-0"], 3)
+        self.assertEqual((await self.fleet.send(self.cut)).status, 200)
+        (line,) = self.cut.log_events("peer_attempt")
+        self.assertEqual((line["lost"], line["known"]), (2, 3))
+
+    async def test_an_instance_with_most_links_refuses_by_itself(self):
+        await self.lose_links_but(["i-0", "i-1"], 3)
+        got = await self.fleet.send(self.cut)
+        self.assertEqual(got.status, 503)
+        self.assertEqual(self.cut.log_events("peer_attempt"), [])
+
+
 class TestPromises(PeersTest):
     async def test_a_once_only_request_is_not_sent_again_after_a_broken_answer(self):
         async def break_off(call) -> None:
