--- a/testing/limits/test_retrybudget.py
+++ b/testing/limits/test_retrybudget.py
@@ -64,3 +64,13 @@
         budget.set_limit(0.0, 1, 2)
         self.assertTrue(budget.try_acquire(SERVICE, 0))
         self.assertTrue(budget.try_acquire(SERVICE, 1_000))
+
+    def test_a_request_that_another_instance_counts_allows_no_retries(self):
+        counted, uncounted = (RetryBudget(RATIO, WINDOW_S, 0) for _ in range(2))
+        for now_ms in range(100):
+            for budget in (counted, uncounted):
+                budget.count_request(SERVICE, now_ms)
+            uncounted.uncount_request(SERVICE)
+        self.assertTrue(counted.try_acquire(SERVICE, 100))
+        self.assertFalse(uncounted.try_acquire(SERVICE, 100))
+        uncounted.uncount_request(SERVICE)
