Divide the room of brittle endpoints between instances

What callers would have seen: brittle endpoints falling over one after the other, and their requests lost.

Change: each endpoint's room is divided between at most as many instances as it has room for, by rendezvous hashing, and each instance keeps to its share by its own requests in progress. An instance without a share places its requests elsewhere or refuses them.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -366,7 +366,7 @@
         if self.status != REFUSED_STATUS:
             return
         pause_ms = self._parts.brittle.record_refusal(
-            self._endpoint.id, self._endpoint.service, now_ms
+            self._endpoint.id, self._endpoint.service, self._endpoint.slots, now_ms
         )
         if pause_ms is not None:
             self._parts.log.event(
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -106,7 +106,7 @@
         )
         rate_limits = EndpointRateLimits(settings.instance, rng, _log_rate_limits(log))
         pauses = EndpointPauses()
-        brittle = BrittleServices(pauses)
+        brittle = BrittleServices(settings.instance, pauses)
 
         def on_endpoint_ended(endpoint: EndpointId) -> None:
             rate_limits.remove(endpoint)
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -501,10 +501,10 @@
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
         parts.retry_budget.set_member_count(member_count)
-        parts.brittle.set_member_count(member_count)
         # Unreachable instances may still send requests.
         known_ids = [member.instance for member in parts.members.all()]
         parts.rate_limits.set_instances(known_ids, now_ms)
+        parts.brittle.set_instances(known_ids)
         self.counters.limited_endpoints.set(parts.rate_limits.limited_count())
         parts.quarantine.set_reachable(parts.members.reachable_ids)
         parts.quarantine.tick()
--- a/src/_monsoonpulley/limits/brittleness.py
+++ b/src/_monsoonpulley/limits/brittleness.py
@@ -1,12 +1,17 @@
 """Services whose endpoints fall over when they turn too many requests away.
 
 Endpoints say so in all their answers. What one says holds for all endpoints of its
-service at all instances, for a few seconds after the last such answer.
+service at all instances, for a few seconds after the last such answer. The room of each
+of these is divided between some instances, chosen by rendezvous hashing: each keeps to
+its share by itself, whatever it knows of the others.
 """
 
 from __future__ import annotations
 
-from ..ids import EndpointId, ServiceId
+from collections.abc import Iterable
+
+from ..ids import EndpointId, InstanceId, ServiceId
+from ..peers.rendezvous import choose_nodes
 from .endpointpauses import EndpointPauses
 
 MEMORY_MS = 5_000
@@ -14,15 +19,14 @@
 turned away; the first answer after it tells again."""
 
 ROOM_SHARE = 0.75
-"""Share of a brittle endpoint's slots that all instances use. What others have sent in
-the last digest interval is not known; the rest has to hold it."""
+"""Share of a brittle endpoint's slots that all instances use. The rest holds requests
+whose callers have left, and those of instances that don't know of each other yet."""
 
 SPENDABLE_SHARE = 0.5
 """Share of the refusals that an endpoint bears which the instances cause together."""
 
 MAX_PAUSE_MS = 5_000
-"""Longest pause after a refusal, as the number of instances that use an endpoint is
-lower in a large deployment than the number of all."""
+"""Longest pause after a refusal."""
 
 BrittleNotice = tuple[float, int]
 """Refusals a second that an endpoint bears, and the statement's age in ms, as in
@@ -34,18 +38,25 @@
 
     Parameters
     ----------
+    own : InstanceId
+        This instance.
     pauses : EndpointPauses
         Gets a pause after each refusal of a brittle endpoint.
     """
 
-    def __init__(self, pauses: EndpointPauses):
+    def __init__(self, own: InstanceId, pauses: EndpointPauses):
+        self._own = own
         self._pauses = pauses
         self._statements: dict[ServiceId, tuple[float, int]] = {}
-        self._member_count = 1
+        self._instances = frozenset((own,))
+        self._sharers: dict[tuple[EndpointId, int], list[str]] = {}
 
-    def set_member_count(self, member_count: int) -> None:
-        """Set how many instances share the refusals that an endpoint bears."""
-        self._member_count = max(1, member_count)
+    def set_instances(self, others: Iterable[InstanceId]) -> None:
+        """Set the other instances that may send requests, reachable or not."""
+        instances = frozenset((self._own, *others))
+        if instances != self._instances:
+            self._instances = instances
+            self._sharers.clear()
 
     def record_answer(
         self, service: ServiceId, refusals_per_s: float, now_ms: int
@@ -76,30 +87,55 @@
             return None
         return statement[0]
 
-    def max_running(self, service: ServiceId, slots: int, now_ms: int) -> float | None:
-        """Return how many requests an endpoint may have in progress; None: any."""
+    def own_room(
+        self, endpoint: EndpointId, service: ServiceId, slots: int, now_ms: int
+    ) -> int | None:
+        """Return how many requests of this instance an endpoint has room for.
+
+        None if it is not brittle, and gets as many as there are.
+        """
         if self.refusals_per_s(service, now_ms) is None:
             return None
-        return max(1, int(slots * ROOM_SHARE))
+        sharers = self._sharers_of(endpoint, slots)
+        if self._own not in sharers:
+            return 0
+        room, sharer_count = _room(slots), len(sharers)
+        is_early = sharers.index(self._own) < room % sharer_count
+        return room // sharer_count + is_early
 
     def record_refusal(
-        self, endpoint: EndpointId, service: ServiceId, now_ms: int
+        self, endpoint: EndpointId, service: ServiceId, slots: int, now_ms: int
     ) -> int | None:
         """Record that an endpoint had no room; return the pause (ms), if any follows.
 
-        If each instance that is refused pauses so long, all of them together stay
-        within `SPENDABLE_SHARE` of what the endpoint bears.
+        If each sharer that is refused pauses so long, all of them together stay within
+        `SPENDABLE_SHARE` of what the endpoint bears.
         """
         refusals_per_s = self.refusals_per_s(service, now_ms)
         if refusals_per_s is None:
             return None
         spendable_per_s = SPENDABLE_SHARE * max(refusals_per_s, 1.0)
-        pause_ms = round(1_000 * self._member_count / spendable_per_s)
+        sharer_count = len(self._sharers_of(endpoint, slots))
+        pause_ms = round(1_000 * sharer_count / spendable_per_s)
         pause_ms = min(pause_ms, MAX_PAUSE_MS)
         self._pauses.record_refusal(endpoint, pause_ms, now_ms)
         return pause_ms
 
+    def _sharers_of(self, endpoint: EndpointId, slots: int) -> list[str]:
+        key = (endpoint, _room(slots))
+        sharers = self._sharers.get(key)
+        if sharers is None:
+            sharers = choose_nodes(self._instances, endpoint, _room(slots))
+            self._sharers[key] = sharers
+        return sharers
+
     def _expire(self, now_ms: int) -> None:
         for service, (_, told_ms) in list(self._statements.items()):
             if now_ms - told_ms > MEMORY_MS:
                 del self._statements[service]
+        if not self._statements:
+            self._sharers.clear()
+
+
+def _room(slots: int) -> int:
+    return max(1, int(slots * ROOM_SHARE))
--- a/src/_monsoonpulley/placing/endpointgate.py
+++ b/src/_monsoonpulley/placing/endpointgate.py
@@ -93,10 +93,12 @@
     def has_room(self, endpoint: Endpoint, now_ms: int) -> bool:
         """Return whether an endpoint presumably won't turn another request away.
 
-        Only of those that bear few refusals this is asked for.
+        Those that bear any number of refusals always have room.
         """
-        most = self._brittle.max_running(endpoint.service, endpoint.slots, now_ms)
-        return most is None or self._board.load(endpoint.id).running_count < most
+        room = self._brittle.own_room(
+            endpoint.id, endpoint.service, endpoint.slots, now_ms
+        )
+        return room is None or self._board.own_running_count(endpoint.id) < room
 
     def is_paused(self, endpoint: EndpointId, now_ms: int) -> bool:
         """Return whether an endpoint wants no requests of this instance."""
--- a/src/_monsoonpulley/placing/loadboard.py
+++ b/src/_monsoonpulley/placing/loadboard.py
@@ -89,6 +89,11 @@
         """Return the load of an endpoint, summed over all instances."""
         return self._totals.get(endpoint) or Load()
 
+    def own_running_count(self, endpoint: EndpointId) -> int:
+        """Return how many requests of this instance an endpoint has in progress."""
+        own = self._own.get(endpoint)
+        return 0 if own is None else own.running_count
+
     def own_loads(self) -> dict[str, LoadEntry]:
         """Return this instance's load, for its digest."""
         return {endpoint: load.entry for endpoint, load in self._own.items()}
