Bound a rate limit of the soak by the time in which it is named

The check took all statements of an endpoint's limit for one time. Each time is now checked by itself, with the same bound; a test shows that it is still kept within one time.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -292,8 +292,11 @@
     """Let an endpoint limit the requests from all instances for 5 to 9 s."""
     endpoint = world.endpoints[_endpoint(world, rng, "app")]
     endpoint.limit_per_s = rng.choice((0.5, 1.6, 4.0))
+    time = Disturbance(endpoint.name, "limit", world.clock.now_ms())
+    world.records.limited.append(time)
     await _wait(rng, 5, 9)
     endpoint.limit_per_s = None
+    time.until_ms = world.clock.now_ms()
 
 
 @fault
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -438,13 +438,20 @@
 @check
 def rate_limits_kept(records: Records) -> Iterator[str]:
     """Check that instances together keep to the limits that endpoints name."""
-    limits: dict[str, list[Statement]] = defaultdict(list)
+    limits: dict[tuple[str, int], list[Statement]] = defaultdict(list)
     for each in records.statements:
         if each.kind is StatementKind.LIMIT:
-            limits[each.endpoint].append(each)
+            # One that was named, ended and named again is two limits.
+            ended_count = sum(
+                time.what == each.endpoint
+                and time.until_ms is not None
+                and time.until_ms < each.at_ms
+                for time in records.limited
+            )
+            limits[each.endpoint, ended_count].append(each)
     told_ms = _first_told_ms(records, StatementKind.LIMIT)
     arrivals = _arrivals_by_pair(records)
-    for endpoint, statements in limits.items():
+    for (endpoint, _), statements in limits.items():
         first_ms, last_ms = statements[0].at_ms, statements[-1].at_ms
         per_s = max(each.value for each in statements)
         times = sorted(
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -137,6 +137,8 @@
     versions: list[Version] = msgspec.field(default_factory=list)
     statements: list[Statement] = msgspec.field(default_factory=list)
     crashes: list[Crash] = msgspec.field(default_factory=list)
+    limited: list[Disturbance] = msgspec.field(default_factory=list)
+    """Times in which an endpoint names a rate limit."""
     brittle: list[Disturbance] = msgspec.field(default_factory=list)
     """Times in which the endpoints of a service are brittle."""
     falls: list[Crash] = msgspec.field(default_factory=list)
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -270,6 +270,23 @@
         del seen.calls[calls[0].id]
         self.assertEqual(find_violations(seen), [])
 
+    def test_a_limit_that_ended_does_not_bind_until_the_next_one(self):
+        times_ms = (SENT_MS - 6_000, SENT_MS - 500, SENT_MS + 1_500, SENT_MS + 9_000)
+        told = [
+            Statement(StatementKind.LIMIT, "endpoint-1", "instance-1", at_ms, 0.5)
+            for at_ms in times_ms
+        ]
+        calls = [
+            make_call(n, runs=[make_run(arrived_ms=SENT_MS + 100 * n)])
+            for n in range(9)
+        ]
+        seen = make_records(*calls, statements=told)
+        self.assert_violates("rate_limits_kept", seen)
+        seen.limited.append(
+            Disturbance("endpoint-1", "limit", times_ms[0], times_ms[1] + 1)
+        )
+        self.assertEqual(find_violations(seen), [])
+
     def test_crashing_requests_bounded(self):
         for cause, crash_count in (("part-a", 5), ("body-a", 3)):
             crashes = [
