--- a/testing/ingress/test_crashes.py
+++ b/testing/ingress/test_crashes.py
@@ -40,10 +40,10 @@
 
 
 class TestParts(CrashTest):
-    async def test_a_part_that_crashes_endpoints_reaches_few_more_after_the_fifth(self):
+    async def check_bounded(self, endpoint_type: type[CrashingEndpoint]) -> None:
         play = CrashPlay(
             self.site,
-            CrashingStream,
+            endpoint_type,
             lambda call: (
                 f"{FAULTY_PART}:" in call.headers["monsoonpulley-prompt-prefix"]
             ),
@@ -61,28 +61,13 @@
         share = play.sound_share_after(fifth_s + 2 * STABLE_WINDOW_S)
         self.assertGreaterEqual(share, MIN_SOUND_SHARE)
 
+    async def test_a_part_that_crashes_endpoints_reaches_few_more_after_the_fifth(self):
+        await self.check_bounded(CrashingStream)
+
     async def test_an_answer_that_ends_with_its_connection_does_not_acquit_its_part(
         self,
     ):
-        play = CrashPlay(
-            self.site,
-            CrashingUnframedStream,
-            lambda call: (
-                f"{FAULTY_PART}:" in call.headers["monsoonpulley-prompt-prefix"]
-            ),
-        )
-        await play.start("streaming", resume_streams=True)
-        await play.run(
-            2 * STABLE_WINDOW_S + 4,
-            lambda n: prompt("cafe", FAULTY_PART, f"{n:x}f"),
-            lambda n: prompt("cafe", "beef", f"{n:x}5"),
-        )
-        fifth_s = play.crash_time_s(PART_CRASHES)
-        self.assertLessEqual(
-            play.faulty_arrivals_after(fifth_s + STABLE_WINDOW_S), MAX_REQUESTS_BEYOND
-        )
-        share = play.sound_share_after(fifth_s + 2 * STABLE_WINDOW_S)
-        self.assertGreaterEqual(share, MIN_SOUND_SHARE)
+        await self.check_bounded(CrashingUnframedStream)
 
 
 class TestRequests(CrashTest):
--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -52,6 +52,18 @@
         self.assertGreater(float(got.headers["retry-after"]), 0)
         self.assertEqual(self.calls(), [])
 
+    async def test_a_request_of_another_instance_is_not_sent_on(self):
+        await self.start(2)
+        await self.lose_links([self.cut])
+        server = self.cut.service.peer_server
+        reader, writer = await asyncio.open_connection(*server.address())
+        writer.write(request("p1", extra="Monsoonpulley-Peer-Sends: 0\r\n"))
+        got = await asyncio.wait_for(read_answer(reader), 5)
+        writer.close()
+        self.assertEqual(got.status, 503)
+        self.assertEqual(got.headers["monsoonpulley-peer-outcome"], "no_link")
+        self.assertEqual(self.calls(), [])
+
     async def test_an_instance_that_is_cut_off_too_is_not_asked(self):
         await self.start(3)
         await self.lose_links([self.cut, self.others[0]])
@@ -169,6 +181,35 @@
         self.assertEqual(call.headers["monsoonpulley-tenant"], "customer-1")
         self.assertNotIn("authorization", call.headers)
 
+    async def test_an_endpoint_can_not_speak_for_an_instance(self):
+        async def pretend(call) -> None:
+            call.answer(extra="Monsoonpulley-Peer-Outcome: not_run\r\n")
+
+        await self.start(2, kind="unsafe")
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = pretend
+        for site in self.fleet.sites:
+            got = await self.fleet.send(site)
+            self.assertEqual(got.status, 200)
+            self.assertNotIn("monsoonpulley-peer-outcome", got.headers)
+
+    async def test_a_request_that_was_sent_on_counts_as_an_attempt(self):
+        async def never(call) -> None:
+            await asyncio.sleep(10)
+
+        await self.start(3, max_attempts=1)
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = never
+        sending = asyncio.create_task(self.fleet.send(self.cut))
+        await self.cut.wait_until(self.calls)
+        for site in self.others:
+            for connection in list(site.service.peer_server._connections):
+                connection.abort()
+        self.assertEqual((await sending).status, 502)
+        self.assertEqual(len(self.calls()), 1)
+
     async def test_a_stream_goes_on_at_another_instance_when_its_helper_ends(self):
         async def stream(call) -> None:
             first = int(call.headers.get("last-event-id", 0)) + 1
