--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -53,13 +53,19 @@
     return rng.choice(sorted(world.instances))
 
 
-def _endpoint(world: World, rng: random.Random, service: str | None = None) -> str:
-    names = sorted(
-        name
-        for name, endpoint in world.endpoints.items()
-        if service is None or endpoint.service == service
-    )
-    return rng.choice(names)
+async def _endpoint(
+    world: World, rng: random.Random, service: str | None = None
+) -> str:
+    """Choose an endpoint; if all have just crashed, wait for the next one."""
+    while True:
+        names = sorted(
+            name
+            for name, endpoint in world.endpoints.items()
+            if service is None or endpoint.service == service
+        )
+        if names:
+            return rng.choice(names)
+        await asyncio.sleep(0.05)
 
 
 @fault
@@ -182,7 +188,7 @@
 @fault
 async def impair_endpoint_link(world: World, rng: random.Random) -> None:
     """Impair the link from the instances to an endpoint."""
-    name = _endpoint(world, rng)
+    name = await _endpoint(world, rng)
     with _recorded_disturbance(world, name, "endpoint link"):
         await _impair_link(world.endpoint_links[name], rng)
 
@@ -234,7 +240,7 @@
 @fault
 async def lose_endpoint(world: World, rng: random.Random) -> None:
     """Crash an endpoint and give its address to another service."""
-    name = _endpoint(world, rng)
+    name = await _endpoint(world, rng)
     endpoint = world.endpoints[name]
     with _recorded_disturbance(world, name, "lost"):
         endpoint.crash()
@@ -252,7 +258,7 @@
 @fault
 async def drain_endpoint(world: World, rng: random.Random) -> None:
     """Drain an endpoint after it has announced that it leaves."""
-    name = _endpoint(world, rng, "app")
+    name = await _endpoint(world, rng, "app")
     endpoint = world.endpoints[name]
     await world.add_endpoint(endpoint.service)
     world.write_endpoint_row(endpoint, "draining")
@@ -264,7 +270,7 @@
 @fault
 async def set_endpoint_fault(world: World, rng: random.Random) -> None:
     """Let an endpoint misbehave for 0.5 to 5 s."""
-    name = _endpoint(world, rng)
+    name = await _endpoint(world, rng)
     endpoint = world.endpoints[name]
     with _recorded_disturbance(world, name, "manner"):
         endpoint.pause_s = rng.uniform(0.3, 3)
@@ -278,7 +284,7 @@
 @fault
 async def say_leaving(world: World, rng: random.Random) -> None:
     """Let an endpoint say in its answers that it leaves, while its row doesn't."""
-    name = _endpoint(world, rng, "app")
+    name = await _endpoint(world, rng, "app")
     endpoint = world.endpoints[name]
     await world.add_endpoint(endpoint.service)
     endpoint.says_leaving = True
@@ -290,7 +296,7 @@
 @fault
 async def name_rate_limit(world: World, rng: random.Random) -> None:
     """Let an endpoint limit the requests from all instances for 5 to 9 s."""
-    endpoint = world.endpoints[_endpoint(world, rng, "app")]
+    endpoint = world.endpoints[await _endpoint(world, rng, "app")]
     endpoint.limit_per_s = rng.choice((0.5, 1.6, 4.0))
     time = Disturbance(endpoint.name, "limit", world.clock.now_ms())
     world.records.limited.append(time)
@@ -314,7 +320,7 @@
 @fault
 async def silence_endpoint(world: World, rng: random.Random) -> None:
     """Hold back an endpoint's bytes for a second or so, which is no disturbance."""
-    link = world.endpoint_links[_endpoint(world, rng)]
+    link = world.endpoint_links[await _endpoint(world, rng)]
     link.block(*Direction)
     await _wait(rng, 0.5, 1.4)
     link.heal()
