Tell other instances only of brittle services heard of here

Found on reading the diff: statements that came in digests were passed on with an age that leaves out the time on the way. As with rate limits, an instance tells what it has heard itself.

--- a/src/_monsoonpulley/limits/brittleness.py
+++ b/src/_monsoonpulley/limits/brittleness.py
@@ -47,7 +47,9 @@
     def __init__(self, own: InstanceId, pauses: EndpointPauses):
         self._own = own
         self._pauses = pauses
-        self._statements: dict[ServiceId, tuple[float, int]] = {}
+        # Refusals a second and the time of the statement, as heard here and from peers.
+        self._heard: dict[ServiceId, tuple[float, int]] = {}
+        self._told: dict[ServiceId, tuple[float, int]] = {}
         self._instances = frozenset((own,))
         self._sharers: dict[tuple[EndpointId, int], list[str]] = {}
 
@@ -62,30 +64,37 @@
         self, service: ServiceId, refusals_per_s: float, now_ms: int
     ) -> None:
         """Record an answer that tells how many refusals its endpoint bears."""
-        self._statements[service] = (refusals_per_s, now_ms)
+        self._heard[service] = (refusals_per_s, now_ms)
 
     def update_peer(self, notices: dict[str, BrittleNotice], now_ms: int) -> None:
         """Record what answers to another instance told, as its digest says."""
         for name, (refusals_per_s, age_ms) in notices.items():
             service, told_ms = ServiceId(name), now_ms - age_ms
-            known = self._statements.get(service)
+            known = self._told.get(service)
             if known is None or known[1] < told_ms:
-                self._statements[service] = (refusals_per_s, told_ms)
+                self._told[service] = (refusals_per_s, told_ms)
 
     def notices(self, now_ms: int) -> dict[str, BrittleNotice]:
-        """Return the statements that hold, with their ages, for the digest."""
+        """Return the statements heard here that hold, with their ages, for the digest.
+
+        Those of others aren't passed on: they would look newer with each delay, and
+        never end.
+        """
         self._expire(now_ms)
         return {
-            service: (refusals_per_s, now_ms - told_ms)
-            for service, (refusals_per_s, told_ms) in self._statements.items()
+            service: (refusals_per_s, now_ms - heard_ms)
+            for service, (refusals_per_s, heard_ms) in self._heard.items()
         }
 
     def refusals_per_s(self, service: ServiceId, now_ms: int) -> float | None:
         """Return how many refusals the endpoints of a service bear; None: any."""
-        statement = self._statements.get(service)
-        if statement is None or now_ms - statement[1] > MEMORY_MS:
+        statements = [
+            known[service] for known in (self._heard, self._told) if service in known
+        ]
+        if not statements:
             return None
-        return statement[0]
+        refusals_per_s, made_ms = max(statements, key=lambda statement: statement[1])
+        return None if now_ms - made_ms > MEMORY_MS else refusals_per_s
 
     def own_room(
         self, endpoint: EndpointId, service: ServiceId, slots: int, now_ms: int
@@ -130,10 +139,11 @@
         return sharers
 
     def _expire(self, now_ms: int) -> None:
-        for service, (_, told_ms) in list(self._statements.items()):
-            if now_ms - told_ms > MEMORY_MS:
-                del self._statements[service]
-        if not self._statements:
+        for known in (self._heard, self._told):
+            for service, (_, made_ms) in list(known.items()):
+                if now_ms - made_ms > MEMORY_MS:
+                    del known[service]
+        if not self._heard and not self._told:
             self._sharers.clear()
 
 
