--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -527,6 +527,7 @@
 
     def _endpoints_to_probe(self) -> list[Endpoint]:
         parts = self.parts
+        parts.links.retain(parts.directory.all())
         endpoints = parts.links.take_probes(self.clock.now_ms(), LINK_PROBE_INTERVAL_MS)
         if endpoints and parts.links.is_cut_off():
             # Those that were tried may have ended while others are reachable.
--- a/src/_monsoonpulley/placing/endpointlinks.py
+++ b/src/_monsoonpulley/placing/endpointlinks.py
@@ -99,6 +99,18 @@
             link.probed_ms = now_ms
         return [link.endpoint for link in due[:MAX_PROBES]]
 
+    def retain(self, endpoints: list[Endpoint]) -> None:
+        """Remove the state of all endpoints but these.
+
+        Connections to one that is gone may end after its removal.
+        """
+        if not self._lost and not self._broken_ms:
+            return
+        ids = {endpoint.id for endpoint in endpoints}
+        for known in (self._lost, self._broken_ms):
+            for endpoint_id in known.keys() - ids:
+                del known[endpoint_id]
+
     def remove(self, endpoint: EndpointId) -> None:
         """Remove the state of an endpoint that no longer exists."""
         self._lost.pop(endpoint, None)
--- a/testing/placing/test_endpointlinks.py
+++ b/testing/placing/test_endpointlinks.py
@@ -41,6 +41,14 @@
         self.links.remove(A.id)
         self.assertEqual(self.links.lost_count, 0)
 
+    def test_a_loss_that_is_noticed_after_an_endpoint_s_end_is_forgotten(self):
+        self.links.remove(A.id)
+        self.links.record_lost(A, 100)
+        self.links.record_lost(B, 100)
+        self.links.retain([B, C])
+        self.assertTrue(self.links.is_lost(B.id))
+        self.assertEqual(self.links.lost_count, 1)
+
 
 class TestCutOff(LinksTest):
     def test_one_lost_link_says_nothing_of_the_others(self):
