--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -18,7 +18,7 @@
 from ..wire.clientconnection import ClientConnection
 from ..wire.events import AnswerHead, AnswerIncomplete
 from .answertransfer import AnswerTransfer
-from .parts import record_lost_link
+from .linkrecords import record_lost_link
 from .requestlog import Result
 from .requeststate import RequestState
 
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -9,7 +9,6 @@
 
 from ..clock import Clock
 from ..duties.usage import UsageCounter
-from ..errors import Failure
 from ..fleet.configurationholder import ConfigurationHolder
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Configuration, Endpoint
@@ -41,6 +40,7 @@
 from ..sharing.members import Members
 from .answermemory import AnswerMemory
 from .counters import Counters
+from .linkrecords import connection_recorder
 from .peerpools import PeerPools
 from .upstreams import Upstreams
 
@@ -116,7 +116,7 @@
             clock, log, on_endpoint_removed, on_endpoint_ended
         )
         links = EndpointLinks()
-        upstreams = Upstreams(clock, _record_connections(links, clock, log))
+        upstreams = Upstreams(clock, connection_recorder(links, clock, log))
         quarantine = Quarantine(
             settings.instance,
             clock,
@@ -184,41 +184,6 @@
         )
 
 
-def _record_connections(
-    links: EndpointLinks, clock: Clock, log: Log
-) -> Callable[[Endpoint, Failure | None], None]:
-    def record(endpoint: Endpoint, failure: Failure | None) -> None:
-        now_ms = clock.now_ms()
-        if failure is not None:
-            record_lost_link(links, endpoint, str(failure), now_ms, log)
-            return
-        lost_for_ms = links.record_connected(endpoint.id, now_ms)
-        if lost_for_ms is not None:
-            log.event(
-                "endpoint_link_regained",
-                endpoint=endpoint.id,
-                lost_for_ms=lost_for_ms,
-                still_lost=links.lost_count,
-            )
-
-    return record
-
-
-def record_lost_link(
-    links: EndpointLinks, endpoint: Endpoint, error: str, now_ms: int, log: Log
-) -> None:
-    """Record that an endpoint can't be reached; log it once."""
-    if links.record_lost(endpoint, now_ms):
-        log.event(
-            "endpoint_link_lost",
-            endpoint=endpoint.id,
-            zone=endpoint.zone,
-            error=error,
-            lost=links.lost_count,
-            is_cut_off=links.is_cut_off(),
-        )
-
-
 def _log_rate_limits(
     log: Log,
 ) -> Callable[[EndpointId, float | None, float | None, InstanceId], None]:
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -88,6 +88,8 @@
     ----------
     peer : str
         The other instance.
+    helpers : int
+        Instances that could have been asked instead, this one included.
     lost, known : int
         Lost links to ready endpoints of the service, and all of these endpoints.
     is_cut_off : bool
@@ -101,6 +103,7 @@
     request: str
     peer: str
     service: str
+    helpers: int
     lost: int
     known: int
     is_cut_off: bool
--- a/src/_monsoonpulley/sharing/helpers.py
+++ b/src/_monsoonpulley/sharing/helpers.py
@@ -50,9 +50,7 @@
     ]
 
 
-def choose_helper(helpers: list[Member], rng: random.Random) -> Member | None:
-    """Return one of the helpers, None if there are none."""
-    if not helpers:
-        return None
+def choose_helper(helpers: list[Member], rng: random.Random) -> Member:
+    """Return one of the helpers, of which there is at least one."""
     sample = rng.sample(helpers, min(SAMPLE_COUNT, len(helpers)))
     return min(sample, key=lambda member: member.in_progress)
