Count a request that another instance served once

Found on reading the diff: the instance that was asked and the one that served it both wrote a request line and counted the answer, so that the summary of all logs and the sum of monsoonpulley_requests_total counted it twice. The serving instance's line says is_from_peer, the summary skips it, and the metrics count the answer to the caller alone. Two tests, red before.

--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -130,6 +130,8 @@
         Time since the configuration now in force was applied.
     may_have_run : bool
         Whether an endpoint may have started the request.
+    is_from_peer : bool
+        Whether another instance asked for it, which has a line of its own for it.
     """
 
     request: str
@@ -144,5 +146,6 @@
     took_ms: int
     first_ms: int | None
     retry_after_ms: int | None
+    is_from_peer: bool
     configuration: int
     configuration_age_ms: int
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -473,12 +473,8 @@
         received_ms = self.exchange.request.received_ms
         kind = self.route.kind if self.route else None
         kind_name = kind.value if kind else ""
-        counters = self.parts.counters
-        # Only the text before the colon is a metric label; the rest varies by request.
-        reason = self.detail.partition(":")[0]
-        counters.requests.labels(kind_name, str(self.status), reason).inc()
-        if self.first_byte_ms is not None:
-            counters.first_byte_s.labels(kind_name).observe(self.first_byte_ms / 1000)
+        if not self.is_from_peer:
+            self._count_answer(kind_name)
         since_ms = self.parts.configuration.in_force_since_ms
         self.parts.log.decision(
             RequestEnded(
@@ -495,7 +491,17 @@
                 took_ms=now_ms - received_ms,
                 first_ms=self.first_byte_ms,
                 retry_after_ms=self.retry_after_ms,
+                is_from_peer=self.is_from_peer,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
             )
         )
+
+    def _count_answer(self, kind_name: str) -> None:
+        """Count the answer to a caller in the metrics."""
+        counters = self.parts.counters
+        # Only the text before the colon is a metric label; the rest varies by request.
+        reason = self.detail.partition(":")[0]
+        counters.requests.labels(kind_name, str(self.status), reason).inc()
+        if self.first_byte_ms is not None:
+            counters.first_byte_s.labels(kind_name).observe(self.first_byte_ms / 1000)
--- a/src/_monsoonpulley/observability/logsummary.py
+++ b/src/_monsoonpulley/observability/logsummary.py
@@ -27,6 +27,7 @@
     members: int = 0
     is_reclaimable: bool = False
     count: int = 0
+    is_from_peer: bool = False
     error: str = ""
 
 
@@ -121,6 +122,9 @@
     summary = LogSummary([], Counter(), 0)
     by_start: dict[int, Interval] = {}
     for line in _decode_lines(texts, summary):
+        if line.is_from_peer:
+            # The instance that the caller asked has a line for it, too.
+            continue
         start_ms = line.wall_ms // interval_ms * interval_ms
         interval = by_start.setdefault(start_ms, Interval(start_ms))
         interval.add(line)
--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -263,6 +263,29 @@
         self.assertEqual((await self.fleet.send(self.cut)).status, 200)
         self.assertEqual(self.used() - before, 1)
 
+    async def test_its_answer_is_counted_once_in_the_metrics(self):
+        await self.start(2)
+        await self.lose_links([self.cut])
+
+        def answered() -> float:
+            labels = ("safe", "200", "")
+            return sum(
+                site.service.counters.requests.labels(*labels)._value.get()
+                for site in self.fleet.sites
+            )
+
+        before = answered()
+        self.assertEqual((await self.fleet.send(self.cut)).status, 200)
+        await self.cut.wait_until(lambda: answered() > before)
+        await asyncio.sleep(0.1)
+        self.assertEqual(answered() - before, 1)
+        lines = [
+            line["is_from_peer"]
+            for site in self.fleet.sites
+            for line in site.log_events("request")[-1:]
+        ]
+        self.assertEqual(lines, [False, True])
+
     async def test_a_refusal_of_the_other_instance_reaches_the_caller(self):
         await self.start(2, tenants=list(self.TENANTS))
         await self.lose_links([self.cut])
--- a/testing/observability/test_logsummary.py
+++ b/testing/observability/test_logsummary.py
@@ -50,6 +50,12 @@
         refusals = summarize_lines(texts, 1_000).refusals
         self.assertEqual(refusals, {(429, "quota used up"): 5})
 
+    def test_a_request_that_another_instance_served_is_counted_once(self):
+        summary = summarize_lines(
+            [request(0, 200), line(0, "request", status=200, is_from_peer=True)], 1_000
+        )
+        self.assertEqual(summary.intervals[0].answered_count, 1)
+
     def test_predictions_are_compared_with_answers_alone(self):
         texts = [
             attempt(10, 100, 200.0),
