Decode cold endpoints, allowed regions and the bounds of both

Cause: no name of the wire for endpoints that start cold, evacuations of data centres and allowed regions was known to the program, so that no decision could use them.

Change: decoded in platform/ into fields that say what they hold: the time for which an endpoint stays cold, the rate it tolerates until then, the regions of routes, customers and data centres, and the bounds of the settings. No decision uses them yet, so every deployment is served as before.

--- a/src/_monsoonpulley/fleet/model.py
+++ b/src/_monsoonpulley/fleet/model.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..ids import CustomerId, EndpointId, ServiceId, VersionId, ZoneId
+from ..ids import CustomerId, EndpointId, RegionId, ServiceId, VersionId, ZoneId
 from ..wire.serverconnection import CallerLimits
 
 
@@ -50,6 +50,8 @@
         Whether callers must send the key of a customer.
     can_resume : bool
         Whether a stream may continue on another endpoint.
+    allowed_regions : frozenset of RegionId or None
+        Regions whose endpoints may get the requests; None if all may.
     """
 
     name: str
@@ -64,6 +66,7 @@
     max_attempts: int = 1
     requires_key: bool = True
     can_resume: bool = False
+    allowed_regions: frozenset[RegionId] | None = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -122,6 +125,10 @@
         None for a plain service.
     scaling : ScalingSpec or None
         None if endpoints of the service are not ordered by the instances.
+    cold_start_ms : int
+        Time for which an endpoint is cold after its start; 0 if none ever is.
+    cold_per_s : float
+        Requests a second, from all instances, that a cold endpoint tolerates.
     """
 
     id: ServiceId
@@ -129,6 +136,8 @@
     max_connections: int
     engine: EngineSpec | None = None
     scaling: ScalingSpec | None = None
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 class Quota(msgspec.Struct, frozen=True):
@@ -154,11 +163,13 @@
     """A customer.
 
     ``rank`` overrides the rank of the route; without a ``quota`` there is no limit.
+    ``allowed_regions`` apply in addition to those of the route.
     """
 
     id: CustomerId
     rank: int | None = None
     quota: Quota | None = None
+    allowed_regions: frozenset[RegionId] | None = None
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -221,6 +232,9 @@
         Whether the platform may reclaim its machine.
     leaves_in_ms : int or None
         Time to its stop at the moment it announced it; None if it did not.
+    cold_for_ms : int or None
+        Time for which it remains cold, as of the writing of its row; None if the row
+        does not say.
     """
 
     id: EndpointId
@@ -234,6 +248,7 @@
     is_draining: bool = False
     is_reclaimable: bool = False
     leaves_in_ms: int | None = None
+    cold_for_ms: int | None = None
 
     @property
     def address(self) -> str:
--- a/src/_monsoonpulley/ids.py
+++ b/src/_monsoonpulley/ids.py
@@ -9,6 +9,8 @@
 ServiceId = NewType("ServiceId", str)
 VersionId = NewType("VersionId", str)
 ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
+"""A region: one or more data centres."""
 InstanceId = NewType("InstanceId", str)
 """An entry instance, as the platform names it."""
 EndpointId = NewType("EndpointId", str)
--- a/src/_monsoonpulley/platform/configuration.py
+++ b/src/_monsoonpulley/platform/configuration.py
@@ -17,7 +17,7 @@
     ScalingSpec,
     Service,
 )
-from ..ids import CustomerId, ServiceId, ZoneId
+from ..ids import CustomerId, RegionId, ServiceId, ZoneId
 from ..wire.serverconnection import CallerLimits
 
 DEFAULT_ROUTE_TIMEOUT_MS = 15_000
@@ -43,6 +43,7 @@
     max_attempts: int = 1
     allow_anonymous: bool = False
     resume_streams: bool = False
+    allowed_regions: list[str] = []
 
     def decode(self) -> Route:
         """Return the route; an unknown kind counts as unsafe and is never retried."""
@@ -64,6 +65,7 @@
             max_attempts=max(1, self.max_attempts),
             requires_key=not self.allow_anonymous,
             can_resume=self.resume_streams,
+            allowed_regions=_decode_regions(self.allowed_regions),
         )
 
 
@@ -96,6 +98,8 @@
     max_connections: int = 100
     engine: _Engine | None = None
     scaling: _Scaling | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
     def decode(self) -> Service:
         """Return the service."""
@@ -106,6 +110,8 @@
             max_connections=self.max_connections,
             engine=EngineSpec(engine.slots, engine.kv_cache_tokens) if engine else None,
             scaling=self.scaling.decode() if self.scaling else None,
+            cold_start_ms=round(self.cold_start_s * 1000),
+            cold_per_s=self.cold_per_s,
         )
 
 
@@ -117,6 +123,7 @@
     plain_tokens: int = 1
     rate_per_s: float = 0
     burst: float = 0
+    allowed_regions: list[str] = []
 
     def decode(self) -> Customer:
         """Return the customer; a rate and burst of 0 mean no quota."""
@@ -128,7 +135,17 @@
                 burst=self.burst,
                 plain_tokens=self.plain_tokens,
             )
-        return Customer(CustomerId(self.name), self.priority, quota)
+        return Customer(
+            CustomerId(self.name),
+            self.priority,
+            quota,
+            _decode_regions(self.allowed_regions),
+        )
+
+
+def _decode_regions(names: list[str]) -> frozenset[RegionId] | None:
+    """Return the allowed regions; an empty list allows all."""
+    return frozenset(RegionId(name) for name in names) or None
 
 
 class _Limits(msgspec.Struct):
--- a/src/_monsoonpulley/platform/endpoints.py
+++ b/src/_monsoonpulley/platform/endpoints.py
@@ -25,6 +25,7 @@
     use_spot: bool = False
     leaves_ms: float | None = None
     born: int | None = None
+    cold_remaining_ms: float | None = None
 
 
 _decoder = msgspec.json.Decoder(_Server)
@@ -41,7 +42,7 @@
         return Failure(
             Reason.INVALID, "endpoint.decode", key, f"unknown state {server.state!r}"
         )
-    leaves_ms = server.leaves_ms
+    leaves_ms, cold_ms = server.leaves_ms, server.cold_remaining_ms
     return Endpoint(
         id=EndpointId(key),
         started_wall_ms=server.born,
@@ -55,4 +56,5 @@
         # On the wire "use_spot" says that the machine may be reclaimed.
         is_reclaimable=server.use_spot,
         leaves_in_ms=None if leaves_ms is None else round(leaves_ms),
+        cold_for_ms=None if cold_ms is None else max(0, round(cold_ms)),
     )
--- a/src/_monsoonpulley/platform/localsettings.py
+++ b/src/_monsoonpulley/platform/localsettings.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..errors import SettingsError
-from ..ids import InstanceId, ZoneId
+from ..ids import InstanceId, RegionId, ZoneId
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -43,6 +43,16 @@
         Minimum time between changes of the holder of a duty.
     usage_window_s, usage_late_s
         Length of a usage window, and how long after its end its report is due.
+    outer_bound_ms
+        Extension of the bounds on configurations and evacuations while the store is
+        unstable.
+    cold_overage, cold_slack
+        A cold endpoint may get the rate that it tolerates times ``cold_overage``, plus
+        ``cold_slack`` requests, in any second.
+    evacuation_ms
+        Time within which no instance sends to an evacuated data centre any more.
+    pass_ms
+        Time within which an event of a stream is passed on.
     """
 
     retry_budget_ratio: float = 0.2
@@ -58,6 +68,11 @@
     drain_timeout_ms: float = 2_000
     exposure_share: float = 0.1
     exposure_slack: float = 50
+    outer_bound_ms: float = 5_000
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    evacuation_ms: float = 5_000
+    pass_ms: float = 200
 
 
 class LocalSettings(msgspec.Struct, frozen=True):
@@ -82,6 +97,10 @@
         Limits in force.
     is_first_start : bool
         Whether the whole system starts for the first time.
+    region : RegionId
+        Region of the data centre; empty if it is not known.
+    region_by_zone : dict
+        Region of each data centre.
     """
 
     instance: InstanceId
@@ -95,6 +114,8 @@
     duties: tuple[str, ...]
     bounds: Bounds
     is_first_start: bool = False
+    region: RegionId = RegionId("")
+    region_by_zone: dict[ZoneId, RegionId] = {}
 
     @classmethod
     def from_file(cls, path: Path) -> LocalSettings:
@@ -127,6 +148,10 @@
             duties=cloud.duties,
             bounds=wire.bounds,
             is_first_start=wire.first_start,
+            region=RegionId(wire.region),
+            region_by_zone={
+                ZoneId(zone): RegionId(region) for zone, region in wire.zones.items()
+            },
         )
 
 
@@ -154,5 +179,7 @@
     listen: _Listen
     platform: _Platform
     first_start: bool = False
+    region: str = ""
+    zones: dict[str, str] = {}
     cloud: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: Bounds = msgspec.field(default_factory=Bounds)
--- a/src/_monsoonpulley/platform/names.py
+++ b/src/_monsoonpulley/platform/names.py
@@ -29,6 +29,8 @@
 before it falls over."""
 LEAVING = b"Server-Leaving"
 """In all answers of an endpoint that leaves, with the value 1."""
+COLD_MS = b"Monsoonpulley-Cold-Milliseconds"
+"""In answers of health checks: how long the endpoint stays cold."""
 DUTY_HOLDER = "Monsoonpulley-Duty-Holder"
 FENCING_TOKEN = "Monsoonpulley-Fencing-Token"
 
@@ -67,4 +69,7 @@
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+"""Rows of the operators' table whose key goes on with a data centre: while one exists,
+nothing is sent to the endpoints there."""
 ENDPOINT_TABLE = "servers"
--- a/testing/platform/test_localsettings.py
+++ b/testing/platform/test_localsettings.py
@@ -16,6 +16,10 @@
 internal_port_range = [7600, 7615]
 first_start = true
 unknown_field = "ignored"
+region = "west"
+[zones]
+zone-a = "west"
+zone-b = "east"
 [listen]
 frontend = "10.1.0.14:8221"
 ready = "10.1.0.14:8224"
@@ -30,6 +34,9 @@
 budget_extra_retries = 52
 exposure_share = 0.1
 revoke_when_partitioned = false
+cold_overage = 1.5
+cold_slack = 5
+evacuation_ms = 5000
 """
 
 
@@ -48,6 +55,11 @@
         self.assertEqual(settings.peer_ports, (7600, 7615))
         self.assertEqual(settings.bounds.budget_extra_retries, 52)
         self.assertTrue(settings.is_first_start)
+        self.assertEqual(settings.region, "west")
+        self.assertEqual(settings.region_by_zone, {"zone-a": "west", "zone-b": "east"})
+        bounds = settings.bounds
+        self.assertEqual((bounds.cold_overage, bounds.cold_slack), (1.5, 5))
+        self.assertEqual(bounds.evacuation_ms, 5_000)
 
     def test_an_empty_cloud_address_is_decoded_as_none(self):
         text = FILE.replace('address = "10.200.0.35:8225"', 'address = ""')
