Count quotas over the sliding window

A bucket of the burst refused work that the window's limit allows, and its overdraft did not follow from the age of the digests, so that 300 instances exceeded the bound.

--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -162,7 +162,10 @@
         )
         # None if the cost was charged or the customer has no quota.
         refusal = quotas.consume(
-            self.customer.id, self._quota_cost, self.parts.clock.now_ms()
+            self.customer.id,
+            self._quota_cost,
+            self.parts.clock.now_ms(),
+            spent_ms=self._spent_ms,
         )
         if isinstance(refusal, QuotaRefusal):
             self._quota_cost = 0.0
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -25,7 +25,7 @@
 from ..platform.storeversion import join_version, wire_version
 from ..quarantine.rows import QuarantineRows
 from ..sharing.digest import Digest, UsageCounts
-from ..sharing.exchange import DigestExchange
+from ..sharing.exchange import BUNDLED_LAG_MS, DigestExchange
 from ..sharing.registration import InstanceRow, Registration
 from ..wire.httpclient import HttpClient
 from ..wire.server import HttpServer
@@ -392,6 +392,12 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            offered=(
+                parts.quotas.offered_by_customer(self.clock.now_ms()) if is_full else {}
+            ),
+            usage_profiles=(
+                parts.quotas.profiles(self.clock.now_ms()) if is_full else {}
+            ),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -420,7 +426,16 @@
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
-        parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
+        member = parts.members.find(peer)
+        parts.quotas.record_peer_usage(
+            peer,
+            digest.incarnation,
+            digest.used,
+            now_ms,
+            offered=digest.offered,
+            lag_ms=BUNDLED_LAG_MS if member is not None and member.is_bundled else 0,
+        )
+        parts.quotas.adopt_profiles(digest.usage_profiles, now_ms)
         era = self._era_of_digest(digest)
         progress = () if era is None else digest.rollouts
         parts.rollouts.merge_peer(
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -74,6 +74,11 @@
         Progress of the ordered roll-outs as known to the sender.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
+    offered : dict
+        What customers near their quotas request at the sender; see
+        `QuotaLedger.offered_by_customer`.
+    usage_profiles : dict
+        What these have used in the last window, while an instance has started lately.
     """
 
     instance: str
@@ -100,6 +105,8 @@
     served: dict[str, int] = {}
     lost_links: dict[str, int] = {}
     brittle: dict[str, BrittleNotice] = {}
+    offered: dict[str, dict[int, int]] = {}
+    usage_profiles: dict[str, tuple[int, ...]] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/limits/quotafleet.py
+++ b/testing/limits/quotafleet.py
@@ -20,6 +20,7 @@
 from _monsoonpulley.limits.quota import QuotaLedger
 from _monsoonpulley.sharing.exchange import (
     BUNDLE_INTERVALS,
+    BUNDLED_LAG_MS,
     DIGEST_INTERVAL_MS,
     FULL_DIGEST_INTERVALS,
     FULL_RATE_MAX_MEMBERS,
@@ -159,7 +160,13 @@
         self._serial = itertools.count()
 
     def make_ledger(self, *, starts_full: bool) -> QuotaLedger:
-        made = QuotaLedger(WINDOW_S, OVERAGE, SLACK, starts_full=starts_full)
+        made = QuotaLedger(
+            WINDOW_S,
+            OVERAGE,
+            SLACK,
+            starts_full=starts_full,
+            rng=random.Random(self.rng.random()),
+        )
         made.configure(self.configuration, self.now_ms)
         return made
 
@@ -230,7 +237,12 @@
         return (node.name, node.incarnation, self.now_ms, self._content(node))
 
     def _content(self, node: Node):
-        return node.ledger.used_by_customer()
+        ledger = node.ledger
+        return (
+            ledger.used_by_customer(),
+            ledger.offered_by_customer(self.now_ms),
+            ledger.profiles(self.now_ms),
+        )
 
     def _deliver(self, sender: Node, receiver: Node, digests, *, bundled=False) -> None:
         if sender.group != receiver.group or self.rng.random() < self.loss:
@@ -243,7 +255,7 @@
         if not self.is_up(receiver):
             return
         for digest in digests:
-            name, incarnation, built_ms, content = digest
+            name, incarnation, _, content = digest
             if name == receiver.name:
                 continue
             known = receiver.latest.get(name)
@@ -255,7 +267,16 @@
             self._record(receiver, name, incarnation, content, bundled)
 
     def _record(self, receiver, name, incarnation, content, bundled) -> None:
-        receiver.ledger.record_peer_usage(name, incarnation, content)
+        used, offered, profiles = content
+        receiver.ledger.record_peer_usage(
+            name,
+            incarnation,
+            used,
+            self.now_ms,
+            offered=offered,
+            lag_ms=BUNDLED_LAG_MS if bundled else 0,
+        )
+        receiver.ledger.adopt_profiles(profiles, self.now_ms)
 
     def _send_round(self, node: Node) -> None:
         node.round += 1
@@ -442,7 +463,6 @@
     def kind_shares(self, customer: CustomerId) -> dict[str, float]:
         """Return the share of the first arrivals that were served, by kind."""
         served: dict[str, list[int]] = {}
-        by_id = {}
         for r in self.requests:
             if r.customer != customer or not self._is_in_heavy(r):
                 continue
