Order requests within a quota, and reserve places for returns

All kinds of a customer's requests were refused alike, and all refused callers got the same short retry time, so that one in five who came back was served. Requests are now admitted in classes by rank and mean cost with a floor for each class, refused callers get a place or a retry time beyond their deadlines, and returning requests go first; the margin follows the age of the digests.

--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -4,6 +4,7 @@
 
 from enum import Enum
 
+from ..limits.quota import QuotaRefusal
 from ..observability.log import Decision
 
 
@@ -132,6 +133,8 @@
         Whether an endpoint may have started the request.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
+    quota : QuotaRefusal or None
+        Figures behind a refusal because of the customer's quota.
     """
 
     request: str
@@ -149,3 +152,4 @@
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
+    quota: QuotaRefusal | None = None
--- a/src/_monsoonpulley/limits/quota.py
+++ b/src/_monsoonpulley/limits/quota.py
@@ -17,13 +17,25 @@
 
 from ..fleet.model import Configuration, Quota
 from ..ids import CustomerId, InstanceId
-from .quotademand import DemandRates, PeerDemand, Rates, share_evenly
+from .quotademand import (
+    DEMAND_MEMORY_MS,
+    RETURN_CLASS,
+    DemandRates,
+    KindCosts,
+    PeerDemand,
+    Rates,
+    share_in_order,
+)
 from .quotawindow import SLOT_COUNT, SlotUsage, departing, reserve_for
 
 AIM_SHARE = 0.28
 """Share of the platform's tolerance beyond a quota that admission aims at, so that
 what is within the quota is admitted in spite of errors."""
 
+MAX_AIM_AGE_MS = 2_000
+"""Mean age of digests from which on admission aims at the quota alone: at eight times
+its usual load, a customer uses most of a window's quota in this time."""
+
 LIMIT_SHARE = 0.4
 """Share of the tolerance that known and estimated usage may reach; the rest covers
 errors of the estimate and the shares of lost instances."""
@@ -80,16 +92,55 @@
 """Shortest retry time: callers open a new connection first. A request with less time
 spent is new, as deadlines of new ones differ by less."""
 
+RETRY_LEFT_SHARE = 0.33
+"""Callers honour a retry time up to a third of the time that they have left."""
+
+PLACE_SHARE = 0.25
+"""Part of what is allowed for which places are given to refused callers; the rest is
+for new requests, which have not waited yet."""
+
+RETURN_LIMIT_SHARE = 0.12
+"""Further share of the tolerance for requests that return, as the time of their places
+was told before the usage until then was known."""
+
+RETURN_BURST_S = 1.0
+"""Time of a quota's rate that may be used at once by requests that return: a refused
+caller of a second ago may have a request as large as a usual burst."""
+
+MAX_SAVED_PLACES_MS = 1_000
+"""Places that were not given are kept for so long, about the time until one in a large
+fleet is asked for again."""
+
 UNPRESSED_SHARE = 0.5
 """Share of a quota that is presumed used before the start of this process while no
 peer reports the customer near its quota: customers usually use about half of it."""
 
 
 class QuotaRefusal(msgspec.Struct, frozen=True):
-    """Refusal of a request beyond its customer's quota, with a retry time."""
+    """Refusal of a request beyond its customer's quota, with a retry time.
+
+    Attributes
+    ----------
+    retry_after_ms : int
+        When to return; beyond the caller's deadline if it couldn't be served then.
+    level : float
+        Cost of the largest request that would be admitted.
+    share : float
+        Share of the requests of the same class that is admitted.
+    request_class : int
+        Order within the quota by rank and mean cost; -1 for one that returned.
+    place_ms : int or None
+        Time until the place that was reserved for it; None if there is none.
+    fleet_used : float
+        What all instances used in the last window, as known here.
+    """
 
     retry_after_ms: int
     level: float
+    share: float = 0.0
+    request_class: int = 0
+    place_ms: int | None = None
+    fleet_used: float = 0.0
 
 
 class _Peer(msgspec.Struct):
@@ -137,6 +188,10 @@
         self.shares: dict[int, float] = {}
         self.default_share = 1.0
         self.pressed_until_ms: int | None = None
+        self.kinds = KindCosts()
+        self.place_per_ms = 0.0
+        self.return_room = 0.0
+        self.next_place_ms: float | None = None
         self._rng = rng
         self._turns: dict[int, float] = {}
 
@@ -155,6 +210,24 @@
         self._turns[request_class] = turn - is_due
         return is_due
 
+    def find_place(self, cost: float, now_ms: int, latest_ms: float) -> int | None:
+        """Reserve a part of what will be allowed; return the time until then.
+
+        None if none is free before ``latest_ms``. Every instance gives its share of
+        the places; how far the first one is off is random.
+        """
+        if self.place_per_ms <= 0:
+            return None
+        length_ms = cost / self.place_per_ms
+        if self.next_place_ms is None:
+            self.next_place_ms = now_ms + self._rng.random() * length_ms
+        at_ms = max(self.next_place_ms, now_ms + MIN_RETRY_MS)
+        if at_ms > latest_ms:
+            return None
+        oldest_ms = now_ms - MAX_SAVED_PLACES_MS
+        self.next_place_ms = max(self.next_place_ms, oldest_ms) + length_ms
+        return math.ceil(at_ms - now_ms)
+
     def add_recent(self, cost: float, now_ms: int) -> None:
         """Count usage of a peer as recent."""
         self.recent_peer_usage = self.recent(now_ms) + cost
@@ -290,16 +363,30 @@
         return float(prompt_tokens + output_tokens)
 
     def consume(
-        self, customer: CustomerId, cost: float, now_ms: int, *, spent_ms: int = 0
+        self,
+        customer: CustomerId,
+        cost: float,
+        now_ms: int,
+        *,
+        kind: str = "",
+        rank: int = 0,
+        left_ms: int | None = None,
+        spent_ms: int = 0,
     ) -> QuotaRefusal | None:
         """Charge ``cost`` to the customer's quota, or return a refusal.
 
-        Addresses customers that request several times their quota.
+        Addresses customers that request several times their quota: what is urgent and
+        cheap goes first, and a caller gets a retry time that it can use only if there
+        is a place for it.
 
         Parameters
         ----------
         customer, cost, now_ms : CustomerId, float, int
             Who sends the request, what it costs, and the monotonic time.
+        kind, rank : str, int
+            The request's route, and its priority; 0 is the most urgent.
+        left_ms : int or None
+            Time until the caller's deadline; None if it isn't known.
         spent_ms : int
             Time since the caller first sent it. Requests that return after a refusal
             go before new ones.
@@ -307,20 +394,53 @@
         account = self._accounts.get(customer)
         if account is None:
             return None
-        account.demand.record(0, cost, now_ms)
+        request_class = account.kinds.record(kind, rank, cost)
+        if spent_ms >= MIN_RETRY_MS:
+            request_class = RETURN_CLASS
+        account.demand.record(request_class, cost, now_ms)
         if self._is_due(account, now_ms):
             self._refresh(account, now_ms)
-        if account.room < cost:
-            wait_ms = self._wait_ms(account, cost - account.room, now_ms)
-            return QuotaRefusal(wait_ms, account.room)
-        if spent_ms < MIN_RETRY_MS and not account.take_turn(0):
-            wait_ms = self._wait_ms(account, cost, now_ms)
-            return QuotaRefusal(wait_ms, account.room)
+        room = account.room
+        if request_class == RETURN_CLASS:
+            room += account.return_room
+        if room < cost:
+            return self._refuse(
+                account, cost, cost - room, request_class, left_ms, now_ms
+            )
+        if not account.take_turn(request_class):
+            return self._refuse(account, cost, cost, request_class, left_ms, now_ms)
         account.usage.add_own(cost, now_ms)
         account.total_used += cost
         account.room -= cost
         return None
 
+    def _refuse(
+        self,
+        account: _Account,
+        cost: float,
+        missing: float,
+        request_class: int,
+        left_ms: int | None,
+        now_ms: int,
+    ) -> QuotaRefusal:
+        """Return a refusal, with a place if one is free while the caller waits."""
+        retry_ms = self._wait_ms(account, missing, now_ms)
+        place_ms = None
+        if left_ms is not None:
+            if request_class != RETURN_CLASS:
+                latest_ms = now_ms + RETRY_LEFT_SHARE * left_ms
+                place_ms = account.find_place(cost, now_ms, latest_ms)
+            # Without a place, the retry time tells the caller not to wait for one.
+            retry_ms = max(retry_ms, left_ms + 1) if place_ms is None else place_ms
+        return QuotaRefusal(
+            retry_ms,
+            account.room,
+            share=account.shares.get(request_class, account.default_share),
+            request_class=request_class,
+            place_ms=place_ms,
+            fleet_used=self._fleet_used(account, now_ms),
+        )
+
     def refund(self, customer: CustomerId, cost: float) -> None:
         """Credit the cost of a request that did not run."""
         account = self._accounts.get(customer)
@@ -395,11 +515,14 @@
         It includes the estimate of what peers have used since their last digests.
         """
         return {
-            customer: sum(account.usage.by_slot(now_ms, [1.0] * (SLOT_COUNT + 1)))
-            + self._unreported(account, 0.0, now_ms)
+            customer: self._fleet_used(account, now_ms)
             for customer, account in self._accounts.items()
         }
 
+    def _fleet_used(self, account: _Account, now_ms: int) -> float:
+        slots = account.usage.by_slot(now_ms, [1.0] * (SLOT_COUNT + 1))
+        return sum(slots) + self._unreported(account, 0.0, now_ms)
+
     def record_peer_usage(
         self,
         peer: InstanceId,
@@ -546,7 +669,10 @@
         if is_alone:
             # What the previous process left, also after a burst.
             limit = STEADY_SHARE * account.quota.rate_per_s * self._window_s
-        aim = part * (limit + AIM_SHARE * tolerance)
+        age_ms = self._mean_age_ms(now_ms)
+        # The older the digests, the later a burst is noticed.
+        aim_share = AIM_SHARE * max(0.0, 1 - age_ms / MAX_AIM_AGE_MS)
+        aim = part * (limit + aim_share * tolerance)
         slots = self._slots(account, group_count, aim, now_ms)
         if is_alone:
             demand = dict(account.demand.rates(now_ms))
@@ -562,7 +688,6 @@
             released = (group_count - len(self._reachable_ids) - 1) * limit
             covered = RELEASED_SHARE * tolerance - released / self._member_count
             unreported = self._unreported(account, covered, now_ms)
-        age_ms = self._mean_age_ms(now_ms)
         horizon_ms = max(MIN_HORIZON_MS, HORIZON_AGES * age_ms)
         elapsed_share = account.usage.elapsed_share(now_ms)
         leaving = departing(slots, self._slot_ms, elapsed_share, DEPARTURE_MS)
@@ -579,7 +704,17 @@
             since_s = (now_ms - account.presumed_until_ms) / 1000
             extra *= min(1.0, since_s / self._window_s)
         account.room = room + extra
-        account.shares = share_evenly(demand, allowed_per_s)
+        account.return_room = part * RETURN_LIMIT_SHARE * tolerance
+        # Places were given for a part of what is allowed; they go before new requests,
+        # up to some time of the quota's rate, as some callers may only seem to return.
+        places_per_s = PLACE_SHARE * max(0.0, allowed_per_s)
+        account.place_per_ms = places_per_s / (len(self._reachable_ids) + 1) / 1000
+        returning = demand.pop(RETURN_CLASS, 0.0)
+        at_once = part * account.quota.rate_per_s * RETURN_BURST_S
+        served = min(returning, at_once * 1000 / DEMAND_MEMORY_MS)
+        account.shares = share_in_order(demand, allowed_per_s - served)
+        account.shares[RETURN_CLASS] = served / returning if returning else 1.0
+        was_free = account.default_share >= 1.0
         account.default_share = 1.0
         if total > allowed_per_s:
             account.default_share = max(0.0, allowed_per_s) / total
@@ -588,6 +723,9 @@
         expected = min(total, max(0.0, allowed_per_s)) / 1000
         expected /= len(self._reachable_ids) + 1
         weight = min(1.0, elapsed_ms / max(REFRESH_MS, age_ms))
+        if was_free:
+            # A burst that has just begun is seen late enough.
+            weight = 1.0
         account.used_per_instance_per_ms += weight * (
             expected - account.used_per_instance_per_ms
         )
--- a/testing/limits/quotafleet.py
+++ b/testing/limits/quotafleet.py
@@ -367,7 +367,15 @@
         self.after(max(retry_ms, STEP_MS), lambda: self._arrive(back, node))
 
     def _consume(self, node: Node, request: Request):
-        return node.ledger.consume(request.customer, request.cost, self.now_ms)
+        return node.ledger.consume(
+            request.customer,
+            request.cost,
+            self.now_ms,
+            kind=request.kind.name,
+            rank=request.kind.rank,
+            left_ms=request.kind.deadline_ms - request.spent_ms,
+            spent_ms=request.spent_ms,
+        )
 
     def _send(self, node: Node, request: Request) -> None:
         """Send an admitted request to an endpoint, or refund it if none takes it."""
@@ -471,6 +479,30 @@
             counts[1] += not r.is_return
         return {name: s / n for name, (s, n) in served.items()}
 
+    def served_share(self) -> float:
+        """Return the share of all the heavy customer's callers that were served."""
+        requests = [r for r in self.requests if r.customer == self.heavy]
+        requests = [r for r in requests if self._is_in_heavy(r)]
+        count = sum(not r.is_return for r in requests)
+        return sum(r.is_admitted for r in requests) / count
+
+    def size_share(self, kind: str, first: float, last: float) -> float:
+        """Return the served share of a kind's requests between two quantiles of cost.
+
+        Of equal costs, all requests count.
+        """
+        requests = [
+            r
+            for r in self.requests
+            if r.kind.name == kind and r.customer == self.heavy and self._is_in_heavy(r)
+        ]
+        costs = sorted(r.cost for r in requests if not r.is_return)
+        low = costs[int(first * (len(costs) - 1))]
+        high = costs[int(last * (len(costs) - 1))]
+        part = [r for r in requests if low <= r.cost <= high]
+        count = sum(not r.is_return for r in part)
+        return sum(r.is_admitted for r in part) / count
+
     def returned(self) -> tuple[int, int]:
         """Return how many callers came back, and how many of them were served."""
         back = [r for r in self.requests if r.is_return]
