Close endpoint connections after answers without a request id

A second copy of an answer that arrives on a connection in use again is recognised by the id in it. An answer without an id was taken for that of the request in progress, so a second copy of one could reach the next caller; a copy of a refusal would even have said that the next request had not run. A copy without an id has an original without one, so a connection is no longer used after such an answer. testing.wire.test_clientconnection failed for statuses 200, 421, 500 and 503 before the change; its other tests (a copy cut at each byte, begun behind its answer, on an idle connection, without an end) held before. The gateway sends callers' work on connections of its own; its tests now name the line that does so.

--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -41,8 +41,8 @@
     is_open : bool
         Whether the transport is connected.
     is_reusable : bool
-        Whether another request may be sent: the last answer was complete, and
-        nothing was received that belongs to no request.
+        Whether another request may be sent: the last answer was complete and named
+        its request, and nothing was received that belongs to no request.
     idle_timeout_ms : int or None
         How long the server keeps the connection idle, by its ``Keep-Alive``.
     last_used_ms : int
@@ -59,7 +59,7 @@
         self._is_head_request = False
         self._is_skipping_message = False
         self._ends_at_close = False
-        self._received_foreign_answer = False
+        self._may_get_foreign_answer = False
         self._overhead_bytes = 0
         self.is_open = False
         self.is_reusable = False
@@ -92,7 +92,8 @@
             Receives the events, with this connection as their source.
         expected_id : tuple of bytes or None
             Lower-case name and value of the header that ties an answer to this
-            request; complete answers with another value are skipped.
+            request; complete answers with another value are skipped. An answer
+            without it is taken for this request's, and is the connection's last.
         is_head : bool
             Whether the method is ``HEAD``: the answer then has no body, whatever
             its headers say.
@@ -180,8 +181,11 @@
             self._is_skipping_message = True
             return
         if self._is_foreign(fields):
-            self._is_skipping_message = self._received_foreign_answer = True
+            self._is_skipping_message = self._may_get_foreign_answer = True
             return
+        if self._is_unnamed(fields):
+            # A second copy of it could not be told from the next request's answer.
+            self._may_get_foreign_answer = True
         self.idle_timeout_ms = _idle_timeout_ms(fields.get(b"keep-alive"))
         has_length = b"content-length" in fields or b"transfer-encoding" in fields
         has_no_body = self._is_head_request or status in NO_BODY_STATUSES
@@ -204,7 +208,7 @@
         transport = self._transport
         self.is_reusable = (
             self._parser.should_keep_alive()
-            and not self._received_foreign_answer
+            and not self._may_get_foreign_answer
             and self.is_open
             and transport is not None
             and not transport.is_closing()
@@ -218,6 +222,9 @@
         name, value = self._expected_id
         return fields.get(name, value) != value
 
+    def _is_unnamed(self, fields: dict[bytes, bytes]) -> bool:
+        return self._expected_id is not None and self._expected_id[0] not in fields
+
     def _finish(self, *, is_framed: bool = True) -> None:
         self._ends_at_close = False
         self.last_used_ms = self._clock.now_ms()
--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -365,6 +365,10 @@
 
 class StrayAnswerTest(unittest.TestCase):
     def test_a_stray_answer_is_not_taken_for_that_of_the_next_call(self):
+        """Guards against a second copy of an answer on a connection in use again.
+
+        `endpoints.http_transport.HttpSessions.unpooled` closes each connection.
+        """
         head = HEAD.replace(b"\r\n\r\n", b"\r\ncontent-length: %d\r\n\r\n")
         stopped = b'{"outcome":"stopped"}'
         late = b'{"outcome":"not_started"}'
--- a/testing/endpoints/test_http_service.py
+++ b/testing/endpoints/test_http_service.py
@@ -202,6 +202,11 @@
 
 class StrayAnswerTest(unittest.TestCase):
     def test_a_stray_answer_is_not_taken_for_that_of_the_next_call(self):
+        """Guards against a second copy of an answer on a connection in use again.
+
+        `endpoints.http_transport.HttpSessions.unpooled` closes each connection.
+        """
+
         async def answer_twice(reader, writer):
             while (request := await read_request(reader)) is not None:
                 writer.write(answer(request[1]))
--- /dev/null
+++ b/testing/wire/test_clientconnection.py
@@ -0,0 +1,161 @@
+"""Tests of answers that reach a connection late, twice or without an id."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from _monsoonpulley.clock import Clock
+from _monsoonpulley.wire.clientconnection import ClientConnection
+from _monsoonpulley.wire.events import (
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    AnswerIncomplete,
+)
+
+
+class StandinTransport(asyncio.Transport):
+    """A transport that discards what is sent and remembers an abort."""
+
+    is_aborted = False
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.is_aborted = True
+
+    def is_closing(self):
+        return self.is_aborted
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+class Events:
+    """A mailbox that keeps the events of one exchange."""
+
+    def __init__(self):
+        self.list = []
+
+    def put(self, source, event):
+        self.list.append(event)
+
+    @property
+    def body(self):
+        return b"".join(e.data for e in self.list if isinstance(e, AnswerData))
+
+    @property
+    def statuses(self):
+        return [e.status for e in self.list if isinstance(e, AnswerHead)]
+
+    @property
+    def is_complete(self):
+        return any(isinstance(e, AnswerEnd) for e in self.list)
+
+
+def answer(body, request_id=None, status=200):
+    named = b"Request-Id: %s\r\n" % request_id if request_id else b""
+    return b"HTTP/1.1 %d S\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        status,
+        named,
+        len(body),
+        body,
+    )
+
+
+class ConnectionTest(unittest.TestCase):
+    def setUp(self):
+        self.transport = StandinTransport()
+        self.connection = ClientConnection(Clock.from_system())
+        self.connection.connection_made(self.transport)
+
+    def send(self, request_id):
+        events = Events()
+        self.connection.send(b"...", events, expected_id=(b"request-id", request_id))
+        return events
+
+    def receive(self, *pieces):
+        for piece in pieces:
+            self.connection.data_received(piece)
+
+    def exchange(self, request_id, received):
+        events = self.send(request_id)
+        self.receive(received)
+        return events
+
+
+class TestSecondCopies(ConnectionTest):
+    """A second copy of an answer, which must not reach the next request."""
+
+    def test_a_copy_before_the_own_answer_is_skipped_however_it_is_cut(self):
+        """Guards against a late copy that is taken for the next answer.
+
+        `ClientConnection._is_foreign` compares the ids.
+        """
+        first, second = answer(b"first", b"a1"), answer(b"second", b"a2")
+        both = first + second
+        for cut in range(len(both) + 1):
+            with self.subTest(cut=cut):
+                self.setUp()
+                self.exchange(b"a1", first)
+                self.assertTrue(self.connection.is_reusable)
+                events = self.send(b"a2")
+                self.receive(both[:cut], both[cut:])
+                self.assertEqual((events.body, events.is_complete), (b"second", True))
+                self.assertFalse(self.connection.is_reusable)
+
+    def test_a_copy_that_begins_behind_its_answer_ends_the_connection(self):
+        """Guards against a copy whose end arrives under the next request.
+
+        `ClientConnection.on_message_begin` notices its first byte.
+        """
+        first = answer(b"first", b"a1")
+        for begun in range(1, len(first)):
+            with self.subTest(begun=begun):
+                self.setUp()
+                self.exchange(b"a1", first + first[:begun])
+                self.assertFalse(self.connection.is_reusable)
+
+    def test_a_copy_on_an_idle_connection_ends_it(self):
+        """Guards against bytes that wait for the next request.
+
+        `ClientConnection.data_received` aborts a connection without a request.
+        """
+        self.exchange(b"a1", answer(b"first", b"a1"))
+        self.receive(b"H")
+        self.assertTrue(self.transport.is_aborted)
+
+    def test_a_copy_that_has_no_end_fails_the_next_request(self):
+        """Guards against a next request that waits for the rest of a copy."""
+        self.exchange(b"a1", answer(b"first", b"a1"))
+        events = self.send(b"a2")
+        self.receive(answer(b"first", b"a1")[:-1])
+        self.connection.eof_received()
+        self.assertIsInstance(events.list[-1], AnswerIncomplete)
+        self.assertEqual(events.statuses, [])
+
+    def test_a_connection_is_not_reused_after_an_answer_without_an_id(self):
+        """Guards against a copy without an id, taken for the next answer.
+
+        A copy of a refusal would say that the next request has not run, and it would
+        be sent again.
+        """
+        for status in (200, 421, 500, 503):
+            with self.subTest(status=status):
+                self.setUp()
+                events = self.exchange(b"a1", answer(b"why", None, status))
+                self.assertEqual(events.statuses, [status])
+                self.assertFalse(self.connection.is_reusable)
+
+    def test_exchanges_without_ids_keep_their_connection(self):
+        """Guards against a connection of its own for each call of the store."""
+        events = Events()
+        self.connection.send(b"...", events)
+        self.receive(answer(b"rows"))
+        self.assertTrue(events.is_complete and self.connection.is_reusable)
+
+
+if __name__ == "__main__":
+    unittest.main()
