Answer all that was accepted before an instance stops

At the end of listening, the ingress closed each connection whose request it had not read yet, reset those that waited to be accepted, dropped requests that were pipelined behind the current one, and ended the process while a body was still arriving or an answer was still being sent. Requests in progress at the end of the grace period were cut off without an answer. The listener now closes after a round of the loop has accepted what is waiting; connections close once they have been idle for 1 s; the stop waits for open connections as well as for requests; and what is in progress 0.6 s before the kill gets 503 if it has not run, else 504 (a stream that has begun ends incomplete). Whether a connection stays open is decided with the head of the answer.

--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -98,6 +98,11 @@
             self.parts.counters.in_progress.dec()
             self._log_request()
 
+    def end_now(self) -> None:
+        """Let the time for the request be up, as the process is about to end."""
+        self.deadline_ms = min(self.deadline_ms, self.parts.clock.now_ms())
+        self.exchange.mailbox.put(self, TimerExpired("stop"))
+
     def _admit(self) -> bool:
         configuration = self.configuration
         if configuration is None:
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -69,6 +69,15 @@
 DRAIN_CHECK_INTERVAL_MS = 50
 """Interval of checking for requests in progress during a stop."""
 
+DRAIN_IDLE_MS = 1_000
+"""Time for which a connection without a request stays open once listening has ended:
+its caller may have sent one, which a close would reset. A lost packet is sent again
+within it."""
+
+DRAIN_ANSWER_MS = 300
+"""Time from the end of requests in progress to `DRAIN_MARGIN_MS`: an attempt that is
+connecting notices the end only after as long."""
+
 DRAIN_MARGIN_MS = 300
 """Margin before the platform kills the process at the end of its grace period."""
 
@@ -102,7 +111,7 @@
         self.incarnation = clock.wall_ms()
         self._rng = rng
         self._digest_sequence = 0
-        self._request_tasks: set[asyncio.Task[None]] = set()
+        self._runs: dict[asyncio.Task[None], RequestRun] = {}
         self.store = Store(
             HttpClient(settings.store_address.ip, settings.store_address.port, clock),
             lambda name, result: counters.store_calls.labels(name, result).inc(),
@@ -266,25 +275,39 @@
         await self.peer_server.listen(settings.peer_ip, settings.peer_ports[0])
 
     async def stop(self) -> None:
-        """Stop after the requests in progress, or near the end of the grace period."""
+        """Stop after the requests in progress, or near the end of the grace period.
+
+        Accepted connections get the answer to what their callers have sent, and
+        requests that are still in progress near the end get a last answer.
+        """
         self.is_stopping = True
-        stop_ms = self.clock.now_ms()
-        self.log.event("stopping", in_progress=len(self._request_tasks))
+        end_ms = self.clock.now_ms() - DRAIN_MARGIN_MS
+        end_ms += round(self.settings.bounds.grace_period_s * 1000)
+        self.log.event("stopping", in_progress=len(self._runs))
         self.digest_exchange.broadcast_digest()
         self.caller_server.drain()
         self.peer_server.drain()
         await self.clock.sleep_ms(DRAIN_LISTEN_MS)
-        self.caller_server.stop_listening()
-        self.peer_server.stop_listening()
-        max_drain_ms = (
-            round(self.settings.bounds.grace_period_s * 1000) - DRAIN_MARGIN_MS
-        )
-        while self._request_tasks and self.clock.now_ms() - stop_ms < max_drain_ms:
-            await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
-        self.log.event("stopped", cut_off=len(self._request_tasks))
+        for server in (self.caller_server, self.peer_server):
+            await server.end_listening()
+        await self._wait_closed(end_ms - DRAIN_ANSWER_MS)
+        for run in list(self._runs.values()):
+            run.end_now()
+        await self._wait_closed(end_ms)
+        self.log.event("stopped", cut_off=len(self._runs))
         self.digest_exchange.close()
         self.store.close()
 
+    async def _wait_closed(self, until_ms: int) -> None:
+        """Wait until all requests are answered and all connections are closed."""
+        servers = (self.caller_server, self.peer_server)
+        while self.clock.now_ms() < until_ms:
+            for server in servers:
+                server.close_idle(DRAIN_IDLE_MS)
+            if not self._runs and not any(s.connection_count for s in servers):
+                return
+            await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+
     def reload(self, settings: LocalSettings) -> None:
         """Apply changed bounds; changed addresses apply at the next start."""
         bounds = settings.bounds
@@ -306,11 +329,11 @@
 
     def _start_run(self, run: RequestRun) -> None:
         task = asyncio.get_running_loop().create_task(run.run())
-        self._request_tasks.add(task)
+        self._runs[task] = run
         task.add_done_callback(self._on_request_done)
 
     def _on_request_done(self, task: asyncio.Task[None]) -> None:
-        self._request_tasks.discard(task)
+        self._runs.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             self.log.event("request_error", error=repr(task.exception()))
 
--- a/src/_monsoonpulley/wire/server.py
+++ b/src/_monsoonpulley/wire/server.py
@@ -74,13 +74,37 @@
         for connection in self._connections:
             connection.is_draining = True
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    async def end_listening(self) -> None:
+        """Stop accepting connections, once those that wait for it are accepted."""
+        # The loop accepts what has connected in its next round, and ends that round
+        # before the one after it begins. Closing the listener would reset them.
+        for _ in range(2):
+            await asyncio.sleep(0)
+        self._close_listener()
+
     def stop_listening(self) -> None:
         """Stop accepting connections and close the idle ones."""
+        self._close_listener()
+        self.close_idle(0)
+
+    def close_idle(self, min_idle_ms: int) -> None:
+        """Close the connections that have been idle for at least ``min_idle_ms``.
+
+        The others close after their current answer.
+        """
+        now_ms = self._clock.now_ms()
+        for connection in list(self._connections):
+            connection.close_if_idle(now_ms, min_idle_ms)
+
+    def _close_listener(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
-        for connection in list(self._connections):
-            connection.close_if_idle()
 
     def _accept(self) -> ServerConnection:
         connection = ServerConnection(
--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -65,6 +65,8 @@
         Whether the head of an answer was written.
     is_over : bool
         Whether the answer is complete or aborted.
+    stays_open : bool
+        Whether the head of the answer left the connection open for another request.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         "is_over",
         "mailbox",
         "request",
+        "stays_open",
     )
 
     def __init__(self, request: RequestMessage, connection: ServerConnection):
@@ -81,6 +84,7 @@
         self.mailbox = Mailbox()
         self.has_started = False
         self.is_over = False
+        self.stays_open = False
         self._chunked = True
         self._connection = connection
 
@@ -103,7 +107,8 @@
             lines.append(b"Transfer-Encoding: chunked")
         elif status not in (204, 304):
             lines.append(b"Content-Length: %d" % length)
-        if not self._connection.stays_open_after(self.request):
+        self.stays_open = self._connection.stays_open_after(self.request)
+        if not self.stays_open:
             lines.append(b"Connection: close")
         self._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
 
@@ -307,8 +312,12 @@
         self._body_chunks = []
 
     def stays_open_after(self, request: RequestMessage) -> bool:
-        """Return whether the connection stays after the answer to ``request``."""
-        return request.is_keep_alive and not self.is_draining
+        """Return whether the connection stays after the answer to ``request``.
+
+        A draining one stays for requests that were sent behind this one already.
+        """
+        has_more = bool(self._queued_requests) or self._request_started_ms is not None
+        return request.is_keep_alive and (has_more or not self.is_draining)
 
     def write(self, data: bytes) -> None:
         """Write data unless the caller has disconnected."""
@@ -322,7 +331,7 @@
         self._current = None
         self.upstream = None
         self._last_used_ms = self._clock.now_ms()
-        if not self.stays_open_after(exchange.request):
+        if not exchange.stays_open:
             self._linger()
             return
         if (
@@ -338,10 +347,19 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def close_if_idle(self) -> None:
-        """Close now if the connection is idle, else after the current answer."""
+    def close_if_idle(self, now_ms: int, min_idle_ms: int) -> None:
+        """Close now if the connection is idle, else after the current answer.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time.
+        min_idle_ms : int
+            Time since its last use from which the connection counts as idle.
+        """
         self.is_draining = True
-        if self.is_idle and self._transport is not None:
+        is_quiet = now_ms - self._last_used_ms >= min_idle_ms
+        if self.is_idle and is_quiet and self._transport is not None:
             self._transport.close()
 
     def check_timeouts(self, now_ms: int) -> None:
