Move streams that have stalled to another endpoint

A stream whose engine stalled, with its connection open and perhaps a byte now and then, was kept until its deadline although its route resumes streams. Callers abandon a stream after a pause of the longest of 2 s, four times the target latency and eight times the target gap; an attempt without an event that carries data for that long, less the target latency that the next endpoint needs, now ends and the stream goes on elsewhere. It is moved only if another endpoint has been found for it and a retry is left, so that a sound stream that is slow is not cut. In testing.ingress.test_stalls the tests of bytes and of comments without events failed before; those of slow streams, of the wait for the first event, of callers that do not read and of the deadline held.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -21,6 +21,7 @@
 from .eventsplitter import EventSplitter, StreamEvent, is_after
 from .requestlog import Result
 from .requeststate import RequestState
+from .stallwatch import STALL_TIMER
 
 MAX_ANSWER_BYTES = 8_388_608
 """Limit of a plain answer, which is buffered whole: a larger one would take the
@@ -119,6 +120,13 @@
     def _on_later_event(self) -> None:
         """Learn from an event after the first."""
 
+    def _on_progress(self) -> None:
+        """Learn from any event of a stream that carries data."""
+
+    def _is_stalled(self, watch: object, connection: ClientConnection) -> bool:
+        """Return whether a stream is to end since a check says that it has stalled."""
+        return False
+
     def _on_broken(self, event: AnswerIncomplete) -> None:
         """Learn from a connection that ended before the answer was complete."""
 
@@ -130,6 +138,11 @@
                 connection.abort()
                 self._state.may_have_run = True
                 return self._handle_disconnect()
+            if isinstance(event, TimerExpired) and event.name == STALL_TIMER:
+                if self._is_stalled(source, connection):
+                    connection.abort()
+                    return self._reject_answer("the stream has stalled")
+                continue
             if isinstance(event, TimerExpired):
                 connection.abort()
                 if self._head is None or not self._was_not_run(self._head):
@@ -252,6 +265,8 @@
                 return
             state.last_event_id = event.id
         self.event_count += 1
+        if event.has_data:
+            self._on_progress()
         if self.first_byte_ms is None:
             self._record_first_byte()
             self._on_first_event()
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -4,6 +4,7 @@
 
 from ..control.verdict import Result as VersionResult
 from ..errors import Failure, Reason
+from ..limits.streampause import stall_ms
 from ..placing.placer import Choice
 from ..platform.answerheaders import (
     REFUSED_STATUS,
@@ -21,6 +22,7 @@
 from .linkrecords import record_lost_link
 from .requestlog import Result
 from .requeststate import RequestState
+from .stallwatch import StallWatch
 
 CONNECTION_SHARE = 0.9
 """Share of an endpoint's connections that all instances may use together."""
@@ -71,6 +73,7 @@
         self._wants_pause = False
         self._is_proven = False
         self._first_event_ms: int | None = None
+        self._stall_watch: StallWatch | None = None
 
     async def run(self) -> Result:
         """Send the request once and return how the attempt ended."""
@@ -113,6 +116,7 @@
             )
             try:
                 self._send(connection)
+                self._watch_for_stalls()
                 result = await self._receive(connection)
             except Exception:
                 # What the endpoint made of the request is not known.
@@ -122,6 +126,8 @@
                 self._record_prefill_end()
                 load_board.record_end(self._endpoint.id, self._held_tokens)
         finally:
+            if self._stall_watch is not None:
+                self._stall_watch.stop()
             self._state.exchange.set_upstream(None)
             self._parts.answer_memory.release(self._held_bytes)
             pool.release(connection)
@@ -207,6 +213,33 @@
         if self._is_proven:
             self._state.record_served()
 
+    def _on_progress(self) -> None:
+        if self._stall_watch is not None:
+            self._stall_watch.record_event()
+
+    def _watch_for_stalls(self) -> None:
+        """Begin to look for a stall if the stream can go on elsewhere.
+
+        The first event may take long, as requests wait at endpoints; what an earlier
+        endpoint has begun must go on soon.
+        """
+        state = self._state
+        route = state.route
+        if route is None or not state.is_stream or not route.is_idempotent:
+            return
+        mailbox = state.exchange.mailbox
+        self._stall_watch = StallWatch(self._parts.clock, stall_ms(route), mailbox)
+        if state.exchange.has_started:
+            self._stall_watch.record_event()
+
+    def _is_stalled(self, watch: object, connection: ClientConnection) -> bool:
+        return (
+            self._stall_watch is not None
+            and watch is self._stall_watch
+            and self._stall_watch.check(connection)
+            and self._state.try_move_stream(self._endpoint.id)
+        )
+
     def _record_rate_limit(self, head: AnswerHead) -> None:
         per_s = read_rate_limit(head)
         if isinstance(per_s, Failure):
--- a/src/_monsoonpulley/ingress/eventsplitter.py
+++ b/src/_monsoonpulley/ingress/eventsplitter.py
@@ -16,6 +16,11 @@
     raw: bytes
     id: bytes | None
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it is more than a comment, as servers send to keep a stream open."""
+        return self.raw.startswith(b"data") or b"\ndata" in self.raw
+
 
 class EventSplitter:
     """Buffers bytes until they complete an event."""
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -7,7 +7,7 @@
 import random
 
 from ..fleet.model import Configuration, Endpoint, Route
-from ..ids import InstanceId, ServiceId
+from ..ids import EndpointId, InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
 from ..placing.endpointgate import Admission
 from ..placing.placer import Choice, PlacementRefusal, Requirements
@@ -74,6 +74,7 @@
         self._admission = Admission(())
         self._helper_ids: set[InstanceId] = set()
         self._is_demand_counted = False
+        self._holds_retry = False
         self._spent_ms = 0
 
     async def run(self) -> None:
@@ -103,6 +104,18 @@
         self.deadline_ms = min(self.deadline_ms, self.parts.clock.now_ms())
         self.exchange.mailbox.put(self, TimerExpired("stop"))
 
+    def try_move_stream(self, endpoint: EndpointId) -> bool:
+        """Take a retry for the rest of a stream, if another endpoint would get it."""
+        self.tried_ids.add(endpoint)
+        admission = self._admission
+        choice = self._choose()
+        self._admission = admission
+        if isinstance(choice, PlacementRefusal):
+            return False
+        self.parts.gate.refund(choice.endpoint.id, self.parts.clock.now_ms())
+        self._holds_retry = self._may_retry(Result.INVALID)
+        return self._holds_retry
+
     def _admit(self) -> bool:
         configuration = self.configuration
         if configuration is None:
@@ -383,6 +396,9 @@
 
     def _may_retry(self, result: Result) -> bool:
         assert self.route is not None and self.service is not None
+        if self._holds_retry:
+            self._holds_retry = False
+            return True
         if self.send_count >= self.route.max_attempts:
             return False
         if result is not Result.NOT_RUN and not self.route.is_idempotent:
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -123,6 +123,16 @@
         else:
             self.respond(503, "time is up", UNAVAILABLE_RETRY_MS)
 
+    def try_move_stream(self, endpoint: EndpointId) -> bool:
+        """Take a retry for the rest of a stream, if it can come from elsewhere now.
+
+        Parameters
+        ----------
+        endpoint : EndpointId
+            Where it stalls.
+        """
+        return False
+
     def find_quarantine_entry(self) -> Entry | None:
         """Return the entry for which the request must not be sent, if any."""
         if not self.parts.quarantine.entry_count():
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -47,6 +47,8 @@
         How long the server keeps the connection idle, by its ``Keep-Alive``.
     last_used_ms : int
         Monotonic time at which the last exchange ended or the connection opened.
+    reading_since_ms : int or None
+        Monotonic time from which answers are read; None while reading is paused.
     """
 
     def __init__(self, clock: Clock):
@@ -65,6 +67,7 @@
         self.is_reusable = False
         self.idle_timeout_ms: int | None = None
         self.last_used_ms = clock.now_ms()
+        self.reading_since_ms: int | None = self.last_used_ms
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and make it fail if the peer is silent."""
@@ -110,11 +113,13 @@
         """Pause reading the answer."""
         if self._transport is not None and self.is_open:
             self._transport.pause_reading()
+            self.reading_since_ms = None
 
     def resume_reading(self) -> None:
         """Resume reading the answer."""
         if self._transport is not None and self.is_open:
             self._transport.resume_reading()
+            self.reading_since_ms = self._clock.now_ms()
 
     def abort(self) -> None:
         """Reset the connection; the mailbox gets no further events."""
