Keep connections whose peer reads nothing for a while

TCP_USER_TIMEOUT ends a connection 2.5 s after its peer has no room for more bytes, even if the peer acknowledges each probe: a caller that paused reading a large answer or a stream was cut, and a request with a long body to an endpoint that did not read for as long failed with 502. While writing pauses, the time-out is now 15 s if the peer has acknowledged all packets, and stays 2.5 s if some are not acknowledged, as the link may be lost.

--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -16,7 +16,7 @@
     HeaderList,
     Mailbox,
 )
-from .sockets import enable_keepalive, reset
+from .sockets import UnreadWatch, enable_keepalive, reset
 
 MAX_OVERHEAD_BYTES = 524_288
 """Bytes of one exchange that are no part of the answer's body: head, framing, trailers
@@ -55,6 +55,7 @@
         self._clock = clock
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
+        self._unread_watch: UnreadWatch | None = None
         self._mailbox: Mailbox | None = None
         self._expected_id: tuple[bytes, bytes] | None = None
         self._headers: HeaderList = []
@@ -74,6 +75,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         enable_keepalive(transport)
+        self._unread_watch = UnreadWatch(transport)
         self.is_open = True
         self.is_reusable = True
 
@@ -121,6 +123,16 @@
             self._transport.resume_reading()
             self.reading_since_ms = self._clock.now_ms()
 
+    def pause_writing(self) -> None:
+        """Be patient with a server that doesn't read a long request."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_pause()
+
+    def resume_writing(self) -> None:
+        """Expect the usual acknowledgements again."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_resume()
+
     def abort(self) -> None:
         """Reset the connection; the mailbox gets no further events."""
         self._mailbox = None
--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -14,7 +14,7 @@
 from .clientconnection import ClientConnection
 from .events import CallerDisconnected, HeaderList, Mailbox
 from .requestmessage import RequestMessage
-from .sockets import enable_keepalive
+from .sockets import UnreadWatch, enable_keepalive
 
 LINGER_MS = 500
 """How long input is discarded after the last answer: a close with unread bytes
@@ -172,6 +172,7 @@
         self._on_lost = on_lost
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
+        self._unread_watch: UnreadWatch | None = None
         self._queued_requests: deque[RequestMessage] = deque()
         self._current: Exchange | None = None
         self._refusal_status: int | None = None
@@ -201,6 +202,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         enable_keepalive(transport)
+        self._unread_watch = UnreadWatch(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next complete request."""
@@ -243,11 +245,15 @@
 
     def pause_writing(self) -> None:
         """Pause the source of the answer while the caller doesn't read."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_pause()
         if self.upstream is not None:
             self.upstream.pause_reading()
 
     def resume_writing(self) -> None:
         """Resume the source of the answer."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_resume()
         if self.upstream is not None:
             self.upstream.resume_reading()
 
--- a/testing/wire/test_sockets.py
+++ b/testing/wire/test_sockets.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import socket
+import struct
 import unittest
+from unittest import mock
 
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.errors import Failure
+from _monsoonpulley.wire import sockets
 from _monsoonpulley.wire.events import Mailbox
 from _monsoonpulley.wire.pool import ConnectionPool
 from _monsoonpulley.wire.server import HttpServer
@@ -53,6 +56,60 @@
         self.assertEqual(await asyncio.wait_for(ended, 5), "reset")
 
 
+class StandinSocket:
+    """A socket with packets that are not acknowledged, and its options."""
+
+    def __init__(self, unacknowledged_count):
+        self.unacknowledged_count = unacknowledged_count
+        self.timeout_ms = None
+
+    def fileno(self):
+        return 3
+
+    def getsockopt(self, level, option, size):
+        info = bytearray(size)
+        offset = sockets.UNACKNOWLEDGED_COUNT_OFFSET
+        info[offset : offset + 4] = struct.pack("I", self.unacknowledged_count)
+        return bytes(info)
+
+    def setsockopt(self, level, option, value):
+        self.timeout_ms = value
+
+
+class StandinTransport:
+    def __init__(self, sock):
+        self.socket = sock
+
+    def get_extra_info(self, name):
+        return self.socket
+
+
+class TestUnreadBytes(unittest.IsolatedAsyncioTestCase):
+    """`testing.ingress.test_slow_readers` shows it with connections."""
+
+    def setUp(self):
+        patch = mock.patch.object(sockets, "UNREAD_CHECK_INTERVAL_MS", 5)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def timeout_after_a_pause(self, unacknowledged_count):
+        sock = StandinSocket(unacknowledged_count)
+        watch = sockets.UnreadWatch(StandinTransport(sock))
+        watch.on_pause()
+        await asyncio.sleep(0.03)
+        paused_ms = sock.timeout_ms
+        watch.on_resume()
+        self.assertEqual(sock.timeout_ms, UNACKNOWLEDGED_TIMEOUT_MS)
+        return paused_ms
+
+    async def test_a_peer_without_room_gets_more_time(self):
+        self.assertEqual(await self.timeout_after_a_pause(0), sockets.UNREAD_TIMEOUT_MS)
+
+    async def test_a_peer_that_may_be_lost_does_not(self):
+        """Guards against long requests that hang when a link is cut."""
+        self.assertEqual(await self.timeout_after_a_pause(3), UNACKNOWLEDGED_TIMEOUT_MS)
+
+
 class TestSilence(unittest.IsolatedAsyncioTestCase):
     """Linux probes after `PROBE_IDLE_S` and then every `PROBE_INTERVAL_S`.
 
