Hand the duties over only after the last order has ended

An instance that stopped released the lease of the duties at its next tick, and named a successor, which acts without waiting for the lease to expire. An order that was on its way, for up to 1 s, could arrive after the first orders of the successor. ControlLease now begins nothing once the instance stops, and keeps the lease while ControlLoop is in a step. Lost renewals, cuts and a frozen holder that wakes held before; the gateway cancels its duties before the release and numbers its orders, which existing tests show and now name.

--- a/src/_monsoonpulley/duties/controllease.py
+++ b/src/_monsoonpulley/duties/controllease.py
@@ -59,6 +59,12 @@
         Returns whether this instance is stopping.
     store_era : callable
         Returns the era of the store.
+
+    Attributes
+    ----------
+    is_acting : bool
+        Whether an order may be on its way; set by `ControlLoop`. While it is, an
+        instance that stops keeps the lease, as its successor would act at once.
     """
 
     def __init__(
@@ -74,8 +80,13 @@
         store_era: Callable[[], int] = lambda: 0,
     ):
         self._members = members
+        self._is_leaving = is_leaving
+        self.is_acting = False
         self._placement = ControlPlacement(
-            identity.instance, members, lambda: self.hold() is not None, is_leaving
+            identity.instance,
+            members,
+            lambda: self._leases.hold(CONTROL) is not None,
+            lambda: is_leaving() and not self.is_acting,
         )
         lease_ms = max(MIN_LEASE_MS, lease_duration_ms)
         self._settings = LeaseSettings(
@@ -103,8 +114,17 @@
         await self._leases.run()
 
     def hold(self) -> Hold | None:
-        """Return the hold on the duties, None while this instance may not act."""
-        return self._leases.hold(CONTROL)
+        """Return the hold on the duties, None while this instance may not act.
+
+        An instance that stops begins nothing more.
+        """
+        hold = self._leases.hold(CONTROL)
+        if hold is None or self._is_leaving():
+            return None
+        return Hold(
+            hold.fencing_number,
+            lambda _, for_ms: not self._is_leaving() and hold.may_act(for_ms),
+        )
 
     def fencing_number(self) -> int:
         """Return the lease's fencing number if this instance holds it, else 0."""
--- a/src/_monsoonpulley/duties/controlloop.py
+++ b/src/_monsoonpulley/duties/controlloop.py
@@ -54,12 +54,20 @@
             hold = self._lease.hold()
             self._log_duty_change(hold)
             if hold is not None:
-                await self._rollout.step(hold)
-            if hold is not None and hold.may_act():
+                await self._step(hold)
+            await self._clock.sleep_ms(STEP_INTERVAL_MS)
+
+    async def _step(self, hold: Hold) -> None:
+        """Perform the duties once; the lease is kept until all calls have ended."""
+        self._lease.is_acting = True
+        try:
+            await self._rollout.step(hold)
+            if hold.may_act():
                 await self._usage.step(hold)
-            if hold is not None and hold.may_act():
+            if hold.may_act():
                 await self._capacity.step(hold)
-            await self._clock.sleep_ms(STEP_INTERVAL_MS)
+        finally:
+            self._lease.is_acting = False
 
     def _log_duty_change(self, hold: Hold | None) -> None:
         number = hold.fencing_number if hold is not None else 0
--- a/testing/control/test_lease.py
+++ b/testing/control/test_lease.py
@@ -129,6 +129,11 @@
         self.assertEqual([n for n, _, _ in history.claims], [1, 2])
 
     def test_a_paused_holders_order_is_refused_once_another_has_ordered(self):
+        """Guards against orders of two holders around a hand-over, in the gateway.
+
+        `control.orders` sends the fencing number of the hold with each order, and
+        endpoints or, in their place, the order's row refuse a lower one.
+        """
         for seed in SEEDS:
             history = LeaseHistory(seed)
             history.acquire(0)
--- a/testing/control/test_leases.py
+++ b/testing/control/test_leases.py
@@ -170,6 +170,7 @@
             run_group(script, seed)
 
     def test_leaving_hands_over_before_the_lease_would_expire(self):
+        """`control.duties.DutyRunner._try_stop` ends the duty before the release."""
         times = LeaseSettings()
 
         async def script(group):
--- a/testing/duties/test_controllease.py
+++ b/testing/duties/test_controllease.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import unittest
 
 from _monsoonpulley.control.leasestate import lease_key
 from _monsoonpulley.duties.controllease import NUMBERS_PER_ERA, ControlLease
+from _monsoonpulley.duties.controlloop import ControlLoop
 from _monsoonpulley.duties.placement import CONTROL
 from _monsoonpulley.external.table import Write
 from _monsoonpulley.identity import Identity
 from _monsoonpulley.ids import InstanceId
 from _monsoonpulley.observability.log import Log
+from _monsoonpulley.platform.cloud import CALL_TIMEOUT_MS
 from _monsoonpulley.sharing.digest import Digest, decode_message, encode_message
 from _monsoonpulley.sharing.members import Members
 from _monsoonpulley.standins.manualloop import run_manual, running_clock
@@ -38,6 +41,7 @@
         self.members = Members(self.name, clock, log)
         self.reaches_store = True
         self.is_alive = self.is_heard = True
+        self.is_leaving = False
         self.zone = f"zone-{name}"
         self.lease = ControlLease(
             Identity(self.name, self.zone, "", 1),
@@ -47,7 +51,7 @@
             clock,
             random.Random(name),
             log,
-            lambda: False,
+            lambda: self.is_leaving,
             lambda: group.era,
         )
         self._sequence = 0
@@ -62,6 +66,7 @@
             "10.0.0.1",
             7600,
             reaches_store=self.reaches_store,
+            is_leaving=self.is_leaving,
             lease_token=self.lease.fencing_number(),
             lease_row=self.lease.announced_row(),
         )
@@ -181,6 +186,135 @@
         self.run_group(script, count=60)
 
 
+class OrderingDuty:
+    """A duty whose orders take as long as a call may, and that remembers them."""
+
+    def __init__(self, group: Group, name: str, orders: list):
+        self._group = group
+        self._name = name
+        self._orders = orders
+
+    async def step(self, hold) -> None:
+        for _ in range(3):
+            if not hold.may_act(CALL_TIMEOUT_MS):
+                return
+            sent_ms = self._group.clock.now_ms()
+            await self._group.clock.sleep_ms(CALL_TIMEOUT_MS - 1)
+            arrived_ms = self._group.clock.now_ms()
+            self._orders.append((sent_ms, arrived_ms, self._name))
+
+
+class IdleDuty:
+    async def step(self, hold) -> None:
+        pass
+
+
+class TestHandOver(unittest.TestCase):
+    """Guards against two holders that act around a hand-over.
+
+    An order may arrive until the end of its call, so that no other instance may send
+    one before.
+    """
+
+    def run_orders(self, script):
+        """Return the orders sent, with the times of sending and latest arrival."""
+        orders: list[tuple[int, int, str]] = []
+
+        async def main():
+            group = Group(5)
+            loops = []
+            for each in group.instances:
+                log = Log(group.clock, lambda line: None)
+                loop = ControlLoop(
+                    each.lease,
+                    IdleDuty(),
+                    OrderingDuty(group, each.name, orders),
+                    IdleDuty(),
+                    group.clock,
+                    log,
+                )
+                loops.append(asyncio.create_task(loop.run()))
+            await group.run(SETTLED_MS)
+            await script(group)
+            for task in loops:
+                task.cancel()
+
+        run_manual(main())
+        return orders
+
+    def assert_one_at_a_time(self, orders):
+        names = [name for _, _, name in orders]
+        self.assertGreater(len(set(names)), 1)
+        for (_, arrived_ms, before), (sent_ms, _, after) in itertools.pairwise(
+            sorted(orders)
+        ):
+            if before != after:
+                self.assertGreaterEqual(sent_ms, arrived_ms)
+
+    def test_a_holder_that_stops_finishes_its_order_first(self):
+        """`ControlLease.is_acting` keeps the lease until `ControlLoop` is done."""
+        for offset_ms in range(0, 1_500, 100):
+            with self.subTest(offset_ms=offset_ms):
+
+                async def script(group, offset_ms=offset_ms):
+                    await group.clock.sleep_ms(offset_ms)
+                    group.holder().is_leaving = True
+                    for _ in range(20):
+                        # The others may scan the lease at any time.
+                        for each in group.instances:
+                            each.lease._leases.request_scan()
+                        await group.run(DIGEST_MS)
+                    await group.run(LEASE_MS)
+
+                self.assert_one_at_a_time(self.run_orders(script))
+
+    def test_a_holder_that_stops_hands_over_within_its_listening(self):
+        """It listens on for 2.6 s, and the rest of a lease would take longer."""
+
+        async def script(group):
+            holder, stop_ms = group.holder(), group.clock.now_ms()
+            holder.is_leaving = True
+            await group.run(3 * LEASE_MS)
+            self.assertLessEqual(group.takeover_ms(holder, stop_ms), 2_600)
+
+        self.run_orders(script)
+
+    def test_a_holder_that_loses_a_renewal_sends_nothing_too_late(self):
+        """`control.leases.Hold.may_act` asks whether the lease outlasts the call."""
+
+        async def script(group):
+            group.cut_from_store(group.holder())
+            await group.run(3 * LEASE_MS)
+
+        self.assert_one_at_a_time(self.run_orders(script))
+
+    def test_a_frozen_holder_that_wakes_sends_nothing(self):
+        """`control.leasestate.LeaseState.may_act` compares with the clock.
+
+        What it had decided on before is not sent, as `wire.httpclient.HttpClient.call`
+        sends nothing after its time-out (`testing.wire.test_httpclient`).
+        """
+
+        async def main():
+            group = Group(5)
+            await group.run(SETTLED_MS)
+            frozen = group.holder()
+            hold = frozen.lease.hold()
+            self.assertTrue(hold.may_act(CALL_TIMEOUT_MS))
+            group.kill(frozen)
+            await group.run(2 * LEASE_MS)
+            self.assertIsNot(group.holder(), frozen)
+            frozen.is_alive = True
+            frozen.task = asyncio.create_task(frozen.lease.run())
+            self.assertFalse(hold.may_act())
+            self.assertIsNone(frozen.lease.hold())
+            await group.run(LEASE_MS)
+            self.assertFalse(hold.may_act())
+            self.assertIsNone(frozen.lease.hold())
+
+        run_manual(main())
+
+
 class TestLostWrites(unittest.TestCase):
     """The store comes back from a copy with an older row of the lease."""
 
