Tell no caller that a request has not run when it may have

The statuses 408, 421, 429 and 503 promise callers that a request has not run. The ingress forwarded an endpoint's 408, 429 or 503 that did not say so, and answered 429 when the quota was used up after another instance had been sent the request and its answer was lost. Such failures now reach the caller as 502 without a retry time, with the endpoint's body; and RequestState.respond turns any refusal of a request that may have run into 502.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..platform.answerheaders import (
+    PROMISES_NOT_RUN,
     headers_for_caller,
     is_event_stream,
     is_sealed,
@@ -282,11 +283,18 @@
         self._state.exchange.start(self._head.status, headers_for_caller(self._head))
 
     def _forward_answer(self, head: AnswerHead) -> None:
+        """Forward an answer whole.
+
+        One whose status would promise that the request has not run, though its
+        endpoint doesn't say so, gets status 502 and no retry time.
+        """
         self._record_first_byte()
-        self._state.exchange.respond(
-            head.status, headers_for_caller(head), b"".join(self._body_chunks)
-        )
-        self._state.record_answer(head.status, self.detail)
+        status, headers = head.status, headers_for_caller(head)
+        if status in PROMISES_NOT_RUN:
+            status = 502
+            headers = [(n, v) for n, v in headers if n.lower() != b"retry-after"]
+        self._state.exchange.respond(status, headers, b"".join(self._body_chunks))
+        self._state.record_answer(status, self.detail)
 
     def _record_first_byte(self) -> None:
         now_ms = self._parts.clock.now_ms()
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -87,12 +87,15 @@
     ) -> None:
         """Write a final answer of the ingress itself.
 
-        An answer that has started is aborted instead.
+        An answer that has started is aborted instead. A status that promises that the
+        request has not run becomes 502 if it may have.
         """
         self.detail = detail
         if self.exchange.has_started:
             self.exchange.abort()
             return
+        if self.may_have_run and status in PROMISES_NOT_RUN:
+            status, retry_after_ms = 502, None
         self.status = status
         self.retry_after_ms = retry_after_ms
         outcome = self._peer_outcome(status) if self.is_from_peer else None
