Answer what the gateway has accepted before it stops

When a planned stop has drained, uvicorn closes its listeners and each connection without a request in progress: connections that wait to be accepted are reset, and so are requests that were sent but not read. The server now lets the event loop accept what waits, keeps connections open for 1 s (less if the instance has a deadline), and only then closes them; what arrives in that time is answered, by 503 once the instance takes nothing more. The ingress uses the same rounds of the loop, one more than before, in which asyncio makes the transports of accepted connections.

--- a/src/_monsoonpulley/entry/daemon.py
+++ b/src/_monsoonpulley/entry/daemon.py
@@ -30,6 +30,12 @@
 ENGINE_ADAPTER = "openai"
 SERVICE_ADAPTER = "http"
 
+MAX_IDLE_WAIT_MS = 1_000
+"""A packet of a request that is lost on its way is sent again within it."""
+
+CLOSE_MARGIN_MS = 200
+"""Time before the deadline of a stop that is left for closing all connections."""
+
 
 class EntryDaemon:
     """An entry instance run as a process.
@@ -77,7 +83,7 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if drain_task in done:
-                self.server.stop()
+                self.server.stop(self._max_idle_wait_ms())
                 await server_task
             for task in done:
                 task.result()
@@ -107,6 +113,14 @@
         await self.instance.lifecycle.wait_leaving()
         await self.instance.drain()
 
+    def _max_idle_wait_ms(self) -> int:
+        """Return how long callers' connections without a request may stay open."""
+        deadline_ms = self.instance.lifecycle.deadline_ms
+        if deadline_ms is None:
+            return MAX_IDLE_WAIT_MS
+        left_ms = deadline_ms - CLOSE_MARGIN_MS - self._clock.now_ms()
+        return max(0, min(MAX_IDLE_WAIT_MS, left_ms))
+
     def _build_environment(self) -> Environment:
         settings = self._settings
         return Environment(
--- a/src/_monsoonpulley/entry/httpserver.py
+++ b/src/_monsoonpulley/entry/httpserver.py
@@ -10,8 +10,11 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from ..wire.server import accept_waiting
+
 KEEP_ALIVE_TIMEOUT_S = 75
 SHUTDOWN_TIMEOUT_S = 5
+IDLE_CHECK_INTERVAL_S = 0.05
 BACKLOG = 2_048
 
 
@@ -46,6 +49,7 @@
             timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
         )
         super().__init__(config)
+        self._max_idle_wait_ms = 0
         self._ip = ip
         self._listener = listening_socket(ip, port)
 
@@ -75,10 +79,29 @@
         finally:
             self._listener.close()
 
-    def stop(self) -> None:
-        """Stop the server once its connections are idle, after 5 s at most."""
+    def stop(self, max_idle_wait_ms: int = 0) -> None:
+        """Stop the server once its connections are idle, after 5 s at most.
+
+        Parameters
+        ----------
+        max_idle_wait_ms : int
+            How long connections without a request stay open once no new ones are
+            accepted: their callers may have sent one, which a close would reset.
+        """
+        self._max_idle_wait_ms = max_idle_wait_ms
         self.should_exit = True
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Accept what waits for it, then close as `stop` says."""
+        await accept_waiting()
+        for server in self.servers:
+            server.close()
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self._max_idle_wait_ms / 1000
+        while self.server_state.connections and loop.time() < until_s:
+            await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+        await super().shutdown(sockets)
+
 
 def listening_socket(ip: str, port: int) -> socket.socket:
     """Return a listening socket whose connections have ``TCP_NODELAY`` set.
--- a/src/_monsoonpulley/wire/server.py
+++ b/src/_monsoonpulley/wire/server.py
@@ -15,6 +15,20 @@
 """Interval of checking the time-outs of connections, which are seconds long."""
 
 
+ACCEPT_ROUNDS = 3
+"""Rounds of the event loop until connections that wait are served: one until it looks
+for them, one in which it accepts them, one in which it makes their transports."""
+
+
+async def accept_waiting() -> None:
+    """Let the event loop accept the connections that wait at its listeners.
+
+    Closing a listener resets those that still wait.
+    """
+    for _ in range(ACCEPT_ROUNDS):
+        await asyncio.sleep(0)
+
+
 class HttpServer:
     """Accepts connections and calls a handler with each request.
 
@@ -81,10 +95,7 @@
 
     async def end_listening(self) -> None:
         """Stop accepting connections, once those that wait for it are accepted."""
-        # The loop accepts what has connected in its next round, and ends that round
-        # before the one after it begins. Closing the listener would reset them.
-        for _ in range(2):
-            await asyncio.sleep(0)
+        await accept_waiting()
         self._close_listener()
 
     def stop_listening(self) -> None:
