Let the gateway promise only what has not run

A generation or a call that may have run, and then found its admission or target refused, ended with status 429 although its outcome was unknown. 429 and 503 promise callers that nothing has run, so that such a failure now has status 504 and keeps its retry time; the outcome was right before. Tests of streams that trickle bytes without an event, and of slow ones, held: only tokens move an engine's deadline.

--- a/src/_monsoonpulley/gateway/problem.py
+++ b/src/_monsoonpulley/gateway/problem.py
@@ -28,6 +28,9 @@
 }
 """HTTP status by reason; for other reasons the outcome decides."""
 
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+"""Statuses that promise callers that the request has not run and never will."""
+
 ERROR_TYPE_BY_STATUS = {
     401: "authentication_error",
     403: "permission_error",
@@ -64,10 +67,10 @@
 
 def status_of(failure: Failure, outcome: Outcome) -> int:
     """Return the HTTP status of a failure."""
-    status = STATUS_BY_REASON.get(failure.reason)
-    if status is not None:
-        return status
-    return 503 if outcome is Outcome.NOT_RUN else 504
+    status = STATUS_BY_REASON.get(failure.reason, 503)
+    if status in PROMISES_NOT_RUN and outcome is not Outcome.NOT_RUN:
+        return 504
+    return status
 
 
 def make_problem(
--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -155,14 +155,14 @@
         items = generate_raw(ScriptedHandler(HEAD + data))
         self.assertEqual(text_of(items), "a b")
 
-    def test_comments_do_not_keep_a_stream_alive(self):
+    def check_ends_in_time(self, piece):
         call = engine_call(token_timeout_ms=120)
 
         async def handle(reader, writer):
             writer.write(HEAD + stream_body(finish="", done=False))
             with contextlib.suppress(ConnectionError):
                 while True:
-                    writer.write(b": alive\n\n" + sse_event(b'{"id":"x1"}'))
+                    writer.write(piece)
                     await writer.drain()
                     await asyncio.sleep(0.02)
 
@@ -170,6 +170,34 @@
         self.assertEqual(items[-1].reason, Reason.TIMEOUT)
         self.assertEqual(items[-1].delivery, Delivery.MAYBE)
 
+    def test_comments_do_not_keep_a_stream_alive(self):
+        self.check_ends_in_time(b": alive\n\n" + sse_event(b'{"id":"x1"}'))
+
+    def test_bytes_without_an_event_do_not_keep_a_stream_alive(self):
+        """Guards against a stalled stream that never ends.
+
+        `endpoints.http_event_stream.EventStream.renew_deadline` is called for tokens
+        only; the stream then goes on at another engine (`testing.requests`).
+        """
+        self.check_ends_in_time(b"x")
+
+    def test_a_slow_stream_is_not_cut(self):
+        """Guards against a limit on the whole stream: each token has its own."""
+        call = engine_call(first_token_timeout_ms=400, token_timeout_ms=400)
+        pieces = stream_body().split(b"\n\n")[:-1]
+
+        async def handle(reader, writer):
+            await read_request(reader)
+            writer.write(HEAD)
+            for piece in pieces:
+                writer.write(piece + b"\n\n")
+                await writer.drain()
+                await asyncio.sleep(0.25)
+
+        items = generate_raw(handle, call)
+        self.assertIsInstance(items[-1], Finished)
+        self.assertGreater(0.25 * len(pieces), 0.4)
+
 
 class DeliveryTest(unittest.TestCase):
     def check_failure(self, script, reason, delivery, call=None):
