Send nothing to endpoints of evacuated data centres

Requests, retries, resumed streams and requests of other instances pass it when endpoints are selected and again once a connection is open; an instance whose digests don't name an evacuation is not asked for help. After the end, requests return in growing shares over evacuation_ms, unless no other endpoint can serve them.

The row store stand-in answered a feed call that waited while the history was discarded as if nothing had changed, with the newest version; it now answers 410.

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -78,6 +78,9 @@
     ----------
     last_failure_ms : int or None
         Time of the last failed call; None if the last call succeeded.
+    last_gap_ms : int or None
+        Time between the last two updates, by which changes may have been unknown here;
+        None before the second.
     """
 
     def __init__(
@@ -126,6 +129,7 @@
         self._last_relay_ms = 0
         self._relays_resumed = asyncio.Event()
         self.last_failure_ms: int | None = None
+        self.last_gap_ms: int | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -368,7 +372,10 @@
     def _record_update(self, is_recovered: bool) -> None:
         if is_recovered:
             self._on_recovered()
-        self._last_update_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        if self._last_update_ms is not None:
+            self.last_gap_ms = now_ms - self._last_update_ms
+        self._last_update_ms = now_ms
 
     def _record_era(self, era: int) -> None:
         """Count a store that lost writes as recovered: rows may be missing or old."""
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -90,6 +90,10 @@
                 # The endpoint started to leave while the connection was being opened.
                 self.detail = "the endpoint is leaving"
                 return Result.UNREACHABLE
+            if self._parts.evacuations.is_evacuated(self._endpoint.zone):
+                # The operator evacuated it while the connection was being opened.
+                self.detail = "the data centre is evacuated"
+                return Result.UNREACHABLE
             if self._parts.gate.is_paused(
                 self._endpoint.id, self._parts.clock.now_ms()
             ):
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -70,6 +70,11 @@
             "Endpoints that this instance can't connect to.",
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "monsoonpulley_evacuated_zones",
+            "Data centres to whose endpoints nothing is sent.",
+            registry=self.registry,
+        )
         self.peer_attempts = Counter(
             "monsoonpulley_peer_attempts",
             "Requests that other instances were asked to serve, by service and result.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -11,6 +11,7 @@
 from ..duties.usage import UsageCounter
 from ..fleet.configurationholder import ConfigurationHolder
 from ..fleet.directory import EndpointDirectory
+from ..fleet.evacuations import Evacuations
 from ..fleet.model import Configuration, Endpoint
 from ..ids import EndpointId, InstanceId, ZoneId
 from ..limits.brittleness import BrittleServices
@@ -54,6 +55,7 @@
     counters: Counters
     configuration: ConfigurationHolder
     directory: EndpointDirectory
+    evacuations: Evacuations
     members: Members
     quotas: QuotaLedger
     retry_budget: RetryBudget
@@ -139,6 +141,7 @@
                 clock, log, on_configuration, on_operator_row
             ),
             directory=directory,
+            evacuations=Evacuations(clock, log, bounds.evacuation_ms),
             members=Members(settings.instance, clock, log),
             quotas=QuotaLedger(
                 bounds.quota_window_s,
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -10,7 +10,12 @@
 from ..ids import InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
 from ..placing.endpointgate import Admission
-from ..placing.placer import Choice, PlacementRefusal, Requirements
+from ..placing.placer import (
+    NO_ENDPOINT_RETRY_MS,
+    Choice,
+    PlacementRefusal,
+    Requirements,
+)
 from ..platform.answerheaders import PeerOutcome
 from ..quarantine.evidence import Entry
 from ..quarantine.quarantine import RETRY_AFTER_MS
@@ -39,6 +44,10 @@
 endpoints may be older than a cut."""
 
 
+RETRY_SPREAD = 0.25
+"""Retry times while nothing may be sent are spread over this share of them, so that the
+callers don't return together, as in `placing.endpointgate`."""
+
 MIN_LOST_SHARE = 0.5
 """Share of a service's endpoints from which on lost links are the reason for a refusal.
 With fewer of them lost, the others are as busy as for any other instance."""
@@ -75,6 +84,7 @@
         self._helper_ids: set[InstanceId] = set()
         self._is_demand_counted = False
         self._spent_ms = 0
+        self._return_draw: float | None = None
 
     async def run(self) -> None:
         """Serve the request and end its exchange."""
@@ -248,8 +258,17 @@
             lost_count,
             self.configuration.version,
             self._helper_ids,
+            self._may_help,
         )
 
+    def _may_help(self, member: Member) -> bool:
+        """Return whether another instance complies with what this one knows.
+
+        One that has not read of an evacuation, or whose build knows of none, would send
+        the request to the evacuated data centre.
+        """
+        return self.parts.evacuations.zones <= member.evacuated
+
     async def _ask_one_of(self, helpers: list[Member]) -> None:
         """Let another instance serve the request and answer, unless it can't."""
         helper = choose_helper(helpers, self._rng)
@@ -284,18 +303,25 @@
         )
         self._consume_quota()
 
-    def _untried_endpoints(self) -> tuple[Endpoint, ...]:
+    def _open_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the endpoints of the service that this request may be sent to."""
         assert self.service is not None
         parts = self.parts
-        eligible = parts.rollouts.eligible_endpoints(
-            self.service.id, parts.directory.ready_endpoints(self.service.id)
+        return parts.evacuations.open_endpoints(
+            parts.directory.ready_endpoints(self.service.id)
+        )
+
+    def _untried_endpoints(self) -> tuple[Endpoint, ...]:
+        assert self.service is not None
+        eligible = self.parts.rollouts.eligible_endpoints(
+            self.service.id, self._open_endpoints()
         )
         return tuple(e for e in eligible if e.id not in self.tried_ids)
 
     def _may_try(self, entry: Entry) -> bool:
         """Return whether this request may show that an entry no longer holds."""
         assert self.service is not None
-        ready = self.parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         versions = {endpoint.version for endpoint in ready}
         self.is_trial = self.parts.quarantine.try_acquire_trial(entry, versions)
         return self.is_trial
@@ -313,6 +339,10 @@
             max_wait_ms=self._max_wait_ms(now_ms),
         )
         untried = self._untried_endpoints()
+        if not untried:
+            closed = self._refuse_closed()
+            if closed is not None:
+                return closed
         linked = self._linked_endpoints(untried)
         if untried and not linked:
             self.has_no_link = True
@@ -320,18 +350,59 @@
         self._admission = parts.gate.admit(linked, now_ms)
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
-        choice = parts.placer.choose(
-            requirements,
-            self._admission.usable,
-            self.tried_ids,
-            parts.zone,
-            now_ms,
-            parts.zone_reach.unreachable_zones(now_ms),
-        )
+        choice = self._place(requirements, self._admission.usable, now_ms)
         if isinstance(choice, Choice):
             parts.gate.record_send(choice.endpoint.id, now_ms)
         return choice
 
+    def _place(
+        self, requirements: Requirements, usable: tuple[Endpoint, ...], now_ms: int
+    ) -> Choice | PlacementRefusal:
+        """Choose an endpoint; data centres that take traffic back get it in steps."""
+        parts = self.parts
+        unreachable_zones = parts.zone_reach.unreachable_zones(now_ms)
+
+        def choose(candidates: tuple[Endpoint, ...]) -> Choice | PlacementRefusal:
+            return parts.placer.choose(
+                requirements,
+                candidates,
+                self.tried_ids,
+                parts.zone,
+                now_ms,
+                unreachable_zones,
+            )
+
+        if parts.evacuations.is_returning:
+            preferred = self._without_deferred(usable)
+            choice = choose(preferred)
+            if isinstance(choice, Choice):
+                return choice
+            # A request that others can't serve may use idle endpoints at once.
+        return choose(usable)
+
+    def _without_deferred(
+        self, endpoints: tuple[Endpoint, ...]
+    ) -> tuple[Endpoint, ...]:
+        if self._return_draw is None:
+            self._return_draw = self._rng.random()
+        evacuations, draw = self.parts.evacuations, self._return_draw
+        return tuple(e for e in endpoints if not evacuations.is_deferred(e.zone, draw))
+
+    def _refuse_closed(self) -> PlacementRefusal | None:
+        """Return the refusal of a request all of whose endpoints are evacuated."""
+        assert self.service is not None
+        parts = self.parts
+        if self._open_endpoints() or not parts.directory.ready_endpoints(
+            self.service.id
+        ):
+            return None
+        spread_ms = NO_ENDPOINT_RETRY_MS * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
+        return PlacementRefusal(
+            "all data centres with endpoints are evacuated",
+            round(spread_ms),
+            self.facts.prompt_tokens,
+        )
+
     def _linked_endpoints(
         self, endpoints: tuple[Endpoint, ...]
     ) -> tuple[Endpoint, ...]:
@@ -352,7 +423,7 @@
     def _not_run_retry_ms(self) -> int:
         """Return when a request that endpoints refused to run may return."""
         assert self.service is not None
-        ready = self.parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         now_ms = self.parts.clock.now_ms()
         if not ready or self.parts.gate.admit(ready, now_ms).usable:
             return UNAVAILABLE_RETRY_MS
@@ -444,7 +515,7 @@
         assert self.service is not None
         parts = self.parts
         now_ms = parts.clock.now_ms()
-        ready = parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         outcome = attempt.outcome
         parts.counters.peer_attempts.labels(self.service.id, result.value).inc()
         parts.log.decision(
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -21,7 +21,7 @@
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
 from ..platform.rollouts import ORDER_PREFIX, decode_order
-from ..platform.store import Row, Store
+from ..platform.store import Row, Rows, Store
 from ..platform.storeversion import join_version, wire_version
 from ..quarantine.rows import QuarantineRows
 from ..sharing.digest import Digest, UsageCounts
@@ -184,7 +184,7 @@
             OPERATOR_TABLE: TableFollower(
                 self.store,
                 OPERATOR_TABLE,
-                parts.configuration.apply,
+                self._on_operator_rows,
                 self.clock,
                 self.log,
                 wait_ms=CONFIGURATION_LONG_POLL_MS,
@@ -289,6 +289,7 @@
         """Apply changed bounds; changed addresses apply at the next start."""
         bounds = settings.bounds
         self.settings = settings
+        self.parts.evacuations.set_evacuation_ms(bounds.evacuation_ms)
         self.parts.retry_budget.set_limit(
             bounds.retry_budget_ratio,
             bounds.budget_window_s,
@@ -337,6 +338,13 @@
         self.parts.wait_limits.configure(configuration)
         self.counters.configuration_version.set(configuration.version)
 
+    def _on_operator_rows(self, rows: Rows, is_snapshot: bool) -> None:
+        # First the evacuations: the first configuration lets requests be sent.
+        self.parts.evacuations.apply(
+            rows, is_snapshot, self._followers[OPERATOR_TABLE].last_gap_ms
+        )
+        self.parts.configuration.apply(rows, is_snapshot)
+
     def _on_operator_row(self, row: Row) -> None:
         if not row.key.startswith(ORDER_PREFIX):
             return
@@ -392,6 +400,7 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            evacuated=parts.evacuations.notices(self.store.era or 0),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -401,7 +410,9 @@
             return {}
         counts = {
             service: parts.links.unreachable_count(
-                parts.directory.ready_endpoints(service)
+                parts.evacuations.open_endpoints(
+                    parts.directory.ready_endpoints(service)
+                )
             )
             for service in current.services
         }
@@ -422,6 +433,10 @@
             parts.quarantine.add_entry(entry, idle_ms)
         parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
         era = self._era_of_digest(digest)
+        if era is not None:
+            parts.evacuations.record_peer(
+                {z: join_version(era, v) for z, v in digest.evacuated.items() if v}
+            )
         progress = () if era is None else digest.rollouts
         parts.rollouts.merge_peer(
             [
@@ -512,6 +527,8 @@
         parts.zone_reach.set_silent_zones(parts.members.silent_zones(parts.zone))
         self._control.lease.check_holder()
         parts.directory.expire()
+        parts.evacuations.expire()
+        self.counters.evacuated_zones.set(len(parts.evacuations.zones))
         parts.usage.expire(self.clock.wall_ms())
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -51,8 +51,9 @@
     rate_limits : dict
         Rate limits of endpoints that the sender heard of itself, with their age.
     era : int
-        Era of the store as known to the sender, and of the versions in ``rollouts``
-        and ``lease_row``, which are those on the wire; 0 if it knows of none.
+        Era of the store as known to the sender, and of the versions in ``rollouts``,
+        ``lease_row`` and ``evacuated``, which are those on the wire; 0 if it knows of
+        none.
     quarantined : tuple
         Entries of requests that are refused because they crash endpoints, each with the
         time since it last refused one.
@@ -63,6 +64,8 @@
         Number of endpoints of each service that the sender presumably can't reach.
     brittle : dict
         Services whose endpoints lately told an instance how many refusals they bear.
+    evacuated : dict
+        Versions of the rows that evacuate data centres, by data centre.
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
@@ -100,6 +103,7 @@
     served: dict[str, int] = {}
     lost_links: dict[str, int] = {}
     brittle: dict[str, BrittleNotice] = {}
+    evacuated: dict[str, int] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/src/_monsoonpulley/sharing/helpers.py
+++ b/src/_monsoonpulley/sharing/helpers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from ..ids import InstanceId, ServiceId
 from .members import Member, Members
@@ -23,6 +23,7 @@
     own_lost_count: int,
     configuration_version: int,
     tried_ids: Collection[InstanceId] = (),
+    may_help: Callable[[Member], bool] = lambda member: True,
 ) -> list[Member]:
     """Return the instances that presumably reach more endpoints of a service.
 
@@ -38,6 +39,8 @@
         Version in force here; an instance with an older one might answer by it.
     tried_ids : collection of InstanceId
         Instances to leave out.
+    may_help : callable
+        Returns whether an instance may get the request at all.
     """
     return [
         member
@@ -47,6 +50,7 @@
         and not member.is_leaving
         and member.lost_links.get(service, 0) * MIN_LINKS_RATIO <= own_lost_count
         and member.configuration >= configuration_version
+        and may_help(member)
     ]
 
 
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -52,6 +52,8 @@
     lease_token: int = 0
     lost_links: dict[str, int] = {}
     """Endpoints that it can't reach, by service; see `Digest`."""
+    evacuated: frozenset[str] = frozenset()
+    """Data centres that it knows to be evacuated."""
     in_progress: int = 0
     """Requests that it had sent to endpoints and that had no complete answer yet."""
     is_bundled: bool = False
@@ -134,6 +136,7 @@
         member.reaches_store = digest.reaches_store
         member.lease_token = digest.lease_token
         member.lost_links = digest.lost_links
+        member.evacuated = frozenset(digest.evacuated)
         member.in_progress = sum(entry[0] for entry in digest.loads.values())
         member.last_received_ms = now_ms
         member.is_bundled = is_bundled
--- a/src/_monsoonpulley/standins/rowstore.py
+++ b/src/_monsoonpulley/standins/rowstore.py
@@ -219,6 +219,8 @@
                         changes = self._changes_after(table, after)
             except TimeoutError:
                 changes = []
+            if not self._discarded_version <= after <= self._version:
+                return 410, {}  # The history was discarded during the wait.
         return 200, self._response_body(changes)
 
     def _changes_after(self, table: str, after: int) -> list[_Row | dict]:
