Plan capacity without evacuated data centres

Endpoints of an evacuated data centre counted as capacity, and more were ordered there. The plan now leaves such data centres out, so that it orders what is missing in the others at its next step; nothing is ordered where nothing may be sent, and the platform keeps what runs there. After the end a data centre stays out until its endpoints bear half of the load of the others for some seconds, so that their replacements aren't released before. A version whose endpoints are all in evacuated data centres isn't declared done, which would stop the old version's endpoints. testing.duties.test_capacity and testing.rollouts.test_rollouts pass; the new tests fail with the code taken out.

--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+import msgspec
+
 from ..clock import Clock
 from ..control.leases import Hold
 from ..errors import Reason
@@ -36,6 +40,9 @@
         Receives the orders.
     clock, log : Clock, Log
         Each order is logged.
+    closed_zones : callable
+        Returns the data centres whose endpoints of a service don't count, and in which
+        none are ordered; see `closedzones`.
     """
 
     def __init__(
@@ -48,6 +55,7 @@
         cloud: CloudClient,
         clock: Clock,
         log: Log,
+        closed_zones: Callable[[Service], frozenset[ZoneId]] = lambda _: frozenset(),
     ):
         self._configuration = configuration
         self._directory = directory
@@ -57,6 +65,7 @@
         self._cloud = cloud
         self._clock = clock
         self._log = log
+        self._closed_zones = closed_zones
         self._plans: dict[ServiceId, CapacityPlan] = {}
         self._fencing_number = 0
 
@@ -80,8 +89,13 @@
         now_ms = self._clock.now_ms()
         plan = self._plans.setdefault(service.id, CapacityPlan())
         need = self._compute_need(service, configuration)
+        spec, closed = service.scaling, self._closed_zones(service)
+        if closed:
+            # The platform keeps what runs there, as it was ordered last.
+            prices = {z: p for z, p in spec.zone_prices.items() if z not in closed}
+            spec = msgspec.structs.replace(spec, zone_prices=prices)
         orders = plan.due_orders(
-            service.scaling,
+            spec,
             self._observe(service.id),
             need,
             now_ms - self._directory.loaded_ms,
@@ -91,7 +105,7 @@
         for order in orders:
             if not hold.may_act(CALL_TIMEOUT_MS):
                 return
-            await self._send_order(plan, service.id, order, need, hold)
+            await self._send_order(plan, service.id, order, need, hold, closed)
 
     def _compute_need(
         self, service: Service, configuration: Configuration
@@ -129,6 +143,7 @@
         order: Order,
         need: CapacityNeed,
         hold: Hold,
+        closed: frozenset[ZoneId],
     ) -> None:
         failure = await self._cloud.order_endpoints(
             hold.fencing_number,
@@ -152,6 +167,7 @@
             idle=order.idle_count,
             needed=need.count,
             needed_at_least=need.least_count,
+            closed_zones=sorted(closed),
             binding=need.binding,
             demand=need.demand,
             base_ms=round(self._models.engine(service).base_ms(), 1),
--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -14,6 +14,7 @@
 from ..rollouts.statusreader import RolloutStatusReader
 from ..wire.httpclient import HttpClient
 from .capacity import CapacityDuty
+from .closedzones import ClosedZones
 from .controllease import ControlLease
 from .controlloop import ControlLoop
 from .rollout import RolloutDuty
@@ -102,7 +103,19 @@
             parts.members.expected_ids,
         )
         self._rollout = RolloutDuty(
-            parts.rollouts, self.status_reader, parts.directory, self._store, log
+            parts.rollouts,
+            self.status_reader,
+            parts.directory,
+            self._store,
+            log,
+            parts.evacuations.open_endpoints,
+        )
+        closed_zones = ClosedZones(
+            parts.evacuations,
+            parts.directory,
+            parts.load_board,
+            clock,
+            settings.bounds.evacuation_ms,
         )
         return ControlLoop(
             self.lease,
@@ -116,6 +129,7 @@
                 cloud,
                 clock,
                 log,
+                closed_zones.find,
             ),
             self._rollout,
             clock,
--- a/src/_monsoonpulley/duties/rollout.py
+++ b/src/_monsoonpulley/duties/rollout.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..control.leases import Hold
 from ..errors import Failure
 from ..fleet.directory import EndpointDirectory
+from ..fleet.model import Endpoint
 from ..observability.log import Log
 from ..platform.rollouts import (
     STATUS_TABLE,
@@ -53,6 +56,9 @@
         Stores the status rows.
     log : Log
         Each write is logged.
+    open_endpoints : callable
+        Returns those of the endpoints that may get requests; the others show nothing of
+        their version, and don't carry its traffic.
     """
 
     def __init__(
@@ -62,12 +68,16 @@
         directory: EndpointDirectory,
         store: Store,
         log: Log,
+        open_endpoints: Callable[
+            [tuple[Endpoint, ...]], tuple[Endpoint, ...]
+        ] = lambda endpoints: endpoints,
     ):
         self._rollouts = rollouts
         self._status_reader = status_reader
         self._directory = directory
         self._store = store
         self._log = log
+        self._open_endpoints = open_endpoints
         self._stored_status: dict[int, RolloutStatus] = {}
         self._row_versions: dict[str, int] = {}
 
@@ -93,8 +103,14 @@
             return
         elapsed_ms, phase_elapsed_ms = self._rollouts.elapsed_times_ms(order)
         share = elapsed_ms / max(1, order.duration_ms)
+        ready = self._directory.ready_endpoints(order.service)
+        new = tuple(each for each in ready if each.version == order.version)
+        open_new = self._open_endpoints(new)
+        # Done, the old version's endpoints stop while no new one may get requests.
+        is_closed = bool(new) and not open_new
         if (
-            phase is Phase.FULL
+            not is_closed
+            and phase is Phase.FULL
             and share >= DONE_AFTER_SHARE
             and phase_elapsed_ms >= MIN_FULL_PHASE_MS
         ):
@@ -110,8 +126,7 @@
             await self._write(order, RolloutStatus.ROLLED_BACK)
             return
         await self._write(order, RolloutStatus.RUNNING)
-        ready = self._directory.ready_endpoints(order.service)
-        if any(endpoint.version == order.version for endpoint in ready):
+        if open_new:
             due_phase = next(phase for after, phase in PHASE_STARTS if share >= after)
             self._rollouts.advance(
                 order, due_phase, f"{share:.2f} of the time to the deadline has passed"
--- a/src/_monsoonpulley/fleet/evacuations.py
+++ b/src/_monsoonpulley/fleet/evacuations.py
@@ -149,6 +149,13 @@
         state = self._states.get(zone)
         return None if state is None else state.ended_ms
 
+    @property
+    def ended_zones(self) -> frozenset[ZoneId]:
+        """The data centres that were evacuated before and aren't now."""
+        return frozenset(
+            zone for zone, state in self._states.items() if not state.is_evacuated
+        )
+
     def open_endpoints(self, endpoints: tuple[Endpoint, ...]) -> tuple[Endpoint, ...]:
         """Return the endpoints that are not in evacuated data centres."""
         if not self.zones:
--- a/testing/duties/test_capacity.py
+++ b/testing/duties/test_capacity.py
@@ -8,7 +8,10 @@
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.control.leases import Hold
 from _monsoonpulley.duties.capacity import CapacityDuty
+from _monsoonpulley.duties.capacityneed import CapacityNeed
+from _monsoonpulley.duties.closedzones import ClosedZones
 from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.fleet.evacuations import Evacuations
 from _monsoonpulley.fleet.model import (
     Configuration,
     Endpoint,
@@ -17,10 +20,12 @@
 )
 from _monsoonpulley.ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
 from _monsoonpulley.observability.log import Log
-from _monsoonpulley.placing.demandmeter import DemandMeter
+from _monsoonpulley.placing.demandmeter import Demand, DemandMeter
 from _monsoonpulley.placing.endpointmodels import EndpointModels
+from _monsoonpulley.placing.loadboard import LoadBoard
 from _monsoonpulley.platform.cloud import CALL_TIMEOUT_MS
 from _monsoonpulley.platform.rollouts import RolloutOrder
+from _monsoonpulley.platform.store import Row, Rows
 from _monsoonpulley.rollouts.rollouts import Phase, Rollouts
 from _monsoonpulley.wire.serverconnection import CallerLimits
 
@@ -33,6 +38,8 @@
     ),
 )
 
+RETURN_MS = 5_000
+
 
 class Holder:
     """The configuration in force."""
@@ -95,6 +102,11 @@
         self.directory = Directory()
         self.demand = DemandMeter(InstanceId("own"))
         self.rollouts = Rollouts(self.clock, log, random.Random(1))
+        self.evacuations = Evacuations(self.clock, log, RETURN_MS)
+        self.board = LoadBoard()
+        closed_zones = ClosedZones(
+            self.evacuations, self.directory, self.board, self.clock, RETURN_MS
+        )
         self.duty = CapacityDuty(
             Holder(),
             self.directory,
@@ -104,6 +116,7 @@
             self.cloud,
             self.clock,
             log,
+            closed_zones.find,
         )
 
     async def test_orders_carry_the_fencing_number(self):
@@ -145,6 +158,39 @@
         await self.run_duty(1_000)
         self.assertTrue(self.cloud.orders)
 
+    def set_evacuated(self, version: int, *, is_removed: bool = False) -> None:
+        row = Row("evacuate/zone-a", None if is_removed else b"{}", version)
+        self.evacuations.apply(Rows((row,), version), False)
+
+    async def test_endpoints_of_an_evacuated_data_centre_are_replaced_at_once(self):
+        self.directory.endpoints = endpoints("v1", 2, is_reclaimable=True)
+        await self.run_duty(10_000)
+        self.cloud.orders.clear()
+        self.set_evacuated(5)
+        await self.run_duty(500)
+        ordered = {(zone, count) for _, zone, count, kind in self.cloud.orders if kind}
+        self.assertEqual(ordered, {("zone-b", 4)})
+
+    async def test_replacements_stay_until_the_returned_endpoints_bear_load(self):
+        need = CapacityNeed(4, 4, 2, "slots", Demand(9.0, 0.0, 0.0))
+        self.duty._compute_need = lambda *_: need
+        self.directory.endpoints = endpoints("v1", 2, is_reclaimable=True)
+        self.set_evacuated(5)
+        await self.run_duty(1_000)
+        self.directory.endpoints = endpoints("v1", 4, is_reclaimable=True)[2:]
+        await self.run_duty(30_000)
+        self.set_evacuated(6, is_removed=True)
+        self.cloud.orders.clear()
+        for endpoint in self.directory.endpoints[2:]:
+            self.board.record_dispatch(endpoint.id, 0)
+        await self.run_duty(60_000)
+        self.assertEqual(self.cloud.orders, [])
+        for endpoint in self.directory.endpoints[:2]:
+            self.board.record_dispatch(endpoint.id, 0)
+        await self.run_duty(10_000)
+        released = {(zone, count) for _, zone, count, kind in self.cloud.orders if kind}
+        self.assertIn(("zone-b", 2), released)
+
     async def run_duty(self, duration_ms: int) -> None:
         for _ in range(duration_ms // 500):
             self.clock.advance_ms(500)
--- a/testing/rollouts/test_rollouts.py
+++ b/testing/rollouts/test_rollouts.py
@@ -276,6 +276,18 @@
         self.assertIs(self.store.status, RolloutStatus.ROLLED_BACK)
         self.assertEqual(self.new_version_count, 0)
 
+    async def test_a_version_that_may_get_no_requests_is_not_done(self):
+        # Done, the old version's endpoints would stop: none would be left.
+        await self.place_order()
+        await self.play(12_500, good)
+        self.assertEqual(self.phases(), {Phase.FULL})
+        for each in self.instances:
+            each.duty._open_endpoints = lambda found: tuple(
+                e for e in found if e.version != ORDER.version
+            )
+        await self.play(4_000, good)
+        self.assertIs(self.store.status, RolloutStatus.ROLLED_BACK)
+
 
 class TestUnconfirmedEnd(RolloutTest):
     async def test_a_done_version_is_not_rolled_back_after_a_lost_answer(self):
