--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -54,6 +54,8 @@
         Why the attempt failed, for log and metrics; empty if it succeeded.
     event_count : int
         Whole events of a stream that arrived.
+    longest_gap_ms : int
+        Longest pause between two events of a stream; 0 with less than two events.
     broke_off : bool
         Whether the connection ended before the answer was complete.
     ended_unframed : bool
@@ -71,6 +73,8 @@
         self._held_bytes = 0
         self._splitter: EventSplitter | None = None
         self.event_count = 0
+        self.longest_gap_ms = 0
+        self._last_event_ms = 0
         self.was_sent = False
         self.broke_off = False
         self.ended_unframed = False
@@ -116,8 +120,8 @@
     def _on_first_event(self) -> None:
         """Learn from the first event of a stream."""
 
-    def _on_later_event(self) -> None:
-        """Learn from an event after the first."""
+    def _on_later_event(self, gap_ms: int) -> None:
+        """Learn from an event after the first, ``gap_ms`` after the one before."""
 
     def _on_broken(self, event: AnswerIncomplete) -> None:
         """Learn from a connection that ended before the answer was complete."""
@@ -255,8 +259,9 @@
         if self.first_byte_ms is None:
             self._record_first_byte()
             self._on_first_event()
+            self._last_event_ms = self._started_ms + self.first_byte_ms
         else:
-            self._on_later_event()
+            self._on_later_event(self._record_gap())
         if not state.exchange.has_started:
             self._start_stream()
         state.exchange.write(event.raw)
@@ -282,6 +287,14 @@
                 now_ms - self._state.exchange.request.received_ms
             )
 
+    def _record_gap(self) -> int:
+        """Return the time since the event before, and keep the longest."""
+        now_ms = self._parts.clock.now_ms()
+        gap_ms = now_ms - self._last_event_ms
+        self._last_event_ms = now_ms
+        self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        return gap_ms
+
     def _handle_disconnect(self) -> Result:
         self._state.handle_disconnect()
         self.detail = self._state.detail
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -197,7 +197,7 @@
         self._record_prefill_end()
         self._record_first_event()
 
-    def _on_later_event(self) -> None:
+    def _on_later_event(self, gap_ms: int) -> None:
         now_ms = self._parts.clock.now_ms()
         self._parts.links.record_contact(now_ms)
         if self._is_proven:
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -49,6 +49,8 @@
         Status in the head of the endpoint's answer; 0 if none arrived.
     events : int
         Whole events of a stream that arrived.
+    longest_gap_ms : int
+        Longest pause between two of them.
     parts : tuple of str
         Fingerprints of the prompt's parts that other requests may share, if the
         answer broke off.
@@ -78,6 +80,7 @@
     detail: str = ""
     status: int = 0
     events: int = 0
+    longest_gap_ms: int = 0
     parts: tuple[str, ...] = ()
 
 
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -434,6 +434,7 @@
                 detail=attempt.detail,
                 status=attempt.status,
                 events=attempt.event_count,
+                longest_gap_ms=attempt.longest_gap_ms,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -696,6 +696,25 @@
         self.assertIn(b"piece 2", rest)
         writer.close()
 
+    async def test_the_longest_pause_of_a_stream_is_logged(self):
+        # Guards against counting the time to the first event, or only the last pause.
+        async def stream(call) -> None:
+            await asyncio.sleep(0.2)
+            call.start_stream()
+            for number, pause_s in enumerate((0.0, 0.1, 0.0), 1):
+                await asyncio.sleep(pause_s)
+                call.write_event(number)
+                await call.writer.drain()
+            call.write_chunk(b"")
+
+        await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming"))
+        await self.site.send_request()
+        await self.site.wait_until(lambda: self.site.log_events("attempt"))
+        (line,) = self.site.log_events("attempt")
+        self.assertGreaterEqual(line["longest_gap_ms"], 95)
+        self.assertLess(line["longest_gap_ms"], line["first_ms"])
+
     async def test_a_stream_resumes_at_another_endpoint_within_one_answer(self):
         async def stream(call) -> None:
             last = int(call.headers.get("last-event-id", 0))
--- a/testing/placing/fleetplay.py
+++ b/testing/placing/fleetplay.py
@@ -104,9 +104,10 @@
         self.board = LoadBoard()
         self.cache_index = PromptCacheIndex()
         self.models = EndpointModels()
+        self.health = EndpointHealth()
         self.placer = Placer(
             self.board,
-            EndpointHealth(),
+            self.health,
             self.cache_index,
             self.models,
             random.Random(seed),
@@ -125,7 +126,8 @@
         self.engines = {
             each.endpoint.id: each
             for each in (
-                EngineModel(_endpoint(f"engine-{n}"), 575_000) for n in range(engines)
+                EngineModel(make_endpoint(f"engine-{n}"), 575_000)
+                for n in range(engines)
             )
         }
         self.results = {kind.name: Result() for kind in kinds}
@@ -214,7 +216,7 @@
                     each.models.update_peer(name, sums[name])
 
 
-def _endpoint(name: str) -> Endpoint:
+def make_endpoint(name: str) -> Endpoint:
     return Endpoint(
         id=EndpointId(name),
         started_wall_ms=None,
