--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -108,6 +108,11 @@
             self.parts.counters.in_progress.dec()
             self._log_request()
 
+    def end_now(self) -> None:
+        """Let the time for the request be up, as the process is about to end."""
+        self.deadline_ms = min(self.deadline_ms, self.parts.clock.now_ms())
+        self.exchange.mailbox.put(self, TimerExpired("stop"))
+
     def _admit(self) -> bool:
         configuration = self.configuration
         if configuration is None:
@@ -505,6 +510,7 @@
                 detail=attempt.detail,
                 status=attempt.status,
                 events=attempt.event_count,
+                longest_gap_ms=attempt.longest_gap_ms,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
