Evacuate data centres in the soak

The soak had no fault in which the operator evacuates a data centre. The new one writes the row, removes it after 7 to 11 s, and writes it again after the store came back from an older copy; the check evacuations_kept holds calm instances to evacuation_ms (5,000 ms, the operators' bound) at the endpoint stand-ins.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -18,7 +18,7 @@
 from .endpoints import Behaviour
 from .link import Direction, Link
 from .records import Disturbance
-from .world import RATE_PER_S, World
+from .world import RATE_PER_S, ZONES, World
 
 Fault = Callable[[World, random.Random], Awaitable[None]]
 
@@ -334,6 +334,15 @@
         await _wait(rng, 0.02, 0.4)
 
 
+@fault
+async def evacuate_zone(world: World, rng: random.Random) -> None:
+    """Evacuate a data centre, and take it back after 7 to 11 s."""
+    zone = rng.choice(ZONES)
+    if world.evacuate(zone):
+        await _wait(rng, 7, 11)
+        world.take_back(zone)
+
+
 @fault
 async def send_crashing_requests(world: World, rng: random.Random) -> None:
     """Send requests that crash endpoints to all instances for 6 to 10 s.
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -9,7 +9,7 @@
 from .callers import BODY_CAUSE, PART_CAUSE
 from .endpoints import STREAM_EVENT_COUNT
 from .records import Call, Records, Run, Statement, StatementKind
-from .world import BOUNDS, BURST, ENDPOINTS, ROUTE_TIMEOUT_MS
+from .world import BOUNDS, BURST, ENDPOINTS, ROUTE_TIMEOUT_MS, zone_of
 
 Check = Callable[[Records], Iterable[str]]
 
@@ -26,6 +26,8 @@
 
 DRAIN_MS = BOUNDS["drain_timeout_ms"]
 
+EVACUATION_MS = BOUNDS["evacuation_ms"]
+
 SWITCH_MARGIN_MS = 250
 DISTURBED_SWITCH_MARGIN_MS = 8 * SWITCH_MARGIN_MS
 """Once an instance has used a configuration, requests sent this much later must not be
@@ -419,6 +421,27 @@
             yield f"{call.id} reached {run.endpoint} {late_ms} ms after it said so"
 
 
+@check
+def evacuations_kept(records: Records) -> Iterator[str]:
+    """Check that calm instances send nothing to an evacuated data centre."""
+    for call, run in _arrivals(records):
+        targets = (call.instance, "store", run.endpoint)
+        for each in records.evacuations:
+            late_ms = run.arrived_ms - each.from_ms - EVACUATION_MS
+            if (
+                each.what == zone_of(run.endpoint)
+                and late_ms > 0
+                and (each.until_ms is None or run.arrived_ms < each.until_ms)
+                and records.is_undisturbed(
+                    targets, run.arrived_ms - STABLE_MS, run.arrived_ms
+                )
+            ):
+                yield (
+                    f"{call.id} reached {run.endpoint} {late_ms} ms after its data"
+                    " centre had to be evacuated"
+                )
+
+
 @check
 def pauses_kept(records: Records) -> Iterator[str]:
     """Check that an endpoint gets no more than a few requests in a pause."""
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -17,6 +17,7 @@
     StatementKind,
     Version,
 )
+from .world import zone_of
 
 SENT_MS = 100_000
 
@@ -150,6 +151,17 @@
         seen.disturbances.append(Disturbance("instance-1", "pause", 0, SENT_MS - 5_000))
         self.assertEqual(find_violations(seen), [])
 
+    def test_evacuations_kept(self):
+        arrived_ms = SENT_MS + 5
+        zone = zone_of("endpoint-1")
+        time = Disturbance(zone, "evacuation", arrived_ms - 5_000)
+        seen = make_records(make_call(), evacuations=[time])
+        self.assertEqual(find_violations(seen), [])
+        time.from_ms -= 1
+        self.assert_violates("evacuations_kept", seen)
+        time.until_ms = arrived_ms
+        self.assertEqual(find_violations(seen), [])
+
     def test_no_return_to_older_configuration(self):
         shown = make_call(feature=2)
         later = unsuccessful_call(
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -17,7 +17,7 @@
 from .instances import CALLERS_PORT, READINESS_PORT, Instance
 from .link import Link
 from .platform import DutyApi
-from .records import Crash, Records, Version
+from .records import Crash, Disturbance, Records, Version
 
 ZONES = ("zone-a", "zone-b")
 ENDPOINTS = {"app": 5, "other": 2}
@@ -41,6 +41,7 @@
     "lease_duration_ms": 3_000,
     "usage_window_s": 1,
     "drain_timeout_ms": 3_000,
+    "evacuation_ms": 5_000,
 }
 """The users' values, but with usage windows so short that a duty's calls show its
 holder, and with budgets that faults use up."""
@@ -77,6 +78,7 @@
         self.store = RowStoreStandin(self.clock)
         self.store.era = 1
         self._states: dict[str, str] = {}
+        self._evacuated: dict[str, Disturbance] = {}
         self.rng = rng
         self._subnet = f"127.{FIRST_SUBNET + os.getpid() // 250 % 128}"
         self._subnet += f".{os.getpid() % 250}"
@@ -248,9 +250,32 @@
     def write_rows_again(self) -> None:
         """Write what operators and endpoints have written last."""
         self.store.put("op", "config", self._document)
+        for zone in ZONES:
+            if zone in self._evacuated:
+                self.store.put("op", f"evacuate/{zone}", {})
+            elif f"evacuate/{zone}" in self.store.keys("op"):
+                self.store.remove("op", f"evacuate/{zone}")
         for name, endpoint in self.endpoints.items():
             self.write_endpoint_row(endpoint, self._states[name])
 
+    def evacuate(self, zone: str) -> bool:
+        """Evacuate a data centre; return whether it can be done.
+
+        One is left: without any, nothing would be served.
+        """
+        if len(self._evacuated) + 1 >= len(ZONES):
+            return False
+        self.store.put("op", f"evacuate/{zone}", {})
+        time = Disturbance(zone, "evacuation", self.clock.now_ms())
+        self._evacuated[zone] = time
+        self.records.evacuations.append(time)
+        return True
+
+    def take_back(self, zone: str) -> None:
+        """End the evacuation of a data centre."""
+        self._evacuated.pop(zone).until_ms = self.clock.now_ms()
+        self.store.remove("op", f"evacuate/{zone}")
+
     async def add_endpoint(
         self, service: str, address: tuple[str, int] | None = None
     ) -> Endpoint:
@@ -283,9 +308,11 @@
     def write_endpoint_row(self, endpoint: Endpoint, state: str = "ready") -> None:
         """Write an endpoint's row."""
         ip, port = self._addresses[endpoint.name]
-        zone = ZONES[sum(endpoint.name.encode()) % len(ZONES)]
         row = endpoint_row(
-            f"{ip}:{port}", service=endpoint.service, state=state, zone=zone
+            f"{ip}:{port}",
+            service=endpoint.service,
+            state=state,
+            zone=zone_of(endpoint.name),
         )
         if endpoint.max_running is not None:
             row["slots"] = endpoint.max_running
@@ -304,6 +331,11 @@
         return self._addresses[name]
 
 
+def zone_of(endpoint: str) -> str:
+    """Return the data centre of an endpoint."""
+    return ZONES[sum(endpoint.encode()) % len(ZONES)]
+
+
 def configuration_document(number: int, rate_per_s: float) -> dict:
     """Return a configuration; it has one route more than the one before it."""
     kinds = {"app": "safe", "order": "unsafe", "stream": "streaming", "other": "safe"}
