Limit what all instances together send to cold endpoints

Cause: an endpoint that has just started, or turned cold, was sent its full share of the traffic by every instance.

Change: limits/coldendpoints.py tells from an endpoint's rows, its starts and ended evacuations whether it is cold, and gives this instance a whole number of requests in any second. Named rates, the room of brittle endpoints and cold endpoints are now divided by one mechanism, limits/sharers.py; the stricter of an endpoint's limits holds. An instance has no share of cold endpoints until it has been registered for 2 s and hears most of the others. One that stood still for 1.2 s reads the rows again before it sends more than its share, and a row that is seen late stops the endpoint's requests for a second. A refusal names a place in what the cold endpoints bear.

Services without cold_per_s or cold_start_s are handled as before.

--- a/src/_monsoonpulley/fleet/directory.py
+++ b/src/_monsoonpulley/fleet/directory.py
@@ -52,6 +52,9 @@
     on_ended : callable or None
         Called with the id of each endpoint whose process has ended for certain:
         another incarnation has its id, or it had no row for `LEAVING_MEMORY_MS`.
+    on_row : callable or None
+        Called with the endpoint of each row that is used, the row's version, and
+        whether the endpoint has started since the table was first read.
 
     Attributes
     ----------
@@ -65,11 +68,13 @@
         log: Log,
         on_removed: Callable[[Endpoint], None],
         on_ended: Callable[[EndpointId], None] | None = None,
+        on_row: Callable[[Endpoint, int, bool], None] | None = None,
     ):
         self._clock = clock
         self._log = log
         self._on_removed = on_removed
         self._on_ended = on_ended
+        self._on_row = on_row
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._row_versions: dict[EndpointId, int] = {}
         self._missing_since_ms: dict[EndpointId, int] = {}
@@ -215,8 +220,13 @@
         if self._is_unconfirmed(endpoint, row.row_version):
             return
         endpoint = self._with_leaving(endpoint)
-        if endpoint != self._endpoints.get(endpoint_id):
+        previous = self._endpoints.get(endpoint_id)
+        if endpoint != previous:
             self._update_endpoint(endpoint, row.row_version)
+        if self._on_row is not None:
+            is_other = previous is None or not previous.is_same_incarnation(endpoint)
+            has_started = self.is_loaded and is_other
+            self._on_row(endpoint, row.row_version, has_started)
 
     def _mark_leaving(
         self, endpoint: Endpoint, heard_here_ms: int | None, reason: str
--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -73,6 +73,9 @@
         Called when updates arrive again after an outage, before they are passed
         to ``on_rows``. Failed calls are no outage if relays arrive meanwhile: the
         store then refuses this instance, but serves others.
+    on_read : callable
+        Called after each answer of the store with the time of the call, as of which
+        the table is known.
 
     Attributes
     ----------
@@ -98,6 +101,7 @@
         send: Callable[[list[Relay]], None] = lambda relays: None,
         next_recovery: Callable[[], asyncio.Event] = asyncio.Event,
         on_recovered: Callable[[], None] = lambda: None,
+        on_read: Callable[[int], None] = lambda started_ms: None,
     ):
         self._store = store
         self._table = table
@@ -116,6 +120,8 @@
         self._send = send
         self._next_recovery = next_recovery
         self._on_recovered = on_recovered
+        self._on_read = on_read
+        self._must_read = False
         self._version: int | None = None
         self._first_era: int | None = None
         self._last_era = 0
@@ -139,6 +145,8 @@
         """Return whether this instance has to call the store itself now."""
         if self._version is None or self._last_update_ms is None:
             return True
+        if self._must_read and self.last_failure_ms is None:
+            return True
         if self._announced_version > self._version:
             return True
         now_ms = self._clock.now_ms()
@@ -151,8 +159,13 @@
             )
         return self._is_reader()
 
+    def read_soon(self) -> None:
+        """Call the store soon, whatever relays say."""
+        self._must_read = True
+
     async def poll_store(self) -> int:
         """Make one call; return the pause before the next one in milliseconds."""
+        self._must_read = False
         previous_version = self._version
         started_ms = self._clock.now_ms()
         self._relays_resumed.clear()
@@ -197,6 +210,7 @@
         changed = self._find_changed_rows(answer, is_snapshot)
         if is_snapshot or answer.rows:
             self._on_rows(answer, is_snapshot)
+        self._on_read(started_ms)
         if previous_version is not None and self._is_reader():
             self._send_relays(previous_version, answer, changed)
         return self._pause_ms
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -102,6 +102,12 @@
                 # Others were sent while the connection was being opened.
                 self.detail = "the endpoint has no room"
                 return Result.UNREACHABLE
+            if not self._parts.gate.bears_more(
+                self._endpoint, self._parts.clock.now_ms()
+            ):
+                # It turned cold while the connection was being opened.
+                self.detail = "the endpoint is cold"
+                return Result.UNREACHABLE
             if self._state.find_quarantine_entry() is not None:
                 self.detail = "requests like this one crash endpoints"
                 return Result.UNREACHABLE
@@ -159,6 +165,7 @@
         )
         state.send_count += 1
         self.was_sent = True
+        self._parts.gate.record_send(self._endpoint, self._parts.clock.now_ms())
         self._parts.cache_index.record(
             state.facts.parts, self._endpoint.id, self._parts.clock.now_ms()
         )
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -48,6 +48,17 @@
             "Endpoints that limit the requests a second from all instances.",
             registry=self.registry,
         )
+        self.cold_endpoints = Gauge(
+            "monsoonpulley_cold_endpoints",
+            "Endpoints that bear few requests for a while.",
+            registry=self.registry,
+        )
+        self.requests_kept_off_cold = Counter(
+            "monsoonpulley_requests_kept_off_cold",
+            "Choices of an endpoint that left out cold ones, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.quarantine_entries = Gauge(
             "monsoonpulley_quarantine_entries",
             "Entries of requests that are refused because they crash endpoints.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -14,10 +14,12 @@
 from ..fleet.model import Configuration, Endpoint
 from ..ids import EndpointId, InstanceId, ZoneId
 from ..limits.brittleness import BrittleServices
+from ..limits.coldendpoints import ColdChange, ColdEndpoints
 from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
+from ..limits.sharers import Sharers
 from ..limits.waitlimit import WaitLimits
 from ..observability.log import Log
 from ..placing.demandmeter import DemandMeter
@@ -57,9 +59,11 @@
     members: Members
     quotas: QuotaLedger
     retry_budget: RetryBudget
+    sharers: Sharers
     rate_limits: EndpointRateLimits
     pauses: EndpointPauses
     brittle: BrittleServices
+    cold: ColdEndpoints
     gate: EndpointGate
     links: EndpointLinks
     load_board: LoadBoard
@@ -92,6 +96,7 @@
         on_configuration: Callable[[Configuration], None],
         on_operator_row: Callable[[Row], None],
         on_endpoint_removed: Callable[[Endpoint], None],
+        on_endpoints_stale: Callable[[], None],
         send_quarantine_news: Callable[[QuarantineNews], None],
         on_quarantined: Callable[[Entry], None],
         on_quarantine_lifted: Callable[[Entry], None],
@@ -104,16 +109,39 @@
             PromptCacheIndex(),
             EndpointModels(),
         )
-        rate_limits = EndpointRateLimits(settings.instance, rng, _log_rate_limits(log))
+        sharers = Sharers(settings.instance)
+        rate_limits = EndpointRateLimits(
+            settings.instance, sharers, rng, _log_rate_limits(log)
+        )
         pauses = EndpointPauses()
-        brittle = BrittleServices(settings.instance, pauses)
+        brittle = BrittleServices(sharers, pauses)
+
+        def on_stall(for_ms: int) -> None:
+            log.event("endpoints_presumed_cold", stood_still_ms=for_ms)
+            on_endpoints_stale()
+
+        cold = ColdEndpoints(
+            sharers,
+            rng,
+            bounds.cold_overage,
+            bounds.cold_slack,
+            _log_cold_changes(log),
+            on_stall,
+        )
 
         def on_endpoint_ended(endpoint: EndpointId) -> None:
             rate_limits.remove(endpoint)
             pauses.remove(endpoint)
+            cold.remove(endpoint)
+            sharers.remove(endpoint)
+
+        def on_endpoint_row(
+            endpoint: Endpoint, row_version: int, has_started: bool
+        ) -> None:
+            cold.record_row(endpoint, row_version, has_started, clock.now_ms())
 
         directory = EndpointDirectory(
-            clock, log, on_endpoint_removed, on_endpoint_ended
+            clock, log, on_endpoint_removed, on_endpoint_ended, on_endpoint_row
         )
         links = EndpointLinks()
         upstreams = Upstreams(clock, connection_recorder(links, clock, log))
@@ -151,10 +179,12 @@
                 bounds.budget_window_s,
                 bounds.budget_extra_retries,
             ),
+            sharers=sharers,
             rate_limits=rate_limits,
             pauses=pauses,
             brittle=brittle,
-            gate=EndpointGate(rate_limits, pauses, brittle, load_board, rng),
+            cold=cold,
+            gate=EndpointGate(rate_limits, pauses, brittle, cold, load_board, rng),
             links=links,
             load_board=load_board,
             health=health,
@@ -202,3 +232,18 @@
         )
 
     return log_change
+
+
+def _log_cold_changes(log: Log) -> Callable[[ColdChange], None]:
+    def log_change(change: ColdChange) -> None:
+        log.event(
+            "endpoint_warm" if change.source is None else "endpoint_cold",
+            endpoint=change.endpoint,
+            service=change.service,
+            source=change.source.value if change.source is not None else "",
+            for_ms=change.for_ms,
+            row_version=change.row_version,
+            row_age_ms=change.row_age_ms,
+        )
+
+    return log_change
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -32,9 +32,10 @@
     predicted_ms, running, unread_tokens, backlog_tokens, held_tokens, runner_up, \
 candidates
         See `Choice`; ``unread_tokens`` are its ``prefill_tokens``.
-    limited, paused, full : int
-        Endpoints left out because of their rate limits, because they want a pause, and
-        because they are brittle and have no room.
+    limited, paused, full, cold : int
+        Endpoints left out because of their rate limits, because they want a pause,
+        because they are brittle and have no room, and because they are cold and bear
+        no more requests.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -79,6 +80,7 @@
     status: int = 0
     events: int = 0
     parts: tuple[str, ...] = ()
+    cold: int = 0
 
 
 class PeerAttemptEnded(Decision, frozen=True, tag="peer_attempt", kw_only=True):
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -318,6 +318,8 @@
             self.has_no_link = True
             return PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
         self._admission = parts.gate.admit(linked, now_ms)
+        if self._admission.cold_count:
+            parts.counters.requests_kept_off_cold.labels(self.service.id).inc()
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
         choice = parts.placer.choose(
@@ -329,7 +331,7 @@
             parts.zone_reach.unreachable_zones(now_ms),
         )
         if isinstance(choice, Choice):
-            parts.gate.record_send(choice.endpoint.id, now_ms)
+            parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
     def _linked_endpoints(
@@ -425,6 +427,7 @@
                 limited=self._admission.limited_count,
                 paused=self._admission.paused_count,
                 full=self._admission.full_count,
+                cold=self._admission.cold_count,
                 heard=reachable_count,
                 members=member_count,
                 left_ms=self.remaining_ms(),
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -117,6 +117,7 @@
             on_configuration=self._on_configuration,
             on_operator_row=self._on_operator_row,
             on_endpoint_removed=self._on_endpoint_removed,
+            on_endpoints_stale=lambda: self._followers[ENDPOINT_TABLE].read_soon(),
             send_quarantine_news=lambda news: self.digest_exchange.broadcast_quarantine(
                 news
             ),
@@ -206,14 +207,25 @@
                 pause_ms=round(ENDPOINTS_POLL_SHARE * drain_ms),
                 max_silence_ms=round(ENDPOINTS_MAX_SILENCE_SHARE * drain_ms),
                 carries_rows=True,
-                content_of=lambda row: decode_endpoint(row.key, row.value or b""),
+                content_of=self._content_of_endpoint_row,
                 is_reader=is_reader,
                 send=self.digest_exchange.broadcast_relays,
                 next_recovery=self.store.next_recovery,
                 on_recovered=parts.directory.on_store_recovered,
+                on_read=parts.cold.record_read,
             ),
         }
 
+    def _content_of_endpoint_row(self, row: Row) -> object:
+        """Return what other instances have to know of an endpoint's row."""
+        endpoint = decode_endpoint(row.key, row.value or b"")
+        now_ms = self.clock.now_ms()
+        if isinstance(endpoint, Endpoint) and self.parts.cold.awaits_rows(
+            endpoint.zone, now_ms
+        ):
+            return endpoint, row.row_version
+        return endpoint
+
     def supervised_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
         """Return the names and coroutine functions of the tasks to supervise."""
         follower_tasks = [
@@ -297,6 +309,7 @@
         self.parts.quotas.set_tolerance(
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
         )
+        self.parts.cold.set_tolerance(bounds.cold_overage, bounds.cold_slack)
 
     def _on_request(self, exchange: Exchange) -> None:
         self._start_run(RequestRun(exchange, self.parts, self._rng))
@@ -335,6 +348,7 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.parts.endpoint_models.configure(configuration)
         self.parts.wait_limits.configure(configuration)
+        self.parts.cold.configure(configuration)
         self.counters.configuration_version.set(configuration.version)
 
     def _on_operator_row(self, row: Row) -> None:
@@ -503,8 +517,12 @@
         parts.retry_budget.set_member_count(member_count)
         # Unreachable instances may still send requests.
         known_ids = [member.instance for member in parts.members.all()]
-        parts.rate_limits.set_instances(known_ids, now_ms)
-        parts.brittle.set_instances(known_ids)
+        parts.sharers.set_instances(known_ids)
+        parts.sharers.record_contact(
+            len(parts.members.reachable_ids), self._registration.is_registered, now_ms
+        )
+        cold_count = parts.cold.update(parts.directory.all(), now_ms)
+        self.counters.cold_endpoints.set(cold_count)
         self.counters.limited_endpoints.set(parts.rate_limits.limited_count())
         parts.quarantine.set_reachable(parts.members.reachable_ids)
         parts.quarantine.tick()
--- a/src/_monsoonpulley/limits/brittleness.py
+++ b/src/_monsoonpulley/limits/brittleness.py
@@ -2,17 +2,14 @@
 
 Endpoints say so in all their answers. What one says holds for all endpoints of its
 service at all instances, for a few seconds after the last such answer. The room of each
-of these is divided between some instances, chosen by rendezvous hashing: each keeps to
-its share by itself, whatever it knows of the others.
+of these is divided between some instances (`limits.sharers`).
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
-from ..ids import EndpointId, InstanceId, ServiceId
-from ..peers.rendezvous import choose_nodes
+from ..ids import EndpointId, ServiceId
 from .endpointpauses import EndpointPauses
+from .sharers import Sharers
 
 MEMORY_MS = 5_000
 """Time for which a statement holds. Without answers nothing is sent that could be
@@ -38,27 +35,18 @@
 
     Parameters
     ----------
-    own : InstanceId
-        This instance.
+    sharers : Sharers
+        Divides the room of the endpoints.
     pauses : EndpointPauses
         Gets a pause after each refusal of a brittle endpoint.
     """
 
-    def __init__(self, own: InstanceId, pauses: EndpointPauses):
-        self._own = own
+    def __init__(self, sharers: Sharers, pauses: EndpointPauses):
+        self._sharers = sharers
         self._pauses = pauses
         # Refusals a second and the time of the statement, as heard here and from peers.
         self._heard: dict[ServiceId, tuple[float, int]] = {}
         self._told: dict[ServiceId, tuple[float, int]] = {}
-        self._instances = frozenset((own,))
-        self._sharers: dict[tuple[EndpointId, int], list[str]] = {}
-
-    def set_instances(self, others: Iterable[InstanceId]) -> None:
-        """Set the other instances that may send requests, reachable or not."""
-        instances = frozenset((self._own, *others))
-        if instances != self._instances:
-            self._instances = instances
-            self._sharers.clear()
 
     def record_answer(
         self, service: ServiceId, refusals_per_s: float, now_ms: int
@@ -105,12 +93,7 @@
         """
         if self.refusals_per_s(service, now_ms) is None:
             return None
-        sharers = self._sharers_of(endpoint, slots)
-        if self._own not in sharers:
-            return 0
-        room, sharer_count = _room(slots), len(sharers)
-        is_early = sharers.index(self._own) < room % sharer_count
-        return room // sharer_count + is_early
+        return self._sharers.own_units(endpoint, _room(slots))
 
     def record_refusal(
         self, endpoint: EndpointId, service: ServiceId, slots: int, now_ms: int
@@ -124,27 +107,17 @@
         if refusals_per_s is None:
             return None
         spendable_per_s = SPENDABLE_SHARE * max(refusals_per_s, 1.0)
-        sharer_count = len(self._sharers_of(endpoint, slots))
+        sharer_count = len(self._sharers.choose(endpoint, _room(slots)))
         pause_ms = round(1_000 * sharer_count / spendable_per_s)
         pause_ms = min(pause_ms, MAX_PAUSE_MS)
         self._pauses.record_refusal(endpoint, pause_ms, now_ms)
         return pause_ms
 
-    def _sharers_of(self, endpoint: EndpointId, slots: int) -> list[str]:
-        key = (endpoint, _room(slots))
-        sharers = self._sharers.get(key)
-        if sharers is None:
-            sharers = choose_nodes(self._instances, endpoint, _room(slots))
-            self._sharers[key] = sharers
-        return sharers
-
     def _expire(self, now_ms: int) -> None:
         for known in (self._heard, self._told):
             for service, (_, made_ms) in list(known.items()):
                 if now_ms - made_ms > MEMORY_MS:
                     del known[service]
-        if not self._heard and not self._told:
-            self._sharers.clear()
 
 
 def _room(slots: int) -> int:
--- a/src/_monsoonpulley/limits/endpointrates.py
+++ b/src/_monsoonpulley/limits/endpointrates.py
@@ -1,23 +1,23 @@
 """Rate limits that endpoints name in their answers, for all instances together.
 
-An instance learns of a limit from answers and from the digests of others. Of all
-instances a few *sharers*, chosen by rendezvous hashing, send to a limited endpoint,
-each at its share of the limit. In any time they together send at most the limit and
-what their buckets hold, however many instances there are and whatever digests are
-lost. The others place their requests elsewhere.
+An instance learns of a limit from answers and from the digests of others. A few of all
+instances (`limits.sharers`) send to a limited endpoint, each at its share of the limit.
+In any time they together send at most the limit and what their buckets hold, however
+many instances there are and whatever digests are lost. The others place their requests
+elsewhere.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
 from ..fleet.model import Endpoint
 from ..ids import EndpointId, InstanceId
-from ..peers.rendezvous import choose_nodes
+from .sharers import Sharers
 
 MIN_SHARER_COUNT = 4
 """Instances that share a low limit. Each may have saved up one request, so that they
@@ -62,6 +62,8 @@
         Time at which ``level`` was updated.
     share_per_s : float
         This instance's share; 0 if it is no sharer.
+    revision : int
+        That of the sharers for which the share was computed.
     """
 
     per_s: float | None
@@ -70,6 +72,7 @@
     refilled_ms: int
     level: float = 0.0
     share_per_s: float = 0.0
+    revision: int = 0
 
     @property
     def capacity(self) -> float:
@@ -90,6 +93,8 @@
     ----------
     own : InstanceId
         This instance.
+    sharers : Sharers
+        Divides the limits.
     rng : random.Random
         Spreads retry times, so that refused callers don't return together.
     on_change : callable
@@ -100,25 +105,17 @@
     def __init__(
         self,
         own: InstanceId,
+        sharers: Sharers,
         rng: random.Random,
         on_change: Callable[
             [EndpointId, float | None, float | None, InstanceId], None
         ] = lambda endpoint, before, after, source: None,
     ):
         self._own = own
+        self._sharers = sharers
         self._rng = rng
         self._on_change = on_change
         self._limits: dict[EndpointId, _Limit] = {}
-        self._instances: frozenset[InstanceId] = frozenset((own,))
-
-    def set_instances(self, others: Iterable[InstanceId], now_ms: int) -> None:
-        """Set the other instances that may send requests, reachable or not."""
-        instances = frozenset((self._own, *others))
-        if instances == self._instances:
-            return
-        self._instances = instances
-        for endpoint, limit in self._limits.items():
-            self._update_share(endpoint, limit, now_ms)
 
     def record_answer(
         self, endpoint: EndpointId, per_s: float | None, now_ms: int
@@ -167,7 +164,7 @@
         limit = self._limits.get(endpoint)
         if limit is None or limit.per_s is None:
             return 0
-        limit.refill(now_ms)
+        self._refill(endpoint, limit, now_ms)
         if limit.level >= 1:
             return 0
         if not limit.share_per_s:
@@ -196,14 +193,14 @@
         """Count a request that is about to be sent."""
         limit = self._limits.get(endpoint)
         if limit is not None and limit.per_s is not None:
-            limit.refill(now_ms)
+            self._refill(endpoint, limit, now_ms)
             limit.level -= 1
 
     def refund(self, endpoint: EndpointId, now_ms: int) -> None:
         """Uncount a request that was not sent after all."""
         limit = self._limits.get(endpoint)
         if limit is not None and limit.per_s is not None:
-            limit.refill(now_ms)
+            self._refill(endpoint, limit, now_ms)
             limit.level = min(limit.capacity, limit.level + 1)
 
     def limited_count(self) -> int:
@@ -235,14 +232,19 @@
             self._on_change(endpoint, before, per_s, source)
         return limit
 
+    def _refill(self, endpoint: EndpointId, limit: _Limit, now_ms: int) -> None:
+        if limit.revision != self._sharers.revision:
+            self._update_share(endpoint, limit, now_ms)
+        limit.refill(now_ms)
+
     def _update_share(self, endpoint: EndpointId, limit: _Limit, now_ms: int) -> None:
         limit.refill(now_ms)
+        limit.revision = self._sharers.revision
         if limit.per_s is None:
             limit.share_per_s = 0.0
             return
         count = MIN_SHARER_COUNT + math.floor(SHARERS_PER_UNIT * limit.per_s)
-        sharers = choose_nodes(self._instances, endpoint, count)
-        is_sharer = self._own in sharers
         rate_per_s = max(MIN_RATE_PER_S, limit.per_s)
-        limit.share_per_s = rate_per_s / len(sharers) if is_sharer else 0.0
+        limit.share_per_s = rate_per_s * self._sharers.own_fraction(endpoint, count)
+        is_sharer = limit.share_per_s > 0
         limit.level = min(limit.level, limit.capacity) if is_sharer else 0.0
--- a/src/_monsoonpulley/placing/endpointgate.py
+++ b/src/_monsoonpulley/placing/endpointgate.py
@@ -2,7 +2,8 @@
 
 An endpoint can limit the requests a second from all instances, can ask this instance
 for a pause, and can say that it falls over when it turns too many requests away: then
-it gets only what it has room for. All are asked here, before the choice between
+it gets only what it has room for. While it is cold it bears few requests. The stricter
+of its limits holds. All are asked here, before the choice between
 endpoints. What keeps an endpoint out for longer, that it leaves, is in
 `fleet.directory`; failures weigh in the choice itself.
 """
@@ -16,6 +17,7 @@
 from ..fleet.model import Endpoint
 from ..ids import EndpointId
 from ..limits.brittleness import BrittleServices
+from ..limits.coldendpoints import ColdEndpoints
 from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
 from .loadboard import LoadBoard
@@ -36,15 +38,19 @@
     ----------
     usable : tuple of Endpoint
         Those that may get it.
-    paused_count, limited_count, full_count : int
-        Those that want a pause, those at their rate limit, and brittle ones without
-        room.
+    paused_count, limited_count, full_count, cold_count : int
+        Those that want a pause, those at their rate limit, brittle ones without room,
+        and cold ones without a share of this instance.
+    cold_ids : frozenset of EndpointId
+        Those among the usable ones that are cold.
     """
 
     usable: tuple[Endpoint, ...]
     paused_count: int = 0
     limited_count: int = 0
     full_count: int = 0
+    cold_count: int = 0
+    cold_ids: frozenset[EndpointId] = frozenset()
 
 
 class EndpointGate:
@@ -58,6 +64,8 @@
         Pauses that endpoints ask this instance for.
     brittle : BrittleServices
         Services whose endpoints may not be asked for more than they have room for.
+    cold : ColdEndpoints
+        Endpoints that bear few requests for a while.
     board : LoadBoard
         Requests in progress at the endpoints.
     rng : random.Random
@@ -69,12 +77,14 @@
         rate_limits: EndpointRateLimits,
         pauses: EndpointPauses,
         brittle: BrittleServices,
+        cold: ColdEndpoints,
         board: LoadBoard,
         rng: random.Random,
     ):
         self._rate_limits = rate_limits
         self._pauses = pauses
         self._brittle = brittle
+        self._cold = cold
         self._board = board
         self._rng = rng
 
@@ -82,12 +92,15 @@
         """Return which of the endpoints may get a request now."""
         unpaused = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
         unlimited = self._rate_limits.usable_endpoints(unpaused, now_ms)
-        usable = tuple(e for e in unlimited if self.has_room(e, now_ms))
+        shared = self._cold.usable_endpoints(unlimited, now_ms)
+        usable = tuple(e for e in shared if self.has_room(e, now_ms))
         return Admission(
             usable,
             paused_count=len(endpoints) - len(unpaused),
             limited_count=len(unpaused) - len(unlimited),
-            full_count=len(unlimited) - len(usable),
+            full_count=len(shared) - len(usable),
+            cold_count=len(unlimited) - len(shared),
+            cold_ids=self._cold.cold_ids(usable, now_ms),
         )
 
     def has_room(self, endpoint: Endpoint, now_ms: int) -> bool:
@@ -110,11 +123,18 @@
         """Return the refusal of a request that none of the endpoints may get.
 
         Its retry time is when the first pause ends, when the limits allow the next
-        request, or when there may be room. Its prompt counts whole as work that has
-        arrived.
+        request, when cold endpoints bear it, or when there may be room. Its prompt
+        counts whole as work that has arrived.
         """
         unpaused = tuple(e for e in endpoints if not self.is_paused(e.id, now_ms))
-        if self._rate_limits.usable_endpoints(unpaused, now_ms):
+        unlimited = self._rate_limits.usable_endpoints(unpaused, now_ms)
+        if unlimited and not self._cold.usable_endpoints(unlimited, now_ms):
+            return PlacementRefusal(
+                "cold endpoints bear no more requests",
+                self._cold.retry_after_ms(unlimited, now_ms),
+                prompt_tokens,
+            )
+        if unlimited:
             spread_ms = FULL_RETRY_MS * self._rng.uniform(1.0, 1.0 + PAUSE_SPREAD)
             return PlacementRefusal(
                 "brittle endpoints have no room", round(spread_ms), prompt_tokens
@@ -131,10 +151,20 @@
             "all endpoints want a pause", round(spread_ms), prompt_tokens
         )
 
-    def record_send(self, endpoint: EndpointId, now_ms: int) -> None:
+    def bears_more(self, endpoint: Endpoint, now_ms: int) -> bool:
+        """Return whether a request may be sent for which an endpoint was chosen."""
+        return self._cold.may_send(endpoint, now_ms)
+
+    def record_choice(self, endpoint: Endpoint, now_ms: int) -> None:
         """Count a request that is about to be sent."""
-        self._rate_limits.record_send(endpoint, now_ms)
+        self._rate_limits.record_send(endpoint.id, now_ms)
+        self._cold.record_choice(endpoint)
+
+    def record_send(self, endpoint: Endpoint, now_ms: int) -> None:
+        """Record that a request is being sent."""
+        self._cold.record_send(endpoint, now_ms)
 
     def refund(self, endpoint: EndpointId, now_ms: int) -> None:
         """Uncount a request that was not sent after all."""
         self._rate_limits.refund(endpoint, now_ms)
+        self._cold.refund(endpoint)
--- a/src/_monsoonpulley/sharing/registration.py
+++ b/src/_monsoonpulley/sharing/registration.py
@@ -44,6 +44,11 @@
 
     An instance that starts later sends digests to all instances whose rows it reads,
     which thereby know its address.
+
+    Attributes
+    ----------
+    is_registered : bool
+        Whether the own row was written and those of others were read since the start.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         self._members = members
         self._clock = clock
         self._log = log
+        self.is_registered = False
 
     def repeat(self) -> None:
         """Register again soon."""
@@ -100,6 +106,7 @@
             return str(rows)
         for row in rows.rows:
             self._record_row(row.key, row.value or b"")
+        self.is_registered = True
         return ""
 
     def _record_row(self, key: str, value: bytes) -> None:
--- a/testing/fleet/test_directory.py
+++ b/testing/fleet/test_directory.py
@@ -43,7 +43,11 @@
             Log(self.clock, self.lines.append, keeps_lines=False),
             lambda endpoint: self.removed_ids.append(endpoint.id),
             self.ended_ids.append,
+            lambda endpoint, version, has_started: self.rows.append(
+                (endpoint.id, version, has_started)
+            ),
         )
+        self.rows: list[tuple[str, int, bool]] = []
         self.version = 0
 
     def apply(self, *rows: tuple[str, bytes | None], is_snapshot: bool = False) -> None:
@@ -67,6 +71,18 @@
         self.assertEqual(self.ready(), [])
         self.assertEqual(self.removed_ids, ["b"])
 
+    def test_starts_after_the_first_snapshot_are_told_from_rewritten_rows(self):
+        self.apply(("a", row_value(born=1)), is_snapshot=True)
+        self.apply(("a", row_value(born=1)), ("b", row_value(born=1)))
+        self.apply(("a", row_value(born=2)), ("b", row_value(born=1)))
+        self.apply(("b", None))
+        self.apply(("b", row_value(born=1)))
+        starts = [
+            (key, version) for key, version, has_started in self.rows if has_started
+        ]
+        self.assertEqual(starts, [("b", 3), ("a", 4), ("b", 7)])
+        self.assertEqual(len(self.rows), 6)
+
     def test_malformed_rows_add_no_endpoints(self):
         malformed = [
             b"\xff\xfe",
--- a/testing/fleet/test_tablefollower.py
+++ b/testing/fleet/test_tablefollower.py
@@ -81,6 +81,7 @@
         self.rows_by_follower: list[dict[str, bytes]] = [{} for _ in range(count)]
         self.changed_ms: list[dict[str, int]] = [{} for _ in range(count)]
         self.recovery_counts = [0] * count
+        self.read_ms: list[list[int]] = [[] for _ in range(count)]
         self.alive = [True] * count
         self.is_reader = [index < readers for index in range(count)]
         self.rng = random.Random(seed)
@@ -106,6 +107,7 @@
             is_reader=lambda: self.is_reader[index],
             send=lambda relays: self._send(index, relays),
             on_recovered=lambda: self._count_recovery(index),
+            on_read=lambda started_ms: self.read_ms[index].append(started_ms),
         )
 
     def _on_rows(self, index, rows, is_snapshot):
@@ -220,6 +222,18 @@
 
         run_group(script, count=10)
 
+    def test_an_instance_that_gets_relays_reads_the_store_if_it_has_to(self):
+        async def script(group):
+            await group.clock.sleep_ms(3_000)
+            asked_ms = group.clock.now_ms()
+            self.assertEqual(len(group.read_ms[1]), 1)
+            group.followers[1].read_soon()
+            await group.clock.sleep_ms(300)
+            self.assertEqual(len(group.read_ms[1]), 2)
+            self.assertGreaterEqual(group.read_ms[1][1], asked_ms)
+
+        run_group(script, count=3)
+
     def test_changes_in_lost_relays_are_read_from_the_store(self):
         async def script(group):
             for number in range(40):
--- a/testing/limits/test_brittleness.py
+++ b/testing/limits/test_brittleness.py
@@ -11,6 +11,7 @@
     BrittleServices,
 )
 from _monsoonpulley.limits.endpointpauses import EndpointPauses
+from _monsoonpulley.limits.sharers import Sharers
 
 OWN = InstanceId("instance-0")
 SERVICE = ServiceId("svc")
@@ -20,7 +21,8 @@
 class BrittleTest(unittest.TestCase):
     def setUp(self):
         self.pauses = EndpointPauses()
-        self.brittle = BrittleServices(OWN, self.pauses)
+        self.sharers = Sharers(OWN)
+        self.brittle = BrittleServices(self.sharers, self.pauses)
 
 
 class TestStatements(BrittleTest):
@@ -31,7 +33,7 @@
 
     def test_other_instances_learn_of_it_with_its_age(self):
         self.brittle.record_answer(SERVICE, 5.0, 1_000)
-        told = BrittleServices(OWN, EndpointPauses())
+        told = BrittleServices(Sharers(OWN), EndpointPauses())
         told.update_peer(self.brittle.notices(1_400), 9_000)
         self.assertEqual(told.refusals_per_s(SERVICE, 8_600 + MEMORY_MS), 5.0)
         self.assertIsNone(told.refusals_per_s(SERVICE, 8_601 + MEMORY_MS))
@@ -60,8 +62,9 @@
             for slots in (1, 2, 6, 12, 32):
                 rooms = []
                 for own in instances(count):
-                    brittle = BrittleServices(own, EndpointPauses())
-                    brittle.set_instances(instances(count))
+                    sharers = Sharers(own)
+                    sharers.set_instances(instances(count))
+                    brittle = BrittleServices(sharers, EndpointPauses())
                     brittle.record_answer(SERVICE, 5.0, 0)
                     rooms.append(brittle.own_room(ENDPOINT, SERVICE, slots, 0))
                 with self.subTest(count=count, slots=slots):
@@ -76,7 +79,7 @@
     def test_all_sharers_together_cause_less_than_an_endpoint_bears(self):
         for count in (1, 4, 9, 195):
             for per_s in (2.0, 5.0, 20.0):
-                self.brittle.set_instances(instances(count))
+                self.sharers.set_instances(instances(count))
                 self.brittle.record_answer(SERVICE, per_s, 0)
                 pause_ms = self.brittle.record_refusal(ENDPOINT, SERVICE, 4, 0)
                 self.assertLess(min(count, 3) * 1_000 / pause_ms, per_s)
--- a/testing/limits/test_endpointrates.py
+++ b/testing/limits/test_endpointrates.py
@@ -9,6 +9,7 @@
 from _monsoonpulley.fleet.model import Endpoint
 from _monsoonpulley.ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
 from _monsoonpulley.limits.endpointrates import EndpointRateLimits
+from _monsoonpulley.limits.sharers import Sharers
 
 ENDPOINT = EndpointId("e-1")
 STEP_MS = 20
@@ -38,6 +39,11 @@
     )
 
 
+def make_limits(name: str, *on_change) -> EndpointRateLimits:
+    own = InstanceId(name)
+    return EndpointRateLimits(own, Sharers(own), random.Random(0), *on_change)
+
+
 class Fleet:
     """Instances that always have a request for one endpoint, with lossy digests."""
 
@@ -53,9 +59,9 @@
         self.excused_until_ms: dict[InstanceId, int] = {}
 
     def _make(self, name):
-        limits = EndpointRateLimits(name, random.Random(0))
-        limits.set_instances([n for n in self.names if n != name], self.now_ms)
-        return limits
+        sharers = Sharers(name)
+        sharers.set_instances([n for n in self.names if n != name])
+        return EndpointRateLimits(name, sharers, random.Random(0))
 
     def restart(self, name):
         self.limits[name] = self._make(name)
@@ -148,7 +154,7 @@
             self.assertGreaterEqual(len(fleet.sends), 0.8 * 5.0 * 19, count)
 
     def test_a_request_that_was_not_sent_may_be_replaced_at_once(self):
-        limits = EndpointRateLimits(InstanceId("i"), random.Random(0))
+        limits = make_limits("i")
         limits.record_answer(ENDPOINT, 1.0, 0)
         self.assertEqual(limits.wait_ms(ENDPOINT, 1_000), 0)
         limits.record_send(ENDPOINT, 1_000)
@@ -157,14 +163,14 @@
         self.assertEqual(limits.wait_ms(ENDPOINT, 1_000), 0)
 
     def test_only_endpoints_with_a_limit_are_left_out(self):
-        limits = EndpointRateLimits(InstanceId("i"), random.Random(0))
+        limits = make_limits("i")
         limits.record_answer(ENDPOINT, 1.0, 0)
         endpoints = (endpoint("e-1"), endpoint("e-2"))
         self.assertEqual(limits.usable_endpoints(endpoints, 10), endpoints[1:])
         self.assertEqual(limits.usable_endpoints(endpoints, 1_010), endpoints)
 
     def test_a_refused_request_may_return_when_the_next_one_is_allowed(self):
-        limits = EndpointRateLimits(InstanceId("i"), random.Random(0))
+        limits = make_limits("i")
         limits.record_answer(ENDPOINT, 0.5, 0)
         retry_ms = limits.retry_after_ms((endpoint("e-1"),), 0)
         self.assertTrue(2_000 <= retry_ms <= 4_000, retry_ms)
@@ -173,9 +179,7 @@
 class TestNotices(unittest.TestCase):
     def setUp(self):
         self.changes = []
-        self.limits = EndpointRateLimits(
-            InstanceId("i-1"), random.Random(0), lambda *args: self.changes.append(args)
-        )
+        self.limits = make_limits("i-1", lambda *args: self.changes.append(args))
 
     def test_an_instance_that_hears_of_a_limit_keeps_it(self):
         self.limits.update_peer(InstanceId("i-2"), {ENDPOINT: (1.0, 100)}, 5_000)
@@ -187,7 +191,7 @@
         self.limits.record_answer(ENDPOINT, 1.0, 1_000)
         self.limits.record_answer(ENDPOINT, None, 2_000)
         self.assertEqual(self.limits.wait_ms(ENDPOINT, 2_000), 0)
-        other = EndpointRateLimits(InstanceId("i-2"), random.Random(0))
+        other = make_limits("i-2")
         other.update_peer(InstanceId("i-3"), {ENDPOINT: (1.0, 900)}, 2_000)
         other.update_peer(InstanceId("i-1"), self.limits.own_notices(2_100), 2_100)
         self.assertEqual(other.wait_ms(ENDPOINT, 2_100), 0)
