--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -50,6 +50,8 @@
         Status in the head of the endpoint's answer; 0 if none arrived.
     events : int
         Whole events of a stream that arrived.
+    longest_gap_ms : int
+        Longest pause between two of them.
     parts : tuple of str
         Fingerprints of the prompt's parts that other requests may share, if the
         answer broke off.
@@ -79,6 +81,7 @@
     detail: str = ""
     status: int = 0
     events: int = 0
+    longest_gap_ms: int = 0
     parts: tuple[str, ...] = ()
     cold: int = 0
 
