Choose requests for cold endpoints, and plan capacity around them

Cause: a cold endpoint was chosen like a warm one as long as it had a share, its answers went into the models of its service, and the capacity plan counted it as a whole endpoint.

Change: the placer counts a cold endpoint's cost twice, so that short and cached prompts go there first and only while warm ones are busy. Answers of cold endpoints change neither the learned sums nor the excess time of the endpoint. What is missing is added to the need instead of to the present endpoints, so that replacements that are cold themselves cause no further orders.

Without cold endpoints the orders, choices and sums are computed from the same figures as before.

--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -9,12 +9,19 @@
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Configuration, Service
 from ..ids import ServiceId, ZoneId
+from ..limits.coldendpoints import ColdEndpoints
 from ..observability.log import Log
 from ..placing.demandmeter import DemandMeter
 from ..placing.endpointmodels import EndpointModels
 from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
 from ..rollouts.rollouts import Rollouts
-from .capacityneed import CapacityNeed, compute_engine_need, compute_service_need
+from .capacityneed import (
+    CapacityNeed,
+    add_for_cold,
+    compute_engine_need,
+    compute_service_need,
+    lost_to_cold,
+)
 from .capacityplan import CapacityPlan, Order, ZoneFleet
 
 DEFAULT_TARGET_MS = 1_000
@@ -32,6 +39,8 @@
         What endpoints carry, and the work that arrives.
     rollouts : Rollouts
         Which versions have the traffic.
+    cold : ColdEndpoints
+        Endpoints that carry little for a while.
     cloud : CloudClient
         Receives the orders.
     clock, log : Clock, Log
@@ -45,6 +54,7 @@
         models: EndpointModels,
         demand: DemandMeter,
         rollouts: Rollouts,
+        cold: ColdEndpoints,
         cloud: CloudClient,
         clock: Clock,
         log: Log,
@@ -54,6 +64,7 @@
         self._models = models
         self._demand = demand
         self._rollouts = rollouts
+        self._cold = cold
         self._cloud = cloud
         self._clock = clock
         self._log = log
@@ -80,9 +91,11 @@
         now_ms = self._clock.now_ms()
         plan = self._plans.setdefault(service.id, CapacityPlan())
         need = self._compute_need(service, configuration)
+        fleet = self._observe(service.id)
+        need = self._add_cold(service.id, fleet, need, now_ms)
         orders = plan.due_orders(
             service.scaling,
-            self._observe(service.id),
+            fleet,
             need,
             now_ms - self._directory.loaded_ms,
             now_ms,
@@ -105,6 +118,28 @@
         plain = self._models.plain(service.id)
         return compute_service_need(demand, plain, min(slots, default=1))
 
+    def _add_cold(
+        self,
+        service: ServiceId,
+        fleet: dict[ZoneId, ZoneFleet],
+        need: CapacityNeed,
+        now_ms: int,
+    ) -> CapacityNeed:
+        """Return the need in view of cold endpoints, and count these in ``fleet``."""
+        carrying = [
+            endpoint
+            for endpoint in self._directory.ready_endpoints(service)
+            if endpoint.zone in fleet and self._rollouts.carries_load(endpoint)
+        ]
+        cold_ids = self._cold.cold_ids(carrying, now_ms)
+        if not cold_ids:
+            return need
+        lost = lost_to_cold(need, self._cold.bearable_per_s(service))
+        for endpoint in carrying:
+            if endpoint.id in cold_ids and endpoint.is_reclaimable:
+                fleet[endpoint.zone].lost_reclaimable_count += lost
+        return add_for_cold(need, len(carrying), lost * len(cold_ids))
+
     def _observe(self, service: ServiceId) -> dict[ZoneId, ZoneFleet]:
         fleet: dict[ZoneId, ZoneFleet] = {}
         for endpoint in self._directory.all():
--- a/src/_monsoonpulley/duties/capacityneed.py
+++ b/src/_monsoonpulley/duties/capacityneed.py
@@ -125,6 +125,52 @@
     return CapacityNeed(count, count, least_count, "slots", demand)
 
 
+def lost_to_cold(need: CapacityNeed, cold_per_s: float) -> float:
+    """Return the part of an endpoint's work that it does not carry while it is cold.
+
+    Parameters
+    ----------
+    need : CapacityNeed
+        What the arriving work needs of warm endpoints.
+    cold_per_s : float
+        Requests a second that a cold endpoint gets.
+    """
+    if not need.least_count or not need.demand.requests_per_s:
+        return 0.0
+    carried_per_s = need.demand.requests_per_s / need.least_count
+    return max(0.0, 1 - cold_per_s / carried_per_s)
+
+
+def add_for_cold(
+    need: CapacityNeed, endpoint_count: int, lost_count: float
+) -> CapacityNeed:
+    """Return the need while some of the endpoints are cold.
+
+    Load addressed: many endpoints that start at the same time, and leave their work to
+    few warm ones. Others are needed once the warm ones, with what the cold ones bear,
+    would be used beyond `LOST_UTILIZATION`. What is missing is added to the need, not
+    to the present endpoints, so that replacements that are cold too add nothing.
+
+    Parameters
+    ----------
+    need : CapacityNeed
+        What the arriving work needs of warm endpoints.
+    endpoint_count : int
+        Endpoints with the service's traffic, cold ones included.
+    lost_count : float
+        What the cold ones don't carry, in warm endpoints.
+    """
+    missing = math.ceil(need.least_count - (endpoint_count - lost_count))
+    if not lost_count or missing <= 0:
+        return need
+    return msgspec.structs.replace(
+        need,
+        count=need.count + missing,
+        on_demand_count=need.on_demand_count + missing,
+        binding="cold endpoints",
+    )
+
+
 def usable_slots(slots: int) -> float:
     """Return how many slots may be in use on average.
 
--- a/src/_monsoonpulley/duties/capacityplan.py
+++ b/src/_monsoonpulley/duties/capacityplan.py
@@ -61,6 +61,8 @@
     idle_on_demand_count: int = 0
     """Endpoints of a version without the service's traffic; not included above. The
     platform counts them."""
+    lost_reclaimable_count: float = 0.0
+    """What reclaimable endpoints don't carry because they are cold, in warm ones."""
 
     def record_idle_version(self, is_reclaimable: bool) -> None:
         """Count an endpoint of a version without the service's traffic."""
@@ -286,7 +288,7 @@
             share = needed // len(available) + (index < needed % len(available))
             targets[zone] = min(spec.maximum, max(spec.minimum, 1, share))
         # Those of another data centre stay until enough others run.
-        surplus = sum(each.reclaimable_count for each in current.values()) - needed
+        surplus = _bearing_reclaimable(current) - needed
         for zone in available:
             excess = current[zone].reclaimable_count - targets[zone]
             if excess > 0:
@@ -307,7 +309,8 @@
         needs = [need for ms, need in self._needs if now_ms - ms < ON_DEMAND_HOLD_MS]
         counts = [need.on_demand_count for need in needs]
         needed = self._needed_count(needs, counts, len(zones), now_ms)
-        running = sum(each.reclaimable_count for each in current.values())
+        # On-demand endpoints stay while those that replace them are cold.
+        running = _bearing_reclaimable(current)
         present = sum(each.on_demand_count for each in current.values())
         missing = needed - expected_reclaimable
         kept = min(present, needed - running)
@@ -455,6 +458,12 @@
         return now_ms < self._unavailable_until_ms.get((zone, is_reclaimable), 0)
 
 
+def _bearing_reclaimable(current: dict[ZoneId, ZoneFleet]) -> int:
+    """Return the reclaimable endpoints, cold ones as the part that they carry."""
+    lost = sum(each.lost_reclaimable_count for each in current.values())
+    return sum(each.reclaimable_count for each in current.values()) - math.ceil(lost)
+
+
 def _repeat_ms(accepted: _AcceptedOrder, spec: ScalingSpec) -> int:
     """Return when an order is sent again if its endpoints haven't started."""
     return accepted.accepted_ms + spec.boot_ms + START_MARGIN_MS
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -259,11 +259,17 @@
             "endpoint_paused", endpoint=self._endpoint.id, pause_ms=pause_ms
         )
 
+    def _is_cold(self, now_ms: int) -> bool:
+        """Return whether what is learned from the endpoint would not hold when warm."""
+        return self.choice.is_cold or self._parts.cold.is_cold(self._endpoint, now_ms)
+
     def _record_first_event(self) -> None:
         """Tell the engines' model how long this one took."""
         assert self.first_byte_ms is not None
         choice = self.choice
         self._first_event_ms = self.first_byte_ms
+        if self._is_cold(self._parts.clock.now_ms()):
+            return
         self._parts.endpoint_models.engine(self._endpoint.service).record_first_event(
             choice.backlog_tokens + choice.prefill_tokens,
             self.first_byte_ms,
@@ -272,6 +278,8 @@
 
     def _record_no_event(self, now_ms: int) -> None:
         """Tell the engines' model that a first event had not come by now."""
+        if self._is_cold(now_ms):
+            return
         if self._state.is_stream and self._first_event_ms is None:
             choice = self.choice
             model = self._parts.endpoint_models.engine(self._endpoint.service)
@@ -351,13 +359,7 @@
                 if self.first_byte_ms is not None
                 else self.elapsed_ms
             )
-            predicted_ms = self.choice.predicted_ms
-            self._parts.counters.prediction_error_ratio.labels(
-                self._endpoint.service
-            ).observe(answer_ms / max(1.0, predicted_ms))
-            excess_ms = max(0.0, answer_ms - predicted_ms)
-            self._record_occupancy(now_ms)
-            self._parts.health.record_answer(self._endpoint.id, excess_ms, now_ms)
+            self._record_answer_time(answer_ms, now_ms)
         elif result in (Result.INVALID, Result.FAILED, Result.TIMED_OUT):
             self._parts.health.record_failure(self._endpoint.id, now_ms)
         if result in (Result.TIMED_OUT, Result.CALLER_LEFT):
@@ -368,6 +370,21 @@
                 self._endpoint.id, now_ms, NOT_RUN_FAILURE_WEIGHT
             )
 
+    def _record_answer_time(self, answer_ms: int, now_ms: int) -> None:
+        """Compare the time of an answer with the predicted one, and learn from it."""
+        health = self._parts.health
+        if self._is_cold(now_ms):
+            known_ms = health.excess_ms(self._endpoint.id, now_ms)
+            health.record_answer(self._endpoint.id, known_ms, now_ms)
+            return
+        predicted_ms = self.choice.predicted_ms
+        self._parts.counters.prediction_error_ratio.labels(
+            self._endpoint.service
+        ).observe(answer_ms / max(1.0, predicted_ms))
+        excess_ms = max(0.0, answer_ms - predicted_ms)
+        self._record_occupancy(now_ms)
+        health.record_answer(self._endpoint.id, excess_ms, now_ms)
+
     def _record_full(self, now_ms: int) -> None:
         """Send nothing more for a while to a brittle endpoint that had no room."""
         if self.status != REFUSED_STATUS:
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -334,6 +334,7 @@
             parts.zone,
             now_ms,
             parts.zone_reach.unreachable_zones(now_ms),
+            self._admission.cold_ids,
         )
         if isinstance(choice, Choice):
             parts.gate.record_choice(choice.endpoint, now_ms)
--- a/src/_monsoonpulley/placing/placer.py
+++ b/src/_monsoonpulley/placing/placer.py
@@ -32,6 +32,12 @@
 OTHER_ZONE_ROUND_TRIP_MS = 1.0
 """Round trip to another data centre; decides between otherwise equal endpoints."""
 
+COLD_TIME_FACTOR = 2.0
+"""A cold endpoint may be slower than predicted, by an unknown factor, and bears few
+requests. It gets those that cost this many times as much at any warm one: short and
+cached prompts before long ones, and only while warm ones are busy. These have as many
+times its predicted time left, unless the warm ones would answer too late."""
+
 NO_ENDPOINT_RETRY_MS = 1_000
 """Retry time while no endpoint is available; all instances know a newly started
 endpoint by then."""
@@ -86,6 +92,8 @@
         Second-best endpoint; empty if there is none.
     candidate_count : int
         Number of endpoints compared.
+    is_cold : bool
+        Whether the endpoint was cold.
     """
 
     endpoint: Endpoint
@@ -96,6 +104,7 @@
     held_tokens: int
     runner_up_id: str
     candidate_count: int
+    is_cold: bool = False
 
 
 class PlacementRefusal(msgspec.Struct, frozen=True):
@@ -164,6 +173,7 @@
         own_zone: str,
         now_ms: int,
         unreachable_zones: frozenset[ZoneId] = frozenset(),
+        cold_ids: frozenset[EndpointId] = frozenset(),
     ) -> Choice | PlacementRefusal:
         """Return the endpoint for a request, or a refusal with its reason.
 
@@ -181,6 +191,8 @@
             Monotonic time.
         unreachable_zones : frozenset of ZoneId
             Data centres to avoid; used only if no other has an endpoint.
+        cold_ids : frozenset of EndpointId
+            Endpoints that are cold; see `COLD_TIME_FACTOR`.
         """
         candidates = [e for e in endpoints if e.id not in tried_ids]
         if not candidates:
@@ -206,7 +218,11 @@
         admitted = [e for e in in_time if e.wait_ms <= requirements.max_wait_ms]
         if not admitted:
             return _refuse(ranked, bool(in_time), requirements, self._rng)
-        admitted.sort(key=lambda estimate: estimate.cost_ms)
+        admitted.sort(
+            key=lambda e: (
+                e.cost_ms * (COLD_TIME_FACTOR if e.endpoint.id in cold_ids else 1)
+            )
+        )
         best = admitted[0]
         return Choice(
             best.endpoint,
@@ -217,6 +233,7 @@
             best.load.held_tokens,
             admitted[1].endpoint.id if len(admitted) > 1 else "",
             len(candidates),
+            best.endpoint.id in cold_ids,
         )
 
     def _estimate(
--- a/testing/duties/test_capacity.py
+++ b/testing/duties/test_capacity.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+import msgspec
+
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.control.leases import Hold
 from _monsoonpulley.duties.capacity import CapacityDuty
@@ -16,6 +18,8 @@
     Service,
 )
 from _monsoonpulley.ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
+from _monsoonpulley.limits.coldendpoints import ColdEndpoints
+from _monsoonpulley.limits.sharers import Sharers
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.placing.demandmeter import DemandMeter
 from _monsoonpulley.placing.endpointmodels import EndpointModels
@@ -95,12 +99,15 @@
         self.directory = Directory()
         self.demand = DemandMeter(InstanceId("own"))
         self.rollouts = Rollouts(self.clock, log, random.Random(1))
+        sharers = Sharers(InstanceId("own"))
+        self.cold = ColdEndpoints(sharers, random.Random(1), 1.5, 5)
         self.duty = CapacityDuty(
             Holder(),
             self.directory,
             EndpointModels(),
             self.demand,
             self.rollouts,
+            self.cold,
             self.cloud,
             self.clock,
             log,
@@ -145,10 +152,27 @@
         await self.run_duty(1_000)
         self.assertTrue(self.cloud.orders)
 
-    async def run_duty(self, duration_ms: int) -> None:
+    async def test_more_are_ordered_while_cold_ones_leave_too_little(self):
+        # One warm endpoint would carry 40 requests a second; a cold one gets one.
+        self.directory.endpoints = endpoints("v1", 1, is_reclaimable=True)
+        await self.run_duty(25_000, 20)
+        self.cloud.orders.clear()
+        service = msgspec.structs.replace(SERVICE, cold_start_ms=60_000, cold_per_s=1)
+        self.cold.configure(
+            Configuration(2, {}, {SERVICE.id: service}, {}, {}, False, CallerLimits())
+        )
+        await self.run_duty(1_000, 20)
+        self.assertEqual(self.cloud.orders, [])
+        for endpoint in self.directory.endpoints:
+            self.cold.record_row(endpoint, 1, True, self.clock.now_ms())
+        await self.run_duty(1_000, 20)
+        self.assertEqual([order[2:] for order in self.cloud.orders], [(2, True)])
+
+    async def run_duty(self, duration_ms: int, requests: int = 1) -> None:
         for _ in range(duration_ms // 500):
             self.clock.advance_ms(500)
-            self.demand.record(SERVICE.id, 0)
+            for _ in range(requests):
+                self.demand.record(SERVICE.id, 0)
             self.demand.refresh_own(self.clock.now_ms())
             await self.duty.step(Hold(7, lambda *_: True))
 
--- a/testing/duties/test_capacityneed.py
+++ b/testing/duties/test_capacityneed.py
@@ -5,8 +5,11 @@
 import unittest
 
 from _monsoonpulley.duties.capacityneed import (
+    CapacityNeed,
+    add_for_cold,
     compute_engine_need,
     compute_service_need,
+    lost_to_cold,
 )
 from _monsoonpulley.fleet.model import EngineSpec
 from _monsoonpulley.placing.demandmeter import Demand
@@ -76,3 +79,26 @@
         # 12 requests run at once.
         self.assertGreater(need.count, 2)
         self.assertLessEqual(need.count, 4)
+
+
+class TestColdEndpoints(unittest.TestCase):
+    need = CapacityNeed(10, 9, 8, "prefill", Demand(requests_per_s=80))
+
+    def test_a_cold_endpoint_counts_for_the_requests_that_it_gets(self):
+        # A warm one carries ten requests a second.
+        self.assertAlmostEqual(lost_to_cold(self.need, 2.0), 0.8)
+        self.assertEqual(lost_to_cold(self.need, 12.0), 0.0)
+        self.assertEqual(lost_to_cold(CapacityNeed(0, 0, 0, "slots", Demand()), 2), 0)
+
+    def test_warm_endpoints_that_carry_the_work_need_no_others(self):
+        self.assertIs(add_for_cold(self.need, 10, 2 * 0.8), self.need)
+        self.assertIs(add_for_cold(self.need, 6, 0.0), self.need)
+
+    def test_what_the_warm_ones_do_not_carry_is_needed(self):
+        need = add_for_cold(self.need, 10, 5 * 0.8)
+        self.assertEqual((need.count, need.on_demand_count), (12, 11))
+
+    def test_replacements_that_are_cold_themselves_add_nothing(self):
+        first = add_for_cold(self.need, 10, 10 * 0.8)
+        after = add_for_cold(self.need, first.count, first.count * 0.8)
+        self.assertLessEqual(after.count, first.count)
--- a/testing/duties/test_capacityplan.py
+++ b/testing/duties/test_capacityplan.py
@@ -289,6 +289,19 @@
         cloud.run(10_000, LOW)
         self.assertEqual(cloud.on_demand_count, 8)
 
+    def test_they_stay_while_reclaimable_ones_that_replace_them_are_cold(self):
+        cloud = Cloud()
+        cloud.run(30_000, LOW)
+        for zone in cloud.fleet.values():
+            zone.on_demand_count = 2
+            zone.lost_reclaimable_count = float(zone.reclaimable_count)
+        cloud.run(10_000, LOW)
+        self.assertEqual(cloud.on_demand_count, 2 * len(ZONES))
+        for zone in cloud.fleet.values():
+            zone.lost_reclaimable_count = 0.0
+        cloud.run(10_000, LOW)
+        self.assertEqual(cloud.on_demand_count, 0)
+
     def test_the_service_never_has_fewer_endpoints_than_it_needs_at_the_start(self):
         cloud = Cloud()
         for _ in range(40):
--- a/testing/placing/test_placer.py
+++ b/testing/placing/test_placer.py
@@ -70,10 +70,15 @@
         self.endpoints = tuple(endpoint(name, slots=slots) for name in names)
 
     def choose(
-        self, requirements: Requirements, tried_ids=(), now_ms=0
+        self, requirements: Requirements, tried_ids=(), now_ms=0, cold=""
     ) -> Choice | PlacementRefusal:
         return self.placer.choose(
-            requirements, self.endpoints, set(tried_ids), ZONE, now_ms
+            requirements,
+            self.endpoints,
+            set(tried_ids),
+            ZONE,
+            now_ms,
+            cold_ids=frozenset(map(EndpointId, cold)),
         )
 
 
@@ -136,6 +141,32 @@
         chosen = Counter(placing.choose(plain).endpoint.id for _ in range(20))
         self.assertEqual(chosen, {"b": 20})
 
+    def test_short_prompts_go_to_a_cold_endpoint_once_the_warm_one_is_busy(self):
+        placing = Placing("ab")
+        short, long = (make_requirements(prompt_tokens=n) for n in (50, 8_000))
+        self.assertEqual(placing.choose(short, cold="a").endpoint.id, "b")
+        placing.board.record_dispatch(EndpointId("b"), 4_000)
+        choice = placing.choose(short, cold="a")
+        self.assertEqual((choice.endpoint.id, choice.is_cold), ("a", True))
+        self.assertEqual(placing.choose(long, cold="a").endpoint.id, "b")
+
+    def test_a_prompt_goes_to_the_cold_endpoint_that_has_it_cached(self):
+        placing = Placing("ab")
+        part, last = PromptPart("p", 8_000), PromptPart("q", 10)
+        placing.cache_index.record((part, last), EndpointId("a"), 0)
+        wanted = make_requirements((part, last), prompt_tokens=8_010)
+        self.assertEqual(placing.choose(wanted, cold="a").endpoint.id, "a")
+
+    def test_a_request_that_has_little_time_goes_to_a_warm_endpoint_in_time(self):
+        placing = Placing("ab")
+        request = make_requirements(prompt_tokens=50)
+        idle_ms = placing.choose(request).predicted_ms
+        placing.board.record_dispatch(EndpointId("b"), 200)
+        busy_ms = placing.choose(request, tried_ids="a").predicted_ms
+        hurried = make_requirements(prompt_tokens=50, remaining_ms=round(busy_ms) + 10)
+        self.assertTrue(idle_ms < busy_ms < 2 * idle_ms)
+        self.assertEqual(placing.choose(hurried, cold="a").endpoint.id, "b")
+
     def test_a_request_that_can_not_be_answered_in_time_is_refused(self):
         placing = Placing("ab")
         for name in "ab":
