--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -126,6 +126,7 @@
                 parts.endpoint_models,
                 parts.demand,
                 parts.rollouts,
+                parts.cold,
                 cloud,
                 clock,
                 log,
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -366,11 +366,13 @@
             self.has_no_link = True
             return PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
         self._admission = parts.gate.admit(linked, now_ms)
+        if self._admission.cold_count:
+            parts.counters.requests_kept_off_cold.labels(self.service.id).inc()
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
         choice = self._place(requirements, self._admission.usable, now_ms)
         if isinstance(choice, Choice):
-            parts.gate.record_send(choice.endpoint.id, now_ms)
+            parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
     def _place(
@@ -388,6 +390,7 @@
                 parts.zone,
                 now_ms,
                 unreachable_zones,
+                self._admission.cold_ids,
             )
 
         if parts.evacuations.is_returning:
@@ -517,6 +520,7 @@
                 limited=self._admission.limited_count,
                 paused=self._admission.paused_count,
                 full=self._admission.full_count,
+                cold=self._admission.cold_count,
                 heard=reachable_count,
                 members=member_count,
                 left_ms=self.remaining_ms(),
