--- a/testing/placing/overloadplay.py
+++ b/testing/placing/overloadplay.py
@@ -2,6 +2,7 @@
 
 Placing, refusing and ordering of endpoints are the product's own code. Engines are
 bounded by prefill, slots and memory; callers that are refused return once.
+`customerplay` adds customers and faults between the instances.
 """
 
 from __future__ import annotations
@@ -30,7 +31,7 @@
 from _monsoonpulley.placing.endpointmodels import EndpointModels
 from _monsoonpulley.placing.health import EndpointHealth
 from _monsoonpulley.placing.loadboard import LoadBoard
-from _monsoonpulley.placing.placer import Choice, Placer, Requirements
+from _monsoonpulley.placing.placer import Choice, PlacementRefusal, Placer, Requirements
 from _monsoonpulley.placing.promptcacheindex import PromptCacheIndex, PromptPart
 from _monsoonpulley.wire.serverconnection import CallerLimits
 
@@ -148,8 +149,9 @@
 class Instance:
     """The decisions of one instance, with their state."""
 
-    def __init__(self, name: str, seed: int):
+    def __init__(self, name: str, seed: int, zone: ZoneId = ZONES[0]):
         self.name = InstanceId(name)
+        self.zone = zone
         self.board = LoadBoard()
         self.cache_index = PromptCacheIndex()
         self.models = EndpointModels()
@@ -171,6 +173,12 @@
     parts: tuple[PromptPart, ...]
     arrived_ms: float
     has_returned: bool = False
+    customer: str = ""
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Length of the prompt."""
+        return sum(part.tokens for part in self.parts)
 
 
 class Play:
@@ -186,6 +194,8 @@
         Whether endpoints are ordered.
     """
 
+    scaling = SCALING
+
     def __init__(
         self,
         seed: int,
@@ -252,11 +262,14 @@
         self._engines[endpoint.id] = Engine(endpoint)
 
     def _schedule_arrival(self, kind: RequestClass, end_ms: int) -> None:
-        per_ms = kind.per_s / 1000 * self.load_factor(self.now_ms / 1000)
+        per_ms = kind.per_s / 1000 * self._rate_factor(kind)
         time_ms = self.now_ms + self.rng.expovariate(per_ms)
         if time_ms < end_ms:
             self._at(time_ms, lambda: self._arrive(kind, end_ms))
 
+    def _rate_factor(self, kind: RequestClass) -> float:
+        return self.load_factor(self.now_ms / 1000)
+
     def _arrive(self, kind: RequestClass, end_ms: int) -> None:
         subject = f"{kind.name}-{self.rng.randrange(kind.subject_count)}"
         own_tokens = round(kind.own_tokens * self.rng.lognormvariate(-0.32, 0.8))
@@ -265,40 +278,56 @@
             PromptPart(f"own-{next(self._numbers)}", max(1, own_tokens)),
         )
         self._count(self.tallies[kind.name].asked, self.now_ms)
-        self._send(Request(kind, parts, self.now_ms))
+        self._start_request(Request(kind, parts, self.now_ms))
         self._schedule_arrival(kind, end_ms)
 
+    def _start_request(self, request: Request) -> None:
+        self._send(request)
+
     def _send(self, request: Request) -> None:
-        kind, instance = request.kind, self.rng.choice(self._instances)
+        kind, instance = request.kind, self._choose_instance(request)
         elapsed_ms = self.now_ms - request.arrived_ms
-        prompt_tokens = sum(part.tokens for part in request.parts)
-        limit_ms = self._wait_limits.max_wait_ms(
-            ROUTES[kind.name], elapsed_ms, kind.rank
-        )
+        limit_ms = self._max_wait_ms(instance, request, elapsed_ms)
         requirements = Requirements(
             True,
             request.parts,
-            prompt_tokens,
-            prompt_tokens + kind.output_tokens,
+            request.prompt_tokens,
+            request.prompt_tokens + kind.output_tokens,
             round(kind.deadline_ms - elapsed_ms),
             limit_ms if self._refuses_long_waits else math.inf,
         )
         endpoints = tuple(engine.endpoint for engine in self._engines.values())
         choice = instance.placer.choose(
-            requirements, endpoints, set(), ZONES[0], round(self.now_ms)
+            requirements, endpoints, set(), instance.zone, round(self.now_ms)
         )
         instance.demand.record(SERVICE, choice.prefill_tokens)
         if isinstance(choice, Choice):
             self._run(request, instance, choice)
-        elif not request.has_returned:
-            request.has_returned = True
-            left_ms = kind.deadline_ms - elapsed_ms
-            delay_ms = min(choice.retry_after_ms, RETURN_SHARE * left_ms)
-            self._at(self.now_ms + delay_ms, lambda: self._send(request))
+        else:
+            self._handle_refusal(request, instance, choice)
+
+    def _choose_instance(self, request: Request) -> Instance:
+        return self.rng.choice(self._instances)
+
+    def _max_wait_ms(
+        self, instance: Instance, request: Request, elapsed_ms: float
+    ) -> float:
+        kind = request.kind
+        return self._wait_limits.max_wait_ms(ROUTES[kind.name], elapsed_ms, kind.rank)
+
+    def _handle_refusal(
+        self, request: Request, instance: Instance, refusal: PlacementRefusal
+    ) -> None:
+        if request.has_returned:
+            return
+        request.has_returned = True
+        left_ms = request.kind.deadline_ms - (self.now_ms - request.arrived_ms)
+        delay_ms = min(refusal.retry_after_ms, RETURN_SHARE * left_ms)
+        self._at(self.now_ms + delay_ms, lambda: self._send(request))
 
     def _run(self, request: Request, instance: Instance, choice: Choice) -> None:
         kind, chosen = request.kind, choice.endpoint.id
-        held_tokens = sum(part.tokens for part in request.parts) + kind.output_tokens
+        held_tokens = request.prompt_tokens + kind.output_tokens
         instance.board.record_dispatch(chosen, choice.prefill_tokens, held_tokens)
         instance.cache_index.record(request.parts, chosen, round(self.now_ms))
         sent_ms = self.now_ms
@@ -326,11 +355,17 @@
 
         self._at(first_ms, record_first)
         self._at(end_ms, record_end)
-        tally = self.tallies[kind.name]
         if first_ms - request.arrived_ms <= kind.target_ms:
-            self._count(tally.in_time, request.arrived_ms)
+            self._record_served(request, first_ms, is_in_time=True)
         elif end_ms <= deadline_ms:
-            self._count(tally.late, request.arrived_ms)
+            self._record_served(request, first_ms, is_in_time=False)
+
+    def _record_served(
+        self, request: Request, first_ms: float, *, is_in_time: bool
+    ) -> None:
+        tally = self.tallies[request.kind.name]
+        counts = tally.in_time if is_in_time else tally.late
+        self._count(counts, request.arrived_ms)
 
     def _count(self, counts: dict[int, int], time_ms: float) -> None:
         second = int(time_ms / 1000)
@@ -365,7 +400,7 @@
             holder.models.engine(SERVICE),
             min(kind.target_ms for kind in CLASSES),
         )
-        for order in self._plan.due_orders(SCALING, fleet, need, now_ms, now_ms):
+        for order in self._plan.due_orders(self.scaling, fleet, need, now_ms, now_ms):
             if order.is_reclaimable and self.is_dry:
                 self._plan.record_refusal(order, now_ms)
             else:
@@ -384,7 +419,7 @@
         missing = order.count - len(running) - self._pending.get(key, 0)
         for _ in range(missing):
             self._pending[key] = self._pending.get(key, 0) + 1
-            self._at(self.now_ms + SCALING.boot_ms, lambda: self._start(key))
+            self._at(self.now_ms + self.scaling.boot_ms, lambda: self._start(key))
 
     def _start(self, key: tuple[ZoneId, bool]) -> None:
         self._pending[key] -= 1
