Divide the work of a service fairly between its customers

Change: limits/fairshare.py sums up the work that arrives and that is admitted, by service, rank and customer, shares it in full digests, and shortens the limit on waits of a customer above its max-min share; kinds keep a least share and their order. It decides only where customers are configured and two of them send work, and only while less is admitted than arrives.

--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -76,6 +76,12 @@
             ("service", "result"),
             registry=self.registry,
         )
+        self.customers_above_share = Gauge(
+            "monsoonpulley_customers_above_share",
+            "Customers whose requests are refused first, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "monsoonpulley_store_calls",
             "Calls to the platform's store, by name and result.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -16,6 +16,7 @@
 from ..limits.brittleness import BrittleServices
 from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
+from ..limits.fairshare import FairShares
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
 from ..limits.waitlimit import WaitLimits
@@ -66,6 +67,7 @@
     health: EndpointHealth
     cache_index: PromptCacheIndex
     wait_limits: WaitLimits
+    fair_shares: FairShares
     endpoint_models: EndpointModels
     demand: DemandMeter
     placer: Placer
@@ -160,6 +162,7 @@
             health=health,
             cache_index=cache_index,
             wait_limits=WaitLimits(),
+            fair_shares=FairShares(),
             endpoint_models=endpoint_models,
             demand=DemandMeter(settings.instance),
             placer=Placer(load_board, health, cache_index, endpoint_models, rng),
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -130,6 +130,12 @@
         Time since the configuration now in force was applied.
     may_have_run : bool
         Whether an endpoint may have started the request.
+    rank : int
+        Priority; 0 is the most urgent.
+    spent_ms : int
+        Time for which the caller had presumably waited before, see `WaitLimits`.
+    share_factor : float
+        Factor on the longest wait by the customer's share, see `FairShares`.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
     """
@@ -146,6 +152,9 @@
     took_ms: int
     first_ms: int | None
     retry_after_ms: int | None
+    rank: int
+    spent_ms: int
+    share_factor: float
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -11,6 +11,7 @@
 from ..limits.quota import QuotaRefusal
 from ..placing.endpointgate import Admission
 from ..placing.placer import Choice, PlacementRefusal, Requirements
+from ..placing.requestwork import predict_work_ms
 from ..platform.answerheaders import PeerOutcome
 from ..quarantine.evidence import Entry
 from ..quarantine.quarantine import RETRY_AFTER_MS
@@ -75,6 +76,7 @@
         self._helper_ids: set[InstanceId] = set()
         self._is_demand_counted = False
         self._spent_ms = 0
+        self._share_factor = 1.0
 
     async def run(self) -> None:
         """Serve the request and end its exchange."""
@@ -365,7 +367,13 @@
         if self.send_count:
             return math.inf
         elapsed_ms = self._spent_ms + now_ms - self.exchange.request.received_ms
-        return self.parts.wait_limits.max_wait_ms(self.route, elapsed_ms, self.rank)
+        if self.customer is not None and self.service is not None:
+            self._share_factor = self.parts.fair_shares.limit_factor(
+                self.service.id, self.rank, self.customer.id, now_ms
+            )
+        return self.parts.wait_limits.max_wait_ms(
+            self.route, elapsed_ms, self.rank, self._share_factor
+        )
 
     def _count_demand(self, choice: Choice | PlacementRefusal) -> None:
         """Count the request once as work that arrived for its service."""
@@ -373,8 +381,17 @@
         if self._is_demand_counted:
             return
         self._is_demand_counted = True
-        tokens = choice.prefill_tokens
-        self.parts.demand.record(self.service.id, tokens)
+        parts, tokens = self.parts, choice.prefill_tokens
+        parts.demand.record(self.service.id, tokens)
+        if self.customer is not None:
+            parts.fair_shares.record(
+                self.service.id,
+                self.rank,
+                self.customer.id,
+                predict_work_ms(parts.endpoint_models, self.service, tokens),
+                parts.clock.now_ms(),
+                is_admitted=isinstance(choice, Choice),
+            )
 
     def _may_retry(self, result: Result) -> bool:
         assert self.route is not None and self.service is not None
@@ -491,6 +508,9 @@
                 took_ms=now_ms - received_ms,
                 first_ms=self.first_byte_ms,
                 retry_after_ms=self.retry_after_ms,
+                rank=self.rank,
+                spent_ms=self._spent_ms,
+                share_factor=round(self._share_factor, 2),
                 is_from_peer=self.is_from_peer,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -16,6 +16,7 @@
 from ..fleet.relay import Relay
 from ..fleet.tablefollower import TableFollower
 from ..ids import InstanceId, ServiceId
+from ..limits.fairshare import REFRESH_MS
 from ..observability.log import Log
 from ..platform.endpoints import decode_endpoint
 from ..platform.localsettings import LocalSettings
@@ -142,6 +143,7 @@
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
         self._followers = self._make_followers()
         self._last_tick_ms = clock.now_ms()
+        self._above_share: dict[ServiceId, set[str]] = {}
         self._control = Control(
             settings,
             self.incarnation,
@@ -392,6 +394,9 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            work=(
+                parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
+            ),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -417,6 +422,9 @@
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.brittle.update_peer(digest.brittle, now_ms)
+        if digest.demand:
+            # Only full digests carry either.
+            parts.fair_shares.update_peer(peer, digest.work)
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
@@ -497,6 +505,7 @@
         for peer in previous_ids - parts.members.reachable_ids:
             parts.load_board.remove_peer(peer)
             parts.endpoint_models.remove_peer(peer)
+            parts.fair_shares.remove_peer(peer)
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
@@ -516,6 +525,26 @@
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
+        self._observe_shares(now_ms)
+
+    def _observe_shares(self, now_ms: int) -> None:
+        """Log which customers are above their fair shares, when that changes."""
+        parts = self.parts
+        current = parts.configuration.current
+        if current is None or not current.has_customers:
+            return
+        for service in current.services:
+            above = parts.fair_shares.above_share(service, now_ms)
+            self.counters.customers_above_share.labels(service).set(len(above))
+            if above.keys() != self._above_share.get(service, set()):
+                self._above_share[service] = set(above)
+                self.log.event(
+                    "customers_above_share",
+                    service=service,
+                    factors={name: round(factor, 2) for name, factor in above.items()},
+                    refresh_ms=REFRESH_MS,
+                    peers=len(parts.members.reachable_ids),
+                )
 
     async def _probe_links(self) -> None:
         """Look whether lost links work again, until cancelled."""
--- a/src/_monsoonpulley/limits/waitlimit.py
+++ b/src/_monsoonpulley/limits/waitlimit.py
@@ -71,7 +71,13 @@
         self._longest_timeout_ms[route.name] = longest_ms
         return longest_ms - timeout_ms
 
-    def max_wait_ms(self, route: Route, elapsed_ms: float, rank: int) -> float:
+    def max_wait_ms(
+        self,
+        route: Route,
+        elapsed_ms: float,
+        rank: int,
+        share_factor: float = 1.0,
+    ) -> float:
         """Return the longest wait for which a request is not refused.
 
         Parameters
@@ -82,10 +88,12 @@
             Time since the caller first sent the request.
         rank : int
             Priority of the request; 0 is the most urgent.
+        share_factor : float
+            Factor by the customer's share, see `FairShares.limit_factor`.
         """
         target_ms = route.target_latency_ms
         reference_ms = self._target_ms_by_route.get(route.name, target_ms)
-        limit_ms = WAIT_SHARE * reference_ms * RANK_FACTOR**rank
+        limit_ms = WAIT_SHARE * reference_ms * RANK_FACTOR**rank * share_factor
         left_ms = max(0.0, target_ms - elapsed_ms)
         return min(limit_ms, max(LATE_SHARE * limit_ms, left_ms))
 
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -10,6 +10,7 @@
 from ..fleet.relay import Relay
 from ..limits.brittleness import BrittleNotice
 from ..limits.endpointrates import Notice
+from ..limits.fairshare import WorkEntry
 from ..placing.demandmeter import Totals
 from ..placing.loadboard import LoadEntry
 from ..placing.sharedsums import Sums
@@ -74,6 +75,8 @@
         Progress of the ordered roll-outs as known to the sender.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
+    work : dict
+        Recent work of the customers at the sender, by service and rank.
     """
 
     instance: str
@@ -100,6 +103,7 @@
     served: dict[str, int] = {}
     lost_links: dict[str, int] = {}
     brittle: dict[str, BrittleNotice] = {}
+    work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -634,6 +634,24 @@
         self.assertIn("retry-after", got.headers)
         self.assertEqual(self.site.log_events("request")[0]["detail"], "overload")
 
+    async def test_a_customer_above_its_share_is_refused_first(self):
+        await self.site.add_endpoint(answer)
+        names = ("small", "large")
+        tenants = [{"name": name, "api_keys": [name]} for name in names]
+        await self.site.start(configuration(timeout_ms=60_000, tenants=tenants))
+        parts = self.site.service.parts
+        work = {"svc": {1: {"small": (90, 20, 90, 20), "large": (90, 80, 90, 80)}}}
+        parts.fair_shares.update_peer("instance-2", work)
+        for _ in range(6):
+            parts.load_board.record_dispatch("i-1", 0)
+        got = [await self.site.send_request(n, key=n) for n in names]
+        self.assertEqual([each.status for each in got], [200, 503])
+        lines = self.site.log_events("request")
+        self.assertEqual(lines[0]["share_factor"], 1.0)
+        self.assertLess(lines[1]["share_factor"], 0.5)
+        entries = self.site.service._build_digest(True, True).work["svc"][1]
+        self.assertEqual([entries[name][2:] for name in names], [(10, 10), (10, 0)])
+
     async def test_a_request_that_was_begun_is_not_refused_for_its_wait(self):
         async def fail(call) -> None:
             for _ in range(40):
--- a/testing/placing/customerplay.py
+++ b/testing/placing/customerplay.py
@@ -13,13 +13,19 @@
 
 import msgspec
 
-from _monsoonpulley.ids import ZoneId
-from _monsoonpulley.placing.placer import PlacementRefusal
+from _monsoonpulley.fleet.model import Service
+from _monsoonpulley.ids import CustomerId, ZoneId
+from _monsoonpulley.limits.fairshare import FairShares
+from _monsoonpulley.placing.placer import Choice, PlacementRefusal
+from _monsoonpulley.placing.requestwork import predict_work_ms
 
 from .overloadplay import (
     CLASSES,
     RETURN_SHARE,
+    ROUTES,
     SCALING,
+    SERVICE,
+    SPEC,
     ZONES,
     Instance,
     Play,
@@ -36,6 +42,7 @@
     for n, name in enumerate(CUSTOMERS)
 }
 SURGING = CUSTOMERS[1]
+ENGINES = Service(SERVICE, "/health", 1_000, engine=SPEC)
 LEAVING_SHARE, REPEATING_SHARE = 0.1, 0.5
 """Share of the callers that leave without a first event after twice the target, and of
 these the share that sends the request again."""
@@ -148,6 +155,14 @@
     restart_s: tuple[float, ...] = ()
 
 
+class SharingInstance(Instance):
+    """An instance that also divides capacity between customers."""
+
+    def __init__(self, name: str, seed: int, zone: ZoneId):
+        super().__init__(name, seed, zone)
+        self.shares = FairShares()
+
+
 class CustomerPlay(Play):
     """A day with customers.
 
@@ -161,6 +176,8 @@
         Customer that sends a multiple of its usual load during ``surge_s``.
     burst_kind, burst_factor : str, float
         The same of a kind, during ``burst_s``.
+    is_sharing : bool
+        Whether customers have shares.
     """
 
     scaling = msgspec.structs.replace(SCALING, maximum=2)
@@ -179,10 +196,11 @@
         burst_s: tuple[float, float] = (0.0, 0.0),
         faults: Faults | None = None,
         replaces_losses: bool = False,
+        is_sharing: bool = True,
     ):
         super().__init__(seed, replaces_losses=replaces_losses)
         self._seed = seed
-        self._load = load
+        self._load, self._is_sharing = load, is_sharing
         self._surging, self._surge_factor, self._surge_s = (
             surging,
             surge_factor,
@@ -196,6 +214,8 @@
         self._cut_count = instance_count // 3
         self._round = 0
         self.outcomes: list[Outcome] = []
+        self.whole_view = FairShares()
+        self.factor_errors: list[tuple[float, float]] = []
         self._outcomes: dict[int, Outcome] = {}
         for second in self._faults.restart_s:
             self.at_s(second, self._restart_some)
@@ -204,6 +224,14 @@
         """Return what callers got whose requests arrived in a time."""
         return Report(o for o in self.outcomes if start_s <= o.arrived_s < end_s)
 
+    def mean_factor_error(self, start_s: float, end_s: float) -> float:
+        """Return the mean difference of factors from those of one that sees all.
+
+        A factor is between 0.2 and 1, and between 1 and 1.24 for a starved kind.
+        """
+        errors = [error for s, error in self.factor_errors if start_s <= s < end_s]
+        return sum(errors) / max(1, len(errors))
+
     def customer_weights(self) -> dict[str, float]:
         """Return the load that each customer sends now, of a usual total of 1."""
         weights = dict(WEIGHTS)
@@ -212,8 +240,8 @@
             weights[self._surging] *= self._surge_factor
         return weights
 
-    def _new_instance(self, number: int, zone: ZoneId) -> Instance:
-        return Instance(f"i-{number}", self._seed + number, zone)
+    def _new_instance(self, number: int, zone: ZoneId) -> SharingInstance:
+        return SharingInstance(f"i-{number}", self._seed + number, zone)
 
     def _restart_some(self) -> None:
         count = len(self._instances)
@@ -247,6 +275,36 @@
         self._outcomes[id(request)].zone = instance.zone
         return instance
 
+    def _max_wait_ms(
+        self, instance: SharingInstance, request: Request, elapsed_ms: float
+    ) -> float:
+        kind, factor = request.kind, 1.0
+        if self._is_sharing:
+            key = (SERVICE, kind.rank, CustomerId(request.customer))
+            factor = instance.shares.limit_factor(*key, round(self.now_ms))
+            true_factor = self.whole_view.limit_factor(*key, round(self.now_ms))
+            error = abs(factor - true_factor)
+            self.factor_errors.append((self.now_ms / 1000, error))
+        return self._wait_limits.max_wait_ms(
+            ROUTES[kind.name], elapsed_ms, kind.rank, factor
+        )
+
+    def _record_choice(
+        self,
+        request: Request,
+        instance: SharingInstance,
+        choice: Choice | PlacementRefusal,
+    ) -> None:
+        for shares in (instance.shares, self.whole_view):
+            shares.record(
+                SERVICE,
+                request.kind.rank,
+                CustomerId(request.customer),
+                predict_work_ms(instance.models, ENGINES, choice.prefill_tokens),
+                round(self.now_ms),
+                is_admitted=isinstance(choice, Choice),
+            )
+
     def _handle_refusal(
         self, request: Request, instance: Instance, refusal: PlacementRefusal
     ) -> None:
@@ -303,15 +361,20 @@
             sender.board.own_loads(),
             sender.models.own_sums(now_ms),
             sender.demand.own_totals(),
+            sender.shares.own_entries(now_ms),
         )
 
     def _receive(
         self, receiver: Instance, sender: Instance, digest: tuple, now_ms: int
     ) -> None:
-        loads, sums, totals = digest[:3]
+        loads, sums, totals, entries = digest
         receiver.board.update_peer(sender.name, loads)
         receiver.models.update_peer(sender.name, sums)
         receiver.demand.update(sender.name, 1, totals, now_ms)
+        receiver.shares.update_peer(sender.name, entries)
+
+
+CUT_S = (16.0, 21.0)
 
 
 def surge_day(seed: int, instance_count: int, **kwargs) -> CustomerPlay:
@@ -334,7 +397,7 @@
 
 def waves_day(seed: int, instance_count: int, **kwargs) -> CustomerPlay:
     """Play losses in three data centres, one after the other, with all else."""
-    faults = Faults(0.1, (16.0, 21.0), (14.0, 20.0))
+    faults = Faults(0.1, CUT_S, (14.0, 20.0))
     day = CustomerPlay(
         seed,
         instance_count,
@@ -382,7 +445,10 @@
                     print(f"  {value:12}{each.line()}")
             often, never = report.sessions()
             print(f"  sessions {often}, never served {never};", end=" ")
-            print(f"returns on time that found capacity {report.found_share():.3f}")
+            print(f"returns on time that found capacity {report.found_share():.3f};")
+            error = day.mean_factor_error(*OVERLOAD_S[name])
+            cut_error = day.mean_factor_error(*CUT_S)
+            print(f"  mean error of factors {error:.3f}, in {CUT_S} s {cut_error:.3f}")
 
 
 if __name__ == "__main__":
--- a/testing/placing/overloadplay.py
+++ b/testing/placing/overloadplay.py
@@ -301,6 +301,7 @@
             requirements, endpoints, set(), instance.zone, round(self.now_ms)
         )
         instance.demand.record(SERVICE, choice.prefill_tokens)
+        self._record_choice(request, instance, choice)
         if isinstance(choice, Choice):
             self._run(request, instance, choice)
         else:
@@ -315,6 +316,11 @@
         kind = request.kind
         return self._wait_limits.max_wait_ms(ROUTES[kind.name], elapsed_ms, kind.rank)
 
+    def _record_choice(
+        self, request: Request, instance: Instance, choice: Choice | PlacementRefusal
+    ) -> None:
+        """Note what became of a request at an instance."""
+
     def _handle_refusal(
         self, request: Request, instance: Instance, refusal: PlacementRefusal
     ) -> None:
--- a/testing/sharing/test_digest.py
+++ b/testing/sharing/test_digest.py
@@ -66,6 +66,7 @@
             7600,
             quarantined=((entry, 7),),
             served={"part-2": 8},
+            work={"svc": {0: {"customer-1": (30, 20, 10, 8)}}},
         )
         data = encode_message(sent)
         got = msgspec.msgpack.decode(data, type=OlderDigest)
