--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -18,6 +18,7 @@
 from ..limits.coldendpoints import ColdChange, ColdEndpoints
 from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
+from ..limits.fairshare import FairShares
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
 from ..limits.sharers import Sharers
@@ -72,6 +73,7 @@
     health: EndpointHealth
     cache_index: PromptCacheIndex
     wait_limits: WaitLimits
+    fair_shares: FairShares
     endpoint_models: EndpointModels
     demand: DemandMeter
     placer: Placer
@@ -193,6 +195,7 @@
             health=health,
             cache_index=cache_index,
             wait_limits=WaitLimits(),
+            fair_shares=FairShares(),
             endpoint_models=endpoint_models,
             demand=DemandMeter(settings.instance),
             placer=Placer(load_board, health, cache_index, endpoint_models, rng),
