--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -10,7 +10,13 @@
 from ..ids import EndpointId, InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
 from ..placing.endpointgate import Admission
-from ..placing.placer import Choice, PlacementRefusal, Requirements
+from ..placing.placer import (
+    NO_ENDPOINT_RETRY_MS,
+    Choice,
+    PlacementRefusal,
+    Requirements,
+)
+from ..placing.requestwork import predict_work_ms
 from ..platform.answerheaders import PeerOutcome
 from ..quarantine.evidence import Entry
 from ..quarantine.quarantine import RETRY_AFTER_MS
@@ -39,6 +45,10 @@
 endpoints may be older than a cut."""
 
 
+RETRY_SPREAD = 0.25
+"""Retry times while nothing may be sent are spread over this share of them, so that the
+callers don't return together, as in `placing.endpointgate`."""
+
 MIN_LOST_SHARE = 0.5
 """Share of a service's endpoints from which on lost links are the reason for a refusal.
 With fewer of them lost, the others are as busy as for any other instance."""
@@ -76,6 +86,8 @@
         self._is_demand_counted = False
         self._holds_retry = False
         self._spent_ms = 0
+        self._return_draw: float | None = None
+        self._share_factor = 1.0
 
     async def run(self) -> None:
         """Serve the request and end its exchange."""
@@ -266,8 +278,17 @@
             lost_count,
             self.configuration.version,
             self._helper_ids,
+            self._may_help,
         )
 
+    def _may_help(self, member: Member) -> bool:
+        """Return whether another instance complies with what this one knows.
+
+        One that has not read of an evacuation, or whose build knows of none, would send
+        the request to the evacuated data centre.
+        """
+        return self.parts.evacuations.zones <= member.evacuated
+
     async def _ask_one_of(self, helpers: list[Member]) -> None:
         """Let another instance serve the request and answer, unless it can't."""
         helper = choose_helper(helpers, self._rng)
@@ -302,18 +323,25 @@
         )
         self._consume_quota()
 
-    def _untried_endpoints(self) -> tuple[Endpoint, ...]:
+    def _open_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the endpoints of the service that this request may be sent to."""
         assert self.service is not None
         parts = self.parts
-        eligible = parts.rollouts.eligible_endpoints(
-            self.service.id, parts.directory.ready_endpoints(self.service.id)
+        return parts.evacuations.open_endpoints(
+            parts.directory.ready_endpoints(self.service.id)
+        )
+
+    def _untried_endpoints(self) -> tuple[Endpoint, ...]:
+        assert self.service is not None
+        eligible = self.parts.rollouts.eligible_endpoints(
+            self.service.id, self._open_endpoints()
         )
         return tuple(e for e in eligible if e.id not in self.tried_ids)
 
     def _may_try(self, entry: Entry) -> bool:
         """Return whether this request may show that an entry no longer holds."""
         assert self.service is not None
-        ready = self.parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         versions = {endpoint.version for endpoint in ready}
         self.is_trial = self.parts.quarantine.try_acquire_trial(entry, versions)
         return self.is_trial
@@ -331,25 +359,73 @@
             max_wait_ms=self._max_wait_ms(now_ms),
         )
         untried = self._untried_endpoints()
+        if not untried:
+            closed = self._refuse_closed()
+            if closed is not None:
+                return closed
         linked = self._linked_endpoints(untried)
         if untried and not linked:
             self.has_no_link = True
             return PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
         self._admission = parts.gate.admit(linked, now_ms)
+        if self._admission.cold_count:
+            parts.counters.requests_kept_off_cold.labels(self.service.id).inc()
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
-        choice = parts.placer.choose(
-            requirements,
-            self._admission.usable,
-            self.tried_ids,
-            parts.zone,
-            now_ms,
-            parts.zone_reach.unreachable_zones(now_ms),
-        )
+        choice = self._place(requirements, self._admission.usable, now_ms)
         if isinstance(choice, Choice):
-            parts.gate.record_send(choice.endpoint.id, now_ms)
+            parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
+    def _place(
+        self, requirements: Requirements, usable: tuple[Endpoint, ...], now_ms: int
+    ) -> Choice | PlacementRefusal:
+        """Choose an endpoint; data centres that take traffic back get it in steps."""
+        parts = self.parts
+        unreachable_zones = parts.zone_reach.unreachable_zones(now_ms)
+
+        def choose(candidates: tuple[Endpoint, ...]) -> Choice | PlacementRefusal:
+            return parts.placer.choose(
+                requirements,
+                candidates,
+                self.tried_ids,
+                parts.zone,
+                now_ms,
+                unreachable_zones,
+                self._admission.cold_ids,
+            )
+
+        if parts.evacuations.is_returning:
+            preferred = self._without_deferred(usable)
+            choice = choose(preferred)
+            if isinstance(choice, Choice):
+                return choice
+            # A request that others can't serve may use idle endpoints at once.
+        return choose(usable)
+
+    def _without_deferred(
+        self, endpoints: tuple[Endpoint, ...]
+    ) -> tuple[Endpoint, ...]:
+        if self._return_draw is None:
+            self._return_draw = self._rng.random()
+        evacuations, draw = self.parts.evacuations, self._return_draw
+        return tuple(e for e in endpoints if not evacuations.is_deferred(e.zone, draw))
+
+    def _refuse_closed(self) -> PlacementRefusal | None:
+        """Return the refusal of a request all of whose endpoints are evacuated."""
+        assert self.service is not None
+        parts = self.parts
+        if self._open_endpoints() or not parts.directory.ready_endpoints(
+            self.service.id
+        ):
+            return None
+        spread_ms = NO_ENDPOINT_RETRY_MS * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
+        return PlacementRefusal(
+            "all data centres with endpoints are evacuated",
+            round(spread_ms),
+            self.facts.prompt_tokens,
+        )
+
     def _linked_endpoints(
         self, endpoints: tuple[Endpoint, ...]
     ) -> tuple[Endpoint, ...]:
@@ -370,7 +446,7 @@
     def _not_run_retry_ms(self) -> int:
         """Return when a request that endpoints refused to run may return."""
         assert self.service is not None
-        ready = self.parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         now_ms = self.parts.clock.now_ms()
         if not ready or self.parts.gate.admit(ready, now_ms).usable:
             return UNAVAILABLE_RETRY_MS
@@ -383,7 +459,13 @@
         if self.send_count:
             return math.inf
         elapsed_ms = self._spent_ms + now_ms - self.exchange.request.received_ms
-        return self.parts.wait_limits.max_wait_ms(self.route, elapsed_ms, self.rank)
+        if self.customer is not None and self.service is not None:
+            self._share_factor = self.parts.fair_shares.limit_factor(
+                self.service.id, self.rank, self.customer.id, now_ms
+            )
+        return self.parts.wait_limits.max_wait_ms(
+            self.route, elapsed_ms, self.rank, self._share_factor
+        )
 
     def _count_demand(self, choice: Choice | PlacementRefusal) -> None:
         """Count the request once as work that arrived for its service."""
@@ -391,8 +473,17 @@
         if self._is_demand_counted:
             return
         self._is_demand_counted = True
-        tokens = choice.prefill_tokens
-        self.parts.demand.record(self.service.id, tokens)
+        parts, tokens = self.parts, choice.prefill_tokens
+        parts.demand.record(self.service.id, tokens)
+        if self.customer is not None:
+            parts.fair_shares.record(
+                self.service.id,
+                self.rank,
+                self.customer.id,
+                predict_work_ms(parts.endpoint_models, self.service, tokens),
+                parts.clock.now_ms(),
+                is_admitted=isinstance(choice, Choice),
+            )
 
     def _may_retry(self, result: Result) -> bool:
         assert self.route is not None and self.service is not None
@@ -446,6 +537,7 @@
                 limited=self._admission.limited_count,
                 paused=self._admission.paused_count,
                 full=self._admission.full_count,
+                cold=self._admission.cold_count,
                 heard=reachable_count,
                 members=member_count,
                 left_ms=self.remaining_ms(),
@@ -455,6 +547,7 @@
                 detail=attempt.detail,
                 status=attempt.status,
                 events=attempt.event_count,
+                longest_gap_ms=attempt.longest_gap_ms,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
@@ -465,7 +558,7 @@
         assert self.service is not None
         parts = self.parts
         now_ms = parts.clock.now_ms()
-        ready = parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         outcome = attempt.outcome
         parts.counters.peer_attempts.labels(self.service.id, result.value).inc()
         parts.log.decision(
@@ -512,6 +605,9 @@
                 took_ms=now_ms - received_ms,
                 first_ms=self.first_byte_ms,
                 retry_after_ms=self.retry_after_ms,
+                rank=self.rank,
+                spent_ms=self._spent_ms,
+                share_factor=round(self._share_factor, 2),
                 is_from_peer=self.is_from_peer,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -10,6 +10,7 @@
 from ..fleet.relay import Relay
 from ..limits.brittleness import BrittleNotice
 from ..limits.endpointrates import Notice
+from ..limits.fairshare import WorkEntry
 from ..placing.demandmeter import Totals
 from ..placing.loadboard import LoadEntry
 from ..placing.sharedsums import Sums
@@ -51,8 +52,9 @@
     rate_limits : dict
         Rate limits of endpoints that the sender heard of itself, with their age.
     era : int
-        Era of the store as known to the sender, and of the versions in ``rollouts``
-        and ``lease_row``, which are those on the wire; 0 if it knows of none.
+        Era of the store as known to the sender, and of the versions in ``rollouts``,
+        ``lease_row`` and ``evacuated``, which are those on the wire; 0 if it knows of
+        none.
     quarantined : tuple
         Entries of requests that are refused because they crash endpoints, each with the
         time since it last refused one.
@@ -63,6 +65,8 @@
         Number of endpoints of each service that the sender presumably can't reach.
     brittle : dict
         Services whose endpoints lately told an instance how many refusals they bear.
+    evacuated : dict
+        Versions of the rows that evacuate data centres, by data centre.
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
@@ -74,6 +78,8 @@
         Progress of the ordered roll-outs as known to the sender.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
+    work : dict
+        Recent work of the customers at the sender, by service and rank.
     """
 
     instance: str
@@ -100,6 +106,8 @@
     served: dict[str, int] = {}
     lost_links: dict[str, int] = {}
     brittle: dict[str, BrittleNotice] = {}
+    evacuated: dict[str, int] = {}
+    work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/duties/test_capacity.py
+++ b/testing/duties/test_capacity.py
@@ -5,10 +5,15 @@
 import random
 import unittest
 
+import msgspec
+
 from _monsoonpulley.clock import ManualClock
 from _monsoonpulley.control.leases import Hold
 from _monsoonpulley.duties.capacity import CapacityDuty
+from _monsoonpulley.duties.capacityneed import CapacityNeed
+from _monsoonpulley.duties.closedzones import ClosedZones
 from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.fleet.evacuations import Evacuations
 from _monsoonpulley.fleet.model import (
     Configuration,
     Endpoint,
@@ -16,11 +21,15 @@
     Service,
 )
 from _monsoonpulley.ids import EndpointId, InstanceId, ServiceId, VersionId, ZoneId
+from _monsoonpulley.limits.coldendpoints import ColdEndpoints
+from _monsoonpulley.limits.sharers import Sharers
 from _monsoonpulley.observability.log import Log
-from _monsoonpulley.placing.demandmeter import DemandMeter
+from _monsoonpulley.placing.demandmeter import Demand, DemandMeter
 from _monsoonpulley.placing.endpointmodels import EndpointModels
+from _monsoonpulley.placing.loadboard import LoadBoard
 from _monsoonpulley.platform.cloud import CALL_TIMEOUT_MS
 from _monsoonpulley.platform.rollouts import RolloutOrder
+from _monsoonpulley.platform.store import Row, Rows
 from _monsoonpulley.rollouts.rollouts import Phase, Rollouts
 from _monsoonpulley.wire.serverconnection import CallerLimits
 
@@ -33,6 +42,8 @@
     ),
 )
 
+RETURN_MS = 5_000
+
 
 class Holder:
     """The configuration in force."""
@@ -95,15 +106,24 @@
         self.directory = Directory()
         self.demand = DemandMeter(InstanceId("own"))
         self.rollouts = Rollouts(self.clock, log, random.Random(1))
+        self.evacuations = Evacuations(self.clock, log, RETURN_MS)
+        self.board = LoadBoard()
+        closed_zones = ClosedZones(
+            self.evacuations, self.directory, self.board, self.clock, RETURN_MS
+        )
+        sharers = Sharers(InstanceId("own"))
+        self.cold = ColdEndpoints(sharers, random.Random(1), 1.5, 5)
         self.duty = CapacityDuty(
             Holder(),
             self.directory,
             EndpointModels(),
             self.demand,
             self.rollouts,
+            self.cold,
             self.cloud,
             self.clock,
             log,
+            closed_zones.find,
         )
 
     async def test_orders_carry_the_fencing_number(self):
@@ -145,10 +165,60 @@
         await self.run_duty(1_000)
         self.assertTrue(self.cloud.orders)
 
-    async def run_duty(self, duration_ms: int) -> None:
+    def set_evacuated(self, version: int, *, is_removed: bool = False) -> None:
+        row = Row("evacuate/zone-a", None if is_removed else b"{}", version)
+        self.evacuations.apply(Rows((row,), version), False)
+
+    async def test_endpoints_of_an_evacuated_data_centre_are_replaced_at_once(self):
+        self.directory.endpoints = endpoints("v1", 2, is_reclaimable=True)
+        await self.run_duty(10_000)
+        self.cloud.orders.clear()
+        self.set_evacuated(5)
+        await self.run_duty(500)
+        ordered = {(zone, count) for _, zone, count, kind in self.cloud.orders if kind}
+        self.assertEqual(ordered, {("zone-b", 4)})
+
+    async def test_replacements_stay_until_the_returned_endpoints_bear_load(self):
+        need = CapacityNeed(4, 4, 2, "slots", Demand(9.0, 0.0, 0.0))
+        self.duty._compute_need = lambda *_: need
+        self.directory.endpoints = endpoints("v1", 2, is_reclaimable=True)
+        self.set_evacuated(5)
+        await self.run_duty(1_000)
+        self.directory.endpoints = endpoints("v1", 4, is_reclaimable=True)[2:]
+        await self.run_duty(30_000)
+        self.set_evacuated(6, is_removed=True)
+        self.cloud.orders.clear()
+        for endpoint in self.directory.endpoints[2:]:
+            self.board.record_dispatch(endpoint.id, 0)
+        await self.run_duty(60_000)
+        self.assertEqual(self.cloud.orders, [])
+        for endpoint in self.directory.endpoints[:2]:
+            self.board.record_dispatch(endpoint.id, 0)
+        await self.run_duty(10_000)
+        released = {(zone, count) for _, zone, count, kind in self.cloud.orders if kind}
+        self.assertIn(("zone-b", 2), released)
+
+    async def test_more_are_ordered_while_cold_ones_leave_too_little(self):
+        # One warm endpoint would carry 40 requests a second; a cold one gets one.
+        self.directory.endpoints = endpoints("v1", 1, is_reclaimable=True)
+        await self.run_duty(25_000, 20)
+        self.cloud.orders.clear()
+        service = msgspec.structs.replace(SERVICE, cold_start_ms=60_000, cold_per_s=1)
+        self.cold.configure(
+            Configuration(2, {}, {SERVICE.id: service}, {}, {}, False, CallerLimits())
+        )
+        await self.run_duty(1_000, 20)
+        self.assertEqual(self.cloud.orders, [])
+        for endpoint in self.directory.endpoints:
+            self.cold.record_row(endpoint, 1, True, self.clock.now_ms())
+        await self.run_duty(1_000, 20)
+        self.assertEqual([order[2:] for order in self.cloud.orders], [(2, True)])
+
+    async def run_duty(self, duration_ms: int, requests: int = 1) -> None:
         for _ in range(duration_ms // 500):
             self.clock.advance_ms(500)
-            self.demand.record(SERVICE.id, 0)
+            for _ in range(requests):
+                self.demand.record(SERVICE.id, 0)
             self.demand.refresh_own(self.clock.now_ms())
             await self.duty.step(Hold(7, lambda *_: True))
 
