Play endpoints that are cold in the soak, and check what they get

Cause: no fault of the soak had cold endpoints, so that the bound on what all instances together send them was only checked by simulation.

Change: two faults. One replaces endpoints by others that are cold for 3 s after their start, the other lets an endpoint turn cold for 7 to 9 s without a restart; their rows are rewritten each 1.2 s. A promise counts what arrives at the endpoints: in any second at most one request a second times 1.5, plus 5. One that starts cold binds disturbed instances too; one that turns cold binds those that are undisturbed, 3 s after its row.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -18,7 +18,7 @@
 from .endpoints import Behaviour
 from .link import Direction, Link
 from .records import Disturbance
-from .world import RATE_PER_S, World
+from .world import COLD_START_MS, RATE_PER_S, World
 
 Fault = Callable[[World, random.Random], Awaitable[None]]
 
@@ -28,6 +28,9 @@
 """From an endpoint's announcement that it leaves to its end: the drain timeout and a
 margin."""
 
+HEARTBEAT_S = 1.2
+"""Interval at which a cold endpoint writes its row."""
+
 ROW_EXPIRY_S = 1.5
 """Longest time until the row of a lost endpoint is removed."""
 
@@ -317,6 +320,31 @@
     time.until_ms = world.clock.now_ms()
 
 
+@fault
+async def start_endpoints_cold(world: World, rng: random.Random) -> None:
+    """Replace one or two endpoints by others that are cold after their start."""
+    started = [
+        await world.add_endpoint("app", cold_ms=COLD_START_MS)
+        for _ in range(rng.choice((1, 2)))
+    ]
+    world.remove_surplus_endpoints()
+    for _ in range(int(COLD_START_MS / 1000 / HEARTBEAT_S) + 1):
+        await asyncio.sleep(HEARTBEAT_S)
+        for endpoint in started:
+            world.write_row_again(endpoint.name)
+
+
+@fault
+async def turn_endpoint_cold(world: World, rng: random.Random) -> None:
+    """Let an endpoint turn cold without a restart, for 7 to 9 s."""
+    endpoint = world.endpoints[await _endpoint(world, rng, "app")]
+    cold_s = rng.uniform(7, 9)
+    world.turn_cold(endpoint, round(cold_s * 1000))
+    for _ in range(int(cold_s / HEARTBEAT_S) + 1):
+        await asyncio.sleep(HEARTBEAT_S)
+        world.write_row_again(endpoint.name)
+
+
 @fault
 async def silence_endpoint(world: World, rng: random.Random) -> None:
     """Hold back an endpoint's bytes for a second or so, which is no disturbance."""
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -9,7 +9,7 @@
 from .callers import BODY_CAUSE, PART_CAUSE
 from .endpoints import STREAM_EVENT_COUNT
 from .records import Call, Records, Run, Statement, StatementKind
-from .world import BOUNDS, BURST, ENDPOINTS, ROUTE_TIMEOUT_MS
+from .world import BOUNDS, BURST, COLD_PER_S, ENDPOINTS, ROUTE_TIMEOUT_MS
 
 Check = Callable[[Records], Iterable[str]]
 
@@ -53,6 +53,10 @@
 LIMIT_WINDOW_MS = 4_000
 """Any time of this length may have one and a half times a limit, and five requests."""
 
+COLD_WINDOW_MS = 1_000
+"""Any time of this length may have what a cold endpoint tolerates, times
+``cold_overage``, and ``cold_slack`` requests."""
+
 CRASHES = {PART_CAUSE: 5, BODY_CAUSE: 3}
 """Crashes under a part of prompts, and under a request, after which it is bound."""
 
@@ -472,6 +476,31 @@
                 break
 
 
+@check
+def cold_endpoints_get_few_requests(records: Records) -> Iterator[str]:
+    """Check that instances together keep to what cold endpoints tolerate.
+
+    One that starts cold is known from the row that says so, also to instances that are
+    disturbed. One that turns cold is known as late as one that drains.
+    """
+    allowed = COLD_PER_S * BOUNDS["cold_overage"] + BOUNDS["cold_slack"]
+    for time in records.cold:
+        is_start = time.kind == "start"
+        from_ms = time.from_ms + (0 if is_start else DRAIN_MS)
+        times = []
+        for call, run in _arrivals(records):
+            if run.endpoint != time.what or not from_ms <= run.arrived_ms:
+                continue
+            targets = (time.what,) + (() if is_start else ("store", call.instance))
+            if run.arrived_ms < (time.until_ms or 0) and records.is_undisturbed(
+                targets, run.arrived_ms - STABLE_MS, run.arrived_ms
+            ):
+                times.append(run.arrived_ms)
+        count = _max_in_window(times, COLD_WINDOW_MS)
+        if count > allowed:
+            yield f"{time.what} got {count} requests in 1 s, {allowed:.0f} allowed"
+
+
 def _arrivals(records: Records) -> Iterator[tuple[Call, Run]]:
     for call in records.calls.values():
         for run in call.runs:
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -141,6 +141,8 @@
     """Times in which an endpoint names a rate limit."""
     brittle: list[Disturbance] = msgspec.field(default_factory=list)
     """Times in which the endpoints of a service are brittle."""
+    cold: list[Disturbance] = msgspec.field(default_factory=list)
+    """Times in which an endpoint is cold, of the kind "start" or "turn"."""
     falls: list[Crash] = msgspec.field(default_factory=list)
     """Ends of brittle endpoints; the cause is their service."""
     drained_ms: dict[str, int] = msgspec.field(default_factory=dict)
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -255,6 +255,25 @@
         del seen.calls[calls[1].id]
         self.assertEqual(find_violations(seen), [])
 
+    def test_cold_endpoints_get_few_requests(self):
+        # 1 / s x 1.5 + 5 = 6.5
+        calls = [
+            make_call(n, runs=[make_run(arrived_ms=SENT_MS + 50 * n)]) for n in range(7)
+        ]
+        start = Disturbance("endpoint-1", "start", SENT_MS - 500, SENT_MS + 2_500)
+        turn = Disturbance("endpoint-1", "turn", SENT_MS - 500, SENT_MS + 6_500)
+        seen = make_records(*calls, cold=[start])
+        self.assert_violates("cold_endpoints_get_few_requests", seen)
+        # Instances don't know at once of one that turns cold.
+        self.assertEqual(find_violations(make_records(*calls, cold=[turn])), [])
+        turn.from_ms -= 3_000
+        seen = make_records(*calls, cold=[turn])
+        self.assert_violates("cold_endpoints_get_few_requests", seen)
+        seen.disturbances.append(Disturbance("instance-1", "pause", 0, SENT_MS))
+        self.assertEqual(find_violations(seen), [])
+        del calls[0]
+        self.assertEqual(find_violations(make_records(*calls, cold=[start])), [])
+
     def test_rate_limits_kept(self):
         told = [
             Statement(StatementKind.LIMIT, "endpoint-1", "instance-1", at_ms, 0.5)
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -17,7 +17,7 @@
 from .instances import CALLERS_PORT, READINESS_PORT, Instance
 from .link import Link
 from .platform import DutyApi
-from .records import Crash, Records, Version
+from .records import Crash, Disturbance, Records, Version
 
 ZONES = ("zone-a", "zone-b")
 ENDPOINTS = {"app": 5, "other": 2}
@@ -41,10 +41,16 @@
     "lease_duration_ms": 3_000,
     "usage_window_s": 1,
     "drain_timeout_ms": 3_000,
+    "cold_overage": 1.5,
+    "cold_slack": 5,
 }
 """The users' values, but with usage windows so short that a duty's calls show its
 holder, and with budgets that faults use up."""
 
+COLD_START_MS, COLD_PER_S = 3_000, 1.0
+"""Time for which endpoints of "app" are cold after their start, and requests a second
+that they tolerate then: fewer than a warm endpoint gets from all callers."""
+
 BRITTLE_SLOTS = 2
 """Requests that a brittle endpoint has room for, so that callers fill it."""
 
@@ -84,6 +90,7 @@
         self._addresses: dict[str, tuple[str, int]] = {}
         self._refusals_per_s: dict[str, float | None] = {}
         self._brittle_since_ms: dict[str, int] = {}
+        self._cold_until_ms: dict[str, int] = {}
         self._last_endpoint_number = 0
         self._restarts: set[asyncio.Task[None]] = set()
         self.instances: dict[str, Instance] = {}
@@ -252,9 +259,15 @@
             self.write_endpoint_row(endpoint, self._states[name])
 
     async def add_endpoint(
-        self, service: str, address: tuple[str, int] | None = None
+        self,
+        service: str,
+        address: tuple[str, int] | None = None,
+        cold_ms: int = 0,
     ) -> Endpoint:
-        """Start an endpoint, at a given address (one used before) or a new one."""
+        """Start an endpoint, at a given address (one used before) or a new one.
+
+        With ``cold_ms`` it is cold for that long.
+        """
         self._last_endpoint_number += 1
         name = f"endpoint-{self._last_endpoint_number}"
         rng = random.Random(f"{self.rng.random()}")
@@ -268,9 +281,28 @@
         self._apply_brittleness(endpoint)
         self.endpoints[name], self.endpoint_links[name] = endpoint, link
         self._addresses[name] = address
+        if cold_ms:
+            self._record_cold(endpoint, "start", cold_ms)
         self.write_endpoint_row(endpoint)
         return endpoint
 
+    def turn_cold(self, endpoint: Endpoint, cold_ms: int) -> None:
+        """Let an endpoint that runs be cold for a while."""
+        self._record_cold(endpoint, "turn", cold_ms)
+        self.write_endpoint_row(endpoint, self._states[endpoint.name])
+
+    def _record_cold(self, endpoint: Endpoint, kind: str, cold_ms: int) -> None:
+        now_ms = self.clock.now_ms()
+        until_ms = max(now_ms + cold_ms, self._cold_until_ms.get(endpoint.name, 0))
+        self._cold_until_ms[endpoint.name] = until_ms
+        time = Disturbance(endpoint.name, kind, now_ms, until_ms)
+        self.records.cold.append(time)
+
+    def write_row_again(self, name: str) -> None:
+        """Write the row of an endpoint as its heartbeat does, if it still runs."""
+        if name in self.endpoints:
+            self.write_endpoint_row(self.endpoints[name], self._states[name])
+
     def remove_surplus_endpoints(self) -> None:
         """Remove the oldest endpoints of services that have more than at the start."""
         for service, count in ENDPOINTS.items():
@@ -289,6 +321,8 @@
         )
         if endpoint.max_running is not None:
             row["slots"] = endpoint.max_running
+        cold_until_ms = self._cold_until_ms.get(endpoint.name, 0)
+        row["cold_remaining_ms"] = max(0, cold_until_ms - self.clock.now_ms())
         self._states[endpoint.name] = state
         self.store.put("servers", endpoint.name, row)
         if state == "draining":
@@ -328,7 +362,15 @@
     return {
         "version": number,
         "routes": routes,
-        "services": [{"name": name, "max_connections": 100} for name in ENDPOINTS],
+        "services": [
+            {
+                "name": name,
+                "max_connections": 100,
+                "cold_start_s": COLD_START_MS / 1000 if name == "app" else 0,
+                "cold_per_s": COLD_PER_S if name == "app" else 0,
+            }
+            for name in ENDPOINTS
+        ],
         "limits": {"idle_timeout_ms": 15_000},
         "tenants": [
             {"name": "open", "api_keys": [OPEN_KEY]},
