--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..platform.answerheaders import (
+    PROMISES_NOT_RUN,
     headers_for_caller,
     is_event_stream,
     is_sealed,
@@ -21,6 +22,7 @@
 from .eventsplitter import EventSplitter, StreamEvent, is_after
 from .requestlog import Result
 from .requeststate import RequestState
+from .stallwatch import STALL_TIMER
 
 MAX_ANSWER_BYTES = 8_388_608
 """Limit of a plain answer, which is buffered whole: a larger one would take the
@@ -123,6 +125,13 @@
     def _on_later_event(self, gap_ms: int) -> None:
         """Learn from an event after the first, ``gap_ms`` after the one before."""
 
+    def _on_progress(self) -> None:
+        """Learn from any event of a stream that carries data."""
+
+    def _is_stalled(self, watch: object, connection: ClientConnection) -> bool:
+        """Return whether a stream is to end since a check says that it has stalled."""
+        return False
+
     def _on_broken(self, event: AnswerIncomplete) -> None:
         """Learn from a connection that ended before the answer was complete."""
 
@@ -134,6 +143,11 @@
                 connection.abort()
                 self._state.may_have_run = True
                 return self._handle_disconnect()
+            if isinstance(event, TimerExpired) and event.name == STALL_TIMER:
+                if self._is_stalled(source, connection):
+                    connection.abort()
+                    return self._reject_answer("the stream has stalled")
+                continue
             if isinstance(event, TimerExpired):
                 connection.abort()
                 if self._head is None or not self._was_not_run(self._head):
@@ -256,6 +270,8 @@
                 return
             state.last_event_id = event.id
         self.event_count += 1
+        if event.has_data:
+            self._on_progress()
         if self.first_byte_ms is None:
             self._record_first_byte()
             self._on_first_event()
@@ -272,11 +288,18 @@
         self._state.exchange.start(self._head.status, headers_for_caller(self._head))
 
     def _forward_answer(self, head: AnswerHead) -> None:
+        """Forward an answer whole.
+
+        One whose status would promise that the request has not run, though its
+        endpoint doesn't say so, gets status 502 and no retry time.
+        """
         self._record_first_byte()
-        self._state.exchange.respond(
-            head.status, headers_for_caller(head), b"".join(self._body_chunks)
-        )
-        self._state.record_answer(head.status, self.detail)
+        status, headers = head.status, headers_for_caller(head)
+        if status in PROMISES_NOT_RUN:
+            status = 502
+            headers = [(n, v) for n, v in headers if n.lower() != b"retry-after"]
+        self._state.exchange.respond(status, headers, b"".join(self._body_chunks))
+        self._state.record_answer(status, self.detail)
 
     def _record_first_byte(self) -> None:
         now_ms = self._parts.clock.now_ms()
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -16,7 +16,7 @@
     HeaderList,
     Mailbox,
 )
-from .sockets import enable_keepalive, reset
+from .sockets import UnreadWatch, enable_keepalive, reset
 
 MAX_OVERHEAD_BYTES = 524_288
 """Bytes of one exchange that are no part of the answer's body: head, framing, trailers
@@ -47,12 +47,15 @@
         How long the server keeps the connection idle, by its ``Keep-Alive``.
     last_used_ms : int
         Monotonic time at which the last exchange ended or the connection opened.
+    reading_since_ms : int or None
+        Monotonic time from which answers are read; None while reading is paused.
     """
 
     def __init__(self, clock: Clock):
         self._clock = clock
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
+        self._unread_watch: UnreadWatch | None = None
         self._mailbox: Mailbox | None = None
         self._expected_id: tuple[bytes, bytes] | None = None
         self._headers: HeaderList = []
@@ -65,12 +68,14 @@
         self.is_reusable = False
         self.idle_timeout_ms: int | None = None
         self.last_used_ms = clock.now_ms()
+        self.reading_since_ms: int | None = self.last_used_ms
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and make it fail if the peer is silent."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         enable_keepalive(transport)
+        self._unread_watch = UnreadWatch(transport)
         self.is_open = True
         self.is_reusable = True
 
@@ -110,11 +115,23 @@
         """Pause reading the answer."""
         if self._transport is not None and self.is_open:
             self._transport.pause_reading()
+            self.reading_since_ms = None
 
     def resume_reading(self) -> None:
         """Resume reading the answer."""
         if self._transport is not None and self.is_open:
             self._transport.resume_reading()
+            self.reading_since_ms = self._clock.now_ms()
+
+    def pause_writing(self) -> None:
+        """Be patient with a server that doesn't read a long request."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_pause()
+
+    def resume_writing(self) -> None:
+        """Expect the usual acknowledgements again."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_resume()
 
     def abort(self) -> None:
         """Reset the connection; the mailbox gets no further events."""
