--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -106,7 +106,8 @@
             prices = {z: p for z, p in spec.zone_prices.items() if z not in closed}
             spec = msgspec.structs.replace(spec, zone_prices=prices)
         fleet = self._observe(service.id)
-        need = self._add_cold(service.id, fleet, need, now_ms)
+        open_fleet = {z: each for z, each in fleet.items() if z not in closed}
+        need = self._add_cold(service.id, open_fleet, need, now_ms)
         orders = plan.due_orders(
             spec,
             fleet,
