Explain where a request would go now

`monsoonpulley explain place` asks an ingress instance, at its metrics port, where a request would go and why: what each gate says, which endpoints it leaves out, the candidates with their predicted times, or the rejection with its retry time, as text or JSON. DryRun is a RequestRun on copies of what decisions change, so that it asks the same gates as a real request, also those that are added later; a registry has one line for each gate. It is a subcommand of `explain`, whose default still takes a subject: no id of a request is `place`. The tests compare the whole state of the instance before and after each question, and ask one over HTTP.

--- a/src/_monsoonpulley/commandline/cli.py
+++ b/src/_monsoonpulley/commandline/cli.py
@@ -27,6 +27,7 @@
     InvalidBody,
     RevisionBody,
 )
+from ..placement_wire import PlacementQuery
 from ..settings.process import Settings, read_text
 from .access import (
     FROM_ENVIRONMENT,
@@ -50,6 +51,13 @@
     status_details_text,
     status_text,
 )
+from .placement import (
+    INGRESS_FROM_ENVIRONMENT,
+    IngressAccess,
+    fetch_explanation,
+    placement_json,
+    placement_text,
+)
 
 app = App(
     name="monsoonpulley",
@@ -59,6 +67,8 @@
 app.command(config)
 rollout = App(name="rollout", help="Show how versions are rolled out or rolled back.")
 app.command(rollout)
+explain = App(name="explain", help="Show decisions, and where a request would go.")
+app.command(explain)
 
 
 @app.command
@@ -289,8 +299,8 @@
     return print_answer(access, lambda client: client.rollouts(), rollout_history_text)
 
 
-@app.command
-def explain(
+@explain.default
+def explain_subject(
     subject: str, *, json: bool = False, access: Access = FROM_ENVIRONMENT
 ) -> int:
     """Show the decisions about a subject, with their rules and inputs.
@@ -319,6 +329,80 @@
     return run_with_client(access, explain_with)
 
 
+@explain.command
+def place(
+    *,
+    host: str,
+    path: str = "/",
+    method: str = "POST",
+    customer: str = "",
+    prompt_tokens: int | None = None,
+    max_output_tokens: int | None = None,
+    prompt_prefix: str = "",
+    length_hint: int | None = None,
+    deadline_ms: int | None = None,
+    body: Path | None = None,
+    json: bool = False,
+    access: IngressAccess = INGRESS_FROM_ENVIRONMENT,
+) -> int:
+    """Show where a request would go now and why, without sending it.
+
+    The instance that is asked decides as on a real request. It charges no quota and
+    counts nothing.
+
+    Parameters
+    ----------
+    host
+        Host header of the request.
+    path
+        Its path and query.
+    method
+        Its method.
+    customer
+        Name of the customer whose key it has; without it, it has none.
+    prompt_tokens
+        Tokens of the prompt.
+    max_output_tokens
+        Largest number of tokens to generate.
+    prompt_prefix
+        Parts of the prompt, as ID:TOKENS,ID:TOKENS.
+    length_hint
+        The caller's estimate of the tokens to generate.
+    deadline_ms
+        How long the caller waits.
+    body
+        File with the body, which matters only to the quarantine.
+    json
+        Print the explanation as JSON.
+    """
+    query = PlacementQuery(
+        host=host,
+        path=path,
+        method=method,
+        customer=customer,
+        prompt_tokens=prompt_tokens,
+        max_output_tokens=max_output_tokens,
+        prompt_prefix=prompt_prefix,
+        length_hint=length_hint,
+        deadline_ms=deadline_ms,
+        body=_read_body(body),
+    )
+    explanation = asyncio.run(fetch_explanation(access.url(), query))
+    if isinstance(explanation, Failure):
+        return print_failure(explanation)
+    print(placement_json(explanation) if json else placement_text(explanation))
+    return ExitCode.OK
+
+
+def _read_body(file: Path | None) -> bytes:
+    if file is None:
+        return b""
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        raise UsageError(f"--body {file}: can't be read: {error.strerror}") from error
+
+
 def _run_to_exit_code(result: Any) -> int:
     """Return a command's exit code; run the command first if it is a coroutine."""
     if inspect.iscoroutine(result):
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -18,6 +18,7 @@
 from ..ids import InstanceId, ServiceId
 from ..limits.fairshare import REFRESH_MS
 from ..observability.log import Log
+from ..placement_wire import EXPLAIN_PLACE_PATH
 from ..platform.endpoints import decode_endpoint
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
@@ -33,6 +34,7 @@
 from ..wire.serverconnection import CallerLimits, Exchange
 from .counters import Counters
 from .parts import IngressParts
+from .placementexplainer import PlacementExplainer
 from .requestrun import RequestRun
 
 CONFIGURATION_LONG_POLL_MS = 2_000
@@ -151,6 +153,7 @@
         self.peer_server = HttpServer(self._on_peer_request, self._caller_limits, clock)
         self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
+        self._placement_explainer = PlacementExplainer(settings.instance, parts, rng)
         self._followers = self._make_followers()
         parts.evacuations.on_end = lambda zone, store_version: (
             parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
@@ -363,6 +366,9 @@
         )
 
     def _on_metrics(self, exchange: Exchange) -> None:
+        if exchange.request.target == EXPLAIN_PLACE_PATH.encode():
+            self._placement_explainer.answer(exchange)
+            return
         exchange.respond(
             200,
             [(b"Content-Type", b"text/plain; version=0.0.4")],
--- a/src/_monsoonpulley/registry.py
+++ b/src/_monsoonpulley/registry.py
@@ -52,5 +52,9 @@
         """Return the registered names, sorted."""
         return sorted(self._items)
 
+    def in_order(self) -> list[str]:
+        """Return the registered names in the order of their registration."""
+        return list(self._items)
+
     def __iter__(self) -> Iterator[str]:
         return iter(self.names())
