Send answers twice in the soak

An endpoint that sends a second copy of an answer, up to 200 ms later and on the same connection, was no fault of the soak, though callers can observe that an answer is not their own. The behaviour joins those that the fault set_endpoint_fault draws from.

--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -19,6 +19,9 @@
 EVENT_GAP_MS = 40
 """Time between two events of a stream."""
 
+MAX_COPY_DELAY_S = 0.2
+"""Longest delay of a second copy; the connection is presumably in use again by then."""
+
 MEDIAN_SERVICE_MS = 30
 """Median service time of a call that isn't a stream."""
 
@@ -40,6 +43,8 @@
     """Answers with the id of another request."""
     HANGING = "hanging"
     """Runs requests and doesn't answer."""
+    REPEATING = "repeating"
+    """Sends a second copy of an answer a while after it, on the same connection."""
 
 
 class Endpoint:
@@ -223,7 +228,10 @@
             await writer.drain()
             reset(writer.transport)
             return
-        self._write(writer, run, request_id, 200, body)
+        data = self._write(writer, run, request_id, 200, body)
+        if self.behaviour is Behaviour.REPEATING:
+            later_s = self._rng.uniform(0.001, MAX_COPY_DELAY_S)
+            asyncio.get_running_loop().call_later(later_s, writer.write, data)
         await writer.drain()
 
     def _write(
@@ -234,7 +242,8 @@
         status: int,
         body: bytes,
         missing_bytes: int = 0,
-    ) -> None:
+    ) -> bytes:
+        """Write an answer and return its bytes."""
         run.status = status
         run.seal = f"{self.name}-{self._rng.getrandbits(32):08x}"
         run.body = body if status == 200 and not missing_bytes else None
@@ -248,7 +257,9 @@
             head += f"Retry-After: {self.pause_s:.2f}\r\n"
             self._record(StatementKind.PAUSE, request_id, self.pause_s)
         head += f"Content-Length: {len(body)}\r\n\r\n"
-        writer.write(head.encode() + body[: len(body) - missing_bytes])
+        data = head.encode() + body[: len(body) - missing_bytes]
+        writer.write(data)
+        return data
 
     def _statements(self, request_id: str) -> str:
         """Return the headers in which the endpoint speaks of itself."""
