Send requests only to endpoints in allowed regions

allowed_regions of routes and customers were decoded and ignored. One gate now leaves only endpoints in the regions that both allow, for first attempts, retries and resumed streams alike; a data centre of unknown region counts as not allowed. Without an endpoint to go to, a request is refused at once with 503 and the reason. testing.placing.test_regiongate and testing.ingress.test_regions pass.

--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -75,6 +75,12 @@
             "Data centres to whose endpoints nothing is sent.",
             registry=self.registry,
         )
+        self.region_rejections = Counter(
+            "monsoonpulley_region_rejections",
+            "Requests refused as no allowed region has an endpoint, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.peer_attempts = Counter(
             "monsoonpulley_peer_attempts",
             "Requests that other instances were asked to serve, by service and result.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -29,6 +29,7 @@
 from ..placing.loadboard import LoadBoard
 from ..placing.placer import Placer
 from ..placing.promptcacheindex import PromptCacheIndex
+from ..placing.regiongate import RegionGate
 from ..placing.zonereach import ZoneReach
 from ..platform.localsettings import LocalSettings
 from ..platform.store import Row
@@ -56,6 +57,7 @@
     configuration: ConfigurationHolder
     directory: EndpointDirectory
     evacuations: Evacuations
+    region_gate: RegionGate
     members: Members
     quotas: QuotaLedger
     retry_budget: RetryBudget
@@ -142,6 +144,9 @@
             ),
             directory=directory,
             evacuations=Evacuations(clock, log, bounds.evacuation_ms),
+            region_gate=RegionGate(
+                settings.region_by_zone, settings.zone, settings.region
+            ),
             members=Members(settings.instance, clock, log),
             quotas=QuotaLedger(
                 bounds.quota_window_s,
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -35,6 +35,9 @@
     limited, paused, full : int
         Endpoints left out because of their rate limits, because they want a pause, and
         because they are brittle and have no room.
+    barred : int
+        Endpoints left out because of their region, or because their data centre is
+        evacuated.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -80,6 +83,7 @@
     detail: str = ""
     status: int = 0
     events: int = 0
+    barred: int = 0
     longest_gap_ms: int = 0
     parts: tuple[str, ...] = ()
 
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -11,11 +11,13 @@
 from ..limits.quota import QuotaRefusal
 from ..placing.endpointgate import Admission
 from ..placing.placer import (
+    MAX_RETRY_MS,
     NO_ENDPOINT_RETRY_MS,
     Choice,
     PlacementRefusal,
     Requirements,
 )
+from ..placing.regiongate import Regions, combine_regions
 from ..platform.answerheaders import PeerOutcome
 from ..quarantine.evidence import Entry
 from ..quarantine.quarantine import RETRY_AFTER_MS
@@ -270,9 +272,15 @@
         """Return whether another instance complies with what this one knows.
 
         One that has not read of an evacuation, or whose build knows of none, would send
-        the request to the evacuated data centre.
+        the request to the evacuated data centre; the same applies to allowed regions.
         """
-        return self.parts.evacuations.zones <= member.evacuated
+        if not self.parts.evacuations.zones <= member.evacuated:
+            return False
+        allowed = self._allowed_regions()
+        return allowed is None or (
+            member.applies_regions
+            and self.parts.region_gate.may_send_body(member.zone, allowed)
+        )
 
     async def _ask_one_of(self, helpers: list[Member]) -> None:
         """Let another instance serve the request and answer, unless it can't."""
@@ -311,9 +319,33 @@
     def _open_endpoints(self) -> tuple[Endpoint, ...]:
         """Return the endpoints of the service that this request may be sent to."""
         assert self.service is not None
-        parts = self.parts
-        return parts.evacuations.open_endpoints(
-            parts.directory.ready_endpoints(self.service.id)
+        return self.parts.evacuations.open_endpoints(self._regional_endpoints())
+
+    def _regional_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the endpoints of the service that are in allowed regions."""
+        assert self.service is not None
+        ready = self.parts.directory.ready_endpoints(self.service.id)
+        return self.parts.region_gate.allowed_endpoints(ready, self._allowed_regions())
+
+    def _allowed_regions(self) -> Regions | None:
+        """Return the regions that the request may reach, None for all.
+
+        What was allowed when it arrived and what is allowed now both apply, as streams
+        are resumed long after their arrival.
+        """
+        assert self.route is not None
+        route_limit = self.route.allowed_regions
+        customer_limit = self.customer.allowed_regions if self.customer else None
+        current = self.parts.configuration.current
+        if current is self.configuration or current is None:
+            return combine_regions(route_limit, customer_limit)
+        route = current.find_route(self.facts.host, self.facts.path)
+        customer = current.customers.get(self.customer.id) if self.customer else None
+        return combine_regions(
+            route_limit,
+            customer_limit,
+            route.allowed_regions if route is not None else None,
+            customer.allowed_regions if customer is not None else None,
         )
 
     def _untried_endpoints(self) -> tuple[Endpoint, ...]:
@@ -394,20 +426,51 @@
         return tuple(e for e in endpoints if not evacuations.is_deferred(e.zone, draw))
 
     def _refuse_closed(self) -> PlacementRefusal | None:
-        """Return the refusal of a request all of whose endpoints are evacuated."""
-        assert self.service is not None
-        parts = self.parts
-        if self._open_endpoints() or not parts.directory.ready_endpoints(
-            self.service.id
-        ):
+        """Return the refusal of a request that no known endpoint may get, if so."""
+        if self._open_endpoints():
+            return None
+        allowed = self._allowed_regions()
+        has_regional = bool(self._regional_endpoints())
+        if allowed is not None and not has_regional:
+            return self._refuse_region(allowed)
+        if not has_regional:
             return None
-        spread_ms = NO_ENDPOINT_RETRY_MS * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
         return PlacementRefusal(
             "all data centres with endpoints are evacuated",
-            round(spread_ms),
+            self._spread_ms(NO_ENDPOINT_RETRY_MS),
             self.facts.prompt_tokens,
         )
 
+    def _refuse_region(self, allowed: Regions) -> PlacementRefusal:
+        """Return the refusal of a request for which no allowed region has an endpoint.
+
+        If none is allowed at all, only another configuration helps: it is no work that
+        more endpoints could do, and a caller needn't come back soon.
+        """
+        assert self.service is not None
+        self.parts.counters.region_rejections.labels(self.service.id).inc()
+        if not allowed:
+            self._is_demand_counted = True
+            return PlacementRefusal(
+                "no region is allowed", self._spread_ms(MAX_RETRY_MS)
+            )
+        return PlacementRefusal(
+            f"no endpoint in an allowed region: {', '.join(sorted(allowed))}",
+            self._spread_ms(NO_ENDPOINT_RETRY_MS),
+            self.facts.prompt_tokens,
+        )
+
+    def _spread_ms(self, retry_ms: int) -> int:
+        return round(retry_ms * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD))
+
+    def _barred_count(self) -> int:
+        """Return how many endpoints are left out by region or evacuation."""
+        assert self.service is not None
+        if not self.parts.evacuations.zones and self._allowed_regions() is None:
+            return 0
+        ready = self.parts.directory.ready_endpoints(self.service.id)
+        return len(ready) - len(self._open_endpoints())
+
     def _linked_endpoints(
         self, endpoints: tuple[Endpoint, ...]
     ) -> tuple[Endpoint, ...]:
@@ -510,6 +573,7 @@
                 detail=attempt.detail,
                 status=attempt.status,
                 events=attempt.event_count,
+                barred=self._barred_count(),
                 longest_gap_ms=attempt.longest_gap_ms,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -359,6 +359,13 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.parts.endpoint_models.configure(configuration)
         self.parts.wait_limits.configure(configuration)
+        unknown_regions = self.parts.region_gate.configure(configuration)
+        if unknown_regions:
+            self.log.event(
+                "allowed_regions_unknown",
+                version=configuration.version,
+                regions=sorted(unknown_regions),
+            )
         self.counters.configuration_version.set(configuration.version)
 
     def _on_operator_rows(self, rows: Rows, is_snapshot: bool) -> None:
@@ -423,6 +430,7 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            applies_regions=parts.region_gate.is_in_use,
             evacuated=parts.evacuations.notices(self.store.era or 0),
         )
 
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -64,6 +64,9 @@
         Number of endpoints of each service that the sender presumably can't reach.
     brittle : dict
         Services whose endpoints lately told an instance how many refusals they bear.
+    applies_regions : bool
+        Whether the sender's configuration allows only some regions for some requests,
+        and it complies with that.
     evacuated : dict
         Versions of the rows that evacuate data centres, by data centre.
     leaving : dict
@@ -104,6 +107,7 @@
     lost_links: dict[str, int] = {}
     brittle: dict[str, BrittleNotice] = {}
     evacuated: dict[str, int] = {}
+    applies_regions: bool = False
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -54,6 +54,8 @@
     """Endpoints that it can't reach, by service; see `Digest`."""
     evacuated: frozenset[str] = frozenset()
     """Data centres that it knows to be evacuated."""
+    applies_regions: bool = False
+    """Whether it complies with allowed regions; see `Digest`."""
     in_progress: int = 0
     """Requests that it had sent to endpoints and that had no complete answer yet."""
     is_bundled: bool = False
@@ -136,6 +138,7 @@
         member.reaches_store = digest.reaches_store
         member.lease_token = digest.lease_token
         member.lost_links = digest.lost_links
+        member.applies_regions = digest.applies_regions
         member.evacuated = frozenset(digest.evacuated)
         member.in_progress = sum(entry[0] for entry in digest.loads.values())
         member.last_received_ms = now_ms
--- a/testing/ingress/site.py
+++ b/testing/ingress/site.py
@@ -190,6 +190,11 @@
         Where it listens, and receives messages of other instances; 0 is any port.
     store : RowStoreStandin or None
         A store that it shares with others and that listens already.
+
+    Attributes
+    ----------
+    region_by_zone : dict
+        Region of each data centre, read at the start.
     """
 
     def __init__(
@@ -204,6 +209,7 @@
         self._zone = f"zone-{'abcdef'[number - 1]}"
         self._ip = ip
         self._peer_port = peer_port
+        self.region_by_zone: dict[str, str] = {}
         self._shares_store = store is not None
         self.store = store or RowStoreStandin(self.clock)
         self.log_lines: list[dict] = []
@@ -240,6 +246,8 @@
             duties=(),
             bounds=Bounds(**bounds),
             is_first_start=True,
+            region=self.region_by_zone.get(self._zone, ""),
+            region_by_zone=self.region_by_zone,
         )
         log = Log(
             self.clock,
