Play allowed regions in the soak

No request of the soak had allowed regions. One kind of request may now reach the region of one of the two data centres only, and the check regions_kept allows no exception, also not on disturbed instances.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -20,7 +20,7 @@
 CALLER_TIMEOUT_S = 4.0
 """Time until a caller disconnects; longer than its deadline and the route's timeout."""
 
-KINDS = {"app": 5, "order": 5, "stream": 2, "other": 2, "feature": 2}
+KINDS = {"app": 5, "order": 5, "stream": 2, "other": 2, "feature": 2, "local": 2}
 """Kinds of requests and their relative frequency."""
 
 LIMITED_SHARE = 0.3
--- a/testing/soak/instances.py
+++ b/testing/soak/instances.py
@@ -36,8 +36,8 @@
         For its settings file and log.
     addresses : dict
         Addresses under which the instance reaches ``store`` and ``cloud``.
-    bounds : dict
-        Values for the section ``bounds`` of its settings.
+    bounds, regions : dict
+        Values for the sections ``bounds`` and ``zones`` of its settings.
     records, clock : Records, Clock
         Record of unexpected exits, and the clock for start times.
     """
@@ -50,6 +50,7 @@
         folder: Path,
         addresses: dict[str, str],
         bounds: dict[str, float],
+        regions: dict[str, str],
         records: Records,
         clock: Clock,
     ):
@@ -57,6 +58,7 @@
         self.zone = zone
         self.ip = ip
         self.bounds = dict(bounds)
+        self._regions = regions
         self.incarnation = 0
         self.is_stopping = False
         self._settings = folder / f"{name}.toml"
@@ -90,16 +92,18 @@
     def write_settings(self) -> None:
         """Write the settings file."""
         bounds = "".join(f"{name} = {value}\n" for name, value in self.bounds.items())
+        zones = "".join(f'"{z}" = "{region}"\n' for z, region in self._regions.items())
         self._settings.write_text(
             f'node_name = "{self.name}"\nzone = "{self.zone}"\n'
             f'ip_address = "{self.ip}"\n'
             f"internal_port_range = [{FIRST_PEER_PORT}, {FIRST_PEER_PORT + PEER_PORTS}]"
+            f'\nregion = "{self._regions[self.zone]}"'
             f"\nfirst_start = {str(self._is_first_start).lower()}\n"
             f'[listen]\nfrontend = "{self.ip}:{CALLERS_PORT}"\n'
             f'ready = "{self.ip}:{READINESS_PORT}"\n'
             f'[platform]\naddress = "{self._addresses["store"]}"\n'
             f'[cloud]\naddress = "{self._addresses["cloud"]}"\nduties = ["usage"]\n'
-            f"[bounds]\n{bounds}"
+            f"[bounds]\n{bounds}[zones]\n{zones}"
         )
 
     def signal(self, number: signal.Signals) -> None:
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -9,7 +9,7 @@
 from .callers import BODY_CAUSE, PART_CAUSE
 from .endpoints import STREAM_EVENT_COUNT
 from .records import Call, Records, Run, Statement, StatementKind
-from .world import BOUNDS, BURST, ENDPOINTS, ROUTE_TIMEOUT_MS, zone_of
+from .world import BOUNDS, BURST, ENDPOINTS, LOCAL_ZONE, ROUTE_TIMEOUT_MS, zone_of
 
 Check = Callable[[Records], Iterable[str]]
 
@@ -442,6 +442,14 @@
                 )
 
 
+@check
+def regions_kept(records: Records) -> Iterator[str]:
+    """Check that requests reach no endpoint outside their allowed region, ever."""
+    for call, run in _arrivals(records):
+        if call.kind == "local" and zone_of(run.endpoint) != LOCAL_ZONE:
+            yield f"{call.id} reached {run.endpoint} outside its region"
+
+
 @check
 def pauses_kept(records: Records) -> Iterator[str]:
     """Check that an endpoint gets no more than a few requests in a pause."""
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -17,7 +17,7 @@
     StatementKind,
     Version,
 )
-from .world import zone_of
+from .world import LOCAL_ZONE, zone_of
 
 SENT_MS = 100_000
 
@@ -162,6 +162,15 @@
         time.until_ms = arrived_ms
         self.assertEqual(find_violations(seen), [])
 
+    def test_regions_kept(self):
+        for number in range(1, 9):
+            run = make_run(endpoint=f"endpoint-{number}")
+            seen = make_records(make_call(kind="local", runs=[run]))
+            if zone_of(run.endpoint) == LOCAL_ZONE:
+                self.assertEqual(find_violations(seen), [])
+            else:
+                self.assert_violates("regions_kept", seen)
+
     def test_no_return_to_older_configuration(self):
         shown = make_call(feature=2)
         later = unsuccessful_call(
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -20,6 +20,10 @@
 from .records import Crash, Disturbance, Records, Version
 
 ZONES = ("zone-a", "zone-b")
+REGIONS = {"zone-a": "region-a", "zone-b": "region-b"}
+LOCAL_ZONE = "zone-a"
+"""The only data centre in the region that requests of the kind "local" may reach."""
+
 ENDPOINTS = {"app": 5, "other": 2}
 ENDPOINT_PORT = 9_000
 ROUTE_TIMEOUT_MS = 2_500
@@ -124,6 +128,7 @@
                     "cloud": f"{cloud_ip}:{CALLERS_PORT}",
                 },
                 BOUNDS,
+                REGIONS,
                 self.records,
                 self.clock,
             )
@@ -339,6 +344,7 @@
 def configuration_document(number: int, rate_per_s: float) -> dict:
     """Return a configuration; it has one route more than the one before it."""
     kinds = {"app": "safe", "order": "unsafe", "stream": "streaming", "other": "safe"}
+    kinds["local"] = "safe"
     kinds |= {f"feature-{feature}": "safe" for feature in range(1, number + 1)}
     routes = [
         {
@@ -354,6 +360,7 @@
             "max_attempts": 3,
             "allow_anonymous": False,
             "resume_streams": kind == "streaming",
+            "allowed_regions": [REGIONS[LOCAL_ZONE]] if name == "local" else [],
         }
         for name, kind in kinds.items()
     ]
