--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -7,7 +7,7 @@
 import random
 
 from ..fleet.model import Configuration, Endpoint, Route
-from ..ids import InstanceId, ServiceId
+from ..ids import EndpointId, InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
 from ..placing.endpointgate import Admission
 from ..placing.placer import (
@@ -85,6 +85,7 @@
         self._admission = Admission(())
         self._helper_ids: set[InstanceId] = set()
         self._is_demand_counted = False
+        self._holds_retry = False
         self._spent_ms = 0
         self._return_draw: float | None = None
 
@@ -115,6 +116,18 @@
         self.deadline_ms = min(self.deadline_ms, self.parts.clock.now_ms())
         self.exchange.mailbox.put(self, TimerExpired("stop"))
 
+    def try_move_stream(self, endpoint: EndpointId) -> bool:
+        """Take a retry for the rest of a stream, if another endpoint would get it."""
+        self.tried_ids.add(endpoint)
+        admission = self._admission
+        choice = self._choose()
+        self._admission = admission
+        if isinstance(choice, PlacementRefusal):
+            return False
+        self.parts.gate.refund(choice.endpoint.id, self.parts.clock.now_ms())
+        self._holds_retry = self._may_retry(Result.INVALID)
+        return self._holds_retry
+
     def _admit(self) -> bool:
         configuration = self.configuration
         if configuration is None:
@@ -385,11 +398,13 @@
             self.has_no_link = True
             return PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
         self._admission = parts.gate.admit(linked, now_ms)
+        if self._admission.cold_count:
+            parts.counters.requests_kept_off_cold.labels(self.service.id).inc()
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
         choice = self._place(requirements, self._admission.usable, now_ms)
         if isinstance(choice, Choice):
-            parts.gate.record_send(choice.endpoint.id, now_ms)
+            parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
     def _place(
@@ -407,6 +422,7 @@
                 parts.zone,
                 now_ms,
                 unreachable_zones,
+                self._admission.cold_ids,
             )
 
         if parts.evacuations.is_returning:
@@ -517,6 +533,9 @@
 
     def _may_retry(self, result: Result) -> bool:
         assert self.route is not None and self.service is not None
+        if self._holds_retry:
+            self._holds_retry = False
+            return True
         if self.send_count >= self.route.max_attempts:
             return False
         if result is not Result.NOT_RUN and not self.route.is_idempotent:
@@ -564,6 +583,7 @@
                 limited=self._admission.limited_count,
                 paused=self._admission.paused_count,
                 full=self._admission.full_count,
+                cold=self._admission.cold_count,
                 heard=reachable_count,
                 members=member_count,
                 left_ms=self.remaining_ms(),
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -126,6 +126,7 @@
             on_configuration=self._on_configuration,
             on_operator_row=self._on_operator_row,
             on_endpoint_removed=self._on_endpoint_removed,
+            on_endpoints_stale=lambda: self._followers[ENDPOINT_TABLE].read_soon(),
             send_quarantine_news=lambda news: self.digest_exchange.broadcast_quarantine(
                 news
             ),
@@ -150,6 +151,9 @@
         self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
         self._followers = self._make_followers()
+        parts.evacuations.on_end = lambda zone, store_version: (
+            parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
+        )
         self._last_tick_ms = clock.now_ms()
         self._control = Control(
             settings,
@@ -215,14 +219,25 @@
                 pause_ms=round(ENDPOINTS_POLL_SHARE * drain_ms),
                 max_silence_ms=round(ENDPOINTS_MAX_SILENCE_SHARE * drain_ms),
                 carries_rows=True,
-                content_of=lambda row: decode_endpoint(row.key, row.value or b""),
+                content_of=self._content_of_endpoint_row,
                 is_reader=is_reader,
                 send=self.digest_exchange.broadcast_relays,
                 next_recovery=self.store.next_recovery,
                 on_recovered=parts.directory.on_store_recovered,
+                on_read=parts.cold.record_read,
             ),
         }
 
+    def _content_of_endpoint_row(self, row: Row) -> object:
+        """Return what other instances have to know of an endpoint's row."""
+        endpoint = decode_endpoint(row.key, row.value or b"")
+        now_ms = self.clock.now_ms()
+        if isinstance(endpoint, Endpoint) and self.parts.cold.awaits_rows(
+            endpoint.zone, now_ms
+        ):
+            return endpoint, row.row_version
+        return endpoint
+
     def supervised_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
         """Return the names and coroutine functions of the tasks to supervise."""
         follower_tasks = [
@@ -321,6 +336,7 @@
         self.parts.quotas.set_tolerance(
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
         )
+        self.parts.cold.set_tolerance(bounds.cold_overage, bounds.cold_slack)
 
     def _on_request(self, exchange: Exchange) -> None:
         self._start_run(RequestRun(exchange, self.parts, self._rng))
@@ -366,6 +382,7 @@
                 version=configuration.version,
                 regions=sorted(unknown_regions),
             )
+        self.parts.cold.configure(configuration)
         self.counters.configuration_version.set(configuration.version)
 
     def _on_operator_rows(self, rows: Rows, is_snapshot: bool) -> None:
@@ -549,8 +566,12 @@
         parts.retry_budget.set_member_count(member_count)
         # Unreachable instances may still send requests.
         known_ids = [member.instance for member in parts.members.all()]
-        parts.rate_limits.set_instances(known_ids, now_ms)
-        parts.brittle.set_instances(known_ids)
+        parts.sharers.set_instances(known_ids)
+        parts.sharers.record_contact(
+            len(parts.members.reachable_ids), self._registration.is_registered, now_ms
+        )
+        cold_count = parts.cold.update(parts.directory.all(), now_ms)
+        self.counters.cold_endpoints.set(cold_count)
         self.counters.limited_endpoints.set(parts.rate_limits.limited_count())
         parts.quarantine.set_reachable(parts.members.reachable_ids)
         parts.quarantine.tick()
