--- a/src/_monsoonpulley/platform/store.py
+++ b/src/_monsoonpulley/platform/store.py
@@ -170,8 +170,13 @@
     async def read_table(
         self, table: str, key_prefix: str = "", timeout_ms: int = CALL_TIMEOUT_MS
     ) -> Rows | Failure:
-        """Return the rows of a table's unnamed part whose keys have a prefix."""
+        """Return the rows of a table's unnamed part whose keys have a prefix.
+
+        The version is that of the first answer: what changes between two answers may be
+        missing in the rows, and has to be among the changes since that version.
+        """
         rows: list[Row] = []
+        version: int | None = None
         start_key = key_prefix
         while True:
             query = {"table": table, "part": "", "limit": MAX_ROWS_PER_ANSWER}
@@ -185,8 +190,9 @@
             if rows and era_of(rows[0].row_version) != answer.era:
                 return self._lost_history("get")
             rows += answer.decode_rows()
+            version = answer.version if version is None else version
             if not answer.has_more or not answer.rows:
-                return Rows(tuple(rows), answer.version)
+                return Rows(tuple(rows), version)
             # The smallest key after the last one.
             start_key = answer.rows[-1].key + "\0"
 
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -33,6 +33,22 @@
         self.assertEqual(len(rows.rows), 1_203)
         self.assertEqual(len({row.key for row in rows.rows}), 1_203)
 
+    async def test_a_change_while_a_large_table_is_read_is_in_the_changes_since(self):
+        for number in range(600):
+            self.rows.put("t", f"k{number:05d}", b"v")
+        get = self.rows._get
+
+        def get_and_change(query):
+            answer = get(query)
+            if "from" not in query:
+                self.rows.put("t", "a", b"v")  # Before the part that is read next.
+            return answer
+
+        self.rows._get = get_and_change
+        rows = await self.store.read_table("t")
+        changes = await self.store.read_changes("t", rows.store_version, 0)
+        self.assertEqual([row.key for row in changes.rows], ["a"])
+
     async def test_changes_and_removals_since_a_version_are_read(self):
         version = self.rows.put("t", "a", b"1")
         self.rows.put("t", "b", b"2")
