--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -36,6 +36,9 @@
         Endpoints left out because of their rate limits, because they want a pause,
         because they are brittle and have no room, and because they are cold and bear
         no more requests.
+    barred : int
+        Endpoints left out because of their region, or because their data centre is
+        evacuated.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -81,6 +84,7 @@
     detail: str = ""
     status: int = 0
     events: int = 0
+    barred: int = 0
     longest_gap_ms: int = 0
     parts: tuple[str, ...] = ()
     cold: int = 0
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -377,6 +377,13 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.parts.endpoint_models.configure(configuration)
         self.parts.wait_limits.configure(configuration)
+        unknown_regions = self.parts.region_gate.configure(configuration)
+        if unknown_regions:
+            self.log.event(
+                "allowed_regions_unknown",
+                version=configuration.version,
+                regions=sorted(unknown_regions),
+            )
         self.parts.cold.configure(configuration)
         self.counters.configuration_version.set(configuration.version)
 
@@ -442,6 +449,7 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            applies_regions=parts.region_gate.is_in_use,
             evacuated=parts.evacuations.notices(self.store.era or 0),
             work=(
                 parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -65,6 +65,9 @@
         Number of endpoints of each service that the sender presumably can't reach.
     brittle : dict
         Services whose endpoints lately told an instance how many refusals they bear.
+    applies_regions : bool
+        Whether the sender's configuration allows only some regions for some requests,
+        and it complies with that.
     evacuated : dict
         Versions of the rows that evacuate data centres, by data centre.
     leaving : dict
@@ -108,6 +111,7 @@
     brittle: dict[str, BrittleNotice] = {}
     evacuated: dict[str, int] = {}
     work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
+    applies_regions: bool = False
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
