--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -231,11 +231,14 @@
                 self._refuse(choice)
                 return
             attempt = Attempt(self, choice)
-            result = await attempt.run()
+            try:
+                result = await attempt.run()
+            finally:
+                if not attempt.was_sent:
+                    now_ms = self.parts.clock.now_ms()
+                    self.parts.gate.refund(choice.endpoint.id, now_ms)
             self._log_attempt(attempt, result)
             self.tried_ids.add(choice.endpoint.id)
-            if not attempt.was_sent:
-                self.parts.gate.refund(choice.endpoint.id, self.parts.clock.now_ms())
             if self.exchange.is_over:
                 return
             if result is Result.UNREACHABLE:
@@ -368,6 +371,8 @@
         self._admission = parts.gate.admit(linked, now_ms)
         if self._admission.cold_count:
             parts.counters.requests_kept_off_cold.labels(self.service.id).inc()
+            if not self._admission.usable:
+                self._admit_old_version(linked, now_ms)
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
         choice = self._place(requirements, self._admission.usable, now_ms)
@@ -375,6 +380,18 @@
             parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
+    def _admit_old_version(self, drawn: tuple[Endpoint, ...], now_ms: int) -> None:
+        """Let the old version serve what cold endpoints of a new one can't take."""
+        assert self.service is not None
+        parts = self.parts
+        old = parts.rollouts.old_endpoints(self.service.id, self._open_endpoints())
+        untried = tuple(e for e in old if e not in drawn and e.id not in self.tried_ids)
+        if not untried:
+            return
+        admission = parts.gate.admit(self._linked_endpoints(untried), now_ms)
+        if admission.usable:
+            self._admission = admission
+
     def _place(
         self, requirements: Requirements, usable: tuple[Endpoint, ...], now_ms: int
     ) -> Choice | PlacementRefusal:
--- a/src/_monsoonpulley/limits/coldendpoints.py
+++ b/src/_monsoonpulley/limits/coldendpoints.py
@@ -161,6 +161,9 @@
         self._places_ms: dict[ServiceId, float] = {}
         self._last_ms: int | None = None
         self._stalled_ms: int | None = None
+        # From then on all endpoints are warm, unless something else is heard; mostly it
+        # is past, so that requests cost no look at each endpoint.
+        self._all_warm_ms = 0
 
     def configure(self, configuration: Configuration) -> None:
         """Apply what a configuration says of cold endpoints."""
@@ -210,6 +213,9 @@
             state.started_ms = None
             if endpoint.cold_for_ms and not (is_new or has_started or was_cold):
                 state.paused_until_ms = now_ms + LATE_ROW_PAUSE_MS
+        self._extend(state.said_until_ms)
+        if state.started_ms is not None:
+            self._extend(state.started_ms + self._longest_start_ms())
         self._report(endpoint, state, now_ms)
 
     def presume_zone_cold(self, zone: ZoneId, store_version: int, now_ms: int) -> None:
@@ -230,6 +236,7 @@
             service later.
         """
         self._zones[zone] = (store_version, now_ms)
+        self._extend(now_ms + self._longest_start_ms())
 
     def awaits_rows(self, zone: ZoneId, now_ms: int) -> bool:
         """Return whether newer rows may end the presumption for a data centre.
@@ -239,8 +246,7 @@
         presumption = self._zones.get(zone)
         if presumption is None:
             return False
-        longest_ms = max((b.start_ms for b in self._bounds.values()), default=0)
-        return now_ms < presumption[1] + longest_ms
+        return now_ms < presumption[1] + self._longest_start_ms()
 
     def record_time(self, now_ms: int) -> None:
         """Find out whether the process stood still since the last call.
@@ -252,6 +258,7 @@
         last_ms, self._last_ms = self._last_ms, now_ms
         if self._bounds and last_ms is not None and now_ms - last_ms >= STALL_MS:
             self._stalled_ms = now_ms
+            self._extend(now_ms + self._longest_start_ms())
             self._on_stall(now_ms - last_ms)
 
     def record_read(self, from_ms: int) -> None:
@@ -268,7 +275,7 @@
         self, endpoints: Iterable[Endpoint], now_ms: int
     ) -> frozenset[EndpointId]:
         """Return the ids of those endpoints that count as cold."""
-        if not self._bounds:
+        if not self._bounds or now_ms >= self._all_warm_ms:
             return frozenset()
         return frozenset(e.id for e in endpoints if self.is_cold(e, now_ms))
 
@@ -279,6 +286,8 @@
         if not self._bounds:
             return endpoints
         self.record_time(now_ms)
+        if now_ms >= self._all_warm_ms:
+            return endpoints
         return tuple(e for e in endpoints if self.wait_ms(e, now_ms) == 0)
 
     def wait_ms(self, endpoint: Endpoint, now_ms: int) -> float:
@@ -360,6 +369,11 @@
         self.record_time(now_ms)
         if not self._bounds:
             return 0
+        self._zones = {
+            zone: presumption
+            for zone, presumption in self._zones.items()
+            if self.awaits_rows(zone, now_ms)
+        }
         cold_count = 0
         for endpoint in endpoints:
             state = self._states.get(endpoint.id)
@@ -378,6 +392,20 @@
             for service in self._services.values()
             if service.cold_start_ms > 0 and service.cold_per_s > 0
         }
+        # What was heard before may count now.
+        start_ms = self._longest_start_ms()
+        for state in self._states.values():
+            self._extend(state.said_until_ms)
+            if state.started_ms is not None:
+                self._extend(state.started_ms + start_ms)
+        for _, from_ms in self._zones.values():
+            self._extend(from_ms + start_ms)
+
+    def _longest_start_ms(self) -> int:
+        return max((bound.start_ms for bound in self._bounds.values()), default=0)
+
+    def _extend(self, until_ms: int) -> None:
+        self._all_warm_ms = max(self._all_warm_ms, until_ms)
 
     def _compute_bound(self, service: Service) -> _Bound:
         per_s = service.cold_per_s
--- a/src/_monsoonpulley/rollouts/rollouts.py
+++ b/src/_monsoonpulley/rollouts/rollouts.py
@@ -197,6 +197,15 @@
             return new
         return old
 
+    def old_endpoints(
+        self, service: ServiceId, endpoints: tuple[Endpoint, ...]
+    ) -> tuple[Endpoint, ...]:
+        """Return the endpoints of the version that a roll-out in progress replaces."""
+        if not self.is_in_progress(service):
+            return ()
+        version = self._rollouts[service].order.version
+        return tuple(e for e in endpoints if e.version != version)
+
     def is_in_progress(self, service: ServiceId) -> bool:
         """Return whether a service's traffic is being moved to a new version."""
         rollout = self._rollouts.get(service)
--- a/testing/ingress/test_coldendpoints.py
+++ b/testing/ingress/test_coldendpoints.py
@@ -6,7 +6,9 @@
 import time
 import unittest
 
-from _monsoonpulley.ids import EndpointId, ServiceId
+from _monsoonpulley.ids import EndpointId, ServiceId, VersionId
+from _monsoonpulley.platform.rollouts import RolloutOrder
+from _monsoonpulley.rollouts.rollouts import Phase
 
 from .site import Answer, Site, configuration, endpoint_row
 
@@ -83,6 +85,17 @@
         self.assertEqual({each.status for each in answers}, {200})
         self.assertGreater(len(warm.calls), len(self.arrived_s))
 
+    async def test_the_old_version_serves_what_a_cold_new_one_can_not(self):
+        await self.site.add_endpoint(answer, version="v0")
+        await self.start(cold_remaining_ms=30_000)
+        rollouts = self.site.service.parts.rollouts
+        order = RolloutOrder(ServiceId("svc"), VersionId("v1"), 60_000, 1)
+        rollouts.set_order(order)
+        rollouts.advance(order, Phase.FULL, "")
+        answers = await self.send_many(40)
+        self.assertEqual({each.status for each in answers}, {200})
+        self.assertGreater(len(self.arrived_s), 0)
+
     async def test_an_endpoint_that_starts_is_presumed_cold_if_its_row_is_silent(self):
         await self.start()
         self.assertEqual(self.site.log_events("endpoint_cold"), [])
--- a/testing/limits/test_coldendpoints.py
+++ b/testing/limits/test_coldendpoints.py
@@ -290,6 +290,13 @@
         self.assertFalse(self.is_cold(1_000 + COLD_MS))
         self.assertFalse(self.cold.awaits_rows(E.zone, 1_000 + COLD_MS))
 
+    def test_rows_that_were_read_before_the_configuration_count(self):
+        self.cold.configure(configuration(0))
+        self.cold.record_row(row(2_000), 7, False, 0)
+        self.cold.configure(configuration())
+        self.assertEqual(self.cold.cold_ids((E,), 500), {E.id})
+        self.assertEqual(self.cold.usable_endpoints((E,), 500), ())
+
     def test_services_without_a_rate_have_no_cold_endpoints(self):
         self.cold.configure(configuration(0))
         self.cold.record_row(row(2_000), 7, True, 0)
