Leave the seal off an endpoint's failure that gets another status

A failure whose status would promise that the request has not run is passed on as 502, and kept the endpoint's seal, which is for the status that the endpoint gave; callers may take no other one with it.

Change: the seal goes with the retry time. Measured: the test of such failures checks it and fails without the change; the tests of lost answers, regions, the soak's checks, capacity and digests pass.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -8,6 +8,7 @@
     is_event_stream,
     is_sealed,
     is_success,
+    without_status_headers,
 )
 from ..wire.clientconnection import ClientConnection
 from ..wire.events import (
@@ -291,13 +292,14 @@
         """Forward an answer whole.
 
         One whose status would promise that the request has not run, though its
-        endpoint doesn't say so, gets status 502 and no retry time.
+        endpoint doesn't say so, gets status 502, and neither a retry time nor the
+        endpoint's seal, which is for its own status.
         """
         self._record_first_byte()
         status, headers = head.status, headers_for_caller(head)
         if status in PROMISES_NOT_RUN:
             status = 502
-            headers = [(n, v) for n, v in headers if n.lower() != b"retry-after"]
+            headers = without_status_headers(headers)
         self._state.exchange.respond(status, headers, b"".join(self._body_chunks))
         self._state.record_answer(status, self.detail)
 
--- a/src/_monsoonpulley/platform/answerheaders.py
+++ b/src/_monsoonpulley/platform/answerheaders.py
@@ -205,6 +205,15 @@
     return [(n, v) for n, v in head.headers if n.lower() not in _CONNECTION_HEADERS]
 
 
+def without_status_headers(headers: HeaderList) -> HeaderList:
+    """Return the headers of an endpoint's failure that gets another status here.
+
+    Its seal is for its own status, and its retry time for a request that has not run.
+    """
+    dropped = (_SEAL, b"retry-after")
+    return [(n, v) for n, v in headers if n.lower() not in dropped]
+
+
 def local_answer_headers(
     request_id: bytes,
     retry_after_ms: int | None = None,
--- a/testing/ingress/test_lost_answers.py
+++ b/testing/ingress/test_lost_answers.py
@@ -29,6 +29,8 @@
                 got = await self.site.send_request(f"q{self.status}")
                 self.assertEqual((got.status, got.body), (502, b"why"))
                 self.assertNotIn("retry-after", got.headers)
+                # A seal is for the status that the endpoint gave.
+                self.assertNotIn("monsoonpulley-response-seal", got.headers)
                 self.assertEqual(len(endpoint.calls), 1)
 
     async def test_a_refusal_after_an_attempt_that_may_have_run_says_so(self):
