Learn the speed of each endpoint, and place requests by it

Cause: one model serves all engines of a service. Engines of speeds 0.6, 1 and 1.6 got the same share of the prompts, so that slow ones were late and paused their streams.

Change: samples of the time for 1,000 prompt tokens, of the time between events and of plain answers are kept per endpoint (32 over 16 s) and shared in digests. A low quantile of them is the speed; it is shrunk to the mean of the service by its error, and counts only while the endpoints vary beyond chance and by more than 15 in 100. Where they do, the placer predicts for the endpoint, weighs the delay of later requests by the mean speed and that of running streams, and chooses at random between nearly equal costs, as digests are old. Everywhere else placement is as before.

--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -4,7 +4,9 @@
 
 from ..control.verdict import Result as VersionResult
 from ..errors import Failure, Reason
+from ..placing.endpointspeeds import MAX_GAPS
 from ..placing.placer import Choice
+from ..placing.servicemodel import load_factor
 from ..platform.answerheaders import (
     REFUSED_STATUS,
     is_from_endpoint,
@@ -71,6 +73,7 @@
         self._wants_pause = False
         self._is_proven = False
         self._first_event_ms: int | None = None
+        self._gaps_ms: list[int] = []
 
     async def run(self) -> Result:
         """Send the request once and return how the attempt ended."""
@@ -198,6 +201,8 @@
         self._record_first_event()
 
     def _on_later_event(self, gap_ms: int) -> None:
+        if len(self._gaps_ms) < MAX_GAPS:
+            self._gaps_ms.append(gap_ms)
         now_ms = self._parts.clock.now_ms()
         self._parts.links.record_contact(now_ms)
         if self._is_proven:
@@ -253,14 +258,16 @@
         )
 
     def _record_first_event(self) -> None:
-        """Tell the engines' model how long this one took."""
+        """Tell the models how long the engine took."""
         assert self.first_byte_ms is not None
-        choice = self.choice
-        self._first_event_ms = self.first_byte_ms
-        self._parts.endpoint_models.engine(self._endpoint.service).record_first_event(
-            choice.backlog_tokens + choice.prefill_tokens,
-            self.first_byte_ms,
-            self._parts.clock.now_ms(),
+        choice, models = self.choice, self._parts.endpoint_models
+        self._first_event_ms = took_ms = self.first_byte_ms
+        ahead_tokens = choice.backlog_tokens + choice.prefill_tokens
+        now_ms = self._parts.clock.now_ms()
+        engine = models.engine(self._endpoint.service)
+        engine.record_first_event(ahead_tokens, took_ms, now_ms)
+        models.speeds.record_first_event(
+            self._endpoint.id, ahead_tokens, took_ms, now_ms
         )
 
     def _record_no_event(self, now_ms: int) -> None:
@@ -283,9 +290,23 @@
                 self._held_tokens,
                 now_ms,
             )
+            load = self._parts.load_board.load(self._endpoint.id)
+            models.speeds.record_stream(
+                self._endpoint.id,
+                (choice.running_count + load.running_count) // 2,
+                self._gaps_ms,
+                now_ms,
+            )
         elif not self._state.is_stream:
+            slots = self._endpoint.slots
             models.plain(service).record_answer(
-                choice.running_count, self._endpoint.slots, self.elapsed_ms, now_ms
+                choice.running_count, slots, self.elapsed_ms, now_ms
+            )
+            models.speeds.record_answer(
+                self._endpoint.id,
+                load_factor(choice.running_count, slots),
+                self.elapsed_ms,
+                now_ms,
             )
 
     def _record_start(self, wall_ms: int) -> None:
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -29,8 +29,8 @@
 
     Attributes
     ----------
-    predicted_ms, running, unread_tokens, backlog_tokens, held_tokens, runner_up, \
-candidates
+    predicted_ms, speed_factor, running, unread_tokens, backlog_tokens, \
+held_tokens, runner_up, candidates
         See `Choice`; ``unread_tokens`` are its ``prefill_tokens``.
     limited, paused, full : int
         Endpoints left out because of their rate limits, because they want a pause, and
@@ -81,6 +81,7 @@
     status: int = 0
     events: int = 0
     longest_gap_ms: int = 0
+    speed_factor: float = 1.0
     parts: tuple[str, ...] = ()
 
 
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -435,6 +435,7 @@
                 status=attempt.status,
                 events=attempt.event_count,
                 longest_gap_ms=attempt.longest_gap_ms,
+                speed_factor=choice.speed_factor,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -354,6 +354,7 @@
         self.parts.upstreams.remove(endpoint)
         self.parts.cache_index.remove_endpoint(endpoint.id)
         self.parts.health.remove(endpoint.id)
+        self.parts.endpoint_models.speeds.remove(endpoint.id)
         self.parts.links.remove(endpoint.id)
 
     def _build_digest(self, is_full: bool, to_all: bool) -> Digest:
@@ -392,6 +393,7 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -414,6 +416,7 @@
         parts.load_board.update_peer(peer, digest.loads)
         parts.demand.update(peer, digest.incarnation, digest.demand, now_ms)
         parts.endpoint_models.update_peer(peer, digest.learned)
+        parts.endpoint_models.speeds.apply_peer(digest.speeds, now_ms)
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.brittle.update_peer(digest.brittle, now_ms)
@@ -497,6 +500,7 @@
         for peer in previous_ids - parts.members.reachable_ids:
             parts.load_board.remove_peer(peer)
             parts.endpoint_models.remove_peer(peer)
+        parts.endpoint_models.refresh_speeds(parts.directory.all(), now_ms)
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
--- a/src/_monsoonpulley/placing/endpointmodels.py
+++ b/src/_monsoonpulley/placing/endpointmodels.py
@@ -2,20 +2,36 @@
 
 from __future__ import annotations
 
-from ..fleet.model import Configuration, EngineSpec
-from ..ids import InstanceId, ServiceId
+from collections.abc import Iterable
+from itertools import chain
+
+from ..fleet.model import Configuration, Endpoint, EngineSpec
+from ..ids import EndpointId, InstanceId, ServiceId
+from .endpointspeeds import EndpointSpeed, EndpointSpeeds
 from .enginemodel import EngineModel
 from .servicemodel import ServiceModel
 from .sharedsums import Sums
 
+SPEEDS_INTERVAL_MS = 2_000
+"""Interval in which speeds are computed: an eighth of the samples are new after it.
+For 300 endpoints this takes 12 ms (`testing.placing.decisiontime`)."""
+
 DEFAULT_ENGINE = EngineSpec(slots=1, cache_tokens=0)
 """Used for a service without engines in the configuration."""
 
 
 class EndpointModels:
-    """One model for each service, shared by all requests of an instance."""
+    """One model for each service, and the speeds of its endpoints.
+
+    Attributes
+    ----------
+    speeds : EndpointSpeeds
+        Learned from the endpoints' answers.
+    """
 
     def __init__(self) -> None:
+        self.speeds = EndpointSpeeds()
+        self._speeds_ms = -SPEEDS_INTERVAL_MS
         self._engines: dict[ServiceId, EngineModel] = {}
         self._services: dict[ServiceId, ServiceModel] = {}
 
@@ -43,6 +59,22 @@
             model = self._services[service] = ServiceModel()
         return model
 
+    def speed(self, endpoint: EndpointId) -> EndpointSpeed | None:
+        """Return the speed of an endpoint; None while its service's are alike."""
+        return self.speeds.speed(endpoint)
+
+    def refresh_speeds(self, endpoints: Iterable[Endpoint], now_ms: int) -> None:
+        """Compute the speeds of all endpoints again once they are due."""
+        if now_ms - self._speeds_ms < SPEEDS_INTERVAL_MS:
+            return
+        self._speeds_ms = now_ms
+        by_service: dict[ServiceId, list[EndpointId]] = {}
+        for endpoint in endpoints:
+            by_service.setdefault(endpoint.service, []).append(endpoint.id)
+        self.speeds.expire(chain.from_iterable(by_service.values()), now_ms)
+        for ids in by_service.values():
+            self.speeds.refresh(ids)
+
     def own_sums(self, now_ms: int) -> dict[str, Sums]:
         """Return what this instance has seen, for its digest."""
         models = {**self._services, **self._engines}
--- a/src/_monsoonpulley/placing/placer.py
+++ b/src/_monsoonpulley/placing/placer.py
@@ -17,6 +17,7 @@
 from ..fleet.model import Endpoint
 from ..ids import EndpointId, ZoneId
 from .endpointmodels import EndpointModels
+from .endpointspeeds import EndpointSpeed
 from .health import EndpointHealth
 from .loadboard import Load, LoadBoard
 from .promptcacheindex import PromptCacheIndex, PromptPart
@@ -29,6 +30,25 @@
 it too, and the cached parts that it evicts are prefilled again. With 0, `test_fleet`
 misses its latency targets; ``python -m testing.placing.fleetplay`` prints them."""
 
+UNEVEN_PREFILL_COST_FACTOR = 7.0
+"""The same where the endpoints differ in speed, on top of the prefill time without
+waiting, which is about 4/7 of the one that all answers show. It weighs the mean time
+and not that of the endpoint: a fast one is delayed for less time, but more requests
+wait for it."""
+
+STREAM_COST_FACTOR = 0.1
+"""Weight of the prefill time for each request that already runs at an endpoint: a
+prompt delays its next event."""
+
+UNSEEN_WORK_MS = 30.0
+"""Mean work of peers that their digests don't show yet: those are 100 ms old on
+average, and engines prefill for a third of the time. Where endpoints differ, instances
+choose at random between endpoints whose costs differ by about as much, and don't all
+send to the fastest one."""
+
+MIN_EXPONENTIAL = 1e-9
+"""Random numbers are not smaller, so that they have a logarithm."""
+
 OTHER_ZONE_ROUND_TRIP_MS = 1.0
 """Round trip to another data centre; decides between otherwise equal endpoints."""
 
@@ -86,6 +106,8 @@
         Second-best endpoint; empty if there is none.
     candidate_count : int
         Number of endpoints compared.
+    speed_factor : float
+        Time that the endpoint takes relative to others of its service.
     """
 
     endpoint: Endpoint
@@ -96,6 +118,7 @@
     held_tokens: int
     runner_up_id: str
     candidate_count: int
+    speed_factor: float = 1.0
 
 
 class PlacementRefusal(msgspec.Struct, frozen=True):
@@ -127,6 +150,7 @@
     endpoint: Endpoint
     prefill_tokens: int
     load: Load
+    speed_factor: float = 1.0
 
 
 class Placer:
@@ -217,6 +241,7 @@
             best.load.held_tokens,
             admitted[1].endpoint.id if len(admitted) > 1 else "",
             len(candidates),
+            round(best.speed_factor, 2),
         )
 
     def _estimate(
@@ -234,22 +259,53 @@
         if endpoint.zone != own_zone:
             other_ms += OTHER_ZONE_ROUND_TRIP_MS
         other_ms += self._rng.random()
+        speed = self._models.speed(endpoint.id)
         if not requirements.is_generation:
+            factor = 1.0 if speed is None else speed.plain_factor
             plain = self._models.plain(endpoint.service)
-            predicted_ms = excess_ms + plain.predict_answer_ms(
+            predicted_ms = excess_ms + factor * plain.predict_answer_ms(
                 load.running_count, endpoint.slots
             )
-            wait_ms = predicted_ms - plain.service_ms()
+            wait_ms = predicted_ms - factor * plain.service_ms()
             time_ms = predicted_ms + other_ms
-            return _Estimate(time_ms, time_ms, wait_ms, endpoint, 0, load)
+            return _Estimate(time_ms, time_ms, wait_ms, endpoint, 0, load, factor)
         engine = self._models.engine(endpoint.service)
-        predicted_ms = excess_ms + engine.predict_first_event_ms(
+        predicted_ms = engine.predict_first_event_ms(
             load, prefill_tokens, requirements.held_tokens, endpoint.slots
         )
-        wait_ms = predicted_ms - engine.idle_ms(prefill_tokens)
-        time_ms = predicted_ms + other_ms
-        cost_ms = time_ms + PREFILL_COST_FACTOR * engine.prefill_ms(prefill_tokens)
-        return _Estimate(cost_ms, time_ms, wait_ms, endpoint, prefill_tokens, load)
+        idle_ms = engine.idle_ms(prefill_tokens)
+        if speed is None:
+            predicted_ms = excess_ms + predicted_ms
+            time_ms = predicted_ms + other_ms
+            prefill_ms = engine.prefill_ms(prefill_tokens)
+            cost_ms = time_ms + PREFILL_COST_FACTOR * prefill_ms
+            wait_ms = predicted_ms - idle_ms
+            return _Estimate(cost_ms, time_ms, wait_ms, endpoint, prefill_tokens, load)
+        factor = speed.prefill_factor
+        wait_ms = factor * (predicted_ms - idle_ms) + excess_ms
+        time_ms = factor * idle_ms + wait_ms + other_ms
+        cost_ms = (
+            excess_ms + other_ms + self._uneven_cost_ms(speed, load, prefill_tokens)
+        )
+        return _Estimate(
+            cost_ms, time_ms, wait_ms, endpoint, prefill_tokens, load, factor
+        )
+
+    def _uneven_cost_ms(
+        self, speed: EndpointSpeed, load: Load, prefill_tokens: int
+    ) -> float:
+        """Return the cost of a request at one of several engines that differ.
+
+        It is the time to the first event there, and the delay of others: of requests
+        that come later, and of the streams that run there.
+        """
+        ahead_kilotokens = (load.prefill_tokens + prefill_tokens) / 1000
+        own_ms = speed.gap_ms(load.running_count) + speed.prefill_ms * ahead_kilotokens
+        others = UNEVEN_PREFILL_COST_FACTOR + STREAM_COST_FACTOR * load.running_count
+        delay_ms = others * speed.mean_prefill_ms * prefill_tokens / 1000
+        # The lowest of costs with Gumbel noise is a choice by the logit model.
+        noise = math.log(max(MIN_EXPONENTIAL, self._rng.expovariate(1.0)))
+        return own_ms + delay_ms + UNSEEN_WORK_MS * noise
 
 
 def _refuse(
--- a/src/_monsoonpulley/placing/servicemodel.py
+++ b/src/_monsoonpulley/placing/servicemodel.py
@@ -42,13 +42,13 @@
         now_ms : int
             Monotonic time.
         """
-        alone_ms = took_ms / _load_factor(running_count, slots)
+        alone_ms = took_ms / load_factor(running_count, slots)
         alone_ms = min(alone_ms, MAX_FACTOR * self.service_ms())
         self.sums.add((1.0, alone_ms), 1.0, now_ms)
 
     def predict_answer_ms(self, running_count: int, slots: int) -> float:
         """Return the predicted time to the answer of a request sent now."""
-        return self.service_ms() * _load_factor(running_count, slots)
+        return self.service_ms() * load_factor(running_count, slots)
 
     def service_ms(self) -> float:
         """Return the mean service time on an idle endpoint."""
@@ -57,7 +57,7 @@
         return total_ms / (count + PRIOR_WEIGHT)
 
 
-def _load_factor(running_count: int, slots: int) -> float:
+def load_factor(running_count: int, slots: int) -> float:
     """Return the time at an endpoint with this load, relative to an idle one."""
     queued = max(0, running_count + 1 - slots)
     return 1 + (SLOWDOWN_SHARE * running_count + queued) / slots
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -11,6 +11,7 @@
 from ..limits.brittleness import BrittleNotice
 from ..limits.endpointrates import Notice
 from ..placing.demandmeter import Totals
+from ..placing.endpointspeeds import SpeedSample
 from ..placing.loadboard import LoadEntry
 from ..placing.sharedsums import Sums
 from ..quarantine.evidence import Entry, QuarantineNews
@@ -72,6 +73,8 @@
         Quota that each customer has used at the sender since its start.
     rollouts : tuple of Progress
         Progress of the ordered roll-outs as known to the sender.
+    speeds : tuple of SpeedSample
+        Times of endpoints that the sender saw since its last digest to all instances.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
     """
@@ -100,6 +103,7 @@
     served: dict[str, int] = {}
     lost_links: dict[str, int] = {}
     brittle: dict[str, BrittleNotice] = {}
+    speeds: tuple[SpeedSample, ...] = ()
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/placing/fleetplay.py
+++ b/testing/placing/fleetplay.py
@@ -130,6 +130,8 @@
                 for n in range(engines)
             )
         }
+        self.learns_speeds = True
+        self.chosen: list[EndpointId] = []
         self.results = {kind.name: Result() for kind in kinds}
         self._events: list[tuple[float, int, Instance, EndpointId, int]] = []
         self._request_count = 0
@@ -174,6 +176,14 @@
             first_ms - now_ms,
             round(now_ms),
         )
+        if self.learns_speeds:
+            instance.models.speeds.record_first_event(
+                chosen,
+                choice.backlog_tokens + choice.prefill_tokens,
+                first_ms - now_ms,
+                round(now_ms),
+            )
+        self.chosen.append(chosen)
         if is_counted:
             result.first_ms.append(first_ms - now_ms)
             result.shared_tokens += tokens - parts[-1].tokens
@@ -209,11 +219,17 @@
     def _exchange_digests(self, now_ms: int) -> None:
         loads = {each.name: each.board.own_loads() for each in self.instances}
         sums = {each.name: each.models.own_sums(now_ms) for each in self.instances}
+        samples = {
+            each.name: each.models.speeds.drain_outbox() for each in self.instances
+        }
+        endpoints = [engine.endpoint for engine in self.engines.values()]
         for each in self.instances:
             for name, load in loads.items():
                 if name != each.name:
                     each.board.update_peer(name, load)
                     each.models.update_peer(name, sums[name])
+                    each.models.speeds.apply_peer(samples[name], now_ms)
+            each.models.refresh_speeds(endpoints, now_ms)
 
 
 def make_endpoint(name: str) -> Endpoint:
--- a/testing/placing/test_fleet.py
+++ b/testing/placing/test_fleet.py
@@ -38,6 +38,16 @@
         results = self.run_fleet(engines=20, seed=1).results
         self.assertGreater(results["long"].cached_share(), 0.5)
 
+    def test_equal_engines_get_the_requests_that_they_got_without_learned_speeds(self):
+        # Guards deployments whose engines are alike against any other placement.
+        chosen = []
+        for learns_speeds in (True, False):
+            fleet = Fleet(24, 14, KINDS, seed=1)
+            fleet.learns_speeds = learns_speeds
+            fleet.run(WARMUP_MS, 0)
+            chosen.append(fleet.chosen)
+        self.assertEqual(*chosen)
+
     def test_prefill_is_balanced_between_the_engines(self):
         engines = self.run_fleet(engines=20, seed=1).engines.values()
         prefilled = sorted(engine.prefilled_tokens for engine in engines)
--- a/testing/placing/unevenplay.py
+++ b/testing/placing/unevenplay.py
@@ -295,6 +295,12 @@
             stream.first_ms,
             round(now_ms),
         )
+        stream.instance.models.speeds.record_first_event(
+            choice.endpoint.id,
+            choice.backlog_tokens + choice.prefill_tokens,
+            stream.first_ms,
+            round(now_ms),
+        )
 
     def _on_end(self, stream: Stream, now_ms: float) -> None:
         instance, choice = stream.instance, stream.choice
@@ -306,6 +312,9 @@
             held_tokens,
             round(now_ms),
         )
+        instance.models.speeds.record_stream(
+            choice.endpoint.id, choice.running_count, stream.gaps_ms, round(now_ms)
+        )
         instance.health.record_answer(
             choice.endpoint.id,
             max(0.0, stream.first_ms - choice.predicted_ms),
@@ -316,6 +325,8 @@
 
     def _exchange_digests(self, now_ms: int) -> None:
         self._round += 1
+        if self._round % REMOTE_ROUNDS == 0:
+            self._share_speeds(now_ms)
         for number, sender in enumerate(self.instances):
             digest = self._digest(sender, now_ms)
             for other, receiver in enumerate(self.instances):
@@ -324,6 +335,18 @@
                 if receiver is not sender and (is_near or is_due):
                     self._apply_digest(receiver, sender, digest, now_ms)
 
+    def _share_speeds(self, now_ms: int) -> None:
+        """Send the samples of all instances to all, as digests to all do."""
+        samples = {
+            each.name: each.models.speeds.drain_outbox() for each in self.instances
+        }
+        for receiver in self.instances:
+            for name, sent in samples.items():
+                if name != receiver.name:
+                    receiver.models.speeds.apply_peer(sent, now_ms)
+            endpoints = [engine.endpoint for engine in self.engines.values()]
+            receiver.models.refresh_speeds(endpoints, now_ms)
+
     def _digest(self, sender: Instance, now_ms: int) -> dict:
         return {
             "loads": sender.board.own_loads(),
