--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+import msgspec
+
 from ..clock import Clock
 from ..control.leases import Hold
 from ..errors import Reason
@@ -9,12 +13,19 @@
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Configuration, Service
 from ..ids import ServiceId, ZoneId
+from ..limits.coldendpoints import ColdEndpoints
 from ..observability.log import Log
 from ..placing.demandmeter import DemandMeter
 from ..placing.endpointmodels import EndpointModels
 from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
 from ..rollouts.rollouts import Rollouts
-from .capacityneed import CapacityNeed, compute_engine_need, compute_service_need
+from .capacityneed import (
+    CapacityNeed,
+    add_for_cold,
+    compute_engine_need,
+    compute_service_need,
+    lost_to_cold,
+)
 from .capacityplan import CapacityPlan, Order, ZoneFleet
 
 DEFAULT_TARGET_MS = 1_000
@@ -32,10 +43,15 @@
         What endpoints carry, and the work that arrives.
     rollouts : Rollouts
         Which versions have the traffic.
+    cold : ColdEndpoints
+        Endpoints that carry little for a while.
     cloud : CloudClient
         Receives the orders.
     clock, log : Clock, Log
         Each order is logged.
+    closed_zones : callable
+        Returns the data centres whose endpoints of a service don't count, and in which
+        none are ordered; see `closedzones`.
     """
 
     def __init__(
@@ -45,18 +61,22 @@
         models: EndpointModels,
         demand: DemandMeter,
         rollouts: Rollouts,
+        cold: ColdEndpoints,
         cloud: CloudClient,
         clock: Clock,
         log: Log,
+        closed_zones: Callable[[Service], frozenset[ZoneId]] = lambda _: frozenset(),
     ):
         self._configuration = configuration
         self._directory = directory
         self._models = models
         self._demand = demand
         self._rollouts = rollouts
+        self._cold = cold
         self._cloud = cloud
         self._clock = clock
         self._log = log
+        self._closed_zones = closed_zones
         self._plans: dict[ServiceId, CapacityPlan] = {}
         self._fencing_number = 0
 
@@ -80,9 +100,16 @@
         now_ms = self._clock.now_ms()
         plan = self._plans.setdefault(service.id, CapacityPlan())
         need = self._compute_need(service, configuration)
+        spec, closed = service.scaling, self._closed_zones(service)
+        if closed:
+            # The platform keeps what runs there, as it was ordered last.
+            prices = {z: p for z, p in spec.zone_prices.items() if z not in closed}
+            spec = msgspec.structs.replace(spec, zone_prices=prices)
+        fleet = self._observe(service.id)
+        need = self._add_cold(service.id, fleet, need, now_ms)
         orders = plan.due_orders(
-            service.scaling,
-            self._observe(service.id),
+            spec,
+            fleet,
             need,
             now_ms - self._directory.loaded_ms,
             now_ms,
@@ -91,7 +118,7 @@
         for order in orders:
             if not hold.may_act(CALL_TIMEOUT_MS):
                 return
-            await self._send_order(plan, service.id, order, need, hold)
+            await self._send_order(plan, service.id, order, need, hold, closed)
 
     def _compute_need(
         self, service: Service, configuration: Configuration
@@ -105,6 +132,28 @@
         plain = self._models.plain(service.id)
         return compute_service_need(demand, plain, min(slots, default=1))
 
+    def _add_cold(
+        self,
+        service: ServiceId,
+        fleet: dict[ZoneId, ZoneFleet],
+        need: CapacityNeed,
+        now_ms: int,
+    ) -> CapacityNeed:
+        """Return the need in view of cold endpoints, and count these in ``fleet``."""
+        carrying = [
+            endpoint
+            for endpoint in self._directory.ready_endpoints(service)
+            if endpoint.zone in fleet and self._rollouts.carries_load(endpoint)
+        ]
+        cold_ids = self._cold.cold_ids(carrying, now_ms)
+        if not cold_ids:
+            return need
+        lost = lost_to_cold(need, self._cold.bearable_per_s(service))
+        for endpoint in carrying:
+            if endpoint.id in cold_ids and endpoint.is_reclaimable:
+                fleet[endpoint.zone].lost_reclaimable_count += lost
+        return add_for_cold(need, len(carrying), lost * len(cold_ids))
+
     def _observe(self, service: ServiceId) -> dict[ZoneId, ZoneFleet]:
         fleet: dict[ZoneId, ZoneFleet] = {}
         for endpoint in self._directory.all():
@@ -129,6 +178,7 @@
         order: Order,
         need: CapacityNeed,
         hold: Hold,
+        closed: frozenset[ZoneId],
     ) -> None:
         failure = await self._cloud.order_endpoints(
             hold.fencing_number,
@@ -152,6 +202,7 @@
             idle=order.idle_count,
             needed=need.count,
             needed_at_least=need.least_count,
+            closed_zones=sorted(closed),
             binding=need.binding,
             demand=need.demand,
             base_ms=round(self._models.engine(service).base_ms(), 1),
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -4,6 +4,7 @@
 
 from ..control.verdict import Result as VersionResult
 from ..errors import Failure, Reason
+from ..limits.streampause import stall_ms
 from ..placing.endpointspeeds import MAX_GAPS
 from ..placing.placer import Choice
 from ..placing.servicemodel import load_factor
@@ -23,6 +24,7 @@
 from .linkrecords import record_lost_link
 from .requestlog import Result
 from .requeststate import RequestState
+from .stallwatch import StallWatch
 
 CONNECTION_SHARE = 0.9
 """Share of an endpoint's connections that all instances may use together."""
@@ -74,6 +76,7 @@
         self._is_proven = False
         self._first_event_ms: int | None = None
         self._gaps_ms: list[int] = []
+        self._stall_watch: StallWatch | None = None
 
     async def run(self) -> Result:
         """Send the request once and return how the attempt ended."""
@@ -93,6 +96,10 @@
                 # The endpoint started to leave while the connection was being opened.
                 self.detail = "the endpoint is leaving"
                 return Result.UNREACHABLE
+            if self._parts.evacuations.is_evacuated(self._endpoint.zone):
+                # The operator evacuated it while the connection was being opened.
+                self.detail = "the data centre is evacuated"
+                return Result.UNREACHABLE
             if self._parts.gate.is_paused(
                 self._endpoint.id, self._parts.clock.now_ms()
             ):
@@ -105,6 +112,12 @@
                 # Others were sent while the connection was being opened.
                 self.detail = "the endpoint has no room"
                 return Result.UNREACHABLE
+            if not self._parts.gate.bears_more(
+                self._endpoint, self._parts.clock.now_ms()
+            ):
+                # It turned cold while the connection was being opened.
+                self.detail = "the endpoint is cold"
+                return Result.UNREACHABLE
             if self._state.find_quarantine_entry() is not None:
                 self.detail = "requests like this one crash endpoints"
                 return Result.UNREACHABLE
@@ -116,6 +129,7 @@
             )
             try:
                 self._send(connection)
+                self._watch_for_stalls()
                 result = await self._receive(connection)
             except Exception:
                 # What the endpoint made of the request is not known.
@@ -125,6 +139,8 @@
                 self._record_prefill_end()
                 load_board.record_end(self._endpoint.id, self._held_tokens)
         finally:
+            if self._stall_watch is not None:
+                self._stall_watch.stop()
             self._state.exchange.set_upstream(None)
             self._parts.answer_memory.release(self._held_bytes)
             pool.release(connection)
@@ -162,6 +178,7 @@
         )
         state.send_count += 1
         self.was_sent = True
+        self._parts.gate.record_send(self._endpoint, self._parts.clock.now_ms())
         self._parts.cache_index.record(
             state.facts.parts, self._endpoint.id, self._parts.clock.now_ms()
         )
@@ -212,6 +229,33 @@
         if self._is_proven:
             self._state.record_served()
 
+    def _on_progress(self) -> None:
+        if self._stall_watch is not None:
+            self._stall_watch.record_event()
+
+    def _watch_for_stalls(self) -> None:
+        """Begin to look for a stall if the stream can go on elsewhere.
+
+        The first event may take long, as requests wait at endpoints; what an earlier
+        endpoint has begun must go on soon.
+        """
+        state = self._state
+        route = state.route
+        if route is None or not state.is_stream or not route.is_idempotent:
+            return
+        mailbox = state.exchange.mailbox
+        self._stall_watch = StallWatch(self._parts.clock, stall_ms(route), mailbox)
+        if state.exchange.has_started:
+            self._stall_watch.record_event()
+
+    def _is_stalled(self, watch: object, connection: ClientConnection) -> bool:
+        return (
+            self._stall_watch is not None
+            and watch is self._stall_watch
+            and self._stall_watch.check(connection)
+            and self._state.try_move_stream(self._endpoint.id)
+        )
+
     def _record_rate_limit(self, head: AnswerHead) -> None:
         per_s = read_rate_limit(head)
         if isinstance(per_s, Failure):
@@ -257,13 +301,19 @@
             "endpoint_paused", endpoint=self._endpoint.id, pause_ms=pause_ms
         )
 
+    def _is_cold(self, now_ms: int) -> bool:
+        """Return whether what is learned from the endpoint would not hold when warm."""
+        return self.choice.is_cold or self._parts.cold.is_cold(self._endpoint, now_ms)
+
     def _record_first_event(self) -> None:
         """Tell the models how long the engine took."""
         assert self.first_byte_ms is not None
         choice, models = self.choice, self._parts.endpoint_models
         self._first_event_ms = took_ms = self.first_byte_ms
-        ahead_tokens = choice.backlog_tokens + choice.prefill_tokens
         now_ms = self._parts.clock.now_ms()
+        if self._is_cold(now_ms):
+            return
+        ahead_tokens = choice.backlog_tokens + choice.prefill_tokens
         engine = models.engine(self._endpoint.service)
         engine.record_first_event(ahead_tokens, took_ms, now_ms)
         models.speeds.record_first_event(
@@ -272,6 +322,8 @@
 
     def _record_no_event(self, now_ms: int) -> None:
         """Tell the engines' model that a first event had not come by now."""
+        if self._is_cold(now_ms):
+            return
         if self._state.is_stream and self._first_event_ms is None:
             choice = self.choice
             model = self._parts.endpoint_models.engine(self._endpoint.service)
@@ -365,13 +417,7 @@
                 if self.first_byte_ms is not None
                 else self.elapsed_ms
             )
-            predicted_ms = self.choice.predicted_ms
-            self._parts.counters.prediction_error_ratio.labels(
-                self._endpoint.service
-            ).observe(answer_ms / max(1.0, predicted_ms))
-            excess_ms = max(0.0, answer_ms - predicted_ms)
-            self._record_occupancy(now_ms)
-            self._parts.health.record_answer(self._endpoint.id, excess_ms, now_ms)
+            self._record_answer_time(answer_ms, now_ms)
         elif result in (Result.INVALID, Result.FAILED, Result.TIMED_OUT):
             self._parts.health.record_failure(self._endpoint.id, now_ms)
         if result in (Result.TIMED_OUT, Result.CALLER_LEFT):
@@ -382,6 +428,21 @@
                 self._endpoint.id, now_ms, NOT_RUN_FAILURE_WEIGHT
             )
 
+    def _record_answer_time(self, answer_ms: int, now_ms: int) -> None:
+        """Compare the time of an answer with the predicted one, and learn from it."""
+        health = self._parts.health
+        if self._is_cold(now_ms):
+            known_ms = health.excess_ms(self._endpoint.id, now_ms)
+            health.record_answer(self._endpoint.id, known_ms, now_ms)
+            return
+        predicted_ms = self.choice.predicted_ms
+        self._parts.counters.prediction_error_ratio.labels(
+            self._endpoint.service
+        ).observe(answer_ms / max(1.0, predicted_ms))
+        excess_ms = max(0.0, answer_ms - predicted_ms)
+        self._record_occupancy(now_ms)
+        health.record_answer(self._endpoint.id, excess_ms, now_ms)
+
     def _record_full(self, now_ms: int) -> None:
         """Send nothing more for a while to a brittle endpoint that had no room."""
         if self.status != REFUSED_STATUS:
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -32,9 +32,10 @@
     predicted_ms, speed_factor, running, unread_tokens, backlog_tokens, \
 held_tokens, runner_up, candidates
         See `Choice`; ``unread_tokens`` are its ``prefill_tokens``.
-    limited, paused, full : int
-        Endpoints left out because of their rate limits, because they want a pause, and
-        because they are brittle and have no room.
+    limited, paused, full, cold : int
+        Endpoints left out because of their rate limits, because they want a pause,
+        because they are brittle and have no room, and because they are cold and bear
+        no more requests.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -83,6 +84,7 @@
     longest_gap_ms: int = 0
     speed_factor: float = 1.0
     parts: tuple[str, ...] = ()
+    cold: int = 0
 
 
 class PeerAttemptEnded(Decision, frozen=True, tag="peer_attempt", kw_only=True):
@@ -134,6 +136,12 @@
         Time since the configuration now in force was applied.
     may_have_run : bool
         Whether an endpoint may have started the request.
+    rank : int
+        Priority; 0 is the most urgent.
+    spent_ms : int
+        Time for which the caller had presumably waited before, see `WaitLimits`.
+    share_factor : float
+        Factor on the longest wait by the customer's share, see `FairShares`.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
     """
@@ -150,6 +158,9 @@
     took_ms: int
     first_ms: int | None
     retry_after_ms: int | None
+    rank: int
+    spent_ms: int
+    share_factor: float
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -87,12 +87,15 @@
     ) -> None:
         """Write a final answer of the ingress itself.
 
-        An answer that has started is aborted instead.
+        An answer that has started is aborted instead. A status that promises that the
+        request has not run becomes 502 if it may have.
         """
         self.detail = detail
         if self.exchange.has_started:
             self.exchange.abort()
             return
+        if self.may_have_run and status in PROMISES_NOT_RUN:
+            status, retry_after_ms = 502, None
         self.status = status
         self.retry_after_ms = retry_after_ms
         outcome = self._peer_outcome(status) if self.is_from_peer else None
@@ -123,6 +126,16 @@
         else:
             self.respond(503, "time is up", UNAVAILABLE_RETRY_MS)
 
+    def try_move_stream(self, endpoint: EndpointId) -> bool:
+        """Take a retry for the rest of a stream, if it can come from elsewhere now.
+
+        Parameters
+        ----------
+        endpoint : EndpointId
+            Where it stalls.
+        """
+        return False
+
     def find_quarantine_entry(self) -> Entry | None:
         """Return the entry for which the request must not be sent, if any."""
         if not self.parts.quarantine.entry_count():
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -16,12 +16,13 @@
 from ..fleet.relay import Relay
 from ..fleet.tablefollower import TableFollower
 from ..ids import InstanceId, ServiceId
+from ..limits.fairshare import REFRESH_MS
 from ..observability.log import Log
 from ..platform.endpoints import decode_endpoint
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
 from ..platform.rollouts import ORDER_PREFIX, decode_order
-from ..platform.store import Row, Store
+from ..platform.store import Row, Rows, Store
 from ..platform.storeversion import join_version, wire_version
 from ..quarantine.rows import QuarantineRows
 from ..sharing.digest import Digest, UsageCounts
@@ -69,6 +70,15 @@
 DRAIN_CHECK_INTERVAL_MS = 50
 """Interval of checking for requests in progress during a stop."""
 
+DRAIN_IDLE_MS = 1_000
+"""Time for which a connection without a request stays open once listening has ended:
+its caller may have sent one, which a close would reset. A lost packet is sent again
+within it."""
+
+DRAIN_ANSWER_MS = 300
+"""Time from the end of requests in progress to `DRAIN_MARGIN_MS`: an attempt that is
+connecting notices the end only after as long."""
+
 DRAIN_MARGIN_MS = 300
 """Margin before the platform kills the process at the end of its grace period."""
 
@@ -102,7 +112,7 @@
         self.incarnation = clock.wall_ms()
         self._rng = rng
         self._digest_sequence = 0
-        self._request_tasks: set[asyncio.Task[None]] = set()
+        self._runs: dict[asyncio.Task[None], RequestRun] = {}
         self.store = Store(
             HttpClient(settings.store_address.ip, settings.store_address.port, clock),
             lambda name, result: counters.store_calls.labels(name, result).inc(),
@@ -117,6 +127,7 @@
             on_configuration=self._on_configuration,
             on_operator_row=self._on_operator_row,
             on_endpoint_removed=self._on_endpoint_removed,
+            on_endpoints_stale=lambda: self._followers[ENDPOINT_TABLE].read_soon(),
             send_quarantine_news=lambda news: self.digest_exchange.broadcast_quarantine(
                 news
             ),
@@ -141,7 +152,11 @@
         self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
         self._followers = self._make_followers()
+        parts.evacuations.on_end = lambda zone, store_version: (
+            parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
+        )
         self._last_tick_ms = clock.now_ms()
+        self._above_share: dict[ServiceId, set[str]] = {}
         self._control = Control(
             settings,
             self.incarnation,
@@ -184,7 +199,7 @@
             OPERATOR_TABLE: TableFollower(
                 self.store,
                 OPERATOR_TABLE,
-                parts.configuration.apply,
+                self._on_operator_rows,
                 self.clock,
                 self.log,
                 wait_ms=CONFIGURATION_LONG_POLL_MS,
@@ -206,14 +221,25 @@
                 pause_ms=round(ENDPOINTS_POLL_SHARE * drain_ms),
                 max_silence_ms=round(ENDPOINTS_MAX_SILENCE_SHARE * drain_ms),
                 carries_rows=True,
-                content_of=lambda row: decode_endpoint(row.key, row.value or b""),
+                content_of=self._content_of_endpoint_row,
                 is_reader=is_reader,
                 send=self.digest_exchange.broadcast_relays,
                 next_recovery=self.store.next_recovery,
                 on_recovered=parts.directory.on_store_recovered,
+                on_read=parts.cold.record_read,
             ),
         }
 
+    def _content_of_endpoint_row(self, row: Row) -> object:
+        """Return what other instances have to know of an endpoint's row."""
+        endpoint = decode_endpoint(row.key, row.value or b"")
+        now_ms = self.clock.now_ms()
+        if isinstance(endpoint, Endpoint) and self.parts.cold.awaits_rows(
+            endpoint.zone, now_ms
+        ):
+            return endpoint, row.row_version
+        return endpoint
+
     def supervised_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
         """Return the names and coroutine functions of the tasks to supervise."""
         follower_tasks = [
@@ -266,29 +292,44 @@
         await self.peer_server.listen(settings.peer_ip, settings.peer_ports[0])
 
     async def stop(self) -> None:
-        """Stop after the requests in progress, or near the end of the grace period."""
+        """Stop after the requests in progress, or near the end of the grace period.
+
+        Accepted connections get the answer to what their callers have sent, and
+        requests that are still in progress near the end get a last answer.
+        """
         self.is_stopping = True
-        stop_ms = self.clock.now_ms()
-        self.log.event("stopping", in_progress=len(self._request_tasks))
+        end_ms = self.clock.now_ms() - DRAIN_MARGIN_MS
+        end_ms += round(self.settings.bounds.grace_period_s * 1000)
+        self.log.event("stopping", in_progress=len(self._runs))
         self.digest_exchange.broadcast_digest()
         self.caller_server.drain()
         self.peer_server.drain()
         await self.clock.sleep_ms(DRAIN_LISTEN_MS)
-        self.caller_server.stop_listening()
-        self.peer_server.stop_listening()
-        max_drain_ms = (
-            round(self.settings.bounds.grace_period_s * 1000) - DRAIN_MARGIN_MS
-        )
-        while self._request_tasks and self.clock.now_ms() - stop_ms < max_drain_ms:
-            await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
-        self.log.event("stopped", cut_off=len(self._request_tasks))
+        for server in (self.caller_server, self.peer_server):
+            await server.end_listening()
+        await self._wait_closed(end_ms - DRAIN_ANSWER_MS)
+        for run in list(self._runs.values()):
+            run.end_now()
+        await self._wait_closed(end_ms)
+        self.log.event("stopped", cut_off=len(self._runs))
         self.digest_exchange.close()
         self.store.close()
 
+    async def _wait_closed(self, until_ms: int) -> None:
+        """Wait until all requests are answered and all connections are closed."""
+        servers = (self.caller_server, self.peer_server)
+        while self.clock.now_ms() < until_ms:
+            for server in servers:
+                server.close_idle(DRAIN_IDLE_MS)
+            if not self._runs and not any(s.connection_count for s in servers):
+                return
+            await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+
     def reload(self, settings: LocalSettings) -> None:
         """Apply changed bounds; changed addresses apply at the next start."""
         bounds = settings.bounds
         self.settings = settings
+        self.parts.evacuations.set_evacuation_ms(bounds.evacuation_ms)
         self.parts.retry_budget.set_limit(
             bounds.retry_budget_ratio,
             bounds.budget_window_s,
@@ -297,6 +338,7 @@
         self.parts.quotas.set_tolerance(
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
         )
+        self.parts.cold.set_tolerance(bounds.cold_overage, bounds.cold_slack)
 
     def _on_request(self, exchange: Exchange) -> None:
         self._start_run(RequestRun(exchange, self.parts, self._rng))
@@ -306,11 +348,11 @@
 
     def _start_run(self, run: RequestRun) -> None:
         task = asyncio.get_running_loop().create_task(run.run())
-        self._request_tasks.add(task)
+        self._runs[task] = run
         task.add_done_callback(self._on_request_done)
 
     def _on_request_done(self, task: asyncio.Task[None]) -> None:
-        self._request_tasks.discard(task)
+        self._runs.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             self.log.event("request_error", error=repr(task.exception()))
 
@@ -335,8 +377,16 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.parts.endpoint_models.configure(configuration)
         self.parts.wait_limits.configure(configuration)
+        self.parts.cold.configure(configuration)
         self.counters.configuration_version.set(configuration.version)
 
+    def _on_operator_rows(self, rows: Rows, is_snapshot: bool) -> None:
+        # First the evacuations: the first configuration lets requests be sent.
+        self.parts.evacuations.apply(
+            rows, is_snapshot, self._followers[OPERATOR_TABLE].last_gap_ms
+        )
+        self.parts.configuration.apply(rows, is_snapshot)
+
     def _on_operator_row(self, row: Row) -> None:
         if not row.key.startswith(ORDER_PREFIX):
             return
@@ -393,6 +443,10 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            evacuated=parts.evacuations.notices(self.store.era or 0),
+            work=(
+                parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
+            ),
             speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
         )
 
@@ -403,7 +457,9 @@
             return {}
         counts = {
             service: parts.links.unreachable_count(
-                parts.directory.ready_endpoints(service)
+                parts.evacuations.open_endpoints(
+                    parts.directory.ready_endpoints(service)
+                )
             )
             for service in current.services
         }
@@ -420,11 +476,18 @@
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.brittle.update_peer(digest.brittle, now_ms)
+        if digest.demand:
+            # Only full digests carry either.
+            parts.fair_shares.update_peer(peer, digest.work)
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
         parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
         era = self._era_of_digest(digest)
+        if era is not None:
+            parts.evacuations.record_peer(
+                {z: join_version(era, v) for z, v in digest.evacuated.items() if v}
+            )
         progress = () if era is None else digest.rollouts
         parts.rollouts.merge_peer(
             [
@@ -500,6 +563,7 @@
         for peer in previous_ids - parts.members.reachable_ids:
             parts.load_board.remove_peer(peer)
             parts.endpoint_models.remove_peer(peer)
+            parts.fair_shares.remove_peer(peer)
         parts.endpoint_models.refresh_speeds(parts.directory.all(), now_ms)
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
@@ -507,8 +571,12 @@
         parts.retry_budget.set_member_count(member_count)
         # Unreachable instances may still send requests.
         known_ids = [member.instance for member in parts.members.all()]
-        parts.rate_limits.set_instances(known_ids, now_ms)
-        parts.brittle.set_instances(known_ids)
+        parts.sharers.set_instances(known_ids)
+        parts.sharers.record_contact(
+            len(parts.members.reachable_ids), self._registration.is_registered, now_ms
+        )
+        cold_count = parts.cold.update(parts.directory.all(), now_ms)
+        self.counters.cold_endpoints.set(cold_count)
         self.counters.limited_endpoints.set(parts.rate_limits.limited_count())
         parts.quarantine.set_reachable(parts.members.reachable_ids)
         parts.quarantine.tick()
@@ -516,10 +584,32 @@
         parts.zone_reach.set_silent_zones(parts.members.silent_zones(parts.zone))
         self._control.lease.check_holder()
         parts.directory.expire()
+        parts.evacuations.expire()
+        self.counters.evacuated_zones.set(len(parts.evacuations.zones))
         parts.usage.expire(self.clock.wall_ms())
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
+        self._observe_shares(now_ms)
+
+    def _observe_shares(self, now_ms: int) -> None:
+        """Log which customers are above their fair shares, when that changes."""
+        parts = self.parts
+        current = parts.configuration.current
+        if current is None or not current.has_customers:
+            return
+        for service in current.services:
+            above = parts.fair_shares.above_share(service, now_ms)
+            self.counters.customers_above_share.labels(service).set(len(above))
+            if above.keys() != self._above_share.get(service, set()):
+                self._above_share[service] = set(above)
+                self.log.event(
+                    "customers_above_share",
+                    service=service,
+                    factors={name: round(factor, 2) for name, factor in above.items()},
+                    refresh_ms=REFRESH_MS,
+                    peers=len(parts.members.reachable_ids),
+                )
 
     async def _probe_links(self) -> None:
         """Look whether lost links work again, until cancelled."""
--- a/src/_monsoonpulley/placing/placer.py
+++ b/src/_monsoonpulley/placing/placer.py
@@ -52,6 +52,12 @@
 OTHER_ZONE_ROUND_TRIP_MS = 1.0
 """Round trip to another data centre; decides between otherwise equal endpoints."""
 
+COLD_TIME_FACTOR = 2.0
+"""A cold endpoint may be slower than predicted, by an unknown factor, and bears few
+requests. It gets those that cost this many times as much at any warm one: short and
+cached prompts before long ones, and only while warm ones are busy. These have as many
+times its predicted time left, unless the warm ones would answer too late."""
+
 NO_ENDPOINT_RETRY_MS = 1_000
 """Retry time while no endpoint is available; all instances know a newly started
 endpoint by then."""
@@ -106,6 +112,8 @@
         Second-best endpoint; empty if there is none.
     candidate_count : int
         Number of endpoints compared.
+    is_cold : bool
+        Whether the endpoint was cold.
     speed_factor : float
         Time that the endpoint takes relative to others of its service.
     """
@@ -118,6 +126,7 @@
     held_tokens: int
     runner_up_id: str
     candidate_count: int
+    is_cold: bool = False
     speed_factor: float = 1.0
 
 
@@ -188,6 +197,7 @@
         own_zone: str,
         now_ms: int,
         unreachable_zones: frozenset[ZoneId] = frozenset(),
+        cold_ids: frozenset[EndpointId] = frozenset(),
     ) -> Choice | PlacementRefusal:
         """Return the endpoint for a request, or a refusal with its reason.
 
@@ -205,6 +215,8 @@
             Monotonic time.
         unreachable_zones : frozenset of ZoneId
             Data centres to avoid; used only if no other has an endpoint.
+        cold_ids : frozenset of EndpointId
+            Endpoints that are cold; see `COLD_TIME_FACTOR`.
         """
         candidates = [e for e in endpoints if e.id not in tried_ids]
         if not candidates:
@@ -230,7 +242,11 @@
         admitted = [e for e in in_time if e.wait_ms <= requirements.max_wait_ms]
         if not admitted:
             return _refuse(ranked, bool(in_time), requirements, self._rng)
-        admitted.sort(key=lambda estimate: estimate.cost_ms)
+        admitted.sort(
+            key=lambda e: (
+                e.cost_ms * (COLD_TIME_FACTOR if e.endpoint.id in cold_ids else 1)
+            )
+        )
         best = admitted[0]
         return Choice(
             best.endpoint,
@@ -241,6 +257,7 @@
             best.load.held_tokens,
             admitted[1].endpoint.id if len(admitted) > 1 else "",
             len(candidates),
+            best.endpoint.id in cold_ids,
             round(best.speed_factor, 2),
         )
 
@@ -284,9 +301,11 @@
         factor = speed.prefill_factor
         wait_ms = factor * (predicted_ms - idle_ms) + excess_ms
         time_ms = factor * idle_ms + wait_ms + other_ms
-        cost_ms = (
-            excess_ms + other_ms + self._uneven_cost_ms(speed, load, prefill_tokens)
+        batch_wait_ms = engine.batch_wait_ms(
+            load, requirements.held_tokens, endpoint.slots
         )
+        cost_ms = excess_ms + other_ms + speed.step_factor * batch_wait_ms
+        cost_ms += self._uneven_cost_ms(speed, load, prefill_tokens)
         return _Estimate(
             cost_ms, time_ms, wait_ms, endpoint, prefill_tokens, load, factor
         )
--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -14,7 +14,7 @@
 from .clientconnection import ClientConnection
 from .events import CallerDisconnected, HeaderList, Mailbox
 from .requestmessage import RequestMessage
-from .sockets import enable_keepalive
+from .sockets import UnreadWatch, enable_keepalive
 
 LINGER_MS = 500
 """How long input is discarded after the last answer: a close with unread bytes
@@ -65,6 +65,8 @@
         Whether the head of an answer was written.
     is_over : bool
         Whether the answer is complete or aborted.
+    stays_open : bool
+        Whether the head of the answer left the connection open for another request.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         "is_over",
         "mailbox",
         "request",
+        "stays_open",
     )
 
     def __init__(self, request: RequestMessage, connection: ServerConnection):
@@ -81,6 +84,7 @@
         self.mailbox = Mailbox()
         self.has_started = False
         self.is_over = False
+        self.stays_open = False
         self._chunked = True
         self._connection = connection
 
@@ -103,7 +107,8 @@
             lines.append(b"Transfer-Encoding: chunked")
         elif status not in (204, 304):
             lines.append(b"Content-Length: %d" % length)
-        if not self._connection.stays_open_after(self.request):
+        self.stays_open = self._connection.stays_open_after(self.request)
+        if not self.stays_open:
             lines.append(b"Connection: close")
         self._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
 
@@ -167,6 +172,7 @@
         self._on_lost = on_lost
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
+        self._unread_watch: UnreadWatch | None = None
         self._queued_requests: deque[RequestMessage] = deque()
         self._current: Exchange | None = None
         self._refusal_status: int | None = None
@@ -196,6 +202,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         enable_keepalive(transport)
+        self._unread_watch = UnreadWatch(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next complete request."""
@@ -238,11 +245,15 @@
 
     def pause_writing(self) -> None:
         """Pause the source of the answer while the caller doesn't read."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_pause()
         if self.upstream is not None:
             self.upstream.pause_reading()
 
     def resume_writing(self) -> None:
         """Resume the source of the answer."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_resume()
         if self.upstream is not None:
             self.upstream.resume_reading()
 
@@ -307,8 +318,12 @@
         self._body_chunks = []
 
     def stays_open_after(self, request: RequestMessage) -> bool:
-        """Return whether the connection stays after the answer to ``request``."""
-        return request.is_keep_alive and not self.is_draining
+        """Return whether the connection stays after the answer to ``request``.
+
+        A draining one stays for requests that were sent behind this one already.
+        """
+        has_more = bool(self._queued_requests) or self._request_started_ms is not None
+        return request.is_keep_alive and (has_more or not self.is_draining)
 
     def write(self, data: bytes) -> None:
         """Write data unless the caller has disconnected."""
@@ -322,7 +337,7 @@
         self._current = None
         self.upstream = None
         self._last_used_ms = self._clock.now_ms()
-        if not self.stays_open_after(exchange.request):
+        if not exchange.stays_open:
             self._linger()
             return
         if (
@@ -338,10 +353,19 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def close_if_idle(self) -> None:
-        """Close now if the connection is idle, else after the current answer."""
+    def close_if_idle(self, now_ms: int, min_idle_ms: int) -> None:
+        """Close now if the connection is idle, else after the current answer.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time.
+        min_idle_ms : int
+            Time since its last use from which the connection counts as idle.
+        """
         self.is_draining = True
-        if self.is_idle and self._transport is not None:
+        is_quiet = now_ms - self._last_used_ms >= min_idle_ms
+        if self.is_idle and is_quiet and self._transport is not None:
             self._transport.close()
 
     def check_timeouts(self, now_ms: int) -> None:
