Tell refused callers a time at which there is capacity, from one figure of it

What admission assumed fell only when queues at the remaining engines had grown.

Change: limits/returntimes.py tells a time to as many as the recent work of the fleet and the capacity leave room for, spread over the time for which callers wait, and admits them before new requests; the others are told that there is none before their deadline. placing/servicecapacity.py is the one figure of a service's capacity, logged on change, which falls at once with the endpoints; fair shares, return times and the capacity duty read it. Without customers, or without a shortage, return times are as before.

--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -12,6 +12,7 @@
 from ..observability.log import Log
 from ..placing.demandmeter import DemandMeter
 from ..placing.endpointmodels import EndpointModels
+from ..placing.servicecapacity import Capacity, ServiceCapacities
 from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
 from ..rollouts.rollouts import Rollouts
 from .capacityneed import CapacityNeed, compute_engine_need, compute_service_need
@@ -32,6 +33,8 @@
         What endpoints carry, and the work that arrives.
     rollouts : Rollouts
         Which versions have the traffic.
+    capacities : ServiceCapacities
+        What the endpoints in service can do, the figure that admission uses.
     cloud : CloudClient
         Receives the orders.
     clock, log : Clock, Log
@@ -45,6 +48,7 @@
         models: EndpointModels,
         demand: DemandMeter,
         rollouts: Rollouts,
+        capacities: ServiceCapacities,
         cloud: CloudClient,
         clock: Clock,
         log: Log,
@@ -54,6 +58,7 @@
         self._models = models
         self._demand = demand
         self._rollouts = rollouts
+        self._capacities = capacities
         self._cloud = cloud
         self._clock = clock
         self._log = log
@@ -79,6 +84,7 @@
         assert service.scaling is not None and self._directory.loaded_ms is not None
         now_ms = self._clock.now_ms()
         plan = self._plans.setdefault(service.id, CapacityPlan())
+        capacity = self._capacity(service)
         need = self._compute_need(service, configuration)
         orders = plan.due_orders(
             service.scaling,
@@ -91,7 +97,7 @@
         for order in orders:
             if not hold.may_act(CALL_TIMEOUT_MS):
                 return
-            await self._send_order(plan, service.id, order, need, hold)
+            await self._send_order(plan, service.id, order, need, capacity, hold)
 
     def _compute_need(
         self, service: Service, configuration: Configuration
@@ -101,9 +107,12 @@
             model = self._models.engine(service.id)
             target_ms = _tightest_target_ms(service.id, configuration)
             return compute_engine_need(demand, model, target_ms)
-        slots = [e.slots for e in self._directory.ready_endpoints(service.id)]
         plain = self._models.plain(service.id)
-        return compute_service_need(demand, plain, min(slots, default=1))
+        return compute_service_need(demand, plain, self._capacity(service).least_slots)
+
+    def _capacity(self, service: Service) -> Capacity:
+        ready = self._directory.ready_endpoints(service.id)
+        return self._capacities.observe(service, ready, self._clock.now_ms())
 
     def _observe(self, service: ServiceId) -> dict[ZoneId, ZoneFleet]:
         fleet: dict[ZoneId, ZoneFleet] = {}
@@ -128,6 +137,7 @@
         service: ServiceId,
         order: Order,
         need: CapacityNeed,
+        capacity: Capacity,
         hold: Hold,
     ) -> None:
         failure = await self._cloud.order_endpoints(
@@ -154,6 +164,8 @@
             needed_at_least=need.least_count,
             binding=need.binding,
             demand=need.demand,
+            ready=capacity.ready_count,
+            lasting_share=round(capacity.lasting_share, 3),
             base_ms=round(self._models.engine(service).base_ms(), 1),
             ms_per_kilotoken=round(self._models.engine(service).prefill_ms(1_000), 1),
             fencing_number=hold.fencing_number,
--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -113,6 +113,7 @@
                 parts.endpoint_models,
                 parts.demand,
                 parts.rollouts,
+                parts.capacities,
                 cloud,
                 clock,
                 log,
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -11,8 +11,8 @@
 from ..duties.usage import UsageCounter
 from ..fleet.configurationholder import ConfigurationHolder
 from ..fleet.directory import EndpointDirectory
-from ..fleet.model import Configuration, Endpoint
-from ..ids import EndpointId, InstanceId, ZoneId
+from ..fleet.model import Configuration, Endpoint, Service
+from ..ids import EndpointId, InstanceId, ServiceId, ZoneId
 from ..limits.brittleness import BrittleServices
 from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
@@ -29,6 +29,7 @@
 from ..placing.loadboard import LoadBoard
 from ..placing.placer import Placer
 from ..placing.promptcacheindex import PromptCacheIndex
+from ..placing.servicecapacity import Capacity, ServiceCapacities
 from ..placing.zonereach import ZoneReach
 from ..platform.localsettings import LocalSettings
 from ..platform.store import Row
@@ -68,6 +69,7 @@
     cache_index: PromptCacheIndex
     wait_limits: WaitLimits
     fair_shares: FairShares
+    capacities: ServiceCapacities
     endpoint_models: EndpointModels
     demand: DemandMeter
     placer: Placer
@@ -82,6 +84,15 @@
     usage: UsageCounter
     rollouts: Rollouts
 
+    def observe_capacity(self, service: Service, now_ms: int) -> Capacity:
+        """Return the capacity of a service, and tell the fair shares."""
+        ready = self.directory.ready_endpoints(service.id)
+        capacity = self.capacities.observe(service, ready, now_ms)
+        self.fair_shares.set_capacity(
+            service.id, capacity.work_ms_per_s, capacity.lasting_share
+        )
+        return capacity
+
     @classmethod
     def from_settings(
         cls,
@@ -117,6 +128,7 @@
         directory = EndpointDirectory(
             clock, log, on_endpoint_removed, on_endpoint_ended
         )
+        rollouts = Rollouts(clock, log, rng)
         links = EndpointLinks()
         upstreams = Upstreams(clock, connection_recorder(links, clock, log))
         quarantine = Quarantine(
@@ -163,6 +175,7 @@
             cache_index=cache_index,
             wait_limits=WaitLimits(),
             fair_shares=FairShares(),
+            capacities=ServiceCapacities(rollouts.carries_load, _log_capacity(log)),
             endpoint_models=endpoint_models,
             demand=DemandMeter(settings.instance),
             placer=Placer(load_board, health, cache_index, endpoint_models, rng),
@@ -183,7 +196,7 @@
                 on_crash,
             ),
             usage=UsageCounter(bounds.usage_window_s),
-            rollouts=Rollouts(clock, log, rng),
+            rollouts=rollouts,
         )
 
 
@@ -205,3 +218,18 @@
         )
 
     return log_change
+
+
+def _log_capacity(log: Log) -> Callable[[ServiceId, Capacity, Capacity], None]:
+    def log_change(service: ServiceId, before: Capacity, after: Capacity) -> None:
+        log.event(
+            "service_capacity",
+            service=service,
+            ready=after.ready_count,
+            slots=after.slots,
+            work_ms_per_s=after.work_ms_per_s,
+            lasting_share=round(after.lasting_share, 3),
+            ready_before=before.ready_count,
+        )
+
+    return log_change
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -136,6 +136,11 @@
         Time for which the caller had presumably waited before, see `WaitLimits`.
     share_factor : float
         Factor on the longest wait by the customer's share, see `FairShares`.
+    has_precedence : bool
+        Whether the caller was taken for one that returns at the time that it was told.
+    is_return_kept : bool or None
+        Whether there will be capacity for a refused caller at its retry time; None if
+        that was not computed.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
     """
@@ -155,6 +160,8 @@
     rank: int
     spent_ms: int
     share_factor: float
+    has_precedence: bool
+    is_return_kept: bool | None
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -9,6 +9,12 @@
 from ..fleet.model import Configuration, Endpoint, Route
 from ..ids import InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
+from ..limits.returntimes import (
+    has_returned,
+    is_on_time,
+    kept_share,
+    tell_return_time,
+)
 from ..placing.endpointgate import Admission
 from ..placing.placer import Choice, PlacementRefusal, Requirements
 from ..placing.requestwork import predict_work_ms
@@ -77,6 +83,8 @@
         self._is_demand_counted = False
         self._spent_ms = 0
         self._share_factor = 1.0
+        self._has_precedence = False
+        self._is_return_kept: bool | None = None
 
     async def run(self) -> None:
         """Serve the request and end its exchange."""
@@ -306,6 +314,7 @@
         assert self.service is not None and self.route is not None
         parts = self.parts
         now_ms = parts.clock.now_ms()
+        parts.observe_capacity(self.service, now_ms)
         requirements = Requirements(
             is_generation=self.service.engine is not None,
             parts=self.facts.parts,
@@ -368,11 +377,19 @@
             return math.inf
         elapsed_ms = self._spent_ms + now_ms - self.exchange.request.received_ms
         if self.customer is not None and self.service is not None:
-            self._share_factor = self.parts.fair_shares.limit_factor(
+            shares = self.parts.fair_shares
+            self._share_factor = shares.limit_factor(
                 self.service.id, self.rank, self.customer.id, now_ms
             )
+            self._has_precedence = shares.work(
+                self.service.id, now_ms
+            ).is_short and is_on_time(self._spent_ms, self.remaining_ms())
         return self.parts.wait_limits.max_wait_ms(
-            self.route, elapsed_ms, self.rank, self._share_factor
+            self.route,
+            elapsed_ms,
+            self.rank,
+            self._share_factor,
+            has_precedence=self._has_precedence,
         )
 
     def _count_demand(self, choice: Choice | PlacementRefusal) -> None:
@@ -383,14 +400,17 @@
         self._is_demand_counted = True
         parts, tokens = self.parts, choice.prefill_tokens
         parts.demand.record(self.service.id, tokens)
-        if self.customer is not None:
+        is_admitted = isinstance(choice, Choice)
+        if self.customer is not None and (
+            is_admitted or not has_returned(self._spent_ms)
+        ):
             parts.fair_shares.record(
                 self.service.id,
                 self.rank,
                 self.customer.id,
                 predict_work_ms(parts.endpoint_models, self.service, tokens),
                 parts.clock.now_ms(),
-                is_admitted=isinstance(choice, Choice),
+                is_admitted=is_admitted,
             )
 
     def _may_retry(self, result: Result) -> bool:
@@ -408,7 +428,21 @@
         if self.may_have_run:
             self.respond(502, refusal.reason)
         else:
-            self.respond(503, refusal.reason, refusal.retry_after_ms)
+            self.respond(503, refusal.reason, self._retry_after_ms(refusal))
+
+    def _retry_after_ms(self, refusal: PlacementRefusal) -> int:
+        """Return when the caller may return; in an overload, when there is capacity."""
+        if self.customer is None or self.service is None or not refusal.is_busy:
+            return refusal.retry_after_ms
+        parts, service = self.parts, self.service.id
+        work = parts.fair_shares.work(service, parts.clock.now_ms())
+        if not work.is_short:
+            return refusal.retry_after_ms
+        share = kept_share(work, parts.capacities.get(service).work_ms_per_s)
+        left_ms = max(0, self.remaining_ms())
+        told = tell_return_time(refusal.retry_after_ms, left_ms, share, self._rng)
+        self._is_return_kept = told.is_kept
+        return told.retry_after_ms
 
     def _refuse_quarantined(self, entry: Entry) -> None:
         """Answer that requests like this one crash endpoints."""
@@ -511,6 +545,8 @@
                 rank=self.rank,
                 spent_ms=self._spent_ms,
                 share_factor=round(self._share_factor, 2),
+                has_precedence=self._has_precedence,
+                is_return_kept=self._is_return_kept,
                 is_from_peer=self.is_from_peer,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -525,23 +525,25 @@
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
-        self._observe_shares(now_ms)
+        self._observe_services(now_ms)
 
-    def _observe_shares(self, now_ms: int) -> None:
-        """Log which customers are above their fair shares, when that changes."""
+    def _observe_services(self, now_ms: int) -> None:
+        """Observe capacities, and log a change of the customers above their shares."""
         parts = self.parts
         current = parts.configuration.current
-        if current is None or not current.has_customers:
+        if current is None:
             return
-        for service in current.services:
-            above = parts.fair_shares.above_share(service, now_ms)
-            self.counters.customers_above_share.labels(service).set(len(above))
-            if above.keys() != self._above_share.get(service, set()):
-                self._above_share[service] = set(above)
+        for service in current.services.values():
+            parts.observe_capacity(service, now_ms)
+            above = parts.fair_shares.above_share(service.id, now_ms)
+            self.counters.customers_above_share.labels(service.id).set(len(above))
+            if above.keys() != self._above_share.get(service.id, set()):
+                self._above_share[service.id] = set(above)
                 self.log.event(
                     "customers_above_share",
-                    service=service,
+                    service=service.id,
                     factors={name: round(factor, 2) for name, factor in above.items()},
+                    work=parts.fair_shares.work(service.id, now_ms),
                     refresh_ms=REFRESH_MS,
                     peers=len(parts.members.reachable_ids),
                 )
--- a/src/_monsoonpulley/limits/fairshare.py
+++ b/src/_monsoonpulley/limits/fairshare.py
@@ -41,6 +41,9 @@
 REFRESH_MS = 100
 """Interval of computing shares: shorter than that of digests."""
 
+UTILIZATION = 0.85
+"""Share of its time that an endpoint works if requests wait for it only shortly."""
+
 ENTRY_REFRESH_MS = 0.1
 """Least interval for each entry: an entry takes about 2 us, so that thousands of
 customers take a fiftieth of the process's time."""
@@ -54,13 +57,13 @@
 Callers need at least a quarter; the rest covers late digests, and requests that are
 admitted and not answered before their deadline."""
 
-MIN_FACTOR = 0.2
+MIN_FACTOR = 0.1
 """Lowest factor on the limit of a wait. Above 0, as endpoints with a short queue are
 never idle: so much of the limit keeps them busy between two requests."""
 
-EXCESS_GAIN = 2.0
-"""Fall of the factor for each multiple of the share above the share: at 1.4 times its
-share a customer has the lowest factor, before it has taken half as much again."""
+EXCESS_GAIN = 5.0
+"""Fall of the factor for each multiple of the share above the share: what a customer
+has beyond its share is missing to others, so it is at most 0.18 of the share."""
 
 ORDER_GAIN = 10.0
 """Fall of the factor of a kind for each unit by which it is admitted more often than a
@@ -110,10 +113,23 @@
 IN_SHARE = Standing()
 
 
+class ServiceWork(msgspec.Struct, frozen=True):
+    """Recent work of all customers of a service, in ms of its endpoints' time."""
+
+    arrived_ms_per_s: float = 0.0
+    admitted_ms_per_s: float = 0.0
+
+    @property
+    def is_short(self) -> bool:
+        """Whether so much is refused that shares matter."""
+        return self.admitted_ms_per_s < (1 - MIN_SHORTAGE) * self.arrived_ms_per_s
+
+
 class _Shares(msgspec.Struct):
     """Standings in all groups of a service, as of one moment."""
 
     computed_ms: int
+    work: ServiceWork = ServiceWork()
     standings: dict[tuple[int, str], Standing] = {}
     kind_factors: dict[int, float] = {}
 
@@ -127,6 +143,27 @@
         self._peers: dict[InstanceId, Entries] = {}
         self._peer_totals: dict[_Key, list[int]] = {}
         self._shares: dict[ServiceId, _Shares] = {}
+        self._capacities: dict[ServiceId, tuple[float, float]] = {}
+
+    def set_capacity(
+        self, service: ServiceId, work_ms_per_s: float, lasting_share: float
+    ) -> None:
+        """Set the capacity of a service; a loss makes shares matter at once.
+
+        Parameters
+        ----------
+        service : ServiceId
+            The service.
+        work_ms_per_s : float
+            Work that its endpoints do in a second.
+        lasting_share : float
+            Share that is left of the capacity of the last seconds.
+        """
+        capacity = (work_ms_per_s, lasting_share)
+        previous = self._capacities.get(service, capacity)
+        self._capacities[service] = capacity
+        if lasting_share < previous[1]:
+            self._shares.pop(service, None)
 
     def record(
         self,
@@ -140,6 +177,8 @@
     ) -> None:
         """Count a request that arrived, and its work if it was admitted.
 
+        Requests that are refused once more after their callers returned don't count.
+
         Parameters
         ----------
         service : ServiceId
@@ -186,6 +225,10 @@
         kind = shares.kind_factors.get(rank, 1.0)
         return kind if standing.factor == 1.0 else min(standing.factor, kind)
 
+    def work(self, service: ServiceId, now_ms: int) -> ServiceWork:
+        """Return the recent work of a service; none while one customer sends it all."""
+        return self._refreshed(service, now_ms).work
+
     def above_share(self, service: ServiceId, now_ms: int) -> dict[str, float]:
         """Return the customers above their shares, with their lowest factor."""
         above: dict[str, float] = {}
@@ -256,6 +299,15 @@
             shares = self._shares[service] = self._compute(service, now_ms)
         return shares
 
+    def _still_admitted_ms(self, service: ServiceId, admitted_ms: float) -> float:
+        """Return how much of the admitted work could be admitted after a loss."""
+        work_ms_per_s, lasting_share = self._capacities.get(service, (0.0, 1.0))
+        if lasting_share >= 1.0 or not work_ms_per_s:
+            return admitted_ms
+        # At least what was admitted could be done before.
+        left_ms = UTILIZATION * work_ms_per_s * TIME_CONSTANT_MS / 1_000
+        return min(admitted_ms, max(left_ms, lasting_share * admitted_ms))
+
     def _compute(self, service: ServiceId, now_ms: int) -> _Shares:
         groups: dict[int, dict[str, _Sums]] = {}
         sums_by_key = [
@@ -266,11 +318,19 @@
             if name == service:
                 group = groups.setdefault(rank, {})
                 group.setdefault(customer, _Sums()).add(sums)
-        shares = _Shares(now_ms, {}, {})
+        shares = _Shares(now_ms, ServiceWork(), {}, {})
         if len({customer for group in groups.values() for customer in group}) < 2:
             return shares
-        shares.standings = _standings(groups)
-        shares.kind_factors = _kind_factors(groups)
+        every = [sums for group in groups.values() for sums in group.values()]
+        arrived_ms = sum(sums.arrived_ms for sums in every)
+        admitted_ms = self._still_admitted_ms(
+            service, sum(sums.admitted_ms for sums in every)
+        )
+        per_s = 1_000 / TIME_CONSTANT_MS
+        shares.work = ServiceWork(per_s * arrived_ms, per_s * admitted_ms)
+        if shares.work.is_short:
+            shares.standings = _standings(groups, admitted_ms)
+            shares.kind_factors = _kind_factors(groups)
         return shares
 
 
@@ -279,7 +339,9 @@
     return _Sums(float(arrived_ms), float(admitted_ms), arrived / 10, admitted / 10)
 
 
-def _standings(groups: dict[int, dict[str, _Sums]]) -> dict[tuple[int, str], Standing]:
+def _standings(
+    groups: dict[int, dict[str, _Sums]], admitted_ms: float
+) -> dict[tuple[int, str], Standing]:
     """Return the standings of the customers of one service, by rank and customer.
 
     A customer's share of the admitted work is divided between its kinds by their ranks,
@@ -290,9 +352,6 @@
         for customer, sums in group.items():
             totals.setdefault(customer, _Sums()).add(sums)
     arrived_ms = sum(sums.arrived_ms for sums in totals.values())
-    admitted_ms = sum(sums.admitted_ms for sums in totals.values())
-    if admitted_ms >= (1 - MIN_SHORTAGE) * arrived_ms:
-        return {}
     floor = FLOOR_SHARE * admitted_ms / arrived_ms
     level_ms = fair_level(
         [(floor * sums.arrived_ms, sums.arrived_ms) for sums in totals.values()],
@@ -351,9 +410,7 @@
         totals[rank] = _Sums()
         for sums in groups[rank].values():
             totals[rank].add(sums)
-    arrived_ms = sum(sums.arrived_ms for sums in totals.values())
-    admitted_ms = sum(sums.admitted_ms for sums in totals.values())
-    if admitted_ms >= (1 - MIN_SHORTAGE) * arrived_ms or len(totals) < 2:
+    if len(totals) < 2:
         return {}
     shares = {
         rank: sums.admitted / max(MIN_WORK_MS, sums.arrived)
--- a/src/_monsoonpulley/limits/waitlimit.py
+++ b/src/_monsoonpulley/limits/waitlimit.py
@@ -21,6 +21,10 @@
 RANK_FACTOR = 0.9
 """Factor on the limit for each rank: less urgent requests are refused first."""
 
+PRECEDENCE_FACTOR = 2.0
+"""Limit of a caller that returns on time, relative to the most urgent new requests. The
+queue, which these keep at their limit, is at times half as long again."""
+
 
 class WaitLimits:
     """Limits of the routes in force.
@@ -77,6 +81,8 @@
         elapsed_ms: float,
         rank: int,
         share_factor: float = 1.0,
+        *,
+        has_precedence: bool = False,
     ) -> float:
         """Return the longest wait for which a request is not refused.
 
@@ -90,9 +96,13 @@
             Priority of the request; 0 is the most urgent.
         share_factor : float
             Factor by the customer's share, see `FairShares.limit_factor`.
+        has_precedence : bool
+            Whether the caller returns at the time that it was told, see `returntimes`.
         """
         target_ms = route.target_latency_ms
         reference_ms = self._target_ms_by_route.get(route.name, target_ms)
+        if has_precedence:
+            return PRECEDENCE_FACTOR * WAIT_SHARE * reference_ms
         limit_ms = WAIT_SHARE * reference_ms * RANK_FACTOR**rank * share_factor
         left_ms = max(0.0, target_ms - elapsed_ms)
         return min(limit_ms, max(LATE_SHARE * limit_ms, left_ms))
--- a/src/_monsoonpulley/placing/placer.py
+++ b/src/_monsoonpulley/placing/placer.py
@@ -101,12 +101,14 @@
 class PlacementRefusal(msgspec.Struct, frozen=True):
     """Why no endpoint was chosen, and when to retry.
 
-    ``prefill_tokens`` are the prompt tokens that the request would have needed.
+    ``prefill_tokens`` are the prompt tokens that the request would have needed, and
+    ``is_busy`` says whether it is refused only for the work of others.
     """
 
     reason: str
     retry_after_ms: int
     prefill_tokens: int = 0
+    is_busy: bool = False
 
 
 class _Estimate(msgspec.Struct, frozen=True):
@@ -268,12 +270,13 @@
         shortest_ms = min(estimate.wait_ms for estimate in estimates)
         late_ms = shortest_ms - requirements.max_wait_ms / 2
         retry_after_ms = _retry_after_ms(late_ms * rng.uniform(1.0, 2.0))
-        return PlacementRefusal("overload", retry_after_ms, prefill_tokens)
+        return PlacementRefusal("overload", retry_after_ms, prefill_tokens, True)
     shortest_ms = min(estimate.time_ms for estimate in estimates)
     return PlacementRefusal(
         "no endpoint can answer in time",
         _retry_after_ms(shortest_ms - requirements.remaining_ms),
         prefill_tokens,
+        is_busy=True,
     )
 
 
--- a/testing/duties/test_capacity.py
+++ b/testing/duties/test_capacity.py
@@ -19,6 +19,7 @@
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.placing.demandmeter import DemandMeter
 from _monsoonpulley.placing.endpointmodels import EndpointModels
+from _monsoonpulley.placing.servicecapacity import ServiceCapacities
 from _monsoonpulley.platform.cloud import CALL_TIMEOUT_MS
 from _monsoonpulley.platform.rollouts import RolloutOrder
 from _monsoonpulley.rollouts.rollouts import Phase, Rollouts
@@ -101,6 +102,7 @@
             EndpointModels(),
             self.demand,
             self.rollouts,
+            ServiceCapacities(self.rollouts.carries_load, lambda *change: None),
             self.cloud,
             self.clock,
             log,
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -640,7 +640,8 @@
         tenants = [{"name": name, "api_keys": [name]} for name in names]
         await self.site.start(configuration(timeout_ms=60_000, tenants=tenants))
         parts = self.site.service.parts
-        work = {"svc": {1: {"small": (90, 20, 90, 20), "large": (90, 80, 90, 80)}}}
+        small, large = (90_000, 1_000, 90, 1), (90_000, 4_000, 90, 4)
+        work = {"svc": {1: {"small": small, "large": large}}}
         parts.fair_shares.update_peer("instance-2", work)
         for _ in range(6):
             parts.load_board.record_dispatch("i-1", 0)
@@ -649,6 +650,8 @@
         lines = self.site.log_events("request")
         self.assertEqual(lines[0]["share_factor"], 1.0)
         self.assertLess(lines[1]["share_factor"], 0.5)
+        self.assertEqual([line["is_return_kept"] for line in lines], [None, False])
+        self.assertGreater(lines[1]["retry_after_ms"], 4_000)
         entries = self.site.service._build_digest(True, True).work["svc"][1]
         self.assertEqual([entries[name][2:] for name in names], [(10, 10), (10, 0)])
 
--- a/testing/placing/customerplay.py
+++ b/testing/placing/customerplay.py
@@ -16,8 +16,14 @@
 from _monsoonpulley.fleet.model import Service
 from _monsoonpulley.ids import CustomerId, ZoneId
 from _monsoonpulley.limits.fairshare import FairShares
+from _monsoonpulley.limits.returntimes import (
+    is_on_time,
+    kept_share,
+    tell_return_time,
+)
 from _monsoonpulley.placing.placer import Choice, PlacementRefusal
 from _monsoonpulley.placing.requestwork import predict_work_ms
+from _monsoonpulley.placing.servicecapacity import ServiceCapacities
 
 from .overloadplay import (
     CLASSES,
@@ -161,6 +167,7 @@
     def __init__(self, name: str, seed: int, zone: ZoneId):
         super().__init__(name, seed, zone)
         self.shares = FairShares()
+        self.capacities = ServiceCapacities(lambda _: True, lambda *_: None)
 
 
 class CustomerPlay(Play):
@@ -280,29 +287,47 @@
     ) -> float:
         kind, factor = request.kind, 1.0
         if self._is_sharing:
+            self._note_capacity(instance)
             key = (SERVICE, kind.rank, CustomerId(request.customer))
             factor = instance.shares.limit_factor(*key, round(self.now_ms))
             true_factor = self.whole_view.limit_factor(*key, round(self.now_ms))
             error = abs(factor - true_factor)
             self.factor_errors.append((self.now_ms / 1000, error))
+        left_ms = kind.deadline_ms - elapsed_ms
         return self._wait_limits.max_wait_ms(
-            ROUTES[kind.name], elapsed_ms, kind.rank, factor
+            ROUTES[kind.name],
+            elapsed_ms,
+            kind.rank,
+            factor,
+            has_precedence=self._is_sharing and is_on_time(elapsed_ms, left_ms),
         )
 
+    def _note_capacity(self, instance: SharingInstance) -> None:
+        capacity = instance.capacities.observe(
+            ENGINES,
+            tuple(engine.endpoint for engine in self._engines.values()),
+            round(self.now_ms),
+        )
+        for shares in (instance.shares, self.whole_view):
+            shares.set_capacity(SERVICE, capacity.work_ms_per_s, capacity.lasting_share)
+
     def _record_choice(
         self,
         request: Request,
         instance: SharingInstance,
         choice: Choice | PlacementRefusal,
     ) -> None:
+        is_admitted = isinstance(choice, Choice)
         for shares in (instance.shares, self.whole_view):
+            if request.has_returned and not is_admitted:
+                continue
             shares.record(
                 SERVICE,
                 request.kind.rank,
                 CustomerId(request.customer),
                 predict_work_ms(instance.models, ENGINES, choice.prefill_tokens),
                 round(self.now_ms),
-                is_admitted=isinstance(choice, Choice),
+                is_admitted=is_admitted,
             )
 
     def _handle_refusal(
@@ -311,10 +336,29 @@
         outcome = self._outcomes[id(request)]
         if not request.has_returned:
             left_ms = request.kind.deadline_ms - (self.now_ms - request.arrived_ms)
+            refusal = self._tell_return_time(request, instance, refusal, left_ms)
             patience_ms = RETURN_SHARE * left_ms
             outcome.is_due = refusal.retry_after_ms <= patience_ms + DUE_MS
         super()._handle_refusal(request, instance, refusal)
 
+    def _tell_return_time(
+        self,
+        request: Request,
+        instance: SharingInstance,
+        refusal: PlacementRefusal,
+        left_ms: float,
+    ) -> PlacementRefusal:
+        work = instance.shares.work(SERVICE, round(self.now_ms))
+        if not self._is_sharing or not work.is_short:
+            return refusal
+        told = tell_return_time(
+            refusal.retry_after_ms,
+            left_ms,
+            kept_share(work, instance.capacities.get(SERVICE).work_ms_per_s),
+            self.rng,
+        )
+        return msgspec.structs.replace(refusal, retry_after_ms=told.retry_after_ms)
+
     def _record_served(
         self, request: Request, first_ms: float, *, is_in_time: bool
     ) -> None:
--- a/testing/placing/test_customers.py
+++ b/testing/placing/test_customers.py
@@ -20,6 +20,12 @@
 LEAST_SIZE_SHARE = 0.5
 """The largest tenth of a kind and the fifth below it, relative to the kind."""
 
+NEVER_SERVED, NEVER_SERVED_SHARE = 2, 0.04
+"""Sessions, and share of them, that may go without any answer, on each day."""
+
+FOUND_SHARE = 0.9
+"""Of the callers that return at the time that they were told."""
+
 WITHIN_LIMIT_SHARE = 0.97
 """Of what a customer within its limit asks for: section 3."""
 
@@ -28,14 +34,14 @@
     @classmethod
     def setUpClass(cls):
         plays = ((9, 1), (9, 2), (65, 1))
-        cls.reports = {
-            name: Report(
-                outcome
-                for size, seed in plays
-                for outcome in play(seed, size).report(*OVERLOAD_S[name]).outcomes
-            )
+        cls.by_day = {
+            name: [play(seed, size).report(*OVERLOAD_S[name]) for size, seed in plays]
             for name, play in DAYS.items()
         }
+        cls.reports = {
+            name: Report(o for report in reports for o in report.outcomes)
+            for name, reports in cls.by_day.items()
+        }
 
     def each_kind(self):
         for name, report in self.reports.items():
@@ -69,6 +75,20 @@
             for largest in kind.largest():
                 self.assertGreaterEqual(largest.served, LEAST_SIZE_SHARE * kind.served)
 
+    def test_callers_that_return_when_told_find_capacity(self):
+        for name, report in self.reports.items():
+            with self.subTest(day=name):
+                self.assertGreaterEqual(report.found_share(), FOUND_SHARE)
+
+    def test_few_sessions_are_never_served(self):
+        # The sums of several days may not be worse than each day.
+        for name, reports in self.by_day.items():
+            counts = [report.sessions() for report in reports]
+            often, never = (sum(values) for values in zip(*counts, strict=True))
+            with self.subTest(day=name):
+                allowed = len(reports) * NEVER_SERVED + NEVER_SERVED_SHARE * often
+                self.assertLessEqual(never, allowed)
+
     def test_a_surge_costs_the_others_little(self):
         usual = [o for o in self.reports["surge"].outcomes if o.customer != SURGING]
         self.assertGreaterEqual(Report(usual).served, WITHIN_LIMIT_SHARE)
