--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -4,6 +4,7 @@
 
 from ..control.verdict import Result as VersionResult
 from ..errors import Failure, Reason
+from ..limits.streampause import stall_ms
 from ..placing.placer import Choice
 from ..platform.answerheaders import (
     REFUSED_STATUS,
@@ -21,6 +22,7 @@
 from .linkrecords import record_lost_link
 from .requestlog import Result
 from .requeststate import RequestState
+from .stallwatch import StallWatch
 
 CONNECTION_SHARE = 0.9
 """Share of an endpoint's connections that all instances may use together."""
@@ -71,6 +73,7 @@
         self._wants_pause = False
         self._is_proven = False
         self._first_event_ms: int | None = None
+        self._stall_watch: StallWatch | None = None
 
     async def run(self) -> Result:
         """Send the request once and return how the attempt ended."""
@@ -90,6 +93,10 @@
                 # The endpoint started to leave while the connection was being opened.
                 self.detail = "the endpoint is leaving"
                 return Result.UNREACHABLE
+            if self._parts.evacuations.is_evacuated(self._endpoint.zone):
+                # The operator evacuated it while the connection was being opened.
+                self.detail = "the data centre is evacuated"
+                return Result.UNREACHABLE
             if self._parts.gate.is_paused(
                 self._endpoint.id, self._parts.clock.now_ms()
             ):
@@ -102,6 +109,12 @@
                 # Others were sent while the connection was being opened.
                 self.detail = "the endpoint has no room"
                 return Result.UNREACHABLE
+            if not self._parts.gate.bears_more(
+                self._endpoint, self._parts.clock.now_ms()
+            ):
+                # It turned cold while the connection was being opened.
+                self.detail = "the endpoint is cold"
+                return Result.UNREACHABLE
             if self._state.find_quarantine_entry() is not None:
                 self.detail = "requests like this one crash endpoints"
                 return Result.UNREACHABLE
@@ -113,6 +126,7 @@
             )
             try:
                 self._send(connection)
+                self._watch_for_stalls()
                 result = await self._receive(connection)
             except Exception:
                 # What the endpoint made of the request is not known.
@@ -122,6 +136,8 @@
                 self._record_prefill_end()
                 load_board.record_end(self._endpoint.id, self._held_tokens)
         finally:
+            if self._stall_watch is not None:
+                self._stall_watch.stop()
             self._state.exchange.set_upstream(None)
             self._parts.answer_memory.release(self._held_bytes)
             pool.release(connection)
@@ -159,6 +175,7 @@
         )
         state.send_count += 1
         self.was_sent = True
+        self._parts.gate.record_send(self._endpoint, self._parts.clock.now_ms())
         self._parts.cache_index.record(
             state.facts.parts, self._endpoint.id, self._parts.clock.now_ms()
         )
@@ -197,7 +214,7 @@
         self._record_prefill_end()
         self._record_first_event()
 
-    def _on_later_event(self) -> None:
+    def _on_later_event(self, gap_ms: int) -> None:
         now_ms = self._parts.clock.now_ms()
         self._parts.links.record_contact(now_ms)
         if self._is_proven:
@@ -207,6 +224,33 @@
         if self._is_proven:
             self._state.record_served()
 
+    def _on_progress(self) -> None:
+        if self._stall_watch is not None:
+            self._stall_watch.record_event()
+
+    def _watch_for_stalls(self) -> None:
+        """Begin to look for a stall if the stream can go on elsewhere.
+
+        The first event may take long, as requests wait at endpoints; what an earlier
+        endpoint has begun must go on soon.
+        """
+        state = self._state
+        route = state.route
+        if route is None or not state.is_stream or not route.is_idempotent:
+            return
+        mailbox = state.exchange.mailbox
+        self._stall_watch = StallWatch(self._parts.clock, stall_ms(route), mailbox)
+        if state.exchange.has_started:
+            self._stall_watch.record_event()
+
+    def _is_stalled(self, watch: object, connection: ClientConnection) -> bool:
+        return (
+            self._stall_watch is not None
+            and watch is self._stall_watch
+            and self._stall_watch.check(connection)
+            and self._state.try_move_stream(self._endpoint.id)
+        )
+
     def _record_rate_limit(self, head: AnswerHead) -> None:
         per_s = read_rate_limit(head)
         if isinstance(per_s, Failure):
@@ -252,11 +296,17 @@
             "endpoint_paused", endpoint=self._endpoint.id, pause_ms=pause_ms
         )
 
+    def _is_cold(self, now_ms: int) -> bool:
+        """Return whether what is learned from the endpoint would not hold when warm."""
+        return self.choice.is_cold or self._parts.cold.is_cold(self._endpoint, now_ms)
+
     def _record_first_event(self) -> None:
         """Tell the engines' model how long this one took."""
         assert self.first_byte_ms is not None
         choice = self.choice
         self._first_event_ms = self.first_byte_ms
+        if self._is_cold(self._parts.clock.now_ms()):
+            return
         self._parts.endpoint_models.engine(self._endpoint.service).record_first_event(
             choice.backlog_tokens + choice.prefill_tokens,
             self.first_byte_ms,
@@ -265,6 +315,8 @@
 
     def _record_no_event(self, now_ms: int) -> None:
         """Tell the engines' model that a first event had not come by now."""
+        if self._is_cold(now_ms):
+            return
         if self._state.is_stream and self._first_event_ms is None:
             choice = self.choice
             model = self._parts.endpoint_models.engine(self._endpoint.service)
@@ -344,13 +396,7 @@
                 if self.first_byte_ms is not None
                 else self.elapsed_ms
             )
-            predicted_ms = self.choice.predicted_ms
-            self._parts.counters.prediction_error_ratio.labels(
-                self._endpoint.service
-            ).observe(answer_ms / max(1.0, predicted_ms))
-            excess_ms = max(0.0, answer_ms - predicted_ms)
-            self._record_occupancy(now_ms)
-            self._parts.health.record_answer(self._endpoint.id, excess_ms, now_ms)
+            self._record_answer_time(answer_ms, now_ms)
         elif result in (Result.INVALID, Result.FAILED, Result.TIMED_OUT):
             self._parts.health.record_failure(self._endpoint.id, now_ms)
         if result in (Result.TIMED_OUT, Result.CALLER_LEFT):
@@ -361,6 +407,21 @@
                 self._endpoint.id, now_ms, NOT_RUN_FAILURE_WEIGHT
             )
 
+    def _record_answer_time(self, answer_ms: int, now_ms: int) -> None:
+        """Compare the time of an answer with the predicted one, and learn from it."""
+        health = self._parts.health
+        if self._is_cold(now_ms):
+            known_ms = health.excess_ms(self._endpoint.id, now_ms)
+            health.record_answer(self._endpoint.id, known_ms, now_ms)
+            return
+        predicted_ms = self.choice.predicted_ms
+        self._parts.counters.prediction_error_ratio.labels(
+            self._endpoint.service
+        ).observe(answer_ms / max(1.0, predicted_ms))
+        excess_ms = max(0.0, answer_ms - predicted_ms)
+        self._record_occupancy(now_ms)
+        health.record_answer(self._endpoint.id, excess_ms, now_ms)
+
     def _record_full(self, now_ms: int) -> None:
         """Send nothing more for a while to a brittle endpoint that had no room."""
         if self.status != REFUSED_STATUS:
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -32,9 +32,13 @@
     predicted_ms, running, unread_tokens, backlog_tokens, held_tokens, runner_up, \
 candidates
         See `Choice`; ``unread_tokens`` are its ``prefill_tokens``.
-    limited, paused, full : int
-        Endpoints left out because of their rate limits, because they want a pause, and
-        because they are brittle and have no room.
+    limited, paused, full, cold : int
+        Endpoints left out because of their rate limits, because they want a pause,
+        because they are brittle and have no room, and because they are cold and bear
+        no more requests.
+    barred : int
+        Endpoints left out because of their region, or because their data centre is
+        evacuated.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -49,6 +53,8 @@
         Status in the head of the endpoint's answer; 0 if none arrived.
     events : int
         Whole events of a stream that arrived.
+    longest_gap_ms : int
+        Longest pause between two of them.
     parts : tuple of str
         Fingerprints of the prompt's parts that other requests may share, if the
         answer broke off.
@@ -78,7 +84,10 @@
     detail: str = ""
     status: int = 0
     events: int = 0
+    barred: int = 0
+    longest_gap_ms: int = 0
     parts: tuple[str, ...] = ()
+    cold: int = 0
 
 
 class PeerAttemptEnded(Decision, frozen=True, tag="peer_attempt", kw_only=True):
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -7,7 +7,7 @@
 import random
 
 from ..fleet.model import Configuration, Endpoint, Route
-from ..ids import InstanceId, ServiceId
+from ..ids import EndpointId, InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
 from ..limits.returntimes import (
     has_returned,
@@ -16,7 +16,14 @@
     tell_return_time,
 )
 from ..placing.endpointgate import Admission
-from ..placing.placer import Choice, PlacementRefusal, Requirements
+from ..placing.placer import (
+    MAX_RETRY_MS,
+    NO_ENDPOINT_RETRY_MS,
+    Choice,
+    PlacementRefusal,
+    Requirements,
+)
+from ..placing.regiongate import Regions, combine_regions
 from ..placing.requestwork import predict_work_ms
 from ..platform.answerheaders import PeerOutcome
 from ..quarantine.evidence import Entry
@@ -46,6 +53,10 @@
 endpoints may be older than a cut."""
 
 
+RETRY_SPREAD = 0.25
+"""Retry times while nothing may be sent are spread over this share of them, so that the
+callers don't return together, as in `placing.endpointgate`."""
+
 MIN_LOST_SHARE = 0.5
 """Share of a service's endpoints from which on lost links are the reason for a refusal.
 With fewer of them lost, the others are as busy as for any other instance."""
@@ -81,7 +92,9 @@
         self._admission = Admission(())
         self._helper_ids: set[InstanceId] = set()
         self._is_demand_counted = False
+        self._holds_retry = False
         self._spent_ms = 0
+        self._return_draw: float | None = None
         self._share_factor = 1.0
         self._has_precedence = False
         self._is_return_kept: bool | None = None
@@ -108,6 +121,23 @@
             self.parts.counters.in_progress.dec()
             self._log_request()
 
+    def end_now(self) -> None:
+        """Let the time for the request be up, as the process is about to end."""
+        self.deadline_ms = min(self.deadline_ms, self.parts.clock.now_ms())
+        self.exchange.mailbox.put(self, TimerExpired("stop"))
+
+    def try_move_stream(self, endpoint: EndpointId) -> bool:
+        """Take a retry for the rest of a stream, if another endpoint would get it."""
+        self.tried_ids.add(endpoint)
+        admission = self._admission
+        choice = self._choose()
+        self._admission = admission
+        if isinstance(choice, PlacementRefusal):
+            return False
+        self.parts.gate.refund(choice.endpoint.id, self.parts.clock.now_ms())
+        self._holds_retry = self._may_retry(Result.INVALID)
+        return self._holds_retry
+
     def _admit(self) -> bool:
         configuration = self.configuration
         if configuration is None:
@@ -213,11 +243,14 @@
                 self._refuse(choice)
                 return
             attempt = Attempt(self, choice)
-            result = await attempt.run()
+            try:
+                result = await attempt.run()
+            finally:
+                if not attempt.was_sent:
+                    now_ms = self.parts.clock.now_ms()
+                    self.parts.gate.refund(choice.endpoint.id, now_ms)
             self._log_attempt(attempt, result)
             self.tried_ids.add(choice.endpoint.id)
-            if not attempt.was_sent:
-                self.parts.gate.refund(choice.endpoint.id, self.parts.clock.now_ms())
             if self.exchange.is_over:
                 return
             if result is Result.UNREACHABLE:
@@ -258,6 +291,21 @@
             lost_count,
             self.configuration.version,
             self._helper_ids,
+            self._may_help,
+        )
+
+    def _may_help(self, member: Member) -> bool:
+        """Return whether another instance complies with what this one knows.
+
+        One that has not read of an evacuation, or whose build knows of none, would send
+        the request to the evacuated data centre; the same applies to allowed regions.
+        """
+        if not self.parts.evacuations.zones <= member.evacuated:
+            return False
+        allowed = self._allowed_regions()
+        return allowed is None or (
+            member.applies_regions
+            and self.parts.region_gate.may_send_body(member.zone, allowed)
         )
 
     async def _ask_one_of(self, helpers: list[Member]) -> None:
@@ -294,18 +342,49 @@
         )
         self._consume_quota()
 
+    def _open_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the endpoints of the service that this request may be sent to."""
+        assert self.service is not None
+        return self.parts.evacuations.open_endpoints(self._regional_endpoints())
+
+    def _regional_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the endpoints of the service that are in allowed regions."""
+        assert self.service is not None
+        ready = self.parts.directory.ready_endpoints(self.service.id)
+        return self.parts.region_gate.allowed_endpoints(ready, self._allowed_regions())
+
+    def _allowed_regions(self) -> Regions | None:
+        """Return the regions that the request may reach, None for all.
+
+        What was allowed when it arrived and what is allowed now both apply, as streams
+        are resumed long after their arrival.
+        """
+        assert self.route is not None
+        route_limit = self.route.allowed_regions
+        customer_limit = self.customer.allowed_regions if self.customer else None
+        current = self.parts.configuration.current
+        if current is self.configuration or current is None:
+            return combine_regions(route_limit, customer_limit)
+        route = current.find_route(self.facts.host, self.facts.path)
+        customer = current.customers.get(self.customer.id) if self.customer else None
+        return combine_regions(
+            route_limit,
+            customer_limit,
+            route.allowed_regions if route is not None else None,
+            customer.allowed_regions if customer is not None else None,
+        )
+
     def _untried_endpoints(self) -> tuple[Endpoint, ...]:
         assert self.service is not None
-        parts = self.parts
-        eligible = parts.rollouts.eligible_endpoints(
-            self.service.id, parts.directory.ready_endpoints(self.service.id)
+        eligible = self.parts.rollouts.eligible_endpoints(
+            self.service.id, self._open_endpoints()
         )
         return tuple(e for e in eligible if e.id not in self.tried_ids)
 
     def _may_try(self, entry: Entry) -> bool:
         """Return whether this request may show that an entry no longer holds."""
         assert self.service is not None
-        ready = self.parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         versions = {endpoint.version for endpoint in ready}
         self.is_trial = self.parts.quarantine.try_acquire_trial(entry, versions)
         return self.is_trial
@@ -324,25 +403,118 @@
             max_wait_ms=self._max_wait_ms(now_ms),
         )
         untried = self._untried_endpoints()
+        if not untried:
+            closed = self._refuse_closed()
+            if closed is not None:
+                return closed
         linked = self._linked_endpoints(untried)
         if untried and not linked:
             self.has_no_link = True
             return PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
         self._admission = parts.gate.admit(linked, now_ms)
+        if self._admission.cold_count:
+            parts.counters.requests_kept_off_cold.labels(self.service.id).inc()
+            if not self._admission.usable:
+                self._admit_old_version(linked, now_ms)
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
-        choice = parts.placer.choose(
-            requirements,
-            self._admission.usable,
-            self.tried_ids,
-            parts.zone,
-            now_ms,
-            parts.zone_reach.unreachable_zones(now_ms),
-        )
+        choice = self._place(requirements, self._admission.usable, now_ms)
         if isinstance(choice, Choice):
-            parts.gate.record_send(choice.endpoint.id, now_ms)
+            parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
+    def _admit_old_version(self, drawn: tuple[Endpoint, ...], now_ms: int) -> None:
+        """Let the old version serve what cold endpoints of a new one can't take."""
+        assert self.service is not None
+        parts = self.parts
+        old = parts.rollouts.old_endpoints(self.service.id, self._open_endpoints())
+        untried = tuple(e for e in old if e not in drawn and e.id not in self.tried_ids)
+        if not untried:
+            return
+        admission = parts.gate.admit(self._linked_endpoints(untried), now_ms)
+        if admission.usable:
+            self._admission = admission
+
+    def _place(
+        self, requirements: Requirements, usable: tuple[Endpoint, ...], now_ms: int
+    ) -> Choice | PlacementRefusal:
+        """Choose an endpoint; data centres that take traffic back get it in steps."""
+        parts = self.parts
+        unreachable_zones = parts.zone_reach.unreachable_zones(now_ms)
+
+        def choose(candidates: tuple[Endpoint, ...]) -> Choice | PlacementRefusal:
+            return parts.placer.choose(
+                requirements,
+                candidates,
+                self.tried_ids,
+                parts.zone,
+                now_ms,
+                unreachable_zones,
+                self._admission.cold_ids,
+            )
+
+        if parts.evacuations.is_returning:
+            preferred = self._without_deferred(usable)
+            choice = choose(preferred)
+            if isinstance(choice, Choice):
+                return choice
+            # A request that others can't serve may use idle endpoints at once.
+        return choose(usable)
+
+    def _without_deferred(
+        self, endpoints: tuple[Endpoint, ...]
+    ) -> tuple[Endpoint, ...]:
+        if self._return_draw is None:
+            self._return_draw = self._rng.random()
+        evacuations, draw = self.parts.evacuations, self._return_draw
+        return tuple(e for e in endpoints if not evacuations.is_deferred(e.zone, draw))
+
+    def _refuse_closed(self) -> PlacementRefusal | None:
+        """Return the refusal of a request that no known endpoint may get, if so."""
+        if self._open_endpoints():
+            return None
+        allowed = self._allowed_regions()
+        has_regional = bool(self._regional_endpoints())
+        if allowed is not None and not has_regional:
+            return self._refuse_region(allowed)
+        if not has_regional:
+            return None
+        return PlacementRefusal(
+            "all data centres with endpoints are evacuated",
+            self._spread_ms(NO_ENDPOINT_RETRY_MS),
+            self.facts.prompt_tokens,
+        )
+
+    def _refuse_region(self, allowed: Regions) -> PlacementRefusal:
+        """Return the refusal of a request for which no allowed region has an endpoint.
+
+        If none is allowed at all, only another configuration helps: it is no work that
+        more endpoints could do, and a caller needn't come back soon.
+        """
+        assert self.service is not None
+        self.parts.counters.region_rejections.labels(self.service.id).inc()
+        if not allowed:
+            self._is_demand_counted = True
+            return PlacementRefusal(
+                "no region is allowed", self._spread_ms(MAX_RETRY_MS)
+            )
+        return PlacementRefusal(
+            f"no endpoint in an allowed region: {', '.join(sorted(allowed))}",
+            self._spread_ms(NO_ENDPOINT_RETRY_MS),
+            self.facts.prompt_tokens,
+        )
+
+    def _spread_ms(self, retry_ms: int) -> int:
+        return round(retry_ms * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD))
+
+    def _barred_count(self) -> int:
+        """Return how many endpoints are left out by region or evacuation."""
+        assert self.service is not None
+        if not self.parts.evacuations.zones and self._allowed_regions() is None:
+            return 0
+        ready = self.parts.directory.ready_endpoints(self.service.id)
+        return len(ready) - len(self._open_endpoints())
+
     def _linked_endpoints(
         self, endpoints: tuple[Endpoint, ...]
     ) -> tuple[Endpoint, ...]:
@@ -363,7 +535,7 @@
     def _not_run_retry_ms(self) -> int:
         """Return when a request that endpoints refused to run may return."""
         assert self.service is not None
-        ready = self.parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         now_ms = self.parts.clock.now_ms()
         if not ready or self.parts.gate.admit(ready, now_ms).usable:
             return UNAVAILABLE_RETRY_MS
@@ -415,6 +587,9 @@
 
     def _may_retry(self, result: Result) -> bool:
         assert self.route is not None and self.service is not None
+        if self._holds_retry:
+            self._holds_retry = False
+            return True
         if self.send_count >= self.route.max_attempts:
             return False
         if result is not Result.NOT_RUN and not self.route.is_idempotent:
@@ -476,6 +651,7 @@
                 limited=self._admission.limited_count,
                 paused=self._admission.paused_count,
                 full=self._admission.full_count,
+                cold=self._admission.cold_count,
                 heard=reachable_count,
                 members=member_count,
                 left_ms=self.remaining_ms(),
@@ -485,6 +661,8 @@
                 detail=attempt.detail,
                 status=attempt.status,
                 events=attempt.event_count,
+                barred=self._barred_count(),
+                longest_gap_ms=attempt.longest_gap_ms,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
@@ -495,7 +673,7 @@
         assert self.service is not None
         parts = self.parts
         now_ms = parts.clock.now_ms()
-        ready = parts.directory.ready_endpoints(self.service.id)
+        ready = self._open_endpoints()
         outcome = attempt.outcome
         parts.counters.peer_attempts.labels(self.service.id, result.value).inc()
         parts.log.decision(
--- a/src/_monsoonpulley/placing/servicecapacity.py
+++ b/src/_monsoonpulley/placing/servicecapacity.py
@@ -32,11 +32,11 @@
     Attributes
     ----------
     ready_count : int
-        Endpoints that accept requests, of versions that have traffic.
+        Endpoints that accept requests and take their part of the traffic.
     slots : int
         Requests that they run at once, together.
     least_slots : int
-        The same of the smallest; 1 if there is none.
+        The same of the smallest that accepts requests; 1 if there is none.
     work_ms_per_s : float
         Work that they do in a second, as `requestwork` measures it.
     lasting_share : float
@@ -63,7 +63,7 @@
     Parameters
     ----------
     carries_load : callable
-        Whether an endpoint's version has traffic.
+        Whether an endpoint takes its part of the traffic, apart from its readiness.
     on_change : callable
         Called with a service and its capacities before and after a change.
     """
@@ -130,6 +130,6 @@
         return Capacity(
             ready_count=len(carrying),
             slots=slots,
-            least_slots=min((endpoint.slots for endpoint in carrying), default=1),
+            least_slots=min((endpoint.slots for endpoint in ready), default=1),
             work_ms_per_s=1_000.0 * lanes,
         )
--- a/src/_monsoonpulley/wire/server.py
+++ b/src/_monsoonpulley/wire/server.py
@@ -15,6 +15,20 @@
 """Interval of checking the time-outs of connections, which are seconds long."""
 
 
+ACCEPT_ROUNDS = 3
+"""Rounds of the event loop until connections that wait are served: one until it looks
+for them, one in which it accepts them, one in which it makes their transports."""
+
+
+async def accept_waiting() -> None:
+    """Let the event loop accept the connections that wait at its listeners.
+
+    Closing a listener resets those that still wait.
+    """
+    for _ in range(ACCEPT_ROUNDS):
+        await asyncio.sleep(0)
+
+
 class HttpServer:
     """Accepts connections and calls a handler with each request.
 
@@ -74,13 +88,34 @@
         for connection in self._connections:
             connection.is_draining = True
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    async def end_listening(self) -> None:
+        """Stop accepting connections, once those that wait for it are accepted."""
+        await accept_waiting()
+        self._close_listener()
+
     def stop_listening(self) -> None:
         """Stop accepting connections and close the idle ones."""
+        self._close_listener()
+        self.close_idle(0)
+
+    def close_idle(self, min_idle_ms: int) -> None:
+        """Close the connections that have been idle for at least ``min_idle_ms``.
+
+        The others close after their current answer.
+        """
+        now_ms = self._clock.now_ms()
+        for connection in list(self._connections):
+            connection.close_if_idle(now_ms, min_idle_ms)
+
+    def _close_listener(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
-        for connection in list(self._connections):
-            connection.close_if_idle()
 
     def _accept(self) -> ServerConnection:
         connection = ServerConnection(
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -17,6 +17,7 @@
     StatementKind,
     Version,
 )
+from .world import LOCAL_ZONE, zone_of
 
 SENT_MS = 100_000
 
@@ -150,6 +151,26 @@
         seen.disturbances.append(Disturbance("instance-1", "pause", 0, SENT_MS - 5_000))
         self.assertEqual(find_violations(seen), [])
 
+    def test_evacuations_kept(self):
+        arrived_ms = SENT_MS + 5
+        zone = zone_of("endpoint-1")
+        time = Disturbance(zone, "evacuation", arrived_ms - 5_000)
+        seen = make_records(make_call(), evacuations=[time])
+        self.assertEqual(find_violations(seen), [])
+        time.from_ms -= 1
+        self.assert_violates("evacuations_kept", seen)
+        time.until_ms = arrived_ms
+        self.assertEqual(find_violations(seen), [])
+
+    def test_regions_kept(self):
+        for number in range(1, 9):
+            run = make_run(endpoint=f"endpoint-{number}")
+            seen = make_records(make_call(kind="local", runs=[run]))
+            if zone_of(run.endpoint) == LOCAL_ZONE:
+                self.assertEqual(find_violations(seen), [])
+            else:
+                self.assert_violates("regions_kept", seen)
+
     def test_no_return_to_older_configuration(self):
         shown = make_call(feature=2)
         later = unsuccessful_call(
@@ -255,6 +276,25 @@
         del seen.calls[calls[1].id]
         self.assertEqual(find_violations(seen), [])
 
+    def test_cold_endpoints_get_few_requests(self):
+        # 1 / s x 1.5 + 5 = 6.5
+        calls = [
+            make_call(n, runs=[make_run(arrived_ms=SENT_MS + 50 * n)]) for n in range(7)
+        ]
+        start = Disturbance("endpoint-1", "start", SENT_MS - 500, SENT_MS + 2_500)
+        turn = Disturbance("endpoint-1", "turn", SENT_MS - 500, SENT_MS + 6_500)
+        seen = make_records(*calls, cold=[start])
+        self.assert_violates("cold_endpoints_get_few_requests", seen)
+        # Instances don't know at once of one that turns cold.
+        self.assertEqual(find_violations(make_records(*calls, cold=[turn])), [])
+        turn.from_ms -= 3_000
+        seen = make_records(*calls, cold=[turn])
+        self.assert_violates("cold_endpoints_get_few_requests", seen)
+        seen.disturbances.append(Disturbance("instance-1", "pause", 0, SENT_MS))
+        self.assertEqual(find_violations(seen), [])
+        del calls[0]
+        self.assertEqual(find_violations(make_records(*calls, cold=[start])), [])
+
     def test_rate_limits_kept(self):
         told = [
             Statement(StatementKind.LIMIT, "endpoint-1", "instance-1", at_ms, 0.5)
