--- a/src/_monsoonpulley/duties/capacity.py
+++ b/src/_monsoonpulley/duties/capacity.py
@@ -17,6 +17,7 @@
 from ..observability.log import Log
 from ..placing.demandmeter import DemandMeter
 from ..placing.endpointmodels import EndpointModels
+from ..placing.servicecapacity import Capacity, ServiceCapacities
 from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
 from ..rollouts.rollouts import Rollouts
 from .capacityneed import (
@@ -43,6 +44,8 @@
         What endpoints carry, and the work that arrives.
     rollouts : Rollouts
         Which versions have the traffic.
+    capacities : ServiceCapacities
+        What the endpoints in service can do, the figure that admission uses.
     cold : ColdEndpoints
         Endpoints that carry little for a while.
     cloud : CloudClient
@@ -61,6 +64,7 @@
         models: EndpointModels,
         demand: DemandMeter,
         rollouts: Rollouts,
+        capacities: ServiceCapacities,
         cold: ColdEndpoints,
         cloud: CloudClient,
         clock: Clock,
@@ -72,6 +76,7 @@
         self._models = models
         self._demand = demand
         self._rollouts = rollouts
+        self._capacities = capacities
         self._cold = cold
         self._cloud = cloud
         self._clock = clock
@@ -99,6 +104,7 @@
         assert service.scaling is not None and self._directory.loaded_ms is not None
         now_ms = self._clock.now_ms()
         plan = self._plans.setdefault(service.id, CapacityPlan())
+        capacity = self._capacity(service)
         need = self._compute_need(service, configuration)
         spec, closed = service.scaling, self._closed_zones(service)
         if closed:
@@ -119,7 +125,9 @@
         for order in orders:
             if not hold.may_act(CALL_TIMEOUT_MS):
                 return
-            await self._send_order(plan, service.id, order, need, hold, closed)
+            await self._send_order(
+                plan, service.id, order, need, capacity, hold, closed
+            )
 
     def _compute_need(
         self, service: Service, configuration: Configuration
@@ -129,9 +137,12 @@
             model = self._models.engine(service.id)
             target_ms = _tightest_target_ms(service.id, configuration)
             return compute_engine_need(demand, model, target_ms)
-        slots = [e.slots for e in self._directory.ready_endpoints(service.id)]
         plain = self._models.plain(service.id)
-        return compute_service_need(demand, plain, min(slots, default=1))
+        return compute_service_need(demand, plain, self._capacity(service).least_slots)
+
+    def _capacity(self, service: Service) -> Capacity:
+        ready = self._directory.ready_endpoints(service.id)
+        return self._capacities.observe(service, ready, self._clock.now_ms())
 
     def _add_cold(
         self,
@@ -178,6 +189,7 @@
         service: ServiceId,
         order: Order,
         need: CapacityNeed,
+        capacity: Capacity,
         hold: Hold,
         closed: frozenset[ZoneId],
     ) -> None:
@@ -206,6 +218,8 @@
             closed_zones=sorted(closed),
             binding=need.binding,
             demand=need.demand,
+            ready=capacity.ready_count,
+            lasting_share=round(capacity.lasting_share, 3),
             base_ms=round(self._models.engine(service).base_ms(), 1),
             ms_per_kilotoken=round(self._models.engine(service).prefill_ms(1_000), 1),
             fencing_number=hold.fencing_number,
