--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -9,13 +9,21 @@
 from ..fleet.model import Configuration, Endpoint, Route
 from ..ids import EndpointId, InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
+from ..limits.returntimes import (
+    has_returned,
+    is_on_time,
+    kept_share,
+    tell_return_time,
+)
 from ..placing.endpointgate import Admission
 from ..placing.placer import (
+    MAX_RETRY_MS,
     NO_ENDPOINT_RETRY_MS,
     Choice,
     PlacementRefusal,
     Requirements,
 )
+from ..placing.regiongate import Regions, combine_regions
 from ..placing.requestwork import predict_work_ms
 from ..platform.answerheaders import PeerOutcome
 from ..quarantine.evidence import Entry
@@ -88,6 +96,8 @@
         self._spent_ms = 0
         self._return_draw: float | None = None
         self._share_factor = 1.0
+        self._has_precedence = False
+        self._is_return_kept: bool | None = None
 
     async def run(self) -> None:
         """Serve the request and end its exchange."""
@@ -233,11 +243,14 @@
                 self._refuse(choice)
                 return
             attempt = Attempt(self, choice)
-            result = await attempt.run()
+            try:
+                result = await attempt.run()
+            finally:
+                if not attempt.was_sent:
+                    now_ms = self.parts.clock.now_ms()
+                    self.parts.gate.refund(choice.endpoint.id, now_ms)
             self._log_attempt(attempt, result)
             self.tried_ids.add(choice.endpoint.id)
-            if not attempt.was_sent:
-                self.parts.gate.refund(choice.endpoint.id, self.parts.clock.now_ms())
             if self.exchange.is_over:
                 return
             if result is Result.UNREACHABLE:
@@ -285,9 +298,15 @@
         """Return whether another instance complies with what this one knows.
 
         One that has not read of an evacuation, or whose build knows of none, would send
-        the request to the evacuated data centre.
+        the request to the evacuated data centre; the same applies to allowed regions.
         """
-        return self.parts.evacuations.zones <= member.evacuated
+        if not self.parts.evacuations.zones <= member.evacuated:
+            return False
+        allowed = self._allowed_regions()
+        return allowed is None or (
+            member.applies_regions
+            and self.parts.region_gate.may_send_body(member.zone, allowed)
+        )
 
     async def _ask_one_of(self, helpers: list[Member]) -> None:
         """Let another instance serve the request and answer, unless it can't."""
@@ -326,9 +345,33 @@
     def _open_endpoints(self) -> tuple[Endpoint, ...]:
         """Return the endpoints of the service that this request may be sent to."""
         assert self.service is not None
-        parts = self.parts
-        return parts.evacuations.open_endpoints(
-            parts.directory.ready_endpoints(self.service.id)
+        return self.parts.evacuations.open_endpoints(self._regional_endpoints())
+
+    def _regional_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the endpoints of the service that are in allowed regions."""
+        assert self.service is not None
+        ready = self.parts.directory.ready_endpoints(self.service.id)
+        return self.parts.region_gate.allowed_endpoints(ready, self._allowed_regions())
+
+    def _allowed_regions(self) -> Regions | None:
+        """Return the regions that the request may reach, None for all.
+
+        What was allowed when it arrived and what is allowed now both apply, as streams
+        are resumed long after their arrival.
+        """
+        assert self.route is not None
+        route_limit = self.route.allowed_regions
+        customer_limit = self.customer.allowed_regions if self.customer else None
+        current = self.parts.configuration.current
+        if current is self.configuration or current is None:
+            return combine_regions(route_limit, customer_limit)
+        route = current.find_route(self.facts.host, self.facts.path)
+        customer = current.customers.get(self.customer.id) if self.customer else None
+        return combine_regions(
+            route_limit,
+            customer_limit,
+            route.allowed_regions if route is not None else None,
+            customer.allowed_regions if customer is not None else None,
         )
 
     def _untried_endpoints(self) -> tuple[Endpoint, ...]:
@@ -350,6 +393,7 @@
         assert self.service is not None and self.route is not None
         parts = self.parts
         now_ms = parts.clock.now_ms()
+        parts.observe_capacity(self.service, now_ms)
         requirements = Requirements(
             is_generation=self.service.engine is not None,
             parts=self.facts.parts,
@@ -370,6 +414,8 @@
         self._admission = parts.gate.admit(linked, now_ms)
         if self._admission.cold_count:
             parts.counters.requests_kept_off_cold.labels(self.service.id).inc()
+            if not self._admission.usable:
+                self._admit_old_version(linked, now_ms)
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
         choice = self._place(requirements, self._admission.usable, now_ms)
@@ -377,6 +423,18 @@
             parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
+    def _admit_old_version(self, drawn: tuple[Endpoint, ...], now_ms: int) -> None:
+        """Let the old version serve what cold endpoints of a new one can't take."""
+        assert self.service is not None
+        parts = self.parts
+        old = parts.rollouts.old_endpoints(self.service.id, self._open_endpoints())
+        untried = tuple(e for e in old if e not in drawn and e.id not in self.tried_ids)
+        if not untried:
+            return
+        admission = parts.gate.admit(self._linked_endpoints(untried), now_ms)
+        if admission.usable:
+            self._admission = admission
+
     def _place(
         self, requirements: Requirements, usable: tuple[Endpoint, ...], now_ms: int
     ) -> Choice | PlacementRefusal:
@@ -412,20 +470,51 @@
         return tuple(e for e in endpoints if not evacuations.is_deferred(e.zone, draw))
 
     def _refuse_closed(self) -> PlacementRefusal | None:
-        """Return the refusal of a request all of whose endpoints are evacuated."""
-        assert self.service is not None
-        parts = self.parts
-        if self._open_endpoints() or not parts.directory.ready_endpoints(
-            self.service.id
-        ):
+        """Return the refusal of a request that no known endpoint may get, if so."""
+        if self._open_endpoints():
+            return None
+        allowed = self._allowed_regions()
+        has_regional = bool(self._regional_endpoints())
+        if allowed is not None and not has_regional:
+            return self._refuse_region(allowed)
+        if not has_regional:
             return None
-        spread_ms = NO_ENDPOINT_RETRY_MS * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
         return PlacementRefusal(
             "all data centres with endpoints are evacuated",
-            round(spread_ms),
+            self._spread_ms(NO_ENDPOINT_RETRY_MS),
+            self.facts.prompt_tokens,
+        )
+
+    def _refuse_region(self, allowed: Regions) -> PlacementRefusal:
+        """Return the refusal of a request for which no allowed region has an endpoint.
+
+        If none is allowed at all, only another configuration helps: it is no work that
+        more endpoints could do, and a caller needn't come back soon.
+        """
+        assert self.service is not None
+        self.parts.counters.region_rejections.labels(self.service.id).inc()
+        if not allowed:
+            self._is_demand_counted = True
+            return PlacementRefusal(
+                "no region is allowed", self._spread_ms(MAX_RETRY_MS)
+            )
+        return PlacementRefusal(
+            f"no endpoint in an allowed region: {', '.join(sorted(allowed))}",
+            self._spread_ms(NO_ENDPOINT_RETRY_MS),
             self.facts.prompt_tokens,
         )
 
+    def _spread_ms(self, retry_ms: int) -> int:
+        return round(retry_ms * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD))
+
+    def _barred_count(self) -> int:
+        """Return how many endpoints are left out by region or evacuation."""
+        assert self.service is not None
+        if not self.parts.evacuations.zones and self._allowed_regions() is None:
+            return 0
+        ready = self.parts.directory.ready_endpoints(self.service.id)
+        return len(ready) - len(self._open_endpoints())
+
     def _linked_endpoints(
         self, endpoints: tuple[Endpoint, ...]
     ) -> tuple[Endpoint, ...]:
@@ -460,11 +549,19 @@
             return math.inf
         elapsed_ms = self._spent_ms + now_ms - self.exchange.request.received_ms
         if self.customer is not None and self.service is not None:
-            self._share_factor = self.parts.fair_shares.limit_factor(
+            shares = self.parts.fair_shares
+            self._share_factor = shares.limit_factor(
                 self.service.id, self.rank, self.customer.id, now_ms
             )
+            self._has_precedence = shares.work(
+                self.service.id, now_ms
+            ).is_short and is_on_time(self._spent_ms, self.remaining_ms())
         return self.parts.wait_limits.max_wait_ms(
-            self.route, elapsed_ms, self.rank, self._share_factor
+            self.route,
+            elapsed_ms,
+            self.rank,
+            self._share_factor,
+            has_precedence=self._has_precedence,
         )
 
     def _count_demand(self, choice: Choice | PlacementRefusal) -> None:
@@ -475,14 +572,17 @@
         self._is_demand_counted = True
         parts, tokens = self.parts, choice.prefill_tokens
         parts.demand.record(self.service.id, tokens)
-        if self.customer is not None:
+        is_admitted = isinstance(choice, Choice)
+        if self.customer is not None and (
+            is_admitted or not has_returned(self._spent_ms)
+        ):
             parts.fair_shares.record(
                 self.service.id,
                 self.rank,
                 self.customer.id,
                 predict_work_ms(parts.endpoint_models, self.service, tokens),
                 parts.clock.now_ms(),
-                is_admitted=isinstance(choice, Choice),
+                is_admitted=is_admitted,
             )
 
     def _may_retry(self, result: Result) -> bool:
@@ -503,7 +603,21 @@
         if self.may_have_run:
             self.respond(502, refusal.reason)
         else:
-            self.respond(503, refusal.reason, refusal.retry_after_ms)
+            self.respond(503, refusal.reason, self._retry_after_ms(refusal))
+
+    def _retry_after_ms(self, refusal: PlacementRefusal) -> int:
+        """Return when the caller may return; in an overload, when there is capacity."""
+        if self.customer is None or self.service is None or not refusal.is_busy:
+            return refusal.retry_after_ms
+        parts, service = self.parts, self.service.id
+        work = parts.fair_shares.work(service, parts.clock.now_ms())
+        if not work.is_short:
+            return refusal.retry_after_ms
+        share = kept_share(work, parts.capacities.get(service).work_ms_per_s)
+        left_ms = max(0, self.remaining_ms())
+        told = tell_return_time(refusal.retry_after_ms, left_ms, share, self._rng)
+        self._is_return_kept = told.is_kept
+        return told.retry_after_ms
 
     def _refuse_quarantined(self, entry: Entry) -> None:
         """Answer that requests like this one crash endpoints."""
@@ -547,7 +661,9 @@
                 detail=attempt.detail,
                 status=attempt.status,
                 events=attempt.event_count,
+                barred=self._barred_count(),
                 longest_gap_ms=attempt.longest_gap_ms,
+                speed_factor=choice.speed_factor,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
@@ -608,6 +724,8 @@
                 rank=self.rank,
                 spent_ms=self._spent_ms,
                 share_factor=round(self._share_factor, 2),
+                has_precedence=self._has_precedence,
+                is_return_kept=self._is_return_kept,
                 is_from_peer=self.is_from_peer,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -12,6 +12,7 @@
 from ..limits.endpointrates import Notice
 from ..limits.fairshare import WorkEntry
 from ..placing.demandmeter import Totals
+from ..placing.endpointspeeds import SpeedSample
 from ..placing.loadboard import LoadEntry
 from ..placing.sharedsums import Sums
 from ..quarantine.evidence import Entry, QuarantineNews
@@ -65,6 +66,9 @@
         Number of endpoints of each service that the sender presumably can't reach.
     brittle : dict
         Services whose endpoints lately told an instance how many refusals they bear.
+    applies_regions : bool
+        Whether the sender's configuration allows only some regions for some requests,
+        and it complies with that.
     evacuated : dict
         Versions of the rows that evacuate data centres, by data centre.
     leaving : dict
@@ -76,6 +80,8 @@
         Quota that each customer has used at the sender since its start.
     rollouts : tuple of Progress
         Progress of the ordered roll-outs as known to the sender.
+    speeds : tuple of SpeedSample
+        Times of endpoints that the sender saw since its last digest to all instances.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
     work : dict
@@ -108,6 +114,8 @@
     brittle: dict[str, BrittleNotice] = {}
     evacuated: dict[str, int] = {}
     work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
+    applies_regions: bool = False
+    speeds: tuple[SpeedSample, ...] = ()
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/duties/test_capacity.py
+++ b/testing/duties/test_capacity.py
@@ -27,6 +27,7 @@
 from _monsoonpulley.placing.demandmeter import Demand, DemandMeter
 from _monsoonpulley.placing.endpointmodels import EndpointModels
 from _monsoonpulley.placing.loadboard import LoadBoard
+from _monsoonpulley.placing.servicecapacity import ServiceCapacities
 from _monsoonpulley.platform.cloud import CALL_TIMEOUT_MS
 from _monsoonpulley.platform.rollouts import RolloutOrder
 from _monsoonpulley.platform.store import Row, Rows
@@ -119,6 +120,7 @@
             EndpointModels(),
             self.demand,
             self.rollouts,
+            ServiceCapacities(self.rollouts.carries_load, lambda *change: None),
             self.cold,
             self.cloud,
             self.clock,
