Shed load early on an instance that is short of processor time

Cause: instances differ in size and get equal traffic, so that a small one makes all of its callers late while others have processor time.

Digests tell who is short and who rests; an instance that hears too few, or whose neighbours are as short, does neither.

One instance with real sockets sheds, reports 503 on its readiness path and is ready again (testing.ingress.test_service).

--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -98,6 +98,11 @@
             ("service", "result"),
             registry=self.registry,
         )
+        self.loop_delay_s = Gauge(
+            "monsoonpulley_loop_delay_seconds",
+            "Mean delay of the event loop's timers in the last second.",
+            registry=self.registry,
+        )
         self.customers_above_share = Gauge(
             "monsoonpulley_customers_above_share",
             "Customers whose requests are refused first, by service.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -19,6 +19,7 @@
 from ..limits.endpointpauses import EndpointPauses
 from ..limits.endpointrates import EndpointRateLimits
 from ..limits.fairshare import FairShares
+from ..limits.processload import ProcessLoad
 from ..limits.quota import QuotaLedger
 from ..limits.retrybudget import RetryBudget
 from ..limits.sharers import Sharers
@@ -78,6 +79,7 @@
     wait_limits: WaitLimits
     fair_shares: FairShares
     capacities: ServiceCapacities
+    process_load: ProcessLoad
     endpoint_models: EndpointModels
     demand: DemandMeter
     placer: Placer
@@ -224,6 +226,7 @@
             wait_limits=WaitLimits(),
             fair_shares=FairShares(),
             capacities=ServiceCapacities(takes_load, _log_capacity(log)),
+            process_load=ProcessLoad(bounds.pass_ms),
             endpoint_models=endpoint_models,
             demand=DemandMeter(settings.instance),
             placer=Placer(load_board, health, cache_index, endpoint_models, rng),
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -44,6 +44,10 @@
 An instance that has just started has its configuration after this time.
 """
 
+SHED_RETRY_MS = 100
+"""Shortest retry time of a request that is rejected for lack of processor time: others
+have it, and the balancer chooses another instance."""
+
 MAX_UNREACHABLE_ENDPOINTS = 3
 """The request is refused after this many endpoints were unreachable."""
 
@@ -170,9 +174,20 @@
             self._refuse_quarantined(entry)
             return False
         self._spent_ms = self.parts.wait_limits.spent_ms(route, facts.timeout_ms)
+        if self._is_shed():
+            retry_ms = round(SHED_RETRY_MS * self._rng.uniform(1.0, 2.0))
+            self.respond(503, "the instance is short of processor time", retry_ms)
+            return False
         self.parts.retry_budget.count_request(service.id, self.parts.clock.now_ms())
         return self._consume_quota()
 
+    def _is_shed(self) -> bool:
+        """Return whether to reject a request, as this process falls behind."""
+        if self.is_from_peer:
+            return False
+        share = self.parts.process_load.shed_share(self.rank)
+        return share > 0 and self._rng.random() < share
+
     def _authenticate(self, configuration: Configuration, route: Route) -> bool:
         """Set the customer of the key, or answer 401 if the route requires one."""
         if not configuration.has_customers:
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -17,6 +17,7 @@
 from ..fleet.tablefollower import TableFollower
 from ..ids import InstanceId, ServiceId
 from ..limits.fairshare import REFRESH_MS
+from ..limits.processload import SAMPLE_INTERVAL_MS
 from ..observability.log import Log
 from ..placement_wire import EXPLAIN_PLACE_PATH
 from ..platform.endpoints import decode_endpoint
@@ -159,6 +160,7 @@
             parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
         )
         self._last_tick_ms = clock.now_ms()
+        self._is_resting = False
         self._above_share: dict[ServiceId, set[str]] = {}
         self._control = Control(
             settings,
@@ -262,6 +264,7 @@
             ("sweep", self.caller_server.sweep),
             ("sweep/peers", self.peer_server.sweep),
             ("tick", self._tick),
+            ("delay", self._measure_delay),
             ("links", self._probe_links),
         ]
 
@@ -271,6 +274,7 @@
         parts = self.parts
         return (
             not self.is_stopping
+            and not self._is_resting
             and parts.configuration.current is not None
             and parts.directory.is_loaded
         )
@@ -342,6 +346,7 @@
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
         )
         self.parts.cold.set_tolerance(bounds.cold_overage, bounds.cold_slack)
+        self.parts.process_load.set_pass_ms(bounds.pass_ms)
 
     def _on_request(self, exchange: Exchange) -> None:
         self._start_run(RequestRun(exchange, self.parts, self._rng))
@@ -460,6 +465,8 @@
             work=(
                 parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
             ),
+            is_short=parts.process_load.is_short,
+            is_resting=self._is_resting,
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -555,6 +562,14 @@
         if follower is not None:
             follower.handle_relay(relay)
 
+    async def _measure_delay(self) -> None:
+        """Measure how late timers go off, until cancelled."""
+        while True:
+            started_ms = self.clock.now_ms()
+            await self.clock.sleep_ms(SAMPLE_INTERVAL_MS)
+            elapsed_ms = self.clock.now_ms() - started_ms
+            self.parts.process_load.record_delay(elapsed_ms - SAMPLE_INTERVAL_MS)
+
     async def _tick(self) -> None:
         while True:
             await self.clock.sleep_ms(TICK_INTERVAL_MS)
@@ -601,6 +616,24 @@
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
         self._observe_services(now_ms)
+        self._decide_rest()
+
+    def _decide_rest(self) -> None:
+        """Report for a while that this instance is not ready if it falls behind."""
+        load = self.parts.process_load
+        neighbours = self.parts.members.neighbours(self.parts.zone)
+        load.set_neighbours(neighbours)
+        is_resting = load.may_rest(self.clock.wall_ms())
+        self.counters.loop_delay_s.set(load.delay_ms / 1_000)
+        if is_resting == self._is_resting:
+            return
+        self._is_resting = is_resting
+        self.log.event(
+            "resting" if is_resting else "rested",
+            delay_ms=round(load.delay_ms, 1),
+            neighbours=neighbours,
+        )
+        self.digest_exchange.broadcast_digest()
 
     def _observe_services(self, now_ms: int) -> None:
         """Observe capacities, and log a change of the customers above their shares."""
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -81,6 +81,8 @@
         Progress of the ordered roll-outs as known to the sender.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
+    is_short, is_resting : bool
+        Whether the sender is short of processor time, and reports that it is not ready.
     work : dict
         Recent work of the customers at the sender, by service and rank.
     """
@@ -112,6 +114,8 @@
     evacuated: dict[str, int] = {}
     work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
     applies_regions: bool = False
+    is_short: bool = False
+    is_resting: bool = False
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -6,6 +6,7 @@
 
 from ..clock import Clock
 from ..ids import InstanceId, ZoneId
+from ..limits.processload import Neighbours
 from ..observability.log import Log
 from .digest import Digest
 
@@ -58,6 +59,9 @@
     """Whether it complies with allowed regions; see `Digest`."""
     in_progress: int = 0
     """Requests that it had sent to endpoints and that had no complete answer yet."""
+    is_short: bool = False
+    is_resting: bool = False
+    """Whether it is short of processor time, and not ready for that reason."""
     is_bundled: bool = False
     """Whether the last digest arrived in a bundle."""
 
@@ -142,6 +146,7 @@
         member.evacuated = frozenset(digest.evacuated)
         member.in_progress = sum(entry[0] for entry in digest.loads.values())
         member.last_received_ms = now_ms
+        member.is_short, member.is_resting = digest.is_short, digest.is_resting
         member.is_bundled = is_bundled
         return True
 
@@ -170,6 +175,19 @@
         self.last_counts = (len(reachable_ids) + 1, len(self._members) + 1)
         return self.last_counts
 
+    def neighbours(self, own_zone: ZoneId) -> Neighbours:
+        """Return the instances of the own data centre, this one included."""
+        near = [m for m in self._members.values() if m.zone in (own_zone, "")]
+        near = [member for member in near if not member.is_leaving]
+        heard = [member for member in near if self.is_reachable(member)]
+        return Neighbours(
+            position=sum(member.instance < self.own for member in heard),
+            heard_count=len(heard) + 1,
+            known_count=len(near) + 1,
+            short_count=sum(member.is_short for member in heard),
+            resting_count=sum(member.is_resting for member in heard),
+        )
+
     def lease_holder(self) -> Member | None:
         """Return the reachable member that holds the lease on the duties, if any."""
         holders = [m for m in self._members.values() if m.lease_token]
--- a/testing/ingress/test_service.py
+++ b/testing/ingress/test_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 
+from _monsoonpulley.limits.processload import SLOT_COUNT, SLOT_MS, Neighbours
 from _monsoonpulley.standins.rowstore import StoreFault
 
 from .site import Site, configuration, endpoint_row, read_answer, request
@@ -69,6 +70,31 @@
         await self.site.wait_until(lambda: holder.current.version == 6)
 
 
+class TestProcessorTime(ServiceTest):
+    async def test_an_instance_that_falls_behind_sheds_load_and_rests(self):
+        await self.site.add_endpoint(answer)
+        await self.site.start(configuration(timeout_ms=60_000))
+        parts, clock = self.site.service.parts, self.site.clock
+        # Any delay is too long from now on.
+        parts.process_load.set_pass_ms(1e-6)
+        parts.process_load.record_delay(100)
+        self.assertEqual((await self.site.send_request()).status, 200)
+
+        def neighbours(zone: str) -> Neighbours:
+            return Neighbours(clock.wall_ms() // SLOT_MS % SLOT_COUNT, 9, 9)
+
+        parts.members.neighbours = neighbours
+        await self.site.wait_until(lambda: self.site.log_events("resting"))
+        self.assertEqual(await self.readiness_status(), 503)
+        answers = [await self.site.send_request(f"b{n}") for n in range(20)]
+        shed = [got for got in answers if got.status == 503]
+        self.assertTrue(0 < len(shed) < 20)
+        self.assertTrue(all("retry-after" in got.headers for got in shed))
+        parts.process_load.set_pass_ms(10_000)
+        await self.site.wait_until(lambda: self.site.log_events("rested"))
+        self.assertEqual(await self.readiness_status(), 200)
+
+
 class TestStoreOutage(ServiceTest):
     async def test_requests_are_served_during_a_store_outage(self):
         await self.site.add_endpoint(answer)
