--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -162,6 +162,22 @@
             self.cut.wait_until(lambda: not load.own_loads()), FREE_S
         )
 
+    async def test_a_request_whose_time_is_up_frees_the_endpoint_at_once(self):
+        async def never(call) -> None:
+            await call.writer.wait_closed()
+
+        await self.start(2)
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = never
+        got = await self.fleet.send(self.cut, deadline_ms=600)
+        self.assertEqual(got.status, 504)
+        self.assertEqual(len(self.calls()), 1)
+        load = self.others[0].service.parts.load_board
+        await asyncio.wait_for(
+            self.cut.wait_until(lambda: not load.own_loads()), FREE_S
+        )
+
     async def test_the_time_that_endpoints_get_shrinks(self):
         await self.start(2)
         await self.lose_links([self.cut])
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -449,6 +449,22 @@
         self.assertEqual(got.status, 504)
         self.assertLess(loop.time() - started_s, 0.15 + 0.5)
 
+    async def test_a_request_whose_time_is_up_is_cancelled_at_the_endpoint(self):
+        async def stream(call) -> None:
+            call.start_stream()
+            call.write_event(1)
+            # The stand-in reads on and so detects the end of the connection.
+            await call.writer.drain()
+
+        endpoint = await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming", resume_streams=True))
+        got = await self.site.send_request(deadline_ms=300)
+        self.assertFalse(got.is_whole)
+        await asyncio.wait_for(
+            self.site.wait_until(lambda: endpoint.connections_lost == 1), 0.5
+        )
+        self.assertEqual(len(endpoint.calls), 1)
+
     async def test_a_callers_disconnect_cancels_its_request_at_the_endpoint(self):
         async def hang(call) -> None:
             # The stand-in reads on and so detects the end of the connection.
