--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -84,6 +84,8 @@
         Times of endpoints that the sender saw since its last digest to all instances.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
+    is_short, is_resting : bool
+        Whether the sender is short of processor time, and reports that it is not ready.
     work : dict
         Recent work of the customers at the sender, by service and rank.
     """
@@ -116,6 +118,8 @@
     work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
     applies_regions: bool = False
     speeds: tuple[SpeedSample, ...] = ()
+    is_short: bool = False
+    is_resting: bool = False
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
