--- a/src/_monsoonpulley/fleet/evacuations.py
+++ b/src/_monsoonpulley/fleet/evacuations.py
@@ -19,10 +19,11 @@
 from ..platform.storeversion import era_of, wire_version
 from .model import Endpoint
 
-MIN_RETURN_SHARE = 0.1
-"""Share of the requests that may use a data centre as soon as its evacuation ends. An
-endpoint that has just started gets about as few from all instances until they hear of
-each other's requests to it."""
+MIN_RETURN_SHARE = 0.5
+"""Share of the requests that may use a data centre as soon as its evacuation ends. With
+less, requests wait at full endpoints while others are idle; with more, instances that
+don't hear of each other yet crowd the idle ones. ``testing.placing.returnplay`` plays
+both."""
 
 
 class _Zone(msgspec.Struct):
@@ -187,7 +188,8 @@
         if ended_ms is None:
             return 1.0
         elapsed_ms = self._clock.now_ms() - ended_ms
-        return max(MIN_RETURN_SHARE, elapsed_ms / max(1.0, self._evacuation_ms))
+        risen = elapsed_ms / max(1.0, self._evacuation_ms)
+        return MIN_RETURN_SHARE + (1.0 - MIN_RETURN_SHARE) * risen
 
     def _apply_missing(self, rows: Rows, unread_ms: int | None) -> None:
         """End the evacuations whose rows are not in a snapshot.
