--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from ..platform.answerheaders import (
+    PROMISES_NOT_RUN,
     headers_for_caller,
     is_event_stream,
     is_sealed,
     is_success,
+    without_status_headers,
 )
 from ..wire.clientconnection import ClientConnection
 from ..wire.events import (
@@ -287,11 +289,19 @@
         self._state.exchange.start(self._head.status, headers_for_caller(self._head))
 
     def _forward_answer(self, head: AnswerHead) -> None:
+        """Forward an answer whole.
+
+        One whose status would promise that the request has not run, though its
+        endpoint doesn't say so, gets status 502, and neither a retry time nor the
+        endpoint's seal, which is for its own status.
+        """
         self._record_first_byte()
-        self._state.exchange.respond(
-            head.status, headers_for_caller(head), b"".join(self._body_chunks)
-        )
-        self._state.record_answer(head.status, self.detail)
+        status, headers = head.status, headers_for_caller(head)
+        if status in PROMISES_NOT_RUN:
+            status = 502
+            headers = without_status_headers(headers)
+        self._state.exchange.respond(status, headers, b"".join(self._body_chunks))
+        self._state.record_answer(status, self.detail)
 
     def _record_first_byte(self) -> None:
         now_ms = self._parts.clock.now_ms()
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -29,8 +29,8 @@
 
     Attributes
     ----------
-    predicted_ms, running, unread_tokens, backlog_tokens, held_tokens, runner_up, \
-candidates
+    predicted_ms, speed_factor, running, unread_tokens, backlog_tokens, \
+held_tokens, runner_up, candidates
         See `Choice`; ``unread_tokens`` are its ``prefill_tokens``.
     limited, paused, full, cold : int
         Endpoints left out because of their rate limits, because they want a pause,
@@ -86,6 +86,7 @@
     events: int = 0
     barred: int = 0
     longest_gap_ms: int = 0
+    speed_factor: float = 1.0
     parts: tuple[str, ...] = ()
     cold: int = 0
 
@@ -139,6 +140,17 @@
         Time since the configuration now in force was applied.
     may_have_run : bool
         Whether an endpoint may have started the request.
+    rank : int
+        Priority; 0 is the most urgent.
+    spent_ms : int
+        Time for which the caller had presumably waited before, see `WaitLimits`.
+    share_factor : float
+        Factor on the longest wait by the customer's share, see `FairShares`.
+    has_precedence : bool
+        Whether the caller was taken for one that returns at the time that it was told.
+    is_return_kept : bool or None
+        Whether there will be capacity for a refused caller at its retry time; None if
+        that was not computed.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
     """
@@ -155,6 +167,11 @@
     took_ms: int
     first_ms: int | None
     retry_after_ms: int | None
+    rank: int
+    spent_ms: int
+    share_factor: float
+    has_precedence: bool
+    is_return_kept: bool | None
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -9,6 +9,12 @@
 from ..fleet.model import Configuration, Endpoint, Route
 from ..ids import EndpointId, InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
+from ..limits.returntimes import (
+    has_returned,
+    is_on_time,
+    kept_share,
+    tell_return_time,
+)
 from ..placing.endpointgate import Admission
 from ..placing.placer import (
     MAX_RETRY_MS,
@@ -18,6 +24,7 @@
     Requirements,
 )
 from ..placing.regiongate import Regions, combine_regions
+from ..placing.requestwork import predict_work_ms
 from ..platform.answerheaders import PeerOutcome
 from ..quarantine.evidence import Entry
 from ..quarantine.quarantine import RETRY_AFTER_MS
@@ -88,6 +95,9 @@
         self._holds_retry = False
         self._spent_ms = 0
         self._return_draw: float | None = None
+        self._share_factor = 1.0
+        self._has_precedence = False
+        self._is_return_kept: bool | None = None
 
     async def run(self) -> None:
         """Serve the request and end its exchange."""
@@ -233,11 +243,14 @@
                 self._refuse(choice)
                 return
             attempt = Attempt(self, choice)
-            result = await attempt.run()
+            try:
+                result = await attempt.run()
+            finally:
+                if not attempt.was_sent:
+                    now_ms = self.parts.clock.now_ms()
+                    self.parts.gate.refund(choice.endpoint.id, now_ms)
             self._log_attempt(attempt, result)
             self.tried_ids.add(choice.endpoint.id)
-            if not attempt.was_sent:
-                self.parts.gate.refund(choice.endpoint.id, self.parts.clock.now_ms())
             if self.exchange.is_over:
                 return
             if result is Result.UNREACHABLE:
@@ -380,6 +393,7 @@
         assert self.service is not None and self.route is not None
         parts = self.parts
         now_ms = parts.clock.now_ms()
+        parts.observe_capacity(self.service, now_ms)
         requirements = Requirements(
             is_generation=self.service.engine is not None,
             parts=self.facts.parts,
@@ -400,6 +414,8 @@
         self._admission = parts.gate.admit(linked, now_ms)
         if self._admission.cold_count:
             parts.counters.requests_kept_off_cold.labels(self.service.id).inc()
+            if not self._admission.usable:
+                self._admit_old_version(linked, now_ms)
         if linked and not self._admission.usable:
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
         choice = self._place(requirements, self._admission.usable, now_ms)
@@ -407,6 +423,18 @@
             parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
+    def _admit_old_version(self, drawn: tuple[Endpoint, ...], now_ms: int) -> None:
+        """Let the old version serve what cold endpoints of a new one can't take."""
+        assert self.service is not None
+        parts = self.parts
+        old = parts.rollouts.old_endpoints(self.service.id, self._open_endpoints())
+        untried = tuple(e for e in old if e not in drawn and e.id not in self.tried_ids)
+        if not untried:
+            return
+        admission = parts.gate.admit(self._linked_endpoints(untried), now_ms)
+        if admission.usable:
+            self._admission = admission
+
     def _place(
         self, requirements: Requirements, usable: tuple[Endpoint, ...], now_ms: int
     ) -> Choice | PlacementRefusal:
@@ -520,7 +548,21 @@
         if self.send_count:
             return math.inf
         elapsed_ms = self._spent_ms + now_ms - self.exchange.request.received_ms
-        return self.parts.wait_limits.max_wait_ms(self.route, elapsed_ms, self.rank)
+        if self.customer is not None and self.service is not None:
+            shares = self.parts.fair_shares
+            self._share_factor = shares.limit_factor(
+                self.service.id, self.rank, self.customer.id, now_ms
+            )
+            self._has_precedence = shares.work(
+                self.service.id, now_ms
+            ).is_short and is_on_time(self._spent_ms, self.remaining_ms())
+        return self.parts.wait_limits.max_wait_ms(
+            self.route,
+            elapsed_ms,
+            self.rank,
+            self._share_factor,
+            has_precedence=self._has_precedence,
+        )
 
     def _count_demand(self, choice: Choice | PlacementRefusal) -> None:
         """Count the request once as work that arrived for its service."""
@@ -528,8 +570,20 @@
         if self._is_demand_counted:
             return
         self._is_demand_counted = True
-        tokens = choice.prefill_tokens
-        self.parts.demand.record(self.service.id, tokens)
+        parts, tokens = self.parts, choice.prefill_tokens
+        parts.demand.record(self.service.id, tokens)
+        is_admitted = isinstance(choice, Choice)
+        if self.customer is not None and (
+            is_admitted or not has_returned(self._spent_ms)
+        ):
+            parts.fair_shares.record(
+                self.service.id,
+                self.rank,
+                self.customer.id,
+                predict_work_ms(parts.endpoint_models, self.service, tokens),
+                parts.clock.now_ms(),
+                is_admitted=is_admitted,
+            )
 
     def _may_retry(self, result: Result) -> bool:
         assert self.route is not None and self.service is not None
@@ -549,7 +603,21 @@
         if self.may_have_run:
             self.respond(502, refusal.reason)
         else:
-            self.respond(503, refusal.reason, refusal.retry_after_ms)
+            self.respond(503, refusal.reason, self._retry_after_ms(refusal))
+
+    def _retry_after_ms(self, refusal: PlacementRefusal) -> int:
+        """Return when the caller may return; in an overload, when there is capacity."""
+        if self.customer is None or self.service is None or not refusal.is_busy:
+            return refusal.retry_after_ms
+        parts, service = self.parts, self.service.id
+        work = parts.fair_shares.work(service, parts.clock.now_ms())
+        if not work.is_short:
+            return refusal.retry_after_ms
+        share = kept_share(work, parts.capacities.get(service).work_ms_per_s)
+        left_ms = max(0, self.remaining_ms())
+        told = tell_return_time(refusal.retry_after_ms, left_ms, share, self._rng)
+        self._is_return_kept = told.is_kept
+        return told.retry_after_ms
 
     def _refuse_quarantined(self, entry: Entry) -> None:
         """Answer that requests like this one crash endpoints."""
@@ -595,6 +663,7 @@
                 events=attempt.event_count,
                 barred=self._barred_count(),
                 longest_gap_ms=attempt.longest_gap_ms,
+                speed_factor=choice.speed_factor,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
@@ -652,6 +721,11 @@
                 took_ms=now_ms - received_ms,
                 first_ms=self.first_byte_ms,
                 retry_after_ms=self.retry_after_ms,
+                rank=self.rank,
+                spent_ms=self._spent_ms,
+                share_factor=round(self._share_factor, 2),
+                has_precedence=self._has_precedence,
+                is_return_kept=self._is_return_kept,
                 is_from_peer=self.is_from_peer,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -16,7 +16,9 @@
 from ..fleet.relay import Relay
 from ..fleet.tablefollower import TableFollower
 from ..ids import InstanceId, ServiceId
+from ..limits.fairshare import REFRESH_MS
 from ..observability.log import Log
+from ..placement_wire import EXPLAIN_PLACE_PATH
 from ..platform.endpoints import decode_endpoint
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
@@ -32,6 +34,7 @@
 from ..wire.serverconnection import CallerLimits, Exchange
 from .counters import Counters
 from .parts import IngressParts
+from .placementexplainer import PlacementExplainer
 from .requestrun import RequestRun
 
 CONFIGURATION_LONG_POLL_MS = 2_000
@@ -150,11 +153,13 @@
         self.peer_server = HttpServer(self._on_peer_request, self._caller_limits, clock)
         self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
+        self._placement_explainer = PlacementExplainer(settings.instance, parts, rng)
         self._followers = self._make_followers()
         parts.evacuations.on_end = lambda zone, store_version: (
             parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
         )
         self._last_tick_ms = clock.now_ms()
+        self._above_share: dict[ServiceId, set[str]] = {}
         self._control = Control(
             settings,
             self.incarnation,
@@ -361,6 +366,9 @@
         )
 
     def _on_metrics(self, exchange: Exchange) -> None:
+        if exchange.request.target == EXPLAIN_PLACE_PATH.encode():
+            self._placement_explainer.answer(exchange)
+            return
         exchange.respond(
             200,
             [(b"Content-Type", b"text/plain; version=0.0.4")],
@@ -409,6 +417,7 @@
         self.parts.upstreams.remove(endpoint)
         self.parts.cache_index.remove_endpoint(endpoint.id)
         self.parts.health.remove(endpoint.id)
+        self.parts.endpoint_models.speeds.remove(endpoint.id)
         self.parts.links.remove(endpoint.id)
 
     def _build_digest(self, is_full: bool, to_all: bool) -> Digest:
@@ -449,6 +458,10 @@
             brittle=parts.brittle.notices(self.clock.now_ms()),
             applies_regions=parts.region_gate.is_in_use,
             evacuated=parts.evacuations.notices(self.store.era or 0),
+            work=(
+                parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
+            ),
+            speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -473,9 +486,13 @@
         parts.load_board.update_peer(peer, digest.loads)
         parts.demand.update(peer, digest.incarnation, digest.demand, now_ms)
         parts.endpoint_models.update_peer(peer, digest.learned)
+        parts.endpoint_models.speeds.apply_peer(digest.speeds, now_ms)
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.brittle.update_peer(digest.brittle, now_ms)
+        if digest.demand:
+            # Only full digests carry either.
+            parts.fair_shares.update_peer(peer, digest.work)
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
@@ -560,6 +577,8 @@
         for peer in previous_ids - parts.members.reachable_ids:
             parts.load_board.remove_peer(peer)
             parts.endpoint_models.remove_peer(peer)
+            parts.fair_shares.remove_peer(peer)
+        parts.endpoint_models.refresh_speeds(parts.directory.all(), now_ms)
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
@@ -585,6 +604,28 @@
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
+        self._observe_services(now_ms)
+
+    def _observe_services(self, now_ms: int) -> None:
+        """Observe capacities, and log a change of the customers above their shares."""
+        parts = self.parts
+        current = parts.configuration.current
+        if current is None:
+            return
+        for service in current.services.values():
+            parts.observe_capacity(service, now_ms)
+            above = parts.fair_shares.above_share(service.id, now_ms)
+            self.counters.customers_above_share.labels(service.id).set(len(above))
+            if above.keys() != self._above_share.get(service.id, set()):
+                self._above_share[service.id] = set(above)
+                self.log.event(
+                    "customers_above_share",
+                    service=service.id,
+                    factors={name: round(factor, 2) for name, factor in above.items()},
+                    work=parts.fair_shares.work(service.id, now_ms),
+                    refresh_ms=REFRESH_MS,
+                    peers=len(parts.members.reachable_ids),
+                )
 
     async def _probe_links(self) -> None:
         """Look whether lost links work again, until cancelled."""
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -10,7 +10,9 @@
 from ..fleet.relay import Relay
 from ..limits.brittleness import BrittleNotice
 from ..limits.endpointrates import Notice
+from ..limits.fairshare import WorkEntry
 from ..placing.demandmeter import Totals
+from ..placing.endpointspeeds import SpeedSample
 from ..placing.loadboard import LoadEntry
 from ..placing.sharedsums import Sums
 from ..quarantine.evidence import Entry, QuarantineNews
@@ -78,8 +80,12 @@
         Quota that each customer has used at the sender since its start.
     rollouts : tuple of Progress
         Progress of the ordered roll-outs as known to the sender.
+    speeds : tuple of SpeedSample
+        Times of endpoints that the sender saw since its last digest to all instances.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
+    work : dict
+        Recent work of the customers at the sender, by service and rank.
     """
 
     instance: str
@@ -107,7 +113,9 @@
     lost_links: dict[str, int] = {}
     brittle: dict[str, BrittleNotice] = {}
     evacuated: dict[str, int] = {}
+    work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
     applies_regions: bool = False
+    speeds: tuple[SpeedSample, ...] = ()
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
