Read the endpoints at once when a reader has stood still

Cause: an instance that stood still sends endpoints that could be cold only its share until it has read their rows again. A reader whose call to the store was in progress then waited for 500 ms before the next one, since the answer to the earlier call says nothing of the time after it.

Change: no pause follows a call during which another read was asked for.

Result: the new test of a reader fails without the change (last read at 1,300 ms, asked for at 1,400 ms) and passes with it, as do the other 24 of the follower.

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -222,7 +222,8 @@
     async def _pause(self, pause_ms: int) -> None:
         """Wait for the next call; after a failure, news of the store end the wait."""
         if self.last_failure_ms is None:
-            await self._clock.sleep_ms(pause_ms)
+            # A call that was in progress when a read was asked for may not count.
+            await self._clock.sleep_ms(0 if self._must_read else pause_ms)
             return
         events = (self._next_recovery(), self._relays_resumed)
         waits = [asyncio.ensure_future(event.wait()) for event in events]
--- a/testing/fleet/test_tablefollower.py
+++ b/testing/fleet/test_tablefollower.py
@@ -234,6 +234,17 @@
 
         run_group(script, count=3)
 
+    def test_a_reader_reads_again_at_once_if_it_has_to_during_a_call(self):
+        async def script(group):
+            # A call takes from 1,300 to 1,600 ms, the next one from 2,100 ms on.
+            await group.clock.sleep_ms(400)
+            asked_ms = group.clock.now_ms()
+            group.followers[0].read_soon()
+            await group.clock.sleep_ms(600)
+            self.assertGreater(group.read_ms[0][-1], asked_ms)
+
+        run_group(script, count=1, answer_ms=300)
+
     def test_changes_in_lost_relays_are_read_from_the_store(self):
         async def script(group):
             for number in range(40):
