--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -12,8 +12,8 @@
 from ..fleet.configurationholder import ConfigurationHolder
 from ..fleet.directory import EndpointDirectory
 from ..fleet.evacuations import Evacuations
-from ..fleet.model import Configuration, Endpoint
-from ..ids import EndpointId, InstanceId, ZoneId
+from ..fleet.model import Configuration, Endpoint, Service
+from ..ids import EndpointId, InstanceId, ServiceId, ZoneId
 from ..limits.brittleness import BrittleServices
 from ..limits.coldendpoints import ColdChange, ColdEndpoints
 from ..limits.endpointpauses import EndpointPauses
@@ -32,6 +32,8 @@
 from ..placing.loadboard import LoadBoard
 from ..placing.placer import Placer
 from ..placing.promptcacheindex import PromptCacheIndex
+from ..placing.regiongate import RegionGate
+from ..placing.servicecapacity import Capacity, ServiceCapacities
 from ..placing.zonereach import ZoneReach
 from ..platform.localsettings import LocalSettings
 from ..platform.store import Row
@@ -59,6 +61,7 @@
     configuration: ConfigurationHolder
     directory: EndpointDirectory
     evacuations: Evacuations
+    region_gate: RegionGate
     members: Members
     quotas: QuotaLedger
     retry_budget: RetryBudget
@@ -74,6 +77,7 @@
     cache_index: PromptCacheIndex
     wait_limits: WaitLimits
     fair_shares: FairShares
+    capacities: ServiceCapacities
     endpoint_models: EndpointModels
     demand: DemandMeter
     placer: Placer
@@ -88,6 +92,15 @@
     usage: UsageCounter
     rollouts: Rollouts
 
+    def observe_capacity(self, service: Service, now_ms: int) -> Capacity:
+        """Return the capacity of a service, and tell the fair shares."""
+        ready = self.directory.ready_endpoints(service.id)
+        capacity = self.capacities.observe(service, ready, now_ms)
+        self.fair_shares.set_capacity(
+            service.id, capacity.work_ms_per_s, capacity.lasting_share
+        )
+        return capacity
+
     @classmethod
     def from_settings(
         cls,
@@ -147,6 +160,17 @@
         directory = EndpointDirectory(
             clock, log, on_endpoint_removed, on_endpoint_ended, on_endpoint_row
         )
+        rollouts = Rollouts(clock, log, rng)
+        evacuations = Evacuations(clock, log, bounds.evacuation_ms)
+
+        def takes_load(endpoint: Endpoint) -> bool:
+            """Return whether a ready endpoint counts as capacity."""
+            return (
+                rollouts.carries_load(endpoint)
+                and not evacuations.is_evacuated(endpoint.zone)
+                and not cold.is_cold(endpoint, clock.now_ms())
+            )
+
         links = EndpointLinks()
         upstreams = Upstreams(clock, connection_recorder(links, clock, log))
         quarantine = Quarantine(
@@ -171,7 +195,10 @@
                 clock, log, on_configuration, on_operator_row
             ),
             directory=directory,
-            evacuations=Evacuations(clock, log, bounds.evacuation_ms),
+            evacuations=evacuations,
+            region_gate=RegionGate(
+                settings.region_by_zone, settings.zone, settings.region
+            ),
             members=Members(settings.instance, clock, log),
             quotas=QuotaLedger(
                 bounds.quota_window_s,
@@ -196,6 +223,7 @@
             cache_index=cache_index,
             wait_limits=WaitLimits(),
             fair_shares=FairShares(),
+            capacities=ServiceCapacities(takes_load, _log_capacity(log)),
             endpoint_models=endpoint_models,
             demand=DemandMeter(settings.instance),
             placer=Placer(load_board, health, cache_index, endpoint_models, rng),
@@ -216,7 +244,7 @@
                 on_crash,
             ),
             usage=UsageCounter(bounds.usage_window_s),
-            rollouts=Rollouts(clock, log, rng),
+            rollouts=rollouts,
         )
 
 
@@ -240,6 +268,21 @@
     return log_change
 
 
+def _log_capacity(log: Log) -> Callable[[ServiceId, Capacity, Capacity], None]:
+    def log_change(service: ServiceId, before: Capacity, after: Capacity) -> None:
+        log.event(
+            "service_capacity",
+            service=service,
+            ready=after.ready_count,
+            slots=after.slots,
+            work_ms_per_s=after.work_ms_per_s,
+            lasting_share=round(after.lasting_share, 3),
+            ready_before=before.ready_count,
+        )
+
+    return log_change
+
+
 def _log_cold_changes(log: Log) -> Callable[[ColdChange], None]:
     def log_change(change: ColdChange) -> None:
         log.event(
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -18,6 +18,7 @@
 from ..ids import InstanceId, ServiceId
 from ..limits.fairshare import REFRESH_MS
 from ..observability.log import Log
+from ..placement_wire import EXPLAIN_PLACE_PATH
 from ..platform.endpoints import decode_endpoint
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
@@ -33,6 +34,7 @@
 from ..wire.serverconnection import CallerLimits, Exchange
 from .counters import Counters
 from .parts import IngressParts
+from .placementexplainer import PlacementExplainer
 from .requestrun import RequestRun
 
 CONFIGURATION_LONG_POLL_MS = 2_000
@@ -151,6 +153,7 @@
         self.peer_server = HttpServer(self._on_peer_request, self._caller_limits, clock)
         self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
+        self._placement_explainer = PlacementExplainer(settings.instance, parts, rng)
         self._followers = self._make_followers()
         parts.evacuations.on_end = lambda zone, store_version: (
             parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
@@ -363,6 +366,9 @@
         )
 
     def _on_metrics(self, exchange: Exchange) -> None:
+        if exchange.request.target == EXPLAIN_PLACE_PATH.encode():
+            self._placement_explainer.answer(exchange)
+            return
         exchange.respond(
             200,
             [(b"Content-Type", b"text/plain; version=0.0.4")],
@@ -377,6 +383,13 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.parts.endpoint_models.configure(configuration)
         self.parts.wait_limits.configure(configuration)
+        unknown_regions = self.parts.region_gate.configure(configuration)
+        if unknown_regions:
+            self.log.event(
+                "allowed_regions_unknown",
+                version=configuration.version,
+                regions=sorted(unknown_regions),
+            )
         self.parts.cold.configure(configuration)
         self.counters.configuration_version.set(configuration.version)
 
@@ -404,6 +417,7 @@
         self.parts.upstreams.remove(endpoint)
         self.parts.cache_index.remove_endpoint(endpoint.id)
         self.parts.health.remove(endpoint.id)
+        self.parts.endpoint_models.speeds.remove(endpoint.id)
         self.parts.links.remove(endpoint.id)
 
     def _build_digest(self, is_full: bool, to_all: bool) -> Digest:
@@ -442,10 +456,12 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            applies_regions=parts.region_gate.is_in_use,
             evacuated=parts.evacuations.notices(self.store.era or 0),
             work=(
                 parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
             ),
+            speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -470,6 +486,7 @@
         parts.load_board.update_peer(peer, digest.loads)
         parts.demand.update(peer, digest.incarnation, digest.demand, now_ms)
         parts.endpoint_models.update_peer(peer, digest.learned)
+        parts.endpoint_models.speeds.apply_peer(digest.speeds, now_ms)
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.brittle.update_peer(digest.brittle, now_ms)
@@ -561,6 +578,7 @@
             parts.load_board.remove_peer(peer)
             parts.endpoint_models.remove_peer(peer)
             parts.fair_shares.remove_peer(peer)
+        parts.endpoint_models.refresh_speeds(parts.directory.all(), now_ms)
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
@@ -586,23 +604,25 @@
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
-        self._observe_shares(now_ms)
+        self._observe_services(now_ms)
 
-    def _observe_shares(self, now_ms: int) -> None:
-        """Log which customers are above their fair shares, when that changes."""
+    def _observe_services(self, now_ms: int) -> None:
+        """Observe capacities, and log a change of the customers above their shares."""
         parts = self.parts
         current = parts.configuration.current
-        if current is None or not current.has_customers:
+        if current is None:
             return
-        for service in current.services:
-            above = parts.fair_shares.above_share(service, now_ms)
-            self.counters.customers_above_share.labels(service).set(len(above))
-            if above.keys() != self._above_share.get(service, set()):
-                self._above_share[service] = set(above)
+        for service in current.services.values():
+            parts.observe_capacity(service, now_ms)
+            above = parts.fair_shares.above_share(service.id, now_ms)
+            self.counters.customers_above_share.labels(service.id).set(len(above))
+            if above.keys() != self._above_share.get(service.id, set()):
+                self._above_share[service.id] = set(above)
                 self.log.event(
                     "customers_above_share",
-                    service=service,
+                    service=service.id,
                     factors={name: round(factor, 2) for name, factor in above.items()},
+                    work=parts.fair_shares.work(service.id, now_ms),
                     refresh_ms=REFRESH_MS,
                     peers=len(parts.members.reachable_ids),
                 )
--- a/src/_monsoonpulley/placing/enginemodel.py
+++ b/src/_monsoonpulley/placing/enginemodel.py
@@ -146,7 +146,7 @@
             Requests that the engine runs at once.
         """
         first_ms = self.idle_ms(load.prefill_tokens + prefill_tokens)
-        return first_ms + self._wait_ms(load, held_tokens, slots)
+        return first_ms + self.batch_wait_ms(load, held_tokens, slots)
 
     def idle_ms(self, prefill_tokens: float) -> float:
         """Return the time to the first event without a wait for slots or memory."""
@@ -169,7 +169,7 @@
         """Return the mean memory that a request holds, in tokens."""
         return self._refresh().held_tokens
 
-    def _wait_ms(self, load: Load, held_tokens: int, slots: int) -> float:
+    def batch_wait_ms(self, load: Load, held_tokens: int, slots: int) -> float:
         """Return the wait for a slot and for memory, whichever is longer."""
         missing_share = max(0.0, (load.running_count + 1 - slots) / slots)
         if self.spec.cache_tokens and load.running_count:
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -14,6 +14,7 @@
     BURST,
     COLD_PER_S,
     ENDPOINTS,
+    LOCAL_ZONE,
     ROUTE_TIMEOUT_MS,
     zone_of,
 )
@@ -453,6 +454,14 @@
                 )
 
 
+@check
+def regions_kept(records: Records) -> Iterator[str]:
+    """Check that requests reach no endpoint outside their allowed region, ever."""
+    for call, run in _arrivals(records):
+        if call.kind == "local" and zone_of(run.endpoint) != LOCAL_ZONE:
+            yield f"{call.id} reached {run.endpoint} outside its region"
+
+
 @check
 def pauses_kept(records: Records) -> Iterator[str]:
     """Check that an endpoint gets no more than a few requests in a pause."""
