Wrap a line of the explainer

The text and the constant that it describes are the same. The tests of explanations, stalls, lost answers, silence and leases pass.

--- a/src/_monsoonpulley/ingress/placementexplainer.py
+++ b/src/_monsoonpulley/ingress/placementexplainer.py
@@ -29,8 +29,8 @@
 from .parts import IngressParts
 
 MIN_INTERVAL_MS = 1_000
-"""Shortest time between two questions: each copies state, which takes 20 to 45 ms of the
-loop that serves callers in a fleet of 300 instances with 16 customers."""
+"""Shortest time between two questions: each copies state, which in a fleet of 300
+instances with 16 customers takes 20 to 45 ms of the loop that serves callers."""
 
 REQUEST_ID = b"explain"
 
