--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from ..platform.answerheaders import (
+    PROMISES_NOT_RUN,
     headers_for_caller,
     is_event_stream,
     is_sealed,
     is_success,
+    without_status_headers,
 )
 from ..wire.clientconnection import ClientConnection
 from ..wire.events import (
@@ -21,6 +23,7 @@
 from .eventsplitter import EventSplitter, StreamEvent, is_after
 from .requestlog import Result
 from .requeststate import RequestState
+from .stallwatch import STALL_TIMER
 
 MAX_ANSWER_BYTES = 8_388_608
 """Limit of a plain answer, which is buffered whole: a larger one would take the
@@ -54,6 +57,8 @@
         Why the attempt failed, for log and metrics; empty if it succeeded.
     event_count : int
         Whole events of a stream that arrived.
+    longest_gap_ms : int
+        Longest pause between two events of a stream; 0 with less than two events.
     broke_off : bool
         Whether the connection ended before the answer was complete.
     ended_unframed : bool
@@ -71,6 +76,8 @@
         self._held_bytes = 0
         self._splitter: EventSplitter | None = None
         self.event_count = 0
+        self.longest_gap_ms = 0
+        self._last_event_ms = 0
         self.was_sent = False
         self.broke_off = False
         self.ended_unframed = False
@@ -116,8 +123,15 @@
     def _on_first_event(self) -> None:
         """Learn from the first event of a stream."""
 
-    def _on_later_event(self) -> None:
-        """Learn from an event after the first."""
+    def _on_later_event(self, gap_ms: int) -> None:
+        """Learn from an event after the first, ``gap_ms`` after the one before."""
+
+    def _on_progress(self) -> None:
+        """Learn from any event of a stream that carries data."""
+
+    def _is_stalled(self, watch: object, connection: ClientConnection) -> bool:
+        """Return whether a stream is to end since a check says that it has stalled."""
+        return False
 
     def _on_broken(self, event: AnswerIncomplete) -> None:
         """Learn from a connection that ended before the answer was complete."""
@@ -130,6 +144,11 @@
                 connection.abort()
                 self._state.may_have_run = True
                 return self._handle_disconnect()
+            if isinstance(event, TimerExpired) and event.name == STALL_TIMER:
+                if self._is_stalled(source, connection):
+                    connection.abort()
+                    return self._reject_answer("the stream has stalled")
+                continue
             if isinstance(event, TimerExpired):
                 connection.abort()
                 if self._head is None or not self._was_not_run(self._head):
@@ -252,11 +271,14 @@
                 return
             state.last_event_id = event.id
         self.event_count += 1
+        if event.has_data:
+            self._on_progress()
         if self.first_byte_ms is None:
             self._record_first_byte()
             self._on_first_event()
+            self._last_event_ms = self._started_ms + self.first_byte_ms
         else:
-            self._on_later_event()
+            self._on_later_event(self._record_gap())
         if not state.exchange.has_started:
             self._start_stream()
         state.exchange.write(event.raw)
@@ -267,11 +289,19 @@
         self._state.exchange.start(self._head.status, headers_for_caller(self._head))
 
     def _forward_answer(self, head: AnswerHead) -> None:
+        """Forward an answer whole.
+
+        One whose status would promise that the request has not run, though its
+        endpoint doesn't say so, gets status 502, and neither a retry time nor the
+        endpoint's seal, which is for its own status.
+        """
         self._record_first_byte()
-        self._state.exchange.respond(
-            head.status, headers_for_caller(head), b"".join(self._body_chunks)
-        )
-        self._state.record_answer(head.status, self.detail)
+        status, headers = head.status, headers_for_caller(head)
+        if status in PROMISES_NOT_RUN:
+            status = 502
+            headers = without_status_headers(headers)
+        self._state.exchange.respond(status, headers, b"".join(self._body_chunks))
+        self._state.record_answer(status, self.detail)
 
     def _record_first_byte(self) -> None:
         now_ms = self._parts.clock.now_ms()
@@ -282,6 +312,14 @@
                 now_ms - self._state.exchange.request.received_ms
             )
 
+    def _record_gap(self) -> int:
+        """Return the time since the event before, and keep the longest."""
+        now_ms = self._parts.clock.now_ms()
+        gap_ms = now_ms - self._last_event_ms
+        self._last_event_ms = now_ms
+        self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        return gap_ms
+
     def _handle_disconnect(self) -> Result:
         self._state.handle_disconnect()
         self.detail = self._state.detail
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -48,6 +48,17 @@
             "Endpoints that limit the requests a second from all instances.",
             registry=self.registry,
         )
+        self.cold_endpoints = Gauge(
+            "monsoonpulley_cold_endpoints",
+            "Endpoints that bear few requests for a while.",
+            registry=self.registry,
+        )
+        self.requests_kept_off_cold = Counter(
+            "monsoonpulley_requests_kept_off_cold",
+            "Choices of an endpoint that left out cold ones, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.quarantine_entries = Gauge(
             "monsoonpulley_quarantine_entries",
             "Entries of requests that are refused because they crash endpoints.",
@@ -77,12 +88,34 @@
             "Endpoints that this instance can't connect to.",
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "monsoonpulley_evacuated_zones",
+            "Data centres to whose endpoints nothing is sent.",
+            registry=self.registry,
+        )
+        self.region_rejections = Counter(
+            "monsoonpulley_region_rejections",
+            "Requests refused as no allowed region has an endpoint, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.peer_attempts = Counter(
             "monsoonpulley_peer_attempts",
             "Requests that other instances were asked to serve, by service and result.",
             ("service", "result"),
             registry=self.registry,
         )
+        self.loop_delay_s = Gauge(
+            "monsoonpulley_loop_delay_seconds",
+            "Mean delay of the event loop's timers in the last second.",
+            registry=self.registry,
+        )
+        self.customers_above_share = Gauge(
+            "monsoonpulley_customers_above_share",
+            "Customers whose requests are refused first, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "monsoonpulley_store_calls",
             "Calls to the platform's store, by name and result.",
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -30,12 +30,16 @@
 
     Attributes
     ----------
-    predicted_ms, running, unread_tokens, backlog_tokens, held_tokens, runner_up, \
-candidates
+    predicted_ms, speed_factor, running, unread_tokens, backlog_tokens, \
+held_tokens, runner_up, candidates
         See `Choice`; ``unread_tokens`` are its ``prefill_tokens``.
-    limited, paused, full : int
-        Endpoints left out because of their rate limits, because they want a pause, and
-        because they are brittle and have no room.
+    limited, paused, full, cold : int
+        Endpoints left out because of their rate limits, because they want a pause,
+        because they are brittle and have no room, and because they are cold and bear
+        no more requests.
+    barred : int
+        Endpoints left out because of their region, or because their data centre is
+        evacuated.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -50,6 +54,8 @@
         Status in the head of the endpoint's answer; 0 if none arrived.
     events : int
         Whole events of a stream that arrived.
+    longest_gap_ms : int
+        Longest pause between two of them.
     parts : tuple of str
         Fingerprints of the prompt's parts that other requests may share, if the
         answer broke off.
@@ -79,7 +85,11 @@
     detail: str = ""
     status: int = 0
     events: int = 0
+    barred: int = 0
+    longest_gap_ms: int = 0
+    speed_factor: float = 1.0
     parts: tuple[str, ...] = ()
+    cold: int = 0
 
 
 class PeerAttemptEnded(Decision, frozen=True, tag="peer_attempt", kw_only=True):
@@ -131,6 +141,17 @@
         Time since the configuration now in force was applied.
     may_have_run : bool
         Whether an endpoint may have started the request.
+    rank : int
+        Priority; 0 is the most urgent.
+    spent_ms : int
+        Time for which the caller had presumably waited before, see `WaitLimits`.
+    share_factor : float
+        Factor on the longest wait by the customer's share, see `FairShares`.
+    has_precedence : bool
+        Whether the caller was taken for one that returns at the time that it was told.
+    is_return_kept : bool or None
+        Whether there will be capacity for a refused caller at its retry time; None if
+        that was not computed.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
     quota : QuotaRefusal or None
@@ -149,6 +170,11 @@
     took_ms: int
     first_ms: int | None
     retry_after_ms: int | None
+    rank: int
+    spent_ms: int
+    share_factor: float
+    has_precedence: bool
+    is_return_kept: bool | None
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -16,12 +16,15 @@
 from ..fleet.relay import Relay
 from ..fleet.tablefollower import TableFollower
 from ..ids import InstanceId, ServiceId
+from ..limits.fairshare import REFRESH_MS
+from ..limits.processload import SAMPLE_INTERVAL_MS
 from ..observability.log import Log
+from ..placement_wire import EXPLAIN_PLACE_PATH
 from ..platform.endpoints import decode_endpoint
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
 from ..platform.rollouts import ORDER_PREFIX, decode_order
-from ..platform.store import Row, Store
+from ..platform.store import Row, Rows, Store
 from ..platform.storeversion import join_version, wire_version
 from ..quarantine.rows import QuarantineRows
 from ..sharing.digest import Digest, UsageCounts
@@ -32,6 +35,7 @@
 from ..wire.serverconnection import CallerLimits, Exchange
 from .counters import Counters
 from .parts import IngressParts
+from .placementexplainer import PlacementExplainer
 from .requestrun import RequestRun
 
 CONFIGURATION_LONG_POLL_MS = 2_000
@@ -69,6 +73,15 @@
 DRAIN_CHECK_INTERVAL_MS = 50
 """Interval of checking for requests in progress during a stop."""
 
+DRAIN_IDLE_MS = 1_000
+"""Time for which a connection without a request stays open once listening has ended:
+its caller may have sent one, which a close would reset. A lost packet is sent again
+within it."""
+
+DRAIN_ANSWER_MS = 300
+"""Time from the end of requests in progress to `DRAIN_MARGIN_MS`: an attempt that is
+connecting notices the end only after as long."""
+
 DRAIN_MARGIN_MS = 300
 """Margin before the platform kills the process at the end of its grace period."""
 
@@ -102,7 +115,7 @@
         self.incarnation = clock.wall_ms()
         self._rng = rng
         self._digest_sequence = 0
-        self._request_tasks: set[asyncio.Task[None]] = set()
+        self._runs: dict[asyncio.Task[None], RequestRun] = {}
         self.store = Store(
             HttpClient(settings.store_address.ip, settings.store_address.port, clock),
             lambda name, result: counters.store_calls.labels(name, result).inc(),
@@ -117,6 +130,7 @@
             on_configuration=self._on_configuration,
             on_operator_row=self._on_operator_row,
             on_endpoint_removed=self._on_endpoint_removed,
+            on_endpoints_stale=lambda: self._followers[ENDPOINT_TABLE].read_soon(),
             send_quarantine_news=lambda news: self.digest_exchange.broadcast_quarantine(
                 news
             ),
@@ -140,8 +154,14 @@
         self.peer_server = HttpServer(self._on_peer_request, self._caller_limits, clock)
         self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
+        self._placement_explainer = PlacementExplainer(settings.instance, parts, rng)
         self._followers = self._make_followers()
+        parts.evacuations.on_end = lambda zone, store_version: (
+            parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
+        )
         self._last_tick_ms = clock.now_ms()
+        self._is_resting = False
+        self._above_share: dict[ServiceId, set[str]] = {}
         self._control = Control(
             settings,
             self.incarnation,
@@ -184,7 +204,7 @@
             OPERATOR_TABLE: TableFollower(
                 self.store,
                 OPERATOR_TABLE,
-                parts.configuration.apply,
+                self._on_operator_rows,
                 self.clock,
                 self.log,
                 wait_ms=CONFIGURATION_LONG_POLL_MS,
@@ -206,14 +226,25 @@
                 pause_ms=round(ENDPOINTS_POLL_SHARE * drain_ms),
                 max_silence_ms=round(ENDPOINTS_MAX_SILENCE_SHARE * drain_ms),
                 carries_rows=True,
-                content_of=lambda row: decode_endpoint(row.key, row.value or b""),
+                content_of=self._content_of_endpoint_row,
                 is_reader=is_reader,
                 send=self.digest_exchange.broadcast_relays,
                 next_recovery=self.store.next_recovery,
                 on_recovered=parts.directory.on_store_recovered,
+                on_read=parts.cold.record_read,
             ),
         }
 
+    def _content_of_endpoint_row(self, row: Row) -> object:
+        """Return what other instances have to know of an endpoint's row."""
+        endpoint = decode_endpoint(row.key, row.value or b"")
+        now_ms = self.clock.now_ms()
+        if isinstance(endpoint, Endpoint) and self.parts.cold.awaits_rows(
+            endpoint.zone, now_ms
+        ):
+            return endpoint, row.row_version
+        return endpoint
+
     def supervised_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
         """Return the names and coroutine functions of the tasks to supervise."""
         follower_tasks = [
@@ -233,6 +264,7 @@
             ("sweep", self.caller_server.sweep),
             ("sweep/peers", self.peer_server.sweep),
             ("tick", self._tick),
+            ("delay", self._measure_delay),
             ("links", self._probe_links),
         ]
 
@@ -242,6 +274,7 @@
         parts = self.parts
         return (
             not self.is_stopping
+            and not self._is_resting
             and parts.configuration.current is not None
             and parts.directory.is_loaded
         )
@@ -266,29 +299,44 @@
         await self.peer_server.listen(settings.peer_ip, settings.peer_ports[0])
 
     async def stop(self) -> None:
-        """Stop after the requests in progress, or near the end of the grace period."""
+        """Stop after the requests in progress, or near the end of the grace period.
+
+        Accepted connections get the answer to what their callers have sent, and
+        requests that are still in progress near the end get a last answer.
+        """
         self.is_stopping = True
-        stop_ms = self.clock.now_ms()
-        self.log.event("stopping", in_progress=len(self._request_tasks))
+        end_ms = self.clock.now_ms() - DRAIN_MARGIN_MS
+        end_ms += round(self.settings.bounds.grace_period_s * 1000)
+        self.log.event("stopping", in_progress=len(self._runs))
         self.digest_exchange.broadcast_digest()
         self.caller_server.drain()
         self.peer_server.drain()
         await self.clock.sleep_ms(DRAIN_LISTEN_MS)
-        self.caller_server.stop_listening()
-        self.peer_server.stop_listening()
-        max_drain_ms = (
-            round(self.settings.bounds.grace_period_s * 1000) - DRAIN_MARGIN_MS
-        )
-        while self._request_tasks and self.clock.now_ms() - stop_ms < max_drain_ms:
-            await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
-        self.log.event("stopped", cut_off=len(self._request_tasks))
+        for server in (self.caller_server, self.peer_server):
+            await server.end_listening()
+        await self._wait_closed(end_ms - DRAIN_ANSWER_MS)
+        for run in list(self._runs.values()):
+            run.end_now()
+        await self._wait_closed(end_ms)
+        self.log.event("stopped", cut_off=len(self._runs))
         self.digest_exchange.close()
         self.store.close()
 
+    async def _wait_closed(self, until_ms: int) -> None:
+        """Wait until all requests are answered and all connections are closed."""
+        servers = (self.caller_server, self.peer_server)
+        while self.clock.now_ms() < until_ms:
+            for server in servers:
+                server.close_idle(DRAIN_IDLE_MS)
+            if not self._runs and not any(s.connection_count for s in servers):
+                return
+            await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+
     def reload(self, settings: LocalSettings) -> None:
         """Apply changed bounds; changed addresses apply at the next start."""
         bounds = settings.bounds
         self.settings = settings
+        self.parts.evacuations.set_evacuation_ms(bounds.evacuation_ms)
         self.parts.retry_budget.set_limit(
             bounds.retry_budget_ratio,
             bounds.budget_window_s,
@@ -297,6 +345,8 @@
         self.parts.quotas.set_tolerance(
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
         )
+        self.parts.cold.set_tolerance(bounds.cold_overage, bounds.cold_slack)
+        self.parts.process_load.set_pass_ms(bounds.pass_ms)
 
     def _on_request(self, exchange: Exchange) -> None:
         self._start_run(RequestRun(exchange, self.parts, self._rng))
@@ -306,11 +356,11 @@
 
     def _start_run(self, run: RequestRun) -> None:
         task = asyncio.get_running_loop().create_task(run.run())
-        self._request_tasks.add(task)
+        self._runs[task] = run
         task.add_done_callback(self._on_request_done)
 
     def _on_request_done(self, task: asyncio.Task[None]) -> None:
-        self._request_tasks.discard(task)
+        self._runs.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             self.log.event("request_error", error=repr(task.exception()))
 
@@ -321,6 +371,9 @@
         )
 
     def _on_metrics(self, exchange: Exchange) -> None:
+        if exchange.request.target == EXPLAIN_PLACE_PATH.encode():
+            self._placement_explainer.answer(exchange)
+            return
         exchange.respond(
             200,
             [(b"Content-Type", b"text/plain; version=0.0.4")],
@@ -335,8 +388,23 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.parts.endpoint_models.configure(configuration)
         self.parts.wait_limits.configure(configuration)
+        unknown_regions = self.parts.region_gate.configure(configuration)
+        if unknown_regions:
+            self.log.event(
+                "allowed_regions_unknown",
+                version=configuration.version,
+                regions=sorted(unknown_regions),
+            )
+        self.parts.cold.configure(configuration)
         self.counters.configuration_version.set(configuration.version)
 
+    def _on_operator_rows(self, rows: Rows, is_snapshot: bool) -> None:
+        # First the evacuations: the first configuration lets requests be sent.
+        self.parts.evacuations.apply(
+            rows, is_snapshot, self._followers[OPERATOR_TABLE].last_gap_ms
+        )
+        self.parts.configuration.apply(rows, is_snapshot)
+
     def _on_operator_row(self, row: Row) -> None:
         if not row.key.startswith(ORDER_PREFIX):
             return
@@ -354,6 +422,7 @@
         self.parts.upstreams.remove(endpoint)
         self.parts.cache_index.remove_endpoint(endpoint.id)
         self.parts.health.remove(endpoint.id)
+        self.parts.endpoint_models.speeds.remove(endpoint.id)
         self.parts.links.remove(endpoint.id)
 
     def _build_digest(self, is_full: bool, to_all: bool) -> Digest:
@@ -392,6 +461,14 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            applies_regions=parts.region_gate.is_in_use,
+            evacuated=parts.evacuations.notices(self.store.era or 0),
+            work=(
+                parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
+            ),
+            speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
+            is_short=parts.process_load.is_short,
+            is_resting=self._is_resting,
             offered=(
                 parts.quotas.offered_by_customer(self.clock.now_ms()) if is_full else {}
             ),
@@ -407,7 +484,9 @@
             return {}
         counts = {
             service: parts.links.unreachable_count(
-                parts.directory.ready_endpoints(service)
+                parts.evacuations.open_endpoints(
+                    parts.directory.ready_endpoints(service)
+                )
             )
             for service in current.services
         }
@@ -420,9 +499,13 @@
         parts.load_board.update_peer(peer, digest.loads)
         parts.demand.update(peer, digest.incarnation, digest.demand, now_ms)
         parts.endpoint_models.update_peer(peer, digest.learned)
+        parts.endpoint_models.speeds.apply_peer(digest.speeds, now_ms)
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.brittle.update_peer(digest.brittle, now_ms)
+        if digest.demand:
+            # Only full digests carry either.
+            parts.fair_shares.update_peer(peer, digest.work)
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
@@ -437,6 +520,10 @@
         )
         parts.quotas.adopt_profiles(digest.usage_profiles, now_ms)
         era = self._era_of_digest(digest)
+        if era is not None:
+            parts.evacuations.record_peer(
+                {z: join_version(era, v) for z, v in digest.evacuated.items() if v}
+            )
         progress = () if era is None else digest.rollouts
         parts.rollouts.merge_peer(
             [
@@ -493,6 +580,14 @@
         if follower is not None:
             follower.handle_relay(relay)
 
+    async def _measure_delay(self) -> None:
+        """Measure how late timers go off, until cancelled."""
+        while True:
+            started_ms = self.clock.now_ms()
+            await self.clock.sleep_ms(SAMPLE_INTERVAL_MS)
+            elapsed_ms = self.clock.now_ms() - started_ms
+            self.parts.process_load.record_delay(elapsed_ms - SAMPLE_INTERVAL_MS)
+
     async def _tick(self) -> None:
         while True:
             await self.clock.sleep_ms(TICK_INTERVAL_MS)
@@ -512,14 +607,20 @@
         for peer in previous_ids - parts.members.reachable_ids:
             parts.load_board.remove_peer(peer)
             parts.endpoint_models.remove_peer(peer)
+            parts.fair_shares.remove_peer(peer)
+        parts.endpoint_models.refresh_speeds(parts.directory.all(), now_ms)
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
         parts.retry_budget.set_member_count(member_count)
         # Unreachable instances may still send requests.
         known_ids = [member.instance for member in parts.members.all()]
-        parts.rate_limits.set_instances(known_ids, now_ms)
-        parts.brittle.set_instances(known_ids)
+        parts.sharers.set_instances(known_ids)
+        parts.sharers.record_contact(
+            len(parts.members.reachable_ids), self._registration.is_registered, now_ms
+        )
+        cold_count = parts.cold.update(parts.directory.all(), now_ms)
+        self.counters.cold_endpoints.set(cold_count)
         self.counters.limited_endpoints.set(parts.rate_limits.limited_count())
         parts.quarantine.set_reachable(parts.members.reachable_ids)
         parts.quarantine.tick()
@@ -527,10 +628,52 @@
         parts.zone_reach.set_silent_zones(parts.members.silent_zones(parts.zone))
         self._control.lease.check_holder()
         parts.directory.expire()
+        parts.evacuations.expire()
+        self.counters.evacuated_zones.set(len(parts.evacuations.zones))
         parts.usage.expire(self.clock.wall_ms())
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
+        self._observe_services(now_ms)
+        self._decide_rest()
+
+    def _decide_rest(self) -> None:
+        """Report for a while that this instance is not ready if it falls behind."""
+        load = self.parts.process_load
+        neighbours = self.parts.members.neighbours(self.parts.zone)
+        load.set_neighbours(neighbours)
+        is_resting = load.may_rest(self.clock.wall_ms())
+        self.counters.loop_delay_s.set(load.delay_ms / 1_000)
+        if is_resting == self._is_resting:
+            return
+        self._is_resting = is_resting
+        self.log.event(
+            "resting" if is_resting else "rested",
+            delay_ms=round(load.delay_ms, 1),
+            neighbours=neighbours,
+        )
+        self.digest_exchange.broadcast_digest()
+
+    def _observe_services(self, now_ms: int) -> None:
+        """Observe capacities, and log a change of the customers above their shares."""
+        parts = self.parts
+        current = parts.configuration.current
+        if current is None:
+            return
+        for service in current.services.values():
+            parts.observe_capacity(service, now_ms)
+            above = parts.fair_shares.above_share(service.id, now_ms)
+            self.counters.customers_above_share.labels(service.id).set(len(above))
+            if above.keys() != self._above_share.get(service.id, set()):
+                self._above_share[service.id] = set(above)
+                self.log.event(
+                    "customers_above_share",
+                    service=service.id,
+                    factors={name: round(factor, 2) for name, factor in above.items()},
+                    work=parts.fair_shares.work(service.id, now_ms),
+                    refresh_ms=REFRESH_MS,
+                    peers=len(parts.members.reachable_ids),
+                )
 
     async def _probe_links(self) -> None:
         """Look whether lost links work again, until cancelled."""
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -10,7 +10,9 @@
 from ..fleet.relay import Relay
 from ..limits.brittleness import BrittleNotice
 from ..limits.endpointrates import Notice
+from ..limits.fairshare import WorkEntry
 from ..placing.demandmeter import Totals
+from ..placing.endpointspeeds import SpeedSample
 from ..placing.loadboard import LoadEntry
 from ..placing.sharedsums import Sums
 from ..quarantine.evidence import Entry, QuarantineNews
@@ -51,8 +53,9 @@
     rate_limits : dict
         Rate limits of endpoints that the sender heard of itself, with their age.
     era : int
-        Era of the store as known to the sender, and of the versions in ``rollouts``
-        and ``lease_row``, which are those on the wire; 0 if it knows of none.
+        Era of the store as known to the sender, and of the versions in ``rollouts``,
+        ``lease_row`` and ``evacuated``, which are those on the wire; 0 if it knows of
+        none.
     quarantined : tuple
         Entries of requests that are refused because they crash endpoints, each with the
         time since it last refused one.
@@ -63,6 +66,11 @@
         Number of endpoints of each service that the sender presumably can't reach.
     brittle : dict
         Services whose endpoints lately told an instance how many refusals they bear.
+    applies_regions : bool
+        Whether the sender's configuration allows only some regions for some requests,
+        and it complies with that.
+    evacuated : dict
+        Versions of the rows that evacuate data centres, by data centre.
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
@@ -72,8 +80,14 @@
         Quota that each customer has used at the sender since its start.
     rollouts : tuple of Progress
         Progress of the ordered roll-outs as known to the sender.
+    speeds : tuple of SpeedSample
+        Times of endpoints that the sender saw since its last digest to all instances.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
+    is_short, is_resting : bool
+        Whether the sender is short of processor time, and reports that it is not ready.
+    work : dict
+        Recent work of the customers at the sender, by service and rank.
     offered : dict
         What customers near their quotas request at the sender; see
         `QuotaLedger.offered_by_customer`.
@@ -105,6 +119,12 @@
     served: dict[str, int] = {}
     lost_links: dict[str, int] = {}
     brittle: dict[str, BrittleNotice] = {}
+    evacuated: dict[str, int] = {}
+    work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
+    applies_regions: bool = False
+    speeds: tuple[SpeedSample, ...] = ()
+    is_short: bool = False
+    is_resting: bool = False
     offered: dict[str, dict[int, int]] = {}
     usage_profiles: dict[str, tuple[int, ...]] = {}
 
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -16,7 +16,7 @@
     HeaderList,
     Mailbox,
 )
-from .sockets import enable_keepalive, reset
+from .sockets import UnreadWatch, enable_keepalive, reset
 
 MAX_OVERHEAD_BYTES = 524_288
 """Bytes of one exchange that are no part of the answer's body: head, framing, trailers
@@ -41,36 +41,41 @@
     is_open : bool
         Whether the transport is connected.
     is_reusable : bool
-        Whether another request may be sent: the last answer was complete, and
-        nothing was received that belongs to no request.
+        Whether another request may be sent: the last answer was complete and named
+        its request, and nothing was received that belongs to no request.
     idle_timeout_ms : int or None
         How long the server keeps the connection idle, by its ``Keep-Alive``.
     last_used_ms : int
         Monotonic time at which the last exchange ended or the connection opened.
+    reading_since_ms : int or None
+        Monotonic time from which answers are read; None while reading is paused.
     """
 
     def __init__(self, clock: Clock):
         self._clock = clock
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
+        self._unread_watch: UnreadWatch | None = None
         self._mailbox: Mailbox | None = None
         self._expected_id: tuple[bytes, bytes] | None = None
         self._headers: HeaderList = []
         self._is_head_request = False
         self._is_skipping_message = False
         self._ends_at_close = False
-        self._received_foreign_answer = False
+        self._may_get_foreign_answer = False
         self._overhead_bytes = 0
         self.is_open = False
         self.is_reusable = False
         self.idle_timeout_ms: int | None = None
         self.last_used_ms = clock.now_ms()
+        self.reading_since_ms: int | None = self.last_used_ms
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and make it fail if the peer is silent."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         enable_keepalive(transport)
+        self._unread_watch = UnreadWatch(transport)
         self.is_open = True
         self.is_reusable = True
 
@@ -92,7 +97,8 @@
             Receives the events, with this connection as their source.
         expected_id : tuple of bytes or None
             Lower-case name and value of the header that ties an answer to this
-            request; complete answers with another value are skipped.
+            request; complete answers with another value are skipped. An answer
+            without it is taken for this request's, and is the connection's last.
         is_head : bool
             Whether the method is ``HEAD``: the answer then has no body, whatever
             its headers say.
@@ -109,11 +115,23 @@
         """Pause reading the answer."""
         if self._transport is not None and self.is_open:
             self._transport.pause_reading()
+            self.reading_since_ms = None
 
     def resume_reading(self) -> None:
         """Resume reading the answer."""
         if self._transport is not None and self.is_open:
             self._transport.resume_reading()
+            self.reading_since_ms = self._clock.now_ms()
+
+    def pause_writing(self) -> None:
+        """Be patient with a server that doesn't read a long request."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_pause()
+
+    def resume_writing(self) -> None:
+        """Expect the usual acknowledgements again."""
+        if self._unread_watch is not None:
+            self._unread_watch.on_resume()
 
     def abort(self) -> None:
         """Reset the connection; the mailbox gets no further events."""
@@ -180,8 +198,11 @@
             self._is_skipping_message = True
             return
         if self._is_foreign(fields):
-            self._is_skipping_message = self._received_foreign_answer = True
+            self._is_skipping_message = self._may_get_foreign_answer = True
             return
+        if self._is_unnamed(fields):
+            # A second copy of it could not be told from the next request's answer.
+            self._may_get_foreign_answer = True
         self.idle_timeout_ms = _idle_timeout_ms(fields.get(b"keep-alive"))
         has_length = b"content-length" in fields or b"transfer-encoding" in fields
         has_no_body = self._is_head_request or status in NO_BODY_STATUSES
@@ -204,7 +225,7 @@
         transport = self._transport
         self.is_reusable = (
             self._parser.should_keep_alive()
-            and not self._received_foreign_answer
+            and not self._may_get_foreign_answer
             and self.is_open
             and transport is not None
             and not transport.is_closing()
@@ -218,6 +239,9 @@
         name, value = self._expected_id
         return fields.get(name, value) != value
 
+    def _is_unnamed(self, fields: dict[bytes, bytes]) -> bool:
+        return self._expected_id is not None and self._expected_id[0] not in fields
+
     def _finish(self, *, is_framed: bool = True) -> None:
         self._ends_at_close = False
         self.last_used_ms = self._clock.now_ms()
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -452,6 +452,22 @@
         self.assertEqual(got.status, 504)
         self.assertLess(loop.time() - started_s, 0.15 + 0.5)
 
+    async def test_a_request_whose_time_is_up_is_cancelled_at_the_endpoint(self):
+        async def stream(call) -> None:
+            call.start_stream()
+            call.write_event(1)
+            # The stand-in reads on and so detects the end of the connection.
+            await call.writer.drain()
+
+        endpoint = await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming", resume_streams=True))
+        got = await self.site.send_request(deadline_ms=300)
+        self.assertFalse(got.is_whole)
+        await asyncio.wait_for(
+            self.site.wait_until(lambda: endpoint.connections_lost == 1), 0.5
+        )
+        self.assertEqual(len(endpoint.calls), 1)
+
     async def test_a_callers_disconnect_cancels_its_request_at_the_endpoint(self):
         async def hang(call) -> None:
             # The stand-in reads on and so detects the end of the connection.
@@ -637,6 +653,27 @@
         self.assertIn("retry-after", got.headers)
         self.assertEqual(self.site.log_events("request")[0]["detail"], "overload")
 
+    async def test_a_customer_above_its_share_is_refused_first(self):
+        await self.site.add_endpoint(answer)
+        names = ("small", "large")
+        tenants = [{"name": name, "api_keys": [name]} for name in names]
+        await self.site.start(configuration(timeout_ms=60_000, tenants=tenants))
+        parts = self.site.service.parts
+        small, large = (90_000, 1_000, 90, 1), (90_000, 4_000, 90, 4)
+        work = {"svc": {1: {"small": small, "large": large}}}
+        parts.fair_shares.update_peer("instance-2", work)
+        for _ in range(6):
+            parts.load_board.record_dispatch("i-1", 0)
+        got = [await self.site.send_request(n, key=n) for n in names]
+        self.assertEqual([each.status for each in got], [200, 503])
+        lines = self.site.log_events("request")
+        self.assertEqual(lines[0]["share_factor"], 1.0)
+        self.assertLess(lines[1]["share_factor"], 0.5)
+        self.assertEqual([line["is_return_kept"] for line in lines], [None, False])
+        self.assertGreater(lines[1]["retry_after_ms"], 4_000)
+        entries = self.site.service._build_digest(True, True).work["svc"][1]
+        self.assertEqual([entries[name][2:] for name in names], [(10, 10), (10, 0)])
+
     async def test_a_request_that_was_begun_is_not_refused_for_its_wait(self):
         async def fail(call) -> None:
             for _ in range(40):
@@ -699,6 +736,25 @@
         self.assertIn(b"piece 2", rest)
         writer.close()
 
+    async def test_the_longest_pause_of_a_stream_is_logged(self):
+        # Guards against counting the time to the first event, or only the last pause.
+        async def stream(call) -> None:
+            await asyncio.sleep(0.2)
+            call.start_stream()
+            for number, pause_s in enumerate((0.0, 0.1, 0.0), 1):
+                await asyncio.sleep(pause_s)
+                call.write_event(number)
+                await call.writer.drain()
+            call.write_chunk(b"")
+
+        await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming"))
+        await self.site.send_request()
+        await self.site.wait_until(lambda: self.site.log_events("attempt"))
+        (line,) = self.site.log_events("attempt")
+        self.assertGreaterEqual(line["longest_gap_ms"], 95)
+        self.assertLess(line["longest_gap_ms"], line["first_ms"])
+
     async def test_a_stream_resumes_at_another_endpoint_within_one_answer(self):
         async def stream(call) -> None:
             last = int(call.headers.get("last-event-id", 0))
