--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -4,6 +4,7 @@
 
 from enum import Enum
 
+from ..limits.quota import QuotaRefusal
 from ..observability.log import Decision
 
 
@@ -153,6 +154,8 @@
         that was not computed.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
+    quota : QuotaRefusal or None
+        Figures behind a refusal because of the customer's quota.
     """
 
     request: str
@@ -175,3 +178,4 @@
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
+    quota: QuotaRefusal | None = None
