Send usage before the digests of a round

Cause: what a small link takes at once is less than a round of digests in a fleet of 65; the counts of usage came last in the same round, so that those of instances with small links may be dropped each time, and digests have grown.

Change: the counts go first.

--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -81,7 +81,8 @@
         Called with whether the digest is a full one and whether it goes to all
         instances; returns this instance's current `Digest`.
     on_full_round : callable
-        Called after each round of full digests.
+        Called before each round of full digests: what it sends is not among the last
+        datagrams of the round, which a small link drops.
     on_digest : callable
         Called with each `Digest` that is newer than the last of its sender.
     on_usage : callable
@@ -200,9 +201,9 @@
             self._send_spread_round(near, members)
             return
         is_full = self._round % FULL_DIGEST_INTERVALS == 0
-        self._send(encode_message(self._build_digest(is_full, True)), members)
         if is_full:
             self._on_full_round()
+        self._send(encode_message(self._build_digest(is_full, True)), members)
 
     def _send_spread_round(self, near: list[Member], members: list[Member]) -> None:
         """Send a digest to the own data centre and to a share of the other members.
@@ -213,10 +214,10 @@
         remote = [m for m in members if m.zone not in (self._zone, "")]
         turn = self._round % REMOTE_ZONE_INTERVALS
         if turn == 0:
+            self._on_full_round()
             # The only digest of a cycle with results, which all have to get once.
             self._cycle_data = encode_message(self._build_digest(True, True))
             self._send(self._cycle_data, near)
-            self._on_full_round()
         else:
             is_full = self._round % FULL_DIGEST_INTERVALS == 0
             self._send(encode_message(self._build_digest(is_full, False)), near)
