Predict the lengths of streams, and weigh the pauses of those that run

Cause: placement knew neither how much the streams at an endpoint still write nor how near their pauses are to target_gap_ms, and the log had no predicted end of an answer.

Change: the number of events of a stream is learned by route, customer and hint; what is left at each endpoint falls with each event and is in digests (left_events). Where endpoints differ in speed, the delay of streams counts by how many still run then, by the endpoint's own speed and by its longest pauses over the target.

--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -448,6 +448,7 @@
                 parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
             ),
             speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
+            left_events=parts.load_board.own_left_events(),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -469,7 +470,7 @@
         parts = self.parts
         peer = InstanceId(digest.instance)
         now_ms = self.clock.now_ms()
-        parts.load_board.update_peer(peer, digest.loads)
+        parts.load_board.update_peer(peer, digest.loads, digest.left_events)
         parts.demand.update(peer, digest.incarnation, digest.demand, now_ms)
         parts.endpoint_models.update_peer(peer, digest.learned)
         parts.endpoint_models.speeds.apply_peer(digest.speeds, now_ms)
@@ -565,6 +566,7 @@
             parts.endpoint_models.remove_peer(peer)
             parts.fair_shares.remove_peer(peer)
         parts.endpoint_models.refresh_speeds(parts.directory.all(), now_ms)
+        self.counters.uneven_endpoints.set(parts.endpoint_models.speeds.known_count())
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -71,6 +71,8 @@
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
+    left_events : dict
+        Events that streams to the sender presumably still get from each endpoint.
     loads : dict
         The sender's own requests in progress at each endpoint.
     used : dict
@@ -112,6 +114,7 @@
     evacuated: dict[str, int] = {}
     work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
     speeds: tuple[SpeedSample, ...] = ()
+    left_events: dict[str, int] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
