--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -91,12 +91,23 @@
             "Data centres to whose endpoints nothing is sent.",
             registry=self.registry,
         )
+        self.region_rejections = Counter(
+            "monsoonpulley_region_rejections",
+            "Requests refused as no allowed region has an endpoint, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.peer_attempts = Counter(
             "monsoonpulley_peer_attempts",
             "Requests that other instances were asked to serve, by service and result.",
             ("service", "result"),
             registry=self.registry,
         )
+        self.loop_delay_s = Gauge(
+            "monsoonpulley_loop_delay_seconds",
+            "Mean delay of the event loop's timers in the last second.",
+            registry=self.registry,
+        )
         self.customers_above_share = Gauge(
             "monsoonpulley_customers_above_share",
             "Customers whose requests are refused first, by service.",
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -36,6 +36,9 @@
         Endpoints left out because of their rate limits, because they want a pause,
         because they are brittle and have no room, and because they are cold and bear
         no more requests.
+    barred : int
+        Endpoints left out because of their region, or because their data centre is
+        evacuated.
     rank : int
         Priority sent to the endpoint.
     heard, members : int
@@ -83,6 +86,7 @@
     detail: str = ""
     status: int = 0
     events: int = 0
+    barred: int = 0
     longest_gap_ms: int = 0
     predicted_events: float = 0.0
     predicted_finish_ms: float = 0.0
@@ -146,6 +150,11 @@
         Time for which the caller had presumably waited before, see `WaitLimits`.
     share_factor : float
         Factor on the longest wait by the customer's share, see `FairShares`.
+    has_precedence : bool
+        Whether the caller was taken for one that returns at the time that it was told.
+    is_return_kept : bool or None
+        Whether there will be capacity for a refused caller at its retry time; None if
+        that was not computed.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
     """
@@ -165,6 +174,8 @@
     rank: int
     spent_ms: int
     share_factor: float
+    has_precedence: bool
+    is_return_kept: bool | None
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -17,7 +17,9 @@
 from ..fleet.tablefollower import TableFollower
 from ..ids import InstanceId, ServiceId
 from ..limits.fairshare import REFRESH_MS
+from ..limits.processload import SAMPLE_INTERVAL_MS
 from ..observability.log import Log
+from ..placement_wire import EXPLAIN_PLACE_PATH
 from ..platform.endpoints import decode_endpoint
 from ..platform.localsettings import LocalSettings
 from ..platform.names import ENDPOINT_TABLE, OPERATOR_TABLE, READINESS_PATH
@@ -26,13 +28,14 @@
 from ..platform.storeversion import join_version, wire_version
 from ..quarantine.rows import QuarantineRows
 from ..sharing.digest import Digest, UsageCounts
-from ..sharing.exchange import DigestExchange
+from ..sharing.exchange import BUNDLED_LAG_MS, DigestExchange
 from ..sharing.registration import InstanceRow, Registration
 from ..wire.httpclient import HttpClient
 from ..wire.server import HttpServer
 from ..wire.serverconnection import CallerLimits, Exchange
 from .counters import Counters
 from .parts import IngressParts
+from .placementexplainer import PlacementExplainer
 from .requestrun import RequestRun
 
 CONFIGURATION_LONG_POLL_MS = 2_000
@@ -151,11 +154,13 @@
         self.peer_server = HttpServer(self._on_peer_request, self._caller_limits, clock)
         self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
         self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
+        self._placement_explainer = PlacementExplainer(settings.instance, parts, rng)
         self._followers = self._make_followers()
         parts.evacuations.on_end = lambda zone, store_version: (
             parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
         )
         self._last_tick_ms = clock.now_ms()
+        self._is_resting = False
         self._above_share: dict[ServiceId, set[str]] = {}
         self._control = Control(
             settings,
@@ -259,6 +264,7 @@
             ("sweep", self.caller_server.sweep),
             ("sweep/peers", self.peer_server.sweep),
             ("tick", self._tick),
+            ("delay", self._measure_delay),
             ("links", self._probe_links),
         ]
 
@@ -268,6 +274,7 @@
         parts = self.parts
         return (
             not self.is_stopping
+            and not self._is_resting
             and parts.configuration.current is not None
             and parts.directory.is_loaded
         )
@@ -339,6 +346,7 @@
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
         )
         self.parts.cold.set_tolerance(bounds.cold_overage, bounds.cold_slack)
+        self.parts.process_load.set_pass_ms(bounds.pass_ms)
 
     def _on_request(self, exchange: Exchange) -> None:
         self._start_run(RequestRun(exchange, self.parts, self._rng))
@@ -363,6 +371,9 @@
         )
 
     def _on_metrics(self, exchange: Exchange) -> None:
+        if exchange.request.target == EXPLAIN_PLACE_PATH.encode():
+            self._placement_explainer.answer(exchange)
+            return
         exchange.respond(
             200,
             [(b"Content-Type", b"text/plain; version=0.0.4")],
@@ -377,6 +388,13 @@
         self.parts.quotas.configure(configuration, self.clock.now_ms())
         self.parts.endpoint_models.configure(configuration)
         self.parts.wait_limits.configure(configuration)
+        unknown_regions = self.parts.region_gate.configure(configuration)
+        if unknown_regions:
+            self.log.event(
+                "allowed_regions_unknown",
+                version=configuration.version,
+                regions=sorted(unknown_regions),
+            )
         self.parts.cold.configure(configuration)
         self.counters.configuration_version.set(configuration.version)
 
@@ -443,12 +461,25 @@
             served=parts.quarantine.served_notices() if is_full else {},
             lost_links=self._lost_links(),
             brittle=parts.brittle.notices(self.clock.now_ms()),
+            applies_regions=parts.region_gate.is_in_use,
             evacuated=parts.evacuations.notices(self.store.era or 0),
             work=(
                 parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
             ),
             speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
-            left_events=parts.load_board.own_left_events(),
+            is_short=parts.process_load.is_short,
+            is_resting=self._is_resting,
+            offered=(
+                parts.quotas.offered_by_customer(self.clock.now_ms()) if is_full else {}
+            ),
+            usage_profiles=(
+                parts.quotas.profiles(self.clock.now_ms()) if is_full else {}
+            ),
+            left_events=(
+                parts.load_board.own_left_events()
+                if parts.endpoint_models.speeds.known_count()
+                else {}
+            ),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -483,7 +514,16 @@
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
-        parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
+        member = parts.members.find(peer)
+        parts.quotas.record_peer_usage(
+            peer,
+            digest.incarnation,
+            digest.used,
+            now_ms,
+            offered=digest.offered,
+            lag_ms=BUNDLED_LAG_MS if member is not None and member.is_bundled else 0,
+        )
+        parts.quotas.adopt_profiles(digest.usage_profiles, now_ms)
         era = self._era_of_digest(digest)
         if era is not None:
             parts.evacuations.record_peer(
@@ -545,6 +585,14 @@
         if follower is not None:
             follower.handle_relay(relay)
 
+    async def _measure_delay(self) -> None:
+        """Measure how late timers go off, until cancelled."""
+        while True:
+            started_ms = self.clock.now_ms()
+            await self.clock.sleep_ms(SAMPLE_INTERVAL_MS)
+            elapsed_ms = self.clock.now_ms() - started_ms
+            self.parts.process_load.record_delay(elapsed_ms - SAMPLE_INTERVAL_MS)
+
     async def _tick(self) -> None:
         while True:
             await self.clock.sleep_ms(TICK_INTERVAL_MS)
@@ -592,23 +640,43 @@
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
-        self._observe_shares(now_ms)
+        self._observe_services(now_ms)
+        self._decide_rest()
+
+    def _decide_rest(self) -> None:
+        """Report for a while that this instance is not ready if it falls behind."""
+        load = self.parts.process_load
+        neighbours = self.parts.members.neighbours(self.parts.zone)
+        load.set_neighbours(neighbours)
+        is_resting = load.may_rest(self.clock.wall_ms())
+        self.counters.loop_delay_s.set(load.delay_ms / 1_000)
+        if is_resting == self._is_resting:
+            return
+        self._is_resting = is_resting
+        self.log.event(
+            "resting" if is_resting else "rested",
+            delay_ms=round(load.delay_ms, 1),
+            neighbours=neighbours,
+        )
+        self.digest_exchange.broadcast_digest()
 
-    def _observe_shares(self, now_ms: int) -> None:
-        """Log which customers are above their fair shares, when that changes."""
+    def _observe_services(self, now_ms: int) -> None:
+        """Observe capacities, and log a change of the customers above their shares."""
         parts = self.parts
         current = parts.configuration.current
-        if current is None or not current.has_customers:
+        if current is None:
             return
-        for service in current.services:
-            above = parts.fair_shares.above_share(service, now_ms)
-            self.counters.customers_above_share.labels(service).set(len(above))
-            if above.keys() != self._above_share.get(service, set()):
-                self._above_share[service] = set(above)
+        for service in current.services.values():
+            parts.observe_capacity(service, now_ms)
+            above = parts.fair_shares.above_share(service.id, now_ms)
+            self.counters.customers_above_share.labels(service.id).set(len(above))
+            if above.keys() != self._above_share.get(service.id, set()):
+                self._above_share[service.id] = set(above)
                 self.log.event(
                     "customers_above_share",
-                    service=service,
+                    service=service.id,
                     factors={name: round(factor, 2) for name, factor in above.items()},
+                    work=parts.fair_shares.work(service.id, now_ms),
                     refresh_ms=REFRESH_MS,
                     peers=len(parts.members.reachable_ids),
                 )
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -66,6 +66,9 @@
         Number of endpoints of each service that the sender presumably can't reach.
     brittle : dict
         Services whose endpoints lately told an instance how many refusals they bear.
+    applies_regions : bool
+        Whether the sender's configuration allows only some regions for some requests,
+        and it complies with that.
     evacuated : dict
         Versions of the rows that evacuate data centres, by data centre.
     leaving : dict
@@ -83,8 +86,15 @@
         Times of endpoints that the sender saw since its last digest to all instances.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
+    is_short, is_resting : bool
+        Whether the sender is short of processor time, and reports that it is not ready.
     work : dict
         Recent work of the customers at the sender, by service and rank.
+    offered : dict
+        What customers near their quotas request at the sender; see
+        `QuotaLedger.offered_by_customer`.
+    usage_profiles : dict
+        What these have used in the last window, while an instance has started lately.
     """
 
     instance: str
@@ -113,7 +123,12 @@
     brittle: dict[str, BrittleNotice] = {}
     evacuated: dict[str, int] = {}
     work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
+    applies_regions: bool = False
     speeds: tuple[SpeedSample, ...] = ()
+    is_short: bool = False
+    is_resting: bool = False
+    offered: dict[str, dict[int, int]] = {}
+    usage_profiles: dict[str, tuple[int, ...]] = {}
     left_events: dict[str, int] = {}
 
 
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -233,7 +233,10 @@
         tenants = [
             {"name": "customer-1", "api_keys": ["key-1"], "rate_per_s": 1, "burst": 2}
         ]
-        await self.site.start(configuration(tenants=tenants), quota_overage=0.0)
+        # The window allows 3, of which the steady rate keeps a half.
+        await self.site.start(
+            configuration(tenants=tenants), quota_overage=0.0, quota_window_s=1
+        )
         answers = [await self.site.send_request(f"a{n}") for n in range(4)]
         self.assertEqual([a.status for a in answers], [200, 200, 429, 429])
         self.assertGreater(float(answers[3].headers["retry-after"]), 0)
@@ -449,6 +452,22 @@
         self.assertEqual(got.status, 504)
         self.assertLess(loop.time() - started_s, 0.15 + 0.5)
 
+    async def test_a_request_whose_time_is_up_is_cancelled_at_the_endpoint(self):
+        async def stream(call) -> None:
+            call.start_stream()
+            call.write_event(1)
+            # The stand-in reads on and so detects the end of the connection.
+            await call.writer.drain()
+
+        endpoint = await self.site.add_endpoint(stream)
+        await self.site.start(configuration(kind="streaming", resume_streams=True))
+        got = await self.site.send_request(deadline_ms=300)
+        self.assertFalse(got.is_whole)
+        await asyncio.wait_for(
+            self.site.wait_until(lambda: endpoint.connections_lost == 1), 0.5
+        )
+        self.assertEqual(len(endpoint.calls), 1)
+
     async def test_a_callers_disconnect_cancels_its_request_at_the_endpoint(self):
         async def hang(call) -> None:
             # The stand-in reads on and so detects the end of the connection.
@@ -640,7 +659,8 @@
         tenants = [{"name": name, "api_keys": [name]} for name in names]
         await self.site.start(configuration(timeout_ms=60_000, tenants=tenants))
         parts = self.site.service.parts
-        work = {"svc": {1: {"small": (90, 20, 90, 20), "large": (90, 80, 90, 80)}}}
+        small, large = (90_000, 1_000, 90, 1), (90_000, 4_000, 90, 4)
+        work = {"svc": {1: {"small": small, "large": large}}}
         parts.fair_shares.update_peer("instance-2", work)
         for _ in range(6):
             parts.load_board.record_dispatch("i-1", 0)
@@ -649,6 +669,8 @@
         lines = self.site.log_events("request")
         self.assertEqual(lines[0]["share_factor"], 1.0)
         self.assertLess(lines[1]["share_factor"], 0.5)
+        self.assertEqual([line["is_return_kept"] for line in lines], [None, False])
+        self.assertGreater(lines[1]["retry_after_ms"], 4_000)
         entries = self.site.service._build_digest(True, True).work["svc"][1]
         self.assertEqual([entries[name][2:] for name in names], [(10, 10), (10, 0)])
 
