--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -74,6 +74,8 @@
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
+    left_events : dict
+        Events that streams to the sender presumably still get from each endpoint.
     loads : dict
         The sender's own requests in progress at each endpoint.
     used : dict
@@ -127,6 +129,7 @@
     is_resting: bool = False
     offered: dict[str, dict[int, int]] = {}
     usage_profiles: dict[str, tuple[int, ...]] = {}
+    left_events: dict[str, int] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
