--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -678,6 +678,7 @@
                 events=attempt.event_count,
                 barred=self._barred_count(),
                 longest_gap_ms=attempt.longest_gap_ms,
+                speed_factor=choice.speed_factor,
                 parts=self.part_fingerprints() if attempt.broke_off else (),
             )
         )
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -422,6 +422,7 @@
         self.parts.upstreams.remove(endpoint)
         self.parts.cache_index.remove_endpoint(endpoint.id)
         self.parts.health.remove(endpoint.id)
+        self.parts.endpoint_models.speeds.remove(endpoint.id)
         self.parts.links.remove(endpoint.id)
 
     def _build_digest(self, is_full: bool, to_all: bool) -> Digest:
@@ -465,6 +466,7 @@
             work=(
                 parts.fair_shares.own_entries(self.clock.now_ms()) if is_full else {}
             ),
+            speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
             is_short=parts.process_load.is_short,
             is_resting=self._is_resting,
         )
@@ -491,6 +493,7 @@
         parts.load_board.update_peer(peer, digest.loads)
         parts.demand.update(peer, digest.incarnation, digest.demand, now_ms)
         parts.endpoint_models.update_peer(peer, digest.learned)
+        parts.endpoint_models.speeds.apply_peer(digest.speeds, now_ms)
         parts.directory.record_peer_leaving(digest.leaving, peer)
         parts.rate_limits.update_peer(peer, digest.rate_limits, now_ms)
         parts.brittle.update_peer(digest.brittle, now_ms)
@@ -590,6 +593,7 @@
             parts.load_board.remove_peer(peer)
             parts.endpoint_models.remove_peer(peer)
             parts.fair_shares.remove_peer(peer)
+        parts.endpoint_models.refresh_speeds(parts.directory.all(), now_ms)
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -12,6 +12,7 @@
 from ..limits.endpointrates import Notice
 from ..limits.fairshare import WorkEntry
 from ..placing.demandmeter import Totals
+from ..placing.endpointspeeds import SpeedSample
 from ..placing.loadboard import LoadEntry
 from ..placing.sharedsums import Sums
 from ..quarantine.evidence import Entry, QuarantineNews
@@ -79,6 +80,8 @@
         Quota that each customer has used at the sender since its start.
     rollouts : tuple of Progress
         Progress of the ordered roll-outs as known to the sender.
+    speeds : tuple of SpeedSample
+        Times of endpoints that the sender saw since its last digest to all instances.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
     is_short, is_resting : bool
@@ -114,6 +117,7 @@
     evacuated: dict[str, int] = {}
     work: dict[str, dict[int, dict[str, WorkEntry]]] = {}
     applies_regions: bool = False
+    speeds: tuple[SpeedSample, ...] = ()
     is_short: bool = False
     is_resting: bool = False
 
