--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -28,7 +28,7 @@
 from ..platform.storeversion import join_version, wire_version
 from ..quarantine.rows import QuarantineRows
 from ..sharing.digest import Digest, UsageCounts
-from ..sharing.exchange import DigestExchange
+from ..sharing.exchange import BUNDLED_LAG_MS, DigestExchange
 from ..sharing.registration import InstanceRow, Registration
 from ..wire.httpclient import HttpClient
 from ..wire.server import HttpServer
@@ -469,6 +469,12 @@
             speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
             is_short=parts.process_load.is_short,
             is_resting=self._is_resting,
+            offered=(
+                parts.quotas.offered_by_customer(self.clock.now_ms()) if is_full else {}
+            ),
+            usage_profiles=(
+                parts.quotas.profiles(self.clock.now_ms()) if is_full else {}
+            ),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -503,7 +509,16 @@
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
-        parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
+        member = parts.members.find(peer)
+        parts.quotas.record_peer_usage(
+            peer,
+            digest.incarnation,
+            digest.used,
+            now_ms,
+            offered=digest.offered,
+            lag_ms=BUNDLED_LAG_MS if member is not None and member.is_bundled else 0,
+        )
+        parts.quotas.adopt_profiles(digest.usage_profiles, now_ms)
         era = self._era_of_digest(digest)
         if era is not None:
             parts.evacuations.record_peer(
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -88,6 +88,11 @@
         Whether the sender is short of processor time, and reports that it is not ready.
     work : dict
         Recent work of the customers at the sender, by service and rank.
+    offered : dict
+        What customers near their quotas request at the sender; see
+        `QuotaLedger.offered_by_customer`.
+    usage_profiles : dict
+        What these have used in the last window, while an instance has started lately.
     """
 
     instance: str
@@ -120,6 +125,8 @@
     speeds: tuple[SpeedSample, ...] = ()
     is_short: bool = False
     is_resting: bool = False
+    offered: dict[str, dict[int, int]] = {}
+    usage_profiles: dict[str, tuple[int, ...]] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/ingress/test_explain.py
+++ b/testing/ingress/test_explain.py
@@ -158,6 +158,14 @@
         parts.links.record_lost(parts.directory.get("i-3"), now_ms)
         self.assertEqual(self.left_out("links"), {"i-3": "its link is lost"})
 
+    async def test_regions_leave_endpoints_out(self):
+        self.configure(tenants=[{**TENANT, "allowed_regions": ["north"]}])
+        left_out = self.left_out("regions")
+        self.assertEqual(set(left_out), {"i-1", "i-2", "i-3"})
+        rejection = self.explain().rejection
+        self.assertIn("no endpoint in an allowed region", rejection.reason)
+        self.assertGreater(rejection.retry_after_ms, 0)
+
     async def test_all_endpoint_gates_have_a_line(self):
         names = [line.gate for line in self.explain().gates]
         self.assertEqual(
@@ -179,7 +187,8 @@
         self.assertEqual(
             self.explain(PlacementQuery(HOST, "/app/")).rejection.status, 401
         )
-        self.parts.quotas.consume("customer-1", 3, self.now_ms)
+        while self.parts.quotas.consume("customer-1", 1, self.now_ms) is None:
+            pass
         used_up = self.explain()
         self.assertEqual(used_up.rejection.status, 429)
         self.assertGreater(used_up.rejection.retry_after_ms, 0)
@@ -240,7 +249,8 @@
         )
 
     async def test_of_rejected_requests(self):
-        self.parts.quotas.consume("customer-1", 3, self.now_ms)
+        while self.parts.quotas.consume("customer-1", 1, self.now_ms) is None:
+            pass
         self.check()
         self.check(PlacementQuery("other.example"))
 
