Count only refusals for want of capacity in fair shares, and forget long time-outs

Cause: a review of the merged parts found that refusals for regions, evacuations or lost links counted as work that was refused, that a kind with a part of a request held back all others, that one caller with a long time-out made all later ones of its route seem to return, for good, that a caller without a time-out was told to come back after that of the route, and a division by zero for requests of no cost.

Change: each of them by itself in the decision concerned; the longest time-out counts for 10 to 20 s.

--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -174,7 +174,9 @@
         if entry is not None and not self._may_try(entry):
             self._refuse_quarantined(entry)
             return False
-        self._spent_ms = self.parts.wait_limits.spent_ms(route, facts.timeout_ms)
+        self._spent_ms = self.parts.wait_limits.spent_ms(
+            route, facts.timeout_ms, self.parts.clock.now_ms()
+        )
         if self._is_shed():
             retry_ms = round(SHED_RETRY_MS * self._rng.uniform(1.0, 2.0))
             self.respond(503, "the instance is short of processor time", retry_ms)
@@ -612,9 +614,11 @@
         parts, tokens = self.parts, choice.prefill_tokens
         parts.demand.record(self.service.id, tokens)
         is_admitted = isinstance(choice, Choice)
-        if self.customer is not None and (
-            is_admitted or not has_returned(self._spent_ms)
-        ):
+        # Other refusals, as those for allowed regions, show no lack of capacity.
+        is_counted = is_admitted or (
+            choice.is_busy and not has_returned(self._spent_ms)
+        )
+        if self.customer is not None and is_counted:
             parts.fair_shares.record(
                 self.service.id,
                 self.rank,
@@ -648,6 +652,9 @@
         """Return when the caller may return; in an overload, when there is capacity."""
         if self.customer is None or self.service is None or not refusal.is_busy:
             return refusal.retry_after_ms
+        if self.facts.timeout_ms is None:
+            # How long the caller would wait is not known.
+            return refusal.retry_after_ms
         parts, service = self.parts, self.service.id
         work = parts.fair_shares.work(service, parts.clock.now_ms())
         if not work.is_short:
--- a/src/_monsoonpulley/limits/fairshare.py
+++ b/src/_monsoonpulley/limits/fairshare.py
@@ -410,15 +410,14 @@
         totals[rank] = _Sums()
         for sums in groups[rank].values():
             totals[rank].add(sums)
+    # A share of less than one request says nothing.
+    totals = {rank: sums for rank, sums in totals.items() if sums.arrived >= 1}
     if len(totals) < 2:
         return {}
-    shares = {
-        rank: sums.admitted / max(MIN_WORK_MS, sums.arrived)
-        for rank, sums in totals.items()
-    }
+    shares = {rank: sums.admitted / sums.arrived for rank, sums in totals.items()}
     floor = FLOOR_SHARE * (
         sum(sums.admitted for sums in totals.values())
-        / max(MIN_WORK_MS, sum(sums.arrived for sums in totals.values()))
+        / sum(sums.arrived for sums in totals.values())
     )
     lack = max(0.0, 1.0 - min(shares.values()) / max(1e-9, floor))
     factors = {}
--- a/src/_monsoonpulley/limits/quota.py
+++ b/src/_monsoonpulley/limits/quota.py
@@ -716,7 +716,7 @@
         account.shares[RETURN_CLASS] = served / returning if returning else 1.0
         was_free = account.default_share >= 1.0
         account.default_share = 1.0
-        if total > allowed_per_s:
+        if total > max(0.0, allowed_per_s):
             account.default_share = max(0.0, allowed_per_s) / total
         if allowed_per_s < PRESSURE_FACTOR * total:
             account.pressed_until_ms = now_ms + PRESSURE_MEMORY_MS
--- a/src/_monsoonpulley/limits/waitlimit.py
+++ b/src/_monsoonpulley/limits/waitlimit.py
@@ -28,6 +28,29 @@
 and with 4 0.88."""
 
 
+TIMEOUT_MEMORY_MS = 10_000
+"""Time for which the longest time-out of a route's callers counts, once or twice. Single
+callers wait for longer than the others, which would all seem to have waited before."""
+
+
+class _LongestTimeout:
+    """The longest time-out of the callers of a route in the present and last period."""
+
+    def __init__(self, now_ms: int):
+        self._since_ms = now_ms
+        self._present_ms = 0
+        self._last_ms = 0
+
+    def record(self, timeout_ms: int, now_ms: int) -> int:
+        """Count a caller's time-out; return the longest one."""
+        if now_ms - self._since_ms >= TIMEOUT_MEMORY_MS:
+            is_next = now_ms - self._since_ms < 2 * TIMEOUT_MEMORY_MS
+            self._last_ms = self._present_ms if is_next else 0
+            self._since_ms, self._present_ms = now_ms, 0
+        self._present_ms = max(self._present_ms, timeout_ms)
+        return max(self._present_ms, self._last_ms)
+
+
 class WaitLimits:
     """Limits of the routes in force.
 
@@ -37,7 +60,7 @@
 
     def __init__(self) -> None:
         self._target_ms_by_route: dict[str, int] = {}
-        self._longest_timeout_ms: dict[str, int] = {}
+        self._longest: dict[str, _LongestTimeout] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Apply the targets and ranks of a configuration."""
@@ -51,17 +74,17 @@
         self._target_ms_by_route = {
             route.name: _shortest_target_ms(route, targets_ms) for route in routes
         }
-        self._longest_timeout_ms = {
-            name: timeout_ms
-            for name, timeout_ms in self._longest_timeout_ms.items()
+        self._longest = {
+            name: longest
+            for name, longest in self._longest.items()
             if name in self._target_ms_by_route
         }
 
-    def spent_ms(self, route: Route, timeout_ms: int | None) -> int:
+    def spent_ms(self, route: Route, timeout_ms: int | None, now_ms: int = 0) -> int:
         """Return how long a caller has presumably waited before it sent a request.
 
         Callers that return after a refusal wait for less long than they did at first,
-        which is the longest that any caller of the route waits.
+        which is the longest that any caller of the route waited lately.
 
         Parameters
         ----------
@@ -69,13 +92,16 @@
             The request's route.
         timeout_ms : int or None
             How long the caller waits from now on; None if it did not say.
+        now_ms : int
+            Monotonic time.
         """
         if timeout_ms is None:
             return 0
         timeout_ms = min(timeout_ms, route.timeout_ms)
-        longest_ms = max(timeout_ms, self._longest_timeout_ms.get(route.name, 0))
-        self._longest_timeout_ms[route.name] = longest_ms
-        return longest_ms - timeout_ms
+        known = self._longest.get(route.name)
+        if known is None:
+            known = self._longest[route.name] = _LongestTimeout(now_ms)
+        return known.record(timeout_ms, now_ms) - timeout_ms
 
     def max_wait_ms(
         self,
--- a/testing/limits/test_fairshare.py
+++ b/testing/limits/test_fairshare.py
@@ -104,6 +104,22 @@
         self.shares.remove_peer(peer)
         self.assertEqual(self.factor(LARGE, now_ms=600), 1.0)
 
+    def test_a_kind_with_hardly_a_request_does_not_hold_back_the_others(self):
+        """Guards against a share of a part of a request that counts as a refusal."""
+        self.shares.record(SERVICE, 0, CustomerId("rare"), 100.0, 0, is_admitted=True)
+        for number in range(1_000):
+            now_ms = 10 * number
+            self.shares.record(
+                SERVICE,
+                1,
+                CustomerId("usual"),
+                100.0,
+                now_ms,
+                is_admitted=number % 10 > 0,
+            )
+        factor = self.shares.limit_factor(SERVICE, 1, CustomerId("usual"), 10_000)
+        self.assertGreater(factor, 0.5)
+
     def test_digests_have_a_bounded_number_of_entries(self):
         # The digests of a bundle, with all their fields, have to fit into a datagram.
         for number in range(2 * MAX_DIGEST_ENTRIES):
--- a/testing/limits/test_waitlimit.py
+++ b/testing/limits/test_waitlimit.py
@@ -57,6 +57,12 @@
         self.assertEqual(self.limits.spent_ms(URGENT, 4_500), 1_500)
         self.assertEqual(self.limits.spent_ms(URGENT, None), 0)
 
+    def test_one_caller_with_a_long_time_out_does_not_make_all_others_late(self):
+        """Guards against new requests that are taken for returning ones for good."""
+        self.limits.spent_ms(URGENT, 6_000, 0)
+        self.assertEqual(self.limits.spent_ms(URGENT, 5_000, 19_000), 1_000)
+        self.assertEqual(self.limits.spent_ms(URGENT, 5_000, 40_000), 0)
+
     def test_one_caller_that_waits_too_long_makes_no_other_late(self):
         self.limits.spent_ms(URGENT, 10**9)
         self.assertEqual(self.limits.spent_ms(URGENT, URGENT.timeout_ms), 0)
