--- a/src/_monsoonpulley/limits/quota.py
+++ b/src/_monsoonpulley/limits/quota.py
@@ -469,6 +469,9 @@
             if account.pressed_until_ms is not None
             and now_ms < account.pressed_until_ms
         }
+        if any(a.presumed_until_ms is not None for a in self._accounts.values()):
+            # This process doesn't know yet which customers are near their quotas.
+            return offered
         return {**offered, REPORTS_MARK: {}}
 
     def _offered(self, account: _Account, now_ms: int) -> dict[int, int]:
@@ -591,8 +594,10 @@
     def _record_offers(
         self, peer: InstanceId, offered: dict[str, dict[int, int]]
     ) -> None:
-        if offered:
+        if REPORTS_MARK in offered:
             self._reporting_peers.add(peer)
+        else:
+            self._reporting_peers.discard(peer)
         for customer, account in self._accounts.items():
             account.peer_demand.update(peer, offered.get(customer))
 
