--- a/src/_monsoonpulley/limits/waitlimit.py
+++ b/src/_monsoonpulley/limits/waitlimit.py
@@ -29,8 +29,8 @@
 
 
 TIMEOUT_MEMORY_MS = 10_000
-"""Time for which the longest time-out of a route's callers counts, once or twice. Single
-callers wait for longer than the others, which would all seem to have waited before."""
+"""Time for which the longest time-out of a route's callers counts, once or twice. Some
+wait for longer than the others, which would all seem to have waited before."""
 
 
 class _LongestTimeout:
