--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -81,13 +81,6 @@
             ("service", "result"),
             registry=self.registry,
         )
-        self.quota_decisions = Counter(
-            "monsoonpulley_quota_decisions",
-            "Decisions on requests of customers: admitted, refused with a place, or "
-            "refused without one.",
-            ("result",),
-            registry=self.registry,
-        )
         self.lost_links = Gauge(
             "monsoonpulley_lost_links",
             "Endpoints that this instance can't connect to.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -207,7 +207,6 @@
                 bounds.quota_overage,
                 bounds.quota_slack,
                 starts_full=settings.is_first_start,
-                rng=rng,
             ),
             retry_budget=RetryBudget(
                 bounds.retry_budget_ratio,
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -4,7 +4,6 @@
 
 from enum import Enum
 
-from ..limits.quota import QuotaRefusal
 from ..observability.log import Decision
 
 
@@ -158,8 +157,6 @@
         that was not computed.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
-    quota : QuotaRefusal or None
-        Figures behind a refusal because of the customer's quota.
     """
 
     request: str
@@ -182,4 +179,3 @@
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
-    quota: QuotaRefusal | None = None
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -92,7 +92,6 @@
         super().__init__(exchange, parts, is_from_peer=is_from_peer)
         self._rng = rng
         self._quota_cost = 0.0
-        self._quota_refusal: QuotaRefusal | None = None
         self._unreachable_count = 0
         self._admission = Admission(())
         self._helper_ids: set[InstanceId] = set()
@@ -220,17 +219,9 @@
         )
         # None if the cost was charged or the customer has no quota.
         refusal = quotas.consume(
-            self.customer.id,
-            self._quota_cost,
-            self.parts.clock.now_ms(),
-            kind=self.route.name if self.route is not None else "",
-            rank=self.rank,
-            left_ms=self.remaining_ms(),
-            spent_ms=self._spent_ms,
+            self.customer.id, self._quota_cost, self.parts.clock.now_ms()
         )
-        self.parts.counters.quota_decisions.labels(_quota_result(refusal)).inc()
         if isinstance(refusal, QuotaRefusal):
-            self._quota_refusal = refusal
             self._quota_cost = 0.0
             self.respond(
                 429, f"quota used up: {refusal.level:.0f} left", refusal.retry_after_ms
@@ -777,7 +768,6 @@
                 is_from_peer=self.is_from_peer,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
-                quota=self._quota_refusal,
             )
         )
 
@@ -789,10 +779,3 @@
         counters.requests.labels(kind_name, str(self.status), reason).inc()
         if self.first_byte_ms is not None:
             counters.first_byte_s.labels(kind_name).observe(self.first_byte_ms / 1000)
-
-
-def _quota_result(refusal: QuotaRefusal | None) -> str:
-    """Return the metric label of a decision on a customer's quota."""
-    if refusal is None:
-        return "admitted"
-    return "no_place" if refusal.place_ms is None else "place"
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -28,7 +28,7 @@
 from ..platform.storeversion import join_version, wire_version
 from ..quarantine.rows import QuarantineRows
 from ..sharing.digest import Digest, UsageCounts
-from ..sharing.exchange import BUNDLED_LAG_MS, DigestExchange
+from ..sharing.exchange import DigestExchange
 from ..sharing.registration import InstanceRow, Registration
 from ..wire.httpclient import HttpClient
 from ..wire.server import HttpServer
@@ -469,12 +469,6 @@
             speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
             is_short=parts.process_load.is_short,
             is_resting=self._is_resting,
-            offered=(
-                parts.quotas.offered_by_customer(self.clock.now_ms()) if is_full else {}
-            ),
-            usage_profiles=(
-                parts.quotas.profiles(self.clock.now_ms()) if is_full else {}
-            ),
             left_events=(
                 parts.load_board.own_left_events()
                 if parts.endpoint_models.speeds.known_count()
@@ -514,16 +508,7 @@
         parts.quarantine.record_peer_served(digest.served)
         for entry, idle_ms in digest.quarantined:
             parts.quarantine.add_entry(entry, idle_ms)
-        member = parts.members.find(peer)
-        parts.quotas.record_peer_usage(
-            peer,
-            digest.incarnation,
-            digest.used,
-            now_ms,
-            offered=digest.offered,
-            lag_ms=BUNDLED_LAG_MS if member is not None and member.is_bundled else 0,
-        )
-        parts.quotas.adopt_profiles(digest.usage_profiles, now_ms)
+        parts.quotas.record_peer_usage(peer, digest.incarnation, digest.used)
         era = self._era_of_digest(digest)
         if era is not None:
             parts.evacuations.record_peer(
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -90,11 +90,6 @@
         Whether the sender is short of processor time, and reports that it is not ready.
     work : dict
         Recent work of the customers at the sender, by service and rank.
-    offered : dict
-        What customers near their quotas request at the sender; see
-        `QuotaLedger.offered_by_customer`.
-    usage_profiles : dict
-        What these have used in the last window, while an instance has started lately.
     """
 
     instance: str
@@ -127,8 +122,6 @@
     speeds: tuple[SpeedSample, ...] = ()
     is_short: bool = False
     is_resting: bool = False
-    offered: dict[str, dict[int, int]] = {}
-    usage_profiles: dict[str, tuple[int, ...]] = {}
     left_events: dict[str, int] = {}
 
 
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -47,10 +47,6 @@
 """While digests are bundled, so many members of the own data centre get one in each
 round."""
 
-BUNDLED_LAG_MS = 600
-"""Mean age of a digest when it arrives in a bundle: its sender makes one every five
-rounds with 75 instances in a data centre, and sends it to a fifth in each."""
-
 SLICE_BYTES = 8_000
 SLICE_INTERVAL_MS = 10
 """Broadcasts and bundles use two thirds of a link of 10 Mbit/s while they last. That is
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -98,10 +98,6 @@
         """Return all other instances that have not expired."""
         return list(self._members.values())
 
-    def find(self, instance: InstanceId) -> Member | None:
-        """Return another instance, or None if it isn't known."""
-        return self._members.get(instance)
-
     def record_address(
         self, instance: InstanceId, ip: str, port: int, zone: ZoneId = ZoneId("")
     ) -> None:
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -233,10 +233,7 @@
         tenants = [
             {"name": "customer-1", "api_keys": ["key-1"], "rate_per_s": 1, "burst": 2}
         ]
-        # The window allows 3, of which the steady rate keeps a half.
-        await self.site.start(
-            configuration(tenants=tenants), quota_overage=0.0, quota_window_s=1
-        )
+        await self.site.start(configuration(tenants=tenants), quota_overage=0.0)
         answers = [await self.site.send_request(f"a{n}") for n in range(4)]
         self.assertEqual([a.status for a in answers], [200, 200, 429, 429])
         self.assertGreater(float(answers[3].headers["retry-after"]), 0)
--- a/testing/limits/quotafleet.py
+++ b/testing/limits/quotafleet.py
@@ -20,7 +20,6 @@
 from _monsoonpulley.limits.quota import QuotaLedger
 from _monsoonpulley.sharing.exchange import (
     BUNDLE_INTERVALS,
-    BUNDLED_LAG_MS,
     DIGEST_INTERVAL_MS,
     FULL_DIGEST_INTERVALS,
     FULL_RATE_MAX_MEMBERS,
@@ -160,13 +159,7 @@
         self._serial = itertools.count()
 
     def make_ledger(self, *, starts_full: bool) -> QuotaLedger:
-        made = QuotaLedger(
-            WINDOW_S,
-            OVERAGE,
-            SLACK,
-            starts_full=starts_full,
-            rng=random.Random(self.rng.random()),
-        )
+        made = QuotaLedger(WINDOW_S, OVERAGE, SLACK, starts_full=starts_full)
         made.configure(self.configuration, self.now_ms)
         return made
 
@@ -237,12 +230,7 @@
         return (node.name, node.incarnation, self.now_ms, self._content(node))
 
     def _content(self, node: Node):
-        ledger = node.ledger
-        return (
-            ledger.used_by_customer(),
-            ledger.offered_by_customer(self.now_ms),
-            ledger.profiles(self.now_ms),
-        )
+        return node.ledger.used_by_customer()
 
     def _deliver(self, sender: Node, receiver: Node, digests, *, bundled=False) -> None:
         if sender.group != receiver.group or self.rng.random() < self.loss:
@@ -267,16 +255,7 @@
             self._record(receiver, name, incarnation, content, bundled)
 
     def _record(self, receiver, name, incarnation, content, bundled) -> None:
-        used, offered, profiles = content
-        receiver.ledger.record_peer_usage(
-            name,
-            incarnation,
-            used,
-            self.now_ms,
-            offered=offered,
-            lag_ms=BUNDLED_LAG_MS if bundled else 0,
-        )
-        receiver.ledger.adopt_profiles(profiles, self.now_ms)
+        receiver.ledger.record_peer_usage(name, incarnation, content)
 
     def _send_round(self, node: Node) -> None:
         node.round += 1
@@ -367,15 +346,7 @@
         self.after(max(retry_ms, STEP_MS), lambda: self._arrive(back, node))
 
     def _consume(self, node: Node, request: Request):
-        return node.ledger.consume(
-            request.customer,
-            request.cost,
-            self.now_ms,
-            kind=request.kind.name,
-            rank=request.kind.rank,
-            left_ms=request.kind.deadline_ms - request.spent_ms,
-            spent_ms=request.spent_ms,
-        )
+        return node.ledger.consume(request.customer, request.cost, self.now_ms)
 
     def _send(self, node: Node, request: Request) -> None:
         """Send an admitted request to an endpoint, or refund it if none takes it."""
@@ -479,30 +450,6 @@
             counts[1] += not r.is_return
         return {name: s / n for name, (s, n) in served.items()}
 
-    def served_share(self) -> float:
-        """Return the share of all the heavy customer's callers that were served."""
-        requests = [r for r in self.requests if r.customer == self.heavy]
-        requests = [r for r in requests if self._is_in_heavy(r)]
-        count = sum(not r.is_return for r in requests)
-        return sum(r.is_admitted for r in requests) / count
-
-    def size_share(self, kind: str, first: float, last: float) -> float:
-        """Return the served share of a kind's requests between two quantiles of cost.
-
-        Of equal costs, all requests count.
-        """
-        requests = [
-            r
-            for r in self.requests
-            if r.kind.name == kind and r.customer == self.heavy and self._is_in_heavy(r)
-        ]
-        costs = sorted(r.cost for r in requests if not r.is_return)
-        low = costs[int(first * (len(costs) - 1))]
-        high = costs[int(last * (len(costs) - 1))]
-        part = [r for r in requests if low <= r.cost <= high]
-        count = sum(not r.is_return for r in part)
-        return sum(r.is_admitted for r in part) / count
-
     def returned(self) -> tuple[int, int]:
         """Return how many callers came back, and how many of them were served."""
         back = [r for r in self.requests if r.is_return]
--- a/testing/limits/test_quota.py
+++ b/testing/limits/test_quota.py
@@ -42,8 +42,7 @@
 class Group:
     """Instances whose callers send far more than the quota allows."""
 
-    def __init__(self, count: int, rng: random.Random, *, reports_demand: bool = True):
-        self.reports_demand = reports_demand
+    def __init__(self, count: int, rng: random.Random):
         self.ledgers = [ledger() for _ in range(count)]
         self.incarnations = [1] * count
         self.is_partitioned = [False] * count
@@ -73,16 +72,7 @@
                 name = InstanceId(str(other))
                 reachable_ids.add(name)
                 used = self.ledgers[other].used_by_customer()
-                offered = self.ledgers[other].offered_by_customer(now_ms)
-                each.record_peer_usage(
-                    name,
-                    self.incarnations[other],
-                    used,
-                    now_ms,
-                    offered=offered if self.reports_demand else None,
-                )
-                if self.reports_demand:
-                    each.adopt_profiles(self.ledgers[other].profiles(now_ms), now_ms)
+                each.record_peer_usage(name, self.incarnations[other], used)
             each.set_members(frozenset(reachable_ids), count, now_ms)
 
     def restart(self, index: int, now_ms: int) -> None:
@@ -167,14 +157,13 @@
     def test_restarted_instances_do_not_start_with_a_quota_of_their_own(
         self, restarts, at_ms
     ):
+        group = Group(6, random.Random(4))
         at_ms -= at_ms % 150
-        for reports_demand in (True, False):
-            group = Group(6, random.Random(4), reports_demand=reports_demand)
-            group.run(0, at_ms)
-            for index in restarts:
-                group.restart(index, at_ms)
-            group.run(at_ms, at_ms + 15_000)
-            self.assertLessEqual(group.max_window_cost(), ALLOWED, reports_demand)
+        group.run(0, at_ms)
+        for index in restarts:
+            group.restart(index, at_ms)
+        group.run(at_ms, at_ms + 15_000)
+        self.assertLessEqual(group.max_window_cost(), ALLOWED)
 
     def test_repeated_restarts_stay_within_the_quota(self):
         group = Group(1, random.Random(5))
@@ -192,9 +181,7 @@
         while (refusal := each.consume(CUSTOMER, 500, 0)) is None:
             pass
         self.assertIsInstance(refusal, QuotaRefusal)
-        retry_ms = refusal.retry_after_ms
-        again = each.consume(CUSTOMER, 500, retry_ms, spent_ms=retry_ms)
-        self.assertIsNone(again)
+        self.assertIsNone(each.consume(CUSTOMER, 500, refusal.retry_after_ms))
 
     def test_a_refund_makes_the_cost_available_again(self):
         each = ledger()
@@ -217,22 +204,20 @@
         each = ledger()
         peer = InstanceId("peer")
         for _ in range(10):
-            each.record_peer_usage(peer, 1, {CUSTOMER: 500.0}, 0)
-            each.record_peer_usage(peer, 1, {}, 0)
+            each.record_peer_usage(peer, 1, {CUSTOMER: 500.0})
+            each.record_peer_usage(peer, 1, {})
         self.assertIsNone(each.consume(CUSTOMER, 1_000, 0))
 
     def test_the_estimate_for_a_lost_peer_is_corrected_by_its_next_digest(self):
-        # Of 9,000 in the window, 4,000 are kept for a steady rate and each of two
-        # instances cut off from each other has half of the rest.
         each, peer = ledger(), InstanceId("peer")
-        each.record_peer_usage(peer, 1, {CUSTOMER: 100.0}, 0)
+        each.record_peer_usage(peer, 1, {CUSTOMER: 100.0})
         each.set_members(frozenset({peer}), 2, 0)
-        self.assertIsNone(each.consume(CUSTOMER, 1_300, 0))
+        self.assertIsNone(each.consume(CUSTOMER, 300, 0))
         each.set_members(frozenset(), 2, 0)
-        self.assertIsInstance(each.consume(CUSTOMER, 2_000, 0), QuotaRefusal)
+        self.assertIsInstance(each.consume(CUSTOMER, 900, 0), QuotaRefusal)
         each.set_members(frozenset({peer}), 2, 0)
-        each.record_peer_usage(peer, 1, {CUSTOMER: 100.0}, 0)
-        self.assertIsNone(each.consume(CUSTOMER, 3_000, 0))
+        each.record_peer_usage(peer, 1, {CUSTOMER: 100.0})
+        self.assertIsNone(each.consume(CUSTOMER, 600, 0))
 
     def test_a_customer_without_quota_is_never_refused(self):
         each = QuotaLedger(WINDOW_S, OVERAGE, SLACK, starts_full=False)
--- a/testing/limits/test_quotarestarts.py
+++ b/testing/limits/test_quotarestarts.py
@@ -85,19 +85,12 @@
     def _exchange_digests(self, running) -> None:
         for sender in running:
             used = self.ledgers[sender].used_by_customer()
-            offered = self.ledgers[sender].offered_by_customer(self.now_ms)
-            profiles = self.ledgers[sender].profiles(self.now_ms)
             for name in running:
                 if name != sender:
                     self.heard_ms[name][sender] = self.now_ms
                     self.ledgers[name].record_peer_usage(
-                        sender,
-                        self.incarnations[sender],
-                        used,
-                        self.now_ms,
-                        offered=offered,
+                        sender, self.incarnations[sender], used
                     )
-                    self.ledgers[name].adopt_profiles(profiles, self.now_ms)
 
     def _update_members(self, running) -> None:
         for name in running:
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -45,19 +45,9 @@
         Name of the instance that it calls.
     rng : random.Random
         For the requests and the pauses between them.
-    limited_share : float
-        Share of the requests of the customer with a quota.
     """
 
-    def __init__(
-        self,
-        world: World,
-        name: str,
-        instance: str,
-        rng: random.Random,
-        limited_share: float = LIMITED_SHARE,
-    ):
-        self._limited_share = limited_share
+    def __init__(self, world: World, name: str, instance: str, rng: random.Random):
         self._world = world
         self._name = name
         self._instance = world.instances[instance]
@@ -117,7 +107,7 @@
 
     def _build_request(self, kind: str, feature: int, cause: str) -> tuple[Call, bytes]:
         self._number += 1
-        key = LIMITED_KEY if self._rng.random() < self._limited_share else OPEN_KEY
+        key = LIMITED_KEY if self._rng.random() < LIMITED_SHARE else OPEN_KEY
         key = OPEN_KEY if cause else key
         path = f"/{kind}/x"
         if kind == "feature":
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -22,10 +22,6 @@
 
 Fault = Callable[[World, random.Random], Awaitable[None]]
 
-SURGE_CALLERS = 4
-"""Connections to each instance in a customer's surge: the endpoints' answers take up
-to some tenths of a second."""
-
 FAULTS: dict[str, Fault] = {}
 
 DRAIN_S = 4.0
@@ -387,26 +383,6 @@
         world.take_back(zone)
 
 
-@fault
-async def surge_customer(world: World, rng: random.Random) -> None:
-    """Send six to eight times what a customer's quota allows, for 4 to 10 s."""
-    callers = [
-        Caller(world, f"{name}-surge-{rng.getrandbits(32):x}", name, caller_rng, 1.0)
-        for name in world.instances
-        for caller_rng in [random.Random(rng.random()) for _ in range(SURGE_CALLERS)]
-    ]
-    pause_s = len(callers) / (rng.uniform(6, 8) * RATE_PER_S)
-    end_ms = world.clock.now_ms() + rng.uniform(4_000, 10_000)
-
-    async def send(caller: Caller) -> None:
-        while world.clock.now_ms() < end_ms:
-            await caller.call("app")
-            await asyncio.sleep(pause_s)
-        caller.close()
-
-    await asyncio.gather(*map(send, callers))
-
-
 @fault
 async def send_crashing_requests(world: World, rng: random.Random) -> None:
     """Send requests that crash endpoints to all instances for 6 to 10 s.
