Remember what was sent to a cold endpoint's process before it

Change: the times of what was sent stay, and nothing is sent for a second after such a start. Entries without a row go after a minute.

--- a/src/_monsoonpulley/limits/coldendpoints.py
+++ b/src/_monsoonpulley/limits/coldendpoints.py
@@ -32,6 +32,10 @@
 """An endpoint that was warm gets nothing for this long once a row says that it is cold.
 What all instances sent before they saw the row is then out of the users' second."""
 
+UNLISTED_MEMORY_MS = 60_000
+"""Time for which the requests to an endpoint without a row are remembered: as long as
+the endpoint itself, see `fleet.directory`."""
+
 STALL_MS = 1_200
 """An instance that stood still for an interval of the endpoints' rows may have missed
 rows that all others have seen."""
@@ -203,6 +207,9 @@
                 is_cold=state.is_cold if state else False,
             )
             state.started_ms = now_ms if has_started else None
+            if not is_new:
+                # What was sent to the process before it may reach this one.
+                state.paused_until_ms = now_ms + LATE_ROW_PAUSE_MS
         if row_version <= state.row_version:
             return
         state.row_version = row_version
@@ -374,6 +381,8 @@
             for zone, presumption in self._zones.items()
             if self.awaits_rows(zone, now_ms)
         }
+        endpoints = list(endpoints)
+        self._forget_unlisted({endpoint.id for endpoint in endpoints}, now_ms)
         cold_count = 0
         for endpoint in endpoints:
             state = self._states.get(endpoint.id)
@@ -383,8 +392,23 @@
         return cold_count
 
     def remove(self, endpoint: EndpointId) -> None:
-        """Remove the state of an endpoint that no longer exists."""
-        self._states.pop(endpoint, None)
+        """Remove what is known of an endpoint whose process has ended.
+
+        What was sent to it stays known for a process that takes its place.
+        """
+        state = self._states.pop(endpoint, None)
+        if state is not None and (state.sent_ms or state.reserved_count):
+            self._states[endpoint] = _State(
+                sent_ms=state.sent_ms,
+                reserved_count=state.reserved_count,
+                is_cold=state.is_cold,
+            )
+
+    def _forget_unlisted(self, listed: set[EndpointId], now_ms: int) -> None:
+        for endpoint, state in list(self._states.items()):
+            last_ms = state.sent_ms[-1] if state.sent_ms else 0
+            if endpoint not in listed and now_ms - last_ms > UNLISTED_MEMORY_MS:
+                del self._states[endpoint]
 
     def _compute_bounds(self) -> None:
         self._bounds = {
--- a/testing/limits/test_coldendpoints.py
+++ b/testing/limits/test_coldendpoints.py
@@ -320,6 +320,18 @@
         self.cold.record_row(row(2_000), 8, False, 2_100)
         self.assertFalse(self.cold.may_send(E, 2_100))
 
+    def test_a_restart_under_the_same_id_does_not_double_a_second(self):
+        """Guards against requests to the process before that the new one gets, too."""
+        self.settle()
+        self.cold.record_row(row(0), 7, False, 2_000)
+        for _ in range(17):
+            self.cold.record_choice(E)
+            self.cold.record_send(E, 2_500)
+        self.cold.remove(E.id)
+        self.cold.record_row(row(2_000), 8, True, 2_600)
+        self.assertFalse(self.cold.may_send(E, 3_500))
+        self.assertTrue(self.cold.may_send(E, 3_700))
+
     def test_a_request_that_was_not_sent_frees_its_share(self):
         self.settle()
         self.cold.record_row(row(2_000), 7, True, 2_000)
