Count a returned data centre after two minutes in any case

Change: it counts after 120 s; that setting is at least 1 ms. Measured: 24 tests of capacity, the process's load and the service pass, with a new one.

--- a/src/_monsoonpulley/duties/closedzones.py
+++ b/src/_monsoonpulley/duties/closedzones.py
@@ -21,6 +21,11 @@
 bears load. Placement evens out loads, so that half of the others' is far above what a
 cold endpoint gets, and within the spread between equal ones."""
 
+MAX_RETURN_MS = 120_000
+"""Longest time for which a returned data centre doesn't count. Its endpoints may be
+slower than the others, or out of reach of most instances, and never get their load;
+the planner would then neither count them nor order any there again."""
+
 LOAD_HALF_LIFE_MS = 2_000
 """Half-life of the loads that are compared: several of the users' answers, which last a
 fraction of a second to a few seconds."""
@@ -114,9 +119,10 @@
         state.load = kept * state.load + self._mean_load(here)
         state.other_load = kept * state.other_load + self._mean_load(others)
         least_ms = max(service.cold_start_ms, self._return_ms)
-        state.is_over = (
-            now_ms - state.observed_ms >= least_ms
-            and state.load >= BEARING_SHARE * state.other_load
+        observed_ms = now_ms - state.observed_ms
+        bears_load = state.load >= BEARING_SHARE * state.other_load
+        state.is_over = observed_ms >= max(least_ms, MAX_RETURN_MS) or (
+            observed_ms >= least_ms and bears_load
         )
         return not state.is_over
 
--- a/src/_monsoonpulley/limits/processload.py
+++ b/src/_monsoonpulley/limits/processload.py
@@ -86,7 +86,7 @@
     """
 
     def __init__(self, pass_ms: float):
-        self._pass_ms = pass_ms
+        self._pass_ms = max(1.0, pass_ms)
         self.delay_ms = 0.0
         self._neighbours = Neighbours()
 
@@ -96,7 +96,7 @@
 
     def set_pass_ms(self, pass_ms: float) -> None:
         """Set the time within which an event of a stream has to be passed on."""
-        self._pass_ms = pass_ms
+        self._pass_ms = max(1.0, pass_ms)
 
     def record_delay(self, delay_ms: float) -> None:
         """Record by how much later than asked for a timer went off."""
--- a/testing/duties/test_capacity.py
+++ b/testing/duties/test_capacity.py
@@ -200,6 +200,22 @@
         released = {(zone, count) for _, zone, count, kind in self.cloud.orders if kind}
         self.assertIn(("zone-b", 2), released)
 
+    async def test_a_data_centre_that_never_gets_its_load_counts_again(self):
+        """Guards against endpoints that are out of the plan for good."""
+        need = CapacityNeed(4, 4, 2, "slots", Demand(9.0, 0.0, 0.0))
+        self.duty._compute_need = lambda *_: need
+        self.directory.endpoints = endpoints("v1", 4, is_reclaimable=True)
+        self.set_evacuated(5)
+        await self.run_duty(1_000)
+        self.set_evacuated(6, is_removed=True)
+        for endpoint in self.directory.endpoints[4:]:
+            self.board.record_dispatch(endpoint.id, 0)
+        await self.run_duty(60_000)
+        self.cloud.orders.clear()
+        await self.run_duty(90_000)
+        released = {(zone, count) for _, zone, count, kind in self.cloud.orders if kind}
+        self.assertIn(("zone-b", 2), released)
+
     async def test_more_are_ordered_while_cold_ones_leave_too_little(self):
         # One warm endpoint would carry 40 requests a second; a cold one gets one.
         self.directory.endpoints = endpoints("v1", 1, is_reclaimable=True)
