Use the usual terms for instances that report themselves as not ready

Cause: on reading the diff, the names of an instance that is not ready for lack of processor time, and some comments, were figurative. Change: names, log lines and comments only.

--- a/src/_monsoonpulley/fleet/evacuations.py
+++ b/src/_monsoonpulley/fleet/evacuations.py
@@ -22,8 +22,8 @@
 MIN_RETURN_SHARE = 0.5
 """Share of the requests that may use a data centre as soon as its evacuation ends. With
 less, requests wait at full endpoints while others are idle; with more, instances that
-don't hear of each other yet crowd the idle ones. ``testing.placing.returnplay`` plays
-both."""
+don't hear of each other yet send too many to the idle ones. A simulation of both is
+``testing.placing.returnplay``."""
 
 
 class _Zone(msgspec.Struct):
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -160,7 +160,7 @@
             parts.cold.presume_zone_cold(zone, store_version, clock.now_ms())
         )
         self._last_tick_ms = clock.now_ms()
-        self._is_resting = False
+        self._is_unready = False
         self._above_share: dict[ServiceId, set[str]] = {}
         self._control = Control(
             settings,
@@ -274,7 +274,7 @@
         parts = self.parts
         return (
             not self.is_stopping
-            and not self._is_resting
+            and not self._is_unready
             and parts.configuration.current is not None
             and parts.directory.is_loaded
         )
@@ -468,7 +468,7 @@
             ),
             speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
             is_short=parts.process_load.is_short,
-            is_resting=self._is_resting,
+            is_unready=self._is_unready,
             left_events=(
                 parts.load_board.own_left_events()
                 if parts.endpoint_models.speeds.known_count()
@@ -626,20 +626,20 @@
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
         self._observe_services(now_ms)
-        self._decide_rest()
+        self._decide_readiness()
 
-    def _decide_rest(self) -> None:
+    def _decide_readiness(self) -> None:
         """Report for a while that this instance is not ready if it falls behind."""
         load = self.parts.process_load
         neighbours = self.parts.members.neighbours(self.parts.zone)
         load.set_neighbours(neighbours)
-        is_resting = load.may_rest(self.clock.wall_ms())
+        is_unready = load.may_be_unready(self.clock.wall_ms())
         self.counters.loop_delay_s.set(load.delay_ms / 1_000)
-        if is_resting == self._is_resting:
+        if is_unready == self._is_unready:
             return
-        self._is_resting = is_resting
+        self._is_unready = is_unready
         self.log.event(
-            "resting" if is_resting else "rested",
+            "readiness_withdrawn" if is_unready else "readiness_restored",
             delay_ms=round(load.delay_ms, 1),
             neighbours=neighbours,
         )
--- a/src/_monsoonpulley/limits/processload.py
+++ b/src/_monsoonpulley/limits/processload.py
@@ -46,7 +46,7 @@
 MIN_NEIGHBOURS = 4
 """Instances of a data centre of which one is a quarter."""
 
-MAX_RESTING_SHARE = 0.25
+MAX_UNREADY_SHARE = 0.25
 """Share of a data centre's instances that may be not ready at once."""
 
 
@@ -59,7 +59,7 @@
         Its own position among those that it hears, by name.
     heard_count, known_count : int
         Those that it hears, and all that it knows.
-    short_count, resting_count : int
+    short_count, unready_count : int
         Others that say that they are short of processor time, and not ready.
     """
 
@@ -67,7 +67,7 @@
     heard_count: int = 1
     known_count: int = 1
     short_count: int = 0
-    resting_count: int = 0
+    unready_count: int = 0
 
 
 class ProcessLoad:
@@ -120,7 +120,7 @@
         share = min(MAX_SHED_SHARE, max(0.0, excess))
         return share if rank else URGENT_SHED_SHARE * share
 
-    def may_rest(self, wall_ms: int) -> bool:
+    def may_be_unready(self, wall_ms: int) -> bool:
         """Return whether this instance reports now that it is not ready."""
         neighbours = self._neighbours
         count = neighbours.heard_count
@@ -128,7 +128,7 @@
             return False
         if 2 * count < neighbours.known_count:
             return False
-        if neighbours.resting_count + 1 > MAX_RESTING_SHARE * count:
+        if neighbours.unready_count + 1 > MAX_UNREADY_SHARE * count:
             return False
         slot, passed_ms = divmod(wall_ms, SLOT_MS)
         if not SLOT_GAP_MS <= passed_ms < SLOT_MS - SLOT_GAP_MS:
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -86,7 +86,7 @@
         Times of endpoints that the sender saw since its last digest to all instances.
     results : tuple of Result
         Results of new versions since the sender's last digest to all instances.
-    is_short, is_resting : bool
+    is_short, is_unready : bool
         Whether the sender is short of processor time, and reports that it is not ready.
     work : dict
         Recent work of the customers at the sender, by service and rank.
@@ -121,7 +121,7 @@
     applies_regions: bool = False
     speeds: tuple[SpeedSample, ...] = ()
     is_short: bool = False
-    is_resting: bool = False
+    is_unready: bool = False
     left_events: dict[str, int] = {}
 
 
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -60,7 +60,7 @@
     in_progress: int = 0
     """Requests that it had sent to endpoints and that had no complete answer yet."""
     is_short: bool = False
-    is_resting: bool = False
+    is_unready: bool = False
     """Whether it is short of processor time, and not ready for that reason."""
     is_bundled: bool = False
     """Whether the last digest arrived in a bundle."""
@@ -146,7 +146,7 @@
         member.evacuated = frozenset(digest.evacuated)
         member.in_progress = sum(entry[0] for entry in digest.loads.values())
         member.last_received_ms = now_ms
-        member.is_short, member.is_resting = digest.is_short, digest.is_resting
+        member.is_short, member.is_unready = digest.is_short, digest.is_unready
         member.is_bundled = is_bundled
         return True
 
@@ -185,7 +185,7 @@
             heard_count=len(heard) + 1,
             known_count=len(near) + 1,
             short_count=sum(member.is_short for member in heard),
-            resting_count=sum(member.is_resting for member in heard),
+            unready_count=sum(member.is_unready for member in heard),
         )
 
     def lease_holder(self) -> Member | None:
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -124,7 +124,7 @@
             self.reading_since_ms = self._clock.now_ms()
 
     def pause_writing(self) -> None:
-        """Be patient with a server that doesn't read a long request."""
+        """Start watching whether a server reads a long request."""
         if self._unread_watch is not None:
             self._unread_watch.on_pause()
 
--- a/testing/ingress/test_service.py
+++ b/testing/ingress/test_service.py
@@ -84,14 +84,14 @@
             return Neighbours(clock.wall_ms() // SLOT_MS % SLOT_COUNT, 9, 9)
 
         parts.members.neighbours = neighbours
-        await self.site.wait_until(lambda: self.site.log_events("resting"))
+        await self.site.wait_until(lambda: self.site.log_events("readiness_withdrawn"))
         self.assertEqual(await self.readiness_status(), 503)
         answers = [await self.site.send_request(f"b{n}") for n in range(20)]
         shed = [got for got in answers if got.status == 503]
         self.assertTrue(0 < len(shed) < 20)
         self.assertTrue(all("retry-after" in got.headers for got in shed))
         parts.process_load.set_pass_ms(10_000)
-        await self.site.wait_until(lambda: self.site.log_events("rested"))
+        await self.site.wait_until(lambda: self.site.log_events("readiness_restored"))
         self.assertEqual(await self.readiness_status(), 200)
 
 
--- a/testing/limits/test_processload.py
+++ b/testing/limits/test_processload.py
@@ -11,7 +11,7 @@
     ProcessLoad,
 )
 
-MAX_RESTING_TIME_SHARE, MAX_RESTING_SHARE = 1 / 8, 1 / 4
+MAX_UNREADY_TIME_SHARE, MAX_UNREADY_SHARE = 1 / 8, 1 / 4
 """Bounds of docs/design/uneven-load.md, section 5."""
 
 
@@ -30,7 +30,7 @@
         for _ in range(50):
             load.record_delay(50)
         self.assertEqual(load.shed_share(2), 0)
-        self.assertFalse(any(load.may_rest(t) for t in range(0, 64_000, 500)))
+        self.assertFalse(any(load.may_be_unready(t) for t in range(0, 64_000, 500)))
 
     def test_one_long_standstill_changes_nothing(self):
         load = ProcessLoad(200)
@@ -50,7 +50,7 @@
     def test_an_instance_that_hears_too_few_stays_ready(self):
         for neighbours in (Neighbours(0, 1, 22), Neighbours(0, 3, 3)):
             load = slow(neighbours)
-            self.assertFalse(any(load.may_rest(t) for t in range(0, 64_000, 500)))
+            self.assertFalse(any(load.may_be_unready(t) for t in range(0, 64_000, 500)))
 
     def test_the_bounds_hold_for_all_at_once_with_lost_digests(self):
         # All instances of a data centre are slow, and none hears that another rests.
@@ -58,14 +58,18 @@
         for count in (4, 5, 9, 22, 100):
             skews_ms = [rng.uniform(-100, 100) for _ in range(count)]
             loads = [slow(Neighbours(n, count, count)) for n in range(count)]
-            rested = [0] * count
+            unready_counts = [0] * count
             times_ms = range(0, 16 * SLOT_MS, 250)
             for now_ms in times_ms:
-                resting = [
-                    load.may_rest(round(now_ms + skew_ms + SLOT_MS))
+                unready = [
+                    load.may_be_unready(round(now_ms + skew_ms + SLOT_MS))
                     for load, skew_ms in zip(loads, skews_ms, strict=True)
                 ]
-                self.assertLessEqual(sum(resting), MAX_RESTING_SHARE * count)
-                rested = [a + b for a, b in zip(rested, resting, strict=True)]
-            self.assertGreater(min(rested), 0)
-            self.assertLessEqual(max(rested), MAX_RESTING_TIME_SHARE * len(times_ms))
+                self.assertLessEqual(sum(unready), MAX_UNREADY_SHARE * count)
+                unready_counts = [
+                    a + b for a, b in zip(unready_counts, unready, strict=True)
+                ]
+            self.assertGreater(min(unready_counts), 0)
+            self.assertLessEqual(
+                max(unready_counts), MAX_UNREADY_TIME_SHARE * len(times_ms)
+            )
