--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -76,7 +76,6 @@
         self._is_proven = False
         self._first_event_ms: int | None = None
         self._gaps_ms: list[int] = []
-        self._left_events = 0
         self._stall_watch: StallWatch | None = None
 
     async def run(self) -> Result:
@@ -125,12 +124,8 @@
             if self._state.remaining_ms() <= 0:
                 self.detail = "the time ran out while connecting"
                 return Result.UNREACHABLE
-            self._left_events = round(self.choice.output_events)
             load_board.record_dispatch(
-                self._endpoint.id,
-                self._prefill_tokens,
-                self._held_tokens,
-                self._left_events,
+                self._endpoint.id, self._prefill_tokens, self._held_tokens
             )
             try:
                 self._send(connection)
@@ -142,9 +137,7 @@
                 raise
             finally:
                 self._record_prefill_end()
-                load_board.record_end(
-                    self._endpoint.id, self._held_tokens, self._left_events
-                )
+                load_board.record_end(self._endpoint.id, self._held_tokens)
         finally:
             if self._stall_watch is not None:
                 self._stall_watch.stop()
@@ -222,11 +215,9 @@
     def _on_first_event(self) -> None:
         self._record_start(self._parts.clock.wall_ms())
         self._record_prefill_end()
-        self._record_event()
         self._record_first_event()
 
     def _on_later_event(self, gap_ms: int) -> None:
-        self._record_event()
         if len(self._gaps_ms) < MAX_GAPS:
             self._gaps_ms.append(gap_ms)
         now_ms = self._parts.clock.now_ms()
@@ -329,12 +320,6 @@
             self._endpoint.id, ahead_tokens, took_ms, now_ms
         )
 
-    def _record_event(self) -> None:
-        """Subtract one event from what the endpoint presumably still writes."""
-        if self._left_events:
-            self._left_events -= 1
-            self._parts.load_board.record_event(self._endpoint.id)
-
     def _record_no_event(self, now_ms: int) -> None:
         """Tell the engines' model that a first event had not come by now."""
         if self._is_cold(now_ms):
@@ -357,10 +342,6 @@
                 self._held_tokens,
                 now_ms,
             )
-            self._record_length()
-            models.record_stream(
-                service, self.event_count, self.elapsed_ms - self._first_event_ms
-            )
             load = self._parts.load_board.load(self._endpoint.id)
             models.speeds.record_stream(
                 self._endpoint.id,
@@ -380,18 +361,6 @@
                 now_ms,
             )
 
-    def _record_length(self) -> None:
-        """Learn the length of a stream that was not resumed."""
-        state = self._state
-        if state.send_count == 1 and state.route is not None:
-            self._parts.endpoint_models.outputs.record_end(
-                self._endpoint.service,
-                state.route.name,
-                state.customer_id or "",
-                state.facts.output_tokens_hint,
-                self.event_count,
-            )
-
     def _record_start(self, wall_ms: int) -> None:
         """Count the request in its customer's usage once, however often it is sent."""
         customer = self._state.customer_id
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -59,11 +59,6 @@
             ("service",),
             registry=self.registry,
         )
-        self.uneven_endpoints = Gauge(
-            "monsoonpulley_uneven_endpoints",
-            "Endpoints whose learned speed differs from that of their service.",
-            registry=self.registry,
-        )
         self.quarantine_entries = Gauge(
             "monsoonpulley_quarantine_entries",
             "Entries of requests that are refused because they crash endpoints.",
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -55,8 +55,6 @@
         Whole events of a stream that arrived.
     longest_gap_ms : int
         Longest pause between two of them.
-    predicted_events, predicted_finish_ms : float
-        How many were expected, and the end of the answer.
     parts : tuple of str
         Fingerprints of the prompt's parts that other requests may share, if the
         answer broke off.
@@ -88,8 +86,6 @@
     events: int = 0
     barred: int = 0
     longest_gap_ms: int = 0
-    predicted_events: float = 0.0
-    predicted_finish_ms: float = 0.0
     speed_factor: float = 1.0
     parts: tuple[str, ...] = ()
     cold: int = 0
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -469,11 +469,6 @@
             speeds=parts.endpoint_models.speeds.drain_outbox() if to_all else (),
             is_short=parts.process_load.is_short,
             is_unready=self._is_unready,
-            left_events=(
-                parts.load_board.own_left_events()
-                if parts.endpoint_models.speeds.known_count()
-                else {}
-            ),
         )
 
     def _lost_links(self) -> dict[str, int]:
@@ -495,7 +490,7 @@
         parts = self.parts
         peer = InstanceId(digest.instance)
         now_ms = self.clock.now_ms()
-        parts.load_board.update_peer(peer, digest.loads, digest.left_events)
+        parts.load_board.update_peer(peer, digest.loads)
         parts.demand.update(peer, digest.incarnation, digest.demand, now_ms)
         parts.endpoint_models.update_peer(peer, digest.learned)
         parts.endpoint_models.speeds.apply_peer(digest.speeds, now_ms)
@@ -599,7 +594,6 @@
             parts.endpoint_models.remove_peer(peer)
             parts.fair_shares.remove_peer(peer)
         parts.endpoint_models.refresh_speeds(parts.directory.all(), now_ms)
-        self.counters.uneven_endpoints.set(parts.endpoint_models.speeds.known_count())
         parts.demand.refresh_own(now_ms)
         parts.demand.expire(now_ms)
         parts.quotas.set_members(parts.members.reachable_ids, member_count, now_ms)
--- a/src/_monsoonpulley/limits/fairshare.py
+++ b/src/_monsoonpulley/limits/fairshare.py
@@ -28,9 +28,9 @@
 TIME_CONSTANT_MS = 3_000
 """Time constant of the sums: that of the measured demand, as bursts last seconds."""
 
-MAX_DIGEST_ENTRIES = 64
-"""Entries of a digest, those with the most work: at most 2 KB. With 16 customers and
-three kinds, there are 48 with 9 instances, about 12 with 65 and 3 with 300."""
+MAX_DIGEST_ENTRIES = 16
+"""Entries of a digest, those with the most work: 350 bytes. Digests have to fit into
+one packet, and a round of them into what a link of 5 Mbit/s takes at once."""
 
 MAX_ENTRIES = 1_024
 """Bound on the entries that an instance keeps of its own requests: about 200 KB."""
--- a/src/_monsoonpulley/placing/endpointspeeds.py
+++ b/src/_monsoonpulley/placing/endpointspeeds.py
@@ -35,10 +35,6 @@
 SAMPLE_EXPIRY_MS = 60_000
 """Then an endpoint that gets no requests is tried again as if it were like others."""
 
-PAUSE_QUANTILE = 0.9
-"""Quantile of the longest pauses that a stream has to expect: one of ten late streams
-is what callers bear (`testing.placing.test_fleet`)."""
-
 MIN_SAMPLES = 4
 """With fewer samples, an endpoint counts as equal to the others."""
 
@@ -61,9 +57,9 @@
 MIN_GAPS, MAX_GAPS = 3, 64
 """Gaps between a stream's events of which its time for a step is computed."""
 
-MAX_OUTBOX = 16
-"""Bound on the samples in a digest: about 300 bytes. Others wait for the next one, the
-newest of each aspect of an endpoint."""
+MAX_OUTBOX = 4
+"""Bound on the samples in a digest: about 70 bytes. With 65 instances and 45 endpoints
+each aspect of an endpoint still gets several samples in two seconds."""
 
 
 class Aspect(IntEnum):
@@ -75,8 +71,6 @@
     """Time between two events of a stream."""
     PLAIN = 2
     """Time to the answer of a plain service."""
-    PAUSE = 3
-    """Longest time between two events of a stream."""
 
 
 class SpeedSample(msgspec.Struct, array_like=True, frozen=True):
@@ -109,8 +103,6 @@
         Relative growth of this time with each further request.
     prefill_factor, step_factor, plain_factor : float
         Time here relative to the mean; 1 if they don't differ.
-    pause_ms : float
-        Pause that one of ten streams exceeds here; 0 if not known.
     """
 
     prefill_ms: float
@@ -120,7 +112,6 @@
     prefill_factor: float
     step_factor: float
     plain_factor: float
-    pause_ms: float = 0.0
 
     def gap_ms(self, running_count: int) -> float:
         """Return the time between two events while so many requests run."""
@@ -202,7 +193,6 @@
         if len(gaps_ms) >= MIN_GAPS:
             gap_ms = _quantile(sorted(gaps_ms), QUANTILE)
             self._record(endpoint, Aspect.STEP, running_count, gap_ms, now_ms)
-            self._record(endpoint, Aspect.PAUSE, 0, max(gaps_ms), now_ms)
 
     def record_answer(
         self, endpoint: EndpointId, load_factor: float, took_ms: float, now_ms: int
@@ -259,17 +249,12 @@
                 prefill_factor=math.exp(offsets[0]),
                 step_factor=math.exp(offsets[1]),
                 plain_factor=math.exp(offsets[2]),
-                pause_ms=self._pause_ms(endpoint),
             )
 
     def speed(self, endpoint: EndpointId) -> EndpointSpeed | None:
         """Return the speed of an endpoint; None while its service's are alike."""
         return self._speeds.get(endpoint)
 
-    def known_count(self) -> int:
-        """Return the number of endpoints with a speed of their own."""
-        return len(self._speeds)
-
     def _record(
         self,
         endpoint: EndpointId,
@@ -290,13 +275,6 @@
             samples = self._samples[key] = _Samples()
         samples.add(sample.running_count, max(1, sample.value_us), now_ms)
 
-    def _pause_ms(self, endpoint: EndpointId) -> float:
-        samples = self._samples.get((endpoint, Aspect.PAUSE))
-        if samples is None or len(samples.values) < MIN_SAMPLES:
-            return 0.0
-        logs = sorted(value for _, value, _ in samples.values)
-        return math.exp(_quantile(logs, PAUSE_QUANTILE)) / 1000
-
     def _step_growth(self, endpoints: list[EndpointId]) -> float:
         """Return the growth of a step's time by requests, from within endpoints."""
         squares = products = 0.0
--- a/src/_monsoonpulley/placing/loadboard.py
+++ b/src/_monsoonpulley/placing/loadboard.py
@@ -14,9 +14,6 @@
 LoadEntry = tuple[int, int, int]
 """Running requests, tokens to prefill and tokens held, as in digests."""
 
-_FullEntry = tuple[int, int, int, int]
-"""The same, and the events that are left to write."""
-
 
 class Load(msgspec.Struct):
     """Requests in progress at an endpoint.
@@ -29,21 +26,17 @@
         Prompt tokens left to prefill.
     held_tokens : int
         Tokens of memory that these requests hold until their answers are complete.
-    left_events : int
-        Events that their streams presumably still write.
     """
 
     running_count: int = 0
     prefill_tokens: int = 0
     held_tokens: int = 0
-    left_events: int = 0
 
-    def add(self, entry: _FullEntry, sign: int = 1) -> None:
+    def add(self, entry: LoadEntry, sign: int = 1) -> None:
         """Add an entry of a digest, or subtract it if ``sign`` is -1."""
         self.running_count += sign * entry[0]
         self.prefill_tokens += sign * entry[1]
         self.held_tokens += sign * entry[2]
-        self.left_events += sign * entry[3]
 
     @property
     def entry(self) -> LoadEntry:
@@ -61,44 +54,27 @@
     def __init__(self) -> None:
         self._own: dict[EndpointId, Load] = {}
         self._totals: dict[EndpointId, Load] = {}
-        self._peer_loads: dict[InstanceId, dict[str, _FullEntry]] = {}
+        self._peer_loads: dict[InstanceId, dict[str, LoadEntry]] = {}
 
     def record_dispatch(
-        self,
-        endpoint: EndpointId,
-        prefill_tokens: int,
-        held_tokens: int = 0,
-        events: int = 0,
+        self, endpoint: EndpointId, prefill_tokens: int, held_tokens: int = 0
     ) -> None:
-        """Add a request that is being sent, with the predicted number of events."""
-        self._change_own(endpoint, (1, prefill_tokens, held_tokens, events))
+        """Add a request that is being sent."""
+        self._change_own(endpoint, (1, prefill_tokens, held_tokens))
 
     def record_prefill_end(self, endpoint: EndpointId, prefill_tokens: int) -> None:
         """Subtract the tokens of a prompt whose prefill has ended."""
-        self._change_own(endpoint, (0, -prefill_tokens, 0, 0))
+        self._change_own(endpoint, (0, -prefill_tokens, 0))
 
-    def record_event(self, endpoint: EndpointId) -> None:
-        """Subtract an event that was predicted and has arrived."""
-        self._change_own(endpoint, (0, 0, 0, -1))
+    def record_end(self, endpoint: EndpointId, held_tokens: int = 0) -> None:
+        """Subtract a request that has ended."""
+        self._change_own(endpoint, (-1, 0, -held_tokens))
 
-    def record_end(
-        self, endpoint: EndpointId, held_tokens: int = 0, left_events: int = 0
-    ) -> None:
-        """Subtract a request that has ended, and the events that did not come."""
-        self._change_own(endpoint, (-1, 0, -held_tokens, -left_events))
-
-    def update_peer(
-        self,
-        peer: InstanceId,
-        loads: dict[str, LoadEntry],
-        left_events: dict[str, int] | None = None,
-    ) -> None:
+    def update_peer(self, peer: InstanceId, loads: dict[str, LoadEntry]) -> None:
         """Replace a peer's loads by those in its latest digest."""
         previous = self._peer_loads.get(peer)
-        left = left_events or {}
-        entries = {name: (*entry, left.get(name, 0)) for name, entry in loads.items()}
-        self._peer_loads[peer] = entries
-        for name, entry in entries.items():
+        self._peer_loads[peer] = loads
+        for name, entry in loads.items():
             self._change_total(EndpointId(name), entry, 1)
         if previous is not None:
             self._remove(previous)
@@ -122,13 +98,7 @@
         """Return this instance's load, for its digest."""
         return {endpoint: load.entry for endpoint, load in self._own.items()}
 
-    def own_left_events(self) -> dict[str, int]:
-        """Return the events left to write to this instance, for its digest."""
-        return {
-            e: load.left_events for e, load in self._own.items() if load.left_events
-        }
-
-    def _change_own(self, endpoint: EndpointId, entry: _FullEntry) -> None:
+    def _change_own(self, endpoint: EndpointId, entry: LoadEntry) -> None:
         own = self._own.get(endpoint)
         if own is None:
             own = self._own[endpoint] = Load()
@@ -137,11 +107,11 @@
             del self._own[endpoint]
         self._change_total(endpoint, entry, 1)
 
-    def _remove(self, loads: dict[str, _FullEntry]) -> None:
+    def _remove(self, loads: dict[str, LoadEntry]) -> None:
         for name, entry in loads.items():
             self._change_total(EndpointId(name), entry, -1)
 
-    def _change_total(self, endpoint: EndpointId, entry: _FullEntry, sign: int) -> None:
+    def _change_total(self, endpoint: EndpointId, entry: LoadEntry, sign: int) -> None:
         total = self._totals.get(endpoint)
         if total is None:
             total = self._totals[endpoint] = Load()
--- a/src/_monsoonpulley/placing/placer.py
+++ b/src/_monsoonpulley/placing/placer.py
@@ -31,14 +31,14 @@
 misses its latency targets; ``python -m testing.placing.fleetplay`` prints them."""
 
 UNEVEN_PREFILL_COST_FACTOR = 7.0
-"""The same where the endpoints differ in speed. It weighs the mean time and not that of
-the endpoint: a fast one is delayed for less time, but more requests wait for it.
-``python -m testing.placing.unevenplay`` prints the streams that are late."""
+"""The same where the endpoints differ in speed, on top of the prefill time without
+waiting, which is about 4/7 of the one that all answers show. It weighs the mean time
+and not that of the endpoint: a fast one is delayed for less time, but more requests
+wait for it."""
 
-STREAM_COST_FACTOR = 0.2
-"""Weight of the prefill time for each stream that runs at an endpoint while a tenth of
-its streams pause for as long as their target. ``python -m testing.placing.unevenplay``
-prints the streams that are late by a pause."""
+STREAM_COST_FACTOR = 0.1
+"""Weight of the prefill time for each request that already runs at an endpoint: a
+prompt delays its next event."""
 
 UNSEEN_WORK_MS = 30.0
 """Work of peers at an endpoint that their digests don't show yet. Where endpoints
@@ -85,10 +85,6 @@
         Time until the request's deadline or its route's timeout.
     max_wait_ms : float
         Longest wait for an endpoint; see `limits.waitlimit`.
-    output_events : float
-        Predicted number of events of its stream; 0 if not known.
-    target_gap_ms : int
-        Longest pause between them that the caller bears; 0 if there is no target.
     """
 
     is_generation: bool
@@ -97,8 +93,6 @@
     held_tokens: int
     remaining_ms: int
     max_wait_ms: float = math.inf
-    output_events: float = 0.0
-    target_gap_ms: int = 0
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -122,10 +116,6 @@
         Whether the endpoint was cold.
     speed_factor : float
         Time that the endpoint takes relative to others of its service.
-    output_events : float
-        Predicted number of events of its stream.
-    finish_ms : float
-        Predicted time to the end of the answer.
     """
 
     endpoint: Endpoint
@@ -138,8 +128,6 @@
     candidate_count: int
     is_cold: bool = False
     speed_factor: float = 1.0
-    output_events: float = 0.0
-    finish_ms: float = 0.0
 
 
 class PlacementRefusal(msgspec.Struct, frozen=True):
@@ -273,8 +261,6 @@
             len(candidates),
             best.endpoint.id in cold_ids,
             round(best.speed_factor, 2),
-            requirements.output_events,
-            round(best.time_ms + self._stream_ms(best, requirements), 1),
         )
 
     def _estimate(
@@ -321,26 +307,13 @@
             load, requirements.held_tokens, endpoint.slots
         )
         cost_ms = excess_ms + other_ms + speed.step_factor * batch_wait_ms
-        cost_ms += self._uneven_cost_ms(speed, load, prefill_tokens, requirements)
+        cost_ms += self._uneven_cost_ms(speed, load, prefill_tokens)
         return _Estimate(
             cost_ms, time_ms, wait_ms, endpoint, prefill_tokens, load, factor
         )
 
-    def _stream_ms(self, best: _Estimate, requirements: Requirements) -> float:
-        """Return the predicted time from the first event to the end of a stream."""
-        if not requirements.output_events:
-            return 0.0
-        event_ms = self._models.event_ms(best.endpoint.service)
-        speed = self._models.speed(best.endpoint.id)
-        factor = 1.0 if speed is None else speed.step_factor
-        return requirements.output_events * event_ms * factor
-
     def _uneven_cost_ms(
-        self,
-        speed: EndpointSpeed,
-        load: Load,
-        prefill_tokens: int,
-        requirements: Requirements,
+        self, speed: EndpointSpeed, load: Load, prefill_tokens: int
     ) -> float:
         """Return the cost of a request at one of several engines that differ.
 
@@ -349,33 +322,13 @@
         """
         ahead_kilotokens = (load.prefill_tokens + prefill_tokens) / 1000
         own_ms = speed.gap_ms(load.running_count) + speed.prefill_ms * ahead_kilotokens
-        streams = _later_streams(speed, load)
-        streams *= STREAM_COST_FACTOR * _pause_weight(speed, requirements)
-        delay_ms = UNEVEN_PREFILL_COST_FACTOR * speed.mean_prefill_ms
-        delay_ms += streams * speed.prefill_ms
-        delay_ms *= prefill_tokens / 1000
+        others = UNEVEN_PREFILL_COST_FACTOR + STREAM_COST_FACTOR * load.running_count
+        delay_ms = others * speed.mean_prefill_ms * prefill_tokens / 1000
         # The lowest of costs with Gumbel noise is a choice by the logit model.
         noise = math.log(max(MIN_EXPONENTIAL, self._rng.expovariate(1.0)))
         return own_ms + delay_ms + UNSEEN_WORK_MS * noise
 
 
-def _later_streams(speed: EndpointSpeed, load: Load) -> float:
-    """Return how many streams run when the prompts ahead of a new one are prefilled."""
-    if not load.left_events or not load.running_count:
-        return load.running_count
-    left_ms = load.left_events / load.running_count * speed.gap_ms(load.running_count)
-    wait_ms = speed.prefill_ms * load.prefill_tokens / 1000
-    return load.running_count * math.exp(-wait_ms / max(1.0, left_ms))
-
-
-def _pause_weight(speed: EndpointSpeed, requirements: Requirements) -> float:
-    """Return how near the pauses of an endpoint's streams are to their target."""
-    target_ms = requirements.target_gap_ms
-    if not target_ms or not speed.pause_ms:
-        return 1.0
-    return speed.pause_ms / target_ms
-
-
 def _refuse(
     estimates: list[_Estimate],
     is_overload: bool,
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -74,8 +74,6 @@
     leaving : dict
         Endpoints that lately told the sender that they leave, with the wall time of
         their start.
-    left_events : dict
-        Events that streams to the sender presumably still get from each endpoint.
     loads : dict
         The sender's own requests in progress at each endpoint.
     used : dict
@@ -122,7 +120,6 @@
     speeds: tuple[SpeedSample, ...] = ()
     is_short: bool = False
     is_unready: bool = False
-    left_events: dict[str, int] = {}
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="bundle"):
--- a/testing/placing/unevenplay.py
+++ b/testing/placing/unevenplay.py
@@ -69,10 +69,6 @@
     last_event_ms: float = 0.0
     longest_gap_ms: float = 0.0
     gaps_ms: list[float] = []
-    predicted_events: int = 0
-    left_events: int = 0
-    """Predicted events that have not come."""
-    event_count: int = 0
 
     @property
     def prompt_tokens(self) -> int:
@@ -206,10 +202,11 @@
     def _place(self, kind: Kind, now_ms: float, is_counted: bool) -> None:
         instance = self.rng.choice(self.instances)
         parts = self._parts(kind)
+        prompt_tokens = sum(part.tokens for part in parts)
         mean = OUTPUT_TOKENS[kind.name]
         output_tokens = max(2, round(mean * self.rng.lognormvariate(-0.32, 0.8)))
         hint = max(2, round(output_tokens * self.rng.lognormvariate(0, HINT_SIGMA)))
-        requirements = self._requirements(instance, kind, parts, hint)
+        requirements = self._requirements(kind, parts, prompt_tokens, hint)
         endpoints = tuple(engine.endpoint for engine in self.engines.values())
         choice = instance.placer.choose(
             requirements, endpoints, set(), self.zones[instance.name], round(now_ms)
@@ -228,32 +225,17 @@
             self._step(engine, now_ms)
 
     def _requirements(
-        self, instance: Instance, kind: Kind, parts: tuple[PromptPart, ...], hint: int
+        self, kind: Kind, parts: tuple[PromptPart, ...], prompt_tokens: int, hint: int
     ) -> Requirements:
-        prompt_tokens = sum(part.tokens for part in parts)
-        length = instance.models.outputs.predict(SERVICE, kind.name, "", hint)
-        return Requirements(
-            True,
-            parts,
-            prompt_tokens,
-            prompt_tokens + hint,
-            12_000,
-            output_events=length.mean_events,
-            target_gap_ms=TARGET_GAP_MS,
-        )
+        return Requirements(True, parts, prompt_tokens, prompt_tokens + hint, 12_000)
 
     def _record_sent(
         self, stream: Stream, requirements: Requirements, now_ms: float
     ) -> None:
         instance, chosen = stream.instance, stream.choice.endpoint.id
         instance.board.record_dispatch(
-            chosen,
-            stream.choice.prefill_tokens,
-            requirements.held_tokens,
-            round(requirements.output_events),
+            chosen, stream.choice.prefill_tokens, requirements.held_tokens
         )
-        stream.predicted_events = round(requirements.output_events)
-        stream.left_events = stream.predicted_events
         instance.cache_index.record(stream.parts, chosen, round(now_ms))
 
     def _parts(self, kind: Kind) -> tuple[PromptPart, ...]:
@@ -294,10 +276,6 @@
             self._step(engine, now_ms)
 
     def _on_event(self, stream: Stream, now_ms: float) -> None:
-        stream.event_count += 1
-        if stream.left_events:
-            stream.left_events -= 1
-            stream.instance.board.record_event(stream.choice.endpoint.id)
         if stream.first_ms is None:
             stream.first_ms = now_ms - stream.sent_ms
             self._on_first_event(stream, now_ms)
@@ -327,10 +305,7 @@
     def _on_end(self, stream: Stream, now_ms: float) -> None:
         instance, choice = stream.instance, stream.choice
         held_tokens = stream.prompt_tokens + stream.output_hint
-        instance.board.record_end(choice.endpoint.id, held_tokens, stream.left_events)
-        instance.models.outputs.record_end(
-            SERVICE, stream.kind.name, "", stream.output_hint, stream.event_count
-        )
+        instance.board.record_end(choice.endpoint.id, held_tokens)
         instance.models.engine(SERVICE).record_end(
             choice.prefill_tokens,
             now_ms - stream.sent_ms - stream.first_ms,
@@ -375,14 +350,13 @@
     def _digest(self, sender: Instance, now_ms: int) -> dict:
         return {
             "loads": sender.board.own_loads(),
-            "left_events": sender.board.own_left_events(),
             "sums": sender.models.own_sums(now_ms),
         }
 
     def _apply_digest(
         self, receiver: Instance, sender: Instance, digest: dict, now_ms: int
     ) -> None:
-        receiver.board.update_peer(sender.name, digest["loads"], digest["left_events"])
+        receiver.board.update_peer(sender.name, digest["loads"])
         receiver.models.update_peer(sender.name, digest["sums"])
 
     def shares(self, kind: str) -> dict[str, tuple[float, float, float]]:
