Log how requests arrive, and what the end of a stop cuts short

A request that was accepted long after SIGTERM was cut off. The logs could not tell why its connection was still open: they said neither how old a connection was, nor what it had carried, nor when in a stop a request was handled, and the line at the end of a stop said cut_off 0 although requests had been ended 0.3 s before.

`request` lines now have the age of the connection, the requests on it before, the time since the last answer ended, the time to receive the request and that in the queue, and the time since a stop began. What is ended because the stop ends says so in place of "time is up".

--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -120,6 +120,13 @@
             "Log lines dropped because of the limit on their volume.",
             registry=self.registry,
         )
+        self.stopped_requests = Counter(
+            "monsoonpulley_stopped_requests",
+            "Requests in progress near the end of a stop: ended with a last answer, or "
+            "cut off by the end of the process.",
+            ("outcome",),
+            registry=self.registry,
+        )
         self.in_progress = Gauge(
             "monsoonpulley_requests_in_progress",
             "Requests that have no complete answer yet.",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -45,6 +45,7 @@
 from ..quarantine.quarantine import Quarantine
 from ..rollouts.rollouts import Rollouts
 from ..sharing.members import Members
+from ..stopgate import StopGate
 from .answermemory import AnswerMemory
 from .counters import Counters
 from .linkrecords import connection_recorder
@@ -93,6 +94,7 @@
     crash_watch: CrashWatch
     usage: UsageCounter
     rollouts: Rollouts
+    stop_gate: StopGate
 
     def observe_capacity(self, service: Service, now_ms: int) -> Capacity:
         """Return the capacity of a service, and tell the fair shares."""
@@ -248,6 +250,7 @@
             ),
             usage=UsageCounter(bounds.usage_window_s),
             rollouts=rollouts,
+            stop_gate=StopGate(),
         )
 
 
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -153,6 +153,13 @@
         that was not computed.
     is_from_peer : bool
         Whether another instance asked for it, which has a line of its own for it.
+    connection_age_ms, earlier_requests, idle_ms, receive_ms
+        How it arrived, see `Arrival`.
+    queued_ms : int
+        Time from its arrival until it was handled, behind others on its connection.
+    stopping_for_ms : int or None
+        Time from the start of this instance's stop to the handling of the request,
+        negative if it was handled before; None if no stop has begun.
     """
 
     request: str
@@ -175,3 +182,9 @@
     is_from_peer: bool
     configuration: int
     configuration_age_ms: int
+    connection_age_ms: int
+    earlier_requests: int
+    idle_ms: int | None
+    receive_ms: int
+    queued_ms: int
+    stopping_for_ms: int | None
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -102,6 +102,7 @@
         self._share_factor = 1.0
         self._has_precedence = False
         self._is_return_kept: bool | None = None
+        self._handled_ms = parts.clock.now_ms()
 
     async def run(self) -> None:
         """Serve the request and end its exchange."""
@@ -127,6 +128,7 @@
 
     def end_now(self) -> None:
         """Let the time for the request be up, as the process is about to end."""
+        self.is_ended_by_stop = True
         self.deadline_ms = min(self.deadline_ms, self.parts.clock.now_ms())
         self.exchange.mailbox.put(self, TimerExpired("stop"))
 
@@ -722,7 +724,8 @@
 
     def _log_request(self) -> None:
         now_ms = self.parts.clock.now_ms()
-        received_ms = self.exchange.request.received_ms
+        request = self.exchange.request
+        received_ms, arrival = request.received_ms, request.arrival
         kind = self.route.kind if self.route else None
         kind_name = kind.value if kind else ""
         if not self.is_from_peer:
@@ -751,6 +754,12 @@
                 is_from_peer=self.is_from_peer,
                 configuration=self.configuration.version if self.configuration else 0,
                 configuration_age_ms=now_ms - since_ms if since_ms is not None else 0,
+                connection_age_ms=arrival.connection_age_ms,
+                earlier_requests=arrival.earlier_requests,
+                idle_ms=arrival.idle_ms,
+                receive_ms=arrival.receive_ms,
+                queued_ms=self._handled_ms - received_ms - arrival.receive_ms,
+                stopping_for_ms=self.parts.stop_gate.stopping_for_ms(self._handled_ms),
             )
         )
 
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -51,6 +51,8 @@
         Whether it may be sent once although it is in quarantine.
     is_usage_recorded : bool
         Whether the request is counted in its customer's usage.
+    is_ended_by_stop : bool
+        Whether the time is up because this instance is about to end.
     first_byte_ms : int or None
         Time from the arrival of the request to the first byte of its answer.
     last_event_id : bytes or None
@@ -76,6 +78,7 @@
         self.may_have_run = False
         self.is_trial = False
         self.is_usage_recorded = False
+        self.is_ended_by_stop = False
         self.first_byte_ms: int | None = None
         self.last_event_id: bytes | None = None
         self.status = 0
@@ -120,11 +123,12 @@
         self.exchange.abort()
 
     def respond_timeout(self) -> None:
-        """Answer that the deadline or the route's timeout has passed."""
+        """Answer that the deadline, the route's timeout or a stop's end has come."""
+        detail = "the stop ends" if self.is_ended_by_stop else "time is up"
         if self.may_have_run:
-            self.respond(504, "time is up")
+            self.respond(504, detail)
         else:
-            self.respond(503, "time is up", UNAVAILABLE_RETRY_MS)
+            self.respond(503, detail, UNAVAILABLE_RETRY_MS)
 
     def try_move_stream(self, endpoint: EndpointId) -> bool:
         """Take a retry for the rest of a stream, if it can come from elsewhere now.
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -305,6 +305,7 @@
         requests that are still in progress near the end get a last answer.
         """
         self.is_stopping = True
+        self.parts.stop_gate.begin(self.clock.now_ms())
         end_ms = self.clock.now_ms() - DRAIN_MARGIN_MS
         end_ms += round(self.settings.bounds.grace_period_s * 1000)
         self.log.event("stopping", in_progress=len(self._runs))
@@ -315,13 +316,26 @@
         for server in (self.caller_server, self.peer_server):
             await server.end_listening()
         await self._wait_closed(end_ms - DRAIN_ANSWER_MS)
-        for run in list(self._runs.values()):
+        ended = list(self._runs.values())
+        for run in ended:
             run.end_now()
+        self._count_stopped("ended", len(ended))
         await self._wait_closed(end_ms)
-        self.log.event("stopped", cut_off=len(self._runs))
+        self._count_stopped("cut_off", len(self._runs))
+        self.log.event(
+            "stopped",
+            ended=len(ended),
+            ended_midway=sum(not run.status for run in ended),
+            cut_off=len(self._runs),
+            connections=self.caller_server.connection_count,
+            peer_connections=self.peer_server.connection_count,
+        )
         self.digest_exchange.close()
         self.store.close()
 
+    def _count_stopped(self, outcome: str, count: int) -> None:
+        self.counters.stopped_requests.labels(outcome).inc(count)
+
     async def _wait_closed(self, until_ms: int) -> None:
         """Wait until all requests are answered and all connections are closed."""
         servers = (self.caller_server, self.peer_server)
--- a/src/_monsoonpulley/wire/requestmessage.py
+++ b/src/_monsoonpulley/wire/requestmessage.py
@@ -7,6 +7,28 @@
 from .events import HeaderList
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """How a request arrived on its connection.
+
+    Attributes
+    ----------
+    connection_age_ms : int
+        Age of the connection when the request's first byte was read.
+    earlier_requests : int
+        Requests that the connection carried before.
+    idle_ms : int or None
+        Time from the end of the answer before to the request's first byte; None for
+        the first request, 0 if it was sent before that answer ended.
+    receive_ms : int
+        Time from the request's first byte to its last.
+    """
+
+    connection_age_ms: int = 0
+    earlier_requests: int = 0
+    idle_ms: int | None = None
+    receive_ms: int = 0
+
+
 class RequestMessage(msgspec.Struct):
     """One complete request.
 
@@ -24,6 +46,8 @@
         Whether the caller may send another request on the connection.
     received_ms : int
         Monotonic time at which its first byte was read.
+    arrival : Arrival
+        How it arrived.
     """
 
     method: bytes
@@ -33,3 +57,4 @@
     body: bytes
     is_keep_alive: bool
     received_ms: int
+    arrival: Arrival = Arrival()
--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -13,7 +13,7 @@
 from ..clock import Clock
 from .clientconnection import ClientConnection
 from .events import CallerDisconnected, HeaderList, Mailbox
-from .requestmessage import RequestMessage
+from .requestmessage import Arrival, RequestMessage
 from .sockets import UnreadWatch, enable_keepalive
 
 LINGER_MS = 500
@@ -180,7 +180,9 @@
         self._head_bytes = 0
         self._is_head_complete = False
         self._request_started_ms: int | None = None
-        self._last_used_ms = clock.now_ms()
+        self._accepted_ms = self._last_used_ms = clock.now_ms()
+        self._request_count = 0
+        self._answer_ended_ms: int | None = None
         self._target = b""
         self._headers: HeaderList = []
         self._body_chunks: list[bytes] = []
@@ -303,6 +305,8 @@
         if self._refusal_status is not None:
             return
         started_ms = self._request_started_ms
+        if started_ms is None:
+            started_ms = self._last_used_ms
         self._request_started_ms = None
         self._queued_requests.append(
             RequestMessage(
@@ -312,11 +316,25 @@
                 fields={name.lower(): value for name, value in reversed(self._headers)},
                 body=b"".join(self._body_chunks),
                 is_keep_alive=self._parser.should_keep_alive(),
-                received_ms=self._last_used_ms if started_ms is None else started_ms,
+                received_ms=started_ms,
+                arrival=self._describe_arrival(started_ms),
             )
         )
+        self._request_count += 1
         self._body_chunks = []
 
+    def _describe_arrival(self, started_ms: int) -> Arrival:
+        idle_ms = None
+        if self._request_count:
+            is_behind = self._current is not None or self._answer_ended_ms is None
+            idle_ms = 0 if is_behind else max(0, started_ms - self._answer_ended_ms)
+        return Arrival(
+            connection_age_ms=started_ms - self._accepted_ms,
+            earlier_requests=self._request_count,
+            idle_ms=idle_ms,
+            receive_ms=self._last_used_ms - started_ms,
+        )
+
     def stays_open_after(self, request: RequestMessage) -> bool:
         """Return whether the connection stays after the answer to ``request``.
 
@@ -336,7 +354,7 @@
             return
         self._current = None
         self.upstream = None
-        self._last_used_ms = self._clock.now_ms()
+        self._answer_ended_ms = self._last_used_ms = self._clock.now_ms()
         if not exchange.stays_open:
             self._linger()
             return
--- a/testing/ingress/test_stop.py
+++ b/testing/ingress/test_stop.py
@@ -151,7 +151,8 @@
         got = await self.read(reader)
         self.assertEqual((got.status, stopping.done()), (504, False))
         await asyncio.wait_for(stopping, 1)
-        self.assertEqual(self.site.log_events("stopped")[0]["cut_off"], 0)
+        stopped = self.site.log_events("stopped")[0]
+        self.assertEqual((stopped["ended"], stopped["cut_off"]), (1, 0))
         writer.close()
 
     async def test_idle_connections_hardly_delay_the_stop(self):
