Show that stopping instances begin requests that they can't complete

Callers saw answers broken off by instances that had accepted their requests 3 to 7 s after SIGTERM. In the gateway, a body that arrives after the accepting phase is begun, so is a request whose time exceeds the stop's, and refused connections stay open.

--- /dev/null
+++ b/testing/gateway/test_late_requests.py
@@ -0,0 +1,56 @@
+"""Requests that a leaving gateway receives when little time is left."""
+
+import unittest
+
+from _monsoonpulley.entry.lifecycle import LEAVE_GRACE_MS
+from _monsoonpulley.standins.caller import Caller
+
+from ..support import ALICE, run_world
+
+REFUSED = (503, "not_run")
+
+PATH = "/services/lookup/frames/3"
+"""Of a class whose requests are given up after 3 s."""
+
+
+def send_body_late(app, clock, delay_ms):
+    """Wrap an application so that each request's body arrives late."""
+
+    async def call(scope, receive, send):
+        async def receive_late():
+            await clock.sleep_ms(delay_ms)
+            return await receive()
+
+        await app(scope, receive_late, send)
+
+    return call
+
+
+class LateRequestsTest(unittest.TestCase):
+    """Guards against requests that are begun so late that a stop cuts them off."""
+
+    def check_refused(self, left_ms, wait_ms=0, body_ms=0):
+        async def script(world):
+            instance = world.entries["entry-1"].instance
+            instance.leave("test", world.clock.now_ms() + left_ms)
+            await world.clock.sleep_ms(wait_ms)
+            app = send_body_late(instance.app, world.clock, body_ms)
+            refused = await Caller(app, ALICE).post_json(PATH, {})
+            self.assertEqual((refused.status, refused.headers["x-outcome"]), REFUSED)
+            self.assertEqual(refused.headers["connection"], "close")
+            self.assertEqual(world.events("route"), [])
+
+        run_world(script)
+
+    def test_a_body_that_arrives_late_is_not_begun(self):
+        self.check_refused(left_ms=10_000, wait_ms=100, body_ms=LEAVE_GRACE_MS)
+
+    def test_a_request_that_lasts_beyond_the_stop_is_not_begun(self):
+        self.check_refused(left_ms=3_000, wait_ms=LEAVE_GRACE_MS - 500)
+
+    def test_a_connection_is_not_kept_for_requests_that_are_refused(self):
+        self.check_refused(left_ms=60_000, wait_ms=LEAVE_GRACE_MS + 100)
+
+
+if __name__ == "__main__":
+    unittest.main()
