Begin requests late in a stop only if they end before it

Cause: the head of an answer says whether its connection stays open. A stream from before SIGTERM ends seconds later, its connection is then idle for up to 1 s, and what is read on it was begun like any other request. Nothing compared the time that a request may take with the time left. The same held for requests that arrive slowly, wait behind a long answer, come from another instance or are sent to a second endpoint.

StopGate makes that one decision, without I/O: any request is begun while callers are still sent here (2.6 s, at most half of the time left); later only those whose deadline comes before requests in progress are ended. The others get 503, not run, with a Retry-After of 100 to 200 ms and a late_refusal line, before they are charged to quotas and retry budgets. It is asked again before a request that has not run is sent elsewhere; one that may have run is repeated, and a stream resumed, only if the answer presumably begins in time. To another instance the refusal is no_link, which existing builds read as: ask the next one.

--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -122,8 +122,8 @@
         )
         self.stopped_requests = Counter(
             "monsoonpulley_stopped_requests",
-            "Requests in progress near the end of a stop: ended with a last answer, or "
-            "cut off by the end of the process.",
+            "Requests that a stopping instance refused as they came too late, ended "
+            "near its end, or left unanswered, by outcome.",
             ("outcome",),
             registry=self.registry,
         )
--- a/src/_monsoonpulley/ingress/dryrun.py
+++ b/src/_monsoonpulley/ingress/dryrun.py
@@ -43,6 +43,7 @@
     "quarantine",
     "crash_watch",
     "usage",
+    "stop_gate",
 )
 """Parts that decisions only read; all others are copied."""
 
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -44,9 +44,9 @@
 An instance that has just started has its configuration after this time.
 """
 
-SHED_RETRY_MS = 100
-"""Shortest retry time of a request that is rejected for lack of processor time: others
-have it, and the balancer chooses another instance."""
+ELSEWHERE_RETRY_MS = 100
+"""Shortest retry time of a request that is rejected since this instance lacks processor
+time, or stops: others can serve it, and the balancer chooses another instance."""
 
 MAX_UNREACHABLE_ENDPOINTS = 3
 """The request is refused after this many endpoints were unreachable."""
@@ -98,6 +98,7 @@
         self._is_demand_counted = False
         self._holds_retry = False
         self._spent_ms = 0
+        self._predicted_ms = 0.0
         self._return_draw: float | None = None
         self._share_factor = 1.0
         self._has_precedence = False
@@ -171,6 +172,8 @@
             )
             return False
         self.service = service
+        if self._refuse_late():
+            return False
         entry = self.find_quarantine_entry()
         if entry is not None and not self._may_try(entry):
             self._refuse_quarantined(entry)
@@ -179,12 +182,28 @@
             route, facts.timeout_ms, self.parts.clock.now_ms()
         )
         if self._is_shed():
-            retry_ms = round(SHED_RETRY_MS * self._rng.uniform(1.0, 2.0))
-            self.respond(503, "the instance is short of processor time", retry_ms)
+            self._refuse_here("the instance is short of processor time")
             return False
         self.parts.retry_budget.count_request(service.id, self.parts.clock.now_ms())
         return self._consume_quota()
 
+    def _refuse_late(self) -> bool:
+        """Refuse a request that has not run if the stop leaves it too little time."""
+        gate, now_ms = self.parts.stop_gate, self.parts.clock.now_ms()
+        if self.may_have_run or gate.may_begin(now_ms, self.deadline_ms):
+            return False
+        refusal = gate.explain(self.request_id, now_ms, self.deadline_ms)
+        self.parts.log.decision(refusal)
+        self.parts.counters.stopped_requests.labels("refused").inc()
+        self.is_own_refusal = True
+        self._refuse_here("the instance stops")
+        return True
+
+    def _refuse_here(self, detail: str) -> None:
+        """Refuse a request that the caller should send to another instance."""
+        retry_ms = round(ELSEWHERE_RETRY_MS * self._rng.uniform(1.0, 2.0))
+        self.respond(503, detail, retry_ms)
+
     def _is_shed(self) -> bool:
         """Return whether to reject a request, as this process falls behind."""
         if self.is_from_peer:
@@ -270,7 +289,7 @@
                     self.parts.gate.refund(choice.endpoint.id, now_ms)
             self._log_attempt(attempt, result)
             self.tried_ids.add(choice.endpoint.id)
-            if self.exchange.is_over:
+            if self.exchange.is_over or self._refuse_late():
                 return
             if result is Result.UNREACHABLE:
                 # Nothing was sent, so this uses neither an attempt nor retry budget.
@@ -281,7 +300,7 @@
                 if helpers:
                     await self._ask_one_of(helpers)
                     continue
-                self.has_no_link = not attempt.was_connected
+                self.is_own_refusal = not attempt.was_connected
                 self._refuse(
                     PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
                 )
@@ -341,7 +360,8 @@
             result is Result.NOT_RUN and attempt.outcome is PeerOutcome.NO_LINK
         )
         if is_unserved or (result is Result.INVALID and self._may_retry(result)):
-            self._charge_again()
+            if not self._refuse_late():
+                self._charge_again()
             return
         attempt.give_final_answer(result, UNAVAILABLE_RETRY_MS)
 
@@ -428,7 +448,7 @@
                 return closed
         linked = self._linked_endpoints(untried)
         if untried and not linked:
-            self.has_no_link = True
+            self.is_own_refusal = True
             return PlacementRefusal("endpoints are unreachable", UNAVAILABLE_RETRY_MS)
         self._admission = parts.gate.admit(linked, now_ms)
         if self._admission.cold_count:
@@ -439,6 +459,7 @@
             return parts.gate.refuse(linked, self.facts.prompt_tokens, now_ms)
         choice = self._place(requirements, self._admission.usable, now_ms)
         if isinstance(choice, Choice):
+            self._predicted_ms = choice.predicted_ms
             parts.gate.record_choice(choice.endpoint, now_ms)
         return choice
 
@@ -615,9 +636,10 @@
             return False
         if result is not Result.NOT_RUN and not self.route.is_idempotent:
             return False
-        return self.parts.retry_budget.try_acquire(
-            self.service.id, self.parts.clock.now_ms()
-        )
+        now_ms = self.parts.clock.now_ms()
+        if not self.parts.stop_gate.may_repeat(now_ms, self._predicted_ms):
+            return False
+        return self.parts.retry_budget.try_acquire(self.service.id, now_ms)
 
     def _refuse(self, refusal: PlacementRefusal) -> None:
         """Answer that no endpoint is available for the request."""
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -43,8 +43,9 @@
         Endpoints that got the request or were unreachable.
     send_count : int
         How often the request was sent to an endpoint, also by another instance before.
-    has_no_link : bool
-        Whether this instance gave up since it reaches no endpoint.
+    is_own_refusal : bool
+        Whether this instance gave up for a reason that other instances don't have: it
+        reaches no endpoint, or it stops.
     may_have_run : bool
         Whether an endpoint may have started the request.
     is_trial : bool
@@ -74,7 +75,7 @@
         self.tried_ids: set[EndpointId] = set()
         self.is_from_peer = is_from_peer
         self.send_count = read_send_count(exchange.request) if is_from_peer else 0
-        self.has_no_link = False
+        self.is_own_refusal = False
         self.may_have_run = False
         self.is_trial = False
         self.is_usage_recorded = False
@@ -110,7 +111,7 @@
     def _peer_outcome(self, status: int) -> PeerOutcome:
         if self.may_have_run or status not in PROMISES_NOT_RUN:
             return PeerOutcome.FINAL
-        return PeerOutcome.NO_LINK if self.has_no_link else PeerOutcome.NOT_RUN
+        return PeerOutcome.NO_LINK if self.is_own_refusal else PeerOutcome.NOT_RUN
 
     def record_answer(self, status: int, detail: str = "") -> None:
         """Record that an endpoint's answer was forwarded to the caller."""
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -301,13 +301,16 @@
     async def stop(self) -> None:
         """Stop after the requests in progress, or near the end of the grace period.
 
-        Accepted connections get the answer to what their callers have sent, and
-        requests that are still in progress near the end get a last answer.
+        Accepted connections get the answer to what their callers have sent, which is a
+        refusal if it may come too late; requests that are still in progress near the
+        end get a last answer.
         """
         self.is_stopping = True
-        self.parts.stop_gate.begin(self.clock.now_ms())
-        end_ms = self.clock.now_ms() - DRAIN_MARGIN_MS
-        end_ms += round(self.settings.bounds.grace_period_s * 1000)
+        now_ms = self.clock.now_ms()
+        grace_ms = round(self.settings.bounds.grace_period_s * 1000)
+        end_ms = now_ms + grace_ms - DRAIN_MARGIN_MS
+        requests_end_ms = end_ms - DRAIN_ANSWER_MS
+        self.parts.stop_gate.begin(now_ms, DRAIN_LISTEN_MS, requests_end_ms)
         self.log.event("stopping", in_progress=len(self._runs))
         self.digest_exchange.broadcast_digest()
         self.caller_server.drain()
@@ -315,7 +318,7 @@
         await self.clock.sleep_ms(DRAIN_LISTEN_MS)
         for server in (self.caller_server, self.peer_server):
             await server.end_listening()
-        await self._wait_closed(end_ms - DRAIN_ANSWER_MS)
+        await self._wait_closed(requests_end_ms)
         ended = list(self._runs.values())
         for run in ended:
             run.end_now()
--- a/src/_monsoonpulley/platform/answerheaders.py
+++ b/src/_monsoonpulley/platform/answerheaders.py
@@ -51,7 +51,8 @@
     NOT_RUN = b"not_run"
     """The request has not run; another instance would presumably say the same."""
     NO_LINK = b"no_link"
-    """The request has not run: this instance reaches no endpoint either."""
+    """The request has not run, and another instance may serve it: this one reaches no
+    endpoint either, or it stops."""
     FINAL = b"final"
     """Any other answer."""
 
--- a/testing/ingress/test_late_requests.py
+++ b/testing/ingress/test_late_requests.py
@@ -39,6 +39,12 @@
         await self.site.start(document, grace_period_s=GRACE_PERIOD_S)
         return endpoint
 
+    async def add_other(self, script):
+        endpoint = await self.site.add_endpoint(script)
+        directory = self.site.service.parts.directory
+        await self.site.wait_until(lambda: len(directory.all()) == 2)
+        return endpoint
+
     async def hang(self, call) -> None:
         await asyncio.sleep(10)
 
@@ -155,10 +161,7 @@
             call.answer(503, seal=None, extra=NOT_RUN)
 
         endpoint = await self.start(refuse_late)
-        other = await self.site.add_endpoint(refuse_late)
-        await self.site.wait_until(
-            lambda: len(self.site.service.parts.directory.all()) == 2
-        )
+        other = await self.add_other(refuse_late)
         reader, writer = await self.site.connect()
         writer.write(request(deadline_ms=LONG_MS))
         await self.site.wait_until(lambda: endpoint.calls or other.calls)
@@ -170,6 +173,26 @@
         self.assertEqual(len(endpoint.calls) + len(other.calls), 1)
         writer.close()
 
+    async def test_a_stream_is_not_resumed_when_the_stop_ends(self):
+        async def break_off(call) -> None:
+            call.start_stream()
+            call.write_event(1)
+            await self.release.wait()
+            call.writer.transport.abort()
+
+        endpoint = await self.start(break_off, kind="streaming", resume_streams=True)
+        other = await self.add_other(break_off)
+        reader, writer = await self.site.connect()
+        writer.write(request(deadline_ms=LONG_MS))
+        await reader.readuntil(b"\r\n\r\n")
+        now_ms = self.site.clock.now_ms()
+        self.site.service.parts.stop_gate.begin(now_ms, 0, now_ms)
+        self.release.set()
+        rest = await asyncio.wait_for(reader.read(), 5)
+        self.assertFalse(rest.endswith(b"0\r\n\r\n"))
+        self.assertEqual(len(endpoint.calls) + len(other.calls), 1)
+        writer.close()
+
 
 class TestShortGracePeriod(StopTest):
     """The grace period ends before the usual time of listening does."""
--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -79,6 +79,16 @@
         for _ in range(8):
             self.assertEqual((await self.fleet.send(self.cut)).status, 200)
 
+    async def test_the_next_instance_is_asked_if_one_stops(self):
+        """Guards against refusals by a stop of which the others don't know yet."""
+        await self.start(3)
+        await self.lose_links([self.cut])
+        gate, now_ms = self.others[0].service.parts.stop_gate, self.cut.clock.now_ms()
+        gate.begin(now_ms, 0, now_ms)
+        for _ in range(8):
+            self.assertEqual((await self.fleet.send(self.cut)).status, 200)
+        self.assertTrue(self.others[0].log_events("late_refusal"))
+
     async def test_links_are_used_again_soon_after_they_work(self):
         await self.start(2)
         await self.lose_links([self.cut])
