End listening before a short grace period is over

Callers of an instance with a grace period below 2.6 s saw their connections cut: the stop slept for the whole time of listening, so the process was killed before requests in progress got their last answer. Listening now ends with the requests in progress if that comes first.

testing.ingress.test_late_requests.TestShortGracePeriod: no answer within 1.5 s before (TimeoutError), 504 in time now.

--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -315,7 +315,9 @@
         self.digest_exchange.broadcast_digest()
         self.caller_server.drain()
         self.peer_server.drain()
-        await self.clock.sleep_ms(DRAIN_LISTEN_MS)
+        await self.clock.sleep_ms(
+            max(0, min(DRAIN_LISTEN_MS, requests_end_ms - now_ms))
+        )
         for server in (self.caller_server, self.peer_server):
             await server.end_listening()
         await self._wait_closed(requests_end_ms)
