Ask the same gate before a leaving gateway begins a request

Callers of a leaving gateway could have a request begun that it could not complete. Whether to accept it was decided when its head arrived; a body may take 30 s more, so that calls of plain services were begun long after the accepting phase. And a request was begun in that phase however short the stop: with a reclaim notice of 3 s, one that may take 3 s at 1.5 s. Such requests were cut with the process. Refusals left the connection open, so that the next try came to the same instance.

Lifecycle now has the StopGate of the ingress and is asked once the whole request has arrived, for calls and generations. It still refuses all after the accepting phase of 2 s: its listener stays open until it has drained. Continued streams are accepted as before, as only this instance has their state until it hands them over.

--- a/src/_monsoonpulley/entry/app.py
+++ b/src/_monsoonpulley/entry/app.py
@@ -23,7 +23,9 @@
 def make_entry_app(instance: EntryInstance, operator_sha256: str) -> Starlette:
     """Return the application that serves callers and operators."""
     env = instance.environment
-    authorizer = RequestAuthorizer(instance.document, instance.lifecycle, env.rng)
+    authorizer = RequestAuthorizer(
+        instance.document, instance.lifecycle, env.clock, env.rng
+    )
     generations = GenerationHandler(
         authorizer,
         instance.gate,
--- a/src/_monsoonpulley/entry/instance.py
+++ b/src/_monsoonpulley/entry/instance.py
@@ -50,14 +50,10 @@
 from ..routing.router import Router
 from .app import make_entry_app
 from .environment import Environment
-from .lifecycle import Lifecycle
+from .lifecycle import RECLAIM_MARGIN_MS, Lifecycle
 from .noticewatch import NoticeWatch
 from .tasks import EntryTasks
 
-RECLAIM_MARGIN_MS = 1_000
-"""How long before the deadline an instance stops waiting for requests and hands
-over the rest."""
-
 JOURNAL_DRAIN_TIMEOUT_MS = 60_000
 """How long a stop without a deadline waits for journalled work, which runs on
 after its caller has disconnected."""
--- a/src/_monsoonpulley/entry/lifecycle.py
+++ b/src/_monsoonpulley/entry/lifecycle.py
@@ -8,12 +8,18 @@
 from enum import Enum
 
 from ..clock import Clock
+from ..ids import RequestId
 from ..observability.log import Log
+from ..stopgate import StopGate
 
 LEAVE_GRACE_MS = 2_000
 """How long a leaving instance still accepts requests, since the load balancer
 sends them until it has seen the readiness check fail."""
 
+RECLAIM_MARGIN_MS = 1_000
+"""How long before the deadline an instance stops waiting for requests and hands
+over the rest."""
+
 
 class Phase(Enum):
     """Lifecycle phase of an entry instance."""
@@ -33,7 +39,7 @@
         self._in_progress_count = 0
         self._idle_event = asyncio.Event()
         self._idle_event.set()
-        self._leaving_since_ms: int | None = None
+        self._stop_gate = StopGate()
         self._leaving_event = asyncio.Event()
         self._ready_event = asyncio.Event()
         self.phase = Phase.STARTING
@@ -64,12 +70,13 @@
         """
         if self.phase is Phase.STOPPED:
             return
+        end_ms = None
         if deadline_ms is not None:
             earlier_ms = self.deadline_ms
             self.deadline_ms = min(deadline_ms, earlier_ms or deadline_ms)
-        if self.phase is not Phase.LEAVING:
-            self.phase = Phase.LEAVING
-            self._leaving_since_ms = self._clock.now_ms()
+            end_ms = self.deadline_ms - RECLAIM_MARGIN_MS
+        self.phase = Phase.LEAVING
+        self._stop_gate.begin(self._clock.now_ms(), LEAVE_GRACE_MS, end_ms)
         self._leaving_event.set()
         self._log.event(
             "instance_leaving",
@@ -84,12 +91,27 @@
         self._log.event("instance_stopped", in_progress=self._in_progress_count)
 
     def accepts_requests(self) -> bool:
-        """Return whether a new request may start now."""
+        """Return whether new requests are accepted now.
+
+        The listener stays open until the instance has drained, so that it would never
+        drain if it accepted them for longer.
+        """
         if self.phase is Phase.READY:
             return True
-        if self.phase is not Phase.LEAVING or self._leaving_since_ms is None:
+        leaving_ms = self._stop_gate.stopping_for_ms(self._clock.now_ms())
+        if self.phase is not Phase.LEAVING or leaving_ms is None:
             return False
-        return self._clock.now_ms() - self._leaving_since_ms < LEAVE_GRACE_MS
+        return leaving_ms < LEAVE_GRACE_MS
+
+    def may_begin(self, request_id: RequestId, deadline_ms: int) -> bool:
+        """Return whether a request may start now that has this deadline."""
+        if not self.accepts_requests():
+            return False
+        now_ms = self._clock.now_ms()
+        if self._stop_gate.may_begin(now_ms, deadline_ms):
+            return True
+        self._log.decision(self._stop_gate.explain(request_id, now_ms, deadline_ms))
+        return False
 
     @contextmanager
     def track_request(self) -> Iterator[None]:
@@ -122,7 +144,7 @@
         waits that long too. The wait ends ``margin_ms`` before the deadline.
         """
         await self._sleep_until(
-            (self._leaving_since_ms or 0) + LEAVE_GRACE_MS, margin_ms
+            (self._stop_gate.began_ms or 0) + LEAVE_GRACE_MS, margin_ms
         )
         while self._in_progress_count:
             remaining_ms = self._remaining_ms(margin_ms)
--- a/src/_monsoonpulley/gateway/authorization.py
+++ b/src/_monsoonpulley/gateway/authorization.py
@@ -9,15 +9,20 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
+from ..clock import Clock
 from ..config.document import Document, RequestClass, Service
 from ..entry.lifecycle import Lifecycle, Phase
 from ..errors import Failure, Reason
 from ..ids import ClassId, CustomerId, RequestId
 from ..outcome import Outcome
+from ..requests.context import DEADLINE_FACTOR
 from .body import read_body
 from .credentials import CustomerCredentials
 from .problem import problem_response
 
+LEAVING_RETRY_MS = 100
+"""Shortest retry time of a request that a leaving instance refuses: others serve it."""
+
 
 class ClassAccess(msgspec.Struct, frozen=True):
     """A class that the customer may use, with its settings and service."""
@@ -56,6 +61,8 @@
         Returns the configuration in force, or ``None`` before the first one.
     lifecycle : Lifecycle
         Tells whether the instance accepts requests.
+    clock : Clock
+        Times the requests.
     rng : random.Random
         Source of request ids.
     """
@@ -64,10 +71,12 @@
         self,
         document: Callable[[], Document | None],
         lifecycle: Lifecycle,
+        clock: Clock,
         rng: random.Random,
     ):
         self._document = document
         self._lifecycle = lifecycle
+        self._clock = clock
         self._rng = rng
         self._credentials_document: Document | None = None
         self._credentials = CustomerCredentials({})
@@ -83,12 +92,29 @@
             detail = "the instance is not ready yet"
             return Failure(Reason.UNAVAILABLE, "gateway.admit", "", detail)
         if not self._lifecycle.accepts_requests():
-            detail = "the instance is leaving; send the request again"
-            return Failure(
-                Reason.SHUTTING_DOWN, "gateway.admit", "", detail, retry_after_ms=100
-            )
+            return self._leaving_failure()
         return document
 
+    def check_start(self, access: ClassAccess, request_id: RequestId) -> Failure | None:
+        """Return a failure if a stop leaves a request too little time to start now.
+
+        Called once the whole request has arrived.
+        """
+        allowed_ms = access.request_class.answer_within_ms * DEADLINE_FACTOR
+        deadline_ms = self._clock.now_ms() + allowed_ms
+        if self._lifecycle.may_begin(request_id, deadline_ms):
+            return None
+        return self._leaving_failure()
+
+    def _leaving_failure(self) -> Failure:
+        return Failure(
+            Reason.SHUTTING_DOWN,
+            "gateway.admit",
+            "",
+            "the instance is leaving; send the request again",
+            retry_after_ms=round(LEAVING_RETRY_MS * self._rng.uniform(1.0, 2.0)),
+        )
+
     def authenticate(self, request: Request) -> CustomerId | Failure:
         """Return the customer whose credential is in the request."""
         document = self.document_if_ready()
--- a/src/_monsoonpulley/gateway/generations.py
+++ b/src/_monsoonpulley/gateway/generations.py
@@ -154,6 +154,7 @@
         if isinstance(access, Failure):
             return Refusal(access, request_id, class_id)
         failure = _check_class(access, len(raw_body))
+        failure = failure or self._authorizer.check_start(access, request_id)
         if failure is not None:
             return Refusal(failure, request_id, class_id)
         state = StreamState(
--- a/src/_monsoonpulley/gateway/problem.py
+++ b/src/_monsoonpulley/gateway/problem.py
@@ -109,6 +109,8 @@
         wait_ms = failure.retry_after_ms or DEFAULT_RETRY_AFTER_MS
         headers["retry-after"] = str(math.ceil(wait_ms / 1000))
         headers["retry-after-ms"] = str(wait_ms)
+    if failure.reason is Reason.SHUTTING_DOWN:
+        headers["connection"] = "close"
     if status == 401:
         headers["www-authenticate"] = "Bearer"
     body = msgspec.json.encode(make_problem(failure, outcome, request_id, class_id))
--- a/src/_monsoonpulley/gateway/services.py
+++ b/src/_monsoonpulley/gateway/services.py
@@ -124,6 +124,9 @@
         body = await read_class_body(request, access, request_id)
         if isinstance(body, Refusal):
             return body
+        failure = self._authorizer.check_start(access, request_id)
+        if failure is not None:
+            return Refusal(failure, request_id, class_id)
         call = PassThrough(
             method=request.method,
             path=_endpoint_path(request),
