Show refusals that an endpoint repeats and that are taken for the next request's

Cause, in three cases: on a kept connection an answer without an id is taken for the request's that is due; of several ids in an answer the last one is compared; an id that a caller sends again meets the connection that it was refused on. In a fourth case, white space behind an id makes an answer another request's.

--- a/testing/wire/test_clientconnection.py
+++ b/testing/wire/test_clientconnection.py
@@ -149,6 +149,11 @@
                 self.assertEqual(events.statuses, [status])
                 self.assertFalse(self.connection.is_reusable)
 
+    def test_white_space_around_an_id_is_no_part_of_it(self):
+        """Guards against a request that waits for an answer that was skipped."""
+        events = self.exchange(b"a1", answer(b"why", b" \ta1\t "))
+        self.assertTrue(events.is_complete and self.connection.is_reusable)
+
     def test_exchanges_without_ids_keep_their_connection(self):
         """Guards against a connection of its own for each call of the store."""
         events = Events()
