Believe answers without an id only as the first on their connection

Callers saw 503 "not run" for requests that a faulty endpoint ran, or a request that may run once ran at two endpoints. Cause: the endpoint wrote an earlier refusal once more, without its id, on a kept connection. Nothing tied it to the request that was due, and an answer without an id was taken for that request's. Ruled out: copies with the id of another request, which are skipped.

Change: `ClientConnection` marks an answer without an id as in doubt if the connection carried another request before, or has skipped an answer. `AnswerTransfer` rejects it for endpoints and other instances alike, learns nothing from it, and counts the request as one that may have run. Endpoints that never name requests get a connection for each one, as before, so that their refusals are believed.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -182,6 +182,8 @@
         self, connection: ClientConnection, head: AnswerHead
     ) -> Result | None:
         self._head = head
+        if head.is_in_doubt:
+            return self._reject_answer_in_doubt()
         self._on_head(head)
         if self._was_not_run(head):
             return None
@@ -325,6 +327,13 @@
         self.detail = self._state.detail
         return Result.CALLER_LEFT
 
+    def _reject_answer_in_doubt(self) -> Result:
+        """Reject an answer that may be another request's: this one may be running."""
+        self._state.may_have_run = True
+        if not self._state.is_stream:
+            self._on_start()
+        return self._reject_answer("the answer may be that of another request")
+
     def _reject_answer(self, detail: str) -> Result:
         self.detail = detail
         return Result.INVALID
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -63,6 +63,7 @@
         self._is_skipping_message = False
         self._ends_at_close = False
         self._may_get_foreign_answer = False
+        self._sent_count = 0
         self._overhead_bytes = 0
         self.is_open = False
         self.is_reusable = False
@@ -98,7 +99,8 @@
         expected_id : tuple of bytes or None
             Lower-case name and value of the header that ties an answer to this
             request; complete answers with another value are skipped. An answer
-            without it is taken for this request's, and is the connection's last.
+            without it is the connection's last, and is in doubt unless it is also
+            the first one.
         is_head : bool
             Whether the method is ``HEAD``: the answer then has no body, whatever
             its headers say.
@@ -107,6 +109,7 @@
         self._mailbox = mailbox
         self._expected_id = expected_id
         self._is_head_request = is_head
+        self._sent_count += 1
         self._overhead_bytes = 0
         self.is_reusable = False
         self._transport.write(data)
@@ -200,14 +203,19 @@
         if self._is_foreign(fields):
             self._is_skipping_message = self._may_get_foreign_answer = True
             return
-        if self._is_unnamed(fields):
+        is_unnamed = self._is_unnamed(fields)
+        # A server may repeat an earlier answer without its id.
+        is_in_doubt = is_unnamed and (
+            self._sent_count > 1 or self._may_get_foreign_answer
+        )
+        if is_unnamed:
             # A second copy of it could not be told from the next request's answer.
             self._may_get_foreign_answer = True
         self.idle_timeout_ms = _idle_timeout_ms(fields.get(b"keep-alive"))
         has_length = b"content-length" in fields or b"transfer-encoding" in fields
         has_no_body = self._is_head_request or status in NO_BODY_STATUSES
         self._ends_at_close = not has_length and not has_no_body
-        self._put(AnswerHead(status, self._headers, fields))
+        self._put(AnswerHead(status, self._headers, fields, is_in_doubt))
         if self._is_head_request:
             self._finish()
             self.abort()
--- a/src/_monsoonpulley/wire/events.py
+++ b/src/_monsoonpulley/wire/events.py
@@ -23,11 +23,14 @@
         Headers as received.
     fields : dict
         Value by lower-case name; of a repeated header, the last one.
+    is_in_doubt : bool
+        Whether the answer may belong to an earlier request of the connection.
     """
 
     status: int
     headers: HeaderList
     fields: dict[bytes, bytes]
+    is_in_doubt: bool = False
 
 
 class AnswerData(msgspec.Struct):
