Leave an answer that names two requests in doubt

Callers were told "not run" for a request that ran if an endpoint repeated an earlier refusal with the ids of both requests. Cause: of a repeated header the last value was compared. Change: `ClientConnection._find_owner` decides in one place, by all ids in the head, whether an answer belongs to the current request; of one with several, the request may have run.

Measured: test_a_copy_that_names_two_requests_promises_nothing of testing.ingress.test_repeated_refusals failed (503 for 502) and passes; testing.wire's test_clientconnection and testing.ingress.test_requests pass.

--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum
 
 import httptools
 
@@ -26,6 +27,16 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
+class _Owner(Enum):
+    """The request that an answer belongs to."""
+
+    CURRENT = "current"
+    OTHER = "other"
+    PRESUMED = "presumed"
+    """The current one: there was no other, but the answer has no id."""
+    UNKNOWN = "unknown"
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection to a server that carries one exchange at a time.
 
@@ -100,7 +111,7 @@
             Lower-case name and value of the header that ties an answer to this
             request; complete answers with another value are skipped. An answer
             without it is the connection's last, and is in doubt unless it is also
-            the first one.
+            the first one; so is one with several values, of which one is this.
         is_head : bool
             Whether the method is ``HEAD``: the answer then has no body, whatever
             its headers say.
@@ -200,21 +211,18 @@
         if status < 200:
             self._is_skipping_message = True
             return
-        if self._is_foreign(fields):
-            self._is_skipping_message = self._may_get_foreign_answer = True
-            return
-        is_unnamed = self._is_unnamed(fields)
-        # A server may repeat an earlier answer without its id.
-        is_in_doubt = is_unnamed and (
-            self._sent_count > 1 or self._may_get_foreign_answer
-        )
-        if is_unnamed:
-            # A second copy of it could not be told from the next request's answer.
+        owner = self._find_owner()
+        if owner is not _Owner.CURRENT:
+            # Another copy of it could not be told from the next request's answer.
             self._may_get_foreign_answer = True
+        if owner is _Owner.OTHER:
+            self._is_skipping_message = True
+            return
         self.idle_timeout_ms = _idle_timeout_ms(fields.get(b"keep-alive"))
         has_length = b"content-length" in fields or b"transfer-encoding" in fields
         has_no_body = self._is_head_request or status in NO_BODY_STATUSES
         self._ends_at_close = not has_length and not has_no_body
+        is_in_doubt = owner is _Owner.UNKNOWN
         self._put(AnswerHead(status, self._headers, fields, is_in_doubt))
         if self._is_head_request:
             self._finish()
@@ -241,14 +249,19 @@
         )
         self._finish()
 
-    def _is_foreign(self, fields: dict[bytes, bytes]) -> bool:
+    def _find_owner(self) -> _Owner:
+        """Return the request that an answer belongs to, by the ids in its head."""
         if self._expected_id is None:
-            return False
+            return _Owner.CURRENT
         name, value = self._expected_id
-        return fields.get(name, value) != value
-
-    def _is_unnamed(self, fields: dict[bytes, bytes]) -> bool:
-        return self._expected_id is not None and self._expected_id[0] not in fields
+        ids = {v for n, v in self._headers if n.lower() == name}
+        if ids == {value}:
+            return _Owner.CURRENT
+        if ids:
+            return _Owner.UNKNOWN if value in ids else _Owner.OTHER
+        # Later it may be an earlier answer, sent again without its id.
+        is_first = self._sent_count == 1 and not self._may_get_foreign_answer
+        return _Owner.PRESUMED if is_first else _Owner.UNKNOWN
 
     def _finish(self, *, is_framed: bool = True) -> None:
         self._ends_at_close = False
--- a/testing/wire/test_clientconnection.py
+++ b/testing/wire/test_clientconnection.py
@@ -92,7 +92,7 @@
     def test_a_copy_before_the_own_answer_is_skipped_however_it_is_cut(self):
         """Guards against a late copy that is taken for the next answer.
 
-        `ClientConnection._is_foreign` compares the ids.
+        `ClientConnection._find_owner` compares the ids.
         """
         first, second = answer(b"first", b"a1"), answer(b"second", b"a2")
         both = first + second
