Send no request over a connection that carried a refusal of its id

A caller that sends a refused request again, with the same id, was told "not run" for the second one while it ran, if the endpoint repeated the first refusal. Cause: both went over one kept connection, so that the id in the answer tied it to either. The ingress itself never sends a request to an endpoint twice (`tried_ids`), nor to another instance.

Change: a connection keeps the ids that were refused on it, at most 256, and `ConnectionPool.acquire` takes another one for such an id. A repeated refusal is still believed: it comes on a connection that has carried none. Five tests replace `acquire`; their replacements take the new argument and check what they did.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -186,6 +186,7 @@
             return self._reject_answer_in_doubt()
         self._on_head(head)
         if self._was_not_run(head):
+            connection.record_refusal()
             return None
         self._state.may_have_run = True
         if not is_success(head):
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -156,7 +156,7 @@
         self._pool = self._parts.upstreams.pool(
             self._endpoint, max(MIN_CONNECTIONS, share)
         )
-        return await self._pool.acquire()
+        return await self._pool.acquire(self._state.facts.request_id)
 
     def _record_unreachable(self, failure: Failure) -> None:
         now_ms = self._parts.clock.now_ms()
--- a/src/_monsoonpulley/ingress/peerattempt.py
+++ b/src/_monsoonpulley/ingress/peerattempt.py
@@ -39,7 +39,7 @@
     async def run(self) -> Result:
         """Send the request once and return how the attempt ended."""
         pool = self._parts.peer_pools.pool(self.peer)
-        connection = await pool.acquire()
+        connection = await pool.acquire(self._state.facts.request_id)
         if isinstance(connection, Failure):
             self.elapsed_ms = self._parts.clock.now_ms() - self._started_ms
             self.detail = str(connection)
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -24,6 +24,10 @@
 and answers that are skipped. Over thirty times the largest head that callers may send;
 a faulty server can send them without end."""
 
+MAX_REFUSED_IDS = 256
+"""Requests that a server may refuse on a connection before it is replaced: their ids
+take some 20 KB, and one request in so many waits for a new connection."""
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -75,6 +79,7 @@
         self._ends_at_close = False
         self._may_get_foreign_answer = False
         self._sent_count = 0
+        self._refused_ids: set[bytes] = set()
         self._overhead_bytes = 0
         self.is_open = False
         self.is_reusable = False
@@ -125,6 +130,16 @@
         self.is_reusable = False
         self._transport.write(data)
 
+    def record_refusal(self) -> None:
+        """Record that the answer says that the server refused the request."""
+        if self._expected_id is not None:
+            self._refused_ids.add(self._expected_id[1])
+
+    def may_carry(self, request_id: bytes) -> bool:
+        """Return whether no earlier refusal could be taken for that of a request."""
+        is_full = len(self._refused_ids) >= MAX_REFUSED_IDS
+        return not is_full and request_id not in self._refused_ids
+
     def pause_reading(self) -> None:
         """Pause reading the answer."""
         if self._transport is not None and self.is_open:
--- a/src/_monsoonpulley/wire/pool.py
+++ b/src/_monsoonpulley/wire/pool.py
@@ -77,15 +77,21 @@
         """Whether no connection is open."""
         return not self._idle and not self._in_use
 
-    async def acquire(self) -> ClientConnection | Failure:
+    async def acquire(self, request_id: bytes = b"") -> ClientConnection | Failure:
         """Return a connection for one exchange.
 
+        Parameters
+        ----------
+        request_id : bytes
+            The request's id; the connection has not carried a refusal of it. Empty if
+            answers don't name their requests.
+
         Returns
         -------
         ClientConnection or Failure
             The delivery of a failure is always `Delivery.NOT_SENT`.
         """
-        connection = self._pop_idle()
+        connection = self._pop_idle(request_id)
         if connection is None:
             if len(self._in_use) >= self.max_connections:
                 return self._failure(
@@ -150,11 +156,12 @@
             connection.abort()
         self._in_use.clear()
 
-    def _pop_idle(self) -> ClientConnection | None:
+    def _pop_idle(self, request_id: bytes) -> ClientConnection | None:
         now_ms = self._clock.now_ms()
         while self._idle:
             connection = self._idle.pop()
-            if self._is_usable(connection, now_ms):
+            is_usable = self._is_usable(connection, now_ms)
+            if is_usable and connection.may_carry(request_id):
                 return connection
             connection.close()
         return None
--- a/testing/ingress/test_evacuations.py
+++ b/testing/ingress/test_evacuations.py
@@ -86,10 +86,10 @@
         connecting, go_on = asyncio.Event(), asyncio.Event()
         acquire = ConnectionPool.acquire
 
-        async def acquire_late(pool):
+        async def acquire_late(pool, request_id):
             connecting.set()
             await go_on.wait()
-            return await acquire(pool)
+            return await acquire(pool, request_id)
 
         ConnectionPool.acquire = acquire_late
         self.addCleanup(setattr, ConnectionPool, "acquire", acquire)
--- a/testing/ingress/test_requests.py
+++ b/testing/ingress/test_requests.py
@@ -587,8 +587,8 @@
         await self.site.start(configuration(kind="unsafe", timeout_ms=100))
         acquire = ConnectionPool.acquire
 
-        async def connect_slowly(pool):
-            connection = await acquire(pool)
+        async def connect_slowly(pool, request_id):
+            connection = await acquire(pool, request_id)
             await asyncio.sleep(0.15)
             return connection
 
@@ -599,7 +599,7 @@
         self.assertEqual(endpoint.calls, [])
 
     async def test_an_attempt_without_a_connection_logs_how_long_it_took(self):
-        async def fail_slowly(pool):
+        async def fail_slowly(pool, request_id):
             await asyncio.sleep(0.05)
             return Failure(Reason.TIMEOUT, "connection.open")
 
@@ -612,10 +612,10 @@
     async def test_an_attempt_whose_caller_left_while_connecting_says_so(self):
         is_connecting, acquire = asyncio.Event(), ConnectionPool.acquire
 
-        async def connect_slowly(pool):
+        async def connect_slowly(pool, request_id):
             is_connecting.set()
             await asyncio.sleep(0.1)
-            return await acquire(pool)
+            return await acquire(pool, request_id)
 
         await self.site.add_endpoint(answer)
         await self.site.start(configuration())
@@ -1101,8 +1101,8 @@
         acquire = ConnectionPool.acquire
         parts = self.site.service.parts
 
-        async def acquire_and_pause(pool):
-            connection = await acquire(pool)
+        async def acquire_and_pause(pool, request_id):
+            connection = await acquire(pool, request_id)
             now_ms = self.site.clock.now_ms()
             parts.pauses.record_refusal("i-1", 3_000, now_ms)
             return connection
--- a/testing/wire/test_clientconnection.py
+++ b/testing/wire/test_clientconnection.py
@@ -6,7 +6,7 @@
 import unittest
 
 from _monsoonpulley.clock import Clock
-from _monsoonpulley.wire.clientconnection import ClientConnection
+from _monsoonpulley.wire.clientconnection import MAX_REFUSED_IDS, ClientConnection
 from _monsoonpulley.wire.events import (
     AnswerData,
     AnswerEnd,
@@ -149,6 +149,16 @@
                 self.assertEqual(events.statuses, [status])
                 self.assertFalse(self.connection.is_reusable)
 
+    def test_a_connection_remembers_a_limited_number_of_refusals(self):
+        """Guards against ids that fill the memory, and against forgotten ones."""
+        for number in range(MAX_REFUSED_IDS):
+            self.assertTrue(self.connection.may_carry(b"next"))
+            request_id = b"%d" % number
+            self.exchange(request_id, answer(b"", request_id, 503))
+            self.connection.record_refusal()
+            self.assertFalse(self.connection.may_carry(request_id))
+        self.assertFalse(self.connection.may_carry(b"next"))
+
     def test_white_space_around_an_id_is_no_part_of_it(self):
         """Guards against a request that waits for an answer that was skipped."""
         events = self.exchange(b"a1", answer(b"why", b" \ta1\t "))
