Compare request ids without the white space around them

A request whose id a caller sent with a space behind it got 504 at its deadline, and so did each one at an endpoint that writes ids like that. Cause: the parser keeps white space behind values, which is no part of them (RFC 9110, 5.5); the answer was skipped as another request's. Change: ids and the values of an answer's headers are read without it; what is forwarded stays as it came.

--- a/src/_monsoonpulley/platform/requestheaders.py
+++ b/src/_monsoonpulley/platform/requestheaders.py
@@ -99,7 +99,7 @@
     host = fields.get(b"host", b"").decode("latin-1").lower()
     prompt_tokens, max_output_tokens = _parse_token_counts(fields.get(_TOKEN_COUNTS))
     return RequestFacts(
-        request_id=fields.get(_REQUEST_ID, b""),
+        request_id=fields.get(_REQUEST_ID, b"").strip(),
         host=host.rsplit(":", 1)[0] if ":" in host else host,
         path=request.target.partition(b"?")[0],
         api_key=_parse_bearer_key(fields.get(b"authorization", b"")),
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -222,7 +222,7 @@
     def on_headers_complete(self) -> None:
         """Put the head into the mailbox unless it answers another request."""
         status = self._parser.get_status_code()
-        fields = {name.lower(): value for name, value in self._headers}
+        fields = {name.lower(): value.strip() for name, value in self._headers}
         if status < 200:
             self._is_skipping_message = True
             return
@@ -269,7 +269,7 @@
         if self._expected_id is None:
             return _Owner.CURRENT
         name, value = self._expected_id
-        ids = {v for n, v in self._headers if n.lower() == name}
+        ids = {v.strip() for n, v in self._headers if n.lower() == name}
         if ids == {value}:
             return _Owner.CURRENT
         if ids:
--- a/src/_monsoonpulley/wire/events.py
+++ b/src/_monsoonpulley/wire/events.py
@@ -22,7 +22,8 @@
     headers : HeaderList
         Headers as received.
     fields : dict
-        Value by lower-case name; of a repeated header, the last one.
+        Value by lower-case name, without white space around it; of a repeated
+        header, the last one.
     is_in_doubt : bool
         Whether the answer may belong to an earlier request of the connection.
     """
--- a/testing/ingress/test_repeated_refusals.py
+++ b/testing/ingress/test_repeated_refusals.py
@@ -50,7 +50,9 @@
 
 
 class RefusalsTest(unittest.IsolatedAsyncioTestCase):
-    async def play(self, copy, second_id="q2", refuses_first=False, **changes):
+    async def play(
+        self, copy, second_id="q2", refuses_first=False, deadline_ms=5_000, **changes
+    ):
         """Send two requests over one connection; return the second one's answer."""
         site = self.site = Site()
         self.script = FaultyEndpoint(copy, refuses_first)
@@ -62,7 +64,7 @@
         for number, request_id in enumerate(("q1", second_id), 1):
             health = site.service.parts.health
             health.record_failure("i-2", site.clock.now_ms(), 4 * number)
-            answer = await site.send_request(request_id)
+            answer = await site.send_request(request_id, deadline_ms=deadline_ms)
         await site.stop()
         return answer
 
@@ -119,6 +121,11 @@
         answer = await self.play(copy, second_id="q1", refuses_first=True)
         self.assertEqual((answer.status, self.count_runs("q1")), (200, 1))
 
+    async def test_white_space_behind_a_callers_id_is_no_part_of_it(self):
+        """Guards against a request whose answer is skipped as another one's."""
+        answer = await self.play("", second_id="q2 \t", deadline_ms=500)
+        self.assertEqual(answer.status, 200)
+
     async def test_a_copy_never_promises_that_the_next_request_has_not_run(self):
         """Guards against copies that are broken or follow other answers."""
         named = f"{ID}{{earlier}}\r\n"
