Count answers that belong to other requests

On-call operators could not tell an endpoint that repeats answers from a sound one: what was skipped left no trace.

Measured: test_copies_are_counted_by_service_and_endpoint is new; testing.ingress's test_repeated_refusals, test_requests, test_peers, test_explain and test_service pass.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -59,6 +59,8 @@
         Whole events of a stream that arrived.
     longest_gap_ms : int
         Longest pause between two events of a stream; 0 with less than two events.
+    foreign_count : int
+        Answers that belong to other requests, or may.
     broke_off : bool
         Whether the connection ended before the answer was complete.
     ended_unframed : bool
@@ -79,6 +81,7 @@
         self.longest_gap_ms = 0
         self._last_event_ms = 0
         self.was_sent = False
+        self.foreign_count = 0
         self.broke_off = False
         self.ended_unframed = False
         self.elapsed_ms = 0
@@ -137,6 +140,12 @@
         """Learn from a connection that ended before the answer was complete."""
 
     async def _receive(self, connection: ClientConnection) -> Result:
+        try:
+            return await self._await_result(connection)
+        finally:
+            self._count_foreign(connection.foreign_count)
+
+    async def _await_result(self, connection: ClientConnection) -> Result:
         mailbox = self._state.exchange.mailbox
         while True:
             source, event = await mailbox.get()
@@ -328,6 +337,12 @@
         self.detail = self._state.detail
         return Result.CALLER_LEFT
 
+    def _count_foreign(self, count: int) -> None:
+        self.foreign_count = count
+        service = self._state.service
+        if count and service is not None:
+            self._parts.counters.foreign_answers.labels(service.id).inc(count)
+
     def _reject_answer_in_doubt(self) -> Result:
         """Reject an answer that may be another request's: this one may be running."""
         self._state.may_have_run = True
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -76,6 +76,12 @@
             ("service", "result"),
             registry=self.registry,
         )
+        self.foreign_answers = Counter(
+            "monsoonpulley_foreign_answers",
+            "Answers that belong to other requests, or may, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self.lost_links = Gauge(
             "monsoonpulley_lost_links",
             "Endpoints that this instance can't connect to.",
--- a/src/_monsoonpulley/ingress/requestlog.py
+++ b/src/_monsoonpulley/ingress/requestlog.py
@@ -55,6 +55,8 @@
         Whole events of a stream that arrived.
     longest_gap_ms : int
         Longest pause between two of them.
+    foreign : int
+        Answers that the endpoint sent and that belong to other requests, or may.
     parts : tuple of str
         Fingerprints of the prompt's parts that other requests may share, if the
         answer broke off.
@@ -89,6 +91,7 @@
     speed_factor: float = 1.0
     parts: tuple[str, ...] = ()
     cold: int = 0
+    foreign: int = 0
 
 
 class PeerAttemptEnded(Decision, frozen=True, tag="peer_attempt", kw_only=True):
@@ -106,6 +109,8 @@
         Whether all links are presumed lost.
     digest_age_ms : int
         Age of what is known of the other instance.
+    foreign : int
+        See `AttemptEnded`.
     outcome : str
         What the other instance said itself; empty if an endpoint answered.
     """
@@ -125,6 +130,7 @@
     outcome: str
     detail: str = ""
     status: int = 0
+    foreign: int = 0
 
 
 class RequestEnded(Decision, frozen=True, tag="request", kw_only=True):
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -682,6 +682,7 @@
                 result=result.value,
                 detail=attempt.detail,
                 status=attempt.status,
+                foreign=attempt.foreign_count,
                 events=attempt.event_count,
                 barred=self._barred_count(),
                 longest_gap_ms=attempt.longest_gap_ms,
@@ -717,6 +718,7 @@
                 outcome=outcome.value.decode() if outcome is not None else "",
                 detail=attempt.detail,
                 status=attempt.status,
+                foreign=attempt.foreign_count,
             )
         )
 
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -60,6 +60,8 @@
         its request, and nothing was received that belongs to no request.
     idle_timeout_ms : int or None
         How long the server keeps the connection idle, by its ``Keep-Alive``.
+    foreign_count : int
+        Answers in the current or last exchange that belong to other requests, or may.
     last_used_ms : int
         Monotonic time at which the last exchange ended or the connection opened.
     reading_since_ms : int or None
@@ -84,6 +86,7 @@
         self.is_open = False
         self.is_reusable = False
         self.idle_timeout_ms: int | None = None
+        self.foreign_count = 0
         self.last_used_ms = clock.now_ms()
         self.reading_since_ms: int | None = self.last_used_ms
 
@@ -126,6 +129,7 @@
         self._expected_id = expected_id
         self._is_head_request = is_head
         self._sent_count += 1
+        self.foreign_count = 0
         self._overhead_bytes = 0
         self.is_reusable = False
         self._transport.write(data)
@@ -230,6 +234,8 @@
         if owner is not _Owner.CURRENT:
             # Another copy of it could not be told from the next request's answer.
             self._may_get_foreign_answer = True
+        if owner in (_Owner.OTHER, _Owner.UNKNOWN):
+            self.foreign_count += 1
         if owner is _Owner.OTHER:
             self._is_skipping_message = True
             return
--- a/testing/ingress/test_repeated_refusals.py
+++ b/testing/ingress/test_repeated_refusals.py
@@ -94,6 +94,17 @@
         answer = await self.play(refusal(""), kind="safe", max_attempts=2)
         self.assertEqual((answer.status, answer.body), (200, b"answer"))
 
+    async def test_copies_are_counted_by_service_and_endpoint(self):
+        for copy in (refusal(""), refusal(f"{ID}{{earlier}}\r\n")):
+            with self.subTest(copy):
+                await self.play(copy)
+                lines = self.site.log_events("attempt")
+                self.assertEqual([line["foreign"] for line in lines], [0, 1])
+                metrics = self.site.service.parts.counters.render()
+                self.assertIn(
+                    b'monsoonpulley_foreign_answers_total{service="svc"} 1.0', metrics
+                )
+
     async def test_a_refusal_without_an_id_holds_on_a_new_connection(self):
         """Guards against a 502 for what an endpoint without ids turns away."""
 
