Check that repeated refusals and look-ups reach no other call of the gateway

The tests of stray answers covered successes; now also refusals with 429 of services and engines, and look-ups. No fault found.

--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import functools
 import unittest
 
 from _monsoonpulley.clock import Clock
@@ -399,22 +400,24 @@
         """
         head = HEAD.replace(b"\r\n\r\n", b"\r\ncontent-length: %d\r\n\r\n")
         stopped = b'{"outcome":"stopped"}'
-        late = b'{"outcome":"not_started"}'
+        other = stream_body(("late",))
+        late = answer(b'{"outcome":"not_started"}') + head % len(other) + other
+        refusal = answer(b"", "429 Too Many Requests")
 
-        async def answer_twice(reader, writer):
+        async def answer_twice(stray, reader, writer):
             while (request := await read_request(reader)) is not None:
-                own, other = stream_body(("own",)), stream_body(("late",))
+                own = stream_body(("own",))
                 if request[0].startswith(b"POST /cancel"):
                     writer.write(answer(stopped))
                 else:
                     writer.write(head % len(own) + own)
                 await writer.drain()
                 await asyncio.sleep(0.01)
-                writer.write(answer(late) + head % len(other) + other)
+                writer.write(stray)
 
-        async def main():
+        async def main(stray):
             async with (
-                raw_server(answer_twice) as port,
+                raw_server(functools.partial(answer_twice, stray)) as port,
                 client("openai", port) as engine_client,
             ):
                 texts, outcomes = [], []
@@ -426,9 +429,10 @@
                     await asyncio.sleep(0.03)
                 return texts, outcomes
 
-        texts, outcomes = asyncio.run(main())
-        self.assertEqual(texts, ["own"] * 3)
-        self.assertEqual(outcomes, [CancelOutcome.STOPPED] * 3)
+        for stray in (late, refusal):
+            texts, outcomes = asyncio.run(main(stray))
+            self.assertEqual(texts, ["own"] * 3)
+            self.assertEqual(outcomes, [CancelOutcome.STOPPED] * 3)
 
 
 class MalformedControlTest(unittest.TestCase):
--- a/testing/endpoints/test_http_service.py
+++ b/testing/endpoints/test_http_service.py
@@ -1,5 +1,7 @@
 import asyncio
 import contextlib
+import functools
+import itertools
 import socket
 import unittest
 
@@ -207,16 +209,16 @@
         `endpoints.http_transport.HttpSessions.unpooled` closes each connection.
         """
 
-        async def answer_twice(reader, writer):
+        async def answer_twice(late, reader, writer):
             while (request := await read_request(reader)) is not None:
                 writer.write(answer(request[1]))
                 await writer.drain()
                 await asyncio.sleep(0.01)
-                writer.write(answer(b"late"))
+                writer.write(late)
 
-        async def main(once):
+        async def main(late, once):
             async with (
-                raw_server(answer_twice) as port,
+                raw_server(functools.partial(answer_twice, late)) as port,
                 client("http", port) as service_client,
             ):
                 bodies = []
@@ -226,8 +228,31 @@
                     await asyncio.sleep(0.03)
                 return bodies
 
-        for once in (True, False):
-            self.assertEqual(asyncio.run(main(once)), [b"1", b"2", b"3"])
+        refusal = answer(b"", "429 Too Many Requests")
+        for late, once in itertools.product((answer(b"late"), refusal), (True, False)):
+            self.assertEqual(asyncio.run(main(late, once)), [b"1", b"2", b"3"])
+
+    def test_a_stray_lookup_does_not_say_that_the_next_request_has_not_run(self):
+        """Guards against an earlier outcome, taken for that of another request."""
+
+        async def answer_twice(reader, writer):
+            while await read_request(reader) is not None:
+                writer.write(answer(b'{"execution":"running"}'))
+                await writer.drain()
+                await asyncio.sleep(0.01)
+                writer.write(answer(b'{"execution":"not_run"}'))
+
+        async def main():
+            async with (
+                raw_server(answer_twice) as port,
+                client("http", port, has_lookup=True) as service_client,
+            ):
+                for name in ("r1", "r2", "r3"):
+                    lookup = await service_client.lookup(name)
+                    self.assertIs(lookup.execution, Execution.RUNNING)
+                    await asyncio.sleep(0.03)
+
+        asyncio.run(main())
 
 
 class HeadersTest(unittest.TestCase):
