--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -22,6 +22,10 @@
 MAX_COPY_DELAY_S = 0.2
 """Longest delay of a second copy; the connection is presumably in use again by then."""
 
+UNNAMED_REFUSAL = (
+    b"HTTP/1.1 503 Status\r\nMonsoonpulley-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
 MEDIAN_SERVICE_MS = 30
 """Median service time of a call that isn't a stream."""
 
@@ -44,7 +48,8 @@
     HANGING = "hanging"
     """Runs requests and doesn't answer."""
     REPEATING = "repeating"
-    """Sends a second copy of an answer a while after it, on the same connection."""
+    """Sends a second copy of an answer a while after it, on the same connection, or a
+    refusal without an id."""
 
 
 class Endpoint:
@@ -93,6 +98,7 @@
         self.max_running: int | None = None
         self.refusals_per_s: float | None = None
         self._running_count = 0
+        self._copy_count = 0
         self._refused_ms: deque[int] = deque()
         self.on_fall: Callable[[str], None] = lambda name: None
         self.on_crash: Callable[[str, str], None] = lambda name, cause: None
@@ -231,7 +237,9 @@
         data = self._write(writer, run, request_id, 200, body)
         if self.behaviour is Behaviour.REPEATING:
             later_s = self._rng.uniform(0.001, MAX_COPY_DELAY_S)
-            asyncio.get_running_loop().call_later(later_s, writer.write, data)
+            self._copy_count += 1
+            copy = UNNAMED_REFUSAL if self._copy_count % 2 else data
+            asyncio.get_running_loop().call_later(later_s, writer.write, copy)
         await writer.drain()
 
     def _write(
