--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum
 
 import httptools
 
@@ -23,9 +24,23 @@
 and answers that are skipped. Over thirty times the largest head that callers may send;
 a faulty server can send them without end."""
 
+MAX_REFUSED_IDS = 256
+"""Requests that a server may refuse on a connection before it is replaced: their ids
+take some 20 KB, and one request in so many waits for a new connection."""
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
+class _Owner(Enum):
+    """The request that an answer belongs to."""
+
+    CURRENT = "current"
+    OTHER = "other"
+    PRESUMED = "presumed"
+    """The current one: there was no other, but the answer has no id."""
+    UNKNOWN = "unknown"
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection to a server that carries one exchange at a time.
 
@@ -45,6 +60,8 @@
         its request, and nothing was received that belongs to no request.
     idle_timeout_ms : int or None
         How long the server keeps the connection idle, by its ``Keep-Alive``.
+    foreign_count : int
+        Answers in the current or last exchange that belong to other requests, or may.
     last_used_ms : int
         Monotonic time at which the last exchange ended or the connection opened.
     reading_since_ms : int or None
@@ -63,10 +80,13 @@
         self._is_skipping_message = False
         self._ends_at_close = False
         self._may_get_foreign_answer = False
+        self._sent_count = 0
+        self._refused_ids: set[bytes] = set()
         self._overhead_bytes = 0
         self.is_open = False
         self.is_reusable = False
         self.idle_timeout_ms: int | None = None
+        self.foreign_count = 0
         self.last_used_ms = clock.now_ms()
         self.reading_since_ms: int | None = self.last_used_ms
 
@@ -98,7 +118,8 @@
         expected_id : tuple of bytes or None
             Lower-case name and value of the header that ties an answer to this
             request; complete answers with another value are skipped. An answer
-            without it is taken for this request's, and is the connection's last.
+            without it is the connection's last, and is in doubt unless it is also
+            the first one; so is one with several values, of which one is this.
         is_head : bool
             Whether the method is ``HEAD``: the answer then has no body, whatever
             its headers say.
@@ -107,10 +128,22 @@
         self._mailbox = mailbox
         self._expected_id = expected_id
         self._is_head_request = is_head
+        self._sent_count += 1
+        self.foreign_count = 0
         self._overhead_bytes = 0
         self.is_reusable = False
         self._transport.write(data)
 
+    def record_refusal(self) -> None:
+        """Record that the answer says that the server refused the request."""
+        if self._expected_id is not None:
+            self._refused_ids.add(self._expected_id[1])
+
+    def may_carry(self, request_id: bytes) -> bool:
+        """Return whether no earlier refusal could be taken for that of a request."""
+        is_full = len(self._refused_ids) >= MAX_REFUSED_IDS
+        return not is_full and request_id not in self._refused_ids
+
     def pause_reading(self) -> None:
         """Pause reading the answer."""
         if self._transport is not None and self.is_open:
@@ -193,21 +226,25 @@
     def on_headers_complete(self) -> None:
         """Put the head into the mailbox unless it answers another request."""
         status = self._parser.get_status_code()
-        fields = {name.lower(): value for name, value in self._headers}
+        fields = {name.lower(): value.strip() for name, value in self._headers}
         if status < 200:
             self._is_skipping_message = True
             return
-        if self._is_foreign(fields):
-            self._is_skipping_message = self._may_get_foreign_answer = True
-            return
-        if self._is_unnamed(fields):
-            # A second copy of it could not be told from the next request's answer.
+        owner = self._find_owner()
+        if owner is not _Owner.CURRENT:
+            # Another copy of it could not be told from the next request's answer.
             self._may_get_foreign_answer = True
+        if owner in (_Owner.OTHER, _Owner.UNKNOWN):
+            self.foreign_count += 1
+        if owner is _Owner.OTHER:
+            self._is_skipping_message = True
+            return
         self.idle_timeout_ms = _idle_timeout_ms(fields.get(b"keep-alive"))
         has_length = b"content-length" in fields or b"transfer-encoding" in fields
         has_no_body = self._is_head_request or status in NO_BODY_STATUSES
         self._ends_at_close = not has_length and not has_no_body
-        self._put(AnswerHead(status, self._headers, fields))
+        is_in_doubt = owner is _Owner.UNKNOWN
+        self._put(AnswerHead(status, self._headers, fields, is_in_doubt))
         if self._is_head_request:
             self._finish()
             self.abort()
@@ -233,14 +270,19 @@
         )
         self._finish()
 
-    def _is_foreign(self, fields: dict[bytes, bytes]) -> bool:
+    def _find_owner(self) -> _Owner:
+        """Return the request that an answer belongs to, by the ids in its head."""
         if self._expected_id is None:
-            return False
+            return _Owner.CURRENT
         name, value = self._expected_id
-        return fields.get(name, value) != value
-
-    def _is_unnamed(self, fields: dict[bytes, bytes]) -> bool:
-        return self._expected_id is not None and self._expected_id[0] not in fields
+        ids = {v.strip() for n, v in self._headers if n.lower() == name}
+        if ids == {value}:
+            return _Owner.CURRENT
+        if ids:
+            return _Owner.UNKNOWN if value in ids else _Owner.OTHER
+        # Later it may be an earlier answer, sent again without its id.
+        is_first = self._sent_count == 1 and not self._may_get_foreign_answer
+        return _Owner.PRESUMED if is_first else _Owner.UNKNOWN
 
     def _finish(self, *, is_framed: bool = True) -> None:
         self._ends_at_close = False
