Let the soak's callers use connections again after long streams

The soak stops instances, but its streams last 0.5 s: none outlasts the listening phase, so that no connection was used again late in a stop, and a stream that was broken off has a status and was not looked at.

One more caller of each instance asks for streams of 4 s, one right after the other. A new promise: what is sent later than 3 s after SIGTERM is answered whole or not begun. Timeouts of routes now depend on the kind.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -8,17 +8,20 @@
 from ..ingress.site import read_answer, request
 from .instances import CALLERS_PORT
 from .records import Call
-from .world import CUSTOMERS, LIMITED_KEY, OPEN_KEY, World
+from .world import CUSTOMERS, LIMITED_KEY, OPEN_KEY, World, route_timeout_ms
 
 CONNECTIONS_PER_INSTANCE = 5
-"""Callers of each instance, with one connection each."""
+REPORTS_PER_INSTANCE = 1
+"""Callers of each instance, with one connection each, and others that ask for long
+streams alone."""
 
 MEAN_PAUSE_S = 0.12
 """Mean time between an answer and the next request of a connection."""
 
-DEADLINE_MS = 3_000
-CALLER_TIMEOUT_S = 4.0
-"""Time until a caller disconnects; longer than its deadline and the route's timeout."""
+DEADLINE_MARGIN_MS = 500
+CALLER_MARGIN_MS = 1_500
+"""Times from the timeout of a request's route to its caller's deadline, and until the
+caller disconnects."""
 
 KINDS = {"app": 5, "order": 5, "stream": 2, "other": 2, "feature": 2, "local": 2}
 """Kinds of requests and their relative frequency."""
@@ -75,7 +78,7 @@
             return None
         self._connection = (reader, writer)
         call, data = self._build_request(kind, feature, cause)
-        timeout_s = CALLER_TIMEOUT_S
+        timeout_s = (route_timeout_ms(kind) + CALLER_MARGIN_MS) / 1000
         if self._rng.random() < DISCONNECT_SHARE:
             timeout_s = self._rng.uniform(0.005, 0.3)
             call.has_left = True
@@ -89,6 +92,13 @@
         call.ended_ms = self._world.clock.now_ms()
         return call
 
+    async def run_reports(self) -> None:
+        """Ask for one long stream right after the other until cancelled."""
+        while True:
+            call = await self.call("report")
+            if call is None or call.status != 200:
+                await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_S))
+
     def close(self) -> None:
         """Close the connection."""
         self._disconnect()
@@ -108,7 +118,7 @@
     def _build_request(self, kind: str, feature: int, cause: str) -> tuple[Call, bytes]:
         self._number += 1
         key = LIMITED_KEY if self._rng.random() < LIMITED_SHARE else OPEN_KEY
-        key = OPEN_KEY if cause else key
+        key = OPEN_KEY if cause or kind == "report" else key
         path = f"/{kind}/x"
         if kind == "feature":
             feature = feature or self._rng.randint(1, len(self._world.records.versions))
@@ -142,7 +152,7 @@
             path=path,
             key=key,
             body=call.body,
-            deadline_ms=DEADLINE_MS,
+            deadline_ms=route_timeout_ms(kind) + DEADLINE_MARGIN_MS,
             extra=f"Monsoonpulley-Prompt-Prefix: {listed}\r\n",
         )
 
--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -19,6 +19,9 @@
 EVENT_GAP_MS = 40
 """Time between two events of a stream."""
 
+REPORT_GAP_MS = 330
+"""The same in a report; it outlasts the time in which a stop begins any request."""
+
 MAX_COPY_DELAY_S = 0.2
 """Longest delay of a second copy; the connection is presumably in use again by then."""
 
@@ -202,7 +205,10 @@
             self.on_crash(self.name, call.cause)
             return
         if "/stream/" in request_line:
-            await self._stream(writer, run, request_id, fields)
+            await self._stream(writer, run, request_id, fields, EVENT_GAP_MS)
+            return
+        if "/report/" in request_line:
+            await self._stream(writer, run, request_id, fields, REPORT_GAP_MS)
             return
         await self._call(writer, run, request_id)
 
@@ -288,6 +294,7 @@
         run: Run,
         request_id: str,
         fields: dict[str, str],
+        gap_ms: int,
     ) -> None:
         run.status = 200
         run.seal = f"{self.name}-{self._rng.getrandbits(32):08x}"
@@ -306,7 +313,7 @@
                 reset(writer.transport)
                 return
             slow_factor = 5 if self.behaviour is Behaviour.SLOW else 1
-            await asyncio.sleep(EVENT_GAP_MS * slow_factor / 1000)
+            await asyncio.sleep(gap_ms * slow_factor / 1000)
             event = b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -16,6 +16,7 @@
     ENDPOINTS,
     LOCAL_ZONE,
     ROUTE_TIMEOUT_MS,
+    route_timeout_ms,
     zone_of,
 )
 
@@ -23,6 +24,11 @@
 
 CHECKS: dict[str, Check] = {}
 
+STREAM_KINDS = frozenset(("stream", "report"))
+
+LATE_IN_STOP_MS = 3_000
+"""Time after SIGTERM from which a request is answered whole or refused."""
+
 REFUSALS = frozenset((408, 421, 429, 503))
 """Statuses which promise that the request has not run and never will."""
 
@@ -138,7 +144,7 @@
             continue
         if not call.seal:
             yield f"{call.id} got a 200 without a response seal"
-        elif call.kind == "stream":
+        elif call.kind in STREAM_KINDS:
             if call.seal not in [run.seal for run in call.runs]:
                 yield f"{call.id} got the seal {call.seal!r}, which no run has"
         elif not any(
@@ -151,7 +157,7 @@
 def streams_in_order(records: Records) -> Iterator[str]:
     """Check that events come in order, once each, and complete streams have all."""
     for call in records.calls.values():
-        if call.kind != "stream" or call.status != 200:
+        if call.kind not in STREAM_KINDS or call.status != 200:
             continue
         if call.events != list(range(1, len(call.events) + 1)):
             yield f"{call.id} got the events {call.events}"
@@ -367,12 +373,13 @@
             continue
         elapsed_ms = call.ended_ms - call.sent_ms
         since_ms = call.sent_ms - STABLE_MS
-        if elapsed_ms <= ROUTE_TIMEOUT_MS or not records.is_undisturbed(
+        timeout_ms = route_timeout_ms(call.kind)
+        if elapsed_ms <= timeout_ms or not records.is_undisturbed(
             (call.instance,), since_ms, call.ended_ms
         ):
             continue
         long += 1
-        if elapsed_ms > ROUTE_TIMEOUT_MS + ANSWER_MARGIN_MS:
+        if elapsed_ms > timeout_ms + ANSWER_MARGIN_MS:
             late.append(call.id)
     if len(late) > max(MAX_LATE, MAX_LATE_SHARE * long):
         yield f"{len(late)} of {long} had no answer at their timeout: {late[:5]}"
@@ -385,7 +392,7 @@
     for call in records.calls.values():
         if call.status is not None or call.ended_ms is None or not call.runs:
             continue
-        left_early = call.ended_ms - call.sent_ms < ROUTE_TIMEOUT_MS
+        left_early = call.ended_ms - call.sent_ms < route_timeout_ms(call.kind)
         targets = (call.instance, *(run.endpoint for run in call.runs))
         since_ms = call.sent_ms - STABLE_MS
         if not call.has_left and left_early:
@@ -403,7 +410,7 @@
         if call.status is not None or call.has_left or not _executed_runs(call):
             continue
         ended_ms = call.ended_ms or call.sent_ms
-        if ended_ms - call.sent_ms >= ROUTE_TIMEOUT_MS:
+        if ended_ms - call.sent_ms >= route_timeout_ms(call.kind):
             continue
         is_within = any(
             stop.what == call.instance
@@ -420,6 +427,27 @@
             yield f"{call.id} ran but was not answered while {call.instance} stopped"
 
 
+@check
+def late_requests_whole_or_refused(records: Records) -> Iterator[str]:
+    """Check that a stopping instance begins late only what it can complete."""
+    stops = [each for each in records.disturbances if each.kind == "stop"]
+    others = Records(disturbances=[d for d in records.disturbances if d.kind != "stop"])
+    for call in records.calls.values():
+        if call.is_whole or call.has_left or not _executed_runs(call):
+            continue
+        ended_ms = call.ended_ms or call.sent_ms
+        is_late = any(
+            stop.what == call.instance
+            and stop.from_ms + LATE_IN_STOP_MS < call.sent_ms <= (stop.until_ms or 0)
+            for stop in stops
+        )
+        targets = (call.instance, *(run.endpoint for run in call.runs))
+        has_time = ended_ms - call.sent_ms < route_timeout_ms(call.kind)
+        if is_late and has_time:
+            if others.is_undisturbed(targets, call.sent_ms - STABLE_MS, ended_ms):
+                yield f"{call.id} was begun late in a stop and cut off"
+
+
 @check
 def leaving_endpoints_get_nothing(records: Records) -> Iterator[str]:
     """Check that an instance that is told so sends an endpoint that leaves nothing."""
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .callers import CONNECTIONS_PER_INSTANCE, Caller
+from .callers import CONNECTIONS_PER_INSTANCE, REPORTS_PER_INSTANCE, Caller
 from .faults import FAULTS, schedule
 from .promises import RECOVERY_TIMEOUT_MS, STABLE_MS, find_violations
 from .records import Records
@@ -70,7 +70,13 @@
             for name in world.instances
             for number in range(CONNECTIONS_PER_INSTANCE)
         ]
+        reporters = [
+            Caller(world, f"{name}-r{number}", name, random.Random(rng.random()))
+            for name in world.instances
+            for number in range(REPORTS_PER_INSTANCE)
+        ]
         caller_tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        caller_tasks += [asyncio.create_task(r.run_reports()) for r in reporters]
         await asyncio.sleep(WARM_UP_S)
         await _play_faults(world, faults)
         await world.heal()
@@ -82,7 +88,7 @@
         for result in results:
             if isinstance(result, Exception):
                 raise result
-        for caller in callers:
+        for caller in (*callers, *reporters):
             caller.close()
     finally:
         await world.stop()
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -251,6 +251,12 @@
         seen.disturbances.append(stop)
         self.assert_violates("stopping_instances_answer", seen)
 
+    def test_late_requests_whole_or_refused(self):
+        seen = make_records(make_call(kind="report", events=[1], is_whole=False))
+        stop = Disturbance("instance-1", "stop", SENT_MS - 3_001, SENT_MS + 3_000)
+        seen.disturbances.append(stop)
+        self.assert_violates("late_requests_whole_or_refused", seen)
+
     def test_leaving_endpoints_get_nothing(self):
         told = Statement(
             StatementKind.LEAVING, "endpoint-1", "instance-1", SENT_MS - 3_100, 1
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -27,6 +27,9 @@
 ENDPOINTS = {"app": 5, "other": 2}
 ENDPOINT_PORT = 9_000
 ROUTE_TIMEOUT_MS = 2_500
+REPORT_TIMEOUT_MS = 7_000
+"""Longer than a report, which is a long stream, and than the grace period."""
+
 START_TIMEOUT_S = 10
 """Longest time until all instances are ready for the first time."""
 
@@ -375,10 +378,15 @@
     return ZONES[sum(endpoint.encode()) % len(ZONES)]
 
 
+def route_timeout_ms(kind: str) -> int:
+    """Return the timeout of the route for a kind of requests."""
+    return REPORT_TIMEOUT_MS if kind == "report" else ROUTE_TIMEOUT_MS
+
+
 def configuration_document(number: int, rate_per_s: float) -> dict:
     """Return a configuration; it has one route more than the one before it."""
     kinds = {"app": "safe", "order": "unsafe", "stream": "streaming", "other": "safe"}
-    kinds["local"] = "safe"
+    kinds |= {"local": "safe", "report": "streaming"}
     kinds |= {f"feature-{feature}": "safe" for feature in range(1, number + 1)}
     routes = [
         {
@@ -386,7 +394,7 @@
             "host": HOST,
             "prefix": f"/{name}/",
             "kind": kind,
-            "timeout_ms": ROUTE_TIMEOUT_MS,
+            "timeout_ms": route_timeout_ms(name),
             "target_latency_ms": 300,
             "target_gap_ms": 500,
             "priority": 1,
