Show by tests how a begun stream takes in what isn't its continuation

Other operators saw streams that broke off with an error's text or head in their middle, or ended as if complete. No logic is changed.

--- a/testing/endpoints/test_engine_stream.py
+++ b/testing/endpoints/test_engine_stream.py
@@ -58,3 +58,13 @@
         items = [item for event in GOOD for item in decoder.feed(event)]
         self.assertEqual(items[0], Token("r1.1", 0, "a"))
         self.assertEqual(items[1:], [Finished("r1.1", "stop", 4, 1)])
+
+    def test_a_finish_reason_of_a_failure_completes_no_answer(self):
+        for reason in (b"error", b"abort"):
+            last = b'{"choices":[{"delta":{"content":"out of memory"},'
+            last += b'"finish_reason":"%b"}]}' % reason
+            decoder = EngineStreamDecoder(engine_call(), "e1")
+            events = (*GOOD[:2], last, DONE)
+            token, *end = [item for each in events for item in decoder.feed(each)]
+            self.assertEqual(token.text, "a")
+            self.assertEqual([type(item) for item in end], [Failure])
--- a/testing/gateway/test_openai_client.py
+++ b/testing/gateway/test_openai_client.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import openai
 
 from _monsoonpulley.demo.deployment import BENCH_CREDENTIAL, DemoDeployment
+from _monsoonpulley.requests import generation
 
 
 class OpenAIClientTest(unittest.IsolatedAsyncioTestCase):
@@ -76,6 +78,19 @@
         with self.assertRaises(openai.AuthenticationError):
             await self.make_client("wrong").models.list()
 
+    async def test_a_stream_that_no_engine_continues_ends_with_an_error(self):
+        stream = await self.client.chat.completions.create(
+            model="condition-report", messages=_messages(), max_tokens=4000, stream=True
+        )
+        chunks = aiter(stream)
+        await anext(chunks)
+        with mock.patch.object(generation, "MAX_ENGINE_WAIT_MS", 0):
+            for engine in self.deployment.standins.engines.values():
+                engine.crash()
+            with self.assertRaises(openai.APIError):
+                async for chunk in chunks:
+                    self.assertIsNone(chunk.choices[0].finish_reason)
+
     async def test_a_caller_that_disconnects_frees_its_engine(self):
         stream = await self.client.chat.completions.create(
             model="condition-report", messages=_messages(), max_tokens=4000, stream=True
--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -5,6 +5,10 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
+
+from _monsoonpulley.ingress import requestrun
+from _monsoonpulley.placing.placer import PlacementRefusal, Placer
 
 from .linked import LinkedFleet, Loss
 from .site import read_answer, request
@@ -255,6 +259,58 @@
         ]
         self.assertEqual((got.is_whole, numbers), (True, list(range(1, 9))))
 
+    async def play_lost_helper(self, instance_count, script):
+        """Return the answer to a stream whose first helper ends after an event."""
+
+        async def begin(call) -> None:
+            call.start_stream()
+            call.write_event(1)
+            await asyncio.sleep(10)
+
+        self.has_lost_helper = False
+        changes = {"kind": "streaming", "resume_streams": True}
+        await self.start(instance_count, max_attempts=instance_count, **changes)
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = begin
+        reader, writer = await self.cut.connect()
+        writer.write(request("s1"))
+        await self.cut.wait_until(self.calls)
+        await asyncio.sleep(0.1)
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = script
+        self.has_lost_helper = True
+        for site in self.others:
+            for connection in list(site.service.peer_server._connections):
+                connection.abort()
+        got = await asyncio.wait_for(read_answer(reader), 5)
+        writer.close()
+        return got.body, got.is_whole
+
+    async def test_a_plain_success_of_a_helper_does_not_end_up_within_a_stream(self):
+        got = await self.play_lost_helper(3, answer)
+        self.assertEqual(got, (b"id: 1\ndata: piece 1\n\n", False))
+
+    async def test_a_begun_stream_goes_on_at_another_helper_if_one_refuses(self):
+        refusals = [PlacementRefusal("overload", 500)]
+
+        async def go_on(call) -> None:
+            call.start_stream()
+            call.write_event(2)
+            call.write_chunk(b"")
+
+        def choose(placer, *args):
+            if self.has_lost_helper and refusals:
+                return refusals.pop()
+            return original(placer, *args)
+
+        original = Placer.choose
+        self.enterContext(mock.patch.object(Placer, "choose", choose))
+        with mock.patch.object(requestrun, "MAX_HELPERS", 3):
+            got = await self.play_lost_helper(4, go_on)
+        pieces = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2))
+        self.assertEqual((got, refusals), ((pieces, True), []))
+
 
 class TestCharges(PeersTest):
     TENANTS = (
