Let only a stream continue a stream that has begun

Callers saw a second head and a JSON body within a chunked stream, and with status 204 or 206 a stream that ended as complete before its last event.

Cause: AnswerTransfer decided by the new answer alone. A sealed success without events is forwarded whole, and Exchange wrote its head although there was one.

Change: once the exchange has started, a success that is no event stream or has another status than the head that the caller has is rejected when its head arrives, like a broken answer: the run goes on elsewhere if attempts and budget allow, else the connection is aborted. The attempt's detail names the status. Exchange raises if a second head is written, so that any other path aborts instead.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -192,11 +192,19 @@
             return self._reject_answer(
                 "a success without its signature, id or plain body"
             )
+        if self._state.exchange.has_started and not self._continues_answer(head):
+            return self._reject_answer(
+                f"status {head.status}, not the stream that was begun"
+            )
         if self._state.is_stream and is_event_stream(head):
             self._splitter = EventSplitter()
             self._state.exchange.set_upstream(connection)
         return None
 
+    def _continues_answer(self, head: AnswerHead) -> bool:
+        """Return whether a success may follow in the stream that was begun."""
+        return is_event_stream(head) and head.status == self._state.exchange.status
+
     def _handle_data(self, data: bytes) -> Result | None:
         if self._splitter is not None:
             for event in self._splitter.feed(data):
--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -63,6 +63,8 @@
         Receives `CallerDisconnected`, and events that the handler lets others put.
     has_started : bool
         Whether the head of an answer was written.
+    status : int
+        Status in that head; 0 before.
     is_over : bool
         Whether the answer is complete or aborted.
     stays_open : bool
@@ -76,6 +78,7 @@
         "is_over",
         "mailbox",
         "request",
+        "status",
         "stays_open",
     )
 
@@ -83,6 +86,7 @@
         self.request = request
         self.mailbox = Mailbox()
         self.has_started = False
+        self.status = 0
         self.is_over = False
         self.stays_open = False
         self._chunked = True
@@ -98,8 +102,17 @@
     def start(
         self, status: int, headers: HeaderList, *, length: int | None = None
     ) -> None:
-        """Write the head of an answer; without ``length`` the body is chunked."""
+        """Write the head of an answer; without ``length`` the body is chunked.
+
+        Raises
+        ------
+        RuntimeError
+            If a head was written before.
+        """
+        if self.has_started:
+            raise RuntimeError("the answer has a head already")
         self.has_started = True
+        self.status = status
         self._chunked = length is None
         lines = [b"HTTP/1.1 %d %s" % (status, _reason_phrase(status))]
         lines += [b"%s: %s" % header for header in headers]
