Reject an event without a place where a stream goes on elsewhere

Callers found an error's event of the next endpoint in the middle of their stream, which then ended as complete.

Cause: events without an id were forwarded from any endpoint, and an id that is no number counted as later than any number.

Change: StreamPosition holds the caller's position and decides what may follow. Until the next endpoint has sent an event with a later id, one with data but without an id, or with an id that is no number after a number, rejects its stream: the run goes on elsewhere or the connection is aborted. Comments pass. Within one endpoint's stream nothing changes.

Measured: before, test_an_error_event_without_a_place_is_not_forwarded got "id: error\ndata: no such run" behind event 2 and a complete end.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -20,7 +20,7 @@
     Event,
     TimerExpired,
 )
-from .eventsplitter import EventSplitter, StreamEvent, is_after
+from .eventsplitter import EventSplitter, StreamEvent
 from .requestlog import Result
 from .requeststate import RequestState
 from .stallwatch import STALL_TIMER
@@ -75,6 +75,8 @@
         self._body_bytes = 0
         self._held_bytes = 0
         self._splitter: EventSplitter | None = None
+        # Whether the next event has to follow on those of another endpoint.
+        self._is_joining = False
         self.event_count = 0
         self.longest_gap_ms = 0
         self._last_event_ms = 0
@@ -198,6 +200,7 @@
             )
         if self._state.is_stream and is_event_stream(head):
             self._splitter = EventSplitter()
+            self._is_joining = self._state.exchange.has_started
             self._state.exchange.set_upstream(connection)
         return None
 
@@ -208,6 +211,8 @@
     def _handle_data(self, data: bytes) -> Result | None:
         if self._splitter is not None:
             for event in self._splitter.feed(data):
+                if self._is_joining and not self._state.position.is_continued_by(event):
+                    return self._reject_answer("an event does not continue the stream")
                 self._forward_event(event)
             if self._splitter.is_too_large:
                 return self._reject_answer("an event is too large")
@@ -274,10 +279,11 @@
 
     def _forward_event(self, event: StreamEvent) -> None:
         state = self._state
+        if state.position.is_behind(event):
+            return
+        state.position.advance(event)
         if event.id is not None:
-            if not is_after(event.id, state.last_event_id):
-                return
-            state.last_event_id = event.id
+            self._is_joining = False
         self.event_count += 1
         if event.has_data:
             self._on_progress()
--- a/src/_monsoonpulley/ingress/attempt.py
+++ b/src/_monsoonpulley/ingress/attempt.py
@@ -174,7 +174,7 @@
             customer_id=state.customer_id,
             remaining_ms=state.remaining_ms(),
             rank=state.rank,
-            last_event_id=state.last_event_id,
+            last_event_id=state.position.last_id,
         )
         state.send_count += 1
         self.was_sent = True
--- a/src/_monsoonpulley/ingress/peerattempt.py
+++ b/src/_monsoonpulley/ingress/peerattempt.py
@@ -84,7 +84,7 @@
             request,
             remaining_ms=state.remaining_ms(),
             send_count=state.send_count,
-            last_event_id=state.last_event_id,
+            last_event_id=state.position.last_id,
         )
         state.send_count += 1
         self.was_sent = True
--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -14,6 +14,7 @@
 from ..quarantine.evidence import Entry, PartEvidence, Suspect
 from ..wire.serverconnection import Exchange
 from .parts import IngressParts
+from .streamposition import StreamPosition
 
 UNAVAILABLE_RETRY_MS = 500
 """Retry time of a request that surely did not run: its time is up, no endpoint ran
@@ -53,8 +54,8 @@
         Whether the request is counted in its customer's usage.
     first_byte_ms : int or None
         Time from the arrival of the request to the first byte of its answer.
-    last_event_id : bytes or None
-        Id of the last stream event that was forwarded to the caller.
+    position : StreamPosition
+        How far the caller has got in a stream.
     """
 
     def __init__(
@@ -77,7 +78,7 @@
         self.is_trial = False
         self.is_usage_recorded = False
         self.first_byte_ms: int | None = None
-        self.last_event_id: bytes | None = None
+        self.position = StreamPosition()
         self.status = 0
         self.detail = ""
         self.retry_after_ms: int | None = None
