Don't complete a stream by one that ends before its caller's position

Callers got the complete end of a stream whose last events never came.

Cause: events that the caller has are skipped, and any framed end of the next endpoint's stream ended the caller's, also when none of its events followed on.

Change: if the next endpoint has sent events with ids, but the last one is another than the caller's last and none came after it, its end is that of another run, and the stream is rejected like a broken one.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -77,6 +77,7 @@
         self._splitter: EventSplitter | None = None
         # Whether the next event has to follow on those of another endpoint.
         self._is_joining = False
+        self._last_id: bytes | None = None
         self.event_count = 0
         self.longest_gap_ms = 0
         self._last_event_ms = 0
@@ -254,12 +255,15 @@
             self._on_start()
             self._forward_answer(head)
             return Result.ANSWERED
+        position = self._state.position
         if self._splitter.has_partial_event:
             self.broke_off = True
             return self._reject_answer("the stream ended within an event")
         if not end.is_framed and not self.event_count:
             self.broke_off = True
             return self._reject_answer("the connection ended before the first event")
+        if self._is_joining and self._last_id not in (None, position.last_id):
+            return self._reject_answer("the stream ended before the caller's position")
         if not self._state.exchange.has_started:
             self._start_stream()
         self._state.exchange.end()
@@ -279,6 +283,8 @@
 
     def _forward_event(self, event: StreamEvent) -> None:
         state = self._state
+        if event.id is not None:
+            self._last_id = event.id
         if state.position.is_behind(event):
             return
         state.position.advance(event)
