Don't resume a stream whose position is not known

Callers got the events of a stream twice: those of the first endpoint, and those of the next one from its beginning.

Cause: a stream without ids was sent again without a position, and its events followed those that the caller had.

Change: StreamPosition.is_known is false after an event with data but without an id. Such a request isn't sent again, nor moved when it stalls, until an event with an id comes.

Measured: before, test_events_without_ids_are_not_sent_twice got "data: a, data: a, data: b" and a complete end.

--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -609,7 +609,7 @@
         if self._holds_retry:
             self._holds_retry = False
             return True
-        if self.send_count >= self.route.max_attempts:
+        if self.send_count >= self.route.max_attempts or not self.position.is_known:
             return False
         if result is not Result.NOT_RUN and not self.route.is_idempotent:
             return False
--- a/src/_monsoonpulley/ingress/streamposition.py
+++ b/src/_monsoonpulley/ingress/streamposition.py
@@ -12,15 +12,22 @@
     ----------
     last_id : bytes or None
         Id of the last event that was forwarded.
+    is_known : bool
+        Whether that event is the last one with data, so that a stream that goes on
+        after it repeats nothing.
     """
 
     def __init__(self) -> None:
         self.last_id: bytes | None = None
+        self.is_known = True
 
     def advance(self, event: StreamEvent) -> None:
         """Record that an event was forwarded."""
         if event.id is not None:
             self.last_id = event.id
+            self.is_known = True
+        elif event.has_data:
+            self.is_known = False
 
     def is_behind(self, event: StreamEvent) -> bool:
         """Return whether the caller has got this event already."""
