Don't take a crash after comments for the end of a stream

Callers got a complete end of a stream whose endpoint had crashed before it sent a piece, at first or where the stream went on.

Cause: an answer without length or chunks ends with its connection. Such an end is rejected before the first event, but a comment counted as one.

Change: only events with data count there.

Measured: before, test_a_comment_before_a_crash_does_not_complete_a_stream got the comment and a complete end.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -78,6 +78,7 @@
         # Whether the next event has to follow on those of another endpoint.
         self._is_joining = False
         self._last_id: bytes | None = None
+        self._has_data = False
         self.event_count = 0
         self.longest_gap_ms = 0
         self._last_event_ms = 0
@@ -259,7 +260,7 @@
         if self._splitter.has_partial_event:
             self.broke_off = True
             return self._reject_answer("the stream ended within an event")
-        if not end.is_framed and not self.event_count:
+        if not end.is_framed and not self._has_data:
             self.broke_off = True
             return self._reject_answer("the connection ended before the first event")
         if self._is_joining and self._last_id not in (None, position.last_id):
@@ -292,6 +293,7 @@
             self._is_joining = False
         self.event_count += 1
         if event.has_data:
+            self._has_data = True
             self._on_progress()
         if self.first_byte_ms is None:
             self._record_first_byte()
