Write no end of a body behind an answer that has none

A caller that keeps its connection got "0", the end of a chunked body, behind an answer to HEAD on a route of streams, or one with status 204, where it expects the next answer's head.

Cause: Exchange.end completed any answer without a length as a chunked one, and only respond looked at the method.

Change: start decides whether there is a body, by method and status; write and end follow it.

Measured: before, test_an_answer_without_a_body_is_its_head_alone got "b'0\r\n\r\n' != b''". After, it passes; testing.ingress.test_broken_streams, test_requests, test_service, test_stop and testing.wire.test_serverconnection: 111 passed, 0 failed.

--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..clock import Clock
-from .clientconnection import ClientConnection
+from .clientconnection import NO_BODY_STATUSES, ClientConnection
 from .events import CallerDisconnected, HeaderList, Mailbox
 from .requestmessage import RequestMessage
 from .sockets import UnreadWatch, enable_keepalive
@@ -74,6 +74,7 @@
     __slots__ = (
         "_chunked",
         "_connection",
+        "_has_body",
         "has_started",
         "is_over",
         "mailbox",
@@ -89,14 +90,15 @@
         self.status = 0
         self.is_over = False
         self.stays_open = False
-        self._chunked = True
+        self._chunked = False
+        self._has_body = False
         self._connection = connection
 
     def respond(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Write a complete answer."""
         self.start(status, headers, length=len(body))
-        if body and self.request.method != b"HEAD":
-            self._connection.write(body)
+        if body:
+            self.write(body)
         self.end()
 
     def start(
@@ -113,12 +115,14 @@
             raise RuntimeError("the answer has a head already")
         self.has_started = True
         self.status = status
-        self._chunked = length is None
+        has_framing = status not in NO_BODY_STATUSES
+        self._has_body = has_framing and self.request.method != b"HEAD"
+        self._chunked = self._has_body and length is None
         lines = [b"HTTP/1.1 %d %s" % (status, _reason_phrase(status))]
         lines += [b"%s: %s" % header for header in headers]
-        if length is None:
+        if has_framing and length is None:
             lines.append(b"Transfer-Encoding: chunked")
-        elif status not in (204, 304):
+        elif has_framing:
             lines.append(b"Content-Length: %d" % length)
         self.stays_open = self._connection.stays_open_after(self.request)
         if not self.stays_open:
@@ -126,7 +130,9 @@
         self._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
 
     def write(self, data: bytes) -> None:
-        """Write a piece of the body."""
+        """Write a piece of the body, if the answer has one."""
+        if not self._has_body:
+            return
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
         self._connection.write(data)
@@ -135,7 +141,7 @@
         """Complete the answer."""
         if self.is_over:
             return
-        if self._chunked and self.has_started:
+        if self._chunked:
             self._connection.write(b"0\r\n\r\n")
         self.is_over = True
         self._connection.on_exchange_end(self)
