Let a begun stream go on at another instance if one refuses its rest

Callers of an instance without links to endpoints lost a stream in its middle when the instance that was asked for its rest refused it, though another would have served it.

Cause: a refusal of another instance is final, as it gives the caller a retry time. In a stream that has begun there is no such answer, and the connection was aborted.

Change: if the stream has begun, a refusal is repeated elsewhere like a lost answer, within attempts, budget and the bound on instances asked. A failure stays final: the other instance has used the attempts that were left.

Measured: before, test_a_begun_stream_goes_on_at_another_helper_if_one_refuses got event 1 and no end. After, it passes; testing.ingress.test_peers and test_lost_links: 28 passed, 0 failed.

--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -338,7 +338,11 @@
         is_unserved = result is Result.UNREACHABLE or (
             result is Result.NOT_RUN and attempt.outcome is PeerOutcome.NO_LINK
         )
-        if is_unserved or (result is Result.INVALID and self._may_retry(result)):
+        # A failure is final: the other instance has used the attempts that were left.
+        may_go_on = result is Result.INVALID or (
+            result is Result.NOT_RUN and self.exchange.has_started
+        )
+        if is_unserved or (may_go_on and self._may_retry(result)):
             self._charge_again()
             return
         attempt.give_final_answer(result, UNAVAILABLE_RETRY_MS)
