Treat a finish_reason of error as a failure of the engine

Callers of the gateway could get an error's text as a token and an answer that ended as complete, with finish_reason "error" and [DONE].

Cause: of the finish reasons of failures, EngineStreamDecoder knew "abort" alone, and passed on the text beside it.

Change: "abort" and "error" are failures, the second one of the engine, which breakers and roll-outs count. Text in the event of such a reason is dropped.

--- a/src/_monsoonpulley/endpoints/engine_stream.py
+++ b/src/_monsoonpulley/endpoints/engine_stream.py
@@ -12,6 +12,12 @@
 
 STEP = "engine.generate"
 
+FAILURES = {
+    "abort": (Reason.CANCELLED, "the engine gave up the request"),
+    "error": (Reason.PEER_ERROR, "the engine failed, by its finish_reason"),
+}
+"""Failures by the finish reasons that engines give to answers they did not complete."""
+
 
 class EngineStreamDecoder:
     """Decoder of one attempt's event stream, without I/O.
@@ -66,8 +72,8 @@
         """
         if not self.is_text_complete:
             return self._failure(Reason.PEER_ERROR, detail)
-        if self._finish_reason == "abort":
-            return self._failure(Reason.CANCELLED, "the engine gave up the request")
+        if self._finish_reason in FAILURES:
+            return self._failure(*FAILURES[self._finish_reason])
         return self._make_finished()
 
     def _is_of_other_attempt(self, answer_id: str) -> bool:
@@ -80,7 +86,8 @@
             detail = "only the text of one choice is supported"
             return [self._protocol_failure(detail)]
         items: list[StreamItem] = []
-        text = choice.new_text
+        # The text beside such a reason may be the error's.
+        text = "" if choice.finish_reason in FAILURES else choice.new_text
         if text and self.is_text_complete:
             return [self._protocol_failure("text came after the finish_reason")]
         if text:
