--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -77,6 +77,7 @@
         self._splitter: EventSplitter | None = None
         # Whether the next event has to follow on those of another endpoint.
         self._is_joining = False
+        # Id of the last event that arrived, forwarded or not.
         self._last_id: bytes | None = None
         self._has_data = False
         self.event_count = 0
@@ -256,11 +257,14 @@
             self._on_start()
             self._forward_answer(head)
             return Result.ANSWERED
+        return self._handle_stream_end(self._splitter, head.status)
+
+    def _handle_stream_end(self, splitter: EventSplitter, status: int) -> Result:
         position = self._state.position
-        if self._splitter.has_partial_event:
+        if splitter.has_partial_event:
             self.broke_off = True
             return self._reject_answer("the stream ended within an event")
-        if not end.is_framed and not self._has_data:
+        if self.ended_unframed and not self._has_data:
             self.broke_off = True
             return self._reject_answer("the connection ended before the first event")
         if self._is_joining and self._last_id not in (None, position.last_id):
@@ -268,7 +272,7 @@
         if not self._state.exchange.has_started:
             self._start_stream()
         self._state.exchange.end()
-        self._state.record_answer(head.status)
+        self._state.record_answer(status)
         return Result.ANSWERED
 
     def _handle_incomplete(self, event: AnswerIncomplete) -> Result:
