Don't break off a begun stream for its customer's quota

Callers lost a stream in its middle when the instance that served it for another one ended, and the customer's quota was used up by then.

Cause: a request that the other instance didn't serve is charged again. A refusal of that was answered with 429, which aborts an answer that has begun.

Change: such a refusal is ignored once the answer has begun, as the request was admitted and charged when it began.

Measured: before, test_a_begun_stream_is_not_refused_for_its_quota got event 1 and no end (21 passed, 1 failed of testing.ingress.test_peers). After, it passes, with testing.limits.test_quota and testing.ingress.test_requests.

--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -223,6 +223,9 @@
         )
         if isinstance(refusal, QuotaRefusal):
             self._quota_cost = 0.0
+            if self.exchange.has_started:
+                # Its first endpoint was charged for: the rest is no further request.
+                return True
             self.respond(
                 429, f"quota used up: {refusal.level:.0f} left", refusal.retry_after_ms
             )
--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from _monsoonpulley.ingress import requestrun
+from _monsoonpulley.limits.quota import QuotaLedger, QuotaRefusal
 from _monsoonpulley.placing.placer import PlacementRefusal, Placer
 
 from .linked import LinkedFleet, Loss
@@ -291,14 +292,31 @@
         got = await self.play_lost_helper(3, answer)
         self.assertEqual(got, (b"id: 1\ndata: piece 1\n\n", False))
 
-    async def test_a_begun_stream_goes_on_at_another_helper_if_one_refuses(self):
-        refusals = [PlacementRefusal("overload", 500)]
+    async def check_goes_on(self, instance_count):
+        """Check that a stream goes on after its first helper ended."""
 
         async def go_on(call) -> None:
             call.start_stream()
             call.write_event(2)
             call.write_chunk(b"")
 
+        got = await self.play_lost_helper(instance_count, go_on)
+        pieces = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2))
+        self.assertEqual(got, (pieces, True))
+
+    async def test_a_begun_stream_is_not_refused_for_its_quota(self):
+        def consume(ledger, *args):
+            if self.has_lost_helper and ledger is self.cut.service.parts.quotas:
+                return QuotaRefusal(500, 0.0)
+            return original(ledger, *args)
+
+        original = QuotaLedger.consume
+        self.enterContext(mock.patch.object(QuotaLedger, "consume", consume))
+        await self.check_goes_on(3)
+
+    async def test_a_begun_stream_goes_on_at_another_helper_if_one_refuses(self):
+        refusals = [PlacementRefusal("overload", 500)]
+
         def choose(placer, *args):
             if self.has_lost_helper and refusals:
                 return refusals.pop()
@@ -307,9 +325,8 @@
         original = Placer.choose
         self.enterContext(mock.patch.object(Placer, "choose", choose))
         with mock.patch.object(requestrun, "MAX_HELPERS", 3):
-            got = await self.play_lost_helper(4, go_on)
-        pieces = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2))
-        self.assertEqual((got, refusals), ((pieces, True), []))
+            await self.check_goes_on(4)
+        self.assertEqual(refusals, [])
 
 
 class TestCharges(PeersTest):
