--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -20,7 +20,7 @@
     Event,
     TimerExpired,
 )
-from .eventsplitter import EventSplitter, StreamEvent, is_after
+from .eventsplitter import EventSplitter, StreamEvent
 from .requestlog import Result
 from .requeststate import RequestState
 from .stallwatch import STALL_TIMER
@@ -77,6 +77,11 @@
         self._body_bytes = 0
         self._held_bytes = 0
         self._splitter: EventSplitter | None = None
+        # Whether the next event has to follow on those of another endpoint.
+        self._is_joining = False
+        # Id of the last event that arrived, forwarded or not.
+        self._last_id: bytes | None = None
+        self._has_data = False
         self.event_count = 0
         self.longest_gap_ms = 0
         self._last_event_ms = 0
@@ -204,14 +209,25 @@
             return self._reject_answer(
                 "a success without its signature, id or plain body"
             )
+        if self._state.exchange.has_started and not self._continues_answer(head):
+            return self._reject_answer(
+                f"status {head.status}, not the stream that was begun"
+            )
         if self._state.is_stream and is_event_stream(head):
             self._splitter = EventSplitter()
+            self._is_joining = self._state.exchange.has_started
             self._state.exchange.set_upstream(connection)
         return None
 
+    def _continues_answer(self, head: AnswerHead) -> bool:
+        """Return whether a success may follow in the stream that was begun."""
+        return is_event_stream(head) and head.status == self._state.exchange.status
+
     def _handle_data(self, data: bytes) -> Result | None:
         if self._splitter is not None:
             for event in self._splitter.feed(data):
+                if self._is_joining and not self._state.position.is_continued_by(event):
+                    return self._reject_answer("an event does not continue the stream")
                 self._forward_event(event)
             if self._splitter.is_too_large:
                 return self._reject_answer("an event is too large")
@@ -253,16 +269,22 @@
             self._on_start()
             self._forward_answer(head)
             return Result.ANSWERED
-        if self._splitter.has_partial_event:
+        return self._handle_stream_end(self._splitter, head.status)
+
+    def _handle_stream_end(self, splitter: EventSplitter, status: int) -> Result:
+        position = self._state.position
+        if splitter.has_partial_event:
             self.broke_off = True
             return self._reject_answer("the stream ended within an event")
-        if not end.is_framed and not self.event_count:
+        if self.ended_unframed and not self._has_data:
             self.broke_off = True
             return self._reject_answer("the connection ended before the first event")
+        if self._is_joining and self._last_id not in (None, position.last_id):
+            return self._reject_answer("the stream ended before the caller's position")
         if not self._state.exchange.has_started:
             self._start_stream()
         self._state.exchange.end()
-        self._state.record_answer(head.status)
+        self._state.record_answer(status)
         return Result.ANSWERED
 
     def _handle_incomplete(self, event: AnswerIncomplete) -> Result:
@@ -279,11 +301,15 @@
     def _forward_event(self, event: StreamEvent) -> None:
         state = self._state
         if event.id is not None:
-            if not is_after(event.id, state.last_event_id):
-                return
-            state.last_event_id = event.id
+            self._last_id = event.id
+        if state.position.is_behind(event):
+            return
+        state.position.advance(event)
+        if event.id is not None:
+            self._is_joining = False
         self.event_count += 1
         if event.has_data:
+            self._has_data = True
             self._on_progress()
         if self.first_byte_ms is None:
             self._record_first_byte()
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -244,6 +244,9 @@
         )
         if isinstance(refusal, QuotaRefusal):
             self._quota_cost = 0.0
+            if self.exchange.has_started:
+                # Its first endpoint was charged for: the rest is no further request.
+                return True
             self.respond(
                 429, f"quota used up: {refusal.level:.0f} left", refusal.retry_after_ms
             )
@@ -359,7 +362,11 @@
         is_unserved = result is Result.UNREACHABLE or (
             result is Result.NOT_RUN and attempt.outcome is PeerOutcome.NO_LINK
         )
-        if is_unserved or (result is Result.INVALID and self._may_retry(result)):
+        # A failure is final: the other instance has used the attempts that were left.
+        may_go_on = result is Result.INVALID or (
+            result is Result.NOT_RUN and self.exchange.has_started
+        )
+        if is_unserved or (may_go_on and self._may_retry(result)):
             if not self._refuse_late():
                 self._charge_again()
             return
@@ -632,7 +639,7 @@
         if self._holds_retry:
             self._holds_retry = False
             return True
-        if self.send_count >= self.route.max_attempts:
+        if self.send_count >= self.route.max_attempts or not self.position.is_known:
             return False
         if result is not Result.NOT_RUN and not self.route.is_idempotent:
             return False
--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -5,6 +5,11 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
+
+from _monsoonpulley.ingress import requestrun
+from _monsoonpulley.limits.quota import QuotaLedger, QuotaRefusal
+from _monsoonpulley.placing.placer import PlacementRefusal, Placer
 
 from .linked import LinkedFleet, Loss
 from .site import read_answer, request
@@ -265,6 +270,74 @@
         ]
         self.assertEqual((got.is_whole, numbers), (True, list(range(1, 9))))
 
+    async def play_lost_helper(self, instance_count, script):
+        """Return the answer to a stream whose first helper ends after an event."""
+
+        async def begin(call) -> None:
+            call.start_stream()
+            call.write_event(1)
+            await asyncio.sleep(10)
+
+        self.has_lost_helper = False
+        changes = {"kind": "streaming", "resume_streams": True}
+        await self.start(instance_count, max_attempts=instance_count, **changes)
+        await self.lose_links([self.cut])
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = begin
+        reader, writer = await self.cut.connect()
+        writer.write(request("s1"))
+        await self.cut.wait_until(self.calls)
+        await asyncio.sleep(0.1)
+        for endpoint in self.fleet.endpoints:
+            endpoint.script = script
+        self.has_lost_helper = True
+        for site in self.others:
+            for connection in list(site.service.peer_server._connections):
+                connection.abort()
+        got = await asyncio.wait_for(read_answer(reader), 5)
+        writer.close()
+        return got.body, got.is_whole
+
+    async def test_a_plain_success_of_a_helper_does_not_end_up_within_a_stream(self):
+        got = await self.play_lost_helper(3, answer)
+        self.assertEqual(got, (b"id: 1\ndata: piece 1\n\n", False))
+
+    async def check_goes_on(self, instance_count):
+        """Check that a stream goes on after its first helper ended."""
+
+        async def go_on(call) -> None:
+            call.start_stream()
+            call.write_event(2)
+            call.write_chunk(b"")
+
+        got = await self.play_lost_helper(instance_count, go_on)
+        pieces = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2))
+        self.assertEqual(got, (pieces, True))
+
+    async def test_a_begun_stream_is_not_refused_for_its_quota(self):
+        def consume(ledger, *args):
+            if self.has_lost_helper and ledger is self.cut.service.parts.quotas:
+                return QuotaRefusal(500, 0.0)
+            return original(ledger, *args)
+
+        original = QuotaLedger.consume
+        self.enterContext(mock.patch.object(QuotaLedger, "consume", consume))
+        await self.check_goes_on(3)
+
+    async def test_a_begun_stream_goes_on_at_another_helper_if_one_refuses(self):
+        refusals = [PlacementRefusal("overload", 500)]
+
+        def choose(placer, *args):
+            if self.has_lost_helper and refusals:
+                return refusals.pop()
+            return original(placer, *args)
+
+        original = Placer.choose
+        self.enterContext(mock.patch.object(Placer, "choose", choose))
+        with mock.patch.object(requestrun, "MAX_HELPERS", 3):
+            await self.check_goes_on(4)
+        self.assertEqual(refusals, [])
+
 
 class TestCharges(PeersTest):
     TENANTS = (
