Make transports of all accepted connections before a listener closes

A run of the tests logged once "Error on transport creation for incoming connection: AssertionError". Cause: a stop lets the event loop accept what waits for three rounds and then closes the listener. A connection that the loop accepts in the last of them gets its transport one round later, which asyncio's closed server refuses by an assertion; the error is only logged in debug mode. Its caller got neither an answer nor a close, and the connection counted as open, so that the stop waited until the end of the grace period. Both front ends had this.

The listener is now no longer watched in one more round before it closes. testing.wire.test_server connects in each round: TimeoutError after 2 s before, five of five runs pass now; test_stop and test_httpserver pass.

--- a/src/_monsoonpulley/entry/httpserver.py
+++ b/src/_monsoonpulley/entry/httpserver.py
@@ -10,7 +10,7 @@
 import uvicorn
 from starlette.types import ASGIApp
 
-from ..wire.server import accept_waiting
+from ..wire.server import close_listeners
 
 KEEP_ALIVE_TIMEOUT_S = 75
 SHUTDOWN_TIMEOUT_S = 5
@@ -93,9 +93,7 @@
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
         """Accept what waits for it, then close as `stop` says."""
-        await accept_waiting()
-        for server in self.servers:
-            server.close()
+        await close_listeners(self.servers)
         loop = asyncio.get_running_loop()
         until_s = loop.time() + self._max_idle_wait_ms / 1000
         while self.server_state.connections and loop.time() < until_s:
--- a/src/_monsoonpulley/wire/server.py
+++ b/src/_monsoonpulley/wire/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..clock import Clock
 from .serverconnection import CallerLimits, Exchange, ServerConnection
@@ -20,13 +20,21 @@
 for them, one in which it accepts them, one in which it makes their transports."""
 
 
-async def accept_waiting() -> None:
-    """Let the event loop accept the connections that wait at its listeners.
+async def close_listeners(servers: Iterable[asyncio.Server]) -> None:
+    """Accept the connections that wait at listeners, then close these.
 
-    Closing a listener resets those that still wait.
+    Closing a listener resets the connections that wait, and loses those that were
+    accepted and have no transport yet: the last round accepts none.
     """
     for _ in range(ACCEPT_ROUNDS):
         await asyncio.sleep(0)
+    loop = asyncio.get_running_loop()
+    for server in servers:
+        for listener in server.sockets:
+            loop.remove_reader(listener)
+    await asyncio.sleep(0)
+    for server in servers:
+        server.close()
 
 
 class HttpServer:
@@ -95,8 +103,9 @@
 
     async def end_listening(self) -> None:
         """Stop accepting connections, once those that wait for it are accepted."""
-        await accept_waiting()
-        self._close_listener()
+        if self._server is not None:
+            server, self._server = self._server, None
+            await close_listeners([server])
 
     def stop_listening(self) -> None:
         """Stop accepting connections and close the idle ones."""
