Refuse endpoint rows with values that can't be used or passed on

Seen: one row nested 100,000 levels raised RecursionError in the follower of the endpoints' table. A row with port 65536 or above was used as an endpoint: connecting raised OverflowError, and the request that had chosen it ended without an answer. Starts of over 64 bits can't be encoded in digests.

Cause: the decoder's errors beyond MsgspecError and ValueError were not expected, and types without ranges let values through that fail where they are used.

Change: errors.MALFORMED_ERRORS names what decoding raises for any input. Rows of endpoints have types with ranges, and addresses.parse_address accepts only what a connection can be made to. Details of failures are cut at 200 characters.

--- a/src/_monsoonpulley/errors.py
+++ b/src/_monsoonpulley/errors.py
@@ -89,5 +89,18 @@
         return f"{self.step}{at}: {self.reason.value}{detail}"
 
 
+MALFORMED_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, OverflowError)
+"""What decoding raises for input of any kind: invalid, nested too deeply, or with
+numbers or texts that can't be represented."""
+
+MAX_ERROR_CHARS = 200
+"""Limits how much of invalid input is quoted in a failure."""
+
+
+def describe_error(error: Exception) -> str:
+    """Return an error's message, which may quote its input, for a failure's detail."""
+    return f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARS]
+
+
 class SettingsError(ValueError):
     """A settings or configuration file is invalid; the message says why."""
--- a/src/_monsoonpulley/platform/endpoints.py
+++ b/src/_monsoonpulley/platform/endpoints.py
@@ -2,30 +2,47 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
-from ..errors import Failure, Reason
+from ..addresses import parse_address
+from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
 from ..fleet.model import Endpoint
 from ..ids import EndpointId, ServiceId, VersionId, ZoneId
-from .localsettings import Address
 
 READY = "ready"
 DRAINING = "draining"
 
 
+MAX_TEXT_CHARS = 200
+"""Limit of the names in a row, which become keys of rows: the platform's limit."""
+
+MAX_SLOTS = 1_000_000
+"""More requests than one process has connections."""
+
+MAX_WIRE_MS = 2**53
+"""Times are whole numbers in JSON, which all writers represent exactly up to here."""
+
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+_Duration = Annotated[float, msgspec.Meta(ge=-MAX_WIRE_MS, le=MAX_WIRE_MS)]
+_WallTime = Annotated[int, msgspec.Meta(ge=0, le=MAX_WIRE_MS)]
+
+
 class _Server(msgspec.Struct):
     """A row of the table of endpoints, which the platform calls servers."""
 
-    service: str
-    address: str
-    zone: str
+    service: _Text
+    address: _Text
+    zone: _Text
     state: str
-    version: str = ""
-    slots: int = 1
+    version: _Text = ""
+    slots: _Slots = 1
     use_spot: bool = False
-    leaves_ms: float | None = None
-    born: int | None = None
-    cold_remaining_ms: float | None = None
+    leaves_ms: _Duration | None = None
+    born: _WallTime | None = None
+    cold_remaining_ms: _Duration | None = None
 
 
 _decoder = msgspec.json.Decoder(_Server)
@@ -35,20 +52,21 @@
     """Return the endpoint that a row describes, or a failure if it is invalid."""
     try:
         server = _decoder.decode(value)
-        address = Address.parse(server.address)
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Failure(Reason.INVALID, "endpoint.decode", key, str(error))
+    except MALFORMED_ERRORS as error:
+        return _failure(key, describe_error(error))
     if server.state not in (READY, DRAINING):
-        return Failure(
-            Reason.INVALID, "endpoint.decode", key, f"unknown state {server.state!r}"
-        )
+        return _failure(key, f"unknown state {server.state[:MAX_TEXT_CHARS]!r}")
+    address = parse_address(server.address)
+    if address is None:
+        return _failure(key, f"no address IP:PORT: {server.address!r}")
+    ip, port = address
     leaves_ms, cold_ms = server.leaves_ms, server.cold_remaining_ms
     return Endpoint(
         id=EndpointId(key),
         started_wall_ms=server.born,
         service=ServiceId(server.service),
-        ip=address.ip,
-        port=address.port,
+        ip=ip,
+        port=port,
         zone=ZoneId(server.zone),
         version=VersionId(server.version),
         slots=max(1, server.slots),
@@ -58,3 +76,7 @@
         leaves_in_ms=None if leaves_ms is None else round(leaves_ms),
         cold_for_ms=None if cold_ms is None else max(0, round(cold_ms)),
     )
+
+
+def _failure(key: str, detail: str) -> Failure:
+    return Failure(Reason.INVALID, "endpoint.decode", key, detail)
