Relay rows that can't be read without their bytes

Seen: 11 of the rows of testing.fleet.test_odd_entries were relayed in datagrams of 5 to 600 KB. Datagrams over 64 KB are never sent, and those over the size of a frame are lost more often; receivers then each call the store for the gap.

Cause: a reader relays the bytes of each changed row, whatever they hold.

Change: a row whose content is a Failure is relayed with an empty value.

--- a/src/_monsoonpulley/fleet/tablefollower.py
+++ b/src/_monsoonpulley/fleet/tablefollower.py
@@ -60,7 +60,8 @@
         only announce that there are changes.
     content_of : callable
         Returns the content of a `Row` that is relevant to receivers: a row that is
-        rewritten with the same content is not relayed.
+        rewritten with the same content is not relayed. A `Failure` stands for a row
+        that can't be read, which is relayed without its bytes.
     is_reader : callable
         Returns whether this instance reads the table for the others.
     send : callable
@@ -322,7 +323,7 @@
                 row.key not in self._content_by_key
                 or self._content_by_key[row.key] != content
             ):
-                changed.append(row)
+                changed.append(_without_unreadable_value(row, content))
             self._content_by_key[row.key] = content
             if content is None:
                 del self._content_by_key[row.key]
@@ -406,3 +407,12 @@
         return (
             last_ms is not None and self._clock.now_ms() - last_ms > OUTAGE_SILENCE_MS
         )
+
+
+def _without_unreadable_value(row: Row, content: object) -> Row:
+    """Return the row to relay.
+
+    The value of one that can't be read may be larger than a datagram, and is to tell
+    receivers nothing but that.
+    """
+    return Row(row.key, b"", row.row_version) if isinstance(content, Failure) else row
