Apply the other rows of endpoints after an error over one

Seen: an error while one row is applied ended the follower's pass. The rows after it in the same answer were never applied, since the version had moved on, and relays of that answer were not sent.

Cause: nothing isolated one row from the others.

Change: EndpointDirectory applies each row by itself. One that raises is logged (endpoint_row_failed), counted (failed_row_count), and its endpoint is not used. The gauge monsoonpulley_refused_endpoint_rows shows the rows that can't be used.

--- a/src/_monsoonpulley/fleet/directory.py
+++ b/src/_monsoonpulley/fleet/directory.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..errors import Failure
+from ..errors import Failure, describe_error
 from ..ids import EndpointId, ServiceId
 from ..observability.log import Log
 from ..platform.endpoints import decode_endpoint
@@ -60,6 +60,8 @@
     ----------
     loaded_ms : int or None
         Time at which the table was first read; None before.
+    failed_row_count : int
+        Rows given up because of an error that was not foreseen.
     """
 
     def __init__(
@@ -86,12 +88,18 @@
         self._rejected_ids: set[EndpointId] = set()
         self._recovered_ms = -RECOVERY_GRACE_MS
         self.loaded_ms: int | None = None
+        self.failed_row_count = 0
 
     @property
     def is_loaded(self) -> bool:
         """Whether the table was read."""
         return self.loaded_ms is not None
 
+    @property
+    def refused_count(self) -> int:
+        """Number of rows that name no endpoint that can be used."""
+        return len(self._rejected_ids)
+
     def get(self, endpoint_id: EndpointId) -> Endpoint | None:
         """Return the endpoint of the newest row, None if there is none."""
         return self._endpoints.get(endpoint_id)
@@ -164,7 +172,7 @@
                 {row.key for row in rows.rows}, rows.store_version
             )
         for row in rows.rows:
-            self._apply_row(row)
+            self._try_apply_row(row)
         if self.loaded_ms is None:
             self.loaded_ms = self._clock.now_ms()
         self.expire()
@@ -200,6 +208,18 @@
             if endpoint_id not in present_keys and not is_newer:
                 self._handle_missing_row(endpoint_id)
 
+    def _try_apply_row(self, row: Row) -> None:
+        """Apply a row; after an error its endpoint isn't used, and the others hold."""
+        try:
+            self._apply_row(row)
+        except Exception as error:
+            self.failed_row_count += 1
+            self._log.event(
+                "endpoint_row_failed", endpoint=row.key, error=describe_error(error)
+            )
+            self._rejected_ids.add(EndpointId(row.key))
+            self._remove(EndpointId(row.key), "an error over its row")
+
     def _apply_row(self, row: Row) -> None:
         endpoint_id = EndpointId(row.key)
         if row.row_version < self._row_versions.get(endpoint_id, 0):
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -53,6 +53,11 @@
             "Endpoints that bear few requests for a while.",
             registry=self.registry,
         )
+        self.refused_endpoint_rows = Gauge(
+            "monsoonpulley_refused_endpoint_rows",
+            "Rows of endpoints that can't be used, such as those with an odd address.",
+            registry=self.registry,
+        )
         self.requests_kept_off_cold = Counter(
             "monsoonpulley_requests_kept_off_cold",
             "Choices of an endpoint that left out cold ones, by service.",
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -606,6 +606,7 @@
         )
         cold_count = parts.cold.update(parts.directory.all(), now_ms)
         self.counters.cold_endpoints.set(cold_count)
+        self.counters.refused_endpoint_rows.set(parts.directory.refused_count)
         self.counters.limited_endpoints.set(parts.rate_limits.limited_count())
         parts.quarantine.set_reachable(parts.members.reachable_ids)
         parts.quarantine.tick()
