Write a log line also if one of its values can't be encoded

Seen: a line with a lone surrogate, an integer of 5,000 digits or deep nesting raised an error in what had logged it, such as a follower.

Change: such a value is replaced by a note of its type; the other fields are written.

Result: testing.observability.test_log, four values: before, each raised an error (UnicodeEncodeError twice, ValueError, RecursionError); now none does.

--- a/src/_monsoonpulley/observability/log.py
+++ b/src/_monsoonpulley/observability/log.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from ..clock import Clock
+from ..errors import MALFORMED_ERRORS
 from ..explain.eventmemory import EventMemory
 from ..explain.subjects import is_about_request, subjects_of
 
@@ -80,7 +81,7 @@
             line["instance"] = self._instance
         line["event"] = event
         line.update(fields)
-        data = msgspec.json.encode(line, enc_hook=str)
+        data = _encode(line)
         text = data.decode()
         if self._keeps_lines:
             self._keep_line(event, fields, text, len(data))
@@ -97,3 +98,21 @@
                 size_bytes,
                 is_about_request=is_about_request(fields),
             )
+
+
+def _encode(line: dict[str, Any]) -> bytes:
+    try:
+        return msgspec.json.encode(line, enc_hook=str)
+    except MALFORMED_ERRORS:
+        return msgspec.json.encode({n: _encodable(v) for n, v in line.items()})
+
+
+def _encodable(value: Any) -> Any:
+    """Return a value, or a note instead of one that JSON can't represent.
+
+    A lone surrogate or an integer of over 4,300 digits must not end what is logged.
+    """
+    try:
+        return msgspec.Raw(msgspec.json.encode(value, enc_hook=str))
+    except MALFORMED_ERRORS:
+        return f"a {type(value).__name__} that can't be logged"
