Take odd times in endpoints' headers for what they are

Seen: requests got 502, or no second try, when an endpoint refused them with "Retry-After: 1e308", with a date whose offset has 20 digits, or with a Keep-Alive time of 5,000 digits, although its answer said that nothing had run.

Cause: 1e308 seconds are an infinite number of milliseconds, and dates and long integers raise OverflowError or ValueError in the attempt or in the connection's parser.

--- a/src/_monsoonpulley/platform/answerheaders.py
+++ b/src/_monsoonpulley/platform/answerheaders.py
@@ -6,7 +6,7 @@
 import math
 from enum import Enum
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..wire.events import AnswerHead, HeaderList
 from . import names
 
@@ -45,6 +45,10 @@
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
+MAX_RETRY_AFTER_S = 86_400
+"""Longer retry times count as a day; those of endpoints are limited further."""
+
+
 class PeerOutcome(Enum):
     """What an answer says that another instance has written itself."""
 
@@ -189,15 +193,16 @@
         return None
     if not math.isfinite(pause_s) or pause_s < 0:
         return None
-    return math.ceil(pause_s * 1000)
+    return math.ceil(min(pause_s, MAX_RETRY_AFTER_S) * 1000)
 
 
 def _ms_until_date(text: bytes, wall_ms: int) -> int | None:
     try:
         end = email.utils.parsedate_to_datetime(text.decode("latin-1"))
-    except ValueError:
+        end_wall_ms = round(end.timestamp() * 1000)
+    except MALFORMED_ERRORS:
         return None
-    return max(0, round(end.timestamp() * 1000) - wall_ms)
+    return max(0, end_wall_ms - wall_ms)
 
 
 def headers_for_caller(head: AnswerHead) -> HeaderList:
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -23,6 +23,9 @@
 and answers that are skipped. Over thirty times the largest head that callers may send;
 a faulty server can send them without end."""
 
+MAX_TIMEOUT_DIGITS = 6
+"""Digits of an idle time-out in seconds, eleven days; a longer number is no time."""
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -263,6 +266,7 @@
         return None
     for part in keep_alive.split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.strip().isdigit():
+        is_time = value.strip().isdigit() and len(value) <= MAX_TIMEOUT_DIGITS
+        if name.lower() == b"timeout" and is_time:
             return int(value) * 1000
     return None
