Ignore token counts of callers that are no usable numbers

Seen: a request with 5,000 digits in Monsoonpulley-Token-Counts or -Prompt-Prefix got no answer at all: its connection was closed.

Cause: int() raises ValueError for more than 4,300 digits, and arithmetic on fewer may overflow a float.

Change: counts of over 15 digits are no counts, as those of other characters; whole numbers end at 2**53.

Result: test_token_counts_of_thousands_of_digits_end_no_request failed with IncompleteReadError and passes. 98 tests of four modules of testing.ingress and testing.platform passed.

--- a/src/_monsoonpulley/platform/requestheaders.py
+++ b/src/_monsoonpulley/platform/requestheaders.py
@@ -42,6 +42,10 @@
 _LAST_EVENT_ID = names.LAST_EVENT_ID.lower()
 _PEER_SENDS = names.PEER_SENDS.lower()
 
+MAX_COUNT_DIGITS = 15
+MAX_WHOLE_NUMBER = 2**53
+"""Numbers up to here are exact in all arithmetic; larger ones are no counts."""
+
 REQUEST_ID_FIELD = _REQUEST_ID
 """Lower-case name of the header in which endpoints return the request's id."""
 
@@ -223,16 +227,20 @@
     if value is None:
         return None
     try:
-        return max(0, int(float(value)))
+        return max(0, int(min(float(value), MAX_WHOLE_NUMBER)))
     except (ValueError, OverflowError):
         return None
 
 
+def _is_count(text: bytes) -> bool:
+    return text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+
+
 def _parse_token_counts(value: bytes | None) -> tuple[int, int | None]:
     if value is None:
         return 0, None
     prompt, _, output = value.partition(b",")
-    if not (prompt.strip().isdigit() and output.strip().isdigit()):
+    if not (_is_count(prompt.strip()) and _is_count(output.strip())):
         return 0, None
     return int(prompt), int(output)
 
@@ -243,7 +251,7 @@
     parts = []
     for entry in value.split(b","):
         part_id, _, tokens = entry.strip().partition(b":")
-        if not part_id or not tokens.isdigit():
+        if not part_id or not _is_count(tokens):
             return ()
         parts.append(PromptPart(part_id.decode("latin-1"), int(tokens)))
     return tuple(parts)
--- a/testing/ingress/test_odd_entries.py
+++ b/testing/ingress/test_odd_entries.py
@@ -72,3 +72,12 @@
                     await self.site.add_endpoint(script)
                 await self.site.start(configuration(kind="unsafe"))
                 await self.assert_answered()
+
+    async def test_token_counts_of_thousands_of_digits_end_no_request(self):
+        await self.site.add_endpoint(answer)
+        await self.site.start(configuration())
+        digits = "9" * 5_000
+        await self.assert_answered(
+            extra=f"Monsoonpulley-Token-Counts: {digits},{digits}\r\n"
+            f"Monsoonpulley-Prompt-Prefix: ab:{digits}\r\n"
+        )
