Fail by a value when an address can't be connected to

Seen: ConnectionPool.acquire raised OverflowError for a port out of range and ValueError for a NUL in the address, so that a request or a probe of links ended with an error.

Change: both are failures like any other of connecting, with delivery NOT_SENT. Rows with such addresses are refused before; this is the second line.

Result: test_what_is_no_address_fails_like_any_unreachable_server, three addresses: two OverflowErrors and one ValueError before, none now.

--- a/src/_monsoonpulley/wire/pool.py
+++ b/src/_monsoonpulley/wire/pool.py
@@ -200,7 +200,8 @@
             )
         except ConnectionRefusedError as error:
             return self._failure(Reason.NOT_LISTENING, f"can't connect: {error}")
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The latter two for what is no address.
             return self._failure(Reason.UNAVAILABLE, f"can't connect: {error}")
         self.opened_count += 1
         return connection
--- a/testing/wire/test_pool.py
+++ b/testing/wire/test_pool.py
@@ -9,7 +9,7 @@
 import unittest
 
 from _monsoonpulley.clock import Clock
-from _monsoonpulley.errors import Failure, Reason
+from _monsoonpulley.errors import Delivery, Failure, Reason
 from _monsoonpulley.wire.clientconnection import ClientConnection
 from _monsoonpulley.wire.pool import CONNECT_TIMEOUT_MS, ConnectionPool
 
@@ -38,6 +38,14 @@
                 self.assertIsInstance(connection, ClientConnection)
                 connection.abort()
 
+    async def test_what_is_no_address_fails_like_any_unreachable_server(self):
+        for ip, port in (("127.0.0.1", 70_000), ("127.0.0.1", -1), ("a\0b", 80)):
+            with self.subTest(ip=ip, port=port):
+                pool = ConnectionPool(ip, port, Clock.from_system(), 1)
+                failure = await pool.acquire()
+                self.assertIs(failure.reason, Reason.UNAVAILABLE)
+                self.assertIs(failure.delivery, Delivery.NOT_SENT)
+
     async def test_a_server_that_does_not_answer_fails_within_the_limit(self):
         listener = socket.socket()
         self.addCleanup(listener.close)
