Send nothing to odd addresses of instances

Seen: a row nested 100,000 levels among those of instances raised RecursionError in each registration. With a port out of range or a NUL in the address, asyncio closed the transport of all datagrams at the first one (a trial: "Fatal write error", OverflowError and TypeError; each later send raised AttributeError), so that the instance neither sent digests and relays nor received any.

Cause: addresses were not checked before they were recorded.

Change: rows of instances are decoded in one place to a row or a failure; digests with an address that the socket library does not take are ignored.

--- a/src/_monsoonpulley/addresses.py
+++ b/src/_monsoonpulley/addresses.py
@@ -24,7 +24,12 @@
 
 def is_address(ip: str, port: int) -> bool:
     """Return whether connections and datagrams can be sent to an IP and port."""
-    return 1 <= port <= MAX_PORT and is_ip(ip)
+    return is_sendable(ip, port) and is_ip(ip)
+
+
+def is_sendable(ip: str, port: int) -> bool:
+    """Return whether the socket library takes an address: others close a transport."""
+    return 1 <= port <= MAX_PORT and ip.isascii() and "\0" not in ip
 
 
 def is_ip(text: str) -> bool:
--- a/src/_monsoonpulley/sharing/digest.py
+++ b/src/_monsoonpulley/sharing/digest.py
@@ -6,7 +6,7 @@
 
 from ..control.leasestate import AnnouncedRow
 from ..control.verdict import Result
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
 from ..fleet.relay import Relay
 from ..limits.brittleness import BrittleNotice
 from ..limits.endpointrates import Notice
@@ -166,5 +166,5 @@
     """Return the message in a datagram, or a failure if it is malformed."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        return Failure(Reason.PROTOCOL, "message.decode", detail=str(error))
+    except MALFORMED_ERRORS as error:
+        return Failure(Reason.PROTOCOL, "message.decode", detail=describe_error(error))
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..addresses import is_sendable
 from ..clock import Clock
 from ..ids import InstanceId, ZoneId
 from ..limits.processload import Neighbours
@@ -122,9 +123,12 @@
             member.ip, member.port = ip, port
 
     def record_digest(self, digest: Digest, *, is_bundled: bool = False) -> bool:
-        """Record a digest; return whether it is newer than the sender's last one."""
+        """Record a digest; return whether it is newer than the sender's last one.
+
+        One with an address to which nothing can be sent is ignored.
+        """
         instance = InstanceId(digest.instance)
-        if instance == self.own:
+        if instance == self.own or not is_sendable(digest.ip, digest.port):
             return False
         now_ms = self._clock.now_ms()
         member = self._members.get(instance)
--- a/src/_monsoonpulley/sharing/registration.py
+++ b/src/_monsoonpulley/sharing/registration.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
+from ..addresses import is_address
 from ..clock import Clock
-from ..errors import Failure
+from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
 from ..ids import InstanceId, ZoneId
 from ..observability.log import Log
 from ..platform.store import Conflict, Put, Store
@@ -37,6 +38,17 @@
 _decoder = msgspec.json.Decoder(InstanceRow)
 
 
+def decode_instance_row(key: str, value: bytes) -> InstanceRow | Failure:
+    """Return the row of an instance, or a failure if nothing can be sent to it."""
+    try:
+        row = _decoder.decode(value)
+    except MALFORMED_ERRORS as error:
+        return Failure(Reason.INVALID, "instance.decode", key, describe_error(error))
+    if not is_address(row.ip, row.port):
+        return Failure(Reason.INVALID, "instance.decode", key, "no address")
+    return row
+
+
 class Registration:
     """Writes this instance's row and reads those of others, once at the start.
 
@@ -110,10 +122,9 @@
         return ""
 
     def _record_row(self, key: str, value: bytes) -> None:
-        try:
-            row = _decoder.decode(value)
-        except msgspec.MsgspecError as error:
+        row = decode_instance_row(key, value)
+        if isinstance(row, Failure):
             # The address arrives with the digests of that instance too.
-            self._log.event("instance_row_refused", peer=key, error=str(error))
+            self._log.event("instance_row_refused", peer=key, error=str(row))
             return
         self._members.record_address(InstanceId(key), row.ip, row.port, row.zone)
