Read the other entries of the live list when one can't be used

Seen: in the gateway one entry that is nested deeply, holds a number out of range or has a field of another type made each poll of the live list fail: new endpoints were not found, and gone ones stayed. An entry with port 0 or 70000 was listed; calls to it fail as if they might have run, so that once-only work gets "unknown".

Cause: the list was decoded as a whole, without ranges.

Change: the list is split into entries, each is decoded by itself, and one that names nothing that can be connected to is left out. jsonlist.split_list follows brackets and quotes alone where an entry is no valid JSON. The roster logs (roster_entries_refused) and counts (roster.refused_entries) what was left out.

--- a/src/_monsoonpulley/addresses.py
+++ b/src/_monsoonpulley/addresses.py
@@ -1,9 +1,12 @@
-"""Addresses of other processes, as found in rows, lists and messages."""
+"""Addresses of other processes and limits of names, as in rows, lists and messages."""
 
 from __future__ import annotations
 
 import socket
 
+MAX_TEXT_CHARS = 200
+"""Limit of names in rows and lists: that of the platform's keys, which they become."""
+
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 
--- a/src/_monsoonpulley/endpoints/roster.py
+++ b/src/_monsoonpulley/endpoints/roster.py
@@ -52,6 +52,7 @@
         self._metrics = metrics
         self._callbacks: list[MembersCallback] = []
         self._is_failing = False
+        self._refused_count = 0
         self.members: tuple[Member, ...] = ()
         self.last_refresh_ms: int | None = None
 
@@ -77,7 +78,15 @@
             self._is_failing = True
             return
         self._is_failing = False
+        self._record_refused(self._livelist.refused_count)
         self.members = members
         self.last_refresh_ms = self._clock.now_ms()
         for callback in self._callbacks:
             callback(members)
+
+    def _record_refused(self, count: int) -> None:
+        """Record how many entries can't be used; a change is logged."""
+        self._metrics.gauge("roster.refused_entries", count)
+        if count != self._refused_count:
+            self._log.event("roster_entries_refused", count=count)
+        self._refused_count = count
--- a/src/_monsoonpulley/external/http_livelist.py
+++ b/src/_monsoonpulley/external/http_livelist.py
@@ -10,13 +10,16 @@
 
 import msgspec
 
-from ..errors import Failure, Reason
+from ..addresses import MAX_TEXT_CHARS, parse_address
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..ids import ServiceId, VersionId, ZoneId
 from .adapters import livelist_adapters
 from .httpapi import HttpApi
+from .jsonlist import split_list
 from .livelist import Member, MemberState, Role
 
 LABEL_PREFIX = "__meta_platform_"
+PEER_SCHEME = "tcp"
 ROLES = {role.value: role for role in Role}
 
 
@@ -27,27 +30,35 @@
     labels: dict[str, str] = {}
 
 
+_decoder = msgspec.json.Decoder(TargetGroup)
+
+
 @livelist_adapters.register("prometheus-http-sd")
 class HttpLiveList:
     """An `external.livelist.LiveList` at one URL."""
 
     def __init__(self, api: HttpApi):
         self._api = api
+        self.refused_count = 0
 
     async def members(self) -> tuple[Member, ...] | Failure:
-        """Return the list without targets that are not instances of this system."""
+        """Return the list without targets that are not instances of this system.
+
+        Entries that can't be read, or name nothing that can be connected to, are left
+        out and counted.
+        """
         step = "livelist.members"
         answer = await self._api.send_read(step, "GET", "")
         if isinstance(answer, Failure):
             return answer
         if answer.status != 200:
             return self._api.failure_from_status(step, answer, Reason.UNAVAILABLE)
-        groups = self._api.decode(
-            step, answer.body, tuple[TargetGroup, ...], Reason.PROTOCOL
-        )
-        if isinstance(groups, Failure):
-            return groups
-        return tuple(member for group in groups for member in _members(group))
+        entries = split_list(answer.body)
+        if entries is None:
+            return self._api.failure(Reason.PROTOCOL, step, "the answer is no list")
+        decoded = [_decode_members(entry) for entry in entries]
+        self.refused_count = sum(members is None for members in decoded)
+        return tuple(member for members in decoded for member in members or ())
 
 
 def target_group(member: Member) -> TargetGroup:
@@ -67,6 +78,26 @@
     return TargetGroup((member.address,), labels)
 
 
+def _decode_members(entry: bytes) -> list[Member] | None:
+    """Return the members in an entry, None if it can't be used."""
+    try:
+        members = _members(_decoder.decode(entry.decode()))
+    except MALFORMED_ERRORS:
+        return None
+    return members if all(map(_is_usable, members)) else None
+
+
+def _is_usable(member: Member) -> bool:
+    """Return whether connections can be made to the addresses of a member."""
+    texts = (member.instance, member.zone, member.service, member.version)
+    if max(map(len, texts)) > MAX_TEXT_CHARS or parse_address(member.address) is None:
+        return False
+    scheme, _, peer = member.peer_address.partition("://")
+    return not member.peer_address or (
+        scheme == PEER_SCHEME and parse_address(peer) is not None
+    )
+
+
 def _members(group: TargetGroup) -> list[Member]:
     def label(name: str) -> str:
         return group.labels.get(LABEL_PREFIX + name, "")
--- a/src/_monsoonpulley/external/livelist.py
+++ b/src/_monsoonpulley/external/livelist.py
@@ -64,7 +64,15 @@
 
 
 class LiveList(Protocol):
-    """Service from which instances first discover each other."""
+    """Service from which instances first discover each other.
+
+    Attributes
+    ----------
+    refused_count : int
+        Entries of the last list that can't be used.
+    """
+
+    refused_count: int
 
     async def members(self) -> tuple[Member, ...] | Failure:
         """Return the list, which may be some tens of seconds out of date."""
--- a/src/_monsoonpulley/platform/endpoints.py
+++ b/src/_monsoonpulley/platform/endpoints.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..addresses import parse_address
+from ..addresses import MAX_TEXT_CHARS, parse_address
 from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
 from ..fleet.model import Endpoint
 from ..ids import EndpointId, ServiceId, VersionId, ZoneId
@@ -15,9 +15,6 @@
 DRAINING = "draining"
 
 
-MAX_TEXT_CHARS = 200
-"""Limit of the names in a row, which become keys of rows: the platform's limit."""
-
 MAX_SLOTS = 1_000_000
 """More requests than one process has connections."""
 
@@ -51,7 +48,8 @@
 def decode_endpoint(key: str, value: bytes) -> Endpoint | Failure:
     """Return the endpoint that a row describes, or a failure if it is invalid."""
     try:
-        server = _decoder.decode(value)
+        # As text, since unknown fields are not checked for valid UTF-8 otherwise.
+        server = _decoder.decode(value.decode())
     except MALFORMED_ERRORS as error:
         return _failure(key, describe_error(error))
     if server.state not in (READY, DRAINING):
--- a/src/_monsoonpulley/standins/livelist.py
+++ b/src/_monsoonpulley/standins/livelist.py
@@ -92,6 +92,8 @@
 class LiveListConnection:
     """An `external.livelist.LiveList` that one instance uses, on the stand-in."""
 
+    refused_count = 0
+
     def __init__(self, livelist: LiveListStandin, caller: PlatformConnection):
         self._livelist = livelist
         self._caller = caller
