Read the other rows of an etcd table when a key is no text

Seen: a scan failed with "malformed row key" for good while one key under its prefix was not valid UTF-8.

Change: such rows are skipped, and the scan reads on until it has as many rows as asked for, so that fewer still mean the end. In a conflict, where a missing row means that there is none, the failure stays.

--- a/src/_monsoonpulley/external/etcd_table.py
+++ b/src/_monsoonpulley/external/etcd_table.py
@@ -126,10 +126,10 @@
             return rows
         if not rows:
             return None
-        if [row.key for row in rows] != [key]:
+        if [row.key for row in rows] != [key.encode()]:
             detail = f"the answer does not hold exactly the row {key!r}"
             return self._api.failure(Reason.PROTOCOL, "table.read", detail)
-        return rows[0]
+        return Row(key, rows[0].value, rows[0].mod_revision)
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 500
@@ -141,8 +141,18 @@
         end = _prefix_end(prefix.encode())
         if end != KEY_SPACE_END and start >= end:
             return ()
-        request = RangeRequest(start, end, str(limit))
-        return await self._range("table.scan", request)
+        rows: list[Row] = []
+        while True:
+            wanted_count = limit - len(rows)
+            request = RangeRequest(start, end, str(wanted_count))
+            page = await self._range("table.scan", request)
+            if isinstance(page, Failure):
+                return page
+            rows += _readable_rows(page)
+            if len(page) < wanted_count or len(rows) >= limit:
+                return tuple(rows)
+            # Keys that can't be read took places of rows that can.
+            start = page[-1].key + b"\0"
 
     async def commit(self, writes: Sequence[Write]) -> Committed | Conflict | Failure:
         """Apply all writes, or none if any expected revision does not hold."""
@@ -162,7 +172,7 @@
 
     async def _range(
         self, step: str, request: RangeRequest
-    ) -> tuple[Row, ...] | Failure:
+    ) -> tuple[KeyValue, ...] | Failure:
         body = msgspec.json.encode(request)
         answer = await self._api.send_read(step, "POST", "/v3/kv/range", body)
         if isinstance(answer, Failure):
@@ -170,18 +180,19 @@
         if answer.status != 200:
             return self._api.failure_from_status(step, answer, Reason.UNAVAILABLE)
         response = self._api.decode(step, answer.body, RangeResponse, Reason.PROTOCOL)
-        if isinstance(response, Failure):
-            return response
-        return self._decode_rows(step, response, Reason.PROTOCOL)
+        return response if isinstance(response, Failure) else response.kvs
 
     def _conflict(self, step: str, txn: TxnResponse) -> Conflict | Failure:
         current: dict[str, Row] = {}
         for response in txn.responses:
             if response.response_range is None:
                 continue
-            rows = self._decode_rows(step, response.response_range, Reason.IN_DOUBT)
-            if isinstance(rows, Failure):
-                return rows
+            kvs = response.response_range.kvs
+            rows = _readable_rows(kvs)
+            if len(rows) < len(kvs):
+                # A missing row would mean that there is none.
+                detail = "malformed row key"
+                return self._api.failure(Reason.IN_DOUBT, step, detail)
             current.update((row.key, row) for row in rows)
         return Conflict(current)
 
@@ -194,17 +205,16 @@
             return failure
         return msgspec.structs.replace(failure, reason=Reason.IN_DOUBT)
 
-    def _decode_rows(
-        self, step: str, response: RangeResponse, fallback_reason: Reason
-    ) -> tuple[Row, ...] | Failure:
+
+def _readable_rows(kvs: Sequence[KeyValue]) -> list[Row]:
+    """Return the rows with a key of valid UTF-8; only others write such as are not."""
+    rows = []
+    for kv in kvs:
         try:
-            return tuple(
-                Row(kv.key.decode(), kv.value, kv.mod_revision) for kv in response.kvs
-            )
-        except UnicodeDecodeError as error:
-            return self._api.failure(
-                fallback_reason, step, f"malformed row key: {error}"
-            )
+            rows.append(Row(kv.key.decode(), kv.value, kv.mod_revision))
+        except UnicodeDecodeError:
+            continue
+    return rows
 
 
 def _txn_request(writes: Sequence[Write]) -> TxnRequest:
