Fail by a value when a probe's address is none

Seen: the probe after a crash raised OverflowError for a port out of range.

Change: probes and the quarantine of the gateway parse addresses as the live list does.

--- a/src/_monsoonpulley/requests/crashguard.py
+++ b/src/_monsoonpulley/requests/crashguard.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..addresses import parse_address
 from ..clock import Clock
 from ..errors import Delivery, Failure, Reason
 from ..external.livelist import Member, MemberState
@@ -48,16 +49,18 @@
     Failure or None
         `Reason.NOT_LISTENING` if its machine answers that nothing does.
     """
-    ip, _, port = member.address.rpartition(":")
     step = "endpoint.probe"
+    address = parse_address(member.address)
+    if address is None:
+        return Failure(Reason.UNAVAILABLE, step, member.instance, "no address")
     try:
         async with asyncio.timeout(0.3):
-            _, writer = await asyncio.open_connection(ip, int(port))
+            _, writer = await asyncio.open_connection(*address)
     except ConnectionRefusedError as error:
         return Failure(Reason.NOT_LISTENING, step, member.instance, str(error))
     except TimeoutError:
         return Failure(Reason.TIMEOUT, step, member.instance)
-    except (OSError, ValueError) as error:
+    except OSError as error:
         return Failure(Reason.UNAVAILABLE, step, member.instance, str(error))
     writer.close()
     return None
@@ -290,13 +293,13 @@
 
 
 def _endpoint_of(member: Member) -> Endpoint:
-    ip, _, port = member.address.rpartition(":")
+    ip, port = parse_address(member.address) or (member.address, 0)
     return Endpoint(
         EndpointId(member.instance),
         None,
         member.service,
         ip,
-        int(port) if port.isdigit() else 0,
+        port,
         member.zone,
         member.version,
         slots=0,
