Read rows of any content without an error, in both front ends

A follower or duty that met one ended at each pass; the gateway never deleted expired streams again after one odd index row. A lease or a quarantine entry with a number of over 64 bits was read and then ended each digest, which could not be encoded.

Cause: each reader had its own list of errors, and numbers had no range.

Change: all of them expect errors.MALFORMED_ERRORS. Numbers of rows that are passed on to other instances are at most 2**53, checked where rows are read; messages keep plain numbers, so that no digest is refused as a whole.

--- a/src/_monsoonpulley/config/rows.py
+++ b/src/_monsoonpulley/config/rows.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..external.table import Row
 from .document import Revision
 
@@ -31,7 +31,7 @@
     """Return the change token in a row without decoding its document."""
     try:
         return msgspec.json.decode(row.value, type=_Token).change_token
-    except msgspec.DecodeError:
+    except MALFORMED_ERRORS:
         return ""
 
 
@@ -46,5 +46,5 @@
         return None
     try:
         return msgspec.json.decode(row.value, type=Revision)
-    except msgspec.DecodeError as error:
+    except MALFORMED_ERRORS as error:
         return Failure(Reason.PROTOCOL, "config.decode", "table", f"{row.key}: {error}")
--- a/src/_monsoonpulley/control/fleetrows.py
+++ b/src/_monsoonpulley/control/fleetrows.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..external.cloud import InstanceSpec
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..ids import ServiceId
@@ -99,7 +99,7 @@
     """Decode a table row; return a failure if it is malformed."""
     try:
         return StoredRow(msgspec.json.decode(row.value, type=FleetRow), row.revision)
-    except msgspec.DecodeError as error:
+    except MALFORMED_ERRORS as error:
         return Failure(Reason.PROTOCOL, STEP, "platform", f"{row.key}: {error}")
 
 
@@ -107,7 +107,7 @@
     """Decode a head row; return a failure if it is malformed."""
     try:
         return msgspec.json.decode(row.value, type=HeadRow)
-    except msgspec.DecodeError as error:
+    except MALFORMED_ERRORS as error:
         return Failure(Reason.PROTOCOL, STEP, "platform", f"{row.key}: {error}")
 
 
--- a/src/_monsoonpulley/control/leasestate.py
+++ b/src/_monsoonpulley/control/leasestate.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
+from ..errors import MALFORMED_ERRORS
 from ..external.table import Row
-from ..ids import InstanceId
+from ..ids import InstanceId, are_wire_counts
 from ..observability.log import Decision
 
 LEASE_PREFIX = "lease/"
@@ -319,6 +320,8 @@
 def decode_row(row: Row) -> LeaseRow | None:
     """Return the lease in a table row, ``None`` if it can't be decoded."""
     try:
-        return msgspec.json.decode(row.value, type=LeaseRow)
-    except msgspec.DecodeError:
+        lease = msgspec.json.decode(row.value, type=LeaseRow)
+    except MALFORMED_ERRORS:
         return None
+    numbers = (lease.incarnation, lease.fencing_number, lease.renewals)
+    return lease if are_wire_counts(*numbers) else None
--- a/src/_monsoonpulley/control/orders.py
+++ b/src/_monsoonpulley/control/orders.py
@@ -20,7 +20,7 @@
 from ..clock import Clock
 from ..config.document import FencingCheck
 from ..endpoints.engine import EngineClient, Order, OrderKind
-from ..errors import Delivery, Failure, Reason
+from ..errors import MALFORMED_ERRORS, Delivery, Failure, Reason
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..ids import EndpointId, VersionId
 from ..observability.log import Decision, Log
@@ -341,7 +341,7 @@
         return None, ABSENT_REVISION
     try:
         return msgspec.json.decode(row.value, type=OrderRow), row.revision
-    except msgspec.DecodeError as error:
+    except MALFORMED_ERRORS as error:
         detail = f"row {row.key!r} is not a valid order: {error}"
         return Failure(Reason.PROTOCOL, STEP, "platform", detail, Delivery.NOT_SENT)
 
--- a/src/_monsoonpulley/control/rolloutrows.py
+++ b/src/_monsoonpulley/control/rolloutrows.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ..errors import MALFORMED_ERRORS
 from ..external.table import Row
 from ..ids import InstanceId, ServiceId, VersionId
 
@@ -142,5 +143,5 @@
         return None
     try:
         return msgspec.json.decode(row.value, type=row_type)
-    except msgspec.DecodeError:
+    except MALFORMED_ERRORS:
         return None
--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -12,7 +12,7 @@
 
 from ..clock import Clock
 from ..control.leases import Hold
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..external.table import ABSENT_REVISION, Committed, Conflict, Table, Write
 from ..ids import InstanceId
 from ..observability.log import Log
@@ -184,7 +184,7 @@
         )
     try:
         return msgspec.json.decode(row.value, type=dict[str, int])
-    except msgspec.MsgspecError as error:
+    except MALFORMED_ERRORS as error:
         return Failure(
             Reason.INVALID,
             "usage.fix",
--- a/src/_monsoonpulley/endpoints/http_engine_control.py
+++ b/src/_monsoonpulley/endpoints/http_engine_control.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from ..errors import Delivery, Failure, Reason
+from ..errors import MALFORMED_ERRORS, Delivery, Failure, Reason
 from .adapters import EndpointTarget
 from .engine import CacheEvent, CancelOutcome
 from .http_transport import (
@@ -110,7 +110,7 @@
         """Decode a JSON body as ``answer_type``; return a failure if it is invalid."""
         try:
             return msgspec.json.decode(data, type=answer_type)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        except MALFORMED_ERRORS:
             return self._failure(Reason.PROTOCOL, step)
 
     def _failure(
--- a/src/_monsoonpulley/endpoints/openai_wire.py
+++ b/src/_monsoonpulley/endpoints/openai_wire.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..errors import MALFORMED_ERRORS
 from .engine import Finished
 
 CHAT_PATH = "/v1/chat/completions"
@@ -235,5 +236,5 @@
     """Return an engine's event, ``None`` if it is malformed."""
     try:
         return _chunk_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except MALFORMED_ERRORS:
         return None
--- a/src/_monsoonpulley/explain/peeroperators.py
+++ b/src/_monsoonpulley/explain/peeroperators.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..ids import InstanceId
 from ..operator_wire import EXPLAIN_PATH, ExplainBody, FailureBody
 
@@ -94,7 +94,7 @@
         if status == 200:
             return msgspec.json.decode(data, type=ExplainBody)
         return msgspec.json.decode(data, type=FailureBody).to_failure()
-    except msgspec.DecodeError:
+    except MALFORMED_ERRORS:
         return Failure(Reason.PROTOCOL, STEP, instance, f"HTTP status {status}")
 
 
--- a/src/_monsoonpulley/external/httpapi.py
+++ b/src/_monsoonpulley/external/httpapi.py
@@ -9,7 +9,7 @@
 import msgspec
 from yarl import URL
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 
 T = TypeVar("T")
 
@@ -121,7 +121,7 @@
         """Decode a JSON body; a malformed one fails as ``fallback_reason``."""
         try:
             return msgspec.json.decode(body, type=type_, strict=False)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except MALFORMED_ERRORS as error:
             return self.failure(fallback_reason, step, f"malformed answer: {error}")
 
     async def _exchange(
--- a/src/_monsoonpulley/gateway/operator.py
+++ b/src/_monsoonpulley/gateway/operator.py
@@ -15,7 +15,7 @@
 from ..config.ini import parse_document
 from ..config.store import ApplyConflict, ConfigStore
 from ..config.watcher import ConfigWatcher
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..settings.inisections import InvalidFile
 from .body import read_body
 from .credentials import check_operator
@@ -117,7 +117,7 @@
             return raw
         try:
             body = msgspec.json.decode(raw, type=wire.ApplyBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED_ERRORS as error:
             return Failure(Reason.BAD_REQUEST, STEP, "", str(error))
         try:
             document = parse_document(body.ini, "configuration")
--- a/src/_monsoonpulley/ids.py
+++ b/src/_monsoonpulley/ids.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import NewType
+from typing import Annotated, NewType
+
+import msgspec
 
 CustomerId = NewType("CustomerId", str)
 ClassId = NewType("ClassId", str)
@@ -22,6 +24,18 @@
 Fingerprint = NewType("Fingerprint", str)
 """Keyed hash of a request or of a part of prompts, with its kind in front."""
 
+MAX_WIRE_COUNT = 2**53
+"""Messages hold 64 bits; all writers of JSON represent numbers up to here exactly."""
+
+WireCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_WIRE_COUNT)]
+"""A count or wall time in a row, which is passed on to other instances. Messages have
+plain numbers instead: one that is out of range must not make a whole digest invalid."""
+
+
+def are_wire_counts(*numbers: int) -> bool:
+    """Return whether numbers are in the range of `WireCount`."""
+    return all(0 <= number <= MAX_WIRE_COUNT for number in numbers)
+
 
 def attempt_id(request_id: RequestId, attempt: int) -> AttemptId:
     """Return the id of the given attempt of a request, counted from 1."""
--- a/src/_monsoonpulley/ingress/placementexplainer.py
+++ b/src/_monsoonpulley/ingress/placementexplainer.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..ids import CustomerId, InstanceId
 from ..placement_wire import (
     Candidate,
@@ -65,7 +65,7 @@
         self._last_ms = now_ms
         try:
             query = msgspec.json.decode(exchange.request.body, type=PlacementQuery)
-        except msgspec.MsgspecError as error:
+        except MALFORMED_ERRORS as error:
             exchange.respond(HTTPStatus.BAD_REQUEST, [], str(error).encode())
             return
         explanation = self.explain(query)
--- a/src/_monsoonpulley/journal/record.py
+++ b/src/_monsoonpulley/journal/record.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..ids import (
     ClassId,
     CustomerId,
@@ -183,7 +183,7 @@
         )
     try:
         return _decoder.decode(memoryview(data)[1:])
-    except msgspec.MsgspecError as error:
+    except MALFORMED_ERRORS as error:
         return _unreadable(str(error))
 
 
--- a/src/_monsoonpulley/peers/envelope.py
+++ b/src/_monsoonpulley/peers/envelope.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from ..errors import MALFORMED_ERRORS
 from ..ids import InstanceId
 from .digest import Message, Number
 
@@ -94,7 +95,7 @@
             return Rejection.WRONG_KEY
         try:
             envelope = self._decoder.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MALFORMED_ERRORS:
             return Rejection.GARBAGE
         if abs(wall_ms - envelope.sent_wall_ms) > MAX_MESSAGE_AGE_MS:
             return Rejection.STALE
--- a/src/_monsoonpulley/peers/exchange.py
+++ b/src/_monsoonpulley/peers/exchange.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..config.document import Revision
 from ..control.verdict import Result
+from ..errors import MALFORMED_ERRORS
 from ..external.livelist import MemberState
 from ..ids import EndpointId
 from ..observability.log import Log
@@ -374,7 +375,7 @@
     def _handle_revision_answer(self, answer: RevisionAnswer) -> None:
         try:
             revision = msgspec.msgpack.decode(answer.revision, type=Revision)
-        except msgspec.DecodeError:
+        except MALFORMED_ERRORS:
             self._reject(Rejection.GARBAGE)
             return
         self._host.handle_revision(revision)
--- a/src/_monsoonpulley/platform/configuration.py
+++ b/src/_monsoonpulley/platform/configuration.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
 from ..fleet.model import (
     Configuration,
     Customer,
@@ -178,9 +178,13 @@
 def decode_configuration(value: bytes) -> Configuration | Failure:
     """Decode the configuration in a row's value; return a failure if it is invalid."""
     try:
-        document = _decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        return Failure(Reason.INVALID, "configuration.decode", detail=str(error))
+        return _build_configuration(_decoder.decode(value))
+    except MALFORMED_ERRORS as error:
+        detail = describe_error(error)
+        return Failure(Reason.INVALID, "configuration.decode", detail=detail)
+
+
+def _build_configuration(document: _Document) -> Configuration:
     by_host: dict[str, list[Route]] = defaultdict(list)
     for wire_route in document.routes:
         route = wire_route.decode()
--- a/src/_monsoonpulley/platform/endpoints.py
+++ b/src/_monsoonpulley/platform/endpoints.py
@@ -9,7 +9,7 @@
 from ..addresses import MAX_TEXT_CHARS, parse_address
 from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
 from ..fleet.model import Endpoint
-from ..ids import EndpointId, ServiceId, VersionId, ZoneId
+from ..ids import MAX_WIRE_COUNT, EndpointId, ServiceId, VersionId, WireCount, ZoneId
 
 READY = "ready"
 DRAINING = "draining"
@@ -18,13 +18,9 @@
 MAX_SLOTS = 1_000_000
 """More requests than one process has connections."""
 
-MAX_WIRE_MS = 2**53
-"""Times are whole numbers in JSON, which all writers represent exactly up to here."""
-
 _Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
-_Duration = Annotated[float, msgspec.Meta(ge=-MAX_WIRE_MS, le=MAX_WIRE_MS)]
-_WallTime = Annotated[int, msgspec.Meta(ge=0, le=MAX_WIRE_MS)]
+_Duration = Annotated[float, msgspec.Meta(ge=-MAX_WIRE_COUNT, le=MAX_WIRE_COUNT)]
 
 
 class _Server(msgspec.Struct):
@@ -38,7 +34,7 @@
     slots: _Slots = 1
     use_spot: bool = False
     leaves_ms: _Duration | None = None
-    born: _WallTime | None = None
+    born: WireCount | None = None
     cold_remaining_ms: _Duration | None = None
 
 
--- a/src/_monsoonpulley/platform/rollouts.py
+++ b/src/_monsoonpulley/platform/rollouts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..ids import ServiceId, VersionId
 
 ORDER_PREFIX = "rollout/"
@@ -65,12 +65,13 @@
     """Decode the order in a row's value; return a failure if it is invalid."""
     try:
         order = _order_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+        duration_ms = round(order.duration_s * 1000)
+    except MALFORMED_ERRORS as error:
         return Failure(Reason.INVALID, "rollout.decode", detail=str(error))
     return RolloutOrder(
         ServiceId(order.service),
         VersionId(order.to),
-        round(order.duration_s * 1000),
+        duration_ms,
         row_version,
     )
 
@@ -86,6 +87,6 @@
     """Decode version and status in a row's value; return a failure if invalid."""
     try:
         status = _status_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except MALFORMED_ERRORS as error:
         return Failure(Reason.INVALID, "rollout.status", detail=str(error))
     return VersionId(status.to), status.state
--- a/src/_monsoonpulley/platform/store.py
+++ b/src/_monsoonpulley/platform/store.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..errors import Delivery, Failure, Reason
+from ..errors import MALFORMED_ERRORS, Delivery, Failure, Reason
 from ..wire.httpclient import HttpClient, Reply
 from .names import STORE_ERA
 from .storeversion import era_of, join_version, wire_version
@@ -407,7 +407,7 @@
             answer = _answer_decoder.decode(reply.body)
             answer.era = int(reply.fields.get(_ERA_FIELD, 0))
             return answer
-        except msgspec.MsgspecError as error:
+        except MALFORMED_ERRORS as error:
             return Failure(
                 Reason.PROTOCOL, f"store.{name}", self.peer, str(error), Delivery.MAYBE
             )
--- a/src/_monsoonpulley/quarantine/rows.py
+++ b/src/_monsoonpulley/quarantine/rows.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from ..clock import Clock
-from ..errors import Failure
+from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
+from ..ids import WireCount
 from ..observability.log import Log
 from ..platform.store import Condition, Conflict, Put, Removal, Row, Store
 from .evidence import Entry
@@ -37,7 +38,7 @@
     fingerprints: tuple[str, ...]
     service: str
     versions: tuple[str, ...]
-    since_wall_ms: int
+    since_wall_ms: WireCount
     instance: str
     endpoints: tuple[str, ...]
 
@@ -45,6 +46,15 @@
 _decoder = msgspec.json.Decoder(_EntryRow)
 
 
+def decode_entry(key: str, value: bytes) -> Entry | Failure:
+    """Return the entry in a row's value, or a failure if it is invalid."""
+    try:
+        stored = _decoder.decode(value)
+    except MALFORMED_ERRORS as error:
+        return Failure(Reason.INVALID, "quarantine.decode", key, describe_error(error))
+    return Entry(**msgspec.structs.asdict(stored))
+
+
 class QuarantineRows:
     """Reads the entries and the key of the fingerprints, and writes new entries.
 
@@ -170,12 +180,11 @@
         return ""
 
     def _decode_entry(self, row: Row) -> Entry | None:
-        try:
-            stored = _decoder.decode(row.value or b"")
-        except msgspec.MsgspecError as error:
-            self._log.event("quarantine_row_refused", row=row.key, error=str(error))
+        entry = decode_entry(row.key, row.value or b"")
+        if isinstance(entry, Failure):
+            self._log.event("quarantine_row_refused", row=row.key, error=str(entry))
             return None
-        return Entry(**msgspec.structs.asdict(stored))
+        return entry
 
     async def _write(self, key: str, entry: Entry | None) -> str:
         row_key = self._fingerprinter.shorten(key)
--- a/src/_monsoonpulley/requests/handover.py
+++ b/src/_monsoonpulley/requests/handover.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
 from ..external.objects import ObjectStore
 from ..external.table import ABSENT_REVISION, Row, Table, Write
 from ..ids import RequestId
@@ -36,6 +36,14 @@
     request_ids: tuple[RequestId, ...]
 
 
+def decode_index(data: bytes) -> IndexRow | Failure:
+    """Return the index row in a value, or a failure if it is invalid."""
+    try:
+        return msgspec.msgpack.decode(data, type=IndexRow)
+    except MALFORMED_ERRORS as error:
+        return Failure(Reason.PROTOCOL, "streams.index", detail=describe_error(error))
+
+
 class HandOverReport(msgspec.Struct, frozen=True):
     """The numbers of streams that a hand-over stored and failed to store."""
 
@@ -153,7 +161,10 @@
             self._log.event("stream_index_failed", failure=result, streams=len(ids))
 
     async def _collect_row(self, row: Row) -> int:
-        index = msgspec.msgpack.decode(row.value, type=IndexRow)
+        index = decode_index(row.value)
+        if isinstance(index, Failure):
+            self._log.event("stream_index_refused", row=row.key, failure=index)
+            return 0
         if self._clock.wall_ms() < index.expires_wall_ms:
             return 0
         for request_id in index.request_ids:
--- a/src/_monsoonpulley/requests/quarantinetable.py
+++ b/src/_monsoonpulley/requests/quarantinetable.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
-from ..errors import Failure
+from ..errors import MALFORMED_ERRORS, Failure, Reason, describe_error
 from ..external.table import ABSENT_REVISION, Conflict, Table, Write
+from ..ids import are_wire_counts
 from ..observability.log import Log
 from ..quarantine.evidence import Entry
 from ..quarantine.quarantine import Quarantine
@@ -17,6 +18,17 @@
 _decoder = msgspec.json.Decoder(Entry)
 
 
+def decode_table_entry(key: str, value: bytes) -> Entry | Failure:
+    """Return the entry in a row's value, or a failure if it is invalid."""
+    try:
+        entry = _decoder.decode(value)
+    except MALFORMED_ERRORS as error:
+        return Failure(Reason.INVALID, "quarantine.decode", key, describe_error(error))
+    if not are_wire_counts(entry.since_wall_ms):
+        return Failure(Reason.INVALID, "quarantine.decode", key, "no wall time")
+    return entry
+
+
 class QuarantineTable:
     """Reads the entries once and writes changes.
 
@@ -73,10 +85,9 @@
             after = rows[-1].key
 
     def _add_row(self, key: str, value: bytes) -> None:
-        try:
-            entry = _decoder.decode(value)
-        except msgspec.MsgspecError as error:
-            self._log.event("quarantine_row_refused", row=key, error=str(error))
+        entry = decode_table_entry(key, value)
+        if isinstance(entry, Failure):
+            self._log.event("quarantine_row_refused", row=key, error=str(entry))
             return
         self._quarantine.add_entry(entry, idle_ms=0)
 
--- a/src/_monsoonpulley/requests/streamstate.py
+++ b/src/_monsoonpulley/requests/streamstate.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..endpoints.engine import Finished
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..ids import ClassId, CustomerId, RequestId
 
 OBJECT_PREFIX = "streams/"
@@ -75,5 +75,5 @@
     """Return the state that an object's bytes hold."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except MALFORMED_ERRORS as error:
         return Failure(Reason.INTERNAL, "streams.decode", "platform", str(error))
