Read the other rows of a store's answer when one can't be read

Seen: one row of the wrong shape in an answer of the store, or one whose key holds a lone surrogate, made the whole answer a failure at each call: followers stopped following. A version over 2**40 ran into the next era. An era of 5,000 digits raised ValueError.

Cause: answers were decoded as a whole, and their numbers had no range.

Change: rows are decoded one by one. Those that can't be read are left out and counted (monsoonpulley_store_calls with result odd_row); where a missing row would mean that there is none, in reads of one row and in conflicts, the answer stays a failure. Lone surrogates are replaced. An answer that is nested too deeply as a whole is a failure, as before.

--- a/src/_monsoonpulley/platform/store.py
+++ b/src/_monsoonpulley/platform/store.py
@@ -5,15 +5,17 @@
 import asyncio
 import base64
 import binascii
+import re
 from collections.abc import Callable
+from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
 
-from ..errors import MALFORMED_ERRORS, Delivery, Failure, Reason
+from ..errors import MALFORMED_ERRORS, Delivery, Failure, Reason, describe_error
 from ..wire.httpclient import HttpClient, Reply
 from .names import STORE_ERA
-from .storeversion import era_of, join_version, wire_version
+from .storeversion import ERA_STRIDE, era_of, join_version, wire_version
 
 _ERA_FIELD = STORE_ERA.lower()
 
@@ -22,6 +24,9 @@
 yet short enough to replace a reader that the store refuses within the bound on
 configurations."""
 
+MAX_ERA_DIGITS = 6
+"""Digits of an era, which rises by one with each loss; a longer number is none."""
+
 MAX_ROWS_PER_ANSWER = 500
 """The store's own limit."""
 
@@ -83,7 +88,7 @@
 
 class _WireRow(msgspec.Struct):
     key: str
-    row_version: int = 0
+    row_version: Annotated[int, msgspec.Meta(ge=0, lt=ERA_STRIDE)] = 0
     value: str = ""
     deleted: bool = False
 
@@ -101,15 +106,16 @@
 
 
 class _Answer(msgspec.Struct):
-    rows: list[_WireRow] = []
-    row_version: int = 0
+    rows: list[msgspec.Raw] = []
+    row_version: Annotated[int, msgspec.Meta(ge=0, lt=ERA_STRIDE)] = 0
     has_more: bool = False
     era: int = 0
     """Taken from the answer's headers."""
 
     def decode_rows(self) -> tuple[Row, ...]:
-        """Return the rows."""
-        return tuple(row.decode(self.era) for row in self.rows)
+        """Return the rows that can be read."""
+        rows = (_decode_row(raw, self.era) for raw in self.rows)
+        return tuple(row for row in rows if row is not None)
 
     @property
     def version(self) -> int:
@@ -118,6 +124,24 @@
 
 
 _answer_decoder = msgspec.json.Decoder(_Answer)
+_row_decoder = msgspec.json.Decoder(_WireRow)
+
+
+def _decode_row(raw: msgspec.Raw, era: int) -> Row | None:
+    try:
+        return _row_decoder.decode(raw).decode(era)
+    except MALFORMED_ERRORS:
+        return None
+
+
+_ESCAPE = re.compile(
+    rb"\\u[dD][89abAB]..\\u[dD][c-fC-F]..|(\\u[dD][89a-fA-F]..)|\\.", re.DOTALL
+)
+
+
+def _without_lone_surrogates(body: bytes) -> bytes:
+    """Return a body with a replacement for each escape that stands for no text."""
+    return _ESCAPE.sub(lambda m: rb"\ufffd" if m.group(1) else m.group(), body)
 
 
 class Store:
@@ -189,12 +213,15 @@
                 return answer
             if rows and era_of(rows[0].row_version) != answer.era:
                 return self._lost_history("get")
-            rows += answer.decode_rows()
+            page = self._readable_rows("rows-get", answer)
+            rows += page
             version = answer.version if version is None else version
             if not answer.has_more or not answer.rows:
                 return Rows(tuple(rows), version)
+            if not page:
+                return self._unreadable("rows-get", "no row of a page can be read")
             # The smallest key after the last one.
-            start_key = answer.rows[-1].key + "\0"
+            start_key = page[-1].key + "\0"
 
     async def read_row(self, table: str, key: str) -> Row | Failure | None:
         """Return one row of a table's unnamed part, None if there is none."""
@@ -202,10 +229,10 @@
         answer = await self._read("rows-get", query, CALL_TIMEOUT_MS)
         if isinstance(answer, Failure):
             return answer
-        for row in answer.decode_rows():
-            if row.key == key:
-                return row
-        return None
+        rows = answer.decode_rows()
+        if len(rows) < len(answer.rows):
+            return self._unreadable("rows-get", "the row can't be read")
+        return next((row for row in rows if row.key == key), None)
 
     async def read_changes(
         self,
@@ -245,7 +272,8 @@
         if answer.era != era_of(after_version):
             # Changes since a version of another history.
             return self._lost_history("feed")
-        return Rows(answer.decode_rows(), max(answer.version, after_version))
+        rows = self._readable_rows("rows-feed", answer)
+        return Rows(rows, max(answer.version, after_version))
 
     async def write(
         self,
@@ -308,7 +336,11 @@
         if isinstance(answer, Failure):
             return answer
         if reply.status == 412:
-            return Conflict(answer.decode_rows())
+            rows = answer.decode_rows()
+            if len(rows) < len(answer.rows):
+                # A missing row would mean that there is none.
+                return self._refusal("rows-tx", reply)
+            return Conflict(rows)
         if era is not None and answer.era != era:
             # Done in another history than the one that the caller has read.
             return Failure(
@@ -366,7 +398,7 @@
             if reply.status not in (200, 412):
                 return None  # Refused: nothing in it depends on the era.
             detail = "the answer names no era"
-        elif not text.isdigit():
+        elif not text.isdigit() or len(text) > MAX_ERA_DIGITS:
             detail = f"the answer's era is no number: {text[:40]!r}"
         else:
             era = int(text)
@@ -404,13 +436,30 @@
 
     def _decode(self, name: str, reply: Reply) -> _Answer | Failure:
         try:
-            answer = _answer_decoder.decode(reply.body)
+            try:
+                answer = _answer_decoder.decode(reply.body)
+            except msgspec.DecodeError:
+                body = _without_lone_surrogates(reply.body)
+                answer = _answer_decoder.decode(body)
             answer.era = int(reply.fields.get(_ERA_FIELD, 0))
             return answer
         except MALFORMED_ERRORS as error:
-            return Failure(
-                Reason.PROTOCOL, f"store.{name}", self.peer, str(error), Delivery.MAYBE
-            )
+            return self._unreadable(name, describe_error(error))
+
+    def _readable_rows(self, name: str, answer: _Answer) -> tuple[Row, ...]:
+        """Return an answer's rows without those that can't be read, which are counted.
+
+        Others must not be kept from being read by one of them.
+        """
+        rows = answer.decode_rows()
+        for _ in range(len(answer.rows) - len(rows)):
+            self._on_call(name, "odd_row")
+        return rows
+
+    def _unreadable(self, name: str, detail: str) -> Failure:
+        return Failure(
+            Reason.PROTOCOL, f"store.{name}", self.peer, detail, Delivery.MAYBE
+        )
 
     def _refusal(self, name: str, reply: Reply) -> Failure:
         known_delivery = (
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -7,11 +7,28 @@
 from _monsoonpulley.clock import Clock
 from _monsoonpulley.errors import Delivery, Failure, Reason
 from _monsoonpulley.external.table import Committed, Conflict, Write
-from _monsoonpulley.platform.store import Condition, Put, Store
+from _monsoonpulley.platform.store import Condition, Put, Rows, Store
 from _monsoonpulley.platform.storeversion import wire_version
 from _monsoonpulley.platform.table import StoreTable
 from _monsoonpulley.standins.rowstore import RowStoreStandin, StoreFault
-from _monsoonpulley.wire.httpclient import HttpClient
+from _monsoonpulley.wire.httpclient import HttpClient, Reply
+
+HUGE = b"9" * 5_000
+
+
+def store_answering(row: bytes, results: list, era: bytes = b"0") -> Store:
+    """Return a store's client whose calls get three rows, the given one among them."""
+
+    class Client:
+        peer = "store"
+
+        async def call(self, method, target, **kwargs):
+            sound = b'{"key":"%s","row_version":3,"value":"YQ=="}'
+            rows = b",".join((sound % b"a", row, sound % b"z"))
+            body = b'{"rows":[%s],"row_version":9}' % rows
+            return Reply(200, {b"store-era": era}, body)
+
+    return Store(Client(), lambda name, result: results.append((name, result)))
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
@@ -214,3 +231,41 @@
         self.rows.fault = StoreFault.NONE
         await self.store.read_table("t")
         self.assertEqual(self.eras, [])
+
+
+class TestOddRows(unittest.IsolatedAsyncioTestCase):
+    async def test_an_odd_row_does_not_keep_the_others_from_being_read(self):
+        odd_rows = (
+            b"7",
+            b"null",
+            b'{"key":5}',
+            b'{"row_version":1}',
+            b'{"key":"\\ud800","value":3}',
+        )
+        odd_rows += (b'{"key":"k","value":[]}', b'{"key":"k","row_version":%s}' % HUGE)
+        odd_rows += (b'{"key":"k","row_version":-1}', b'{"key":["\\ud800"]}')
+        for odd in odd_rows:
+            with self.subTest(row=odd[:60]):
+                results: list[tuple[str, str]] = []
+                store = store_answering(odd, results)
+                for rows in (
+                    await store.read_table("t"),
+                    await store.read_changes("t", 1, 0),
+                ):
+                    self.assertIsInstance(rows, Rows)
+                    self.assertEqual([row.key for row in rows.rows], ["a", "z"])
+                    self.assertEqual(rows.store_version, 9)
+                self.assertIn(("rows-get", "odd_row"), results)
+
+    async def test_a_key_that_is_no_text_is_read_with_a_replacement(self):
+        store = store_answering(rb'{"key":"\\\ud800\ud83d\ude00"}', [])
+        rows = await store.read_table("t")
+        self.assertEqual([r.key for r in rows.rows], ["a", "\\\ufffd\U0001f600", "z"])
+
+    async def test_an_odd_row_that_stands_in_the_way_is_no_missing_row(self):
+        store = store_answering(b"7", [])
+        self.assertIsInstance(await store.read_row("t", "b"), Failure)
+
+    async def test_an_era_of_thousands_of_digits_is_a_failure(self):
+        store = store_answering(b'{"key":"b"}', [], HUGE)
+        self.assertIsInstance(await store.read_table("t"), Failure)
