Poll the other engines when an error occurs over one

Seen: in the gateway a load report whose timestamp has 5,000 digits raised ValueError in the poll of all engines at once, which was given up and started again: no engine's load was known for as long as one reported so.

Change: such a timestamp counts as none. An error over one engine that was not foreseen is counted (feed.error) and leaves the others alone.

--- a/src/_monsoonpulley/endpoints/engine_metrics.py
+++ b/src/_monsoonpulley/endpoints/engine_metrics.py
@@ -22,6 +22,8 @@
 
 _SAMPLE = re.compile(r"^([a-zA-Z_:][\w:]*)(?:\{[^}]*\})?\s+(\S+)(?:\s+(-?\d+))?\s*$")
 _MAX_VALUE = 1e9
+_MAX_TIMESTAMP_CHARS = 15
+"""Milliseconds of thirty thousand years; a longer number is no time."""
 
 
 def format_metrics(report: LoadReport) -> str:
@@ -58,8 +60,9 @@
             continue
         name = match.group(1)
         values[name] = values.get(name, 0.0) + value
-        if name == RUNNING and match.group(3):
-            measured_wall_ms = min(int(match.group(3)), polled_wall_ms)
+        timestamp = match.group(3)
+        if name == RUNNING and timestamp and len(timestamp) <= _MAX_TIMESTAMP_CHARS:
+            measured_wall_ms = min(int(timestamp), polled_wall_ms)
     if RUNNING not in values or WAITING not in values:
         return None
     used = values.get(KV_USED, values.get(KV_USED_LEGACY, 0.0))
--- a/src/_monsoonpulley/endpoints/feed.py
+++ b/src/_monsoonpulley/endpoints/feed.py
@@ -86,10 +86,19 @@
 
         async def poll_one(endpoint: EndpointId, engine: EngineClient) -> None:
             async with slots:
-                await self._poll_engine(endpoint, engine)
+                await self._try_poll_engine(endpoint, engine)
 
         await asyncio.gather(*(poll_one(*item) for item in engines.items()))
 
+    async def _try_poll_engine(
+        self, endpoint: EndpointId, engine: EngineClient
+    ) -> None:
+        """Poll an engine; an error over it is counted, and the others are polled."""
+        try:
+            await self._poll_engine(endpoint, engine)
+        except Exception:
+            self._metrics.incr("feed.error")
+
     async def _poll_engine(self, endpoint: EndpointId, engine: EngineClient) -> None:
         try:
             async with asyncio.timeout(POLL_TIMEOUT_MS / 1000):
--- a/testing/endpoints/test_engine_metrics.py
+++ b/testing/endpoints/test_engine_metrics.py
@@ -29,6 +29,13 @@
             broken = text.replace("running 3", f"running {value}")
             self.assertIsNone(parse_metrics(broken, 5))
 
+    def test_a_timestamp_of_thousands_of_digits_does_not_end_the_feed(self):
+        text = format_metrics(LoadReport(1, 3, 2, 9, 0.2, 8000.0, 12.5, 16))
+        for digits in ("9" * 5_000, "-" + "9" * 5_000, "9" * 400):
+            stamped = text.replace("running 3 1", f"running 3 {digits}")
+            report = parse_metrics(stamped, 5)
+            self.assertEqual((report.running, report.measured_wall_ms), (3, 5))
+
     def test_a_timestamp_in_the_future_becomes_the_poll_time(self):
         text = format_metrics(LoadReport(9_000, 3, 2, 9, 0.2, 8000.0, 12.5, 16))
         self.assertEqual(parse_metrics(text, 5_000).measured_wall_ms, 5_000)
