Bring a configuration into force whatever the rows beside it hold

Seen: an error over one row of the operators' table, such as a roll-out order, ended the follower's pass before the configuration in the same answer. An order of 1e300 s was taken, whose deadline can't be computed with.

Change: ConfigurationHolder applies each row by itself and logs one that raises (operator_row_failed). Orders last a year at most.

Result: test_an_error_over_another_row failed with OverflowError and test_an_order_of_endless_duration with an order that was taken; both pass.

--- a/src/_monsoonpulley/fleet/configurationholder.py
+++ b/src/_monsoonpulley/fleet/configurationholder.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..clock import Clock
-from ..errors import Failure
+from ..errors import Failure, describe_error
 from ..observability.log import Log
 from ..platform.configuration import decode_configuration
 from ..platform.names import CONFIGURATION_KEY
@@ -50,10 +50,19 @@
     def apply(self, rows: Rows, is_snapshot: bool) -> None:
         """Apply changed rows of the operators' table, or a snapshot of it."""
         for row in rows.rows:
-            if row.key != CONFIGURATION_KEY:
-                self._on_other_row(row)
-            elif row.value is not None:
-                self._apply_value(row.value, row.row_version)
+            try:
+                self._apply_row(row)
+            except Exception as error:
+                # The other rows hold.
+                self._log.event(
+                    "operator_row_failed", row=row.key, error=describe_error(error)
+                )
+
+    def _apply_row(self, row: Row) -> None:
+        if row.key != CONFIGURATION_KEY:
+            self._on_other_row(row)
+        elif row.value is not None:
+            self._apply_value(row.value, row.row_version)
 
     def _apply_value(self, value: bytes, row_version: int) -> None:
         decoded = decode_configuration(value)
--- a/src/_monsoonpulley/platform/rollouts.py
+++ b/src/_monsoonpulley/platform/rollouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -40,11 +41,15 @@
     ROLLED_BACK = "rolled_back"
 
 
+MAX_ROLLOUT_S = 31_536_000
+"""A year; times of any length can be computed with up to here."""
+
+
 class _Order(msgspec.Struct):
     service: str
     # "to" is the version that is rolled out.
     to: str
-    duration_s: float
+    duration_s: Annotated[float, msgspec.Meta(le=MAX_ROLLOUT_S)]
 
 
 class _Status(msgspec.Struct):
--- a/testing/fleet/test_configurationholder.py
+++ b/testing/fleet/test_configurationholder.py
@@ -58,6 +58,22 @@
         self.apply(b"{}", key="rollout/svc")
         self.assertEqual(self.other_keys, ["rollout/svc"])
 
+    def test_an_error_over_another_row_does_not_keep_a_configuration_out(self):
+        def fail(row):
+            raise OverflowError(row.key)
+
+        holder = ConfigurationHolder(
+            self.clock,
+            Log(self.clock, self.lines.append),
+            lambda current: self.versions.append(current.version),
+            fail,
+        )
+        value = json.dumps(configuration(3)).encode()
+        rows = (Row("a-rollout", b"{}", 1), Row("config", value, 2))
+        holder.apply(Rows(rows, 2), True)
+        self.assertEqual(self.versions, [3])
+        self.assertIn("operator_row_failed", "".join(self.lines))
+
     def test_the_fields_of_a_route_are_decoded(self):
         document = configuration(3, kind="streaming", resume_streams=True)
         document["routes"][0]["traffic_split"] = [
--- a/testing/platform/test_odd_rows.py
+++ b/testing/platform/test_odd_rows.py
@@ -11,6 +11,7 @@
 from _monsoonpulley.control import fleetrows, leasestate, orders, rolloutrows
 from _monsoonpulley.duties.usagereport import _stored_counts
 from _monsoonpulley.endpoints.openai_wire import parse_chunk
+from _monsoonpulley.errors import Failure
 from _monsoonpulley.external.table import Conflict, Row
 from _monsoonpulley.journal.record import decode_record
 from _monsoonpulley.platform.configuration import decode_configuration
@@ -69,6 +70,11 @@
                 with self.subTest(reader=name, odd=odd):
                     read(value)
 
+    def test_an_order_of_endless_duration_is_refused(self):
+        for duration in (b"1e308", b"1e300", b"1e12"):
+            order = b'{"service":"s","to":"v","duration_s":%s}' % duration
+            self.assertIsInstance(decode_order(order, 1), Failure)
+
     def test_what_can_not_be_sent_to_other_instances_is_not_read(self):
         """A lease or an entry with such a number would end all digests."""
         lease = {"holder": "i", "incarnation": 1, "fencing_number": 1, "token": "t"}
