--- a/src/_monsoonpulley/endpoints/http_service.py
+++ b/src/_monsoonpulley/endpoints/http_service.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..errors import MALFORMED_ERRORS, Delivery, Failure, Reason
+from ..errors import Delivery, Failure, Reason
 from ..ids import RequestId
 from .adapters import EndpointTarget, service_adapters
 from .http_headers import Headers, end_to_end, is_sendable
@@ -96,7 +96,7 @@
                 trace_request_ctx=trace,
             ) as response:
                 return await self._read_lookup(response, step)
-        except MALFORMED_ERRORS:
+        except (msgspec.MsgspecError, RecursionError):
             return self._failure(Reason.PROTOCOL, step)
         except TRANSPORT_ERRORS as error:
             return transport_failure(error, trace, step, self._target.endpoint_id)
--- a/src/_monsoonpulley/platform/store.py
+++ b/src/_monsoonpulley/platform/store.py
@@ -24,8 +24,8 @@
 yet short enough to replace a reader that the store refuses within the bound on
 configurations."""
 
-MAX_ERA_DIGITS = 6
-"""Digits of an era, which rises by one with each loss; a longer number is none."""
+MAX_ERA_DIGITS = 15
+"""Digits of an era that messages between instances hold; a longer number is none."""
 
 MAX_ROWS_PER_ANSWER = 500
 """The store's own limit."""
