--- a/src/_monsoonpulley/endpoints/http_service.py
+++ b/src/_monsoonpulley/endpoints/http_service.py
@@ -96,7 +96,7 @@
                 trace_request_ctx=trace,
             ) as response:
                 return await self._read_lookup(response, step)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return self._failure(Reason.PROTOCOL, step)
         except TRANSPORT_ERRORS as error:
             return transport_failure(error, trace, step, self._target.endpoint_id)
--- a/src/_monsoonpulley/platform/rollouts.py
+++ b/src/_monsoonpulley/platform/rollouts.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
-from ..errors import Failure, Reason
+from ..errors import MALFORMED_ERRORS, Failure, Reason
 from ..ids import ServiceId, VersionId
 
 ORDER_PREFIX = "rollout/"
@@ -40,11 +41,15 @@
     ROLLED_BACK = "rolled_back"
 
 
+MAX_ROLLOUT_S = 31_536_000
+"""A year; times of any length can be computed with up to here."""
+
+
 class _Order(msgspec.Struct):
     service: str
     # "to" is the version that is rolled out.
     to: str
-    duration_s: float
+    duration_s: Annotated[float, msgspec.Meta(le=MAX_ROLLOUT_S)]
 
 
 class _Status(msgspec.Struct):
@@ -65,12 +70,13 @@
     """Decode the order in a row's value; return a failure if it is invalid."""
     try:
         order = _order_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+        duration_ms = round(order.duration_s * 1000)
+    except MALFORMED_ERRORS as error:
         return Failure(Reason.INVALID, "rollout.decode", detail=str(error))
     return RolloutOrder(
         ServiceId(order.service),
         VersionId(order.to),
-        round(order.duration_s * 1000),
+        duration_ms,
         row_version,
     )
 
@@ -86,6 +92,6 @@
     """Decode version and status in a row's value; return a failure if invalid."""
     try:
         status = _status_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except MALFORMED_ERRORS as error:
         return Failure(Reason.INVALID, "rollout.status", detail=str(error))
     return VersionId(status.to), status.state
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -28,6 +28,9 @@
 """Requests that a server may refuse on a connection before it is replaced: their ids
 take some 20 KB, and one request in so many waits for a new connection."""
 
+MAX_TIMEOUT_DIGITS = 6
+"""Digits of an idle time-out in seconds, eleven days; a longer number is no time."""
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -305,6 +308,7 @@
         return None
     for part in keep_alive.split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.strip().isdigit():
+        is_time = value.strip().isdigit() and len(value) <= MAX_TIMEOUT_DIGITS
+        if name.lower() == b"timeout" and is_time:
             return int(value) * 1000
     return None
