Show that a late refusal hides a send from the instance that asked

An instance without links has another one serve its request. If that one sends it to an endpoint, which does not run it, and refuses it late in a stop, it says no_link. The first instance then asks the next one, which sends it to one more endpoint: no retry is taken and max_attempts is not compared.

The test fails: 'no_link' != 'not_run'.

--- a/testing/ingress/test_late_requests.py
+++ b/testing/ingress/test_late_requests.py
@@ -173,6 +173,25 @@
         self.assertEqual(len(endpoint.calls) + len(other.calls), 1)
         writer.close()
 
+    async def test_another_instance_is_not_told_that_nothing_was_sent(self):
+        """Guards against a further send by the asking instance, beyond its retries."""
+
+        async def refuse_late(call) -> None:
+            await self.release.wait()
+            call.answer(503, seal=None, extra=NOT_RUN)
+
+        endpoint = await self.start(refuse_late)
+        address = self.site.service.peer_server.address()
+        reader, writer = await asyncio.open_connection(*address)
+        extra = "Monsoonpulley-Peer-Sends: 0\r\n"
+        writer.write(request(deadline_ms=LONG_MS, extra=extra))
+        await self.site.wait_until(lambda: endpoint.calls)
+        self.begin_stop()
+        await asyncio.sleep(LATE_S)
+        self.release.set()
+        got = await self.assert_refused(reader, writer, endpoint, call_count=1)
+        self.assertEqual(got.headers["monsoonpulley-peer-outcome"], "not_run")
+
     async def test_a_stream_is_not_resumed_when_the_stop_ends(self):
         async def break_off(call) -> None:
             call.start_stream()
