Tell other instances not_run of a request that was sent before a late refusal

An instance whose request another one refused late, after an endpoint had not run it, sent it once more without a retry: the answer was no_link, as if nothing had been sent. The same held for lost links found after a send.

no_link is now told only if this instance sent the request to no endpoint.

test_another_instance_is_not_told_that_nothing_was_sent failed before ('no_link' != 'not_run') and passes. testing.ingress.test_late_requests and test_peers: 28 of 29 passed beside other load, one test of test_peers timed out (its name was not kept); test_peers alone then passed, with this change and without it (20 each).

--- a/src/_monsoonpulley/ingress/requeststate.py
+++ b/src/_monsoonpulley/ingress/requeststate.py
@@ -75,6 +75,7 @@
         self.tried_ids: set[EndpointId] = set()
         self.is_from_peer = is_from_peer
         self.send_count = read_send_count(exchange.request) if is_from_peer else 0
+        self._earlier_send_count = self.send_count
         self.is_own_refusal = False
         self.may_have_run = False
         self.is_trial = False
@@ -111,7 +112,10 @@
     def _peer_outcome(self, status: int) -> PeerOutcome:
         if self.may_have_run or status not in PROMISES_NOT_RUN:
             return PeerOutcome.FINAL
-        return PeerOutcome.NO_LINK if self.is_own_refusal else PeerOutcome.NOT_RUN
+        # The other instance takes no retry after a refusal as for lost links.
+        was_sent = self.send_count > self._earlier_send_count
+        is_no_link = self.is_own_refusal and not was_sent
+        return PeerOutcome.NO_LINK if is_no_link else PeerOutcome.NOT_RUN
 
     def record_answer(self, status: int, detail: str = "") -> None:
         """Record that an endpoint's answer was forwarded to the caller."""
