Answer what a gateway has in progress when its drain ends

Callers of plain services lost their connection when a leaving gateway was killed at its deadline: the drain waits until 1 s before it, and nothing ended the calls that outlast it, although streams are stopped and once-only work is handed over then. Requests queued for admission, which had not run, were cut the same way.

The end of the drain now ends both: 503 (not run) while they wait for admission, also for generations, 504 (unknown) once calls were sent.

testing.gateway.test_stop: both tests failed before (no answer at the deadline) and pass. testing.gateway.test_late_requests, test_requests, testing.goldens.test_sessions, testing.requests.test_continuation and test_admissiongate pass (54 with the two). That a queued generation is refused has no test of its own.

--- a/src/_monsoonpulley/entry/instance.py
+++ b/src/_monsoonpulley/entry/instance.py
@@ -107,6 +107,7 @@
     async def drain(self) -> None:
         """Wait for requests in progress until the deadline and hand over the rest."""
         await self.lifecycle.wait_drained(RECLAIM_MARGIN_MS)
+        self.lifecycle.end_requests()
         storing_task = asyncio.create_task(self.streams.hand_over())
         deadline_ms = self.lifecycle.deadline_ms
         if deadline_ms is None:
--- a/src/_monsoonpulley/entry/lifecycle.py
+++ b/src/_monsoonpulley/entry/lifecycle.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from enum import Enum
+from typing import TypeVar
 
 from ..clock import Clock
 from ..ids import RequestId
@@ -20,6 +21,8 @@
 """How long before the deadline an instance stops waiting for requests and hands
 over the rest."""
 
+T = TypeVar("T")
+
 
 class Phase(Enum):
     """Lifecycle phase of an entry instance."""
@@ -40,6 +43,8 @@
         self._idle_event = asyncio.Event()
         self._idle_event.set()
         self._stop_gate = StopGate()
+        self._request_scopes: set[asyncio.Timeout] = set()
+        self._requests_end_s: float | None = None
         self._leaving_event = asyncio.Event()
         self._ready_event = asyncio.Event()
         self.phase = Phase.STARTING
@@ -125,6 +130,30 @@
             if not self._in_progress_count:
                 self._idle_event.set()
 
+    async def run_until_end(
+        self, work: Awaitable[T], make_default: Callable[[], T]
+    ) -> T:
+        """Return the result of ``work``, or ``make_default()`` if the stop ends it."""
+        scope = asyncio.timeout_at(self._requests_end_s)
+        self._request_scopes.add(scope)
+        try:
+            async with scope:
+                return await work
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            return make_default()
+        finally:
+            self._request_scopes.discard(scope)
+
+    def end_requests(self) -> None:
+        """End the work in progress, so that its callers have an answer in time."""
+        if self._requests_end_s is not None:
+            return
+        self._requests_end_s = asyncio.get_running_loop().time()
+        for scope in self._request_scopes:
+            scope.reschedule(self._requests_end_s)
+
     async def wait_ready(self) -> None:
         """Wait until the instance is or has been ready."""
         await self._ready_event.wait()
--- a/src/_monsoonpulley/gateway/authorization.py
+++ b/src/_monsoonpulley/gateway/authorization.py
@@ -92,7 +92,7 @@
             detail = "the instance is not ready yet"
             return Failure(Reason.UNAVAILABLE, "gateway.admit", "", detail)
         if not self._lifecycle.accepts_requests():
-            return self._leaving_failure()
+            return self.leaving_failure()
         return document
 
     def check_start(self, access: ClassAccess, request_id: RequestId) -> Failure | None:
@@ -104,9 +104,10 @@
         deadline_ms = self._clock.now_ms() + allowed_ms
         if self._lifecycle.may_begin(request_id, deadline_ms):
             return None
-        return self._leaving_failure()
+        return self.leaving_failure()
 
-    def _leaving_failure(self) -> Failure:
+    def leaving_failure(self) -> Failure:
+        """Return the failure of a request that a stop does not begin, or ends."""
         return Failure(
             Reason.SHUTTING_DOWN,
             "gateway.admit",
--- a/src/_monsoonpulley/gateway/generations.py
+++ b/src/_monsoonpulley/gateway/generations.py
@@ -122,7 +122,9 @@
             self._log_refusal(call)
             await call.response()(scope, receive, send)
             return
-        refusal = await self._gate.admit(call.context)
+        refusal = await self._lifecycle.run_until_end(
+            self._gate.admit(call.context), self._authorizer.leaving_failure
+        )
         if refusal is not None:
             response = call.refuse(refusal)
             await response(scope, receive, send)
--- a/src/_monsoonpulley/gateway/services.py
+++ b/src/_monsoonpulley/gateway/services.py
@@ -146,12 +146,17 @@
     async def _call_when_admitted(
         self, context: RequestContext, call: PassThrough
     ) -> PassThroughResult:
-        refusal = await self._gate.admit(context)
+        leaving_failure = self._authorizer.leaving_failure
+        run_until_end = self._lifecycle.run_until_end
+        refusal = await run_until_end(self._gate.admit(context), leaving_failure)
         if refusal is not None:
             return PassThroughResult(Outcome.NOT_RUN, None, refusal)
         try:
-            return await call_idempotent(
-                context, call, self._placement, self._attempts, self._clock
+            return await run_until_end(
+                call_idempotent(
+                    context, call, self._placement, self._attempts, self._clock
+                ),
+                lambda: PassThroughResult(Outcome.UNKNOWN, None, leaving_failure()),
             )
         finally:
             self._gate.release(context)
