Show that a short grace period is cut shorter than promised

Requests are promised five sixths of the grace period. Two fixed margins, 0.6 s together, end them earlier if it is below 3.6 s: streams break off before.

The test fails: 504 != 200 with a grace period of 1.5 s.

--- a/testing/ingress/test_late_requests.py
+++ b/testing/ingress/test_late_requests.py
@@ -226,6 +226,19 @@
             self.assertEqual((await self.read(reader)).status, 504)
         writer.close()
 
+    async def test_requests_have_five_sixths_of_the_grace_period(self):
+        async def answer_late(call) -> None:
+            await asyncio.sleep(GRACE_PERIOD_S * 0.75)
+            call.answer()
+
+        await self.start(answer_late)
+        reader, writer = await self.site.connect()
+        writer.write(request(deadline_ms=LONG_MS))
+        await asyncio.sleep(0.05)
+        self.begin_stop()
+        self.assertEqual((await self.read(reader)).status, 200)
+        writer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
