End requests no earlier than in the last sixth of a short grace period

Callers' streams were broken off 0.6 s before the end of the grace period, which is earlier than in its last sixth if it is below 3.6 s. The two margins are now a twelfth of it each, if that is less.

test_requests_have_five_sixths_of_the_grace_period failed before (504 != 200) and passes; testing.ingress.test_late_requests and test_stop pass (18). Unchanged for the usual grace period of 8 s.

--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -85,6 +85,10 @@
 DRAIN_MARGIN_MS = 300
 """Margin before the platform kills the process at the end of its grace period."""
 
+DRAIN_MAX_SHARE = 1 / 12
+"""Largest share of the grace period for each of the two times above: requests in
+progress may be ended in its last sixth."""
+
 
 class IngressService:
     """One instance of the ingress.
@@ -308,8 +312,9 @@
         self.is_stopping = True
         now_ms = self.clock.now_ms()
         grace_ms = round(self.settings.bounds.grace_period_s * 1000)
-        end_ms = now_ms + grace_ms - DRAIN_MARGIN_MS
-        requests_end_ms = end_ms - DRAIN_ANSWER_MS
+        max_margin_ms = int(DRAIN_MAX_SHARE * grace_ms)
+        end_ms = now_ms + grace_ms - min(DRAIN_MARGIN_MS, max_margin_ms)
+        requests_end_ms = end_ms - min(DRAIN_ANSWER_MS, max_margin_ms)
         self.parts.stop_gate.begin(now_ms, DRAIN_LISTEN_MS, requests_end_ms)
         self.log.event("stopping", in_progress=len(self._runs))
         self.digest_exchange.broadcast_digest()
