Show that late refusals send callers back while no instance serves

If all instances stop, or there is one only, a late refusal's retry time of 0.1 to 0.2 s leads callers to a closed listener. They try a few times only.

--- a/testing/ingress/test_late_requests.py
+++ b/testing/ingress/test_late_requests.py
@@ -37,6 +37,7 @@
         endpoint = await self.site.add_endpoint(script)
         document = configuration(timeout_ms=LONG_MS, **changes)
         await self.site.start(document, grace_period_s=GRACE_PERIOD_S)
+        self.site.service.parts.members.has_serving = lambda: True
         return endpoint
 
     async def add_other(self, script):
@@ -192,6 +193,19 @@
         got = await self.assert_refused(reader, writer, endpoint, call_count=1)
         self.assertEqual(got.headers["monsoonpulley-peer-outcome"], "not_run")
 
+    async def test_callers_are_not_sent_back_while_no_instance_serves(self):
+        await self.start(self.hang)
+        self.site.service.parts.members.has_serving = lambda: False
+        reader, writer = await self.site.connect()
+        self.begin_stop()
+        await asyncio.sleep(LATE_S)
+        writer.write(request(deadline_ms=LONG_MS))
+        got = await self.read(reader)
+        self.assertEqual(got.status, 503)
+        left_s = GRACE_PERIOD_S - LATE_S
+        self.assertGreater(float(got.headers["retry-after"]), left_s)
+        writer.close()
+
     async def test_a_stream_is_not_resumed_when_the_stop_ends(self):
         async def break_off(call) -> None:
             call.start_stream()
