Send callers back after the stop if no other instance serves

A late refusal told callers to return after 0.1 to 0.2 s, as other instances serve. If all stop, or there is one only, they found a closed listener and spent their few tries before the process was back.

No other instance counts as serving if each one stops or has been silent.

--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -196,7 +196,11 @@
         self.parts.log.decision(refusal)
         self.parts.counters.stopped_requests.labels("refused").inc()
         self.is_own_refusal = True
-        self._refuse_here("the instance stops")
+        if self.parts.members.has_serving():
+            self._refuse_here("the instance stops")
+        else:
+            restart_ms = refusal.left_ms + NO_CONFIGURATION_RETRY_MS
+            self.respond(503, "all instances stop", self._spread_ms(restart_ms))
         return True
 
     def _refuse_here(self, detail: str) -> None:
--- a/src/_monsoonpulley/sharing/members.py
+++ b/src/_monsoonpulley/sharing/members.py
@@ -159,6 +159,10 @@
             and self._clock.now_ms() - last_received_ms < max_silence_ms
         )
 
+    def has_serving(self) -> bool:
+        """Return whether another instance is reachable and does not stop."""
+        return any(self.is_reachable(m) and not m.is_leaving for m in self.all())
+
     def refresh_counts(self) -> tuple[int, int]:
         """Return the numbers of reachable and of all instances, with this one.
 
--- a/testing/sharing/test_members.py
+++ b/testing/sharing/test_members.py
@@ -39,6 +39,15 @@
         self.assertTrue(self.members.record_digest(digest("new")))
         self.assertEqual(self.members.refresh_counts(), (2, 2))
 
+    def test_an_instance_that_stops_or_is_silent_serves_no_one(self):
+        self.assertFalse(self.members.has_serving())
+        self.members.record_digest(digest("a"))
+        self.members.record_digest(digest("b", is_leaving=True))
+        self.assertTrue(self.members.has_serving())
+        self.clock.advance_ms(MAX_SILENCE_MS)
+        self.members.record_digest(digest("b", 2, is_leaving=True))
+        self.assertFalse(self.members.has_serving())
+
     def test_a_silent_instance_counts_until_it_expires(self):
         for name in "abc":
             self.members.record_digest(digest(name))
