Test what a late stop repeats, asks no further, and refuses of generations

Breaking three rules of the stop gate one by one left all tests passing: that a stream that broke off is still resumed late (may_have_run in _refuse_late), that no further instance is asked after one that did not serve, and that generations ask the gate of the gateway. Each has a test now that fails without its rule (tried) and passes with it.

--- a/testing/gateway/test_late_requests.py
+++ b/testing/gateway/test_late_requests.py
@@ -29,13 +29,13 @@
 class LateRequestsTest(unittest.TestCase):
     """Guards against requests that are begun so late that a stop cuts them off."""
 
-    def check_refused(self, left_ms, wait_ms=0, body_ms=0):
+    def check_refused(self, left_ms, wait_ms=0, body_ms=0, path=PATH, body=None):
         async def script(world):
             instance = world.entries["entry-1"].instance
             instance.leave("test", world.clock.now_ms() + left_ms)
             await world.clock.sleep_ms(wait_ms)
             app = send_body_late(instance.app, world.clock, body_ms)
-            refused = await Caller(app, ALICE).post_json(PATH, {})
+            refused = await Caller(app, ALICE).post_json(path, body or {})
             self.assertEqual((refused.status, refused.headers["x-outcome"]), REFUSED)
             self.assertEqual(refused.headers["connection"], "close")
             self.assertEqual(world.events("route"), [])
@@ -48,6 +48,15 @@
     def test_a_request_that_lasts_beyond_the_stop_is_not_begun(self):
         self.check_refused(left_ms=3_000, wait_ms=LEAVE_GRACE_MS - 500)
 
+    def test_a_generation_that_lasts_beyond_the_stop_is_not_begun(self):
+        body = {"model": "question", "messages": [{"role": "user", "content": "why"}]}
+        self.check_refused(
+            left_ms=3_000,
+            wait_ms=LEAVE_GRACE_MS - 500,
+            path="/v1/chat/completions",
+            body=body,
+        )
+
     def test_a_connection_is_not_kept_for_requests_that_are_refused(self):
         self.check_refused(left_ms=60_000, wait_ms=LEAVE_GRACE_MS + 100)
 
--- a/testing/ingress/test_late_requests.py
+++ b/testing/ingress/test_late_requests.py
@@ -206,6 +206,28 @@
         self.assertGreater(float(got.headers["retry-after"]), left_s)
         writer.close()
 
+    async def test_a_stream_that_broke_off_is_resumed_late(self):
+        async def stream(call) -> None:
+            is_resumed = "last-event-id" in call.headers
+            call.start_stream()
+            call.write_event(2 if is_resumed else 1)
+            if not is_resumed:
+                await self.release.wait()
+                call.writer.transport.abort()
+            call.write_chunk(b"")
+
+        await self.start(stream, kind="streaming", resume_streams=True)
+        await self.add_other(stream)
+        reader, writer = await self.site.connect()
+        writer.write(request(deadline_ms=LONG_MS))
+        await reader.readuntil(b"\r\n\r\n")
+        self.begin_stop()
+        await asyncio.sleep(LATE_S)
+        self.release.set()
+        rest = await asyncio.wait_for(reader.readuntil(b"\r\n0\r\n\r\n"), 5)
+        self.assertEqual((rest.count(b"id: 1"), rest.count(b"id: 2")), (1, 1))
+        writer.close()
+
     async def test_a_stream_is_not_resumed_when_the_stop_ends(self):
         async def break_off(call) -> None:
             call.start_stream()
--- a/testing/ingress/test_peers.py
+++ b/testing/ingress/test_peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from .linked import LinkedFleet, Loss
 from .site import read_answer, request
@@ -89,6 +90,20 @@
             self.assertEqual((await self.fleet.send(self.cut)).status, 200)
         self.assertTrue(self.others[0].log_events("late_refusal"))
 
+    async def test_a_stopping_instance_asks_no_further_one_late(self):
+        await self.start(3)
+        await self.lose_links([self.cut])
+        now_ms = self.cut.clock.now_ms()
+        for site in self.fleet.sites:
+            site.service.parts.stop_gate.begin(now_ms, 0, now_ms)
+        self.cut.service.parts.stop_gate.may_begin = mock.Mock(
+            side_effect=[True, False]
+        )
+        before = len(self.cut.log_events("peer_attempt"))
+        self.assertEqual((await self.fleet.send(self.cut)).status, 503)
+        self.assertEqual(len(self.cut.log_events("peer_attempt")) - before, 1)
+        self.assertEqual(len(self.cut.log_events("late_refusal")), 1)
+
     async def test_links_are_used_again_soon_after_they_work(self):
         await self.start(2)
         await self.lose_links([self.cut])
