--- a/testing/ingress/test_late_requests.py
+++ b/testing/ingress/test_late_requests.py
@@ -37,6 +37,7 @@
         endpoint = await self.site.add_endpoint(script)
         document = configuration(timeout_ms=LONG_MS, **changes)
         await self.site.start(document, grace_period_s=GRACE_PERIOD_S)
+        self.site.service.parts.members.has_serving = lambda: True
         return endpoint
 
     async def add_other(self, script):
@@ -173,6 +174,60 @@
         self.assertEqual(len(endpoint.calls) + len(other.calls), 1)
         writer.close()
 
+    async def test_another_instance_is_not_told_that_nothing_was_sent(self):
+        """Guards against a further send by the asking instance, beyond its retries."""
+
+        async def refuse_late(call) -> None:
+            await self.release.wait()
+            call.answer(503, seal=None, extra=NOT_RUN)
+
+        endpoint = await self.start(refuse_late)
+        address = self.site.service.peer_server.address()
+        reader, writer = await asyncio.open_connection(*address)
+        extra = "Monsoonpulley-Peer-Sends: 0\r\n"
+        writer.write(request(deadline_ms=LONG_MS, extra=extra))
+        await self.site.wait_until(lambda: endpoint.calls)
+        self.begin_stop()
+        await asyncio.sleep(LATE_S)
+        self.release.set()
+        got = await self.assert_refused(reader, writer, endpoint, call_count=1)
+        self.assertEqual(got.headers["monsoonpulley-peer-outcome"], "not_run")
+
+    async def test_callers_are_not_sent_back_while_no_instance_serves(self):
+        await self.start(self.hang)
+        self.site.service.parts.members.has_serving = lambda: False
+        reader, writer = await self.site.connect()
+        self.begin_stop()
+        await asyncio.sleep(LATE_S)
+        writer.write(request(deadline_ms=LONG_MS))
+        got = await self.read(reader)
+        self.assertEqual(got.status, 503)
+        left_s = GRACE_PERIOD_S - LATE_S
+        self.assertGreater(float(got.headers["retry-after"]), left_s)
+        writer.close()
+
+    async def test_a_stream_that_broke_off_is_resumed_late(self):
+        async def stream(call) -> None:
+            is_resumed = "last-event-id" in call.headers
+            call.start_stream()
+            call.write_event(2 if is_resumed else 1)
+            if not is_resumed:
+                await self.release.wait()
+                call.writer.transport.abort()
+            call.write_chunk(b"")
+
+        await self.start(stream, kind="streaming", resume_streams=True)
+        await self.add_other(stream)
+        reader, writer = await self.site.connect()
+        writer.write(request(deadline_ms=LONG_MS))
+        await reader.readuntil(b"\r\n\r\n")
+        self.begin_stop()
+        await asyncio.sleep(LATE_S)
+        self.release.set()
+        rest = await asyncio.wait_for(reader.readuntil(b"\r\n0\r\n\r\n"), 5)
+        self.assertEqual((rest.count(b"id: 1"), rest.count(b"id: 2")), (1, 1))
+        writer.close()
+
     async def test_a_stream_is_not_resumed_when_the_stop_ends(self):
         async def break_off(call) -> None:
             call.start_stream()
@@ -207,6 +262,19 @@
             self.assertEqual((await self.read(reader)).status, 504)
         writer.close()
 
+    async def test_requests_have_five_sixths_of_the_grace_period(self):
+        async def answer_late(call) -> None:
+            await asyncio.sleep(GRACE_PERIOD_S * 0.75)
+            call.answer()
+
+        await self.start(answer_late)
+        reader, writer = await self.site.connect()
+        writer.write(request(deadline_ms=LONG_MS))
+        await asyncio.sleep(0.05)
+        self.begin_stop()
+        self.assertEqual((await self.read(reader)).status, 200)
+        writer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
