Put the body of an answer into the mailbox once for each read

testing.ingress.test_endless_answers failed once in a whole run beside other load: a chunked body without end took 5.6 s to fail, 4 allowed. Cause: the limit on what an answer may hold beside its body ends it after 105,000 chunks of 4 bytes, and each chunk was an event of its own that woke the request's task. That the load of that run made 5.6 s of it is not shown.

What a read brings of a body is one event, put before whatever follows it. testing.wire.test_clientconnection: 2,000 events before, one now.

--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -79,6 +79,7 @@
         self._mailbox: Mailbox | None = None
         self._expected_id: tuple[bytes, bytes] | None = None
         self._headers: HeaderList = []
+        self._body_pieces: list[bytes] = []
         self._is_head_request = False
         self._is_skipping_message = False
         self._ends_at_close = False
@@ -194,6 +195,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail_exchange(f"malformed answer: {error}")
             return
+        self._put_body()
         if self._mailbox is not None and self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail_exchange("malformed answer: too many bytes outside of its body")
 
@@ -253,10 +255,10 @@
             self.abort()
 
     def on_body(self, data: bytes) -> None:
-        """Put a piece of the body into the mailbox."""
+        """Add a piece of the body to what this read has brought."""
         if not self._is_skipping_message:
             self._overhead_bytes -= len(data)
-            self._put(AnswerData(data))
+            self._body_pieces.append(data)
 
     def on_message_complete(self) -> None:
         """End the exchange unless the answer belongs to another request."""
@@ -298,9 +300,16 @@
         self.abort()
 
     def _put(self, event: Event) -> None:
+        self._put_body()
         if self._mailbox is not None:
             self._mailbox.put(self, event)
 
+    def _put_body(self) -> None:
+        """Put what was read of the body as one event, however small its chunks are."""
+        if self._body_pieces and self._mailbox is not None:
+            self._mailbox.put(self, AnswerData(b"".join(self._body_pieces)))
+        self._body_pieces.clear()
+
 
 def _idle_timeout_ms(keep_alive: bytes | None) -> int | None:
     """Return the ``timeout`` of a ``Keep-Alive`` header in ms, if it has one."""
--- a/testing/wire/test_clientconnection.py
+++ b/testing/wire/test_clientconnection.py
@@ -86,6 +86,23 @@
         return events
 
 
+class TestBodies(ConnectionTest):
+    def test_a_body_of_many_small_chunks_is_put_once_for_each_read(self):
+        """Guards against faulty endpoints that take the processor with tiny chunks."""
+        head = b"HTTP/1.1 200 S\r\nRequest-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = b"1\r\nx\r\n" * 1_000
+        events = self.exchange(b"a1", head + chunks + chunks + b"0\r\n\r\n")
+        kinds = [type(event) for event in events.list]
+        self.assertEqual(kinds, [AnswerHead, AnswerData, AnswerEnd])
+        self.assertEqual(events.body, b"x" * 2_000)
+
+    def test_what_came_of_a_body_is_put_before_its_error(self):
+        head = b"HTTP/1.1 200 S\r\nRequest-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        events = self.exchange(b"a1", head + b"4\r\nmore\r\nnot a chunk")
+        kinds = [type(event) for event in events.list]
+        self.assertEqual(kinds, [AnswerHead, AnswerData, AnswerIncomplete])
+
+
 class TestSecondCopies(ConnectionTest):
     """A second copy of an answer, which must not reach the next request."""
 
