--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -311,10 +311,7 @@
         """
         self.is_stopping = True
         now_ms = self.clock.now_ms()
-        grace_ms = round(self.settings.bounds.grace_period_s * 1000)
-        max_margin_ms = int(DRAIN_MAX_SHARE * grace_ms)
-        end_ms = now_ms + grace_ms - min(DRAIN_MARGIN_MS, max_margin_ms)
-        requests_end_ms = end_ms - min(DRAIN_ANSWER_MS, max_margin_ms)
+        requests_end_ms, end_ms = self._stop_times(now_ms)
         self.parts.stop_gate.begin(now_ms, DRAIN_LISTEN_MS, requests_end_ms)
         self.log.event("stopping", in_progress=len(self._runs))
         self.digest_exchange.broadcast_digest()
@@ -326,6 +323,19 @@
         for server in (self.caller_server, self.peer_server):
             await server.end_listening()
         await self._wait_closed(requests_end_ms)
+        await self._end_requests(end_ms)
+        self.digest_exchange.close()
+        self.store.close()
+
+    def _stop_times(self, now_ms: int) -> tuple[int, int]:
+        """Return when a stop ends the requests in progress, and the process."""
+        grace_ms = round(self.settings.bounds.grace_period_s * 1000)
+        max_margin_ms = int(DRAIN_MAX_SHARE * grace_ms)
+        end_ms = now_ms + grace_ms - min(DRAIN_MARGIN_MS, max_margin_ms)
+        return end_ms - min(DRAIN_ANSWER_MS, max_margin_ms), end_ms
+
+    async def _end_requests(self, end_ms: int) -> None:
+        """Give the requests in progress their last answer, until ``end_ms``."""
         ended = list(self._runs.values())
         for run in ended:
             run.end_now()
@@ -340,8 +350,6 @@
             connections=self.caller_server.connection_count,
             peer_connections=self.peer_server.connection_count,
         )
-        self.digest_exchange.close()
-        self.store.close()
 
     def _count_stopped(self, outcome: str, count: int) -> None:
         self.counters.stopped_requests.labels(outcome).inc(count)
