Read the settings file again when a stop begins

Callers of an instance whose grace period was shortened without SIGHUP less than 2 s before SIGTERM lost their answers: the stop counted on the old period, so that the platform killed the process before it ended the requests in progress. Cause: the file is read every 2 s.

The file is now read once more before the stop. testing.ingress.test_daemon: 'stop' != 'reload' as the first call before, passes now.

--- a/src/_monsoonpulley/ingress/daemon.py
+++ b/src/_monsoonpulley/ingress/daemon.py
@@ -84,11 +84,17 @@
     gc.freeze()
     running = loop.create_task(supervisor.run())
     await stop_requested.wait()
-    await service.stop()
+    await stop_service(service, reloader)
     running.cancel()
     writer.flush()
 
 
+async def stop_service(service: IngressService, reloader: SettingsReloader) -> None:
+    """Stop within the grace period that the settings file has now."""
+    reloader.check()
+    await service.stop()
+
+
 class SettingsReloader:
     """Applies changes of the settings file while the process runs.
 
