--- a/testing/ingress/test_daemon.py
+++ b/testing/ingress/test_daemon.py
@@ -38,7 +38,7 @@
             reloader = SettingsReloader(path, settings, service)
             path.write_text(FILE % 3)
             await stop_service(service, reloader)
-        self.assertEqual([c[0] for c in service.mock_calls][0], "reload")
+        self.assertEqual(service.mock_calls[0][0], "reload")
         self.assertEqual(service.reload.call_args[0][0].bounds.grace_period_s, 3)
         service.stop.assert_awaited_once()
 
