Tell the callers of both front ends the same time for another instance

The ingress and the gateway had a constant each for the retry time of a request that other instances can serve at once, and each spread it by itself; a change of one would have left the callers of the other as they were. Both now call draw_elsewhere_ms in limits/returntimes. The times are as before, 100 to 200 ms.

--- a/src/_monsoonpulley/gateway/authorization.py
+++ b/src/_monsoonpulley/gateway/authorization.py
@@ -14,15 +14,13 @@
 from ..entry.lifecycle import Lifecycle, Phase
 from ..errors import Failure, Reason
 from ..ids import ClassId, CustomerId, RequestId
+from ..limits.returntimes import draw_elsewhere_ms
 from ..outcome import Outcome
 from ..requests.context import DEADLINE_FACTOR
 from .body import read_body
 from .credentials import CustomerCredentials
 from .problem import problem_response
 
-LEAVING_RETRY_MS = 100
-"""Shortest retry time of a request that a leaving instance refuses: others serve it."""
-
 
 class ClassAccess(msgspec.Struct, frozen=True):
     """A class that the customer may use, with its settings and service."""
@@ -113,7 +111,7 @@
             "gateway.admit",
             "",
             "the instance is leaving; send the request again",
-            retry_after_ms=round(LEAVING_RETRY_MS * self._rng.uniform(1.0, 2.0)),
+            retry_after_ms=draw_elsewhere_ms(self._rng),
         )
 
     def authenticate(self, request: Request) -> CustomerId | Failure:
--- a/src/_monsoonpulley/ingress/requestrun.py
+++ b/src/_monsoonpulley/ingress/requestrun.py
@@ -10,6 +10,7 @@
 from ..ids import EndpointId, InstanceId, ServiceId
 from ..limits.quota import QuotaRefusal
 from ..limits.returntimes import (
+    draw_elsewhere_ms,
     has_returned,
     is_on_time,
     kept_share,
@@ -44,10 +45,6 @@
 An instance that has just started has its configuration after this time.
 """
 
-ELSEWHERE_RETRY_MS = 100
-"""Shortest retry time of a request that is rejected since this instance lacks processor
-time, or stops: others can serve it, and the balancer chooses another instance."""
-
 MAX_UNREACHABLE_ENDPOINTS = 3
 """The request is refused after this many endpoints were unreachable."""
 
@@ -205,8 +202,7 @@
 
     def _refuse_here(self, detail: str) -> None:
         """Refuse a request that the caller should send to another instance."""
-        retry_ms = round(ELSEWHERE_RETRY_MS * self._rng.uniform(1.0, 2.0))
-        self.respond(503, detail, retry_ms)
+        self.respond(503, detail, draw_elsewhere_ms(self._rng))
 
     def _is_shed(self) -> bool:
         """Return whether to reject a request, as this process falls behind."""
--- a/src/_monsoonpulley/limits/returntimes.py
+++ b/src/_monsoonpulley/limits/returntimes.py
@@ -28,6 +28,10 @@
 """A caller that returns after a larger share of its time did not come when it was told:
 between the above and a third, for what it takes to connect."""
 
+ELSEWHERE_RETRY_MS = 100
+"""Shortest retry time of a request that other instances can serve at once: the balancer
+chooses one for the new connection."""
+
 MIN_SPENT_MS = 80
 """A caller that has spent less has not returned: the shortest retry time is 100 ms."""
 
@@ -37,6 +41,11 @@
 share costs answers within the target (``testing.placing.customerplay``)."""
 
 
+def draw_elsewhere_ms(rng: random.Random) -> int:
+    """Return when a caller may send its request to another instance."""
+    return round(ELSEWHERE_RETRY_MS * rng.uniform(1.0, 2.0))
+
+
 class ReturnTime(msgspec.Struct, frozen=True):
     """What a refused caller is told.
 
