Give other requests turns while a stream has very many events

Cause: two line feeds end an event, and each of the up to 128,000 events of a read was forwarded by itself, in one step of the loop. What has no data had no limit.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from ..platform.answerheaders import (
     PROMISES_NOT_RUN,
     headers_for_caller,
@@ -10,7 +12,7 @@
     is_success,
     without_status_headers,
 )
-from ..wire.clientconnection import ClientConnection
+from ..wire.clientconnection import MAX_OVERHEAD_BYTES, ClientConnection, PauseCause
 from ..wire.events import (
     AnswerData,
     AnswerEnd,
@@ -18,6 +20,7 @@
     AnswerIncomplete,
     CallerDisconnected,
     Event,
+    Mailbox,
     TimerExpired,
 )
 from .eventsplitter import EventSplitter, StreamEvent
@@ -32,6 +35,14 @@
 MIN_BUFFERED_BYTES = 65_536
 """Size up to which an answer is buffered whatever others take."""
 
+MAX_BYTES_WITHOUT_DATA = MAX_OVERHEAD_BYTES
+"""Bytes of a stream's events between two with data. They are no part of the content,
+like framing; a faulty endpoint can send them without end."""
+
+MAX_EVENTS_PER_TURN = 128
+"""Events that are forwarded before other tasks get a turn, which takes some 1 ms. One
+read may hold tens of thousands."""
+
 
 class AnswerTransfer:
     """Receives the answer to a request that was sent, and forwards it.
@@ -82,6 +93,7 @@
         # Id of the last event that arrived, forwarded or not.
         self._last_id: bytes | None = None
         self._has_data = False
+        self._bytes_without_data = 0
         self.event_count = 0
         self.longest_gap_ms = 0
         self._last_event_ms = 0
@@ -153,6 +165,10 @@
     async def _await_result(self, connection: ClientConnection) -> Result:
         mailbox = self._state.exchange.mailbox
         while True:
+            result = await self._forward_waiting_events(connection, mailbox)
+            if result is not None:
+                connection.abort()
+                return result
             source, event = await mailbox.get()
             if isinstance(event, CallerDisconnected):
                 connection.abort()
@@ -225,12 +241,7 @@
 
     def _handle_data(self, data: bytes) -> Result | None:
         if self._splitter is not None:
-            for event in self._splitter.feed(data):
-                if self._is_joining and not self._state.position.is_continued_by(event):
-                    return self._reject_answer("an event does not continue the stream")
-                self._forward_event(event)
-            if self._splitter.is_too_large:
-                return self._reject_answer("an event is too large")
+            self._splitter.feed(data)
             return None
         assert self._head is not None
         if self._was_not_run(self._head):
@@ -246,6 +257,50 @@
         self._body_chunks.append(data)
         return None
 
+    async def _forward_waiting_events(
+        self, connection: ClientConnection, mailbox: Mailbox
+    ) -> Result | None:
+        """Forward the events that were read; return a result if one is invalid.
+
+        Other tasks get turns meanwhile. A timer or the caller's disconnection stops it,
+        with events left.
+        """
+        splitter = self._splitter
+        if splitter is None:
+            return None
+        try:
+            while True:
+                result = self._forward_events(splitter)
+                if result is not None or not splitter.has_events:
+                    return result
+                connection.pause_reading(PauseCause.BACKLOG)
+                await asyncio.sleep(0)
+                if isinstance(mailbox.next_event, TimerExpired | CallerDisconnected):
+                    return None
+        finally:
+            connection.resume_reading(PauseCause.BACKLOG)
+
+    def _forward_events(self, splitter: EventSplitter) -> Result | None:
+        """Forward the next events; return a result if one is invalid."""
+        forwarded: list[bytes] = []
+        result = None
+        for event in splitter.take_events(MAX_EVENTS_PER_TURN):
+            if self._is_joining and not self._state.position.is_continued_by(event):
+                result = self._reject_answer("an event does not continue the stream")
+                break
+            if self._is_new(event):
+                forwarded.append(event.raw)
+            if self._bytes_without_data > MAX_BYTES_WITHOUT_DATA:
+                result = self._reject_answer("too many bytes without data")
+                break
+        if forwarded:
+            if not self._state.exchange.has_started:
+                self._start_stream()
+            self._state.exchange.write(b"".join(forwarded))
+        if result is None and splitter.is_too_large:
+            result = self._reject_answer("an event is too large")
+        return result
+
     def _discard_refusal_body(self, size_bytes: int) -> Result | None:
         """Skip the body of an answer that says that the request did not run."""
         self._body_bytes += size_bytes
@@ -298,13 +353,17 @@
             self._on_start()
         return self._reject_answer(event.detail)
 
-    def _forward_event(self, event: StreamEvent) -> None:
-        state = self._state
+    def _is_new(self, event: StreamEvent) -> bool:
+        """Record an event; return whether it is to be forwarded."""
+        position = self._state.position
         if event.id is not None:
             self._last_id = event.id
-        if state.position.is_behind(event):
-            return
-        state.position.advance(event)
+        self._bytes_without_data += len(event.raw)
+        if event.has_data:
+            self._bytes_without_data = 0
+        if position.is_behind(event):
+            return False
+        position.advance(event)
         if event.id is not None:
             self._is_joining = False
         self.event_count += 1
@@ -317,9 +376,7 @@
             self._last_event_ms = self._started_ms + self.first_byte_ms
         else:
             self._on_later_event(self._record_gap())
-        if not state.exchange.has_started:
-            self._start_stream()
-        state.exchange.write(event.raw)
+        return True
 
     def _start_stream(self) -> None:
         assert self._head is not None
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -44,6 +44,15 @@
     UNKNOWN = "unknown"
 
 
+class PauseCause(Enum):
+    """Why an answer is not read for a while."""
+
+    CALLER = "caller"
+    """Its caller does not read what was forwarded."""
+    BACKLOG = "backlog"
+    """What was read before has not been handled."""
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection to a server that carries one exchange at a time.
 
@@ -93,6 +102,7 @@
         self.foreign_count = 0
         self.last_used_ms = clock.now_ms()
         self.reading_since_ms: int | None = self.last_used_ms
+        self._pause_causes: set[PauseCause] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and make it fail if the peer is silent."""
@@ -148,15 +158,19 @@
         is_full = len(self._refused_ids) >= MAX_REFUSED_IDS
         return not is_full and request_id not in self._refused_ids
 
-    def pause_reading(self) -> None:
-        """Pause reading the answer."""
+    def pause_reading(self, cause: PauseCause = PauseCause.CALLER) -> None:
+        """Pause reading the answer until every cause is resolved."""
         if self._transport is not None and self.is_open:
+            self._pause_causes.add(cause)
             self._transport.pause_reading()
             self.reading_since_ms = None
 
-    def resume_reading(self) -> None:
-        """Resume reading the answer."""
-        if self._transport is not None and self.is_open:
+    def resume_reading(self, cause: PauseCause = PauseCause.CALLER) -> None:
+        """Resume reading the answer unless it is paused for another cause."""
+        if cause not in self._pause_causes:
+            return
+        self._pause_causes.remove(cause)
+        if self._transport is not None and self.is_open and not self._pause_causes:
             self._transport.resume_reading()
             self.reading_since_ms = self._clock.now_ms()
 
--- a/src/_monsoonpulley/wire/events.py
+++ b/src/_monsoonpulley/wire/events.py
@@ -90,6 +90,11 @@
         self._events: deque[tuple[object, Event]] = deque()
         self._waiter: asyncio.Future[None] | None = None
 
+    @property
+    def next_event(self) -> Event | None:
+        """The event that `get` returns next; None if there is none yet."""
+        return self._events[0][1] if self._events else None
+
     def put(self, source: object, event: Event) -> None:
         """Add an event from ``source`` and wake the task."""
         self._events.append((source, event))
--- a/testing/ingress/test_endless_answers.py
+++ b/testing/ingress/test_endless_answers.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import time
 import unittest
 from unittest import mock
 
+from _monsoonpulley.ingress.answertransfer import MAX_EVENTS_PER_TURN
 from _monsoonpulley.wire.clientconnection import ClientConnection
+from _monsoonpulley.wire.serverconnection import ServerConnection
 
 from .site import Site, configuration
 
@@ -45,7 +48,12 @@
         self.addCleanup(counted.stop)
 
     async def send_request_to(
-        self, start: bytes, piece: bytes, kind: str = "unsafe", **changes
+        self,
+        start: bytes,
+        piece: bytes,
+        kind: str = "unsafe",
+        deadline_ms: int = 5_000,
+        **changes,
     ):
         """Return the answer of a site whose endpoint repeats ``piece`` for ever."""
         block = piece * max(1, 65_536 // len(piece))
@@ -60,7 +68,7 @@
         await self.site.start(configuration(kind=kind, timeout_ms=5_000, **changes))
         started_s = time.monotonic()
         try:
-            return await self.site.send_request()
+            return await self.site.send_request(deadline_ms=deadline_ms)
         finally:
             self.taken_s = time.monotonic() - started_s
 
@@ -115,6 +123,48 @@
         self.assertTrue(got.status == 502 or not got.is_whole)
         self.assert_ended_early()
 
+    async def check_stream_ends(self, piece: bytes):
+        got = await self.send_request_to(STREAM + b"\r\n", piece, kind="streaming")
+        self.assertTrue(got.status == 502 or not got.is_whole)
+        self.assert_ended_early()
+
+    # Each of these events was forwarded by itself, which stopped the instance for
+    # seconds.
+
+    async def test_empty_events_without_end_break_the_stream_off(self):
+        await self.check_stream_ends(b"\n")
+
+    async def test_comments_without_end_break_the_stream_off(self):
+        await self.check_stream_ends(b":\n\n")
+
+    async def test_ids_without_end_break_the_stream_off(self):
+        await self.check_stream_ends(b"id: 1\n\n")
+
+    async def test_other_tasks_get_turns_while_events_never_end(self):
+        # A read full of small events kept all other requests waiting.
+        written = collections.Counter()
+        turn = 0
+        write = ServerConnection.write
+
+        def count_events(connection, data):
+            written[turn] += data.count(b"data: x\n\n")
+            write(connection, data)
+
+        async def count_turns():
+            nonlocal turn
+            while True:
+                await asyncio.sleep(0)
+                turn += 1
+
+        counting = asyncio.create_task(count_turns())
+        self.addCleanup(counting.cancel)
+        with mock.patch.object(ServerConnection, "write", count_events):
+            await self.send_request_to(
+                STREAM + b"\r\n", b"data: x\n\n", kind="streaming", deadline_ms=500
+            )
+        self.assertGreater(sum(written.values()), 1_000)
+        self.assertLessEqual(max(written.values()), 2 * MAX_EVENTS_PER_TURN)
+
     async def test_a_refusal_with_a_body_without_end_has_not_run(self):
         got = await self.send_request_to(NOT_RUN + b"\r\n", b"more")
         self.assertEqual(got.status, 503)
