End the gateway's streams whose events never have data

Change: more than 512 KiB between two lines with data fail the attempt; at most 16 KiB are decoded before other tasks get a turn. The stand-in response of the tests is read with a size, like the library's.

--- a/src/_monsoonpulley/endpoints/http_event_stream.py
+++ b/src/_monsoonpulley/endpoints/http_event_stream.py
@@ -12,6 +12,9 @@
 from .http_transport import TRANSPORT_ERRORS, CallTrace, transport_failure
 from .sse import SseParser
 
+MAX_READ_BYTES = 16_384
+"""Bytes that are decoded before other tasks get a turn: some 5 ms of empty lines."""
+
 
 class EventStream:
     """Event stream of one attempt's response.
@@ -70,7 +73,10 @@
         """Return the tokens received and, if the stream ended, its result last."""
         self._is_reading = True
         try:
-            chunk = await self._response.content.readany()
+            chunk = await self._response.content.read(MAX_READ_BYTES)
+            if len(chunk) == MAX_READ_BYTES:
+                # More may have been received: reading it would not wait.
+                await asyncio.sleep(0)
             return self._decode(chunk)
         except TRANSPORT_ERRORS as error:
             return [self._end_after_error(error)]
--- a/src/_monsoonpulley/endpoints/sse.py
+++ b/src/_monsoonpulley/endpoints/sse.py
@@ -7,6 +7,10 @@
 _LINE_END = re.compile(rb"\r\n|\r|\n")
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
+MAX_BYTES_WITHOUT_DATA = 524_288
+"""Bytes of lines between two with data, as in the ingress; a faulty engine can send
+comments and empty lines without end."""
+
 DONE = b"[DONE]"
 """Data of the last event of an OpenAI-compatible stream."""
 
@@ -24,16 +28,25 @@
 class SseParser:
     """Parser of bytes, split anywhere, into the data of events.
 
-    Memory is bounded: an event or line over the limit is an error.
+    Memory is bounded: an event or line over the limit is an error, and so are too many
+    lines without data.
 
     Parameters
     ----------
     max_event_bytes : int
         Maximum size of the data of one event.
+    max_bytes_without_data : int
+        Maximum size of the lines between two with data.
     """
 
-    def __init__(self, max_event_bytes: int = 1_048_576):
+    def __init__(
+        self,
+        max_event_bytes: int = 1_048_576,
+        max_bytes_without_data: int = MAX_BYTES_WITHOUT_DATA,
+    ):
         self._max_event_bytes = max_event_bytes
+        self._max_bytes_without_data = max_bytes_without_data
+        self._bytes_without_data = 0
         self._partial = bytearray()
         self._data: list[bytes] = []
         self._data_bytes = 0
@@ -46,7 +59,7 @@
         Raises
         ------
         SseOverflowError
-            If an event is too large.
+            If an event is too large, or too many bytes come without data.
         """
         if self._skip_line_feed and chunk:
             chunk = chunk.removeprefix(b"\n")
@@ -74,15 +87,20 @@
         return line
 
     def _handle_line(self, line: bytes) -> bytes | None:
-        if not line:
-            return self._end_event()
         name, _, value = line.partition(b":")
         if name == b"data":
             value = value.removeprefix(b" ")
             self._data_bytes += len(value) + 1
             self._check_size(self._data_bytes)
+            self._bytes_without_data = 0
             self._data.append(value)
-        return None
+            return None
+        self._bytes_without_data += len(line) + 1
+        if self._bytes_without_data > self._max_bytes_without_data:
+            raise SseOverflowError(
+                f"more than {self._max_bytes_without_data} bytes come without data"
+            )
+        return self._end_event() if not line else None
 
     def _end_event(self) -> bytes | None:
         if not self._data:
--- a/testing/endpoints/test_endless_answers.py
+++ b/testing/endpoints/test_endless_answers.py
@@ -14,6 +14,7 @@
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+STREAM = OK + b"content-type: text/event-stream\r\n"
 
 HEADS = {
     "noise": (b"", b"\x00\x01noise"),
@@ -29,6 +30,14 @@
     "chunk extension": (CHUNKED + b"4;", b"more"),
     "trailer": (CHUNKED + b"4\r\nmore\r\n0\r\n", b"x-more: more\r\n"),
 }
+EVENTS = {
+    "empty events": (STREAM + b"\r\n", b"\n"),
+    "comments": (STREAM + b"\r\n", b":\n\n"),
+    "ids": (STREAM + b"\r\n", b"id: 1\n\n"),
+    "line": (STREAM + b"\r\n", b"data: more"),
+    "event": (STREAM + b"\r\n", b"data: more\n"),
+}
+
 CALL_TIMEOUT_MS = 8_000
 MAX_TAKEN_S = 4.0
 """Half of the calls' time limit."""
@@ -96,3 +105,6 @@
     async def test_a_body_without_end_fails(self):
         for name in CALLS:
             await self.check(name, BODIES)
+
+    async def test_events_without_end_fail(self):
+        await self.check("generate", EVENTS)
--- a/testing/endpoints/test_http_event_stream.py
+++ b/testing/endpoints/test_http_event_stream.py
@@ -31,7 +31,7 @@
     def close(self):
         self.closed.set()
 
-    async def readany(self):
+    async def read(self, size):
         get = asyncio.ensure_future(self._chunks.get())
         closed = asyncio.ensure_future(self.closed.wait())
         await asyncio.wait((get, closed), return_when=asyncio.FIRST_COMPLETED)
