Keep in the store which usage windows a lost row may have reported

Cause: that the store had lost its last writes was known only to processes that were running then. One that started later took the missing row of a reported window for an unreported window, got counts from its peers that had grown since, stored and sent them. Evidence: the second report comes from a process whose `started` is later than the others' `store_lost_writes`.

Change: the first holder of the duty in each era of the store writes `usage-floor/ERA`, the first window that can't have been reported before the loss. For earlier windows only counts that are stored are sent. Whoever finds no such row assumes the window in which it first heard of the era, so no order of starts and claims gets past it.

Two tests hold the duty once before the part that they check, as the loop does: a holder writes the floor first. Their assertions are as before.

--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -101,6 +101,7 @@
             log,
             round(settings.bounds.usage_late_s * 1000),
             parts.members.expected_ids,
+            lambda: self._store.era,
         )
         self._rollout = RolloutDuty(
             parts.rollouts,
--- a/src/_monsoonpulley/duties/controlloop.py
+++ b/src/_monsoonpulley/duties/controlloop.py
@@ -51,6 +51,7 @@
     async def run(self) -> None:
         """Perform the duties until cancelled."""
         while True:
+            self._usage.observe_era()
             hold = self._lease.hold()
             self._log_duty_change(hold)
             if hold is not None:
--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -1,7 +1,8 @@
 """The duty of reporting usage: once for each window, with one final set of counts.
 
 A report's counts are written to the table before they are sent. A later holder
-sends the stored counts unchanged.
+sends the stored counts unchanged. Where the table has lost its last writes, see
+`ReportFloor`.
 """
 
 from __future__ import annotations
@@ -13,10 +14,11 @@
 from ..clock import Clock
 from ..control.leases import Hold
 from ..errors import MALFORMED_ERRORS, Failure, Reason
-from ..external.table import ABSENT_REVISION, Committed, Conflict, Table, Write
+from ..external.table import ABSENT_REVISION, Committed, Conflict, Row, Table, Write
 from ..ids import InstanceId
 from ..observability.log import Log
 from ..platform.cloud import CALL_TIMEOUT_MS, CloudClient
+from .reportfloor import ReportFloor
 from .usage import RETAINED_WINDOWS, SETTLE_MS, UsageCounter
 
 MIN_REPORT_DELAY_MS = SETTLE_MS + 500
@@ -50,6 +52,8 @@
         Time after a window's end at which its report is late.
     awaited_instances : callable
         Returns the other instances whose counts a report waits for.
+    table_era : callable
+        Returns the era of the table, None before its first answer.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         log: Log,
         late_ms: int,
         awaited_instances: Callable[[], list[InstanceId]],
+        table_era: Callable[[], int | None] = lambda: 0,
     ):
         self._late_ms = late_ms
         self._awaited_instances = awaited_instances
@@ -73,6 +78,10 @@
         self._reported_windows: set[int] = set()
         self._fixed_counts: dict[int, dict[str, int]] = {}
         self._has_caught_up = False
+        self._knows_reports = False
+        self._floor = ReportFloor(
+            table, table_era, lambda: counter.window_of(clock.wall_ms())
+        )
 
     def due_windows(self) -> list[int]:
         """Return the windows to report now, oldest first.
@@ -91,8 +100,12 @@
             and not self._is_waiting(window)
         ]
 
+    def observe_era(self) -> None:
+        """Note when the table's era changes; also while others hold the duty."""
+        self._floor.observe_era()
+
     def handle_era_change(self, was_holder: bool) -> None:
-        """Skip windows that may have been reported with counts that the table lost.
+        """Note that the table has lost its last writes.
 
         Only an instance that held the duty until now, and had caught up with what
         others reported, knows what was sent.
@@ -102,12 +115,8 @@
         was_holder : bool
             Whether this instance held the duty when it heard of the loss.
         """
-        if not (was_holder and self._has_caught_up):
-            newest = self._counter.window_of(self._clock.wall_ms()) - 1
-            skipped = range(newest - RETAINED_WINDOWS + 2, newest + 1)
-            unknown = sorted(set(skipped) - self._reported_windows)
-            self._reported_windows.update(unknown)
-            self._log.event("usage_windows_skipped", windows=unknown)
+        self._floor.observe_era()
+        self._knows_reports = was_holder and self._has_caught_up
         self._has_caught_up = False
 
     def _is_waiting(self, window: int) -> bool:
@@ -119,6 +128,8 @@
 
     async def step(self, hold: Hold) -> None:
         """Report the due windows while the duty is held."""
+        if not await self._agree_on_floor():
+            return
         for window in self.due_windows():
             is_complete = self._counter.is_complete(window, self._awaited_instances())
             counts = await self._store_counts(window)
@@ -129,6 +140,10 @@
                 # The stored counts will stay invalid: skip this window.
                 self._reported_windows.add(window)
                 continue
+            if counts is None:
+                self._reported_windows.add(window)
+                self._log.event("usage_windows_skipped", windows=[window])
+                continue
             if not hold.may_act(CALL_TIMEOUT_MS):
                 return
             failure = await self._cloud.report_usage(
@@ -156,13 +171,34 @@
             w: counts for w, counts in self._fixed_counts.items() if w > expired_window
         }
 
-    async def _store_counts(self, window: int) -> dict[str, int] | Failure:
-        """Store a window's counts, or return those stored before."""
+    async def _agree_on_floor(self) -> bool:
+        """Return whether it is known which windows may have been reported."""
+        first_unreported = None
+        if self._knows_reports:
+            known = {self._first_window - 1, *self._reported_windows}
+            first_unreported = max(known | self._fixed_counts.keys()) + 1
+        failure = await self._floor.agree(first_unreported)
+        if failure is not None:
+            self._log.event("usage_floor_unknown", error=str(failure))
+        if self._floor.window is None:
+            return False
+        self._knows_reports = False
+        return True
+
+    async def _store_counts(self, window: int) -> dict[str, int] | Failure | None:
+        """Store a window's counts, or return those stored before.
+
+        None if the table has none, and may have lost those that were reported.
+        """
+        key = _key(window)
         # Counts that may have been sent stay, even if the table has lost them.
         counts = self._fixed_counts.get(window)
         if counts is None:
+            assert self._floor.window is not None
+            if window < self._floor.window:
+                row = await self._table.read(key)
+                return _decode_counts(row) if isinstance(row, Row) else row
             counts = self._counter.totals(window)
-        key = _key(window)
         write = Write(key, msgspec.json.encode(counts), ABSENT_REVISION)
         result = await self._table.commit([write])
         if isinstance(result, Committed):
@@ -182,13 +218,17 @@
             "usage.fix",
             detail=f"the conflict does not include row {key}",
         )
+    return _decode_counts(row)
+
+
+def _decode_counts(row: Row) -> dict[str, int] | Failure:
     try:
         return msgspec.json.decode(row.value, type=dict[str, int])
     except MALFORMED_ERRORS as error:
         return Failure(
             Reason.INVALID,
             "usage.fix",
-            detail=f"row {key} has no valid counts: {error}",
+            detail=f"row {row.key} has no valid counts: {error}",
         )
 
 
--- a/testing/duties/test_usagereport.py
+++ b/testing/duties/test_usagereport.py
@@ -41,6 +41,9 @@
         self._table = table
         self.loses_answers = False
 
+    async def read(self, key):
+        return await self._table.read(key)
+
     async def commit(self, writes):
         result = await self._table.commit(writes)
         if self.loses_answers:
@@ -62,6 +65,7 @@
             Log(test.clock, lambda line: None),
             LATE_MS,
             lambda: test.peers,
+            lambda: test.era,
         )
 
 
@@ -71,6 +75,14 @@
         self.table = TableStandin(self.clock, random.Random(1))
         self.cloud = Cloud()
         self.peers: list[InstanceId] = []
+        self.era = 1
+
+    def lose_writes(self, *instances: ReportingInstance) -> None:
+        """Let the table come back without the rows that were written to it."""
+        self.era += 1
+        self.table = TableStandin(self.clock, random.Random(2))
+        for each in instances:
+            each.table._table = self.table.connect("a", "zone-a")
 
     def hold(self, number: int) -> Hold:
         return Hold(number, lambda *_: True)
@@ -111,6 +123,7 @@
     async def test_an_instance_that_just_started_reports_what_peers_passed_on(self):
         # All instances were restarted in turn: nobody has run for the whole window.
         window = ReportingInstance(self, "a").counter.window_of(self.clock.wall_ms())
+        await ReportingInstance(self, "first").reporter.step(self.hold(1))
         earlier, peer = ReportingInstance(self, "b"), InstanceId("c")
         counts = {window: {CUSTOMER: 7}}
         earlier.counter.update_peer_counts(peer, 1, counts, self.clock.wall_ms())
@@ -162,6 +175,7 @@
 
     async def test_a_lost_answer_of_the_table_does_not_change_the_counts(self):
         holder = ReportingInstance(self, "a")
+        await holder.reporter.step(self.hold(1))
         holder.counter.record_start(CUSTOMER, self.clock.wall_ms())
         self.clock.advance_ms(WINDOW_MS + MIN_REPORT_DELAY_MS)
         holder.table.loses_answers = True
@@ -209,9 +223,7 @@
         await holder.reporter.step(self.hold(1))
         sent = list(self.cloud.reports)
         # The table lost the counts; the successor has counted others since.
-        successor.table._table = TableStandin(self.clock, random.Random(2)).connect(
-            "b", "zone-a"
-        )
+        self.lose_writes(holder, successor)
         successor.counter.record_start(CUSTOMER, self.clock.wall_ms() - 2 * WINDOW_MS)
         successor.reporter.handle_era_change(was_holder=False)
         await successor.reporter.step(self.hold(2))
@@ -223,10 +235,90 @@
         holder.counter.record_start(CUSTOMER, self.clock.wall_ms())
         window = holder.counter.window_of(self.clock.wall_ms())
         self.clock.advance_ms(WINDOW_MS + MIN_REPORT_DELAY_MS)
+        self.lose_writes(holder)
         holder.reporter.handle_era_change(was_holder=True)
         await holder.reporter.step(self.hold(2))
         self.assertIn((2, window, {CUSTOMER: 1}), self.cloud.reports)
 
+    async def report_before_a_loss(self) -> tuple[ReportingInstance, int]:
+        """Return an instance and the window that it reported with 1 request."""
+        holder = ReportingInstance(self, "a")
+        holder.counter.record_start(CUSTOMER, self.clock.wall_ms())
+        window = holder.counter.window_of(self.clock.wall_ms())
+        self.clock.advance_ms(WINDOW_MS + MIN_REPORT_DELAY_MS)
+        await holder.reporter.step(self.hold(1))
+        self.assertEqual(self.cloud.reports, [(1, window, {CUSTOMER: 1})])
+        self.lose_writes(holder)
+        return holder, window
+
+    def start_instance(self, window: int) -> ReportingInstance:
+        """Start an instance whose peers have counted 3 requests in a window."""
+        started = ReportingInstance(self, "b")
+        counts = {window: {CUSTOMER: 3}, window + 1: {CUSTOMER: 5}}
+        started.counter.update_peer_counts(InstanceId("c"), 1, counts, 0)
+        return started
+
+    # A process that started after the loss reported windows again, with other counts.
+
+    async def test_the_first_holder_after_a_loss_may_have_started_after_it(self):
+        _, window = await self.report_before_a_loss()
+        started = self.start_instance(window)
+        await started.reporter.step(self.hold(2))
+        self.clock.advance_ms(WINDOW_MS)
+        await started.reporter.step(self.hold(2))
+        self.assertEqual(
+            self.cloud.reports[1:], [(2, window + 1, {CUSTOMER: 5})], "only the next"
+        )
+
+    async def test_the_second_holder_after_a_loss_may_have_started_after_it(self):
+        await self.check_later_holder(was_holder=True)
+
+    async def test_the_second_holder_may_follow_one_that_did_not_report(self):
+        await self.check_later_holder(was_holder=False)
+
+    async def check_later_holder(self, was_holder: bool) -> None:
+        witness, window = await self.report_before_a_loss()
+        witness.reporter.handle_era_change(was_holder)
+        await witness.reporter.step(self.hold(2))
+        started = self.start_instance(window)
+        await started.reporter.step(self.hold(3))
+        self.clock.advance_ms(WINDOW_MS)
+        await started.reporter.step(self.hold(3))
+        self.assertEqual(self.cloud.reports[1:], [(3, window + 1, {CUSTOMER: 5})])
+
+    async def test_counts_stored_since_a_loss_are_sent_by_one_that_started_after_it(
+        self,
+    ):
+        witness, window = await self.report_before_a_loss()
+        witness.reporter.handle_era_change(was_holder=True)
+        witness.counter.record_start(CUSTOMER, self.clock.wall_ms())
+        self.clock.advance_ms(WINDOW_MS)
+        self.cloud.loses_answers = True
+        await witness.reporter.step(self.hold(2))
+        self.cloud.loses_answers = False
+        await self.start_instance(window).reporter.step(self.hold(3))
+        counts = {CUSTOMER: 1}
+        self.assertEqual(
+            self.cloud.reports[1:], [(2, window + 1, counts), (3, window + 1, counts)]
+        )
+
+    async def test_a_loss_while_the_floor_is_agreed_on_is_noticed(self):
+        holder, window = await self.report_before_a_loss()
+        started = self.start_instance(window)
+        commit = started.table.commit
+
+        async def commit_and_lose(writes):
+            result = await commit(writes)
+            started.table.commit = commit
+            self.lose_writes(holder, started)
+            return result
+
+        started.table.commit = commit_and_lose
+        await started.reporter.step(self.hold(2))
+        self.assertEqual(len(self.cloud.reports), 1)
+        await started.reporter.step(self.hold(2))
+        self.assertEqual(len(self.cloud.reports), 1)
+
     async def test_counts_that_may_have_been_sent_are_repeated_after_a_loss(self):
         for count in (0, 1):
             await self.check_repeated_counts(count)
