Test endpoints that write without end when no request asked them

An operator's report: bytes that are no answer, without end, in a head or a body, fill the memory of the machine that had called.

In the ingress heads, bodies, refusals and foreign answers were tested before. Not tested were bytes behind a whole answer, on a connection that is kept, and bytes on one that was opened to see whether the endpoint can be reached: it has no other health checks, and pulls no reports.

--- a/testing/ingress/test_endless_answers.py
+++ b/testing/ingress/test_endless_answers.py
@@ -12,7 +12,7 @@
 from _monsoonpulley.wire.clientconnection import ClientConnection
 from _monsoonpulley.wire.serverconnection import ServerConnection
 
-from .site import Site, configuration
+from .site import EndpointCall, Site, configuration, endpoint_row
 
 MAX_READ_BYTES = 9_500_000
 """The largest plain answer, 8.4 MB, what may come besides it, and one read."""
@@ -174,6 +174,48 @@
         failure = SUCCESS.replace(b"200 OK", b"500 Failed")
         await self.check_failure(failure + b"\r\n", b"more")
 
+    async def check_bytes_without_a_request(self, answers_first: bool):
+        """Send requests to an endpoint that writes without end when it isn't asked."""
+        writers = []
+
+        async def write_without_end(reader, writer):
+            writers.append(writer)
+            try:
+                while answers_first and (head := await reader.readuntil(b"\r\n\r\n")):
+                    call = EndpointCall(head[:-4], b"", writer)
+                    call.body = await reader.readexactly(4)
+                    call.answer(body=b"whole")
+                    await asyncio.sleep(0.05)
+                    break
+                while True:
+                    writer.write(b"more" * 16_384)
+                    await writer.drain()
+            except (ConnectionError, asyncio.IncompleteReadError):
+                writer.close()
+
+        server = await asyncio.start_server(write_without_end, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        ip, port = server.sockets[0].getsockname()
+        self.site.store.put("servers", "i-1", endpoint_row(f"{ip}:{port}"))
+        await self.site.start(configuration(kind="unsafe", timeout_ms=1_000))
+        statuses = []
+        for number in range(5):
+            got = await self.site.send_request(f"a{number}", deadline_ms=1_000)
+            statuses.append(got.status)
+            await asyncio.sleep(0.2)
+        self.assertGreater(len(writers), 0)
+        self.assertLess(self.read_bytes, len(writers) * 600_000)
+        return statuses
+
+    async def test_bytes_after_an_answer_close_its_connection(self):
+        # Such bytes must neither be kept nor be read as the next answer.
+        statuses = await self.check_bytes_without_a_request(answers_first=True)
+        self.assertEqual(statuses, [200] * 5)
+
+    async def test_bytes_before_any_request_close_the_connection(self):
+        statuses = await self.check_bytes_without_a_request(answers_first=False)
+        self.assertTrue(set(statuses) <= {502, 503}, statuses)
+
     async def test_a_safe_request_is_repeated_elsewhere(self):
         async def answer(call):
             call.answer(body=b"whole")
