Test answers that end at each byte of their heads

An operator's report: a worker stops in the middle of its answer's head and closes; clients get a 200 with an empty or short body, framed as whole.

It can't happen here: the tests cut answers with a length, in chunks and without either at each byte, by a close and by a reset, in the ingress (its client connections, which requests between instances use too), in the gateway's calls to services and in its streams. None is complete before its last byte, or before the end of its head if it ends with its connection.

--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -106,6 +106,12 @@
         self.assertEqual(len(items), 3)
         self.assertEqual(items[-1].reason, Reason.PEER_ERROR)
 
+    def test_a_stream_that_ends_within_its_head_is_a_failure(self):
+        """Guards against a head that ends early and is taken for a whole answer."""
+        for cut in range(len(HEAD) + 1):
+            items = generate_raw(ScriptedHandler(HEAD[:cut]))
+            self.assertEqual([item.reason for item in items], [Reason.PEER_ERROR])
+
     def test_a_lost_usage_event_leaves_the_answer_complete(self):
         pieces = stream_body().split(b"data: ")
         items = generate_raw(ScriptedHandler(HEAD + b"data: ".join(pieces[:5])))
--- a/testing/endpoints/test_http_service.py
+++ b/testing/endpoints/test_http_service.py
@@ -101,6 +101,21 @@
         chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab"
         self.check_maybe(ScriptedHandler(chunked), Reason.PEER_ERROR)
 
+    def test_an_answer_that_ends_within_its_head_is_in_doubt(self):
+        """Guards against a head that ends early and is taken for a whole answer."""
+        start = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\nx-more: more\r\n"
+        body = b"\r\nwhole answer"
+        sized = start + b"content-length: 12\r\n" + body
+        chunked = start + b"transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+        for message, whole in (
+            (sized, len(sized)),
+            (chunked, len(chunked)),
+            (start + body, len(start) + 2),
+        ):
+            cuts = [ScriptedHandler(message[:cut]) for cut in range(whole)]
+            for script in cuts:
+                self.check_maybe(script, Reason.PEER_ERROR)
+
     def test_malformed_http_is_a_protocol_failure(self):
         self.check_maybe(ScriptedHandler(b"\x00\xff nonsense\r\n\r\n"), Reason.PROTOCOL)
         self.check_maybe(ScriptedHandler(b"HTTP/1.1 2x0 OK\r\n\r\n"), Reason.PROTOCOL)
--- a/testing/wire/test_clientconnection.py
+++ b/testing/wire/test_clientconnection.py
@@ -103,6 +103,60 @@
         self.assertEqual(kinds, [AnswerHead, AnswerData, AnswerIncomplete])
 
 
+class TestCutAnswers(ConnectionTest):
+    """An answer that ends at any byte, with its connection."""
+
+    HEAD = b"HTTP/1.1 200 S\r\nRequest-Id: a1\r\nKeep-Alive: timeout=5\r\n"
+    SIZED = HEAD + b"Content-Length: 12\r\n\r\nwhole answer"
+    CHUNKED = (
+        HEAD
+        + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n7\r\n answer\r\n0\r\n\r\n"
+    )
+    UNFRAMED_HEAD = HEAD + b"Connection: close\r\n\r\n"
+
+    def close_after(self, received, is_reset):
+        """Return the events of an answer whose connection closes or is reset."""
+        self.setUp()
+        events = self.send(b"a1")
+        for start in range(0, len(received), 40):
+            self.receive(received[start : start + 40])
+        if is_reset:
+            self.connection.connection_lost(ConnectionResetError())
+        else:
+            self.connection.eof_received()
+            self.connection.connection_lost(None)
+        return events
+
+    def check_cuts(self, answer, first_whole):
+        for cut in range(len(answer) + 1):
+            for is_reset in (False, True):
+                with self.subTest(cut=cut, is_reset=is_reset):
+                    events = self.close_after(answer[:cut], is_reset)
+                    ends = [type(e) for e in events.list if type(e) is not AnswerData]
+                    is_whole = cut >= first_whole
+                    self.assertIs(ends[-1], AnswerEnd if is_whole else AnswerIncomplete)
+                    self.assertEqual(ends.count(AnswerEnd), is_whole)
+                    self.assertFalse(self.connection.is_reusable)
+
+    def test_an_answer_with_a_length_is_whole_only_at_its_end(self):
+        """Guards against a head that ends early and is taken for a whole answer."""
+        self.check_cuts(self.SIZED, len(self.SIZED))
+
+    def test_an_answer_in_chunks_is_whole_only_at_its_end(self):
+        """Guards against a head that ends early and is taken for a whole answer."""
+        self.check_cuts(self.CHUNKED, len(self.CHUNKED))
+
+    def test_an_answer_without_a_length_is_not_whole_within_its_head(self):
+        """Guards against a head that ends early and is taken for a whole answer."""
+        for cut in range(len(self.UNFRAMED_HEAD)):
+            events = self.close_after(self.UNFRAMED_HEAD[:cut], is_reset=False)
+            self.assertEqual([type(e) for e in events.list], [AnswerIncomplete])
+        events = self.close_after(self.UNFRAMED_HEAD, is_reset=False)
+        self.assertTrue(events.is_complete)
+        events = self.close_after(self.UNFRAMED_HEAD, is_reset=True)
+        self.assertFalse(events.is_complete)
+
+
 class TestSecondCopies(ConnectionTest):
     """A second copy of an answer, which must not reach the next request."""
 
