Ask the stop gate for the gateway's retries and waiting requests

An operator's report: in a planned stop, requests that came late in the grace were taken and passed on; at its end they were cut with no answer.

What was left: the gateway sent a retry whenever its budget allowed, and a request that had waited for admission whenever its turn came, however little of the stop was left. Such attempts were ended with outcome unknown, though the last one might have been refused as not run.

Change: RoutedPlacement asks StopGate.may_repeat with the predicted time, as the ingress does; AdmissionGate asks StopGate.may_begin again after a wait.

--- a/src/_monsoonpulley/entry/instance.py
+++ b/src/_monsoonpulley/entry/instance.py
@@ -27,6 +27,7 @@
 from ..endpoints.feed import EngineFeed
 from ..endpoints.pool import EndpointPool
 from ..endpoints.roster import Roster
+from ..errors import Failure, Reason
 from ..external.cloud import ReclaimNotice
 from ..external.livelist import Member, MemberState, Role
 from ..identity import Identity
@@ -35,12 +36,14 @@
 from ..journal.journal import Journal
 from ..journal.recovery import Recovery, RecoverySettings
 from ..journal.settings import JournalSettings
+from ..limits.returntimes import draw_elsewhere_ms
 from ..peers.digest import CanaryResult, TrippedVersion
 from ..peers.envelope import Sealer
 from ..peers.exchange import PeerExchange
 from ..peers.host import RouterHost
 from ..peers.membership import Membership
 from ..requests.admissiongate import AdmissionGate
+from ..requests.context import RequestContext
 from ..requests.crashguard import CrashGuard
 from ..requests.dispatcher import JournalDispatcher
 from ..requests.evacuator import Evacuator, reported_speeds
@@ -253,10 +256,12 @@
             env.log,
         )
         self.placement.crash_guard = self.crash_guard
+        self.placement.check_stop = self._check_retry
         self.peer_host.on_quarantine(self.crash_guard.handle_news)
         self.gate = AdmissionGate(
             self.router, self.placement, env.clock, env.log, env.metrics
         )
+        self.gate.check_stop = self._check_admitted
         self.service_attempts = ServiceAttempts(
             self.placement, self.pool.client, env.clock
         )
@@ -279,6 +284,27 @@
             JournalSettings(),
         )
 
+    def _check_retry(self, predicted_ms: float) -> Failure | None:
+        """Return a failure if a stop leaves a retry too little time."""
+        if self.lifecycle.may_repeat(predicted_ms):
+            return None
+        return self._leaving_failure("gateway.retry")
+
+    def _check_admitted(self, context: RequestContext) -> Failure | None:
+        """Return a failure if a stop leaves a request that waited too little time."""
+        if self.lifecycle.may_begin_admitted(context.request_id, context.deadline_ms):
+            return None
+        return self._leaving_failure("gateway.admit")
+
+    def _leaving_failure(self, step: str) -> Failure:
+        return Failure(
+            Reason.SHUTTING_DOWN,
+            step,
+            "",
+            "the instance is leaving; send the request again",
+            retry_after_ms=draw_elsewhere_ms(self.environment.rng),
+        )
+
     def _build_streams(self) -> None:
         env = self.environment
         holder = f"{self.identity.instance}/{self.identity.incarnation}"
--- a/src/_monsoonpulley/entry/lifecycle.py
+++ b/src/_monsoonpulley/entry/lifecycle.py
@@ -110,8 +110,22 @@
 
     def may_begin(self, request_id: RequestId, deadline_ms: int) -> bool:
         """Return whether a request may start now that has this deadline."""
-        if not self.accepts_requests():
-            return False
+        return self.accepts_requests() and self.may_begin_admitted(
+            request_id, deadline_ms
+        )
+
+    def may_repeat(self, predicted_ms: float) -> bool:
+        """Return whether to send a request once more.
+
+        Parameters
+        ----------
+        predicted_ms : float
+            Time until its answer presumably begins.
+        """
+        return self._stop_gate.may_repeat(self._clock.now_ms(), predicted_ms)
+
+    def may_begin_admitted(self, request_id: RequestId, deadline_ms: int) -> bool:
+        """Return whether a request that was accepted and has waited may start now."""
         now_ms = self._clock.now_ms()
         if self._stop_gate.may_begin(now_ms, deadline_ms):
             return True
--- a/src/_monsoonpulley/requests/admissiongate.py
+++ b/src/_monsoonpulley/requests/admissiongate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ..clock import Clock
 from ..errors import Failure
@@ -29,6 +30,12 @@
         Describes requests to the router.
     clock, log, metrics
         The instance's.
+
+    Attributes
+    ----------
+    check_stop : callable
+        Returns a failure if a stop of the instance leaves a request that has waited
+        too little time.
     """
 
     def __init__(
@@ -46,6 +53,7 @@
         self._metrics = metrics
         self._turn_by_request: dict[RequestId, asyncio.Future[Admit | Refuse]] = {}
         self._queue_changed = asyncio.Event()
+        self.check_stop: Callable[[RequestContext], Failure | None] = lambda _: None
 
     async def admit(self, context: RequestContext) -> Failure | None:
         """Wait until the request is admitted; return a failure if it is refused.
@@ -71,6 +79,10 @@
             self._placement.discard_preview(context.request_id)
         if isinstance(decision, Wait):
             decision = await self._wait_for_turn(request)
+            failure = self.check_stop(context)
+            if failure is not None and isinstance(decision, Admit):
+                self.release(context, 0)
+                return failure
         if isinstance(decision, Refuse):
             self._metrics.incr(f"admission.refused.{decision.rule}")
             return decision.failure()
--- a/src/_monsoonpulley/requests/generation.py
+++ b/src/_monsoonpulley/requests/generation.py
@@ -333,7 +333,9 @@
             self._free_retries += 1
             return Retry(0)
         self._fruitless_attempts += 1
-        retry = self._placement.may_retry(context, self._fruitless_attempts, failure)
+        retry = self._placement.may_retry(
+            context, placed, self._fruitless_attempts, failure
+        )
         if isinstance(retry, Failure):
             return self._give_up(retry)
         return retry
--- a/src/_monsoonpulley/requests/passthrough.py
+++ b/src/_monsoonpulley/requests/passthrough.py
@@ -124,7 +124,7 @@
             return PassThroughResult(Outcome.DONE, answer, None, attempt_count)
         tried.add(placed.endpoint)
         any_may_have_run = any_may_have_run or may_have_run(failure)
-        retry = placement.may_retry(context, attempt_count, failure)
+        retry = placement.may_retry(context, placed, attempt_count, failure)
         if isinstance(retry, Failure):
             if isinstance(answer, ServiceAnswer):
                 return PassThroughResult(Outcome.DONE, answer, None, attempt_count)
--- a/src/_monsoonpulley/requests/placement.py
+++ b/src/_monsoonpulley/requests/placement.py
@@ -77,9 +77,16 @@
         ...
 
     def may_retry(
-        self, context: RequestContext, attempts: int, failure: Failure
+        self,
+        context: RequestContext,
+        placed: PlacedAttempt,
+        attempts: int,
+        failure: Failure,
     ) -> Retry | Failure:
-        """Decide whether to retry after ``attempts`` failed attempts."""
+        """Decide whether to retry after ``attempts`` failed ones.
+
+        ``placed`` is the last one, whose prediction is taken for the next.
+        """
         ...
 
 
--- a/src/_monsoonpulley/requests/routed.py
+++ b/src/_monsoonpulley/requests/routed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -83,6 +84,9 @@
         Records each attempt besides the router.
     crash_guard : CrashGuard or None
         Refuses requests that crash endpoints.
+    check_stop : callable
+        Returns a failure if a stop of the instance leaves a retry too little time,
+        given the predicted time until its answer.
     """
 
     def __init__(
@@ -101,6 +105,7 @@
         self._previews: dict[RequestId, Preview] = {}
         self.observer: AttemptObserver | None = None
         self.crash_guard: CrashGuard | None = None
+        self.check_stop: Callable[[float], Failure | None] = lambda predicted_ms: None
 
     def choose(
         self, context: RequestContext, tried: frozenset[EndpointId]
@@ -223,9 +228,19 @@
         )
 
     def may_retry(
-        self, context: RequestContext, attempts: int, failure: Failure
+        self,
+        context: RequestContext,
+        placed: PlacedAttempt,
+        attempts: int,
+        failure: Failure,
     ) -> Retry | Failure:
-        """Decide whether to retry after ``attempts`` failed attempts."""
+        """Decide whether to retry after ``attempts`` failed ones.
+
+        ``placed`` is the last one, whose prediction is taken for the next.
+        """
+        stop_failure = self.check_stop(placed.decision.predicted_ms or 0.0)
+        if stop_failure is not None:
+            return stop_failure
         repeats = context.request_class.repeats
         ask = RetryRequest(
             request_id=context.request_id,
