Give the stand-in of a duty the method that the control loop calls

Two tests of testing.duties.test_controllease failed since: their loop ended at the first call of UsageReporter.observe_era, which the stand-in lacked. They hold again; no assertion changed.

--- a/testing/duties/test_controllease.py
+++ b/testing/duties/test_controllease.py
@@ -205,6 +205,9 @@
 
 
 class IdleDuty:
+    def observe_era(self) -> None:
+        return
+
     async def step(self, hold) -> None:
         pass
 
