Test the gateway's probe of an endpoint that writes without end

The only health check of the gateway opens a connection and closes it. The test shows that what an endpoint writes there without being asked is not kept; it holds on the code before.

--- a/testing/requests/test_crashguard.py
+++ b/testing/requests/test_crashguard.py
@@ -29,6 +29,28 @@
         failure = await probe_address(member(f"{ip}:{port}"))
         self.assertEqual(failure.reason, Reason.NOT_LISTENING)
 
+    async def test_an_endpoint_that_writes_without_end_listens(self):
+        # Bytes without end that nobody asked for must not be kept.
+        sent_bytes = 0
+        closed = asyncio.Event()
+
+        async def write_without_end(_reader, writer):
+            nonlocal sent_bytes
+            try:
+                while True:
+                    writer.write(b"more" * 16_384)
+                    await writer.drain()
+                    sent_bytes += 65_536
+            except ConnectionError:
+                closed.set()
+
+        server = await asyncio.start_server(write_without_end, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        ip, port = server.sockets[0].getsockname()
+        self.assertIsNone(await probe_address(member(f"{ip}:{port}")))
+        await asyncio.wait_for(closed.wait(), 5)
+        self.assertLess(sent_bytes, 16_000_000)
+
     async def test_an_address_that_can_not_be_read_shows_nothing(self):
         failure = await probe_address(member("somewhere"))
         self.assertEqual(failure.reason, Reason.UNAVAILABLE)
