Let endpoints of the soak flood their callers and close within heads

Two of the reports of other operators as behaviours of `set_endpoint_fault`: empty events in a stream, or interim answers, at 1 MB a second until the caller closes; and a connection that closes within the head of an answer.

--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -29,6 +29,11 @@
     b"HTTP/1.1 503 Status\r\nMonsoonpulley-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
+FLOOD_BYTES, FLOOD_INTERVAL_S = 20_000, 0.02
+"""What an endpoint sends without end: 1 MB a second."""
+
+INTERIM_ANSWER = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+
 MEDIAN_SERVICE_MS = 30
 """Median service time of a call that isn't a stream."""
 
@@ -53,6 +58,10 @@
     REPEATING = "repeating"
     """Sends a second copy of an answer a while after it, on the same connection, or a
     refusal without an id."""
+    FLOODING = "flooding"
+    """Runs requests and sends empty events, or interim answers, without end."""
+    CUTTING = "cutting"
+    """Runs requests and closes the connection within the head of the answer."""
 
 
 class Endpoint:
@@ -227,6 +236,9 @@
         await asyncio.sleep(service_ms / 1000)
         if self.behaviour is Behaviour.HANGING:
             await asyncio.Event().wait()
+        if self.behaviour is Behaviour.FLOODING:
+            await self._flood(writer, INTERIM_ANSWER)
+            return
         if self.behaviour is Behaviour.FAILING:
             self._write(writer, run, request_id, 500, b"failed")
             return
@@ -240,6 +252,9 @@
             await writer.drain()
             reset(writer.transport)
             return
+        if self.behaviour is Behaviour.CUTTING:
+            await self._close_within_head(writer, run, request_id)
+            return
         data = self._write(writer, run, request_id, 200, body)
         if self.behaviour is Behaviour.REPEATING:
             later_s = self._rng.uniform(0.001, MAX_COPY_DELAY_S)
@@ -248,6 +263,30 @@
             asyncio.get_running_loop().call_later(later_s, writer.write, copy)
         await writer.drain()
 
+    async def _flood(
+        self, writer: asyncio.StreamWriter, piece: bytes, *, is_chunked: bool = False
+    ) -> None:
+        """Send a piece over and over until the instance closes the connection."""
+        block = piece * (FLOOD_BYTES // len(piece))
+        if is_chunked:
+            block = b"%x\r\n%s\r\n" % (len(block), block)
+        while not writer.is_closing():
+            writer.write(block)
+            await writer.drain()
+            await asyncio.sleep(FLOOD_INTERVAL_S)
+
+    async def _close_within_head(
+        self, writer: asyncio.StreamWriter, run: Run, request_id: str
+    ) -> None:
+        run.status = 200
+        head = (
+            f"HTTP/1.1 200 Status\r\nMonsoonpulley-Request-Id: {request_id}\r\n"
+            f"Monsoonpulley-Response-Seal: {self.name}\r\nContent-Length: 10\r\n\r\n"
+        ).encode()
+        writer.write(head[: self._rng.randrange(1, len(head))])
+        await writer.drain()
+        writer.close()
+
     def _write(
         self,
         writer: asyncio.StreamWriter,
@@ -304,6 +343,9 @@
         fields: dict[str, str],
         gap_ms: int,
     ) -> None:
+        if self.behaviour is Behaviour.CUTTING:
+            await self._close_within_head(writer, run, request_id)
+            return
         run.status = 200
         run.seal = f"{self.name}-{self._rng.getrandbits(32):08x}"
         writer.write(
@@ -317,6 +359,9 @@
         for number in range(first, STREAM_EVENT_COUNT + 1):
             if self.behaviour is Behaviour.HANGING:
                 await asyncio.Event().wait()
+            if self.behaviour is Behaviour.FLOODING:
+                await self._flood(writer, b"\n", is_chunked=True)
+                return
             if self.behaviour is Behaviour.RESETTING and number > first + 3:
                 reset(writer.transport)
                 return
