--- a/src/_monsoonpulley/duties/reportfloor.py
+++ b/src/_monsoonpulley/duties/reportfloor.py
@@ -1,4 +1,4 @@
-"""From which window on the table tells whether a window was reported."""
+"""The first window for which a missing row means that it was not reported."""
 
 from __future__ import annotations
 
--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -288,7 +288,7 @@
             if self._is_joining and not self._state.position.is_continued_by(event):
                 result = self._reject_answer("an event does not continue the stream")
                 break
-            if self._is_new(event):
+            if self._record_event(event):
                 forwarded.append(event.raw)
             if self._bytes_without_data > MAX_BYTES_WITHOUT_DATA:
                 result = self._reject_answer("too many bytes without data")
@@ -353,8 +353,8 @@
             self._on_start()
         return self._reject_answer(event.detail)
 
-    def _is_new(self, event: StreamEvent) -> bool:
-        """Record an event; return whether it is to be forwarded."""
+    def _record_event(self, event: StreamEvent) -> bool:
+        """Record an event; return whether to forward it, as its caller lacks it."""
         position = self._state.position
         if event.id is not None:
             self._last_id = event.id
--- a/testing/ingress/test_endless_answers.py
+++ b/testing/ingress/test_endless_answers.py
@@ -181,12 +181,11 @@
         async def write_without_end(reader, writer):
             writers.append(writer)
             try:
-                while answers_first and (head := await reader.readuntil(b"\r\n\r\n")):
-                    call = EndpointCall(head[:-4], b"", writer)
-                    call.body = await reader.readexactly(4)
-                    call.answer(body=b"whole")
+                if answers_first:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    await reader.readexactly(len(b"work"))
+                    EndpointCall(head[:-4], b"", writer).answer(body=b"whole")
                     await asyncio.sleep(0.05)
-                    break
                 while True:
                     writer.write(b"more" * 16_384)
                     await writer.drain()
