Don't end long streams for the framing of their chunks

Callers would see: a sound stream of small chunks broken off after 53,196 tokens (gateway), or after 87,000 and more chunks (ingress).

Cause: the limit on bytes outside of an answer's body was absolute, and each chunk has some six bytes of framing.

Change: what is outside may exceed the body by 512 KiB. Framing alone is less than any body of more than a few bytes a chunk; what comes without end has no body, or less than its framing.

--- a/src/_monsoonpulley/endpoints/http_connector.py
+++ b/src/_monsoonpulley/endpoints/http_connector.py
@@ -9,8 +9,9 @@
 from aiohttp.client_proto import ResponseHandler
 
 MAX_OVERHEAD_BYTES = 524_288
-"""Bytes of one answer outside of its body: head, framing, trailers and interim answers;
-as in the ingress. A faulty endpoint can send them without end."""
+"""Bytes of one answer outside of its body, beyond as many as the body has, as in the
+ingress: head, framing, trailers and interim answers. A faulty endpoint can send them
+without end. A long stream in small chunks has more framing, but less than body."""
 
 
 class OverheadError(aiohttp.ClientPayloadError, ValueError):
@@ -41,11 +42,11 @@
         super().data_received(data)
         self._received_bytes += len(data)
         body_bytes = self._body.total_bytes if self._body is not None else 0
-        if self._received_bytes - body_bytes > MAX_OVERHEAD_BYTES:
+        if self._received_bytes - 2 * body_bytes > MAX_OVERHEAD_BYTES:
             self._fail()
 
     def _fail(self) -> None:
-        detail = f"over {MAX_OVERHEAD_BYTES} bytes are outside of the body"
+        detail = f"over {MAX_OVERHEAD_BYTES} bytes more than its body are outside of it"
         error = OverheadError(detail)
         self.set_exception(error)
         if self._body is not None:
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -20,9 +20,10 @@
 from .sockets import UnreadWatch, enable_keepalive, reset
 
 MAX_OVERHEAD_BYTES = 524_288
-"""Bytes of one exchange that are no part of the answer's body: head, framing, trailers
-and answers that are skipped. Over thirty times the largest head that callers may send;
-a faulty server can send them without end."""
+"""Bytes of one exchange that are no part of the answer's body, beyond as many as the
+body has: head, framing, trailers and answers that are skipped. Over thirty times the
+largest head that callers may send; a faulty server can send them without end. A long
+stream in small chunks has more framing, but less than body."""
 
 MAX_REFUSED_IDS = 256
 """Requests that a server may refuse on a connection before it is replaced: their ids
@@ -96,6 +97,7 @@
         self._sent_count = 0
         self._refused_ids: set[bytes] = set()
         self._overhead_bytes = 0
+        self._body_bytes = 0
         self.is_open = False
         self.is_reusable = False
         self.idle_timeout_ms: int | None = None
@@ -144,7 +146,7 @@
         self._is_head_request = is_head
         self._sent_count += 1
         self.foreign_count = 0
-        self._overhead_bytes = 0
+        self._overhead_bytes = self._body_bytes = 0
         self.is_reusable = False
         self._transport.write(data)
 
@@ -210,7 +212,8 @@
             self._fail_exchange(f"malformed answer: {error}")
             return
         self._put_body()
-        if self._mailbox is not None and self._overhead_bytes > MAX_OVERHEAD_BYTES:
+        excess_bytes = self._overhead_bytes - self._body_bytes
+        if self._mailbox is not None and excess_bytes > MAX_OVERHEAD_BYTES:
             self._fail_exchange("malformed answer: too many bytes outside of its body")
 
     def eof_received(self) -> bool:
@@ -272,6 +275,7 @@
         """Add a piece of the body to what this read has brought."""
         if not self._is_skipping_message:
             self._overhead_bytes -= len(data)
+            self._body_bytes += len(data)
             self._body_pieces.append(data)
 
     def on_message_complete(self) -> None:
--- a/testing/endpoints/test_http_engine.py
+++ b/testing/endpoints/test_http_engine.py
@@ -112,6 +112,18 @@
             items = generate_raw(ScriptedHandler(HEAD[:cut]))
             self.assertEqual([item.reason for item in items], [Reason.PEER_ERROR])
 
+    def test_a_long_stream_of_small_chunks_is_not_cut(self):
+        """Guards against long streams that are cut for the framing of their chunks."""
+        head = HEAD.replace(b"\r\n\r\n", b"\r\ntransfer-encoding: chunked\r\n\r\n")
+        event = sse_event(AnswerWriter(CHAT, "x1", 1, "m").token_event("a"))
+        chunk = b"%x\r\n%s\r\n" % (len(event), event)
+        end = stream_body(words=())
+        last = b"%x\r\n%s\r\n0\r\n\r\n" % (len(end), end)
+        count = 100_000
+        script = ScriptedHandler([head, *[chunk * 1_000] * (count // 1_000), last])
+        items = generate_raw(script, engine_call(max_tokens=2 * count))
+        self.assertEqual(sum(isinstance(item, Token) for item in items), count)
+
     def test_a_lost_usage_event_leaves_the_answer_complete(self):
         pieces = stream_body().split(b"data: ")
         items = generate_raw(ScriptedHandler(HEAD + b"data: ".join(pieces[:5])))
--- a/testing/wire/test_clientconnection.py
+++ b/testing/wire/test_clientconnection.py
@@ -96,6 +96,18 @@
         self.assertEqual(kinds, [AnswerHead, AnswerData, AnswerEnd])
         self.assertEqual(events.body, b"x" * 2_000)
 
+    def test_a_long_stream_of_small_chunks_is_sound(self):
+        """Guards against long streams that are cut for the framing of their chunks."""
+        head = b"HTTP/1.1 200 S\r\nRequest-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        events = self.send(b"a1")
+        self.receive(head)
+        chunk = b"9\r\ndata: x\n\n\r\n"
+        for _ in range(200):
+            self.receive(chunk * 1_000)
+        self.receive(b"0\r\n\r\n")
+        self.assertTrue(events.is_complete)
+        self.assertEqual(len(events.body), 9 * 200_000)
+
     def test_what_came_of_a_body_is_put_before_its_error(self):
         head = b"HTTP/1.1 200 S\r\nRequest-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
         events = self.exchange(b"a1", head + b"4\r\nmore\r\nnot a chunk")
