Test sound streams that look like streams without data

The limit on events without data blames a stream that is only kept open as well, if its comments were counted together.

--- a/testing/endpoints/test_sse.py
+++ b/testing/endpoints/test_sse.py
@@ -38,6 +38,14 @@
             with self.assertRaises(SseOverflowError):
                 parse([chunk] * 1_000, max_event_bytes=200)
 
+    def test_comments_between_events_are_no_stream_without_data(self):
+        """Guards against sound streams that are cut for what keeps them open."""
+        idle = b": alive\n\n" * 10
+        events = parse([idle, b"data: x\n\n"] * 100, max_bytes_without_data=150)
+        self.assertEqual(events, [b"x"] * 100)
+        with self.assertRaises(SseOverflowError):
+            parse([idle, idle], max_bytes_without_data=150)
+
     def test_the_limit_holds_per_event_not_per_stream(self):
         events = parse([sse_event(b"z" * 90, "r1:7")] * 1_000, max_event_bytes=100)
         self.assertEqual(events, [b"z" * 90] * 1_000)
--- a/testing/ingress/test_endless_answers.py
+++ b/testing/ingress/test_endless_answers.py
@@ -8,7 +8,10 @@
 import unittest
 from unittest import mock
 
-from _monsoonpulley.ingress.answertransfer import MAX_EVENTS_PER_TURN
+from _monsoonpulley.ingress.answertransfer import (
+    MAX_BYTES_WITHOUT_DATA,
+    MAX_EVENTS_PER_TURN,
+)
 from _monsoonpulley.wire.clientconnection import ClientConnection
 from _monsoonpulley.wire.serverconnection import ServerConnection
 
@@ -140,6 +143,23 @@
     async def test_ids_without_end_break_the_stream_off(self):
         await self.check_stream_ends(b"id: 1\n\n")
 
+    async def test_comments_between_events_do_not_end_a_stream(self):
+        # A sound stream looks like one without data while it is only kept open.
+        async def answer(call):
+            call.start_stream()
+            for number in range(1, 9):
+                call.write_chunk(b": alive\n\n" * 12_000)
+                await call.writer.drain()
+                call.write_event(number)
+            call.write_chunk(b"")
+
+        await self.site.add_endpoint(answer)
+        await self.site.start(configuration(kind="streaming", timeout_ms=5_000))
+        got = await self.site.send_request()
+        self.assertTrue(got.is_whole)
+        self.assertEqual(got.body.count(b"data: piece"), 8)
+        self.assertGreater(len(got.body), MAX_BYTES_WITHOUT_DATA)
+
     async def test_other_tasks_get_turns_while_events_never_end(self):
         # A read full of small events kept all other requests waiting.
         written = collections.Counter()
