--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -219,6 +219,8 @@
     def __init__(self, record: Record):
         super().__init__()
         self._record = record
+        self.names: tuple[str, str] | None = None
+        """Beginnings of addresses in the machines' rows, and what stands instead."""
         self._rows: dict[tuple[str, str], tuple[str, int]] = {}
         self._changed: dict[tuple[str, str], int] = {}
         self._version = 0
@@ -237,6 +239,9 @@
         return json.loads(base64.b64decode(row[0])) if row else None
 
     def _put(self, table: str, key: str, value: str) -> int:
+        if table == "instances" and self.names:
+            raw = base64.b64decode(value).decode().replace(*self.names)
+            value = base64.b64encode(raw.encode()).decode()
         version = self._note(table, key)
         self._rows[table, key] = (value, version)
         return version
@@ -399,10 +404,14 @@
         self.state = "draining"
         self.register()
 
-    def end(self) -> None:
-        """Leave for good."""
+    def stop_beats(self) -> None:
+        """Report to the store no more."""
         if self._beats is not None:
             self._beats.cancel()
+
+    def end(self) -> None:
+        """Leave for good."""
+        self.stop_beats()
         self.close()
         self.world.store.remove("servers", self.name)
 
@@ -537,13 +546,49 @@
         return line.split(" ")[1] == "200"
 
 
+class Link(asyncio.DatagramProtocol):
+    """The way of datagrams to one machine, which a cut can close.
+
+    Machines know each other by an address of this proxy: wherever one of them names
+    its own address, in its row and in its datagrams, the proxy's stands instead.
+    """
+
+    def __init__(self, world: World, machine: Machine):
+        self._world = world
+        self._machine = machine
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        address = (self._world.public(self._machine.ip), self._machine.peer)
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=address
+        )
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        sender = next((m for m in self._world.machines if m.ip == addr[0]), None)
+        if sender is None or self._world.is_cut(sender, self._machine):
+            return
+        data = data.replace(*(each.encode() for each in self._world.prefixes()))
+        self._transport.sendto(data, (self._machine.ip, self._machine.peer))
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore datagrams to a machine that is down."""
+
+
 class World:
     """All stand-ins of a script and the machines."""
 
     def __init__(self, folder: Path, machine_count: int):
         self.record = Record(folder / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
-        self.subnet = (random.randint(60, 220), random.randint(1, 250))
+        self.subnet = (random.randint(60, 220), random.randint(100, 170))
+        self.cut_off: Machine | None = None
+        self.links: list[Link] = []
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         (role,) = deploy["roles"].values()
         self.command = role["run"].split(" ")
@@ -557,8 +602,25 @@
         ]
         self._request_count = 0
 
+    def prefixes(self) -> tuple[str, str]:
+        """Return how the machines' addresses begin, and the proxies' for them."""
+        first, second = self.subnet
+        return f"127.{first}.{second}.", f"127.{first}.{second + 80}."
+
+    def public(self, ip: str) -> str:
+        """Return the address by which other machines know a machine."""
+        return ip.replace(*self.prefixes())
+
+    def is_cut(self, one: Machine, other: Machine) -> bool:
+        """Return whether one of two machines is cut off from the others."""
+        return self.cut_off in (one, other)
+
     async def start(self, configuration: dict, workers: list[Worker]) -> None:
         """Start the platform, the workers, the machines, and wait for all."""
+        if self.links:
+            self.store.names = self.prefixes()
+        for link in self.links:
+            await link.open()
         await self.store.listen()
         await self.cloud.listen()
         self.store.put("op", "config", configuration)
@@ -590,6 +652,8 @@
             await machine.kill()
         for worker in self.workers:
             worker.end()
+        for link in self.links:
+            link.close()
         self.store.close()
         self.cloud.close()
         keep = os.environ.get("KEEP")
