--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -148,10 +148,10 @@
     """Return the body of a message that has a length or chunks."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         chunks = []
-        while size := int((await reader.readline()).strip() or b"0", 16):
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
             chunks.append(await reader.readexactly(size))
             await reader.readexactly(2)
-        await reader.readline()
+        await reader.readuntil(b"\r\n")
         return b"".join(chunks)
     return await reader.readexactly(int(headers.get("content-length", 0)))
 
@@ -193,6 +193,8 @@
             while True:
                 line, headers = await read_head(reader)
                 body = await read_body(reader, headers)
+                if writer.is_closing():
+                    return
                 method, target, _ = line.split(" ", 2)
                 await self.handle(method, target, headers, body, writer)
                 await writer.drain()
@@ -699,6 +701,7 @@
                 writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
                 line, got = await read_head(reader)
                 await read_body(reader, got)
+                # Only a complete answer has a status.
                 status = int(line.split(" ")[1])
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             reason = type(error).__name__
