--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,6 +9,6 @@
 
 if sys.version_info < (3, 11):
     raise SystemExit("Python 3.11 or newer is needed")
-for path in sorted([*pathlib.Path("standins2").glob("*.py"), *pathlib.Path(".").glob("[0-9]*/play.py")]):
+for path in sorted([*pathlib.Path(".").glob("standins2.py"), *pathlib.Path(".").glob("[0-9]*/play.py")]):
     ast.parse(path.read_text(), str(path))
 P
--- a/review/standins2/world.py
+++ b/review/standins2.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "survey.example"
 ZONES = ["andina-a", "andina-b", "andina-c", "andina-d"]
 HEARTBEAT_S = 1.2
