--- a/review/standins2.py
+++ b/review/standins2.py
@@ -368,7 +368,9 @@
 
     async def start(self) -> None:
         """Listen and report to the store, about every heartbeat interval."""
-        await self.listen()
+        # On an address of its own, so that no other connection takes its port while it
+        # is down.
+        await self.listen(self.world.next_ip())
         self.register()
         self._beats = asyncio.create_task(self._beat())
 
@@ -563,6 +565,12 @@
             for zone in [ZONES[n % len(ZONES)]]
         ]
         self._request_count = 0
+        self._worker_count = 0
+
+    def next_ip(self) -> str:
+        """Return the loopback address of the next worker."""
+        self._worker_count += 1
+        return f"127.{self.subnet[0]}.{self.subnet[1]}.{100 + self._worker_count}"
 
     async def start(self, configuration: dict, workers: list[Worker]) -> None:
         """Start the platform, the workers, the machines, and wait for all."""
