Let an order end by one write, whichever instance decides it

Cause: a roll-back was stored by the holder of the duties alone, and until it had heard of one nothing refused its write of `done`. A holder that wakes runs its timers before the datagrams that have arrived, so it sent that write by its clock. Evidence: in the logs of the case on the holder notes `process_stood_still`, 8 ms later `taken_back`, "received from a peer", and 2 ms later that `done` is stored, by a store that takes 4 ms. Where orders followed each other, the status of the last one could end the next one.

Change: status rows are written on condition of the row as last seen and of the order's own row, in `rollouts/statusrows.py`. The instance whose result shows the fault stores the roll-back at once; the readers of the store do so for one that can't. The second end is refused and the first adopted, in either order. Before `done` the holder reads the status row and handles all messages that have arrived. A roll-back for the deadline takes effect with what is stored.

It works as the store decides between two ends, whatever an instance knows and however long it stands still before its write arrives.

--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -11,7 +11,9 @@
 from ..platform.localsettings import LocalSettings
 from ..platform.store import Store
 from ..platform.table import StoreTable
+from ..rollouts.rollbackrecorder import RollbackRecorder
 from ..rollouts.statusreader import RolloutStatusReader
+from ..rollouts.statusrows import RolloutStatusRows
 from ..wire.httpclient import HttpClient
 from .capacity import CapacityDuty
 from .closedzones import ClosedZones
@@ -38,6 +40,8 @@
         Spreads the scans of the lease.
     is_leaving : callable
         Returns whether this instance is stopping.
+    receive_waiting : callable
+        Handles the messages of other instances that have arrived.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         store: Store,
         rng: random.Random,
         is_leaving: Callable[[], bool],
+        receive_waiting: Callable[[], None],
     ):
         self._settings = settings
         self._parts = parts
@@ -65,24 +70,29 @@
             is_leaving,
             lambda: store.era or 0,
         )
+        self._receive_waiting = receive_waiting
         self._usage: UsageReporter | None = None
-        self._rollout: RolloutDuty | None = None
+        self._status_rows = RolloutStatusRows(parts.rollouts, store, parts.log)
         self.status_reader = RolloutStatusReader(
             parts.rollouts,
-            store,
+            self._status_rows,
             parts.clock,
-            parts.log,
             self.lease.is_next_holder,
         )
+        self.rollback_recorder = RollbackRecorder(
+            parts.rollouts,
+            self._status_rows,
+            lambda: parts.members.is_reader(parts.zone),
+        )
         self.loop = self._make_loop()
 
     def handle_era_change(self) -> None:
         """Act on a store that has lost what was written last."""
         was_holder = self.lease.hold() is not None
         self.lease.handle_era_change()
-        if self._usage is not None and self._rollout is not None:
+        self._status_rows.handle_era_change()
+        if self._usage is not None:
             self._usage.handle_era_change(was_holder)
-            self._rollout.handle_era_change()
 
     def _make_loop(self) -> ControlLoop | None:
         settings, parts = self._settings, self._parts
@@ -103,13 +113,13 @@
             parts.members.expected_ids,
             lambda: self._store.era,
         )
-        self._rollout = RolloutDuty(
+        rollout = RolloutDuty(
             parts.rollouts,
             self.status_reader,
+            self._status_rows,
             parts.directory,
-            self._store,
-            log,
             parts.evacuations.open_endpoints,
+            self._receive_waiting,
         )
         closed_zones = ClosedZones(
             parts.evacuations,
@@ -134,7 +144,7 @@
                 log,
                 closed_zones.find,
             ),
-            self._rollout,
+            rollout,
             clock,
             log,
         )
--- a/src/_monsoonpulley/duties/rollout.py
+++ b/src/_monsoonpulley/duties/rollout.py
@@ -5,20 +5,12 @@
 from collections.abc import Callable
 
 from ..control.leases import Hold
-from ..errors import Failure
 from ..fleet.directory import EndpointDirectory
 from ..fleet.model import Endpoint
-from ..observability.log import Log
-from ..platform.rollouts import (
-    STATUS_TABLE,
-    RolloutOrder,
-    RolloutStatus,
-    encode_status,
-    rollout_key,
-)
-from ..platform.store import Condition, Conflict, Put, Store
+from ..platform.rollouts import RolloutOrder, RolloutStatus
 from ..rollouts.rollouts import Phase, Rollouts
 from ..rollouts.statusreader import RolloutStatusReader
+from ..rollouts.statusrows import RolloutStatusRows
 
 PHASE_STARTS = (
     (0.80, Phase.FULL),
@@ -50,128 +42,100 @@
         Orders and their phases.
     status_reader : RolloutStatusReader
         Reads whether an order has already ended.
+    status_rows : RolloutStatusRows
+        Reads and writes the status rows.
     directory : EndpointDirectory
         Endpoints and their versions.
-    store : Store
-        Stores the status rows.
-    log : Log
-        Each write is logged.
     open_endpoints : callable
         Returns those of the endpoints that may get requests; the others show nothing of
         their version, and don't carry its traffic.
+    receive_waiting : callable
+        Handles what other instances have sent and this process has not read yet. A
+        process that stood still decides otherwise by its clock alone.
     """
 
     def __init__(
         self,
         rollouts: Rollouts,
         status_reader: RolloutStatusReader,
+        status_rows: RolloutStatusRows,
         directory: EndpointDirectory,
-        store: Store,
-        log: Log,
         open_endpoints: Callable[
             [tuple[Endpoint, ...]], tuple[Endpoint, ...]
         ] = lambda endpoints: endpoints,
+        receive_waiting: Callable[[], None] = lambda: None,
     ):
         self._rollouts = rollouts
         self._status_reader = status_reader
+        self._status_rows = status_rows
         self._directory = directory
-        self._store = store
-        self._log = log
         self._open_endpoints = open_endpoints
-        self._stored_status: dict[int, RolloutStatus] = {}
-        self._row_versions: dict[str, int] = {}
-
-    def handle_era_change(self) -> None:
-        """Forget what the status rows held: the store lost what was written last."""
-        self._stored_status.clear()
-        self._row_versions.clear()
+        self._receive_waiting = receive_waiting
 
     async def step(self, hold: Hold) -> None:
         """Advance every order while the duty is held."""
         for order in self._rollouts.orders():
             if self._status_reader.is_status_read(order) and hold.may_act():
-                await self._advance(order)
+                await self._advance(order, hold)
 
-    async def _advance(self, order: RolloutOrder) -> None:
+    async def _advance(self, order: RolloutOrder, hold: Hold) -> None:
+        self._receive_waiting()
         phase = self._rollouts.phase(order)
-        if phase is None:
+        if phase is None or phase is Phase.DONE:
             return
         if phase is Phase.TAKEN_BACK:
-            await self._write(order, RolloutStatus.ROLLED_BACK)
-            return
-        if phase is Phase.DONE:
+            await self._status_rows.write(
+                order, RolloutStatus.ROLLED_BACK, "a fault of the version was found"
+            )
             return
-        elapsed_ms, phase_elapsed_ms = self._rollouts.elapsed_times_ms(order)
-        share = elapsed_ms / max(1, order.duration_ms)
-        ready = self._directory.ready_endpoints(order.service)
-        new = tuple(each for each in ready if each.version == order.version)
-        open_new = self._open_endpoints(new)
-        # Done, the old version's endpoints stop while no new one may get requests.
-        is_closed = bool(new) and not open_new
-        if (
-            not is_closed
-            and phase is Phase.FULL
-            and share >= DONE_AFTER_SHARE
-            and phase_elapsed_ms >= MIN_FULL_PHASE_MS
-        ):
-            if await self._write(order, RolloutStatus.DONE):
-                self._rollouts.advance(
-                    order, Phase.DONE, "the version has had all traffic long enough"
-                )
+        if self._is_complete(order):
+            await self._finish(order, hold)
             return
+        share = self._elapsed_share(order)
         if share >= ROLL_BACK_AFTER_SHARE:
-            self._rollouts.advance(
-                order, Phase.TAKEN_BACK, "not done in time for the deadline"
+            # Another instance may have ended the order while this one stood still, so
+            # that the phase changes only with what is stored.
+            await self._status_rows.write(
+                order, RolloutStatus.ROLLED_BACK, "not done in time for the deadline"
             )
-            await self._write(order, RolloutStatus.ROLLED_BACK)
             return
-        await self._write(order, RolloutStatus.RUNNING)
-        if open_new:
+        passed = f"{share:.2f} of the time to the deadline has passed"
+        await self._status_rows.write(order, RolloutStatus.RUNNING, passed)
+        if self._open_new_endpoints(order):
             due_phase = next(phase for after, phase in PHASE_STARTS if share >= after)
-            self._rollouts.advance(
-                order, due_phase, f"{share:.2f} of the time to the deadline has passed"
+            self._rollouts.advance(order, due_phase, passed)
+
+    async def _finish(self, order: RolloutOrder, hold: Hold) -> None:
+        """Write that a version is done, unless there is news of it by now."""
+        if not await self._status_rows.read(order) or not hold.may_act():
+            return
+        self._receive_waiting()
+        if self._is_complete(order):
+            await self._status_rows.write(
+                order,
+                RolloutStatus.DONE,
+                "the version has had all traffic long enough",
             )
 
-    async def _write(self, order: RolloutOrder, status: RolloutStatus) -> bool:
-        """Write an order's status if needed; return whether it is stored."""
-        if self._stored_status.get(order.row_version) is status:
-            return True
-        key = rollout_key(order.service)
-        value = encode_status(order, status)
-        expected = Condition(STATUS_TABLE, key, self._row_versions.get(key, 0))
-        result = await self._store.write(
-            conditions=(expected,), puts=(Put(STATUS_TABLE, key, value),)
-        )
-        is_stored = isinstance(result, int)
-        if isinstance(result, int):
-            self._row_versions[key] = result
-        elif isinstance(result, Conflict):
-            is_stored = self._resolve_conflict(order, key, value, result)
-        self._log.event(
-            "rollout_status_written",
-            service=order.service,
-            version=order.version,
-            status=status.value,
-            is_done=is_stored,
-            error=str(result) if isinstance(result, Failure) else "",
-        )
-        if is_stored:
-            self._stored_status[order.row_version] = status
-        return is_stored
-
-    def _resolve_conflict(
-        self, order: RolloutOrder, key: str, value: bytes, conflict: Conflict
-    ) -> bool:
-        """Return whether the row already has the value to be written.
-
-        A row that says that the order is done is final, whoever wrote it: the old
-        version's endpoints have stopped.
-        """
-        row = next((row for row in conflict.rows if row.key == key), None)
-        self._row_versions[key] = row.row_version if row is not None else 0
-        if row is None or row.value is None:
+    def _is_complete(self, order: RolloutOrder) -> bool:
+        """Return whether a version has had all traffic for long enough."""
+        if self._rollouts.phase(order) is not Phase.FULL:
             return False
-        done_value = encode_status(order, RolloutStatus.DONE)
-        if row.value == done_value and row.row_version > order.row_version:
-            self._rollouts.advance(order, Phase.DONE, "status row says done")
-        return row.value == value
+        if self._elapsed_share(order) < DONE_AFTER_SHARE:
+            return False
+        _, phase_elapsed_ms = self._rollouts.elapsed_times_ms(order)
+        if phase_elapsed_ms < MIN_FULL_PHASE_MS:
+            return False
+        # Done, the old version's endpoints stop while no new one may get requests.
+        return not self._new_endpoints(order) or bool(self._open_new_endpoints(order))
+
+    def _elapsed_share(self, order: RolloutOrder) -> float:
+        elapsed_ms, _ = self._rollouts.elapsed_times_ms(order)
+        return elapsed_ms / max(1, order.duration_ms)
+
+    def _new_endpoints(self, order: RolloutOrder) -> tuple[Endpoint, ...]:
+        ready = self._directory.ready_endpoints(order.service)
+        return tuple(each for each in ready if each.version == order.version)
+
+    def _open_new_endpoints(self, order: RolloutOrder) -> tuple[Endpoint, ...]:
+        return self._open_endpoints(self._new_endpoints(order))
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -173,6 +173,7 @@
             self.store,
             rng,
             lambda: self.is_stopping,
+            self.digest_exchange.receive_waiting,
         )
         self._quarantine_rows = QuarantineRows(
             self.store, parts.quarantine, parts.fingerprinter, clock, log, rng
@@ -262,6 +263,7 @@
             *control_tasks,
             ("leases", self._control.lease.run),
             ("rollouts", self._control.status_reader.run),
+            ("rollbacks", self._control.rollback_recorder.run),
             ("digests", self.digest_exchange.run),
             ("registration", self._registration.run),
             ("quarantine", self._quarantine_rows.run),
--- a/src/_monsoonpulley/platform/store.py
+++ b/src/_monsoonpulley/platform/store.py
@@ -43,11 +43,14 @@
     row_version : int
         Version of its last change; versions increase across all rows and eras, see
         `storeversion`.
+    table : str
+        Its table; empty if the answer doesn't name it.
     """
 
     key: str
     value: bytes | None
     row_version: int
+    table: str = ""
 
 
 class Rows(msgspec.Struct, frozen=True):
@@ -91,18 +94,19 @@
     row_version: Annotated[int, msgspec.Meta(ge=0, lt=ERA_STRIDE)] = 0
     value: str = ""
     deleted: bool = False
+    table: str = ""
 
     def decode(self, era: int) -> Row:
         """Return the row; a value that is not Base64 counts as empty."""
         # 0 stands for a row that does not exist, in every era.
         version = join_version(era, self.row_version) if self.row_version else 0
         if self.deleted:
-            return Row(self.key, None, version)
+            return Row(self.key, None, version, self.table)
         try:
             value = base64.b64decode(self.value)
         except (binascii.Error, ValueError):
             value = b""
-        return Row(self.key, value, version)
+        return Row(self.key, value, version, self.table)
 
 
 class _Answer(msgspec.Struct):
--- a/src/_monsoonpulley/rollouts/rollouts.py
+++ b/src/_monsoonpulley/rollouts/rollouts.py
@@ -10,7 +10,7 @@
 
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import IntEnum
 
 import msgspec
@@ -77,6 +77,7 @@
         self.phase_started_ms = seen_ms
         self.old_results = BaselineResults()
         self.verdict = Verdict(FALSE_ALARM_RATE)
+        self.was_rolled_back_here = False
 
 
 class Rollouts:
@@ -88,6 +89,11 @@
         Each change of phase is logged.
     rng : random.Random
         Selects the requests that go to a new version.
+
+    Attributes
+    ----------
+    on_rolled_back : callable
+        Called after an order was rolled back here or elsewhere.
     """
 
     def __init__(self, clock: Clock, log: Log, rng: random.Random):
@@ -97,6 +103,7 @@
         self._rollouts: dict[ServiceId, _Rollout] = {}
         self._past_orders: dict[ServiceId, deque[RolloutOrder]] = {}
         self._outbox: list[Result] = []
+        self.on_rolled_back: Callable[[], None] = lambda: None
 
     def set_order(self, order: RolloutOrder) -> None:
         """Set an operator's order; ignore one that is not newer."""
@@ -168,6 +175,13 @@
         )
         rollout.phase = phase
         rollout.phase_started_ms = self._clock.now_ms()
+        if phase is Phase.TAKEN_BACK:
+            self.on_rolled_back()
+
+    def was_rolled_back_here(self, order: RolloutOrder) -> bool:
+        """Return whether a result of this instance itself ended the order."""
+        rollout = self._rollout_of(order)
+        return rollout is not None and rollout.was_rolled_back_here
 
     def eligible_endpoints(
         self, service: ServiceId, endpoints: tuple[Endpoint, ...]
@@ -234,7 +248,7 @@
             rollout.old_results.add(result)
             return
         self._outbox.append(result)
-        self._evaluate(rollout, result)
+        rollout.was_rolled_back_here = self._evaluate(rollout, result)
 
     def drain_outbox(self) -> tuple[Result, ...]:
         """Return the results that have not been sent to the peers, and clear them."""
@@ -261,10 +275,12 @@
             if rollout is not None and rollout.order.version == result.version:
                 self._evaluate(rollout, result)
 
-    def _evaluate(self, rollout: _Rollout, result: Result) -> None:
+    def _evaluate(self, rollout: _Rollout, result: Result) -> bool:
+        """Add a result; return whether the version is rolled back because of it."""
         reason = rollout.verdict.add(result, rollout.old_results, self._clock.now_ms())
         if reason:
             self.advance(rollout.order, Phase.TAKEN_BACK, reason)
+        return bool(reason)
 
     def _rollout_of(self, order: RolloutOrder) -> _Rollout | None:
         rollout = self._rollouts.get(order.service)
--- a/src/_monsoonpulley/rollouts/statusreader.py
+++ b/src/_monsoonpulley/rollouts/statusreader.py
@@ -5,17 +5,9 @@
 from collections.abc import Callable
 
 from ..clock import Clock
-from ..errors import Failure
-from ..observability.log import Log
-from ..platform.rollouts import (
-    STATUS_TABLE,
-    RolloutOrder,
-    RolloutStatus,
-    decode_status,
-    rollout_key,
-)
-from ..platform.store import Store
+from ..platform.rollouts import RolloutOrder
 from .rollouts import Phase, Rollouts
+from .statusrows import RolloutStatusRows
 
 CHECK_INTERVAL_MS = 500
 """Interval of checks for orders whose status has not been read."""
@@ -24,11 +16,6 @@
 """Time after which an instance reads a status whose order's phase no other instance
 has sent it."""
 
-_FINAL_PHASES = {
-    RolloutStatus.DONE: Phase.DONE,
-    RolloutStatus.ROLLED_BACK: Phase.TAKEN_BACK,
-}
-
 
 class RolloutStatusReader:
     """Reads the status row of each order once, when the order is first seen.
@@ -41,10 +28,10 @@
     ----------
     rollouts : Rollouts
         The orders.
-    store : Store
-        Stores the status rows.
-    clock, log : Clock, Log
-        Time source, and the log of failed reads.
+    status_rows : RolloutStatusRows
+        Reads the rows.
+    clock : Clock
+        Time source.
     is_next_holder : callable
         Returns whether this instance holds the duties or may hold them next.
     """
@@ -52,16 +39,14 @@
     def __init__(
         self,
         rollouts: Rollouts,
-        store: Store,
+        status_rows: RolloutStatusRows,
         clock: Clock,
-        log: Log,
         is_next_holder: Callable[[], bool],
     ):
         self._is_next_holder = is_next_holder
         self._rollouts = rollouts
-        self._store = store
+        self._status_rows = status_rows
         self._clock = clock
-        self._log = log
         self._read_row_versions: set[int] = set()
 
     def is_status_read(self, order: RolloutOrder) -> bool:
@@ -91,19 +76,5 @@
 
     async def read_status(self, order: RolloutOrder) -> None:
         """Read the status row of an order, and end the order here if it has ended."""
-        row = await self._store.read_row(STATUS_TABLE, rollout_key(order.service))
-        if isinstance(row, Failure):
-            self._log.event("rollout_status_unread", error=str(row))
-            return
-        self._read_row_versions.add(order.row_version)
-        if row is None or row.value is None or row.row_version < order.row_version:
-            return
-        status = decode_status(row.value)
-        if isinstance(status, Failure):
-            self._log.event("rollout_status_unread", error=str(status))
-            return
-        version, state = status
-        if version == order.version and state in _FINAL_PHASES:
-            self._rollouts.advance(
-                order, _FINAL_PHASES[state], f"status row says {state.value}"
-            )
+        if await self._status_rows.read(order):
+            self._read_row_versions.add(order.row_version)
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -10,13 +10,14 @@
 import asyncio
 import heapq
 import math
+import socket
 from collections import deque
 from collections.abc import Callable
 
 import msgspec
 
 from ..clock import Clock
-from ..errors import Failure
+from ..errors import Failure, describe_error
 from ..fleet.relay import Relay
 from ..ids import ZoneId
 from ..observability.log import Log
@@ -56,6 +57,11 @@
 """Instances of each data centre that send a relay on there; the second one covers the
 loss of the first."""
 
+MAX_DATAGRAM_BYTES = 65_535
+MAX_WAITING_DATAGRAMS = 1_000
+"""Datagrams that `DigestExchange.receive_waiting` reads at once: more than the socket's
+buffer holds of those that instances send regularly."""
+
 MAX_QUEUED_DATAGRAMS = 10_000
 """Datagrams that wait to be sent; beyond, the oldest are dropped."""
 
@@ -130,6 +136,7 @@
         self._bundle_receivers = BundleReceivers(members.own)
         self._is_bundling = False
         self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
         self.sent_count = 0
         self.received_count = 0
         self.rejected_count = 0
@@ -142,14 +149,23 @@
         OSError
             If the address can't be bound.
         """
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
+        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+        bound = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            bound.setblocking(False)
+            bound.bind((ip, port))
+            loop = asyncio.get_running_loop()
+            await loop.create_datagram_endpoint(lambda: self, sock=bound)
+        except OSError:
+            bound.close()
+            raise
+        self._socket = bound
 
     def close(self) -> None:
         """Stop receiving and sending."""
         if self._transport is not None:
             self._transport.close()
-            self._transport = None
+            self._transport = self._socket = None
 
     async def run(self) -> None:
         """Send digests and what is queued until cancelled."""
@@ -353,5 +369,30 @@
                 self._bundles.record(message, self._round + 1, self._clock.now_ms())
             self._on_digest(message)
 
+    def receive_waiting(self) -> None:
+        """Handle the datagrams that have arrived, without waiting for more.
+
+        The event loop reads one in each of its turns, so that timers which went off
+        while this process stood still run before most of them.
+        """
+        if self._socket is None:
+            return
+        for _ in range(MAX_WAITING_DATAGRAMS):
+            try:
+                data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # Of an earlier datagram that could not be delivered.
+                self.error_received(error)
+                continue
+            try:
+                self.datagram_received(data, address)
+            except Exception as error:
+                # As in the event loop, an error over one message ends nothing else.
+                self._log.event(
+                    "message_failed", peer=address[0], error=describe_error(error)
+                )
+
     def error_received(self, exc: Exception) -> None:
         """Ignore errors of single datagrams, as later ones may arrive."""
--- a/testing/rollouts/test_rollouts.py
+++ b/testing/rollouts/test_rollouts.py
@@ -13,7 +13,9 @@
 from _monsoonpulley.fleet.model import Endpoint
 from _monsoonpulley.ids import EndpointId, ServiceId, VersionId, ZoneId
 from _monsoonpulley.observability.log import Log
+from _monsoonpulley.platform.names import OPERATOR_TABLE
 from _monsoonpulley.platform.rollouts import (
+    STATUS_TABLE,
     RolloutOrder,
     RolloutStatus,
     decode_order,
@@ -22,8 +24,10 @@
 )
 from _monsoonpulley.platform.store import Conflict, Row
 from _monsoonpulley.platform.storeversion import join_version
+from _monsoonpulley.rollouts.rollbackrecorder import RollbackRecorder
 from _monsoonpulley.rollouts.rollouts import TRAFFIC_SHARES, Phase, Rollouts
 from _monsoonpulley.rollouts.statusreader import PEER_WAIT_MS, RolloutStatusReader
+from _monsoonpulley.rollouts.statusrows import RolloutStatusRows
 
 SERVICE, OLD, NEW = ServiceId("svc"), VersionId("v1"), VersionId("v2")
 ORDER = RolloutOrder(SERVICE, NEW, 15_000, 10)
@@ -61,28 +65,44 @@
 
 
 class StatusStore:
-    """Store of one status row; loses its answers on request."""
+    """Store of an order's row and its status row; loses its answers on request.
+
+    While ``refuses`` is set, it refuses writes.
+    """
 
     def __init__(self):
         self.row: Row | None = None
+        self.order_row = Row("rollout/svc", b"", ORDER.row_version, OPERATOR_TABLE)
         self.read_count = 0
         self.version = 100
         self.loses_answers = False
+        self.refuses = False
 
     async def read_row(self, table, key):
         self.read_count += 1
         return self.row
 
     async def write(self, *, conditions, puts):
-        known = self.row.row_version if self.row else 0
-        if conditions[0].row_version != known:
-            return Conflict((self.row,) if self.row else ())
-        self.version += 1
-        self.row = Row(puts[0].key, puts[0].value, self.version)
+        if self.refuses:
+            return Failure(Reason.UNAVAILABLE, "store.write", delivery=Delivery.REFUSED)
+        rows = {row.table: row for row in (self.row, self.order_row) if row}
+        for each in conditions:
+            row = rows.get(each.table)
+            if each.row_version != (row.row_version if row else 0):
+                return Conflict(tuple(rows.values()))
+        self.put_status(puts[0].value)
         if self.loses_answers:
             return Failure(Reason.TIMEOUT, "store.write", delivery=Delivery.MAYBE)
         return self.version
 
+    def put_status(self, value: bytes, version: int | None = None) -> None:
+        if version is None:
+            version = self.version = self.version + 1
+        self.row = Row("rollout/svc", value, version, STATUS_TABLE)
+
+    def put_order(self, order: RolloutOrder) -> None:
+        self.order_row = Row("rollout/svc", b"", order.row_version, OPERATOR_TABLE)
+
     @property
     def status(self):
         return None if self.row is None else decode_status(self.row.value)[1]
@@ -105,20 +125,37 @@
         log = Log(clock, lambda line: None)
         self.rollouts = Rollouts(clock, log, random.Random(seed))
         self.is_next_holder = True
+        self.status_rows = RolloutStatusRows(self.rollouts, store, log)
         self.status_reader = RolloutStatusReader(
-            self.rollouts, store, clock, log, lambda: self.is_next_holder
+            self.rollouts, self.status_rows, clock, lambda: self.is_next_holder
+        )
+        self.is_reader = False
+        self.recorder = RollbackRecorder(
+            self.rollouts, self.status_rows, lambda: self.is_reader
         )
         self.directory = Directory()
+        self.waiting = []
         self.duty = RolloutDuty(
-            self.rollouts, self.status_reader, self.directory, store, log
+            self.rollouts,
+            self.status_reader,
+            self.status_rows,
+            self.directory,
+            receive_waiting=self.receive_waiting,
         )
 
+    def receive_waiting(self) -> None:
+        """Apply the digests that arrived while the instance stood still."""
+        waiting, self.waiting = self.waiting, []
+        for progress, results in waiting:
+            self.rollouts.merge_peer(progress, results)
+
 
 class RolloutTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock(1_000)
         self.store = StatusStore()
         self.instances = [Instance(self.clock, self.store, n) for n in range(4)]
+        self.frozen = set()
         self.new_version_count = self.request_count = 0
         self.result_number = 0
 
@@ -132,11 +169,14 @@
         hold = Hold(1, lambda *_: True)
         for step in range(duration_ms // 100):
             self.clock.advance_ms(100)
-            for each in self.instances:
+            running = [each for each in self.instances if each not in self.frozen]
+            for each in running:
                 for _ in range(per_step):
                     self._send(each, answer)
+                await each.recorder.record_due()
             if step % 5 == 0:
-                await self.instances[0].duty.step(hold)
+                if self.instances[0] in running:
+                    await self.instances[0].duty.step(hold)
                 self._exchange_digests()
 
     def _send(self, instance, answer):
@@ -153,13 +193,14 @@
 
     def _exchange_digests(self):
         messages = [
-            (each.rollouts.progress(), each.rollouts.drain_outbox())
+            (each, each.rollouts.progress(), each.rollouts.drain_outbox())
             for each in self.instances
+            if each not in self.frozen
         ]
-        for index, each in enumerate(self.instances):
-            for other, (progress, results) in enumerate(messages):
-                if other != index:
-                    each.rollouts.merge_peer(progress, results)
+        for each in self.instances:
+            each.waiting += [news for sender, *news in messages if sender is not each]
+            if each not in self.frozen:
+                each.receive_waiting()
 
     def phases(self):
         return {each.rollouts.phase(ORDER) for each in self.instances}
@@ -308,7 +349,7 @@
     async def test_a_holder_that_missed_the_end_does_not_undo_it(self):
         await self.place_order()
         row = encode_status(ORDER, RolloutStatus.DONE)
-        self.store.row = Row("rollout/svc", row, 50)
+        self.store.put_status(row, 50)
         for each in self.instances:
             each.rollouts.advance(ORDER, Phase.TAKEN_BACK, "a late fault")
         await self.play(1_500, good)
@@ -316,12 +357,165 @@
 
     async def test_the_status_of_an_earlier_order_is_overwritten(self):
         row = encode_status(ORDER, RolloutStatus.DONE)
-        self.store.row = Row("rollout/svc", row, 5)
+        self.store.put_status(row, 5)
         await self.place_order()
         await self.play(2_000, good)
         self.assertIs(self.store.status, RolloutStatus.RUNNING)
 
 
+class TestHolderThatStoodStill(RolloutTest):
+    """What the holder of the duties does before it reads what happened meanwhile."""
+
+    HOLDER = 0
+    STILL_MS = 1_100
+
+    async def stand_still(self, answer, *, from_ms=13_000):
+        """Play on without the holder, just before it would complete the order."""
+        await self.place_order()
+        await self.play(from_ms, good)
+        self.frozen = {self.instances[self.HOLDER]}
+        await self.play(self.STILL_MS, answer, per_step=8)
+        self.frozen = set()
+
+    async def wake(self):
+        """Carry out the duties before anything that was sent has been read."""
+        await self.instances[self.HOLDER].duty.step(Hold(1, lambda *_: True))
+
+    def bad(self, version, number):
+        """Return a result of a new version that fails one route."""
+        route = f"r-{number % 2}"
+        is_bad = version == NEW and route == "r-1"
+        return result(version, is_bad, route=route, number=number)
+
+    def assert_rolled_back(self):
+        self.assertIs(self.store.status, RolloutStatus.ROLLED_BACK)
+        self.assertEqual(self.phases(), {Phase.TAKEN_BACK})
+
+    # EXPOSURE: as it woke, it wrote `done` by its clock for a version that the others
+    # had taken back, and the old endpoints stopped (review/6).
+    async def test_it_does_not_complete_a_version_that_was_taken_back(self):
+        await self.stand_still(self.bad)
+        await self.wake()
+        self.assert_rolled_back()
+
+    async def test_it_does_not_complete_it_if_the_digests_were_lost(self):
+        await self.stand_still(self.bad)
+        self.instances[self.HOLDER].waiting.clear()
+        await self.wake()
+        self.assert_rolled_back()
+
+    async def test_it_does_not_complete_it_if_the_store_refused_the_others(self):
+        await self.place_order()
+        await self.play(13_000, good)
+        self.frozen = {self.instances[self.HOLDER]}
+        self.store.refuses = True
+        await self.play(self.STILL_MS, self.bad, per_step=8)
+        self.store.refuses = False
+        self.frozen = set()
+        await self.wake()
+        self.assert_rolled_back()
+
+    async def test_it_completes_a_good_version(self):
+        await self.stand_still(good)
+        await self.wake()
+        self.assertIs(self.store.status, RolloutStatus.DONE)
+
+    async def test_it_does_not_roll_back_a_version_that_another_holder_completed(self):
+        # DUTY: by its clock the deadline came before the version had all traffic.
+        await self.place_order()
+        await self.play(11_500, good)
+        stale = self.instances[self.HOLDER]
+        self.frozen = {stale}
+        self.clock.advance_ms(3_000)
+        self.store.put_status(encode_status(ORDER, RolloutStatus.DONE))
+        self.frozen = set()
+        seen = []
+        stale.rollouts.on_rolled_back = lambda: seen.append(1)
+        await self.wake()
+        self.assertIs(stale.rollouts.phase(ORDER), Phase.DONE)
+        self.assertFalse(seen)
+        self.assertIs(self.store.status, RolloutStatus.DONE)
+
+    async def test_it_writes_no_status_of_an_order_that_was_replaced(self):
+        # EXPOSURE: `done` of the last order ended the next one, of a version that had
+        # no traffic yet.
+        for version in (NEW, VersionId("v3")):
+            with self.subTest(version=version):
+                self.setUp()
+                await self.place_order()
+                await self.play(13_400, good)
+                replaced = RolloutOrder(SERVICE, version, 15_000, 60)
+                self.store.put_order(replaced)
+                before = self.store.row
+                self.clock.advance_ms(600)
+                await self.wake()
+                self.assertEqual(self.store.row, before)
+
+
+class TestOneEnd(RolloutTest):
+    """An order ends once, as done or as rolled back, whichever is stored first."""
+
+    async def test_a_roll_back_after_done_is_not_stored(self):
+        await self.place_order()
+        await self.play(13_000, good)
+        self.store.put_status(encode_status(ORDER, RolloutStatus.DONE))
+        detecting = self.instances[2]
+        detecting.rollouts.advance(ORDER, Phase.TAKEN_BACK, "a late fault")
+        detecting.is_reader = True
+        await detecting.recorder.record_due()
+        self.assertIs(self.store.status, RolloutStatus.DONE)
+        self.assertIs(detecting.rollouts.phase(ORDER), Phase.DONE)
+
+    async def test_done_after_a_roll_back_is_not_stored(self):
+        await self.place_order()
+        await self.play(13_000, good)
+        self.store.put_status(encode_status(ORDER, RolloutStatus.ROLLED_BACK))
+        holder = self.instances[0]
+        for _ in range(3):
+            # Also not with the row's version from the conflict.
+            await holder.status_rows.write(ORDER, RolloutStatus.DONE, "test")
+        self.assertIs(self.store.status, RolloutStatus.ROLLED_BACK)
+        self.assertIs(holder.rollouts.phase(ORDER), Phase.TAKEN_BACK)
+
+    async def test_a_roll_back_replaces_a_status_that_is_written_meanwhile(self):
+        await self.place_order()
+        await self.play(9_000, good)
+        rows = self.instances[1].status_rows
+        self.assertTrue(
+            await rows.write(ORDER, RolloutStatus.ROLLED_BACK, "a late fault")
+        )
+        self.assertIs(self.store.status, RolloutStatus.ROLLED_BACK)
+
+    async def test_the_detecting_instance_and_readers_alone_write_a_roll_back(self):
+        # Hundreds of instances that detect one fault would exceed the store's rate.
+        await self.place_order()
+        await self.play(9_000, good)
+        by_reader, *others = self.instances[1:]
+        by_reader.is_reader = True
+        for each in self.instances[1:]:
+            each.rollouts.advance(ORDER, Phase.TAKEN_BACK, "received from a peer")
+        for each in others:
+            await each.recorder.record_due()
+        self.assertIs(self.store.status, RolloutStatus.RUNNING)
+        await by_reader.recorder.record_due()
+        self.assertIs(self.store.status, RolloutStatus.ROLLED_BACK)
+
+    async def test_a_roll_back_is_stored_once_the_store_can_be_reached(self):
+        await self.place_order()
+        await self.play(9_000, good)
+        detecting = self.instances[3]
+        self.store.refuses = True
+        for number in range(100):
+            self.clock.advance_ms(50)
+            detecting.rollouts.record_result(result(NEW, True, number=number))
+        self.assertIs(detecting.rollouts.phase(ORDER), Phase.TAKEN_BACK)
+        await detecting.recorder.record_due()
+        self.assertIs(self.store.status, RolloutStatus.RUNNING)
+        self.store.refuses = False
+        await detecting.recorder.record_due()
+        self.assertIs(self.store.status, RolloutStatus.ROLLED_BACK)
+
+
 class TestBadVersions(RolloutTest):
     EXPOSURE = 0.1
     """Share of the requests that a bad version may get until the deadline."""
@@ -426,14 +620,14 @@
             (RolloutStatus.RUNNING, Phase.HELD),
         ):
             with self.subTest(status=status):
-                self.store.row = Row("x", encode_status(ORDER, status), 50)
+                self.store.put_status(encode_status(ORDER, status), 50)
                 fresh = Instance(self.clock, self.store)
                 fresh.rollouts.set_order(ORDER)
                 await fresh.status_reader.read_status(ORDER)
                 self.assertIs(fresh.rollouts.phase(ORDER), phase)
 
     async def test_the_status_of_an_earlier_order_does_not_end_a_new_one(self):
-        self.store.row = Row("x", encode_status(ORDER, RolloutStatus.DONE), 5)
+        self.store.put_status(encode_status(ORDER, RolloutStatus.DONE), 5)
         await self.place_order()
         self.assertEqual(self.phases(), {Phase.HELD})
 
--- a/testing/sharing/test_exchange.py
+++ b/testing/sharing/test_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 
 from _monsoonpulley.clock import Clock, ManualClock
@@ -344,3 +345,49 @@
     def test_counts_of_one_customer_take_few_bytes(self):
         usage = UsageCounts("a", 1, 2, {3: {"customer-1": 4}})
         self.assertLess(len(encode_message(usage)), 60)
+
+
+class TestWaitingDatagrams(unittest.IsolatedAsyncioTestCase):
+    async def test_all_that_arrived_while_the_process_stood_still_is_handled(self):
+        # The event loop reads one datagram a turn, and timers go off before the others.
+        network = Network()
+        instance = Instance(network, 7, ZONES)
+        await instance.exchange.listen("127.0.0.1", 0)
+        self.addCleanup(instance.exchange.close)
+        address = instance.exchange._socket.getsockname()
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(sender.close)
+        names = [f"peer-{number}" for number in range(40)]
+        for name in names:
+            digest = Digest(name, 1, 1, "127.0.0.1", 7600)
+            sender.sendto(encode_message(digest), address)
+        sender.sendto(b"malformed", address)
+        instance.exchange.receive_waiting()
+        found = {m.instance for m in instance.members.all()}
+        self.assertEqual(found & set(names), set(names))
+        self.assertEqual(instance.exchange.rejected_count, 1)
+
+    async def test_an_error_over_one_message_ends_no_other(self):
+        network = Network()
+        instance = Instance(network, 7, ZONES)
+        received = []
+
+        def handle(digest):
+            received.append(digest.instance)
+            raise RuntimeError("over one message")
+
+        instance.exchange._on_digest = handle
+        await instance.exchange.listen("127.0.0.1", 0)
+        self.addCleanup(instance.exchange.close)
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(sender.close)
+        for name in ("peer-1", "peer-2"):
+            data = encode_message(Digest(name, 1, 1, "127.0.0.1", 7600))
+            sender.sendto(data, instance.exchange._socket.getsockname())
+        instance.exchange.receive_waiting()
+        self.assertEqual(received, ["peer-1", "peer-2"])
+
+    def test_an_exchange_that_does_not_listen_has_none(self):
+        instance = Instance(Network(), 7, ZONES)
+        instance.exchange.receive_waiting()
+        self.assertEqual(instance.exchange.received_count, 0)
