Count what arrived before a usage report stops waiting

Cause: a report waits for the counts of other instances until a time by the wall clock. A holder that wakes after that time decides before it has read the datagrams with these counts.

Change: the reporter handles all messages that have arrived before it decides which windows are due, and before it takes each window's totals.

--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -112,6 +112,7 @@
             round(settings.bounds.usage_late_s * 1000),
             parts.members.expected_ids,
             lambda: self._store.era,
+            self._receive_waiting,
         )
         rollout = RolloutDuty(
             parts.rollouts,
--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -54,6 +54,8 @@
         Returns the other instances whose counts a report waits for.
     table_era : callable
         Returns the era of the table, None before its first answer.
+    receive_waiting : callable
+        Handles the counts of other instances that have arrived.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         late_ms: int,
         awaited_instances: Callable[[], list[InstanceId]],
         table_era: Callable[[], int | None] = lambda: 0,
+        receive_waiting: Callable[[], None] = lambda: None,
     ):
         self._late_ms = late_ms
         self._awaited_instances = awaited_instances
@@ -74,6 +77,7 @@
         self._cloud = cloud
         self._clock = clock
         self._log = log
+        self._receive_waiting = receive_waiting
         self._first_window = counter.window_of(clock.wall_ms())
         self._reported_windows: set[int] = set()
         self._fixed_counts: dict[int, dict[str, int]] = {}
@@ -130,7 +134,10 @@
         """Report the due windows while the duty is held."""
         if not await self._agree_on_floor():
             return
+        # By its clock alone, a process that stood still would wait for no counts.
+        self._receive_waiting()
         for window in self.due_windows():
+            self._receive_waiting()
             is_complete = self._counter.is_complete(window, self._awaited_instances())
             counts = await self._store_counts(window)
             if isinstance(counts, Failure):
--- a/testing/duties/test_usagereport.py
+++ b/testing/duties/test_usagereport.py
@@ -57,6 +57,7 @@
     def __init__(self, test: TestUsageReporter, name: str):
         self.counter = UsageCounter(WINDOW_MS / 1000)
         self.table = FailingTable(test.table.connect(name, "zone-a"))
+        self.waiting: list[tuple[InstanceId, dict, int]] = []
         self.reporter = UsageReporter(
             self.counter,
             self.table,
@@ -66,8 +67,15 @@
             LATE_MS,
             lambda: test.peers,
             lambda: test.era,
+            self.receive_waiting,
         )
 
+    def receive_waiting(self) -> None:
+        """Apply the counts that arrived while the instance stood still."""
+        for peer, counts, until_ms in self.waiting:
+            self.counter.update_peer_counts(peer, 1, counts, until_ms)
+        self.waiting = []
+
 
 class TestUsageReporter(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
@@ -111,6 +119,22 @@
         await holder.reporter.step(self.hold(1))
         self.assertEqual(self.cloud.reports, [(1, window, {CUSTOMER: 195})])
 
+    async def test_a_holder_that_stood_still_reports_the_counts_that_arrived_meanwhile(
+        self,
+    ):
+        # USAGE: by its clock it no longer waited for counts that it had not read yet.
+        holder, peer = ReportingInstance(self, "a"), InstanceId("b")
+        self.peers = [peer]
+        window = holder.counter.window_of(self.clock.wall_ms())
+        self.clock.advance_ms(WINDOW_MS + MIN_REPORT_DELAY_MS)
+        await holder.reporter.step(self.hold(1))
+        self.assertEqual(self.cloud.reports, [])
+        self.clock.advance_ms(LATE_MS)
+        until_ms = self.clock.wall_ms() - 1_000
+        holder.waiting.append((peer, {window: {CUSTOMER: 195}}, until_ms))
+        await holder.reporter.step(self.hold(1))
+        self.assertIn((1, window, {CUSTOMER: 195}), self.cloud.reports)
+
     async def test_counts_taken_before_plain_requests_have_ended_are_not_final(self):
         holder, peer = ReportingInstance(self, "a"), InstanceId("b")
         self.peers = [peer]
