Read the waiting digests before silence and demand are judged

After a standstill of over 1.5 s an instance logged `dependency_lost` for all others, dropped what it knew of their load, speeds and shares, and counted itself as the only one of them: for quotas, for the choice of the data centres to send to, and for what one instance does for all, such as the trials of quarantined requests. Its next digests put that right. The holder ordered endpoints by the demand that it knew before the standstill.

Cause: timers that went off meanwhile run before all but one of the datagrams that arrived.

Change: the periodic work and the loop of the duties handle all that has arrived first.

Result: the test of testing.ingress.test_standstill found no reachable instance of three before the change; that of testing.duties.test_controlloop found 0 of 5 messages read with the calls taken out.

--- a/src/_monsoonpulley/duties/control.py
+++ b/src/_monsoonpulley/duties/control.py
@@ -148,4 +148,5 @@
             rollout,
             clock,
             log,
+            self._receive_waiting,
         )
--- a/src/_monsoonpulley/duties/controlloop.py
+++ b/src/_monsoonpulley/duties/controlloop.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..clock import Clock
 from ..control.leases import Hold
 from ..observability.log import Log
@@ -29,6 +31,9 @@
         Moves traffic to new versions.
     clock, log : Clock, Log
         Acquisition and loss of the lease are logged.
+    receive_waiting : callable
+        Handles the messages of other instances that have arrived. A process that stood
+        still would otherwise decide on what it knew before.
     """
 
     def __init__(
@@ -39,6 +44,7 @@
         rollout: RolloutDuty,
         clock: Clock,
         log: Log,
+        receive_waiting: Callable[[], None] = lambda: None,
     ):
         self._lease = lease
         self._usage = usage
@@ -46,11 +52,13 @@
         self._rollout = rollout
         self._clock = clock
         self._log = log
+        self._receive_waiting = receive_waiting
         self._fencing_number = 0
 
     async def run(self) -> None:
         """Perform the duties until cancelled."""
         while True:
+            self._receive_waiting()
             self._usage.observe_era()
             hold = self._lease.hold()
             self._log_duty_change(hold)
@@ -65,6 +73,7 @@
             await self._rollout.step(hold)
             if hold.may_act():
                 await self._usage.step(hold)
+            self._receive_waiting()
             if hold.may_act():
                 await self._capacity.step(hold)
         finally:
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -614,6 +614,8 @@
 
     def tick(self) -> None:
         """Do the periodic work once."""
+        # After a standstill, all other instances would look silent before.
+        self.digest_exchange.receive_waiting()
         now_ms = self.clock.now_ms()
         if now_ms - self._last_tick_ms > TICK_INTERVAL_MS + MIN_STALL_MS:
             self.log.event("process_stood_still", for_ms=now_ms - self._last_tick_ms)
