Advance a version only while no instance has stopped it

The old version's endpoints end, and the requests that the new one fails have nowhere to go.

Cause: the write's condition was the roll-out's own row, which a trip doesn't change. What the holder had heard from peers counted only once it was in the table.

Change: a transition other than a roll-back also has the condition that the attempt's trip row doesn't exist; after a conflict the next pass reads the trip and rolls back. Trips that the holder knows from peers count at once.

Result: of the three new tests of testing.control.test_rollout_failures two fail before in all three states that have traffic, and pass now; the third, a good version, held and holds.

--- a/src/_monsoonpulley/control/rolloutduty.py
+++ b/src/_monsoonpulley/control/rolloutduty.py
@@ -22,9 +22,11 @@
     TRIP_PREFIX,
     ReportRow,
     RolloutRow,
+    RolloutState,
     TripRow,
     decode,
     rollout_key,
+    trip_key,
 )
 
 PASS_INTERVAL_MS = 1_000
@@ -70,6 +72,7 @@
         rollouts = await self._read_rollouts(service)
         if isinstance(rollouts, Failure):
             return rollouts
+        rollouts.trips += self._local_trips(rollouts)
         document = self._parts.document()
         if document is None:
             return None
@@ -89,12 +92,18 @@
                 return await self._write(decision, revision, hold)
         return await self._delete_settled_reports(rollouts, hold)
 
+    def _local_trips(self, rollouts: ServiceRollouts) -> list[TripRow]:
+        """Return the trips known here, which may not be in the table yet."""
+        view = self._parts.rollouts
+        trips = [view.trip_of(row) for row, _ in rollouts.rows.values()]
+        return [trip for trip in trips if trip is not None]
+
     async def _write(
         self, decision: RolloutDecision, revision: int, hold: Hold
     ) -> Failure | None:
         """Write a transition while the lease is held.
 
-        After a conflict the next pass decides on the row as it is then.
+        After a conflict the next pass decides on the rows as they are then.
         """
         before, after = decision.before, decision.after
         if before is not None and before.fencing_number > hold.fencing_number:
@@ -102,11 +111,16 @@
         token = f"{self._parts.rng.getrandbits(TOKEN_BITS):016x}"
         after = replace(after, fencing_number=hold.fencing_number, token=token)
         key = rollout_key(after.service, after.version)
-        write = Write(key, msgspec.json.encode(after), revision)
+        writes = [Write(key, msgspec.json.encode(after), revision)]
+        if after.state is not RolloutState.ROLLED_BACK:
+            # An instance may have stopped the version since the trips were read: this
+            # process may have stood still.
+            trip = trip_key(after.service, after.version, after.attempt)
+            writes.append(Write(trip, None, ABSENT_REVISION))
         if not hold.may_act():
             return Failure(Reason.FENCED, "rollout.write", "platform")
         result = await self._call_with_timeout(
-            self._parts.table.commit([write]), Reason.IN_DOUBT
+            self._parts.table.commit(writes), Reason.IN_DOUBT
         )
         return result if isinstance(result, Failure) else None
 
--- a/testing/control/test_rollout_failures.py
+++ b/testing/control/test_rollout_failures.py
@@ -11,9 +11,20 @@
 
 from _monsoonpulley.config.document import Version
 from _monsoonpulley.control.leases import Hold
+from _monsoonpulley.control.rollout import RolloutSettings
 from _monsoonpulley.control.rolloutduty import RolloutDuty
-from _monsoonpulley.control.rolloutrows import TRIP_PREFIX
-from _monsoonpulley.external.table import Table
+from _monsoonpulley.control.rolloutrows import (
+    TRIP_PREFIX,
+    ReportRow,
+    RolloutRow,
+    RolloutState,
+    TripRow,
+    report_key,
+    rollout_key,
+    trip_key,
+)
+from _monsoonpulley.control.rolloutview import RolloutView
+from _monsoonpulley.external.table import ABSENT_REVISION, Table, Write
 from _monsoonpulley.observability.log import Log
 from _monsoonpulley.standins.bad_version import BadEffect, BadVersion
 from _monsoonpulley.standins.faults import PlatformService
@@ -162,6 +173,7 @@
                     rng=random.Random(name),
                     live_entries=lambda: ["a", "b"],
                     endpoints_of=lambda service, version: ["e"],
+                    rollouts=RolloutView(lambda: document),
                 )
                 return RolloutDuty(parts)
 
@@ -289,3 +301,140 @@
             self.assertEqual(shares(world), [{"v3": 1.0}] * len(ENTRIES))
 
         run_world(script, deployment)
+
+
+class TestHolderThatStoodStill(unittest.TestCase):
+    """What the holder writes on what it read before others stopped the version."""
+
+    LIVE = ("a", "b")
+    NEXT = {
+        RolloutState.CANARY: RolloutState.RAMP,
+        RolloutState.RAMP: RolloutState.RAMP,
+        RolloutState.SOAK: RolloutState.DONE,
+    }
+    """States, and those that follow when a version is good."""
+
+    def make_row(self, state: RolloutState, wall_ms: int) -> RolloutRow:
+        """Return a row whose next transition is due."""
+        settings = RolloutSettings()
+        return RolloutRow(
+            service="catalogue",
+            version="v2",
+            state=state,
+            deadline_wall_ms=wall_ms + settings.min_time_after_ms(state) + 1_000,
+            share={RolloutState.RAMP: 0.2, RolloutState.SOAK: 1.0}.get(state, 0.04),
+            since_wall_ms=wall_ms - 60_000,
+            started_wall_ms=wall_ms - 90_000,
+            token="token",
+        )
+
+    def make_trip(self, row: RolloutRow) -> TripRow:
+        return TripRow(
+            service=row.service,
+            version=row.version,
+            attempt=row.attempt,
+            instance="b",
+            seen_wall_ms=row.since_wall_ms,
+            why="3 of 3 failed",
+        )
+
+    async def play(self, state: RolloutState, *, is_tripped=True, is_local=False):
+        """Return the states written by two passes of a holder.
+
+        The trip comes between the holder's reads and its first write.
+        """
+        clock = running_clock()
+        table = TableStandin(clock, random.Random(1))
+        row = self.make_row(state, clock.wall_ms())
+        document = msgspec.structs.replace(
+            small_document(),
+            versions=(
+                Version("catalogue", "v1"),
+                Version("catalogue", "v2", row.deadline_wall_ms),
+            ),
+        )
+        view = RolloutView(lambda: document)
+        connection, other = (table.connect(name, "zone-a") for name in self.LIVE)
+        await other.commit(self.make_rows(row))
+        commit = connection.commit
+        trip = self.make_trip(row)
+
+        async def commit_after_trip(writes):
+            connection.commit = commit
+            if is_tripped and not is_local:
+                key = trip_key(row.service, row.version, row.attempt)
+                value = msgspec.json.encode(trip)
+                await other.commit([Write(key, value, ABSENT_REVISION)])
+            return await commit(writes)
+
+        connection.commit = commit_after_trip
+        if is_local:
+            view.add_trip(trip)
+        duty = RolloutDuty(
+            SimpleNamespace(
+                clock=clock,
+                log=Log(clock, lambda line: None, "a"),
+                document=lambda: document,
+                table=connection,
+                rng=random.Random(1),
+                live_entries=lambda: list(self.LIVE),
+                endpoints_of=lambda service, version: ["e"],
+                rollouts=view,
+            )
+        )
+        states = []
+        for _ in range(2):
+            await duty.evaluate("catalogue", Hold(1, lambda *_: True))
+            stored = table.rows[rollout_key("catalogue", "v2")]
+            found = msgspec.json.decode(stored.value, type=RolloutRow)
+            states.append((found.state, found.share))
+        return states, (row.state, row.share)
+
+    def make_rows(self, row: RolloutRow) -> list[Write]:
+        writes = [
+            Write(
+                rollout_key(row.service, row.version),
+                msgspec.json.encode(row),
+                ABSENT_REVISION,
+            )
+        ]
+        for instance in self.LIVE:
+            report = ReportRow(
+                service=row.service,
+                version=row.version,
+                attempt=row.attempt,
+                instance=instance,
+                incarnation=1,
+                seen_token=row.token,
+                results=500,
+            )
+            key = report_key(row.service, row.version, instance)
+            writes.append(Write(key, msgspec.json.encode(report), ABSENT_REVISION))
+        return writes
+
+    def play_each(self, **arguments):
+        """Return for each state what was written by two passes, and what was before."""
+        return {state: run_manual(self.play(state, **arguments)) for state in self.NEXT}
+
+    def test_a_good_version_gets_on(self):
+        for state, ((first, _), before) in self.play_each(is_tripped=False).items():
+            with self.subTest(state=state):
+                self.assertIs(first[0], self.NEXT[state])
+                self.assertNotEqual(first, before)
+
+    # EXPOSURE: it moved on, up to `done`, a version that the others had stopped after
+    # it had read the trips, and nothing was left to go back to.
+    def test_a_version_that_was_stopped_after_the_trips_were_read_does_not(self):
+        for state, ((first, second), before) in self.play_each().items():
+            with self.subTest(state=state):
+                self.assertEqual(first, before)
+                self.assertIs(second[0], RolloutState.ROLLED_BACK)
+
+    def test_a_trip_that_is_not_in_the_table_yet_rolls_back(self):
+        for state, ((first, _), _) in self.play_each(is_local=True).items():
+            with self.subTest(state=state):
+                self.assertIs(first[0], RolloutState.ROLLED_BACK)
+
+
+if __name__ == "__main__":
+    unittest.main()
