Fail answers without a length whose connection is reset

Cause: the gateway's HTTP library takes any loss of the connection for the end of such a body. The ingress failed on a reset, but not on one that followed the end of what the endpoint had sent: it didn't wait for the rest of its own request, and only writes show the reset then.

Change: the gateway's connections fail a body that is unfinished when they are lost with an error, at endpoints and at the platform's services. In both front ends such an answer is whole only once the request has been written.

--- a/src/_monsoonpulley/commandline/operatorclient.py
+++ b/src/_monsoonpulley/commandline/operatorclient.py
@@ -11,6 +11,7 @@
 
 from ..clock import Clock
 from ..errors import Failure, Reason
+from ..httpconnector import CheckedConnector
 from ..operator_wire import (
     CONFIG_PATH,
     CONFIG_STATUS_PATH,
@@ -89,6 +90,7 @@
             total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
         )
         self._session = aiohttp.ClientSession(
+            connector=CheckedConnector(),
             headers={"Authorization": f"Bearer {self._credential}"},
             timeout=timeout,
             middlewares=(send_once,),
--- a/src/_monsoonpulley/commandline/placement.py
+++ b/src/_monsoonpulley/commandline/placement.py
@@ -11,6 +11,7 @@
 from cyclopts import Parameter
 
 from ..errors import Failure, Reason
+from ..httpconnector import CheckedConnector
 from ..placement_wire import (
     EXPLAIN_PLACE_PATH,
     PlacementExplanation,
@@ -53,7 +54,9 @@
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            aiohttp.ClientSession(
+                connector=CheckedConnector(), timeout=timeout
+            ) as session,
             session.post(
                 url + EXPLAIN_PLACE_PATH,
                 data=msgspec.json.encode(query),
--- a/src/_monsoonpulley/endpoints/http_transport.py
+++ b/src/_monsoonpulley/endpoints/http_transport.py
@@ -11,7 +11,7 @@
 from yarl import URL
 
 from ..errors import Delivery, Failure, Reason
-from .http_connector import OverheadLimitedConnector
+from ..httpconnector import CheckedConnector
 
 TRANSPORT_ERRORS = (
     aiohttp.ClientError,
@@ -89,7 +89,7 @@
 
 def _session(force_close: bool) -> aiohttp.ClientSession:
     keepalive = {} if force_close else {"keepalive_timeout": KEEP_ALIVE_TIMEOUT_S}
-    connector = OverheadLimitedConnector(limit=0, force_close=force_close, **keepalive)
+    connector = CheckedConnector(limit=0, force_close=force_close, **keepalive)
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/_monsoonpulley/entry/daemon.py
+++ b/src/_monsoonpulley/entry/daemon.py
@@ -7,8 +7,6 @@
 import secrets
 import signal
 
-import aiohttp
-
 from ..clock import Clock
 from ..config.document import Service, ServiceKind
 from ..endpoints import builtin  # noqa: F401  (registers the adapters)
@@ -16,7 +14,7 @@
 from ..endpoints.http_transport import HttpSessions
 from ..endpoints.pool import Client
 from ..explain.peeroperators import HttpPeerOperatorClient
-from ..external.connect import connect_platform
+from ..external.connect import connect_platform, open_platform_session
 from ..external.livelist import Member
 from ..identity import Identity
 from ..ids import EndpointId
@@ -55,9 +53,7 @@
         self._clock = clock
         self._log = log
         self._endpoint_sessions = HttpSessions()
-        self._platform_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0)
-        )
+        self._platform_session = open_platform_session()
         self._metrics = self._build_metrics()
         self._transport = self._build_transport()
         entry = settings.entry
--- a/src/_monsoonpulley/external/connect.py
+++ b/src/_monsoonpulley/external/connect.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from ..errors import SettingsError
+from ..httpconnector import CheckedConnector
 from ..registry import Registry
 from ..settings.inivalues import AdapterAddress
 from ..settings.process import PlatformSettings
@@ -23,6 +24,11 @@
 from .httpapi import HttpApi
 
 
+def open_platform_session() -> aiohttp.ClientSession:
+    """Return a session for all calls to the platform."""
+    return aiohttp.ClientSession(connector=CheckedConnector(limit=0))
+
+
 def connect_platform(
     settings: PlatformSettings, session: aiohttp.ClientSession
 ) -> Platform:
--- a/src/_monsoonpulley/endpoints/http_connector.py
+++ b/src/_monsoonpulley/httpconnector.py
@@ -1,4 +1,8 @@
-"""Connections to endpoints that end when an answer is mostly not its body."""
+"""Connections of the HTTP library that fail answers which it would accept.
+
+The library takes a reset connection for the end of an answer without a length, and
+reads for ever what is outside of a body.
+"""
 
 from __future__ import annotations
 
@@ -14,12 +18,12 @@
 without end. A long stream in small chunks has more framing, but less than body."""
 
 
-class OverheadError(aiohttp.ClientPayloadError, ValueError):
-    """An answer has too many bytes outside of its body."""
+class AnswerError(aiohttp.ClientPayloadError, ValueError):
+    """An answer is malformed, though the library would accept it."""
 
 
-class OverheadLimitedHandler(ResponseHandler):
-    """Connection that fails its answer after `MAX_OVERHEAD_BYTES`."""
+class CheckedHandler(ResponseHandler):
+    """Connection that fails malformed and incomplete answers."""
 
     def __init__(self, loop: Any):
         super().__init__(loop)
@@ -43,11 +47,21 @@
         self._received_bytes += len(data)
         body_bytes = self._body.total_bytes if self._body is not None else 0
         if self._received_bytes - 2 * body_bytes > MAX_OVERHEAD_BYTES:
-            self._fail()
+            self._fail(f"over {MAX_OVERHEAD_BYTES} bytes more than its body")
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer whose connection was reset before it had ended.
+
+        This includes a reset while the rest of the request is written, after the end of
+        what the endpoint has sent.
+        """
+        if exc is not None and self._body is not None and not self._body.is_eof():
+            detail = f"connection lost: {exc}"
+            self._body.set_exception(aiohttp.ClientPayloadError(detail))
+        super().connection_lost(exc)
 
-    def _fail(self) -> None:
-        detail = f"over {MAX_OVERHEAD_BYTES} bytes more than its body are outside of it"
-        error = OverheadError(detail)
+    def _fail(self, detail: str) -> None:
+        error = AnswerError(f"malformed answer: {detail}")
         self.set_exception(error)
         if self._body is not None:
             self._body.set_exception(error)
@@ -55,8 +69,8 @@
             self.transport.abort()
 
 
-class OverheadLimitedConnector(aiohttp.TCPConnector):
-    """Connector whose connections are `OverheadLimitedHandler` objects.
+class CheckedConnector(aiohttp.TCPConnector):
+    """Connector whose connections are `CheckedHandler` objects.
 
     Parameters
     ----------
@@ -67,4 +81,4 @@
     def __init__(self, **options: Any):
         super().__init__(**options)
         # The library has no public way to choose the protocol.
-        self._factory = functools.partial(OverheadLimitedHandler, loop=self._loop)
+        self._factory = functools.partial(CheckedHandler, loop=self._loop)
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -93,6 +93,7 @@
         self._is_head_request = False
         self._is_skipping_message = False
         self._ends_at_close = False
+        self._has_ended_unframed = False
         self._may_get_foreign_answer = False
         self._sent_count = 0
         self._refused_ids: set[bytes] = set()
@@ -217,17 +218,29 @@
             self._fail_exchange("malformed answer: too many bytes outside of its body")
 
     def eof_received(self) -> bool:
-        """Complete an answer without a length; fail the exchange of any other."""
-        if self._ends_at_close and self._mailbox is not None:
-            self._finish(is_framed=False)
-        else:
+        """Complete an answer without a length; fail the exchange of any other.
+
+        While the rest of the request is to be written, the answer is complete only once
+        it has been: until then the server may reset the connection, which could not be
+        seen after the end of what it has sent.
+        """
+        if not self._ends_at_close or self._mailbox is None:
             self._fail_exchange("connection closed")
+        elif self._has_unsent_bytes():
+            # The transport closes once it has written them.
+            self._has_ended_unframed = True
+            self.is_reusable = False
+        else:
+            self._finish(is_framed=False)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the current exchange."""
+        """Fail the current exchange, unless its answer has ended."""
+        self._transport = None
         self.is_open = False
         self.is_reusable = False
+        if self._has_ended_unframed and exc is None and self._mailbox is not None:
+            self._finish(is_framed=False)
         self._fail_exchange(
             f"connection lost: {exc or 'closed'}",
             is_timeout=isinstance(exc, TimeoutError),
@@ -289,10 +302,14 @@
             and self.is_open
             and transport is not None
             and not transport.is_closing()
-            and transport.get_write_buffer_size() == 0
+            and not self._has_unsent_bytes()
         )
         self._finish()
 
+    def _has_unsent_bytes(self) -> bool:
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def _find_owner(self) -> _Owner:
         """Return the request that an answer belongs to, by the ids in its head."""
         if self._expected_id is None:
--- a/src/_monsoonpulley/wire/sockets.py
+++ b/src/_monsoonpulley/wire/sockets.py
@@ -116,6 +116,6 @@
     seconds later.
     """
     sock = transport.get_extra_info("socket")
-    if sock is not None and not transport.is_closing():
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     transport.abort()
