Fail answers whose status code HTTP doesn't have

Here neither front end passed 000 on, but the ingress took codes below 100 for interim answers, so that its callers waited until the endpoint closed or their time was over, and both passed on codes over 599, the ingress with the endpoint's seal. Readers of the platform's services took all of them for answers.

Cause: the parsers accept any three digits.

Change: the connections of both front ends fail an answer with a code outside of 100 to 599 as they read its head.

--- a/src/_monsoonpulley/httpconnector.py
+++ b/src/_monsoonpulley/httpconnector.py
@@ -1,7 +1,7 @@
 """Connections of the HTTP library that fail answers which it would accept.
 
-The library takes a reset connection for the end of an answer without a length, and
-reads for ever what is outside of a body.
+The library takes a reset connection for the end of an answer without a length, accepts
+status codes that HTTP doesn't have, and reads for ever what is outside of a body.
 """
 
 from __future__ import annotations
@@ -17,6 +17,9 @@
 ingress: head, framing, trailers and interim answers. A faulty endpoint can send them
 without end. A long stream in small chunks has more framing, but less than body."""
 
+MIN_STATUS, MAX_STATUS = 100, 599
+"""Status codes that HTTP has (RFC 9110, 15)."""
+
 
 class AnswerError(aiohttp.ClientPayloadError, ValueError):
     """An answer is malformed, though the library would accept it."""
@@ -38,7 +41,10 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Handle the head of an answer, which comes with the reader of its body."""
-        self._body = data[1]
+        head, self._body = data
+        if not MIN_STATUS <= head.code <= MAX_STATUS:
+            self._fail(f"status {head.code:03}")
+            return
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -34,6 +34,9 @@
 
 NO_BODY_STATUSES = frozenset({204, 304})
 
+MIN_STATUS, MAX_STATUS = 100, 599
+"""Status codes that HTTP has (RFC 9110, 15)."""
+
 
 class _Owner(Enum):
     """The request that an answer belongs to."""
@@ -262,6 +265,10 @@
         """Put the head into the mailbox unless it answers another request."""
         status = self._parser.get_status_code()
         fields = {name.lower(): value.strip() for name, value in self._headers}
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._is_skipping_message = True
+            self._fail_exchange(f"malformed answer: status {status:03}")
+            return
         if status < 200:
             self._is_skipping_message = True
             return
--- a/testing/endpoints/test_odd_ends.py
+++ b/testing/endpoints/test_odd_ends.py
@@ -190,5 +190,20 @@
                     self.assertNotIsInstance(result, Failure)
 
 
+class TestStatuses(OddEndTest):
+    # MIXED: an answer with a status that HTTP doesn't have was passed on as an answer.
+    async def test_an_answer_with_a_status_that_is_none_fails_at_once(self):
+        for status in ("000", "001", "099", "600", "999", "20", "1000", "-20", "2x0"):
+            for readers in (READERS, UPLOADS):
+                for name, reader in readers.items():
+                    with self.subTest(status=status, reader=name):
+                        head = f"HTTP/1.1 {status} Odd\r\n".encode()
+                        head += EVENTS if name == "generate" else b""
+                        head += b"content-length: %d\r\n\r\n" % len(reader[2])
+                        result, taken_s = await self.read(reader, head, keep_open)
+                        self.assertIsInstance(result, Failure)
+                        self.assertLess(taken_s, MAX_TAKEN_S)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/ingress/test_odd_ends.py
+++ b/testing/ingress/test_odd_ends.py
@@ -57,6 +57,16 @@
     call.writer.write_eof()
 
 
+async def read_on(call):
+    await call.writer.drain()
+
+
+async def wait_for_close(call):
+    await call.writer.drain()
+    while not call.writer.is_closing():
+        await asyncio.sleep(0.05)
+
+
 class OddEndTest(unittest.IsolatedAsyncioTestCase):
     async def send_request_to(self, script, kind: str, body: bytes, **changes):
         """Return the answer of a site whose endpoint answers before it reads on."""
@@ -141,5 +151,33 @@
         self.assertFalse(endpoint.calls)
 
 
+class TestStatuses(OddEndTest):
+    # MIXED: an answer with a status that HTTP doesn't have was passed on as an answer,
+    # or waited for as long as its connection was open.
+    async def test_an_answer_with_a_status_that_is_none_is_a_failure_at_once(self):
+        for status in ("000", "001", "099", "600", "999", "20", "1000", "-20", "2x0"):
+            answer = SUCCESS.replace(b"200 OK", f"{status} Odd".encode())
+            for kind in ANSWERS:
+                for body in (SMALL, LARGE):
+                    with self.subTest(status=status, kind=kind, size=len(body)):
+                        got = await self.send_to_answer(
+                            answer + b"Content-Length: 4\r\n\r\npart",
+                            wait_for_close,
+                            kind,
+                            body,
+                        )
+                        self.assertEqual(got.status, 502)
+                        self.assertNotIn("monsoonpulley-response-seal", got.headers)
+                        self.assertLess(self.taken_s, 1.5)
+
+    async def test_an_answer_that_follows_an_interim_one_is_passed_on(self):
+        for status in ("100", "102", "103", "199"):
+            with self.subTest(status=status):
+                interim = f"HTTP/1.1 {status} Wait\r\n\r\n".encode()
+                answer = interim + SUCCESS + b"Content-Length: 4\r\n\r\ndone"
+                got = await self.send_to_answer(answer, read_on, "unsafe", SMALL)
+                self.assertEqual((got.status, got.body), (200, b"done"))
+
+
 if __name__ == "__main__":
     unittest.main()
