Keep the peers of before a pause until their messages are read

Cause: the round of digests that is due after a pause updates routing by who was heard lately, before what the peers sent meanwhile has been read; the next update follows with the next round.

Change: the round after a pause doesn't update routing, and a round that is over 1 s late follows a pause: shorter ones leave each peer within its three digests.

--- a/src/_monsoonpulley/peers/exchange.py
+++ b/src/_monsoonpulley/peers/exchange.py
@@ -229,13 +229,17 @@
         """Send a digest within the data centre and summaries that are due."""
         now_ms = self._clock.now_ms()
         has_own_urgent, self._has_own_urgent = self._has_own_urgent, False
-        if self._membership.tick(now_ms):
+        was_paused = self._membership.tick(now_ms)
+        if was_paused:
             self._log.event("peer_pause", now_ms=now_ms)
             self._builder.request_full()
         self.guard.expire(self._clock.wall_ms())
         revision = self._host.revision()
         self._membership.number = revision.number if revision else 0
-        self._host.on_members_changed()
+        if not was_paused:
+            # After a pause all members look silent until what they sent meanwhile has
+            # been read: until the next tick, those of before it count.
+            self._host.on_members_changed()
         peers = [peer for peer in self._membership.zone_peers() if peer.address]
         await self._send_all(peers, self._build_digest(now_ms))
         await self._send_summary(now_ms, has_own_urgent)
--- a/src/_monsoonpulley/peers/membership.py
+++ b/src/_monsoonpulley/peers/membership.py
@@ -31,8 +31,9 @@
 GONE_AFTER_MS = 30_000
 GONE_WHILE_UNREACHABLE_MS = 120_000
 MEMBER_EXPIRY_MS = 3_600_000
-MAX_TICK_DELAY_MS = 3_000
-"""A tick that is late by more than this means that the process was paused."""
+MAX_TICK_DELAY_MS = 1_000
+"""A tick that is late by more than this means that the process was paused. With an
+interval before the pause, its members have not missed `MAX_MISSED_DIGESTS` by then."""
 
 FAST_POLLER_COUNT = 2
 
--- a/testing/peers/test_exchange.py
+++ b/testing/peers/test_exchange.py
@@ -80,6 +80,44 @@
         self.run_against_peer(script)
 
 
+class PauseTest(unittest.TestCase):
+    # After a pause, an instance took itself for the only one until its next digest: it
+    # sent endpoints as many requests as all instances together may, and polled all
+    # engines.
+    def test_the_peers_of_before_a_pause_count_until_their_messages_are_read(self):
+        async def script(world):
+            instance = world.entries["zone-a-entry-1"].instance
+            membership, router = instance.membership, instance.router
+            peer_count = router.fleet.peer_count
+            polled = instance.peer_host.read_endpoints()
+            self.assertEqual(peer_count, 2)
+            for pause_ms in (2_500, 3_500, 5_000, 60_000):
+                with self.subTest(pause_ms=pause_ms):
+                    # The process's clock went on, and nothing was read meanwhile.
+                    membership._last_tick_ms = world.clock.now_ms() - pause_ms
+                    for member in membership.members.values():
+                        if member.last_received_ms is not None:
+                            member.last_received_ms -= pause_ms
+                    await instance.exchange.send_digest()
+                    self.assertEqual(router.fleet.peer_count, peer_count)
+                    await world.clock.sleep_ms(SPREAD_MS)
+                    self.assertEqual(router.fleet.peer_count, peer_count)
+                    self.assertEqual(instance.peer_host.read_endpoints(), polled)
+
+        run_fleet(script, SEEDS[0])
+
+    def test_a_peer_that_ended_during_a_pause_no_longer_counts_soon(self):
+        async def script(world):
+            instance = world.entries["zone-a-entry-1"].instance
+            world.kill_entry("zone-a-entry-2")
+            instance.membership._last_tick_ms -= 5_000
+            await instance.exchange.send_digest()
+            await world.clock.sleep_ms(2 * SPREAD_MS)
+            self.assertEqual(instance.router.fleet.peer_count, 1)
+
+        run_fleet(script, SEEDS[0])
+
+
 class TrippedVersionTest(unittest.TestCase):
     def test_a_tripped_version_reaches_every_data_centre_in_seconds(self):
         async def script(world):
