--- a/src/_monsoonpulley/rollouts/rollbackrecorder.py
+++ b/src/_monsoonpulley/rollouts/rollbackrecorder.py
@@ -41,7 +41,8 @@
         self._status_rows = status_rows
         self._is_reader = is_reader
         self._has_news = asyncio.Event()
-        rollouts.on_rolled_back = self._has_news.set
+        # A function: dry runs copy the orders, and would copy the object of a method.
+        rollouts.on_rolled_back = lambda: self._has_news.set()
 
     async def run(self) -> None:
         """Record roll-backs until cancelled."""
