--- a/src/_monsoonpulley/duties/controlloop.py
+++ b/src/_monsoonpulley/duties/controlloop.py
@@ -32,8 +32,8 @@
     clock, log : Clock, Log
         Acquisition and loss of the lease are logged.
     receive_waiting : callable
-        Handles the messages of other instances that have arrived. A process that stood
-        still would otherwise decide on what it knew before.
+        Handles the messages of other instances that have arrived. Without it, a process
+        that stood still would decide on what it knew before.
     """
 
     def __init__(
--- a/src/_monsoonpulley/duties/rollout.py
+++ b/src/_monsoonpulley/duties/rollout.py
@@ -50,8 +50,8 @@
         Returns those of the endpoints that may get requests; the others show nothing of
         their version, and don't carry its traffic.
     receive_waiting : callable
-        Handles what other instances have sent and this process has not read yet. A
-        process that stood still decides otherwise by its clock alone.
+        Handles the messages of other instances that have arrived. Without it, a process
+        that stood still would decide by its clock alone.
     """
 
     def __init__(
--- a/src/_monsoonpulley/duties/usagereport.py
+++ b/src/_monsoonpulley/duties/usagereport.py
@@ -134,7 +134,8 @@
         """Report the due windows while the duty is held."""
         if not await self._agree_on_floor():
             return
-        # By its clock alone, a process that stood still would wait for no counts.
+        # A process that stood still would otherwise wait no longer for counts that have
+        # arrived.
         self._receive_waiting()
         for window in self.due_windows():
             self._receive_waiting()
