Settle a stopped version whose deadline was changed

Change: only transitions that give a version more traffic, or all of it for good, have the condition.

Result: the new test of testing.control.test_rollout_failures failed in all three states that have traffic before and passes now.

--- a/src/_monsoonpulley/control/rolloutduty.py
+++ b/src/_monsoonpulley/control/rolloutduty.py
@@ -112,7 +112,7 @@
         after = replace(after, fencing_number=hold.fencing_number, token=token)
         key = rollout_key(after.service, after.version)
         writes = [Write(key, msgspec.json.encode(after), revision)]
-        if after.state is not RolloutState.ROLLED_BACK:
+        if _moves_traffic_on(before, after):
             # An instance may have stopped the version since the trips were read: this
             # process may have stood still.
             trip = trip_key(after.service, after.version, after.attempt)
@@ -201,3 +201,10 @@
             return
         self._logged_rules[key] = decision.rule
         self._parts.log.decision(decision)
+
+
+def _moves_traffic_on(before: RolloutRow | None, after: RolloutRow) -> bool:
+    """Return whether a transition gives a version more traffic, or all for good."""
+    if after.state is RolloutState.ROLLED_BACK:
+        return False
+    return before is None or (after.state, after.share) != (before.state, before.share)
--- a/testing/control/test_rollout_failures.py
+++ b/testing/control/test_rollout_failures.py
@@ -338,10 +338,18 @@
             why="3 of 3 failed",
         )
 
-    async def play(self, state: RolloutState, *, is_tripped=True, is_local=False):
+    async def play(
+        self,
+        state: RolloutState,
+        *,
+        is_tripped=True,
+        is_late_trip=True,
+        is_local=False,
+        has_new_deadline=False,
+    ):
         """Return the states written by two passes of a holder.
 
-        The trip comes between the holder's reads and its first write.
+        A late trip comes between the holder's reads and its first write.
         """
         clock = running_clock()
         table = TableStandin(clock, random.Random(1))
@@ -350,7 +358,11 @@
             small_document(),
             versions=(
                 Version("catalogue", "v1"),
-                Version("catalogue", "v2", row.deadline_wall_ms),
+                Version(
+                    "catalogue",
+                    "v2",
+                    row.deadline_wall_ms + (1_000 if has_new_deadline else 0),
+                ),
             ),
         )
         view = RolloutView(lambda: document)
@@ -359,17 +371,22 @@
         commit = connection.commit
         trip = self.make_trip(row)
 
+        async def write_trip():
+            key = trip_key(row.service, row.version, row.attempt)
+            value = msgspec.json.encode(trip)
+            await other.commit([Write(key, value, ABSENT_REVISION)])
+
         async def commit_after_trip(writes):
             connection.commit = commit
-            if is_tripped and not is_local:
-                key = trip_key(row.service, row.version, row.attempt)
-                value = msgspec.json.encode(trip)
-                await other.commit([Write(key, value, ABSENT_REVISION)])
+            await write_trip()
             return await commit(writes)
 
-        connection.commit = commit_after_trip
         if is_local:
             view.add_trip(trip)
+        elif is_tripped and is_late_trip:
+            connection.commit = commit_after_trip
+        elif is_tripped:
+            await write_trip()
         duty = RolloutDuty(
             SimpleNamespace(
                 clock=clock,
@@ -430,6 +447,14 @@
                 self.assertEqual(first, before)
                 self.assertIs(second[0], RolloutState.ROLLED_BACK)
 
+    def test_a_stopped_version_whose_deadline_was_changed_is_rolled_back(self):
+        for state in self.NEXT:
+            with self.subTest(state=state):
+                (_, second), _ = run_manual(
+                    self.play(state, has_new_deadline=True, is_late_trip=False)
+                )
+                self.assertIs(second[0], RolloutState.ROLLED_BACK)
+
     def test_a_trip_that_is_not_in_the_table_yet_rolls_back(self):
         for state, ((first, _), _) in self.play_each(is_local=True).items():
             with self.subTest(state=state):
