Fail a request at once on a connection that was lost before it

No order of events is known that leads there, as connections are checked when they are taken and used without a wait.

--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -144,7 +144,10 @@
             Whether the method is ``HEAD``: the answer then has no body, whatever
             its headers say.
         """
-        assert self._transport is not None
+        if self._transport is None:
+            # Lost since it was taken from its pool.
+            mailbox.put(self, AnswerIncomplete("connection lost before it was used"))
+            return
         self._mailbox = mailbox
         self._expected_id = expected_id
         self._is_head_request = is_head
--- a/testing/wire/test_clientconnection.py
+++ b/testing/wire/test_clientconnection.py
@@ -255,5 +255,16 @@
         self.assertTrue(events.is_complete and self.connection.is_reusable)
 
 
+class TestLostConnection(unittest.TestCase):
+    def test_a_request_on_a_connection_that_is_lost_fails_at_once(self):
+        # It would wait for an answer until its time is over.
+        connection, events = ClientConnection(Clock.from_system()), Events()
+        connection.connection_made(StandinTransport())
+        connection.connection_lost(ConnectionResetError())
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", events)
+        self.assertEqual([type(event) for event in events.list], [AnswerIncomplete])
+        self.assertFalse(connection.is_reusable)
+
+
 if __name__ == "__main__":
     unittest.main()
