--- a/testing/rollouts/test_statusrows.py
+++ b/testing/rollouts/test_statusrows.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+import msgspec
+
 from _monsoonpulley.clock import Clock, ManualClock
 from _monsoonpulley.ids import ServiceId
 from _monsoonpulley.observability.log import Log
@@ -17,6 +19,7 @@
     rollout_key,
 )
 from _monsoonpulley.platform.store import Store
+from _monsoonpulley.platform.storeversion import join_version
 from _monsoonpulley.rollouts.rollouts import Phase, Rollouts
 from _monsoonpulley.rollouts.statusrows import RolloutStatusRows
 from _monsoonpulley.standins.rowstore import RowStoreStandin, StoreFault
@@ -105,6 +108,31 @@
                     self.assertFalse(await rows.write(self.order, status, "test"))
                 self.assertEqual(self.stored(), ("v2", RolloutStatus.RUNNING))
 
+    async def test_a_roll_back_that_the_store_has_lost_is_written_again(self):
+        self.standin.era = 1
+        rollouts, rows = self.make_instance()
+        rows._store._on_era = lambda before, after: rows.handle_era_change()
+        await rows.read(self.order)
+        order = msgspec.structs.replace(
+            self.order, row_version=join_version(1, self.order.row_version)
+        )
+        rollouts.set_order(order)
+        await rows.write(order, RolloutStatus.RUNNING, "test")
+        copy = self.standin.take_copy()
+        await rows.write(order, RolloutStatus.ROLLED_BACK, "test")
+        self.standin.return_to(copy)
+        await rows.read(order)
+        # Its condition is of the era before until the order has been read again.
+        self.assertFalse(await rows.write(order, RolloutStatus.ROLLED_BACK, "test"))
+        self.assertEqual(self.stored(), ("v2", RolloutStatus.RUNNING))
+        order = msgspec.structs.replace(
+            order, row_version=join_version(2, self.order.row_version)
+        )
+        rollouts.set_order(order)
+        self.assertIs(rollouts.phase(order), Phase.TAKEN_BACK)
+        self.assertTrue(await rows.write(order, RolloutStatus.ROLLED_BACK, "test"))
+        self.assertEqual(self.stored(), ("v2", RolloutStatus.ROLLED_BACK))
+
     async def test_an_end_whose_answer_is_lost_counts_once_it_is_read(self):
         self.standin.fault = StoreFault.LOST_ANSWER
         self.assertFalse(await self.rows.write(self.order, RolloutStatus.DONE, "test"))
