--- a/src/_monsoonpulley/duties/rollout.py
+++ b/src/_monsoonpulley/duties/rollout.py
@@ -126,7 +126,8 @@
         _, phase_elapsed_ms = self._rollouts.elapsed_times_ms(order)
         if phase_elapsed_ms < MIN_FULL_PHASE_MS:
             return False
-        # Done, the old version's endpoints stop while no new one may get requests.
+        # When it is done the old version's endpoints stop: if there are new ones, some
+        # must be open to requests.
         return not self._new_endpoints(order) or bool(self._open_new_endpoints(order))
 
     def _elapsed_share(self, order: RolloutOrder) -> float:
--- a/src/_monsoonpulley/sharing/exchange.py
+++ b/src/_monsoonpulley/sharing/exchange.py
@@ -58,6 +58,8 @@
 loss of the first."""
 
 MAX_DATAGRAM_BYTES = 65_535
+"""The largest that UDP allows."""
+
 MAX_WAITING_DATAGRAMS = 1_000
 """Datagrams that `DigestExchange.receive_waiting` reads at once: more than the socket's
 buffer holds of those that instances send regularly."""
