--- a/src/_monsoonpulley/rollouts/statusrows.py
+++ b/src/_monsoonpulley/rollouts/statusrows.py
@@ -50,7 +50,7 @@
         self._rollouts = rollouts
         self._store = store
         self._log = log
-        # Statuses by the version of the order's row, and versions of status rows by key.
+        # Statuses by the version of the order's row; versions of status rows by key.
         self._statuses: dict[int, RolloutStatus] = {}
         self._row_versions: dict[str, int] = {}
 
