Test odd answers at the remaining readers, and what looks like the new guards

Read again: the cases of testing.endpoints.test_odd_ends left out the poll of load reports, the lines of another instance, and the two clients of the command line. The conditions that brought were not played against what looks like their cause.

Change: tests alone. Four more readers; a trip of an earlier attempt beside a version of a new one; a process whose every round is late beside a peer that has ended.

--- a/testing/control/test_rollout_failures.py
+++ b/testing/control/test_rollout_failures.py
@@ -321,6 +321,7 @@
             service="catalogue",
             version="v2",
             state=state,
+            attempt=2,
             deadline_wall_ms=wall_ms + settings.min_time_after_ms(state) + 1_000,
             share={RolloutState.RAMP: 0.2, RolloutState.SOAK: 1.0}.get(state, 0.04),
             since_wall_ms=wall_ms - 60_000,
@@ -328,11 +329,11 @@
             token="token",
         )
 
-    def make_trip(self, row: RolloutRow) -> TripRow:
+    def make_trip(self, row: RolloutRow, attempt: int | None = None) -> TripRow:
         return TripRow(
             service=row.service,
             version=row.version,
-            attempt=row.attempt,
+            attempt=row.attempt if attempt is None else attempt,
             instance="b",
             seen_wall_ms=row.since_wall_ms,
             why="3 of 3 failed",
@@ -346,6 +347,7 @@
         is_late_trip=True,
         is_local=False,
         has_new_deadline=False,
+        is_of_last_attempt=False,
     ):
         """Return the states written by two passes of a holder.
 
@@ -369,10 +371,10 @@
         connection, other = (table.connect(name, "zone-a") for name in self.LIVE)
         await other.commit(self.make_rows(row))
         commit = connection.commit
-        trip = self.make_trip(row)
+        trip = self.make_trip(row, row.attempt - is_of_last_attempt)
 
         async def write_trip():
-            key = trip_key(row.service, row.version, row.attempt)
+            key = trip_key(trip.service, trip.version, trip.attempt)
             value = msgspec.json.encode(trip)
             await other.commit([Write(key, value, ABSENT_REVISION)])
 
@@ -447,6 +449,13 @@
                 self.assertEqual(first, before)
                 self.assertIs(second[0], RolloutState.ROLLED_BACK)
 
+    def test_a_trip_of_an_earlier_attempt_does_not_hold_a_version_up(self):
+        for is_local in (False, True):
+            plays = self.play_each(is_of_last_attempt=True, is_local=is_local)
+            for state, ((first, _), _) in plays.items():
+                with self.subTest(state=state, is_local=is_local):
+                    self.assertIs(first[0], self.NEXT[state])
+
     def test_a_stopped_version_whose_deadline_was_changed_is_rolled_back(self):
         for state in self.NEXT:
             with self.subTest(state=state):
--- a/testing/endpoints/test_odd_ends.py
+++ b/testing/endpoints/test_odd_ends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 import struct
 import time
@@ -12,12 +13,18 @@
 import msgspec
 
 from _monsoonpulley.clock import Clock
-from _monsoonpulley.endpoints.engine import CancelOutcome
+from _monsoonpulley.commandline.operatorclient import OperatorClient
+from _monsoonpulley.commandline.placement import fetch_explanation
+from _monsoonpulley.endpoints.engine import CancelOutcome, LoadReport
+from _monsoonpulley.endpoints.engine_metrics import format_metrics
 from _monsoonpulley.endpoints.service import Execution, Lookup
 from _monsoonpulley.errors import Failure
+from _monsoonpulley.explain.peeroperators import HttpPeerOperatorClient
 from _monsoonpulley.external.connect import open_platform_session
 from _monsoonpulley.external.http_objects import HttpObjectStore
 from _monsoonpulley.external.httpapi import HttpApi
+from _monsoonpulley.operator_wire import ExplainBody
+from _monsoonpulley.placement_wire import PlacementExplanation, PlacementQuery
 from _monsoonpulley.wire.httpclient import HttpClient
 
 from ..standins.fleet import engine_call
@@ -32,6 +39,11 @@
 """Less than any call's time limit."""
 
 
+LOAD = format_metrics(LoadReport(1_000, 3, 2, 900, 0.25, 8000.0, 12.5, 16)).encode()
+EXPLANATION = msgspec.json.encode(ExplainBody("request/r1", ()))
+PLACEMENT = msgspec.json.encode(PlacementExplanation("instance", "zone-a", 1))
+
+
 async def generate(engine):
     return [item async for item in engine.generate(engine_call())][-1]
 
@@ -62,6 +74,28 @@
         found.close()
 
 
+@contextlib.asynccontextmanager
+async def peer_operator_client(port):
+    session = open_platform_session()
+    try:
+        yield lambda: HttpPeerOperatorClient(session).explain_local(
+            "instance", f"127.0.0.1:{port}", "request/r1", ""
+        )
+    finally:
+        await session.close()
+
+
+def operator_client(port):
+    url = f"http://127.0.0.1:{port}"
+    return OperatorClient(url, "", Clock.from_system(), random.Random(1))
+
+
+@contextlib.asynccontextmanager
+async def placement_client(port):
+    query = PlacementQuery("site.example")
+    yield lambda: fetch_explanation(f"http://127.0.0.1:{port}", query)
+
+
 def service(port):
     return client("http", port, has_lookup=True)
 
@@ -88,15 +122,20 @@
         lambda c: c.cancel("r1.1"),
         msgspec.json.encode({"outcome": CancelOutcome.STOPPED}),
     ),
+    "load": (engine, lambda c: c.load_report(), LOAD),
     "cache events": (engine, lambda c: c.cache_events(0), b'{"events":[]}'),
     "cache": (engine, lambda c: c.export_kv("r1.1"), b"part"),
     "generate": (engine, generate, b'data: {"choices":[]}\n\n'),
     "object": (platform_api, fetch_object, b"part"),
     "platform": (platform_api, lambda c: c.send_change("s", "POST", "/x", SMALL), b""),
     "store": (http_client, store_call, b"part"),
+    "other instance": (peer_operator_client, lambda c: c(), EXPLANATION),
+    "explain place": (placement_client, lambda c: c(), PLACEMENT),
+    "command line": (operator_client, lambda c: c.explain("request/r1"), EXPLANATION),
 }
-"""Readers of the gateway, and that of the platform's store in the ingress: the client,
-a call and a body that the call takes for a whole one."""
+"""Readers of the gateway and of the command line, and that of the platform's store and
+cloud in the ingress: the client, a call and a body that the call takes for a whole
+one."""
 
 UPLOADS = {
     "call": (
--- a/testing/peers/test_exchange.py
+++ b/testing/peers/test_exchange.py
@@ -106,6 +106,19 @@
 
         run_fleet(script, SEEDS[0])
 
+    # A process that is always late must not take lost peers for present for ever: the
+    # platform's list, which is polled, updates the routing as well.
+    def test_a_peer_that_ended_no_longer_counts_where_every_round_is_late(self):
+        async def script(world):
+            instance = world.entries["zone-a-entry-1"].instance
+            tick = instance.membership.tick
+            instance.membership.tick = lambda now_ms: tick(now_ms) or True
+            world.kill_entry("zone-a-entry-2")
+            await world.clock.sleep_ms(4 * SPREAD_MS)
+            self.assertEqual(instance.router.fleet.peer_count, 1)
+
+        run_fleet(script, SEEDS[0])
+
     def test_a_peer_that_ended_during_a_pause_no_longer_counts_soon(self):
         async def script(world):
             instance = world.entries["zone-a-entry-1"].instance
