--- a/testing/ingress/test_odd_ends.py
+++ b/testing/ingress/test_odd_ends.py
@@ -170,6 +170,30 @@
                         self.assertNotIn("monsoonpulley-response-seal", got.headers)
                         self.assertLess(self.taken_s, 1.5)
 
+    async def test_such_answers_and_resets_of_one_endpoint_blame_no_request(self):
+        # They look like a crash under the request, but the endpoint still listens.
+        odd = SUCCESS.replace(b"200 OK", b"600 Odd") + b"Content-Length: 0\r\n\r\n"
+        for answer, end in ((odd, wait_for_close), (ANSWERS["unsafe"], reset_later)):
+            with self.subTest(end=end.__name__):
+
+                async def script(call, answer=answer, end=end):
+                    call.writer.write(answer)
+                    await end(call)
+
+                site = Site()
+                self.addAsyncCleanup(site.stop)
+                endpoint = EndpointStandin(script, answers_before_body=True)
+                address = await endpoint.listen()
+                site.endpoints.append(endpoint)
+                site.store.put("servers", "i-1", endpoint_row(address))
+                await site.start(configuration(kind="unsafe", limits=LIMITS))
+                for _ in range(12):
+                    got = await site.send_request(body=SMALL)
+                    self.assertIn(got.status, (502, 503))
+                    await asyncio.sleep(0.1)
+                self.assertEqual(site.service.parts.quarantine.entry_count(), 0)
+                self.assertFalse(site.log_events("endpoint_crashed"))
+
     async def test_an_answer_that_follows_an_interim_one_is_passed_on(self):
         for status in ("100", "102", "103", "199"):
             with self.subTest(status=status):
