Test crowds of clients that don't behave

In a trial of the users, clients that they don't control ended a process: it ran out of memory.

They run one at a time after all other modules.

The settings `memory_mb` and `file_descriptors` of an entry instance are read, so that the tests can lower them; nothing uses them yet. The soak's instances get the limits of the users' smallest machines. A line of KNOWN-RED.txt may go on behind the test's id.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -53,6 +53,11 @@
             command, stdout=subprocess.PIPE, stderr=self._stderr, text=True
         )
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._child.pid
+
     def read_lines(self, count: int) -> list[str]:
         """Return the next ``count`` lines of its standard output."""
         return [self._child.stdout.readline().strip() for _ in range(count)]
@@ -118,9 +123,17 @@
         INI text of the configuration that `apply` applies.
     log_level : str
         Log level of the entry instance.
+    settings : str
+        INI text of further sections of its settings.
     """
 
-    def __init__(self, plan: str, configuration: str, log_level: str = "INFO"):
+    def __init__(
+        self,
+        plan: str,
+        configuration: str,
+        log_level: str = "INFO",
+        settings: str = "",
+    ):
         super().__init__()
         folder = Path(self.enter_context(tempfile.TemporaryDirectory()))
         (folder / "plan.ini").write_text(plan)
@@ -128,12 +141,12 @@
         count = plan.count("[endpoint ") + 1
         lines = self.standins.read_lines(count)
         self.addresses = dict(line.split() for line in lines)
-        settings = ENTRY.format(
+        entry = ENTRY.format(
             platform=self.addresses["platform"],
             operator=sha256(OPERATOR),
             log_level=log_level,
         )
-        (folder / "entry.ini").write_text(settings)
+        (folder / "entry.ini").write_text(entry + settings)
         self.entry = self._start("entry", "--settings", str(folder / "entry.ini"))
         listening = self.entry.wait_for_event("instance_listening")
         self.port = int(json.loads(listening)["http"].rpartition(":")[2])
--- a/src/_monsoonpulley/settings/process.py
+++ b/src/_monsoonpulley/settings/process.py
@@ -109,11 +109,17 @@
         Size of the largest request body of any class.
     shutdown_ms : int
         Longest wait for requests in progress at a planned stop.
+    memory_mb : int
+        Memory that the process may take; 0 for that of the machine.
+    file_descriptors : int
+        Descriptors that it may open; 0 for its limit from the system.
     """
 
     in_progress: Annotated[int, Meta(ge=1, le=1_000_000)] = 4_096
     body_bytes: Annotated[int, Meta(ge=1_024, le=67_108_864)] = 67_108_864
     shutdown_ms: Annotated[int, Meta(ge=0, le=86_400_000)] = 900_000
+    memory_mb: Annotated[int, Meta(ge=0, le=16_777_216)] = 0
+    file_descriptors: Annotated[int, Meta(ge=0, le=16_777_216)] = 0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -1,8 +1,9 @@
 """Run every test: ``python -m testing [MODULE ...]``.
 
 Test modules run in parallel in a few worker processes; the result does not
-depend on how they are distributed. Tests listed in ``KNOWN-RED.txt`` by a line
-``test: ID`` may fail and are printed.
+depend on how they are distributed. Those of crowds run after them, one at a time.
+Tests listed in ``KNOWN-RED.txt`` by a line
+that begins with ``test: ID`` may fail and are printed.
 """
 
 from __future__ import annotations
@@ -20,6 +21,9 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 WORKER_COUNT = max(1, min(6, (os.cpu_count() or 1) // 2))
 SLOWEST_MODULE_COUNT = 5
+SERIAL_MODULE_PREFIX = "testing.crowds"
+"""Modules whose tests load the machine, and are run one at a time after all others."""
+
 SLOW_MODULE_PREFIXES = (
     "testing.promises",
     "testing.control",
@@ -73,7 +77,7 @@
     if not KNOWN_RED.exists():
         return set()
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
-    return {line[len("test:") :].strip() for line in lines if line.startswith("test:")}
+    return {line.split()[1] for line in lines if line.startswith("test:")}
 
 
 def report(results: list[ModuleResult]) -> int:
@@ -102,8 +106,12 @@
 def main(arguments: list[str]) -> int:
     """Run the named modules, or all."""
     modules = arguments or find_modules()
+    serial = [name for name in modules if name.startswith(SERIAL_MODULE_PREFIX)]
+    parallel = [name for name in modules if name not in serial]
     with ProcessPoolExecutor(WORKER_COUNT) as pool:
-        results = list(pool.map(run_module, modules))
+        results = list(pool.map(run_module, parallel))
+    with ProcessPoolExecutor(1) as pool:
+        results += pool.map(run_module, serial)
     return report(results)
 
 
--- a/testing/soak/instances.py
+++ b/testing/soak/instances.py
@@ -36,8 +36,8 @@
         For its settings file and log.
     addresses : dict
         Addresses under which the instance reaches ``store`` and ``cloud``.
-    bounds, regions : dict
-        Values for the sections ``bounds`` and ``zones`` of its settings.
+    bounds, limits, regions : dict
+        Values for the sections ``bounds``, ``limits`` and ``zones`` of its settings.
     records, clock : Records, Clock
         Record of unexpected exits, and the clock for start times.
     """
@@ -50,6 +50,7 @@
         folder: Path,
         addresses: dict[str, str],
         bounds: dict[str, float],
+        limits: dict[str, int],
         regions: dict[str, str],
         records: Records,
         clock: Clock,
@@ -58,6 +59,7 @@
         self.zone = zone
         self.ip = ip
         self.bounds = dict(bounds)
+        self._limits = limits
         self._regions = regions
         self.incarnation = 0
         self.is_stopping = False
@@ -75,6 +77,11 @@
     def is_running(self) -> bool:
         return self._process is not None
 
+    @property
+    def pid(self) -> int:
+        assert self._process is not None
+        return self._process.pid
+
     async def start(self) -> None:
         """Start the process."""
         self.write_settings()
@@ -92,6 +99,7 @@
     def write_settings(self) -> None:
         """Write the settings file."""
         bounds = "".join(f"{name} = {value}\n" for name, value in self.bounds.items())
+        limits = "".join(f"{name} = {value}\n" for name, value in self._limits.items())
         zones = "".join(f'"{z}" = "{region}"\n' for z, region in self._regions.items())
         self._settings.write_text(
             f'node_name = "{self.name}"\nzone = "{self.zone}"\n'
@@ -103,7 +111,7 @@
             f'ready = "{self.ip}:{READINESS_PORT}"\n'
             f'[platform]\naddress = "{self._addresses["store"]}"\n'
             f'[cloud]\naddress = "{self._addresses["cloud"]}"\nduties = ["usage"]\n'
-            f"[bounds]\n{bounds}[zones]\n{zones}"
+            f"[bounds]\n{bounds}[limits]\n{limits}[zones]\n{zones}"
         )
 
     def signal(self, number: signal.Signals) -> None:
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -55,6 +55,9 @@
 """The users' values, but with usage windows so short that a duty's calls show its
 holder, and with budgets that faults use up."""
 
+LIMITS = {"memory_mb": 200, "file_descriptors": 4_100}
+"""Those of the users' smallest machines."""
+
 COLD_START_MS, COLD_PER_S = 3_000, 1.0
 """Time for which endpoints of "app" are cold after their start, and requests a second
 that they tolerate then: fewer than a warm endpoint gets from all callers."""
@@ -138,6 +141,7 @@
                     "cloud": f"{cloud_ip}:{CALLERS_PORT}",
                 },
                 BOUNDS,
+                LIMITS,
                 REGIONS,
                 self.records,
                 self.clock,
