Discard trailers, and refuse those without end

Callers that sent trailers without end behind a chunked body ended an instance: it ran out of memory.

Cause: the parser reports trailers as it reports headers. They were added to the headers of the request, without a limit, and the bytes of a line that is incomplete, in a trailer or in the extension of a chunk, were not counted at all. Trailers could also pass as headers that the request didn't have, such as its key.

A meter now counts the head, the body, the trailers and the framing of a message. What exceeds the head's limit in trailers, or between two pieces of a body, is refused with 431, framing of over 16 times the body with 400. Trailers within it are discarded.

--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -13,6 +13,7 @@
 from ..clock import Clock
 from .clientconnection import NO_BODY_STATUSES, ClientConnection
 from .events import CallerDisconnected, HeaderList, Mailbox
+from .messagemeter import MessageMeter
 from .requestmessage import Arrival, RequestMessage
 from .sockets import UnreadWatch, enable_keepalive
 
@@ -23,9 +24,6 @@
 MAX_PIPELINED_REQUESTS = 4
 """Requests that may wait behind the one in progress before reading pauses."""
 
-HEADER_LINE_OVERHEAD_BYTES = 4
-"""The colon, space and line end of a header line."""
-
 
 class CallerLimits(msgspec.Struct, frozen=True):
     """Limits of the size of requests and the time to send them.
@@ -196,8 +194,7 @@
         self._current: Exchange | None = None
         self._refusal_status: int | None = None
         self._is_lingering = False
-        self._head_bytes = 0
-        self._is_head_complete = False
+        self._meter = MessageMeter()
         self._request_started_ms: int | None = None
         self._accepted_ms = self._last_used_ms = clock.now_ms()
         self._request_count = 0
@@ -205,7 +202,6 @@
         self._target = b""
         self._headers: HeaderList = []
         self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
         self.upstream: ClientConnection | None = None
         self.is_draining = False
 
@@ -230,10 +226,7 @@
         if self._is_lingering or self._refusal_status is not None:
             return
         self._last_used_ms = self._clock.now_ms()
-        if self._request_started_ms is None:
-            self._request_started_ms = self._last_used_ms
-        if not self._is_head_complete:
-            self._head_bytes += len(data)
+        self._meter.begin_read(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -241,11 +234,9 @@
                 self._refusal_status = HTTPStatus.BAD_REQUEST
         except httptools.HttpParserUpgrade:
             self._refusal_status = HTTPStatus.BAD_REQUEST
-        if (
-            not self._is_head_complete
-            and self._head_bytes > self._get_limits().max_header_bytes
-        ):
-            self._refusal_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        if self._refusal_status is None:
+            max_header_bytes = self._get_limits().max_header_bytes
+            self._refusal_status = self._meter.end_read(max_header_bytes)
         if (
             len(self._queued_requests) > MAX_PIPELINED_REQUESTS
             and self._transport is not None
@@ -280,29 +271,26 @@
 
     def on_message_begin(self) -> None:
         """Start parsing a request."""
+        if self._request_started_ms is None:
+            self._request_started_ms = self._last_used_ms
+        self._meter.begin_message()
         self._target = b""
         self._headers = []
         self._body_chunks = []
-        self._body_bytes = 0
-        self._is_head_complete = False
 
     def on_url(self, url: bytes) -> None:
         """Add a piece of the target."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name, value))
+        """Add a header; trailers are discarded."""
+        if self._meter.add_header(name, value):
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the head against the limits; answer ``Expect: 100-continue``."""
-        self._is_head_complete = True
-        self._head_bytes = 0
         fields = dict((name.lower(), value) for name, value in reversed(self._headers))
-        size = len(self._target) + sum(
-            len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
-            for name, value in self._headers
-        )
+        size = self._meter.end_head(len(self._target), len(self._headers))
         length = fields.get(b"content-length", b"0")
         if size > self._get_limits().max_header_bytes:
             self._refusal_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
@@ -313,8 +301,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a piece of the body, up to the limit."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self._get_limits().max_body_bytes:
+        self._meter.add_body(len(data))
+        if self._meter.body_bytes > self._get_limits().max_body_bytes:
             self._refusal_status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
             return
         self._body_chunks.append(data)
@@ -327,6 +315,7 @@
         if started_ms is None:
             started_ms = self._last_used_ms
         self._request_started_ms = None
+        self._meter.end_message()
         self._queued_requests.append(
             RequestMessage(
                 method=self._parser.get_method(),
@@ -413,7 +402,7 @@
         if self._request_started_ms is None:
             if now_ms - self._last_used_ms >= limits.idle_timeout_ms:
                 self._transport.close()
-        elif not self._is_head_complete:
+        elif self._meter.is_in_head:
             if now_ms - self._request_started_ms >= limits.header_timeout_ms:
                 self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         elif now_ms - self._last_used_ms >= limits.idle_timeout_ms:
