Join the pieces of a body in small chunks

Callers that sent many bodies in very small chunks ended an instance: it ran out of memory.

Cause: each chunk was kept as an object of its own until the body was complete. A chunk of two bytes took over 40 bytes of memory.

The pieces of each read are joined, and added to blocks of up to 64 KB.

--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..clock import Clock
+from .bodybuffer import BodyBuffer
 from .clientconnection import NO_BODY_STATUSES, ClientConnection
 from .events import CallerDisconnected, HeaderList, Mailbox
 from .messagemeter import MessageMeter
@@ -201,7 +202,8 @@
         self._answer_ended_ms: int | None = None
         self._target = b""
         self._headers: HeaderList = []
-        self._body_chunks: list[bytes] = []
+        self._body = BodyBuffer()
+        self._body_pieces: list[bytes] = []
         self.upstream: ClientConnection | None = None
         self.is_draining = False
 
@@ -234,6 +236,7 @@
                 self._refusal_status = HTTPStatus.BAD_REQUEST
         except httptools.HttpParserUpgrade:
             self._refusal_status = HTTPStatus.BAD_REQUEST
+        self._add_body()
         if self._refusal_status is None:
             max_header_bytes = self._get_limits().max_header_bytes
             self._refusal_status = self._meter.end_read(max_header_bytes)
@@ -276,7 +279,7 @@
         self._meter.begin_message()
         self._target = b""
         self._headers = []
-        self._body_chunks = []
+        self._body.clear()
 
     def on_url(self, url: bytes) -> None:
         """Add a piece of the target."""
@@ -300,15 +303,24 @@
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
-        """Add a piece of the body, up to the limit."""
+        """Add a piece of the body, of which there may be thousands in a read."""
+        self._body_pieces.append(data)
+
+    def _add_body(self) -> None:
+        """Add the pieces of the body, up to the limit."""
+        if not self._body_pieces:
+            return
+        data = b"".join(self._body_pieces)
+        self._body_pieces.clear()
         self._meter.add_body(len(data))
         if self._meter.body_bytes > self._get_limits().max_body_bytes:
             self._refusal_status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-            return
-        self._body_chunks.append(data)
+        elif self._refusal_status is None:
+            self._body.add(data)
 
     def on_message_complete(self) -> None:
         """Queue the request."""
+        self._add_body()
         if self._refusal_status is not None:
             return
         started_ms = self._request_started_ms
@@ -322,14 +334,13 @@
                 target=self._target,
                 headers=self._headers,
                 fields={name.lower(): value for name, value in reversed(self._headers)},
-                body=b"".join(self._body_chunks),
+                body=self._body.take(),
                 is_keep_alive=self._parser.should_keep_alive(),
                 received_ms=started_ms,
                 arrival=self._describe_arrival(started_ms),
             )
         )
         self._request_count += 1
-        self._body_chunks = []
 
     def _describe_arrival(self, started_ms: int) -> Arrival:
         idle_ms = None
