Cut the long values of long log lines

A caller chooses its request's id, up to the head's limit of 16 KB, and two lines of the ingress repeat it: a crowd could fill the log, whose limits of bytes then drop the lines of ordinary requests.

Lines of over 4,096 bytes are written with texts of 256 characters and lists of 32 items at most; all fields are there.

--- a/src/_monsoonpulley/observability/log.py
+++ b/src/_monsoonpulley/observability/log.py
@@ -20,6 +20,13 @@
 
 Sink = Callable[[str], Any]
 
+MAX_LINE_BYTES = 4_096
+"""Length from which on the long values of a line are cut, several times that of the
+longest line about an ordinary request: callers choose ids and paths of many KB."""
+
+MAX_TEXT_LENGTH, MAX_ITEMS, MAX_DEPTH = 256, 32, 4
+"""Characters of a text, items of a list or table, and levels of them in such a line."""
+
 
 class Decision(msgspec.Struct, frozen=True, tag_field="event", kw_only=True):
     """Base class of decisions; a subclass's tag is its event name.
@@ -82,6 +89,8 @@
         line["event"] = event
         line.update(fields)
         data = _encode(line)
+        if len(data) > MAX_LINE_BYTES:
+            data = msgspec.json.encode(_shortened(msgspec.json.decode(data)))
         text = data.decode()
         if self._keeps_lines:
             self._keep_line(event, fields, text, len(data))
@@ -107,6 +116,25 @@
         return msgspec.json.encode({n: _encodable(v) for n, v in line.items()})
 
 
+def _shortened(value: Any, depth: int = 0) -> Any:
+    """Return a JSON value of which long texts, and lists of many items, are cut."""
+    if isinstance(value, str) and len(value) > MAX_TEXT_LENGTH:
+        return f"{value[:MAX_TEXT_LENGTH]}... ({len(value)} characters)"
+    if not isinstance(value, list | dict):
+        return value
+    if depth > MAX_DEPTH:
+        return "..."
+    if isinstance(value, list):
+        items = [_shortened(item, depth + 1) for item in value[:MAX_ITEMS]]
+        left_count = len(value) - len(items)
+        return [*items, f"... ({left_count} more)"] if left_count else items
+    names = list(value) if not depth else list(value)[:MAX_ITEMS]
+    return {
+        _shortened(name, depth + 1): _shortened(value[name], depth + 1)
+        for name in names
+    }
+
+
 def _encodable(value: Any) -> Any:
     """Return a value, or a note instead of one that JSON can't represent.
 
