Count what all callers of an instance hold in one budget

Clients that stopped just short of the end of their bodies, sent heads of very many short lines, read no answers, sent thousands of requests in one read or opened connections without end took the memory or the descriptors of an instance; the users saw one end.

Cause: nothing counted what all callers hold together, as it is kept. Each request was within its limits, and a head of 16 KB takes up to 600 KB as objects, a body of 4 MB is kept twice while it is written, one read of 256 KB became 14,000 requests, and the answers to pipelined requests were written whether the caller read or not. The ports for readiness, metrics and other instances had no time-outs either.

`CallerBudget` counts all of it for all ports, from the platform's `memory_mb` and `file_descriptors`, and decides who yields: callers that are overdue with what they have not finished, then the newest large requests, then others; a quarter is kept for ordinary requests. A refusal is only sent for requests that were not begun. Reads are parsed in pieces of 4 KB, so that no more requests come to wait than may; a request is not begun while the answer before it is not read; the kernel keeps 64 KB for a connection; pieces of an answer are freed as they are written.

--- a/src/_monsoonpulley/ingress/answertransfer.py
+++ b/src/_monsoonpulley/ingress/answertransfer.py
@@ -395,7 +395,14 @@
         if status in PROMISES_NOT_RUN:
             status = 502
             headers = without_status_headers(headers)
-        self._state.exchange.respond(status, headers, b"".join(self._body_chunks))
+        # Each piece is freed as it is written: together they would take their memory
+        # once more.
+        pieces = self._body_chunks
+        self._state.exchange.start(status, headers, length=sum(map(len, pieces)))
+        pieces.reverse()
+        while pieces:
+            self._state.exchange.write(pieces.pop())
+        self._state.exchange.end()
         self._state.record_answer(status, self.detail)
 
     def _record_first_byte(self) -> None:
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -87,6 +87,28 @@
             ("service",),
             registry=self.registry,
         )
+        self.caller_bytes = Gauge(
+            "monsoonpulley_caller_bytes",
+            "Memory that is kept for callers.",
+            registry=self.registry,
+        )
+        self.caller_connections = Gauge(
+            "monsoonpulley_caller_connections",
+            "Open connections of callers, on all ports.",
+            registry=self.registry,
+        )
+        self.yielded_callers = Counter(
+            "monsoonpulley_yielded_callers",
+            "Callers that were refused or disconnected to make room, by reason.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self.refused_messages = Counter(
+            "monsoonpulley_refused_messages",
+            "Requests refused before they were read to their end, by status.",
+            ("status",),
+            registry=self.registry,
+        )
         self.lost_links = Gauge(
             "monsoonpulley_lost_links",
             "Endpoints that this instance can't connect to.",
--- a/src/_monsoonpulley/ingress/dryrun.py
+++ b/src/_monsoonpulley/ingress/dryrun.py
@@ -37,6 +37,7 @@
     "zone_reach",
     "upstreams",
     "peer_pools",
+    "caller_budget",
     "answer_memory",
     "fingerprinter",
     "served_parts",
--- a/src/_monsoonpulley/ingress/parts.py
+++ b/src/_monsoonpulley/ingress/parts.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..callerbudget import BudgetLimits, CallerBudget
 from ..clock import Clock
 from ..duties.usage import UsageCounter
 from ..fleet.configurationholder import ConfigurationHolder
@@ -87,6 +88,7 @@
     zone_reach: ZoneReach
     upstreams: Upstreams
     peer_pools: PeerPools
+    caller_budget: CallerBudget
     answer_memory: AnswerMemory
     fingerprinter: Fingerprinter
     served_parts: ServedParts
@@ -190,6 +192,10 @@
             counters.endpoint_crashes.labels(report.service).inc()
             quarantine.record_crash(report)
 
+        caller_budget = CallerBudget(
+            BudgetLimits.from_machine(settings.memory_bytes, settings.file_descriptors)
+        )
+
         return cls(
             zone=settings.zone,
             clock=clock,
@@ -235,7 +241,8 @@
             zone_reach=ZoneReach(),
             upstreams=upstreams,
             peer_pools=PeerPools(clock),
-            answer_memory=AnswerMemory(),
+            caller_budget=caller_budget,
+            answer_memory=AnswerMemory(caller_budget),
             fingerprinter=Fingerprinter(),
             served_parts=ServedParts(),
             quarantine=quarantine,
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -154,10 +154,17 @@
             clock,
             log,
         )
-        self.caller_server = HttpServer(self._on_request, self._caller_limits, clock)
-        self.peer_server = HttpServer(self._on_peer_request, self._caller_limits, clock)
-        self._readiness_server = HttpServer(self._on_readiness, CallerLimits, clock)
-        self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock)
+        budget = parts.caller_budget
+        self.caller_server = HttpServer(
+            self._on_request, self._caller_limits, clock, budget
+        )
+        self.peer_server = HttpServer(
+            self._on_peer_request, self._caller_limits, clock, budget
+        )
+        self._readiness_server = HttpServer(
+            self._on_readiness, CallerLimits, clock, budget
+        )
+        self._metrics_server = HttpServer(self._on_metrics, CallerLimits, clock, budget)
         self._placement_explainer = PlacementExplainer(settings.instance, parts, rng)
         self._followers = self._make_followers()
         parts.evacuations.on_end = lambda zone, store_version: (
@@ -269,6 +276,8 @@
             ("quarantine", self._quarantine_rows.run),
             ("sweep", self.caller_server.sweep),
             ("sweep/peers", self.peer_server.sweep),
+            ("sweep/readiness", self._readiness_server.sweep),
+            ("sweep/metrics", self._metrics_server.sweep),
             ("tick", self._tick),
             ("delay", self._measure_delay),
             ("links", self._probe_links),
@@ -656,9 +665,24 @@
         parts.upstreams.sweep()
         parts.peer_pools.sweep()
         self.counters.lost_links.set(parts.links.lost_count)
+        self._report_callers()
         self._observe_services(now_ms)
         self._decide_readiness()
 
+    def _report_callers(self) -> None:
+        """Log which callers yielded, once a tick, and measure what all hold."""
+        budget, counters = self.parts.caller_budget, self.counters
+        counters.caller_bytes.set(budget.held_bytes)
+        counters.caller_connections.set(budget.connection_count)
+        report = budget.take_report()
+        if report is None:
+            return
+        for reason, count in report.yielded.items():
+            counters.yielded_callers.labels(reason).inc(count)
+        for status, count in report.refused_statuses.items():
+            counters.refused_messages.labels(status).inc(count)
+        self.log.decision(report)
+
     def _decide_readiness(self) -> None:
         """Report for a while that this instance is not ready if it falls behind."""
         load = self.parts.process_load
--- a/src/_monsoonpulley/platform/localsettings.py
+++ b/src/_monsoonpulley/platform/localsettings.py
@@ -10,6 +10,9 @@
 from ..errors import SettingsError
 from ..ids import InstanceId, RegionId, ZoneId
 
+MEGABYTE_BYTES = 1_000_000
+"""The smaller of the two megabytes, as the platform doesn't say which it means."""
+
 
 class Address(msgspec.Struct, frozen=True):
     """An IP address and a port."""
@@ -101,6 +104,8 @@
         Region of the data centre; empty if it is not known.
     region_by_zone : dict
         Region of each data centre.
+    memory_bytes, file_descriptors : int or None
+        Memory and descriptors that the process may take; None if not given.
     """
 
     instance: InstanceId
@@ -116,6 +121,8 @@
     is_first_start: bool = False
     region: RegionId = RegionId("")
     region_by_zone: dict[ZoneId, RegionId] = {}
+    memory_bytes: int | None = None
+    file_descriptors: int | None = None
 
     @classmethod
     def from_file(cls, path: Path) -> LocalSettings:
@@ -136,6 +143,7 @@
     @classmethod
     def _from_wire(cls, wire: _Wire) -> LocalSettings:
         cloud = wire.cloud
+        memory_bytes = int((wire.limits.memory_mb or 0) * MEGABYTE_BYTES)
         return cls(
             instance=InstanceId(wire.node_name),
             zone=ZoneId(wire.zone),
@@ -152,6 +160,8 @@
             region_by_zone={
                 ZoneId(zone): RegionId(region) for zone, region in wire.zones.items()
             },
+            memory_bytes=memory_bytes or None,
+            file_descriptors=wire.limits.file_descriptors or None,
         )
 
 
@@ -169,6 +179,11 @@
     duties: tuple[str, ...] = ()
 
 
+class _Limits(msgspec.Struct):
+    memory_mb: float | None = None
+    file_descriptors: int | None = None
+
+
 class _Wire(msgspec.Struct):
     """Layout of the file; unknown fields are ignored."""
 
@@ -183,3 +198,4 @@
     zones: dict[str, str] = {}
     cloud: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: Bounds = msgspec.field(default_factory=Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/_monsoonpulley/wire/messagemeter.py
+++ b/src/_monsoonpulley/wire/messagemeter.py
@@ -4,6 +4,13 @@
 
 from http import HTTPStatus
 
+PARSE_BYTES = 4_096
+"""Received bytes that are parsed at once: sizes are checked, and requests that wait are
+counted, after so many."""
+
+MAX_PIPELINED_REQUESTS = 4
+"""Requests that may wait behind the one in progress before reading pauses."""
+
 HEADER_LINE_OVERHEAD_BYTES = 4
 """The colon, space and line end of a header line."""
 
@@ -11,6 +18,14 @@
 """Bytes of chunk framing for each byte of a body, beyond as many as a head may have: a
 chunk of one byte has five, and one with a long extension more."""
 
+RECEIVE_BUFFER_BYTES = 65_536
+"""Received bytes that the kernel keeps for a connection, over a round trip at the rate
+of the users' links; without a limit it would keep megabytes for one that isn't read."""
+
+RETRY_AFTER_S = 1
+"""When a caller may return that had to yield: those that hold too much are overdue by
+then."""
+
 
 class MessageMeter:
     """Counts the head, the body, the trailers and the framing of a message.
@@ -118,3 +133,16 @@
 
     def _progress(self) -> tuple[int, int, int]:
         return self._message_count, self.body_bytes, self._trailer_bytes
+
+
+def refusal(status: int) -> bytes:
+    """Return the answer to a request that was not read to its end, and never runs."""
+    phrase = HTTPStatus(status).phrase.encode()
+    retry_line = b""
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_line = b"Retry-After: %d\r\n" % RETRY_AFTER_S
+    return b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%sConnection: close\r\n\r\n" % (
+        status,
+        phrase,
+        retry_line,
+    )
--- a/src/_monsoonpulley/wire/requestmessage.py
+++ b/src/_monsoonpulley/wire/requestmessage.py
@@ -48,6 +48,8 @@
         Monotonic time at which its first byte was read.
     arrival : Arrival
         How it arrived.
+    held_bytes : int
+        Memory that it takes.
     """
 
     method: bytes
@@ -58,3 +60,4 @@
     is_keep_alive: bool
     received_ms: int
     arrival: Arrival = Arrival()
+    held_bytes: int = 0
--- a/src/_monsoonpulley/wire/server.py
+++ b/src/_monsoonpulley/wire/server.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Iterable
 
+from ..callerbudget import BudgetLimits, CallerBudget
 from ..clock import Clock
+from .messagemeter import RECEIVE_BUFFER_BYTES
 from .serverconnection import CallerLimits, Exchange, ServerConnection
 
-BACKLOG = 1_024
-"""Connections that may wait to be accepted: all callers of a zone at once."""
-
 SWEEP_INTERVAL_MS = 500
 """Interval of checking the time-outs of connections, which are seconds long."""
 
@@ -48,6 +48,8 @@
         Returns the `CallerLimits` in force.
     clock : Clock
         Dates requests and measures idle time.
+    budget : CallerBudget or None
+        What the callers of all servers of the process hold; None for one of its own.
     """
 
     def __init__(
@@ -55,7 +57,9 @@
         on_request: Callable[[Exchange], None],
         get_limits: Callable[[], CallerLimits],
         clock: Clock,
+        budget: CallerBudget | None = None,
     ):
+        self._budget = budget or CallerBudget(BudgetLimits.from_machine())
         self._on_request = on_request
         self._get_limits = get_limits
         self._clock = clock
@@ -73,8 +77,17 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._accept, ip, port, backlog=BACKLOG, reuse_address=True
+            self._accept,
+            ip,
+            port,
+            backlog=self._budget.limits.backlog,
+            reuse_address=True,
         )
+        for listener in self._server.sockets:
+            # Accepted connections inherit it.
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
 
     def address(self) -> tuple[str, int]:
         """Return the bound address."""
@@ -128,7 +141,11 @@
 
     def _accept(self) -> ServerConnection:
         connection = ServerConnection(
-            self._on_request, self._get_limits, self._clock, self._connections.discard
+            self._on_request,
+            self._get_limits,
+            self._clock,
+            self._connections.discard,
+            self._budget,
         )
         connection.is_draining = self._is_draining
         self._connections.add(connection)
--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -10,11 +10,18 @@
 import httptools
 import msgspec
 
+from ..callerbudget import CallerBudget, Holding, Stage
 from ..clock import Clock
 from .bodybuffer import BodyBuffer
 from .clientconnection import NO_BODY_STATUSES, ClientConnection
 from .events import CallerDisconnected, HeaderList, Mailbox
-from .messagemeter import MessageMeter
+from .messagemeter import (
+    MAX_PIPELINED_REQUESTS,
+    PARSE_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    MessageMeter,
+    refusal,
+)
 from .requestmessage import Arrival, RequestMessage
 from .sockets import UnreadWatch, enable_keepalive
 
@@ -22,8 +29,25 @@
 """How long input is discarded after the last answer: a close with unread bytes
 resets the connection, and the answer could be lost on its way."""
 
-MAX_PIPELINED_REQUESTS = 4
-"""Requests that may wait behind the one in progress before reading pauses."""
+CONNECTION_BYTES = 4_096
+"""Memory of a connection without a request, measured: 3.4 KB."""
+
+QUEUED_REQUEST_BYTES = 1_024
+"""Memory of a request without headers and body that waits behind another one."""
+
+SERVED_REQUEST_BYTES = 16_384
+"""Memory of a request without headers and body that is being served, with the
+connection to its endpoint, measured: 15 KB."""
+
+HEADER_LINE_BYTES = 220
+"""Memory of a header line without its text, measured: up to 200 bytes."""
+
+LISTED_VALUE_BYTES, MIN_LIST_BYTES = 128, 1_024
+"""Memory of each value in a header line that is a list, such as a part of a prompt; in
+short lines there are too few of them to matter."""
+
+BODY_COPIES = 2
+"""A body is kept for another attempt while a copy of it is written to an endpoint."""
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -168,6 +192,8 @@
         Dates requests and measures idle time.
     on_lost : callable
         Called with this connection once it is closed.
+    budget : CallerBudget
+        Counts what the connection holds.
 
     Attributes
     ----------
@@ -183,18 +209,25 @@
         get_limits: Callable[[], CallerLimits],
         clock: Clock,
         on_lost: Callable[[ServerConnection], None],
+        budget: CallerBudget,
     ):
         self._on_request = on_request
         self._get_limits = get_limits
         self._clock = clock
         self._on_lost = on_lost
+        self._budget = budget
+        self._holding: Holding | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._unread_watch: UnreadWatch | None = None
         self._queued_requests: deque[RequestMessage] = deque()
         self._current: Exchange | None = None
-        self._refusal_status: int | None = None
+        self._refusal_status: HTTPStatus | None = None
         self._is_lingering = False
+        self._unparsed = b""
+        self._unsent_bytes = 0
+        self._is_reading_paused = False
+        self._is_writing_paused = False
         self._meter = MessageMeter()
         self._request_started_ms: int | None = None
         self._accepted_ms = self._last_used_ms = clock.now_ms()
@@ -202,8 +235,11 @@
         self._answer_ended_ms: int | None = None
         self._target = b""
         self._headers: HeaderList = []
+        self._fields: dict[bytes, bytes] = {}
+        self._listed_count = 0
         self._body = BodyBuffer()
         self._body_pieces: list[bytes] = []
+        self._max_body_bytes = 0
         self.upstream: ClientConnection | None = None
         self.is_draining = False
 
@@ -220,6 +256,12 @@
         """Store the transport and make it fail if the caller is silent."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        now_ms = self._clock.now_ms()
+        self._holding = self._budget.open(self, now_ms, CONNECTION_BYTES)
+        if self._holding is None:
+            self._is_lingering = True
+            transport.abort()
+            return
         enable_keepalive(transport)
         self._unread_watch = UnreadWatch(transport)
 
@@ -228,23 +270,15 @@
         if self._is_lingering or self._refusal_status is not None:
             return
         self._last_used_ms = self._clock.now_ms()
-        self._meter.begin_read(len(data))
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            if self._refusal_status is None:
-                self._refusal_status = HTTPStatus.BAD_REQUEST
-        except httptools.HttpParserUpgrade:
-            self._refusal_status = HTTPStatus.BAD_REQUEST
-        self._add_body()
-        if self._refusal_status is None:
-            max_header_bytes = self._get_limits().max_header_bytes
-            self._refusal_status = self._meter.end_read(max_header_bytes)
-        if (
-            len(self._queued_requests) > MAX_PIPELINED_REQUESTS
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
+        if self._holding is not None:
+            self._holding.moved_bytes += len(data)
+        if self._unparsed:
+            self._unparsed += data
+        else:
+            self._parse(data)
+        self._count()
+        # What can't be kept is refused before it is begun.
+        self._budget.relieve(self._last_used_ms)
         self._start_next()
 
     def eof_received(self) -> bool:
@@ -255,22 +289,28 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the handler and drop queued requests."""
         self._transport = None
+        if self._holding is not None:
+            self._budget.close(self._holding)
         self._handle_disconnect()
         self._on_lost(self)
 
     def pause_writing(self) -> None:
         """Pause the source of the answer while the caller doesn't read."""
+        self._is_writing_paused = True
         if self._unread_watch is not None:
             self._unread_watch.on_pause()
         if self.upstream is not None:
             self.upstream.pause_reading()
 
     def resume_writing(self) -> None:
-        """Resume the source of the answer."""
+        """Resume the source of the answer, or start the next request."""
+        self._is_writing_paused = False
         if self._unread_watch is not None:
             self._unread_watch.on_resume()
         if self.upstream is not None:
             self.upstream.resume_reading()
+        self._count_unsent()
+        self._start_next()
 
     def on_message_begin(self) -> None:
         """Start parsing a request."""
@@ -279,6 +319,7 @@
         self._meter.begin_message()
         self._target = b""
         self._headers = []
+        self._listed_count = 0
         self._body.clear()
 
     def on_url(self, url: bytes) -> None:
@@ -288,16 +329,25 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are discarded."""
         if self._meter.add_header(name, value):
+            if len(value) >= MIN_LIST_BYTES:
+                self._listed_count += value.count(b",")
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the head against the limits; answer ``Expect: 100-continue``."""
-        fields = dict((name.lower(), value) for name, value in reversed(self._headers))
-        size = self._meter.end_head(len(self._target), len(self._headers))
+        headers = self._headers
+        self._fields = fields = {
+            name.lower(): value for name, value in reversed(headers)
+        }
+        size = self._meter.end_head(len(self._target), len(headers))
         length = fields.get(b"content-length", b"0")
-        if size > self._get_limits().max_header_bytes:
+        limits = self._get_limits()
+        # Of the bodies that are allowed, the largest that can be kept.
+        keepable_bytes = self._budget.limits.max_large_bytes // BODY_COPIES
+        self._max_body_bytes = min(limits.max_body_bytes, keepable_bytes)
+        if size > limits.max_header_bytes:
             self._refusal_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        elif length.isdigit() and int(length) > self._get_limits().max_body_bytes:
+        elif length.isdigit() and int(length) > self._max_body_bytes:
             self._refusal_status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
         elif fields.get(b"expect", b"").lower() == b"100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -306,18 +356,6 @@
         """Add a piece of the body, of which there may be thousands in a read."""
         self._body_pieces.append(data)
 
-    def _add_body(self) -> None:
-        """Add the pieces of the body, up to the limit."""
-        if not self._body_pieces:
-            return
-        data = b"".join(self._body_pieces)
-        self._body_pieces.clear()
-        self._meter.add_body(len(data))
-        if self._meter.body_bytes > self._get_limits().max_body_bytes:
-            self._refusal_status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        elif self._refusal_status is None:
-            self._body.add(data)
-
     def on_message_complete(self) -> None:
         """Queue the request."""
         self._add_body()
@@ -327,21 +365,168 @@
         if started_ms is None:
             started_ms = self._last_used_ms
         self._request_started_ms = None
+        held_bytes = self._incoming_bytes()
         self._meter.end_message()
         self._queued_requests.append(
             RequestMessage(
                 method=self._parser.get_method(),
                 target=self._target,
                 headers=self._headers,
-                fields={name.lower(): value for name, value in reversed(self._headers)},
+                fields=self._fields,
                 body=self._body.take(),
                 is_keep_alive=self._parser.should_keep_alive(),
                 received_ms=started_ms,
                 arrival=self._describe_arrival(started_ms),
+                held_bytes=held_bytes,
             )
         )
         self._request_count += 1
 
+    def drop_pending(self) -> None:
+        """Drop and refuse what the caller has not finished."""
+        if self._unsent_bytes:
+            if self._holding is not None:
+                self._budget.close(self._holding)
+            self.abort()
+        elif not self._is_lingering:
+            self._refusal_status = HTTPStatus.SERVICE_UNAVAILABLE
+            self._forget_pending()
+            self._read_on()
+            self._start_next()
+            self._count()
+
+    def disconnect(self) -> None:
+        """Close the connection, on which no request is being served."""
+        if self._request_started_ms is not None and not self._is_lingering:
+            self.write(refusal(HTTPStatus.SERVICE_UNAVAILABLE))
+        self._is_lingering = True
+        self._forget_pending()
+        if self._transport is not None:
+            self._transport.close()
+
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes until enough requests wait or one is refused."""
+        start = 0
+        view = memoryview(data)
+        while start < len(data) and self._refusal_status is None:
+            if len(self._queued_requests) > MAX_PIPELINED_REQUESTS:
+                break
+            self._feed(view[start : start + PARSE_BYTES])
+            start += PARSE_BYTES
+        if self._refusal_status is not None:
+            self._forget_incoming()
+            return
+        self._unparsed = data[start:]
+        if len(self._queued_requests) > MAX_PIPELINED_REQUESTS:
+            self._pause_reading()
+
+    def _feed(self, data: memoryview) -> None:
+        """Parse a few bytes and check the size of what is incomplete."""
+        self._meter.begin_read(len(data))
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self._refusal_status is None:
+                self._refusal_status = HTTPStatus.BAD_REQUEST
+        except httptools.HttpParserUpgrade:
+            self._refusal_status = HTTPStatus.BAD_REQUEST
+        self._add_body()
+        if self._refusal_status is None:
+            max_header_bytes = self._get_limits().max_header_bytes
+            self._refusal_status = self._meter.end_read(max_header_bytes)
+
+    def _add_body(self) -> None:
+        """Add the pieces of the body, up to the limit."""
+        if not self._body_pieces:
+            return
+        data = b"".join(self._body_pieces)
+        self._body_pieces.clear()
+        self._meter.add_body(len(data))
+        if self._meter.body_bytes > self._max_body_bytes:
+            self._refusal_status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        elif self._refusal_status is None:
+            self._body.add(data)
+
+    def _incoming_bytes(self) -> int:
+        """Return the memory of the request that is being received."""
+        return (
+            QUEUED_REQUEST_BYTES
+            + self._meter.head_bytes
+            + len(self._target)
+            + 2 * self._meter.text_bytes
+            + HEADER_LINE_BYTES * len(self._headers)
+            + LISTED_VALUE_BYTES * self._listed_count
+            + BODY_COPIES * self._meter.body_bytes
+        )
+
+    def _count(self) -> None:
+        """Tell the budget what the connection holds."""
+        holding = self._holding
+        if holding is None:
+            return
+        kept_bytes, stage = CONNECTION_BYTES, Stage.IDLE
+        pending_bytes = len(self._unparsed) + self._unsent_bytes
+        pending_bytes += sum(request.held_bytes for request in self._queued_requests)
+        if self._request_started_ms is not None and self._refusal_status is None:
+            pending_bytes += self._incoming_bytes()
+        if self._is_reading_paused:
+            pending_bytes += RECEIVE_BUFFER_BYTES
+        if self._current is not None:
+            stage = Stage.SERVING
+            kept_bytes += SERVED_REQUEST_BYTES + self._current.request.held_bytes
+        elif pending_bytes:
+            stage = Stage.RECEIVING
+        self._budget.update(
+            holding, stage, self._last_used_ms, kept_bytes, pending_bytes
+        )
+
+    def _count_unsent(self) -> None:
+        """Tell the budget how much of the answers the caller has not read."""
+        transport = self._transport
+        unsent_bytes = 0 if transport is None else transport.get_write_buffer_size()
+        read_bytes = self._unsent_bytes - unsent_bytes
+        if not read_bytes:
+            return
+        self._unsent_bytes = unsent_bytes
+        if self._holding is not None:
+            self._holding.moved_bytes += max(0, read_bytes)
+        self._count()
+        if read_bytes < 0:
+            self._budget.relieve(self._clock.now_ms())
+
+    def _forget_incoming(self) -> None:
+        """Drop the request that is being received, which is refused."""
+        self._unparsed = b""
+        self._target = b""
+        self._headers = []
+        self._fields = {}
+        self._listed_count = 0
+        self._body.clear()
+
+    def _forget_pending(self) -> None:
+        """Drop all requests that are not being served."""
+        self._queued_requests.clear()
+        self._forget_incoming()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._is_reading_paused:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def _read_on(self) -> None:
+        if self._transport is not None and self._is_reading_paused:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Parse what was left, and read on unless enough requests wait."""
+        if len(self._queued_requests) > MAX_PIPELINED_REQUESTS:
+            return
+        data, self._unparsed = self._unparsed, b""
+        self._parse(data)
+        if len(self._queued_requests) <= MAX_PIPELINED_REQUESTS:
+            self._read_on()
+
     def _describe_arrival(self, started_ms: int) -> Arrival:
         idle_ms = None
         if self._request_count:
@@ -366,6 +551,7 @@
         """Write data unless the caller has disconnected."""
         if self._transport is not None:
             self._transport.write(data)
+            self._count_unsent()
 
     def on_exchange_end(self, exchange: Exchange) -> None:
         """Start the next request, or close the connection."""
@@ -377,11 +563,8 @@
         if not exchange.stays_open:
             self._linger()
             return
-        if (
-            self._transport is not None
-            and len(self._queued_requests) <= MAX_PIPELINED_REQUESTS
-        ):
-            self._transport.resume_reading()
+        self._resume_reading()
+        self._count()
         # The handler of this exchange is still running: start the next one after it.
         asyncio.get_running_loop().call_soon(self._start_next)
 
@@ -407,6 +590,7 @@
 
     def check_timeouts(self, now_ms: int) -> None:
         """Refuse a request that arrives too slowly; close an idle connection."""
+        self._count_unsent()
         if self._transport is None or self._current is not None or self._is_lingering:
             return
         limits = self._get_limits()
@@ -422,21 +606,26 @@
     def _start_next(self) -> None:
         if self._current is not None or self._transport is None:
             return
+        if self._is_writing_paused:
+            # The caller has not read the answer before.
+            return
         if self._queued_requests:
             self._current = Exchange(self._queued_requests.popleft(), self)
+            self._count()
             self._on_request(self._current)
         elif self._refusal_status is not None and not self._is_lingering:
             self._refuse(self._refusal_status)
 
-    def _refuse(self, status: int) -> None:
-        self.write(
-            b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-            % (status, _reason_phrase(status))
-        )
+    def _refuse(self, status: HTTPStatus) -> None:
+        self._refusal_status = status
+        self._budget.record_refusal(status)
+        self.write(refusal(status))
         self._linger()
 
     def _linger(self) -> None:
         self._is_lingering = True
+        self._forget_pending()
+        self._count()
         transport = self._transport
         if transport is None:
             return
--- a/testing/platform/test_localsettings.py
+++ b/testing/platform/test_localsettings.py
@@ -29,6 +29,10 @@
 [cloud]
 address = "10.200.0.35:8225"
 duties = ["usage_reporting", "scaling"]
+[limits]
+memory_mb = 300
+file_descriptors = 4200
+link_mbps = 1000.0
 [bounds]
 quota_window_s = 8
 budget_extra_retries = 52
@@ -60,6 +64,17 @@
         bounds = settings.bounds
         self.assertEqual((bounds.cold_overage, bounds.cold_slack), (1.5, 5))
         self.assertEqual(bounds.evacuation_ms, 5_000)
+        self.assertEqual(settings.memory_bytes, 300_000_000)
+        self.assertEqual(settings.file_descriptors, 4_200)
+
+    def test_limits_that_are_not_given_are_decoded_as_none(self):
+        for text in (
+            FILE.replace("memory_mb = 300\nfile_descriptors = 4200\n", ""),
+            FILE.replace("= 300", "= 0").replace("= 4200", "= 0"),
+        ):
+            settings = self.read_settings(text)
+            self.assertIsNone(settings.memory_bytes)
+            self.assertIsNone(settings.file_descriptors)
 
     def test_an_empty_cloud_address_is_decoded_as_none(self):
         text = FILE.replace('address = "10.200.0.35:8225"', 'address = ""')
