Count the beginning of a head

A head could be larger than its limit by as much as was read with its first byte, 4 KB: the meter forgot what it had counted when the parser reported the message.

testing.wire.test_messagemeter.test_the_beginning_of_a_head_counts fails before (found by a test of the gateway's connections, which read a head of 8 KB with a limit of 4 KB).

--- a/src/_monsoonpulley/wire/messagemeter.py
+++ b/src/_monsoonpulley/wire/messagemeter.py
@@ -62,6 +62,7 @@
         self.is_begun = False
         self._message_count = 0
         self._before_read: tuple[int, int, int] | None = None
+        self.head_bytes = 0
         self.begin_message()
         self.is_begun = False
 
@@ -69,7 +70,6 @@
         """Begin to count a message, whose head has begun."""
         self.is_begun = True
         self._message_count += 1
-        self.head_bytes = 0
         self.text_bytes = 0
         self.body_bytes = 0
         self._trailer_bytes = 0
--- a/testing/wire/test_messagemeter.py
+++ b/testing/wire/test_messagemeter.py
@@ -29,6 +29,12 @@
         status = self.read(1)
         self.assertEqual(status, HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def test_the_beginning_of_a_head_counts(self):
+        self.meter.begin_read(600)
+        self.meter.begin_message()
+        self.assertIsNone(self.meter.end_read(MAX_HEADER_BYTES))
+        self.assertIsNotNone(self.read(600))
+
     def test_line_ends_before_a_message_count_as_its_head(self):
         self.begin_body()
         self.meter.end_message()
