Count what all callers of an entry instance hold

The same crowds as before the ingress took the memory and the descriptors of an entry instance: 245 to 2,875 MB of 192 allowed, 829 descriptors of 600.

Cause: the server library limits the bytes of a body that the application has not read, and nothing else. A head or trailers had no limit, one read became thousands of requests with their tasks, an application that waits for its caller to leave resumed reading behind a full pipeline, connections without a request stayed for ever, and nothing counted what callers hold together. The settings `in_progress` and `body_bytes` were documented, but read by nothing.

`CallerProtocol` is the library's connection with the same budget, meter and order of who yields as the ingress. A request without room is refused before its application is started, one whose body yields gets the application's own answer that it has not run. A connection is closed 1 s after an answer that its caller may not have read. Malformed bytes behind a request in progress no longer get their answer before its own.

--- a/src/_monsoonpulley/entry/daemon.py
+++ b/src/_monsoonpulley/entry/daemon.py
@@ -7,6 +7,7 @@
 import secrets
 import signal
 
+from ..callerbudget import CallerBudget
 from ..clock import Clock
 from ..config.document import Service, ServiceKind
 from ..endpoints import builtin  # noqa: F401  (registers the adapters)
@@ -22,6 +23,7 @@
 from ..observability.metrics import Metrics, create_metrics
 from ..peers.pynng_transport import PynngTransport
 from ..settings.process import Settings
+from .callerprotocol import RequestLimits
 from .httpserver import HttpServer
 from .instance import EntryInstance, Environment
 
@@ -31,6 +33,9 @@
 MAX_IDLE_WAIT_MS = 1_000
 """A packet of a request that is lost on its way is sent again within it."""
 
+REPORT_INTERVAL_MS = 1_000
+"""Interval of logging which callers yielded, and of measuring what all hold."""
+
 CLOSE_MARGIN_MS = 200
 """Time before the deadline of a stop that is left for closing all connections."""
 
@@ -63,7 +68,19 @@
             settings.operator.credential_sha256,
         )
         listen = entry.http_listen
-        self.server = HttpServer(self.instance.app, listen.ip, listen.port)
+        limits = settings.limits
+        self.server = HttpServer(
+            self.instance.app,
+            listen.ip,
+            listen.port,
+            CallerBudget(limits.caller_limits()),
+            RequestLimits(
+                max_header_bytes=limits.header_bytes,
+                max_body_bytes=limits.body_bytes,
+                max_in_progress=limits.in_progress,
+                header_timeout_ms=limits.header_ms,
+            ),
+        )
 
     async def run(self) -> None:
         """Serve until a shutdown was requested and the instance has drained."""
@@ -73,6 +90,7 @@
         server_task = asyncio.create_task(self.server.run(), name="http")
         instance_task = asyncio.create_task(self.instance.run(), name="instance")
         drain_task = asyncio.create_task(self._drain(), name="drain")
+        report_task = asyncio.create_task(self._report_callers(), name="callers")
         try:
             done, _ = await asyncio.wait(
                 {server_task, instance_task, drain_task},
@@ -84,7 +102,7 @@
             for task in done:
                 task.result()
         finally:
-            await _cancel_tasks({server_task, instance_task, drain_task})
+            await _cancel_tasks({server_task, instance_task, drain_task, report_task})
             await self._endpoint_sessions.close()
             await self._platform_session.close()
             await self._transport.close()
@@ -105,6 +123,21 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.leave, number.name)
 
+    async def _report_callers(self) -> None:
+        budget, metrics = self.server.budget, self._metrics
+        while True:
+            await self._clock.sleep_ms(REPORT_INTERVAL_MS)
+            metrics.gauge("callers.held_bytes", budget.held_bytes)
+            metrics.gauge("callers.connections", budget.connection_count)
+            report = budget.take_report()
+            if report is None:
+                continue
+            for reason, count in report.yielded.items():
+                metrics.incr(f"callers.yielded.{reason.replace(' ', '_')}", count)
+            for status, count in report.refused_statuses.items():
+                metrics.incr(f"callers.refused.{status}", count)
+            self._log.decision(report)
+
     async def _drain(self) -> None:
         await self.instance.lifecycle.wait_leaving()
         await self.instance.drain()
--- a/src/_monsoonpulley/settings/process.py
+++ b/src/_monsoonpulley/settings/process.py
@@ -13,6 +13,7 @@
 import msgspec
 from msgspec import Meta
 
+from ..callerbudget import BudgetLimits
 from ..errors import SettingsError
 from ..ids import InstanceId, ZoneId
 from .inisections import (
@@ -23,6 +24,8 @@
 )
 from .inivalues import AdapterAddress, ListenAddress, Secret
 
+MEGABYTE_BYTES = 1_000_000
+
 Name = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 
 
@@ -113,6 +116,10 @@
         Memory that the process may take; 0 for that of the machine.
     file_descriptors : int
         Descriptors that it may open; 0 for its limit from the system.
+    header_bytes : int
+        Size of the largest head of a request.
+    header_ms : int
+        Time in which a head must arrive.
     """
 
     in_progress: Annotated[int, Meta(ge=1, le=1_000_000)] = 4_096
@@ -120,6 +127,14 @@
     shutdown_ms: Annotated[int, Meta(ge=0, le=86_400_000)] = 900_000
     memory_mb: Annotated[int, Meta(ge=0, le=16_777_216)] = 0
     file_descriptors: Annotated[int, Meta(ge=0, le=16_777_216)] = 0
+    header_bytes: Annotated[int, Meta(ge=1_024, le=1_048_576)] = 65_536
+    header_ms: Annotated[int, Meta(ge=100, le=600_000)] = 10_000
+
+    def caller_limits(self) -> BudgetLimits:
+        """Return the limits of what all callers hold."""
+        return BudgetLimits.from_machine(
+            self.memory_mb * MEGABYTE_BYTES or None, self.file_descriptors or None
+        )
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
