Don't remember long ids that callers choose

An instance remembers the last 4,096 parts of prompts, and up to 256 refused requests for each connection to an endpoint, by the ids that callers send: up to 16 KB each, long after their requests.

The id of a part of over 64 bytes is compared by its hash. A connection whose endpoint refused a request with such an id is replaced, as after 256 refusals.

--- a/src/_monsoonpulley/platform/requestheaders.py
+++ b/src/_monsoonpulley/platform/requestheaders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 import msgspec
 
 from ..ids import CustomerId, EndpointId
@@ -46,6 +48,12 @@
 MAX_WHOLE_NUMBER = 2**53
 """Numbers up to here are exact in all arithmetic; larger ones are no counts."""
 
+MAX_PART_ID_BYTES = 64
+"""Several times the length of the users' ids of parts. Thousands of ids are remembered,
+long after their requests: of longer ones, the hash."""
+
+PART_HASH_BYTES = 16
+
 REQUEST_ID_FIELD = _REQUEST_ID
 """Lower-case name of the header in which endpoints return the request's id."""
 
@@ -253,5 +261,12 @@
         part_id, _, tokens = entry.strip().partition(b":")
         if not part_id or not _is_count(tokens):
             return ()
-        parts.append(PromptPart(part_id.decode("latin-1"), int(tokens)))
+        parts.append(PromptPart(_internal_part_id(part_id), int(tokens)))
     return tuple(parts)
+
+
+def _internal_part_id(part_id: bytes) -> str:
+    """Return the id under which a part is compared, the same on all instances."""
+    if len(part_id) <= MAX_PART_ID_BYTES:
+        return part_id.decode("latin-1")
+    return hashlib.blake2b(part_id, digest_size=PART_HASH_BYTES).hexdigest()
--- a/src/_monsoonpulley/wire/clientconnection.py
+++ b/src/_monsoonpulley/wire/clientconnection.py
@@ -29,6 +29,10 @@
 """Requests that a server may refuse on a connection before it is replaced: their ids
 take some 20 KB, and one request in so many waits for a new connection."""
 
+MAX_REFUSED_ID_BYTES = 64
+"""Longer ids, which callers choose up to the limit of a head, are not remembered: the
+connection is replaced."""
+
 MAX_TIMEOUT_DIGITS = 6
 """Digits of an idle time-out in seconds, eleven days; a longer number is no time."""
 
@@ -100,6 +104,7 @@
         self._may_get_foreign_answer = False
         self._sent_count = 0
         self._refused_ids: set[bytes] = set()
+        self._has_unknown_refusal = False
         self._overhead_bytes = 0
         self._body_bytes = 0
         self.is_open = False
@@ -159,13 +164,19 @@
 
     def record_refusal(self) -> None:
         """Record that the answer says that the server refused the request."""
-        if self._expected_id is not None:
-            self._refused_ids.add(self._expected_id[1])
+        if self._expected_id is None:
+            return
+        request_id = self._expected_id[1]
+        if len(request_id) > MAX_REFUSED_ID_BYTES:
+            self._has_unknown_refusal = True
+        else:
+            self._refused_ids.add(request_id)
 
     def may_carry(self, request_id: bytes) -> bool:
         """Return whether no earlier refusal could be taken for that of a request."""
-        is_full = len(self._refused_ids) >= MAX_REFUSED_IDS
-        return not is_full and request_id not in self._refused_ids
+        if self._has_unknown_refusal or len(self._refused_ids) >= MAX_REFUSED_IDS:
+            return False
+        return request_id not in self._refused_ids
 
     def pause_reading(self, cause: PauseCause = PauseCause.CALLER) -> None:
         """Pause reading the answer until every cause is resolved."""
--- a/testing/wire/test_clientconnection.py
+++ b/testing/wire/test_clientconnection.py
@@ -6,7 +6,11 @@
 import unittest
 
 from _monsoonpulley.clock import Clock
-from _monsoonpulley.wire.clientconnection import MAX_REFUSED_IDS, ClientConnection
+from _monsoonpulley.wire.clientconnection import (
+    MAX_REFUSED_ID_BYTES,
+    MAX_REFUSED_IDS,
+    ClientConnection,
+)
 from _monsoonpulley.wire.events import (
     AnswerData,
     AnswerEnd,
@@ -242,6 +246,14 @@
             self.assertFalse(self.connection.may_carry(request_id))
         self.assertFalse(self.connection.may_carry(b"next"))
 
+    def test_a_connection_is_replaced_after_the_refusal_of_a_long_id(self):
+        """Guards against ids of many KB that fill the memory."""
+        request_id = b"a" * (MAX_REFUSED_ID_BYTES + 1)
+        self.exchange(request_id, answer(b"", request_id, 503))
+        self.connection.record_refusal()
+        self.assertFalse(self.connection.may_carry(b"next"))
+        self.assertEqual(self.connection._refused_ids, set())
+
     def test_white_space_around_an_id_is_no_part_of_it(self):
         """Guards against a request that waits for an answer that was skipped."""
         events = self.exchange(b"a1", answer(b"why", b" \ta1\t "))
