Limit what anybody sends to the port for other instances

A crowd that opened connections to the port for messages of other instances took 829 descriptors of 600 allowed, and one that sent messages of 1 MB without a valid key took 555 MB of 192: messages are authenticated only after they were received.

Cause: the library's pull socket accepts every connection, keeps a message of each and queues 1,024 more, and has no limit for all of them.

`MessageServer` accepts the connections instead, within the callers' budget, and speaks the protocol of a pull socket: push sockets of builds before and after send to it as they did. Connections without the protocol's header are closed, reading pauses while messages wait, and connections that have brought a message yield last.

--- a/src/_monsoonpulley/entry/daemon.py
+++ b/src/_monsoonpulley/entry/daemon.py
@@ -60,6 +60,7 @@
         self._endpoint_sessions = HttpSessions()
         self._platform_session = open_platform_session()
         self._metrics = self._build_metrics()
+        self._budget = CallerBudget(settings.limits.caller_limits())
         self._transport = self._build_transport()
         entry = settings.entry
         self.instance = EntryInstance(
@@ -73,7 +74,7 @@
             self.instance.app,
             listen.ip,
             listen.port,
-            CallerBudget(limits.caller_limits()),
+            self._budget,
             RequestLimits(
                 max_header_bytes=limits.header_bytes,
                 max_body_bytes=limits.body_bytes,
@@ -124,7 +125,7 @@
             loop.add_signal_handler(number, self.leave, number.name)
 
     async def _report_callers(self) -> None:
-        budget, metrics = self.server.budget, self._metrics
+        budget, metrics = self._budget, self._metrics
         while True:
             await self._clock.sleep_ms(REPORT_INTERVAL_MS)
             metrics.gauge("callers.held_bytes", budget.held_bytes)
@@ -170,7 +171,7 @@
 
     def _build_transport(self) -> PynngTransport:
         listen = self._settings.entry.peer_listen
-        transport = PynngTransport(f"tcp://{listen}", self._metrics)
+        transport = PynngTransport(f"tcp://{listen}", self._metrics, self._budget)
         failure = transport.open()
         if failure is not None:
             raise RuntimeError(str(failure))
--- a/src/_monsoonpulley/peers/pynng_transport.py
+++ b/src/_monsoonpulley/peers/pynng_transport.py
@@ -1,27 +1,27 @@
-"""Transports messages over ``pynng`` push and pull sockets.
+"""Transports messages over ``pynng`` push sockets, to a `MessageServer`.
 
-Each instance pulls at its own address and pushes to each other instance over one
+Each instance receives at its own address and pushes to each other instance over one
 connection. Push and pull sockets transfer messages one way, without the handshake
 and the single partner of a pair socket, and without the fan-out of a bus socket,
 which sends to all at once and hides from the sender which receiver is slow. The
-library reconnects by itself; its discovery and clustering are not used.
+library reconnects by itself; its discovery and clustering are not used. Its pull socket
+isn't either, as it has no limit for all of its connections.
 """
 
 from __future__ import annotations
 
-import asyncio
-
 import pynng
 
+from ..callerbudget import CallerBudget
 from ..errors import Failure, Reason
 from ..observability.metrics import Metrics
-from .envelope import MAX_MESSAGE_BYTES
+from .messageserver import MessageServer
+
+SCHEME = "tcp://"
 
 SEND_QUEUE_MESSAGES = 16
-RECEIVE_QUEUE_MESSAGES = 1_024
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 5_000
-RECEIVE_RETRY_MS = 100
 
 
 class PynngTransport:
@@ -30,31 +30,31 @@
     Parameters
     ----------
     listen : str
-        ``tcp://IP:PORT`` to pull at; port 0 selects a free port.
+        ``tcp://IP:PORT`` to receive at; port 0 selects a free port.
     metrics : Metrics
         Counters of dropped messages.
+    budget : CallerBudget or None
+        Counts what is received; None for one with the limits of the machine.
     """
 
-    def __init__(self, listen: str, metrics: Metrics):
+    def __init__(
+        self, listen: str, metrics: Metrics, budget: CallerBudget | None = None
+    ):
         self._listen = listen
         self._metrics = metrics
-        self._pull: pynng.Pull0 | None = None
+        self._server = MessageServer(budget)
         self._connections: dict[str, pynng.Push0] = {}
         self.address = listen
 
     def open(self) -> Failure | None:
         """Listen; return a failure if the address is already in use."""
-        pull = pynng.Pull0(
-            recv_buffer_size=RECEIVE_QUEUE_MESSAGES, recv_max_size=MAX_MESSAGE_BYTES
-        )
+        ip, _, port = self._listen.removeprefix(SCHEME).rpartition(":")
         try:
-            listener = pull.listen(self._listen)
-        except pynng.NNGException as error:
-            pull.close()
+            ip, bound_port = self._server.open(ip.strip("[]"), int(port))
+        except OSError as error:
             return Failure(Reason.UNAVAILABLE, "peers.listen", detail=str(error))
-        if self._listen.endswith(":0"):
-            self.address = _address(listener)
-        self._pull = pull
+        host = f"[{ip}]" if ":" in ip else ip
+        self.address = f"{SCHEME}{host}:{bound_port}"
         return None
 
     def send(self, address: str, data: bytes) -> None:
@@ -69,15 +69,7 @@
 
     async def receive(self) -> bytes:
         """Wait for the next message and return it."""
-        while self._pull is not None:
-            try:
-                return await self._pull.arecv()
-            except pynng.Closed:
-                break
-            except pynng.NNGException:
-                self._metrics.incr("peers.receive_failed")
-                await asyncio.sleep(RECEIVE_RETRY_MS / 1_000)
-        return await asyncio.get_running_loop().create_future()
+        return await self._server.receive()
 
     def retain_addresses(self, addresses: set[str]) -> None:
         """Close the connections to all other addresses."""
@@ -87,9 +79,7 @@
     async def close(self) -> None:
         """Close all sockets."""
         self.retain_addresses(set())
-        if self._pull is not None:
-            self._pull.close()
-            self._pull = None
+        self._server.close()
 
     def _connection_to(self, address: str) -> pynng.Push0:
         connection = self._connections.get(address)
@@ -107,8 +97,3 @@
         connection = self._connections.pop(address, None)
         if connection is not None:
             connection.close()
-
-
-def _address(listener: pynng.Listener) -> str:
-    """Return the address of a listener on a free port."""
-    return f"tcp://{listener.local_address}"
--- a/testing/crowds/gateway.py
+++ b/testing/crowds/gateway.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import re
+from collections.abc import Iterator
 
 from benchmarks.processes import CUSTOMER, Deployment, sha256
 
@@ -84,6 +85,9 @@
 
 GENERATION_PATH = "/v1/completions"
 
+PUSH_HEADER = b"\0SP\0\0\x50\0\0"
+"""What a push socket sends first."""
+
 
 class GatewayDeployment:
     """One entry instance with lowered limits, its platform and its endpoints.
@@ -170,3 +174,11 @@
     """Return the body of a generation that has very many small values."""
     start = b'{"model":"question","prompt":"which bole","max_tokens":5,"user":['
     return start + b"{}," * ((size_bytes - len(start) - 4) // 3) + b"{}]}"
+
+
+def garbage_messages(count: int, size_bytes: int) -> Iterator[bytes]:
+    """Return what an instance sends to another one, without a valid key."""
+    yield PUSH_HEADER
+    message = size_bytes.to_bytes(8, "big") + b"x" * size_bytes
+    for _ in range(count):
+        yield message
--- a/testing/crowds/test_gateway.py
+++ b/testing/crowds/test_gateway.py
@@ -11,6 +11,7 @@
     HANGING_PATH,
     ORDINARY_PATH,
     GatewayDeployment,
+    garbage_messages,
     large_generation,
 )
 from .requests import MAX_BODY_BYTES, RequestWriter, in_pieces, short_lines
@@ -86,6 +87,12 @@
         await self.press(800, lambda _: [], port=self.deployment.peer_port)
 
 
+class TestMessages(GatewayCase):
+    async def test_very_many_of_the_largest_size_that_nobody_authenticated(self):
+        port = self.deployment.peer_port
+        await self.press(100, lambda _: garbage_messages(10, MB), port=port)
+
+
 class TestSingleRequests(GatewayCase):
     """Guards against limits that a single request inside the classes' limits meets."""
 
