Bear a process without a limit of descriptors

Where the system sets no limit, its value is -1, from which one connection of all callers followed. It counts as the kernel's default for any process, 1,048,576.

testing.test_callerbudget.TestLimits.test_of_the_machine_are_the_default fails before.

--- a/src/_monsoonpulley/callerbudget.py
+++ b/src/_monsoonpulley/callerbudget.py
@@ -52,6 +52,9 @@
 FILE_DESCRIPTORS = 200
 """Descriptors that the platform reserves for files."""
 
+MAX_DESCRIPTORS = 1_048_576
+"""Descriptors of a process without a limit: the kernel's default for any process."""
+
 MAX_BACKLOG = 1_024
 """Connections that may wait to be accepted: all callers of a data centre at once."""
 
@@ -95,6 +98,8 @@
             memory_bytes = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
         if descriptor_count is None:
             descriptor_count, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+            if descriptor_count == resource.RLIM_INFINITY:
+                descriptor_count = MAX_DESCRIPTORS
         socket_count = max(descriptor_count - FILE_DESCRIPTORS, descriptor_count // 2)
         return cls(
             max_bytes=int(BYTES_SHARE * memory_bytes),
--- a/testing/test_callerbudget.py
+++ b/testing/test_callerbudget.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+import resource
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -220,9 +222,12 @@
         self.assertGreater(limits.max_large_bytes, 2 * 4_194_304)
 
     def test_of_the_machine_are_the_default(self):
-        limits = BudgetLimits.from_machine()
-        self.assertGreater(limits.max_bytes, 0)
-        self.assertGreater(limits.max_connections, 0)
+        for descriptor_limit in (1_024, resource.RLIM_INFINITY):
+            with mock.patch("resource.getrlimit", return_value=(descriptor_limit, 0)):
+                limits = BudgetLimits.from_machine()
+            self.assertGreater(limits.max_bytes, 0)
+            self.assertGreater(limits.max_connections, 400)
+            self.assertGreater(limits.backlog, 200)
 
 
 if __name__ == "__main__":
