Free what a lost connection has received

A connection, its parser and its requests refer to each other and are freed by the collector, some time after they were uncounted: callers that send most of a body and leave, again and again, would take memory that nothing counts.

testing.wire.test_serverconnection.TestBudget.test_a_lost_connection_keeps_nothing fails before; found when the diff was read again, not seen in a process.

--- a/src/_monsoonpulley/entry/callerprotocol.py
+++ b/src/_monsoonpulley/entry/callerprotocol.py
@@ -221,6 +221,10 @@
             self.budget.close(self._holding)
         self._is_refused = True
         self._drop_waiting()
+        # The connection and its requests refer to each other, and are freed late.
+        for request in self._requests:
+            if request.cycle is not None:
+                request.cycle.body = bytearray()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -291,6 +291,8 @@
         self._transport = None
         if self._holding is not None:
             self._budget.close(self._holding)
+        # The connection and its parser refer to each other, and are freed late.
+        self._forget_incoming()
         self._handle_disconnect()
         self._on_lost(self)
 
--- a/testing/wire/test_serverconnection.py
+++ b/testing/wire/test_serverconnection.py
@@ -167,6 +167,12 @@
         self.connection.connection_lost(None)
         self.assertEqual(self.budget.held_bytes, 0)
 
+    async def test_a_lost_connection_keeps_nothing(self):
+        self.connection.data_received(CHUNKED + b"2710\r\n" + b"x" * 10_000)
+        self.connection.connection_lost(None)
+        self.assertEqual(self.connection._body.take(), b"")
+        self.assertEqual(self.connection._headers, [])
+
     async def test_header_lines_count_as_objects(self):
         lines = b"".join(b"%x:\r\n" % number for number in range(1_000))
         self.connection.data_received(SMALL[:-2] + lines + b"a: b")
