Let callers that don't behave press on the soak's instances

Each instance of a run has crowds all the time, one after the other: idle connections, begun heads, bodies that don't end in large and in small chunks, heads of short lines, trailers; never a complete request.

The crowds draw from generators of their own, so that seeds give the faults that they gave. testing.soak.test_soak and test_promises hold (35 tests).

--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -14,6 +14,7 @@
     BURST,
     COLD_PER_S,
     ENDPOINTS,
+    LIMITS,
     LOCAL_ZONE,
     ROUTE_TIMEOUT_MS,
     route_timeout_ms,
@@ -610,6 +611,16 @@
         yield f"{name} exited unexpectedly with code {code}"
 
 
+@check
+def limits_of_instances_kept(records: Records) -> Iterator[str]:
+    """An instance stays within its memory and descriptors, whatever callers send."""
+    if records.memory_mb > LIMITS["memory_mb"]:
+        yield f"{records.memory_mb:.0f} MB taken, {LIMITS['memory_mb']} allowed"
+    if records.descriptors > LIMITS["file_descriptors"]:
+        allowed = LIMITS["file_descriptors"]
+        yield f"{records.descriptors} descriptors open, {allowed} allowed"
+
+
 @check
 def service_recovers(records: Records) -> Iterator[str]:
     """Check that every instance serves again after the last disturbance."""
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -149,6 +149,9 @@
     """Ends of brittle endpoints; the cause is their service."""
     drained_ms: dict[str, int] = msgspec.field(default_factory=dict)
     exits: list[tuple[str, int]] = msgspec.field(default_factory=list)
+    memory_mb: float = 0.0
+    descriptors: int = 0
+    """The most that any instance has taken."""
     healed_ms: int = 0
     served_again_ms: dict[str, int] = msgspec.field(default_factory=dict)
 
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -11,6 +11,7 @@
 
 from .callers import CONNECTIONS_PER_INSTANCE, REPORTS_PER_INSTANCE, Caller
 from .faults import FAULTS, schedule
+from .misbehaving import MisbehavingCallers, measure_instances
 from .promises import RECOVERY_TIMEOUT_MS, STABLE_MS, find_violations
 from .records import Records
 from .world import World, encode_records
@@ -75,8 +76,15 @@
             for name in world.instances
             for number in range(REPORTS_PER_INSTANCE)
         ]
+        # Their own generators: the others draw as they did without them.
+        misbehaving = [
+            MisbehavingCallers(world, name, random.Random(f"{plan.seed}-{name}"))
+            for name in world.instances
+        ]
         caller_tasks = [asyncio.create_task(caller.run()) for caller in callers]
         caller_tasks += [asyncio.create_task(r.run_reports()) for r in reporters]
+        caller_tasks += [asyncio.create_task(each.run()) for each in misbehaving]
+        caller_tasks.append(asyncio.create_task(measure_instances(world)))
         await asyncio.sleep(WARM_UP_S)
         await _play_faults(world, faults)
         await world.heal()
@@ -88,7 +96,7 @@
         for result in results:
             if isinstance(result, Exception):
                 raise result
-        for caller in (*callers, *reporters):
+        for caller in (*callers, *reporters, *misbehaving):
             caller.close()
     finally:
         await world.stop()
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -379,6 +379,13 @@
         seen = make_records(exits=[("instance-1", 1)])
         self.assert_violates("no_unexpected_exits", seen)
 
+    def test_limits_of_instances_kept(self):
+        for changes in ({"memory_mb": 121.0}, {"descriptors": 601}):
+            seen = make_records(**changes)
+            self.assert_violates("limits_of_instances_kept", seen)
+        seen = make_records(memory_mb=120.0, descriptors=600)
+        self.assertEqual(find_violations(seen), [])
+
     def test_service_recovers(self):
         seen = make_records(served_again_ms={"instance-1": -1})
         self.assert_violates("service_recovers", seen)
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -55,8 +55,8 @@
 """The users' values, but with usage windows so short that a duty's calls show its
 holder, and with budgets that faults use up."""
 
-LIMITS = {"memory_mb": 200, "file_descriptors": 4_100}
-"""Those of the users' smallest machines."""
+LIMITS = {"memory_mb": 120, "file_descriptors": 600}
+"""Less than the users' smallest machines have, so that small crowds use them up."""
 
 COLD_START_MS, COLD_PER_S = 3_000, 1.0
 """Time for which endpoints of "app" are cold after their start, and requests a second
