Say that callers are shed

"Yield" is not the field's word for requests that are refused to make room. The log line is `callers_shed`, the metrics `monsoonpulley_shed_callers` and `callers.shed.REASON`; reasons are `overdue`, `large`, `memory`, `idle`, `connections` and `refused connection`.

--- a/src/_monsoonpulley/callerbudget.py
+++ b/src/_monsoonpulley/callerbudget.py
@@ -1,13 +1,13 @@
-"""What the callers of a process hold together, and whose requests yield to others.
+"""What the callers of a process hold together, and whose requests are shed.
 
 Load addressed: callers that send much and don't finish, that read no answers, or that
 open very many connections. All that a process keeps for its callers is counted in one
 budget, as it is kept: objects, not only bytes. While the budget suffices, nobody is
-limited. When it runs short, those yield first that hold something for longer than a
+limited. When it runs short, those are shed first that hold something for longer than a
 request takes to arrive; then large requests, the newest first, so that those that began
 earlier can finish; other requests last.
 
-Requests that are being served don't yield: their callers have their answer soon.
+Requests that are being served are not shed: their callers have their answer soon.
 """
 
 from __future__ import annotations
@@ -37,8 +37,8 @@
 body of the largest kind that users send, 72 KB, twice. One that takes more is large."""
 
 RELIEF_SHARE = 0.875
-"""Share of a limit down to which overdue callers yield at once, so that the next bytes
-don't start another search."""
+"""Share of a limit down to which overdue callers are shed at once, so that the next
+bytes don't start another search."""
 
 GRACE_MS = 1_000
 """Time within which a request may arrive, whatever its size: a lost packet is sent$
@@ -113,13 +113,13 @@
         return int(LARGE_SHARE * self.max_bytes)
 
 
-class CallersYielded(Decision, frozen=True, tag="callers_yielded", kw_only=True):
-    """Callers that yielded since the line before, and what all hold.
+class CallersShed(Decision, frozen=True, tag="callers_shed", kw_only=True):
+    """Callers that were shed since the line before, and what all hold.
 
     Attributes
     ----------
-    yielded : dict
-        Number of callers by the reason for which they yielded.
+    shed : dict
+        Number of callers that were shed, by reason.
     refused_statuses : dict
         Number of malformed, oversized and late requests by the status of their answer.
     held_bytes, max_bytes : int
@@ -130,7 +130,7 @@
         Open connections, and their limit.
     """
 
-    yielded: dict[str, int]
+    shed: dict[str, int]
     refused_statuses: dict[str, int]
     held_bytes: int
     max_bytes: int
@@ -238,7 +238,7 @@
         self.large_bytes = 0
         self._holdings: set[Holding] = set()
         self._large: set[Holding] = set()
-        self._yielded: Counter[str] = Counter()
+        self._shed_counts: Counter[str] = Counter()
         self._refused_statuses: Counter[str] = Counter()
 
     @property
@@ -271,7 +271,7 @@
         if len(self._holdings) >= self.limits.max_connections:
             self._disconnect_some()
         if len(self._holdings) >= self.limits.max_connections:
-            self._yielded["no room for a connection"] += 1
+            self._shed_counts["refused connection"] += 1
             return None
         holding = Holding(caller, now_ms)
         self._holdings.add(holding)
@@ -316,7 +316,7 @@
         return not self.is_short
 
     def relieve(self, now_ms: int) -> None:
-        """Let callers yield until the budget suffices, or nobody is left who can."""
+        """Shed callers until the budget suffices, or nothing pending is left."""
         if self.is_short_for_large:
             self._relieve_of_large(now_ms)
         if self.is_short:
@@ -326,13 +326,13 @@
         """Count a request that was refused as malformed, too large or too late."""
         self._refused_statuses[str(int(status))] += 1
 
-    def take_report(self) -> CallersYielded | None:
+    def take_report(self) -> CallersShed | None:
         """Return what has happened since the last report; None if nothing has."""
-        if not self._yielded and not self._refused_statuses:
+        if not self._shed_counts and not self._refused_statuses:
             return None
-        report = CallersYielded(
+        report = CallersShed(
             rule="overdue_then_newest_large",
-            yielded=dict(self._yielded),
+            shed=dict(self._shed_counts),
             refused_statuses=dict(self._refused_statuses),
             held_bytes=self.held_bytes,
             max_bytes=self.limits.max_bytes,
@@ -340,7 +340,7 @@
             connections=len(self._holdings),
             max_connections=self.limits.max_connections,
         )
-        self._yielded.clear()
+        self._shed_counts.clear()
         self._refused_statuses.clear()
         return report
 
@@ -358,34 +358,34 @@
             self._large.add(holding)
 
     def _relieve_of_large(self, now_ms: int) -> None:
-        """Let large requests yield, until the others have their share again."""
+        """Shed large requests, until the others have their share again."""
         relieved_bytes = RELIEF_SHARE * self.limits.max_large_bytes
         for holding in _by_overdue(self._large, now_ms):
             if self.large_bytes <= relieved_bytes:
                 return
-            self._let_yield(holding, "overdue")
+            self._shed(holding, "overdue")
         for holding in _by_newest(self._large):
             if not self.is_short_for_large:
                 return
-            self._let_yield(holding, "large")
+            self._shed(holding, "large")
 
     def _relieve_of_all(self, now_ms: int) -> None:
         relieved_bytes = RELIEF_SHARE * self.limits.max_bytes
         for holding in _by_overdue(self._holdings, now_ms):
             if self.held_bytes <= relieved_bytes:
                 return
-            self._let_yield(holding, "overdue")
+            self._shed(holding, "overdue")
         for holding in _by_newest(self._large):
             if not self.is_short:
                 return
-            self._let_yield(holding, "large")
+            self._shed(holding, "large")
         if not self.is_short:
             return
         pending = [h for h in self._holdings if h.pending_bytes]
         for holding in sorted(pending, key=lambda h: -h.pending_bytes):
             if self.held_bytes <= relieved_bytes:
                 return
-            self._let_yield(holding, "budget used up")
+            self._shed(holding, "memory")
 
     def _disconnect_some(self) -> None:
         """Close connections that are idle or receive for longest, several at once."""
@@ -398,13 +398,13 @@
         for holding in [*idle, *receiving]:
             if len(self._holdings) <= left_count:
                 return
-            reason = "idle" if holding.stage is Stage.IDLE else "connections used up"
-            self._yielded[reason] += 1
+            reason = "idle" if holding.stage is Stage.IDLE else "connections"
+            self._shed_counts[reason] += 1
             self.close(holding)
             holding.caller.disconnect()
 
-    def _let_yield(self, holding: Holding, reason: str) -> None:
-        self._yielded[reason] += 1
+    def _shed(self, holding: Holding, reason: str) -> None:
+        self._shed_counts[reason] += 1
         holding.caller.drop_pending()
 
 
--- a/src/_monsoonpulley/entry/callerprotocol.py
+++ b/src/_monsoonpulley/entry/callerprotocol.py
@@ -477,8 +477,8 @@
         if request.is_complete:
             return
         # The application, which waits for the body, answers.
-        has_yielded = status == HTTPStatus.SERVICE_UNAVAILABLE
-        request.refusal = no_room() if has_yielded else malformed()
+        was_shed = status == HTTPStatus.SERVICE_UNAVAILABLE
+        request.refusal = no_room() if was_shed else malformed()
         request.body_bytes = 0
         cycle.body = bytearray(WAKE_BYTE)
         cycle.message_event.set()
--- a/src/_monsoonpulley/entry/daemon.py
+++ b/src/_monsoonpulley/entry/daemon.py
@@ -34,7 +34,7 @@
 """A packet of a request that is lost on its way is sent again within it."""
 
 REPORT_INTERVAL_MS = 1_000
-"""Interval of logging which callers yielded, and of measuring what all hold."""
+"""Interval of logging which callers were shed, and of measuring what all hold."""
 
 CLOSE_MARGIN_MS = 200
 """Time before the deadline of a stop that is left for closing all connections."""
@@ -133,8 +133,8 @@
             report = budget.take_report()
             if report is None:
                 continue
-            for reason, count in report.yielded.items():
-                metrics.incr(f"callers.yielded.{reason.replace(' ', '_')}", count)
+            for reason, count in report.shed.items():
+                metrics.incr(f"callers.shed.{reason.replace(' ', '_')}", count)
             for status, count in report.refused_statuses.items():
                 metrics.incr(f"callers.refused.{status}", count)
             self._log.decision(report)
--- a/src/_monsoonpulley/gateway/body.py
+++ b/src/_monsoonpulley/gateway/body.py
@@ -49,7 +49,7 @@
 
 
 def no_room() -> Failure:
-    """Return the failure of a request that yields to others, and never runs."""
+    """Return the failure of a request that is shed, and never runs."""
     detail = "callers hold too much together; send the request again"
     return Failure(Reason.OVERLOADED, STEP, "", detail)
 
--- a/src/_monsoonpulley/ingress/counters.py
+++ b/src/_monsoonpulley/ingress/counters.py
@@ -97,8 +97,8 @@
             "Open connections of callers, on all ports.",
             registry=self.registry,
         )
-        self.yielded_callers = Counter(
-            "monsoonpulley_yielded_callers",
+        self.shed_callers = Counter(
+            "monsoonpulley_shed_callers",
             "Callers that were refused or disconnected to make room, by reason.",
             ("reason",),
             registry=self.registry,
--- a/src/_monsoonpulley/ingress/service.py
+++ b/src/_monsoonpulley/ingress/service.py
@@ -670,15 +670,15 @@
         self._decide_readiness()
 
     def _report_callers(self) -> None:
-        """Log which callers yielded, once a tick, and measure what all hold."""
+        """Log which callers were shed, once a tick, and measure what all hold."""
         budget, counters = self.parts.caller_budget, self.counters
         counters.caller_bytes.set(budget.held_bytes)
         counters.caller_connections.set(budget.connection_count)
         report = budget.take_report()
         if report is None:
             return
-        for reason, count in report.yielded.items():
-            counters.yielded_callers.labels(reason).inc(count)
+        for reason, count in report.shed.items():
+            counters.shed_callers.labels(reason).inc(count)
         for status, count in report.refused_statuses.items():
             counters.refused_messages.labels(status).inc(count)
         self.log.decision(report)
--- a/src/_monsoonpulley/wire/messagemeter.py
+++ b/src/_monsoonpulley/wire/messagemeter.py
@@ -23,8 +23,7 @@
 of the users' links; without a limit it would keep megabytes for one that isn't read."""
 
 RETRY_AFTER_S = 1
-"""When a caller may return that had to yield: those that hold too much are overdue by
-then."""
+"""When a caller may return that was shed: those that hold too much are overdue then."""
 
 
 class MessageMeter:
--- a/testing/entry/test_callerprotocol.py
+++ b/testing/entry/test_callerprotocol.py
@@ -175,7 +175,7 @@
 class TestBudget(ProtocolCase):
     """Guards against memory that is not counted, and against untrue refusals."""
 
-    async def test_a_body_that_yields_is_refused_and_never_used(self):
+    async def test_a_body_that_is_shed_is_refused_and_never_used(self):
         reader, writer = await self.connect()
         writer.write(CHUNKED + b"4\r\nwork\r\n")
         await self.wait_until(lambda: self.started_count)
@@ -220,7 +220,7 @@
         self.assertIn(b"Retry-After: 1\r\n", got)
         self.assertEqual(self.started_count, 3)
 
-    async def test_idle_connections_yield_to_new_ones(self):
+    async def test_idle_connections_make_room_for_new_ones(self):
         for _ in range(3 * self.max_connections):
             await self.connect()
         reader, writer = await self.connect()
--- a/testing/peers/test_messageserver.py
+++ b/testing/peers/test_messageserver.py
@@ -97,7 +97,7 @@
             while self.budget.held_bytes:
                 await asyncio.sleep(0.01)
 
-    async def test_connections_without_messages_yield_to_a_sender(self):
+    async def test_connections_without_messages_make_room_for_a_sender(self):
         _, sender = await self.connect()
         sender.write(PUSH_HEADER + frame(b"first"))
         self.assertEqual(await self.receive(), b"first")
--- a/testing/test_callerbudget.py
+++ b/testing/test_callerbudget.py
@@ -1,4 +1,4 @@
-"""Whose requests yield while callers hold too much, without a network."""
+"""Whose requests are shed while callers hold too much, without a network."""
 
 from __future__ import annotations
 
@@ -64,13 +64,13 @@
 class TestMemory(BudgetCase):
     """Guards against callers that take the memory of a process, or of one another."""
 
-    def test_nobody_yields_while_the_budget_suffices(self):
+    def test_nobody_is_shed_while_the_budget_suffices(self):
         for client in self.clients(6):
             client.receive(0, 4 * MB)
         self.budget.relieve(3_600_000)
         self.assertIsNone(self.budget.take_report())
 
-    def test_those_that_do_not_finish_yield_first(self):
+    def test_those_that_do_not_finish_are_shed_first(self):
         stalled = self.clients(7)
         for client in stalled:
             client.receive(0, 4 * MB, moved_bytes=4 * MB)
@@ -84,7 +84,7 @@
         self.assertTrue(any(client.has_dropped for client in stalled))
         self.assertFalse(self.budget.is_short_for_large)
 
-    def test_of_large_requests_that_arrive_well_the_newest_yields(self):
+    def test_of_large_requests_that_arrive_well_the_newest_is_shed(self):
         clients = self.clients(10)
         for number, client in enumerate(clients):
             client.receive(number, 4 * MB, moved_bytes=4 * MB)
@@ -112,7 +112,7 @@
         self.assertTrue(slow.has_dropped)
         self.assertFalse(fast.has_dropped)
 
-    def test_requests_that_are_served_do_not_yield(self):
+    def test_requests_that_are_served_are_not_shed(self):
         for client in (clients := self.clients(20)):
             client.serve(0, 4 * MB)
         (asking,) = self.clients(1)
@@ -121,7 +121,7 @@
         self.assertFalse(any(client.has_dropped for client in clients))
         self.assertTrue(asking.has_dropped)
 
-    def test_many_small_ones_yield_to_the_limit(self):
+    def test_many_small_ones_are_shed_to_the_limit(self):
         for client in (clients := self.clients(90)):
             client.receive(0, 500_000)
         self.budget.relieve(0)
@@ -143,7 +143,7 @@
         self.budget.relieve(3_600_000)
         self.budget.record_refusal(431)
         report = self.budget.take_report()
-        self.assertGreater(report.yielded["overdue"], 12)
+        self.assertGreater(report.shed["overdue"], 12)
         self.assertEqual(report.refused_statuses, {"431": 1})
         self.assertEqual(report.connections, 20)
         self.assertIsNone(self.budget.take_report())
--- a/testing/wire/test_serverconnection.py
+++ b/testing/wire/test_serverconnection.py
@@ -187,7 +187,7 @@
         self.connection.check_timeouts(self.clock.now_ms())
         self.assertEqual(self.held()[2], 0)
 
-    async def test_a_request_that_yields_is_refused_and_never_begun(self):
+    async def test_a_request_that_is_shed_is_refused_and_never_begun(self):
         self.connection.data_received(CHUNKED + b"4\r\nwo")
         self.connection.drop_pending()
         self.assertTrue(self.transport.written.startswith(b"HTTP/1.1 503 "))
@@ -196,7 +196,7 @@
         self.assertEqual(self.exchanges, [])
         self.assertEqual(self.held()[2], 0)
 
-    async def test_a_request_in_progress_is_answered_before_one_that_yields(self):
+    async def test_a_request_in_progress_is_answered_before_one_that_is_shed(self):
         self.connection.data_received(SMALL + CHUNKED + b"4\r\nwo")
         self.connection.drop_pending()
         self.assertEqual(self.transport.written, b"")
