--- a/src/_monsoonpulley/entry/callerprotocol.py
+++ b/src/_monsoonpulley/entry/callerprotocol.py
@@ -4,12 +4,10 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
 import msgspec
-from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
     RequestResponseCycle,
@@ -26,6 +24,7 @@
     MessageMeter,
     refusal,
 )
+from .callertransport import LINGER_MS, CallerFlow, LingeringTransport
 
 CONNECTION_BYTES = 8_192
 """Memory of a connection without a request."""
@@ -41,10 +40,6 @@
 BODY_COPIES = 2
 """A body is kept for another attempt while a copy of it is written to an endpoint."""
 
-LINGER_MS = 1_000
-"""How long the rest of a body is read whose request was answered: a close with unread
-bytes resets the connection, and the answer could be lost on its way."""
-
 WAKE_BYTE = b"\0"
 """Wakes an application that waits for a body which was dropped; it is never used."""
 
@@ -113,56 +108,6 @@
         self._protocol.count()
 
 
-class CallerFlow(FlowControl):
-    """Flow control that reads on only while few requests wait.
-
-    The application resumes reading whenever it waits for its caller to disconnect.
-    """
-
-    is_full = False
-
-    def resume_reading(self) -> None:
-        """Resume reading unless enough requests wait."""
-        if not self.is_full:
-            super().resume_reading()
-
-
-class LingeringTransport:
-    """A transport that is closed late if its caller may still be sending.
-
-    Parameters
-    ----------
-    transport : asyncio.Transport
-        The transport.
-    is_receiving : callable
-        Returns whether a request is incomplete or its rest is discarded.
-    """
-
-    def __init__(self, transport: asyncio.Transport, is_receiving: Callable[[], bool]):
-        self._transport = transport
-        self._is_receiving = is_receiving
-        self._is_lingering = False
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._transport, name)
-
-    def is_closing(self) -> bool:
-        """Return whether the transport is closed, or will be."""
-        return self._is_lingering or self._transport.is_closing()
-
-    def close(self) -> None:
-        """Close the transport, once its caller has presumably read the answer."""
-        if self.is_closing():
-            return
-        if not self._is_receiving() or not self._transport.can_write_eof():
-            self._transport.close()
-            return
-        self._is_lingering = True
-        self._transport.write_eof()
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_MS / 1000, self._transport.close)
-
-
 class CallerProtocol(HttpToolsProtocol):
     """A caller's connection.
 
