Wait until a message server's connections are closed

A sender that writes before it puts all that it has queued into connections whose receiver has ended, and nothing is left for the next one. The library's own socket closes at once.

close() waits until all connections are closed.

--- a/src/_monsoonpulley/peers/messageserver.py
+++ b/src/_monsoonpulley/peers/messageserver.py
@@ -109,8 +109,11 @@
                 connection.resume()
         return message
 
-    def close(self) -> None:
-        """Close the address and all connections."""
+    async def close(self) -> None:
+        """Close the address and all connections, and wait until they are.
+
+        Until then senders don't know, and what they send is lost.
+        """
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -119,6 +122,8 @@
             self._listener = None
         for connection in list(self._connections):
             connection.disconnect()
+        while self._connections:
+            await asyncio.sleep(0)
 
     def put(self, message: bytes) -> None:
         """Add a message that has arrived."""
--- a/src/_monsoonpulley/peers/pynng_transport.py
+++ b/src/_monsoonpulley/peers/pynng_transport.py
@@ -79,7 +79,7 @@
     async def close(self) -> None:
         """Close all sockets."""
         self.retain_addresses(set())
-        self._server.close()
+        await self._server.close()
 
     def _connection_to(self, address: str) -> pynng.Push0:
         connection = self._connections.get(address)
--- a/testing/peers/test_messageserver.py
+++ b/testing/peers/test_messageserver.py
@@ -28,7 +28,7 @@
     async def asyncSetUp(self):
         self.budget = CallerBudget(BudgetLimits(10_000_000, 8))
         self.server = MessageServer(self.budget)
-        self.addCleanup(self.server.close)
+        self.addAsyncCleanup(self.server.close)
         self.address = self.server.open("127.0.0.1", 0)
 
     async def connect(self):
@@ -62,6 +62,15 @@
         self.assertEqual([await self.receive() for _ in messages], messages)
         self.assertEqual(await reader.readexactly(len(PULL_HEADER)), PULL_HEADER)
 
+    async def test_a_closed_server_has_no_connection_that_senders_could_use(self):
+        """Guards against messages that are sent to an instance that has ended."""
+        _, writer = await self.connect()
+        writer.write(PUSH_HEADER + frame(b"first"))
+        await self.receive()
+        await self.server.close()
+        self.assertEqual(self.server._connections, set())
+        self.assertEqual(self.budget.connection_count, 0)
+
     async def test_another_header_closes_the_connection(self):
         reader, writer = await self.connect()
         writer.write(b"GET / HTTP/1.1\r\n\r\n")
