Mend two texts of the callers' budget

A replacement had left a stray sign in the reason of GRACE_MS, and the one of ORDINARY_BYTES left out heads of very many short lines, which are large. Texts only; the tests of the budget hold.

--- a/src/_monsoonpulley/callerbudget.py
+++ b/src/_monsoonpulley/callerbudget.py
@@ -33,16 +33,17 @@
 """Share of the budget for large requests; the rest is for ordinary ones alone."""
 
 ORDINARY_BYTES = 262_144
-"""What an ordinary request takes at most: a head of the default maximum size, and a
-body of the largest kind that users send, 72 KB, twice. One that takes more is large."""
+"""What an ordinary request takes at most: a head of 16 KB in lines of ordinary length,
+and a body of the largest kind that users send, 72 KB, twice. One that takes more is
+large, as is a head of very many short lines."""
 
 RELIEF_SHARE = 0.875
 """Share of a limit down to which overdue callers are shed at once, so that the next
 bytes don't start another search."""
 
 GRACE_MS = 1_000
-"""Time within which a request may arrive, whatever its size: a lost packet is sent$
-within it, and it is as long as callers wait for a connection."""
+"""Time within which a request may arrive, whatever its size: a lost packet is sent
+again within it, and callers wait as long for a connection."""
 
 MIN_BYTES_PER_MS = 64
 """Rate at which a request arrives after `GRACE_MS`, and at which its answer is read,
