Shed answers that are being read last

Callers whose large answer has just been written could be reset while they read it, though their request had run: when large requests held more than their share, the newest were shed, and an answer that is not read to its end counted like an incomplete request. The docs say that requests which are served are not shed.

The budget knows now what of a connection's holding is an unread answer. Such callers are shed when they are overdue, as before, or last of all, those first whose answer has been unread for longest.

Found when the diff was read again; two of the five tests of testing.test_callerbudget.TestSoundCallers fail before. The other three hold before too: an answer that is read slowly but well, a standstill of the process, which makes sound callers look overdue, and a small late request beside large ones.

--- a/src/_monsoonpulley/callerbudget.py
+++ b/src/_monsoonpulley/callerbudget.py
@@ -5,7 +5,8 @@
 budget, as it is kept: objects, not only bytes. While the budget suffices, nobody is
 limited. When it runs short, those are shed first that hold something for longer than a
 request takes to arrive; then large requests, the newest first, so that those that began
-earlier can finish; other requests last.
+earlier can finish; then other requests. Answers that are being read come last of all,
+those that have been unread for longest first: their requests have run.
 
 Requests that are being served are not shed: their callers have their answer soon.
 """
@@ -179,6 +180,8 @@
     pending_bytes : int
         Memory of what its caller has not finished: requests that are incomplete or wait
         behind another one, and answers that it hasn't read.
+    unread_bytes : int
+        What of that is an answer that the caller hasn't read.
     since_ms : int
         Monotonic time since which something is pending, or the connection is idle.
     moved_bytes : int
@@ -195,6 +198,7 @@
         "pending_bytes",
         "since_ms",
         "stage",
+        "unread_bytes",
     )
 
     def __init__(self, caller: Caller, opened_ms: int):
@@ -202,6 +206,7 @@
         self.stage = Stage.IDLE
         self.kept_bytes = 0
         self.pending_bytes = 0
+        self.unread_bytes = 0
         self.since_ms = opened_ms
         self.moved_bytes = 0
         self.has_served = False
@@ -292,10 +297,12 @@
         now_ms: int,
         kept_bytes: int,
         pending_bytes: int,
+        unread_bytes: int = 0,
     ) -> None:
         """Set what a connection does and holds, until it is closed.
 
-        The budget may be short after it; see `relieve`.
+        The budget may be short after it; see `relieve`. The attributes of `Holding`
+        say what the figures are.
         """
         if holding not in self._holdings:
             return
@@ -303,6 +310,7 @@
             holding.since_ms = now_ms
             holding.moved_bytes = 0
         holding.stage = stage
+        holding.unread_bytes = unread_bytes
         holding.has_served |= stage is Stage.SERVING
         self._set_bytes(holding, kept_bytes, pending_bytes)
 
@@ -365,7 +373,7 @@
             if self.large_bytes <= relieved_bytes:
                 return
             self._shed(holding, "overdue")
-        for holding in _by_newest(self._large):
+        for holding in [*_by_newest(self._large), *_by_longest_unread(self._large)]:
             if not self.is_short_for_large:
                 return
             self._shed(holding, "large")
@@ -382,8 +390,9 @@
             self._shed(holding, "large")
         if not self.is_short:
             return
-        pending = [h for h in self._holdings if h.pending_bytes]
-        for holding in sorted(pending, key=lambda h: -h.pending_bytes):
+        incomplete = _by_newest(self._holdings)
+        incomplete.sort(key=lambda holding: -holding.pending_bytes)
+        for holding in [*incomplete, *_by_longest_unread(self._holdings)]:
             if self.held_bytes <= relieved_bytes:
                 return
             self._shed(holding, "memory")
@@ -421,5 +430,12 @@
 
 
 def _by_newest(holdings: Iterable[Holding]) -> list[Holding]:
-    pending = [holding for holding in holdings if holding.pending_bytes]
-    return sorted(pending, key=lambda holding: -holding.since_ms)
+    """Return those of incomplete requests, first those that began last."""
+    incomplete = [h for h in holdings if h.pending_bytes and not h.unread_bytes]
+    return sorted(incomplete, key=lambda holding: -holding.since_ms)
+
+
+def _by_longest_unread(holdings: Iterable[Holding]) -> list[Holding]:
+    """Return those of answers that are not read to their end, the oldest first."""
+    unread = [holding for holding in holdings if holding.unread_bytes]
+    return sorted(unread, key=lambda holding: holding.since_ms)
--- a/src/_monsoonpulley/entry/callerprotocol.py
+++ b/src/_monsoonpulley/entry/callerprotocol.py
@@ -332,7 +332,12 @@
         elif pending_bytes:
             stage = Stage.RECEIVING
         self.budget.update(
-            self._holding, stage, self._clock.now_ms(), kept_bytes, pending_bytes
+            self._holding,
+            stage,
+            self._clock.now_ms(),
+            kept_bytes,
+            pending_bytes,
+            self._unsent_bytes,
         )
 
     def _incoming_head_bytes(self) -> int:
--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -479,7 +479,12 @@
         elif pending_bytes:
             stage = Stage.RECEIVING
         self._budget.update(
-            holding, stage, self._last_used_ms, kept_bytes, pending_bytes
+            holding,
+            stage,
+            self._last_used_ms,
+            kept_bytes,
+            pending_bytes,
+            self._unsent_bytes,
         )
 
     def _count_unsent(self) -> None:
--- a/testing/test_callerbudget.py
+++ b/testing/test_callerbudget.py
@@ -38,6 +38,13 @@
         self._update(Stage.RECEIVING, now_ms, CONNECTION_BYTES, pending_bytes)
         self.holding.moved_bytes = moved_bytes
 
+    def answer(self, now_ms: int, unread_bytes: int, moved_bytes: int = 0) -> None:
+        """Hold an answer that the caller has not read yet."""
+        self._update(
+            Stage.RECEIVING, now_ms, CONNECTION_BYTES, unread_bytes, unread_bytes
+        )
+        self.holding.moved_bytes = moved_bytes
+
     def serve(self, now_ms: int, kept_bytes: int) -> None:
         """Hold a complete request that is being served."""
         self._update(Stage.SERVING, now_ms, kept_bytes, 0)
@@ -49,8 +56,17 @@
     def disconnect(self) -> None:
         self.is_disconnected = True
 
-    def _update(self, stage: Stage, now_ms: int, kept_bytes: int, pending_bytes: int):
-        self.budget.update(self.holding, stage, now_ms, kept_bytes, pending_bytes)
+    def _update(
+        self,
+        stage: Stage,
+        now_ms: int,
+        kept_bytes: int,
+        pending_bytes: int,
+        unread_bytes: int = 0,
+    ) -> None:
+        self.budget.update(
+            self.holding, stage, now_ms, kept_bytes, pending_bytes, unread_bytes
+        )
 
 
 class BudgetCase(unittest.TestCase):
@@ -149,6 +165,57 @@
         self.assertIsNone(self.budget.take_report())
 
 
+class TestSoundCallers(BudgetCase):
+    """Guards against callers that are shed as they look like those that misbehave."""
+
+    def test_an_answer_that_is_being_read_is_kept_beside_incomplete_requests(self):
+        for number, client in enumerate(self.clients(7)):
+            client.receive(number, 4 * MB, moved_bytes=4 * MB)
+        (reader,) = self.clients(1, now_ms=10)
+        reader.answer(10, 4 * MB)
+        self.budget.relieve(10)
+        self.assertFalse(reader.has_dropped)
+        self.assertFalse(self.budget.is_short_for_large)
+
+    def test_of_answers_that_of_longest_unread_is_shed_first(self):
+        clients = self.clients(8)
+        for number, client in enumerate(clients):
+            client.answer(number, 4 * MB)
+        self.budget.relieve(10)
+        dropped = [client.has_dropped for client in clients]
+        self.assertEqual(dropped, [True] + [False] * 7)
+
+    def test_an_answer_that_is_read_slowly_but_well_is_no_fault(self):
+        stalled, reader = self.clients(2)
+        for client in (stalled, reader):
+            client.answer(0, 16 * MB)
+        now_ms = 10_000
+        reader.holding.moved_bytes = MIN_BYTES_PER_MS * now_ms
+        self.budget.relieve(now_ms)
+        self.assertTrue(stalled.has_dropped)
+        self.assertFalse(reader.has_dropped)
+
+    def test_after_a_standstill_those_that_stalled_before_are_shed_first(self):
+        stalled = self.clients(7)
+        for client in stalled:
+            client.receive(0, 4 * MB, moved_bytes=4 * MB)
+        frozen_ms, woken_ms = 70_000, 75_000
+        (sound,) = self.clients(1, now_ms=frozen_ms)
+        sound.receive(frozen_ms, 4 * MB, moved_bytes=100_000)
+        self.assertGreater(sound.holding.overdue_ms(woken_ms), 0)
+        self.budget.relieve(woken_ms)
+        self.assertFalse(sound.has_dropped)
+        self.assertTrue(any(client.has_dropped for client in stalled))
+
+    def test_a_small_request_that_is_late_stays_beside_large_ones(self):
+        (late,) = self.clients(1)
+        late.receive(0, 20_000, moved_bytes=100)
+        for client in self.clients(11):
+            client.receive(0, 4 * MB, moved_bytes=4 * MB)
+        self.budget.relieve(3_600_000)
+        self.assertFalse(late.has_dropped)
+
+
 class TestConnections(BudgetCase):
     """Guards against callers that take all connections of a process."""
 
