Date an unread answer by the time it is written

A caller of the ingress that got the first large piece of a stream from a slow endpoint counted as overdue at once: what it had not read was dated by the arrival of its request, 10 s before in the test, and such callers are shed first when the budget is short.

Each change of what a connection holds is dated by the clock now, as in the gateway.

Found when the diff was read again: testing.wire.test_serverconnection.test_an_answer_is_unread_since_it_was_written fails before (overdue for 9,000 ms).

--- a/src/_monsoonpulley/wire/serverconnection.py
+++ b/src/_monsoonpulley/wire/serverconnection.py
@@ -481,7 +481,7 @@
         self._budget.update(
             holding,
             stage,
-            self._last_used_ms,
+            self._clock.now_ms(),
             kept_bytes,
             pending_bytes,
             self._unsent_bytes,
--- a/testing/wire/test_serverconnection.py
+++ b/testing/wire/test_serverconnection.py
@@ -187,6 +187,18 @@
         self.connection.check_timeouts(self.clock.now_ms())
         self.assertEqual(self.held()[2], 0)
 
+    async def test_an_answer_is_unread_since_it_was_written(self):
+        """Guards against callers that are blamed for the time of a slow endpoint."""
+        self.connection.data_received(SMALL)
+        self.clock.advance_ms(10_000)
+        self.transport.unsent_bytes = 50_000
+        self.exchanges[0].start(200, [])
+        holding = self.connection._holding
+        self.assertEqual(holding.unread_bytes, 50_000)
+        self.assertLess(holding.overdue_ms(self.clock.now_ms()), 0)
+        self.clock.advance_ms(5_000)
+        self.assertGreater(holding.overdue_ms(self.clock.now_ms()), 0)
+
     async def test_a_request_that_is_shed_is_refused_and_never_begun(self):
         self.connection.data_received(CHUNKED + b"4\r\nwo")
         self.connection.drop_pending()
