Count malformed messages, and test unread answers of the gateway

Connections to the port for other instances that were closed for a wrong header, a late one or a message over 1 MB were counted nowhere: a crowd there left no line.

--- a/src/_monsoonpulley/callerbudget.py
+++ b/src/_monsoonpulley/callerbudget.py
@@ -335,6 +335,10 @@
         """Count a request that was refused as malformed, too large or too late."""
         self._refused_statuses[str(int(status))] += 1
 
+    def record_malformed_message(self) -> None:
+        """Count a connection of another protocol that was closed as malformed."""
+        self._shed_counts["malformed message"] += 1
+
     def take_report(self) -> CallersShed | None:
         """Return what has happened since the last report; None if nothing has."""
         if not self._shed_counts and not self._refused_statuses:
--- a/src/_monsoonpulley/peers/messageserver.py
+++ b/src/_monsoonpulley/peers/messageserver.py
@@ -219,7 +219,7 @@
             if len(buffer) < len(PUSH_HEADER):
                 return
             if not buffer.startswith(PUSH_HEADER):
-                self.disconnect()
+                self._reject()
                 return
             self._has_header = True
             del buffer[: len(PUSH_HEADER)]
@@ -229,7 +229,7 @@
                 return
             end = LENGTH_BYTES + int.from_bytes(buffer[:LENGTH_BYTES], "big")
             if end > LENGTH_BYTES + MAX_MESSAGE_BYTES:
-                self.disconnect()
+                self._reject()
                 return
             if len(buffer) < end:
                 return
@@ -260,4 +260,9 @@
 
     def _check_header(self) -> None:
         if not self._has_header:
-            self.disconnect()
+            self._reject()
+
+    def _reject(self) -> None:
+        """Close a connection that doesn't speak the protocol."""
+        self._server.budget.record_malformed_message()
+        self.disconnect()
--- a/testing/entry/test_callerprotocol.py
+++ b/testing/entry/test_callerprotocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 
 from starlette.applications import Starlette
@@ -47,6 +48,7 @@
                 Route("/body", self.read, methods=["POST"]),
                 Route("/early", self.answer_early, methods=["POST"]),
                 Route("/large", self.large),
+                Route("/answer", self.answer_at_length),
             ]
         )
         self.budget = CallerBudget(BudgetLimits(self.max_bytes, self.max_connections))
@@ -78,6 +80,9 @@
     async def answer_early(self, request: Request):
         return PlainTextResponse("no", 401)
 
+    async def answer_at_length(self, request: Request):
+        return PlainTextResponse("x" * 4 * MB)
+
     async def large(self, request: Request):
         held = holding_of(request).try_add(int(request.query_params["bytes"]))
         return PlainTextResponse("kept" if held else "refused")
@@ -197,6 +202,20 @@
         await reader.readuntil(b"}")
         await self.wait_until(lambda: self.budget.held_bytes < 0.1 * MB)
 
+    async def test_answers_that_are_not_read_are_shed_down_to_the_limit(self):
+        for _ in range(6):
+            sock = socket.socket()
+            self.addCleanup(sock.close)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, ("127.0.0.1", self.server.port))
+            await loop.sock_sendall(sock, SMALL.replace(b"/echo", b"/answer"))
+        await self.wait_until(lambda: self.budget.connection_count < 6)
+        self.assertLessEqual(self.budget.held_bytes, self.max_bytes)
+        self.assertGreater(self.budget.connection_count, 0)
+        self.assertIn("large", self.budget.take_report().shed)
+
     async def test_a_request_without_room_is_not_begun(self):
         self.budget.add_shared(self.max_bytes)
         got = await self.exchange(SMALL)
--- a/testing/peers/test_messageserver.py
+++ b/testing/peers/test_messageserver.py
@@ -51,6 +51,8 @@
             except ConnectionError:
                 pass
         self.assertFalse(receiving.done())
+        report = self.budget.take_report()
+        self.assertEqual(report.shed, {"malformed message": 1})
 
     async def test_messages_arrive_whole_and_in_order(self):
         reader, writer = await self.connect()
