--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -137,15 +137,13 @@
                 answer = asyncio.ensure_future(self.answer(request, writer))
                 left = asyncio.ensure_future(_wait_for_end(reader))
                 await asyncio.wait({answer, left}, return_when=asyncio.FIRST_COMPLETED)
-                if not answer.done():
-                    answer.cancel()
+                has_left = left.done()
+                if has_left and not answer.done():
                     self.on_caller_left(request)
-                    return
-                if left.done():
-                    return
-                left.cancel()
-                await asyncio.gather(left, return_exceptions=True)
-                if answer.result() is False:
+                for task in (answer, left):
+                    task.cancel()
+                results = await asyncio.gather(answer, left, return_exceptions=True)
+                if has_left or results[0] is not True:
                     return
         except (ConnectionError, OSError):
             pass
