--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A bad version is moved to all traffic while all workers fail in part."""
+"""A bad version is moved to all traffic, as sound workers fail now and then, too."""
 
 from __future__ import annotations
 
@@ -14,26 +14,26 @@
 from deployment import KEY, World, Worker, run_case, write  # noqa: E402
 
 WORK_S = 0.06
-GREY_SHARE, GREY_BEFORE_S, GREY_S = 0.45, 1.0, 2 * 6.5
-BAD_SHARE = 0.5
+USUAL_FAILURE_SHARE = 0.14
+BAD_SHARE = 0.25
 REQUESTS_PER_S, ROLLOUT_S = 50, 16
 CONFIGURATION = {
     "version": 1,
     "routes": [
         {
-            "name": "order",
+            "name": "record",
             "host": "service.example",
-            "prefix": "/order/",
-            "service": "desk",
-            "kind": "unsafe",
+            "prefix": "/record/",
+            "service": "records",
+            "kind": "safe",
             "timeout_ms": 4000,
             "target_latency_ms": 300,
             "priority": 0,
-            "max_attempts": 1,
+            "max_attempts": 2,
         }
     ],
     "services": [
-        {"name": "desk", "health_path": "/health", "max_connections": 400},
+        {"name": "records", "health_path": "/health", "max_connections": 400},
     ],
     "tenants": [{"name": "tenant", "api_keys": [KEY]}],
     "limits": {
@@ -49,7 +49,7 @@
     world = World(CASE)
     arrivals = {"v1": 0, "v2": 0}
     bad_answers = 0
-    is_counted = is_grey = False
+    is_counted = False
 
     async def run(worker: Worker, request, writer) -> bool:
         nonlocal bad_answers
@@ -57,7 +57,7 @@
             arrivals[worker.version] += 1
         world.note("runs", request.id, worker.id)
         await asyncio.sleep(WORK_S * random.uniform(0.7, 1.3))
-        fails = is_grey and random.random() < GREY_SHARE
+        fails = random.random() < USUAL_FAILURE_SHARE
         if has_trouble and worker.version == "v2":
             fails = fails or random.random() < BAD_SHARE
             bad_answers += fails
@@ -71,7 +71,7 @@
         return True
 
     def make(version: str, count: int) -> list[Worker]:
-        return [Worker(world, "desk", version, run, 6) for _ in range(count)]
+        return [Worker(world, "records", version, run, 6) for _ in range(count)]
 
     old, new = make("v1", 4), make("v2", 4)
     ends: dict[str, int] = {}
@@ -80,8 +80,8 @@
     async def ask(number: int) -> None:
         answer = await world.send(
             world.entries[number % len(world.entries)],
-            "/order/file",
-            body=b"an order",
+            "/record/one",
+            method="GET",
             deadline_ms=4000,
         )
         end = f"{answer.status} {answer.end}"
@@ -92,27 +92,17 @@
             answers.append(asyncio.ensure_future(ask(number)))
             await asyncio.sleep(1 / REQUESTS_PER_S)
 
-    async def disturb() -> None:
-        nonlocal is_grey
-        is_grey = has_trouble
-        world.note("workers fail in part:", is_grey)
-        await asyncio.sleep(GREY_S)
-        is_grey = False
-        world.note("workers fail in part:", is_grey)
-
     try:
         await world.start(CONFIGURATION, old, 2)
         asking = asyncio.ensure_future(ask_all())
         await asyncio.sleep(5)
-        disturbing = asyncio.ensure_future(disturb())
-        await asyncio.sleep(GREY_BEFORE_S)
         for worker in new:
             await worker.start()
         world.workers += new
         world.store.put(
             "op",
-            "rollout/desk",
-            {"service": "desk", "to": "v2", "duration_s": ROLLOUT_S},
+            "rollout/records",
+            {"service": "records", "to": "v2", "duration_s": ROLLOUT_S},
         )
         world.note("the operator orders v2, due in", ROLLOUT_S, "s")
         ends.clear()
@@ -120,17 +110,17 @@
         state = ""
         for _ in range(ROLLOUT_S * 10):
             await asyncio.sleep(0.1)
-            stored = (world.store.read_value("status", "rollout/desk") or b"").decode()
+            stored = (world.store.read_value("status", "rollout/records") or b"").decode()
             if stored != state:
                 state = stored
-                world.note("status/rollout/desk:", state)
+                world.note("status/rollout/records:", state)
                 if '"done"' in state:
                     for worker in old:
                         worker.leave()
                     world.note("the platform stops the old workers")
         is_counted = False
         asking.cancel()
-        await asyncio.gather(asking, disturbing, *answers, return_exceptions=True)
+        await asyncio.gather(asking, *answers, return_exceptions=True)
     finally:
         await world.close()
     total = sum(arrivals.values())
@@ -140,7 +130,7 @@
     print(f"answers of requests since the order: {ends}")
     if not has_trouble:
         # v2 is good, so that the rule doesn't bound it.
-        return 0 if set(ends) == {"200 whole"} else 2
+        return 0 if ends.get("200 whole", 0) > 0.9 * sum(ends.values()) else 2
     return 1 if arrivals["v2"] > allowed else 0
 
 
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -104,6 +104,7 @@
     def __init__(self, ip: str):
         self.ip, self.port = ip, 0
         self._server: asyncio.Server | None = None
+        self._port_owner: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     @property
@@ -111,11 +112,24 @@
         return f"{self.ip}:{self.port}"
 
     async def listen(self) -> None:
+        if self._port_owner is not None:
+            self._server = await asyncio.start_server(
+                self._serve, sock=self._port_owner.dup(), limit=2**20
+            )
+            return
         self._server = await asyncio.start_server(
             self._serve, self.ip, self.port, limit=2**20
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def keep_port(self) -> None:
+        """Keep listening after the process ends, as a supervisor does that hands the
+        socket to each process: connections then wait until the next one accepts them.
+        """
+        self._port_owner = socket.create_server((self.ip, self.port), backlog=256)
+        self._port_owner.setblocking(False)
+        self.port = self._port_owner.getsockname()[1]
+
     def end(self) -> None:
         """End like a process that crashes: nothing listens, connections are reset."""
         if self._server is not None:
@@ -151,6 +165,10 @@
             self._writers.discard(writer)
             writer.close()
 
+    def close_port(self) -> None:
+        if self._port_owner is not None:
+            self._port_owner.close()
+
     def on_caller_left(self, request: Request) -> None:
         """Note that a caller left before its answer was complete."""
 
@@ -216,12 +234,12 @@
         self.zone = f"zone-{int(self.ip.rsplit('.', 1)[1]) % 2}"
         self._run = run
         self._sequence = 0
-        self._born = 0
+        self.started_ms = 0
         self._heartbeat: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         await self.listen()
-        self._born = int(time.time() * 1000)
+        self.started_ms = int(time.time() * 1000)
         self._heartbeat = asyncio.ensure_future(self._beat())
 
     def crash(self) -> None:
@@ -249,7 +267,7 @@
                     "slots": self.slots,
                     "state": self.state,
                     "cold_remaining_ms": 0,
-                    "born": self._born,
+                    "born": self.started_ms,
                     "sequence": self._sequence,
                 },
             )
@@ -440,6 +458,7 @@
             await entry.end()
         for worker in self.workers:
             worker.crash()
+            worker.close_port()
         self.cloud.end()
         self.store.close()
         keep = os.environ.get("KEEP_LOGS")
