--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,8 +15,8 @@
 
 WORK_S = 0.06
 USUAL_FAILURE_SHARE = 0.14
-BAD_SHARE = 0.25
-REQUESTS_PER_S, ROLLOUT_S = 50, 16
+BAD_SHARE = 0.15
+REQUESTS_PER_S, ROLLOUT_S, BOOT_S = 50, 16, 3
 CONFIGURATION = {
     "version": 1,
     "routes": [
@@ -92,13 +92,18 @@
             answers.append(asyncio.ensure_future(ask(number)))
             await asyncio.sleep(1 / REQUESTS_PER_S)
 
+    async def start_new() -> None:
+        await asyncio.sleep(BOOT_S)
+        for worker in new:
+            await worker.start()
+        world.note("the new workers are ready")
+
     try:
         await world.start(CONFIGURATION, old, 2)
         asking = asyncio.ensure_future(ask_all())
         await asyncio.sleep(5)
-        for worker in new:
-            await worker.start()
         world.workers += new
+        starting = asyncio.ensure_future(start_new())
         world.store.put(
             "op",
             "rollout/records",
@@ -120,7 +125,7 @@
                     world.note("the platform stops the old workers")
         is_counted = False
         asking.cancel()
-        await asyncio.gather(asking, *answers, return_exceptions=True)
+        await asyncio.gather(asking, starting, *answers, return_exceptions=True)
     finally:
         await world.close()
     total = sum(arrivals.values())
