--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -550,12 +550,15 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited() -> int:
+        # One that is ended from outside ends its processes, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(115):
             return await main(has_trouble)
 
     try:
         code = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         code = 2
     raise SystemExit(code)
