--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,18 @@
 #!/bin/sh
-# Checks that the stand-ins of cases 11 to 15 load; run it after the build of the deploy
-# file. They are Python and use only the project's own stand-ins and `target/deps`.
-cd "$(dirname "$0")/.." || exit 2
-export PYTHONDONTWRITEBYTECODE=1
-exec python3 -c 'import sys; sys.path.insert(0, "review/standins-3"); import deployment'
+# Builds the stand-ins of cases 11 to 15, after the build of the deploy file. They are
+# Python, `standins3.py` and the project's own store, and need only `target/deps`: all
+# are compiled and loaded once, without a network.
+set -e
+cd "$(dirname "$0")"
+PYTHONDONTWRITEBYTECODE=1
+export PYTHONDONTWRITEBYTECODE
+python3 - <<'P'
+import ast
+import pathlib
+import sys
+
+for path in [pathlib.Path("standins3.py"), *sorted(pathlib.Path(".").glob("1[1-5]/case.py"))]:
+    ast.parse(path.read_text(), str(path))
+sys.path.insert(0, ".")
+import standins3
+P
--- a/review/standins-3/deployment.py
+++ b/review/standins3.py
@@ -20,7 +20,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
 
 from _monsoonpulley.clock import Clock  # noqa: E402
@@ -296,13 +296,28 @@
 
     def __init__(self, world: World, number: int):
         self.world, self.name = world, f"frontend-{number}"
-        self.ip = world.next_ip()
         self.zone = f"zone-{number % 2}"
         self.callers, self.ready, self.control, self.internal = 8221, 8224, 8229, 7600
+        self.ip = world.next_ip()
+        while not self._has_free_ports():
+            self.ip = world.next_ip()
         self._settings = world.folder / f"{self.name}.toml"
         self.log = world.folder / f"{self.name}.log"
         self.process: asyncio.subprocess.Process | None = None
 
+    def _has_free_ports(self) -> bool:
+        """Return whether all ports of the machine are free at its address."""
+        internal = range(self.internal, self.internal + 16)
+        ports = (self.callers, self.ready, self.control, *internal)
+        for port in ports:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    try:
+                        probe.bind((self.ip, port))
+                    except OSError:
+                        return False
+        return True
+
     def settings(self, first_start: bool) -> str:
         world = self.world
         bounds = "\n".join(f"{k} = {json.dumps(v)}" for k, v in world.bounds.items())
@@ -545,20 +560,23 @@
     answer.end = "whole"
 
 
-def run_case(main: Callable[[bool], Awaitable[int]]) -> None:
-    """Run a case and exit with its result: 1 broken, 0 held, 2 could not run."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(main: Callable[[bool], Awaitable[bool]], has_trouble: bool) -> None:
+    """Run a case; exit with 10 if the rule was broken, 0 if it held, else 2.
+
+    ``main`` returns whether the rule was broken. An error of the script itself exits
+    with another code, which `run.sh` takes for a case that could not run.
+    """
 
-    async def limited() -> int:
+    async def limited() -> bool:
         # One that is ended from outside ends its processes, too.
         task = asyncio.current_task()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        async with asyncio.timeout(115):
+        async with asyncio.timeout(110):
             return await main(has_trouble)
 
     try:
-        code = asyncio.run(limited())
+        is_broken = asyncio.run(limited())
     except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
-        code = 2
-    raise SystemExit(code)
+        raise SystemExit(2) from None
+    raise SystemExit(10 if is_broken else 0)
