--- a/review/12/case.py
+++ b/review/12/case.py
@@ -4,14 +4,26 @@
 
 import asyncio
 import itertools
+import os
 import random
 import sys
+import time
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
-sys.path.insert(0, str(CASE.parent / "standins-3"))
+sys.path.insert(0, str(CASE.parent))
 
-from deployment import KEY, World, Worker, run_case, write  # noqa: E402
+from standins3 import (  # noqa: E402
+    KEY,
+    CannotRun,
+    Worker,
+    World,
+    run_case,
+    write,
+)
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""TROUBLE=0 does the same without the disruption."""
 
 WORK_S = 0.06
 USUAL_FAILURE_SHARE = 0.14
@@ -45,7 +57,7 @@
 }
 
 
-async def main(has_trouble: bool) -> int:
+async def main(has_trouble: bool) -> bool:
     world = World(CASE)
     arrivals = {"v1": 0, "v2": 0}
     bad_answers = 0
@@ -109,12 +121,14 @@
             "rollout/records",
             {"service": "records", "to": "v2", "duration_s": ROLLOUT_S},
         )
+        ordered_s = time.monotonic()
         world.note("the operator orders v2, due in", ROLLOUT_S, "s")
         ends.clear()
         is_counted = True
         state = ""
-        for _ in range(ROLLOUT_S * 10):
-            await asyncio.sleep(0.1)
+        deadline_s = ordered_s + ROLLOUT_S
+        while (left_s := deadline_s - time.monotonic()) > 0:
+            await asyncio.sleep(min(0.1, left_s))
             stored = (world.store.read_value("status", "rollout/records") or b"").decode()
             if stored != state:
                 state = stored
@@ -135,8 +149,10 @@
     print(f"answers of requests since the order: {ends}")
     if not has_trouble:
         # v2 is good, so that the rule doesn't bound it.
-        return 0 if ends.get("200 whole", 0) > 0.9 * sum(ends.values()) else 2
-    return 1 if arrivals["v2"] > allowed else 0
+        if not (ends.get("200 whole", 0) > 0.9 * sum(ends.values())):
+            raise CannotRun("not all is served without the disruption")
+        return False
+    return arrivals["v2"] > allowed
 
 
-run_case(main)
+run_case(main, TROUBLE)
